--- /dev/null
+++ b/crates/coordination/src/base.rs
@@ -0,0 +1,16 @@
+//! Words that all parts share: names, numbers, time and findings.
+
+mod finding;
+mod name;
+mod number;
+mod time;
+
+pub use finding::{Finding, FindingList, Place, Severity};
+pub use name::{
+    AdapterName, ChangeId, ClaimKey, CustomerName, DataCentreName, HostName, ModelName,
+    OperatorName, RequestId, SelectorName, ServerName, ServiceName, VersionName,
+};
+pub use number::{
+    AttemptNumber, FencingNumber, Incarnation, LayerRange, Revision, SequenceNumber, TokenPosition,
+};
+pub use time::{MonotonicTime, WallTime};
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,8 @@
+//! Sans-IO coordination parts of pollendrift.
+//!
+//! Every part is a pure decision: tables and the present time go in, effects come out. No module
+//! of this crate opens a socket, a file or a clock, so one seed always gives the same verdict.
+//! Parts are listed alphabetically; each is one folder with one job.
+
+pub mod agreement;
+pub mod base;
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Router daemon of pollendrift.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Router daemon of pollendrift.
+fn main() {}
--- /dev/null
+++ b/crates/pollenctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Operators' command line of pollendrift.
+fn main() {}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
