feat(standins): engine, plain service and HTTP plumbing

Cause: the request path needs something real on its far side, whose tokens prove their path. Change: border types generated from a schema; a bounded hyper server loop and a client that tells 'not sent' from 'no answer'; a model engine that runs a layer range as one stage and forwards activations along the route; a plain service that counts its runs by key. Measured: skipped, doubled and swapped layers and another version each change the answer (unit test). Nothing is timed yet. Conclusion: the entry can be written against a pipeline of real processes.

--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,15 @@
+//! HTTP plumbing over hyper: a bounded server loop, a client and bodies.
+
+mod body;
+mod client;
+mod server;
+
+pub use body::{
+    BodyError, BodySender, ReadFailure, ReaderWatch, ResponseBody, channel_body, empty_body,
+    full_body, json_response, read_bounded, read_json, text_response,
+};
+pub use client::{ClientError, HttpClient, LineReader, PendingCall};
+pub use server::{
+    BoxedStream, ByteStream, DynHandler, HandlerFuture, HttpHandler, HttpServer, ServerBounds,
+    StreamAcceptor, StreamFuture,
+};
--- /dev/null
+++ b/crates/standins/src/announcer.rs
@@ -0,0 +1,123 @@
+//! Announces a backend server to the entries, one after the other, as a balancer would.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pollendrift_border::{
+    Announcement, AnnouncementReply, AnnouncementState, ServerLoad, ServerOffer,
+};
+use pollendrift_http::HttpClient;
+use tokio::sync::watch;
+
+/// Path that entries take announcements on.
+pub const ANNOUNCEMENT_PATH: &str = "/backend/v1/announcements";
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const MAX_REPLY_BYTES: usize = 64 * 1024;
+
+/// Who announces, and to whom.
+#[derive(Clone, Debug)]
+pub struct AnnouncerSettings {
+    /// `ip:port` of every entry.
+    pub entries: Vec<String>,
+    /// Name of the server.
+    pub server: String,
+    /// Life of the server's process.
+    pub incarnation: u64,
+    /// Data centre of the server.
+    pub data_centre: String,
+    /// Whether the server refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+}
+
+/// Reads the server's present offer and load.
+pub trait OfferSource: Send + Sync + 'static {
+    /// What is offered now.
+    fn offer(&self) -> ServerOffer;
+    /// Load now.
+    fn load(&self) -> ServerLoad;
+}
+
+/// A running announcer; dropping it falls silent without saying goodbye.
+#[derive(Debug)]
+pub struct ServerAnnouncer {
+    leaving: watch::Sender<bool>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl ServerAnnouncer {
+    /// Starts to announce `address`.
+    pub fn start(
+        settings: AnnouncerSettings,
+        address: String,
+        source: Arc<dyn OfferSource>,
+    ) -> Self {
+        let (leaving, leave) = watch::channel(false);
+        let task = tokio::spawn(announce_loop(settings, address, source, leave));
+        Self { leaving, task }
+    }
+
+    /// Announces from now on that the server is leaving.
+    pub fn leave(&self) {
+        let _ = self.leaving.send(true);
+    }
+}
+
+impl Drop for ServerAnnouncer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn announce_loop(
+    settings: AnnouncerSettings,
+    address: String,
+    source: Arc<dyn OfferSource>,
+    mut leave: watch::Receiver<bool>,
+) {
+    let client = HttpClient::new(MAX_REPLY_BYTES);
+    let mut sequence = 0_u64;
+    loop {
+        sequence += 1;
+        let state = if *leave.borrow() {
+            AnnouncementState::Leaving
+        } else {
+            AnnouncementState::Serving
+        };
+        let announcement = Announcement {
+            server: settings.server.clone(),
+            incarnation: settings.incarnation,
+            sequence,
+            address: address.clone(),
+            data_centre: settings.data_centre.clone(),
+            state,
+            checks_fencing: settings.checks_fencing,
+            offer: source.offer(),
+            load: source.load(),
+        };
+        let pause = announce_once(&client, &settings.entries, sequence, &announcement).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            changed = leave.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+async fn announce_once(
+    client: &HttpClient,
+    entries: &[String],
+    sequence: u64,
+    announcement: &Announcement,
+) -> Duration {
+    let count = entries.len().max(1);
+    let turn = usize::try_from(sequence).unwrap_or(0) % count;
+    let Some(entry) = entries.get(turn) else {
+        return RETRY_PAUSE;
+    };
+    let reply = client
+        .call::<_, AnnouncementReply>(entry, ANNOUNCEMENT_PATH, announcement)
+        .await;
+    match reply {
+        Ok((_, Ok(reply))) => Duration::from_millis(reply.heartbeat_millis),
+        _ => RETRY_PAUSE,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/sequence.rs
@@ -0,0 +1,226 @@
+//! A whole sequence, driven by the first stage: one step a token, events back to the entry.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pollendrift_border::{
+    CompleteEvent, FailedEvent, RouteStage, SequenceEvent, SequenceRequest, StepRefusal, StepReply,
+    StepRequest, TokenEvent,
+};
+use pollendrift_http::BodySender;
+
+use super::EngineContext;
+use super::step::{StageWork, advance, own_stage, prepare, stage_weights};
+use crate::token::{is_stop, prompt_tokens, token_text};
+
+/// Path that the first stage takes sequences on.
+pub(crate) const SEQUENCE_PATH: &str = "/engine/v1/sequences";
+
+/// Generates until the answer is whole, a stage fails or the entry goes away.
+pub(crate) async fn run_sequence(
+    context: Arc<EngineContext>,
+    request: SequenceRequest,
+    sender: BodySender,
+) {
+    let watch = sender.watch();
+    let mut stream = EventStream {
+        context: &context,
+        sender,
+        held: None,
+        sent: 0,
+    };
+    let ended = tokio::select! {
+        ended = generate(&context, &request, &mut stream) => ended,
+        // The entry is gone: nobody reads on, so the slots are freed at once.
+        () = watch.gone() => StreamEnd::Gone,
+    };
+    drop(watch);
+    if ended == StreamEnd::Finished {
+        stream.finish().await;
+    }
+    release_all(&context, &request).await;
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamEnd {
+    Finished,
+    Gone,
+}
+
+async fn generate(
+    context: &EngineContext,
+    request: &SequenceRequest,
+    stream: &mut EventStream<'_>,
+) -> StreamEnd {
+    let mut inputs = prompt_tokens(&request.prompt);
+    inputs.extend_from_slice(&request.confirmed);
+    let mut count = u32::try_from(request.confirmed.len()).unwrap_or(u32::MAX);
+    let mut last = request.confirmed.last().copied();
+    while count < request.max_tokens && !last.is_some_and(is_stop) {
+        let reply = match next_token(context, request, &inputs).await {
+            Ok(reply) => reply,
+            Err(refusal) => {
+                return stream
+                    .send(failed(request, &refusal, stream.sent > 0))
+                    .await;
+            }
+        };
+        if stream.faulted().await {
+            return StreamEnd::Gone;
+        }
+        last = Some(reply.token);
+        inputs.push(reply.token);
+        if stream.send(token(request, count, reply)).await == StreamEnd::Gone {
+            return StreamEnd::Gone;
+        }
+        count += 1;
+    }
+    let finish_reason = if last.is_some_and(is_stop) {
+        "stop"
+    } else {
+        "length"
+    };
+    stream
+        .send(SequenceEvent::Complete(CompleteEvent {
+            request: request.request.clone(),
+            attempt: request.attempt,
+            count,
+            finish_reason: finish_reason.to_owned(),
+        }))
+        .await
+}
+
+async fn next_token(
+    context: &EngineContext,
+    request: &SequenceRequest,
+    inputs: &[u64],
+) -> Result<StepReply, StepRefusal> {
+    let stage = own_stage(context, &request.route)?;
+    let weights = stage_weights(context, &request.version, request.adapter.as_deref())?;
+    let LayerBounds { first, end } = LayerBounds::of(stage);
+    let sequence = context
+        .sequences
+        .open(&request.request, request.attempt, &weights, first, end);
+    let mut state = sequence.lock().await;
+    prepare(context, &mut state, request.attempt, &weights, stage)?;
+    // The last input must run anew even where KV is held, since its token is what is asked for.
+    let have = state.span.len().min(inputs.len().saturating_sub(1));
+    state.span.truncate(have);
+    state.downstream_have = state.downstream_have.min(have);
+    let step = StepRequest {
+        request: request.request.clone(),
+        attempt: request.attempt,
+        version: request.version.clone(),
+        adapter: request.adapter.clone(),
+        first_position: 0,
+        activations: Vec::new(),
+        route: request.route.clone(),
+    };
+    let work = StageWork {
+        step: &step,
+        stage,
+        inputs: inputs.get(have..).unwrap_or(&[]),
+    };
+    advance(context, &mut state, &work).await
+}
+
+struct LayerBounds {
+    first: u32,
+    end: u32,
+}
+
+impl LayerBounds {
+    fn of(stage: &RouteStage) -> Self {
+        Self {
+            first: stage.layers.first,
+            end: stage.layers.end,
+        }
+    }
+}
+
+fn token(request: &SequenceRequest, position: u32, reply: StepReply) -> SequenceEvent {
+    SequenceEvent::Token(TokenEvent {
+        request: request.request.clone(),
+        attempt: request.attempt,
+        position,
+        token: reply.token,
+        text: token_text(reply.token),
+        chain: reply.chain,
+    })
+}
+
+fn failed(request: &SequenceRequest, refusal: &StepRefusal, started: bool) -> SequenceEvent {
+    SequenceEvent::Failed(FailedEvent {
+        request: request.request.clone(),
+        attempt: request.attempt,
+        server: refusal.server.clone(),
+        reason: refusal.reason.to_string(),
+        started,
+    })
+}
+
+/// Event lines towards the entry, with the faults that are asked for.
+struct EventStream<'context> {
+    context: &'context EngineContext,
+    sender: BodySender,
+    held: Option<Bytes>,
+    sent: u64,
+}
+
+impl EventStream<'_> {
+    async fn send(&mut self, event: SequenceEvent) -> StreamEnd {
+        let is_token = matches!(event, SequenceEvent::Token(_));
+        let Ok(mut line) = serde_json::to_vec(&event) else {
+            return StreamEnd::Gone;
+        };
+        line.push(b'\n');
+        let line = Bytes::from(line);
+        if is_token {
+            self.sent += 1;
+        }
+        if is_token && self.context.faults.swaps() && self.held.is_none() {
+            self.held = Some(line);
+            return StreamEnd::Finished;
+        }
+        let mut alive = self.sender.send(line.clone()).await;
+        if is_token && self.context.faults.duplicates() {
+            alive = self.sender.send(line).await;
+        }
+        if let Some(held) = self.held.take() {
+            alive = self.sender.send(held).await;
+        }
+        if alive {
+            StreamEnd::Finished
+        } else {
+            StreamEnd::Gone
+        }
+    }
+
+    /// Brings about a cut or a stall if one is due; true if the stream is over.
+    async fn faulted(&self) -> bool {
+        if self.context.faults.cuts_at(self.sent) {
+            return true;
+        }
+        if self.context.faults.stalls_at(self.sent) {
+            self.sender.closed().await;
+            return true;
+        }
+        false
+    }
+
+    async fn finish(self) {
+        self.sender.finish().await;
+    }
+}
+
+async fn release_all(context: &EngineContext, request: &SequenceRequest) {
+    context.sequences.release(&request.request);
+    for stage in request.route.iter().skip(1) {
+        let path = format!("{SEQUENCE_PATH}/{}/release", request.request);
+        // A stage that can't be reached has lost its KV, or drops it with the next attempt.
+        let _ = context
+            .client
+            .post(&stage.address, &path, &request.attempt)
+            .await;
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder.
+//! Stand-ins for what pollendrift meets: model engines, plain services and callers.
+//!
+//! Used by tests, examples and benches only; nothing here is published or run in production.
+
+pub mod announcer;
+pub mod engine;
+pub mod service;
+pub mod token;
