feat(ledger): release only tokens of whole chains, once and in order

A late, doubled, reordered or foreign result must not reach the caller, and a stage that dies partway must not leave a gap or a repeat.

The ledger fixes the version for the answer, compares each chain with the running attempt's route and holds results ahead of the next position in a bounded buffer. Seven tests: fault tables and two properties over shuffled, doubled and late results.

--- /dev/null
+++ b/crates/coordination/src/ledger/chain.rs
@@ -0,0 +1,105 @@
+//! The chain of engines that made a token, and when it is whole.
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use crate::base::{LayerRange, ServerName, VersionName};
+
+/// One engine's part in a token: the layers that it ran, and in which version.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[display("{server}[{layers}@{version}]")]
+pub struct ChainLink {
+    /// Engine that ran the layers.
+    pub server: ServerName,
+    /// Layers that it ran.
+    pub layers: LayerRange,
+    /// Version of the weights that it ran them with.
+    pub version: VersionName,
+}
+
+/// Why a chain does not cover the model's layers once, in order, in one version.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ChainFault {
+    /// The chain names no engine.
+    #[display("the chain is empty")]
+    Empty,
+    /// Layers from `layer` on did not run.
+    #[display("layer {layer} did not run")]
+    Gap {
+        /// First layer that is missing.
+        layer: u32,
+    },
+    /// A layer ran again, or after a later one.
+    #[display("layer {layer} ran twice or out of order")]
+    Overlap {
+        /// First layer that ran again.
+        layer: u32,
+    },
+    /// A link ran layers that the model does not have, or no layers.
+    #[display("range {layers} does not fit a model of {count} layers")]
+    OutOfModel {
+        /// Range of the link.
+        layers: LayerRange,
+        /// Number of layers of the model.
+        count: u32,
+    },
+    /// A link ran another version than the answer is made with.
+    #[display("version {found} in an answer made with {expected}")]
+    WrongVersion {
+        /// Version of the answer.
+        expected: VersionName,
+        /// Version of the link.
+        found: VersionName,
+    },
+}
+
+/// Checks that `chain` covers `0..layers` once, in order, in `version`.
+///
+/// # Errors
+/// The first fault along the chain.
+pub fn check_chain(
+    chain: &[ChainLink],
+    layers: u32,
+    version: &VersionName,
+) -> Result<(), ChainFault> {
+    if chain.is_empty() {
+        return Err(ChainFault::Empty);
+    }
+    let mut next = 0;
+    for link in chain {
+        check_link(link, next, layers, version)?;
+        next = link.layers.end;
+    }
+    if next < layers {
+        return Err(ChainFault::Gap { layer: next });
+    }
+    Ok(())
+}
+
+fn check_link(
+    link: &ChainLink,
+    next: u32,
+    count: u32,
+    version: &VersionName,
+) -> Result<(), ChainFault> {
+    let layers = link.layers;
+    if link.version != *version {
+        return Err(ChainFault::WrongVersion {
+            expected: version.clone(),
+            found: link.version.clone(),
+        });
+    }
+    if layers.is_empty() || layers.end > count {
+        return Err(ChainFault::OutOfModel { layers, count });
+    }
+    if layers.first > next {
+        return Err(ChainFault::Gap { layer: next });
+    }
+    if layers.first < next {
+        return Err(ChainFault::Overlap {
+            layer: layers.first,
+        });
+    }
+    Ok(())
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod agreement;
 pub mod base;
+pub mod ledger;
--- /dev/null
+++ b/crates/coordination/tests/ledger_failures.rs
@@ -0,0 +1,295 @@
+//! Fault cases of the token ledger, in tables, and its property under any arrival order.
+
+use pollendrift_coordination::base::{
+    AttemptNumber, LayerRange, RequestId, ServerName, TokenPosition, VersionName,
+};
+use pollendrift_coordination::ledger::{
+    ChainLink, FinalEvent, FinalVerdict, LedgerSettings, TokenLedger, TokenResult, TokenText,
+    TokenVerdict,
+};
+use proptest::prelude::{ProptestConfig, any, prop, proptest};
+
+const LAYERS: u32 = 32;
+
+fn link(server: &str, first: u32, end: u32) -> ChainLink {
+    ChainLink {
+        server: ServerName::from(server),
+        layers: LayerRange { first, end },
+        version: VersionName::from("v1"),
+    }
+}
+
+fn route(suffix: &str) -> Vec<ChainLink> {
+    let first = format!("a{suffix}");
+    let second = format!("b{suffix}");
+    vec![link(&first, 0, 20), link(&second, 20, LAYERS)]
+}
+
+fn result(attempt: u32, position: u32) -> TokenResult {
+    TokenResult {
+        request: RequestId::from("r1"),
+        attempt: AttemptNumber(attempt),
+        position: TokenPosition(position),
+        chain: route(&attempt.to_string()),
+        token: TokenText::from(format!("{attempt}/{position}")),
+    }
+}
+
+fn final_event(attempt: u32, count: u32) -> FinalEvent {
+    FinalEvent {
+        request: RequestId::from("r1"),
+        attempt: AttemptNumber(attempt),
+        count,
+    }
+}
+
+fn ledger() -> TokenLedger {
+    let settings = LedgerSettings {
+        reorder_window: 4,
+        max_tokens: 100,
+    };
+    let version = VersionName::from("v1");
+    TokenLedger::new(RequestId::from("r1"), LAYERS, version, settings)
+}
+
+fn started() -> TokenLedger {
+    let mut ledger = ledger();
+    let begun = ledger.begin_attempt(AttemptNumber(1), route("1"));
+    assert_eq!(begun, Ok(TokenPosition(0)));
+    ledger
+}
+
+fn describe(verdict: &TokenVerdict) -> String {
+    match verdict {
+        TokenVerdict::Release { tokens, complete } => {
+            let texts: Vec<&str> = tokens.iter().map(|token| token.text.as_ref()).collect();
+            let end = if *complete { " complete" } else { "" };
+            format!("release {}{end}", texts.join(" "))
+        }
+        TokenVerdict::Held => "held".to_owned(),
+        TokenVerdict::Dropped(reason) => format!("dropped: {reason}"),
+    }
+}
+
+// The caller sees nothing of a result whose chain is not whole, or that is not its own.
+// One engine answers with each kind of fault before the right result for position 0 arrives.
+// The ledger compares the chain with the layers, the version and the route of the attempt.
+#[test]
+fn faulty_results_are_dropped_with_their_reason() {
+    type Fault = fn(&mut TokenResult);
+    let cases: [(&str, Fault); 11] = [
+        ("foreign request", |r| r.request = RequestId::from("r2")),
+        ("attempt 0", |r| r.attempt = AttemptNumber(0)),
+        ("attempt never started", |r| r.attempt = AttemptNumber(2)),
+        ("empty chain", |r| r.chain.clear()),
+        ("last stage missing", |r| r.chain.truncate(1)),
+        ("first stage missing", |r| drop(r.chain.remove(0))),
+        ("gap between stages", |r| r.chain[1].layers.first = 21),
+        ("layer ran twice", |r| r.chain[1].layers.first = 19),
+        ("stages swapped", |r| r.chain.reverse()),
+        ("beyond the model", |r| r.chain[1].layers.end = 33),
+        ("other version", |r| {
+            r.chain[1].version = VersionName::from("v2");
+        }),
+    ];
+    let mut ledger = started();
+    let mut lines = Vec::new();
+    for (name, spoil) in cases {
+        let mut spoiled = result(1, 0);
+        spoil(&mut spoiled);
+        lines.push(format!("{name}: {}", describe(&ledger.accept(spoiled))));
+    }
+    let mut detour = result(1, 0);
+    detour.chain = route("9");
+    lines.push(format!(
+        "other engines: {}",
+        describe(&ledger.accept(detour))
+    ));
+    lines.push(format!("whole: {}", describe(&ledger.accept(result(1, 0)))));
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    foreign request: dropped: foreign request
+    attempt 0: dropped: old attempt
+    attempt never started: dropped: unknown attempt
+    empty chain: dropped: chain: the chain is empty
+    last stage missing: dropped: chain: layer 20 did not run
+    first stage missing: dropped: chain: layer 0 did not run
+    gap between stages: dropped: chain: layer 20 did not run
+    layer ran twice: dropped: chain: layer 19 ran twice or out of order
+    stages swapped: dropped: chain: layer 0 did not run
+    beyond the model: dropped: chain: range 20..33 does not fit a model of 32 layers
+    other version: dropped: chain: version v2 in an answer made with v1
+    other engines: dropped: off the attempt's route
+    whole: release 1/0
+    ");
+}
+
+// The caller sees 0 to 3 once, in order, though they arrive as 2, 0, 0, 3, 2, 1, 9.
+// 2 and 3 wait; the doubled 0 and 2 are dropped; 9 lies beyond the window and is not stored.
+// A gap in front of the buffer is what keeps it from growing, so the window bounds it.
+#[test]
+fn late_and_doubled_results_are_put_in_order() {
+    let mut ledger = started();
+    let mut lines = Vec::new();
+    for position in [2, 0, 0, 3, 2, 9, 1] {
+        let verdict = ledger.accept(result(1, position));
+        lines.push(format!("{position}: {}", describe(&verdict)));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    2: held
+    0: release 1/0
+    0: dropped: duplicate
+    3: held
+    2: dropped: duplicate
+    9: dropped: beyond the reorder window
+    1: release 1/1 1/2 1/3
+    ");
+}
+
+// The caller sees 1/0 from the first attempt and goes on with 2/1 from the second.
+// The second stage dies while 1/2 waits for 1/1; attempt 2 begins from the confirmed prefix.
+// The late 1/1 and the held 1/2 continue another sampling and must not be mixed in.
+#[test]
+fn a_new_attempt_continues_from_the_confirmed_prefix() {
+    let mut ledger = started();
+    ledger.accept(result(1, 0));
+    ledger.accept(result(1, 2));
+    let from = ledger.begin_attempt(AttemptNumber(2), route("2")).unwrap();
+    assert_eq!(from, TokenPosition(1));
+    let mut lines = Vec::new();
+    for (attempt, position) in [(1, 1), (2, 2), (1, 3), (2, 1)] {
+        let verdict = ledger.accept(result(attempt, position));
+        lines.push(format!("{attempt}/{position}: {}", describe(&verdict)));
+    }
+    lines.push(format!("{:?}", ledger.complete(&final_event(1, 4))));
+    lines.push(format!("{:?}", ledger.complete(&final_event(2, 3))));
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    1/1: dropped: old attempt
+    2/2: held
+    1/3: dropped: old attempt
+    2/1: release 2/1 2/2
+    Dropped(OldAttempt)
+    Complete
+    ");
+}
+
+// The caller is told `complete` only with the last position, whichever arrives first.
+// The final event overtakes tokens 1 and 2, then an engine tries to change or exceed the count.
+// A count below what was seen, or a second count, contradicts itself and ends the attempt.
+#[test]
+fn the_final_event_waits_for_all_positions() {
+    let mut ledger = started();
+    ledger.accept(result(1, 0));
+    let mut lines = vec![
+        format!("{:?}", ledger.complete(&final_event(1, 0))),
+        format!("{:?}", ledger.complete(&final_event(1, 3))),
+        format!("{:?}", ledger.complete(&final_event(1, 2))),
+    ];
+    for position in [3, 2, 1, 1] {
+        let verdict = ledger.accept(result(1, position));
+        lines.push(format!("{position}: {}", describe(&verdict)));
+    }
+    let again = ledger.begin_attempt(AttemptNumber(2), route("2"));
+    lines.push(format!("{again:?}"));
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    Dropped(CountContradicted)
+    Waiting { next: TokenPosition(1) }
+    Dropped(CountContradicted)
+    3: dropped: count contradicted
+    2: held
+    1: release 1/1 1/2 complete
+    1: dropped: duplicate
+    Err(Complete)
+    ");
+}
+
+// The caller's answer goes on over the running attempt; no faulty attempt replaces it.
+// A retry is planned over a stale route: same number, a lower number, a gap, a mixed version.
+// The ledger refuses each before any engine is asked.
+#[test]
+fn attempts_over_unfit_routes_are_refused() {
+    let mut ledger = ledger();
+    ledger.begin_attempt(AttemptNumber(2), route("2")).unwrap();
+    let mut mixed = route("3");
+    mixed[1].version = VersionName::from("v2");
+    let cases = [
+        (2, route("2")),
+        (1, route("1")),
+        (3, vec![link("a", 0, 20)]),
+        (3, mixed),
+    ];
+    let mut lines = Vec::new();
+    for (attempt, route) in cases {
+        let error = ledger.begin_attempt(AttemptNumber(attempt), route);
+        lines.push(error.unwrap_err().to_string());
+    }
+    assert_eq!(ledger.attempt(), AttemptNumber(2));
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    attempt 2 or a newer one is running
+    attempt 2 or a newer one is running
+    route: layer 20 did not run
+    route: version v2 in an answer made with v1
+    ");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    // The caller sees every position at most once and in order, each from the attempt then running.
+    // Results of three attempts arrive shuffled, doubled and late, some with a broken chain, and
+    // attempts begin in between. Every released text names the attempt that made it.
+    #[test]
+    fn any_arrival_order_releases_each_position_once(
+        steps in prop::collection::vec((0_u32..4, 0_u32..12, any::<bool>(), 0_u8..8), 0..200),
+    ) {
+        let mut ledger = started();
+        let mut seen = Vec::new();
+        for (attempt, position, broken, action) in steps {
+            if action == 0 {
+                let _ = ledger.begin_attempt(AttemptNumber(attempt), route(&attempt.to_string()));
+                continue;
+            }
+            let mut result = result(attempt, position);
+            if broken && action < 3 {
+                result.chain.pop();
+            }
+            let running = ledger.attempt();
+            let whole = result.chain.len() == 2;
+            if let TokenVerdict::Release { tokens, .. } = ledger.accept(result) {
+                assert!(whole);
+                for token in tokens {
+                    let expected = format!("{running}/{}", token.position);
+                    assert_eq!(token.text.as_ref(), expected);
+                    seen.push(token.position.0);
+                }
+            }
+            assert!(ledger.held_count() <= 4);
+        }
+        let expected: Vec<u32> = (0..u32::try_from(seen.len()).unwrap()).collect();
+        assert_eq!(seen, expected);
+    }
+
+    // The caller gets the whole answer when each result arrives at least once within the window.
+    // The order is a seeded shuffle of neighbours with doubles; the final event comes anywhere.
+    #[test]
+    fn a_whole_answer_completes(swaps in prop::collection::vec(0_usize..19, 0..40), end in 0_usize..20) {
+        let mut order: Vec<u32> = (0..20).collect();
+        for index in swaps {
+            let in_window = order[index].abs_diff(u32::try_from(index + 1).unwrap()) <= 2
+                && order[index + 1].abs_diff(u32::try_from(index).unwrap()) <= 2;
+            if in_window {
+                order.swap(index, index + 1);
+            }
+        }
+        let mut ledger = started();
+        for (index, position) in order.into_iter().enumerate() {
+            if index == end {
+                let verdict = ledger.complete(&final_event(1, 20));
+                assert!(!matches!(verdict, FinalVerdict::Dropped(_)));
+            }
+            ledger.accept(result(1, position));
+            ledger.accept(result(1, position));
+        }
+        assert!(ledger.is_complete());
+        assert_eq!(ledger.confirmed_prefix().len(), 20);
+    }
+}
