feat(settings): read daemon settings with all findings and their places

Cause: a daemon needs its addresses, peers, parties and bounds before it starts, and an operator should see every fault of a file at once. Change: YAML is kept as a tree of spanned nodes; sections read typed values and collect findings with file, line, column and what would be accepted.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,3 @@
 //! Router daemon of pollendrift.
+
+pub mod settings;
--- /dev/null
+++ b/crates/daemon/src/settings/entry.rs
@@ -0,0 +1,75 @@
+//! Bounds on what strangers can send to the callers', operators' and backend servers' faces.
+
+use std::time::Duration;
+
+use super::reader::SectionReader;
+
+/// Settings of the HTTP faces.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Most header lines of a request.
+    pub max_header_count: u64,
+    /// Most bytes of a request's head.
+    pub max_header_bytes: u64,
+    /// Most bytes of a request's body.
+    pub max_body_bytes: u64,
+    /// Time within which the head of a request must have arrived.
+    pub head_timeout: Duration,
+    /// Time within which the body of a request must have arrived.
+    pub body_timeout: Duration,
+    /// Most open connections of one address.
+    pub max_connections_per_address: u64,
+    /// Most open connections in all.
+    pub max_connections: u64,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        Self {
+            max_header_count: 100,
+            max_header_bytes: 16 << 10,
+            max_body_bytes: 4 << 20,
+            head_timeout: Duration::from_secs(5),
+            body_timeout: Duration::from_secs(30),
+            max_connections_per_address: 1_024,
+            max_connections: 8_192,
+        }
+    }
+}
+
+impl EntrySettings {
+    pub(super) fn read(section: &mut SectionReader<'_>) -> Self {
+        let default = Self::default();
+        let times = Duration::from_millis(100)..=Duration::from_secs(3_600);
+        Self {
+            max_header_count: section.count(
+                "max_header_count",
+                default.max_header_count,
+                8..=1_000,
+            ),
+            // hyper needs a buffer of at least 8 KiB.
+            max_header_bytes: section.size(
+                "max_header_bytes",
+                default.max_header_bytes,
+                8 << 10..=1 << 20,
+            ),
+            max_body_bytes: section.size(
+                "max_body_bytes",
+                default.max_body_bytes,
+                1 << 10..=1 << 30,
+            ),
+            head_timeout: section.duration("head_timeout", default.head_timeout, times.clone()),
+            body_timeout: section.duration("body_timeout", default.body_timeout, times),
+            max_connections_per_address: section.count(
+                "max_connections_per_address",
+                default.max_connections_per_address,
+                1..=1_000_000,
+            ),
+            max_connections: section.count(
+                "max_connections",
+                default.max_connections,
+                1..=1_000_000,
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/evidence.rs
@@ -0,0 +1,75 @@
+//! Buffer and retention of the evidence.
+
+use std::time::Duration;
+
+use super::reader::SectionReader;
+
+/// Settings of the evidence.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EvidenceSettings {
+    /// Most records that an entry holds until keepers have acknowledged them; new work is refused
+    /// while the buffer is full.
+    pub max_buffer_records: u64,
+    /// Most bytes of the same buffer.
+    pub max_buffer_bytes: u64,
+    /// Most records of one batch to the keepers.
+    pub max_batch_records: u64,
+    /// Longest time that a record waits for others to share its batch.
+    pub batch_delay: Duration,
+    /// Time without an acknowledgement after which a batch is sent again.
+    pub resend_delay: Duration,
+    /// Age after which keepers drop records.
+    pub retain_age: Duration,
+    /// Bytes on a keeper's disk above which the oldest records are dropped.
+    pub retain_bytes: u64,
+}
+
+impl Default for EvidenceSettings {
+    fn default() -> Self {
+        Self {
+            max_buffer_records: 16_384,
+            max_buffer_bytes: 8 << 20,
+            max_batch_records: 256,
+            batch_delay: Duration::from_millis(5),
+            resend_delay: Duration::from_millis(500),
+            retain_age: Duration::from_secs(400 * 86_400),
+            retain_bytes: 8 << 30,
+        }
+    }
+}
+
+impl EvidenceSettings {
+    pub(super) fn read(section: &mut SectionReader<'_>) -> Self {
+        let default = Self::default();
+        let (milli, day) = (Duration::from_millis(1), Duration::from_secs(86_400));
+        Self {
+            max_buffer_records: section.count(
+                "max_buffer_records",
+                default.max_buffer_records,
+                16..=10_000_000,
+            ),
+            max_buffer_bytes: section.size(
+                "max_buffer_bytes",
+                default.max_buffer_bytes,
+                64 << 10..=1 << 32,
+            ),
+            max_batch_records: section.count(
+                "max_batch_records",
+                default.max_batch_records,
+                1..=4_096,
+            ),
+            batch_delay: section.duration(
+                "batch_delay",
+                default.batch_delay,
+                Duration::ZERO..=milli * 1_000,
+            ),
+            resend_delay: section.duration(
+                "resend_delay",
+                default.resend_delay,
+                milli * 10..=milli * 60_000,
+            ),
+            retain_age: section.duration("retain_age", default.retain_age, day..=day * 3_650),
+            retain_bytes: section.size("retain_bytes", default.retain_bytes, 1 << 20..=1 << 50),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/logs.rs
@@ -0,0 +1,50 @@
+//! Log levels by package.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::reader::SectionReader;
+
+/// Levels that are accepted, from the quietest.
+const LEVELS: &str = "off, error, warn, info, debug, trace";
+
+/// Settings of the logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Level of every package that `packages` does not name.
+    pub level: log::LevelFilter,
+    /// Levels of single packages or modules, such as `pollendrift::entry`.
+    pub packages: BTreeMap<Arc<str>, log::LevelFilter>,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: log::LevelFilter::Info,
+            packages: BTreeMap::new(),
+        }
+    }
+}
+
+impl LogSettings {
+    pub(super) fn read(section: &mut SectionReader<'_>) -> Self {
+        let default = Self::default();
+        let level = section.optional("level", LEVELS);
+        let mut packages = BTreeMap::new();
+        for (package, level) in section.pairs("packages") {
+            match level.value.parse() {
+                Ok(filter) => {
+                    packages.insert(package.value.into(), filter);
+                }
+                Err(_) => {
+                    let message = format!("`{}` is no level", level.value);
+                    section.error(level.place, message, LEVELS);
+                }
+            }
+        }
+        Self {
+            level: level.map_or(default.level, |level| level.value),
+            packages,
+        }
+    }
+}
