feat(leases): order announcements by incarnation and sequence

Cause: the balancer gives each heartbeat of a server to another entry, and entries tell each other late, twice and out of order. Change: a lease table that merges by (incarnation, sequence), ends leases by its own monotonic clock, and feeds deltas by version; token ids travel beside their text so that a new attempt can replay them. Failure found: the lease of a delta older than the receiving process ran a whole lease from the restart; deadlines now count from the receipt less the age, and a test holds it.

--- a/crates/coordination/src/base/time.rs
+++ b/crates/coordination/src/base/time.rs
@@ -52,6 +52,13 @@
         Self(self.0.saturating_add(micros))
     }
 
+    /// This time less `duration`, held at the start of the process.
+    #[must_use]
+    pub fn before(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// Time passed since `earlier`; zero if `earlier` lies in the future.
     #[must_use]
     pub fn since(self, earlier: Self) -> Duration {
--- /dev/null
+++ b/crates/coordination/src/leases.rs
@@ -0,0 +1,220 @@
+//! Leases of backend servers: who may get new work, and until when.
+//!
+//! A backend server announces itself to any entry, and each entry hears the others' announcements
+//! as deltas, late, twice and out of order. [`LeaseTable::merge`] therefore orders announcements by
+//! (incarnation, sequence) alone and never by arrival. [`LeaseTable::tick`] acts when leases run
+//! out; [`LeaseTable::delta`] feeds the other entries.
+
+mod delta;
+mod record;
+mod settings;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use slotmap::{SlotMap, new_key_type};
+
+pub use delta::{DeltaCursor, LeaseDelta};
+pub use record::{LeaseNews, MergeVerdict, ServerAnnounce, ServerLease, ServerState};
+pub use settings::BackendLeaseSettings;
+
+use record::Hearing;
+
+use crate::base::{Incarnation, MonotonicTime, SequenceNumber, ServerName};
+
+new_key_type! {
+    /// Key of a backend server's lease.
+    pub struct LeaseKey;
+}
+
+/// Leases of all backend servers that this host has heard of.
+///
+/// Invariants: `by_name` holds each lease of `leases` once; `by_expiry` holds each lease once,
+/// under its present deadline; a version in `by_version` is never reused.
+#[derive(Debug)]
+pub struct LeaseTable {
+    settings: BackendLeaseSettings,
+    leases: SlotMap<LeaseKey, ServerLease>,
+    by_name: BTreeMap<ServerName, LeaseKey>,
+    by_expiry: BTreeSet<(MonotonicTime, LeaseKey)>,
+    by_version: BTreeMap<u64, LeaseKey>,
+    version: u64,
+}
+
+impl LeaseTable {
+    /// An empty table.
+    pub fn new(settings: BackendLeaseSettings) -> Self {
+        Self {
+            settings,
+            leases: SlotMap::with_key(),
+            by_name: BTreeMap::new(),
+            by_expiry: BTreeSet::new(),
+            by_version: BTreeMap::new(),
+            version: 0,
+        }
+    }
+
+    /// Takes an announcement that its sender heard `age` ago.
+    pub fn merge(
+        &mut self,
+        now: MonotonicTime,
+        announce: ServerAnnounce,
+        age: std::time::Duration,
+    ) -> MergeVerdict {
+        if age >= self.settings.lease {
+            return MergeVerdict::Stale;
+        }
+        let hearing = Hearing {
+            heard_at: now.before(age),
+            // Not counted from `heard_at`, which is held at the start of this process: a delta
+            // that outlived a restart of its receiver would then renew for a whole lease.
+            deadline: now.after(self.settings.lease.saturating_sub(age)),
+        };
+        match self.by_name.get(&announce.server).copied() {
+            Some(key) => self.merge_known(key, hearing, announce),
+            None => self.merge_new(hearing, announce),
+        }
+    }
+
+    /// Ends the leases that ran out and forgets servers after the retention; call it every tick.
+    pub fn tick(&mut self, now: MonotonicTime) -> Vec<LeaseNews> {
+        let mut news = Vec::new();
+        while let Some((deadline, key)) = self.by_expiry.first().copied() {
+            if deadline > now {
+                break;
+            }
+            self.by_expiry.pop_first();
+            news.extend(self.expire(now, key));
+        }
+        news
+    }
+
+    /// Whether `server` may get new work at `now`.
+    ///
+    /// Asked at the moment of the effect: a process that was paused holds old state, and a server
+    /// that left meanwhile would get work if only the last tick were asked.
+    pub fn may_take_work(&self, now: MonotonicTime, server: &ServerName) -> bool {
+        self.get(server).is_some_and(|lease| lease.is_serving(now))
+    }
+
+    /// The lease of `server`.
+    pub fn get(&self, server: &ServerName) -> Option<&ServerLease> {
+        self.leases.get(*self.by_name.get(server)?)
+    }
+
+    /// All leases by server name.
+    pub fn iter(&self) -> impl Iterator<Item = &ServerLease> {
+        self.by_name
+            .values()
+            .filter_map(|key| self.leases.get(*key))
+    }
+
+    /// Number of servers held, ended leases included until they are forgotten.
+    pub fn len(&self) -> usize {
+        self.leases.len()
+    }
+
+    /// Whether no server is held.
+    pub fn is_empty(&self) -> bool {
+        self.leases.is_empty()
+    }
+
+    /// Time at which [`LeaseTable::tick`] has something to do.
+    pub fn next_deadline(&self) -> Option<MonotonicTime> {
+        self.by_expiry.first().map(|(deadline, _)| *deadline)
+    }
+
+    fn merge_new(&mut self, hearing: Hearing, announce: ServerAnnounce) -> MergeVerdict {
+        if self.leases.len() >= self.settings.max_servers {
+            return MergeVerdict::Full;
+        }
+        let name = announce.server.clone();
+        let lease = ServerLease::new(announce, hearing);
+        let deadline = lease.deadline;
+        let key = self.leases.insert(lease);
+        self.by_name.insert(name, key);
+        self.by_expiry.insert((deadline, key));
+        self.touch(key);
+        MergeVerdict::Changed
+    }
+
+    fn merge_known(
+        &mut self,
+        key: LeaseKey,
+        hearing: Hearing,
+        announce: ServerAnnounce,
+    ) -> MergeVerdict {
+        let Some(lease) = self.leases.get_mut(key) else {
+            return MergeVerdict::Stale;
+        };
+        if !lease.is_outranked_by(announce.incarnation, announce.sequence) {
+            return MergeVerdict::Stale;
+        }
+        // A heartbeat sent before the leave can arrive after it with a higher sequence when the
+        // server's threads race. Work would go to a server that is closing down. Only a new
+        // incarnation, which the server takes at its next start, ends a leave.
+        if lease.announce.state == ServerState::Leaving
+            && announce.incarnation == lease.announce.incarnation
+        {
+            lease.announce.sequence = announce.sequence;
+            return MergeVerdict::Left;
+        }
+        let changed = lease.differs_from(&announce);
+        let old_deadline = lease.deadline;
+        lease.renew(announce, hearing);
+        let deadline = lease.deadline;
+        self.by_expiry.remove(&(old_deadline, key));
+        self.by_expiry.insert((deadline, key));
+        self.touch(key);
+        if changed {
+            MergeVerdict::Changed
+        } else {
+            MergeVerdict::Renewed
+        }
+    }
+
+    fn expire(&mut self, now: MonotonicTime, key: LeaseKey) -> Option<LeaseNews> {
+        let retention = self.settings.retention;
+        let lease = self.leases.get_mut(key)?;
+        let server = lease.announce.server.clone();
+        if lease.ended {
+            self.forget(key);
+            return Some(LeaseNews::Forgotten { server });
+        }
+        lease.ended = true;
+        lease.deadline = now.after(retention);
+        self.by_expiry.insert((lease.deadline, key));
+        Some(LeaseNews::Ended { server })
+    }
+
+    fn forget(&mut self, key: LeaseKey) {
+        let Some(lease) = self.leases.remove(key) else {
+            return;
+        };
+        self.by_name.remove(&lease.announce.server);
+        self.by_version.remove(&lease.version);
+    }
+
+    fn touch(&mut self, key: LeaseKey) {
+        self.version += 1;
+        let version = self.version;
+        let Some(lease) = self.leases.get_mut(key) else {
+            return;
+        };
+        self.by_version.remove(&lease.version);
+        lease.version = version;
+        self.by_version.insert(version, key);
+    }
+
+    fn outranks(
+        &self,
+        server: &ServerName,
+        incarnation: Incarnation,
+        sequence: SequenceNumber,
+    ) -> bool {
+        self.get(server)
+            .is_none_or(|lease| lease.is_outranked_by(incarnation, sequence))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -11,8 +11,8 @@
 
 pub use chain::{ChainFault, ChainLink, check_chain};
 pub use result::{
-    AttemptError, DropReason, FinalEvent, FinalVerdict, ReleasedToken, TokenResult, TokenText,
-    TokenVerdict,
+    AttemptError, DropReason, FinalEvent, FinalVerdict, GeneratedToken, ReleasedToken, TokenResult,
+    TokenText, TokenVerdict,
 };
 pub use settings::LedgerSettings;
 
@@ -32,10 +32,10 @@
     /// Route of the running attempt; a whole chain whenever `attempt` is not 0.
     route: Vec<ChainLink>,
     /// Released tokens; index is the position, so it has no gap and no repeat by construction.
-    confirmed: Vec<TokenText>,
+    confirmed: Vec<GeneratedToken>,
     /// Results ahead of the next position. Invariant: every key is greater than the next position,
     /// and every entry comes from the running attempt.
-    held: BTreeMap<TokenPosition, TokenText>,
+    held: BTreeMap<TokenPosition, GeneratedToken>,
     /// Count that the running attempt's final event named.
     announced: Option<u32>,
 }
@@ -57,7 +57,7 @@
         layers: u32,
         version: VersionName,
         settings: LedgerSettings,
-        confirmed: Vec<TokenText>,
+        confirmed: Vec<GeneratedToken>,
     ) -> Self {
         Self {
             request,
@@ -146,7 +146,7 @@
     }
 
     /// Tokens that the caller has seen, in order: what a new attempt replays after the prompt.
-    pub fn confirmed_prefix(&self) -> &[TokenText] {
+    pub fn confirmed_prefix(&self) -> &[GeneratedToken] {
         &self.confirmed
     }
 
@@ -208,13 +208,13 @@
         None
     }
 
-    fn release_from(&mut self, first: TokenText) -> Vec<ReleasedToken> {
+    fn release_from(&mut self, first: GeneratedToken) -> Vec<ReleasedToken> {
         let mut released = Vec::new();
         let mut pending = Some(first);
-        while let Some(text) = pending {
+        while let Some(token) = pending {
             let position = self.next_position();
-            self.confirmed.push(text.clone());
-            released.push(ReleasedToken { position, text });
+            self.confirmed.push(token.clone());
+            released.push(ReleasedToken { position, token });
             pending = self.held.remove(&position.next());
         }
         released
--- a/crates/coordination/src/ledger/result.rs
+++ b/crates/coordination/src/ledger/result.rs
@@ -17,6 +17,15 @@
 #[as_ref(str)]
 pub struct TokenText(Arc<str>);
 
+/// One generated token: the engines' id of it, which a new attempt replays, and its text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GeneratedToken {
+    /// Id in the model's vocabulary, as the engine sent it.
+    pub id: u64,
+    /// Text that the caller sees.
+    pub text: TokenText,
+}
+
 /// One token as the last stage of a pipeline sent it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TokenResult {
@@ -29,7 +38,7 @@
     /// Engines that made it, in the order in which they ran.
     pub chain: Vec<ChainLink>,
     /// The token itself.
-    pub token: TokenText,
+    pub token: GeneratedToken,
 }
 
 /// Last event of an attempt.
@@ -49,7 +58,7 @@
     /// Position in the answer.
     pub position: TokenPosition,
     /// The token itself.
-    pub text: TokenText,
+    pub token: GeneratedToken,
 }
 
 /// What the ledger decided about a result.
--- a/crates/coordination/tests/ledger_failures.rs
+++ b/crates/coordination/tests/ledger_failures.rs
@@ -4,8 +4,8 @@
     AttemptNumber, LayerRange, RequestId, ServerName, TokenPosition, VersionName,
 };
 use pollendrift_coordination::ledger::{
-    ChainLink, FinalEvent, FinalVerdict, LedgerSettings, TokenLedger, TokenResult, TokenText,
-    TokenVerdict,
+    ChainLink, FinalEvent, FinalVerdict, GeneratedToken, LedgerSettings, TokenLedger, TokenResult,
+    TokenText, TokenVerdict,
 };
 use proptest::prelude::{ProptestConfig, any, prop, proptest};
 
@@ -31,7 +31,10 @@
         attempt: AttemptNumber(attempt),
         position: TokenPosition(position),
         chain: route(&attempt.to_string()),
-        token: TokenText::from(format!("{attempt}/{position}")),
+        token: GeneratedToken {
+            id: u64::from(position),
+            text: TokenText::from(format!("{attempt}/{position}")),
+        },
     }
 }
 
@@ -62,7 +65,10 @@
 fn describe(verdict: &TokenVerdict) -> String {
     match verdict {
         TokenVerdict::Release { tokens, complete } => {
-            let texts: Vec<&str> = tokens.iter().map(|token| token.text.as_ref()).collect();
+            let texts: Vec<&str> = tokens
+                .iter()
+                .map(|token| token.token.text.as_ref())
+                .collect();
             let end = if *complete { " complete" } else { "" };
             format!("release {}{end}", texts.join(" "))
         }
@@ -258,7 +264,7 @@
                 assert!(whole);
                 for token in tokens {
                     let expected = format!("{running}/{}", token.position);
-                    assert_eq!(token.text.as_ref(), expected);
+                    assert_eq!(token.token.text.as_ref(), expected);
                     seen.push(token.position.0);
                 }
             }
