feat(configuration): labels and selectors, checked whole and laid out for matching

Cause: the request path and the operators' commands need one meaning of a configuration text. Change: a YAML stream is read into a tree with places (a derived reader stops at its first error), checked key by key, and laid out with selectors indexed by model or service and customer. Warnings name selectors that never match or stand behind one that takes all of their requests.

--- /dev/null
+++ b/crates/coordination/src/configuration.rs
@@ -0,0 +1,36 @@
+//! Labels and selectors: what operators write, what it means, and how it changes.
+//!
+//! A text is checked whole ([`ParsedConfiguration::parse`]), laid out for matching
+//! ([`Configuration::build`]) and asked about requests ([`Configuration::select`]) and backend
+//! servers ([`Configuration::allows`]).
+
+mod canonical;
+mod constraint;
+mod document;
+mod expression;
+mod facts;
+mod known;
+mod label;
+mod lint;
+mod model;
+mod parse;
+mod parse_expression;
+mod reader;
+mod select;
+mod table;
+
+pub use canonical::{CanonicalText, ContentDigest};
+pub use document::{MAX_DEPTH, MAX_DOCUMENTS, MAX_TEXT_BYTES};
+pub use expression::{LabelExpression, Mismatch, Requirement, RequirementTest};
+pub use facts::{HostFacts, RequestFacts, RequestTarget, ServerFacts};
+pub use known::{KnownSettings, ServiceState};
+pub use label::{
+    LabelKey, LabelSet, LabelSubject, LabelValue, MAX_KEY_BYTES, MAX_VALUE_BYTES, NamePattern,
+};
+pub use model::{DEFAULT_ORDER, DocumentKey, LabelRule, Selector, SelectorTarget};
+pub use parse::ParsedConfiguration;
+pub use select::{
+    AllowMismatch, ConsideredSelector, MAX_NAMED_SELECTORS, SelectMismatch, SelectedRequest,
+    SelectionRefusal, SelectionVerdict, SelectorExplanation,
+};
+pub use table::{Configuration, RuleKey, SelectorKey};
--- /dev/null
+++ b/crates/coordination/src/configuration/canonical.rs
@@ -0,0 +1,154 @@
+//! Canonical text: one spelling for equal content, and its digest.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use super::expression::{LabelExpression, RequirementTest};
+use super::label::LabelValue;
+use super::model::{DocumentKey, LabelRule, Selector, SelectorTarget};
+use super::parse::ParsedConfiguration;
+
+/// SHA-256 over a canonical text.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{}", hex(_0))]
+#[serde(transparent)]
+pub struct ContentDigest(pub [u8; 32]);
+
+impl ContentDigest {
+    /// Digest of `content`.
+    pub fn of(content: &[u8]) -> Self {
+        Self(Sha256::digest(content).into())
+    }
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+/// Documents of a configuration in canonical form, by key.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CanonicalText {
+    documents: BTreeMap<DocumentKey, String>,
+}
+
+impl CanonicalText {
+    /// Canonical form of a checked configuration.
+    pub(super) fn of(parsed: &ParsedConfiguration) -> Self {
+        let rules = parsed
+            .rules
+            .iter()
+            .map(|rule| (rule.document_key(), write_rule(rule)));
+        let selectors = parsed
+            .selectors
+            .iter()
+            .map(|selector| (selector.document_key(), write_selector(selector)));
+        Self {
+            documents: rules.chain(selectors).collect(),
+        }
+    }
+
+    /// The documents in canonical order.
+    pub fn documents(&self) -> &BTreeMap<DocumentKey, String> {
+        &self.documents
+    }
+
+    /// The whole text, a YAML stream that parses to the same configuration.
+    pub fn text(&self) -> String {
+        let texts: Vec<&str> = self.documents.values().map(String::as_str).collect();
+        texts.join("---\n")
+    }
+
+    /// Digest of the whole text.
+    pub fn digest(&self) -> ContentDigest {
+        ContentDigest::of(self.text().as_bytes())
+    }
+}
+
+fn quoted(text: &str) -> String {
+    serde_json::Value::from(text).to_string()
+}
+
+fn write_rule(rule: &LabelRule) -> String {
+    let mut text = format!("kind: labels\non: {}\n", rule.subject);
+    if let Some(name) = &rule.name {
+        let _ = writeln!(text, "name: {}", quoted(name.as_str()));
+    }
+    write_expression(&mut text, "match", &rule.matching);
+    if rule.labels.is_empty() {
+        text.push_str("labels: {}\n");
+        return text;
+    }
+    text.push_str("labels:\n");
+    for (key, value) in rule.labels.iter() {
+        let _ = writeln!(
+            text,
+            "  {}: {}",
+            quoted(key.as_str()),
+            quoted(value.as_str())
+        );
+    }
+    text
+}
+
+fn write_selector(selector: &Selector) -> String {
+    let mut text = format!("kind: selector\nname: {}\n", quoted(selector.name.as_str()));
+    let _ = writeln!(text, "order: {}", selector.order);
+    match &selector.target {
+        SelectorTarget::Service(service) => {
+            let _ = writeln!(text, "service: {}", quoted(service.as_str()));
+        }
+        SelectorTarget::Model {
+            model,
+            version,
+            adapter,
+        } => {
+            let _ = writeln!(text, "model: {}", quoted(model.as_str()));
+            if let Some(version) = version {
+                let _ = writeln!(text, "version: {}", quoted(version.as_str()));
+            }
+            if let Some(adapter) = adapter {
+                let _ = writeln!(text, "adapter: {}", quoted(adapter.as_str()));
+            }
+        }
+    }
+    write_expression(&mut text, "for", &selector.serves);
+    write_expression(&mut text, "allow", &selector.allows);
+    text
+}
+
+fn write_expression(text: &mut String, name: &str, expression: &LabelExpression) {
+    if expression.is_empty() {
+        return;
+    }
+    let _ = writeln!(text, "{name}:\n  matchExpressions:");
+    for requirement in expression.requirements() {
+        let key = quoted(requirement.key.as_str());
+        let test = match &requirement.test {
+            RequirementTest::In(values) => format!("In, values: [{}]", listed(values)),
+            RequirementTest::NotIn(values) => format!("NotIn, values: [{}]", listed(values)),
+            RequirementTest::Exists => "Exists".to_owned(),
+            RequirementTest::DoesNotExist => "DoesNotExist".to_owned(),
+            RequirementTest::Gt(bound) => format!("Gt, values: [{bound}]"),
+            RequirementTest::Lt(bound) => format!("Lt, values: [{bound}]"),
+        };
+        let _ = writeln!(text, "    - {{key: {key}, operator: {test}}}");
+    }
+}
+
+fn listed<'a, V>(values: V) -> String
+where
+    V: IntoIterator<Item = &'a LabelValue>,
+{
+    let texts: Vec<String> = values.into_iter().map(|v| quoted(v.as_str())).collect();
+    texts.join(", ")
+}
--- /dev/null
+++ b/crates/coordination/src/configuration/document.rs
@@ -0,0 +1,265 @@
+//! Reads a YAML stream into a tree that keeps the place of every node.
+//!
+//! A derived deserializer stops at its first error; operators want all findings at once, so the
+//! text is first read into this tree and then checked key by key.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::de::{MapAccess, SeqAccess, Visitor};
+use serde_saphyr::{DuplicateKeyPolicy, Location, MergeKeyPolicy, Spanned};
+
+use crate::base::{FindingList, Place};
+
+/// Most bytes that a configuration text may hold.
+pub const MAX_TEXT_BYTES: usize = 4 * 1024 * 1024;
+/// Most documents in one text.
+pub const MAX_DOCUMENTS: usize = 20_000;
+/// Deepest nesting of maps and lists in a document.
+pub const MAX_DEPTH: usize = 8;
+const MAX_NODES: usize = 1_000_000;
+
+/// A node and where it stands.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct PlacedNode {
+    pub(super) place: Place,
+    pub(super) value: NodeValue,
+}
+
+/// Value of a node; scalars keep the spelling of the text, so `1.10` stays `1.10`.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum NodeValue {
+    Empty,
+    Text(String),
+    List(Vec<PlacedNode>),
+    Map(Vec<PlacedEntry>),
+}
+
+/// One key of a map with its value; repeated keys are all kept.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct PlacedEntry {
+    pub(super) key: String,
+    pub(super) key_place: Place,
+    pub(super) node: PlacedNode,
+}
+
+impl NodeValue {
+    /// What the node is, in the words of an error.
+    pub(super) fn kind(&self) -> &'static str {
+        match self {
+            Self::Empty => "nothing",
+            Self::Text(_) => "a plain value",
+            Self::List(_) => "a list",
+            Self::Map(_) => "a map",
+        }
+    }
+}
+
+/// Reads all documents of `text`; a text that is no YAML or over a bound is one finding.
+pub(super) fn read_documents(
+    file: &Arc<str>,
+    text: &str,
+    findings: &mut FindingList,
+) -> Vec<PlacedNode> {
+    if text.len() > MAX_TEXT_BYTES {
+        let message = format!("the text holds {} bytes", text.len());
+        findings.error(
+            whole_file(file),
+            message,
+            format!("at most {MAX_TEXT_BYTES} bytes"),
+        );
+        return Vec::new();
+    }
+    let parsed: Result<Vec<Spanned<RawNode>>, _> =
+        serde_saphyr::from_multiple_with_options(text, read_options());
+    match parsed {
+        Ok(nodes) => {
+            let reader = NodeReader { file, text };
+            nodes.into_iter().map(|node| reader.place(node)).collect()
+        }
+        Err(error) => {
+            let place = error
+                .location()
+                .map_or_else(|| whole_file(file), |location| place_of(file, &location));
+            let message = first_line(&error.without_snippet().to_string());
+            findings.error(
+                place,
+                format!("not readable as YAML: {message}"),
+                format!("YAML documents, nested at most {MAX_DEPTH} deep, without anchors"),
+            );
+            Vec::new()
+        }
+    }
+}
+
+fn read_options() -> serde_saphyr::Options {
+    serde_saphyr::options! {
+        budget: serde_saphyr::budget! {
+            max_aliases: 0,
+            max_anchors: 0,
+            max_depth: MAX_DEPTH,
+            max_documents: MAX_DOCUMENTS,
+            max_nodes: MAX_NODES,
+            max_events: 4 * MAX_NODES,
+            max_total_scalar_bytes: MAX_TEXT_BYTES,
+            max_total_comment_bytes: MAX_TEXT_BYTES,
+        },
+        duplicate_keys: DuplicateKeyPolicy::PassThrough,
+        merge_keys: MergeKeyPolicy::AsOrdinary,
+        null_as_string: true,
+        strict_booleans: true,
+        with_snippet: false,
+    }
+}
+
+fn first_line(text: &str) -> String {
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+fn whole_file(file: &Arc<str>) -> Place {
+    Place {
+        file: file.clone(),
+        line: 0,
+        column: 0,
+    }
+}
+
+fn place_of(file: &Arc<str>, location: &Location) -> Place {
+    Place {
+        file: file.clone(),
+        line: u32::try_from(location.line()).unwrap_or(u32::MAX),
+        column: u32::try_from(location.column()).unwrap_or(u32::MAX),
+    }
+}
+
+struct NodeReader<'a> {
+    file: &'a Arc<str>,
+    text: &'a str,
+}
+
+impl NodeReader<'_> {
+    fn place(&self, node: Spanned<RawNode>) -> PlacedNode {
+        let value = match node.value {
+            RawNode::Empty => NodeValue::Empty,
+            RawNode::Text(text) => NodeValue::Text(text),
+            RawNode::Typed(text) => NodeValue::Text(self.spelling(&node.referenced, text)),
+            RawNode::List(nodes) => {
+                NodeValue::List(nodes.into_iter().map(|node| self.place(node)).collect())
+            }
+            RawNode::Map(entries) => {
+                NodeValue::Map(entries.into_iter().map(|entry| self.entry(entry)).collect())
+            }
+        };
+        PlacedNode {
+            place: place_of(self.file, &node.referenced),
+            value,
+        }
+    }
+
+    fn entry(&self, entry: RawEntry) -> PlacedEntry {
+        PlacedEntry {
+            key_place: place_of(self.file, &entry.key.referenced),
+            key: entry.key.value,
+            node: self.place(entry.node),
+        }
+    }
+
+    fn spelling(&self, location: &Location, parsed: String) -> String {
+        let span = location.span();
+        let (Some(offset), Some(length)) = (span.byte_offset(), span.byte_len()) else {
+            return parsed;
+        };
+        let Ok(start) = usize::try_from(offset) else {
+            return parsed;
+        };
+        let end = start.saturating_add(usize::try_from(length).unwrap_or(0));
+        match self.text.get(start..end).map(str::trim) {
+            Some(spelling) if !spelling.is_empty() => spelling.to_owned(),
+            _ => parsed,
+        }
+    }
+}
+
+struct RawEntry {
+    key: Spanned<String>,
+    node: Spanned<RawNode>,
+}
+
+enum RawNode {
+    Empty,
+    Text(String),
+    /// A plain scalar that YAML types as a number or boolean, in the parser's spelling.
+    Typed(String),
+    List(Vec<Spanned<RawNode>>),
+    Map(Vec<RawEntry>),
+}
+
+impl<'de> Deserialize<'de> for RawNode {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        deserializer.deserialize_any(RawVisitor)
+    }
+}
+
+struct RawVisitor;
+
+impl<'de> Visitor<'de> for RawVisitor {
+    type Value = RawNode;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a YAML node")
+    }
+
+    fn visit_unit<E>(self) -> Result<RawNode, E> {
+        Ok(RawNode::Empty)
+    }
+
+    fn visit_none<E>(self) -> Result<RawNode, E> {
+        Ok(RawNode::Empty)
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<RawNode, E> {
+        Ok(RawNode::Typed(value.to_string()))
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<RawNode, E> {
+        Ok(RawNode::Typed(value.to_string()))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<RawNode, E> {
+        Ok(RawNode::Typed(value.to_string()))
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<RawNode, E> {
+        Ok(RawNode::Typed(value.to_string()))
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<RawNode, E> {
+        Ok(RawNode::Text(value.to_owned()))
+    }
+
+    fn visit_seq<A>(self, mut access: A) -> Result<RawNode, A::Error>
+    where
+        A: SeqAccess<'de>,
+    {
+        let mut nodes = Vec::new();
+        while let Some(node) = access.next_element()? {
+            nodes.push(node);
+        }
+        Ok(RawNode::List(nodes))
+    }
+
+    fn visit_map<A>(self, mut access: A) -> Result<RawNode, A::Error>
+    where
+        A: MapAccess<'de>,
+    {
+        let mut entries = Vec::new();
+        while let Some((key, node)) = access.next_entry()? {
+            entries.push(RawEntry { key, node });
+        }
+        Ok(RawNode::Map(entries))
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/configuration/known.rs
@@ -0,0 +1,258 @@
+//! Labels with a meaning of their own: limits, weights, priorities, deadlines, service state.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::label::{LabelSet, LabelSubject};
+
+/// Prefixes whose labels come from facts; operators can't set them.
+pub(super) const RESERVED_PREFIXES: [&str; 3] = ["announced/", "customer/", "request/"];
+/// Prefixes under which only well-known labels are accepted.
+const TYPED_PREFIXES: [&str; 2] = ["limit/", "retry/"];
+
+/// What a well-known label's value must be.
+#[derive(Clone, Copy, Debug)]
+enum KnownType {
+    /// Whole number within bounds, both included.
+    Number { least: u64, most: u64 },
+    /// One of these words.
+    Word(&'static [&'static str]),
+}
+
+impl KnownType {
+    fn accepts(self, text: &str) -> bool {
+        match self {
+            Self::Word(words) => words.contains(&text),
+            Self::Number { least, most } => text
+                .parse::<u64>()
+                .is_ok_and(|number| (least..=most).contains(&number)),
+        }
+    }
+
+    fn expected(self) -> String {
+        match self {
+            Self::Word(words) => words.join(" or "),
+            Self::Number { least, most } => format!("a whole number from {least} to {most}"),
+        }
+    }
+}
+
+struct KnownLabel {
+    key: &'static str,
+    subjects: &'static [LabelSubject],
+    value: KnownType,
+}
+
+const MOST_COUNT: u64 = 1_000_000;
+const MOST_TOKENS: u64 = 1_000_000_000_000;
+const MOST_DEADLINE_MS: u64 = 86_400_000;
+const SERVER: LabelSubject = LabelSubject::BackendServer;
+const CUSTOMER: LabelSubject = LabelSubject::Customer;
+const HOST: LabelSubject = LabelSubject::Host;
+const REQUEST: LabelSubject = LabelSubject::Request;
+
+const fn number(least: u64, most: u64) -> KnownType {
+    KnownType::Number { least, most }
+}
+
+/// All well-known labels, alphabetically; `docs/operators/labels-and-selectors.md` describes them.
+const KNOWN_LABELS: [KnownLabel; 12] = [
+    KnownLabel {
+        key: "deadline-ms",
+        subjects: &[CUSTOMER, REQUEST],
+        value: number(1, MOST_DEADLINE_MS),
+    },
+    KnownLabel {
+        key: "idempotent",
+        subjects: &[REQUEST],
+        value: KnownType::Word(&["true", "false"]),
+    },
+    KnownLabel {
+        key: "limit/in-flight",
+        subjects: &[SERVER, CUSTOMER],
+        value: number(0, MOST_COUNT),
+    },
+    KnownLabel {
+        key: "limit/kv-tokens",
+        subjects: &[SERVER, CUSTOMER],
+        value: number(0, MOST_TOKENS),
+    },
+    KnownLabel {
+        key: "limit/max-tokens",
+        subjects: &[CUSTOMER, REQUEST],
+        value: number(1, MOST_COUNT),
+    },
+    KnownLabel {
+        key: "limit/queue",
+        subjects: &[CUSTOMER],
+        value: number(0, MOST_COUNT),
+    },
+    KnownLabel {
+        key: "limit/requests-per-second",
+        subjects: &[SERVER, CUSTOMER],
+        value: number(0, MOST_COUNT),
+    },
+    KnownLabel {
+        key: "limit/tokens-per-second",
+        subjects: &[SERVER, CUSTOMER],
+        value: number(0, MOST_TOKENS),
+    },
+    KnownLabel {
+        key: "priority",
+        subjects: &[CUSTOMER, REQUEST],
+        value: number(0, 100),
+    },
+    KnownLabel {
+        key: "retry/budget-percent",
+        subjects: &[CUSTOMER],
+        value: number(0, 100),
+    },
+    KnownLabel {
+        key: "state",
+        subjects: &[SERVER, HOST],
+        value: KnownType::Word(&["in-service", "out-of-service"]),
+    },
+    KnownLabel {
+        key: "weight",
+        subjects: &[SERVER, CUSTOMER],
+        value: number(1, 1_000),
+    },
+];
+
+/// What is wrong with a label of an operator, and what would be accepted.
+pub(super) struct LabelFault {
+    pub(super) message: String,
+    pub(super) expected: String,
+}
+
+/// Checks an operator's label against the reserved and well-known ones.
+pub(super) fn check_label(subject: LabelSubject, key: &str, value: &str) -> Result<(), LabelFault> {
+    if let Some(prefix) = RESERVED_PREFIXES.iter().find(|p| key.starts_with(**p)) {
+        return Err(LabelFault {
+            message: format!("label {key} can't be set: {prefix} holds facts"),
+            expected: "a key without a reserved prefix".to_owned(),
+        });
+    }
+    let Some(known) = KNOWN_LABELS.iter().find(|known| known.key == key) else {
+        return check_unknown(subject, key);
+    };
+    if !known.subjects.contains(&subject) {
+        let subjects: Vec<String> = known.subjects.iter().map(ToString::to_string).collect();
+        return Err(LabelFault {
+            message: format!("label {key} has no meaning on a {subject}"),
+            expected: format!("{key} on {}", subjects.join(" or ")),
+        });
+    }
+    if !known.value.accepts(value) {
+        return Err(LabelFault {
+            message: format!("label {key} can't be {value}"),
+            expected: known.value.expected(),
+        });
+    }
+    Ok(())
+}
+
+fn check_unknown(subject: LabelSubject, key: &str) -> Result<(), LabelFault> {
+    if !TYPED_PREFIXES.iter().any(|prefix| key.starts_with(prefix)) {
+        return Ok(());
+    }
+    let accepted: Vec<&str> = KNOWN_LABELS
+        .iter()
+        .filter(|known| known.subjects.contains(&subject) && known.key.contains('/'))
+        .map(|known| known.key)
+        .collect();
+    Err(LabelFault {
+        message: format!("there is no label {key}"),
+        expected: accepted.join(", "),
+    })
+}
+
+/// Whether a host or backend server takes new work.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ServiceState {
+    /// It takes new work.
+    #[default]
+    #[display("in-service")]
+    InService,
+    /// It takes no new work; what runs may finish.
+    #[display("out-of-service")]
+    OutOfService,
+}
+
+/// Typed well-known labels; `None` means that the operators set none and a default applies.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownSettings {
+    /// Time from arrival to the end of the answer.
+    pub deadline: Option<Duration>,
+    /// Whether the caller's request may run more than once.
+    pub idempotent: Option<bool>,
+    /// Most requests that run at one time.
+    pub in_flight: Option<u64>,
+    /// Most tokens of KV cache in use at one time.
+    pub kv_tokens: Option<u64>,
+    /// Most tokens that one request may generate.
+    pub max_tokens: Option<u64>,
+    /// Most requests that wait.
+    pub queue: Option<u64>,
+    /// Most requests begun in a second.
+    pub requests_per_second: Option<u64>,
+    /// Most tokens generated in a second.
+    pub tokens_per_second: Option<u64>,
+    /// Priority from 0 to 100; the higher goes first.
+    pub priority: Option<u8>,
+    /// Most retries, as a percentage of first tries.
+    pub retry_budget_percent: Option<u8>,
+    /// Whether new work is taken.
+    pub state: ServiceState,
+    /// Share of capacity relative to others, 1 to 1000.
+    pub weight: Option<u32>,
+}
+
+impl KnownSettings {
+    /// Reads the well-known labels of a checked set.
+    pub fn of(labels: &LabelSet) -> Self {
+        let word = |key: &str| labels.get(key).map(|value| value.as_str());
+        let count = |key: &str| word(key).and_then(|text| text.parse::<u64>().ok());
+        let small = |key: &str| count(key).and_then(|number| u8::try_from(number).ok());
+        let state = match word("state") {
+            Some("out-of-service") => ServiceState::OutOfService,
+            _ => ServiceState::InService,
+        };
+        Self {
+            deadline: count("deadline-ms").map(Duration::from_millis),
+            idempotent: word("idempotent").map(|text| text == "true"),
+            in_flight: count("limit/in-flight"),
+            kv_tokens: count("limit/kv-tokens"),
+            max_tokens: count("limit/max-tokens"),
+            queue: count("limit/queue"),
+            requests_per_second: count("limit/requests-per-second"),
+            tokens_per_second: count("limit/tokens-per-second"),
+            priority: small("priority"),
+            retry_budget_percent: small("retry/budget-percent"),
+            state,
+            weight: count("weight").and_then(|number| u32::try_from(number).ok()),
+        }
+    }
+
+    /// These settings, with those of `general` where these set nothing.
+    #[must_use]
+    pub fn or(self, general: &Self) -> Self {
+        Self {
+            deadline: self.deadline.or(general.deadline),
+            idempotent: self.idempotent.or(general.idempotent),
+            in_flight: self.in_flight.or(general.in_flight),
+            kv_tokens: self.kv_tokens.or(general.kv_tokens),
+            max_tokens: self.max_tokens.or(general.max_tokens),
+            queue: self.queue.or(general.queue),
+            requests_per_second: self.requests_per_second.or(general.requests_per_second),
+            tokens_per_second: self.tokens_per_second.or(general.tokens_per_second),
+            priority: self.priority.or(general.priority),
+            retry_budget_percent: self.retry_budget_percent.or(general.retry_budget_percent),
+            state: self.state,
+            weight: self.weight.or(general.weight),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/configuration/lint.rs
@@ -0,0 +1,110 @@
+//! Warns about selectors that can never serve a request.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::constraint::MergedConstraint;
+use super::expression::{LabelExpression, RequirementTest};
+use super::label::{LabelKey, LabelValue};
+use super::model::{Selector, SelectorTarget};
+use crate::base::{FindingList, Place};
+
+struct LintedSelector<'a> {
+    selector: &'a Selector,
+    place: &'a Place,
+    serves: MergedConstraint,
+}
+
+/// Adds a warning for each selector that matches nothing or stands behind one that takes all of
+/// its requests.
+pub(super) fn warn_selectors(selectors: &[Selector], places: &[Place], findings: &mut FindingList) {
+    let mut by_target: BTreeMap<String, Vec<LintedSelector<'_>>> = BTreeMap::new();
+    for (selector, place) in selectors.iter().zip(places) {
+        let serves = MergedConstraint::of(&with_facts(selector));
+        if let Some(reason) = never_matches(selector, &serves) {
+            let message = format!("selector {} never matches: {reason}", selector.name);
+            findings.warning(
+                place.clone(),
+                message,
+                "requirements that can hold together",
+            );
+            continue;
+        }
+        let linted = LintedSelector {
+            selector,
+            place,
+            serves,
+        };
+        let target = selector.target.to_string();
+        by_target.entry(target).or_default().push(linted);
+    }
+    for mut group in by_target.into_values() {
+        group.sort_by(|a, b| a.selector.rank().cmp(&b.selector.rank()));
+        warn_shadowed(&group, findings);
+    }
+}
+
+/// What a selector asks of requests, with what its target alone says of them.
+fn with_facts(selector: &Selector) -> LabelExpression {
+    let (key, name) = match &selector.target {
+        SelectorTarget::Model { model, .. } => ("request/model", model.as_str()),
+        SelectorTarget::Service(service) => ("request/service", service.as_str()),
+    };
+    let mut expression = selector.serves.clone();
+    if let (Some(key), Some(value)) = (LabelKey::new(key), LabelValue::new(name)) {
+        expression.require(key, RequirementTest::In(BTreeSet::from([value])));
+    }
+    if let Some(customer) = LabelKey::new("customer/name") {
+        expression.require(customer, RequirementTest::Exists);
+    }
+    expression
+}
+
+fn never_matches(selector: &Selector, serves: &MergedConstraint) -> Option<String> {
+    if let Some(key) = serves.contradiction() {
+        return Some(format!("no request meets all that for says of {key}"));
+    }
+    let allows = MergedConstraint::of(&selector.allows);
+    if let Some(key) = allows.contradiction() {
+        return Some(format!(
+            "no backend server meets all that allow says of {key}"
+        ));
+    }
+    let (announced, name) = match &selector.target {
+        SelectorTarget::Model { model, .. } => ("announced/model", model.as_str()),
+        SelectorTarget::Service(service) => ("announced/service", service.as_str()),
+    };
+    let offered = allows.values(announced)?;
+    let excluded = offered.iter().all(|value| value.as_str() != name);
+    excluded.then(|| format!("allow asks for another {announced} than {name}"))
+}
+
+fn warn_shadowed(group: &[LintedSelector<'_>], findings: &mut FindingList) {
+    for (index, later) in group.iter().enumerate() {
+        let earlier = group[..index]
+            .iter()
+            .find(|earlier| takes_all(earlier, later));
+        let Some(earlier) = earlier else { continue };
+        let message = format!(
+            "selector {} is shadowed: {} stands before it and takes all of its requests",
+            later.selector.name, earlier.selector.name
+        );
+        let expected = "a lower order, or a for that the earlier one does not take";
+        findings.warning(later.place.clone(), message, expected);
+    }
+}
+
+fn takes_all(earlier: &LintedSelector<'_>, later: &LintedSelector<'_>) -> bool {
+    serves_adapters_of(&earlier.selector.target, &later.selector.target)
+        && later.serves.implies(&earlier.selector.serves)
+}
+
+/// A selector with an adapter takes requests that name it and those that name none; one without
+/// takes only those that name none.
+fn serves_adapters_of(earlier: &SelectorTarget, later: &SelectorTarget) -> bool {
+    let adapter = |target: &SelectorTarget| match target {
+        SelectorTarget::Model { adapter, .. } => adapter.clone(),
+        SelectorTarget::Service(_) => None,
+    };
+    let later = adapter(later);
+    later.is_none() || adapter(earlier) == later
+}
--- /dev/null
+++ b/crates/coordination/src/configuration/parse.rs
@@ -0,0 +1,317 @@
+//! Checks a whole configuration text and gives what it says, or all that is wrong with it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::canonical::CanonicalText;
+use super::document::{PlacedNode, read_documents};
+use super::known::check_label;
+use super::label::{
+    KEY_RULE, LabelKey, LabelSet, LabelSubject, LabelValue, NamePattern, VALUE_RULE,
+};
+use super::lint::warn_selectors;
+use super::model::{DEFAULT_ORDER, DocumentKey, LabelRule, Selector, SelectorTarget};
+use super::parse_expression::read_expression;
+use super::reader::{FieldReader, PlacedText};
+use crate::base::{FindingList, Place};
+
+const KIND_RULE: &str = "kind: labels or kind: selector";
+const MOST_ORDER: u32 = 1_000_000;
+
+/// A checked configuration text.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ParsedConfiguration {
+    /// Label rules, in the order of the text.
+    pub rules: Vec<LabelRule>,
+    /// Selectors, in the order of the text.
+    pub selectors: Vec<Selector>,
+    /// What is accepted but likely not meant.
+    pub warnings: FindingList,
+}
+
+impl ParsedConfiguration {
+    /// Checks `text` whole; `file` stands in the place of each finding.
+    ///
+    /// # Errors
+    /// All findings, warnings included, if any of them refuses the text.
+    pub fn parse(file: &str, text: &str) -> Result<Self, FindingList> {
+        let file: Arc<str> = Arc::from(file);
+        let mut reader = ConfigurationReader::default();
+        for node in read_documents(&file, text, &mut reader.findings) {
+            reader.read_document(node);
+        }
+        reader.finish()
+    }
+
+    /// The text in canonical form: equal for equal content, whatever its order and spelling.
+    pub fn canonical(&self) -> CanonicalText {
+        CanonicalText::of(self)
+    }
+}
+
+#[derive(Default)]
+struct ConfigurationReader {
+    rules: Vec<LabelRule>,
+    selectors: Vec<Selector>,
+    selector_places: Vec<Place>,
+    places: BTreeMap<DocumentKey, Place>,
+    findings: FindingList,
+}
+
+impl ConfigurationReader {
+    fn finish(mut self) -> Result<ParsedConfiguration, FindingList> {
+        warn_selectors(&self.selectors, &self.selector_places, &mut self.findings);
+        if self.findings.has_errors() {
+            return Err(self.findings);
+        }
+        Ok(ParsedConfiguration {
+            rules: self.rules,
+            selectors: self.selectors,
+            warnings: self.findings,
+        })
+    }
+
+    fn read_document(&mut self, node: PlacedNode) {
+        let Some(mut reader) = FieldReader::open(node, "the document", &mut self.findings) else {
+            return;
+        };
+        let Some(kind) = reader.need_text("kind", KIND_RULE, &mut self.findings) else {
+            return;
+        };
+        match kind.text.as_str() {
+            "labels" => self.read_labels(reader),
+            "selector" => self.read_selector(reader),
+            other => {
+                let message = format!("there is no kind {other}");
+                self.findings.error(kind.place, message, KIND_RULE);
+            }
+        }
+    }
+
+    fn read_labels(&mut self, mut reader: FieldReader) {
+        let place = reader.place().clone();
+        let subject = self.read_subject(&mut reader);
+        let name = self.read_name(&mut reader, subject);
+        let matching = read_expression(reader.take("match"), &mut self.findings);
+        let labels = self.read_label_set(&mut reader, subject);
+        let named = name.is_some() || !matching.is_empty();
+        reader.close(&mut self.findings);
+        let Some(subject) = subject else { return };
+        if subject == LabelSubject::Customer && !matching.is_empty() {
+            let message = "match has no meaning on a customer";
+            self.findings
+                .error(place.clone(), message, "name: a customer or a pattern");
+        }
+        if subject != LabelSubject::Request && !named {
+            let message = format!("the {subject} is not named");
+            self.findings
+                .error(place.clone(), message, "name: a name or a pattern with *");
+        }
+        let rule = LabelRule {
+            subject,
+            name,
+            matching,
+            labels,
+        };
+        if self.is_first(rule.document_key(), place) {
+            self.rules.push(rule);
+        }
+    }
+
+    fn read_subject(&mut self, reader: &mut FieldReader) -> Option<LabelSubject> {
+        let text = reader.need_text("on", LabelSubject::NAMES, &mut self.findings)?;
+        let subject = LabelSubject::from_name(&text.text);
+        if subject.is_none() {
+            let message = format!("labels can't be on {}", text.text);
+            self.findings
+                .error(text.place, message, LabelSubject::NAMES);
+        }
+        subject
+    }
+
+    fn read_name(
+        &mut self,
+        reader: &mut FieldReader,
+        subject: Option<LabelSubject>,
+    ) -> Option<NamePattern> {
+        let text = reader.take_text("name", &mut self.findings)?;
+        if subject == Some(LabelSubject::Request) {
+            let message = "a request has no name";
+            self.findings
+                .error(text.place, message, "match: over the request's attributes");
+            return None;
+        }
+        let pattern = NamePattern::new(&text.text);
+        if pattern.is_none() {
+            self.findings
+                .error(text.place, "this is no name", VALUE_RULE);
+        }
+        pattern
+    }
+
+    fn read_label_set(
+        &mut self,
+        reader: &mut FieldReader,
+        subject: Option<LabelSubject>,
+    ) -> LabelSet {
+        let mut labels = LabelSet::default();
+        let Some(entry) = reader.take("labels") else {
+            let place = reader.place().clone();
+            self.findings
+                .error(place, "labels is missing", "a map of keys and values");
+            return labels;
+        };
+        for label in read_pairs(entry.node, "labels", &mut self.findings) {
+            let fault = subject
+                .and_then(|on| check_label(on, label.key.as_str(), label.value.as_str()).err());
+            match fault {
+                Some(fault) => self
+                    .findings
+                    .error(label.place, fault.message, fault.expected),
+                None => labels.set(label.key, label.value),
+            }
+        }
+        labels
+    }
+
+    fn read_selector(&mut self, mut reader: FieldReader) {
+        let place = reader.place().clone();
+        let name = reader.need_text("name", "a name, unique among selectors", &mut self.findings);
+        let order = self.read_order(&mut reader);
+        let target = self.read_target(&mut reader);
+        let serves = read_expression(reader.take("for"), &mut self.findings);
+        let allows = read_expression(reader.take("allow"), &mut self.findings);
+        reader.close(&mut self.findings);
+        let name = name.and_then(|name| self.checked_name(name));
+        let (Some(name), Some(target)) = (name, target) else {
+            return;
+        };
+        let selector = Selector {
+            name: name.into(),
+            order,
+            target,
+            serves,
+            allows,
+        };
+        if self.is_first(selector.document_key(), place.clone()) {
+            self.selectors.push(selector);
+            self.selector_places.push(place);
+        }
+    }
+
+    fn read_order(&mut self, reader: &mut FieldReader) -> u32 {
+        let Some(text) = reader.take_text("order", &mut self.findings) else {
+            return DEFAULT_ORDER;
+        };
+        let order = text.text.parse().ok().filter(|order| *order <= MOST_ORDER);
+        if order.is_none() {
+            let message = format!("order can't be {}", text.text);
+            let expected = format!("a whole number from 0 to {MOST_ORDER}");
+            self.findings.error(text.place, message, expected);
+        }
+        order.unwrap_or(DEFAULT_ORDER)
+    }
+
+    fn read_target(&mut self, reader: &mut FieldReader) -> Option<SelectorTarget> {
+        let model = reader.take_text("model", &mut self.findings);
+        let version = reader.take_text("version", &mut self.findings);
+        let adapter = reader.take_text("adapter", &mut self.findings);
+        let service = reader.take_text("service", &mut self.findings);
+        match (model, service) {
+            (Some(model), None) => Some(SelectorTarget::Model {
+                model: self.checked_name(model)?.into(),
+                version: version
+                    .and_then(|text| self.checked_name(text))
+                    .map(Into::into),
+                adapter: adapter
+                    .and_then(|text| self.checked_name(text))
+                    .map(Into::into),
+            }),
+            (None, Some(service)) => {
+                for text in [version, adapter].into_iter().flatten() {
+                    let message = "a service has no version or adapter";
+                    self.findings
+                        .error(text.place, message, "version and adapter with model");
+                }
+                Some(SelectorTarget::Service(self.checked_name(service)?.into()))
+            }
+            (Some(_), Some(service)) => {
+                let message = "a selector serves a model or a service";
+                self.findings
+                    .error(service.place, message, "one of model and service");
+                None
+            }
+            (None, None) => {
+                let place = reader.place().clone();
+                let message = "the selector serves nothing";
+                self.findings
+                    .error(place, message, "one of model and service");
+                None
+            }
+        }
+    }
+
+    fn checked_name(&mut self, text: PlacedText) -> Option<String> {
+        if LabelValue::new(&text.text).is_some() {
+            return Some(text.text);
+        }
+        self.findings
+            .error(text.place, "this is no name", VALUE_RULE);
+        None
+    }
+
+    fn is_first(&mut self, key: DocumentKey, place: Place) -> bool {
+        if let Some(first) = self.places.get(&key) {
+            let message = format!("{key} is already given in line {}", first.line);
+            self.findings.error(place, message, "each document once");
+            return false;
+        }
+        self.places.insert(key, place);
+        true
+    }
+}
+
+/// A label as written.
+pub(super) struct PlacedLabel {
+    pub(super) place: Place,
+    pub(super) key: LabelKey,
+    pub(super) value: LabelValue,
+}
+
+/// Reads a map of labels; each entry that is no label is a finding.
+pub(super) fn read_pairs(
+    node: PlacedNode,
+    what: &str,
+    findings: &mut FindingList,
+) -> Vec<PlacedLabel> {
+    let super::document::NodeValue::Map(entries) = node.value else {
+        let message = format!("{what} is {}", node.value.kind());
+        findings.error(node.place, message, "a map of keys and values");
+        return Vec::new();
+    };
+    let entries = super::reader::without_repeats(entries, findings);
+    let mut labels = Vec::with_capacity(entries.len());
+    for entry in entries {
+        let key = LabelKey::new(&entry.key);
+        if key.is_none() {
+            let message = format!("{} is no label key", entry.key);
+            findings.error(entry.key_place.clone(), message, KEY_RULE);
+        }
+        let Some(text) = super::reader::text_of(entry.node, &entry.key, findings) else {
+            continue;
+        };
+        let value = LabelValue::new(&text.text);
+        if value.is_none() {
+            let message = format!("the value of {} is no label value", entry.key);
+            findings.error(text.place.clone(), message, VALUE_RULE);
+        }
+        if let (Some(key), Some(value)) = (key, value) {
+            labels.push(PlacedLabel {
+                place: text.place,
+                key,
+                value,
+            });
+        }
+    }
+    labels
+}
--- /dev/null
+++ b/crates/coordination/src/configuration/table.rs
@@ -0,0 +1,258 @@
+//! The configuration in force, laid out for matching.
+
+use std::collections::{BTreeMap, HashMap};
+
+use slotmap::{SlotMap, new_key_type};
+
+use super::canonical::{CanonicalText, ContentDigest};
+use super::constraint::MergedConstraint;
+use super::facts::{HostFacts, RequestFacts, ServerFacts};
+use super::known::KnownSettings;
+use super::label::{LabelKey, LabelSet, LabelSubject};
+use super::model::{LabelRule, Selector, SelectorTarget};
+use super::parse::ParsedConfiguration;
+use crate::base::{CustomerName, Revision};
+
+new_key_type! {
+    /// Key of a selector in one [`Configuration`].
+    pub struct SelectorKey;
+    /// Key of a label rule in one [`Configuration`].
+    pub struct RuleKey;
+}
+
+/// One accepted configuration, immutable.
+///
+/// Invariant: each selector stands in exactly one list of `index`, and each list is in the order
+/// in which selectors are tried.
+#[derive(Debug, Default)]
+pub struct Configuration {
+    revision: Revision,
+    canonical: CanonicalText,
+    digest: Option<ContentDigest>,
+    pub(super) selectors: SlotMap<SelectorKey, Selector>,
+    pub(super) index: SelectorIndex,
+    rules: SlotMap<RuleKey, LabelRule>,
+    rule_index: RuleIndex,
+}
+
+/// Selectors by what they need of a request.
+#[derive(Debug, Default)]
+pub(super) struct SelectorIndex {
+    targets: HashMap<TargetName, TargetSelectors>,
+}
+
+/// Selectors of one model or service.
+#[derive(Debug, Default)]
+pub(super) struct TargetSelectors {
+    /// Those that name customers, once under each of these customers.
+    by_customer: HashMap<CustomerName, Vec<SelectorKey>>,
+    /// Those for any customer.
+    general: Vec<SelectorKey>,
+    /// Number of selectors.
+    pub(super) total: usize,
+}
+
+/// Name of a model or service, the first thing that decides which selectors can match.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) enum TargetName {
+    Model(String),
+    Service(String),
+}
+
+/// Label rules by whom they are for.
+#[derive(Debug, Default)]
+struct RuleIndex {
+    exact: HashMap<(LabelSubject, String), Vec<RuleKey>>,
+    patterns: BTreeMap<LabelSubject, Vec<RuleKey>>,
+}
+
+impl Configuration {
+    /// Lays out a checked configuration.
+    pub fn build(revision: Revision, parsed: &ParsedConfiguration) -> Self {
+        let canonical = parsed.canonical();
+        let mut configuration = Self {
+            revision,
+            digest: Some(canonical.digest()),
+            canonical,
+            ..Self::default()
+        };
+        configuration.add_selectors(&parsed.selectors);
+        configuration.add_rules(&parsed.rules);
+        configuration
+    }
+
+    /// Number of this configuration.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Its canonical text.
+    pub fn canonical(&self) -> &CanonicalText {
+        &self.canonical
+    }
+
+    /// Digest of the canonical text.
+    pub fn digest(&self) -> ContentDigest {
+        self.digest.unwrap_or_else(|| self.canonical.digest())
+    }
+
+    /// A selector.
+    pub fn selector(&self, key: SelectorKey) -> Option<&Selector> {
+        self.selectors.get(key)
+    }
+
+    /// All selectors, in no order.
+    pub fn selectors(&self) -> impl Iterator<Item = (SelectorKey, &Selector)> {
+        self.selectors.iter()
+    }
+
+    /// Number of selectors.
+    pub fn selector_count(&self) -> usize {
+        self.selectors.len()
+    }
+
+    /// Operators' labels of a customer.
+    pub fn customer_labels(&self, customer: &CustomerName) -> LabelSet {
+        self.operator_labels(
+            LabelSubject::Customer,
+            customer.as_str(),
+            &LabelSet::default(),
+        )
+    }
+
+    /// Well-known labels of a customer: limits, weight, priority, deadline.
+    pub fn customer_settings(&self, customer: &CustomerName) -> KnownSettings {
+        KnownSettings::of(&self.customer_labels(customer))
+    }
+
+    /// All labels of a backend server: what it announced, and the operators' labels.
+    pub fn server_labels(&self, facts: &ServerFacts) -> LabelSet {
+        let mut labels = facts.labels();
+        let own = self.operator_labels(LabelSubject::BackendServer, facts.name.as_str(), &labels);
+        labels.overlay(&own);
+        labels
+    }
+
+    /// Well-known labels of a backend server: limits, weight, service state.
+    pub fn server_settings(&self, facts: &ServerFacts) -> KnownSettings {
+        KnownSettings::of(&self.server_labels(facts))
+    }
+
+    /// All labels of a host.
+    pub fn host_labels(&self, facts: &HostFacts) -> LabelSet {
+        let mut labels = facts.labels();
+        let own = self.operator_labels(LabelSubject::Host, facts.name.as_str(), &labels);
+        labels.overlay(&own);
+        labels
+    }
+
+    /// All labels of a request: its facts, those of its customer under `customer/`, and what the
+    /// operators derive from the request's facts.
+    pub fn request_labels(&self, facts: &RequestFacts) -> LabelSet {
+        let mut labels = facts.labels();
+        for (key, value) in self.customer_labels(&facts.customer).iter() {
+            if let Some(key) = LabelKey::new(&format!("customer/{key}")) {
+                labels.set(key, value.clone());
+            }
+        }
+        let derived = self.operator_labels(LabelSubject::Request, "", &labels);
+        labels.overlay(&derived);
+        labels
+    }
+
+    /// Well-known settings of a request: its own labels before those of its customer.
+    pub fn request_settings(&self, facts: &RequestFacts, labels: &LabelSet) -> KnownSettings {
+        KnownSettings::of(labels).or(&self.customer_settings(&facts.customer))
+    }
+
+    /// Labels by the rules that fit; the more specific rule goes over the less specific one.
+    fn operator_labels(&self, subject: LabelSubject, name: &str, facts: &LabelSet) -> LabelSet {
+        let exact = self.rule_index.exact.get(&(subject, name.to_owned()));
+        let patterns = self.rule_index.patterns.get(&subject);
+        let keys = patterns
+            .into_iter()
+            .flatten()
+            .chain(exact.into_iter().flatten());
+        let mut labels = LabelSet::default();
+        for rule in keys.filter_map(|key| self.rules.get(*key)) {
+            let named = rule
+                .name
+                .as_ref()
+                .is_none_or(|pattern| pattern.matches(name));
+            if named && rule.matching.matches(facts) {
+                labels.overlay(&rule.labels);
+            }
+        }
+        labels
+    }
+
+    fn add_selectors(&mut self, selectors: &[Selector]) {
+        let mut ordered: Vec<&Selector> = selectors.iter().collect();
+        ordered.sort_by(|a, b| a.rank().cmp(&b.rank()));
+        for selector in ordered {
+            let key = self.selectors.insert(selector.clone());
+            self.index.add(key, selector);
+        }
+    }
+
+    fn add_rules(&mut self, rules: &[LabelRule]) {
+        let mut ordered: Vec<&LabelRule> = rules.iter().collect();
+        ordered.sort_by(|a, b| (a.specificity(), a).cmp(&(b.specificity(), b)));
+        for rule in ordered {
+            let key = self.rules.insert(rule.clone());
+            match &rule.name {
+                Some(name) if name.is_exact() => {
+                    let place = (rule.subject, name.as_str().to_owned());
+                    self.rule_index.exact.entry(place).or_default().push(key);
+                }
+                _ => self
+                    .rule_index
+                    .patterns
+                    .entry(rule.subject)
+                    .or_default()
+                    .push(key),
+            }
+        }
+    }
+}
+
+impl SelectorIndex {
+    fn add(&mut self, key: SelectorKey, selector: &Selector) {
+        let target = TargetName::of_selector(&selector.target);
+        let selectors = self.targets.entry(target).or_default();
+        selectors.total += 1;
+        let serves = MergedConstraint::of(&selector.serves);
+        let Some(customers) = serves.values("customer/name") else {
+            selectors.general.push(key);
+            return;
+        };
+        for customer in customers {
+            let customer = CustomerName::from(customer.as_str());
+            selectors.by_customer.entry(customer).or_default().push(key);
+        }
+    }
+
+    pub(super) fn target(&self, target: &TargetName) -> Option<&TargetSelectors> {
+        self.targets.get(target)
+    }
+}
+
+impl TargetSelectors {
+    /// Selectors that name the customer, and selectors for any customer, each list in order.
+    pub(super) fn candidates(&self, customer: &CustomerName) -> (&[SelectorKey], &[SelectorKey]) {
+        let own = self
+            .by_customer
+            .get(customer)
+            .map_or(&[][..], Vec::as_slice);
+        (own, &self.general)
+    }
+}
+
+impl TargetName {
+    fn of_selector(target: &SelectorTarget) -> Self {
+        match target {
+            SelectorTarget::Model { model, .. } => Self::Model(model.to_string()),
+            SelectorTarget::Service(service) => Self::Service(service.to_string()),
+        }
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod agreement;
 pub mod base;
+pub mod configuration;
 pub mod ledger;
