--- a/crates/coordination/src/leases/record.rs
+++ b/crates/coordination/src/leases/record.rs
@@ -60,15 +60,11 @@
 }
 
 impl ServerLease {
-    pub(super) fn new(
-        announce: ServerAnnounce,
-        heard_at: MonotonicTime,
-        deadline: MonotonicTime,
-    ) -> Self {
+    pub(super) fn new(announce: ServerAnnounce, hearing: Hearing) -> Self {
         Self {
             announce,
-            heard_at,
-            deadline,
+            heard_at: hearing.heard_at,
+            deadline: hearing.deadline,
             ended: false,
             version: 0,
         }
@@ -102,9 +98,9 @@
         self.heard_at = hearing.heard_at;
         // A later announcement that travelled longer must not shorten the lease of an earlier one.
         self.deadline = if self.ended {
-            deadline
+            hearing.deadline
         } else {
-            self.deadline.max(deadline)
+            self.deadline.max(hearing.deadline)
         };
         self.ended = false;
     }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod agreement;
 pub mod base;
+pub mod configuration;
 pub mod leases;
 pub mod ledger;
