feat(configuration): decide on changes by number and change id, keep history

Cause: operators race with equal numbers and resend when an answer is lost. Change: a change log compares the number, gives a known change id its first answer, and keeps undo records so that the text at a revision or time can be shown. Retention is bounded by count and time; a forgotten accepted change still can't run twice, as its number has been passed. Conclusion: over 24 seeded interleavings of 50 operators with resends and restarts each number has one winner and each change id keeps its first answer.

--- a/crates/coordination/src/configuration.rs
+++ b/crates/coordination/src/configuration.rs
@@ -5,7 +5,10 @@
 //! servers ([`Configuration::allows`]).
 
 mod canonical;
+mod change;
+mod change_log;
 mod constraint;
+mod delta;
 mod document;
 mod expression;
 mod facts;
@@ -20,6 +23,11 @@
 mod table;
 
 pub use canonical::{CanonicalText, ContentDigest};
+pub use change::{
+    ChangeAnswer, ChangeConflict, ChangeRequest, ChangeSummary, MAX_ANSWERED_FINDINGS,
+};
+pub use change_log::{ChangeLog, ChangeRetention, InForceAnswer};
+pub use delta::{ConfigurationDelta, DifferenceSummary, DocumentChange, MAX_NAMED_DOCUMENTS};
 pub use document::{MAX_DEPTH, MAX_DOCUMENTS, MAX_TEXT_BYTES};
 pub use expression::{LabelExpression, Mismatch, Requirement, RequirementTest};
 pub use facts::{HostFacts, RequestFacts, RequestTarget, ServerFacts};
--- a/crates/coordination/src/configuration/canonical.rs
+++ b/crates/coordination/src/configuration/canonical.rs
@@ -72,6 +72,14 @@
     pub fn digest(&self) -> ContentDigest {
         ContentDigest::of(self.text().as_bytes())
     }
+
+    /// Sets a document, or removes it where `text` is `None`; gives what stood there.
+    pub(super) fn replace(&mut self, key: &DocumentKey, text: Option<String>) -> Option<String> {
+        match text {
+            Some(text) => self.documents.insert(key.clone(), text),
+            None => self.documents.remove(key),
+        }
+    }
 }
 
 fn quoted(text: &str) -> String {
--- /dev/null
+++ b/crates/coordination/src/configuration/change_log.rs
@@ -0,0 +1,336 @@
+//! Decides on changes, one after another, and remembers what was answered and what was in force.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::canonical::{CanonicalText, ContentDigest};
+use super::change::{ChangeAnswer, ChangeConflict, ChangeRequest, ChangeSummary, bounded_findings};
+use super::delta::{ConfigurationDelta, DocumentChange};
+use super::parse::ParsedConfiguration;
+use super::table::Configuration;
+use crate::base::{ChangeId, FindingList, Revision, WallTime};
+use crate::replicated::ReplicatedTime;
+
+const HOUR: u64 = 3_600;
+
+/// How long answers and history are kept. Whatever reaches one of its bounds first goes, oldest
+/// first.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeRetention {
+    /// Most answers kept for resends.
+    pub answers: usize,
+    /// Longest that an answer is kept.
+    pub answer_age: Duration,
+    /// Most changes of the history.
+    pub history: usize,
+    /// Longest that a change stays in the history.
+    pub history_age: Duration,
+    /// Most bytes of document texts in the history.
+    pub history_bytes: usize,
+}
+
+impl Default for ChangeRetention {
+    fn default() -> Self {
+        Self {
+            answers: 30_000,
+            answer_age: Duration::from_secs(24 * HOUR),
+            history: 30_000,
+            history_age: Duration::from_secs(30 * 24 * HOUR),
+            history_bytes: 32 * 1024 * 1024,
+        }
+    }
+}
+
+/// What was in force at a time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InForceAnswer {
+    /// The change that was in force.
+    pub change: ChangeSummary,
+    /// Its canonical text.
+    pub text: String,
+    /// Whether the proposers' clocks disagree around the time, so that a neighbouring revision may
+    /// have been in force instead.
+    pub clocks_disagree: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct RecordedAnswer {
+    /// Digest of the request; tells a resend from another change under the same id.
+    request: ContentDigest,
+    answer: ChangeAnswer,
+    at: ReplicatedTime,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct HistoryRecord {
+    summary: ChangeSummary,
+    at: ReplicatedTime,
+    /// Turns the text after the change into the one before it.
+    undo: Vec<DocumentChange>,
+}
+
+/// The sequence of accepted changes.
+///
+/// Invariants: `history` holds successive revisions, the last of which is `revision`;
+/// `answer_order` holds each key of `answers` once, oldest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeLog {
+    retention: ChangeRetention,
+    revision: Revision,
+    /// Text in force as its operator wrote it, with comments.
+    text: Arc<str>,
+    canonical: CanonicalText,
+    answers: BTreeMap<ChangeId, RecordedAnswer>,
+    answer_order: VecDeque<ChangeId>,
+    history: VecDeque<HistoryRecord>,
+    history_bytes: usize,
+}
+
+impl ChangeLog {
+    /// An empty log at revision 0.
+    pub fn new(retention: ChangeRetention) -> Self {
+        Self {
+            retention,
+            ..Self::default()
+        }
+    }
+
+    /// Decides on a change.
+    ///
+    /// A change id that is known gets its first answer, whatever has happened since. Once an
+    /// answer is no longer retained, a resend still can't take effect twice: its `based_on` has
+    /// been passed, so it is a conflict.
+    pub fn decide(
+        &mut self,
+        request: &ChangeRequest,
+        wall: WallTime,
+        now: ReplicatedTime,
+    ) -> ChangeAnswer {
+        self.expire(now);
+        let parsed = ParsedConfiguration::parse(request.change_id.as_str(), &request.text);
+        let digest = request_digest(request, parsed.as_ref().ok());
+        if let Some(recorded) = self.answers.get(&request.change_id) {
+            if recorded.request == digest {
+                return recorded.answer.clone();
+            }
+            return ChangeAnswer::ChangeIdReused;
+        }
+        let answer = match parsed {
+            Err(findings) => ChangeAnswer::Refused {
+                findings: bounded_findings(&findings),
+            },
+            Ok(parsed) if request.based_on != self.revision => {
+                ChangeAnswer::Conflict(Box::new(self.conflict(request, &parsed)))
+            }
+            Ok(parsed) => self.accept(request, &parsed, wall, now),
+        };
+        self.record(request.change_id.clone(), digest, answer.clone(), now);
+        answer
+    }
+
+    /// Revision in force.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Text in force, as its operator wrote it.
+    pub fn text(&self) -> &Arc<str> {
+        &self.text
+    }
+
+    /// Canonical text in force.
+    pub fn canonical(&self) -> &CanonicalText {
+        &self.canonical
+    }
+
+    /// Answer that a change id got, if it is retained.
+    pub fn answer(&self, change_id: &ChangeId) -> Option<&ChangeAnswer> {
+        self.answers.get(change_id).map(|recorded| &recorded.answer)
+    }
+
+    /// Number of answers retained.
+    pub fn answer_count(&self) -> usize {
+        self.answers.len()
+    }
+
+    /// Accepted changes that are retained, newest first.
+    pub fn history(&self) -> impl Iterator<Item = &ChangeSummary> {
+        self.history.iter().rev().map(|record| &record.summary)
+    }
+
+    /// The configuration in force, laid out for matching.
+    ///
+    /// # Errors
+    /// The canonical text does not parse; only a damaged snapshot can cause it.
+    pub fn build(&self) -> Result<Arc<Configuration>, FindingList> {
+        let parsed = ParsedConfiguration::parse("configuration", &self.canonical.text())?;
+        Ok(Arc::new(Configuration::build(self.revision, &parsed)))
+    }
+
+    /// Canonical text of a retained revision.
+    pub fn canonical_at(&self, revision: Revision) -> Option<CanonicalText> {
+        if revision > self.revision {
+            return None;
+        }
+        let mut canonical = self.canonical.clone();
+        let mut reached = self.revision;
+        for record in self.history.iter().rev() {
+            if reached <= revision {
+                break;
+            }
+            canonical.apply(&record.undo);
+            reached = Revision(record.summary.revision.0.saturating_sub(1));
+        }
+        (reached == revision).then_some(canonical)
+    }
+
+    /// What leads from a retained revision to the one in force.
+    pub fn delta_since(&self, from: Revision) -> Option<ConfigurationDelta> {
+        let earlier = self.canonical_at(from)?;
+        Some(ConfigurationDelta {
+            from,
+            to: self.revision,
+            changes: earlier.changes_to(&self.canonical),
+            digest: self.canonical.digest(),
+        })
+    }
+
+    /// What was in force at a wall-clock time; `None` if that is before the retained history.
+    pub fn in_force_at(&self, time: WallTime) -> Option<InForceAnswer> {
+        let position = self
+            .history
+            .iter()
+            .rposition(|record| record.summary.time <= time)?;
+        let record = self.history.get(position)?;
+        let mut earlier = self.history.iter().take(position);
+        Some(InForceAnswer {
+            change: record.summary.clone(),
+            text: self.canonical_at(record.summary.revision)?.text(),
+            clocks_disagree: earlier.any(|record| record.summary.time > time),
+        })
+    }
+
+    fn accept(
+        &mut self,
+        request: &ChangeRequest,
+        parsed: &ParsedConfiguration,
+        wall: WallTime,
+        now: ReplicatedTime,
+    ) -> ChangeAnswer {
+        let canonical = parsed.canonical();
+        let changes = self.canonical.changes_to(&canonical);
+        let revision = self.revision.next();
+        let summary = ChangeSummary {
+            revision,
+            change_id: request.change_id.clone(),
+            operator: request.operator.clone(),
+            time: wall,
+            digest: canonical.digest(),
+            difference: self.canonical.difference(&canonical),
+        };
+        let undo = self.canonical.apply(&changes);
+        self.history_bytes += undo_bytes(&undo);
+        self.history.push_back(HistoryRecord {
+            summary,
+            at: now,
+            undo,
+        });
+        self.revision = revision;
+        self.text = request.text.clone();
+        self.trim_history(now);
+        ChangeAnswer::Accepted {
+            revision,
+            warnings: bounded_findings(&parsed.warnings),
+        }
+    }
+
+    fn conflict(&self, request: &ChangeRequest, parsed: &ParsedConfiguration) -> ChangeConflict {
+        let next = request.based_on.next();
+        let winner = self
+            .history
+            .iter()
+            .find(|record| record.summary.revision == next);
+        ChangeConflict {
+            based_on: request.based_on,
+            current: self.revision,
+            winner: winner.map(|record| record.summary.clone()),
+            difference: self.canonical.difference(&parsed.canonical()),
+        }
+    }
+
+    fn record(
+        &mut self,
+        change_id: ChangeId,
+        request: ContentDigest,
+        answer: ChangeAnswer,
+        at: ReplicatedTime,
+    ) {
+        self.answer_order.push_back(change_id.clone());
+        let recorded = RecordedAnswer {
+            request,
+            answer,
+            at,
+        };
+        self.answers.insert(change_id, recorded);
+        while self.answers.len() > self.retention.answers {
+            self.drop_oldest_answer();
+        }
+    }
+
+    fn expire(&mut self, now: ReplicatedTime) {
+        while let Some(oldest) = self.answer_order.front() {
+            let expired = self
+                .answers
+                .get(oldest)
+                .is_none_or(|recorded| now.since(recorded.at) > self.retention.answer_age);
+            if !expired {
+                return;
+            }
+            self.drop_oldest_answer();
+        }
+    }
+
+    fn drop_oldest_answer(&mut self) {
+        if let Some(oldest) = self.answer_order.pop_front() {
+            self.answers.remove(&oldest);
+        }
+    }
+
+    /// Keeps the newest change whatever the bounds, so that the one in force is always known.
+    fn trim_history(&mut self, now: ReplicatedTime) {
+        while self.history.len() > 1 {
+            let Some(oldest) = self.history.front() else {
+                return;
+            };
+            let expired = now.since(oldest.at) > self.retention.history_age;
+            let over = self.history.len() > self.retention.history
+                || self.history_bytes > self.retention.history_bytes;
+            if !expired && !over {
+                return;
+            }
+            self.history_bytes = self.history_bytes.saturating_sub(undo_bytes(&oldest.undo));
+            self.history.pop_front();
+        }
+    }
+}
+
+/// Digest of all that makes a resend the same change: content, number and operator.
+fn request_digest(request: &ChangeRequest, parsed: Option<&ParsedConfiguration>) -> ContentDigest {
+    let content = match parsed {
+        Some(parsed) => parsed.canonical().digest(),
+        None => ContentDigest::of(request.text.as_bytes()),
+    };
+    let mut identity = request.based_on.0.to_be_bytes().to_vec();
+    identity.extend(content.0);
+    identity.extend(request.operator.as_str().as_bytes());
+    ContentDigest::of(&identity)
+}
+
+fn undo_bytes(undo: &[DocumentChange]) -> usize {
+    undo.iter()
+        .map(|change| change.text.as_ref().map_or(0, String::len))
+        .sum()
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod configuration;
 pub mod leases;
 pub mod ledger;
+pub mod replicated;
--- /dev/null
+++ b/crates/coordination/tests/configuration_change.rs
@@ -0,0 +1,252 @@
+//! Races, resends and history of configuration changes.
+#![allow(clippy::unwrap_used, reason = "a test that can not go on must stop")]
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use pollendrift_coordination::base::{Revision, WallTime};
+use pollendrift_coordination::configuration::{
+    ChangeAnswer, ChangeLog, ChangeRequest, ChangeRetention,
+};
+use pollendrift_coordination::replicated::ReplicatedTime;
+use proptest::prelude::{any, proptest};
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
+
+const NOW: ReplicatedTime = ReplicatedTime::from_micros(0);
+
+fn weight(customer: &str, weight: u32) -> String {
+    format!("kind: labels\non: customer\nname: {customer}\nlabels: {{weight: {weight}}}\n")
+}
+
+fn change(id: &str, based_on: u64, operator: &str, text: &str) -> ChangeRequest {
+    ChangeRequest {
+        change_id: id.into(),
+        based_on: Revision(based_on),
+        operator: operator.into(),
+        text: text.into(),
+    }
+}
+
+fn described(answer: &ChangeAnswer) -> String {
+    match answer {
+        ChangeAnswer::Accepted { revision, warnings } => {
+            format!(
+                "accepted as {revision}, {} warnings",
+                warnings.iter().count()
+            )
+        }
+        ChangeAnswer::Conflict(conflict) => format!("conflict: {conflict}"),
+        ChangeAnswer::Refused { findings } => format!("refused: {}", findings.to_string().trim()),
+        ChangeAnswer::ChangeIdReused => "change id reused".to_owned(),
+    }
+}
+
+fn restarted(log: &ChangeLog) -> ChangeLog {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(log, &mut bytes).unwrap();
+    ciborium::from_reader(bytes.as_slice()).unwrap()
+}
+
+/// Each line is one call in order; the operator sees the text after the arrow. Lost answers are
+/// resent after later changes and after a restart, and get what the first call got.
+#[test]
+fn operators_race_and_resend() {
+    let a = weight("a", 1);
+    let b = weight("b", 2);
+    let calls = [
+        ("first", change("c1", 0, "anna", &a)),
+        ("equal number loses", change("c2", 0, "bert", &b)),
+        ("on top", change("c3", 1, "bert", &format!("{a}---\n{b}"))),
+        (
+            "resend of the first after later changes",
+            change("c1", 0, "anna", &a),
+        ),
+        ("resend of the loser", change("c2", 0, "bert", &b)),
+        (
+            "resend with a comment only",
+            change("c1", 0, "anna", &format!("# again\n{a}")),
+        ),
+        ("same id, other content", change("c1", 0, "anna", &b)),
+        ("same id, other number", change("c1", 2, "anna", &a)),
+        ("same id, other operator", change("c1", 0, "bert", &a)),
+        ("bad text", change("c4", 2, "anna", "kind: label\n")),
+        (
+            "resend of the bad text",
+            change("c4", 2, "anna", "kind: label\n"),
+        ),
+        ("corrected under the same id", change("c4", 2, "anna", &a)),
+        ("a number not yet given", change("c5", 9, "anna", &a)),
+    ];
+    let mut log = ChangeLog::new(ChangeRetention::default());
+    let mut report = String::new();
+    for (name, request) in &calls {
+        let answer = log.decide(request, WallTime(0), NOW);
+        let _ = writeln!(report, "{name} -> {}", described(&answer));
+        log = restarted(&log);
+        assert!(log.answer(&request.change_id).is_some(), "{name}");
+    }
+    insta::assert_snapshot!(report, @r#"
+    first -> accepted as 1, 0 warnings
+    equal number loses -> conflict: based on revision 0, but 1 is in force; change c1 by anna made revision 1; yours against it: + labels on customer b, - labels on customer a
+    on top -> accepted as 2, 0 warnings
+    resend of the first after later changes -> accepted as 1, 0 warnings
+    resend of the loser -> conflict: based on revision 0, but 1 is in force; change c1 by anna made revision 1; yours against it: + labels on customer b, - labels on customer a
+    resend with a comment only -> accepted as 1, 0 warnings
+    same id, other content -> change id reused
+    same id, other number -> change id reused
+    same id, other operator -> change id reused
+    bad text -> refused: c4:1:7: error: there is no kind label (accepted: kind: labels or kind: selector)
+    resend of the bad text -> refused: c4:1:7: error: there is no kind label (accepted: kind: labels or kind: selector)
+    corrected under the same id -> change id reused
+    a number not yet given -> conflict: based on revision 9, but 2 is in force; yours against it: - labels on customer b
+    "#);
+}
+
+/// An inspector asks what was in force at a time, also where a proposer's clock jumped.
+#[test]
+fn history_tells_what_was_in_force() {
+    let mut log = ChangeLog::new(ChangeRetention::default());
+    let times = [1_000, 2_000, 9_000, 3_000, 4_000];
+    for (index, time) in times.into_iter().enumerate() {
+        let based_on = u64::try_from(index).unwrap();
+        let request = change(
+            &format!("c{index}"),
+            based_on,
+            "anna",
+            &weight("a", 1 + index as u32),
+        );
+        log.decide(&request, WallTime(time), NOW);
+    }
+    let mut report = String::new();
+    for time in [500, 1_000, 2_999, 3_500, 4_000, 9_500] {
+        let _ = match log.in_force_at(WallTime(time)) {
+            None => writeln!(report, "{time}: before the history"),
+            Some(answer) => writeln!(
+                report,
+                "{time}: revision {}, {}, clocks disagree: {}",
+                answer.change.revision,
+                answer.text.lines().last().unwrap_or_default().trim(),
+                answer.clocks_disagree,
+            ),
+        };
+    }
+    insta::assert_snapshot!(report, @r#"
+    500: before the history
+    1000: revision 1, "weight": "1", clocks disagree: false
+    2999: revision 2, "weight": "2", clocks disagree: false
+    3500: revision 4, "weight": "4", clocks disagree: true
+    4000: revision 5, "weight": "5", clocks disagree: true
+    9500: revision 5, "weight": "5", clocks disagree: false
+    "#);
+}
+
+/// Both bounds hold, and a change whose answer is forgotten still can't take effect twice.
+#[test]
+fn retention_is_bounded_by_count_and_by_time() {
+    let retention = ChangeRetention {
+        answers: 3,
+        answer_age: Duration::from_secs(60),
+        history: 2,
+        ..ChangeRetention::default()
+    };
+    let mut log = ChangeLog::new(retention);
+    let request = |index: u64| {
+        change(
+            &format!("c{index}"),
+            index,
+            "anna",
+            &weight("a", 1 + index as u32),
+        )
+    };
+    for index in 0..5 {
+        log.decide(&request(index), WallTime(index), NOW);
+    }
+    assert_eq!((log.answer_count(), log.history().count()), (3, 2));
+    assert!(log.canonical_at(Revision(2)).is_none());
+    assert!(log.canonical_at(Revision(3)).is_some());
+
+    let forgotten = log.decide(&request(0), WallTime(9), NOW);
+    assert!(
+        matches!(forgotten, ChangeAnswer::Conflict(_)),
+        "{forgotten:?}"
+    );
+
+    let later = NOW.after(Duration::from_secs(61));
+    let answer = log.decide(&request(5), WallTime(9), later);
+    assert_eq!(described(&answer), "accepted as 6, 0 warnings");
+    assert_eq!(log.answer_count(), 1);
+}
+
+/// A follower that applies the delta holds the same text as one that pulled the whole.
+#[test]
+fn a_delta_leads_to_the_same_text() {
+    let mut log = ChangeLog::new(ChangeRetention::default());
+    let texts = ["a b c", "a c", "a c d", "d"];
+    for (index, customers) in texts.iter().enumerate() {
+        let documents: Vec<String> = customers
+            .split(' ')
+            .map(|customer| weight(customer, 1 + index as u32))
+            .collect();
+        let based_on = u64::try_from(index).unwrap();
+        let request = change(
+            &format!("c{index}"),
+            based_on,
+            "anna",
+            &documents.join("---\n"),
+        );
+        log.decide(&request, WallTime(0), NOW);
+    }
+    for from in 0..=4 {
+        let delta = log.delta_since(Revision(from)).unwrap();
+        let mut followed = log.canonical_at(Revision(from)).unwrap();
+        followed.apply(&delta.changes);
+        assert_eq!(followed.digest(), delta.digest);
+        assert_eq!(&followed, log.canonical());
+    }
+    assert!(log.delta_since(Revision(5)).is_none());
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 24,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Fifty operators race with the number they last saw, lose answers and resend, while keepers
+    /// restart. Each number has one winner, and each change id keeps its first answer.
+    #[test]
+    fn one_winner_for_each_number(
+        calls in proptest::collection::vec((0..50_u8, any::<bool>()), 1..200),
+    ) {
+        let mut log = ChangeLog::new(ChangeRetention::default());
+        let mut seen: BTreeMap<u8, (u64, ChangeRequest, ChangeAnswer)> = BTreeMap::new();
+        let mut winners: BTreeMap<Revision, String> = BTreeMap::new();
+        for (operator, resend) in calls {
+            let last = seen.get(&operator).cloned();
+            if let (Some((_, request, first)), true) = (&last, resend) {
+                assert_eq!(&log.decide(request, WallTime(0), NOW), first);
+                continue;
+            }
+            let number = last.map_or(0, |(number, _, _)| number + 1);
+            let based_on = log.revision().0.saturating_sub(u64::from(operator % 3));
+            let id = format!("{operator}-{number}");
+            let request = change(&id, based_on, "anna", &weight("a", 1 + u32::from(operator)));
+            let answer = log.decide(&request, WallTime(0), NOW);
+            if let ChangeAnswer::Accepted { revision, .. } = &answer {
+                assert_eq!(revision.0, based_on + 1);
+                assert!(winners.insert(*revision, id).is_none());
+            }
+            seen.insert(operator, (number, request, answer));
+            if operator % 8 == 0 {
+                log = restarted(&log);
+            }
+        }
+        let kept: Vec<u64> = log.history().map(|change| change.revision.0).collect();
+        let expected: Vec<u64> = (1..=log.revision().0).rev().collect();
+        assert_eq!(kept, expected);
+    }
+}
