feat(store): keep the log in checksummed segments, one sync a batch

A keeper may answer only from what its disk has, and must never start from a silently shorter history. The store writes one checksummed frame per sync, so a crash leaves at most the last frame unfinished; everything else that doesn't read back whole stops the keeper with file, offset and the way out.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,31 @@
-//! Placeholder.
+//! Durable log, snapshots and identity of a keeper.
+//!
+//! One data folder holds an identity file, numbered log segments and snapshots. Whatever
+//! [`LogStore::persist`] returned for is on disk; whatever can't be read back whole stops the
+//! keeper with the file, the offset and the way out, never with a silently shorter history.
+//! `docs/design/store.md` weighs the layout.
+
+mod border;
+mod commit;
+mod error;
+mod files;
+mod frame;
+mod identity;
+mod record;
+mod recovery;
+mod segment;
+mod settings;
+mod snapshot;
+mod store;
+
+pub use border::{LogStore, PersistBatch, StoreSnapshot, StoreUsage, SyncMark};
+pub use commit::{
+    CommitRefusal, CommitReport, CommitRequest, CommitSettings, CommitThread, CommitTicket,
+};
+pub use error::StoreError;
+pub use files::{DiskFiles, FileFingerprint, FileSystem, FolderLock, StoreFile};
+pub use frame::{FrameScan, scan_frame};
+pub use identity::{GroupId, StoreIdentity};
+pub use recovery::{RecoveredLog, RecoveryReport, TornTail};
+pub use settings::StoreSettings;
+pub use store::{OpenRequest, OpenedStore, SegmentStore};
--- /dev/null
+++ b/crates/store/src/snapshot.rs
@@ -0,0 +1,90 @@
+//! Snapshot files: written aside, synced, then renamed into place.
+
+use crate::border::StoreSnapshot;
+use crate::error::StoreError;
+use crate::files::FileSystem;
+use crate::frame::{FrameScan, encode_frame, scan_frame};
+use crate::identity::path_of;
+use crate::record::SnapshotHead;
+use crate::segment::{
+    FileKind, FileStart, TEMPORARY_ENDING, encode_start, read_start, snapshot_name,
+};
+
+/// A snapshot that was read back.
+pub(crate) struct ReadSnapshot {
+    pub(crate) snapshot: StoreSnapshot,
+    pub(crate) first_segment: u64,
+    pub(crate) bytes: u64,
+}
+
+/// Writes a snapshot and returns its size in bytes; the earlier one is still there.
+///
+/// The name appears only over a whole, synced file: after a crash either the earlier snapshot is
+/// the newest one or this one is, and a partial file never carries a snapshot's name.
+pub(crate) fn write_snapshot(
+    files: &dyn FileSystem,
+    snapshot: &StoreSnapshot,
+    first_segment: u64,
+) -> Result<u64, StoreError> {
+    let name = snapshot_name(snapshot.mark.index.0);
+    let temporary = format!("{name}{TEMPORARY_ENDING}");
+    let path = path_of(files, &temporary);
+    let failed = |error| StoreError::disk("writing a snapshot", &path, error);
+    let head = SnapshotHead {
+        mark: snapshot.mark.clone(),
+        first_segment,
+    };
+    let start = encode_start(FileKind::Snapshot, &head)?;
+    let state = encode_frame(&snapshot.state)?;
+    let mut file = files.create(&temporary).map_err(failed)?;
+    file.append(&start).map_err(failed)?;
+    file.append(&state).map_err(failed)?;
+    file.sync().map_err(failed)?;
+    files.rename(&temporary, &name).map_err(failed)?;
+    files.sync_folder().map_err(failed)?;
+    Ok((start.len() + state.len()) as u64)
+}
+
+/// Reads a snapshot back. Its name was given after a sync, so any fault in it is damage.
+pub(crate) fn read_snapshot(
+    files: &dyn FileSystem,
+    name: &str,
+) -> Result<ReadSnapshot, StoreError> {
+    let path = path_of(files, name);
+    let bytes = files
+        .read(name)
+        .map_err(|error| StoreError::disk("reading a snapshot", &path, error))?;
+    let (head, offset): (SnapshotHead, usize) = match read_start(FileKind::Snapshot, &path, &bytes)?
+    {
+        FileStart::Whole(head, offset) => (head, offset),
+        FileStart::Torn => return Err(StoreError::damaged(&path, 0, "snapshot is cut off")),
+    };
+    let state = match scan_frame(&bytes, offset) {
+        FrameScan::Whole { payload, next } if next == bytes.len() => payload.to_vec(),
+        FrameScan::Damaged { reason } => {
+            return Err(StoreError::damaged(&path, offset as u64, reason));
+        }
+        FrameScan::Whole { .. } => {
+            return Err(StoreError::damaged(
+                &path,
+                offset as u64,
+                "snapshot is too long",
+            ));
+        }
+        FrameScan::End | FrameScan::Torn => {
+            return Err(StoreError::damaged(
+                &path,
+                offset as u64,
+                "snapshot is cut off",
+            ));
+        }
+    };
+    Ok(ReadSnapshot {
+        snapshot: StoreSnapshot {
+            mark: head.mark,
+            state,
+        },
+        first_segment: head.first_segment,
+        bytes: bytes.len() as u64,
+    })
+}
