feat(routing): plan pipelines over the layer graph by flow and predicted finish

Engines of mixed kinds hold ranges of layers; a request needs a chain over all of them in one version, chosen in time that does not grow with the fleet, and a refusal must be true.

Groups of like engines form a layer graph per model, adapter and version. A maximum flow over it gives the bound and the sampling weights; five policies pick from samples behind one trait; a complete search answers before any refusal.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,3 +11,5 @@
 pub mod leases;
 pub mod ledger;
 pub mod replicated;
+pub mod retries;
+pub mod routing;
--- /dev/null
+++ b/crates/coordination/src/routing.rs
@@ -0,0 +1,43 @@
+//! Routing: which pipeline of engines runs a request.
+//!
+//! A pipeline covers the layers of a model once, in order, in one version. Engines announce which
+//! range of layers they hold; [`FleetPlanner`] keeps them in tables, works out the maximum flow
+//! over the layer graph each tick, and picks the engine of each stage from a few samples, so the
+//! cost of a decision does not grow with the fleet.
+
+mod bound;
+mod capacity;
+mod choice;
+mod engine;
+mod fleet;
+mod flight;
+mod flow;
+mod graph;
+mod link;
+mod load;
+mod outliers;
+mod plan;
+mod planner;
+mod policy;
+mod prefix;
+mod search;
+mod settings;
+mod unit;
+mod view;
+
+pub use bound::FlowBound;
+pub use engine::{AcceleratorKind, EngineAnnouncement, EngineRole, MAX_ADAPTERS};
+pub use fleet::{EngineKey, EngineRecord, FleetTable, UpsertOutcome};
+pub use flight::FlightKey;
+pub use graph::GraphId;
+pub use link::LinkFigures;
+pub use load::{LoadFigures, LoadReport};
+pub use plan::{
+    EngineFilter, NoRoute, NoRouteReason, PermitAll, RejectCounts, RejectReason, RoutePlan,
+    RoutePriority, RouteQuery, RouteStage,
+};
+pub use planner::{EngineDump, FleetPlanner, RoutePlanner, RoutingDump};
+pub use policy::PolicyKind;
+pub use prefix::{CacheChange, CacheEvent, CacheOutcome, PrefixDigest, PromptPrefix};
+pub use settings::{RoutingSettings, WorkloadMix};
+pub use unit::{ByteRate, TokenCount, TokenRate};
--- /dev/null
+++ b/crates/coordination/src/routing/capacity.rs
@@ -0,0 +1,55 @@
+//! Capacity of one engine for the mean request.
+
+use super::engine::{EngineAnnouncement, EngineRole};
+use super::settings::WorkloadMix;
+
+/// Thousandths in one token a second; flow is counted in whole thousandths.
+pub(crate) const MILLI: f64 = 1_000.0;
+
+/// Generated tokens a second, in thousandths, that an engine sustains over its whole range: the
+/// least of what compute, KV cache and its own link allow.
+pub(crate) fn mean_capacity(engine: &EngineAnnouncement, mix: &WorkloadMix) -> u64 {
+    let capacity = compute_capacity(engine, mix)
+        .min(kv_capacity(engine, mix))
+        .min(link_capacity(engine, mix));
+    (capacity * MILLI) as u64
+}
+
+/// Generated tokens a second that compute allows, with the prompt's share counted in.
+pub(crate) fn compute_capacity(engine: &EngineAnnouncement, mix: &WorkloadMix) -> f64 {
+    let prompt = engine
+        .prefill_rate
+        .seconds_for(f64::from(mix.prompt_tokens));
+    let output = engine.decode_rate.seconds_for(f64::from(mix.output_tokens));
+    let seconds = match engine.role {
+        EngineRole::Both => prompt + output,
+        EngineRole::Prefill => prompt,
+        EngineRole::Decode => output,
+    };
+    f64::from(mix.output_tokens) / seconds.max(f64::MIN_POSITIVE)
+}
+
+/// Little's law: as many sequences as fit, each of which yields a token per interval.
+fn kv_capacity(engine: &EngineAnnouncement, mix: &WorkloadMix) -> f64 {
+    if engine.role == EngineRole::Prefill {
+        return f64::INFINITY;
+    }
+    let context = f64::from(mix.prompt_tokens) + f64::from(mix.output_tokens);
+    let sequences = engine.kv_capacity.as_f64() / context.max(1.0);
+    sequences / mix.token_interval.as_secs_f64().max(f64::MIN_POSITIVE)
+}
+
+fn link_capacity(engine: &EngineAnnouncement, mix: &WorkloadMix) -> f64 {
+    let has_neighbour = engine.layers.first > 0 || engine.layers.end < engine.model_layers;
+    if !has_neighbour {
+        return f64::INFINITY;
+    }
+    engine.link_rate.per_second() / bytes_per_output(engine.activation_bytes, mix)
+}
+
+/// Bytes between two stages for each generated token, with its share of the prompt.
+pub(crate) fn bytes_per_output(activation_bytes: u32, mix: &WorkloadMix) -> f64 {
+    let output = f64::from(mix.output_tokens.max(1));
+    let share = (f64::from(mix.prompt_tokens) + output) / output;
+    (f64::from(activation_bytes) * share).max(1.0)
+}
--- /dev/null
+++ b/crates/coordination/src/routing/choice.rs
@@ -0,0 +1,307 @@
+//! One choice: the versions that may serve, a walk through the layer graph, and the search behind.
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use super::fleet::{EngineKey, FleetTable, GraphKey};
+use super::graph::{LayerGraph, RoutePhase};
+use super::outliers::EngineOutliers;
+use super::plan::{NoRoute, NoRouteReason, RoutePlan, RouteQuery, RouteStage};
+use super::policy::RoutePolicy;
+use super::prefix::PrefixIndex;
+use super::search::{SearchOutcome, search, start_point};
+use super::settings::RoutingSettings;
+use super::unit::duration_of;
+use super::view::{ChoiceContext, StageTime, StageView, WalkPoint};
+use crate::base::{LayerRange, MonotonicTime};
+
+/// Tables that a choice reads.
+#[derive(Clone, Copy)]
+pub(crate) struct ChoiceTables<'a> {
+    pub(crate) settings: &'a RoutingSettings,
+    pub(crate) fleet: &'a FleetTable,
+    pub(crate) prefixes: &'a PrefixIndex,
+    pub(crate) outliers: &'a EngineOutliers,
+}
+
+/// A version's graph.
+type VersionGraph<'a> = (GraphKey, &'a LayerGraph);
+
+/// Engines of a pipeline and the time that they were predicted to take.
+struct Walk {
+    stages: Vec<RouteStage>,
+    time: StageTime,
+    cached_tokens: u32,
+}
+
+/// Chooses a route in the version asked for, or else in one by the share of its flow: while a
+/// version is rolled out, the first engines that hold it are not sent every request.
+pub(crate) fn choose_route(
+    now: MonotonicTime,
+    tables: ChoiceTables<'_>,
+    policy: &mut dyn RoutePolicy,
+    rng: &mut ChaCha8Rng,
+    query: &RouteQuery<'_>,
+) -> Result<RoutePlan, NoRoute> {
+    let mut reasons = Vec::new();
+    let mut graphs: Vec<VersionGraph<'_>> = tables
+        .fleet
+        .graphs_of(query.model, query.adapter)
+        .filter(|(_, graph)| query.version.is_none_or(|v| graph.id.version == *v))
+        .collect();
+    draw_version(&mut graphs, rng);
+    for (graph_key, graph) in graphs {
+        let context = ChoiceContext {
+            now,
+            settings: tables.settings,
+            fleet: tables.fleet,
+            prefixes: tables.prefixes,
+            outliers: tables.outliers,
+            graph_key,
+            graph,
+            query,
+            phase: RoutePhase::Whole,
+            with_ejected: false,
+        };
+        match plan_in_graph(context, policy, rng) {
+            Ok(plan) => return check_deadline(now, query, plan),
+            Err(found) => reasons.extend(found),
+        }
+    }
+    if reasons.is_empty() {
+        reasons.push(NoRouteReason::NotServed);
+    }
+    Err(NoRoute { reasons })
+}
+
+/// Puts one version first, by chance and as likely as its share of the flow.
+fn draw_version(graphs: &mut [VersionGraph<'_>], rng: &mut ChaCha8Rng) {
+    let total: u64 = graphs.iter().map(|(_, graph)| graph.flow).sum();
+    if graphs.len() < 2 || total == 0 {
+        return;
+    }
+    let mut mark = rng.random_range(0..total);
+    let drawn = graphs.iter().position(|(_, graph)| {
+        let is_drawn = mark < graph.flow;
+        mark = mark.saturating_sub(graph.flow);
+        is_drawn
+    });
+    graphs.swap(0, drawn.unwrap_or(0));
+}
+
+fn check_deadline(
+    now: MonotonicTime,
+    query: &RouteQuery<'_>,
+    plan: RoutePlan,
+) -> Result<RoutePlan, NoRoute> {
+    let predicted = plan.finish;
+    if query
+        .deadline
+        .is_some_and(|deadline| now.after(predicted) > deadline)
+    {
+        let reasons = vec![NoRouteReason::DeadlineMissed { predicted }];
+        return Err(NoRoute { reasons });
+    }
+    Ok(plan)
+}
+
+fn plan_in_graph(
+    context: ChoiceContext<'_>,
+    policy: &mut dyn RoutePolicy,
+    rng: &mut ChaCha8Rng,
+) -> Result<RoutePlan, Vec<NoRouteReason>> {
+    if !context.graph.has_pipeline() {
+        return Err(vec![find_missing_layer(context.graph)]);
+    }
+    let whole = walk(context, policy, rng);
+    if !context.graph.has_split_roles {
+        return whole.map(|walk| make_plan(&context, walk, None));
+    }
+    let split = walk_split(context, policy, rng);
+    match (whole, split) {
+        (Ok(whole), Ok((prefill, decode))) => {
+            let whole = make_plan(&context, whole, None);
+            let split = make_plan(&context, decode, Some(prefill));
+            Ok(if split.finish < whole.finish {
+                split
+            } else {
+                whole
+            })
+        }
+        (Ok(whole), Err(_)) => Ok(make_plan(&context, whole, None)),
+        (Err(_), Ok((prefill, decode))) => Ok(make_plan(&context, decode, Some(prefill))),
+        (Err(mut reasons), Err(others)) => {
+            reasons.extend(others);
+            Err(reasons)
+        }
+    }
+}
+
+fn find_missing_layer(graph: &LayerGraph) -> NoRouteReason {
+    NoRouteReason::LayerMissing {
+        version: graph.id.version.clone(),
+        layer: graph.first_uncovered().unwrap_or(graph.id.layers),
+    }
+}
+
+fn walk_split(
+    context: ChoiceContext<'_>,
+    policy: &mut dyn RoutePolicy,
+    rng: &mut ChaCha8Rng,
+) -> Result<(Walk, Walk), Vec<NoRouteReason>> {
+    let in_phase = |phase| ChoiceContext { phase, ..context };
+    let prefill = walk(in_phase(RoutePhase::Prefill), policy, rng)?;
+    let decode = walk(in_phase(RoutePhase::Decode), policy, rng)?;
+    Ok((prefill, decode))
+}
+
+/// Walks by the policy's samples; where they fail, by the complete search, and only then with
+/// engines that are ejected, since a doubtful pipeline serves the caller better than none.
+fn walk(
+    context: ChoiceContext<'_>,
+    policy: &mut dyn RoutePolicy,
+    rng: &mut ChaCha8Rng,
+) -> Result<Walk, Vec<NoRouteReason>> {
+    if let Some(keys) = walk_by_policy(&context, policy, rng) {
+        return Ok(finish_walk(&context, &keys));
+    }
+    match search(&context) {
+        SearchOutcome::Found(keys) => Ok(finish_walk(&context, &keys)),
+        SearchOutcome::Missing {
+            has_ejected: true, ..
+        } if !context.with_ejected => {
+            let context = ChoiceContext {
+                with_ejected: true,
+                ..context
+            };
+            walk(context, policy, rng)
+        }
+        SearchOutcome::Missing { reasons, .. } => Err(reasons),
+    }
+}
+
+fn walk_by_policy(
+    context: &ChoiceContext<'_>,
+    policy: &mut dyn RoutePolicy,
+    rng: &mut ChaCha8Rng,
+) -> Option<Vec<EngineKey>> {
+    let mut point = start_point(context);
+    let mut keys = Vec::new();
+    while point.layer < context.graph.id.layers {
+        let mut view = StageView {
+            context: *context,
+            boundary: context.graph.boundaries.get(&point.layer)?,
+            point,
+            rng,
+        };
+        let key = policy.pick(&mut view)?;
+        point = step(context, key, &point)?;
+        keys.push(key);
+    }
+    Some(keys)
+}
+
+fn step(context: &ChoiceContext<'_>, key: EngineKey, point: &WalkPoint) -> Option<WalkPoint> {
+    let engine = context.fleet.get(key)?;
+    Some(WalkPoint {
+        layer: engine.announcement.layers.end,
+        data_centre: engine.data_centre,
+        link_rate: Some(engine.announcement.link_rate),
+        cached_tokens: context.cached_tokens(key, point),
+    })
+}
+
+fn finish_walk(context: &ChoiceContext<'_>, keys: &[EngineKey]) -> Walk {
+    let mut point = start_point(context);
+    let mut time = StageTime::default();
+    let mut stages = Vec::with_capacity(keys.len());
+    for key in keys {
+        let Some(engine) = context.fleet.get(*key) else {
+            continue;
+        };
+        let added = context.predict(*key, engine, &point);
+        time.first_token += added.first_token;
+        time.per_token += added.per_token;
+        let end = engine.announcement.layers.end;
+        stages.push(RouteStage {
+            engine: *key,
+            server: engine.announcement.server.clone(),
+            layers: LayerRange {
+                first: point.layer,
+                end,
+            },
+        });
+        point = step(context, *key, &point).unwrap_or(point);
+    }
+    Walk {
+        stages,
+        time,
+        cached_tokens: point.cached_tokens,
+    }
+}
+
+fn make_plan(context: &ChoiceContext<'_>, walk: Walk, prefill: Option<Walk>) -> RoutePlan {
+    let id = &context.graph.id;
+    let query = context.query;
+    let mut first_token = walk.time.first_token;
+    let mut cached_tokens = walk.cached_tokens;
+    let mut prefill_stages = Vec::new();
+    if let Some(prefill) = prefill {
+        first_token += prefill.time.first_token;
+        first_token += hand_over_seconds(context, &prefill.stages, &walk.stages);
+        cached_tokens = prefill.cached_tokens;
+        prefill_stages = prefill.stages;
+    }
+    let rest = query.expected_tokens.saturating_sub(1);
+    RoutePlan {
+        model: id.model.clone(),
+        version: id.version.clone(),
+        adapter: id.adapter.clone(),
+        model_layers: id.layers,
+        stages: walk.stages,
+        prefill: prefill_stages,
+        cached_tokens,
+        prompt_tokens: query.prompt_tokens,
+        expected_tokens: query.expected_tokens,
+        first_token: duration_of(first_token),
+        finish: duration_of(first_token + walk.time.per_token * f64::from(rest)),
+    }
+}
+
+/// Seconds until the last decoding stage has its KV cache; stages receive at the same time, each
+/// over the slowest link that any sender of its layers has.
+fn hand_over_seconds(
+    context: &ChoiceContext<'_>,
+    prefill: &[RouteStage],
+    decode: &[RouteStage],
+) -> f64 {
+    let mut longest: f64 = 0.0;
+    for stage in decode {
+        let senders = prefill.iter().filter(|sender| {
+            sender.layers.first < stage.layers.end && stage.layers.first < sender.layers.end
+        });
+        for sender in senders {
+            longest = longest.max(transfer_seconds(context, sender, stage));
+        }
+    }
+    longest
+}
+
+fn transfer_seconds(context: &ChoiceContext<'_>, from: &RouteStage, to: &RouteStage) -> f64 {
+    let (Some(sender), Some(receiver)) =
+        (context.fleet.get(from.engine), context.fleet.get(to.engine))
+    else {
+        return 0.0;
+    };
+    let link = context
+        .fleet
+        .links
+        .get(sender.data_centre, receiver.data_centre);
+    let rate = sender
+        .announcement
+        .link_rate
+        .slower(receiver.announcement.link_rate)
+        .slower(link.rate);
+    let bytes = f64::from(receiver.announcement.kv_bytes) * f64::from(context.query.prompt_tokens);
+    link.latency.as_secs_f64() + bytes / rate.per_second()
+}
--- /dev/null
+++ b/crates/coordination/src/routing/fleet.rs
@@ -0,0 +1,290 @@
+//! Table of the engines that may be routed to, and the layer graphs over them.
+
+use std::collections::{BTreeMap, HashMap};
+
+use slotmap::{SecondaryMap, SlotMap, new_key_type};
+
+use super::capacity::mean_capacity;
+use super::engine::EngineAnnouncement;
+use super::graph::{GraphId, GroupShape, LayerGraph};
+use super::link::{DataCentreIndex, LinkFigures, LinkTable};
+use super::load::{LoadReport, LoadTracker};
+use super::settings::RoutingSettings;
+use crate::base::{AdapterName, DataCentreName, FindingList, MonotonicTime, ServerName};
+
+new_key_type! {
+    /// Key of an engine in the fleet table.
+    pub struct EngineKey;
+
+    /// Key of a layer graph in the fleet table.
+    pub(crate) struct GraphKey;
+}
+
+/// An engine that may be routed to.
+#[derive(Clone, Debug)]
+pub struct EngineRecord {
+    /// What it announced last.
+    pub announcement: EngineAnnouncement,
+    /// When it joined or came back; slow start counts from here.
+    pub joined: MonotonicTime,
+    pub(crate) data_centre: DataCentreIndex,
+    pub(crate) load: LoadTracker,
+}
+
+impl EngineRecord {
+    pub(crate) fn shape(&self) -> GroupShape {
+        GroupShape {
+            layers: self.announcement.layers,
+            data_centre: self.data_centre,
+            role: self.announcement.role,
+            kind: self.announcement.kind.clone(),
+        }
+    }
+
+    fn graph_ids(&self) -> Vec<GraphId> {
+        let announced = &self.announcement;
+        let id = |adapter: Option<AdapterName>| GraphId {
+            model: announced.model.clone(),
+            adapter,
+            version: announced.version.clone(),
+            layers: announced.model_layers,
+        };
+        let mut ids = vec![id(None)];
+        ids.extend(announced.adapters.iter().cloned().map(|a| id(Some(a))));
+        ids.sort();
+        ids.dedup();
+        ids
+    }
+}
+
+/// What an announcement did to the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpsertOutcome {
+    /// The engine is new.
+    Joined,
+    /// A newer announcement replaced an older one.
+    Updated,
+    /// The announcement is not newer than the one in force and was ignored.
+    Ignored,
+}
+
+/// Engines by key and name, and the graphs that they are members of.
+///
+/// Invariant: an engine is a member of exactly the graphs that its announcement in force names, and
+/// an engine that was removed is in none.
+#[derive(Debug)]
+pub struct FleetTable {
+    pub(crate) engines: SlotMap<EngineKey, EngineRecord>,
+    by_name: HashMap<ServerName, EngineKey>,
+    pub(crate) graphs: SlotMap<GraphKey, LayerGraph>,
+    by_id: BTreeMap<GraphId, GraphKey>,
+    memberships: SecondaryMap<EngineKey, Vec<GraphKey>>,
+    pub(crate) links: LinkTable,
+    settings: RoutingSettings,
+}
+
+impl FleetTable {
+    /// A table without engines.
+    pub fn new(settings: RoutingSettings) -> Self {
+        Self {
+            engines: SlotMap::with_key(),
+            by_name: HashMap::new(),
+            graphs: SlotMap::with_key(),
+            by_id: BTreeMap::new(),
+            memberships: SecondaryMap::new(),
+            links: LinkTable::new(settings.default_link, settings.local_latency),
+            settings,
+        }
+    }
+
+    /// Takes an announcement.
+    ///
+    /// # Errors
+    /// All findings about it; the announcement in force then stays.
+    pub fn upsert(
+        &mut self,
+        now: MonotonicTime,
+        announcement: EngineAnnouncement,
+    ) -> Result<UpsertOutcome, FindingList> {
+        let findings = announcement.check();
+        if findings.has_errors() {
+            return Err(findings);
+        }
+        let Some(key) = self.find(&announcement.server) else {
+            self.insert(now, announcement);
+            return Ok(UpsertOutcome::Joined);
+        };
+        Ok(self.update(now, key, announcement))
+    }
+
+    /// Takes a load report; one for an engine that is not known, or not newer, is ignored.
+    pub fn report(&mut self, report: &LoadReport) -> bool {
+        let key = self.find(&report.server);
+        let record = key.and_then(|key| self.engines.get_mut(key));
+        record.is_some_and(|record| {
+            record.announcement.incarnation == report.incarnation && record.load.report(report)
+        })
+    }
+
+    /// Removes an engine whose lease ended or that leaves; no later choice names it.
+    pub fn remove(&mut self, server: &ServerName) -> Option<EngineKey> {
+        let key = self.by_name.remove(server)?;
+        self.leave_graphs(key);
+        self.engines.remove(key);
+        Some(key)
+    }
+
+    /// Sets the link between two data centres, both ways.
+    pub fn set_link(&mut self, one: &DataCentreName, other: &DataCentreName, figures: LinkFigures) {
+        self.links.set(one, other, figures);
+        for graph in self.graphs.values_mut() {
+            graph.is_stale = true;
+        }
+    }
+
+    /// Key of an engine by its name.
+    pub fn find(&self, server: &ServerName) -> Option<EngineKey> {
+        self.by_name.get(server).copied()
+    }
+
+    /// An engine by its key.
+    pub fn get(&self, key: EngineKey) -> Option<&EngineRecord> {
+        self.engines.get(key)
+    }
+
+    /// All engines.
+    pub fn iter(&self) -> impl Iterator<Item = (EngineKey, &EngineRecord)> {
+        self.engines.iter()
+    }
+
+    /// Number of engines.
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Whether there is no engine.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
+    /// Graphs of a model with an adapter, by rising version.
+    pub(crate) fn graphs_of<'a>(
+        &'a self,
+        model: &'a crate::base::ModelName,
+        adapter: Option<&'a AdapterName>,
+    ) -> impl Iterator<Item = (GraphKey, &'a LayerGraph)> {
+        let first = GraphId {
+            model: model.clone(),
+            adapter: adapter.cloned(),
+            version: "".into(),
+            layers: 0,
+        };
+        self.by_id
+            .range(first..)
+            .take_while(move |(id, _)| id.model == *model && id.adapter.as_ref() == adapter)
+            .filter_map(|(_, key)| self.graphs.get(*key).map(|graph| (*key, graph)))
+    }
+
+    fn insert(&mut self, now: MonotonicTime, announcement: EngineAnnouncement) {
+        let server = announcement.server.clone();
+        let record = EngineRecord {
+            data_centre: self.links.intern(&announcement.data_centre),
+            announcement,
+            joined: now,
+            load: LoadTracker::default(),
+        };
+        let key = self.engines.insert(record);
+        self.by_name.insert(server, key);
+        self.join_graphs(key);
+    }
+
+    fn update(
+        &mut self,
+        now: MonotonicTime,
+        key: EngineKey,
+        announcement: EngineAnnouncement,
+    ) -> UpsertOutcome {
+        let Some(record) = self.engines.get(key) else {
+            return UpsertOutcome::Ignored;
+        };
+        let current = &record.announcement;
+        if !current.is_outranked_by(&announcement) {
+            return UpsertOutcome::Ignored;
+        }
+        let restarted = current.incarnation != announcement.incarnation;
+        let mut unnumbered = announcement.clone();
+        unnumbered.sequence = current.sequence;
+        if unnumbered == *current {
+            self.replace(key, announcement);
+            return UpsertOutcome::Updated;
+        }
+        self.leave_graphs(key);
+        self.replace(key, announcement);
+        if restarted {
+            self.restart(now, key);
+        }
+        self.join_graphs(key);
+        UpsertOutcome::Updated
+    }
+
+    fn replace(&mut self, key: EngineKey, announcement: EngineAnnouncement) {
+        let data_centre = self.links.intern(&announcement.data_centre);
+        if let Some(record) = self.engines.get_mut(key) {
+            record.announcement = announcement;
+            record.data_centre = data_centre;
+        }
+    }
+
+    /// A restarted engine has no load and cold caches.
+    fn restart(&mut self, now: MonotonicTime, key: EngineKey) {
+        if let Some(record) = self.engines.get_mut(key) {
+            record.joined = now;
+            record.load.restart();
+        }
+    }
+
+    fn join_graphs(&mut self, key: EngineKey) {
+        let Some(record) = self.engines.get(key) else {
+            return;
+        };
+        let shape = record.shape();
+        let capacity = mean_capacity(&record.announcement, &self.settings.workload);
+        let ids = record.graph_ids();
+        let mut joined = Vec::with_capacity(ids.len());
+        for id in ids {
+            let graph_key = self.graph_for(id);
+            if let Some(graph) = self.graphs.get_mut(graph_key) {
+                graph.insert(key, shape.clone(), capacity);
+                joined.push(graph_key);
+            }
+        }
+        self.memberships.insert(key, joined);
+    }
+
+    fn leave_graphs(&mut self, key: EngineKey) {
+        let Some(record) = self.engines.get(key) else {
+            return;
+        };
+        let shape = record.shape();
+        let capacity = mean_capacity(&record.announcement, &self.settings.workload);
+        for graph_key in self.memberships.remove(key).unwrap_or_default() {
+            let Some(graph) = self.graphs.get_mut(graph_key) else {
+                continue;
+            };
+            graph.remove(key, &shape, capacity);
+            if graph.groups.is_empty() {
+                self.by_id.remove(&graph.id);
+                self.graphs.remove(graph_key);
+            }
+        }
+    }
+
+    fn graph_for(&mut self, id: GraphId) -> GraphKey {
+        if let Some(key) = self.by_id.get(&id) {
+            return *key;
+        }
+        let key = self.graphs.insert(LayerGraph::new(id.clone()));
+        self.by_id.insert(id, key);
+        key
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/routing/flight.rs
@@ -0,0 +1,113 @@
+//! Own requests under way, and the load that each adds to its engines.
+
+use slotmap::{SlotMap, new_key_type};
+
+use super::fleet::{EngineKey, FleetTable};
+use super::load::LoadDelta;
+use super::plan::{RoutePlan, RouteStage};
+use super::view::span_share;
+use crate::base::MonotonicTime;
+
+new_key_type! {
+    /// Key of an own request under way.
+    pub struct FlightKey;
+}
+
+/// Load that one request still adds to one engine.
+#[derive(Clone, Copy, Debug)]
+struct FlightStage {
+    engine: EngineKey,
+    left: LoadDelta,
+}
+
+/// Requests that were started and have not ended.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FlightTable {
+    flights: SlotMap<FlightKey, Vec<FlightStage>>,
+}
+
+impl FlightTable {
+    /// Counts a request that is sent over `plan` now.
+    pub(crate) fn start(
+        &mut self,
+        now: MonotonicTime,
+        fleet: &mut FleetTable,
+        plan: &RoutePlan,
+    ) -> FlightKey {
+        let is_split = !plan.prefill.is_empty();
+        let fresh = plan.prompt_tokens.saturating_sub(plan.cached_tokens);
+        let prompt_kv = i64::from(plan.prompt_tokens);
+        let whole_kv = prompt_kv + i64::from(plan.expected_tokens);
+        let decode_fresh = if is_split { 0 } else { fresh };
+        let mut stages = Vec::with_capacity(plan.stages.len() + plan.prefill.len());
+        stages.extend(
+            plan.stages
+                .iter()
+                .map(|s| stage(fleet, s, decode_fresh, whole_kv)),
+        );
+        stages.extend(
+            plan.prefill
+                .iter()
+                .map(|s| stage(fleet, s, fresh, prompt_kv)),
+        );
+        for stage in &stages {
+            apply(now, fleet, stage.engine, stage.left);
+        }
+        self.flights.insert(stages)
+    }
+
+    /// The first token came: the prompt is worked through.
+    pub(crate) fn first_token(
+        &mut self,
+        now: MonotonicTime,
+        fleet: &mut FleetTable,
+        key: FlightKey,
+    ) {
+        for stage in self.flights.get_mut(key).into_iter().flatten() {
+            let delta = LoadDelta {
+                prefill: -stage.left.prefill,
+                ..LoadDelta::default()
+            };
+            stage.left.prefill = 0;
+            apply(now, fleet, stage.engine, delta);
+        }
+    }
+
+    /// The request ended; returns its engines.
+    pub(crate) fn end(
+        &mut self,
+        now: MonotonicTime,
+        fleet: &mut FleetTable,
+        key: FlightKey,
+    ) -> Vec<EngineKey> {
+        let stages = self.flights.remove(key).unwrap_or_default();
+        for stage in &stages {
+            apply(now, fleet, stage.engine, stage.left.negated());
+        }
+        stages.into_iter().map(|stage| stage.engine).collect()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.flights.len()
+    }
+}
+
+fn stage(fleet: &FleetTable, stage: &RouteStage, fresh: u32, kv: i64) -> FlightStage {
+    let part = fleet.get(stage.engine).map_or(1.0, |engine| {
+        span_share(engine.announcement.layers, stage.layers.first)
+    });
+    FlightStage {
+        engine: stage.engine,
+        left: LoadDelta {
+            prefill: (f64::from(fresh) * part) as i64,
+            sequences: 1,
+            kv,
+        },
+    }
+}
+
+fn apply(now: MonotonicTime, fleet: &mut FleetTable, key: EngineKey, delta: LoadDelta) {
+    if let Some(engine) = fleet.engines.get_mut(key) {
+        engine.load.apply(now, delta);
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/routing/link.rs
@@ -0,0 +1,81 @@
+//! Links between data centres, and what it costs to carry activations over them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::unit::ByteRate;
+use crate::base::DataCentreName;
+
+/// Number that stands for a data centre's name within one table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub(crate) struct DataCentreIndex(pub(crate) u16);
+
+/// Rate and latency of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkFigures {
+    /// Bytes a second, in each direction.
+    pub rate: ByteRate,
+    /// One-way latency.
+    pub latency: Duration,
+}
+
+/// Links between data centres; pairs that were never set have the default link.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkTable {
+    default: LinkFigures,
+    /// Link within one data centre; only its latency counts, the rate is that of the engines.
+    local: LinkFigures,
+    names: Vec<DataCentreName>,
+    links: BTreeMap<(DataCentreIndex, DataCentreIndex), LinkFigures>,
+}
+
+impl LinkTable {
+    pub(crate) fn new(default: LinkFigures, local_latency: Duration) -> Self {
+        Self {
+            default,
+            local: LinkFigures {
+                rate: ByteRate(u64::MAX),
+                latency: local_latency,
+            },
+            names: Vec::new(),
+            links: BTreeMap::new(),
+        }
+    }
+
+    /// Index of a data centre, new if it was not known.
+    pub(crate) fn intern(&mut self, name: &DataCentreName) -> DataCentreIndex {
+        if let Some(index) = self.find(name) {
+            return index;
+        }
+        let index = u16::try_from(self.names.len()).unwrap_or(u16::MAX);
+        self.names.push(name.clone());
+        DataCentreIndex(index)
+    }
+
+    /// Sets the link between two data centres, both ways.
+    pub(crate) fn set(
+        &mut self,
+        one: &DataCentreName,
+        other: &DataCentreName,
+        figures: LinkFigures,
+    ) {
+        let one = self.intern(one);
+        let other = self.intern(other);
+        self.links.insert((one, other), figures);
+        self.links.insert((other, one), figures);
+    }
+
+    pub(crate) fn get(&self, from: DataCentreIndex, to: DataCentreIndex) -> LinkFigures {
+        if from == to {
+            return self.local;
+        }
+        self.links.get(&(from, to)).copied().unwrap_or(self.default)
+    }
+
+    pub(crate) fn find(&self, name: &DataCentreName) -> Option<DataCentreIndex> {
+        let position = self.names.iter().position(|known| known == name)?;
+        u16::try_from(position).ok().map(DataCentreIndex)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/routing/policy/predicted_finish.rs
@@ -0,0 +1,59 @@
+//! Picks the earliest predicted finish among a few engines: some by flow, some at random, and some
+//! that hold the prompt's prefix.
+//!
+//! The flow steers the whole onto the links and kinds that carry it; the prediction evens out
+//! queues; the random ones find capacity that the flow leaves free at low load.
+
+use super::RoutePolicy;
+use crate::routing::fleet::EngineKey;
+use crate::routing::view::StageView;
+
+/// Every third sample is uniform.
+const UNIFORM_EVERY: u32 = 3;
+
+/// Holders of the prompt's prefix that are compared as well.
+const MAX_HOLDERS: usize = 4;
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PredictedFinish {
+    candidates: u32,
+}
+
+impl PredictedFinish {
+    pub(super) fn new(candidates: u32) -> Self {
+        Self { candidates }
+    }
+}
+
+impl RoutePolicy for PredictedFinish {
+    fn pick(&mut self, view: &mut StageView<'_>) -> Option<EngineKey> {
+        let mut best: Option<(EngineKey, f64)> = None;
+        let mut compare = |view: &mut StageView<'_>, key: EngineKey| {
+            let finish = view.predicted_finish(key);
+            let is_better = best.is_none_or(|(_, earliest)| finish < earliest);
+            if is_better && view.accepts(key) {
+                best = Some((key, finish));
+            }
+        };
+        for index in 0..self.candidates {
+            let sample = if index % UNIFORM_EVERY == UNIFORM_EVERY - 1 {
+                view.sample_uniform()
+            } else {
+                view.sample_by_flow()
+            };
+            if let Some(key) = sample {
+                compare(view, key);
+            }
+        }
+        if view.point.cached_tokens > 0 {
+            let prefixes = view.context.prefixes;
+            let holders = prefixes.holders(view.context.query.prefixes);
+            for key in holders.iter().take(MAX_HOLDERS) {
+                if view.holds_layer(*key) {
+                    compare(view, *key);
+                }
+            }
+        }
+        best.map(|(key, _)| key)
+    }
+}
