feat(entry): a draft crosses a pipeline and comes back whole

Cause: nothing served a caller yet. Change: callers' face (drafts with and without streaming, plain services), backend servers' face (announcements), platform's face, and a quickstart whose answer is checked token by token against all layers. Conclusion: the thin path stands; agreement, limits, evidence and routing by flow replace its placeholders next.

--- /dev/null
+++ b/crates/daemon/src/announcements.rs
@@ -0,0 +1,86 @@
+//! Backend servers' face: announcements and heartbeats.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use pollendrift_border::{Announcement, AnnouncementReply};
+use pollendrift_http::{
+    HandlerFuture, HttpHandler, ResponseBody, json_response, read_json, text_response,
+};
+
+use crate::clock::TimeSource;
+use crate::fleet::{AnnounceError, BackendFleet};
+
+/// Path that announcements come on.
+pub const ANNOUNCEMENT_PATH: &str = "/backend/v1/announcements";
+const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
+
+/// Takes announcements.
+pub struct AnnouncementHandler {
+    /// Backend servers.
+    pub fleet: Arc<BackendFleet>,
+    /// The present time.
+    pub clock: Arc<dyn TimeSource>,
+    /// Lease that an announcement renews.
+    pub lease: Duration,
+    /// How often servers are asked to announce.
+    pub heartbeat: Duration,
+}
+
+impl std::fmt::Debug for AnnouncementHandler {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("AnnouncementHandler")
+            .field("lease", &self.lease)
+            .finish_non_exhaustive()
+    }
+}
+
+impl AnnouncementHandler {
+    async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        if request.method() != Method::POST || request.uri().path() != ANNOUNCEMENT_PATH {
+            return text_response(
+                StatusCode::NOT_FOUND,
+                format!("POST {ANNOUNCEMENT_PATH} is served\n"),
+            );
+        }
+        let announcement: Announcement =
+            match read_json(request.into_body(), MAX_ANNOUNCEMENT_BYTES).await {
+                Ok(announcement) => announcement,
+                Err(failure) => {
+                    return text_response(StatusCode::BAD_REQUEST, format!("{failure}\n"));
+                }
+            };
+        match self.fleet.announce(self.clock.now(), &announcement) {
+            Ok(_) => json_response(StatusCode::OK, &self.reply(&announcement)),
+            Err(error @ AnnounceError::Malformed { .. }) => {
+                text_response(StatusCode::BAD_REQUEST, format!("{error}\n"))
+            }
+            Err(error @ AnnounceError::Full) => {
+                text_response(StatusCode::SERVICE_UNAVAILABLE, format!("{error}\n"))
+            }
+        }
+    }
+
+    fn reply(&self, announcement: &Announcement) -> AnnouncementReply {
+        AnnouncementReply {
+            heard_incarnation: announcement.incarnation,
+            heard_sequence: announcement.sequence,
+            lease_millis: millis(self.lease),
+            heartbeat_millis: millis(self.heartbeat),
+        }
+    }
+}
+
+impl HttpHandler for AnnouncementHandler {
+    fn handle(self: Arc<Self>, request: Request<Incoming>, _peer: SocketAddr) -> HandlerFuture {
+        Box::pin(async move { self.answer(request).await })
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/completions.rs
@@ -0,0 +1,131 @@
+//! `POST /v1/completions` and `POST /v1/chat/completions`.
+
+use std::sync::Arc;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use pollendrift_border::{ChatRequest, CompletionRequest};
+use pollendrift_coordination::base::{CustomerName, RequestId};
+use pollendrift_coordination::configuration::{RequestFacts, RequestTarget, SelectorTarget};
+use pollendrift_http::{ResponseBody, read_json};
+
+use super::context::EntryContext;
+use super::draft::{DraftJob, run_draft};
+use super::refusal::Refusal;
+use super::selection::select;
+use super::stream::ReplyFormat;
+
+pub(super) const COMPLETIONS_PATH: &str = "/v1/completions";
+pub(super) const CHAT_PATH: &str = "/v1/chat/completions";
+/// Tokens of an answer if the caller names no number.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// Acts on a completion request.
+pub(super) async fn complete(
+    context: &Arc<EntryContext>,
+    customer: CustomerName,
+    id: &RequestId,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let path = request.uri().path().to_owned();
+    let body: CompletionRequest = read_json(request.into_body(), context.max_body_bytes)
+        .await
+        .map_err(|failure| Refusal::bad_body(&failure))?;
+    let ask = DraftAsk {
+        path,
+        model: body.model,
+        adapter: body.adapter,
+        prompt: body.prompt,
+        max_tokens: body.max_tokens,
+        stream: body.stream.unwrap_or(false),
+        format: ReplyFormat::Completion,
+    };
+    start(context, customer, id, ask).await
+}
+
+/// Acts on a chat completion request.
+pub(super) async fn chat(
+    context: &Arc<EntryContext>,
+    customer: CustomerName,
+    id: &RequestId,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let path = request.uri().path().to_owned();
+    let body: ChatRequest = read_json(request.into_body(), context.max_body_bytes)
+        .await
+        .map_err(|failure| Refusal::bad_body(&failure))?;
+    let lines: Vec<String> = body
+        .messages
+        .iter()
+        .map(|message| format!("{}: {}", message.role, message.content))
+        .collect();
+    let ask = DraftAsk {
+        path,
+        model: body.model,
+        adapter: body.adapter,
+        prompt: lines.join("\n"),
+        max_tokens: body.max_tokens,
+        stream: body.stream.unwrap_or(false),
+        format: ReplyFormat::Chat,
+    };
+    start(context, customer, id, ask).await
+}
+
+/// A draft as either path asks for it.
+struct DraftAsk {
+    path: String,
+    model: String,
+    adapter: Option<String>,
+    prompt: String,
+    max_tokens: Option<u32>,
+    stream: bool,
+    format: ReplyFormat,
+}
+
+async fn start(
+    context: &Arc<EntryContext>,
+    customer: CustomerName,
+    id: &RequestId,
+    ask: DraftAsk,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let mut facts = RequestFacts::draft(customer, ask.model.as_str().into());
+    facts.path = ask.path.as_str().into();
+    if let RequestTarget::Model { adapter, .. } = &mut facts.target {
+        *adapter = ask.adapter.as_deref().map(Into::into);
+    }
+    let served = select(context, &facts)?;
+    let SelectorTarget::Model {
+        model,
+        version,
+        adapter,
+    } = served.selected.target.clone()
+    else {
+        let detail = "the selector that serves this request names a plain service".to_owned();
+        return Err(Refusal::not_run(
+            StatusCode::FORBIDDEN,
+            "no-selector",
+            "No pipeline",
+            detail,
+        ));
+    };
+    let asked = ask.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    let allowed = served
+        .selected
+        .settings
+        .max_tokens
+        .and_then(|limit| u32::try_from(limit).ok());
+    let job = DraftJob {
+        id: id.clone(),
+        model,
+        version,
+        adapter,
+        prompt: ask.prompt,
+        max_tokens: asked
+            .min(allowed.unwrap_or(u32::MAX))
+            .min(context.drafts.ledger.max_tokens),
+        stream: ask.stream,
+        format: ask.format,
+        served,
+    };
+    run_draft(context, job).await
+}
--- /dev/null
+++ b/crates/daemon/src/entry/context.rs
@@ -0,0 +1,95 @@
+//! What every request of a caller needs, passed in rather than global.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use http::HeaderMap;
+use pollendrift_coordination::base::{CustomerName, HostName, RequestId};
+use pollendrift_http::HttpClient;
+use tokio::sync::watch;
+
+use super::credential::CustomerDirectory;
+use super::draft::DraftSettings;
+use super::refusal::Refusal;
+use crate::agreed::AgreedState;
+use crate::clock::TimeSource;
+use crate::fleet::BackendFleet;
+use crate::planner::PipelinePlanner;
+
+/// Header that names a request.
+pub(super) const REQUEST_ID_HEADER: &str = "x-request-id";
+const MAX_REQUEST_ID_BYTES: usize = 128;
+
+/// Whether this host takes new work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadyState {
+    /// It does.
+    Ready,
+    /// It does not; the text says why.
+    NotReady(String),
+}
+
+/// What handlers of callers' requests share.
+pub struct EntryContext {
+    /// This host.
+    pub host: HostName,
+    /// Life of this process, part of the request ids that it gives.
+    pub incarnation: u64,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: usize,
+    /// The present time.
+    pub clock: Arc<dyn TimeSource>,
+    /// Who the callers are.
+    pub customers: CustomerDirectory,
+    /// Backend servers.
+    pub fleet: Arc<BackendFleet>,
+    /// State that all hosts agree on.
+    pub agreed: Arc<dyn AgreedState>,
+    /// Chooses pipelines.
+    pub planner: Arc<dyn PipelinePlanner>,
+    /// Sends to backend servers.
+    pub client: HttpClient,
+    /// How drafts run.
+    pub drafts: DraftSettings,
+    /// Whether new work is taken.
+    pub ready: watch::Receiver<ReadyState>,
+    /// Requests that this process has named; part of their ids.
+    pub named: AtomicU64,
+}
+
+impl std::fmt::Debug for EntryContext {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("EntryContext")
+            .field("host", &self.host)
+            .finish_non_exhaustive()
+    }
+}
+
+impl EntryContext {
+    /// The caller's id of the request if it gave a fit one, else a new id.
+    pub(super) fn request_id(&self, headers: &HeaderMap) -> RequestId {
+        let given = headers
+            .get(REQUEST_ID_HEADER)
+            .and_then(|value| value.to_str().ok());
+        if let Some(given) = given.filter(|given| is_fit_id(given)) {
+            return given.into();
+        }
+        let number = self.named.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{number:x}", self.host, self.incarnation).into()
+    }
+
+    /// The customer that calls, if this host takes new work.
+    pub(super) fn admit_caller(&self, headers: &HeaderMap) -> Result<CustomerName, Refusal> {
+        let customer = self.customers.find(headers)?;
+        if let ReadyState::NotReady(reason) = &*self.ready.borrow() {
+            return Err(Refusal::not_ready(reason));
+        }
+        Ok(customer)
+    }
+}
+
+fn is_fit_id(id: &str) -> bool {
+    let fits = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b':');
+    !id.is_empty() && id.len() <= MAX_REQUEST_ID_BYTES && id.bytes().all(fits)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/refusal.rs
@@ -0,0 +1,158 @@
+//! Refusals: problem details (RFC 9457) that say whether the request ran.
+
+use std::time::Duration;
+
+use http::{HeaderValue, Response, StatusCode, header};
+use pollendrift_border::{ProblemReport, ProblemReportOutcome};
+use pollendrift_coordination::base::RequestId;
+use pollendrift_http::{ReadFailure, ResponseBody, json_response};
+
+use super::context::REQUEST_ID_HEADER;
+
+const RETRY_SOON: Duration = Duration::from_secs(1);
+
+/// A refusal before it is bound to a request id.
+///
+/// Invariant: `outcome` is `NotRun` only where no byte of the request went to a backend server, or
+/// the backend server itself said that it did not start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) status: StatusCode,
+    pub(crate) kind: &'static str,
+    pub(crate) title: &'static str,
+    pub(crate) detail: String,
+    pub(crate) outcome: ProblemReportOutcome,
+    pub(crate) retry_after: Option<Duration>,
+    pub(crate) considered: Vec<String>,
+}
+
+impl Refusal {
+    /// A refusal whose request did not run.
+    pub(crate) fn not_run(
+        status: StatusCode,
+        kind: &'static str,
+        title: &'static str,
+        detail: String,
+    ) -> Self {
+        Self {
+            status,
+            kind,
+            title,
+            detail,
+            outcome: ProblemReportOutcome::NotRun,
+            retry_after: None,
+            considered: Vec::new(),
+        }
+    }
+
+    /// A refusal whose request may have run.
+    pub(crate) fn unknown(
+        status: StatusCode,
+        kind: &'static str,
+        title: &'static str,
+        detail: String,
+    ) -> Self {
+        let outcome = ProblemReportOutcome::Unknown;
+        Self {
+            outcome,
+            ..Self::not_run(status, kind, title, detail)
+        }
+    }
+
+    /// The same refusal with a time after which a resend may help.
+    pub(crate) fn retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    pub(crate) fn unauthorized(detail: &str) -> Self {
+        Self::not_run(
+            StatusCode::UNAUTHORIZED,
+            "unauthorized",
+            "Unknown caller",
+            detail.to_owned(),
+        )
+    }
+
+    pub(crate) fn method_not_allowed(allowed: &str) -> Self {
+        let detail = format!("this path takes {allowed} only");
+        Self::not_run(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "method",
+            "Method not allowed",
+            detail,
+        )
+    }
+
+    pub(crate) fn no_such_path(path: &str) -> Self {
+        let detail = format!(
+            "`{path}` is no path of this router; /v1/completions, /v1/chat/completions and \
+             /services/NAME/... are"
+        );
+        Self::not_run(StatusCode::NOT_FOUND, "path", "No such path", detail)
+    }
+
+    pub(crate) fn not_ready(reason: &str) -> Self {
+        let detail = format!("this host takes no new work: {reason}");
+        Self::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "not-ready",
+            "Not ready",
+            detail,
+        )
+        .retry_after(RETRY_SOON)
+    }
+
+    pub(crate) fn bad_body(failure: &ReadFailure) -> Self {
+        let status = match failure {
+            ReadFailure::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            ReadFailure::EndedEarly { .. } | ReadFailure::Malformed { .. } => {
+                StatusCode::BAD_REQUEST
+            }
+        };
+        Self::not_run(status, "body", "Body not accepted", failure.to_string())
+    }
+
+    pub(crate) fn no_pipeline(detail: String) -> Self {
+        Self::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no-pipeline",
+            "No backend server can run this",
+            detail,
+        )
+        .retry_after(RETRY_SOON)
+    }
+
+    /// The problem report for `id`.
+    pub(crate) fn report(&self, id: &RequestId) -> ProblemReport {
+        ProblemReport {
+            type_: format!("urn:pollendrift:problem:{}", self.kind),
+            title: self.title.to_owned(),
+            status: self.status.as_u16(),
+            detail: self.detail.clone(),
+            outcome: self.outcome,
+            request_id: id.to_string(),
+            considered: self.considered.clone(),
+        }
+    }
+
+    /// The response to `id`.
+    pub(crate) fn response(&self, id: &RequestId) -> Response<ResponseBody> {
+        let mut response = json_response(self.status, &self.report(id));
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/problem+json"),
+        );
+        if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+            headers.insert(REQUEST_ID_HEADER, value);
+        }
+        if let Some(wait) = self.retry_after {
+            headers.insert(
+                header::RETRY_AFTER,
+                HeaderValue::from(wait.as_secs().max(1)),
+            );
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/selection.rs
@@ -0,0 +1,71 @@
+//! Which selector serves a request, and which backend servers it allows.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use pollendrift_coordination::base::MonotonicTime;
+use pollendrift_coordination::configuration::{
+    Configuration, RequestFacts, SelectedRequest, SelectionVerdict,
+};
+
+use super::context::EntryContext;
+use super::refusal::Refusal;
+use crate::fleet::ServerView;
+
+/// A request that a selector serves, in the configuration that decided.
+#[derive(Clone, Debug)]
+pub(super) struct ServedRequest {
+    pub(super) configuration: Arc<Configuration>,
+    pub(super) selected: SelectedRequest,
+}
+
+/// Acts on every request before it is routed; refuses it where no selector serves it.
+pub(super) fn select(
+    context: &EntryContext,
+    facts: &RequestFacts,
+) -> Result<ServedRequest, Refusal> {
+    let configuration = context
+        .agreed
+        .configuration()
+        .map_err(|stale| Refusal::not_ready(&stale.to_string()))?;
+    match configuration.select(facts) {
+        SelectionVerdict::Selected(selected) => Ok(ServedRequest {
+            configuration,
+            selected: *selected,
+        }),
+        SelectionVerdict::Refused(refused) => {
+            let considered = refused.considered.iter().map(ToString::to_string).collect();
+            let refusal = Refusal::not_run(
+                StatusCode::FORBIDDEN,
+                "no-selector",
+                "No selector allows this request",
+                refused.to_string(),
+            );
+            Err(Refusal {
+                considered,
+                ..refusal
+            })
+        }
+    }
+}
+
+impl ServedRequest {
+    /// The servers that may take work at `now` and that the selector allows.
+    pub(super) fn allowed(&self, servers: Vec<Arc<ServerView>>) -> Vec<Arc<ServerView>> {
+        let Some(selector) = self.configuration.selector(self.selected.key) else {
+            return Vec::new();
+        };
+        let mut servers = servers;
+        servers.retain(|server| self.configuration.allows(selector, &server.facts).is_ok());
+        servers
+    }
+
+    /// Engines that this request may be sent to at `now`.
+    pub(super) fn engines(
+        &self,
+        context: &EntryContext,
+        now: MonotonicTime,
+    ) -> Vec<Arc<ServerView>> {
+        self.allowed(context.fleet.serving(now))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/faces.rs
@@ -0,0 +1,61 @@
+//! Which handler serves which path of a listening address.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use pollendrift_http::{HandlerFuture, HttpHandler, text_response};
+
+use crate::announcements::AnnouncementHandler;
+use crate::daemon::FaceSet;
+use crate::entry::EntryHandler;
+
+const BACKEND_PREFIX: &str = "/backend/";
+const OPERATOR_PREFIX: &str = "/operator/";
+
+/// Handlers of all faces.
+#[derive(Clone, Debug)]
+pub struct FaceRouter {
+    /// Callers' face.
+    pub entry: Arc<EntryHandler>,
+    /// Backend servers' face.
+    pub announcements: Arc<AnnouncementHandler>,
+}
+
+impl FaceRouter {
+    /// A handler that serves only `faces`.
+    pub fn for_faces(&self, faces: FaceSet) -> FaceHandler {
+        FaceHandler {
+            router: self.clone(),
+            faces,
+        }
+    }
+}
+
+/// Serves the faces of one listening address.
+#[derive(Debug)]
+pub struct FaceHandler {
+    router: FaceRouter,
+    faces: FaceSet,
+}
+
+impl HttpHandler for FaceHandler {
+    fn handle(self: Arc<Self>, request: Request<Incoming>, peer: SocketAddr) -> HandlerFuture {
+        let path = request.uri().path();
+        if path.starts_with(BACKEND_PREFIX) && self.faces.backend_servers {
+            return Arc::clone(&self.router.announcements).handle(request, peer);
+        }
+        if path.starts_with(OPERATOR_PREFIX)
+            || path.starts_with(BACKEND_PREFIX)
+            || !self.faces.callers
+        {
+            let answer = text_response(
+                StatusCode::NOT_FOUND,
+                "this address does not serve that path\n",
+            );
+            return Box::pin(std::future::ready(answer));
+        }
+        Arc::clone(&self.router.entry).handle(request, peer)
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,3 +1,15 @@
 //! Router daemon of pollendrift.
+//!
+//! One process per host: an entry for callers, backend servers, operators and peers, and a keeper
+//! where the settings name a data folder.
 
+pub mod agreed;
+pub mod announcements;
+pub mod clock;
+pub mod daemon;
+pub mod entry;
+pub mod faces;
+pub mod fleet;
+pub mod planner;
+pub mod platform;
 pub mod settings;
--- /dev/null
+++ b/crates/daemon/src/platform.rs
@@ -0,0 +1,84 @@
+//! Platform's face: liveness, readiness, metrics and the dump of this process's state.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use pollendrift_http::{HandlerFuture, HttpHandler, ResponseBody, json_response, text_response};
+use tokio::sync::watch;
+
+use crate::entry::ReadyState;
+
+/// Gives one part of the dump; no part may hold a secret.
+pub trait DumpSource: Send + Sync {
+    /// Name of the part.
+    fn name(&self) -> &'static str;
+    /// Its present state.
+    fn dump(&self) -> serde_json::Value;
+}
+
+/// Answers the platform.
+pub struct PlatformHandler {
+    /// Whether this host takes new work.
+    pub ready: watch::Receiver<ReadyState>,
+    /// Parts of the dump, in alphabetical order of their names.
+    pub sources: Vec<Arc<dyn DumpSource>>,
+    /// Metrics in the usual text format.
+    pub metrics: Arc<dyn MetricSource>,
+}
+
+/// Gives the metrics of this process.
+pub trait MetricSource: Send + Sync {
+    /// Metrics in the usual text format.
+    fn metrics_text(&self) -> String;
+}
+
+impl std::fmt::Debug for PlatformHandler {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("PlatformHandler")
+            .finish_non_exhaustive()
+    }
+}
+
+impl PlatformHandler {
+    fn answer(&self, request: &Request<Incoming>) -> Response<ResponseBody> {
+        if request.method() != Method::GET {
+            return text_response(StatusCode::METHOD_NOT_ALLOWED, "only GET is served\n");
+        }
+        match request.uri().path() {
+            "/healthz" => text_response(StatusCode::OK, "alive\n"),
+            "/readyz" => self.readiness(),
+            "/metrics" => text_response(StatusCode::OK, self.metrics.metrics_text()),
+            "/dump" => json_response(StatusCode::OK, &self.dump()),
+            _ => text_response(
+                StatusCode::NOT_FOUND,
+                "/healthz, /readyz, /metrics and /dump are served\n",
+            ),
+        }
+    }
+
+    fn readiness(&self) -> Response<ResponseBody> {
+        match &*self.ready.borrow() {
+            ReadyState::Ready => text_response(StatusCode::OK, "ready\n"),
+            ReadyState::NotReady(reason) => text_response(
+                StatusCode::SERVICE_UNAVAILABLE,
+                format!("not ready: {reason}\n"),
+            ),
+        }
+    }
+
+    fn dump(&self) -> serde_json::Map<String, serde_json::Value> {
+        self.sources
+            .iter()
+            .map(|source| (source.name().to_owned(), source.dump()))
+            .collect()
+    }
+}
+
+impl HttpHandler for PlatformHandler {
+    fn handle(self: Arc<Self>, request: Request<Incoming>, _peer: SocketAddr) -> HandlerFuture {
+        Box::pin(async move { self.answer(&request) })
+    }
+}
--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -1,6 +1,7 @@
 //! KV state of the sequences that an engine holds.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use crate::token::{SpanCache, StandInWeights};
@@ -17,12 +18,27 @@
 }
 
 /// A sequence that one step at a time may change.
-pub(crate) type SharedSequence = Arc<tokio::sync::Mutex<SequenceState>>;
+#[derive(Debug)]
+pub(crate) struct SharedSequence {
+    newest: AtomicU32,
+    state: tokio::sync::Mutex<SequenceState>,
+}
+
+impl SharedSequence {
+    /// Waits for the step before to end.
+    pub(crate) async fn lock(&self) -> tokio::sync::MutexGuard<'_, SequenceState> {
+        self.state.lock().await
+    }
+
+    fn newest_attempt(&self) -> u32 {
+        self.newest.load(Ordering::Relaxed)
+    }
+}
 
 /// Sequences by request id.
 #[derive(Debug, Default)]
 pub(crate) struct SequenceTable {
-    sequences: Mutex<BTreeMap<String, SharedSequence>>,
+    sequences: Mutex<BTreeMap<String, Arc<SharedSequence>>>,
 }
 
 impl SequenceTable {
@@ -34,22 +50,36 @@
         weights: &StandInWeights,
         first: u32,
         end: u32,
-    ) -> SharedSequence {
+    ) -> Arc<SharedSequence> {
         let mut sequences = self.lock();
         let sequence = sequences.entry(request.to_owned()).or_insert_with(|| {
-            Arc::new(tokio::sync::Mutex::new(SequenceState {
+            let state = SequenceState {
                 attempt,
                 span: SpanCache::new(weights.clone(), first, end),
                 downstream_have: 0,
                 downstream: String::new(),
-            }))
+            };
+            Arc::new(SharedSequence {
+                newest: AtomicU32::new(attempt),
+                state: tokio::sync::Mutex::new(state),
+            })
         });
+        sequence.newest.fetch_max(attempt, Ordering::Relaxed);
         Arc::clone(sequence)
     }
 
-    /// Forgets the sequence of `request`.
-    pub(crate) fn release(&self, request: &str) {
-        self.lock().remove(request);
+    /// Forgets the sequence of `request`, unless a newer attempt holds it.
+    ///
+    /// A replaced attempt releases late, when the next one already runs over the same stages;
+    /// without the attempt's number it would take the KV from under its successor.
+    pub(crate) fn release(&self, request: &str, attempt: u32) {
+        let mut sequences = self.lock();
+        let replaced = sequences
+            .get(request)
+            .is_some_and(|held| held.newest_attempt() > attempt);
+        if !replaced {
+            sequences.remove(request);
+        }
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -61,11 +91,11 @@
         let sequences = self.lock();
         let held = sequences
             .values()
-            .filter_map(|sequence| Some(sequence.try_lock().ok()?.span.len()));
+            .filter_map(|sequence| Some(sequence.state.try_lock().ok()?.span.len()));
         u64::try_from(held.sum::<usize>()).unwrap_or(u64::MAX)
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, SharedSequence>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, Arc<SharedSequence>>> {
         self.sequences
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/standins/src/engine/handler.rs
+++ b/crates/standins/src/engine/handler.rs
@@ -39,8 +39,7 @@
             return self.sequence(request).await;
         }
         if let Some(sequence) = released_sequence(&path) {
-            self.context.sequences.release(sequence);
-            return text_response(StatusCode::OK, "released\n");
+            return self.release(sequence, request).await;
         }
         text_response(StatusCode::NOT_FOUND, "no such path\n")
     }
@@ -56,6 +55,15 @@
         }
     }
 
+    async fn release(&self, sequence: &str, request: Request<Incoming>) -> Response<ResponseBody> {
+        let attempt: u32 = match read_json(request.into_body(), MAX_BODY_BYTES).await {
+            Ok(attempt) => attempt,
+            Err(failure) => return text_response(StatusCode::BAD_REQUEST, failure.to_string()),
+        };
+        self.context.sequences.release(sequence, attempt);
+        text_response(StatusCode::OK, "released\n")
+    }
+
     async fn sequence(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let sequence: SequenceRequest = match read_json(request.into_body(), MAX_BODY_BYTES).await {
             Ok(sequence) => sequence,
--- a/crates/standins/src/engine/sequence.rs
+++ b/crates/standins/src/engine/sequence.rs
@@ -214,7 +214,7 @@
 }
 
 async fn release_all(context: &EngineContext, request: &SequenceRequest) {
-    context.sequences.release(&request.request);
+    context.sequences.release(&request.request, request.attempt);
     for stage in request.route.iter().skip(1) {
         let path = format!("{SEQUENCE_PATH}/{}/release", request.request);
         // A stage that can't be reached has lost its KV, or drops it with the next attempt.
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,97 @@
+//! Offers of a fleet of mixed kinds.
+
+use pollendrift_border::{EngineOffer, EngineOfferRole, LayerSpan};
+
+/// Model that a fleet holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ModelShape {
+    /// Its name.
+    pub model: String,
+    /// Version of its weights.
+    pub version: String,
+    /// Its layers.
+    pub layers: u32,
+}
+
+impl Default for ModelShape {
+    fn default() -> Self {
+        Self {
+            model: "draft".to_owned(),
+            version: "v1".to_owned(),
+            layers: 32,
+        }
+    }
+}
+
+/// A kind of accelerator.
+#[derive(Clone, Copy, Debug)]
+struct AcceleratorKind {
+    name: &'static str,
+    layer_tokens_per_second: u64,
+    batch_slots: u32,
+    kv_budget_tokens: u64,
+}
+
+/// Four kinds; the fastest has eight times the throughput of the slowest.
+const KINDS: [AcceleratorKind; 4] = [
+    AcceleratorKind {
+        name: "kind-a",
+        layer_tokens_per_second: 64_000,
+        batch_slots: 16,
+        kv_budget_tokens: 400_000,
+    },
+    AcceleratorKind {
+        name: "kind-b",
+        layer_tokens_per_second: 32_000,
+        batch_slots: 8,
+        kv_budget_tokens: 200_000,
+    },
+    AcceleratorKind {
+        name: "kind-c",
+        layer_tokens_per_second: 16_000,
+        batch_slots: 8,
+        kv_budget_tokens: 100_000,
+    },
+    AcceleratorKind {
+        name: "kind-d",
+        layer_tokens_per_second: 8_000,
+        batch_slots: 4,
+        kv_budget_tokens: 50_000,
+    },
+];
+/// Spans that the model's layers are cut into.
+const SPANS: u32 = 4;
+
+/// Offers of `count` engines: kinds and spans in turn, so that each span has each kind.
+pub fn mixed_engines(shape: &ModelShape, count: u32) -> Vec<EngineOffer> {
+    (0..count).map(|index| engine_offer(shape, index)).collect()
+}
+
+fn engine_offer(shape: &ModelShape, index: u32) -> EngineOffer {
+    let span = index % SPANS;
+    let turn = usize::try_from((index / SPANS + span) % 4).unwrap_or(0);
+    let kind = KINDS.get(turn).copied().unwrap_or(KINDS[0]);
+    let width = shape.layers / SPANS;
+    let end = if span + 1 == SPANS {
+        shape.layers
+    } else {
+        (span + 1) * width
+    };
+    EngineOffer {
+        accelerator_kind: kind.name.to_owned(),
+        accelerators: 2,
+        model: shape.model.clone(),
+        version: shape.version.clone(),
+        model_layers: shape.layers,
+        layers: LayerSpan {
+            first: span * width,
+            end,
+        },
+        adapters: Vec::new(),
+        role: EngineOfferRole::Both,
+        kv_budget_tokens: kind.kv_budget_tokens,
+        layer_tokens_per_second: kind.layer_tokens_per_second,
+        batch_slots: kind.batch_slots,
+        links: Vec::new(),
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,8 @@
 //! Used by tests, examples and benches only; nothing here is published or run in production.
 
 pub mod announcer;
+pub mod caller;
 pub mod engine;
+pub mod fleet;
 pub mod service;
 pub mod token;
