feat(routing): plan drafts by predicted finish over the announced fleet

Cause: the first planner took the least loaded engine by lagging reports only. Change: the daemon's fleet feeds announcements, loads and outcomes to the FleetPlanner; a guard ends each attempt's count however it ends. Engines announce prefill and decode rates, step floor and link rate.

--- a/crates/border/src/generated.rs
+++ b/crates/border/src/generated.rs
@@ -176,25 +176,32 @@
     pub accelerator_kind: ::std::string::String,
     #[doc = "Number of accelerators that the engine drives."]
     pub accelerators: u32,
+    #[doc = "Bytes of activations a token between two stages."]
+    pub activation_bytes: u32,
     #[doc = "Adapters that are loaded."]
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub adapters: ::std::vec::Vec<::std::string::String>,
     #[doc = "Sequences that run at once."]
     pub batch_slots: u32,
+    #[doc = "Generated tokens a second through all layers that it holds, with a full batch."]
+    pub decode_tokens_per_second: u64,
     #[doc = "Tokens of KV cache that fit."]
     pub kv_budget_tokens: u64,
-    #[doc = "Throughput in layer-tokens a second: tokens a second times layers run."]
-    pub layer_tokens_per_second: u64,
+    #[doc = "Bytes of KV cache a token over its layers."]
+    pub kv_bytes_per_token: u32,
     pub layers: LayerSpan,
-    #[doc = "Links to other data centres."]
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub links: ::std::vec::Vec<ServerLink>,
+    #[doc = "Rate of its network link, in each direction."]
+    pub link_bytes_per_second: u64,
     #[doc = "Model that is loaded."]
     pub model: ::std::string::String,
     #[doc = "Layers of the whole model."]
     pub model_layers: u32,
+    #[doc = "Prompt tokens a second through all layers that it holds."]
+    pub prefill_tokens_per_second: u64,
     #[doc = "Phases that the engine serves."]
     pub role: EngineOfferRole,
+    #[doc = "Microseconds of one decode step with a batch of one."]
+    pub step_floor_micros: u64,
     #[doc = "Version of its weights."]
     pub version: ::std::string::String,
 }
@@ -406,21 +413,13 @@
     #[doc = "Version of the weights."]
     pub version: ::std::string::String,
 }
-#[doc = "Link from the announcing server towards a data centre."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
-pub struct ServerLink {
-    #[doc = "Throughput in bytes a second."]
-    pub bytes_per_second: u64,
-    #[doc = "Data centre at the far end."]
-    pub data_centre: ::std::string::String,
-    #[doc = "One-way latency in microseconds."]
-    pub latency_micros: u64,
-}
 #[doc = "Load of a backend server; a lagging hint."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
 pub struct ServerLoad {
     #[doc = "Tokens of KV cache in use."]
     pub kv_used_tokens: u64,
+    #[doc = "Prompt tokens that wait or are being worked on."]
+    pub prefill_tokens: u64,
     #[doc = "Sequences or calls waiting."]
     pub queued: u32,
     #[doc = "Sequences or calls running."]
--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -15,7 +15,6 @@
 pub use generated::{
     Announcement, AnnouncementReply, AnnouncementState, ChainLink, ChatMessage, ChatRequest,
     CompleteEvent, CompletionRequest, EngineOffer, EngineOfferRole, FailedEvent, LayerSpan,
-    ProblemReport, ProblemReportOutcome, RouteStage, SequenceEvent, SequenceRequest, ServerLink,
-    ServerLoad, ServerOffer, ServiceOffer, StepRefusal, StepRefusalReason, StepReply, StepRequest,
-    TokenEvent,
+    ProblemReport, ProblemReportOutcome, RouteStage, SequenceEvent, SequenceRequest, ServerLoad,
+    ServerOffer, ServiceOffer, StepRefusal, StepRefusalReason, StepReply, StepRequest, TokenEvent,
 };
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -9,6 +9,7 @@
 
 use derive_more::{Display, Error};
 use pollendrift_coordination::leases::BackendLeaseSettings;
+use pollendrift_coordination::routing::RoutingSettings;
 use pollendrift_http::{HttpClient, HttpServer, ServerBounds};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -19,7 +20,6 @@
 use crate::entry::{CustomerDirectory, DraftSettings, EntryContext, EntryHandler, ReadyState};
 use crate::faces::FaceRouter;
 use crate::fleet::BackendFleet;
-use crate::planner::LeastLoadedPlanner;
 use crate::platform::{DumpSource, MetricSource, PlatformHandler};
 use crate::settings::{DaemonSettings, EntrySettings};
 
@@ -57,10 +57,12 @@
         agreed: Arc<dyn AgreedState>,
     ) -> Result<Self, StartError> {
         let clock: Arc<dyn TimeSource> = Arc::new(SystemClock::default());
-        let fleet = Arc::new(BackendFleet::new(BackendLeaseSettings {
+        let leases = BackendLeaseSettings {
             lease: settings.leases.backend_server,
             ..BackendLeaseSettings::default()
-        }));
+        };
+        let seed = clock.wall().0;
+        let fleet = Arc::new(BackendFleet::new(leases, RoutingSettings::default(), seed));
         let (ready, readiness) = watch::channel(ReadyState::Ready);
         let context = Arc::new(EntryContext {
             host: settings.host.clone(),
@@ -70,7 +72,6 @@
             customers: CustomerDirectory::new(&settings.customers),
             fleet: Arc::clone(&fleet),
             agreed,
-            planner: Arc::new(LeastLoadedPlanner),
             client: HttpClient::new(MAX_ANSWER_BYTES),
             drafts: DraftSettings::default(),
             ready: readiness.clone(),
@@ -87,9 +88,15 @@
         };
         let platform = PlatformHandler {
             ready: readiness,
-            sources: vec![Arc::new(FleetDump {
-                fleet: Arc::clone(&fleet),
-            })],
+            sources: vec![
+                Arc::new(FleetDump {
+                    fleet: Arc::clone(&fleet),
+                }),
+                Arc::new(RoutingDumpSource {
+                    fleet: Arc::clone(&fleet),
+                    clock: Arc::clone(&clock),
+                }),
+            ],
             metrics: Arc::new(NoMetrics),
         };
         let mut servers = Vec::new();
@@ -200,6 +207,21 @@
     }
 }
 
+struct RoutingDumpSource {
+    fleet: Arc<BackendFleet>,
+    clock: Arc<dyn TimeSource>,
+}
+
+impl DumpSource for RoutingDumpSource {
+    fn name(&self) -> &'static str {
+        "routing"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        serde_json::to_value(self.fleet.dump_routing(self.clock.now())).unwrap_or_default()
+    }
+}
+
 struct NoMetrics;
 
 impl MetricSource for NoMetrics {
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -14,7 +14,6 @@
 use crate::agreed::AgreedState;
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
-use crate::planner::PipelinePlanner;
 
 /// Header that names a request.
 pub(super) const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -45,8 +44,6 @@
     pub fleet: Arc<BackendFleet>,
     /// State that all hosts agree on.
     pub agreed: Arc<dyn AgreedState>,
-    /// Chooses pipelines.
-    pub planner: Arc<dyn PipelinePlanner>,
     /// Sends to backend servers.
     pub client: HttpClient,
     /// How drafts run.
--- a/crates/daemon/src/entry/draft.rs
+++ b/crates/daemon/src/entry/draft.rs
@@ -4,7 +4,9 @@
 //! the tokens after those that the caller already holds; the ledger decides what the caller may
 //! see. When a stage dies the next attempt goes on from the last confirmed token.
 
-use std::collections::BTreeSet;
+mod caller_link;
+mod flight_guard;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,17 +19,21 @@
     VersionName,
 };
 use pollendrift_coordination::ledger::{
-    ChainLink, FinalEvent, FinalVerdict, GeneratedToken, LedgerSettings, ReleasedToken,
-    TokenLedger, TokenResult, TokenVerdict,
+    ChainLink, FinalEvent, FinalVerdict, GeneratedToken, LedgerSettings, TokenLedger, TokenResult,
+    TokenVerdict,
 };
-use pollendrift_http::{BodySender, ClientError, LineReader, ResponseBody, channel_body};
+use pollendrift_coordination::routing::RoutePriority;
+use pollendrift_http::{ClientError, LineReader, ResponseBody, channel_body};
 use tokio::sync::oneshot;
 
+use caller_link::{CallerLink, FirstAnswer};
+use flight_guard::FlightGuard;
+
 use super::context::EntryContext;
 use super::refusal::Refusal;
 use super::selection::ServedRequest;
 use super::stream::{ReplyFormat, ReplyWriter};
-use crate::planner::{PipelinePlan, PlanQuery};
+use crate::fleet::{DraftQuery, DraftRoute, PlannedStage};
 
 /// Path on which a first stage takes sequences.
 const SEQUENCE_PATH: &str = "/engine/v1/sequences";
@@ -90,7 +96,7 @@
         context: Arc::clone(context),
         ledger: None,
         attempt: AttemptNumber(0),
-        excluded: BTreeSet::new(),
+        excluded: Vec::new(),
         may_have_run: false,
         link: CallerLink {
             writer: writer.clone(),
@@ -114,66 +120,13 @@
     }
 }
 
-/// What the handler is told first.
-enum FirstAnswer {
-    Streaming,
-    Whole(Response<ResponseBody>),
-    Refused(Refusal),
-}
-
-/// The way back to the caller.
-struct CallerLink {
-    writer: ReplyWriter,
-    sender: BodySender,
-    /// Taken when the handler has been answered.
-    reply: Option<oneshot::Sender<FirstAnswer>>,
-    stream: bool,
-}
-
-impl CallerLink {
-    async fn tokens(&mut self, tokens: &[ReleasedToken]) {
-        if !self.stream {
-            return;
-        }
-        self.answer(FirstAnswer::Streaming);
-        for token in tokens {
-            self.writer.token(&self.sender, token).await;
-        }
-    }
-
-    async fn finish(mut self, tokens: &[GeneratedToken], reason: &str) {
-        if !self.stream {
-            let response = self.writer.whole_response(tokens, reason);
-            return self.answer(FirstAnswer::Whole(response));
-        }
-        self.answer(FirstAnswer::Streaming);
-        let count = u32::try_from(tokens.len()).unwrap_or(u32::MAX);
-        self.writer.finish(self.sender, count, reason).await;
-    }
-
-    async fn fail(mut self, refusal: Refusal) {
-        if self.reply.is_some() {
-            return self.answer(FirstAnswer::Refused(refusal));
-        }
-        let report = refusal.report(&self.writer.id);
-        self.writer.fail(self.sender, &report).await;
-    }
-
-    fn answer(&mut self, answer: FirstAnswer) {
-        if let Some(reply) = self.reply.take() {
-            // A handler that is gone has dropped the body too, which ends the run.
-            let _ = reply.send(answer);
-        }
-    }
-}
-
 struct DraftRunner {
     context: Arc<EntryContext>,
     job: DraftJob,
     /// Made with the first plan, which fixes the version of the whole answer.
     ledger: Option<TokenLedger>,
     attempt: AttemptNumber,
-    excluded: BTreeSet<ServerName>,
+    excluded: Vec<ServerName>,
     /// Whether any engine may have run a layer; decides between `not-run` and `unknown`.
     may_have_run: bool,
     link: CallerLink,
@@ -213,13 +166,15 @@
     async fn attempts(&mut self) -> Result<String, Refusal> {
         let mut failure = String::new();
         for _ in 0..self.context.drafts.max_attempts {
-            let plan = self.plan(&failure)?;
-            match self.attempt(&plan).await {
+            let route = self.route(&failure)?;
+            let mut flight = FlightGuard::new(&self.context, route.flight);
+            match self.attempt(&route, &mut flight).await {
                 AttemptEnd::Complete { reason } => return Ok(reason),
                 AttemptEnd::Failed { server, reason } => {
                     log::warn!(request:% = self.job.id, server:% = server, reason:% = reason; "attempt failed");
+                    flight.fail(&server);
                     failure = format!("{server}: {reason}");
-                    self.excluded.insert(server);
+                    self.excluded.push(server);
                 }
             }
         }
@@ -227,30 +182,40 @@
         Err(self.refusal(detail))
     }
 
-    fn plan(&self, failure: &str) -> Result<PipelinePlan, Refusal> {
+    fn route(&self, failure: &str) -> Result<DraftRoute, Refusal> {
         let now = self.context.clock.now();
-        let version = self
+        let Some(selector) = self.job.served.selector() else {
+            return Err(self.refusal("the selector is gone from its configuration".to_owned()));
+        };
+        let route = self.ledger.as_ref().map_or(&[][..], TokenLedger::route);
+        let version = route
+            .first()
+            .map(|link| &link.version)
+            .or(self.job.version.as_ref());
+        let confirmed = self
             .ledger
             .as_ref()
-            .and_then(|ledger| ledger.route().first().map(|link| link.version.clone()));
-        let query = PlanQuery {
-            model: self.job.model.clone(),
-            version: version.or_else(|| self.job.version.clone()),
-            adapter: self.job.adapter.clone(),
-            excluded: self.excluded.clone(),
+            .map_or(0, |ledger| ledger.next_position().0);
+        let query = DraftQuery {
+            configuration: &self.job.served.configuration,
+            selector,
+            model: &self.job.model,
+            version,
+            adapter: self.job.adapter.as_ref(),
+            excluded: &self.excluded,
+            prompt_tokens: estimate_tokens(&self.job.prompt).saturating_add(confirmed),
+            expected_tokens: self.job.max_tokens.saturating_sub(confirmed),
+            deadline: None,
+            priority: RoutePriority::Normal,
         };
-        let servers = self.job.served.engines(&self.context, now);
-        self.context
-            .planner
-            .plan(now, &query, &servers)
-            .map_err(|missing| {
-                let after = if failure.is_empty() {
-                    String::new()
-                } else {
-                    format!(" after {failure}")
-                };
-                self.refusal(format!("{missing}{after}"))
-            })
+        self.context.fleet.route(now, &query).map_err(|missing| {
+            let after = if failure.is_empty() {
+                String::new()
+            } else {
+                format!(" after {failure}")
+            };
+            self.refusal(format!("{missing}{after}"))
+        })
     }
 
     /// The truth about a draft that can't be completed.
@@ -270,31 +235,28 @@
         )
     }
 
-    async fn attempt(&mut self, plan: &PipelinePlan) -> AttemptEnd {
-        let head = plan.stages.first().map(|stage| stage.server.clone());
-        let Some(head) = head else {
-            return failed("planner".into(), "empty pipeline");
-        };
-        let from = match self.begin(plan) {
-            Ok(from) => from,
-            Err(reason) => {
-                return AttemptEnd::Failed {
-                    server: head,
-                    reason,
-                };
-            }
+    async fn attempt(&mut self, route: &DraftRoute, flight: &mut FlightGuard) -> AttemptEnd {
+        let Some(head) = route.stages.first().map(|stage| stage.server.clone()) else {
+            return failed("planner".into(), "it chose an empty pipeline");
         };
+        if let Err(reason) = self.begin(route) {
+            return AttemptEnd::Failed {
+                server: head,
+                reason,
+            };
+        }
         // Asked again after every wait: a paused process would else use a lease that is over.
         let now = self.context.clock.now();
-        let lapsed = plan
+        let fleet = &self.context.fleet;
+        let lapsed = route
             .stages
             .iter()
-            .find(|stage| !self.context.fleet.may_take_work(now, &stage.server));
+            .find(|stage| !fleet.may_take_work(now, &stage.server));
         if let Some(stage) = lapsed {
             return failed(stage.server.clone(), "its lease ran out");
         }
-        match self.open(plan, from).await {
-            Ok(reader) => self.relay(&head, reader).await,
+        match self.open(route).await {
+            Ok(reader) => self.relay(&head, reader, flight).await,
             Err(error) => AttemptEnd::Failed {
                 server: head,
                 reason: error.to_string(),
@@ -302,52 +264,34 @@
         }
     }
 
-    fn begin(&mut self, plan: &PipelinePlan) -> Result<TokenPosition, String> {
+    fn begin(&mut self, route: &DraftRoute) -> Result<TokenPosition, String> {
         let ledger = self.ledger.get_or_insert_with(|| {
             TokenLedger::new(
                 self.job.id.clone(),
-                plan.model_layers,
-                plan.version.clone(),
+                route.plan.model_layers,
+                route.plan.version.clone(),
                 self.context.drafts.ledger,
             )
         });
         self.attempt = self.attempt.next();
-        let link = |stage: &crate::planner::PlannedStage| ChainLink {
-            server: stage.server.clone(),
-            layers: stage.layers,
-            version: plan.version.clone(),
-        };
-        let route = plan.stages.iter().map(link).collect();
         ledger
-            .begin_attempt(self.attempt, route)
+            .begin_attempt(self.attempt, route.plan.chain())
             .map_err(|error| error.to_string())
     }
 
-    async fn open(
-        &mut self,
-        plan: &PipelinePlan,
-        _from: TokenPosition,
-    ) -> Result<LineReader, ClientError> {
-        let address = plan.stages.first().map_or("", |stage| &stage.address);
-        let body = self.sequence_request(plan);
+    async fn open(&mut self, route: &DraftRoute) -> Result<LineReader, ClientError> {
+        let address = route.stages.first().map_or("", |stage| &stage.address);
+        let body = self.sequence_request(route);
         let call = self.context.client.post(address, SEQUENCE_PATH, &body);
         let wait = self.context.drafts.first_event_timeout;
-        let answer = tokio::time::timeout(wait, call).await;
-        let response = match answer {
-            Ok(Err(error @ ClientError::NotSent { .. })) => return Err(error),
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => {
-                self.may_have_run = true;
-                return Err(error);
-            }
-            Err(_) => {
-                self.may_have_run = true;
-                return Err(ClientError::NoAnswer {
-                    reason: "no answer in time".to_owned(),
-                });
-            }
-        };
-        self.may_have_run = true;
+        let answer = tokio::time::timeout(wait, call).await.unwrap_or_else(|_| {
+            Err(ClientError::NoAnswer {
+                reason: "no answer in time".to_owned(),
+            })
+        });
+        // Only a connection that never opened proves that no layer ran.
+        self.may_have_run |= !matches!(answer, Err(ClientError::NotSent { .. }));
+        let response = answer?;
         if response.status() != StatusCode::OK {
             return Err(ClientError::BadAnswer {
                 reason: format!("status {}", response.status()),
@@ -356,7 +300,7 @@
         Ok(LineReader::new(response))
     }
 
-    fn sequence_request(&self, plan: &PipelinePlan) -> SequenceRequest {
+    fn sequence_request(&self, route: &DraftRoute) -> SequenceRequest {
         let confirmed = self
             .ledger
             .as_ref()
@@ -365,7 +309,7 @@
             request: self.job.id.to_string(),
             attempt: self.attempt.0,
             model: self.job.model.to_string(),
-            version: plan.version.to_string(),
+            version: route.plan.version.to_string(),
             adapter: self.job.adapter.as_ref().map(ToString::to_string),
             priority: self
                 .job
@@ -377,11 +321,16 @@
             prompt: self.job.prompt.clone(),
             confirmed: confirmed.iter().map(|token| token.id).collect(),
             max_tokens: self.job.max_tokens,
-            route: plan.stages.iter().map(route_stage).collect(),
+            route: route.stages.iter().map(route_stage).collect(),
         }
     }
 
-    async fn relay(&mut self, head: &ServerName, mut reader: LineReader) -> AttemptEnd {
+    async fn relay(
+        &mut self,
+        head: &ServerName,
+        mut reader: LineReader,
+        flight: &mut FlightGuard,
+    ) -> AttemptEnd {
         let mut wait = self.context.drafts.first_event_timeout;
         loop {
             let line = match tokio::time::timeout(wait, reader.next_line()).await {
@@ -401,6 +350,7 @@
             let Ok(event) = serde_json::from_slice::<SequenceEvent>(&line) else {
                 return failed(head.clone(), "it sent an event that can't be read");
             };
+            flight.note_first_token();
             if let Some(end) = self.take_event(head, event).await {
                 return end;
             }
@@ -453,6 +403,12 @@
     }
 }
 
+/// Tokens of a text before any engine has counted them: words, with a third for punctuation.
+fn estimate_tokens(text: &str) -> u32 {
+    let words = u32::try_from(text.split_whitespace().count()).unwrap_or(u32::MAX);
+    words.saturating_add(words / 3).max(1)
+}
+
 fn failed(server: ServerName, reason: &str) -> AttemptEnd {
     AttemptEnd::Failed {
         server,
@@ -460,7 +416,7 @@
     }
 }
 
-fn route_stage(stage: &crate::planner::PlannedStage) -> RouteStage {
+fn route_stage(stage: &PlannedStage) -> RouteStage {
     RouteStage {
         server: stage.server.to_string(),
         address: stage.address.to_string(),
--- /dev/null
+++ b/crates/daemon/src/entry/draft/flight_guard.rs
@@ -0,0 +1,60 @@
+//! Counts one attempt as running on its engines until it ends, however it ends.
+
+use std::sync::Arc;
+
+use pollendrift_coordination::base::ServerName;
+use pollendrift_coordination::routing::FlightKey;
+
+use crate::entry::EntryContext;
+
+/// Tells the planner how an attempt ended, also when its caller goes away in the middle.
+///
+/// Without it a dropped attempt would count as running for ever, and its engines would look busy.
+pub(super) struct FlightGuard {
+    context: Arc<EntryContext>,
+    flight: FlightKey,
+    state: FlightState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FlightState {
+    Started,
+    Generating,
+    Failed,
+}
+
+impl FlightGuard {
+    pub(super) fn new(context: &Arc<EntryContext>, flight: FlightKey) -> Self {
+        Self {
+            context: Arc::clone(context),
+            flight,
+            state: FlightState::Started,
+        }
+    }
+
+    pub(super) fn note_first_token(&mut self) {
+        if self.state == FlightState::Started {
+            self.state = FlightState::Generating;
+            self.context
+                .fleet
+                .first_token(self.context.clock.now(), self.flight);
+        }
+    }
+
+    pub(super) fn fail(&mut self, culprit: &ServerName) {
+        self.state = FlightState::Failed;
+        self.context
+            .fleet
+            .failed(self.context.clock.now(), self.flight, Some(culprit));
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        if self.state != FlightState::Failed {
+            self.context
+                .fleet
+                .finished(self.context.clock.now(), self.flight);
+        }
+    }
+}
--- a/crates/daemon/src/entry/selection.rs
+++ b/crates/daemon/src/entry/selection.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 
 use http::StatusCode;
-use pollendrift_coordination::base::MonotonicTime;
 use pollendrift_coordination::configuration::{
-    Configuration, RequestFacts, SelectedRequest, SelectionVerdict,
+    Configuration, RequestFacts, SelectedRequest, SelectionVerdict, Selector,
 };
 
 use super::context::EntryContext;
@@ -50,22 +49,18 @@
 }
 
 impl ServedRequest {
+    /// The selector that serves the request.
+    pub(super) fn selector(&self) -> Option<&Selector> {
+        self.configuration.selector(self.selected.key)
+    }
+
     /// The servers that may take work at `now` and that the selector allows.
     pub(super) fn allowed(&self, servers: Vec<Arc<ServerView>>) -> Vec<Arc<ServerView>> {
-        let Some(selector) = self.configuration.selector(self.selected.key) else {
+        let Some(selector) = self.selector() else {
             return Vec::new();
         };
         let mut servers = servers;
         servers.retain(|server| self.configuration.allows(selector, &server.facts).is_ok());
         servers
     }
-
-    /// Engines that this request may be sent to at `now`.
-    pub(super) fn engines(
-        &self,
-        context: &EntryContext,
-        now: MonotonicTime,
-    ) -> Vec<Arc<ServerView>> {
-        self.allowed(context.fleet.serving(now))
-    }
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -1,21 +1,26 @@
-//! Backend servers that this host has heard of: their leases, and what they offer.
+//! Backend servers that this host has heard of: their leases, what they offer, and the planner
+//! that chooses pipelines over them.
+
+mod announcement;
+mod route;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use pollendrift_border::{
-    Announcement, AnnouncementState, EngineOffer, ServerLoad, ServerOffer, ServiceOffer,
-};
-use pollendrift_coordination::base::{
-    Incarnation, MonotonicTime, SequenceNumber, ServerName, ServiceName,
-};
+use pollendrift_border::{Announcement, EngineOffer, ServerLoad, ServerOffer};
+use pollendrift_coordination::base::{MonotonicTime, ServerName, ServiceName};
 use pollendrift_coordination::configuration::ServerFacts;
 use pollendrift_coordination::leases::{
     BackendLeaseSettings, DeltaCursor, LeaseDelta, LeaseNews, LeaseTable, MergeVerdict,
     ServerAnnounce, ServerLease, ServerState,
 };
+use pollendrift_coordination::routing::{FleetPlanner, RoutePlanner, RoutingDump, RoutingSettings};
+
+pub use route::{DraftQuery, DraftRoute, PlannedStage};
+
+use announcement::{check_announcement, decode, encode, engine_announcement, load_report};
 
 /// Why an announcement was not taken.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -45,24 +50,25 @@
 }
 
 /// All backend servers that this host has heard of.
-#[derive(Debug)]
 pub struct BackendFleet {
     inner: Mutex<FleetState>,
 }
 
-#[derive(Debug)]
 struct FleetState {
     leases: LeaseTable,
     /// Decoded offers of servers in `leases`; only those that decoded.
     views: BTreeMap<ServerName, Arc<ServerView>>,
+    /// Holds just the engines of `views` that may take work by the last tick.
+    planner: Box<dyn RoutePlanner>,
 }
 
 impl BackendFleet {
     /// An empty fleet.
-    pub fn new(settings: BackendLeaseSettings) -> Self {
+    pub fn new(settings: BackendLeaseSettings, routing: RoutingSettings, seed: u64) -> Self {
         let inner = FleetState {
             leases: LeaseTable::new(settings),
             views: BTreeMap::new(),
+            planner: Box::new(FleetPlanner::new(routing, seed)),
         };
         Self {
             inner: Mutex::new(inner),
@@ -112,10 +118,9 @@
         let mut state = self.lock();
         let news = state.leases.tick(now);
         for item in &news {
-            if let LeaseNews::Forgotten { server } = item {
-                state.views.remove(server);
-            }
+            state.end(item);
         }
+        state.planner.tick(now);
         news
     }
 
@@ -155,6 +160,11 @@
         self.lock().leases.iter().cloned().collect()
     }
 
+    /// State of the planner, for the dump.
+    pub fn dump_routing(&self, now: MonotonicTime) -> RoutingDump {
+        self.lock().planner.dump(now)
+    }
+
     /// Number of servers held.
     pub fn len(&self) -> usize {
         self.lock().leases.len()
@@ -182,135 +192,64 @@
         if !matches!(verdict, MergeVerdict::Changed | MergeVerdict::Renewed) {
             return verdict;
         }
-        let view = self
-            .leases
-            .get(&server)
-            .and_then(|lease| decode(&lease.announce));
-        match view {
-            Some(view) => self.views.insert(server, Arc::new(view)),
-            None => self.views.remove(&server),
+        let Some(lease) = self.leases.get(&server).cloned() else {
+            return verdict;
         };
+        match decode(&lease.announce) {
+            Some(view) => self.take_view(now, &lease, view),
+            None => self.drop_view(&server),
+        }
         verdict
     }
-}
-
-fn encode(announcement: &Announcement) -> Result<ServerAnnounce, AnnounceError> {
-    let malformed = |error: serde_json::Error| AnnounceError::Malformed {
-        reason: error.to_string(),
-    };
-    let state = match announcement.state {
-        AnnouncementState::Serving => ServerState::Serving,
-        AnnouncementState::Leaving => ServerState::Leaving,
-    };
-    Ok(ServerAnnounce {
-        server: announcement.server.as_str().into(),
-        incarnation: Incarnation(announcement.incarnation),
-        sequence: SequenceNumber(announcement.sequence),
-        address: announcement.address.as_str().into(),
-        data_centre: announcement.data_centre.as_str().into(),
-        state,
-        checks_fencing: announcement.checks_fencing,
-        offer: serde_json::to_string(&announcement.offer)
-            .map_err(malformed)?
-            .into(),
-        load: serde_json::to_string(&announcement.load)
-            .map_err(malformed)?
-            .into(),
-    })
-}
-
-fn decode(announce: &ServerAnnounce) -> Option<ServerView> {
-    let offer: ServerOffer = serde_json::from_str(&announce.offer).ok()?;
-    let load: ServerLoad = serde_json::from_str(&announce.load).ok()?;
-    let facts = match &offer {
-        ServerOffer::Engine(engine) => engine_facts(announce, engine),
-        ServerOffer::Service(service) => service_facts(announce, service),
-    };
-    Some(ServerView {
-        facts,
-        address: Arc::clone(&announce.address),
-        offer,
-        load,
-    })
-}
 
-fn engine_facts(announce: &ServerAnnounce, engine: &EngineOffer) -> ServerFacts {
-    ServerFacts {
-        name: announce.server.clone(),
-        kind: engine.accelerator_kind.as_str().into(),
-        model: Some(engine.model.as_str().into()),
-        version: Some(engine.version.as_str().into()),
-        adapters: engine
-            .adapters
-            .iter()
-            .map(|adapter| adapter.as_str().into())
-            .collect(),
-        service: None,
-        data_centre: announce.data_centre.clone(),
-        role: engine.role.to_string().into(),
+    fn take_view(&mut self, now: MonotonicTime, lease: &ServerLease, view: ServerView) {
+        if let ServerOffer::Engine(offer) = &view.offer {
+            self.tell_planner(now, lease, &view, offer);
+        }
+        self.views
+            .insert(lease.announce.server.clone(), Arc::new(view));
     }
-}
 
-fn service_facts(announce: &ServerAnnounce, service: &ServiceOffer) -> ServerFacts {
-    ServerFacts {
-        name: announce.server.clone(),
-        kind: "".into(),
-        model: None,
-        version: None,
-        adapters: Vec::new(),
-        service: Some(service.service.as_str().into()),
-        data_centre: announce.data_centre.clone(),
-        role: "".into(),
+    fn tell_planner(
+        &mut self,
+        now: MonotonicTime,
+        lease: &ServerLease,
+        view: &ServerView,
+        offer: &EngineOffer,
+    ) {
+        if lease.announce.state == ServerState::Leaving {
+            self.planner.remove(&lease.announce.server);
+            return;
+        }
+        let announcement = engine_announcement(&lease.announce, offer);
+        if let Err(findings) = self.planner.announce(now, announcement) {
+            log::warn!(server:% = lease.announce.server, findings:% = findings; "engine not routed to");
+            return;
+        }
+        self.planner
+            .report(&load_report(&lease.announce, &view.load, lease.heard_at));
     }
-}
 
-fn check_announcement(announcement: &Announcement) -> Result<(), AnnounceError> {
-    let mut faults = Vec::new();
-    if announcement.server.is_empty() || announcement.server.len() > MAX_NAME_BYTES {
-        faults.push(format!("server: 1 to {MAX_NAME_BYTES} bytes are accepted"));
-    }
-    if announcement
-        .address
-        .parse::<std::net::SocketAddr>()
-        .is_err()
-    {
-        faults.push(format!("address: `{}` is no ip:port", announcement.address));
+    fn drop_view(&mut self, server: &ServerName) {
+        self.views.remove(server);
+        self.planner.remove(server);
     }
-    match &announcement.offer {
-        ServerOffer::Engine(offer) => check_engine(offer, &mut faults),
-        ServerOffer::Service(offer) if offer.service.is_empty() => {
-            faults.push("offer.service.service: a name is expected".to_owned());
+
+    fn end(&mut self, news: &LeaseNews) {
+        match news {
+            LeaseNews::Ended { server } => {
+                self.planner.remove(server);
+            }
+            LeaseNews::Forgotten { server } => self.drop_view(server),
         }
-        ServerOffer::Service(_) => {}
     }
-    if faults.is_empty() {
-        return Ok(());
-    }
-    Err(AnnounceError::Malformed {
-        reason: faults.join("; "),
-    })
 }
 
-/// Longest name of a backend server.
-const MAX_NAME_BYTES: usize = 128;
-
-fn check_engine(offer: &EngineOffer, faults: &mut Vec<String>) {
-    let layers = &offer.layers;
-    if layers.first >= layers.end || layers.end > offer.model_layers {
-        faults.push(format!(
-            "offer.engine.layers: {}..{} is no span of a model of {} layers",
-            layers.first, layers.end, offer.model_layers
-        ));
-    }
-    for (name, empty) in [
-        ("model", offer.model.is_empty()),
-        ("version", offer.version.is_empty()),
-    ] {
-        if empty {
-            faults.push(format!("offer.engine.{name}: a name is expected"));
-        }
-    }
-    if offer.layer_tokens_per_second == 0 {
-        faults.push("offer.engine.layer_tokens_per_second: at least 1 is expected".to_owned());
+impl std::fmt::Debug for BackendFleet {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("BackendFleet")
+            .field("servers", &self.len())
+            .finish_non_exhaustive()
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,5 @@
 pub mod entry;
 pub mod faces;
 pub mod fleet;
-pub mod planner;
 pub mod platform;
 pub mod settings;
--- /dev/null
+++ b/crates/daemon/tests/draft_failures.rs
@@ -0,0 +1,225 @@
+//! Drafts under failure, over real loopback connections: one host, stand-in engines.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use pollendrift::agreed::LocalState;
+use pollendrift::daemon::RouterDaemon;
+use pollendrift::settings::{DaemonSettings, TokenDigest};
+use pollendrift_coordination::base::Revision;
+use pollendrift_coordination::configuration::{Configuration, ParsedConfiguration};
+use pollendrift_standins::caller::{DraftCaller, DraftReply};
+use pollendrift_standins::engine::{EngineServer, EngineSettings};
+use pollendrift_standins::fleet::{ModelShape, mixed_engines};
+use pollendrift_standins::harness::{CUSTOMER_TOKEN, HostBuilder, OPERATOR_TOKEN, loopback};
+use pollendrift_standins::token::{StandInWeights, expected_answer};
+
+const PROMPT: &str = "switching sequence for the feed pump";
+const TOKENS: u32 = 20;
+
+/// One host over engines that it has heard of.
+struct OneHost {
+    _daemon: RouterDaemon,
+    engines: Vec<EngineServer>,
+    caller: DraftCaller,
+    shape: ModelShape,
+    entry: String,
+    platform: String,
+}
+
+impl OneHost {
+    async fn start(engines: u32) -> Self {
+        let digest = |token: &str| TokenDigest::of(token.as_bytes()).to_hex();
+        let builder =
+            HostBuilder::new(1, 1, digest(CUSTOMER_TOKEN), digest(OPERATOR_TOKEN)).unwrap();
+        let folder = tempfile::tempdir().unwrap();
+        let text = builder.settings(0, folder.path());
+        let settings = DaemonSettings::parse(&"test".into(), PathBuf::new(), &text)
+            .unwrap()
+            .settings;
+        let parsed =
+            ParsedConfiguration::parse("test", "kind: selector\nname: drafts\nmodel: draft\n")
+                .unwrap();
+        let agreed = LocalState::new(Arc::new(Configuration::build(Revision(1), &parsed)));
+        let daemon = RouterDaemon::start(&settings, Arc::new(agreed))
+            .await
+            .unwrap();
+        let entry = builder.hosts()[0].entry.to_string();
+        let shape = ModelShape::default();
+        let mut host = Self {
+            _daemon: daemon,
+            engines: Vec::new(),
+            caller: DraftCaller::new(&entry, CUSTOMER_TOKEN),
+            shape,
+            entry,
+            platform: builder.hosts()[0].platform.to_string(),
+        };
+        for (index, offer) in mixed_engines(&host.shape, engines).into_iter().enumerate() {
+            let settings = EngineSettings {
+                server: format!("engine-{index}"),
+                offer,
+            };
+            let mut engine = EngineServer::start(settings, loopback()).await.unwrap();
+            engine.announce(vec![host.entry.clone()], 1, "dc-a");
+            host.engines.push(engine);
+        }
+        host.wait_for_engines().await;
+        host
+    }
+
+    /// Waits until the host's dump names every engine.
+    async fn wait_for_engines(&self) {
+        let client = pollendrift_http::HttpClient::new(1 << 20);
+        let wait = async {
+            loop {
+                let request = http::Request::get(format!("http://{}/dump", self.platform))
+                    .body(Default::default())
+                    .unwrap();
+                let response = client.send(request).await.unwrap();
+                let dump: serde_json::Value =
+                    serde_json::from_slice(&client.read(response).await.unwrap()).unwrap();
+                if dump["backend_servers"].as_array().unwrap().len() == self.engines.len() {
+                    return;
+                }
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::time::timeout(std::time::Duration::from_secs(30), wait)
+            .await
+            .unwrap();
+    }
+
+    fn expected(&self) -> Vec<u64> {
+        let weights = StandInWeights::new(
+            &self.shape.model,
+            &self.shape.version,
+            None,
+            self.shape.layers,
+        );
+        expected_answer(&weights, PROMPT, TOKENS)
+    }
+
+    async fn draft(&self) -> DraftReply {
+        self.caller
+            .draft("draft", PROMPT, TOKENS, |_| {})
+            .await
+            .unwrap()
+    }
+
+    /// What the caller saw, in one line.
+    async fn verdict(&self) -> String {
+        let reply = self.draft().await;
+        match reply.check(&self.expected()) {
+            Ok(()) => "whole".to_owned(),
+            Err(fault) => fault.to_string(),
+        }
+    }
+}
+
+// The caller sees one whole answer, whatever one engine does to its events. The engine is the
+// first stage of the pipeline, so all tokens pass through it. The ledger drops doubled tokens,
+// orders swapped ones, and starts another attempt where a stream is cut, falls silent or names a
+// chain that is not whole; the second pipeline goes on from the last token that was released.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_faulty_engine_never_shows_in_the_answer() {
+    type Fault = fn(&EngineServer);
+    let cases: [(&str, Fault); 5] = [
+        ("doubled tokens", |engine| {
+            engine.faults().duplicate_tokens(true)
+        }),
+        ("swapped tokens", |engine| engine.faults().swap_tokens(true)),
+        ("cut in the middle", |engine| {
+            engine.faults().cut_after_tokens(7)
+        }),
+        ("silent in the middle", |engine| {
+            engine.faults().stall_after_tokens(7)
+        }),
+        ("chain with a layer too few", |engine| {
+            engine.faults().skip_layer(true)
+        }),
+    ];
+    let mut seen = Vec::new();
+    for (name, fault) in cases {
+        let host = OneHost::start(8).await;
+        // Either engine of the first span may be chosen; the other one serves the second attempt.
+        for chosen in [0, 4] {
+            fault(&host.engines[chosen]);
+            seen.push(format!("{name}, engine {chosen}: {}", host.verdict().await));
+            reset(&host.engines[chosen]);
+        }
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r"");
+}
+
+fn reset(engine: &EngineServer) {
+    engine.faults().duplicate_tokens(false);
+    engine.faults().swap_tokens(false);
+    engine.faults().cut_after_tokens(0);
+    engine.faults().stall_after_tokens(0);
+    engine.faults().skip_layer(false);
+}
+
+// The caller sees a whole answer although a stage in the middle dies with its KV state. The stage
+// before it reports the failure, the entry excludes the dead stage, and the next attempt replays
+// the prefix on the spare engine while the other stages keep their KV.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stage_that_dies_midway_is_replaced() {
+    let mut host = OneHost::start(8).await;
+    let mut seen = Vec::new();
+    // Both engines of span 1 in turn; the second time the host has learnt of the first's death.
+    let engine = host.engines.remove(5);
+    let expected = host.expected();
+    let mut victim = Some(engine);
+    let mut shown = 0;
+    let reply = host
+        .caller
+        .draft("draft", PROMPT, TOKENS, |_| {
+            shown += 1;
+            if shown == 5 {
+                drop(victim.take());
+            }
+        })
+        .await
+        .unwrap();
+    seen.push(format!("{:?}", reply.check(&expected)));
+    seen.push(host.verdict().await);
+    insta::assert_snapshot!(seen.join("\n"), @r"");
+}
+
+// The caller is told `not-run`, and it is true: no engine holds the last layers, so nothing was
+// sent. After the first token the same loss must be told as an unknown outcome.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_missing_span_is_refused_as_not_run() {
+    let host = OneHost::start(3).await;
+    let refusal = host.draft().await.refusal.unwrap();
+    insta::assert_snapshot!(format!("{} {} {}", refusal.status, refusal.outcome, refusal.detail), @r"");
+}
+
+// The caller goes away in the middle of a stream. Every engine of the pipeline forgets the
+// sequence, so no slot computes for nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_frees_its_engines() {
+    let host = OneHost::start(4).await;
+    let first = tokio::sync::Notify::new();
+    {
+        let draft = host
+            .caller
+            .draft("draft", PROMPT, 2_000, |_| first.notify_one());
+        tokio::select! {
+            reply = draft => panic!("ended early: {reply:?}"),
+            () = first.notified() => {}
+        }
+    }
+    let freed = async {
+        while host
+            .engines
+            .iter()
+            .any(|engine| engine.open_sequences() > 0)
+        {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(std::time::Duration::from_secs(10), freed)
+        .await
+        .unwrap();
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -50,6 +50,7 @@
         ServerLoad {
             running: self.pace.running(),
             queued: self.pace.queued(),
+            prefill_tokens: self.pace.prefill_tokens(),
             kv_used_tokens: self.sequences.used_tokens(),
         }
     }
@@ -69,10 +70,7 @@
     /// # Errors
     /// The address can't be bound.
     pub async fn start(settings: EngineSettings, address: SocketAddr) -> io::Result<Self> {
-        let pace = EnginePace::new(
-            settings.offer.layer_tokens_per_second,
-            settings.offer.batch_slots,
-        );
+        let pace = EnginePace::new(&settings.offer);
         let context = Arc::new(EngineContext {
             settings,
             sequences: SequenceTable::default(),
--- a/crates/standins/src/engine/fault.rs
+++ b/crates/standins/src/engine/fault.rs
@@ -60,8 +60,8 @@
         reached(&self.stall_after_tokens, sent)
     }
 
-    pub(crate) fn slowed(&self, micros: u64) -> u64 {
-        micros + micros * self.slow_percent.load(Ordering::Relaxed) / 100
+    pub(crate) fn slower_percent(&self) -> u64 {
+        self.slow_percent.load(Ordering::Relaxed)
     }
 
     pub(crate) fn skips_layer(&self) -> bool {
--- a/crates/standins/src/engine/pace.rs
+++ b/crates/standins/src/engine/pace.rs
@@ -1,35 +1,37 @@
 //! How long computations take: slots that run side by side, each with its own next free time.
 
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use pollendrift_border::EngineOffer;
 use tokio::time::Instant;
 
-const MICROS_PER_SECOND: u64 = 1_000_000;
-/// Prompt positions run this many times faster than generated ones, since they run in parallel.
-const PREFILL_SPEED_UP: u64 = 16;
-
 /// Compute capacity of one engine.
 ///
 /// A slot's next free time moves by the exact cost of each computation, so timer rounding adds to
-/// the latency of a step but not to the engine's throughput.
+/// the latency of a step but not to the engine's throughput. A prompt takes the whole engine, a
+/// generated token one slot.
 #[derive(Debug)]
 pub(crate) struct EnginePace {
-    layer_tokens_per_second: u64,
+    held_layers: f64,
+    prefill_rate: f64,
+    decode_rate: f64,
     free_at: Mutex<Vec<Instant>>,
     running: AtomicU32,
-    queued: AtomicU32,
+    prefill_tokens: AtomicU64,
 }
 
 impl EnginePace {
-    pub(crate) fn new(layer_tokens_per_second: u64, slots: u32) -> Self {
-        let slots = usize::try_from(slots.max(1)).unwrap_or(1);
+    pub(crate) fn new(offer: &EngineOffer) -> Self {
+        let slots = usize::try_from(offer.batch_slots.max(1)).unwrap_or(1);
         Self {
-            layer_tokens_per_second: layer_tokens_per_second.max(1),
+            held_layers: f64::from(offer.layers.end.saturating_sub(offer.layers.first).max(1)),
+            prefill_rate: rate(offer.prefill_tokens_per_second),
+            decode_rate: rate(offer.decode_tokens_per_second),
             free_at: Mutex::new(vec![Instant::now(); slots]),
             running: AtomicU32::new(0),
-            queued: AtomicU32::new(0),
+            prefill_tokens: AtomicU64::new(0),
         }
     }
 
@@ -38,70 +40,74 @@
     }
 
     pub(crate) fn queued(&self) -> u32 {
-        self.queued.load(Ordering::Relaxed)
+        let slots = u32::try_from(self.lock().len()).unwrap_or(u32::MAX);
+        self.running().saturating_sub(slots)
     }
 
-    /// Microseconds of one slot for `positions` positions through `layers` layers.
-    pub(crate) fn cost_micros(&self, layers: u32, positions: usize) -> u64 {
-        let positions = u64::try_from(positions).unwrap_or(u64::MAX);
-        let prefill = positions.saturating_sub(1);
-        let slots = u64::try_from(self.lock().len()).unwrap_or(1);
-        let weighted = PREFILL_SPEED_UP
-            .saturating_add(prefill)
-            .saturating_mul(u64::from(layers));
-        weighted
-            .saturating_mul(MICROS_PER_SECOND)
-            .saturating_mul(slots)
-            / (self.layer_tokens_per_second * PREFILL_SPEED_UP)
+    pub(crate) fn prefill_tokens(&self) -> u64 {
+        self.prefill_tokens.load(Ordering::Relaxed)
     }
 
-    /// Waits until a slot has done `micros` microseconds of work.
-    pub(crate) async fn work(&self, micros: u64) {
-        let gauge = RunningGauge::new(self);
-        let done_at = self.reserve(Duration::from_micros(micros));
+    /// Runs `positions` positions through `layers` layers, `percent` slower than it could.
+    pub(crate) async fn work(&self, layers: u32, positions: usize, percent: u64) {
+        let gauge = RunningGauge::new(self, positions);
+        let slowed = 1.0 + count(percent) / 100.0;
+        let share = f64::from(layers) / self.held_layers * slowed;
+        let done_at = self.reserve(share, positions);
         tokio::time::sleep_until(done_at).await;
         drop(gauge);
     }
 
-    fn reserve(&self, cost: Duration) -> Instant {
+    fn reserve(&self, share: f64, positions: usize) -> Instant {
         let now = Instant::now();
+        let prompt = count(u64::try_from(positions.saturating_sub(1)).unwrap_or(u64::MAX));
+        let whole = Duration::from_secs_f64(prompt * share / self.prefill_rate);
         let mut slots = self.lock();
+        let slot_count = count(u64::try_from(slots.len()).unwrap_or(1));
+        let token = Duration::from_secs_f64(slot_count * share / self.decode_rate);
+        for slot in slots.iter_mut() {
+            *slot = (*slot).max(now) + whole;
+        }
         let Some(slot) = slots.iter_mut().min() else {
-            return now + cost;
+            return now + whole + token;
         };
-        *slot = (*slot).max(now) + cost;
+        *slot += token;
         *slot
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Instant>> {
+    fn lock(&self) -> MutexGuard<'_, Vec<Instant>> {
         self.free_at.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+fn rate(per_second: u64) -> f64 {
+    count(per_second.max(1))
+}
+
+/// Exact up to 2^32, which no count here passes.
+fn count(number: u64) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
+
 struct RunningGauge<'pace> {
     pace: &'pace EnginePace,
+    prefill: u64,
 }
 
 impl<'pace> RunningGauge<'pace> {
-    fn new(pace: &'pace EnginePace) -> Self {
-        let running = pace.running.fetch_add(1, Ordering::Relaxed) + 1;
-        let slots = u32::try_from(pace.lock().len()).unwrap_or(u32::MAX);
-        pace.queued
-            .store(running.saturating_sub(slots), Ordering::Relaxed);
-        Self { pace }
+    fn new(pace: &'pace EnginePace, positions: usize) -> Self {
+        let prefill = u64::try_from(positions.saturating_sub(1)).unwrap_or(u64::MAX);
+        pace.running.fetch_add(1, Ordering::Relaxed);
+        pace.prefill_tokens.fetch_add(prefill, Ordering::Relaxed);
+        Self { pace, prefill }
     }
 }
 
 impl Drop for RunningGauge<'_> {
     fn drop(&mut self) {
-        let running = self
-            .pace
-            .running
-            .fetch_sub(1, Ordering::Relaxed)
-            .saturating_sub(1);
-        let slots = u32::try_from(self.pace.lock().len()).unwrap_or(u32::MAX);
+        self.pace.running.fetch_sub(1, Ordering::Relaxed);
         self.pace
-            .queued
-            .store(running.saturating_sub(slots), Ordering::Relaxed);
+            .prefill_tokens
+            .fetch_sub(self.prefill, Ordering::Relaxed);
     }
 }
--- a/crates/standins/src/engine/step.rs
+++ b/crates/standins/src/engine/step.rs
@@ -58,8 +58,8 @@
     work: &StageWork<'_>,
 ) -> Result<StepReply, StepRefusal> {
     let layers = work.stage.layers.end - work.stage.layers.first;
-    let cost = context.pace.cost_micros(layers, work.inputs.len());
-    context.pace.work(context.faults.slowed(cost)).await;
+    let slower = context.faults.slower_percent();
+    context.pace.work(layers, work.inputs.len(), slower).await;
     for input in work.inputs {
         state.span.extend(*input);
     }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -23,42 +23,55 @@
     }
 }
 
-/// A kind of accelerator.
+/// A kind of accelerator; rates are for a quarter of the default model.
 #[derive(Clone, Copy, Debug)]
 struct AcceleratorKind {
     name: &'static str,
-    layer_tokens_per_second: u64,
+    prefill_tokens_per_second: u64,
+    decode_tokens_per_second: u64,
     batch_slots: u32,
     kv_budget_tokens: u64,
+    link_bytes_per_second: u64,
 }
 
-/// Four kinds; the fastest has eight times the throughput of the slowest.
+/// Four kinds: compute differs eightfold, links a hundredfold.
 const KINDS: [AcceleratorKind; 4] = [
     AcceleratorKind {
         name: "kind-a",
-        layer_tokens_per_second: 64_000,
-        batch_slots: 16,
+        prefill_tokens_per_second: 64_000,
+        decode_tokens_per_second: 4_000,
+        batch_slots: 32,
         kv_budget_tokens: 400_000,
+        link_bytes_per_second: 12_500_000_000,
     },
     AcceleratorKind {
         name: "kind-b",
-        layer_tokens_per_second: 32_000,
-        batch_slots: 8,
+        prefill_tokens_per_second: 32_000,
+        decode_tokens_per_second: 2_000,
+        batch_slots: 16,
         kv_budget_tokens: 200_000,
+        link_bytes_per_second: 3_125_000_000,
     },
     AcceleratorKind {
         name: "kind-c",
-        layer_tokens_per_second: 16_000,
+        prefill_tokens_per_second: 16_000,
+        decode_tokens_per_second: 1_000,
         batch_slots: 8,
         kv_budget_tokens: 100_000,
+        link_bytes_per_second: 1_250_000_000,
     },
     AcceleratorKind {
         name: "kind-d",
-        layer_tokens_per_second: 8_000,
+        prefill_tokens_per_second: 8_000,
+        decode_tokens_per_second: 500,
         batch_slots: 4,
         kv_budget_tokens: 50_000,
+        link_bytes_per_second: 125_000_000,
     },
 ];
+const ACTIVATION_BYTES: u32 = 16_384;
+const KV_BYTES_PER_TOKEN: u32 = 32_768;
+const MICROS_PER_SECOND: u64 = 1_000_000;
 /// Spans that the model's layers are cut into.
 const SPANS: u32 = 4;
 
@@ -90,8 +103,13 @@
         adapters: Vec::new(),
         role: EngineOfferRole::Both,
         kv_budget_tokens: kind.kv_budget_tokens,
-        layer_tokens_per_second: kind.layer_tokens_per_second,
+        prefill_tokens_per_second: kind.prefill_tokens_per_second,
+        decode_tokens_per_second: kind.decode_tokens_per_second,
+        step_floor_micros: u64::from(kind.batch_slots) * MICROS_PER_SECOND
+            / kind.decode_tokens_per_second,
+        link_bytes_per_second: kind.link_bytes_per_second,
+        activation_bytes: ACTIVATION_BYTES,
+        kv_bytes_per_token: KV_BYTES_PER_TOKEN,
         batch_slots: kind.batch_slots,
-        links: Vec::new(),
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod caller;
 pub mod engine;
 pub mod fleet;
+pub mod harness;
 pub mod service;
 pub mod token;
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -45,6 +45,7 @@
         ServerLoad {
             running,
             queued: 0,
+            prefill_tokens: 0,
             kv_used_tokens: 0,
         }
     }
