--- a/crates/coordination/src/agreement.rs
+++ b/crates/coordination/src/agreement.rs
@@ -1,9 +1,39 @@
 //! Agreement among keepers: the replicated log that every durable decision goes through.
 
+mod change;
+mod election;
 mod entry;
+mod follow;
+mod handover;
+mod identity;
+mod lead;
+mod log;
 mod machine;
+mod message;
+mod node;
+mod persist;
+mod port;
+mod progress;
+mod read;
+mod redundancy;
+mod replicate;
+mod settings;
+mod transfer;
 
 pub use entry::{
     EntryPayload, HardState, KeeperId, LogEntry, LogIndex, Membership, SnapshotMark, Term,
 };
 pub use machine::{MachineError, StateMachine};
+pub use message::{
+    AgreementEnvelope, AgreementMessage, AppendOutcome, AppendReply, AppendRequest, Heartbeat,
+    HeartbeatReply, HeartbeatRound, IdentityRejected, SnapshotChunk, SnapshotOutcome,
+    SnapshotReply, StartMark, VoteKind, VoteReply, VoteRequest, WitnessRecord,
+};
+pub use node::AgreementNode;
+pub use port::{
+    AgreementEffect, AgreementInput, DropReason, HandOverOutcome, KeeperRole, MembershipChange,
+    PersistOrder, PersistSequence, ProposalOutcome, ReadOutcome, RefusalReason, RequestToken,
+    RestoredState, RoleStatus, StoredSnapshot,
+};
+pub use redundancy::{RedundancyGap, RedundancyReport};
+pub use settings::AgreementSettings;
--- /dev/null
+++ b/crates/coordination/src/agreement/election.rs
@@ -0,0 +1,221 @@
+//! Elections: pre-vote, vote, and stepping down.
+//!
+//! A keeper that was cut off asks first whether it would win (pre-vote), so its return never
+//! unseats a leader that the others hear. A keeper that hears a leader gives no vote, unless that
+//! leader itself ordered the hand-over.
+
+use std::collections::BTreeSet;
+
+use super::entry::{EntryPayload, HardState, KeeperId, LogIndex, Term};
+use super::lead::LeaderState;
+use super::message::{AgreementMessage, VoteKind, VoteReply, VoteRequest};
+use super::node::{AgreementNode, RoleState};
+use super::persist::HeldAction;
+
+/// Answers to a candidate.
+///
+/// Invariant: only voters of the membership in force are counted, each under its full identity.
+#[derive(Debug, Default)]
+pub(super) struct VoteCount {
+    granted: BTreeSet<KeeperId>,
+    rejected: BTreeSet<KeeperId>,
+}
+
+impl AgreementNode {
+    /// Asks for votes once no leader was heard for the election timeout.
+    pub(super) fn run_election_timer(&mut self) {
+        let is_due = self.now >= self.election_due;
+        let may_stand = !matches!(self.role, RoleState::Leader(_) | RoleState::Retired);
+        if is_due && may_stand && self.is_voter() {
+            self.start_pre_vote();
+        }
+    }
+
+    fn start_pre_vote(&mut self) {
+        self.leader = None;
+        self.reset_election_timer();
+        let mut count = VoteCount::default();
+        count.granted.insert(self.id.clone());
+        self.role = RoleState::PreCandidate(count);
+        self.request_votes(VoteKind::PreVote, self.term().next());
+        self.count_votes();
+    }
+
+    /// Takes the next term and asks for votes in it.
+    pub(super) fn start_election(&mut self, kind: VoteKind) {
+        self.hard_state = HardState {
+            term: self.term().next(),
+            voted_for: Some(self.id.clone()),
+        };
+        self.writes.set_hard_state(self.hard_state.clone());
+        self.leader = None;
+        self.assembly = None;
+        self.reset_election_timer();
+        self.role = RoleState::Candidate(VoteCount::default());
+        self.request_votes(kind, self.term());
+        self.after_persist(HeldAction::CountOwnVote(self.term()));
+    }
+
+    fn request_votes(&mut self, kind: VoteKind, term: Term) {
+        let request = VoteRequest {
+            kind,
+            term,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        let mut others = self.log.membership().voters.clone();
+        others.remove(&self.id);
+        for voter in others {
+            let message = AgreementMessage::VoteRequest(request.clone());
+            self.send_after_persist(voter, message);
+        }
+    }
+
+    /// Counts the own vote, now that it can't be forgotten in a crash.
+    pub(super) fn count_own_vote(&mut self, term: Term) {
+        if term != self.term() {
+            return;
+        }
+        if let RoleState::Candidate(count) = &mut self.role {
+            count.granted.insert(self.id.clone());
+            self.count_votes();
+        }
+    }
+
+    /// Gives a vote, or tells whether it would be given.
+    pub(super) fn on_vote_request(&mut self, from: KeeperId, request: &VoteRequest) {
+        let hears_leader = request.kind != VoteKind::HandOver && self.hears_leader();
+        if hears_leader && request.term >= self.term() {
+            return;
+        }
+        if request.kind == VoteKind::PreVote {
+            self.answer_pre_vote(from, request);
+            return;
+        }
+        if request.term > self.term() {
+            self.follow(request.term, None);
+        }
+        let is_free = match &self.hard_state.voted_for {
+            Some(voted_for) => *voted_for == from,
+            None => self.leader.is_none(),
+        };
+        let granted = request.term == self.term() && is_free && self.is_up_to_date(request);
+        if granted && self.hard_state.voted_for.is_none() {
+            self.hard_state.voted_for = Some(from.clone());
+            self.writes.set_hard_state(self.hard_state.clone());
+        }
+        if granted {
+            self.reset_election_timer();
+        }
+        self.reply_vote(from, request, granted);
+    }
+
+    fn answer_pre_vote(&mut self, from: KeeperId, request: &VoteRequest) {
+        let granted = request.term > self.term() && self.is_up_to_date(request);
+        self.reply_vote(from, request, granted);
+    }
+
+    fn reply_vote(&mut self, to: KeeperId, request: &VoteRequest, granted: bool) {
+        let reply = VoteReply {
+            kind: request.kind,
+            term: if granted { request.term } else { self.term() },
+            granted,
+        };
+        self.send_after_persist(to, AgreementMessage::VoteReply(reply));
+    }
+
+    fn is_up_to_date(&self, request: &VoteRequest) -> bool {
+        let theirs = (request.last_term, request.last_index);
+        theirs >= (self.log.last_term(), self.log.last_index())
+    }
+
+    /// Whether this keeper leads or heard the leader within the shortest election timeout.
+    fn hears_leader(&self) -> bool {
+        if matches!(self.role, RoleState::Leader(_)) {
+            return true;
+        }
+        let is_recent = |heard_at| self.now.since(heard_at) < self.settings.election_timeout;
+        self.leader.is_some() && self.heard_at.is_some_and(is_recent)
+    }
+
+    /// Counts an answer.
+    pub(super) fn on_vote_reply(&mut self, from: KeeperId, reply: &VoteReply) {
+        if !reply.granted && reply.term > self.term() {
+            self.follow(reply.term, None);
+            return;
+        }
+        let asked_term = match reply.kind {
+            VoteKind::PreVote => self.term().next(),
+            VoteKind::Election | VoteKind::HandOver => self.term(),
+        };
+        let is_pre_vote = reply.kind == VoteKind::PreVote;
+        let count = match &mut self.role {
+            RoleState::PreCandidate(count) if is_pre_vote => count,
+            RoleState::Candidate(count) if !is_pre_vote => count,
+            _ => return,
+        };
+        if reply.granted && reply.term == asked_term {
+            count.granted.insert(from.clone());
+        } else if !reply.granted {
+            count.rejected.insert(from.clone());
+        }
+        if reply.granted && !is_pre_vote {
+            self.identities.witness(&from, reply.term, LogIndex(0));
+        }
+        self.count_votes();
+    }
+
+    fn count_votes(&mut self) {
+        let membership = self.log.membership();
+        let (count, is_pre_vote) = match &self.role {
+            RoleState::PreCandidate(count) => (count, true),
+            RoleState::Candidate(count) => (count, false),
+            _ => return,
+        };
+        let granted = count.granted.intersection(&membership.voters).count();
+        let rejected = count.rejected.intersection(&membership.voters).count();
+        let is_won = granted >= membership.quorum();
+        let is_lost = rejected >= membership.quorum();
+        match (is_won, is_pre_vote) {
+            (true, true) => self.start_election(VoteKind::Election),
+            (true, false) => self.become_leader(),
+            (false, _) if is_lost => self.role = RoleState::Follower,
+            (false, _) => {}
+        }
+    }
+
+    fn become_leader(&mut self) {
+        self.leader = Some(self.id.clone());
+        let opened_at = self.log.last_index().next();
+        let leader = LeaderState::new(opened_at, self.now);
+        self.role = RoleState::Leader(Box::new(leader));
+        self.refresh_peers();
+        self.append_own(EntryPayload::Noop);
+    }
+
+    /// Follows `leader`, or nobody yet, in `term`. What a leader had not settled is answered.
+    pub(super) fn follow(&mut self, term: Term, leader: Option<KeeperId>) {
+        if term > self.term() {
+            self.hard_state = HardState {
+                term,
+                voted_for: None,
+            };
+            self.writes.set_hard_state(self.hard_state.clone());
+            self.assembly = None;
+            self.leader = None;
+            self.heard_at = None;
+        }
+        if leader.is_some() {
+            self.leader = leader;
+        }
+        if matches!(self.role, RoleState::Retired) {
+            return;
+        }
+        let role = std::mem::replace(&mut self.role, RoleState::Follower);
+        if let RoleState::Leader(leader) = role {
+            self.leader = self.leader.take().filter(|known| *known != self.id);
+            self.reset_election_timer();
+            self.settle_deposed(*leader);
+        }
+    }
+}
--- a/crates/coordination/src/agreement/entry.rs
+++ b/crates/coordination/src/agreement/entry.rs
@@ -46,7 +46,21 @@
 #[serde(transparent)]
 pub struct LogIndex(pub u64);
 
+impl Term {
+    /// The term that follows this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+}
+
 impl LogIndex {
+    /// The index before this one; 0 stays 0.
+    #[must_use]
+    pub fn previous(self) -> Self {
+        Self(self.0.saturating_sub(1))
+    }
+
     /// The index that follows this one.
     #[must_use]
     pub fn next(self) -> Self {
@@ -79,13 +93,40 @@
     pub learners: BTreeSet<KeeperId>,
 }
 
+impl Membership {
+    /// Voters that make a majority.
+    #[must_use]
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Whether the keeper is a voter or a learner.
+    #[must_use]
+    pub fn contains(&self, keeper: &KeeperId) -> bool {
+        self.voters.contains(keeper) || self.learners.contains(keeper)
+    }
+
+    /// Voters and learners.
+    pub fn keepers(&self) -> impl Iterator<Item = &KeeperId> {
+        self.voters.iter().chain(&self.learners)
+    }
+
+    /// Whether a later incarnation of the keeper's host is a member while the keeper is none.
+    #[must_use]
+    pub fn supersedes(&self, keeper: &KeeperId) -> bool {
+        let is_later =
+            |other: &KeeperId| other.host == keeper.host && other.incarnation > keeper.incarnation;
+        !self.contains(keeper) && self.keepers().any(is_later)
+    }
+}
+
 /// Content of a log entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EntryPayload {
     /// Opens a leader's term; commits what earlier terms left.
     Noop,
     /// Command for the state machine, in its own encoding.
-    Command(Arc<[u8]>),
+    Command(#[serde(with = "shared_bytes")] Arc<[u8]>),
     /// New membership, in force from the moment the entry is in the log.
     Membership(Membership),
 }
@@ -120,3 +161,29 @@
     /// Membership in force at that entry.
     pub membership: Membership,
 }
+
+/// Shared bytes as one byte string instead of a list of numbers: half the size on wire and disk.
+pub(super) mod shared_bytes {
+    use std::sync::Arc;
+
+    use serde::{Deserializer, Serializer};
+    use serde_bytes::ByteBuf;
+
+    pub(in crate::agreement) fn serialize<S>(
+        bytes: &Arc<[u8]>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serde_bytes::serialize(bytes.as_ref(), serializer)
+    }
+
+    pub(in crate::agreement) fn deserialize<'de, D>(deserializer: D) -> Result<Arc<[u8]>, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let buffer: ByteBuf = serde_bytes::deserialize(deserializer)?;
+        Ok(Arc::from(buffer.into_vec()))
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/agreement/lead.rs
@@ -0,0 +1,399 @@
+//! What a leader does: takes proposals, beats, commits, and steps down without a quorum.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::entry::{EntryPayload, KeeperId, LogIndex, Membership};
+use super::handover::HandOverState;
+use super::log::entry_bytes;
+use super::message::{
+    AgreementMessage, AppendOutcome, AppendReply, Heartbeat, HeartbeatReply, HeartbeatRound,
+    WitnessRecord,
+};
+use super::node::{AgreementNode, RoleState};
+use super::port::{
+    AgreementEffect, DropReason, HandOverOutcome, ProposalOutcome, ReadOutcome, RefusalReason,
+    RequestToken,
+};
+use super::progress::{PeerProgress, SendMode};
+use super::read::ReadQueue;
+use super::redundancy::RedundancyReport;
+use crate::base::MonotonicTime;
+
+/// A request that waits for the commit of its entry.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PendingEntry {
+    pub(super) index: LogIndex,
+    pub(super) token: RequestToken,
+}
+
+/// State that lives as long as one leadership.
+///
+/// Invariant: `peers` holds exactly the other keepers of the membership in force.
+#[derive(Debug)]
+pub(super) struct LeaderState {
+    pub(super) peers: BTreeMap<KeeperId, PeerProgress>,
+    /// First entry of this term; until it is committed the commit index of earlier leaders isn't
+    /// known, so no read is answered and no membership changed.
+    pub(super) opened_at: LogIndex,
+    pub(super) heartbeat_due: MonotonicTime,
+    pub(super) round: HeartbeatRound,
+    pub(super) reads: ReadQueue,
+    pub(super) proposals: VecDeque<PendingEntry>,
+    pub(super) uncommitted_bytes: usize,
+    pub(super) change: Option<PendingEntry>,
+    pub(super) hand_over: Option<HandOverState>,
+    pub(super) told_redundancy: Option<RedundancyReport>,
+}
+
+impl LeaderState {
+    pub(super) fn new(opened_at: LogIndex, now: MonotonicTime) -> Self {
+        Self {
+            peers: BTreeMap::new(),
+            opened_at,
+            heartbeat_due: now,
+            round: HeartbeatRound(0),
+            reads: ReadQueue::default(),
+            proposals: VecDeque::new(),
+            uncommitted_bytes: 0,
+            change: None,
+            hand_over: None,
+            told_redundancy: None,
+        }
+    }
+
+    /// The value that a majority of voters reached, where `own` is this keeper's.
+    pub(super) fn quorum_value<T, F>(
+        &self,
+        membership: &Membership,
+        own: T,
+        of_peer: F,
+    ) -> Option<T>
+    where
+        T: Ord + Copy,
+        F: Fn(&PeerProgress) -> T,
+    {
+        let value = |voter: &KeeperId| self.peers.get(voter).map_or(own, &of_peer);
+        let mut values: Vec<T> = membership.voters.iter().map(value).collect();
+        values.sort_unstable_by(|left, right| right.cmp(left));
+        values.get(membership.quorum().checked_sub(1)?).copied()
+    }
+}
+
+impl AgreementNode {
+    /// Appends a command, or says why not.
+    pub(super) fn propose(&mut self, token: RequestToken, command: Arc<[u8]>) {
+        if let Err(reason) = self.check_proposal(&command) {
+            let outcome = ProposalOutcome::NotAppended(reason);
+            self.effects
+                .push(AgreementEffect::Proposal { token, outcome });
+            return;
+        }
+        let index = self.append_own(EntryPayload::Command(command));
+        let bytes = self.log.entry(index).map_or(0, entry_bytes);
+        if let RoleState::Leader(leader) = &mut self.role {
+            leader.uncommitted_bytes = leader.uncommitted_bytes.saturating_add(bytes);
+            leader.proposals.push_back(PendingEntry { index, token });
+        }
+    }
+
+    fn check_proposal(&self, command: &[u8]) -> Result<(), RefusalReason> {
+        let leader = self.require_leader()?;
+        if leader.hand_over.is_some() {
+            return Err(RefusalReason::HandingOver);
+        }
+        let limit = self.settings.max_command_bytes;
+        if command.len() > limit {
+            return Err(RefusalReason::TooLarge {
+                size: command.len(),
+                limit,
+            });
+        }
+        let has_room = leader.proposals.len() < self.settings.max_uncommitted_entries
+            && leader.uncommitted_bytes < self.settings.max_uncommitted_bytes;
+        has_room.then_some(()).ok_or(RefusalReason::Busy)
+    }
+
+    pub(super) fn require_leader(&self) -> Result<&LeaderState, RefusalReason> {
+        match &self.role {
+            RoleState::Leader(leader) => Ok(leader),
+            _ => Err(RefusalReason::NotLeader {
+                leader: self.leader.clone(),
+            }),
+        }
+    }
+
+    /// Steps down once no quorum answered a heartbeat that was sent within the election timeout.
+    ///
+    /// Else a leader behind a partition would claim to lead for as long as the partition lasts,
+    /// and its callers would wait there instead of at the other side. The time counts from the
+    /// sending of what was answered, so it ends before the others' own election timeout.
+    pub(super) fn check_leadership(&mut self) {
+        let RoleState::Leader(leader) = &self.role else {
+            return;
+        };
+        if self.now < self.leadership_end(leader) {
+            return;
+        }
+        self.leader = None;
+        self.heard_at = None;
+        self.follow(self.term(), None);
+    }
+
+    /// When this keeper stops to claim leadership unless a quorum answers; `None` if it doesn't
+    /// lead now.
+    #[must_use]
+    pub fn leads_until(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let RoleState::Leader(leader) = &self.role else {
+            return None;
+        };
+        let end = self.leadership_end(leader);
+        (now < end).then_some(end)
+    }
+
+    fn leadership_end(&self, leader: &LeaderState) -> MonotonicTime {
+        leader
+            .quorum_value(self.log.membership(), self.now, |peer| peer.contact_at)
+            .unwrap_or(self.now)
+            .after(self.settings.election_timeout)
+    }
+
+    pub(super) fn leader_deadline(&self, leader: &LeaderState) -> MonotonicTime {
+        let due = leader.heartbeat_due.min(self.leadership_end(leader));
+        match &leader.hand_over {
+            Some(hand_over) => due.min(hand_over.due),
+            None => due,
+        }
+    }
+
+    /// Whether peers answer within the time that a leader may count on.
+    pub(super) fn contact_window(&self) -> Duration {
+        self.settings.election_timeout
+    }
+
+    /// A leader's part of the tick, after all inputs.
+    pub(super) fn run_leader(&mut self) {
+        self.advance_commit();
+        self.retire_former_incarnations();
+        self.run_hand_over();
+        self.run_heartbeat();
+        self.replicate();
+        // A group of one commits what it synced itself.
+        self.advance_commit();
+    }
+
+    fn advance_commit(&mut self) {
+        let RoleState::Leader(leader) = &self.role else {
+            return;
+        };
+        let durable = self.writes.durable_index();
+        let reached = leader.quorum_value(self.log.membership(), durable, |peer| peer.matched);
+        let Some(reached) = reached else {
+            return;
+        };
+        // Only an entry of the own term commits by counting: one of an earlier term that a
+        // majority holds can still be replaced by another leader's.
+        if reached > self.commit && self.log.term_at(reached) == Some(self.term()) {
+            self.commit = reached;
+        }
+    }
+
+    fn run_heartbeat(&mut self) {
+        let can_read = self.has_committed_in_term();
+        let RoleState::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let is_due = self.now >= leader.heartbeat_due;
+        let reads_wait = can_read && leader.reads.wants_round();
+        if !is_due && !reads_wait {
+            return;
+        }
+        leader.round = HeartbeatRound(leader.round.0.saturating_add(1));
+        leader.heartbeat_due = self.now.after(self.settings.heartbeat_interval);
+        if can_read {
+            leader.reads.join_round(leader.round, self.commit);
+        }
+        for progress in leader.peers.values_mut() {
+            progress.expire(self.now, &self.settings);
+            progress.check_caught_up(self.commit, self.now);
+        }
+        // Others acknowledge to the leader; what the leader itself counts towards a quorum they
+        // learn only here, and refuse its disk too if it comes back without it.
+        let own = WitnessRecord {
+            keeper: self.id.clone(),
+            start: self.start,
+            term: self.hard_state.term,
+            index: self.writes.durable_index(),
+        };
+        let mut witnessed = self.identities.records(&leader.peers);
+        witnessed.push(own);
+        let heartbeat = Heartbeat {
+            term: self.hard_state.term,
+            round: leader.round,
+            sent_at: self.now,
+            witnessed,
+        };
+        let peers: Vec<KeeperId> = leader.peers.keys().cloned().collect();
+        for peer in peers {
+            self.send(peer, AgreementMessage::Heartbeat(heartbeat.clone()));
+        }
+    }
+
+    /// Whether an entry of the own term is committed.
+    pub(super) fn has_committed_in_term(&self) -> bool {
+        match &self.role {
+            RoleState::Leader(leader) => self.commit >= leader.opened_at,
+            _ => false,
+        }
+    }
+
+    /// Brings `peers` in line with the membership in force.
+    pub(super) fn refresh_peers(&mut self) {
+        let RoleState::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let membership = self.log.membership();
+        leader.peers.retain(|peer, _| membership.contains(peer));
+        for keeper in membership.keepers().filter(|keeper| **keeper != self.id) {
+            if !leader.peers.contains_key(keeper) {
+                let progress = PeerProgress::new(self.log.last_index(), self.now);
+                leader.peers.insert(keeper.clone(), progress);
+            }
+        }
+    }
+
+    /// Takes the answer to an append in.
+    pub(super) fn on_append_reply(&mut self, from: &KeeperId, reply: &AppendReply) {
+        if reply.term > self.term() {
+            self.follow(reply.term, None);
+            return;
+        }
+        if reply.term < self.term() {
+            return;
+        }
+        match reply.outcome {
+            AppendOutcome::Matched(index) => self.on_matched(from, index),
+            AppendOutcome::Mismatch {
+                refused,
+                hint_index,
+                hint_term,
+            } => {
+                let (index, _) = self.log.agreement_hint(hint_index, hint_term);
+                let next = index.next().min(refused);
+                self.on_mismatch(from, refused, next);
+            }
+            AppendOutcome::StaleTerm => {}
+        }
+    }
+
+    pub(super) fn on_matched(&mut self, from: &KeeperId, index: LogIndex) {
+        if index > self.log.last_index() {
+            self.drop_message(from.clone(), DropReason::Malformed);
+            return;
+        }
+        let term = self.term();
+        let RoleState::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if let Some(progress) = leader.peers.get_mut(from) {
+            progress.note_matched(index, self.now);
+            self.identities.witness(from, term, index);
+        }
+    }
+
+    fn on_mismatch(&mut self, from: &KeeperId, refused: LogIndex, next: LogIndex) {
+        let RoleState::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.peers.get_mut(from) else {
+            return;
+        };
+        let is_stale = match progress.mode {
+            SendMode::Probe => refused != progress.next.previous(),
+            SendMode::Stream => refused <= progress.matched,
+            SendMode::Snapshot { .. } => true,
+        };
+        if !is_stale {
+            progress.probe_from(next, self.now);
+        }
+    }
+
+    /// Takes the answer to a heartbeat in.
+    pub(super) fn on_heartbeat_reply(&mut self, from: &KeeperId, reply: &HeartbeatReply) {
+        if reply.term > self.term() {
+            self.follow(reply.term, None);
+            return;
+        }
+        if reply.term < self.term() {
+            return;
+        }
+        let RoleState::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if reply.round > leader.round {
+            self.drop_message(from.clone(), DropReason::Malformed);
+            return;
+        }
+        if let Some(progress) = leader.peers.get_mut(from) {
+            progress.contact_at = progress.contact_at.max(reply.sent_at.min(self.now));
+            progress.answered_round = progress.answered_round.max(reply.round);
+            progress.told_commit = progress.told_commit.min(reply.commit);
+        }
+    }
+
+    /// Answers the requests whose entries were just delivered.
+    pub(super) fn settle_committed(&mut self, delivered_bytes: usize) {
+        let commit = self.commit;
+        let RoleState::Leader(leader) = &mut self.role else {
+            return;
+        };
+        leader.uncommitted_bytes = leader.uncommitted_bytes.saturating_sub(delivered_bytes);
+        while leader
+            .proposals
+            .front()
+            .is_some_and(|next| next.index <= commit)
+        {
+            let Some(pending) = leader.proposals.pop_front() else {
+                break;
+            };
+            self.effects.push(AgreementEffect::Proposal {
+                token: pending.token,
+                outcome: ProposalOutcome::Committed(pending.index),
+            });
+        }
+        if let Some(pending) = leader.change.take_if(|change| change.index <= commit) {
+            self.effects.push(AgreementEffect::MembershipChange {
+                token: pending.token,
+                outcome: ProposalOutcome::Committed(pending.index),
+            });
+        }
+    }
+
+    /// Answers everything that a lost leadership leaves open.
+    pub(super) fn settle_deposed(&mut self, leader: LeaderState) {
+        for pending in leader.proposals {
+            self.effects.push(AgreementEffect::Proposal {
+                token: pending.token,
+                outcome: ProposalOutcome::Unknown,
+            });
+        }
+        if let Some(pending) = leader.change {
+            self.effects.push(AgreementEffect::MembershipChange {
+                token: pending.token,
+                outcome: ProposalOutcome::Unknown,
+            });
+        }
+        for token in leader.reads.into_tokens() {
+            let leader = self.leader.clone();
+            let outcome = ReadOutcome::Refused(RefusalReason::NotLeader { leader });
+            self.effects.push(AgreementEffect::Read { token, outcome });
+        }
+        if let Some(hand_over) = leader.hand_over {
+            self.effects.push(AgreementEffect::HandOver {
+                token: hand_over.token,
+                outcome: HandOverOutcome::Done,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/agreement/log.rs
@@ -0,0 +1,226 @@
+//! The log in memory: entries, the memberships among them, and the latest snapshot.
+
+use std::collections::VecDeque;
+
+use super::entry::{EntryPayload, LogEntry, LogIndex, Membership, SnapshotMark, Term};
+use super::port::{RestoredState, StoredSnapshot};
+
+/// Bytes counted for an entry beside its command.
+const ENTRY_OVERHEAD_BYTES: usize = 32;
+
+/// Bytes that an entry counts for in bounds.
+pub(super) fn entry_bytes(entry: &LogEntry) -> usize {
+    match &entry.payload {
+        EntryPayload::Command(command) => command.len().saturating_add(ENTRY_OVERHEAD_BYTES),
+        EntryPayload::Noop | EntryPayload::Membership(_) => ENTRY_OVERHEAD_BYTES,
+    }
+}
+
+/// Entries after a base, with the memberships that they carry.
+///
+/// Invariant: `entries[i].index == base.index + 1 + i`; `changes` lists the membership entries
+/// among them in order; `base.index <= snapshot.mark.index`.
+#[derive(Debug, Default)]
+pub(super) struct ReplicatedLog {
+    base: SnapshotMark,
+    entries: VecDeque<LogEntry>,
+    changes: Vec<(LogIndex, Membership)>,
+    /// Rises whenever the membership in force may have become another.
+    change_count: u64,
+    snapshot: Option<StoredSnapshot>,
+}
+
+impl ReplicatedLog {
+    /// The log of a disk: its snapshot and the entries that continue it without a gap.
+    pub(super) fn restore(restored: RestoredState) -> Self {
+        let mut log = Self::default();
+        if let Some(snapshot) = restored.snapshot {
+            log.base = snapshot.mark.clone();
+            log.change_count = 1;
+            log.snapshot = Some(snapshot);
+        }
+        for entry in restored.entries {
+            if entry.index == log.last_index().next() {
+                log.push(entry);
+            }
+        }
+        log
+    }
+
+    pub(super) fn last_index(&self) -> LogIndex {
+        self.entries
+            .back()
+            .map_or(self.base.index, |entry| entry.index)
+    }
+
+    pub(super) fn last_term(&self) -> Term {
+        self.entries
+            .back()
+            .map_or(self.base.term, |entry| entry.term)
+    }
+
+    /// Index before the first entry that is still held.
+    pub(super) fn base_index(&self) -> LogIndex {
+        self.base.index
+    }
+
+    pub(super) fn snapshot(&self) -> Option<&StoredSnapshot> {
+        self.snapshot.as_ref()
+    }
+
+    pub(super) fn snapshot_index(&self) -> LogIndex {
+        self.snapshot
+            .as_ref()
+            .map_or(LogIndex(0), |snapshot| snapshot.mark.index)
+    }
+
+    /// Term of an entry; `None` where the log doesn't know it.
+    pub(super) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+
+    pub(super) fn entry(&self, index: LogIndex) -> Option<&LogEntry> {
+        let offset = index.0.checked_sub(self.base.index.0)?.checked_sub(1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// The membership in force: the latest in the log, committed or not.
+    pub(super) fn membership(&self) -> &Membership {
+        self.changes
+            .last()
+            .map_or(&self.base.membership, |(_, membership)| membership)
+    }
+
+    /// Entry that carries the membership in force.
+    pub(super) fn membership_index(&self) -> LogIndex {
+        self.changes
+            .last()
+            .map_or(self.base.index, |(index, _)| *index)
+    }
+
+    /// Rises whenever the membership in force may have become another.
+    pub(super) fn change_count(&self) -> u64 {
+        self.change_count
+    }
+
+    fn membership_at(&self, index: LogIndex) -> &Membership {
+        self.changes
+            .iter()
+            .rev()
+            .find(|(changed_at, _)| *changed_at <= index)
+            .map_or(&self.base.membership, |(_, membership)| membership)
+    }
+
+    /// Appends an entry that continues the log.
+    pub(super) fn push(&mut self, entry: LogEntry) {
+        debug_assert_eq!(entry.index, self.last_index().next());
+        if let EntryPayload::Membership(membership) = &entry.payload {
+            self.changes.push((entry.index, membership.clone()));
+            self.change_count = self.change_count.saturating_add(1);
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Removes `from` and everything after it.
+    pub(super) fn truncate_from(&mut self, from: LogIndex) {
+        let kept = from.0.saturating_sub(self.base.index.0).saturating_sub(1);
+        self.entries
+            .truncate(usize::try_from(kept).unwrap_or(usize::MAX));
+        let changes_before = self.changes.len();
+        self.changes.retain(|(index, _)| *index < from);
+        if self.changes.len() < changes_before {
+            self.change_count = self.change_count.saturating_add(1);
+        }
+    }
+
+    /// Entries from `from` on, as many as both bounds allow, at least one where there is one.
+    pub(super) fn slice(
+        &self,
+        from: LogIndex,
+        max_entries: usize,
+        max_bytes: usize,
+    ) -> Vec<LogEntry> {
+        let mut bytes = 0_usize;
+        let mut entries = Vec::new();
+        for entry in self.iter_from(from).take(max_entries) {
+            bytes = bytes.saturating_add(entry_bytes(entry));
+            if !entries.is_empty() && bytes > max_bytes {
+                break;
+            }
+            entries.push(entry.clone());
+        }
+        entries
+    }
+
+    /// Entries from `from` on.
+    pub(super) fn iter_from(&self, from: LogIndex) -> impl Iterator<Item = &LogEntry> {
+        let skipped = from.0.saturating_sub(self.base.index.0).saturating_sub(1);
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+        let start = skipped.min(self.entries.len());
+        self.entries.range(start..)
+    }
+
+    /// Highest index up to `index` whose term is at most `term`: where two logs can still agree.
+    pub(super) fn agreement_hint(&self, index: LogIndex, term: Term) -> (LogIndex, Term) {
+        let mut index = index.min(self.last_index());
+        while index > self.base.index {
+            match self.term_at(index) {
+                Some(found) if found <= term => return (index, found),
+                _ => index = index.previous(),
+            }
+        }
+        (self.base.index, self.base.term)
+    }
+
+    /// Mark of a snapshot taken after `index`; `None` where the log doesn't hold that entry.
+    pub(super) fn mark_at(&self, index: LogIndex) -> Option<SnapshotMark> {
+        Some(SnapshotMark {
+            index,
+            term: self.term_at(index)?,
+            membership: self.membership_at(index).clone(),
+        })
+    }
+
+    /// Takes a snapshot of this log in, keeping `retained` entries behind it.
+    pub(super) fn take_snapshot(&mut self, snapshot: StoredSnapshot, retained: u64) {
+        let keep_after = LogIndex(snapshot.mark.index.0.saturating_sub(retained));
+        self.snapshot = Some(snapshot);
+        if keep_after <= self.base.index {
+            return;
+        }
+        let Some(base) = self.mark_at(keep_after) else {
+            return;
+        };
+        while self
+            .entries
+            .front()
+            .is_some_and(|entry| entry.index <= keep_after)
+        {
+            self.entries.pop_front();
+        }
+        self.changes.retain(|(index, _)| *index > keep_after);
+        self.base = base;
+    }
+
+    /// Puts a peer's snapshot in the place of the log up to its mark. Returns whether entries
+    /// after the mark were kept because the log agrees with the snapshot there.
+    pub(super) fn install_snapshot(&mut self, snapshot: StoredSnapshot) -> bool {
+        let mark = snapshot.mark.clone();
+        let agrees = self.term_at(mark.index) == Some(mark.term);
+        if agrees {
+            let kept: VecDeque<LogEntry> = self.iter_from(mark.index.next()).cloned().collect();
+            self.entries = kept;
+            self.changes.retain(|(index, _)| *index > mark.index);
+        } else {
+            self.entries.clear();
+            self.changes.clear();
+        }
+        self.base = mark;
+        self.change_count = self.change_count.saturating_add(1);
+        self.snapshot = Some(snapshot);
+        agrees
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/agreement/node.rs
@@ -0,0 +1,354 @@
+//! The agreement core of one keeper: its state, and the tick that every input goes through.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::election::VoteCount;
+use super::entry::{EntryPayload, HardState, KeeperId, LogEntry, LogIndex, Membership, Term};
+use super::identity::IdentityTable;
+use super::lead::LeaderState;
+use super::log::{ReplicatedLog, entry_bytes};
+use super::message::{AgreementEnvelope, AgreementMessage, StartMark};
+use super::persist::{HeldAction, PersistQueue};
+use super::port::{
+    AgreementEffect, AgreementInput, DropReason, KeeperRole, RestoredState, RoleStatus,
+};
+use super::settings::AgreementSettings;
+use super::transfer::SnapshotAssembly;
+use crate::base::MonotonicTime;
+
+/// What a keeper is doing in its term.
+#[derive(Debug)]
+pub(super) enum RoleState {
+    Follower,
+    PreCandidate(VoteCount),
+    Candidate(VoteCount),
+    Leader(Box<LeaderState>),
+    Retired,
+}
+
+/// The agreement core of one keeper.
+///
+/// It does no I/O: [`AgreementNode::tick`] takes the time and what happened, and returns what to
+/// do. The same calls with the same seed give the same effects.
+///
+/// Invariants: the term never falls; at most one vote is given in a term; `delivered <= commit`;
+/// a reply that rests on state leaves only after that state is synced.
+#[derive(Debug)]
+pub struct AgreementNode {
+    pub(super) settings: AgreementSettings,
+    pub(super) id: KeeperId,
+    pub(super) start: StartMark,
+    pub(super) random: ChaCha8Rng,
+    pub(super) now: MonotonicTime,
+    pub(super) hard_state: HardState,
+    pub(super) log: ReplicatedLog,
+    pub(super) writes: PersistQueue,
+    pub(super) role: RoleState,
+    pub(super) leader: Option<KeeperId>,
+    /// When the leader of this term was last heard.
+    pub(super) heard_at: Option<MonotonicTime>,
+    pub(super) election_due: MonotonicTime,
+    pub(super) commit: LogIndex,
+    pub(super) delivered: LogIndex,
+    /// Snapshots of peers that wait for their sync; nothing is delivered meanwhile.
+    pub(super) installs_pending: usize,
+    pub(super) assembly: Option<SnapshotAssembly>,
+    pub(super) identities: IdentityTable,
+    /// Index at which a snapshot was last asked for.
+    pub(super) snapshot_wanted_at: LogIndex,
+    pub(super) told_role: Option<RoleStatus>,
+    /// Count of membership changes in the log that was told last.
+    pub(super) told_membership: u64,
+    pub(super) effects: Vec<AgreementEffect>,
+}
+
+impl AgreementNode {
+    /// A keeper as its disk left it. `seed` drives the election timeouts.
+    ///
+    /// A disk without entries and snapshot gives a keeper that waits to be added as a learner; a
+    /// group is founded by [`RestoredState::founding`] on each of its first voters.
+    #[must_use]
+    pub fn new(
+        settings: AgreementSettings,
+        id: KeeperId,
+        restored: RestoredState,
+        now: MonotonicTime,
+        seed: u64,
+    ) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let hard_state = restored.hard_state.clone();
+        let log = ReplicatedLog::restore(restored);
+        let start = StartMark {
+            nonce: random.random(),
+            term: hard_state.term,
+            last_index: log.last_index(),
+        };
+        let mut node = Self {
+            settings: settings.checked(),
+            id,
+            start,
+            random,
+            now,
+            hard_state,
+            writes: PersistQueue::restored(log.last_index()),
+            role: RoleState::Follower,
+            leader: None,
+            heard_at: None,
+            election_due: now,
+            commit: log.base_index(),
+            delivered: log.base_index(),
+            installs_pending: 0,
+            assembly: None,
+            identities: IdentityTable::default(),
+            snapshot_wanted_at: log.snapshot_index(),
+            told_role: None,
+            told_membership: 0,
+            log,
+            effects: Vec::new(),
+        };
+        node.reset_election_timer();
+        node
+    }
+
+    /// Takes what happened up to `now` and returns what to do, in order.
+    ///
+    /// A `now` before that of an earlier call counts as that earlier time.
+    pub fn tick(
+        &mut self,
+        now: MonotonicTime,
+        inputs: Vec<AgreementInput>,
+    ) -> Vec<AgreementEffect> {
+        self.now = self.now.max(now);
+        // A leader that was paused must notice before it reads anything that its time is over:
+        // else it would take in proposals for a term that others have left.
+        self.check_leadership();
+        for input in inputs {
+            self.take_input(input);
+        }
+        self.run_election_timer();
+        self.run_leader();
+        self.deliver();
+        self.finish_reads();
+        self.flush_persist();
+        self.tell_changes();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When [`AgreementNode::tick`] must be called next if nothing happens before.
+    #[must_use]
+    pub fn next_deadline(&self) -> MonotonicTime {
+        match &self.role {
+            RoleState::Leader(leader) => self.leader_deadline(leader),
+            RoleState::Retired => MonotonicTime::from_micros(u64::MAX),
+            _ if !self.is_voter() => MonotonicTime::from_micros(u64::MAX),
+            _ => self.election_due,
+        }
+    }
+
+    /// This keeper.
+    #[must_use]
+    pub fn id(&self) -> &KeeperId {
+        &self.id
+    }
+
+    /// Role, term and known leader.
+    #[must_use]
+    pub fn status(&self) -> RoleStatus {
+        RoleStatus {
+            role: self.keeper_role(),
+            term: self.hard_state.term,
+            leader: self.leader.clone(),
+        }
+    }
+
+    /// The membership in force here, committed or not.
+    #[must_use]
+    pub fn membership(&self) -> &Membership {
+        self.log.membership()
+    }
+
+    /// Highest index known to be committed.
+    #[must_use]
+    pub fn commit_index(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// Last entry of the log, synced or not.
+    #[must_use]
+    pub fn last_index(&self) -> LogIndex {
+        self.log.last_index()
+    }
+
+    /// Last entry that is synced here.
+    #[must_use]
+    pub fn durable_index(&self) -> LogIndex {
+        self.writes.durable_index()
+    }
+
+    /// An entry, where the log still holds it.
+    #[must_use]
+    pub fn entry_at(&self, index: LogIndex) -> Option<&LogEntry> {
+        self.log.entry(index)
+    }
+
+    fn take_input(&mut self, input: AgreementInput) {
+        match input {
+            AgreementInput::Message(envelope) => self.receive(envelope),
+            AgreementInput::Propose { token, command } => self.propose(token, command),
+            AgreementInput::Read { token } => self.read(token),
+            AgreementInput::Persisted(sequence) => self.on_persisted(sequence),
+            AgreementInput::HandOver { token, target } => self.hand_over(token, &target),
+            AgreementInput::ChangeMembership { token, change } => {
+                self.change_membership(token, change);
+            }
+            AgreementInput::SnapshotTaken { index, bytes } => self.snapshot_taken(index, bytes),
+        }
+    }
+
+    fn receive(&mut self, envelope: AgreementEnvelope) {
+        if let Err(reason) = self.admit(&envelope) {
+            self.drop_message(envelope.from, reason);
+            return;
+        }
+        let AgreementEnvelope { from, message, .. } = envelope;
+        match message {
+            AgreementMessage::VoteRequest(request) => self.on_vote_request(from, &request),
+            AgreementMessage::VoteReply(reply) => self.on_vote_reply(from, &reply),
+            AgreementMessage::Append(request) => self.on_append(from, request),
+            AgreementMessage::AppendReply(reply) => self.on_append_reply(&from, &reply),
+            AgreementMessage::Heartbeat(heartbeat) => self.on_heartbeat(from, heartbeat),
+            AgreementMessage::HeartbeatReply(reply) => self.on_heartbeat_reply(&from, &reply),
+            AgreementMessage::SnapshotChunk(chunk) => self.on_snapshot_chunk(from, chunk),
+            AgreementMessage::SnapshotReply(reply) => self.on_snapshot_reply(&from, &reply),
+            AgreementMessage::TimeoutNow(term) => self.on_timeout_now(&from, term),
+            AgreementMessage::IdentityRejected(rejected) => {
+                self.on_identity_rejected(from, &rejected);
+            }
+        }
+    }
+
+    pub(super) fn drop_message(&mut self, from: KeeperId, reason: DropReason) {
+        self.effects
+            .push(AgreementEffect::MessageDropped { from, reason });
+    }
+
+    pub(super) fn envelope(&self, to: KeeperId, message: AgreementMessage) -> AgreementEnvelope {
+        AgreementEnvelope {
+            from: self.id.clone(),
+            to,
+            start: self.start,
+            message,
+        }
+    }
+
+    pub(super) fn send(&mut self, to: KeeperId, message: AgreementMessage) {
+        let envelope = self.envelope(to, message);
+        self.effects.push(AgreementEffect::Send(envelope));
+    }
+
+    pub(super) fn send_after_persist(&mut self, to: KeeperId, message: AgreementMessage) {
+        let envelope = self.envelope(to, message);
+        self.after_persist(HeldAction::Send(envelope));
+    }
+
+    pub(super) fn is_voter(&self) -> bool {
+        self.log.membership().voters.contains(&self.id)
+    }
+
+    pub(super) fn term(&self) -> Term {
+        self.hard_state.term
+    }
+
+    pub(super) fn append_own(&mut self, payload: EntryPayload) -> LogIndex {
+        let entry = LogEntry {
+            index: self.log.last_index().next(),
+            term: self.term(),
+            payload,
+        };
+        let index = entry.index;
+        self.log.push(entry);
+        index
+    }
+
+    pub(super) fn reset_election_timer(&mut self) {
+        let shortest =
+            u64::try_from(self.settings.election_timeout.as_micros()).unwrap_or(u64::MAX);
+        let extra = self.random.random_range(0..=shortest);
+        let timeout = std::time::Duration::from_micros(shortest.saturating_add(extra));
+        self.election_due = self.now.after(timeout);
+    }
+
+    fn keeper_role(&self) -> KeeperRole {
+        match &self.role {
+            RoleState::Retired => KeeperRole::Retired,
+            RoleState::Leader(_) => KeeperRole::Leader,
+            RoleState::PreCandidate(_) | RoleState::Candidate(_) => KeeperRole::Candidate,
+            RoleState::Follower if self.is_voter() => KeeperRole::Follower,
+            RoleState::Follower if self.log.membership().contains(&self.id) => KeeperRole::Learner,
+            RoleState::Follower => KeeperRole::Outsider,
+        }
+    }
+
+    /// Delivers what is committed, once and in order.
+    fn deliver(&mut self) {
+        if self.installs_pending > 0 || self.delivered >= self.commit {
+            return;
+        }
+        let count = self.commit.0.saturating_sub(self.delivered.0);
+        let count = usize::try_from(count).unwrap_or(usize::MAX);
+        let entries: Vec<LogEntry> = self
+            .log
+            .iter_from(self.delivered.next())
+            .take(count)
+            .cloned()
+            .collect();
+        self.delivered = self.commit;
+        let bytes = entries.iter().map(entry_bytes).sum();
+        self.effects.push(AgreementEffect::Committed(entries));
+        self.settle_committed(bytes);
+        self.want_snapshot();
+    }
+
+    fn tell_changes(&mut self) {
+        let change_count = self.log.change_count();
+        if change_count != self.told_membership {
+            self.told_membership = change_count;
+            let membership = self.log.membership();
+            self.identities.retain(|keeper| membership.contains(keeper));
+            self.effects.push(AgreementEffect::MembershipChanged {
+                index: self.log.membership_index(),
+                membership: self.log.membership().clone(),
+            });
+        }
+        let status = self.status();
+        if self.told_role.as_ref() != Some(&status) {
+            self.told_role = Some(status.clone());
+            self.effects.push(AgreementEffect::RoleChanged(status));
+        }
+        self.tell_redundancy();
+    }
+}
+
+impl RestoredState {
+    /// The disk of each first voter of a new group: one entry that names them all.
+    ///
+    /// It is written once, by the operator's explicit order, and synced before the keeper starts.
+    /// Invariant: every first voter is given the same membership.
+    #[must_use]
+    pub fn founding(membership: Membership) -> Self {
+        const FOUNDING_TERM: Term = Term(1);
+        Self {
+            hard_state: HardState {
+                term: FOUNDING_TERM,
+                voted_for: None,
+            },
+            snapshot: None,
+            entries: vec![LogEntry {
+                index: LogIndex(1),
+                term: FOUNDING_TERM,
+                payload: EntryPayload::Membership(membership),
+            }],
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/agreement/read.rs
@@ -0,0 +1,99 @@
+//! Linearizable reads behind a quorum check, without any assumption about clocks.
+//!
+//! A read is ready once a quorum answered a heartbeat that was sent after the read came in: then no
+//! later leader can have committed anything before it. Reads that wait together share one round.
+
+use std::collections::VecDeque;
+
+use super::entry::LogIndex;
+use super::message::HeartbeatRound;
+use super::node::{AgreementNode, RoleState};
+use super::port::{AgreementEffect, ReadOutcome, RefusalReason, RequestToken};
+
+/// A read whose round was sent.
+#[derive(Clone, Copy, Debug)]
+struct CheckedRead {
+    token: RequestToken,
+    index: LogIndex,
+    round: HeartbeatRound,
+}
+
+/// Reads of one leadership.
+///
+/// Invariant: rounds and indices rise along `checking`.
+#[derive(Debug, Default)]
+pub(super) struct ReadQueue {
+    waiting: Vec<RequestToken>,
+    checking: VecDeque<CheckedRead>,
+}
+
+impl ReadQueue {
+    /// Whether a round should be sent for reads: some wait, and none is on its way.
+    pub(super) fn wants_round(&self) -> bool {
+        !self.waiting.is_empty() && self.checking.is_empty()
+    }
+
+    /// Ties the waiting reads to a round that is sent now.
+    pub(super) fn join_round(&mut self, round: HeartbeatRound, index: LogIndex) {
+        let reads = self.waiting.drain(..).map(|token| CheckedRead {
+            token,
+            index,
+            round,
+        });
+        self.checking.extend(reads);
+    }
+
+    pub(super) fn into_tokens(self) -> Vec<RequestToken> {
+        let checking = self.checking.into_iter().map(|read| read.token);
+        checking.chain(self.waiting).collect()
+    }
+
+    fn len(&self) -> usize {
+        self.waiting.len().saturating_add(self.checking.len())
+    }
+}
+
+impl AgreementNode {
+    /// Queues a read, or refuses it.
+    pub(super) fn read(&mut self, token: RequestToken) {
+        if let Err(reason) = self.queue_read(token) {
+            let outcome = ReadOutcome::Refused(reason);
+            self.effects.push(AgreementEffect::Read { token, outcome });
+        }
+    }
+
+    fn queue_read(&mut self, token: RequestToken) -> Result<(), RefusalReason> {
+        self.require_leader()?;
+        let limit = self.settings.max_pending_reads;
+        let RoleState::Leader(leader) = &mut self.role else {
+            return Ok(());
+        };
+        if leader.reads.len() >= limit {
+            return Err(RefusalReason::Busy);
+        }
+        leader.reads.waiting.push(token);
+        Ok(())
+    }
+
+    /// Answers the reads whose round a quorum answered; runs after delivery.
+    pub(super) fn finish_reads(&mut self) {
+        let RoleState::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let own = leader.round;
+        let answered = leader.quorum_value(self.log.membership(), own, |peer| peer.answered_round);
+        let Some(answered) = answered else {
+            return;
+        };
+        while let Some(read) = leader.reads.checking.front().copied() {
+            if read.round > answered {
+                break;
+            }
+            leader.reads.checking.pop_front();
+            self.effects.push(AgreementEffect::Read {
+                token: read.token,
+                outcome: ReadOutcome::Ready(read.index),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/agreement/redundancy.rs
@@ -0,0 +1,106 @@
+//! What the group can lose, as seen by its leader.
+
+use serde::{Deserialize, Serialize};
+
+use super::change::former_incarnation;
+use super::entry::KeeperId;
+use super::lead::LeaderState;
+use super::node::{AgreementNode, RoleState};
+use super::port::AgreementEffect;
+
+/// Voters below which no loss can be borne.
+const SMALLEST_REDUNDANT_GROUP: usize = 3;
+
+/// Why redundancy is not whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RedundancyGap {
+    /// The voter did not answer for an election timeout.
+    Silent(KeeperId),
+    /// The voter answers, but lacked committed entries for longer than an election timeout.
+    Behind(KeeperId),
+    /// The keeper is being brought up to date and does not count yet.
+    Learning(KeeperId),
+    /// The voter is a former incarnation of a host and waits to be removed.
+    Replaced(KeeperId),
+    /// A group of fewer than three voters can lose none.
+    TooFewVoters,
+}
+
+/// What the group can lose.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RedundancyReport {
+    /// Voters that answer and hold all that is committed, the leader included.
+    pub current_voters: usize,
+    /// Voters in the membership.
+    pub voters: usize,
+    /// Further keepers that can be lost now while changes are still accepted.
+    pub losses_borne: usize,
+    /// Why redundancy is not whole; empty where it is.
+    pub gaps: Vec<RedundancyGap>,
+}
+
+impl RedundancyReport {
+    /// Whether every voter counts and nothing waits to be repaired.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.gaps.is_empty()
+    }
+}
+
+impl AgreementNode {
+    /// What the group can lose now; `None` unless this keeper leads.
+    #[must_use]
+    pub fn redundancy(&self) -> Option<RedundancyReport> {
+        match &self.role {
+            RoleState::Leader(leader) => Some(self.report(leader)),
+            _ => None,
+        }
+    }
+
+    fn report(&self, leader: &LeaderState) -> RedundancyReport {
+        let membership = self.log.membership();
+        let window = self.contact_window();
+        let mut report = RedundancyReport {
+            current_voters: 1,
+            voters: membership.voters.len(),
+            ..RedundancyReport::default()
+        };
+        for voter in membership.voters.iter().filter(|voter| **voter != self.id) {
+            let Some(peer) = leader.peers.get(voter) else {
+                continue;
+            };
+            if !peer.is_in_contact(self.now, window) {
+                report.gaps.push(RedundancyGap::Silent(voter.clone()));
+            } else if !peer.is_current(self.now, window) {
+                report.gaps.push(RedundancyGap::Behind(voter.clone()));
+            } else {
+                report.current_voters = report.current_voters.saturating_add(1);
+            }
+        }
+        let learners = membership.learners.iter().cloned();
+        report.gaps.extend(learners.map(RedundancyGap::Learning));
+        let former = former_incarnation(membership, &self.id).cloned();
+        report.gaps.extend(former.map(RedundancyGap::Replaced));
+        if membership.voters.len() < SMALLEST_REDUNDANT_GROUP {
+            report.gaps.push(RedundancyGap::TooFewVoters);
+        }
+        report.losses_borne = report.current_voters.saturating_sub(membership.quorum());
+        report
+    }
+
+    /// Tells a changed report.
+    pub(super) fn tell_redundancy(&mut self) {
+        let Some(report) = self.redundancy() else {
+            return;
+        };
+        if let RoleState::Leader(leader) = &mut self.role {
+            if leader.told_redundancy.as_ref() == Some(&report) {
+                return;
+            }
+            leader.told_redundancy = Some(report.clone());
+        }
+        self.effects
+            .push(AgreementEffect::RedundancyChanged(report));
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/agreement/transfer.rs
@@ -0,0 +1,203 @@
+//! Snapshots: taking them, and sending them in bounded chunks to peers that lag too far.
+
+use std::sync::Arc;
+
+use super::entry::{KeeperId, LogIndex, Membership, SnapshotMark, Term};
+use super::message::{AgreementMessage, SnapshotChunk, SnapshotOutcome, SnapshotReply};
+use super::node::{AgreementNode, RoleState};
+use super::persist::HeldAction;
+use super::port::{AgreementEffect, DropReason, StoredSnapshot};
+use super::progress::{PeerProgress, SendMode};
+use super::settings::AgreementSettings;
+
+/// A snapshot that arrives in chunks.
+///
+/// Invariant: `bytes.len() <= total`, and `total` is within the setting.
+#[derive(Debug)]
+pub(super) struct SnapshotAssembly {
+    mark: SnapshotMark,
+    total: u64,
+    bytes: Vec<u8>,
+}
+
+/// The chunk that a peer in transfer is sent next.
+pub(super) fn next_chunk(
+    progress: &PeerProgress,
+    term: Term,
+    settings: &AgreementSettings,
+) -> Option<SnapshotChunk> {
+    let SendMode::Snapshot {
+        mark,
+        bytes,
+        offset,
+    } = &progress.mode
+    else {
+        return None;
+    };
+    let start = usize::try_from(*offset).ok()?.min(bytes.len());
+    let end = start
+        .saturating_add(settings.snapshot_chunk_bytes)
+        .min(bytes.len());
+    Some(SnapshotChunk {
+        term,
+        mark: mark.clone(),
+        offset: *offset,
+        total: length(bytes),
+        bytes: Arc::from(bytes.get(start..end)?),
+    })
+}
+
+impl AgreementNode {
+    /// Takes the caller's snapshot in and lets go of the entries behind it.
+    pub(super) fn snapshot_taken(&mut self, index: LogIndex, bytes: Arc<[u8]>) {
+        if index <= self.log.snapshot_index() || index > self.delivered {
+            return;
+        }
+        let Some(mark) = self.log.mark_at(index) else {
+            return;
+        };
+        let snapshot = StoredSnapshot { mark, bytes };
+        self.writes.set_snapshot(snapshot.clone());
+        self.log
+            .take_snapshot(snapshot, self.settings.retained_entries);
+    }
+
+    /// Asks for a snapshot once enough was delivered since the last one.
+    pub(super) fn want_snapshot(&mut self) {
+        let since = self.log.snapshot_index().max(self.snapshot_wanted_at);
+        let delivered = self.delivered.0.saturating_sub(since.0);
+        if delivered < self.settings.snapshot_after_entries {
+            return;
+        }
+        self.snapshot_wanted_at = self.delivered;
+        let index = self.delivered;
+        self.effects.push(AgreementEffect::SnapshotWanted { index });
+    }
+
+    /// Takes a chunk in; the last one puts the snapshot in the place of the log.
+    pub(super) fn on_snapshot_chunk(&mut self, from: KeeperId, chunk: SnapshotChunk) {
+        if !self.is_acceptable(&chunk) {
+            self.drop_message(from, DropReason::Malformed);
+            return;
+        }
+        if !self.accept_leader(&from, chunk.term) {
+            return;
+        }
+        let index = chunk.mark.index;
+        let outcome = self.assemble(chunk);
+        let reply = SnapshotReply {
+            term: self.term(),
+            index,
+            outcome,
+        };
+        self.send_after_persist(from, AgreementMessage::SnapshotReply(reply));
+    }
+
+    fn is_acceptable(&self, chunk: &SnapshotChunk) -> bool {
+        let limit = u64::try_from(self.settings.max_snapshot_bytes).unwrap_or(u64::MAX);
+        let end = chunk.offset.checked_add(length(&chunk.bytes));
+        let fits = end.is_some_and(|end| end <= chunk.total) && chunk.total <= limit;
+        fits && chunk.mark.term <= chunk.term && is_sound(&chunk.mark.membership)
+    }
+
+    fn assemble(&mut self, chunk: SnapshotChunk) -> SnapshotOutcome {
+        if chunk.mark.index <= self.commit {
+            self.assembly = None;
+            return SnapshotOutcome::Installed(self.commit);
+        }
+        let is_other = |assembly: &SnapshotAssembly| {
+            assembly.mark != chunk.mark || assembly.total != chunk.total
+        };
+        if self.assembly.as_ref().is_none_or(is_other) {
+            self.assembly = Some(SnapshotAssembly {
+                mark: chunk.mark.clone(),
+                total: chunk.total,
+                bytes: Vec::new(),
+            });
+        }
+        let Some(mut assembly) = self.assembly.take() else {
+            return SnapshotOutcome::Continue(0);
+        };
+        if chunk.offset == length(&assembly.bytes) {
+            assembly.bytes.extend_from_slice(&chunk.bytes);
+        }
+        let received = length(&assembly.bytes);
+        if received < assembly.total {
+            self.assembly = Some(assembly);
+            return SnapshotOutcome::Continue(received);
+        }
+        let index = assembly.mark.index;
+        self.install(StoredSnapshot {
+            mark: assembly.mark,
+            bytes: Arc::from(assembly.bytes),
+        });
+        SnapshotOutcome::Installed(index)
+    }
+
+    fn install(&mut self, snapshot: StoredSnapshot) {
+        let index = snapshot.mark.index;
+        let kept_suffix = self.log.install_snapshot(snapshot.clone());
+        self.writes.replace_log(index, kept_suffix);
+        self.writes.set_snapshot(snapshot.clone());
+        self.commit = index;
+        self.delivered = index;
+        self.installs_pending = self.installs_pending.saturating_add(1);
+        self.after_persist(HeldAction::Install(snapshot));
+    }
+
+    /// Takes the receiver's answer in: the next chunk, or back to entries.
+    pub(super) fn on_snapshot_reply(&mut self, from: &KeeperId, reply: &SnapshotReply) {
+        if reply.term > self.term() {
+            self.follow(reply.term, None);
+            return;
+        }
+        if reply.term < self.term() {
+            return;
+        }
+        if let SnapshotOutcome::Installed(index) = reply.outcome {
+            self.on_installed(from, index);
+            return;
+        }
+        let RoleState::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.peers.get_mut(from) else {
+            return;
+        };
+        if let SendMode::Snapshot {
+            mark,
+            bytes,
+            offset,
+        } = &mut progress.mode
+            && let SnapshotOutcome::Continue(wanted) = reply.outcome
+            && mark.index == reply.index
+            && wanted < length(bytes)
+            && wanted != *offset
+        {
+            *offset = wanted;
+            progress.waiting = false;
+            progress.advanced_at = self.now;
+        }
+    }
+
+    fn on_installed(&mut self, from: &KeeperId, index: LogIndex) {
+        let RoleState::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if let Some(progress) = leader.peers.get_mut(from)
+            && let SendMode::Snapshot { mark, .. } = &progress.mode
+            && index >= mark.index
+        {
+            progress.probe_from(index.next(), self.now);
+        }
+        self.on_matched(from, index);
+    }
+}
+
+fn is_sound(membership: &Membership) -> bool {
+    !membership.voters.is_empty() && membership.voters.is_disjoint(&membership.learners)
+}
+
+fn length(bytes: &[u8]) -> u64 {
+    u64::try_from(bytes.len()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/coordination/tests/agreement_faults/cluster.rs
@@ -0,0 +1,674 @@
+//! Keepers on a fake network with fake disks, in virtual time, driven by one seed.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+
+use pollendrift_coordination::agreement::{
+    AgreementEffect, AgreementEnvelope, AgreementInput, AgreementNode, AgreementSettings,
+    HandOverOutcome, KeeperId, KeeperRole, LogEntry, LogIndex, Membership, MembershipChange,
+    PersistOrder, ProposalOutcome, ReadOutcome, RequestToken, RestoredState, StoredSnapshot, Term,
+};
+use pollendrift_coordination::base::{HostName, Incarnation, MonotonicTime};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::checks::{HistoryCheck, fold_state};
+use super::disk::FakeDisk;
+
+/// Microseconds of virtual time.
+pub(crate) type Micros = u64;
+pub(crate) const MILLISECOND: Micros = 1_000;
+pub(crate) const SECOND: Micros = 1_000_000;
+const CLIENT_INTERVAL: Micros = 7 * MILLISECOND;
+const LOG_CHECK_INTERVAL: Micros = 100 * MILLISECOND;
+
+/// How badly messages fare.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NetworkFaults {
+    pub(crate) max_delay: Micros,
+    pub(crate) drop_percent: u32,
+    pub(crate) double_percent: u32,
+}
+
+impl NetworkFaults {
+    pub(crate) const NONE: Self = Self {
+        max_delay: 900,
+        drop_percent: 0,
+        double_percent: 0,
+    };
+    pub(crate) const ROUGH: Self = Self {
+        max_delay: 40 * MILLISECOND,
+        drop_percent: 15,
+        double_percent: 15,
+    };
+}
+
+#[derive(Debug)]
+enum Event {
+    Deliver(AgreementEnvelope),
+    Synced { host: usize, life: u64 },
+    Wake { host: usize, life: u64 },
+    Client,
+}
+
+#[derive(Debug)]
+struct FakeHost {
+    incarnation: u64,
+    disk: FakeDisk,
+    node: Option<AgreementNode>,
+    /// Rises with each crash, so that what an earlier process left behind is recognised.
+    life: u64,
+    started_at: Micros,
+    wake_at: Option<Micros>,
+    writing: Option<PersistOrder>,
+    is_paused: bool,
+    backlog: Vec<AgreementInput>,
+    applied: LogIndex,
+    state: u64,
+}
+
+/// What callers were told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct CallerTally {
+    pub(crate) accepted: u64,
+    pub(crate) refused: u64,
+    pub(crate) unknown: u64,
+    pub(crate) reads: u64,
+}
+
+/// The keepers, their network and their callers.
+pub(crate) struct Cluster {
+    pub(crate) now: Micros,
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) check: HistoryCheck,
+    pub(crate) faults: NetworkFaults,
+    pub(crate) tally: CallerTally,
+    pub(crate) last_accepted_at: Micros,
+    /// Disk faults break the rule that a majority of disks holds what was committed.
+    pub(crate) disks_are_kept: bool,
+    pub(crate) changes: BTreeMap<RequestToken, ProposalOutcome>,
+    pub(crate) hand_overs: Vec<HandOverOutcome>,
+    settings: AgreementSettings,
+    hosts: Vec<FakeHost>,
+    cut: BTreeSet<(usize, usize)>,
+    events: BinaryHeap<Reverse<(Micros, u64)>>,
+    event_bodies: BTreeMap<u64, Event>,
+    next_event: u64,
+    next_token: u64,
+    reading: BTreeMap<RequestToken, LogIndex>,
+    next_log_check: Micros,
+    /// Time between two requests of callers.
+    pub(crate) client_interval: Micros,
+    lost_identity: BTreeSet<usize>,
+}
+
+impl Cluster {
+    /// `keepers` voters of a new group, all started.
+    pub(crate) fn new(seed: u64, keepers: usize, settings: AgreementSettings) -> Self {
+        let mut cluster = Self {
+            now: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            check: HistoryCheck::default(),
+            faults: NetworkFaults::NONE,
+            tally: CallerTally::default(),
+            last_accepted_at: 0,
+            disks_are_kept: true,
+            changes: BTreeMap::new(),
+            hand_overs: Vec::new(),
+            settings,
+            hosts: Vec::new(),
+            cut: BTreeSet::new(),
+            events: BinaryHeap::new(),
+            event_bodies: BTreeMap::new(),
+            next_event: 0,
+            next_token: 1,
+            reading: BTreeMap::new(),
+            next_log_check: 0,
+            client_interval: CLIENT_INTERVAL,
+            lost_identity: BTreeSet::new(),
+        };
+        let voters: BTreeSet<KeeperId> = (0..keepers).map(|host| keeper_id(host, 1)).collect();
+        let membership = Membership {
+            voters,
+            learners: BTreeSet::new(),
+        };
+        for host in 0..keepers {
+            let founding = RestoredState::founding(membership.clone());
+            cluster
+                .hosts
+                .push(FakeHost::new(FakeDisk::holding(founding)));
+            cluster.start(host);
+        }
+        cluster.schedule(CLIENT_INTERVAL, Event::Client);
+        cluster
+    }
+
+    pub(crate) fn id(&self, host: usize) -> KeeperId {
+        keeper_id(host, self.hosts[host].incarnation)
+    }
+
+    pub(crate) fn node(&self, host: usize) -> Option<&AgreementNode> {
+        self.hosts[host].node.as_ref()
+    }
+
+    /// The running leader of the highest term.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let term_of = |host: &usize| self.node(*host).map(|node| node.status().term);
+        let leads = |host: &usize| {
+            let role = self.node(*host).map(|node| node.status().role);
+            role == Some(KeeperRole::Leader) && !self.hosts[*host].is_paused
+        };
+        (0..self.hosts.len()).filter(leads).max_by_key(term_of)
+    }
+
+    /// A leader, waiting for one where there is none.
+    pub(crate) fn await_leader(&mut self) -> usize {
+        for _ in 0..1_000 {
+            if let Some(leader) = self.leader() {
+                return leader;
+            }
+            self.run_for(10 * MILLISECOND);
+        }
+        self.check.violate("no leader within 10 s".to_owned());
+        0
+    }
+
+    /// Kills the process; `torn` leaves a part of the order that was being written.
+    pub(crate) fn crash(&mut self, host: usize, torn: bool) {
+        let steps = self.random.random_range(0..6);
+        let host = &mut self.hosts[host];
+        host.node = None;
+        host.life += 1;
+        host.is_paused = false;
+        host.backlog.clear();
+        if let Some(order) = host.writing.take()
+            && torn
+        {
+            host.disk.write(&order, steps);
+        }
+    }
+
+    /// Starts the process on what its disk holds.
+    pub(crate) fn start(&mut self, index: usize) {
+        let seed = self.random.random();
+        let id = self.id(index);
+        let host = &mut self.hosts[index];
+        let restored = host.disk.restore();
+        host.state = 0;
+        host.applied = LogIndex(0);
+        if let Some(snapshot) = &restored.snapshot {
+            (host.applied, host.state) = read_snapshot(snapshot);
+        }
+        host.started_at = self.now;
+        host.wake_at = None;
+        host.life += 1;
+        let settings = self.settings.clone();
+        let node = AgreementNode::new(settings, id, restored, MonotonicTime::START, seed);
+        host.node = Some(node);
+        self.tick(index, Vec::new());
+    }
+
+    /// Kills a host unless `most` are down or paused already.
+    pub(crate) fn crash_some(&mut self, host: usize, most: usize) {
+        let is_down = |host: &&FakeHost| host.node.is_none() || host.is_paused;
+        if self.hosts.iter().filter(is_down).count() < most {
+            self.crash(host, true);
+        }
+    }
+
+    /// Starts and resumes what is down or paused.
+    pub(crate) fn start_all(&mut self) {
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].is_paused {
+                self.resume(host);
+            }
+            if self.hosts[host].node.is_none() {
+                self.start(host);
+            }
+        }
+    }
+
+    pub(crate) fn random_host(&mut self) -> usize {
+        self.random.random_range(0..self.hosts.len())
+    }
+
+    pub(crate) fn has_lost_identity(&self, host: usize) -> bool {
+        self.lost_identity.contains(&host)
+    }
+
+    pub(crate) fn leader_term(&self) -> Option<Term> {
+        let leader = self.node(self.leader()?)?;
+        Some(leader.status().term)
+    }
+
+    /// Notes a finding unless `is_met`.
+    pub(crate) fn expect(&mut self, is_met: bool, finding: &str) {
+        if !is_met {
+            self.check.violate(finding.to_owned());
+        }
+    }
+
+    /// Empties the disk of a stopped host; it comes back under a new incarnation.
+    pub(crate) fn empty_disk(&mut self, host: usize) {
+        self.disks_are_kept = false;
+        self.hosts[host].disk = FakeDisk::default();
+        self.hosts[host].incarnation += 1;
+        self.lost_identity.remove(&host);
+    }
+
+    pub(crate) fn copy_disk(&self, host: usize) -> FakeDisk {
+        self.hosts[host].disk.clone()
+    }
+
+    /// Puts an old copy of the disk back, with its old identity.
+    pub(crate) fn put_disk_back(&mut self, host: usize, disk: FakeDisk) {
+        self.disks_are_kept = false;
+        self.hosts[host].disk = disk;
+    }
+
+    pub(crate) fn pause(&mut self, host: usize) {
+        self.hosts[host].is_paused = true;
+    }
+
+    pub(crate) fn resume(&mut self, host: usize) {
+        self.hosts[host].is_paused = false;
+        let backlog = std::mem::take(&mut self.hosts[host].backlog);
+        self.tick(host, backlog);
+    }
+
+    /// Cuts `side` off from all other hosts.
+    pub(crate) fn partition(&mut self, side: &[usize]) {
+        for left in 0..self.hosts.len() {
+            for right in 0..self.hosts.len() {
+                if side.contains(&left) != side.contains(&right) {
+                    self.cut.insert((left, right));
+                }
+            }
+        }
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.cut.clear();
+        self.faults = NetworkFaults::NONE;
+    }
+
+    pub(crate) fn propose(&mut self, host: usize) {
+        let token = self.take_token();
+        let command: Arc<[u8]> = Arc::from(token.0.to_be_bytes().as_slice());
+        self.tick(host, vec![AgreementInput::Propose { token, command }]);
+    }
+
+    pub(crate) fn read(&mut self, host: usize) {
+        let token = self.take_token();
+        self.reading.insert(token, self.check.told_index);
+        self.tick(host, vec![AgreementInput::Read { token }]);
+    }
+
+    pub(crate) fn hand_over(&mut self, from: usize, to: usize) {
+        let token = self.take_token();
+        let target = host_name(to);
+        self.tick(from, vec![AgreementInput::HandOver { token, target }]);
+    }
+
+    pub(crate) fn change(&mut self, host: usize, change: MembershipChange) -> RequestToken {
+        let token = self.take_token();
+        self.tick(
+            host,
+            vec![AgreementInput::ChangeMembership { token, change }],
+        );
+        token
+    }
+
+    /// Repeats a change at whoever leads until it is in force; false after 20 s.
+    pub(crate) fn change_until_done(&mut self, change: &MembershipChange) -> bool {
+        for _ in 0..200 {
+            if let Some(leader) = self.leader() {
+                self.change(leader, change.clone());
+            }
+            self.run_for(100 * MILLISECOND);
+            let membership = self.leader().and_then(|leader| self.node(leader));
+            let is_done = membership.is_some_and(|node| is_in_force(node, change));
+            if is_done {
+                return true;
+            }
+        }
+        self.check
+            .violate(format!("{change:?} not in force after 20 s"));
+        false
+    }
+
+    /// The whole replacement of a host whose disk was emptied.
+    pub(crate) fn replace(&mut self, host: usize) {
+        let id = self.id(host);
+        self.change_until_done(&MembershipChange::AddLearner(id.clone()));
+        self.change_until_done(&MembershipChange::Promote(id));
+    }
+
+    /// Runs for a random time up to `longest`.
+    pub(crate) fn run_for_random(&mut self, longest: Micros) {
+        let duration = self.random.random_range(0..=longest);
+        self.run_for(duration);
+    }
+
+    pub(crate) fn run_for(&mut self, duration: Micros) {
+        let end = self.now + duration;
+        while let Some(Reverse((at, id))) = self.events.peek().copied() {
+            if at > end || !self.check.violations.is_empty() {
+                break;
+            }
+            self.events.pop();
+            self.now = at;
+            if let Some(event) = self.event_bodies.remove(&id) {
+                self.take_event(event);
+            }
+            self.check_logs();
+        }
+        self.now = end;
+    }
+
+    /// Heals everything, restarts what is down, and checks that all reach the same state.
+    pub(crate) fn converge(&mut self) {
+        self.heal();
+        self.start_all();
+        let accepted = self.tally.accepted;
+        self.run_for(3 * SECOND);
+        if self.check.violations.is_empty() && self.tally.accepted == accepted {
+            self.check
+                .violate("nothing is accepted after healing".to_owned());
+        }
+        self.check_same_state();
+        self.check.finish();
+    }
+
+    fn check_same_state(&mut self) {
+        let committed = self.check.committed_index();
+        for index in 0..self.hosts.len() {
+            let host = &self.hosts[index];
+            let node = host.node.as_ref();
+            let is_member = node.is_some_and(|node| node.membership().contains(node.id()));
+            if !is_member || self.lost_identity.contains(&index) {
+                continue;
+            }
+            let lag = committed.0 - host.applied.0;
+            if lag > 50 {
+                let text = format!("host {index} is {lag} entries behind after healing");
+                self.check.violate(text);
+            } else if host.state != self.check.state_at(host.applied) {
+                self.check
+                    .violate(format!("host {index} holds another state"));
+            }
+        }
+    }
+
+    fn check_logs(&mut self) {
+        if self.now < self.next_log_check {
+            return;
+        }
+        self.next_log_check = self.now + LOG_CHECK_INTERVAL;
+        for left in 0..self.hosts.len() {
+            for right in left + 1..self.hosts.len() {
+                let nodes = (&self.hosts[left].node, &self.hosts[right].node);
+                if let (Some(left), Some(right)) = nodes {
+                    self.check.compare_logs(left, right);
+                }
+            }
+        }
+    }
+
+    fn take_token(&mut self) -> RequestToken {
+        self.next_token += 1;
+        RequestToken(self.next_token)
+    }
+
+    fn schedule(&mut self, at: Micros, event: Event) {
+        self.next_event += 1;
+        self.events.push(Reverse((at, self.next_event)));
+        self.event_bodies.insert(self.next_event, event);
+    }
+
+    fn take_event(&mut self, event: Event) {
+        match event {
+            Event::Deliver(envelope) => {
+                let host = host_index(&envelope.to);
+                if !self.cut.contains(&(host_index(&envelope.from), host)) {
+                    self.input(host, AgreementInput::Message(envelope));
+                }
+            }
+            Event::Synced { host, life } if self.hosts[host].life == life => {
+                if let Some(order) = self.hosts[host].writing.take() {
+                    self.hosts[host].disk.write(&order, usize::MAX);
+                    self.input(host, AgreementInput::Persisted(order.sequence));
+                }
+            }
+            Event::Wake { host, life } if self.hosts[host].life == life => {
+                self.hosts[host].wake_at = None;
+                if !self.hosts[host].is_paused {
+                    self.tick(host, Vec::new());
+                }
+            }
+            Event::Synced { .. } | Event::Wake { .. } => {}
+            Event::Client => self.run_client(),
+        }
+    }
+
+    /// One caller's request, mostly at a keeper that believes to lead, also a wrong one.
+    fn run_client(&mut self) {
+        self.schedule(self.now + self.client_interval, Event::Client);
+        let random_host = self.random.random_range(0..self.hosts.len());
+        let asks_leader = self.random.random_range(0..10) < 8;
+        let leader = self.leader().filter(|_| asks_leader);
+        let host = leader.unwrap_or(random_host);
+        if self.hosts[host].is_paused || self.hosts[host].node.is_none() {
+            return;
+        }
+        match self.random.random_range(0..10) {
+            0..3 => self.read(host),
+            _ => self.propose(host),
+        }
+    }
+
+    fn input(&mut self, host: usize, input: AgreementInput) {
+        if self.hosts[host].is_paused {
+            self.hosts[host].backlog.push(input);
+            return;
+        }
+        self.tick(host, vec![input]);
+    }
+
+    fn tick(&mut self, index: usize, inputs: Vec<AgreementInput>) {
+        let host = &mut self.hosts[index];
+        let now = MonotonicTime::from_micros(self.now - host.started_at);
+        let Some(node) = &mut host.node else {
+            return;
+        };
+        let effects = node.tick(now, inputs);
+        let wake_at = host
+            .started_at
+            .saturating_add(node.next_deadline().as_micros());
+        let life = host.life;
+        if host.wake_at.is_none_or(|at| wake_at < at) && wake_at < Micros::MAX / 2 {
+            host.wake_at = Some(wake_at);
+            self.schedule(wake_at.max(self.now + 1), Event::Wake { host: index, life });
+        }
+        for effect in effects {
+            self.take_effect(index, effect);
+        }
+    }
+
+    fn take_effect(&mut self, host: usize, effect: AgreementEffect) {
+        match effect {
+            AgreementEffect::Send(envelope) => self.transmit(envelope),
+            AgreementEffect::Persist(order) => {
+                let life = self.hosts[host].life;
+                let latency = self.random.random_range(200..3 * MILLISECOND);
+                assert!(self.hosts[host].writing.is_none(), "two orders are out");
+                self.hosts[host].writing = Some(order);
+                self.schedule(self.now + latency, Event::Synced { host, life });
+            }
+            AgreementEffect::Committed(entries) => {
+                for entry in entries {
+                    self.apply(host, &entry);
+                }
+            }
+            AgreementEffect::InstallSnapshot(snapshot) => {
+                let (index, state) = read_snapshot(&snapshot);
+                self.hosts[host].applied = index;
+                self.hosts[host].state = state;
+            }
+            AgreementEffect::SnapshotWanted { index } => self.take_snapshot(host, index),
+            AgreementEffect::Proposal { token, outcome } => self.note_proposal(token, outcome),
+            AgreementEffect::Read { token, outcome } => self.note_read(host, token, &outcome),
+            AgreementEffect::MembershipChange { token, outcome } => {
+                self.changes.insert(token, outcome);
+            }
+            AgreementEffect::HandOver { outcome, .. } => self.hand_overs.push(outcome),
+            AgreementEffect::RoleChanged(status) if status.role == KeeperRole::Leader => {
+                let id = self.id(host);
+                self.check.leads(status.term, &id);
+            }
+            AgreementEffect::IdentityLost { .. } => {
+                self.lost_identity.insert(host);
+            }
+            AgreementEffect::RoleChanged(_)
+            | AgreementEffect::MembershipChanged { .. }
+            | AgreementEffect::RedundancyChanged(_)
+            | AgreementEffect::MessageDropped { .. } => {}
+        }
+    }
+
+    fn transmit(&mut self, envelope: AgreementEnvelope) {
+        self.check.sends(&envelope);
+        let faults = self.faults;
+        if self.random.random_range(0..100) < faults.drop_percent {
+            return;
+        }
+        let is_doubled = self.random.random_range(0..100) < faults.double_percent;
+        if is_doubled {
+            let delay = self.random.random_range(100..=faults.max_delay * 3);
+            self.schedule(self.now + delay, Event::Deliver(envelope.clone()));
+        }
+        let delay = self.random.random_range(100..=faults.max_delay);
+        self.schedule(self.now + delay, Event::Deliver(envelope));
+    }
+
+    fn apply(&mut self, index: usize, entry: &LogEntry) {
+        let id = self.id(index);
+        let host = &mut self.hosts[index];
+        if entry.index != host.applied.next() {
+            let text = format!("{id} applies {} after {}", entry.index, host.applied);
+            self.check.violate(text);
+        }
+        host.applied = entry.index;
+        host.state = fold_state(host.state, entry);
+        if self.check.delivers(&id, entry) && self.disks_are_kept {
+            self.check_synced(index, entry);
+        }
+    }
+
+    /// What is committed was synced by a quorum before anyone was told.
+    fn check_synced(&mut self, host: usize, entry: &LogEntry) {
+        let Some(node) = self.hosts[host].node.as_ref() else {
+            return;
+        };
+        let membership = node.membership();
+        let holds = |voter: &&KeeperId| self.hosts[host_index(voter)].disk.holds(entry);
+        let held = membership.voters.iter().filter(holds).count();
+        if held < membership.quorum() {
+            let text = format!("{} committed, but only {held} disks hold it", entry.index);
+            self.check.violate(text);
+        }
+    }
+
+    fn take_snapshot(&mut self, host: usize, index: LogIndex) {
+        // Padding makes the transfer take several chunks.
+        const PADDING: [u8; 100] = [0; 100];
+        let mut bytes = index.0.to_be_bytes().to_vec();
+        bytes.extend_from_slice(&self.hosts[host].state.to_be_bytes());
+        bytes.extend_from_slice(&PADDING);
+        let bytes = Arc::from(bytes);
+        self.tick(host, vec![AgreementInput::SnapshotTaken { index, bytes }]);
+    }
+
+    fn note_proposal(&mut self, token: RequestToken, outcome: ProposalOutcome) {
+        match outcome {
+            ProposalOutcome::Committed(index) => {
+                self.check.accepts(token, index);
+                self.tally.accepted += 1;
+                self.last_accepted_at = self.now;
+            }
+            ProposalOutcome::NotAppended(_) => {
+                self.check.refuses(token);
+                self.tally.refused += 1;
+            }
+            ProposalOutcome::Unknown => self.tally.unknown += 1,
+        }
+    }
+
+    fn note_read(&mut self, host: usize, token: RequestToken, outcome: &ReadOutcome) {
+        let known = self.reading.remove(&token);
+        if let (Some(known), ReadOutcome::Ready(index)) = (known, outcome) {
+            let applied = self.hosts[host].applied;
+            self.check.reads(known, *index, applied);
+            self.tally.reads += 1;
+        }
+    }
+}
+
+impl FakeHost {
+    fn new(disk: FakeDisk) -> Self {
+        Self {
+            incarnation: 1,
+            disk,
+            node: None,
+            life: 0,
+            started_at: 0,
+            wake_at: None,
+            writing: None,
+            is_paused: false,
+            backlog: Vec::new(),
+            applied: LogIndex(0),
+            state: 0,
+        }
+    }
+}
+
+fn is_in_force(node: &AgreementNode, change: &MembershipChange) -> bool {
+    let membership = node.membership();
+    let is_former = |keeper: &KeeperId, other: &KeeperId| {
+        keeper.host == other.host && keeper.incarnation < other.incarnation
+    };
+    match change {
+        MembershipChange::AddLearner(keeper) => membership.contains(keeper),
+        MembershipChange::Promote(keeper) => {
+            let has_former = membership.keepers().any(|other| is_former(other, keeper));
+            membership.voters.contains(keeper) && !has_former
+        }
+        MembershipChange::Remove(keeper) => !membership.contains(keeper),
+    }
+}
+
+fn read_snapshot(snapshot: &StoredSnapshot) -> (LogIndex, u64) {
+    let number = |from: usize| {
+        let bytes = snapshot.bytes[from..from + 8].try_into().unwrap();
+        u64::from_be_bytes(bytes)
+    };
+    assert_eq!(snapshot.mark.index, LogIndex(number(0)));
+    (snapshot.mark.index, number(8))
+}
+
+fn host_name(host: usize) -> HostName {
+    HostName::from(format!("keeper-{host}"))
+}
+
+fn keeper_id(host: usize, incarnation: u64) -> KeeperId {
+    KeeperId {
+        host: host_name(host),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn host_index(keeper: &KeeperId) -> usize {
+    let digits = keeper.host.as_str().trim_start_matches("keeper-");
+    digits.parse().unwrap()
+}
