feat(access): prove hosts, operators, customers and backend servers

Cause: no one may come in who does not belong, and keys must change without a restart. Change: TLS for callers, operators and peers, peers by certificates bound to the host name in a domain of their own, tokens as digests compared in constant time, reload of keys and tokens that takes all or nothing, and a development authority with host and operator certificates. Names in the settings are now DNS labels in lower case, since they stand in certificates.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! One process per host: an entry for callers, backend servers, operators and peers, and a keeper
 //! where the settings name a data folder.
 
+pub mod access;
 pub mod agreed;
 pub mod announcements;
 pub mod clock;
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -138,7 +138,7 @@
     where
         T: From<String>,
     {
-        let expected = "a name of 1 to 64 letters, digits, `-`, `_` or `.`";
+        let expected = "a name of 1 to 63 letters a to z, digits and, within it, `-` or `_`";
         let text = self.required::<String>(key, expected)?;
         if !is_name(&text.value) {
             let message = format!("`{key}: {}` is no name", text.value);
@@ -408,9 +408,12 @@
     )
 }
 
+/// Names stand in certificates and evidence, so they are DNS labels, with `_` besides. Lower
+/// case only: DNS compares without case, so two names that differ in it would be one host.
 fn is_name(text: &str) -> bool {
-    let allowed = |letter: char| letter.is_alphanumeric() || "-_.".contains(letter);
-    !text.is_empty() && text.chars().count() <= 64 && text.chars().all(allowed)
+    let plain = |letter: char| letter.is_ascii_lowercase() || letter.is_ascii_digit();
+    let inner = |letter: char| plain(letter) || "-_".contains(letter);
+    text.len() <= 63 && text.starts_with(plain) && text.ends_with(plain) && text.chars().all(inner)
 }
 
 /// The entries by key; a key that is written twice is an error, and its first value is kept.
--- /dev/null
+++ b/crates/daemon/tests/access_faces.rs
@@ -0,0 +1,442 @@
+//! Contract of access: each wrong credential, expired certificate and foreign name is refused.
+#![allow(clippy::unwrap_used, reason = "a helper that fails is a failed test")]
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use http::{HeaderMap, HeaderValue};
+use pollendrift::access::{
+    AccessControl, CertificateRequest, FaceKind, FaceStream, KeyFolder, Validity,
+};
+use pollendrift::settings::{DaemonSettings, KeyFiles, TokenDigest};
+use pollendrift_coordination::base::{HostName, WallTime};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const YEAR: u64 = 365 * 86_400_000;
+const GOOD: Validity = Validity {
+    from: WallTime(30 * YEAR),
+    until: WallTime(130 * YEAR),
+};
+const EXPIRED: Validity = Validity {
+    from: WallTime(30 * YEAR),
+    until: WallTime(31 * YEAR),
+};
+const NOT_YET: Validity = Validity {
+    from: WallTime(120 * YEAR),
+    until: WallTime(130 * YEAR),
+};
+
+fn settings() -> DaemonSettings {
+    let digest = |token: &str| TokenDigest::of(token.as_bytes()).to_hex();
+    let text = format!(
+        "host: brest-1
+data_centre: brest
+listen: {{callers: 127.0.0.1:0, operators: 127.0.0.1:0, backend_servers: 127.0.0.1:0, platform: 127.0.0.1:0, peers: 127.0.0.1:0}}
+peers: [{{name: brest-1, data_centre: brest, address: 127.0.0.1:7070}}, {{name: brest-2, data_centre: brest, address: 127.0.0.2:7070, keeper: true}}]
+customers:
+  - {{name: ponant, token_sha256: [{}, {}]}}
+operators:
+  - {{name: mael, role: editor, token_sha256: {}}}
+  - {{name: nolwenn, role: viewer, certificate: true}}
+backend_servers: {{token_sha256: {}}}
+",
+        digest("ponant-old"),
+        digest("ponant-new"),
+        digest("mael-token"),
+        digest("engine-token"),
+    );
+    let file: Arc<str> = "host.yaml".into();
+    DaemonSettings::parse(&file, PathBuf::new(), &text)
+        .unwrap()
+        .settings
+}
+
+fn control_with(files: KeyFiles) -> AccessControl {
+    let mut settings = settings();
+    settings.tls.files = Some(files);
+    AccessControl::new(&settings).unwrap()
+}
+
+fn issue(folder: &Path, name: &str, validity: Validity) -> KeyFiles {
+    let request = CertificateRequest::Host {
+        name: name.into(),
+        addresses: vec!["127.0.0.1".parse().unwrap()],
+    };
+    let authority = KeyFolder::open(folder, GOOD).unwrap();
+    authority.issue(&request, validity).unwrap()
+}
+
+fn issue_operator(folder: &Path, name: &str) -> KeyFiles {
+    let request = CertificateRequest::Operator { name: name.into() };
+    let authority = KeyFolder::open(folder, GOOD).unwrap();
+    authority.issue(&request, GOOD).unwrap()
+}
+
+fn bearer(value: &'static str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert(http::header::AUTHORIZATION, HeaderValue::from_static(value));
+    headers
+}
+
+async fn tcp_pair() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = TcpStream::connect(listener.local_addr().unwrap())
+        .await
+        .unwrap();
+    (client, listener.accept().await.unwrap().0)
+}
+
+/// Both ends of a connection: what `client` and `server` make of it.
+async fn connected(client: &AccessControl, server: &AccessControl, face: FaceKind) -> [String; 2] {
+    let (client_end, server_end) = tcp_pair().await;
+    let brest: HostName = "brest-1".into();
+    let calling = async {
+        let mut stream = client
+            .connect(&brest, client_end)
+            .await
+            .map_err(|error| error.to_string())?;
+        // In TLS 1.3 the client learns only by reading that its certificate was refused.
+        let word = async {
+            stream.write_all(b"hello").await?;
+            stream.read_u8().await
+        };
+        word.await.map_err(|error| error.to_string())
+    };
+    let serving = async {
+        let mut stream = server
+            .accept(face, server_end)
+            .await
+            .map_err(|error| error.to_string())?;
+        let caller = "brest-2".into();
+        server
+            .check_peer(&stream, &caller)
+            .map_err(|error| error.to_string())?;
+        stream
+            .write_all(b"!")
+            .await
+            .map_err(|error| error.to_string())?;
+        stream.flush().await.map_err(|error| error.to_string())
+    };
+    let (called, served) = tokio::join!(calling, serving);
+    [outcome(called), outcome(served)]
+}
+
+/// The result without the parts that the clock or the order of packets decides: an end learns of
+/// a refusal by an alert, a reset or the end of the stream.
+fn outcome<T>(result: Result<T, String>) -> String {
+    let Err(error) = result else {
+        return "accepted".into();
+    };
+    if error.contains("invalid peer certificate") || error.starts_with("the certificate") {
+        let cause = error.split(": verification time").next();
+        return cause.unwrap_or(&error).to_owned();
+    }
+    "refused by the other side".into()
+}
+
+#[tokio::test]
+async fn peers_come_in_only_with_the_certificate_of_their_own_name() {
+    // What happens: a process connects to the peers' face of brest-1 and calls itself brest-2.
+    // Only the certificate of brest-2, of the right authority and within its dates, comes in; and
+    // a client accepts only the certificate of brest-1 behind the address of brest-1.
+    let folder = tempfile::tempdir().unwrap();
+    let other = tempfile::tempdir().unwrap();
+    let issue_in =
+        |name: &str, host: &str, validity| issue(&folder.path().join(name), host, validity);
+    // One authority for all: the same authority key in each folder.
+    let authority = |name: &str| {
+        let source = folder.path().join("first");
+        KeyFolder::open(&source, GOOD).unwrap();
+        let target = folder.path().join(name);
+        std::fs::create_dir_all(&target).unwrap();
+        for file in ["authority.pem", "authority.key"] {
+            std::fs::copy(source.join(file), target.join(file)).unwrap();
+        }
+    };
+    for name in ["good", "expired", "early", "foreign", "operator"] {
+        authority(name);
+    }
+    let server = control_with(issue_in("good", "brest-1", GOOD));
+    let client = control_with(issue_in("good", "brest-2", GOOD));
+    let table = [
+        ("brest-2 itself", &client, &server),
+        (
+            "expired",
+            &control_with(issue_in("expired", "brest-2", EXPIRED)),
+            &server,
+        ),
+        (
+            "not yet good",
+            &control_with(issue_in("early", "brest-2", NOT_YET)),
+            &server,
+        ),
+        (
+            "another host",
+            &control_with(issue_in("foreign", "brest-3", GOOD)),
+            &server,
+        ),
+        (
+            "operator named like a host",
+            &control_with(issue_operator(&folder.path().join("operator"), "brest-2")),
+            &server,
+        ),
+        (
+            "another authority",
+            &control_with(issue(other.path(), "brest-2", GOOD)),
+            &server,
+        ),
+        (
+            "server expired",
+            &client,
+            &control_with(issue_in("expired", "brest-1", EXPIRED)),
+        ),
+        (
+            "server is another host",
+            &client,
+            &control_with(issue_in("foreign", "brest-9", GOOD)),
+        ),
+        (
+            "server of another authority",
+            &client,
+            &control_with(issue(other.path(), "brest-1", GOOD)),
+        ),
+    ];
+    let mut lines = Vec::new();
+    for (name, client, server) in table {
+        let [called, served] = connected(client, server, FaceKind::Peers).await;
+        lines.push(format!("{name}\n  client: {called}\n  server: {served}"));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    brest-2 itself
+      client: accepted
+      server: accepted
+    expired
+      client: refused by the other side
+      server: TLS handshake: invalid peer certificate: certificate expired
+    not yet good
+      client: refused by the other side
+      server: TLS handshake: invalid peer certificate: certificate not valid yet
+    another host
+      client: refused by the other side
+      server: the certificate is not that of host brest-2
+    operator named like a host
+      client: refused by the other side
+      server: the certificate is not that of host brest-2
+    another authority
+      client: TLS handshake: invalid peer certificate: BadSignature
+      server: refused by the other side
+    server expired
+      client: TLS handshake: invalid peer certificate: certificate expired
+      server: refused by the other side
+    server is another host
+      client: TLS handshake: invalid peer certificate: certificate not valid for name "brest-1.hosts.pollendrift"; certificate is only valid for DnsName("brest-9.hosts.pollendrift") or IpAddress(127.0.0.1)
+      server: refused by the other side
+    server of another authority
+      client: TLS handshake: invalid peer certificate: BadSignature
+      server: refused by the other side
+    "#);
+}
+
+#[tokio::test]
+async fn plain_text_and_silence_are_refused_on_a_tls_face() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut settings = settings();
+    settings.tls.files = Some(issue(folder.path(), "brest-1", GOOD));
+    settings.entry.head_timeout = Duration::from_millis(20);
+    let server = AccessControl::new(&settings).unwrap();
+    let mut lines = Vec::new();
+    for (name, word) in [
+        ("plain text", &b"GET / HTTP/1.1\r\n\r\n"[..]),
+        ("silence", b""),
+    ] {
+        let (mut client, server_end) = tcp_pair().await;
+        client.write_all(word).await.unwrap();
+        let refused = server.accept(FaceKind::Callers, server_end).await;
+        lines.push(format!("{name}: {}", refused.unwrap_err()));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @"
+    plain text: TLS handshake: received corrupt message of type InvalidContentType
+    silence: TLS handshake took longer than 20ms
+    ");
+}
+
+#[tokio::test]
+async fn operators_come_in_by_token_or_by_a_certificate_of_their_name() {
+    let folder = tempfile::tempdir().unwrap();
+    let server = control_with(issue(folder.path(), "brest-1", GOOD));
+    let mut lines = Vec::new();
+    for name in ["nolwenn", "mael", "brest-1"] {
+        let client = control_with(issue_operator(folder.path(), name));
+        let (client_end, server_end) = tcp_pair().await;
+        let brest: HostName = "brest-1".into();
+        let (called, served) = tokio::join!(
+            client.connect(&brest, client_end),
+            server.accept(FaceKind::Operators, server_end)
+        );
+        let certificate = served.unwrap().certificate();
+        drop(called);
+        for (with, headers) in [
+            ("no token", HeaderMap::new()),
+            ("a wrong token", bearer("Bearer wrong")),
+            ("mael's token", bearer("Bearer mael-token")),
+        ] {
+            let operator = server.operator(&headers, certificate.as_ref());
+            let found = operator.map(|operator| format!("{} {:?}", operator.name, operator.role));
+            lines.push(format!("certificate of {name}, {with}: {found:?}"));
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    certificate of nolwenn, no token: Some("nolwenn Viewer")
+    certificate of nolwenn, a wrong token: None
+    certificate of nolwenn, mael's token: Some("mael Editor")
+    certificate of mael, no token: None
+    certificate of mael, a wrong token: None
+    certificate of mael, mael's token: Some("mael Editor")
+    certificate of brest-1, no token: None
+    certificate of brest-1, a wrong token: None
+    certificate of brest-1, mael's token: Some("mael Editor")
+    "#);
+}
+
+#[test]
+fn tokens_name_one_party_and_anything_else_names_none() {
+    let control = AccessControl::new(&settings()).unwrap();
+    let mut twice = bearer("Bearer ponant-new");
+    twice.append(
+        http::header::AUTHORIZATION,
+        HeaderValue::from_static("Bearer mael-token"),
+    );
+    let long = HeaderValue::from_str(&format!("Bearer {}", "x".repeat(5_000))).unwrap();
+    let mut long_headers = HeaderMap::new();
+    long_headers.insert(http::header::AUTHORIZATION, long);
+    let table = [
+        ("customer's token", bearer("Bearer ponant-new")),
+        ("customer's older token", bearer("bearer ponant-old")),
+        ("operator's token", bearer("Bearer mael-token")),
+        ("backend server's token", bearer("Bearer engine-token")),
+        ("wrong token", bearer("Bearer ponant")),
+        ("token with a tail", bearer("Bearer ponant-new ")),
+        ("empty token", bearer("Bearer ")),
+        ("another scheme", bearer("Basic ponant-new")),
+        ("no header", HeaderMap::new()),
+        ("two headers", twice),
+        ("very long", long_headers),
+    ];
+    let lines = table.map(|(name, headers)| {
+        let customer = control.customer(&headers).map(|name| name.to_string());
+        let operator = control
+            .operator(&headers, None)
+            .map(|operator| operator.name.to_string());
+        let backend = control.admits_backend_server(&headers);
+        format!("{name}: customer {customer:?}, operator {operator:?}, backend {backend}")
+    });
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    customer's token: customer Some("ponant"), operator None, backend false
+    customer's older token: customer Some("ponant"), operator None, backend false
+    operator's token: customer None, operator Some("mael"), backend false
+    backend server's token: customer None, operator None, backend true
+    wrong token: customer None, operator None, backend false
+    token with a tail: customer None, operator None, backend false
+    empty token: customer None, operator None, backend false
+    another scheme: customer None, operator None, backend false
+    no header: customer None, operator None, backend false
+    two headers: customer None, operator None, backend false
+    very long: customer None, operator None, backend false
+    "#);
+}
+
+#[tokio::test]
+async fn keys_change_while_running_and_broken_ones_change_nothing() {
+    // What happens: the certificate of brest-1 expires soon and is replaced. First only half of
+    // it arrives, and connections go on with the old one; then all of it does.
+    let folder = tempfile::tempdir().unwrap();
+    let files = issue(folder.path(), "brest-1", GOOD);
+    let server = control_with(files.clone());
+    let client = control_with(issue(folder.path(), "brest-2", GOOD));
+    let mut lines = vec![format!("unchanged: {:?}", server.refresh_keys().ok())];
+    let renewed = issue(folder.path(), "brest-9", GOOD);
+    let replace = |from: &PathBuf, to: &PathBuf, seconds: u64| {
+        std::fs::copy(from, to).unwrap();
+        let time = SystemTime::UNIX_EPOCH + Duration::from_secs(4_000_000_000 + seconds);
+        std::fs::File::options()
+            .append(true)
+            .open(to)
+            .unwrap()
+            .set_modified(time)
+            .unwrap();
+    };
+    replace(&renewed.certificate, &files.certificate, 1);
+    lines.push(format!("half: {}", server.refresh_keys().is_err()));
+    lines.push(format!(
+        "status: {}",
+        server.status().refused.contains("brest-1.key")
+    ));
+    lines.push(format!(
+        "client: {}",
+        connected(&client, &server, FaceKind::Peers).await[0]
+    ));
+    replace(&renewed.key, &files.key, 2);
+    lines.push(format!("whole: {:?}", server.refresh_keys().ok()));
+    lines.push(format!(
+        "client: {}",
+        connected(&client, &server, FaceKind::Peers).await[0]
+    ));
+    lines.push(format!("{:?}", server.status()));
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    unchanged: Some(false)
+    half: true
+    status: true
+    client: accepted
+    whole: Some(true)
+    client: TLS handshake: invalid peer certificate: certificate not valid for name "brest-1.hosts.pollendrift"; certificate is only valid for DnsName("brest-9.hosts.pollendrift") or IpAddress(127.0.0.1)
+    AccessStatus { tls: true, generation: 2, refused: "" }
+    "#);
+}
+
+#[test]
+fn a_reload_takes_all_or_nothing() {
+    let control = AccessControl::new(&settings()).unwrap();
+    let mut changed = settings();
+    changed.customers.clear();
+    changed.tls.files = Some(KeyFiles {
+        certificate: "/nonexistent/a.pem".into(),
+        key: "/nonexistent/a.key".into(),
+        authority: "/nonexistent/authority.pem".into(),
+    });
+    let known = || control.customer(&bearer("Bearer ponant-new")).is_some();
+    assert!(control.reload(&changed).is_err());
+    assert!(known());
+    changed.tls.files = None;
+    assert!(control.reload(&changed).is_ok());
+    assert!(!known());
+}
+
+#[test]
+fn key_files_are_for_their_owner_and_never_overwritten() {
+    use std::os::unix::fs::PermissionsExt;
+    let folder = tempfile::tempdir().unwrap();
+    let files = issue(folder.path(), "brest-1", GOOD);
+    let mode = std::fs::metadata(&files.key).unwrap().permissions().mode();
+    assert_eq!(mode & 0o077, 0);
+    let before = std::fs::read(&files.key).unwrap();
+    let request = CertificateRequest::Host {
+        name: "brest-1".into(),
+        addresses: Vec::new(),
+    };
+    let again = KeyFolder::open(folder.path(), GOOD)
+        .unwrap()
+        .issue(&request, GOOD);
+    assert!(again.is_err());
+    assert_eq!(std::fs::read(&files.key).unwrap(), before);
+}
+
+#[tokio::test]
+async fn without_keys_a_face_speaks_plain_text() {
+    let control = AccessControl::new(&settings()).unwrap();
+    let (_client, server_end) = tcp_pair().await;
+    let stream = control.accept(FaceKind::Peers, server_end).await.unwrap();
+    assert!(matches!(stream, FaceStream::Plain(_)));
+    assert!(!control.status().tls);
+}
--- a/crates/daemon/tests/settings_findings.rs
+++ b/crates/daemon/tests/settings_findings.rs
@@ -92,8 +92,8 @@
     token_sha256: [{DIGEST_ONE}, hunter2]
   - name: ponant
 operators:
-  - {{name: maël, role: chief, token_sha256: {DIGEST_ONE}}}
-  - {{role: editor}}
+  - {{name: mael, role: chief, token_sha256: {DIGEST_ONE}}}
+  - {{role: editor, name: Maël}}
 tls:
   certificate: absent.pem
 agreement: {{heartbeat: 200ms}}
@@ -109,7 +109,7 @@
 "
     );
     insta::assert_snapshot!(findings_of(&text), @"
-    host.yaml:1:1: error: `data_centre` is absent from the settings (accepted: a name of 1 to 64 letters, digits, `-`, `_` or `.`)
+    host.yaml:1:1: error: `data_centre` is absent from the settings (accepted: a name of 1 to 63 letters a to z, digits and, within it, `-` or `_`)
     host.yaml:5:14: error: `operators: 127.0.0.1`: invalid socket address syntax (accepted: an IP address with a port, such as 127.0.0.1:8080 or [::1]:8080)
     host.yaml:6:20: error: `backend_servers` overlaps with `callers` (accepted: the same address for both, or another port)
     host.yaml:7:13: error: `platform` overlaps with `callers` (accepted: another port)
@@ -117,13 +117,13 @@
     host.yaml:11:74: error: `keeper: yes` is not one of the choices (accepted: true, false)
     host.yaml:12:50: error: `address: localhost:7070`: invalid socket address syntax (accepted: an IP address with a port)
     host.yaml:12:12: error: peer brest-2 stands twice (accepted: each name once)
-    host.yaml:14:11: error: `name: façades du ponant` is no name (accepted: a name of 1 to 64 letters, digits, `-`, `_` or `.`)
+    host.yaml:14:11: error: `name: façades du ponant` is no name (accepted: a name of 1 to 63 letters a to z, digits and, within it, `-` or `_`)
     host.yaml:17:86: error: `token_sha256` holds something that is no SHA-256 digest (accepted: 64 hexadecimal digits, the SHA-256 digest of the token)
     host.yaml:18:11: error: customer ponant stands twice (accepted: each name once)
     host.yaml:18:5: error: `token_sha256` is absent from customers (accepted: 64 hexadecimal digits, the SHA-256 digest of the token)
     host.yaml:20:24: error: `role: chief` is not one of the choices (accepted: viewer, editor)
-    host.yaml:20:45: error: operator maël has the token of customer ponant (accepted: a token of its own)
-    host.yaml:21:5: error: `name` is absent from operators (accepted: a name of 1 to 64 letters, digits, `-`, `_` or `.`)
+    host.yaml:20:45: error: operator mael has the token of customer ponant (accepted: a token of its own)
+    host.yaml:21:26: error: `name: Maël` is no name (accepted: a name of 1 to 63 letters a to z, digits and, within it, `-` or `_`)
     host.yaml:1:1: error: `token_sha256` is absent from backend_servers (accepted: a token digest, or `proof: not-required`)
     host.yaml:23:16: error: `certificate`: /nonexistent/absent.pem is no file (accepted: a PEM file that exists)
     host.yaml:23:3: error: `key` is absent from tls (accepted: all of certificate, key and authority, or none)
@@ -169,14 +169,14 @@
         })
         .collect();
     insta::assert_snapshot!(lines.join("\n"), @"
-    empty: host.yaml:1:1: error: `host` is absent from the settings (accepted: a name of 1 to 64 letters, digits, `-`, `_` or `.`)
+    empty: host.yaml:1:1: error: `host` is absent from the settings (accepted: a name of 1 to 63 letters a to z, digits and, within it, `-` or `_`)
     a list: host.yaml:1:1: error: the settings is no mapping (accepted: `key: value` lines)
     a word: host.yaml:1:1: error: the settings is no mapping (accepted: `key: value` lines)
     truncated: host.yaml:1:7: error: not readable as YAML: unclosed quote (accepted: one YAML document with a mapping at its top)
     tab: host.yaml:2:2: error: not readable as YAML: tabs disallowed within this context (block indentation) (accepted: one YAML document with a mapping at its top)
     two documents: host.yaml:3:1: error: not readable as YAML: multiple YAML documents detected; use from_str_multiple or from_str_multiple_with_options (accepted: one YAML document with a mapping at its top)
     deep: host.yaml:1:22: error: not readable as YAML: budget breached: Depth { depth: 17 } (accepted: one YAML document with a mapping at its top)
-    aliases: host.yaml:3:7: error: `host` is not one value (accepted: a name of 1 to 64 letters, digits, `-`, `_` or `.`)
+    aliases: host.yaml:3:7: error: `host` is not one value (accepted: a name of 1 to 63 letters a to z, digits and, within it, `-` or `_`)
     key that is a list: host.yaml:1:1: error: not readable as YAML: expected string scalar (accepted: one YAML document with a mapping at its top)
     ");
 }
