feat(claims): at most one run of a key, and a true word to each caller

Cause: a doubled permit booking or attestation hurts people; entries, leaders, links and backend servers fail at any step of such a call. Change: a replicated claim table (take, settle, end of an entry's incarnation, bounds, horizon from the settling) and the entry's side as a pure state machine.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod agreement;
 pub mod base;
+pub mod claims;
 pub mod configuration;
 pub mod evidence;
 pub mod leases;
--- /dev/null
+++ b/crates/coordination/tests/claims_bounds.rs
@@ -0,0 +1,169 @@
+//! Horizon and bounds of the claim table.
+#![allow(clippy::unwrap_used, reason = "a test that can not go on must stop")]
+
+use std::time::Duration;
+
+use pollendrift_coordination::base::{Incarnation, MonotonicTime, SequenceNumber, WallTime};
+use pollendrift_coordination::claims::{
+    AnswerBody, AnswerHeader, ClaimOutcome, ClaimScope, ClaimSettings, ClaimState, ClaimTable,
+    ClaimTicket, RequestDigest, SettleAnswer, SettleClaim, StoredAnswer, TakeAnswer, TakeClaim,
+};
+use pollendrift_coordination::replicated::{CommandStamp, ReplicatedClock, ReplicatedTime};
+
+const NOW: ReplicatedTime = ReplicatedTime::from_micros(0);
+const HORIZON: Duration = Duration::from_secs(60);
+
+fn table() -> ClaimTable {
+    ClaimTable::new(ClaimSettings {
+        horizon: HORIZON,
+        max_claims: 4,
+        max_customer_claims: 2,
+        max_body_bytes: 8,
+        max_header_bytes: 8,
+        max_stored_bytes: 20,
+    })
+}
+
+fn take(customer: &str, key: u64) -> TakeClaim {
+    TakeClaim {
+        scope: ClaimScope {
+            customer: customer.into(),
+            service: "permits".into(),
+            key: format!("{key}").into(),
+        },
+        digest: RequestDigest([0; 32]),
+        request: format!("r{key}").into(),
+        ticket: ClaimTicket {
+            host: "h".into(),
+            incarnation: Incarnation(1),
+            sequence: SequenceNumber(key),
+        },
+    }
+}
+
+fn settle(take: &TakeClaim, body: &[u8], header: &str) -> SettleClaim {
+    SettleClaim {
+        scope: take.scope.clone(),
+        ticket: take.ticket.clone(),
+        outcome: ClaimOutcome::Finished(StoredAnswer {
+            status: 201,
+            headers: vec![AnswerHeader {
+                name: "etag".into(),
+                value: header.into(),
+            }],
+            body: AnswerBody::Whole(body.to_vec()),
+        }),
+    }
+}
+
+/// A full table refuses truly, before anything is sent; one customer's flood leaves room for the
+/// others; nothing that is held is evicted.
+#[test]
+fn a_full_table_refuses_and_evicts_nothing() {
+    let mut table = table();
+    let outcomes: Vec<TakeAnswer> = [("a", 1), ("a", 2), ("a", 3), ("b", 4), ("c", 5), ("d", 6)]
+        .into_iter()
+        .map(|(customer, key)| table.take(&take(customer, key), NOW))
+        .collect();
+    insta::assert_debug_snapshot!(outcomes, @r#"
+    [
+        Taken,
+        Taken,
+        Full,
+        Taken,
+        Taken,
+        Full,
+    ]
+    "#);
+    assert_eq!(table.counts().in_progress, 4);
+}
+
+/// A settled claim is kept for the horizon; one in progress is kept for as long as it is held.
+#[test]
+fn the_horizon_runs_from_the_settling() {
+    let mut table = table();
+    let settled = take("a", 1);
+    let held = take("b", 2);
+    table.take(&settled, NOW);
+    table.take(&held, NOW);
+    let later = NOW.after(Duration::from_secs(100));
+    table.settle(&settle(&settled, b"ok", "1"), later);
+    table.expire(later.after(HORIZON));
+    assert!(matches!(
+        table.look_up(&settled.scope),
+        Some((_, ClaimState::Finished(_)))
+    ));
+    table.expire(later.after(HORIZON + Duration::from_micros(1)));
+    assert!(table.look_up(&settled.scope).is_none());
+    assert!(matches!(
+        table.look_up(&held.scope),
+        Some((_, ClaimState::InProgress))
+    ));
+}
+
+/// An answer over a bound is known to have finished, though it can't be repeated whole.
+#[test]
+fn stored_answers_are_bounded() {
+    let mut table = table();
+    let cases = [
+        ("a", 1, "12345678", "1"),
+        ("b", 2, "123456789", "1"),
+        ("c", 3, "12345678", "long-value"),
+        ("d", 4, "1234567", "1"),
+    ];
+    let mut report = Vec::new();
+    for (customer, key, body, header) in cases {
+        let take = take(customer, key);
+        table.take(&take, NOW);
+        let settle = settle(&take, body.as_bytes(), header);
+        assert_eq!(table.settle(&settle, NOW), SettleAnswer::Settled);
+        assert_eq!(table.settle(&settle, NOW), SettleAnswer::AlreadySettled);
+        if let Some((_, ClaimState::Finished(answer))) = table.look_up(&take.scope) {
+            report.push(format!(
+                "{:?}, {} headers",
+                answer.body,
+                answer.headers.len()
+            ));
+        }
+    }
+    report.push(format!("{} bytes stored", table.counts().stored_bytes));
+    insta::assert_debug_snapshot!(report, @r#"
+    [
+        "Whole([49, 50, 51, 52, 53, 54, 55, 56]), 1 headers",
+        "TooLong { bytes: 9 }, 1 headers",
+        "TooLong { bytes: 8 }, 0 headers",
+        "TooLong { bytes: 7 }, 0 headers",
+        "18 bytes stored",
+    ]
+    "#);
+}
+
+/// Wall clocks jump by a year and back, a host restarts, another's stamps come late: the agreed
+/// clock goes by uptime only, never backwards, and never faster than the fastest uptime.
+#[test]
+fn clock_jumps_expire_nothing() {
+    let stamps = [
+        ("h1", 1, 10, 0),
+        ("h1", 1, 11, 31_536_000_000),
+        ("h2", 1, 500, 5),
+        ("h2", 1, 503, 5),
+        ("h1", 1, 12, 0),
+        ("h1", 2, 90_000, 0),
+        ("h1", 2, 90_002, 0),
+        ("h2", 1, 502, 5),
+    ];
+    let mut clock = ReplicatedClock::default();
+    let seconds: Vec<u64> = stamps
+        .into_iter()
+        .map(|(host, incarnation, uptime, wall)| {
+            let stamp = CommandStamp {
+                proposer: host.into(),
+                incarnation: Incarnation(incarnation),
+                uptime: MonotonicTime::from_millis(uptime * 1_000),
+                wall: WallTime(wall),
+            };
+            clock.observe(&stamp).as_micros() / 1_000_000
+        })
+        .collect();
+    assert_eq!(seconds, [0, 1, 1, 4, 4, 4, 6, 6]);
+}
