feat(peers): link processes by one websocket each way

Keepers and entries need frames between them that never block the decider and never leave a caller guessing whether a frame was sent. Sending queues or refuses; agreement frames push out their own oldest; calls end as answered, not sent, or no answer. Heartbeats with echoes find half-open links; a hello checks version and host.

--- /dev/null
+++ b/crates/daemon/src/peers/inbound.rs
@@ -0,0 +1,154 @@
+//! Links that peers open to this process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pollendrift_coordination::base::HostName;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+use tokio_tungstenite::accept_async_with_config;
+
+use super::error::{HelloRefusal, LinkError};
+use super::frame::{PEER_PROTOCOL, PeerFrame};
+use super::hub::PeerHub;
+use super::socket::{FrameReceiver, FrameSender, in_time, socket_config, split_socket};
+use super::transport::{AcceptedStream, PeerAcceptor};
+
+/// Wait after a failed accept, such as with no file handles left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts links until the task is dropped, which ends all of them.
+pub(super) async fn accept_streams(
+    hub: PeerHub,
+    listener: TcpListener,
+    acceptor: Arc<dyn PeerAcceptor>,
+) {
+    let mut links = JoinSet::new();
+    loop {
+        while links.try_join_next().is_some() {}
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                links.spawn(serve_tcp(hub.clone(), stream, acceptor.clone()));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "can't accept a peer");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_tcp(hub: PeerHub, stream: TcpStream, acceptor: Arc<dyn PeerAcceptor>) {
+    let patience = hub.shared.settings.handshake_timeout;
+    let accepted = match timeout(patience, acceptor.accept(stream)).await {
+        Ok(Ok(accepted)) => accepted,
+        Ok(Err(error)) => {
+            log::debug!(error:% = error; "peer's connection failed");
+            return;
+        }
+        Err(_) => return,
+    };
+    let error = serve_stream(&hub, accepted).await;
+    log::debug!(error:% = error; "link from a peer ended");
+}
+
+/// Serves one accepted link to its end and returns why it ended.
+///
+/// Strangers cost a bounded number of handshakes at a time, each of bounded length.
+pub async fn serve_stream(hub: &PeerHub, accepted: AcceptedStream) -> LinkError {
+    let Ok(permit) = hub.shared.handshakes.try_acquire() else {
+        return LinkError::Timeout {
+            step: "waiting for other handshakes",
+        };
+    };
+    let greeted = timeout(hub.shared.settings.handshake_timeout, greet(hub, accepted)).await;
+    drop(permit);
+    match greeted {
+        Ok(Ok(link)) => run_link(hub, link).await,
+        Ok(Err(error)) => error,
+        Err(_) => LinkError::Timeout {
+            step: "the handshake",
+        },
+    }
+}
+
+/// A link whose hello was accepted.
+struct GreetedLink {
+    host: HostName,
+    sender: FrameSender,
+    receiver: FrameReceiver,
+}
+
+async fn greet(hub: &PeerHub, accepted: AcceptedStream) -> Result<GreetedLink, LinkError> {
+    let settings = &hub.shared.settings;
+    let handshake = accept_async_with_config(accepted.stream, Some(socket_config(settings)));
+    let socket = in_time("the handshake", settings.handshake_timeout, handshake).await?;
+    let (mut sender, mut receiver) = split_socket(socket, settings);
+    let first = receiver.receive().await?;
+    match check_hello(hub, &first, accepted.proven) {
+        Ok(host) => {
+            sender.send(&hub.hello()).await?;
+            Ok(GreetedLink {
+                host,
+                sender,
+                receiver,
+            })
+        }
+        Err(refusal) => {
+            sender.send(&PeerFrame::Refusal(refusal.clone())).await?;
+            Err(LinkError::Refusing { refusal })
+        }
+    }
+}
+
+fn check_hello(
+    hub: &PeerHub,
+    first: &PeerFrame,
+    proven: Option<HostName>,
+) -> Result<HostName, HelloRefusal> {
+    let PeerFrame::Hello(hello) = first else {
+        return Err(HelloRefusal::NoHello);
+    };
+    if hello.protocol != PEER_PROTOCOL {
+        return Err(HelloRefusal::Protocol {
+            found: hello.protocol,
+            spoken: PEER_PROTOCOL,
+        });
+    }
+    let host = hello.host.clone();
+    if hub.slot(&host).is_none() {
+        return Err(HelloRefusal::UnknownHost { host });
+    }
+    match proven {
+        Some(proven) if proven != host => Err(HelloRefusal::OtherProof { host, proven }),
+        _ => Ok(host),
+    }
+}
+
+async fn run_link(hub: &PeerHub, mut link: GreetedLink) -> LinkError {
+    loop {
+        let step = timeout(hub.shared.settings.silence, link.receiver.receive()).await;
+        let frame = match step {
+            Ok(Ok(frame)) => frame,
+            Ok(Err(error)) => return error,
+            Err(_) => return LinkError::Silent,
+        };
+        match frame {
+            PeerFrame::Heartbeat(number) => {
+                if let Err(error) = link.sender.send(&PeerFrame::Echo(number)).await {
+                    return error;
+                }
+            }
+            PeerFrame::Answer { number, answer } => {
+                hub.shared.calls.answer(&link.host, number, answer);
+            }
+            PeerFrame::Hello(_) | PeerFrame::Refusal(_) | PeerFrame::Echo(_) => {
+                return LinkError::Unexpected {
+                    what: "frame of the handshake",
+                };
+            }
+            frame => hub.shared.handler.handle(hub, &link.host, frame),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/outbound.rs
@@ -0,0 +1,147 @@
+//! The link that this process opens to one peer.
+
+use std::sync::Arc;
+
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio_tungstenite::client_async_with_config;
+
+use super::backoff::RetryBackoff;
+use super::error::LinkError;
+use super::frame::{HeartbeatNumber, PeerFrame};
+use super::hub::{PeerHub, PeerSlot};
+use super::settings::LinkSettings;
+use super::socket::{FrameReceiver, FrameSender, in_time, socket_config, split_socket};
+
+/// Address in the websocket's handshake; peers ignore it.
+const HANDSHAKE_URL: &str = "ws://peer/";
+
+/// Keeps one link open for as long as the process runs.
+pub(super) async fn keep_link(hub: PeerHub, slot: Arc<PeerSlot>) {
+    let host = &slot.peer.host;
+    let mut backoff = RetryBackoff::new(&hub.shared.settings, salt_of(&hub, &slot));
+    loop {
+        let error = match open_link(&hub, &slot).await {
+            Ok((sender, receiver)) => {
+                backoff.reset();
+                slot.note_up();
+                hub.shared.handler.link_changed(&hub, host, true);
+                let error = run_link(&hub.shared.settings, &slot, sender, receiver).await;
+                slot.note_down(error.to_string());
+                hub.shared.calls.fail(host);
+                hub.shared.handler.link_changed(&hub, host, false);
+                error
+            }
+            Err(error) => {
+                slot.note_down(error.to_string());
+                error
+            }
+        };
+        log::debug!(peer:% = host, error:% = error; "link to a peer ended");
+        sleep(backoff.next_wait()).await;
+    }
+}
+
+/// Differs for each pair of hosts, and is the same at every start.
+fn salt_of(hub: &PeerHub, slot: &PeerSlot) -> u64 {
+    let pair = format!("{} {}", hub.host(), slot.peer.host);
+    pair.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
+async fn open_link(
+    hub: &PeerHub,
+    slot: &PeerSlot,
+) -> Result<(FrameSender, FrameReceiver), LinkError> {
+    let opening = connect(hub, slot);
+    timeout(hub.shared.settings.handshake_timeout, opening)
+        .await
+        .map_err(|_| LinkError::Timeout {
+            step: "the handshake",
+        })?
+}
+
+async fn connect(
+    hub: &PeerHub,
+    slot: &PeerSlot,
+) -> Result<(FrameSender, FrameReceiver), LinkError> {
+    let settings = &hub.shared.settings;
+    let dialing = hub.shared.dialer.dial(&slot.peer.host, slot.peer.address);
+    let stream = dialing.await.map_err(LinkError::Dial)?;
+    let handshake = client_async_with_config(HANDSHAKE_URL, stream, Some(socket_config(settings)));
+    let (socket, _) = in_time("the handshake", settings.handshake_timeout, handshake).await?;
+    let (mut sender, mut receiver) = split_socket(socket, settings);
+    sender.send(&hub.hello()).await?;
+    match receiver.receive().await? {
+        PeerFrame::Hello(hello) if hello.host == slot.peer.host => Ok((sender, receiver)),
+        PeerFrame::Hello(hello) => Err(LinkError::WrongHost {
+            found: hello.host,
+            expected: slot.peer.host.clone(),
+        }),
+        PeerFrame::Refusal(refusal) => Err(LinkError::Refused { refusal }),
+        _ => Err(LinkError::Unexpected {
+            what: "first frame is no hello",
+        }),
+    }
+}
+
+/// Sends what is queued, and heartbeats; returns why the link ended.
+///
+/// A peer whose host lost power sends no reset: writes go on into the socket's buffer and look
+/// like a working link. Only echoes prove that somebody reads, so their lack ends the link.
+async fn run_link(
+    settings: &LinkSettings,
+    slot: &PeerSlot,
+    mut sender: FrameSender,
+    mut receiver: FrameReceiver,
+) -> LinkError {
+    let mut heartbeats = interval(settings.heartbeat);
+    heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut sent = HeartbeatNumber::default();
+    let mut sent_at = Instant::now();
+    let mut heard_at = Instant::now();
+    loop {
+        let step = tokio::select! {
+            () = slot.queue.ready() => send_queued(slot, &mut sender).await,
+            frame = receiver.receive() => {
+                heard_at = Instant::now();
+                frame.and_then(|frame| take_echo(slot, &frame, sent, sent_at))
+            }
+            _ = heartbeats.tick() => {
+                if heard_at.elapsed() > settings.silence {
+                    return LinkError::Silent;
+                }
+                sent = HeartbeatNumber(sent.0 + 1);
+                sent_at = Instant::now();
+                sender.send(&PeerFrame::Heartbeat(sent)).await
+            }
+        };
+        if let Err(error) = step {
+            return error;
+        }
+    }
+}
+
+async fn send_queued(slot: &PeerSlot, sender: &mut FrameSender) -> Result<(), LinkError> {
+    while let Some(frame) = slot.queue.pop() {
+        sender.feed(frame).await?;
+    }
+    sender.flush().await
+}
+
+fn take_echo(
+    slot: &PeerSlot,
+    frame: &PeerFrame,
+    sent: HeartbeatNumber,
+    sent_at: Instant,
+) -> Result<(), LinkError> {
+    let PeerFrame::Echo(number) = frame else {
+        return Err(LinkError::Unexpected {
+            what: "not an echo",
+        });
+    };
+    if *number == sent {
+        slot.note_round_trip(sent_at.elapsed());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/peers/queue.rs
@@ -0,0 +1,191 @@
+//! Frames that wait for one peer.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use tokio::sync::Notify;
+
+use super::settings::LinkSettings;
+
+/// Why a frame was not sent; it provably never left this process.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum SendRefusal {
+    /// The settings don't name the host.
+    #[display("host is not a peer")]
+    UnknownHost,
+    /// There is no link now.
+    #[display("no link to the host")]
+    Down,
+    /// Too much waits already.
+    #[display("queue to the host is full")]
+    Full,
+    /// The frame is over the bound.
+    #[display("{reason}")]
+    TooLarge {
+        /// Size and bound.
+        reason: String,
+    },
+}
+
+/// Two bounded queues of encoded frames.
+///
+/// Invariant: `agreement_bytes` and `other_bytes` are the sums over their queues; while `up` is
+/// false both are empty.
+#[derive(Default)]
+struct QueueState {
+    up: bool,
+    agreement: VecDeque<Bytes>,
+    agreement_bytes: usize,
+    other: VecDeque<Bytes>,
+    other_bytes: usize,
+    dropped: u64,
+}
+
+/// Counts for the dump.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct QueueUsage {
+    pub(super) frames: usize,
+    pub(super) dropped: u64,
+}
+
+/// Outbound frames of one peer; pushing never waits.
+pub(super) struct FrameQueue {
+    state: Mutex<QueueState>,
+    wake: Notify,
+    agreement_frames: usize,
+    other_frames: usize,
+    queue_bytes: usize,
+}
+
+impl FrameQueue {
+    pub(super) fn new(settings: &LinkSettings) -> Self {
+        Self {
+            state: Mutex::default(),
+            wake: Notify::new(),
+            agreement_frames: settings.agreement_frames,
+            other_frames: settings.other_frames,
+            queue_bytes: settings.queue_bytes,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, QueueState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Opens the queue for a new link, or empties and closes it.
+    ///
+    /// What waits when a link breaks is thrown away: agreement traffic is out of date by the time
+    /// a link is back, and the callers of the rest have been told that the link is gone.
+    pub(super) fn set_up(&self, up: bool) {
+        let mut state = self.lock();
+        let dropped = state.dropped + (state.agreement.len() + state.other.len()) as u64;
+        *state = QueueState {
+            up,
+            dropped,
+            ..QueueState::default()
+        };
+    }
+
+    /// Adds a frame that later ones make up for: the oldest go where there is no room.
+    pub(super) fn push_repeated(&self, frame: Bytes) -> Result<(), SendRefusal> {
+        let mut state = self.lock();
+        if !state.up {
+            return Err(SendRefusal::Down);
+        }
+        state.agreement_bytes += frame.len();
+        state.agreement.push_back(frame);
+        while state.agreement.len() > self.agreement_frames
+            || state.agreement_bytes > self.queue_bytes
+        {
+            let Some(oldest) = state.agreement.pop_front() else {
+                break;
+            };
+            state.agreement_bytes -= oldest.len();
+            state.dropped += 1;
+        }
+        drop(state);
+        self.wake.notify_one();
+        Ok(())
+    }
+
+    /// Adds a frame that is sent or refused, never dropped from the queue of a working link.
+    pub(super) fn push(&self, frame: Bytes) -> Result<(), SendRefusal> {
+        let mut state = self.lock();
+        if !state.up {
+            return Err(SendRefusal::Down);
+        }
+        let bytes = state.other_bytes + frame.len();
+        if state.other.len() >= self.other_frames || bytes > self.queue_bytes {
+            state.dropped += 1;
+            return Err(SendRefusal::Full);
+        }
+        state.other_bytes = bytes;
+        state.other.push_back(frame);
+        drop(state);
+        self.wake.notify_one();
+        Ok(())
+    }
+
+    /// Takes the next frame; agreement first, as leases of leadership hang on it.
+    pub(super) fn pop(&self) -> Option<Bytes> {
+        let mut state = self.lock();
+        if let Some(frame) = state.agreement.pop_front() {
+            state.agreement_bytes -= frame.len();
+            return Some(frame);
+        }
+        let frame = state.other.pop_front()?;
+        state.other_bytes -= frame.len();
+        Some(frame)
+    }
+
+    /// Returns once a frame may wait.
+    pub(super) async fn ready(&self) {
+        self.wake.notified().await;
+    }
+
+    pub(super) fn usage(&self) -> QueueUsage {
+        let state = self.lock();
+        QueueUsage {
+            frames: state.agreement.len() + state.other.len(),
+            dropped: state.dropped,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use bytes::Bytes;
+
+    use super::{FrameQueue, SendRefusal};
+    use crate::peers::LinkSettings;
+
+    /// A peer that reads slowly costs a bounded queue: agreement keeps the newest frames, the rest
+    /// is refused to the sender, and nothing waits across a broken link.
+    #[test]
+    fn a_slow_peer_keeps_the_newest_agreement_frames() {
+        let settings = LinkSettings {
+            agreement_frames: 2,
+            other_frames: 1,
+            queue_bytes: 10,
+            ..LinkSettings::default()
+        };
+        let queue = FrameQueue::new(&settings);
+        let frame = |text: &'static str| Bytes::from_static(text.as_bytes());
+        assert_eq!(queue.push(frame("a")), Err(SendRefusal::Down));
+        queue.set_up(true);
+        for text in ["a1", "a2", "a3", "a4+6789ab"] {
+            queue.push_repeated(frame(text)).expect("up");
+        }
+        assert_eq!(queue.push(frame("b1")), Ok(()));
+        assert_eq!(queue.push(frame("b2")), Err(SendRefusal::Full));
+        let taken: Vec<_> = std::iter::from_fn(|| queue.pop()).collect();
+        assert_eq!(taken, [frame("a4+6789ab"), frame("b1")]);
+        queue.push(frame("b3")).expect("room again");
+        queue.set_up(false);
+        queue.set_up(true);
+        assert_eq!(queue.pop(), None);
+        assert_eq!(queue.usage().dropped, 5);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/settings.rs
@@ -0,0 +1,51 @@
+//! Settings of the links between peers.
+
+use std::time::Duration;
+
+/// Timeouts and bounds of a link.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LinkSettings {
+    /// Time for connecting, the handshake and the hello together.
+    pub handshake_timeout: Duration,
+    /// Time between two heartbeats.
+    pub heartbeat: Duration,
+    /// Silence after which a link counts as broken. Invariant: at least three heartbeats.
+    pub silence: Duration,
+    /// First wait before a new attempt.
+    pub retry_first: Duration,
+    /// Longest wait before a new attempt.
+    pub retry_most: Duration,
+    /// Bytes of the largest frame.
+    pub frame_bytes: usize,
+    /// Agreement frames that wait for one peer.
+    pub agreement_frames: usize,
+    /// Other frames that wait for one peer.
+    pub other_frames: usize,
+    /// Bytes that wait for one peer, for each of the two kinds.
+    pub queue_bytes: usize,
+    /// Calls of this process that wait for an answer.
+    pub open_calls: usize,
+    /// Accepted connections that have not said hello yet.
+    pub handshakes: usize,
+    /// Seed of the jitter between attempts.
+    pub seed: u64,
+}
+
+impl Default for LinkSettings {
+    fn default() -> Self {
+        Self {
+            handshake_timeout: Duration::from_secs(2),
+            heartbeat: Duration::from_millis(300),
+            silence: Duration::from_millis(1_200),
+            retry_first: Duration::from_millis(20),
+            retry_most: Duration::from_millis(1_000),
+            frame_bytes: 4 * 1024 * 1024,
+            agreement_frames: 1_024,
+            other_frames: 4_096,
+            queue_bytes: 8 * 1024 * 1024,
+            open_calls: 16_384,
+            handshakes: 64,
+            seed: 0,
+        }
+    }
+}
