--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,5 @@
 pub mod faces;
 pub mod fleet;
 pub mod peers;
-pub mod planner;
 pub mod platform;
 pub mod settings;
