feat(access): prove callers and backend servers on every face

Cause: the entry kept its own list of tokens and no face spoke TLS. Change: AccessControl decides on callers and announcements; each listening address does its handshake, and what it proved travels with the request.

--- a/crates/daemon/src/access.rs
+++ b/crates/daemon/src/access.rs
@@ -4,6 +4,7 @@
 //! themselves to each other by certificates of one authority, each bound to the name that the
 //! settings give the host. No secret is kept: of tokens only digests are known.
 
+mod acceptor;
 mod control;
 mod credentials;
 mod identity;
@@ -11,6 +12,7 @@
 mod material;
 mod stream;
 
+pub use acceptor::FaceAcceptor;
 pub use control::{AccessControl, AccessStatus, FaceKind};
 pub use credentials::{CredentialTable, bearer_token};
 pub use identity::{CertificateIdentity, HOST_DOMAIN, OPERATOR_DOMAIN, OperatorIdentity};
--- a/crates/daemon/src/announcements.rs
+++ b/crates/daemon/src/announcements.rs
@@ -11,6 +11,7 @@
     HandlerFuture, HttpHandler, ResponseBody, json_response, read_json, text_response,
 };
 
+use crate::access::AccessControl;
 use crate::clock::TimeSource;
 use crate::fleet::{AnnounceError, BackendFleet};
 
@@ -22,6 +23,8 @@
 pub struct AnnouncementHandler {
     /// Backend servers.
     pub fleet: Arc<BackendFleet>,
+    /// Who may announce.
+    pub access: Arc<AccessControl>,
     /// The present time.
     pub clock: Arc<dyn TimeSource>,
     /// Lease that an announcement renews.
@@ -47,6 +50,12 @@
                 format!("POST {ANNOUNCEMENT_PATH} is served\n"),
             );
         }
+        if !self.access.admits_backend_server(request.headers()) {
+            return text_response(
+                StatusCode::UNAUTHORIZED,
+                "a bearer token of a backend server is expected\n",
+            );
+        }
         let announcement: Announcement =
             match read_json(request.into_body(), MAX_ANNOUNCEMENT_BYTES).await {
                 Ok(announcement) => announcement,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,17 +7,18 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use derive_more::{Display, Error};
+use derive_more::{Display, Error, From};
 use pollendrift_coordination::leases::BackendLeaseSettings;
 use pollendrift_coordination::routing::RoutingSettings;
-use pollendrift_http::{HttpClient, HttpServer, ServerBounds};
+use pollendrift_http::{HttpClient, HttpServer, ServerBounds, StreamAcceptor};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::access::{AccessControl, AccessError, FaceAcceptor, FaceKind};
 use crate::agreed::AgreedState;
 use crate::announcements::AnnouncementHandler;
 use crate::clock::{SystemClock, TimeSource};
-use crate::entry::{CustomerDirectory, DraftSettings, EntryContext, EntryHandler, ReadyState};
+use crate::entry::{DraftSettings, EntryContext, EntryHandler, ReadyState};
 use crate::faces::FaceRouter;
 use crate::fleet::BackendFleet;
 use crate::platform::{DumpSource, MetricSource, PlatformHandler};
@@ -29,14 +30,21 @@
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Why a daemon did not start.
-#[derive(Debug, Display, Error)]
-#[display("can't listen on {address}: {error}")]
-pub struct StartError {
-    /// Address that could not be bound.
-    pub address: SocketAddr,
-    /// The system's words.
-    #[error(source)]
-    pub error: io::Error,
+#[derive(Debug, Display, Error, From)]
+pub enum StartError {
+    /// An address can't be bound.
+    #[display("can't listen on {address}: {error}")]
+    #[from(skip)]
+    Listen {
+        /// Address that could not be bound.
+        address: SocketAddr,
+        /// The system's words.
+        #[error(source)]
+        error: io::Error,
+    },
+    /// The keys can't be used.
+    #[display("{_0}")]
+    Access(AccessError),
 }
 
 /// A running daemon; dropping it stops at once, as a crash does.
@@ -56,6 +64,7 @@
         settings: &DaemonSettings,
         agreed: Arc<dyn AgreedState>,
     ) -> Result<Self, StartError> {
+        let access = Arc::new(AccessControl::new(settings)?);
         let clock: Arc<dyn TimeSource> = Arc::new(SystemClock::default());
         let leases = BackendLeaseSettings {
             lease: settings.leases.backend_server,
@@ -69,7 +78,7 @@
             incarnation: clock.wall().0,
             max_body_bytes: to_usize(settings.entry.max_body_bytes),
             clock: Arc::clone(&clock),
-            customers: CustomerDirectory::new(&settings.customers),
+            access: Arc::clone(&access),
             fleet: Arc::clone(&fleet),
             agreed,
             client: HttpClient::new(MAX_ANSWER_BYTES),
@@ -81,6 +90,7 @@
             entry: Arc::new(EntryHandler::new(context)),
             announcements: Arc::new(AnnouncementHandler {
                 fleet: Arc::clone(&fleet),
+                access: Arc::clone(&access),
                 clock: Arc::clone(&clock),
                 lease: settings.leases.backend_server,
                 heartbeat: settings.leases.heartbeat,
@@ -102,12 +112,20 @@
         let mut servers = Vec::new();
         for (address, faces) in listen_addresses(settings) {
             let handler = Arc::new(router.for_faces(faces));
-            servers.push(listen(address, &settings.entry, handler).await?);
+            let kind = if faces.operators {
+                FaceKind::Operators
+            } else {
+                FaceKind::Callers
+            };
+            let acceptor = FaceAcceptor::new(Arc::clone(&access), kind);
+            servers
+                .push(listen(address, &settings.entry, Some(Arc::new(acceptor)), handler).await?);
         }
         servers.push(
             listen(
                 settings.listen.platform,
                 &settings.entry,
+                None,
                 Arc::new(platform),
             )
             .await?,
@@ -165,6 +183,7 @@
 async fn listen(
     address: SocketAddr,
     settings: &EntrySettings,
+    acceptor: Option<Arc<dyn StreamAcceptor>>,
     handler: Arc<dyn pollendrift_http::DynHandler>,
 ) -> Result<HttpServer, StartError> {
     let bounds = ServerBounds {
@@ -173,9 +192,9 @@
         head_timeout: settings.head_timeout,
         max_connections_per_address: to_usize(settings.max_connections_per_address),
     };
-    HttpServer::start(address, bounds, None, handler)
+    HttpServer::start(address, bounds, acceptor, handler)
         .await
-        .map_err(|error| StartError { address, error })
+        .map_err(|error| StartError::Listen { address, error })
 }
 
 async fn tick_loop(fleet: Arc<BackendFleet>, clock: Arc<dyn TimeSource>) {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -5,7 +5,6 @@
 
 mod completions;
 mod context;
-mod credential;
 mod draft;
 mod refusal;
 mod selection;
@@ -20,7 +19,6 @@
 use pollendrift_http::{HandlerFuture, HttpHandler, ResponseBody};
 
 pub use context::{EntryContext, ReadyState};
-pub use credential::CustomerDirectory;
 pub use draft::DraftSettings;
 
 use refusal::Refusal;
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -8,9 +8,9 @@
 use pollendrift_http::HttpClient;
 use tokio::sync::watch;
 
-use super::credential::CustomerDirectory;
 use super::draft::DraftSettings;
 use super::refusal::Refusal;
+use crate::access::{AccessControl, bearer_token};
 use crate::agreed::AgreedState;
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
@@ -39,7 +39,7 @@
     /// The present time.
     pub clock: Arc<dyn TimeSource>,
     /// Who the callers are.
-    pub customers: CustomerDirectory,
+    pub access: Arc<AccessControl>,
     /// Backend servers.
     pub fleet: Arc<BackendFleet>,
     /// State that all hosts agree on.
@@ -78,7 +78,13 @@
 
     /// The customer that calls, if this host takes new work.
     pub(super) fn admit_caller(&self, headers: &HeaderMap) -> Result<CustomerName, Refusal> {
-        let customer = self.customers.find(headers)?;
+        let Some(customer) = self.access.customer(headers) else {
+            let detail = match bearer_token(headers) {
+                Some(_) => "the bearer token names no customer",
+                None => "no bearer token was sent",
+            };
+            return Err(Refusal::unauthorized(detail));
+        };
         if let ReadyState::NotReady(reason) = &*self.ready.borrow() {
             return Err(Refusal::not_ready(reason));
         }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,6 @@
 };
 pub use client::{ClientError, HttpClient, LineReader, PendingCall};
 pub use server::{
-    BoxedStream, ByteStream, DynHandler, HandlerFuture, HttpHandler, HttpServer, ServerBounds,
-    StreamAcceptor, StreamFuture,
+    AcceptedStream, BoxedStream, ByteStream, DynHandler, HandlerFuture, HttpHandler, HttpServer,
+    ServerBounds, StreamAcceptor, StreamFuture,
 };
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{Extensions, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -64,8 +64,16 @@
 /// A stream behind a trait object.
 pub type BoxedStream = Box<dyn ByteStream>;
 
+/// An accepted stream, with what its handshake proved.
+pub struct AcceptedStream {
+    /// The stream.
+    pub stream: BoxedStream,
+    /// Put into every request of the connection.
+    pub extensions: Extensions,
+}
+
 /// A stream that is being accepted.
-pub type StreamFuture = Pin<Box<dyn Future<Output = io::Result<BoxedStream>> + Send>>;
+pub type StreamFuture = Pin<Box<dyn Future<Output = io::Result<AcceptedStream>> + Send>>;
 
 /// Turns an accepted connection into a byte stream, such as by a TLS handshake.
 pub trait StreamAcceptor: Send + Sync {
@@ -234,11 +242,13 @@
     let _guard = guard;
     // A token must leave at once: without this, small writes wait for the peer's acknowledgement.
     let _ = stream.set_nodelay(true);
-    let Some(stream) = accept_stream(stream, peer, &context).await else {
+    let Some(accepted) = accept_stream(stream, peer, &context).await else {
         return;
     };
+    let AcceptedStream { stream, extensions } = accepted;
     let handler = Arc::clone(&context.handler);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().extend(extensions.clone());
         let answer = Arc::clone(&handler).handle_dyn(request, peer);
         async move { Ok::<Response<ResponseBody>, std::convert::Infallible>(answer.await) }
     });
@@ -270,9 +280,13 @@
     stream: TcpStream,
     peer: SocketAddr,
     context: &ServerContext,
-) -> Option<BoxedStream> {
+) -> Option<AcceptedStream> {
     let Some(acceptor) = &context.acceptor else {
-        return Some(Box::new(stream));
+        let extensions = Extensions::new();
+        return Some(AcceptedStream {
+            stream: Box::new(stream),
+            extensions,
+        });
     };
     let handshake =
         tokio::time::timeout(context.bounds.head_timeout, acceptor.accept(stream)).await;
