--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod engine;
 pub mod fleet;
 pub mod harness;
+pub mod load;
 pub mod service;
 pub mod token;
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,137 @@
+//! A load of checked drafts and keyed service calls, and what came of it.
+
+mod call;
+mod report;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+pub use call::{CallOutcome, ServiceCaller};
+pub use report::{CallCounts, LoadReport};
+
+use crate::caller::DraftCaller;
+use crate::fleet::ModelShape;
+use crate::token::{StandInWeights, expected_answer};
+
+const WORDS: [&str; 8] = [
+    "clause",
+    "valve",
+    "façade",
+    "permit",
+    "outage",
+    "coastal",
+    "isolation",
+    "bracket",
+];
+
+/// What a load sends.
+#[derive(Clone, Debug)]
+pub struct LoadPlan {
+    /// `ip:port` of every entry; requests go to them in turn.
+    pub entries: Vec<String>,
+    /// Credential of the customer.
+    pub token: String,
+    /// Callers that each send one draft after the other.
+    pub drafters: u32,
+    /// Callers that each send one keyed call after the other.
+    pub clerks: u32,
+    /// How long new requests are begun.
+    pub duration: Duration,
+    /// Tokens of each answer, at most.
+    pub max_tokens: u32,
+    /// Words of each prompt.
+    pub prompt_words: u32,
+    /// Model that drafts ask for.
+    pub shape: ModelShape,
+    /// Fixes prompts and turns.
+    pub seed: u64,
+}
+
+/// Runs the load to its end.
+pub async fn run_load(plan: &LoadPlan) -> LoadReport {
+    let report = Arc::new(Mutex::new(LoadReport::new()));
+    let started = Instant::now();
+    let mut callers = JoinSet::new();
+    for index in 0..plan.drafters {
+        callers.spawn(draft_loop(
+            plan.clone(),
+            index,
+            started,
+            Arc::clone(&report),
+        ));
+    }
+    for index in 0..plan.clerks {
+        callers.spawn(call_loop(plan.clone(), index, started, Arc::clone(&report)));
+    }
+    while callers.join_next().await.is_some() {}
+    let mut report = std::mem::take(&mut *report.lock().await);
+    report.elapsed = started.elapsed();
+    report
+}
+
+async fn draft_loop(plan: LoadPlan, index: u32, started: Instant, report: Arc<Mutex<LoadReport>>) {
+    let weights = StandInWeights::new(
+        &plan.shape.model,
+        &plan.shape.version,
+        None,
+        plan.shape.layers,
+    );
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed ^ u64::from(index));
+    let mut turn = usize::try_from(index).unwrap_or(0);
+    while started.elapsed() < plan.duration {
+        let prompt = random_prompt(&mut rng, plan.prompt_words, index);
+        let Some(entry) = entry_of(&plan, turn) else {
+            return;
+        };
+        turn += 1;
+        let caller = DraftCaller::new(entry, &plan.token);
+        let reply = caller
+            .draft(&plan.shape.model, &prompt, plan.max_tokens, |_| {})
+            .await;
+        let expected = expected_answer(&weights, &prompt, plan.max_tokens);
+        let mut report = report.lock().await;
+        match reply {
+            Ok(reply) => report.take_draft(&reply, &expected),
+            Err(error) => report.take_lost_draft(&error),
+        }
+    }
+}
+
+async fn call_loop(plan: LoadPlan, index: u32, started: Instant, report: Arc<Mutex<LoadReport>>) {
+    let mut number = 0_u64;
+    while started.elapsed() < plan.duration {
+        let turn = usize::try_from(number).unwrap_or(0) + usize::try_from(index).unwrap_or(0);
+        let Some(entry) = entry_of(&plan, turn) else {
+            return;
+        };
+        let key = format!("{:x}-{index}-{number}", plan.seed);
+        number += 1;
+        let caller = ServiceCaller::new(entry, &plan.token);
+        let sent_at = Instant::now();
+        let outcome = caller.file("portal", &key).await;
+        report.lock().await.take_call(outcome, sent_at.elapsed());
+    }
+}
+
+fn entry_of(plan: &LoadPlan, turn: usize) -> Option<&String> {
+    plan.entries.get(turn % plan.entries.len().max(1))
+}
+
+fn random_prompt(rng: &mut ChaCha8Rng, words: u32, caller: u32) -> String {
+    let mut prompt = format!("caller{caller}");
+    for _ in 0..words {
+        let word = WORDS
+            .get(rng.random_range(0..WORDS.len()))
+            .copied()
+            .unwrap_or("clause");
+        prompt.push(' ');
+        prompt.push_str(word);
+    }
+    prompt
+}
--- /dev/null
+++ b/crates/standins/src/load/call.rs
@@ -0,0 +1,87 @@
+//! A caller of plain services that names its calls.
+
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::Full;
+use pollendrift_border::{ProblemReport, ProblemReportOutcome};
+use pollendrift_http::{ClientError, HttpClient};
+
+use crate::service::KEY_HEADER;
+
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// What a caller was told of one call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// It ran; the body of the answer.
+    Answered(String),
+    /// It did not run.
+    NotRun(String),
+    /// It may have run.
+    Unknown(String),
+}
+
+/// Sends calls to one entry as one customer.
+#[derive(Clone, Debug)]
+pub struct ServiceCaller {
+    client: HttpClient,
+    entry: String,
+    token: String,
+}
+
+impl ServiceCaller {
+    /// A caller of `entry` (`ip:port`) with a bearer token.
+    pub fn new(entry: &str, token: &str) -> Self {
+        Self {
+            client: HttpClient::new(MAX_ANSWER_BYTES),
+            entry: entry.to_owned(),
+            token: token.to_owned(),
+        }
+    }
+
+    /// Files one attestation under `key`.
+    pub async fn file(&self, service: &str, key: &str) -> CallOutcome {
+        self.post(service, "attestations", key, "attestation").await
+    }
+
+    /// Posts `body` to a path of `service` under `key`; an empty key sends none.
+    pub async fn post(&self, service: &str, path: &str, key: &str, body: &str) -> CallOutcome {
+        let mut request = Request::post(format!("http://{}/services/{service}/{path}", self.entry))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.token));
+        if !key.is_empty() {
+            request = request.header(KEY_HEADER, key);
+        }
+        match request.body(Full::new(Bytes::from(body.to_owned()))) {
+            Ok(request) => self.send(request).await,
+            Err(error) => CallOutcome::NotRun(error.to_string()),
+        }
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> CallOutcome {
+        let response = match self.client.send(request).await {
+            Ok(response) => response,
+            Err(error @ ClientError::NotSent { .. }) => {
+                return CallOutcome::NotRun(error.to_string());
+            }
+            Err(error) => return CallOutcome::Unknown(error.to_string()),
+        };
+        let status = response.status();
+        match self.client.read(response).await {
+            Ok(body) => told(status, &body),
+            Err(error) => CallOutcome::Unknown(error.to_string()),
+        }
+    }
+}
+
+fn told(status: StatusCode, body: &[u8]) -> CallOutcome {
+    match serde_json::from_slice::<ProblemReport>(body) {
+        Ok(report) if report.outcome == ProblemReportOutcome::NotRun => {
+            CallOutcome::NotRun(report.detail)
+        }
+        Ok(report) => CallOutcome::Unknown(report.detail),
+        Err(_) if status.is_success() => {
+            CallOutcome::Answered(String::from_utf8_lossy(body).into_owned())
+        }
+        Err(_) => CallOutcome::Unknown(format!("status {status}")),
+    }
+}
