--- a/crates/coordination/tests/agreement_faults/cluster.rs
+++ b/crates/coordination/tests/agreement_faults/cluster.rs
@@ -6,15 +6,17 @@
 
 use pollendrift_coordination::agreement::{
     AgreementEffect, AgreementEnvelope, AgreementInput, AgreementNode, AgreementSettings,
-    HandOverOutcome, KeeperId, KeeperRole, LogEntry, LogIndex, Membership, MembershipChange,
-    PersistOrder, ProposalOutcome, ReadOutcome, RequestToken, RestoredState, StoredSnapshot, Term,
+    HandOverOutcome, KeeperId, KeeperRole, LogEntry, LogIndex, Membership, ProposalOutcome,
+    RequestToken, RestoredState, Term,
 };
-use pollendrift_coordination::base::{HostName, Incarnation, MonotonicTime};
+use pollendrift_coordination::base::MonotonicTime;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::callers::CallerTally;
 use super::checks::{HistoryCheck, fold_state};
 use super::disk::FakeDisk;
+use super::host::{FakeHost, host_index, keeper_id, read_snapshot};
 
 /// Microseconds of virtual time.
 pub(crate) type Micros = u64;
@@ -45,38 +47,13 @@
 }
 
 #[derive(Debug)]
-enum Event {
+pub(crate) enum Event {
     Deliver(AgreementEnvelope),
     Synced { host: usize, life: u64 },
     Wake { host: usize, life: u64 },
     Client,
 }
 
-#[derive(Debug)]
-struct FakeHost {
-    incarnation: u64,
-    disk: FakeDisk,
-    node: Option<AgreementNode>,
-    /// Rises with each crash, so that what an earlier process left behind is recognised.
-    life: u64,
-    started_at: Micros,
-    wake_at: Option<Micros>,
-    writing: Option<PersistOrder>,
-    is_paused: bool,
-    backlog: Vec<AgreementInput>,
-    applied: LogIndex,
-    state: u64,
-}
-
-/// What callers were told.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct CallerTally {
-    pub(crate) accepted: u64,
-    pub(crate) refused: u64,
-    pub(crate) unknown: u64,
-    pub(crate) reads: u64,
-}
-
 /// The keepers, their network and their callers.
 pub(crate) struct Cluster {
     pub(crate) now: Micros,
@@ -89,18 +66,18 @@
     pub(crate) disks_are_kept: bool,
     pub(crate) changes: BTreeMap<RequestToken, ProposalOutcome>,
     pub(crate) hand_overs: Vec<HandOverOutcome>,
-    settings: AgreementSettings,
-    hosts: Vec<FakeHost>,
-    cut: BTreeSet<(usize, usize)>,
-    events: BinaryHeap<Reverse<(Micros, u64)>>,
-    event_bodies: BTreeMap<u64, Event>,
-    next_event: u64,
-    next_token: u64,
-    reading: BTreeMap<RequestToken, LogIndex>,
-    next_log_check: Micros,
+    pub(crate) settings: AgreementSettings,
+    pub(crate) hosts: Vec<FakeHost>,
+    pub(crate) cut: BTreeSet<(usize, usize)>,
+    pub(crate) events: BinaryHeap<Reverse<(Micros, u64)>>,
+    pub(crate) event_bodies: BTreeMap<u64, Event>,
+    pub(crate) next_event: u64,
+    pub(crate) next_token: u64,
+    pub(crate) reading: BTreeMap<RequestToken, LogIndex>,
+    pub(crate) next_log_check: Micros,
     /// Time between two requests of callers.
     pub(crate) client_interval: Micros,
-    lost_identity: BTreeSet<usize>,
+    pub(crate) lost_identity: BTreeSet<usize>,
 }
 
 impl Cluster {
@@ -174,61 +151,6 @@
         0
     }
 
-    /// Kills the process; `torn` leaves a part of the order that was being written.
-    pub(crate) fn crash(&mut self, host: usize, torn: bool) {
-        let steps = self.random.random_range(0..6);
-        let host = &mut self.hosts[host];
-        host.node = None;
-        host.life += 1;
-        host.is_paused = false;
-        host.backlog.clear();
-        if let Some(order) = host.writing.take()
-            && torn
-        {
-            host.disk.write(&order, steps);
-        }
-    }
-
-    /// Starts the process on what its disk holds.
-    pub(crate) fn start(&mut self, index: usize) {
-        let seed = self.random.random();
-        let id = self.id(index);
-        let host = &mut self.hosts[index];
-        let restored = host.disk.restore();
-        host.state = 0;
-        host.applied = LogIndex(0);
-        if let Some(snapshot) = &restored.snapshot {
-            (host.applied, host.state) = read_snapshot(snapshot);
-        }
-        host.started_at = self.now;
-        host.wake_at = None;
-        host.life += 1;
-        let settings = self.settings.clone();
-        let node = AgreementNode::new(settings, id, restored, MonotonicTime::START, seed);
-        host.node = Some(node);
-        self.tick(index, Vec::new());
-    }
-
-    /// Kills a host unless `most` are down or paused already.
-    pub(crate) fn crash_some(&mut self, host: usize, most: usize) {
-        let is_down = |host: &&FakeHost| host.node.is_none() || host.is_paused;
-        if self.hosts.iter().filter(is_down).count() < most {
-            self.crash(host, true);
-        }
-    }
-
-    /// Starts and resumes what is down or paused.
-    pub(crate) fn start_all(&mut self) {
-        for host in 0..self.hosts.len() {
-            if self.hosts[host].is_paused {
-                self.resume(host);
-            }
-            if self.hosts[host].node.is_none() {
-                self.start(host);
-            }
-        }
-    }
-
     pub(crate) fn random_host(&mut self) -> usize {
         self.random.random_range(0..self.hosts.len())
     }
@@ -249,102 +171,6 @@
         }
     }
 
-    /// Empties the disk of a stopped host; it comes back under a new incarnation.
-    pub(crate) fn empty_disk(&mut self, host: usize) {
-        self.disks_are_kept = false;
-        self.hosts[host].disk = FakeDisk::default();
-        self.hosts[host].incarnation += 1;
-        self.lost_identity.remove(&host);
-    }
-
-    pub(crate) fn copy_disk(&self, host: usize) -> FakeDisk {
-        self.hosts[host].disk.clone()
-    }
-
-    /// Puts an old copy of the disk back, with its old identity.
-    pub(crate) fn put_disk_back(&mut self, host: usize, disk: FakeDisk) {
-        self.disks_are_kept = false;
-        self.hosts[host].disk = disk;
-    }
-
-    pub(crate) fn pause(&mut self, host: usize) {
-        self.hosts[host].is_paused = true;
-    }
-
-    pub(crate) fn resume(&mut self, host: usize) {
-        self.hosts[host].is_paused = false;
-        let backlog = std::mem::take(&mut self.hosts[host].backlog);
-        self.tick(host, backlog);
-    }
-
-    /// Cuts `side` off from all other hosts.
-    pub(crate) fn partition(&mut self, side: &[usize]) {
-        for left in 0..self.hosts.len() {
-            for right in 0..self.hosts.len() {
-                if side.contains(&left) != side.contains(&right) {
-                    self.cut.insert((left, right));
-                }
-            }
-        }
-    }
-
-    pub(crate) fn heal(&mut self) {
-        self.cut.clear();
-        self.faults = NetworkFaults::NONE;
-    }
-
-    pub(crate) fn propose(&mut self, host: usize) {
-        let token = self.take_token();
-        let command: Arc<[u8]> = Arc::from(token.0.to_be_bytes().as_slice());
-        self.tick(host, vec![AgreementInput::Propose { token, command }]);
-    }
-
-    pub(crate) fn read(&mut self, host: usize) {
-        let token = self.take_token();
-        self.reading.insert(token, self.check.told_index);
-        self.tick(host, vec![AgreementInput::Read { token }]);
-    }
-
-    pub(crate) fn hand_over(&mut self, from: usize, to: usize) {
-        let token = self.take_token();
-        let target = host_name(to);
-        self.tick(from, vec![AgreementInput::HandOver { token, target }]);
-    }
-
-    pub(crate) fn change(&mut self, host: usize, change: MembershipChange) -> RequestToken {
-        let token = self.take_token();
-        self.tick(
-            host,
-            vec![AgreementInput::ChangeMembership { token, change }],
-        );
-        token
-    }
-
-    /// Repeats a change at whoever leads until it is in force; false after 20 s.
-    pub(crate) fn change_until_done(&mut self, change: &MembershipChange) -> bool {
-        for _ in 0..200 {
-            if let Some(leader) = self.leader() {
-                self.change(leader, change.clone());
-            }
-            self.run_for(100 * MILLISECOND);
-            let membership = self.leader().and_then(|leader| self.node(leader));
-            let is_done = membership.is_some_and(|node| is_in_force(node, change));
-            if is_done {
-                return true;
-            }
-        }
-        self.check
-            .violate(format!("{change:?} not in force after 20 s"));
-        false
-    }
-
-    /// The whole replacement of a host whose disk was emptied.
-    pub(crate) fn replace(&mut self, host: usize) {
-        let id = self.id(host);
-        self.change_until_done(&MembershipChange::AddLearner(id.clone()));
-        self.change_until_done(&MembershipChange::Promote(id));
-    }
-
     /// Runs for a random time up to `longest`.
     pub(crate) fn run_for_random(&mut self, longest: Micros) {
         let duration = self.random.random_range(0..=longest);
@@ -367,40 +193,6 @@
         self.now = end;
     }
 
-    /// Heals everything, restarts what is down, and checks that all reach the same state.
-    pub(crate) fn converge(&mut self) {
-        self.heal();
-        self.start_all();
-        let accepted = self.tally.accepted;
-        self.run_for(3 * SECOND);
-        if self.check.violations.is_empty() && self.tally.accepted == accepted {
-            self.check
-                .violate("nothing is accepted after healing".to_owned());
-        }
-        self.check_same_state();
-        self.check.finish();
-    }
-
-    fn check_same_state(&mut self) {
-        let committed = self.check.committed_index();
-        for index in 0..self.hosts.len() {
-            let host = &self.hosts[index];
-            let node = host.node.as_ref();
-            let is_member = node.is_some_and(|node| node.membership().contains(node.id()));
-            if !is_member || self.lost_identity.contains(&index) {
-                continue;
-            }
-            let lag = committed.0 - host.applied.0;
-            if lag > 50 {
-                let text = format!("host {index} is {lag} entries behind after healing");
-                self.check.violate(text);
-            } else if host.state != self.check.state_at(host.applied) {
-                self.check
-                    .violate(format!("host {index} holds another state"));
-            }
-        }
-    }
-
     fn check_logs(&mut self) {
         if self.now < self.next_log_check {
             return;
@@ -416,12 +208,7 @@
         }
     }
 
-    fn take_token(&mut self) -> RequestToken {
-        self.next_token += 1;
-        RequestToken(self.next_token)
-    }
-
-    fn schedule(&mut self, at: Micros, event: Event) {
+    pub(crate) fn schedule(&mut self, at: Micros, event: Event) {
         self.next_event += 1;
         self.events.push(Reverse((at, self.next_event)));
         self.event_bodies.insert(self.next_event, event);
@@ -452,22 +239,6 @@
         }
     }
 
-    /// One caller's request, mostly at a keeper that believes to lead, also a wrong one.
-    fn run_client(&mut self) {
-        self.schedule(self.now + self.client_interval, Event::Client);
-        let random_host = self.random.random_range(0..self.hosts.len());
-        let asks_leader = self.random.random_range(0..10) < 8;
-        let leader = self.leader().filter(|_| asks_leader);
-        let host = leader.unwrap_or(random_host);
-        if self.hosts[host].is_paused || self.hosts[host].node.is_none() {
-            return;
-        }
-        match self.random.random_range(0..10) {
-            0..3 => self.read(host),
-            _ => self.propose(host),
-        }
-    }
-
     fn input(&mut self, host: usize, input: AgreementInput) {
         if self.hosts[host].is_paused {
             self.hosts[host].backlog.push(input);
@@ -476,7 +247,7 @@
         self.tick(host, vec![input]);
     }
 
-    fn tick(&mut self, index: usize, inputs: Vec<AgreementInput>) {
+    pub(crate) fn tick(&mut self, index: usize, inputs: Vec<AgreementInput>) {
         let host = &mut self.hosts[index];
         let now = MonotonicTime::from_micros(self.now - host.started_at);
         let Some(node) = &mut host.node else {
@@ -589,86 +360,4 @@
         let bytes = Arc::from(bytes);
         self.tick(host, vec![AgreementInput::SnapshotTaken { index, bytes }]);
     }
-
-    fn note_proposal(&mut self, token: RequestToken, outcome: ProposalOutcome) {
-        match outcome {
-            ProposalOutcome::Committed(index) => {
-                self.check.accepts(token, index);
-                self.tally.accepted += 1;
-                self.last_accepted_at = self.now;
-            }
-            ProposalOutcome::NotAppended(_) => {
-                self.check.refuses(token);
-                self.tally.refused += 1;
-            }
-            ProposalOutcome::Unknown => self.tally.unknown += 1,
-        }
-    }
-
-    fn note_read(&mut self, host: usize, token: RequestToken, outcome: &ReadOutcome) {
-        let known = self.reading.remove(&token);
-        if let (Some(known), ReadOutcome::Ready(index)) = (known, outcome) {
-            let applied = self.hosts[host].applied;
-            self.check.reads(known, *index, applied);
-            self.tally.reads += 1;
-        }
-    }
-}
-
-impl FakeHost {
-    fn new(disk: FakeDisk) -> Self {
-        Self {
-            incarnation: 1,
-            disk,
-            node: None,
-            life: 0,
-            started_at: 0,
-            wake_at: None,
-            writing: None,
-            is_paused: false,
-            backlog: Vec::new(),
-            applied: LogIndex(0),
-            state: 0,
-        }
-    }
-}
-
-fn is_in_force(node: &AgreementNode, change: &MembershipChange) -> bool {
-    let membership = node.membership();
-    let is_former = |keeper: &KeeperId, other: &KeeperId| {
-        keeper.host == other.host && keeper.incarnation < other.incarnation
-    };
-    match change {
-        MembershipChange::AddLearner(keeper) => membership.contains(keeper),
-        MembershipChange::Promote(keeper) => {
-            let has_former = membership.keepers().any(|other| is_former(other, keeper));
-            membership.voters.contains(keeper) && !has_former
-        }
-        MembershipChange::Remove(keeper) => !membership.contains(keeper),
-    }
-}
-
-fn read_snapshot(snapshot: &StoredSnapshot) -> (LogIndex, u64) {
-    let number = |from: usize| {
-        let bytes = snapshot.bytes[from..from + 8].try_into().unwrap();
-        u64::from_be_bytes(bytes)
-    };
-    assert_eq!(snapshot.mark.index, LogIndex(number(0)));
-    (snapshot.mark.index, number(8))
-}
-
-fn host_name(host: usize) -> HostName {
-    HostName::from(format!("keeper-{host}"))
-}
-
-fn keeper_id(host: usize, incarnation: u64) -> KeeperId {
-    KeeperId {
-        host: host_name(host),
-        incarnation: Incarnation(incarnation),
-    }
-}
-
-fn host_index(keeper: &KeeperId) -> usize {
-    let digits = keeper.host.as_str().trim_start_matches("keeper-");
-    digits.parse().unwrap()
 }
--- /dev/null
+++ b/crates/coordination/tests/agreement_faults/faults.rs
@@ -0,0 +1,144 @@
+//! What is done to hosts, disks and the network, and the healing at the end.
+
+use pollendrift_coordination::agreement::{AgreementNode, LogIndex};
+use pollendrift_coordination::base::MonotonicTime;
+use rand::RngExt;
+
+use super::cluster::{Cluster, NetworkFaults, SECOND};
+use super::disk::FakeDisk;
+use super::host::{FakeHost, read_snapshot};
+
+impl Cluster {
+    /// Kills the process; `torn` leaves a part of the order that was being written.
+    pub(crate) fn crash(&mut self, host: usize, torn: bool) {
+        let steps = self.random.random_range(0..6);
+        let host = &mut self.hosts[host];
+        host.node = None;
+        host.life += 1;
+        host.is_paused = false;
+        host.backlog.clear();
+        if let Some(order) = host.writing.take()
+            && torn
+        {
+            host.disk.write(&order, steps);
+        }
+    }
+
+    /// Starts the process on what its disk holds.
+    pub(crate) fn start(&mut self, index: usize) {
+        let seed = self.random.random();
+        let id = self.id(index);
+        let host = &mut self.hosts[index];
+        let restored = host.disk.restore();
+        host.state = 0;
+        host.applied = LogIndex(0);
+        if let Some(snapshot) = &restored.snapshot {
+            (host.applied, host.state) = read_snapshot(snapshot);
+        }
+        host.started_at = self.now;
+        host.wake_at = None;
+        host.life += 1;
+        let settings = self.settings.clone();
+        let node = AgreementNode::new(settings, id, restored, MonotonicTime::START, seed);
+        host.node = Some(node);
+        self.tick(index, Vec::new());
+    }
+
+    /// Kills a host unless `most` are down or paused already.
+    pub(crate) fn crash_some(&mut self, host: usize, most: usize) {
+        let is_down = |host: &&FakeHost| host.node.is_none() || host.is_paused;
+        if self.hosts.iter().filter(is_down).count() < most {
+            self.crash(host, true);
+        }
+    }
+
+    /// Starts and resumes what is down or paused.
+    pub(crate) fn start_all(&mut self) {
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].is_paused {
+                self.resume(host);
+            }
+            if self.hosts[host].node.is_none() {
+                self.start(host);
+            }
+        }
+    }
+
+    /// Empties the disk of a stopped host; it comes back under a new incarnation.
+    pub(crate) fn empty_disk(&mut self, host: usize) {
+        self.disks_are_kept = false;
+        self.hosts[host].disk = FakeDisk::default();
+        self.hosts[host].incarnation += 1;
+        self.lost_identity.remove(&host);
+    }
+
+    pub(crate) fn copy_disk(&self, host: usize) -> FakeDisk {
+        self.hosts[host].disk.clone()
+    }
+
+    /// Puts an old copy of the disk back, with its old identity.
+    pub(crate) fn put_disk_back(&mut self, host: usize, disk: FakeDisk) {
+        self.disks_are_kept = false;
+        self.hosts[host].disk = disk;
+    }
+
+    pub(crate) fn pause(&mut self, host: usize) {
+        self.hosts[host].is_paused = true;
+    }
+
+    pub(crate) fn resume(&mut self, host: usize) {
+        self.hosts[host].is_paused = false;
+        let backlog = std::mem::take(&mut self.hosts[host].backlog);
+        self.tick(host, backlog);
+    }
+
+    /// Cuts `side` off from all other hosts.
+    pub(crate) fn partition(&mut self, side: &[usize]) {
+        for left in 0..self.hosts.len() {
+            for right in 0..self.hosts.len() {
+                if side.contains(&left) != side.contains(&right) {
+                    self.cut.insert((left, right));
+                }
+            }
+        }
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.cut.clear();
+        self.faults = NetworkFaults::NONE;
+    }
+
+    /// Heals everything, restarts what is down, and checks that all reach the same state.
+    pub(crate) fn converge(&mut self) {
+        self.heal();
+        self.start_all();
+        let accepted = self.tally.accepted;
+        self.run_for(3 * SECOND);
+        if self.check.violations.is_empty() && self.tally.accepted == accepted {
+            self.check
+                .violate("nothing is accepted after healing".to_owned());
+        }
+        self.check_same_state();
+        self.check.finish();
+    }
+
+    fn check_same_state(&mut self) {
+        let committed = self.check.committed_index();
+        for index in 0..self.hosts.len() {
+            let host = &self.hosts[index];
+            let node = host.node.as_ref();
+            let is_member = node.is_some_and(|node| node.membership().contains(node.id()));
+            if !is_member || self.lost_identity.contains(&index) {
+                continue;
+            }
+            let lag = committed.0 - host.applied.0;
+            if lag > 50 {
+                let text = format!("host {index} is {lag} entries behind after healing");
+                self.check.violate(text);
+            } else if host.state != self.check.state_at(host.applied) {
+                self.check
+                    .violate(format!("host {index} holds another state"));
+            }
+        }
+    }
+}
--- a/crates/coordination/tests/agreement_faults/main.rs
+++ b/crates/coordination/tests/agreement_faults/main.rs
@@ -1,10 +1,13 @@
 //! Agreement under faults, in virtual time. `POLLENDRIFT_SEEDS=1000` runs that many seeds a case.
 #![allow(clippy::unwrap_used)]
 
+mod callers;
 mod cases;
 mod checks;
 mod cluster;
 mod disk;
+mod faults;
+mod host;
 
 use std::fmt::Write;
 
