--- a/crates/coordination/src/agreement/lead.rs
+++ b/crates/coordination/src/agreement/lead.rs
@@ -21,6 +21,9 @@
 use super::redundancy::RedundancyReport;
 use crate::base::MonotonicTime;
 
+/// Rounds after which unchanged witness records are sent again, for peers that missed them.
+const WITNESS_REPEAT_ROUNDS: u64 = 20;
+
 /// A request that waits for the commit of its entry.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PendingEntry {
@@ -45,6 +48,8 @@
     pub(super) change: Option<PendingEntry>,
     pub(super) hand_over: Option<HandOverState>,
     pub(super) told_redundancy: Option<RedundancyReport>,
+    /// Witness records that peers were told last.
+    told_records: Vec<WitnessRecord>,
 }
 
 impl LeaderState {
@@ -60,6 +65,7 @@
             change: None,
             hand_over: None,
             told_redundancy: None,
+            told_records: Vec::new(),
         }
     }
 
@@ -226,8 +232,15 @@
             term: self.hard_state.term,
             index: self.writes.durable_index(),
         };
-        let mut witnessed = self.identities.records(&leader.peers);
-        witnessed.push(own);
+        let mut records = self.identities.records(&leader.peers);
+        records.push(own);
+        let is_repeat = leader.round.0.is_multiple_of(WITNESS_REPEAT_ROUNDS);
+        let witnessed = if is_repeat || records != leader.told_records {
+            leader.told_records.clone_from(&records);
+            records
+        } else {
+            Vec::new()
+        };
         let heartbeat = Heartbeat {
             term: self.hard_state.term,
             round: leader.round,
--- a/crates/coordination/src/agreement/log.rs
+++ b/crates/coordination/src/agreement/log.rs
@@ -31,20 +31,24 @@
 }
 
 impl ReplicatedLog {
-    /// The log of a disk: its snapshot and the entries that continue it without a gap.
-    pub(super) fn restore(restored: RestoredState) -> Self {
+    /// The log of a disk, or `None` where its entries have a gap or their terms fall: what is
+    /// missing may have been acknowledged, so the rest must not vote.
+    pub(super) fn restore(restored: RestoredState) -> Option<Self> {
         let mut log = Self::default();
         if let Some(snapshot) = restored.snapshot {
             log.base = snapshot.mark.clone();
             log.change_count = 1;
             log.snapshot = Some(snapshot);
         }
-        for entry in restored.entries {
-            if entry.index == log.last_index().next() {
-                log.push(entry);
+        let base = log.base.index;
+        let entries = restored.entries.into_iter();
+        for entry in entries.filter(|entry| entry.index > base) {
+            if entry.index != log.last_index().next() || entry.term < log.last_term() {
+                return None;
             }
+            log.push(entry);
         }
-        log
+        (log.last_term() <= restored.hard_state.term).then_some(log)
     }
 
     pub(super) fn last_index(&self) -> LogIndex {
--- a/crates/coordination/src/agreement/node.rs
+++ b/crates/coordination/src/agreement/node.rs
@@ -67,7 +67,8 @@
     /// A keeper as its disk left it. `seed` drives the election timeouts.
     ///
     /// A disk without entries and snapshot gives a keeper that waits to be added as a learner; a
-    /// group is founded by [`RestoredState::founding`] on each of its first voters.
+    /// group is founded by [`RestoredState::founding`] on each of its first voters. Entries with a
+    /// gap, or of a later term than the hard state, give a keeper that is retired from the start.
     #[must_use]
     pub fn new(
         settings: AgreementSettings,
@@ -78,7 +79,12 @@
     ) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let hard_state = restored.hard_state.clone();
-        let log = ReplicatedLog::restore(restored);
+        let restored_log = ReplicatedLog::restore(restored);
+        let role = match restored_log {
+            Some(_) => RoleState::Follower,
+            None => RoleState::Retired,
+        };
+        let log = restored_log.unwrap_or_default();
         let start = StartMark {
             nonce: random.random(),
             term: hard_state.term,
@@ -92,7 +98,7 @@
             now,
             hard_state,
             writes: PersistQueue::restored(log.last_index()),
-            role: RoleState::Follower,
+            role,
             leader: None,
             heard_at: None,
             election_due: now,
