--- a/crates/coordination/src/agreement/redundancy.rs
+++ b/crates/coordination/src/agreement/redundancy.rs
@@ -1,5 +1,6 @@
 //! What the group can lose, as seen by its leader.
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use super::change::former_incarnation;
@@ -12,18 +13,23 @@
 const SMALLEST_REDUNDANT_GROUP: usize = 3;
 
 /// Why redundancy is not whole.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RedundancyGap {
     /// The voter did not answer for an election timeout.
+    #[display("{_0} does not answer")]
     Silent(KeeperId),
     /// The voter answers, but lacked committed entries for longer than an election timeout.
+    #[display("{_0} lacks committed entries")]
     Behind(KeeperId),
     /// The keeper is being brought up to date and does not count yet.
+    #[display("{_0} is being brought up to date")]
     Learning(KeeperId),
     /// The voter is a former incarnation of a host and waits to be removed.
+    #[display("{_0} waits to be removed")]
     Replaced(KeeperId),
     /// A group of fewer than three voters can lose none.
+    #[display("fewer than three voters")]
     TooFewVoters,
 }
 
--- a/crates/coordination/tests/agreement_faults/cases.rs
+++ b/crates/coordination/tests/agreement_faults/cases.rs
@@ -17,7 +17,7 @@
 impl FaultCase {
     /// Runs the case to its end and heals it.
     pub(crate) fn run(&self, seed: u64) -> Cluster {
-        let mut cluster = Cluster::new(seed, self.keepers, settings());
+        let mut cluster = Cluster::new(seed, self.keepers, small_settings());
         cluster.await_leader();
         cluster.run_for(300 * MILLISECOND);
         (self.act)(&mut cluster);
@@ -27,7 +27,7 @@
 }
 
 /// Small bounds, so that batches, windows, chunks and snapshots all come into play.
-fn settings() -> AgreementSettings {
+pub(crate) fn small_settings() -> AgreementSettings {
     AgreementSettings {
         heartbeat_interval: Duration::from_millis(50),
         election_timeout: Duration::from_millis(300),
--- a/crates/coordination/tests/agreement_faults/faults.rs
+++ b/crates/coordination/tests/agreement_faults/faults.rs
@@ -122,6 +122,18 @@
         self.check.finish();
     }
 
+    /// What a leader reports, in one line.
+    pub(crate) fn describe_redundancy(&self, leader: usize) -> String {
+        let report = self.node(leader).and_then(AgreementNode::redundancy);
+        let Some(report) = report else {
+            return "not the leader\n".to_owned();
+        };
+        let (held, voters, losses) = (report.current_voters, report.voters, report.losses_borne);
+        let gaps: Vec<String> = report.gaps.iter().map(|gap| format!("{gap}")).collect();
+        let gaps = gaps.join(", ");
+        format!("{held} of {voters} voters current, can lose {losses}; gaps: [{gaps}]\n")
+    }
+
     fn check_same_state(&mut self) {
         let committed = self.check.committed_index();
         for index in 0..self.hosts.len() {
--- a/crates/coordination/tests/agreement_faults/main.rs
+++ b/crates/coordination/tests/agreement_faults/main.rs
@@ -8,10 +8,15 @@
 mod disk;
 mod faults;
 mod host;
+mod recovery;
 
 use std::fmt::Write;
 
-use cases::{CASES, FaultCase};
+use pollendrift_coordination::agreement::MembershipChange;
+
+use cases::{CASES, FaultCase, small_settings};
+use cluster::{Cluster, MILLISECOND, SECOND};
+use recovery::{ELECTION_TIMEOUTS, measure_recovery};
 
 /// Seeds that run by default; every one that ever showed a fault is added to `FOUND_SEEDS`.
 const FIXED_SEEDS: u64 = 4;
@@ -47,6 +52,47 @@
     insta::assert_snapshot!(findings, @"");
 }
 
+/// Callers wait for one election when the leader is lost, a second one where two stand at once:
+/// the longest of all seeds stays under four election timeouts, and every seed recovers.
+#[test]
+fn next_command_is_accepted_within_four_election_timeouts() {
+    for timeout in ELECTION_TIMEOUTS {
+        let (median, longest) = measure_recovery(timeout, seed_count());
+        let election = timeout / MILLISECOND;
+        println!("election timeout {election} ms: p50 {median} us, max {longest} us");
+        assert!(median > 0 && longest < 4 * timeout, "{median} {longest}");
+    }
+}
+
+/// The operator sees what the group can still lose: one of three, none while a disk is lost and
+/// until its replacement votes, then one again.
+#[test]
+fn redundancy_is_whole_again_after_a_replacement() {
+    let mut cluster = Cluster::new(3, 3, small_settings());
+    let mut told = String::new();
+    let leader = cluster.await_leader();
+    let host = (leader + 1) % 3;
+    cluster.run_for(SECOND);
+    told.push_str(&cluster.describe_redundancy(leader));
+    cluster.crash(host, false);
+    cluster.run_for(SECOND);
+    told.push_str(&cluster.describe_redundancy(leader));
+    cluster.empty_disk(host);
+    cluster.start(host);
+    let id = cluster.id(host);
+    cluster.change_until_done(&MembershipChange::AddLearner(id));
+    told.push_str(&cluster.describe_redundancy(leader));
+    cluster.replace(host);
+    cluster.run_for(SECOND);
+    told.push_str(&cluster.describe_redundancy(leader));
+    insta::assert_snapshot!(told, @"
+    3 of 3 voters current, can lose 1; gaps: []
+    2 of 3 voters current, can lose 0; gaps: [keeper-0#1 does not answer]
+    2 of 3 voters current, can lose 0; gaps: [keeper-0#1 does not answer, keeper-0#2 is being brought up to date]
+    3 of 3 voters current, can lose 1; gaps: []
+    ");
+}
+
 fn run_seeds(case: &FaultCase, findings: &mut String) -> String {
     let count = seed_count();
     let mut failed = 0;
--- /dev/null
+++ b/crates/coordination/tests/agreement_faults/recovery.rs
@@ -0,0 +1,43 @@
+//! Time from the loss of a leader to the next accepted command, in virtual time.
+
+use std::time::Duration;
+
+use pollendrift_coordination::agreement::AgreementSettings;
+
+use super::cluster::{Cluster, MILLISECOND, Micros, SECOND};
+
+/// Election timeouts that are compared, with a heartbeat every sixth of them.
+pub(crate) const ELECTION_TIMEOUTS: [Micros; 4] = [
+    150 * MILLISECOND,
+    300 * MILLISECOND,
+    600 * MILLISECOND,
+    1_000 * MILLISECOND,
+];
+
+/// Median and longest time over `seeds` runs of three keepers under steady load.
+pub(crate) fn measure_recovery(election_timeout: Micros, seeds: u64) -> (Micros, Micros) {
+    let settings = AgreementSettings {
+        heartbeat_interval: Duration::from_micros(election_timeout / 6),
+        election_timeout: Duration::from_micros(election_timeout),
+        ..AgreementSettings::default()
+    };
+    let mut times: Vec<Micros> = (0..seeds)
+        .map(|seed| recover_once(seed, settings.clone()))
+        .collect();
+    times.sort_unstable();
+    (times[times.len() / 2], times[times.len() - 1])
+}
+
+fn recover_once(seed: u64, settings: AgreementSettings) -> Micros {
+    let mut cluster = Cluster::new(seed, 3, settings);
+    cluster.client_interval = MILLISECOND;
+    cluster.await_leader();
+    cluster.run_for_random(SECOND);
+    let leader = cluster.await_leader();
+    cluster.crash(leader, true);
+    let lost_at = cluster.now;
+    while cluster.last_accepted_at <= lost_at && cluster.now < lost_at + 60 * SECOND {
+        cluster.run_for(MILLISECOND);
+    }
+    cluster.last_accepted_at.saturating_sub(lost_at)
+}
