feat(lifecycle): leave before closing on a planned stop

Cause: a drain refused new work at once, before the balancer could move away. Change: not ready but serving for the notice, then closed, then finished.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,18 +11,18 @@
 use pollendrift_coordination::leases::BackendLeaseSettings;
 use pollendrift_coordination::routing::RoutingSettings;
 use pollendrift_http::{HttpClient, HttpServer, ServerBounds, StreamAcceptor};
-use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::access::{AccessControl, AccessError, FaceAcceptor, FaceKind};
 use crate::agreed::AgreedState;
 use crate::announcements::AnnouncementHandler;
 use crate::clock::{SystemClock, TimeSource};
-use crate::entry::{DraftSettings, EntryContext, EntryHandler, ReadyState};
+use crate::entry::{DraftSettings, EntryContext, EntryHandler};
 use crate::faces::FaceRouter;
 use crate::fleet::BackendFleet;
+use crate::lifecycle::{LifeControl, LifeStep};
 use crate::platform::{DumpSource, MetricSource, PlatformHandler};
-use crate::settings::{DaemonSettings, EntrySettings};
+use crate::settings::{DaemonSettings, DrainSettings, EntrySettings};
 
 /// Time between two ticks of the systems.
 const TICK: Duration = Duration::from_millis(100);
@@ -51,7 +51,8 @@
 #[derive(Debug)]
 pub struct RouterDaemon {
     servers: Vec<HttpServer>,
-    ready: watch::Sender<ReadyState>,
+    life: LifeControl,
+    drain: DrainSettings,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -72,7 +73,7 @@
         };
         let seed = clock.wall().0;
         let fleet = Arc::new(BackendFleet::new(leases, RoutingSettings::default(), seed));
-        let (ready, readiness) = watch::channel(ReadyState::Ready);
+        let life = LifeControl::default();
         let context = Arc::new(EntryContext {
             host: settings.host.clone(),
             incarnation: clock.wall().0,
@@ -80,10 +81,10 @@
             clock: Arc::clone(&clock),
             access: Arc::clone(&access),
             fleet: Arc::clone(&fleet),
-            agreed,
+            agreed: Arc::clone(&agreed),
             client: HttpClient::new(MAX_ANSWER_BYTES),
             drafts: DraftSettings::default(),
-            ready: readiness.clone(),
+            life: life.watch(),
             named: AtomicU64::new(0),
         });
         let router = FaceRouter {
@@ -97,7 +98,8 @@
             }),
         };
         let platform = PlatformHandler {
-            ready: readiness,
+            life: life.watch(),
+            agreed: Arc::clone(&agreed),
             sources: vec![
                 Arc::new(FleetDump {
                     fleet: Arc::clone(&fleet),
@@ -133,19 +135,27 @@
         let tasks = vec![tokio::spawn(tick_loop(fleet, clock))];
         Ok(Self {
             servers,
-            ready,
+            life,
+            drain: settings.drain.clone(),
             tasks,
         })
     }
 
-    /// Stops in order: refuses new work, lets running requests finish, then closes.
-    pub async fn drain(mut self) {
-        let _ = self.ready.send(ReadyState::NotReady(
-            "it is draining for a planned stop".to_owned(),
-        ));
-        for server in self.servers.drain(..) {
-            server.drain().await;
-        }
+    /// A planned stop: asks the balancer to move away, then refuses new work, lets what runs
+    /// finish, and closes. True if everything finished within the drain timeout.
+    pub async fn drain(mut self) -> bool {
+        self.life.advance(LifeStep::Leaving);
+        tokio::time::sleep(self.drain.notice).await;
+        self.life.advance(LifeStep::Closed);
+        let servers = std::mem::take(&mut self.servers);
+        let finished = async {
+            for server in servers {
+                server.drain().await;
+            }
+        };
+        tokio::time::timeout(self.drain.timeout, finished)
+            .await
+            .is_ok()
     }
 }
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -18,7 +18,7 @@
 use hyper::body::Incoming;
 use pollendrift_http::{HandlerFuture, HttpHandler, ResponseBody};
 
-pub use context::{EntryContext, ReadyState};
+pub use context::EntryContext;
 pub use draft::DraftSettings;
 
 use refusal::Refusal;
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -6,7 +6,6 @@
 use http::HeaderMap;
 use pollendrift_coordination::base::{CustomerName, HostName, RequestId};
 use pollendrift_http::HttpClient;
-use tokio::sync::watch;
 
 use super::draft::DraftSettings;
 use super::refusal::Refusal;
@@ -14,20 +13,12 @@
 use crate::agreed::AgreedState;
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
+use crate::lifecycle::{LifeStep, LifeWatch};
 
 /// Header that names a request.
 pub(super) const REQUEST_ID_HEADER: &str = "x-request-id";
 const MAX_REQUEST_ID_BYTES: usize = 128;
 
-/// Whether this host takes new work.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ReadyState {
-    /// It does.
-    Ready,
-    /// It does not; the text says why.
-    NotReady(String),
-}
-
 /// What handlers of callers' requests share.
 pub struct EntryContext {
     /// This host.
@@ -49,7 +40,7 @@
     /// How drafts run.
     pub drafts: DraftSettings,
     /// Whether new work is taken.
-    pub ready: watch::Receiver<ReadyState>,
+    pub life: LifeWatch,
     /// Requests that this process has named; part of their ids.
     pub named: AtomicU64,
 }
@@ -85,8 +76,8 @@
             };
             return Err(Refusal::unauthorized(detail));
         };
-        if let ReadyState::NotReady(reason) = &*self.ready.borrow() {
-            return Err(Refusal::not_ready(reason));
+        if self.life.step() == LifeStep::Closed {
+            return Err(Refusal::not_ready("it is stopping as planned"));
         }
         Ok(customer)
     }
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -6,9 +6,9 @@
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use pollendrift_http::{HandlerFuture, HttpHandler, ResponseBody, json_response, text_response};
-use tokio::sync::watch;
 
-use crate::entry::ReadyState;
+use crate::agreed::AgreedState;
+use crate::lifecycle::LifeWatch;
 
 /// Gives one part of the dump; no part may hold a secret.
 pub trait DumpSource: Send + Sync {
@@ -21,7 +21,9 @@
 /// Answers the platform.
 pub struct PlatformHandler {
     /// Whether this host takes new work.
-    pub ready: watch::Receiver<ReadyState>,
+    pub life: LifeWatch,
+    /// State that all hosts agree on.
+    pub agreed: Arc<dyn AgreedState>,
     /// Parts of the dump, in alphabetical order of their names.
     pub sources: Vec<Arc<dyn DumpSource>>,
     /// Metrics in the usual text format.
@@ -60,9 +62,9 @@
     }
 
     fn readiness(&self) -> Response<ResponseBody> {
-        match &*self.ready.borrow() {
-            ReadyState::Ready => text_response(StatusCode::OK, "ready\n"),
-            ReadyState::NotReady(reason) => text_response(
+        match self.life.unready_reason(&self.agreed) {
+            None => text_response(StatusCode::OK, "ready\n"),
+            Some(reason) => text_response(
                 StatusCode::SERVICE_UNAVAILABLE,
                 format!("not ready: {reason}\n"),
             ),
