feat(replicated): one state machine over changes, claims, evidence and order rights

Change: stamped commands, answers, an agreed clock that goes by the leader's uptime between successive stamps only, evidence recorded once per writer and number, order rights with rising fencing numbers, incarnations for hosts without a disk.

--- a/crates/coordination/src/configuration.rs
+++ b/crates/coordination/src/configuration.rs
@@ -26,7 +26,7 @@
 pub use change::{
     ChangeAnswer, ChangeConflict, ChangeRequest, ChangeSummary, MAX_ANSWERED_FINDINGS,
 };
-pub use change_log::{ChangeLog, ChangeRetention, InForceAnswer};
+pub use change_log::{ChangeDecision, ChangeLog, ChangeRetention, InForceAnswer};
 pub use delta::{ConfigurationDelta, DifferenceSummary, DocumentChange, MAX_NAMED_DOCUMENTS};
 pub use document::{MAX_DEPTH, MAX_DOCUMENTS, MAX_TEXT_BYTES};
 pub use expression::{LabelExpression, Mismatch, Requirement, RequirementTest};
--- a/crates/coordination/src/configuration/change_log.rs
+++ b/crates/coordination/src/configuration/change_log.rs
@@ -56,6 +56,24 @@
     pub clocks_disagree: bool,
 }
 
+/// What was decided on a change.
+#[derive(Debug)]
+pub struct ChangeDecision {
+    /// What its operator is told.
+    pub answer: ChangeAnswer,
+    /// The configuration that it put in force; `None` if it changed nothing.
+    pub configuration: Option<Arc<Configuration>>,
+}
+
+impl ChangeDecision {
+    fn of(answer: ChangeAnswer) -> Self {
+        Self {
+            answer,
+            configuration: None,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct RecordedAnswer {
     /// Digest of the request; tells a resend from another change under the same id.
@@ -98,37 +116,52 @@
         }
     }
 
+    /// Decides on a change and gives the answer alone.
+    pub fn decide(
+        &mut self,
+        request: &ChangeRequest,
+        wall: WallTime,
+        now: ReplicatedTime,
+    ) -> ChangeAnswer {
+        self.decide_and_build(request, wall, now).answer
+    }
+
     /// Decides on a change.
     ///
     /// A change id that is known gets its first answer, whatever has happened since. Once an
     /// answer is no longer retained, a resend still can't take effect twice: its `based_on` has
     /// been passed, so it is a conflict.
-    pub fn decide(
+    pub fn decide_and_build(
         &mut self,
         request: &ChangeRequest,
         wall: WallTime,
         now: ReplicatedTime,
-    ) -> ChangeAnswer {
+    ) -> ChangeDecision {
         self.expire(now);
         let parsed = ParsedConfiguration::parse(request.change_id.as_str(), &request.text);
         let digest = request_digest(request, parsed.as_ref().ok());
         if let Some(recorded) = self.answers.get(&request.change_id) {
             if recorded.request == digest {
-                return recorded.answer.clone();
+                return ChangeDecision::of(recorded.answer.clone());
             }
-            return ChangeAnswer::ChangeIdReused;
+            return ChangeDecision::of(ChangeAnswer::ChangeIdReused);
         }
-        let answer = match parsed {
-            Err(findings) => ChangeAnswer::Refused {
+        let decision = match parsed {
+            Err(findings) => ChangeDecision::of(ChangeAnswer::Refused {
                 findings: bounded_findings(&findings),
-            },
+            }),
             Ok(parsed) if request.based_on != self.revision => {
-                ChangeAnswer::Conflict(Box::new(self.conflict(request, &parsed)))
+                let conflict = self.conflict(request, &parsed);
+                ChangeDecision::of(ChangeAnswer::Conflict(Box::new(conflict)))
             }
-            Ok(parsed) => self.accept(request, &parsed, wall, now),
+            Ok(parsed) => ChangeDecision {
+                answer: self.accept(request, &parsed, wall, now),
+                configuration: Some(Arc::new(Configuration::build(self.revision, &parsed))),
+            },
         };
-        self.record(request.change_id.clone(), digest, answer.clone(), now);
-        answer
+        let answer = decision.answer.clone();
+        self.record(request.change_id.clone(), digest, answer, now);
+        decision
     }
 
     /// Revision in force.
--- a/crates/coordination/src/configuration/parse.rs
+++ b/crates/coordination/src/configuration/parse.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::canonical::CanonicalText;
-use super::document::{PlacedNode, read_documents};
+use super::document::{MAX_TEXT_BYTES, PlacedNode, read_documents};
 use super::known::check_label;
 use super::label::{
     KEY_RULE, LabelKey, LabelSet, LabelSubject, LabelValue, NamePattern, VALUE_RULE,
@@ -40,7 +40,7 @@
         for node in read_documents(&file, text, &mut reader.findings) {
             reader.read_document(node);
         }
-        reader.finish()
+        reader.finish(&file)
     }
 
     /// The text in canonical form: equal for equal content, whatever its order and spelling.
@@ -59,16 +59,17 @@
 }
 
 impl ConfigurationReader {
-    fn finish(mut self) -> Result<ParsedConfiguration, FindingList> {
+    fn finish(mut self, file: &Arc<str>) -> Result<ParsedConfiguration, FindingList> {
         warn_selectors(&self.selectors, &self.selector_places, &mut self.findings);
         if self.findings.has_errors() {
             return Err(self.findings);
         }
-        Ok(ParsedConfiguration {
+        let parsed = ParsedConfiguration {
             rules: self.rules,
             selectors: self.selectors,
             warnings: self.findings,
-        })
+        };
+        check_canonical_size(parsed, file)
     }
 
     fn read_document(&mut self, node: PlacedNode) {
@@ -271,6 +272,29 @@
     }
 }
 
+/// Refuses a text whose canonical form is over the bound.
+///
+/// Failure: keepers restore a configuration from its canonical text, which can be longer than what
+/// the operator wrote; over the bound a keeper could not come back from its own snapshot.
+fn check_canonical_size(
+    mut parsed: ParsedConfiguration,
+    file: &Arc<str>,
+) -> Result<ParsedConfiguration, FindingList> {
+    let bytes = parsed.canonical().text().len();
+    if bytes <= MAX_TEXT_BYTES {
+        return Ok(parsed);
+    }
+    let place = Place {
+        file: file.clone(),
+        line: 0,
+        column: 0,
+    };
+    let message = format!("in canonical form the text holds {bytes} bytes");
+    let expected = format!("at most {MAX_TEXT_BYTES} bytes");
+    parsed.warnings.error(place, message, expected);
+    Err(parsed.warnings)
+}
+
 /// A label as written.
 pub(super) struct PlacedLabel {
     pub(super) place: Place,
--- a/crates/coordination/src/replicated.rs
+++ b/crates/coordination/src/replicated.rs
@@ -1,5 +1,21 @@
 //! The state that keepers replicate: configuration changes, claims, evidence and order rights.
+//!
+//! [`ReplicatedState`] applies [`StampedCommand`]s from the log in order and answers each with a
+//! [`CommandAnswer`]. All that makes a resend safe is part of its snapshot.
 
 mod clock;
+mod command;
+mod evidence_index;
+mod host_life;
+mod order_right;
+mod state;
 
-pub use clock::{CommandStamp, MAX_FOLLOWED_PROPOSERS, ReplicatedClock, ReplicatedTime};
+pub use clock::{CommandStamp, ReplicatedClock, ReplicatedTime};
+pub use command::{CommandAnswer, ReplicatedCommand, StampedCommand};
+pub use evidence_index::{
+    EvidenceAnswer, EvidenceBatch, EvidenceIndex, EvidencePosition, EvidenceRetention,
+    IndexedRecord,
+};
+pub use host_life::{HostLifeTable, ProcessNonce, StartHost};
+pub use order_right::{GrantOrderRight, OrderHolder, OrderRightAnswer, OrderRightTable};
+pub use state::{ReplicatedSettings, ReplicatedState};
--- a/crates/coordination/src/replicated/clock.rs
+++ b/crates/coordination/src/replicated/clock.rs
@@ -1,6 +1,5 @@
-//! Time that all keepers agree on, driven by what proposers measure of their own uptime.
+//! Time that all keepers agree on, driven by what leaders measure of their own uptime.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -8,9 +7,6 @@
 
 use crate::base::{HostName, Incarnation, MonotonicTime, WallTime};
 
-/// Most proposers whose uptime is followed; the one that was silent longest goes first.
-pub const MAX_FOLLOWED_PROPOSERS: usize = 64;
-
 /// Time since the replicated state began, in microseconds.
 ///
 /// Invariant: never runs backwards.
@@ -57,12 +53,15 @@
     }
 }
 
-/// When and by whom a command was proposed.
+/// When and by whom a command was appended to the log.
+///
+/// The leader stamps each command as it appends it, whoever asked for it: only then do stamps stand
+/// in the log in the order in which they were made.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CommandStamp {
-    /// Host that proposed it.
-    pub proposer: HostName,
-    /// Life of that host's process.
+    /// Host of the leader.
+    pub host: HostName,
+    /// Life of that host's process; differs between any two lives.
     pub incarnation: Incarnation,
     /// Monotonic time of that process.
     pub uptime: MonotonicTime,
@@ -73,23 +72,22 @@
 /// The agreed clock.
 ///
 /// Failure: with wall clocks, one host whose clock jumps a day ahead would expire every claim at
-/// once, and a resend would run a booking again. Safeguard: only differences of one process's own
-/// monotonic time move this clock, so it runs no faster than real time, apart from the delay with
-/// which a proposer's first stamp arrived. When nothing is proposed it stands still, and claims
-/// live longer than stated, which is the safe side.
+/// once, and a resend would run a booking again. Safeguard: only what one process's monotonic time
+/// gains between two successive stamps of that process moves this clock, so between any two
+/// entries it gains no more than real time did. It loses an interval at each change of leader and
+/// stands still while nothing is appended; claims and leases then last longer, the safe side.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicatedClock {
     now: ReplicatedTime,
-    proposers: BTreeMap<HostName, ProposerOffset>,
+    last: Option<LastStamp>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct ProposerOffset {
+struct LastStamp {
+    host: HostName,
     incarnation: Incarnation,
-    /// Uptime of the first stamp of this incarnation, and the agreed time at which it was applied.
-    first_uptime: MonotonicTime,
-    first_seen: ReplicatedTime,
-    last_seen: ReplicatedTime,
+    /// Highest uptime of this process's successive stamps.
+    uptime: MonotonicTime,
 }
 
 impl ReplicatedClock {
@@ -100,38 +98,20 @@
 
     /// Moves the clock by a stamp and gives the agreed time.
     pub fn observe(&mut self, stamp: &CommandStamp) -> ReplicatedTime {
-        let known = self
-            .proposers
-            .get(&stamp.proposer)
-            .filter(|offset| offset.incarnation == stamp.incarnation)
-            .cloned();
-        let mut offset = known.unwrap_or(ProposerOffset {
+        let mut uptime = stamp.uptime;
+        let same_process = self
+            .last
+            .as_ref()
+            .filter(|last| last.host == stamp.host && last.incarnation == stamp.incarnation);
+        if let Some(last) = same_process {
+            self.now = self.now.after(uptime.since(last.uptime));
+            uptime = uptime.max(last.uptime);
+        }
+        self.last = Some(LastStamp {
+            host: stamp.host.clone(),
             incarnation: stamp.incarnation,
-            first_uptime: stamp.uptime,
-            first_seen: self.now,
-            last_seen: self.now,
+            uptime,
         });
-        let measured = offset
-            .first_seen
-            .after(stamp.uptime.since(offset.first_uptime));
-        self.now = self.now.max(measured);
-        offset.last_seen = self.now;
-        self.proposers.insert(stamp.proposer.clone(), offset);
-        self.evict();
         self.now
     }
-
-    fn evict(&mut self) {
-        if self.proposers.len() <= MAX_FOLLOWED_PROPOSERS {
-            return;
-        }
-        let silent = self
-            .proposers
-            .iter()
-            .min_by_key(|(host, offset)| (offset.last_seen, (*host).clone()))
-            .map(|(host, _)| host.clone());
-        if let Some(host) = silent {
-            self.proposers.remove(&host);
-        }
-    }
 }
--- /dev/null
+++ b/crates/coordination/src/replicated/evidence_index.rs
@@ -0,0 +1,176 @@
+//! Evidence records as they are agreed: each exactly once, in one order for all keepers.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::base::{HostName, Incarnation, SequenceNumber};
+
+/// Successive records of one writer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvidenceBatch {
+    /// Host whose process made them.
+    pub writer: HostName,
+    /// Life of that process.
+    pub incarnation: Incarnation,
+    /// Number of the first record; the others follow it. A life's numbers begin at 0.
+    pub first: SequenceNumber,
+    /// The records in their own encoding.
+    pub records: Vec<Arc<[u8]>>,
+}
+
+/// Answer to a batch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EvidenceAnswer {
+    /// All records up to `next` are recorded, those of the batch and all before.
+    Recorded {
+        /// Number of the record to send next.
+        next: SequenceNumber,
+    },
+    /// Records before the batch are missing; none of it is recorded.
+    Gap {
+        /// Number of the first missing record.
+        expected: SequenceNumber,
+    },
+    /// A later life of the writer has recorded already; none of it is recorded.
+    Superseded,
+}
+
+/// Position of a record in the agreed order, from 0.
+#[derive(
+    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct EvidencePosition(pub u64);
+
+/// A record in the agreed order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IndexedRecord {
+    /// Its position.
+    pub position: EvidencePosition,
+    /// Host that made it.
+    pub writer: HostName,
+    /// Life of the writer.
+    pub incarnation: Incarnation,
+    /// Number within that life.
+    pub sequence: SequenceNumber,
+    /// The record.
+    pub record: Arc<[u8]>,
+}
+
+/// How much is kept here; keepers copy records to their evidence files before that.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvidenceRetention {
+    /// Most records.
+    pub records: usize,
+    /// Most bytes of records.
+    pub bytes: usize,
+}
+
+impl Default for EvidenceRetention {
+    fn default() -> Self {
+        Self {
+            records: 20_000,
+            bytes: 8 * 1024 * 1024,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct WriterState {
+    incarnation: Incarnation,
+    next: SequenceNumber,
+}
+
+/// The latest records, and how far each writer has come.
+///
+/// Invariants: positions rise by one; `bytes` is the sum of the records kept.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvidenceIndex {
+    retention: EvidenceRetention,
+    writers: BTreeMap<HostName, WriterState>,
+    recent: VecDeque<IndexedRecord>,
+    next: EvidencePosition,
+    bytes: usize,
+}
+
+impl EvidenceIndex {
+    /// An empty index.
+    pub fn new(retention: EvidenceRetention) -> Self {
+        Self {
+            retention,
+            ..Self::default()
+        }
+    }
+
+    /// Records what is new in a batch.
+    pub fn record(&mut self, batch: &EvidenceBatch) -> EvidenceAnswer {
+        let known = self.writers.get(&batch.writer);
+        let expected = match known {
+            Some(writer) if writer.incarnation > batch.incarnation => {
+                return EvidenceAnswer::Superseded;
+            }
+            Some(writer) if writer.incarnation == batch.incarnation => writer.next,
+            _ => SequenceNumber(0),
+        };
+        if batch.first > expected {
+            return EvidenceAnswer::Gap { expected };
+        }
+        let mut sequence = batch.first;
+        for record in &batch.records {
+            if sequence >= expected {
+                self.push(batch, sequence, record.clone());
+            }
+            sequence = sequence.next();
+        }
+        let next = sequence.max(expected);
+        let writer = WriterState {
+            incarnation: batch.incarnation,
+            next,
+        };
+        self.writers.insert(batch.writer.clone(), writer);
+        EvidenceAnswer::Recorded { next }
+    }
+
+    /// Position that the next record will get.
+    pub fn next_position(&self) -> EvidencePosition {
+        self.next
+    }
+
+    /// Position of the oldest record kept.
+    pub fn oldest_position(&self) -> EvidencePosition {
+        self.recent
+            .front()
+            .map_or(self.next, |record| record.position)
+    }
+
+    /// Records from `position` on that are kept.
+    pub fn since(&self, position: EvidencePosition) -> impl Iterator<Item = &IndexedRecord> {
+        let skipped = position.0.saturating_sub(self.oldest_position().0);
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+        self.recent.iter().skip(skipped)
+    }
+
+    fn push(&mut self, batch: &EvidenceBatch, sequence: SequenceNumber, record: Arc<[u8]>) {
+        self.bytes += record.len();
+        self.recent.push_back(IndexedRecord {
+            position: self.next,
+            writer: batch.writer.clone(),
+            incarnation: batch.incarnation,
+            sequence,
+            record,
+        });
+        self.next = EvidencePosition(self.next.0 + 1);
+        let over = |index: &Self| {
+            index.recent.len() > index.retention.records || index.bytes > index.retention.bytes
+        };
+        while over(self) {
+            let Some(oldest) = self.recent.pop_front() else {
+                return;
+            };
+            self.bytes -= oldest.record.len();
+        }
+    }
+}
