feat(keeper): drive agreement, disk and state machine on each keeper

The agreement core and the store are pure or blocking; a daemon needs them run together without the decider waiting for the disk. One task owns core and state machine, the store's thread syncs, peers carry messages. Requests end as done, not run or unknown; a keeper that doesn't lead names the leader, so a question has one hop and is never doubled. A fresh folder finds its group, or founds it only with all other keepers present; an emptied one comes back as a learner and votes once it has caught up.

--- /dev/null
+++ b/crates/daemon/src/keeper.rs
@@ -0,0 +1,28 @@
+//! The keeper of a host: drives the agreement core, its disk and the replicated state.
+//!
+//! One task owns the core and the state machine. The store has a thread of its own; while it
+//! syncs, whatever arrives shares the next sync. Requests of this host and of peers come in
+//! through bounded queues, and each is answered as done, not run, or unknown.
+
+mod calls;
+mod client;
+mod effects;
+mod error;
+mod formation;
+mod frames;
+mod handle;
+mod join;
+mod port;
+mod runtime;
+mod settings;
+mod start;
+mod status;
+
+pub use client::{ClientSettings, KeeperClient, RetryPermission};
+pub use error::{KeeperError, SubmitError};
+pub use frames::KeeperFrames;
+pub use handle::KeeperHandle;
+pub use port::{KeeperInbox, KeeperPort, keeper_queue};
+pub use settings::KeeperSettings;
+pub use start::{KeeperStart, RunningKeeper, start_keeper};
+pub use status::KeeperStatus;
--- /dev/null
+++ b/crates/daemon/src/keeper/calls.rs
@@ -0,0 +1,122 @@
+//! Answers questions of peers to this keeper.
+//!
+//! A keeper that doesn't lead never passes a question on: it names the leader, and the asker goes
+//! there itself. So a question has one hop, and at most one keeper works on it at a time.
+
+use pollendrift_coordination::agreement::{KeeperId, MembershipChange, RefusalReason};
+use pollendrift_coordination::base::HostName;
+use tokio::time::timeout;
+
+use super::error::SubmitError;
+use super::port::{KeeperPort, KeeperRequest, LocalOutcome};
+use crate::peers::{KeeperIntroduction, PeerAnswer, PeerCall, PeerHub, PeerQuestion};
+
+/// Works on a call and sends the answer; returns the call where it is none for a keeper.
+pub(super) fn serve_call(
+    port: &KeeperPort,
+    hub: &PeerHub,
+    from: &HostName,
+    call: PeerCall,
+) -> Option<PeerCall> {
+    if matches!(call.question, PeerQuestion::RequestLookUp(_)) {
+        return Some(call);
+    }
+    let port = port.clone();
+    let hub = hub.clone();
+    let from = from.clone();
+    tokio::spawn(async move {
+        let number = call.number;
+        let work = answer(&port, &from, call.question);
+        // Later than the asker's patience nobody listens.
+        if let Ok(answer) = timeout(call.patience, work).await {
+            let _ = hub.answer(&from, number, answer);
+        }
+    });
+    None
+}
+
+async fn answer(port: &KeeperPort, from: &HostName, question: PeerQuestion) -> PeerAnswer {
+    match question {
+        PeerQuestion::Submit(command) => {
+            let command = command.0.as_ref().into();
+            let outcome = port
+                .ask(|outcome| KeeperRequest::Submit { command, outcome })
+                .await;
+            into_answer(outcome, |answer| PeerAnswer::Submitted(answer.into()))
+        }
+        PeerQuestion::ReadBarrier => {
+            let outcome = port.ask(|outcome| KeeperRequest::Read { outcome }).await;
+            into_answer(outcome, |index| PeerAnswer::Readable(index.0))
+        }
+        PeerQuestion::Introduction(asker) => introduce(port, &asker),
+        PeerQuestion::Join(keeper) => join(port, from, keeper).await,
+        PeerQuestion::RequestLookUp(_) => PeerAnswer::NotRun {
+            reason: "not a question to a keeper".to_owned(),
+        },
+    }
+}
+
+fn into_answer<T, F>(outcome: LocalOutcome<T>, done: F) -> PeerAnswer
+where
+    F: FnOnce(T) -> PeerAnswer,
+{
+    match outcome {
+        LocalOutcome::Done(value) => done(value),
+        LocalOutcome::NotLeader(leader) => PeerAnswer::NotLeader {
+            leader: leader.map(|leader| leader.host),
+        },
+        LocalOutcome::Failed(SubmitError::NotRun { reason }) => PeerAnswer::NotRun { reason },
+        LocalOutcome::Failed(SubmitError::Unknown { reason }) => PeerAnswer::Unknown { reason },
+    }
+}
+
+fn introduce(port: &KeeperPort, asker: &KeeperIntroduction) -> PeerAnswer {
+    let Some(mut introduction) = port.introduction() else {
+        return PeerAnswer::NotRun {
+            reason: "keeper is still starting".to_owned(),
+        };
+    };
+    let membership = port.status().membership;
+    let own = &asker.keeper;
+    let rivals = membership
+        .keepers()
+        .filter(|keeper| keeper.host == own.host);
+    let rival = rivals.map(|keeper| keeper.incarnation).max();
+    introduction.outranked_by =
+        rival.filter(|rival| !membership.contains(own) && *rival >= own.incarnation);
+    PeerAnswer::Introduced(introduction)
+}
+
+/// Does the next step that takes a keeper in: first as a learner, then as a voter.
+async fn join(port: &KeeperPort, from: &HostName, keeper: KeeperId) -> PeerAnswer {
+    if keeper.host != *from {
+        return PeerAnswer::NotRun {
+            reason: "a host joins for itself only".to_owned(),
+        };
+    }
+    let known = port.introduction();
+    if !known.is_some_and(|own| own.keepers.contains(from)) {
+        return PeerAnswer::NotRun {
+            reason: "settings don't name the host as a keeper".to_owned(),
+        };
+    }
+    let membership = port.status().membership;
+    let change = if membership.voters.contains(&keeper) {
+        return PeerAnswer::Readable(0);
+    } else if membership.learners.contains(&keeper) {
+        MembershipChange::Promote(keeper)
+    } else {
+        MembershipChange::AddLearner(keeper)
+    };
+    let outcome = port
+        .ask(|outcome| KeeperRequest::Change { change, outcome })
+        .await;
+    into_answer(outcome, |index| PeerAnswer::Readable(index.0))
+}
+
+/// Whether a refusal of a join step only means "ask again later".
+pub(super) fn is_passing(reason: &str) -> bool {
+    [RefusalReason::NotCaughtUp, RefusalReason::ChangePending]
+        .iter()
+        .any(|passing| passing.to_string() == reason)
+}
--- /dev/null
+++ b/crates/daemon/src/keeper/effects.rs
@@ -0,0 +1,183 @@
+//! Does what the agreement core says, in its order.
+
+use std::sync::Arc;
+
+use pollendrift_coordination::agreement::{
+    AgreementEffect, AgreementEnvelope, AgreementInput, EntryPayload, HandOverOutcome, LogEntry,
+    LogIndex, MachineError, PersistOrder, ProposalOutcome, ReadOutcome, RefusalReason,
+    RequestToken, StoredSnapshot,
+};
+use pollendrift_store::CommitRequest;
+
+use super::error::{KeeperError, SubmitError};
+use super::port::{LocalOutcome, OutcomeSender};
+use super::runtime::KeeperRuntime;
+use crate::peers::{PeerFrame, encode_agreement};
+
+/// Answer of the state machine to one entry.
+struct AppliedAnswer {
+    index: LogIndex,
+    answer: Result<Vec<u8>, MachineError>,
+}
+
+impl KeeperRuntime {
+    pub(super) fn perform(&mut self, effects: Vec<AgreementEffect>) -> Result<(), KeeperError> {
+        let mut answers = Vec::new();
+        for effect in effects {
+            match effect {
+                AgreementEffect::Send(envelope) => self.send(&envelope),
+                AgreementEffect::Persist(order) => self.persist(order)?,
+                AgreementEffect::Committed(entries) => self.apply(entries, &mut answers),
+                AgreementEffect::InstallSnapshot(snapshot) => self.install(&snapshot)?,
+                AgreementEffect::Proposal { token, outcome } => {
+                    self.settle_submit(token, outcome, &mut answers);
+                }
+                AgreementEffect::Read { token, outcome } => self.settle_read(token, outcome),
+                AgreementEffect::HandOver { token, outcome } => {
+                    self.settle_hand_over(token, outcome);
+                }
+                AgreementEffect::MembershipChange { token, outcome } => {
+                    self.settle_change(token, outcome);
+                }
+                AgreementEffect::RoleChanged(status) => {
+                    log::info!(role:% = status.role, term:% = status.term; "keeper's role changed");
+                    self.status.role = status.role;
+                    self.status.term = status.term;
+                    self.status.leader = status.leader;
+                    self.status.redundancy = None;
+                }
+                AgreementEffect::MembershipChanged { membership, .. } => {
+                    self.status.membership = Arc::new(membership);
+                }
+                AgreementEffect::RedundancyChanged(report) => {
+                    self.status.redundancy = Some(Arc::new(report));
+                }
+                AgreementEffect::SnapshotWanted { .. } => {
+                    let snapshot = self.take_snapshot()?;
+                    self.follow_up.push(snapshot);
+                }
+                AgreementEffect::IdentityLost { index, .. } => {
+                    return Err(KeeperError::OldDisk { index });
+                }
+                AgreementEffect::MessageDropped { from, reason } => {
+                    log::debug!(keeper:% = from, reason:% = reason; "agreement message dropped");
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Messages that don't leave are lost, as on the wire; the core repeats what matters.
+    fn send(&self, envelope: &AgreementEnvelope) {
+        match encode_agreement(envelope) {
+            Ok(bytes) => {
+                let frame = PeerFrame::Agreement(bytes);
+                if let Err(refusal) = self.hub.send(&envelope.to.host, &frame) {
+                    log::trace!(peer:% = envelope.to, refusal:% = refusal; "message not sent");
+                }
+            }
+            Err(error) => log::error!(error:% = error; "agreement message can't be encoded"),
+        }
+    }
+
+    fn persist(&mut self, order: PersistOrder) -> Result<(), KeeperError> {
+        self.syncing = Some(AgreementInput::Persisted(order.sequence));
+        let queued = self.commit.submit(CommitRequest::Order(order));
+        queued.map(drop).map_err(|refusal| KeeperError::Refused {
+            reason: refusal.to_string(),
+        })
+    }
+
+    fn apply(&mut self, entries: Vec<LogEntry>, answers: &mut Vec<AppliedAnswer>) {
+        for entry in entries {
+            self.status.applied = entry.index;
+            if let EntryPayload::Command(command) = &entry.payload {
+                let answer = self.machine.apply(entry.index, command);
+                answers.push(AppliedAnswer {
+                    index: entry.index,
+                    answer,
+                });
+            }
+        }
+    }
+
+    fn install(&mut self, snapshot: &StoredSnapshot) -> Result<(), KeeperError> {
+        self.machine.restore(&snapshot.bytes)?;
+        self.status.applied = snapshot.mark.index;
+        self.snapshot_at = snapshot.mark.index;
+        self.log_bytes_then = self.status.usage.log_bytes;
+        Ok(())
+    }
+
+    fn settle_submit(
+        &mut self,
+        token: RequestToken,
+        outcome: ProposalOutcome,
+        answers: &mut Vec<AppliedAnswer>,
+    ) {
+        let Some(sender) = self.open.submits.remove(&token) else {
+            return;
+        };
+        let outcome = match outcome {
+            ProposalOutcome::Committed(index) => answer_at(index, answers),
+            ProposalOutcome::NotAppended(reason) => refused(reason),
+            ProposalOutcome::Unknown => LocalOutcome::Failed(lost_leadership()),
+        };
+        tell(sender, outcome);
+    }
+
+    fn settle_read(&mut self, token: RequestToken, outcome: ReadOutcome) {
+        if let Some(sender) = self.open.reads.remove(&token) {
+            let outcome = match outcome {
+                ReadOutcome::Ready(index) => LocalOutcome::Done(index),
+                ReadOutcome::Refused(reason) => refused(reason),
+            };
+            tell(sender, outcome);
+        }
+    }
+
+    fn settle_hand_over(&mut self, token: RequestToken, outcome: HandOverOutcome) {
+        if let Some(sender) = self.open.hand_overs.remove(&token) {
+            tell(sender, LocalOutcome::Done(outcome));
+        }
+    }
+
+    fn settle_change(&mut self, token: RequestToken, outcome: ProposalOutcome) {
+        if let Some(sender) = self.open.changes.remove(&token) {
+            let outcome = match outcome {
+                ProposalOutcome::Committed(index) => LocalOutcome::Done(index),
+                ProposalOutcome::NotAppended(reason) => refused(reason),
+                ProposalOutcome::Unknown => LocalOutcome::Failed(lost_leadership()),
+            };
+            tell(sender, outcome);
+        }
+    }
+}
+
+fn lost_leadership() -> SubmitError {
+    SubmitError::unknown("leadership ended before the command was committed")
+}
+
+/// A command that the state machine can't read changes nothing, on any keeper.
+fn answer_at(index: LogIndex, answers: &mut Vec<AppliedAnswer>) -> LocalOutcome<Vec<u8>> {
+    let position = answers.iter().position(|applied| applied.index == index);
+    match position.map(|position| answers.swap_remove(position).answer) {
+        Some(Ok(answer)) => LocalOutcome::Done(answer),
+        Some(Err(error)) => LocalOutcome::Failed(SubmitError::not_run(error)),
+        None => LocalOutcome::Failed(SubmitError::unknown("answer of the command is not known")),
+    }
+}
+
+fn refused<T>(reason: RefusalReason) -> LocalOutcome<T> {
+    match reason {
+        RefusalReason::NotLeader { leader } => LocalOutcome::NotLeader(leader),
+        // The next leader is about to be known: the request may be asked again.
+        RefusalReason::HandingOver => LocalOutcome::NotLeader(None),
+        reason => LocalOutcome::Failed(SubmitError::not_run(reason)),
+    }
+}
+
+fn tell<T>(sender: OutcomeSender<T>, outcome: LocalOutcome<T>) {
+    // The asker may have given up in the meantime.
+    let _ = sender.send(outcome);
+}
--- /dev/null
+++ b/crates/daemon/src/keeper/formation.rs
@@ -0,0 +1,124 @@
+//! Finds the group of a keeper that has none, or founds it together with all others.
+//!
+//! Only a keeper with a fresh folder comes here, and it has never voted. It asks every other keeper
+//! of the settings. If one belongs to a group, this one joins that group. If all answer and none
+//! does, the host with the lowest name writes down the first membership, and the others learn it by
+//! asking. All have to answer: a keeper that can't be asked may hold a group's log, and a second
+//! group beside it would accept changes that contradict the first.
+
+use std::collections::BTreeSet;
+
+use pollendrift_coordination::agreement::{KeeperId, Membership};
+use pollendrift_coordination::base::HostName;
+use pollendrift_store::{GroupId, JoinedGroup, SegmentStore};
+use tokio::time::sleep;
+
+use super::error::KeeperError;
+use super::port::KeeperInbox;
+use super::settings::KeeperSettings;
+use crate::peers::{KeeperIntroduction, PeerAnswer, PeerHub, PeerQuestion};
+
+/// What asking around has shown.
+enum Findings {
+    /// A group exists.
+    Group(JoinedGroup),
+    /// Another incarnation of this host is known, and it is not lower.
+    Outranked(KeeperIntroduction),
+    /// Everybody answered; nobody has a group.
+    Nobody(Vec<KeeperId>),
+    /// Somebody didn't answer, or takes others for keepers.
+    Unsettled,
+}
+
+/// Waits until the keeper has a group, and writes it down.
+pub(super) async fn find_group(
+    store: &mut SegmentStore,
+    hub: &PeerHub,
+    inbox: &KeeperInbox,
+    keepers: &[HostName],
+    settings: &KeeperSettings,
+) -> Result<(), KeeperError> {
+    loop {
+        let own = introduce(store, keepers);
+        inbox.introduction.send_replace(Some(own.clone()));
+        if own.group.is_some() {
+            return Ok(());
+        }
+        match ask_around(hub, &own, settings).await {
+            Findings::Group(group) => store.join_group(group)?,
+            Findings::Outranked(answer) => {
+                if let Some(rival) = answer.outranked_by {
+                    store.raise_incarnation(rival)?;
+                }
+            }
+            Findings::Nobody(others) if may_found(&own, settings) => {
+                store.join_group(found(&own.keeper, others))?;
+            }
+            Findings::Nobody(_) | Findings::Unsettled => sleep(settings.join_pause).await,
+        }
+    }
+}
+
+fn introduce(store: &SegmentStore, keepers: &[HostName]) -> KeeperIntroduction {
+    let identity = store.identity();
+    let sorted: BTreeSet<HostName> = keepers.iter().cloned().collect();
+    KeeperIntroduction {
+        keeper: KeeperId {
+            host: identity.host.clone(),
+            incarnation: identity.incarnation,
+        },
+        group: identity.group.clone(),
+        keepers: sorted.into_iter().collect(),
+        outranked_by: None,
+    }
+}
+
+fn may_found(own: &KeeperIntroduction, settings: &KeeperSettings) -> bool {
+    settings.may_found && own.keepers.first() == Some(&own.keeper.host)
+}
+
+/// The founder's incarnation is the wall clock at its disk's formatting, so it also tells this
+/// group from an earlier one on the same hosts.
+fn found(own: &KeeperId, others: Vec<KeeperId>) -> JoinedGroup {
+    let mut voters: BTreeSet<KeeperId> = others.into_iter().collect();
+    voters.insert(own.clone());
+    JoinedGroup {
+        id: GroupId(own.incarnation.0),
+        founding: Membership {
+            voters,
+            learners: BTreeSet::new(),
+        },
+    }
+}
+
+async fn ask_around(
+    hub: &PeerHub,
+    own: &KeeperIntroduction,
+    settings: &KeeperSettings,
+) -> Findings {
+    let mut others = Vec::new();
+    let mut unsettled = false;
+    for host in own.keepers.iter().filter(|host| **host != own.keeper.host) {
+        let question = PeerQuestion::Introduction(own.clone());
+        let answer = hub.call(host, question, 1, settings.join_pause * 5).await;
+        let Ok(PeerAnswer::Introduced(answer)) = answer else {
+            unsettled = true;
+            continue;
+        };
+        if answer.outranked_by.is_some() {
+            return Findings::Outranked(answer);
+        }
+        if let Some(group) = answer.group {
+            return Findings::Group(group);
+        }
+        if answer.keepers != own.keepers {
+            log::warn!(peer:% = host; "settings name other keepers than here; no group is founded");
+            unsettled = true;
+        }
+        others.push(answer.keeper);
+    }
+    if unsettled {
+        return Findings::Unsettled;
+    }
+    Findings::Nobody(others)
+}
--- /dev/null
+++ b/crates/daemon/src/keeper/runtime.rs
@@ -0,0 +1,268 @@
+//! The task of a keeper: gathers what happened, ticks the core and does what it says.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use pollendrift_coordination::agreement::{
+    AgreementEnvelope, AgreementInput, AgreementNode, HandOverOutcome, LogIndex, RequestToken,
+    StateMachine,
+};
+use pollendrift_store::{CommitReport, CommitThread};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use super::error::{KeeperError, SubmitError};
+use super::port::{KeeperInbox, KeeperRequest, LocalOutcome, OutcomeSender};
+use super::status::KeeperStatus;
+use crate::clock::TimeSource;
+use crate::peers::PeerHub;
+
+/// Messages and requests that one tick takes at most, so that heartbeats are never far off.
+const TICK_INPUTS: usize = 512;
+
+/// Requests whose outcome the core has not told yet.
+#[derive(Default)]
+pub(super) struct OpenRequests {
+    last: u64,
+    pub(super) submits: BTreeMap<RequestToken, OutcomeSender<Vec<u8>>>,
+    pub(super) reads: BTreeMap<RequestToken, OutcomeSender<LogIndex>>,
+    pub(super) hand_overs: BTreeMap<RequestToken, OutcomeSender<HandOverOutcome>>,
+    pub(super) changes: BTreeMap<RequestToken, OutcomeSender<LogIndex>>,
+}
+
+impl OpenRequests {
+    fn token(&mut self) -> RequestToken {
+        self.last = self.last.wrapping_add(1);
+        RequestToken(self.last)
+    }
+}
+
+/// Everything that a keeper's task owns.
+pub(super) struct KeeperRuntime {
+    pub(super) node: AgreementNode,
+    pub(super) machine: Box<dyn StateMachine>,
+    pub(super) commit: CommitThread,
+    pub(super) hub: PeerHub,
+    pub(super) clock: Arc<dyn TimeSource>,
+    pub(super) inbox: KeeperInbox,
+    pub(super) reports: mpsc::UnboundedReceiver<CommitReport>,
+    pub(super) open: OpenRequests,
+    pub(super) status: KeeperStatus,
+    /// Inputs that effects of the last tick led to.
+    pub(super) follow_up: Vec<AgreementInput>,
+    /// The order that is being synced; the core gives out one at a time.
+    pub(super) syncing: Option<AgreementInput>,
+    pub(super) snapshot_log_bytes: u64,
+    /// Bytes of log when the last snapshot was taken.
+    pub(super) log_bytes_then: u64,
+    pub(super) snapshot_at: LogIndex,
+}
+
+/// What woke the task.
+enum WakeUp {
+    Message(AgreementEnvelope),
+    Request(KeeperRequest),
+    Report(CommitReport),
+    Deadline,
+}
+
+impl KeeperRuntime {
+    /// Runs until it is stopped or can't go on; every open request is answered.
+    pub(super) async fn run(mut self) -> Result<(), KeeperError> {
+        let result = self.run_ticks().await;
+        let reason: Arc<str> = match &result {
+            Ok(()) => Arc::from("planned stop"),
+            Err(error) => Arc::from(error.to_string()),
+        };
+        self.status.stopped = Some(reason.clone());
+        self.inbox.status.send_replace(self.status.clone());
+        self.refuse_waiting(&reason);
+        self.abandon_open(&reason);
+        result
+    }
+
+    async fn run_ticks(&mut self) -> Result<(), KeeperError> {
+        let mut stopping = false;
+        self.tick(Vec::new())?;
+        while !(stopping && self.syncing.is_none()) {
+            let wake_up = self.wait().await;
+            let mut inputs = Vec::new();
+            stopping |= self.take(wake_up, &mut inputs)?;
+            while inputs.len() < TICK_INPUTS {
+                let Some(next) = self.try_next() else {
+                    break;
+                };
+                stopping |= self.take(next, &mut inputs)?;
+            }
+            self.tick(inputs)?;
+        }
+        Ok(())
+    }
+
+    async fn wait(&mut self) -> WakeUp {
+        let pause = self.node.next_deadline().since(self.clock.now());
+        tokio::select! {
+            biased;
+            Some(report) = self.reports.recv() => WakeUp::Report(report),
+            Some(message) = self.inbox.messages.recv() => WakeUp::Message(message),
+            Some(request) = self.inbox.requests.recv() => WakeUp::Request(request),
+            () = sleep(pause) => WakeUp::Deadline,
+        }
+    }
+
+    fn try_next(&mut self) -> Option<WakeUp> {
+        if let Ok(report) = self.reports.try_recv() {
+            return Some(WakeUp::Report(report));
+        }
+        if let Ok(message) = self.inbox.messages.try_recv() {
+            return Some(WakeUp::Message(message));
+        }
+        self.inbox.requests.try_recv().ok().map(WakeUp::Request)
+    }
+
+    /// Turns what happened into inputs; `true` where the task is to stop.
+    fn take(
+        &mut self,
+        wake_up: WakeUp,
+        inputs: &mut Vec<AgreementInput>,
+    ) -> Result<bool, KeeperError> {
+        match wake_up {
+            WakeUp::Message(message) => inputs.push(AgreementInput::Message(message)),
+            WakeUp::Report(report) => self.take_report(report, inputs)?,
+            WakeUp::Request(KeeperRequest::Stop) => return Ok(true),
+            WakeUp::Request(request) => inputs.push(self.open_request(request)?),
+            WakeUp::Deadline => {}
+        }
+        Ok(false)
+    }
+
+    fn take_report(
+        &mut self,
+        report: CommitReport,
+        inputs: &mut Vec<AgreementInput>,
+    ) -> Result<(), KeeperError> {
+        self.status.mark = report.result?;
+        self.status.usage = report.usage;
+        inputs.extend(self.syncing.take());
+        if let Some(snapshot) = self.snapshot_for_bytes()? {
+            inputs.push(snapshot);
+        }
+        Ok(())
+    }
+
+    /// A snapshot once the log has grown enough since the last one, however few entries that is.
+    fn snapshot_for_bytes(&mut self) -> Result<Option<AgreementInput>, KeeperError> {
+        let bytes = self.status.usage.log_bytes;
+        self.log_bytes_then = self.log_bytes_then.min(bytes);
+        let grown = bytes - self.log_bytes_then;
+        if grown < self.snapshot_log_bytes || self.status.applied <= self.snapshot_at {
+            return Ok(None);
+        }
+        self.take_snapshot().map(Some)
+    }
+
+    /// Encodes the state as it is now.
+    pub(super) fn take_snapshot(&mut self) -> Result<AgreementInput, KeeperError> {
+        let bytes = self.machine.snapshot()?;
+        self.log_bytes_then = self.status.usage.log_bytes;
+        self.snapshot_at = self.status.applied;
+        Ok(AgreementInput::SnapshotTaken {
+            index: self.status.applied,
+            bytes: Arc::from(bytes),
+        })
+    }
+
+    fn open_request(&mut self, request: KeeperRequest) -> Result<AgreementInput, KeeperError> {
+        let token = self.open.token();
+        Ok(match request {
+            KeeperRequest::Submit { command, outcome } => {
+                self.open.submits.insert(token, outcome);
+                AgreementInput::Propose { token, command }
+            }
+            KeeperRequest::Read { outcome } => {
+                self.open.reads.insert(token, outcome);
+                AgreementInput::Read { token }
+            }
+            KeeperRequest::HandOver { target, outcome } => {
+                self.open.hand_overs.insert(token, outcome);
+                AgreementInput::HandOver { token, target }
+            }
+            KeeperRequest::Change { change, outcome } => {
+                self.open.changes.insert(token, outcome);
+                AgreementInput::ChangeMembership { token, change }
+            }
+            KeeperRequest::Stop => {
+                return Err(KeeperError::Refused {
+                    reason: "stop is no request to the core".to_owned(),
+                });
+            }
+        })
+    }
+
+    /// Ticks until nothing follows from the effects.
+    fn tick(&mut self, inputs: Vec<AgreementInput>) -> Result<(), KeeperError> {
+        let mut inputs = inputs;
+        loop {
+            let effects = self.node.tick(self.clock.now(), inputs);
+            self.perform(effects)?;
+            if self.follow_up.is_empty() {
+                break;
+            }
+            inputs = std::mem::take(&mut self.follow_up);
+        }
+        self.publish();
+        Ok(())
+    }
+
+    fn publish(&mut self) {
+        self.status.commit = self.node.commit_index();
+        self.status.last = self.node.last_index();
+        let status = &self.status;
+        self.inbox.status.send_if_modified(|shown| {
+            let changed = shown != status;
+            if changed {
+                shown.clone_from(status);
+            }
+            changed
+        });
+    }
+
+    /// Requests that no tick has seen were not run.
+    fn refuse_waiting(&mut self, reason: &str) {
+        self.inbox.requests.close();
+        let reason = format!("keeper has stopped: {reason}");
+        while let Ok(request) = self.inbox.requests.try_recv() {
+            let failed = SubmitError::not_run(&reason);
+            match request {
+                KeeperRequest::Submit { outcome, .. } => settle(outcome, failed),
+                KeeperRequest::Read { outcome } => settle(outcome, failed),
+                KeeperRequest::HandOver { outcome, .. } => settle(outcome, failed),
+                KeeperRequest::Change { outcome, .. } => settle(outcome, failed),
+                KeeperRequest::Stop => {}
+            }
+        }
+    }
+
+    /// Requests that the core took may yet be committed by the others; reads were not answered.
+    fn abandon_open(&mut self, reason: &str) {
+        let open = std::mem::take(&mut self.open);
+        let reason = format!("keeper has stopped: {reason}");
+        for outcome in open.submits.into_values() {
+            settle(outcome, SubmitError::unknown(&reason));
+        }
+        for outcome in open.changes.into_values() {
+            settle(outcome, SubmitError::unknown(&reason));
+        }
+        for outcome in open.hand_overs.into_values() {
+            settle(outcome, SubmitError::unknown(&reason));
+        }
+        for outcome in open.reads.into_values() {
+            settle(outcome, SubmitError::not_run(&reason));
+        }
+    }
+}
+
+fn settle<T>(outcome: OutcomeSender<T>, error: SubmitError) {
+    // The asker may have given up in the meantime.
+    let _ = outcome.send(LocalOutcome::Failed(error));
+}
--- /dev/null
+++ b/crates/daemon/src/keeper/settings.rs
@@ -0,0 +1,43 @@
+//! Settings of a keeper.
+
+use std::time::Duration;
+
+use pollendrift_coordination::agreement::AgreementSettings;
+use pollendrift_store::{CommitSettings, StoreSettings};
+
+/// Settings of one keeper.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeeperSettings {
+    /// The agreement core.
+    pub agreement: AgreementSettings,
+    /// The store's files.
+    pub store: StoreSettings,
+    /// The store's thread.
+    pub commit: CommitSettings,
+    /// Bytes of log since the last snapshot after which the next one is taken.
+    pub snapshot_log_bytes: u64,
+    /// Requests of this host and of peers that wait for the keeper; more are refused.
+    pub queue: usize,
+    /// Time between two attempts to found or find the group, and to join it.
+    pub join_pause: Duration,
+    /// Whether this host may found a group together with all other keepers of the settings, where
+    /// none of them has one. Off, an empty group stays empty until an operator turns it on.
+    pub may_found: bool,
+    /// Seed of the election timeouts.
+    pub seed: u64,
+}
+
+impl Default for KeeperSettings {
+    fn default() -> Self {
+        Self {
+            agreement: AgreementSettings::default(),
+            store: StoreSettings::default(),
+            commit: CommitSettings::default(),
+            snapshot_log_bytes: 16 * 1024 * 1024,
+            queue: 8_192,
+            join_pause: Duration::from_millis(200),
+            may_found: true,
+            seed: 0,
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod faces;
 pub mod fleet;
+pub mod keeper;
 pub mod peers;
 pub mod platform;
 pub mod settings;
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -4,9 +4,11 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use pollendrift_coordination::agreement::{AgreementEnvelope, KeeperId};
 use pollendrift_coordination::base::{HostName, Incarnation, RequestId, Revision};
 use pollendrift_coordination::configuration::ConfigurationDelta;
 use pollendrift_coordination::leases::LeaseDelta;
+use pollendrift_store::JoinedGroup;
 use serde::de::Visitor;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
@@ -97,6 +99,19 @@
     pub question: PeerQuestion,
 }
 
+/// A keeper, its group, and whom it takes for keepers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeeperIntroduction {
+    /// The keeper.
+    pub keeper: KeeperId,
+    /// Its group; `None` while it has none.
+    pub group: Option<JoinedGroup>,
+    /// Hosts that its settings name as keepers, sorted.
+    pub keepers: Vec<HostName>,
+    /// In an answer: an incarnation of the asker's host that stands against the asker's.
+    pub outranked_by: Option<Incarnation>,
+}
+
 /// A question.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerQuestion {
@@ -106,6 +121,10 @@
     ReadBarrier,
     /// What is known of a request?
     RequestLookUp(RequestId),
+    /// Which keeper are you, and of which group? Asked by a keeper that belongs to none.
+    Introduction(KeeperIntroduction),
+    /// Take this keeper into the group, or the next step of that.
+    Join(KeeperId),
 }
 
 /// An answer.
@@ -117,6 +136,13 @@
     Readable(u64),
     /// Encoded record of the request; `None` if this host knows nothing of it.
     Request(Option<FrameBytes>),
+    /// Which keeper this is.
+    Introduced(KeeperIntroduction),
+    /// It was not done here, and may be asked elsewhere: this keeper doesn't lead.
+    NotLeader {
+        /// Who does, where known.
+        leader: Option<HostName>,
+    },
     /// It was not done, and won't be.
     NotRun {
         /// Why.
@@ -237,3 +263,27 @@
     }
     Ok(frame)
 }
+
+/// Encodes a message between keepers, as the content of [`PeerFrame::Agreement`].
+///
+/// # Errors
+/// The message can't be encoded.
+pub fn encode_agreement(envelope: &AgreementEnvelope) -> Result<FrameBytes, FrameError> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(envelope, &mut bytes).map_err(|error| FrameError::Garbage {
+        reason: error.to_string(),
+    })?;
+    Ok(bytes.into())
+}
+
+/// Decodes a message between keepers.
+///
+/// # Errors
+/// The bytes are no message; any bytes are safe.
+pub fn decode_agreement(bytes: &[u8]) -> Result<AgreementEnvelope, FrameError> {
+    ciborium::de::from_reader_with_recursion_limit(bytes, FRAME_DEPTH).map_err(|error| {
+        FrameError::Garbage {
+            reason: error.to_string(),
+        }
+    })
+}
--- a/crates/store/src/border.rs
+++ b/crates/store/src/border.rs
@@ -106,6 +106,9 @@
     /// The disk failed; either the earlier state or the whole snapshot is in force at restart.
     fn install_snapshot(&mut self, snapshot: &StoreSnapshot) -> Result<SyncMark, StoreError>;
 
+    /// Index at which the log goes on.
+    fn next_index(&self) -> LogIndex;
+
     /// What the store takes up now.
     fn usage(&self) -> StoreUsage;
 }
--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -7,7 +7,7 @@
 use std::thread::{Builder, JoinHandle};
 
 use derive_more::{Display, Error};
-use pollendrift_coordination::agreement::EntryPayload;
+use pollendrift_coordination::agreement::{EntryPayload, PersistOrder, StoredSnapshot};
 
 use crate::border::{LogStore, PersistBatch, StoreSnapshot, StoreUsage, SyncMark};
 use crate::error::StoreError;
@@ -46,6 +46,8 @@
     Save(StoreSnapshot),
     /// Snapshot from the leader.
     Install(StoreSnapshot),
+    /// Order of the agreement core, in its order of writing.
+    Order(PersistOrder),
 }
 
 /// All requests up to a ticket are durable, or the store has stopped.
@@ -223,5 +225,42 @@
         CommitRequest::Persist(batch) => store.persist(&batch),
         CommitRequest::Save(snapshot) => store.save_snapshot(&snapshot),
         CommitRequest::Install(snapshot) => store.install_snapshot(&snapshot),
+        CommitRequest::Order(order) => commit_order(store, order),
     }
 }
+
+/// Writes hard state, snapshot, truncation and entries; without a snapshot that is one sync.
+///
+/// A snapshot behind the end of the log is the keeper's own, or agrees with the log; one beyond it
+/// came from the leader and the log restarts after it. A conflicting suffix goes with the
+/// truncation that follows; recovery drops it too if a crash comes in between.
+fn commit_order(store: &mut dyn LogStore, order: PersistOrder) -> Result<SyncMark, StoreError> {
+    let mut batch = PersistBatch {
+        hard: order.hard_state,
+        truncate_from: order.truncate_from,
+        entries: order.entries,
+    };
+    if let Some(snapshot) = order.snapshot {
+        let hard = PersistBatch {
+            hard: batch.hard.take(),
+            ..PersistBatch::default()
+        };
+        store.persist(&hard)?;
+        commit_snapshot(store, snapshot)?;
+    }
+    store.persist(&batch)
+}
+
+fn commit_snapshot(
+    store: &mut dyn LogStore,
+    snapshot: StoredSnapshot,
+) -> Result<SyncMark, StoreError> {
+    let snapshot = StoreSnapshot {
+        mark: snapshot.mark,
+        state: snapshot.bytes.to_vec(),
+    };
+    if snapshot.mark.index < store.next_index() {
+        return store.save_snapshot(&snapshot);
+    }
+    store.install_snapshot(&snapshot)
+}
--- a/crates/store/src/identity.rs
+++ b/crates/store/src/identity.rs
@@ -1,6 +1,7 @@
 //! Whose folder this is, and which life of its disk.
 
 use derive_more::Display;
+use pollendrift_coordination::agreement::Membership;
 use pollendrift_coordination::base::{HostName, Incarnation, WallTime};
 use serde::{Deserialize, Serialize};
 
@@ -17,6 +18,15 @@
 #[serde(transparent)]
 pub struct GroupId(pub u64);
 
+/// The group that a keeper belongs to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JoinedGroup {
+    /// The group.
+    pub id: GroupId,
+    /// Its first membership, which every first voter writes as its first entry.
+    pub founding: Membership,
+}
+
 /// Identity of a data folder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreIdentity {
@@ -25,7 +35,7 @@
     /// Life of the disk; an emptied folder comes back under another.
     pub incarnation: Incarnation,
     /// Group whose log the folder holds; `None` until the keeper has joined one.
-    pub group: Option<GroupId>,
+    pub group: Option<JoinedGroup>,
     /// Times the folder was opened; written before anything is answered.
     pub opens: u64,
     /// The identity file's own fingerprint: a copied or restored file has another.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -25,7 +25,7 @@
 pub use error::StoreError;
 pub use files::{DiskFiles, FileFingerprint, FileSystem, FolderLock, StoreFile};
 pub use frame::{FrameScan, scan_frame};
-pub use identity::{GroupId, StoreIdentity};
+pub use identity::{GroupId, JoinedGroup, StoreIdentity};
 pub use recovery::{RecoveredLog, RecoveryReport, TornTail};
 pub use settings::StoreSettings;
 pub use store::{OpenRequest, OpenedStore, SegmentStore};
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use pollendrift_coordination::agreement::{HardState, LogIndex};
-use pollendrift_coordination::base::{HostName, WallTime};
+use pollendrift_coordination::base::{HostName, Incarnation, WallTime};
 
 use crate::border::{LogStore, PersistBatch, StoreSnapshot, StoreUsage, SyncMark};
 use crate::error::StoreError;
 use crate::files::{FileSystem, FolderLock, StoreFile};
 use crate::frame::encode_frame;
-use crate::identity::{GroupId, StoreIdentity, open_identity, path_of, write_identity};
+use crate::identity::{JoinedGroup, StoreIdentity, open_identity, path_of, write_identity};
 use crate::record::{LogRecord, SegmentHead, StoredEntry, encode_record};
 use crate::recovery::{RecoveredLog, RecoveryReport, Replay, SegmentSpan, replay_folder};
 use crate::segment::{
@@ -146,7 +146,7 @@
     ///
     /// # Errors
     /// The disk failed.
-    pub fn join_group(&mut self, group: GroupId) -> Result<(), StoreError> {
+    pub fn join_group(&mut self, group: JoinedGroup) -> Result<(), StoreError> {
         self.guarded(|store| {
             let mut identity = store.identity.clone();
             identity.group = Some(group);
@@ -156,6 +156,25 @@
         })
     }
 
+    /// Takes a higher incarnation, where the group knows one of this host that stands against it.
+    ///
+    /// Only a keeper that has joined no group may: it has never voted.
+    ///
+    /// # Errors
+    /// The disk failed.
+    pub fn raise_incarnation(&mut self, above: Incarnation) -> Result<(), StoreError> {
+        self.guarded(|store| {
+            let mut identity = store.identity.clone();
+            if identity.group.is_some() || identity.incarnation > above {
+                return Ok(());
+            }
+            identity.incarnation = above.next();
+            store.identity = write_identity(store.files.as_ref(), identity)?;
+            store.syncs += 2;
+            Ok(())
+        })
+    }
+
     /// Runs `step` unless an earlier one failed; a failure stops the store for good.
     fn guarded<T, F>(&mut self, step: F) -> Result<T, StoreError>
     where
@@ -342,6 +361,10 @@
         })
     }
 
+    fn next_index(&self) -> LogIndex {
+        self.next
+    }
+
     fn usage(&self) -> StoreUsage {
         StoreUsage {
             log_bytes: self.spans.iter().map(|span| span.bytes).sum(),
--- a/crates/store/tests/store/commit.rs
+++ b/crates/store/tests/store/commit.rs
@@ -48,6 +48,10 @@
         self.call(Vec::new())
     }
 
+    fn next_index(&self) -> LogIndex {
+        LogIndex(1)
+    }
+
     fn usage(&self) -> StoreUsage {
         StoreUsage::default()
     }
--- a/crates/store/tests/store/identity.rs
+++ b/crates/store/tests/store/identity.rs
@@ -1,15 +1,23 @@
 //! Whose folder it is, and which life of its disk.
 
+use pollendrift_coordination::agreement::Membership;
 use pollendrift_coordination::base::Incarnation;
-use pollendrift_store::{FileSystem, GroupId, LogStore, StoreError};
+use pollendrift_store::{FileSystem, GroupId, JoinedGroup, LogStore, StoreError};
 
 use crate::fault_files::FaultFiles;
 use crate::workload::{open, open_as, run, script};
 
+fn group() -> JoinedGroup {
+    JoinedGroup {
+        id: GroupId(5),
+        founding: Membership::default(),
+    }
+}
+
 fn filled() -> FaultFiles {
     let files = FaultFiles::default();
     let mut opened = open(&files).expect("fresh folder");
-    opened.store.join_group(GroupId(5)).expect("no fault");
+    opened.store.join_group(group()).expect("no fault");
     run(&mut opened.store, &script()[0]).expect("no fault");
     files
 }
@@ -49,7 +57,7 @@
     let after = opened.store.identity();
     assert!(opened.report.fresh);
     assert_ne!(before.incarnation, after.incarnation);
-    assert_eq!((before.group, after.group), (Some(GroupId(5)), None));
+    assert_eq!((before.group, &after.group), (Some(group()), &None));
 }
 
 /// The operator sees: a folder that lost its log, but not its identity, is another keeper too,
