--- a/crates/coordination/src/agreement/machine.rs
+++ b/crates/coordination/src/agreement/machine.rs
@@ -1,8 +1,11 @@
 //! The border between the log and what is replicated through it.
 
+use std::sync::Arc;
+
 use derive_more::{Display, Error};
 
 use super::entry::LogIndex;
+use crate::base::{MonotonicTime, WallTime};
 
 /// Why a state machine refused bytes.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -25,6 +28,23 @@
     /// The command can't be decoded; the state is unchanged.
     fn apply(&mut self, index: LogIndex, command: &[u8]) -> Result<Vec<u8>, MachineError>;
 
+    /// Completes a command that this keeper is about to propose, such as with the leader's time.
+    ///
+    /// Only the keeper that appends a command may stamp it: stamps then stand in the log in the
+    /// order in which they were made.
+    ///
+    /// # Errors
+    /// The command can't be read; it is not proposed.
+    fn prepare(
+        &self,
+        now: MonotonicTime,
+        wall: WallTime,
+        command: Arc<[u8]>,
+    ) -> Result<Arc<[u8]>, MachineError> {
+        let _ = (now, wall);
+        Ok(command)
+    }
+
     /// Encodes the whole state.
     ///
     /// # Errors
--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -10,16 +10,17 @@
 mod settings;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use slotmap::{SlotMap, new_key_type};
 
 pub use delta::{DeltaCursor, LeaseDelta};
-pub use record::{LeaseNews, MergeVerdict, ServerAnnounce, ServerLease, ServerState};
+pub use record::{HeardFrom, LeaseNews, MergeVerdict, ServerAnnounce, ServerLease, ServerState};
 pub use settings::BackendLeaseSettings;
 
 use record::Hearing;
 
-use crate::base::{Incarnation, MonotonicTime, SequenceNumber, ServerName};
+use crate::base::{MonotonicTime, ServerName};
 
 new_key_type! {
     /// Key of a backend server's lease.
@@ -53,12 +54,17 @@
         }
     }
 
-    /// Takes an announcement that its sender heard `age` ago.
-    pub fn merge(
+    /// Takes an announcement that came to this host.
+    pub fn merge(&mut self, now: MonotonicTime, announce: ServerAnnounce) -> MergeVerdict {
+        self.merge_heard(now, announce, Duration::ZERO, HeardFrom::Server)
+    }
+
+    fn merge_heard(
         &mut self,
         now: MonotonicTime,
         announce: ServerAnnounce,
-        age: std::time::Duration,
+        age: Duration,
+        from: HeardFrom,
     ) -> MergeVerdict {
         if age >= self.settings.lease {
             return MergeVerdict::Stale;
@@ -68,6 +74,7 @@
             // Not counted from `heard_at`, which is held at the start of this process: a delta
             // that outlived a restart of its receiver would then renew for a whole lease.
             deadline: now.after(self.settings.lease.saturating_sub(age)),
+            from,
         };
         match self.by_name.get(&announce.server).copied() {
             Some(key) => self.merge_known(key, hearing, announce),
@@ -204,16 +211,6 @@
         lease.version = version;
         self.by_version.insert(version, key);
     }
-
-    fn outranks(
-        &self,
-        server: &ServerName,
-        incarnation: Incarnation,
-        sequence: SequenceNumber,
-    ) -> bool {
-        self.get(server)
-            .is_none_or(|lease| lease.is_outranked_by(incarnation, sequence))
-    }
 }
 
 #[cfg(test)]
--- a/crates/coordination/src/leases/delta.rs
+++ b/crates/coordination/src/leases/delta.rs
@@ -1,14 +1,14 @@
 //! Deltas that spread leases between entries.
 //!
-//! A full announcement travels only when it changed; a renewal is four numbers. A receiver that
-//! lacks the announcement a renewal speaks of asks for it by name.
+//! Each host tells every other what it heard from servers themselves, with the age of the news, so
+//! that a lease ends on every host by that host's own clock.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use super::{LeaseTable, MergeVerdict, ServerAnnounce};
-use crate::base::{Incarnation, MonotonicTime, SequenceNumber, ServerName};
+use super::{HeardFrom, LeaseTable, MergeVerdict, ServerAnnounce};
+use crate::base::MonotonicTime;
 
 /// How far one receiver has been told.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,10 +25,12 @@
 }
 
 impl LeaseTable {
-    /// Up to `limit` leases that changed after `cursor`, oldest change first, and the new cursor.
+    /// Up to `limit` leases that this host heard of itself after `cursor`, oldest first, and the
+    /// new cursor.
     ///
-    /// Ended leases are left out: every entry ends a lease by its own clock, so no message is
-    /// needed and none that is lost can keep a silent server alive.
+    /// What peers told is left out: each host tells every other, so passing it on would only
+    /// multiply messages. Ended leases are left out too: every host ends a lease by its own clock,
+    /// so no message is needed and none that is lost can keep a silent server alive.
     pub fn delta(
         &self,
         now: MonotonicTime,
@@ -37,13 +39,14 @@
     ) -> (Vec<LeaseDelta>, DeltaCursor) {
         let mut deltas = Vec::new();
         let mut reached = cursor;
-        for (version, key) in self
-            .by_version
-            .range(cursor.0.saturating_add(1)..)
-            .take(limit)
-        {
+        for (version, key) in self.by_version.range(cursor.0.saturating_add(1)..) {
+            if deltas.len() >= limit {
+                break;
+            }
             reached = DeltaCursor(*version);
-            let Some(lease) = self.leases.get(*key).filter(|lease| !lease.ended) else {
+            let lease = self.leases.get(*key);
+            let Some(lease) = lease.filter(|lease| !lease.ended && lease.from == HeardFrom::Server)
+            else {
                 continue;
             };
             deltas.push(LeaseDelta {
@@ -54,23 +57,14 @@
         (deltas, reached)
     }
 
-    /// Takes a delta from another entry; `transit` is the longest time that it may have travelled.
+    /// Takes a delta from another host; `transit` is the longest time that it may have travelled.
     pub fn merge_delta(
         &mut self,
         now: MonotonicTime,
         delta: LeaseDelta,
         transit: Duration,
     ) -> MergeVerdict {
-        self.merge(now, delta.announce, delta.age.saturating_add(transit))
-    }
-
-    /// Whether an announcement of this rank would be news to this table.
-    pub fn lacks(
-        &self,
-        server: &ServerName,
-        incarnation: Incarnation,
-        sequence: SequenceNumber,
-    ) -> bool {
-        self.outranks(server, incarnation, sequence)
+        let age = delta.age.saturating_add(transit);
+        self.merge_heard(now, delta.announce, age, HeardFrom::Peer)
     }
 }
--- a/crates/coordination/src/leases/record.rs
+++ b/crates/coordination/src/leases/record.rs
@@ -53,6 +53,8 @@
     pub heard_at: MonotonicTime,
     /// End of the lease; once ended, the time at which the server is forgotten.
     pub deadline: MonotonicTime,
+    /// Whom the announcement was heard from.
+    pub from: HeardFrom,
     /// Whether the lease ran out.
     pub ended: bool,
     /// Version of the table at the last change; orders deltas.
@@ -65,6 +67,7 @@
             announce,
             heard_at: hearing.heard_at,
             deadline: hearing.deadline,
+            from: hearing.from,
             ended: false,
             version: 0,
         }
@@ -96,6 +99,7 @@
     pub(super) fn renew(&mut self, announce: ServerAnnounce, hearing: Hearing) {
         self.announce = announce;
         self.heard_at = hearing.heard_at;
+        self.from = hearing.from;
         // A later announcement that travelled longer must not shorten the lease of an earlier one.
         self.deadline = if self.ended {
             hearing.deadline
@@ -106,11 +110,22 @@
     }
 }
 
+/// Whom an announcement was heard from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HeardFrom {
+    /// The backend server itself.
+    Server,
+    /// Another host, which heard the server itself.
+    Peer,
+}
+
 /// When an announcement was heard, and how long it holds.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Hearing {
     pub(super) heard_at: MonotonicTime,
     pub(super) deadline: MonotonicTime,
+    pub(super) from: HeardFrom,
 }
 
 /// What became of an announcement.
--- a/crates/coordination/src/leases/tests.rs
+++ b/crates/coordination/src/leases/tests.rs
@@ -1,6 +1,8 @@
 use std::time::Duration;
 
-use super::{BackendLeaseSettings, LeaseTable, MergeVerdict, ServerAnnounce, ServerState};
+use super::{
+    BackendLeaseSettings, LeaseDelta, LeaseTable, MergeVerdict, ServerAnnounce, ServerState,
+};
 use crate::base::{Incarnation, MonotonicTime, SequenceNumber, ServerName};
 
 struct AnnounceBuilder(ServerAnnounce);
@@ -89,10 +91,7 @@
         for (incarnation, sequence, leaving) in announces {
             let builder = AnnounceBuilder::new(incarnation, sequence);
             let builder = if leaving { builder.leaving() } else { builder };
-            seen.push(format!(
-                "{:?}",
-                table.merge(at(10), builder.0, Duration::ZERO)
-            ));
+            seen.push(format!("{:?}", table.merge(at(10), builder.0)));
         }
         assert_eq!(seen.join(" "), verdicts, "{name}");
         assert_eq!(
@@ -110,7 +109,7 @@
     let server = ServerName::from("engine-1");
     let mut first = table();
     let mut second = table();
-    first.merge(at(0), AnnounceBuilder::new(1, 1).0, Duration::ZERO);
+    first.merge(at(0), AnnounceBuilder::new(1, 1).0);
     let (deltas, cursor) = first.delta(at(400), Default::default(), 10);
     for delta in deltas {
         // The second host started 10 s earlier: the hosts' clocks share nothing.
@@ -132,7 +131,7 @@
     assert!(first.delta(at(500), cursor, 10).0.is_empty());
     assert_eq!(first.tick(at(3_000)).len(), 1);
     assert_eq!(
-        first.merge(at(3_001), AnnounceBuilder::new(1, 2).0, Duration::ZERO),
+        first.merge(at(3_001), AnnounceBuilder::new(1, 2).0),
         MergeVerdict::Changed
     );
     assert!(first.may_take_work(at(3_002), &server));
@@ -143,10 +142,13 @@
 #[test]
 fn a_delta_older_than_the_lease_renews_nothing() {
     let mut table = table();
-    let verdict = table.merge(
+    let verdict = table.merge_delta(
         at(9_000),
-        AnnounceBuilder::new(1, 5).0,
-        Duration::from_secs(3),
+        LeaseDelta {
+            announce: AnnounceBuilder::new(1, 5).0,
+            age: Duration::from_secs(3),
+        },
+        Duration::ZERO,
     );
     assert_eq!(verdict, MergeVerdict::Stale);
     assert!(!table.may_take_work(at(9_000), &ServerName::from("engine-1")));
@@ -157,10 +159,13 @@
 #[test]
 fn a_delta_older_than_the_receiver_holds_only_for_its_rest() {
     let mut table = table();
-    table.merge(
+    table.merge_delta(
         at(100),
-        AnnounceBuilder::new(1, 5).0,
-        Duration::from_millis(2_900),
+        LeaseDelta {
+            announce: AnnounceBuilder::new(1, 5).0,
+            age: Duration::from_millis(2_900),
+        },
+        Duration::ZERO,
     );
     let server = ServerName::from("engine-1");
     assert!(table.may_take_work(at(199), &server));
@@ -173,15 +178,12 @@
         max_servers: 1,
         ..Default::default()
     });
-    table.merge(at(0), AnnounceBuilder::new(1, 1).0, Duration::ZERO);
+    table.merge(at(0), AnnounceBuilder::new(1, 1).0);
     let mut other = AnnounceBuilder::new(1, 1).0;
     other.server = "engine-2".into();
+    assert_eq!(table.merge(at(1), other), MergeVerdict::Full);
     assert_eq!(
-        table.merge(at(1), other, Duration::ZERO),
-        MergeVerdict::Full
-    );
-    assert_eq!(
-        table.merge(at(1), AnnounceBuilder::new(1, 2).0, Duration::ZERO),
+        table.merge(at(1), AnnounceBuilder::new(1, 2).0),
         MergeVerdict::Renewed
     );
 }
--- a/crates/coordination/src/replicated/command.rs
+++ b/crates/coordination/src/replicated/command.rs
@@ -70,6 +70,24 @@
     Ticked,
 }
 
+impl ReplicatedCommand {
+    /// The command as bytes for the keeper that will stamp and propose it.
+    ///
+    /// # Errors
+    /// The command can't be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, MachineError> {
+        encode("command", self)
+    }
+
+    /// Reads a command that has not been stamped.
+    ///
+    /// # Errors
+    /// The bytes are no command.
+    pub fn decode(bytes: &[u8]) -> Result<Self, MachineError> {
+        decode("command", bytes)
+    }
+}
+
 impl StampedCommand {
     /// The command as bytes for the log.
     ///
--- a/crates/daemon/src/agreed.rs
+++ b/crates/daemon/src/agreed.rs
@@ -1,8 +1,18 @@
 //! The border between request handling and the state that keepers agree on.
 
-use std::sync::{Arc, PoisonError, RwLock};
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
 
+use derive_more::{Display, Error};
 use pollendrift_coordination::configuration::Configuration;
+use pollendrift_coordination::replicated::{CommandAnswer, ReplicatedCommand};
+
+use crate::keeper::SubmitError;
+
+/// The answer to a command, still to be awaited.
+pub type SubmitFuture<'agreed> =
+    Pin<Box<dyn Future<Output = Result<CommandAnswer, SubmitError>> + Send + 'agreed>>;
 
 /// State that all hosts agree on, as one host sees it.
 pub trait AgreedState: Send + Sync {
@@ -11,38 +21,19 @@
     /// # Errors
     /// The lease on the configuration's being current ran out.
     fn configuration(&self) -> Result<Arc<Configuration>, StaleConfiguration>;
+
+    /// Runs a command through the agreement group. All commands are idempotent by their own ids,
+    /// so one whose answer was lost is sent again until the time for it is up.
+    ///
+    /// # Errors
+    /// [`SubmitError::NotRun`] only where it is proved.
+    fn submit(&self, command: ReplicatedCommand) -> SubmitFuture<'_>;
 }
 
 /// This host can't tell which configuration is in force.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("this host can't tell which configuration is in force: {reason}")]
 pub struct StaleConfiguration {
     /// What it waits for.
     pub reason: String,
 }
-
-/// A configuration held in this process alone, for one host without keepers.
-#[derive(Debug)]
-pub struct LocalState {
-    configuration: RwLock<Arc<Configuration>>,
-}
-
-impl LocalState {
-    /// Starts from `configuration`.
-    pub fn new(configuration: Arc<Configuration>) -> Self {
-        Self {
-            configuration: RwLock::new(configuration),
-        }
-    }
-}
-
-impl AgreedState for LocalState {
-    fn configuration(&self) -> Result<Arc<Configuration>, StaleConfiguration> {
-        Ok(Arc::clone(
-            &self
-                .configuration
-                .read()
-                .unwrap_or_else(PoisonError::into_inner),
-        ))
-    }
-}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -9,6 +9,7 @@
 
 use derive_more::{Display, Error, From};
 use pollendrift_coordination::leases::BackendLeaseSettings;
+use pollendrift_coordination::replicated::ProcessNonce;
 use pollendrift_coordination::routing::RoutingSettings;
 use pollendrift_http::{HttpClient, HttpServer, ServerBounds, StreamAcceptor};
 use tokio::task::JoinHandle;
@@ -21,6 +22,7 @@
 use crate::faces::FaceRouter;
 use crate::fleet::BackendFleet;
 use crate::lifecycle::{LifeControl, LifeStep};
+use crate::node::{AgreedNode, NodeError, NodeParts};
 use crate::platform::{DumpSource, MetricSource, PlatformHandler};
 use crate::settings::{DaemonSettings, DrainSettings, EntrySettings};
 
@@ -45,26 +47,26 @@
     /// The keys can't be used.
     #[display("{_0}")]
     Access(AccessError),
+    /// The agreed state can't start.
+    #[display("{_0}")]
+    Node(NodeError),
 }
 
 /// A running daemon; dropping it stops at once, as a crash does.
-#[derive(Debug)]
 pub struct RouterDaemon {
     servers: Vec<HttpServer>,
+    node: Arc<AgreedNode>,
     life: LifeControl,
     drain: DrainSettings,
     tasks: Vec<JoinHandle<()>>,
 }
 
 impl RouterDaemon {
-    /// Starts a daemon over `agreed`.
+    /// Starts the daemon of one host.
     ///
     /// # Errors
-    /// An address can't be bound; nothing is left running.
-    pub async fn start(
-        settings: &DaemonSettings,
-        agreed: Arc<dyn AgreedState>,
-    ) -> Result<Self, StartError> {
+    /// An address, the keys or the data folder can't be used; nothing is left running.
+    pub async fn start(settings: &DaemonSettings) -> Result<Self, StartError> {
         let access = Arc::new(AccessControl::new(settings)?);
         let clock: Arc<dyn TimeSource> = Arc::new(SystemClock::default());
         let leases = BackendLeaseSettings {
@@ -73,6 +75,14 @@
         };
         let seed = clock.wall().0;
         let fleet = Arc::new(BackendFleet::new(leases, RoutingSettings::default(), seed));
+        let parts = NodeParts {
+            access: Arc::clone(&access),
+            fleet: Arc::clone(&fleet),
+            clock: Arc::clone(&clock),
+            nonce: ProcessNonce(rand::random()),
+        };
+        let node = Arc::new(AgreedNode::start(settings, parts).await?);
+        let agreed: Arc<dyn AgreedState> = Arc::clone(&node) as Arc<dyn AgreedState>;
         let life = LifeControl::default();
         let context = Arc::new(EntryContext {
             host: settings.host.clone(),
@@ -135,12 +145,18 @@
         let tasks = vec![tokio::spawn(tick_loop(fleet, clock))];
         Ok(Self {
             servers,
+            node,
             life,
             drain: settings.drain.clone(),
             tasks,
         })
     }
 
+    /// This host's part in the agreed state.
+    pub fn node(&self) -> &Arc<AgreedNode> {
+        &self.node
+    }
+
     /// A planned stop: asks the balancer to move away, then refuses new work, lets what runs
     /// finish, and closes. True if everything finished within the drain timeout.
     pub async fn drain(mut self) -> bool {
--- /dev/null
+++ b/crates/daemon/src/feed.rs
@@ -0,0 +1,273 @@
+//! Keeps this host's configuration current: asks keepers, and tells peers what it holds.
+//!
+//! Every host follows in the same way, keepers included: an isolated keeper has the old state on
+//! its disk and must not serve it.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use pollendrift_coordination::base::{HostName, MonotonicTime, Revision};
+use pollendrift_coordination::configuration::{Configuration, ParsedConfiguration};
+use pollendrift_coordination::following::{
+    AnswerVerdict, FollowSettings, RevisionFollower, RevisionQuestion,
+};
+use serde::Serialize;
+use tokio::sync::Notify;
+
+use crate::agreed::StaleConfiguration;
+use crate::clock::TimeSource;
+use crate::keeper::KeeperClient;
+use crate::peers::{ConfigurationFrame, PeerAnswer, PeerFrame, PeerHub, PeerQuestion};
+use crate::state::SharedState;
+
+/// Time between two statements of the revision held, if it does not change.
+const STATEMENT_PERIOD: Duration = Duration::from_secs(1);
+
+/// What a peer said that it serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct PeerRevision {
+    /// The host.
+    pub host: HostName,
+    /// Revision that it serves.
+    pub revision: Revision,
+    /// When it last said so, in this host's time.
+    pub heard_at: MonotonicTime,
+}
+
+/// The configuration that this host holds, and its lease.
+pub struct ConfigurationFeed {
+    state: Mutex<FeedState>,
+    hub: PeerHub,
+    client: KeeperClient,
+    /// State of this host's keeper, if it has one.
+    shared: Option<SharedState>,
+    clock: Arc<dyn TimeSource>,
+    wake: Notify,
+    patience: Duration,
+}
+
+struct FeedState {
+    follower: RevisionFollower,
+    /// Content of the follower's revision; `None` before the first answer.
+    held: Option<Arc<Configuration>>,
+    /// Bounded by the hosts of the settings: only peers can speak.
+    peers: BTreeMap<HostName, PeerRevision>,
+}
+
+/// A quorum-checked answer: the revision, and its content unless it is held.
+struct FreshRevision {
+    revision: Revision,
+    content: Option<Arc<Configuration>>,
+}
+
+impl ConfigurationFeed {
+    /// A feed that holds nothing yet.
+    pub fn new(
+        settings: FollowSettings,
+        keepers: Vec<HostName>,
+        hub: PeerHub,
+        client: KeeperClient,
+        shared: Option<SharedState>,
+        clock: Arc<dyn TimeSource>,
+    ) -> Self {
+        let own = keepers.iter().position(|keeper| keeper == hub.host());
+        let turn = own.unwrap_or_else(|| hub.hosts().take_while(|host| *host < hub.host()).count());
+        let follower = RevisionFollower::new(settings, keepers, turn);
+        Self {
+            state: Mutex::new(FeedState {
+                follower,
+                held: None,
+                peers: BTreeMap::new(),
+            }),
+            hub,
+            client,
+            shared,
+            clock,
+            wake: Notify::new(),
+            patience: settings.period,
+        }
+    }
+
+    /// The configuration to serve now.
+    ///
+    /// # Errors
+    /// The lease ran out, or nothing was ever confirmed.
+    pub fn current(&self) -> Result<Arc<Configuration>, StaleConfiguration> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let stale = |reason: String| StaleConfiguration { reason };
+        state
+            .follower
+            .current(now)
+            .map_err(|gap| stale(gap.to_string()))?;
+        state
+            .held
+            .clone()
+            .ok_or_else(|| stale("it holds no configuration".to_owned()))
+    }
+
+    /// Revisions that hosts serve, this one included.
+    pub fn in_force(&self) -> Vec<PeerRevision> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let own = state
+            .follower
+            .current(now)
+            .ok()
+            .map(|revision| PeerRevision {
+                host: self.hub.host().clone(),
+                revision,
+                heard_at: now,
+            });
+        state.peers.values().cloned().chain(own).collect()
+    }
+
+    /// Takes what a peer says of the configuration.
+    pub fn take(&self, from: &HostName, frame: ConfigurationFrame) {
+        let ConfigurationFrame::Holds { revision } = frame else {
+            return;
+        };
+        let heard_at = self.clock.now();
+        let mut state = self.lock();
+        state.follower.hear(heard_at, revision);
+        let statement = PeerRevision {
+            host: from.clone(),
+            revision,
+            heard_at,
+        };
+        state.peers.insert(from.clone(), statement);
+        drop(state);
+        self.wake.notify_one();
+    }
+
+    /// Answers another host's question after a quorum-checked read at this host's keeper.
+    pub async fn answer(&self, have: Option<Revision>) -> PeerAnswer {
+        let not_run = |reason: String| PeerAnswer::NotRun { reason };
+        match self.read_own(have).await {
+            Ok(fresh) => PeerAnswer::Configuration {
+                revision: fresh.revision,
+                content: fresh
+                    .content
+                    .map(|content| content.canonical().text().into_bytes().into()),
+            },
+            Err(reason) => not_run(reason),
+        }
+    }
+
+    /// Asks keepers in turn for as long as the host runs.
+    pub async fn run(self: Arc<Self>) {
+        let mut stated_at = MonotonicTime::START;
+        loop {
+            let now = self.clock.now();
+            let question = self.lock().follower.tick(now);
+            if let Some(question) = question {
+                tokio::spawn(Arc::clone(&self).ask(question));
+            }
+            if now.since(stated_at) >= STATEMENT_PERIOD {
+                self.state_revision();
+                stated_at = now;
+            }
+            let pause = self.lock().follower.next_deadline().since(self.clock.now());
+            tokio::select! {
+                () = tokio::time::sleep(pause.min(STATEMENT_PERIOD)) => {}
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    async fn ask(self: Arc<Self>, question: RevisionQuestion) {
+        let answer = if question.keeper == *self.hub.host() {
+            self.read_own(question.have).await
+        } else {
+            self.read_from(&question).await
+        };
+        match answer {
+            Ok(fresh) => self.take_answer(question.asked_at, fresh),
+            Err(reason) => {
+                log::debug!(keeper:% = question.keeper, reason:% = reason; "no revision")
+            }
+        }
+    }
+
+    fn take_answer(&self, asked_at: MonotonicTime, fresh: FreshRevision) {
+        let verdict = {
+            let mut state = self.lock();
+            let has_content = fresh.content.is_some();
+            let verdict = state.follower.answer(asked_at, fresh.revision, has_content);
+            if verdict == AnswerVerdict::Advanced {
+                state.held = fresh.content;
+            }
+            verdict
+        };
+        if verdict == AnswerVerdict::Advanced {
+            log::info!(revision:% = fresh.revision; "configuration in force");
+            self.state_revision();
+        }
+    }
+
+    async fn read_own(&self, have: Option<Revision>) -> Result<FreshRevision, String> {
+        let shared = self.shared.as_ref().ok_or("this host has no keeper")?;
+        self.client
+            .read_barrier()
+            .await
+            .map_err(|error| error.to_string())?;
+        let configuration = shared.configuration();
+        let revision = configuration.revision();
+        let content = (have != Some(revision)).then_some(configuration);
+        Ok(FreshRevision { revision, content })
+    }
+
+    async fn read_from(&self, question: &RevisionQuestion) -> Result<FreshRevision, String> {
+        let ask = PeerQuestion::ConfigurationAfter {
+            have: question.have,
+        };
+        let answer = self.hub.call(&question.keeper, ask, 0, self.patience).await;
+        match answer.map_err(|error| error.to_string())? {
+            PeerAnswer::Configuration { revision, content } => {
+                let content = content
+                    .map(|content| read_content(revision, &content.0))
+                    .transpose()?;
+                Ok(FreshRevision { revision, content })
+            }
+            PeerAnswer::NotRun { reason } | PeerAnswer::Unknown { reason } => Err(reason),
+            _ => Err("keeper answered another question".to_owned()),
+        }
+    }
+
+    /// Tells every peer what is served here: those that hold less ask at once, and operators see
+    /// where a change is in force.
+    fn state_revision(&self) {
+        let Ok(revision) = self.lock().follower.current(self.clock.now()) else {
+            return;
+        };
+        let frame = PeerFrame::Configuration(ConfigurationFrame::Holds { revision });
+        for host in self.hub.hosts() {
+            // A statement that can't be sent is made again within a second.
+            let _ = self.hub.send(host, &frame);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FeedState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn read_content(revision: Revision, content: &[u8]) -> Result<Arc<Configuration>, String> {
+    let text = std::str::from_utf8(content).map_err(|error| error.to_string())?;
+    let name = format!("revision {revision}");
+    let parsed =
+        ParsedConfiguration::parse(&name, text).map_err(|findings| findings.to_string())?;
+    Ok(Arc::new(Configuration::build(revision, &parsed)))
+}
+
+/// Wakes the feed when this host's keeper applies a change, so that it asks at once.
+pub async fn follow_own_keeper(feed: Arc<ConfigurationFeed>, shared: SharedState) {
+    let mut revisions = shared.watch_revision();
+    while revisions.changed().await.is_ok() {
+        let revision = *revisions.borrow_and_update();
+        let now = feed.clock.now();
+        feed.lock().follower.hear(now, revision);
+        feed.wake.notify_one();
+    }
+}
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -86,7 +86,7 @@
     ) -> Result<MergeVerdict, AnnounceError> {
         check_announcement(announcement)?;
         let announce = encode(announcement)?;
-        match self.lock().merge(now, announce, Duration::ZERO) {
+        match self.lock().merge(now, announce) {
             MergeVerdict::Full => Err(AnnounceError::Full),
             verdict => Ok(verdict),
         }
@@ -99,12 +99,11 @@
         delta: LeaseDelta,
         transit: Duration,
     ) -> MergeVerdict {
-        let age = delta.age.saturating_add(transit);
-        self.lock().merge(now, delta.announce, age)
+        self.lock().merge_delta(now, delta, transit)
     }
 
-    /// Leases that changed after `cursor`, at most `limit`.
-    pub fn delta(
+    /// Leases that this host heard of itself after `cursor`, at most `limit`.
+    pub fn own_delta(
         &self,
         now: MonotonicTime,
         cursor: DeltaCursor,
@@ -181,23 +180,39 @@
 }
 
 impl FleetState {
-    fn merge(
+    fn merge(&mut self, now: MonotonicTime, announce: ServerAnnounce) -> MergeVerdict {
+        let server = announce.server.clone();
+        let verdict = self.leases.merge(now, announce);
+        self.follow(now, &server, verdict)
+    }
+
+    fn merge_delta(
         &mut self,
         now: MonotonicTime,
-        announce: ServerAnnounce,
-        age: Duration,
+        delta: LeaseDelta,
+        transit: Duration,
+    ) -> MergeVerdict {
+        let server = delta.announce.server.clone();
+        let verdict = self.leases.merge_delta(now, delta, transit);
+        self.follow(now, &server, verdict)
+    }
+
+    /// Brings views and planner in line with a lease that was merged.
+    fn follow(
+        &mut self,
+        now: MonotonicTime,
+        server: &ServerName,
+        verdict: MergeVerdict,
     ) -> MergeVerdict {
-        let server = announce.server.clone();
-        let verdict = self.leases.merge(now, announce, age);
         if !matches!(verdict, MergeVerdict::Changed | MergeVerdict::Renewed) {
             return verdict;
         }
-        let Some(lease) = self.leases.get(&server).cloned() else {
+        let Some(lease) = self.leases.get(server).cloned() else {
             return verdict;
         };
         match decode(&lease.announce) {
             Some(view) => self.take_view(now, &lease, view),
-            None => self.drop_view(&server),
+            None => self.drop_view(server),
         }
         verdict
     }
--- /dev/null
+++ b/crates/daemon/src/frames.rs
@@ -0,0 +1,73 @@
+//! What peers send besides agreement: configuration, leases and look-ups.
+
+use std::sync::{Arc, OnceLock};
+
+use pollendrift_coordination::base::HostName;
+
+use crate::feed::ConfigurationFeed;
+use crate::peers::{PeerAnswer, PeerCall, PeerFrame, PeerHandler, PeerHub, PeerQuestion};
+use crate::spread::LeaseSpreader;
+
+/// Parts that take frames.
+pub struct FrameTargets {
+    /// Configuration.
+    pub feed: Arc<ConfigurationFeed>,
+    /// Leases.
+    pub spreader: Arc<LeaseSpreader>,
+}
+
+/// Hands frames to the parts of the daemon, once they stand.
+///
+/// The links must stand before the parts that use them, so frames that come first are dropped;
+/// all of them are repeated or asked for again.
+#[derive(Default)]
+pub struct DaemonFrames {
+    targets: OnceLock<FrameTargets>,
+}
+
+impl DaemonFrames {
+    /// Sets the parts; the first call counts.
+    pub fn connect(&self, targets: FrameTargets) {
+        let _ = self.targets.set(targets);
+    }
+}
+
+impl PeerHandler for DaemonFrames {
+    fn handle(&self, hub: &PeerHub, from: &HostName, frame: PeerFrame) {
+        let Some(targets) = self.targets.get() else {
+            return;
+        };
+        match frame {
+            PeerFrame::Configuration(frame) => targets.feed.take(from, frame),
+            PeerFrame::Leases(deltas) => targets.spreader.take(deltas),
+            PeerFrame::Call(call) => answer_call(targets, hub, from, call),
+            _ => {}
+        }
+    }
+
+    fn link_changed(&self, _hub: &PeerHub, host: &HostName, up: bool) {
+        if let Some(targets) = self.targets.get().filter(|_| up) {
+            targets.spreader.restart(host);
+        }
+    }
+}
+
+fn answer_call(targets: &FrameTargets, hub: &PeerHub, from: &HostName, call: PeerCall) {
+    let feed = Arc::clone(&targets.feed);
+    let hub = hub.clone();
+    let from = from.clone();
+    tokio::spawn(async move {
+        let work = async {
+            match call.question {
+                PeerQuestion::ConfigurationAfter { have } => feed.answer(have).await,
+                _ => PeerAnswer::NotRun {
+                    reason: "this host does not answer that".to_owned(),
+                },
+            }
+        };
+        if let Ok(answer) = tokio::time::timeout(call.patience, work).await {
+            // A lost answer shows up as the asker's timeout.
+            let _ = hub.answer(&from, call.number, answer);
+        }
+    });
+}
--- a/crates/daemon/src/keeper/calls.rs
+++ b/crates/daemon/src/keeper/calls.rs
@@ -18,7 +18,10 @@
     from: &HostName,
     call: PeerCall,
 ) -> Option<PeerCall> {
-    if matches!(call.question, PeerQuestion::RequestLookUp(_)) {
+    if matches!(
+        call.question,
+        PeerQuestion::RequestLookUp(_) | PeerQuestion::ConfigurationAfter { .. }
+    ) {
         return Some(call);
     }
     let port = port.clone();
@@ -50,9 +53,11 @@
         }
         PeerQuestion::Introduction(asker) => introduce(port, &asker),
         PeerQuestion::Join(keeper) => join(port, from, keeper).await,
-        PeerQuestion::RequestLookUp(_) => PeerAnswer::NotRun {
-            reason: "not a question to a keeper".to_owned(),
-        },
+        PeerQuestion::RequestLookUp(_) | PeerQuestion::ConfigurationAfter { .. } => {
+            PeerAnswer::NotRun {
+                reason: "not a question to a keeper".to_owned(),
+            }
+        }
     }
 }
 
--- a/crates/daemon/src/keeper/runtime.rs
+++ b/crates/daemon/src/keeper/runtime.rs
@@ -130,7 +130,11 @@
             WakeUp::Message(message) => inputs.push(AgreementInput::Message(message)),
             WakeUp::Report(report) => self.take_report(report, inputs)?,
             WakeUp::Request(KeeperRequest::Stop) => return Ok(true),
-            WakeUp::Request(request) => inputs.push(self.open_request(request)?),
+            WakeUp::Request(request) => {
+                if let Some(request) = self.prepare(request) {
+                    inputs.push(self.open_request(request)?);
+                }
+            }
             WakeUp::Deadline => {}
         }
         Ok(false)
@@ -172,6 +176,23 @@
         })
     }
 
+    /// Stamps a command; one that can't be read is answered here, since no keeper could apply it.
+    fn prepare(&self, request: KeeperRequest) -> Option<KeeperRequest> {
+        let KeeperRequest::Submit { command, outcome } = request else {
+            return Some(request);
+        };
+        match self
+            .machine
+            .prepare(self.clock.now(), self.clock.wall(), command)
+        {
+            Ok(command) => Some(KeeperRequest::Submit { command, outcome }),
+            Err(error) => {
+                settle(outcome, SubmitError::not_run(error));
+                None
+            }
+        }
+    }
+
     fn open_request(&mut self, request: KeeperRequest) -> Result<AgreementInput, KeeperError> {
         let token = self.open.token();
         Ok(match request {
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,334 @@
+//! This host's part in the agreed state: links, keeper, configuration feed and client.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use pollendrift_coordination::agreement::AgreementSettings;
+use pollendrift_coordination::base::{HostName, Incarnation};
+use pollendrift_coordination::configuration::Configuration;
+use pollendrift_coordination::following::FollowSettings;
+use pollendrift_coordination::replicated::{
+    CommandAnswer, ProcessNonce, ReplicatedCommand, ReplicatedSettings, StartHost,
+};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use crate::access::AccessControl;
+use crate::agreed::{AgreedState, StaleConfiguration, SubmitFuture};
+use crate::clock::TimeSource;
+use crate::feed::{ConfigurationFeed, follow_own_keeper};
+use crate::fleet::BackendFleet;
+use crate::frames::{DaemonFrames, FrameTargets};
+use crate::keeper::{
+    ClientSettings, KeeperClient, KeeperError, KeeperFrames, KeeperSettings, KeeperStart,
+    KeeperStatus, RetryPermission, RunningKeeper, SubmitError, keeper_queue, start_keeper,
+};
+use crate::peers::{
+    LinkSettings, PeerAddress, PeerHandler, PeerHub, PeerNode, PeerTasks, start_peers,
+};
+use crate::settings::DaemonSettings;
+use crate::spread::LeaseSpreader;
+use crate::state::SharedState;
+use crate::transport::AccessTransport;
+
+/// Pause between two tries to announce this process's life to the keepers.
+const START_PAUSE: Duration = Duration::from_millis(200);
+/// Time that leadership may take to be handed over at a planned stop.
+const HAND_OVER_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Why the agreed state did not start.
+#[derive(Debug, Display, Error, From)]
+pub enum NodeError {
+    /// The address of the peers' face can't be bound.
+    #[display("can't listen for peers on {address}: {error}")]
+    #[from(skip)]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The system's words.
+        #[error(source)]
+        error: io::Error,
+    },
+    /// The keeper can't start.
+    #[display("{_0}")]
+    Keeper(KeeperError),
+}
+
+/// This host's part in the agreed state; dropping it ends it at once, as a crash does.
+pub struct AgreedNode {
+    feed: Arc<ConfigurationFeed>,
+    client: KeeperClient,
+    keeper: Option<RunningKeeper>,
+    shared: Option<SharedState>,
+    peers: PeerTasks,
+    tasks: Vec<JoinHandle<()>>,
+    life: tokio::sync::watch::Receiver<Option<Incarnation>>,
+}
+
+/// What the node needs of the rest of the daemon.
+pub struct NodeParts {
+    /// Who may come in.
+    pub access: Arc<AccessControl>,
+    /// Backend servers.
+    pub fleet: Arc<BackendFleet>,
+    /// The present time.
+    pub clock: Arc<dyn TimeSource>,
+    /// Drawn at the start of the process.
+    pub nonce: ProcessNonce,
+}
+
+impl AgreedNode {
+    /// Starts links, the keeper where the settings name one, and the configuration feed.
+    ///
+    /// # Errors
+    /// The peers' address can't be bound or the data folder can't be used.
+    pub async fn start(settings: &DaemonSettings, parts: NodeParts) -> Result<Self, NodeError> {
+        let address = settings.listen.peers;
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|error| NodeError::Listen { address, error })?;
+        let keepers: Vec<HostName> = settings
+            .initial_keepers()
+            .map(|peer| peer.name.clone())
+            .collect();
+        let is_keeper = keepers.contains(&settings.host);
+        let frames = Arc::new(DaemonFrames::default());
+        let queue = is_keeper.then(|| keeper_queue(KeeperSettings::default().queue));
+        let handler: Arc<dyn PeerHandler> = match &queue {
+            Some((port, _)) => Arc::new(KeeperFrames::new(port.clone(), frames.clone())),
+            None => frames.clone(),
+        };
+        let mut peers = connect_peers(settings, &parts, handler);
+        peers.accept(listener, Arc::new(transport(settings, &parts)));
+        let hub = peers.hub().clone();
+        let shared = is_keeper.then(|| shared_state(settings, parts.nonce));
+        let keeper = match (queue, &shared, &settings.data_folder) {
+            (Some((port, inbox)), Some(shared), Some(folder)) => Some(start_keeper(KeeperStart {
+                folder: folder.clone(),
+                settings: keeper_settings(settings, parts.nonce),
+                client: client_settings(settings),
+                keepers: keepers.clone(),
+                hub: hub.clone(),
+                port,
+                inbox,
+                machine: Box::new(shared.clone()),
+                clock: Arc::clone(&parts.clock),
+            })?),
+            _ => None,
+        };
+        let client = match &keeper {
+            Some(keeper) => keeper.handle().client().clone(),
+            None => KeeperClient::new(
+                hub.clone(),
+                keepers.clone(),
+                None,
+                client_settings(settings),
+            ),
+        };
+        let follow = FollowSettings {
+            lease: settings.leases.configuration,
+            period: settings.leases.configuration / 4,
+        };
+        let feed = Arc::new(ConfigurationFeed::new(
+            follow,
+            keepers,
+            hub.clone(),
+            client.clone(),
+            shared.clone(),
+            Arc::clone(&parts.clock),
+        ));
+        let spreader = Arc::new(LeaseSpreader::new(parts.fleet, parts.clock));
+        frames.connect(FrameTargets {
+            feed: Arc::clone(&feed),
+            spreader: Arc::clone(&spreader),
+        });
+        let mut tasks = vec![
+            tokio::spawn(Arc::clone(&feed).run()),
+            tokio::spawn(spreader.run(hub.clone())),
+        ];
+        if let Some(shared) = &shared {
+            tasks.push(tokio::spawn(follow_own_keeper(
+                Arc::clone(&feed),
+                shared.clone(),
+            )));
+        }
+        let (lives, life) = tokio::sync::watch::channel(None);
+        let start = StartHost {
+            host: settings.host.clone(),
+            nonce: parts.nonce,
+        };
+        tasks.push(tokio::spawn(announce_life(client.clone(), start, lives)));
+        Ok(Self {
+            feed,
+            client,
+            keeper,
+            shared,
+            peers,
+            tasks,
+            life,
+        })
+    }
+
+    /// Revisions that hosts serve.
+    pub fn feed(&self) -> &Arc<ConfigurationFeed> {
+        &self.feed
+    }
+
+    /// State of this host's keeper; `None` without one.
+    pub fn keeper_status(&self) -> Option<KeeperStatus> {
+        self.keeper.as_ref().map(|keeper| keeper.handle().status())
+    }
+
+    /// The replicated state of this host's keeper.
+    pub fn shared(&self) -> Option<&SharedState> {
+        self.shared.as_ref()
+    }
+
+    /// Links to the peers.
+    pub fn hub(&self) -> &PeerHub {
+        self.peers.hub()
+    }
+
+    /// Client of the keepers.
+    pub fn client(&self) -> &KeeperClient {
+        &self.client
+    }
+
+    /// Life of this process, once the keepers gave it one.
+    pub fn life(&self) -> Option<Incarnation> {
+        *self.life.borrow()
+    }
+
+    /// Gives leadership away, before a planned stop closes the links.
+    pub async fn hand_over(&self) -> bool {
+        match &self.keeper {
+            Some(keeper) => keeper.handle().hand_over(HAND_OVER_PATIENCE).await,
+            None => true,
+        }
+    }
+
+    /// Ends the keeper once all that it decided is synced.
+    ///
+    /// # Errors
+    /// The store failed at the last sync.
+    pub async fn stop(mut self) -> Result<(), KeeperError> {
+        if let Some(keeper) = self.keeper.take() {
+            keeper.handle().stop();
+            keeper.finish().await?;
+        }
+        Ok(())
+    }
+}
+
+impl Drop for AgreedNode {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+impl AgreedState for AgreedNode {
+    fn configuration(&self) -> Result<Arc<Configuration>, StaleConfiguration> {
+        self.feed.current()
+    }
+
+    fn submit(&self, command: ReplicatedCommand) -> SubmitFuture<'_> {
+        Box::pin(submit(&self.client, command))
+    }
+}
+
+async fn submit(
+    client: &KeeperClient,
+    command: ReplicatedCommand,
+) -> Result<CommandAnswer, SubmitError> {
+    let bytes = command.encode().map_err(|error| SubmitError::NotRun {
+        reason: error.to_string(),
+    })?;
+    let answer = client.submit(bytes, RetryPermission::Idempotent).await?;
+    CommandAnswer::decode(&answer).map_err(|error| SubmitError::Unknown {
+        reason: error.to_string(),
+    })
+}
+
+/// Gets this process's life from the keepers, which ends what earlier lives of the host held.
+async fn announce_life(
+    client: KeeperClient,
+    start: StartHost,
+    lives: tokio::sync::watch::Sender<Option<Incarnation>>,
+) {
+    loop {
+        if let Ok(CommandAnswer::Started(life)) =
+            submit(&client, ReplicatedCommand::StartHost(start.clone())).await
+        {
+            lives.send_replace(Some(life));
+            return;
+        }
+        tokio::time::sleep(START_PAUSE).await;
+    }
+}
+
+fn connect_peers(
+    settings: &DaemonSettings,
+    parts: &NodeParts,
+    handler: Arc<dyn PeerHandler>,
+) -> PeerTasks {
+    let node = PeerNode {
+        host: settings.host.clone(),
+        process: Incarnation(parts.nonce.0),
+    };
+    let links = LinkSettings {
+        seed: parts.nonce.0,
+        ..LinkSettings::default()
+    };
+    let peers = settings
+        .peers
+        .iter()
+        .map(|peer| PeerAddress {
+            host: peer.name.clone(),
+            address: peer.address,
+        })
+        .collect();
+    let dialer = Box::new(transport(settings, parts));
+    start_peers(node, links, peers, dialer, handler)
+}
+
+fn shared_state(settings: &DaemonSettings, nonce: ProcessNonce) -> SharedState {
+    let replicated = ReplicatedSettings::default();
+    SharedState::new(replicated, settings.host.clone(), Incarnation(nonce.0))
+}
+
+fn keeper_settings(settings: &DaemonSettings, nonce: ProcessNonce) -> KeeperSettings {
+    let agreement = &settings.agreement;
+    KeeperSettings {
+        agreement: AgreementSettings {
+            heartbeat_interval: agreement.heartbeat,
+            election_timeout: agreement.election_timeout,
+            max_append_entries: usize::try_from(agreement.max_batch_entries).unwrap_or(usize::MAX),
+            snapshot_after_entries: settings.snapshots.every_entries,
+            ..AgreementSettings::default()
+        },
+        snapshot_log_bytes: settings.snapshots.every_bytes,
+        seed: nonce.0,
+        ..KeeperSettings::default()
+    }
+}
+
+fn client_settings(settings: &DaemonSettings) -> ClientSettings {
+    ClientSettings {
+        patience: settings.agreement.commit_timeout,
+        ..ClientSettings::default()
+    }
+}
+
+fn transport(settings: &DaemonSettings, parts: &NodeParts) -> AccessTransport {
+    let hosts = settings
+        .peers
+        .iter()
+        .map(|peer| peer.name.clone())
+        .collect();
+    AccessTransport::new(Arc::clone(&parts.access), hosts)
+}
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -119,6 +119,11 @@
     Submit(FrameBytes),
     /// Which log index must be applied to read what was accepted before this question?
     ReadBarrier,
+    /// Which configuration is in force, by a quorum-checked read?
+    ConfigurationAfter {
+        /// Revision that the asker holds; its content is left out of the answer.
+        have: Option<Revision>,
+    },
     /// What is known of a request?
     RequestLookUp(RequestId),
     /// Which keeper are you, and of which group? Asked by a keeper that belongs to none.
@@ -132,6 +137,13 @@
 pub enum PeerAnswer {
     /// The command ran; the state machine's answer.
     Submitted(FrameBytes),
+    /// Configuration that was in force when the question was read.
+    Configuration {
+        /// Its revision.
+        revision: Revision,
+        /// Its canonical text; `None` if the asker holds it.
+        content: Option<FrameBytes>,
+    },
     /// Log index that must be applied.
     Readable(u64),
     /// Encoded record of the request; `None` if this host knows nothing of it.
--- /dev/null
+++ b/crates/daemon/src/spread.rs
@@ -0,0 +1,89 @@
+//! Spreads backend servers' leases between hosts: each host tells every peer what it heard itself.
+//!
+//! Deltas go out on every tick in which something was heard. A peer is told again from the start
+//! when its link comes up, since what was queued for the broken link is lost.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use pollendrift_coordination::base::{HostName, MonotonicTime};
+use pollendrift_coordination::leases::{DeltaCursor, LeaseDelta};
+
+use crate::clock::TimeSource;
+use crate::fleet::BackendFleet;
+use crate::peers::{PeerFrame, PeerHub};
+
+/// Time between two ticks; adds to the time in which a leave is known everywhere.
+pub const SPREAD_TICK: Duration = Duration::from_millis(200);
+/// Leases in one frame.
+const FRAME_LEASES: usize = 256;
+/// Longest time that a frame is taken to have travelled; a link that is silent for longer breaks.
+///
+/// Failure: a frame that waited in a stalled connection would renew the lease of a server that
+/// died meanwhile. Its age grows by this much on arrival, so the lease ends no later than it
+/// would by a frame that came at once.
+const TRANSIT_ALLOWANCE: Duration = Duration::from_millis(200);
+
+/// Tells peers what this host heard.
+pub struct LeaseSpreader {
+    fleet: Arc<BackendFleet>,
+    clock: Arc<dyn TimeSource>,
+    cursors: Mutex<BTreeMap<HostName, DeltaCursor>>,
+}
+
+impl LeaseSpreader {
+    /// A spreader that has told nobody anything.
+    pub fn new(fleet: Arc<BackendFleet>, clock: Arc<dyn TimeSource>) -> Self {
+        Self {
+            fleet,
+            clock,
+            cursors: Mutex::new(BTreeMap::new()),
+        }
+    }
+
+    /// Takes what a peer heard.
+    pub fn take(&self, deltas: Vec<LeaseDelta>) {
+        let now = self.clock.now();
+        for delta in deltas {
+            self.fleet.merge_delta(now, delta, TRANSIT_ALLOWANCE);
+        }
+    }
+
+    /// The link to `host` came up: it is told everything again.
+    pub fn restart(&self, host: &HostName) {
+        self.lock().remove(host);
+    }
+
+    /// Spreads for as long as the host runs.
+    pub async fn run(self: Arc<Self>, hub: PeerHub) {
+        let mut ticks = tokio::time::interval(SPREAD_TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.tick(&hub, self.clock.now());
+        }
+    }
+
+    fn tick(&self, hub: &PeerHub, now: MonotonicTime) {
+        for host in hub.hosts() {
+            self.tell(hub, now, host);
+        }
+    }
+
+    fn tell(&self, hub: &PeerHub, now: MonotonicTime, host: &HostName) {
+        let cursor = self.lock().get(host).copied().unwrap_or_default();
+        let (deltas, reached) = self.fleet.own_delta(now, cursor, FRAME_LEASES);
+        if deltas.is_empty() && reached == cursor {
+            return;
+        }
+        let sent = deltas.is_empty() || hub.send(host, &PeerFrame::Leases(deltas)).is_ok();
+        if sent {
+            self.lock().insert(host.clone(), reached);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<HostName, DeltaCursor>> {
+        self.cursors.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/daemon/tests/draft_failures.rs
+++ b/crates/daemon/tests/draft_failures.rs
@@ -2,13 +2,13 @@
 #![allow(clippy::unwrap_used, reason = "a helper that fails is a failed test")]
 
 use std::path::PathBuf;
-use std::sync::Arc;
 
-use pollendrift::agreed::LocalState;
+use pollendrift::agreed::AgreedState;
 use pollendrift::daemon::RouterDaemon;
 use pollendrift::settings::{DaemonSettings, TokenDigest};
 use pollendrift_coordination::base::Revision;
-use pollendrift_coordination::configuration::{Configuration, ParsedConfiguration};
+use pollendrift_coordination::configuration::{ChangeAnswer, ChangeRequest};
+use pollendrift_coordination::replicated::{CommandAnswer, ReplicatedCommand};
 use pollendrift_standins::caller::{DraftCaller, DraftReply};
 use pollendrift_standins::engine::{EngineServer, EngineSettings};
 use pollendrift_standins::fleet::{ModelShape, mixed_engines};
@@ -20,6 +20,7 @@
 
 /// One host over engines that it has heard of.
 struct OneHost {
+    _folder: tempfile::TempDir,
     _daemon: RouterDaemon,
     engines: Vec<EngineServer>,
     caller: DraftCaller,
@@ -38,16 +39,26 @@
         let settings = DaemonSettings::parse(&"test".into(), PathBuf::new(), &text)
             .unwrap()
             .settings;
-        let parsed =
-            ParsedConfiguration::parse("test", "kind: selector\nname: drafts\nmodel: draft\n")
-                .unwrap();
-        let agreed = LocalState::new(Arc::new(Configuration::build(Revision(1), &parsed)));
-        let daemon = RouterDaemon::start(&settings, Arc::new(agreed))
-            .await
-            .unwrap();
+        let daemon = RouterDaemon::start(&settings).await.unwrap();
+        let change = ChangeRequest {
+            change_id: "first".into(),
+            based_on: Revision(0),
+            operator: "operator-1".into(),
+            text: "kind: selector\nname: drafts\nmodel: draft\n".into(),
+        };
+        let answer = daemon
+            .node()
+            .submit(ReplicatedCommand::ChangeConfiguration(change))
+            .await;
+        assert!(matches!(
+            answer,
+            Ok(CommandAnswer::Change(ChangeAnswer::Accepted { .. }))
+        ));
+        wait_for_revision(&daemon, Revision(1)).await;
         let entry = builder.hosts()[0].entry.to_string();
         let shape = ModelShape::default();
         let mut host = Self {
+            _folder: folder,
             _daemon: daemon,
             engines: Vec::new(),
             caller: DraftCaller::new(&entry, CUSTOMER_TOKEN),
@@ -163,6 +174,17 @@
     ");
 }
 
+async fn wait_for_revision(daemon: &RouterDaemon, revision: Revision) {
+    let wait = async {
+        while daemon.node().configuration().map(|held| held.revision()) != Ok(revision) {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(std::time::Duration::from_secs(30), wait)
+        .await
+        .unwrap();
+}
+
 fn reset(engine: &EngineServer) {
     engine.faults().duplicate_tokens(false);
     engine.faults().swap_tokens(false);
--- a/crates/standins/examples/quickstart/main.rs
+++ b/crates/standins/examples/quickstart/main.rs
@@ -7,15 +7,15 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use pollendrift::agreed::LocalState;
+use pollendrift::agreed::AgreedState;
 use pollendrift::daemon::RouterDaemon;
 use pollendrift::settings::{DaemonSettings, TokenDigest};
 use pollendrift_coordination::base::Revision;
-use pollendrift_coordination::configuration::{Configuration, ParsedConfiguration};
+use pollendrift_coordination::configuration::{ChangeAnswer, ChangeRequest};
+use pollendrift_coordination::replicated::{CommandAnswer, ReplicatedCommand};
 use pollendrift_standins::caller::{DraftCaller, DraftReply};
 use pollendrift_standins::engine::{EngineServer, EngineSettings};
 use pollendrift_standins::fleet::{ModelShape, mixed_engines};
@@ -57,10 +57,8 @@
 async fn run(options: &QuickstartOptions) -> Result<(), Box<dyn Error>> {
     let folder = tempfile::tempdir()?;
     let settings = host_settings(folder.path())?;
-    let configuration = ParsedConfiguration::parse("quickstart.yaml", SELECTORS)
-        .map_err(|findings| findings.to_string())?;
-    let agreed = LocalState::new(Arc::new(Configuration::build(Revision(1), &configuration)));
-    let _daemon = RouterDaemon::start(&settings, Arc::new(agreed)).await?;
+    let daemon = RouterDaemon::start(&settings).await?;
+    apply_selectors(&daemon).await?;
     let entry = settings.listen.callers.to_string();
 
     let shape = ModelShape::default();
@@ -101,6 +99,23 @@
     println!("  curl http://{platform}/dump");
 }
 
+async fn apply_selectors(daemon: &RouterDaemon) -> Result<(), Box<dyn Error>> {
+    let change = ChangeRequest {
+        change_id: "quickstart".into(),
+        based_on: Revision(0),
+        operator: "quickstart".into(),
+        text: SELECTORS.into(),
+    };
+    let answer = daemon
+        .node()
+        .submit(ReplicatedCommand::ChangeConfiguration(change))
+        .await?;
+    match answer {
+        CommandAnswer::Change(ChangeAnswer::Accepted { .. }) => Ok(()),
+        other => Err(format!("the selectors were not accepted: {other:?}").into()),
+    }
+}
+
 async fn start_engines(
     shape: &ModelShape,
     entry: &str,
