--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod peers;
 pub mod platform;
 pub mod settings;
+pub mod telemetry;
--- /dev/null
+++ b/crates/daemon/src/telemetry/instruments.rs
@@ -0,0 +1,82 @@
+//! Every instrument of the daemon, named by the OpenTelemetry conventions.
+
+/// How an instrument counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InstrumentKind {
+    /// Only rises.
+    Counter,
+    /// Has a present value.
+    Gauge,
+    /// Has a distribution.
+    Histogram,
+    /// Rises and falls.
+    UpDownCounter,
+}
+
+/// One instrument.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InstrumentSpec {
+    /// Name by the OpenTelemetry conventions.
+    pub name: &'static str,
+    /// How it counts.
+    pub kind: InstrumentKind,
+    /// Unit, as UCUM writes it.
+    pub unit: &'static str,
+    /// What it says.
+    pub description: &'static str,
+}
+
+macro_rules! instruments {
+    ($($(#[$doc:meta])* $spec:ident: $kind:ident $name:literal, $unit:literal, $description:literal;)*) => {
+        $(
+            pub(super) const $spec: InstrumentSpec = InstrumentSpec {
+                name: $name,
+                kind: InstrumentKind::$kind,
+                unit: $unit,
+                description: $description,
+            };
+        )*
+
+        /// Every instrument, in alphabetical order of the names.
+        pub const INSTRUMENTS: &[InstrumentSpec] = &[$($spec),*];
+    };
+}
+
+instruments! {
+    ACCESS_REFUSALS: Counter "pollendrift.access.refusals", "{connection}",
+        "Connections and requests without an accepted credential, by face and reason";
+    BACKEND_SERVERS: Gauge "pollendrift.backend_server.count", "{backend_server}",
+        "Backend servers with a lease at this host";
+    CLAIMS: Gauge "pollendrift.claim.count", "{claim}",
+        "Claims on calls that may not be repeated, as known at this host";
+    CONFIGURATION_LEASE: Gauge "pollendrift.configuration.lease.remaining", "s",
+        "Time until this host refuses new work for want of a renewed configuration lease";
+    CONFIGURATION_REVISION: Gauge "pollendrift.configuration.revision", "{revision}",
+        "Revision in force at this host";
+    CONNECTIONS: UpDownCounter "pollendrift.connection.count", "{connection}",
+        "Open connections, by face";
+    EVIDENCE_DURABLE: Gauge "pollendrift.evidence.durable", "{record}",
+        "Last evidence record that enough keepers have stored";
+    EVIDENCE_WAITING: Gauge "pollendrift.evidence.waiting.count", "{record}",
+        "Evidence records that wait for the keepers, reservations included";
+    EVIDENCE_WAITING_BYTES: Gauge "pollendrift.evidence.waiting.size", "By",
+        "Bytes of evidence that wait for the keepers";
+    KEEPER_LEADER: Gauge "pollendrift.keeper.leader", "{leader}",
+        "1 while this host leads the agreement group, else 0";
+    REQUESTS_ACTIVE: UpDownCounter "pollendrift.request.active", "{request}",
+        "Requests that have begun and not ended";
+    REQUEST_ATTEMPTS: Counter "pollendrift.request.attempts", "{attempt}",
+        "Attempts at requests, the first ones included";
+    REQUEST_DURATION: Histogram "pollendrift.request.duration", "s",
+        "Time from the arrival of a request to its end, by outcome";
+    REQUEST_FIRST_TOKEN: Histogram "pollendrift.request.first_token.duration", "s",
+        "Time from the arrival of a draft to its first token";
+    REQUESTS_QUEUED: Gauge "pollendrift.request.queued", "{request}",
+        "Requests that wait for admission";
+    REQUEST_REFUSALS: Counter "pollendrift.request.refusals", "{request}",
+        "Refused requests, by outcome and kind";
+    TOKENS: Counter "pollendrift.token.count", "{token}",
+        "Tokens sent to callers";
+    TOKEN_INTERVAL: Histogram "pollendrift.token.interval", "s",
+        "Time between two tokens of one draft";
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -0,0 +1,260 @@
+//! Metrics of one process, scraped as text.
+//!
+//! Attributes take their values from lists in the code, never from what strangers send, so the
+//! number of time series is bounded.
+
+use std::fmt;
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider, UpDownCounter};
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use pollendrift_coordination::base::Revision;
+use pollendrift_coordination::evidence::{BufferStatus, OutcomeKind};
+use prometheus::{Registry, TextEncoder};
+
+use super::instruments::{self, InstrumentSpec};
+
+const SCOPE: &str = "pollendrift";
+
+/// Bounds of the buckets of durations, in seconds: from a plain call within a data centre to the
+/// longest draft.
+const DURATION_BOUNDS: [f64; 18] = [
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0,
+    300.0, 1_800.0,
+];
+
+/// Why metrics can't be kept.
+#[derive(Debug, Display, Error, From)]
+#[display("metrics: {_0}")]
+pub struct MetricError(OTelSdkError);
+
+/// The end of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestEnd {
+    /// What the caller was told.
+    pub outcome: OutcomeKind,
+    /// Attempts, the first included.
+    pub attempts: u64,
+    /// From the arrival to the end.
+    pub duration: Duration,
+}
+
+/// A connection or request without an accepted credential.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RefusedConnection {
+    /// Face, such as `callers`.
+    pub face: &'static str,
+    /// Reason, such as `handshake` or `token`.
+    pub reason: &'static str,
+}
+
+/// All instruments of one process.
+pub struct MetricRegistry {
+    registry: Registry,
+    provider: SdkMeterProvider,
+    access_refusals: Counter<u64>,
+    backend_servers: Gauge<u64>,
+    claims: Gauge<u64>,
+    configuration_lease: Gauge<f64>,
+    configuration_revision: Gauge<u64>,
+    connections: UpDownCounter<i64>,
+    evidence_durable: Gauge<u64>,
+    evidence_waiting_bytes: Gauge<u64>,
+    evidence_waiting: Gauge<u64>,
+    keeper_leader: Gauge<u64>,
+    requests_active: UpDownCounter<i64>,
+    request_attempts: Counter<u64>,
+    request_duration: Histogram<f64>,
+    request_first_token: Histogram<f64>,
+    requests_queued: Gauge<u64>,
+    request_refusals: Counter<u64>,
+    tokens: Counter<u64>,
+    token_interval: Histogram<f64>,
+}
+
+impl MetricRegistry {
+    /// Instruments that have counted nothing.
+    ///
+    /// # Errors
+    ///
+    /// If the exporter can't be built.
+    pub fn new() -> Result<Self, MetricError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter(SCOPE);
+        Ok(Self {
+            registry,
+            provider,
+            access_refusals: counter(&meter, &instruments::ACCESS_REFUSALS),
+            backend_servers: gauge(&meter, &instruments::BACKEND_SERVERS),
+            claims: gauge(&meter, &instruments::CLAIMS),
+            configuration_lease: seconds_gauge(&meter, &instruments::CONFIGURATION_LEASE),
+            configuration_revision: gauge(&meter, &instruments::CONFIGURATION_REVISION),
+            connections: up_down(&meter, &instruments::CONNECTIONS),
+            evidence_durable: gauge(&meter, &instruments::EVIDENCE_DURABLE),
+            evidence_waiting_bytes: gauge(&meter, &instruments::EVIDENCE_WAITING_BYTES),
+            evidence_waiting: gauge(&meter, &instruments::EVIDENCE_WAITING),
+            keeper_leader: gauge(&meter, &instruments::KEEPER_LEADER),
+            requests_active: up_down(&meter, &instruments::REQUESTS_ACTIVE),
+            request_attempts: counter(&meter, &instruments::REQUEST_ATTEMPTS),
+            request_duration: durations(&meter, &instruments::REQUEST_DURATION),
+            request_first_token: durations(&meter, &instruments::REQUEST_FIRST_TOKEN),
+            requests_queued: gauge(&meter, &instruments::REQUESTS_QUEUED),
+            request_refusals: counter(&meter, &instruments::REQUEST_REFUSALS),
+            tokens: counter(&meter, &instruments::TOKENS),
+            token_interval: durations(&meter, &instruments::TOKEN_INTERVAL),
+        })
+    }
+
+    /// Everything as text, as scrapers read it.
+    pub fn text(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_else(|error| format!("# {error}\n"))
+    }
+
+    /// A connection or request had no accepted credential.
+    pub fn access_refused(&self, refused: RefusedConnection) {
+        let attributes = [
+            KeyValue::new("face", refused.face),
+            KeyValue::new("reason", refused.reason),
+        ];
+        self.access_refusals.add(1, &attributes);
+    }
+
+    /// Backend servers with a lease.
+    pub fn backend_servers(&self, count: u64) {
+        self.backend_servers.record(count, &[]);
+    }
+
+    /// Claims that are known.
+    pub fn claims(&self, count: u64) {
+        self.claims.record(count, &[]);
+    }
+
+    /// The configuration in force and what is left of the lease on it.
+    pub fn configuration(&self, revision: Revision, lease: Duration) {
+        self.configuration_revision.record(revision.0, &[]);
+        self.configuration_lease.record(lease.as_secs_f64(), &[]);
+    }
+
+    /// A connection on `face` was opened.
+    pub fn connection_opened(&self, face: &'static str) {
+        self.connections.add(1, &[KeyValue::new("face", face)]);
+    }
+
+    /// A connection on `face` was closed.
+    pub fn connection_closed(&self, face: &'static str) {
+        self.connections.add(-1, &[KeyValue::new("face", face)]);
+    }
+
+    /// State of the evidence buffer.
+    pub fn evidence(&self, status: &BufferStatus) {
+        let records = status.records.saturating_add(status.reserved);
+        self.evidence_durable.record(status.durable.0, &[]);
+        self.evidence_waiting.record(size(records), &[]);
+        self.evidence_waiting_bytes.record(size(status.bytes), &[]);
+    }
+
+    /// Whether this host leads the agreement group.
+    pub fn keeper_leads(&self, leads: bool) {
+        self.keeper_leader.record(u64::from(leads), &[]);
+    }
+
+    /// A request was taken on.
+    pub fn request_begun(&self) {
+        self.requests_active.add(1, &[]);
+    }
+
+    /// A request that was taken on has ended.
+    pub fn request_ended(&self, end: RequestEnd) {
+        self.requests_active.add(-1, &[]);
+        self.request_attempts.add(end.attempts, &[]);
+        let attributes = [outcome(end.outcome)];
+        self.request_duration
+            .record(end.duration.as_secs_f64(), &attributes);
+    }
+
+    /// Requests that wait for admission.
+    pub fn requests_queued(&self, count: u64) {
+        self.requests_queued.record(count, &[]);
+    }
+
+    /// A request was refused; `kind` is one of the kinds of the problem documents.
+    pub fn request_refused(&self, told: OutcomeKind, kind: &'static str) {
+        let attributes = [outcome(told), KeyValue::new("kind", kind)];
+        self.request_refusals.add(1, &attributes);
+    }
+
+    /// The first token of a draft went out, `since_arrival` after the request came in.
+    pub fn first_token(&self, since_arrival: Duration) {
+        self.tokens.add(1, &[]);
+        self.request_first_token
+            .record(since_arrival.as_secs_f64(), &[]);
+    }
+
+    /// A further token of a draft went out, `since_last` after the one before it.
+    pub fn next_token(&self, since_last: Duration) {
+        self.tokens.add(1, &[]);
+        self.token_interval.record(since_last.as_secs_f64(), &[]);
+    }
+}
+
+impl fmt::Debug for MetricRegistry {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("MetricRegistry")
+            .field("provider", &self.provider)
+            .finish_non_exhaustive()
+    }
+}
+
+fn outcome(told: OutcomeKind) -> KeyValue {
+    let word = match told {
+        OutcomeKind::CallerGone => "caller-gone",
+        OutcomeKind::Complete => "complete",
+        OutcomeKind::Incomplete => "incomplete",
+        OutcomeKind::NotRun => "not-run",
+        OutcomeKind::Unknown => "unknown",
+    };
+    KeyValue::new("outcome", word)
+}
+
+fn size(value: usize) -> u64 {
+    u64::try_from(value).unwrap_or(u64::MAX)
+}
+
+fn counter(meter: &Meter, spec: &InstrumentSpec) -> Counter<u64> {
+    let builder = meter.u64_counter(spec.name).with_unit(spec.unit);
+    builder.with_description(spec.description).build()
+}
+
+fn gauge(meter: &Meter, spec: &InstrumentSpec) -> Gauge<u64> {
+    let builder = meter.u64_gauge(spec.name).with_unit(spec.unit);
+    builder.with_description(spec.description).build()
+}
+
+fn seconds_gauge(meter: &Meter, spec: &InstrumentSpec) -> Gauge<f64> {
+    let builder = meter.f64_gauge(spec.name).with_unit(spec.unit);
+    builder.with_description(spec.description).build()
+}
+
+fn up_down(meter: &Meter, spec: &InstrumentSpec) -> UpDownCounter<i64> {
+    let builder = meter.i64_up_down_counter(spec.name).with_unit(spec.unit);
+    builder.with_description(spec.description).build()
+}
+
+fn durations(meter: &Meter, spec: &InstrumentSpec) -> Histogram<f64> {
+    let builder = meter.f64_histogram(spec.name).with_unit(spec.unit);
+    builder
+        .with_description(spec.description)
+        .with_boundaries(DURATION_BOUNDS.to_vec())
+        .build()
+}
