--- a/crates/coordination/src/evidence/record.rs
+++ b/crates/coordination/src/evidence/record.rs
@@ -26,13 +26,12 @@
     /// Wall clock of the writer in milliseconds. For people only: order comes from `sequence`.
     pub time: WallTime,
     /// What happened.
-    #[serde(flatten)]
     pub event: EvidenceEvent,
 }
 
 /// What happened.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "event", content = "detail", rename_all = "kebab-case")]
+#[serde(tag = "kind", content = "detail", rename_all = "kebab-case")]
 pub enum EvidenceEvent {
     /// An operator's change was accepted or refused.
     ConfigurationChanged(ConfigurationChanged),
