--- a/crates/daemon/tests/telemetry_pages.rs
+++ b/crates/daemon/tests/telemetry_pages.rs
@@ -116,7 +116,7 @@
     pollendrift_evidence_durable{otel_scope_name="pollendrift"} 0
     pollendrift_evidence_waiting_count{otel_scope_name="pollendrift"} 0
     pollendrift_evidence_waiting_size_bytes{otel_scope_name="pollendrift"} 0
-    pollendrift_keeper_leader_ratio{otel_scope_name="pollendrift"} 1
+    pollendrift_keeper_leader{otel_scope_name="pollendrift"} 1
     pollendrift_request_active{otel_scope_name="pollendrift"} 0
     pollendrift_request_attempts_total{otel_scope_name="pollendrift"} 2
     pollendrift_request_duration_seconds_count{outcome="complete",otel_scope_name="pollendrift"} 1
