feat(configuration): bodies of the operators' HTTP interface

Cause: the daemon serves what pollenctl asks; both need one set of bodies. Digests are hexadecimal in JSON and bytes in binary encodings.

--- a/crates/coordination/src/configuration.rs
+++ b/crates/coordination/src/configuration.rs
@@ -12,6 +12,7 @@
 mod document;
 mod expression;
 mod facts;
+mod interface;
 mod known;
 mod label;
 mod lint;
@@ -31,6 +32,10 @@
 pub use document::{MAX_DEPTH, MAX_DOCUMENTS, MAX_TEXT_BYTES};
 pub use expression::{LabelExpression, Mismatch, Requirement, RequirementTest};
 pub use facts::{HostFacts, RequestFacts, RequestTarget, ServerFacts};
+pub use interface::{
+    ChangeBody, ChangeReply, ConfigurationView, DaemonRevision, ExplainBody, ExplainView,
+    ExplainedSelector, ExplainedServer, HistoryView, InForceView, MAX_HISTORY_PAGE,
+};
 pub use known::{KnownSettings, ServiceState};
 pub use label::{
     LabelKey, LabelSet, LabelSubject, LabelValue, MAX_KEY_BYTES, MAX_VALUE_BYTES, NamePattern,
--- a/crates/coordination/src/configuration/canonical.rs
+++ b/crates/coordination/src/configuration/canonical.rs
@@ -13,13 +13,44 @@
 use super::parse::ParsedConfiguration;
 
 /// SHA-256 over a canonical text.
-#[derive(
-    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+///
+/// In JSON it is written in hexadecimal, in binary encodings as bytes.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[display("{}", hex(_0))]
-#[serde(transparent)]
 pub struct ContentDigest(pub [u8; 32]);
 
+impl Serialize for ContentDigest {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        serializer.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for ContentDigest {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        let bytes: Vec<u8> = if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            let digit_pair = |start| text.get(start..start + 2);
+            (0..text.len())
+                .step_by(2)
+                .filter_map(|start| u8::from_str_radix(digit_pair(start)?, 16).ok())
+                .collect()
+        } else {
+            serde_bytes::ByteBuf::deserialize(deserializer)?.into_vec()
+        };
+        let digest = bytes.try_into().map(Self);
+        digest.map_err(|_| serde::de::Error::custom("a digest holds 32 bytes"))
+    }
+}
+
 impl ContentDigest {
     /// Digest of `content`.
     pub fn of(content: &[u8]) -> Self {
--- a/crates/coordination/src/configuration/model.rs
+++ b/crates/coordination/src/configuration/model.rs
@@ -25,6 +25,7 @@
 
 /// What makes two label rules the same document.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum DocumentKey {
     /// A label rule: its subject, name pattern and matching expression in canonical form.
     #[display("labels on {}", [subject.to_string().as_str(), name, matching].join(" ").trim_end())]
