--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod settings;
 pub mod spread;
 pub mod state;
+pub mod telemetry;
 pub mod transport;
