feat(claims): run a keyed call at most once, through any entry

Cause: a resent filing or booking ran again at another entry. Change: a call that is not idempotent and carries a key takes a claim in the replicated state before its first byte; the runner outlives its caller and settles. Tasks that outlive their request belong to the daemon: a crash ends them, a planned stop waits for them. Failure found: tasks of a dropped daemon went on and kept its ports; the test of an entry that dies between send and answer shows it.

--- a/crates/daemon/src/agreed.rs
+++ b/crates/daemon/src/agreed.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use derive_more::{Display, Error};
+use pollendrift_coordination::base::Incarnation;
 use pollendrift_coordination::configuration::Configuration;
 use pollendrift_coordination::replicated::{CommandAnswer, ReplicatedCommand};
 
@@ -22,6 +23,9 @@
     /// The lease on the configuration's being current ran out.
     fn configuration(&self) -> Result<Arc<Configuration>, StaleConfiguration>;
 
+    /// Life of this process, once the keepers gave it one; nothing is claimed without it.
+    fn life(&self) -> Option<Incarnation>;
+
     /// Runs a command through the agreement group. All commands are idempotent by their own ids,
     /// so one whose answer was lost is sent again until the time for it is up.
     ///
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::node::{AgreedNode, NodeError, NodeParts};
 use crate::platform::{DumpSource, MetricSource, PlatformHandler};
 use crate::settings::{DaemonSettings, DrainSettings, EntrySettings};
+use crate::tasks::TaskGroup;
 
 /// Time between two ticks of the systems.
 const TICK: Duration = Duration::from_millis(100);
@@ -55,6 +56,7 @@
 /// A running daemon; dropping it stops at once, as a crash does.
 pub struct RouterDaemon {
     servers: Vec<HttpServer>,
+    context: Arc<EntryContext>,
     node: Arc<AgreedNode>,
     life: LifeControl,
     drain: DrainSettings,
@@ -87,6 +89,7 @@
         let context = Arc::new(EntryContext {
             host: settings.host.clone(),
             incarnation: clock.wall().0,
+            default_deadline: settings.limits.default_deadline,
             max_body_bytes: to_usize(settings.entry.max_body_bytes),
             clock: Arc::clone(&clock),
             access: Arc::clone(&access),
@@ -95,10 +98,12 @@
             client: HttpClient::new(MAX_ANSWER_BYTES),
             drafts: DraftSettings::default(),
             life: life.watch(),
+            tasks: TaskGroup::default(),
             named: AtomicU64::new(0),
+            tickets: AtomicU64::new(0),
         });
         let router = FaceRouter {
-            entry: Arc::new(EntryHandler::new(context)),
+            entry: Arc::new(EntryHandler::new(Arc::clone(&context))),
             announcements: Arc::new(AnnouncementHandler {
                 fleet: Arc::clone(&fleet),
                 access: Arc::clone(&access),
@@ -145,6 +150,7 @@
         let tasks = vec![tokio::spawn(tick_loop(fleet, clock))];
         Ok(Self {
             servers,
+            context,
             node,
             life,
             drain: settings.drain.clone(),
@@ -168,6 +174,7 @@
             for server in servers {
                 server.drain().await;
             }
+            self.context.tasks.finished().await;
         };
         tokio::time::timeout(self.drain.timeout, finished)
             .await
@@ -177,6 +184,7 @@
 
 impl Drop for RouterDaemon {
     fn drop(&mut self) {
+        self.context.tasks.abort();
         for task in &self.tasks {
             task.abort();
         }
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use http::HeaderMap;
 use pollendrift_coordination::base::{CustomerName, HostName, RequestId};
@@ -14,6 +15,7 @@
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
 use crate::lifecycle::{LifeStep, LifeWatch};
+use crate::tasks::TaskGroup;
 
 /// Header that names a request.
 pub(super) const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -25,6 +27,8 @@
     pub host: HostName,
     /// Life of this process, part of the request ids that it gives.
     pub incarnation: u64,
+    /// Time for a call whose labels name no deadline.
+    pub default_deadline: Duration,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
     /// The present time.
@@ -41,8 +45,12 @@
     pub drafts: DraftSettings,
     /// Whether new work is taken.
     pub life: LifeWatch,
+    /// Tasks that outlive their request; a planned stop waits for them.
+    pub tasks: TaskGroup,
     /// Requests that this process has named; part of their ids.
     pub named: AtomicU64,
+    /// Claims that this process has asked for; part of their tickets.
+    pub tickets: AtomicU64,
 }
 
 impl std::fmt::Debug for EntryContext {
@@ -67,6 +75,11 @@
         format!("{}-{:x}-{number:x}", self.host, self.incarnation).into()
     }
 
+    /// A ticket number that this process has not used.
+    pub(super) fn next_ticket(&self) -> u64 {
+        self.tickets.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// The customer that calls, if this host takes new work.
     pub(super) fn admit_caller(&self, headers: &HeaderMap) -> Result<CustomerName, Refusal> {
         let Some(customer) = self.access.customer(headers) else {
--- a/crates/daemon/src/entry/draft.rs
+++ b/crates/daemon/src/entry/draft.rs
@@ -106,7 +106,7 @@
         },
         job,
     };
-    tokio::spawn(runner.run());
+    context.tasks.spawn(runner.run());
     match answer.await {
         Ok(FirstAnswer::Streaming) => Ok(writer.stream_response(body)),
         Ok(FirstAnswer::Whole(response)) => Ok(response),
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -4,8 +4,8 @@
 
 use http::{HeaderValue, Response, StatusCode, header};
 use pollendrift_border::{ProblemReport, ProblemReportOutcome};
-use pollendrift_coordination::base::RequestId;
-use pollendrift_http::{ReadFailure, ResponseBody, json_response};
+use pollendrift_coordination::base::{RequestId, ServerName};
+use pollendrift_http::{ClientError, ReadFailure, ResponseBody, json_response};
 
 use super::context::REQUEST_ID_HEADER;
 
@@ -123,6 +123,75 @@
         .retry_after(RETRY_SOON)
     }
 
+    /// No answer came after a byte had gone out.
+    pub(crate) fn lost_answer(server: &ServerName, error: &ClientError) -> Self {
+        let detail = format!(
+            "{server}: {error}; whether the call ran is not known, so ask the service before \
+             sending it again"
+        );
+        Self::unknown(
+            StatusCode::BAD_GATEWAY,
+            "lost-answer",
+            "The answer was lost",
+            detail,
+        )
+    }
+
+    pub(crate) fn bad_key(limit: usize) -> Self {
+        let detail = format!("`idempotency-key` takes 1 to {limit} visible ASCII characters");
+        Self::not_run(StatusCode::BAD_REQUEST, "key", "Key not accepted", detail)
+    }
+
+    /// An earlier arrival of the key may be running.
+    pub(crate) fn in_progress(request: &RequestId) -> Self {
+        let detail = format!("request {request} took this key and is in progress; ask again later");
+        Self::unknown(
+            StatusCode::CONFLICT,
+            "in-progress",
+            "The call is in progress",
+            detail,
+        )
+        .retry_after(RETRY_SOON)
+    }
+
+    /// The call under this key may have run, and nobody will ever know more.
+    pub(crate) fn may_have_run(request: &RequestId) -> Self {
+        let detail = format!(
+            "the call may have run as request {request}; it is not run again under this key, so \
+             ask the service what became of it"
+        );
+        Self::unknown(
+            StatusCode::CONFLICT,
+            "unknown-outcome",
+            "The outcome is not known",
+            detail,
+        )
+    }
+
+    /// The key stands for another call.
+    pub(crate) fn key_reused(request: &RequestId) -> Self {
+        let detail = format!("this key stands for another call, request {request}; take a new key");
+        Self::not_run(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "key-reused",
+            "Key stands for another call",
+            detail,
+        )
+    }
+
+    /// The call ran, but its answer was too long to keep.
+    pub(crate) fn answer_not_kept(status: u16) -> Self {
+        let detail = format!(
+            "the call ran and was answered with status {status}; the body was too long to keep"
+        );
+        Self::unknown(
+            StatusCode::CONFLICT,
+            "answer-not-kept",
+            "The call ran already",
+            detail,
+        )
+    }
+
     /// The problem report for `id`.
     pub(crate) fn report(&self, id: &RequestId) -> ProblemReport {
         ProblemReport {
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -1,17 +1,19 @@
 //! Any method under `/services/{service}/`: calls of plain services.
 //!
-//! A call is resent only where it is proved that it did not run, or where its method is
-//! idempotent.
+//! A call is resent only where it is proved that it did not run, or where it is idempotent. A call
+//! that is not idempotent and carries a key runs under a claim, see [`claimed`].
+
+mod claimed;
+mod proxy;
 
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, Method, Request, Response, StatusCode, header, request};
-use http_body_util::Full;
+use http::{Request, Response, request};
 use hyper::body::Incoming;
 use pollendrift_coordination::base::{CustomerName, RequestId, ServiceName};
 use pollendrift_coordination::configuration::RequestFacts;
-use pollendrift_http::{ClientError, ResponseBody, full_body, read_bounded};
+use pollendrift_http::{ClientError, ResponseBody, read_bounded};
 
 use super::SERVICE_PREFIX;
 use super::context::EntryContext;
@@ -19,15 +21,20 @@
 use super::selection::{ServedRequest, select};
 use crate::fleet::ServerView;
 
-/// Headers that belong to one connection and are not passed on.
-const HOP_HEADERS: [HeaderName; 6] = [
-    header::CONNECTION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::HOST,
-];
+/// Header that names a call; a resend carries the same.
+const KEY_HEADER: &str = "idempotency-key";
+const MAX_KEY_BYTES: usize = 256;
+
+/// A call that is ready to be sent.
+struct ServiceCall {
+    context: Arc<EntryContext>,
+    id: RequestId,
+    customer: CustomerName,
+    service: ServiceName,
+    head: request::Parts,
+    body: Bytes,
+    served: ServedRequest,
+}
 
 /// Acts on a call of a plain service.
 pub(super) async fn call(
@@ -37,58 +44,43 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let service = service_name(request.uri().path())?;
-    let mut facts = RequestFacts::call(customer, service.clone());
+    let mut facts = RequestFacts::call(customer.clone(), service.clone());
     facts.path = request.uri().path().into();
     let served = select(context, &facts)?;
+    let key = call_key(&request)?;
     let (head, body) = request.into_parts();
     // Read whole before anything is sent: a caller that breaks off here is truly not run.
     let body = read_bounded(body, context.max_body_bytes)
         .await
         .map_err(|failure| Refusal::bad_body(&failure))?;
+    let context = Arc::clone(context);
     let call = ServiceCall {
-        id,
+        context,
+        id: id.clone(),
+        customer,
         service,
         head,
         body,
         served,
     };
-    call.run(context).await
-}
-
-struct ServiceCall<'call> {
-    id: &'call RequestId,
-    service: ServiceName,
-    head: request::Parts,
-    body: Bytes,
-    served: ServedRequest,
+    match key {
+        Some(key) if !call.is_idempotent() => claimed::run(call, key).await,
+        _ => call.run().await,
+    }
 }
 
-impl ServiceCall<'_> {
-    async fn run(&self, context: &EntryContext) -> Result<Response<ResponseBody>, Refusal> {
-        let now = context.clock.now();
-        let mut servers = self
-            .served
-            .allowed(context.fleet.serving_service(now, &self.service));
-        servers.sort_by_key(|server| server.load.running);
-        let mut refusal = Refusal::no_pipeline(format!(
-            "no backend server offers service {} now",
-            self.service
-        ));
-        for server in servers {
-            if !context
-                .fleet
-                .may_take_work(context.clock.now(), &server.facts.name)
-            {
-                continue;
-            }
-            match self.send(context, &server).await {
-                Ok(response) => return Ok(response),
+impl ServiceCall {
+    async fn run(&self) -> Result<Response<ResponseBody>, Refusal> {
+        let mut refusal = self.nobody_serves();
+        for server in self.servers() {
+            match self.send(&server).await {
+                Ok(answer) => return Ok(proxy::response(answer, &self.id)),
                 Err(ClientError::NotSent { reason }) => {
                     refusal = Refusal::no_pipeline(format!("{}: {reason}", server.facts.name));
                 }
                 Err(error) => {
-                    refusal = self.lost_answer(&server, &error);
-                    if !is_idempotent(&self.head.method) {
+                    refusal = Refusal::lost_answer(&server.facts.name, &error);
+                    if !self.is_idempotent() {
                         return Err(refusal);
                     }
                 }
@@ -97,65 +89,68 @@
         Err(refusal)
     }
 
-    async fn send(
-        &self,
-        context: &EntryContext,
-        server: &ServerView,
-    ) -> Result<Response<ResponseBody>, ClientError> {
-        let response = context.client.send(self.outgoing(server)?).await?;
-        let status = response.status();
-        let headers = response.headers().clone();
-        // Read whole before it is passed on: a body that ends early is no answer.
-        let body = context.client.read(response).await?;
-        let mut answer = Response::new(full_body(body));
-        *answer.status_mut() = status;
-        copy_headers(&headers, answer.headers_mut());
-        if let Ok(value) = http::HeaderValue::from_str(self.id.as_str()) {
-            answer
-                .headers_mut()
-                .insert(super::context::REQUEST_ID_HEADER, value);
+    /// Servers that may take the call, the least loaded first.
+    fn servers(&self) -> Vec<Arc<ServerView>> {
+        let fleet = &self.context.fleet;
+        let now = self.context.clock.now();
+        let mut servers = self
+            .served
+            .allowed(fleet.serving_service(now, &self.service));
+        servers.sort_by_key(|server| server.load.running);
+        servers
+    }
+
+    /// Sends the call to one server, if it still may take work.
+    async fn send(&self, server: &ServerView) -> Result<proxy::WholeAnswer, ClientError> {
+        // Asked right before the send: between two servers time passes, and leases end.
+        if !self
+            .context
+            .fleet
+            .may_take_work(self.context.clock.now(), &server.facts.name)
+        {
+            return Err(ClientError::NotSent {
+                reason: "its lease ran out".to_owned(),
+            });
         }
-        Ok(answer)
+        let request = proxy::outgoing(&self.head, &self.service, &self.body, &server.address)?;
+        let deadline = self
+            .served
+            .selected
+            .settings
+            .deadline
+            .unwrap_or(self.context.default_deadline);
+        let answer =
+            tokio::time::timeout(deadline, proxy::send(&self.context.client, request)).await;
+        let late = || ClientError::NoAnswer {
+            reason: "no whole answer before the deadline".to_owned(),
+        };
+        answer.unwrap_or_else(|_| Err(late()))
     }
 
-    fn outgoing(&self, server: &ServerView) -> Result<Request<Full<Bytes>>, ClientError> {
-        let path = self
-            .head
-            .uri
-            .path_and_query()
-            .map_or("/", |path| path.as_str());
-        let prefix = format!("{SERVICE_PREFIX}{}", self.service);
-        let rest = path
-            .strip_prefix(prefix.as_str())
-            .filter(|rest| !rest.is_empty())
-            .unwrap_or("/");
-        let mut request = Request::builder()
-            .method(self.head.method.clone())
-            .uri(format!("http://{}{rest}", server.address))
-            .body(Full::new(self.body.clone()))
-            .map_err(|error| ClientError::NotSent {
-                reason: error.to_string(),
-            })?;
-        copy_headers(&self.head.headers, request.headers_mut());
-        // The caller's credential is for this router alone.
-        request.headers_mut().remove(header::AUTHORIZATION);
-        Ok(request)
+    fn is_idempotent(&self) -> bool {
+        let labelled = self.served.selected.settings.idempotent;
+        labelled.unwrap_or_else(|| self.head.method.is_idempotent())
     }
 
-    fn lost_answer(&self, server: &ServerView, error: &ClientError) -> Refusal {
-        let detail = format!(
-            "{}: {error}; whether the call ran is not known, so ask the service before sending it again",
-            server.facts.name
-        );
-        Refusal::unknown(
-            StatusCode::BAD_GATEWAY,
-            "lost-answer",
-            "The answer was lost",
-            detail,
-        )
+    fn nobody_serves(&self) -> Refusal {
+        Refusal::no_pipeline(format!(
+            "no backend server offers service {} now",
+            self.service
+        ))
     }
 }
 
+fn call_key(request: &Request<Incoming>) -> Result<Option<String>, Refusal> {
+    let Some(value) = request.headers().get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    let key = value.to_str().unwrap_or("");
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        return Err(Refusal::bad_key(MAX_KEY_BYTES));
+    }
+    Ok(Some(key.to_owned()))
+}
+
 fn service_name(path: &str) -> Result<ServiceName, Refusal> {
     let rest = path.strip_prefix(SERVICE_PREFIX).unwrap_or("");
     let name = rest.split('/').next().unwrap_or("");
@@ -164,16 +159,3 @@
     }
     Ok(name.into())
 }
-
-fn is_idempotent(method: &Method) -> bool {
-    method.is_idempotent()
-}
-
-fn copy_headers(from: &HeaderMap, into: &mut HeaderMap) {
-    for (name, value) in from {
-        if HOP_HEADERS.contains(name) || name == header::CONTENT_LENGTH {
-            continue;
-        }
-        into.append(name.clone(), value.clone());
-    }
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod settings;
 pub mod spread;
 pub mod state;
+pub mod tasks;
 pub mod telemetry;
 pub mod transport;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -197,11 +197,6 @@
         &self.client
     }
 
-    /// Life of this process, once the keepers gave it one.
-    pub fn life(&self) -> Option<Incarnation> {
-        *self.life.borrow()
-    }
-
     /// Gives leadership away, before a planned stop closes the links.
     pub async fn hand_over(&self) -> bool {
         match &self.keeper {
@@ -236,6 +231,10 @@
         self.feed.current()
     }
 
+    fn life(&self) -> Option<Incarnation> {
+        *self.life.borrow()
+    }
+
     fn submit(&self, command: ReplicatedCommand) -> SubmitFuture<'_> {
         Box::pin(submit(&self.client, command))
     }
--- a/crates/daemon/tests/draft_failures.rs
+++ b/crates/daemon/tests/hosts/drafts.rs
@@ -1,104 +1,46 @@
-//! Drafts under failure, over real loopback connections: one host, stand-in engines.
-#![allow(clippy::unwrap_used, reason = "a helper that fails is a failed test")]
+//! Drafts stay whole through faulty, silent and dying engines.
 
-use std::path::PathBuf;
-
-use pollendrift::agreed::AgreedState;
-use pollendrift::daemon::RouterDaemon;
-use pollendrift::settings::{DaemonSettings, TokenDigest};
-use pollendrift_coordination::base::Revision;
-use pollendrift_coordination::configuration::{ChangeAnswer, ChangeRequest};
-use pollendrift_coordination::replicated::{CommandAnswer, ReplicatedCommand};
 use pollendrift_standins::caller::{DraftCaller, DraftReply};
 use pollendrift_standins::engine::{EngineServer, EngineSettings};
 use pollendrift_standins::fleet::{ModelShape, mixed_engines};
-use pollendrift_standins::harness::{CUSTOMER_TOKEN, HostBuilder, OPERATOR_TOKEN, loopback};
+use pollendrift_standins::harness::{CUSTOMER_TOKEN, loopback};
 use pollendrift_standins::token::{StandInWeights, expected_answer};
 
+use crate::support::HostGroup;
+
 const PROMPT: &str = "switching sequence for the feed pump";
 const TOKENS: u32 = 20;
 
 /// One host over engines that it has heard of.
 struct OneHost {
-    _folder: tempfile::TempDir,
-    _daemon: RouterDaemon,
+    _group: HostGroup,
     engines: Vec<EngineServer>,
     caller: DraftCaller,
     shape: ModelShape,
-    entry: String,
-    platform: String,
 }
 
 impl OneHost {
     async fn start(engines: u32) -> Self {
-        let digest = |token: &str| TokenDigest::of(token.as_bytes()).to_hex();
-        let builder =
-            HostBuilder::new(1, 1, digest(CUSTOMER_TOKEN), digest(OPERATOR_TOKEN)).unwrap();
-        let folder = tempfile::tempdir().unwrap();
-        let text = builder.settings(0, folder.path());
-        let settings = DaemonSettings::parse(&"test".into(), PathBuf::new(), &text)
-            .unwrap()
-            .settings;
-        let daemon = RouterDaemon::start(&settings).await.unwrap();
-        let change = ChangeRequest {
-            change_id: "first".into(),
-            based_on: Revision(0),
-            operator: "operator-1".into(),
-            text: "kind: selector\nname: drafts\nmodel: draft\n".into(),
-        };
-        let answer = daemon
-            .node()
-            .submit(ReplicatedCommand::ChangeConfiguration(change))
-            .await;
-        assert!(matches!(
-            answer,
-            Ok(CommandAnswer::Change(ChangeAnswer::Accepted { .. }))
-        ));
-        wait_for_revision(&daemon, Revision(1)).await;
-        let entry = builder.hosts()[0].entry.to_string();
+        let group = HostGroup::start(1, 1).await;
+        let caller = DraftCaller::new(&group.entry(0), CUSTOMER_TOKEN);
         let shape = ModelShape::default();
-        let mut host = Self {
-            _folder: folder,
-            _daemon: daemon,
-            engines: Vec::new(),
-            caller: DraftCaller::new(&entry, CUSTOMER_TOKEN),
-            shape,
-            entry,
-            platform: builder.hosts()[0].platform.to_string(),
-        };
-        for (index, offer) in mixed_engines(&host.shape, engines).into_iter().enumerate() {
+        let mut started = Vec::new();
+        for (index, offer) in mixed_engines(&shape, engines).into_iter().enumerate() {
             let settings = EngineSettings {
                 server: format!("engine-{index}"),
                 offer,
             };
             let mut engine = EngineServer::start(settings, loopback()).await.unwrap();
-            engine.announce(vec![host.entry.clone()], 1, "dc-a");
-            host.engines.push(engine);
+            engine.announce(group.entries(), 1, "dc-a");
+            started.push(engine);
+        }
+        group.wait_servers(started.len()).await;
+        Self {
+            _group: group,
+            engines: started,
+            caller,
+            shape,
         }
-        host.wait_for_engines().await;
-        host
-    }
-
-    /// Waits until the host's dump names every engine.
-    async fn wait_for_engines(&self) {
-        let client = pollendrift_http::HttpClient::new(1 << 20);
-        let wait = async {
-            loop {
-                let request = http::Request::get(format!("http://{}/dump", self.platform))
-                    .body(Default::default())
-                    .unwrap();
-                let response = client.send(request).await.unwrap();
-                let dump: serde_json::Value =
-                    serde_json::from_slice(&client.read(response).await.unwrap()).unwrap();
-                if dump["backend_servers"].as_array().unwrap().len() == self.engines.len() {
-                    return;
-                }
-                tokio::task::yield_now().await;
-            }
-        };
-        tokio::time::timeout(std::time::Duration::from_secs(30), wait)
-            .await
-            .unwrap();
     }
 
     fn expected(&self) -> Vec<u64> {
@@ -174,17 +116,6 @@
     ");
 }
 
-async fn wait_for_revision(daemon: &RouterDaemon, revision: Revision) {
-    let wait = async {
-        while daemon.node().configuration().map(|held| held.revision()) != Ok(revision) {
-            tokio::task::yield_now().await;
-        }
-    };
-    tokio::time::timeout(std::time::Duration::from_secs(30), wait)
-        .await
-        .unwrap();
-}
-
 fn reset(engine: &EngineServer) {
     engine.faults().duplicate_tokens(false);
     engine.faults().swap_tokens(false);
--- /dev/null
+++ b/crates/daemon/tests/hosts/main.rs
@@ -0,0 +1,8 @@
+//! Whole daemons under failure, over real loopback connections with stand-in backend servers.
+#![allow(clippy::unwrap_used, reason = "a helper that fails is a failed test")]
+
+mod claims;
+mod configuration;
+mod drafts;
+mod stops;
+mod support;
--- /dev/null
+++ b/crates/daemon/tests/hosts/stops.rs
@@ -0,0 +1,45 @@
+//! Planned stops interrupt nothing.
+
+use pollendrift_standins::harness::{CUSTOMER_TOKEN, loopback};
+use pollendrift_standins::load::{CallOutcome, ServiceCaller};
+use pollendrift_standins::service::PlainService;
+
+use crate::support::{HostGroup, until};
+
+// The caller's booking is running at an entry that is told to stop. The entry refuses new work,
+// truly not run, and waits for the booking; the caller gets its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_lets_a_running_call_finish() {
+    let mut group = HostGroup::start(4, 3).await;
+    let mut service = PlainService::start("portal-1", "portal", loopback())
+        .await
+        .unwrap();
+    service.announce(group.entries(), 1, "dc-a");
+    group.wait_servers(1).await;
+    service.hold(true);
+    let caller = ServiceCaller::new(&group.entry(3), CUSTOMER_TOKEN);
+    let running = caller.clone();
+    let sent = tokio::spawn(async move { running.post("portal", "filings", "held", "a").await });
+    until(|| service.runs().contains_key("held")).await;
+    let stopping = group.take(3);
+    let stopped = tokio::spawn(stopping.drain());
+    let address = group.builder.hosts()[3].entry;
+    while tokio::net::TcpStream::connect(address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    let refused = matches!(
+        caller.post("portal", "filings", "late", "a").await,
+        CallOutcome::NotRun(_)
+    );
+    service.hold(false);
+    let answered = matches!(sent.await.unwrap(), CallOutcome::Answered(_));
+    let finished = stopped.await.unwrap();
+    let late = service.runs().get("late").copied().unwrap_or(0);
+    insta::assert_snapshot!(
+        format!(
+            "running call answered {answered}, late call refused {refused}, runs of it {late}, \
+             all finished {finished}"
+        ),
+        @"running call answered true, late call refused true, runs of it 0, all finished true"
+    );
+}
--- /dev/null
+++ b/crates/daemon/tests/hosts/support.rs
@@ -0,0 +1,194 @@
+//! Hosts in one process, with the stand-ins that they serve.
+
+use std::future::Future;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use pollendrift::agreed::AgreedState;
+use pollendrift::daemon::RouterDaemon;
+use pollendrift::settings::{DaemonSettings, TokenDigest};
+use pollendrift_coordination::base::Revision;
+use pollendrift_coordination::configuration::{ChangeAnswer, ChangeRequest};
+use pollendrift_coordination::replicated::{CommandAnswer, ReplicatedCommand};
+use pollendrift_http::HttpClient;
+use pollendrift_standins::harness::{CUSTOMER_TOKEN, HostBuilder, OPERATOR_TOKEN};
+
+/// Longest wait for something that must come to pass; only a failure ever waits so long.
+const GUARD: Duration = Duration::from_secs(30);
+
+pub(crate) const SELECTORS: &str = "kind: selector
+name: drafts
+model: draft
+---
+kind: selector
+name: portal
+service: portal
+";
+
+/// Hosts that know each other; the first ones are keepers.
+pub(crate) struct HostGroup {
+    pub(crate) builder: HostBuilder,
+    folders: Vec<tempfile::TempDir>,
+    hosts: Vec<Option<RouterDaemon>>,
+    client: HttpClient,
+}
+
+impl HostGroup {
+    /// Starts `hosts` hosts, the first `keepers` of them keepers, and puts [`SELECTORS`] in force.
+    pub(crate) async fn start(hosts: usize, keepers: usize) -> Self {
+        let mut group = Self::cold(hosts, keepers);
+        for index in 0..hosts {
+            group.restart(index).await;
+        }
+        let answer = group.change(0, "first", Revision(0), SELECTORS).await;
+        assert!(
+            matches!(answer, Some(ChangeAnswer::Accepted { .. })),
+            "{answer:?}"
+        );
+        for index in 0..hosts {
+            group.wait_revision(index, Revision(1)).await;
+        }
+        group
+    }
+
+    /// Hosts that are not running yet.
+    pub(crate) fn cold(hosts: usize, keepers: usize) -> Self {
+        let digest = |token: &str| TokenDigest::of(token.as_bytes()).to_hex();
+        let builder = HostBuilder::new(
+            hosts,
+            keepers,
+            digest(CUSTOMER_TOKEN),
+            digest(OPERATOR_TOKEN),
+        )
+        .unwrap();
+        Self {
+            builder: builder.with("drain: {notice: 0ms}\n"),
+            folders: (0..hosts).map(|_| tempfile::tempdir().unwrap()).collect(),
+            hosts: (0..hosts).map(|_| None).collect(),
+            client: HttpClient::new(1 << 22),
+        }
+    }
+
+    /// Starts a host that is not running.
+    pub(crate) async fn restart(&mut self, index: usize) {
+        let text = self.builder.settings(index, self.folders[index].path());
+        let settings = DaemonSettings::parse(&"test".into(), PathBuf::new(), &text);
+        let settings = settings.unwrap().settings;
+        // The folder's lock and the ports of a crashed host are free once its tasks have ended.
+        self.hosts[index] = Some(eventually(|| RouterDaemon::start(&settings)).await);
+    }
+
+    /// Ends a host at once, as a crash does.
+    pub(crate) fn crash(&mut self, index: usize) {
+        self.hosts[index] = None;
+    }
+
+    /// Takes a running host out, for a planned stop.
+    pub(crate) fn take(&mut self, index: usize) -> RouterDaemon {
+        self.hosts[index].take().unwrap()
+    }
+
+    pub(crate) fn host(&self, index: usize) -> &RouterDaemon {
+        self.hosts[index].as_ref().unwrap()
+    }
+
+    /// `ip:port` of a host's entry.
+    pub(crate) fn entry(&self, index: usize) -> String {
+        self.builder.hosts()[index].entry.to_string()
+    }
+
+    /// `ip:port` of every entry.
+    pub(crate) fn entries(&self) -> Vec<String> {
+        (0..self.hosts.len())
+            .map(|index| self.entry(index))
+            .collect()
+    }
+
+    /// Proposes a change through one host.
+    pub(crate) async fn change(
+        &self,
+        index: usize,
+        id: &str,
+        based_on: Revision,
+        text: &str,
+    ) -> Option<ChangeAnswer> {
+        let change = ChangeRequest {
+            change_id: id.into(),
+            based_on,
+            operator: "operator-1".into(),
+            text: text.into(),
+        };
+        let command = ReplicatedCommand::ChangeConfiguration(change);
+        match self.host(index).node().submit(command).await {
+            Ok(CommandAnswer::Change(answer)) => Some(answer),
+            _ => None,
+        }
+    }
+
+    /// Waits until a host serves `revision` and has its life.
+    pub(crate) async fn wait_revision(&self, index: usize, revision: Revision) {
+        let node = self.host(index).node();
+        until(|| {
+            let held = node.configuration().map(|held| held.revision());
+            held == Ok(revision) && node.life().is_some()
+        })
+        .await;
+    }
+
+    /// Waits until each running host's dump names `count` backend servers.
+    pub(crate) async fn wait_servers(&self, count: usize) {
+        for (index, _) in self
+            .hosts
+            .iter()
+            .enumerate()
+            .filter(|(_, host)| host.is_some())
+        {
+            let platform = self.builder.hosts()[index].platform;
+            let guard = async {
+                while self.dumped_servers(&platform.to_string()).await != count {
+                    tokio::task::yield_now().await;
+                }
+            };
+            tokio::time::timeout(GUARD, guard).await.unwrap();
+        }
+    }
+
+    async fn dumped_servers(&self, platform: &str) -> usize {
+        let request = http::Request::get(format!("http://{platform}/dump"))
+            .body(Default::default())
+            .unwrap();
+        let response = self.client.send(request).await.unwrap();
+        let body = self.client.read(response).await.unwrap();
+        let dump: serde_json::Value = serde_json::from_slice(&body).unwrap();
+        dump["backend_servers"].as_array().unwrap().len()
+    }
+}
+
+/// Waits until `met` holds.
+pub(crate) async fn until<F>(met: F)
+where
+    F: Fn() -> bool,
+{
+    let guard = async {
+        while !met() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(GUARD, guard).await.unwrap();
+}
+
+async fn eventually<F, R, T, E>(attempt: F) -> T
+where
+    F: Fn() -> R,
+    R: Future<Output = Result<T, E>>,
+{
+    let guard = async {
+        loop {
+            if let Ok(value) = attempt().await {
+                return value;
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(GUARD, guard).await.unwrap()
+}
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -14,6 +14,8 @@
     HandlerFuture, HttpHandler, HttpServer, ResponseBody, ServerBounds, read_bounded, text_response,
 };
 
+use tokio::sync::watch;
+
 use crate::announcer::{AnnouncerSettings, OfferSource, ServerAnnouncer};
 
 /// Header that names a call.
@@ -29,6 +31,7 @@
     runs: Mutex<BTreeMap<String, u64>>,
     delay_micros: AtomicU64,
     cut_before_answer: AtomicBool,
+    held: watch::Sender<bool>,
     running: AtomicU64,
 }
 
@@ -71,6 +74,7 @@
             runs: Mutex::new(BTreeMap::new()),
             delay_micros: AtomicU64::new(0),
             cut_before_answer: AtomicBool::new(false),
+            held: watch::Sender::new(false),
             running: AtomicU64::new(0),
         });
         let handler = Arc::new(ServiceHandler {
@@ -121,6 +125,11 @@
         self.context.delay_micros.store(micros, Ordering::Relaxed);
     }
 
+    /// Holds every call that has run back from its answer, until it is let go.
+    pub fn hold(&self, on: bool) {
+        self.context.held.send_replace(on);
+    }
+
     /// Runs calls but cuts the connection before the answer.
     pub fn cut_before_answer(&self, on: bool) {
         self.context.cut_before_answer.store(on, Ordering::Relaxed);
@@ -148,6 +157,8 @@
             self.context.delay_micros.load(Ordering::Relaxed),
         ))
         .await;
+        // An error would mean that the service is gone, and this call with it.
+        let _ = self.context.held.subscribe().wait_for(|held| !held).await;
         self.context.running.fetch_sub(1, Ordering::Relaxed);
         if self.context.cut_before_answer.load(Ordering::Relaxed) {
             let (sender, cut) = pollendrift_http::channel_body(1);
