fix(agreement): let a removed keeper learn of its removal

Cause: the leader stopped sending to a keeper in the moment it removed it, so the keeper went on believing to be a voter and asked for votes for ever. Change: a removed peer is sent the log until it knows, or for ten election timeouts; it is counted nowhere. Besides: bounded held messages, a state dump, findings about settings, cases with one-way cuts, stalled disks, a keeper that alone reaches all, and a test that earlier terms don't commit by counting.

--- a/crates/coordination/src/agreement.rs
+++ b/crates/coordination/src/agreement.rs
@@ -1,6 +1,7 @@
 //! Agreement among keepers: the replicated log that every durable decision goes through.
 
 mod change;
+mod dump;
 mod election;
 mod entry;
 mod follow;
@@ -20,6 +21,7 @@
 mod settings;
 mod transfer;
 
+pub use dump::{AgreementDump, LeadershipDump, PeerDump};
 pub use entry::{
     EntryPayload, HardState, KeeperId, LogEntry, LogIndex, Membership, SnapshotMark, Term,
 };
--- a/crates/coordination/src/agreement/lead.rs
+++ b/crates/coordination/src/agreement/lead.rs
@@ -16,7 +16,7 @@
     AgreementEffect, DropReason, HandOverOutcome, ProposalOutcome, ReadOutcome, RefusalReason,
     RequestToken,
 };
-use super::progress::{PeerProgress, SendMode};
+use super::progress::{LeavingPeer, PeerProgress, SendMode};
 use super::read::ReadQueue;
 use super::redundancy::RedundancyReport;
 use crate::base::MonotonicTime;
@@ -24,6 +24,9 @@
 /// Rounds after which unchanged witness records are sent again, for peers that missed them.
 const WITNESS_REPEAT_ROUNDS: u64 = 20;
 
+/// Election timeouts for which a removed peer is still sent the log.
+const LEAVING_ELECTION_TIMEOUTS: u32 = 10;
+
 /// A request that waits for the commit of its entry.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PendingEntry {
@@ -33,7 +36,8 @@
 
 /// State that lives as long as one leadership.
 ///
-/// Invariant: `peers` holds exactly the other keepers of the membership in force.
+/// Invariant: `peers` holds the other keepers of the membership in force, and those that were
+/// removed and may not know it yet; only the former are counted.
 #[derive(Debug)]
 pub(super) struct LeaderState {
     pub(super) peers: BTreeMap<KeeperId, PeerProgress>,
@@ -158,7 +162,7 @@
         (now < end).then_some(end)
     }
 
-    fn leadership_end(&self, leader: &LeaderState) -> MonotonicTime {
+    pub(super) fn leadership_end(&self, leader: &LeaderState) -> MonotonicTime {
         leader
             .quorum_value(self.log.membership(), self.now, |peer| peer.contact_at)
             .unwrap_or(self.now)
@@ -181,6 +185,7 @@
     /// A leader's part of the tick, after all inputs.
     pub(super) fn run_leader(&mut self) {
         self.advance_commit();
+        self.drop_left_peers();
         self.retire_former_incarnations();
         self.run_hand_over();
         self.run_heartbeat();
@@ -267,7 +272,17 @@
             return;
         };
         let membership = self.log.membership();
-        leader.peers.retain(|peer, _| membership.contains(peer));
+        leader.peers.retain(|peer, _| !membership.supersedes(peer));
+        let patience = self.settings.election_timeout * LEAVING_ELECTION_TIMEOUTS;
+        let leaving = LeavingPeer {
+            removed_at: self.log.membership_index(),
+            due: self.now.after(patience),
+        };
+        for (peer, progress) in &mut leader.peers {
+            let is_member = membership.contains(peer);
+            let leaving = progress.leaving.unwrap_or(leaving);
+            progress.leaving = (!is_member).then_some(leaving);
+        }
         for keeper in membership.keepers().filter(|keeper| **keeper != self.id) {
             if !leader.peers.contains_key(keeper) {
                 let progress = PeerProgress::new(self.log.last_index(), self.now);
@@ -276,6 +291,12 @@
         }
     }
 
+    fn drop_left_peers(&mut self) {
+        if let RoleState::Leader(leader) = &mut self.role {
+            leader.peers.retain(|_, peer| !peer.has_left(self.now));
+        }
+    }
+
     /// Takes the answer to an append in.
     pub(super) fn on_append_reply(&mut self, from: &KeeperId, reply: &AppendReply) {
         if reply.term > self.term() {
@@ -352,6 +373,7 @@
             progress.contact_at = progress.contact_at.max(reply.sent_at.min(self.now));
             progress.answered_round = progress.answered_round.max(reply.round);
             progress.told_commit = progress.told_commit.min(reply.commit);
+            progress.known_commit = progress.known_commit.max(reply.commit);
         }
     }
 
--- a/crates/coordination/src/agreement/persist.rs
+++ b/crates/coordination/src/agreement/persist.rs
@@ -11,6 +11,10 @@
 use super::node::AgreementNode;
 use super::port::{AgreementEffect, PersistOrder, PersistSequence, StoredSnapshot};
 
+/// Messages that wait for a sync. A disk that hangs must not let them pile up; a message that is
+/// not sent counts as lost, and is asked for again.
+const MAX_HELD_MESSAGES: usize = 4096;
+
 /// What is done once a persist order is synced.
 #[derive(Debug)]
 pub(super) enum HeldAction {
@@ -86,6 +90,14 @@
         self.unsaved_from = mark.next();
     }
 
+    fn is_full(&self) -> bool {
+        self.held.len() >= MAX_HELD_MESSAGES
+    }
+
+    pub(super) fn held_len(&self) -> usize {
+        self.held.len()
+    }
+
     fn is_dirty(&self, log: &ReplicatedLog) -> bool {
         self.hard_state.is_some()
             || self.snapshot.is_some()
@@ -145,6 +157,7 @@
     /// Does `action` once everything decided so far is synced; at once if it already is.
     pub(super) fn after_persist(&mut self, action: HeldAction) {
         match self.writes.awaited(&self.log) {
+            Some(_) if self.writes.is_full() && matches!(action, HeldAction::Send(_)) => {}
             Some(sequence) => self.writes.held.push_back((sequence, action)),
             None => self.perform(action),
         }
--- a/crates/coordination/src/agreement/progress.rs
+++ b/crates/coordination/src/agreement/progress.rs
@@ -48,6 +48,21 @@
     pub(super) caught_up_at: Option<MonotonicTime>,
     /// Commit index at that check.
     catch_up_goal: LogIndex,
+    /// Commit index that the peer last said it knows.
+    pub(super) known_commit: LogIndex,
+    /// Set once the peer is no longer a member.
+    pub(super) leaving: Option<LeavingPeer>,
+}
+
+/// A removed peer that is still sent the log until it knows of its removal.
+///
+/// Else it would believe to be a voter for ever, and ask for votes that nobody gives.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LeavingPeer {
+    /// Entry that removes it.
+    pub(super) removed_at: LogIndex,
+    /// When it is given up, as its disk may be gone.
+    pub(super) due: MonotonicTime,
 }
 
 impl PeerProgress {
@@ -64,6 +79,8 @@
             answered_round: HeartbeatRound(0),
             caught_up_at: None,
             catch_up_goal: last_index,
+            known_commit: LogIndex(0),
+            leaving: None,
         }
     }
 
@@ -134,6 +151,13 @@
         }
     }
 
+    /// Whether the peer is removed, and knows it or is given up.
+    pub(super) fn has_left(&self, now: MonotonicTime) -> bool {
+        let is_done =
+            |leaving: LeavingPeer| self.known_commit >= leaving.removed_at || now >= leaving.due;
+        self.leaving.is_some_and(is_done)
+    }
+
     /// Whether the peer answered within `window`.
     pub(super) fn is_in_contact(&self, now: MonotonicTime, window: Duration) -> bool {
         now.since(self.contact_at) < window
--- a/crates/coordination/src/agreement/read.rs
+++ b/crates/coordination/src/agreement/read.rs
@@ -48,7 +48,7 @@
         checking.chain(self.waiting).collect()
     }
 
-    fn len(&self) -> usize {
+    pub(super) fn len(&self) -> usize {
         self.waiting.len().saturating_add(self.checking.len())
     }
 }
--- a/crates/coordination/src/agreement/settings.rs
+++ b/crates/coordination/src/agreement/settings.rs
@@ -4,6 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::base::{FindingList, Place};
+
+const SHORTEST_HEARTBEAT: Duration = Duration::from_millis(1);
+
+/// Heartbeats that fit into an election timeout at least, so that one lost heartbeat starts none.
+const HEARTBEATS_PER_ELECTION: u32 = 3;
+
 /// How one keeper takes part in agreement; all keepers of a group carry the same values.
 ///
 /// Invariant after [`AgreementSettings::checked`]: `heartbeat_interval` is at most a third of
@@ -65,12 +72,61 @@
 }
 
 impl AgreementSettings {
+    /// Says what [`AgreementSettings::checked`] would change, as errors at the place that
+    /// `place_of` gives for an option's name.
+    #[must_use]
+    pub fn findings<F>(&self, place_of: F) -> FindingList
+    where
+        F: Fn(&str) -> Place,
+    {
+        let mut findings = FindingList::default();
+        if self.heartbeat_interval < SHORTEST_HEARTBEAT {
+            let place = place_of("heartbeat_interval");
+            findings.error(place, "heartbeat_interval is too short", "at least 1 ms");
+        }
+        if self.election_timeout < self.heartbeat_interval * HEARTBEATS_PER_ELECTION {
+            let place = place_of("election_timeout");
+            let accepted = "at least three times heartbeat_interval";
+            findings.error(place, "election_timeout is too short", accepted);
+        }
+        if self.resend_timeout < SHORTEST_HEARTBEAT {
+            let place = place_of("resend_timeout");
+            findings.error(place, "resend_timeout is too short", "at least 1 ms");
+        }
+        if self.max_uncommitted_bytes < self.max_command_bytes {
+            let place = place_of("max_uncommitted_bytes");
+            let accepted = "at least max_command_bytes";
+            findings.error(place, "max_uncommitted_bytes is too small", accepted);
+        }
+        for (name, value) in self.bounds() {
+            if value == 0 {
+                findings.error(place_of(name), format!("{name} is 0"), "at least 1");
+            }
+        }
+        findings
+    }
+
+    fn bounds(&self) -> [(&'static str, usize); 8] {
+        let snapshot_after = usize::try_from(self.snapshot_after_entries).unwrap_or(usize::MAX);
+        [
+            ("max_append_entries", self.max_append_entries),
+            ("max_append_bytes", self.max_append_bytes),
+            ("max_inflight_appends", self.max_inflight_appends),
+            ("max_command_bytes", self.max_command_bytes),
+            ("max_uncommitted_entries", self.max_uncommitted_entries),
+            ("max_pending_reads", self.max_pending_reads),
+            ("snapshot_chunk_bytes", self.snapshot_chunk_bytes),
+            ("snapshot_after_entries", snapshot_after),
+        ]
+    }
+
     /// The same settings with each value raised or lowered to what the core can work with.
     #[must_use]
     pub fn checked(mut self) -> Self {
-        const SHORTEST_HEARTBEAT: Duration = Duration::from_millis(1);
         self.heartbeat_interval = self.heartbeat_interval.max(SHORTEST_HEARTBEAT);
-        self.election_timeout = self.election_timeout.max(self.heartbeat_interval * 3);
+        self.election_timeout = self
+            .election_timeout
+            .max(self.heartbeat_interval * HEARTBEATS_PER_ELECTION);
         self.resend_timeout = self.resend_timeout.max(SHORTEST_HEARTBEAT);
         self.max_append_entries = self.max_append_entries.max(1);
         self.max_append_bytes = self.max_append_bytes.max(1);
--- a/crates/coordination/tests/agreement_contract.rs
+++ b/crates/coordination/tests/agreement_contract.rs
@@ -7,9 +7,10 @@
 
 use pollendrift_coordination::agreement::{
     AgreementEffect, AgreementEnvelope, AgreementInput, AgreementMessage, AgreementNode,
-    AgreementSettings, AppendRequest, EntryPayload, Heartbeat, HeartbeatRound, IdentityRejected,
-    KeeperId, LogEntry, LogIndex, Membership, MembershipChange, PersistSequence, RequestToken,
-    RestoredState, SnapshotChunk, SnapshotMark, StartMark, Term, VoteKind, VoteReply, VoteRequest,
+    AgreementSettings, AppendOutcome, AppendReply, AppendRequest, EntryPayload, Heartbeat,
+    HeartbeatRound, IdentityRejected, KeeperId, LogEntry, LogIndex, Membership, MembershipChange,
+    PersistSequence, RequestToken, RestoredState, SnapshotChunk, SnapshotMark, StartMark, Term,
+    VoteKind, VoteReply, VoteRequest,
 };
 use pollendrift_coordination::base::{HostName, Incarnation, MonotonicTime};
 use proptest::prelude::{Just, Strategy, any, prop_oneof, proptest};
@@ -165,6 +166,27 @@
     "#);
 }
 
+/// A caller's accepted entry could vanish if a new leader took an earlier term's entry for committed
+/// because a majority holds it: a third keeper with a later term's entry could still be elected and
+/// replace it. So it commits only together with the first entry of the leader's own term.
+#[test]
+fn leader_commits_no_earlier_term_by_counting() {
+    let (mut node, now) = leader();
+    let matched = |index| {
+        from_b(AgreementMessage::AppendReply(AppendReply {
+            term: Term(2),
+            outcome: AppendOutcome::Matched(LogIndex(index)),
+        }))
+    };
+    let mut commits = Vec::new();
+    let synced = AgreementInput::Persisted(PersistSequence(2));
+    for input in [synced, matched(1), matched(2)] {
+        node.tick(now, vec![input]);
+        commits.push(node.commit_index().0);
+    }
+    assert_eq!(commits, [0, 0, 2]);
+}
+
 /// Callers over a bound are told at once that nothing was appended. All proposals of a tick, and
 /// those that come while a sync runs, share one persist order.
 #[test]
--- a/crates/coordination/tests/agreement_faults/cases.rs
+++ b/crates/coordination/tests/agreement_faults/cases.rs
@@ -44,7 +44,10 @@
     case("no fault", 3, no_fault),
     case("leader lost around a commit", 3, leader_lost),
     case("leader cut off for minutes", 3, leader_cut_off),
+    case("leader cut off one way", 3, leader_cut_one_way),
+    case("only one keeper reaches all", 5, one_reaches_all),
     case("rough network", 5, rough_network),
+    case("disks stall", 3, disks_stall),
     case("paused leader wakes", 3, paused_leader),
     case("disk emptied", 3, disk_emptied),
     case("disk put back from an old copy", 3, old_disk),
@@ -55,6 +58,7 @@
         loss_during_repair,
     ),
     case("all killed at once", 3, all_killed),
+    case("from three keepers to five and back", 3, grow_and_shrink),
     case("replacement on a rough network", 3, rough_replacement),
     case("hand-over under load", 3, hand_over),
     case("anything at any time", 5, anything),
@@ -106,6 +110,65 @@
     );
 }
 
+/// Callers wait for an election. The leader hears nobody, yet all hear it: no one would stand
+/// against it, so it must step down by itself, as no heartbeat of it is answered.
+fn leader_cut_one_way(cluster: &mut Cluster) {
+    let leader = cluster.await_leader();
+    for host in (0..3).filter(|host| *host != leader) {
+        cluster.cut_one_way(host, leader);
+    }
+    cluster.run_for(3 * SECOND);
+    cluster.expect(cluster.leader() != Some(leader), "a deaf leader leads on");
+    cluster.expect_accepting("nobody follows a deaf leader");
+}
+
+/// Callers wait for some elections. All links but those of one follower are cut, so no other can
+/// lead: the leader steps down, and the one that reaches all is elected in the end.
+fn one_reaches_all(cluster: &mut Cluster) {
+    let centre = (cluster.await_leader() + 1) % 5;
+    for left in (0..5).filter(|host| *host != centre) {
+        for right in (0..5).filter(|host| *host != centre && *host != left) {
+            cluster.cut_one_way(left, right);
+        }
+    }
+    cluster.run_for(15 * SECOND);
+    cluster.expect(
+        cluster.leader() == Some(centre),
+        "the one that reaches all doesn't lead",
+    );
+    cluster.expect_accepting("the one that reaches all accepts nothing");
+}
+
+/// Callers wait for the slowest disk of a quorum. Syncs take up to three election timeouts; no
+/// election follows from it, as heartbeats wait for no disk.
+fn disks_stall(cluster: &mut Cluster) {
+    let term = cluster.leader_term();
+    cluster.max_sync = 900 * MILLISECOND;
+    cluster.run_for(5 * SECOND);
+    cluster.max_sync = 3 * MILLISECOND;
+    cluster.expect(
+        cluster.leader_term() == term,
+        "a slow disk costs an election",
+    );
+}
+
+/// Callers notice nothing, save for a hand-over where the leader itself is to go. Two keepers are
+/// added one after the other, then two of the old ones are removed.
+fn grow_and_shrink(cluster: &mut Cluster) {
+    for _ in 0..2 {
+        let host = cluster.add_host();
+        cluster.replace(host);
+    }
+    for host in [0, 1] {
+        if cluster.await_leader() == host {
+            cluster.hand_over(host, 4);
+            cluster.run_for(100 * MILLISECOND);
+        }
+        let id = cluster.id(host);
+        cluster.change_until_done(&MembershipChange::Remove(id));
+    }
+}
+
 /// Callers wait longer. Messages are lost, doubled, delayed beyond the heartbeat, and overtake.
 fn rough_network(cluster: &mut Cluster) {
     cluster.faults = NetworkFaults::ROUGH;
--- a/crates/coordination/tests/agreement_faults/cluster.rs
+++ b/crates/coordination/tests/agreement_faults/cluster.rs
@@ -77,6 +77,8 @@
     pub(crate) next_log_check: Micros,
     /// Time between two requests of callers.
     pub(crate) client_interval: Micros,
+    /// Longest time of a sync.
+    pub(crate) max_sync: Micros,
     pub(crate) lost_identity: BTreeSet<usize>,
 }
 
@@ -104,6 +106,7 @@
             next_log_check: 0,
             client_interval: CLIENT_INTERVAL,
             lost_identity: BTreeSet::new(),
+            max_sync: 3 * MILLISECOND,
         };
         let voters: BTreeSet<KeeperId> = (0..keepers).map(|host| keeper_id(host, 1)).collect();
         let membership = Membership {
@@ -272,7 +275,7 @@
             AgreementEffect::Send(envelope) => self.transmit(envelope),
             AgreementEffect::Persist(order) => {
                 let life = self.hosts[host].life;
-                let latency = self.random.random_range(200..3 * MILLISECOND);
+                let latency = self.random.random_range(200..self.max_sync);
                 assert!(self.hosts[host].writing.is_none(), "two orders are out");
                 self.hosts[host].writing = Some(order);
                 self.schedule(self.now + latency, Event::Synced { host, life });
--- a/crates/coordination/tests/agreement_faults/faults.rs
+++ b/crates/coordination/tests/agreement_faults/faults.rs
@@ -103,6 +103,26 @@
         }
     }
 
+    /// Loses every message from one host to another.
+    pub(crate) fn cut_one_way(&mut self, from: usize, to: usize) {
+        self.cut.insert((from, to));
+    }
+
+    /// Adds a host with an empty disk.
+    pub(crate) fn add_host(&mut self) -> usize {
+        let host = self.hosts.len();
+        self.hosts.push(FakeHost::new(FakeDisk::default()));
+        self.start(host);
+        host
+    }
+
+    /// Notes a finding unless a command is accepted within a second.
+    pub(crate) fn expect_accepting(&mut self, finding: &str) {
+        let accepted = self.tally.accepted;
+        self.run_for(SECOND);
+        self.expect(self.tally.accepted > accepted, finding);
+    }
+
     pub(crate) fn heal(&mut self) {
         self.cut.clear();
         self.faults = NetworkFaults::NONE;
