test(agreement): read at an isolated leader whose clock is slow

Change: hosts have clocks of their own rate; a leader at a tenth of the true rate is cut off and read from.

--- a/crates/coordination/tests/agreement_faults/cases.rs
+++ b/crates/coordination/tests/agreement_faults/cases.rs
@@ -44,6 +44,7 @@
     case("no fault", 3, no_fault),
     case("leader lost around a commit", 3, leader_lost),
     case("leader cut off for minutes", 3, leader_cut_off),
+    case("isolated leader with a slow clock", 3, slow_clock),
     case("leader cut off one way", 3, leader_cut_one_way),
     case("only one keeper reaches all", 5, one_reaches_all),
     case("rough network", 5, rough_network),
@@ -110,6 +111,26 @@
     );
 }
 
+/// Callers of the isolated leader get no answer, and never an old one. Its clock runs at a tenth of
+/// the true rate, so it believes to lead long after the others elected another; its reads hold
+/// because they rest on a quorum's answers and on no clock.
+fn slow_clock(cluster: &mut Cluster) {
+    let leader = cluster.await_leader();
+    cluster.set_clock_rate(leader, 10);
+    cluster.partition(&[leader]);
+    for _ in 0..30 {
+        cluster.run_for(50 * MILLISECOND);
+        cluster.read(leader);
+    }
+    cluster.expect(
+        cluster.leads(leader),
+        "the clock is not slow enough to matter",
+    );
+    cluster.heal();
+    cluster.run_for(SECOND);
+    cluster.set_clock_rate(leader, 100);
+}
+
 /// Callers wait for an election. The leader hears nobody, yet all hear it: no one would stand
 /// against it, so it must step down by itself, as no heartbeat of it is answered.
 fn leader_cut_one_way(cluster: &mut Cluster) {
--- a/crates/coordination/tests/agreement_faults/cluster.rs
+++ b/crates/coordination/tests/agreement_faults/cluster.rs
@@ -135,13 +135,16 @@
     /// The running leader of the highest term.
     pub(crate) fn leader(&self) -> Option<usize> {
         let term_of = |host: &usize| self.node(*host).map(|node| node.status().term);
-        let leads = |host: &usize| {
-            let role = self.node(*host).map(|node| node.status().role);
-            role == Some(KeeperRole::Leader) && !self.hosts[*host].is_paused
-        };
+        let leads = |host: &usize| self.leads(*host) && !self.hosts[*host].is_paused;
         (0..self.hosts.len()).filter(leads).max_by_key(term_of)
     }
 
+    /// Whether a host believes to lead.
+    pub(crate) fn leads(&self, host: usize) -> bool {
+        let role = self.node(host).map(|node| node.status().role);
+        role == Some(KeeperRole::Leader)
+    }
+
     /// A leader, waiting for one where there is none.
     pub(crate) fn await_leader(&mut self) -> usize {
         for _ in 0..1_000 {
@@ -252,14 +255,12 @@
 
     pub(crate) fn tick(&mut self, index: usize, inputs: Vec<AgreementInput>) {
         let host = &mut self.hosts[index];
-        let now = MonotonicTime::from_micros(self.now - host.started_at);
+        let now = MonotonicTime::from_micros(host.clock.read(self.now));
         let Some(node) = &mut host.node else {
             return;
         };
         let effects = node.tick(now, inputs);
-        let wake_at = host
-            .started_at
-            .saturating_add(node.next_deadline().as_micros());
+        let wake_at = host.clock.when(node.next_deadline().as_micros());
         let life = host.life;
         if host.wake_at.is_none_or(|at| wake_at < at) && wake_at < Micros::MAX / 2 {
             host.wake_at = Some(wake_at);
--- a/crates/coordination/tests/agreement_faults/faults.rs
+++ b/crates/coordination/tests/agreement_faults/faults.rs
@@ -6,7 +6,7 @@
 
 use super::cluster::{Cluster, NetworkFaults, SECOND};
 use super::disk::FakeDisk;
-use super::host::{FakeHost, read_snapshot};
+use super::host::{FakeHost, HostClock, read_snapshot};
 
 impl Cluster {
     /// Kills the process; `torn` leaves a part of the order that was being written.
@@ -35,7 +35,7 @@
         if let Some(snapshot) = &restored.snapshot {
             (host.applied, host.state) = read_snapshot(snapshot);
         }
-        host.started_at = self.now;
+        host.clock = HostClock::starting(self.now);
         host.wake_at = None;
         host.life += 1;
         let settings = self.settings.clone();
@@ -86,6 +86,12 @@
         self.hosts[host].is_paused = true;
     }
 
+    /// Lets a host's clock run at `percent` of the true rate.
+    pub(crate) fn set_clock_rate(&mut self, host: usize, percent: u64) {
+        let now = self.now;
+        self.hosts[host].clock.set_rate(now, percent);
+    }
+
     pub(crate) fn resume(&mut self, host: usize) {
         self.hosts[host].is_paused = false;
         let backlog = std::mem::take(&mut self.hosts[host].backlog);
--- a/crates/coordination/tests/agreement_faults/host.rs
+++ b/crates/coordination/tests/agreement_faults/host.rs
@@ -8,6 +8,41 @@
 use super::cluster::Micros;
 use super::disk::FakeDisk;
 
+/// A host's monotonic clock, which may run too slow or too fast.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HostClock {
+    local: Micros,
+    since: Micros,
+    percent: u64,
+}
+
+impl HostClock {
+    pub(crate) fn starting(now: Micros) -> Self {
+        Self {
+            local: 0,
+            since: now,
+            percent: 100,
+        }
+    }
+
+    pub(crate) fn read(&self, now: Micros) -> Micros {
+        self.local + (now - self.since) * self.percent / 100
+    }
+
+    /// The global time at which this clock shows `local`, or somewhat later.
+    pub(crate) fn when(&self, local: Micros) -> Micros {
+        let left = local.saturating_sub(self.local);
+        let true_left = (left / self.percent).saturating_add(1).saturating_mul(100);
+        self.since.saturating_add(true_left)
+    }
+
+    pub(crate) fn set_rate(&mut self, now: Micros, percent: u64) {
+        self.local = self.read(now);
+        self.since = now;
+        self.percent = percent;
+    }
+}
+
 /// One host: its process, its disk, and what its state machine applied.
 #[derive(Debug)]
 pub(crate) struct FakeHost {
@@ -16,7 +51,7 @@
     pub(crate) node: Option<AgreementNode>,
     /// Rises with each crash, so that what an earlier process left behind is recognised.
     pub(crate) life: u64,
-    pub(crate) started_at: Micros,
+    pub(crate) clock: HostClock,
     pub(crate) wake_at: Option<Micros>,
     pub(crate) writing: Option<PersistOrder>,
     pub(crate) is_paused: bool,
@@ -32,7 +67,7 @@
             disk,
             node: None,
             life: 0,
-            started_at: 0,
+            clock: HostClock::starting(0),
             wake_at: None,
             writing: None,
             is_paused: false,
