feat(telemetry): record evidence from handlers and wait for it where it must be

Cause: handlers need one place that records a request's begin and end, waits for keepers at the first byte and the last event, and never at a token. Change: a recorder over the buffer with a sink as its border, conversions to the replicated state, an end for every handler that is dropped, and no more work for a process of which a later life records.

--- a/crates/coordination/src/evidence.rs
+++ b/crates/coordination/src/evidence.rs
@@ -4,6 +4,7 @@
 //! alone, and keepers only store. [`EvidenceBuffer`] runs on every entry, [`HeadTable`] on every
 //! keeper, [`verify`] needs neither. Prompts and answers are not stored; lengths and digests are.
 
+mod agreed;
 mod buffer;
 mod chain;
 mod export;
@@ -14,6 +15,7 @@
 mod story;
 mod verify;
 
+pub use agreed::agreed_through;
 pub use buffer::{
     BufferBounds, BufferFull, BufferStatus, EvidenceBatch, EvidenceBuffer, KeeperBatch,
 };
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -1,9 +1,11 @@
-//! What an operator sees of a running daemon besides its evidence: logs and metrics.
+//! What a running daemon tells of itself: evidence, logs and metrics.
 
 mod instruments;
 mod logs;
 mod metrics;
+mod recorder;
 
 pub use instruments::{INSTRUMENTS, InstrumentKind, InstrumentSpec};
 pub use logs::{LogControl, LogError, log_field, log_to};
 pub use metrics::{MetricError, MetricRegistry, RefusedConnection, RequestEnd};
+pub use recorder::{EvidenceRecorder, EvidenceSink, OpenRequest, SinkError, StoreFuture};
