fix(keeper): refuse at once without a group, answer on the question's own link

Two faults found by running the cluster tests four at a time. A keeper that had not found its group left requests in its queue: the asker timed out as unknown, and the command would have run much later. And an answer went by the link of the other direction, which may come up later than the question's: it was lost for a time-out. Now a keeper without a group names nobody as leader at once, an abandoned request is not run, and answers return on the link of their question.

--- a/crates/daemon/src/keeper/formation.rs
+++ b/crates/daemon/src/keeper/formation.rs
@@ -11,10 +11,10 @@
 use pollendrift_coordination::agreement::{KeeperId, Membership};
 use pollendrift_coordination::base::HostName;
 use pollendrift_store::{GroupId, JoinedGroup, SegmentStore};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use super::error::KeeperError;
-use super::port::KeeperInbox;
 use super::settings::KeeperSettings;
 use crate::peers::{KeeperIntroduction, PeerAnswer, PeerHub, PeerQuestion};
 
@@ -34,13 +34,13 @@
 pub(super) async fn find_group(
     store: &mut SegmentStore,
     hub: &PeerHub,
-    inbox: &KeeperInbox,
+    introduction: &watch::Sender<Option<KeeperIntroduction>>,
     keepers: &[HostName],
     settings: &KeeperSettings,
 ) -> Result<(), KeeperError> {
     loop {
         let own = introduce(store, keepers);
-        inbox.introduction.send_replace(Some(own.clone()));
+        introduction.send_replace(Some(own.clone()));
         if own.group.is_some() {
             return Ok(());
         }
--- a/crates/daemon/src/keeper/port.rs
+++ b/crates/daemon/src/keeper/port.rs
@@ -50,6 +50,19 @@
     Stop,
 }
 
+impl KeeperRequest {
+    /// Whether the asker has given up.
+    pub(super) fn is_abandoned(&self) -> bool {
+        match self {
+            Self::Submit { outcome, .. } => outcome.is_closed(),
+            Self::Read { outcome } => outcome.is_closed(),
+            Self::HandOver { outcome, .. } => outcome.is_closed(),
+            Self::Change { outcome, .. } => outcome.is_closed(),
+            Self::Stop => false,
+        }
+    }
+}
+
 /// Sending side; clones are cheap.
 #[derive(Clone)]
 pub struct KeeperPort {
@@ -89,6 +102,28 @@
     (port, inbox)
 }
 
+impl KeeperInbox {
+    /// Answers requests of a keeper that has no group yet; returns once it is to stop.
+    ///
+    /// Left in the queue they would run once the group is found, long after their askers gave up.
+    pub(super) async fn refuse_requests(&mut self) {
+        while let Some(request) = self.requests.recv().await {
+            // Askers may have given up in the meantime.
+            let _ = match request {
+                KeeperRequest::Submit { outcome, .. } => elsewhere(outcome),
+                KeeperRequest::Read { outcome } => elsewhere(outcome),
+                KeeperRequest::HandOver { outcome, .. } => elsewhere(outcome),
+                KeeperRequest::Change { outcome, .. } => elsewhere(outcome),
+                KeeperRequest::Stop => return,
+            };
+        }
+    }
+}
+
+fn elsewhere<T>(outcome: OutcomeSender<T>) -> bool {
+    outcome.send(LocalOutcome::NotLeader(None)).is_ok()
+}
+
 impl KeeperPort {
     /// State of the keeper now.
     #[must_use]
--- a/crates/daemon/src/keeper/runtime.rs
+++ b/crates/daemon/src/keeper/runtime.rs
@@ -74,8 +74,6 @@
             Ok(()) => Arc::from("planned stop"),
             Err(error) => Arc::from(error.to_string()),
         };
-        self.status.stopped = Some(reason.clone());
-        self.inbox.status.send_replace(self.status.clone());
         self.refuse_waiting(&reason);
         self.abandon_open(&reason);
         result
@@ -130,6 +128,8 @@
             WakeUp::Message(message) => inputs.push(AgreementInput::Message(message)),
             WakeUp::Report(report) => self.take_report(report, inputs)?,
             WakeUp::Request(KeeperRequest::Stop) => return Ok(true),
+            // Nobody waits for it any more, and nothing of it has run: so it stays.
+            WakeUp::Request(request) if request.is_abandoned() => {}
             WakeUp::Request(request) => {
                 if let Some(request) = self.prepare(request) {
                     inputs.push(self.open_request(request)?);
--- a/crates/daemon/src/keeper/start.rs
+++ b/crates/daemon/src/keeper/start.rs
@@ -120,25 +120,25 @@
 async fn run_keeper(start: KeeperStart, opened: OpenedStore) -> Result<(), KeeperError> {
     let status = start.inbox.status.clone();
     let result = run_with_group(start, opened).await;
-    if let Err(error) = &result {
-        log::error!(error:% = error; "keeper stopped");
-        let reason: Arc<str> = Arc::from(error.to_string());
-        status.send_modify(|status| status.stopped = Some(reason));
+    let reason: Arc<str> = match &result {
+        Ok(()) => Arc::from("planned stop"),
+        Err(error) => Arc::from(error.to_string()),
+    };
+    if result.is_err() {
+        log::error!(reason:% = reason; "keeper stopped");
     }
+    status.send_modify(|status| status.stopped = Some(reason));
     result
 }
 
-async fn run_with_group(start: KeeperStart, opened: OpenedStore) -> Result<(), KeeperError> {
+async fn run_with_group(mut start: KeeperStart, opened: OpenedStore) -> Result<(), KeeperError> {
     let mut store = opened.store;
     let settings = &start.settings;
-    find_group(
-        &mut store,
-        &start.hub,
-        &start.inbox,
-        &start.keepers,
-        settings,
-    )
-    .await?;
+    let introduction = start.inbox.introduction.clone();
+    tokio::select! {
+        found = find_group(&mut store, &start.hub, &introduction, &start.keepers, settings) => found?,
+        () = start.inbox.refuse_requests() => return Ok(()),
+    }
     let keeper = KeeperId {
         host: store.identity().host.clone(),
         incarnation: store.identity().incarnation,
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use pollendrift_coordination::base::{HostName, Incarnation};
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
@@ -56,6 +57,8 @@
 pub(super) struct PeerSlot {
     pub(super) peer: PeerAddress,
     pub(super) queue: FrameQueue,
+    /// Answers that go back on the link that the peer opened last.
+    replies: Mutex<Option<Arc<FrameQueue>>>,
     notes: Mutex<LinkNotes>,
     up: watch::Sender<bool>,
 }
@@ -88,6 +91,28 @@
         self.up.send_replace(false);
     }
 
+    /// Takes the answers for a link that the peer has just opened.
+    pub(super) fn open_replies(&self, queue: &Arc<FrameQueue>) {
+        queue.set_up(true);
+        *self.replies() = Some(queue.clone());
+    }
+
+    /// Ends the answers for a link, unless the peer has opened another one since.
+    pub(super) fn close_replies(&self, queue: &Arc<FrameQueue>) {
+        queue.set_up(false);
+        let mut replies = self.replies();
+        if replies
+            .as_ref()
+            .is_some_and(|open| Arc::ptr_eq(open, queue))
+        {
+            *replies = None;
+        }
+    }
+
+    fn replies(&self) -> MutexGuard<'_, Option<Arc<FrameQueue>>> {
+        self.replies.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn status(&self) -> PeerStatus {
         let usage = self.queue.usage();
         let notes = self.notes();
@@ -141,6 +166,7 @@
         }
         let slot = PeerSlot {
             queue: FrameQueue::new(&settings),
+            replies: Mutex::default(),
             notes: Mutex::default(),
             up: watch::Sender::new(false),
             peer,
@@ -198,10 +224,7 @@
     /// The frame was not sent and won't be.
     pub fn send(&self, host: &HostName, frame: &PeerFrame) -> Result<(), SendRefusal> {
         let slot = self.slot(host).ok_or(SendRefusal::UnknownHost)?;
-        let bound = self.shared.settings.frame_bytes;
-        let bytes = encode_frame(frame, bound).map_err(|error| SendRefusal::TooLarge {
-            reason: error.to_string(),
-        })?;
+        let bytes = self.encode(frame)?;
         if frame.is_repeated() {
             return slot.queue.push_repeated(bytes);
         }
@@ -241,7 +264,8 @@
         })
     }
 
-    /// Answers a call of `host`. A lost answer shows up as the asker's timeout.
+    /// Answers a call of `host`, on the link that it opened: the question came that way, while the
+    /// link to it may not be up yet. A lost answer shows up as the asker's timeout.
     ///
     /// # Errors
     /// The answer was not sent.
@@ -251,7 +275,16 @@
         number: CallNumber,
         answer: PeerAnswer,
     ) -> Result<(), SendRefusal> {
-        self.send(host, &PeerFrame::Answer { number, answer })
+        let frame = PeerFrame::Answer { number, answer };
+        let slot = self.slot(host).ok_or(SendRefusal::UnknownHost)?;
+        let bytes = self.encode(&frame)?;
+        let replies = slot.replies().clone();
+        if let Some(replies) = replies
+            && replies.push(bytes.clone()).is_ok()
+        {
+            return Ok(());
+        }
+        slot.queue.push(bytes)
     }
 
     /// Follows whether the outbound link to `host` works; `None` if it is no peer.
@@ -267,6 +300,13 @@
         slots.map(|slot| slot.status()).collect()
     }
 
+    fn encode(&self, frame: &PeerFrame) -> Result<Bytes, SendRefusal> {
+        let bound = self.shared.settings.frame_bytes;
+        encode_frame(frame, bound).map_err(|error| SendRefusal::TooLarge {
+            reason: error.to_string(),
+        })
+    }
+
     pub(super) fn slot(&self, host: &HostName) -> Option<&Arc<PeerSlot>> {
         self.shared.slots.get(host)
     }
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -6,12 +6,13 @@
 use pollendrift_coordination::base::HostName;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_tungstenite::accept_async_with_config;
 
 use super::error::{HelloRefusal, LinkError};
 use super::frame::{PEER_PROTOCOL, PeerFrame};
 use super::hub::PeerHub;
+use super::queue::FrameQueue;
 use super::socket::{FrameReceiver, FrameSender, in_time, socket_config, split_socket};
 use super::transport::{AcceptedStream, PeerAcceptor};
 
@@ -127,28 +128,53 @@
 }
 
 async fn run_link(hub: &PeerHub, mut link: GreetedLink) -> LinkError {
+    let Some(slot) = hub.slot(&link.host).cloned() else {
+        return LinkError::Closed;
+    };
+    let replies = Arc::new(FrameQueue::new(&hub.shared.settings));
+    slot.open_replies(&replies);
+    let error = serve_frames(hub, &mut link, &replies).await;
+    slot.close_replies(&replies);
+    error
+}
+
+async fn serve_frames(hub: &PeerHub, link: &mut GreetedLink, replies: &FrameQueue) -> LinkError {
+    let silence = hub.shared.settings.silence;
+    let mut heard_at = Instant::now();
     loop {
-        let step = timeout(hub.shared.settings.silence, link.receiver.receive()).await;
-        let frame = match step {
-            Ok(Ok(frame)) => frame,
-            Ok(Err(error)) => return error,
-            Err(_) => return LinkError::Silent,
-        };
-        match frame {
-            PeerFrame::Heartbeat(number) => {
-                if let Err(error) = link.sender.send(&PeerFrame::Echo(number)).await {
-                    return error;
+        let step = tokio::select! {
+            () = replies.ready() => link.sender.send_queued(replies).await,
+            frame = link.receiver.receive() => {
+                heard_at = Instant::now();
+                match frame {
+                    Ok(frame) => take_frame(hub, link, frame).await,
+                    Err(error) => Err(error),
                 }
             }
-            PeerFrame::Answer { number, answer } => {
-                hub.shared.calls.answer(&link.host, number, answer);
-            }
-            PeerFrame::Hello(_) | PeerFrame::Refusal(_) | PeerFrame::Echo(_) => {
-                return LinkError::Unexpected {
-                    what: "frame of the handshake",
-                };
-            }
-            frame => hub.shared.handler.handle(hub, &link.host, frame),
+            () = sleep_until(heard_at + silence) => Err(LinkError::Silent),
+        };
+        if let Err(error) = step {
+            return error;
+        }
+    }
+}
+
+async fn take_frame(
+    hub: &PeerHub,
+    link: &mut GreetedLink,
+    frame: PeerFrame,
+) -> Result<(), LinkError> {
+    match frame {
+        PeerFrame::Heartbeat(number) => link.sender.send(&PeerFrame::Echo(number)).await?,
+        PeerFrame::Answer { number, answer } => {
+            hub.shared.calls.answer(&link.host, number, answer);
+        }
+        PeerFrame::Hello(_) | PeerFrame::Refusal(_) | PeerFrame::Echo(_) => {
+            return Err(LinkError::Unexpected {
+                what: "frame of the handshake",
+            });
         }
+        frame => hub.shared.handler.handle(hub, &link.host, frame),
     }
+    Ok(())
 }
--- a/crates/daemon/src/peers/outbound.rs
+++ b/crates/daemon/src/peers/outbound.rs
@@ -9,7 +9,6 @@
 use super::error::LinkError;
 use super::frame::{HeartbeatNumber, PeerFrame};
 use super::hub::{PeerHub, PeerSlot};
-use super::settings::LinkSettings;
 use super::socket::{FrameReceiver, FrameSender, in_time, socket_config, split_socket};
 
 /// Address in the websocket's handshake; peers ignore it.
@@ -25,7 +24,7 @@
                 backoff.reset();
                 slot.note_up();
                 hub.shared.handler.link_changed(&hub, host, true);
-                let error = run_link(&hub.shared.settings, &slot, sender, receiver).await;
+                let error = run_link(&hub, &slot, sender, receiver).await;
                 slot.note_down(error.to_string());
                 hub.shared.calls.fail(host);
                 hub.shared.handler.link_changed(&hub, host, false);
@@ -90,11 +89,12 @@
 /// A peer whose host lost power sends no reset: writes go on into the socket's buffer and look
 /// like a working link. Only echoes prove that somebody reads, so their lack ends the link.
 async fn run_link(
-    settings: &LinkSettings,
+    hub: &PeerHub,
     slot: &PeerSlot,
     mut sender: FrameSender,
     mut receiver: FrameReceiver,
 ) -> LinkError {
+    let settings = &hub.shared.settings;
     let mut heartbeats = interval(settings.heartbeat);
     heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut sent = HeartbeatNumber::default();
@@ -102,10 +102,10 @@
     let mut heard_at = Instant::now();
     loop {
         let step = tokio::select! {
-            () = slot.queue.ready() => send_queued(slot, &mut sender).await,
+            () = slot.queue.ready() => sender.send_queued(&slot.queue).await,
             frame = receiver.receive() => {
                 heard_at = Instant::now();
-                frame.and_then(|frame| take_echo(slot, &frame, sent, sent_at))
+                frame.and_then(|frame| take_frame(hub, slot, frame, sent, sent_at))
             }
             _ = heartbeats.tick() => {
                 if heard_at.elapsed() > settings.silence {
@@ -122,26 +122,25 @@
     }
 }
 
-async fn send_queued(slot: &PeerSlot, sender: &mut FrameSender) -> Result<(), LinkError> {
-    while let Some(frame) = slot.queue.pop() {
-        sender.feed(frame).await?;
-    }
-    sender.flush().await
-}
-
-fn take_echo(
+/// The peer sends only echoes and answers on a link that this process opened.
+fn take_frame(
+    hub: &PeerHub,
     slot: &PeerSlot,
-    frame: &PeerFrame,
+    frame: PeerFrame,
     sent: HeartbeatNumber,
     sent_at: Instant,
 ) -> Result<(), LinkError> {
-    let PeerFrame::Echo(number) = frame else {
-        return Err(LinkError::Unexpected {
-            what: "not an echo",
-        });
-    };
-    if *number == sent {
-        slot.note_round_trip(sent_at.elapsed());
+    match frame {
+        PeerFrame::Echo(number) if number == sent => slot.note_round_trip(sent_at.elapsed()),
+        PeerFrame::Echo(_) => {}
+        PeerFrame::Answer { number, answer } => {
+            hub.shared.calls.answer(&slot.peer.host, number, answer);
+        }
+        _ => {
+            return Err(LinkError::Unexpected {
+                what: "neither an echo nor an answer",
+            });
+        }
     }
     Ok(())
 }
--- a/crates/daemon/src/peers/socket.rs
+++ b/crates/daemon/src/peers/socket.rs
@@ -14,6 +14,7 @@
 
 use super::error::LinkError;
 use super::frame::{FrameError, PeerFrame, decode_frame, encode_frame};
+use super::queue::FrameQueue;
 use super::settings::LinkSettings;
 use super::transport::PeerStream;
 
@@ -64,13 +65,21 @@
     }
 
     /// Puts an encoded frame into the write buffer.
-    pub(super) async fn feed(&mut self, frame: Bytes) -> Result<(), LinkError> {
+    async fn feed(&mut self, frame: Bytes) -> Result<(), LinkError> {
         let sending = self.sink.feed(Message::Binary(frame));
         in_time("a write", self.patience, sending).await
     }
 
+    /// Sends all that waits in a queue.
+    pub(super) async fn send_queued(&mut self, queue: &FrameQueue) -> Result<(), LinkError> {
+        while let Some(frame) = queue.pop() {
+            self.feed(frame).await?;
+        }
+        self.flush().await
+    }
+
     /// Writes the buffer out.
-    pub(super) async fn flush(&mut self) -> Result<(), LinkError> {
+    async fn flush(&mut self) -> Result<(), LinkError> {
         in_time("a write", self.patience, self.sink.flush()).await
     }
 }
--- /dev/null
+++ b/crates/daemon/tests/keeper_cluster/losses.rs
@@ -0,0 +1,96 @@
+//! Hosts that die, come back, or are alone.
+
+use pollendrift::keeper::{KeeperSettings, KeeperStatus, SubmitError};
+use pollendrift_coordination::agreement::KeeperRole;
+use pollendrift_store::StoreSettings;
+
+use crate::cluster::{Cluster, KEEPERS, others, settings};
+
+/// The caller sees: after the leader's host dies, the next command is accepted by the others, and
+/// nothing that was accepted is lost, also on the dead host once it is back from its disk.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_leader_loses_nothing() {
+    let mut cluster = Cluster::start(settings()).await;
+    cluster.accept("a", "1").await;
+    let leader = cluster.leader().await;
+    cluster.accept(leader, "2").await;
+    cluster.kill(leader).await;
+    let [one, two] = others(leader);
+    cluster.leader().await;
+    cluster.accept(one, "3").await;
+    cluster.accept(two, "4").await;
+    cluster.restart(leader).await;
+    cluster.assert_lists(&["1", "2", "3", "4"]).await;
+    let status = cluster
+        .wait_for(leader, "a voter", KeeperStatus::is_voter)
+        .await;
+    assert_eq!(status.membership.voters.len(), 3);
+}
+
+/// The caller sees: all keepers die at once after many commands, and everything accepted is there
+/// when they are back, in the same order, from snapshots and what follows them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_keepers_killed_at_once_lose_nothing() {
+    let small = KeeperSettings {
+        store: StoreSettings {
+            segment_bytes: 2_000,
+        },
+        snapshot_log_bytes: 4_000,
+        ..settings()
+    };
+    let mut cluster = Cluster::start(small).await;
+    let texts: Vec<String> = (0..200).map(|number| format!("command {number}")).collect();
+    for (position, text) in texts.iter().enumerate() {
+        cluster.accept(KEEPERS[position % 3], text).await;
+    }
+    for name in KEEPERS {
+        cluster.kill(name).await;
+    }
+    for name in KEEPERS {
+        cluster.restart(name).await;
+    }
+    let expected: Vec<&str> = texts.iter().map(String::as_str).collect();
+    cluster.assert_lists(&expected).await;
+    cluster.accept("b", "after").await;
+    let usage = cluster.running["b"].keeper.handle().status().usage;
+    assert!(
+        usage.snapshot_bytes > 0 && usage.log_bytes < 20_000,
+        "{usage:?}"
+    );
+}
+
+/// The caller sees: without a quorum nothing is accepted. What the lone leader had taken is
+/// "unknown", what it refuses is "not run" and is nowhere when the others are back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lone_keeper_accepts_nothing() {
+    let mut cluster = Cluster::start(settings()).await;
+    cluster.accept("a", "1").await;
+    let leader = cluster.leader().await;
+    let dead = others(leader);
+    for name in dead {
+        cluster.kill(name).await;
+    }
+    let first = cluster.submit(leader, "first").await;
+    let deposed = |status: &KeeperStatus| status.role != KeeperRole::Leader;
+    cluster.wait_for(leader, "the lost quorum", deposed).await;
+    let second = cluster.submit(leader, "second").await;
+    assert!(first.is_err(), "{first:?}");
+    assert!(
+        matches!(second, Err(SubmitError::NotRun { .. })),
+        "{second:?}"
+    );
+    for name in dead {
+        cluster.restart(name).await;
+    }
+    cluster.accept(leader, "last").await;
+    let list = cluster.list(leader).await;
+    let rest: Vec<&str> = list
+        .iter()
+        .map(String::as_str)
+        .filter(|text| *text != "first")
+        .collect();
+    assert_eq!(rest, ["1", "last"]);
+    if matches!(first, Err(SubmitError::NotRun { .. })) {
+        assert!(!list.contains(&"first".to_owned()));
+    }
+}
--- a/crates/daemon/tests/peers_contract.rs
+++ b/crates/daemon/tests/peers_contract.rs
@@ -413,3 +413,24 @@
     }
     assert!(frames > 1_000, "only {frames} changed samples still read");
 }
+
+/// The caller sees: the answer, although the asked host can't open a link to the asker.
+/// It once was lost for a time-out, as answers went by the link of the other direction only, which
+/// comes up later or, behind a one-way fault, never.
+#[tokio::test]
+async fn an_answer_comes_back_on_the_link_of_its_question() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (tasks_a, _frames) = start("a", &[("b", address)], Box::new(PlainTransport));
+    let (mut tasks_b, _seen) = start("b", &[("a", nowhere())], Box::new(NoDialer));
+    tasks_b.accept(listener, Arc::new(PlainTransport));
+    let host = HostName::from("b");
+    let mut link = tasks_a.hub().watch_link(&host).expect("a peer");
+    timeout(GUARD, link.wait_for(|up| *up))
+        .await
+        .expect("up")
+        .expect("lives");
+    let question = PeerQuestion::Submit(vec![8].into());
+    let answer = tasks_a.hub().call(&host, question, 0, GUARD).await;
+    assert_eq!(answer, Ok(PeerAnswer::Submitted(vec![8].into())));
+}
