--- /dev/null
+++ b/crates/coordination/benches/routing.rs
@@ -0,0 +1,143 @@
+//! Cost of one routing decision at rising fleet sizes, of a refusal, and of the tick behind them.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use pollendrift_coordination::base::{
+    Incarnation, LayerRange, ModelName, MonotonicTime, SequenceNumber,
+};
+use pollendrift_coordination::routing::{
+    ByteRate, EngineAnnouncement, EngineRecord, EngineRole, FleetPlanner, PermitAll, RoutePlanner,
+    RoutePriority, RouteQuery, RoutingSettings, TokenCount, TokenRate,
+};
+
+const SIZES: [u32; 4] = [40, 400, 4_000, 12_000];
+const DATA_CENTRES: u32 = 14;
+const KINDS: u32 = 4;
+const SPAN: u32 = 16;
+const LAYERS: u32 = 64;
+const LATER: MonotonicTime = MonotonicTime::from_millis(60_000);
+
+fn engine(index: u32) -> EngineAnnouncement {
+    let kind = index % KINDS;
+    let first = index / KINDS % (LAYERS / SPAN) * SPAN;
+    let end = first + SPAN;
+    EngineAnnouncement {
+        server: format!("engine-{index}").into(),
+        incarnation: Incarnation(1),
+        sequence: SequenceNumber(1),
+        kind: format!("kind-{kind}").into(),
+        data_centre: format!("dc-{}", index / 16 % DATA_CENTRES).into(),
+        model: "m".into(),
+        version: "v1".into(),
+        model_layers: LAYERS,
+        layers: LayerRange { first, end },
+        adapters: Vec::new(),
+        role: EngineRole::Both,
+        kv_capacity: TokenCount(200_000),
+        prefill_rate: TokenRate(5_000 * (kind + 1)),
+        decode_rate: TokenRate(500 * (kind + 1)),
+        step_floor: Duration::from_millis(4),
+        link_rate: ByteRate(125_000_000 * 10_u64.pow(kind.min(2))),
+        activation_bytes: 16_384,
+        kv_bytes: 65_536,
+    }
+}
+
+fn planner(size: u32) -> FleetPlanner {
+    let mut planner = FleetPlanner::new(RoutingSettings::default(), 7);
+    for index in 0..size {
+        let outcome = planner.announce(MonotonicTime::START, engine(index));
+        assert!(outcome.is_ok());
+    }
+    planner.tick(LATER);
+    planner
+}
+
+fn query(model: &ModelName) -> RouteQuery<'_> {
+    RouteQuery {
+        model,
+        version: None,
+        adapter: None,
+        allowed: &PermitAll,
+        excluded: &[],
+        prompt_tokens: 512,
+        expected_tokens: 208,
+        prefixes: &[],
+        deadline: None,
+        priority: RoutePriority::Normal,
+    }
+}
+
+fn decide(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("routing_decision");
+    let model = ModelName::from("m");
+    for size in SIZES {
+        let mut planner = planner(size);
+        group.bench_function(BenchmarkId::from_parameter(size), |bencher| {
+            bencher.iter(|| black_box(planner.choose(LATER, &query(&model))));
+        });
+    }
+    group.finish();
+}
+
+fn start_and_finish(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("routing_feedback");
+    let model = ModelName::from("m");
+    for size in SIZES {
+        let mut planner = planner(size);
+        let chosen = planner.choose(LATER, &query(&model));
+        let Ok(plan) = chosen else {
+            continue;
+        };
+        group.bench_function(BenchmarkId::from_parameter(size), |bencher| {
+            bencher.iter(|| {
+                let flight = planner.started(LATER, &plan);
+                planner.first_token(LATER, flight);
+                planner.finished(LATER, flight);
+            });
+        });
+    }
+    group.finish();
+}
+
+fn refuse(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("routing_refusal");
+    let model = ModelName::from("m");
+    let none = |_: &EngineRecord| false;
+    for size in SIZES {
+        let mut planner = planner(size);
+        let mut query = query(&model);
+        query.allowed = &none;
+        group.bench_function(BenchmarkId::from_parameter(size), |bencher| {
+            bencher.iter(|| black_box(planner.choose(LATER, &query)).is_err());
+        });
+    }
+    group.finish();
+}
+
+fn tick(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("routing_tick");
+    group.sample_size(10);
+    for size in SIZES {
+        let mut planner = planner(size);
+        let mut now = LATER;
+        let mut sequence = 1;
+        group.bench_function(BenchmarkId::from_parameter(size), |bencher| {
+            bencher.iter(|| {
+                now = now.after(Duration::from_secs(1));
+                sequence += 1;
+                let mut changed = engine(0);
+                changed.sequence = SequenceNumber(sequence);
+                changed.decode_rate = TokenRate(500 + u32::try_from(sequence % 2).unwrap_or(0));
+                assert!(planner.announce(now, changed).is_ok());
+                planner.tick(now);
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decide, start_and_finish, refuse, tick);
+criterion_main!(benches);
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -5,6 +5,7 @@
 //! over the layer graph each tick, and picks the engine of each stage from a few samples, so the
 //! cost of a decision does not grow with the fleet.
 
+mod ahead;
 mod bound;
 mod capacity;
 mod choice;
--- /dev/null
+++ b/crates/coordination/src/routing/ahead.rs
@@ -0,0 +1,77 @@
+//! Mean time that the layers after a boundary take, refreshed each tick from current loads.
+//!
+//! A stage is picked before the stages after it are known. Engines hold different numbers of
+//! layers, so their own times compare only together with what is left to do behind each.
+
+use super::fleet::FleetTable;
+use super::graph::{EngineGroup, LayerGraph, RoutePhase};
+use super::settings::RoutingSettings;
+use super::view::{StageTime, engine_time};
+use crate::base::MonotonicTime;
+
+/// Members of a group that are looked at.
+const SAMPLES: usize = 4;
+
+/// Refreshes the time ahead of each boundary, from the last one forwards.
+pub(crate) fn refresh_ahead(
+    now: MonotonicTime,
+    fleet: &FleetTable,
+    graph: &mut LayerGraph,
+    settings: &RoutingSettings,
+) {
+    let layers: Vec<u32> = graph.boundaries.keys().rev().copied().collect();
+    for phase in RoutePhase::ALL {
+        for layer in &layers {
+            let ahead = find_ahead(now, fleet, graph, settings, phase, *layer);
+            if let Some(boundary) = graph.boundaries.get_mut(layer) {
+                boundary.ahead.insert(phase, ahead);
+            }
+        }
+    }
+}
+
+fn find_ahead(
+    now: MonotonicTime,
+    fleet: &FleetTable,
+    graph: &LayerGraph,
+    settings: &RoutingSettings,
+    phase: RoutePhase,
+    layer: u32,
+) -> StageTime {
+    let Some(boundary) = graph.boundaries.get(&layer) else {
+        return StageTime::default();
+    };
+    let Some(flows) = boundary.flows.get(&phase) else {
+        return StageTime::default();
+    };
+    let total: f64 = flows.iter().sum();
+    let mut mean = StageTime::default();
+    for (key, flow) in boundary.groups.iter().zip(flows) {
+        let Some(group) = graph.groups.get(*key).filter(|_| *flow > 0.0) else {
+            continue;
+        };
+        let own = mean_time(now, fleet, group, settings, layer);
+        let after = graph.ahead(phase, group.shape.layers.end);
+        mean = mean.plus(own.plus(after).times(flow / total));
+    }
+    mean
+}
+
+fn mean_time(
+    now: MonotonicTime,
+    fleet: &FleetTable,
+    group: &EngineGroup,
+    settings: &RoutingSettings,
+    layer: u32,
+) -> StageTime {
+    let stride = group.members.len().div_ceil(SAMPLES).max(1);
+    let members = group.members.iter().step_by(stride);
+    let fresh = f64::from(settings.workload.prompt_tokens);
+    let mut mean = StageTime::default();
+    let mut count = 0.0;
+    for engine in members.filter_map(|key| fleet.get(*key)) {
+        mean = mean.plus(engine_time(now, settings, engine, fresh, layer));
+        count += 1.0;
+    }
+    mean.times(1.0 / f64::max(count, 1.0))
+}
--- a/crates/coordination/src/routing/bound.rs
+++ b/crates/coordination/src/routing/bound.rs
@@ -20,8 +20,11 @@
 /// Where a request comes from before its first stage; every data centre is as near.
 pub(crate) const ENTRY: DataCentreIndex = DataCentreIndex(u16::MAX);
 
-/// Steps of the search for the lowest load at which a layer range still carries the whole flow.
-const BALANCE_STEPS: u32 = 6;
+/// Steps of the search for the lowest load at which the whole flow still passes.
+const BALANCE_STEPS: u32 = 8;
+
+/// Cuts that are fixed one after the other while the load is evened out.
+const BALANCE_ROUNDS: u32 = 16;
 
 /// Steps of the search for the compute bound; 40 halvings leave less than a thousandth of a token.
 const BISECTION_STEPS: u32 = 40;
@@ -185,40 +188,73 @@
     centres
 }
 
-/// Lowers each layer range's capacities as far as the whole flow still passes.
+/// An edge whose load is evened out, with its full capacity.
+#[derive(Clone, Copy, Debug)]
+struct ScaledEdge {
+    edge: EdgeIndex,
+    capacity: u64,
+}
+
+/// Evens out the load: lowers the capacities of groups and links as far as the whole flow passes.
 ///
 /// A maximum flow fills some groups to the brim and leaves others empty wherever there is more
-/// capacity than the narrowest layers need; requests would queue beside idle engines.
+/// capacity than the narrowest cut needs; requests would queue beside idle engines. So the highest
+/// load is made as low as it can be, what is narrowest at it is fixed there, and the rest goes on.
 fn balance(built: &mut GraphNetwork, graph: &LayerGraph, total: u64) {
-    let mut ranges: Vec<LayerRange> = graph.groups.values().map(|g| g.shape.layers).collect();
-    ranges.sort_unstable();
-    ranges.dedup();
-    for range in ranges {
-        let members: Vec<(EdgeIndex, u64)> = graph
-            .groups
-            .iter()
-            .filter(|(_, group)| group.shape.layers == range)
-            .filter_map(|(key, group)| Some((*built.groups.get(&key)?, group.capacity)))
-            .collect();
-        let (mut low, mut high) = (0.0, 1.0);
-        for _ in 0..BALANCE_STEPS {
-            let middle = f64::midpoint(low, high);
-            scale(built, &members, middle);
-            if built.network.max_flow(built.source, built.sink) >= total {
-                high = middle;
-            } else {
-                low = middle;
-            }
+    let mut active: Vec<ScaledEdge> = find_scaled_edges(built, graph);
+    for _ in 0..BALANCE_ROUNDS {
+        if active.is_empty() {
+            break;
+        }
+        let (low, high) = find_load(built, &active, total);
+        scale(built, &active, low);
+        built.network.max_flow(built.source, built.sink);
+        let cut = built.network.min_cut(built.source);
+        scale(built, &active, high);
+        active.retain(|scaled| !cut.contains(&scaled.edge));
+        if cut.is_empty() {
+            break;
         }
-        scale(built, &members, high);
     }
     built.network.max_flow(built.source, built.sink);
 }
 
-fn scale(built: &mut GraphNetwork, members: &[(EdgeIndex, u64)], share: f64) {
-    for (edge, capacity) in members {
-        let scaled = (*capacity as f64 * share).ceil() as u64;
-        built.network.set_capacity(*edge, scaled);
+fn find_scaled_edges(built: &GraphNetwork, graph: &LayerGraph) -> Vec<ScaledEdge> {
+    let groups = built.groups.iter().filter_map(|(key, edge)| {
+        let capacity = graph.groups.get(*key)?.capacity;
+        Some(ScaledEdge {
+            edge: *edge,
+            capacity,
+        })
+    });
+    let links = built.hops.values().map(|edge| ScaledEdge {
+        edge: *edge,
+        capacity: built.network.capacity(*edge),
+    });
+    groups
+        .chain(links.filter(|scaled| scaled.capacity < UNBOUNDED))
+        .collect()
+}
+
+/// Load at which the whole flow does not pass, and one a little higher at which it does.
+fn find_load(built: &mut GraphNetwork, active: &[ScaledEdge], total: u64) -> (f64, f64) {
+    let (mut low, mut high) = (0.0, 1.0);
+    for _ in 0..BALANCE_STEPS {
+        let middle = f64::midpoint(low, high);
+        scale(built, active, middle);
+        if built.network.max_flow(built.source, built.sink) >= total {
+            high = middle;
+        } else {
+            low = middle;
+        }
+    }
+    (low, high)
+}
+
+fn scale(built: &mut GraphNetwork, active: &[ScaledEdge], share: f64) {
+    for scaled in active {
+        let capacity = (scaled.capacity as f64 * share).ceil() as u64;
+        built.network.set_capacity(scaled.edge, capacity);
     }
 }
 
@@ -238,7 +274,13 @@
         let row = sum_up(weights);
         boundary.rows.insert((phase, *from), row);
     }
-    graph.boundaries.values_mut().for_each(drop_empty_rows);
+    for (layer, boundary) in &mut graph.boundaries {
+        let entry = |key| built.entries.get(&(*layer, key));
+        let flow = |key: &GroupKey| entry(*key).map_or(0, |edge| built.network.flow(*edge)) as f64;
+        let flows = boundary.groups.iter().map(flow).collect();
+        boundary.flows.insert(phase, flows);
+        drop_empty_rows(boundary);
+    }
 }
 
 /// Flow from data centre `from` into a group: the hop's flow, by the group's part of its hub.
--- a/crates/coordination/src/routing/flow.rs
+++ b/crates/coordination/src/routing/flow.rs
@@ -1,6 +1,6 @@
 //! Maximum flow through a network with capacities, by Dinic's algorithm.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 /// Capacity that no flow reaches.
 pub(crate) const UNBOUNDED: u64 = u64::MAX / 4;
@@ -60,6 +60,23 @@
         self.edges.get(edge.0 + 1).map_or(0, |edge| edge.residual)
     }
 
+    /// Capacity of an edge, as added or last set.
+    pub(crate) fn capacity(&self, edge: EdgeIndex) -> u64 {
+        self.capacities.get(edge.0 / 2).copied().unwrap_or(0)
+    }
+
+    /// Edges of the smallest cut nearest to `source`, after [`FlowNetwork::max_flow`].
+    pub(crate) fn min_cut(&self, source: NodeIndex) -> BTreeSet<EdgeIndex> {
+        let levels = self.find_levels(source.0);
+        let is_reached = |node: usize| levels[node] != usize::MAX;
+        (0..self.edges.len())
+            .step_by(2)
+            .filter(|index| is_reached(self.edges[index + 1].target))
+            .filter(|index| !is_reached(self.edges[*index].target))
+            .map(EdgeIndex)
+            .collect()
+    }
+
     /// Works out the largest flow from `source` to `sink`, from no flow.
     pub(crate) fn max_flow(&mut self, source: NodeIndex, sink: NodeIndex) -> u64 {
         self.clear_flow();
--- a/crates/coordination/src/routing/graph.rs
+++ b/crates/coordination/src/routing/graph.rs
@@ -13,6 +13,7 @@
 use super::engine::{AcceleratorKind, EngineRole};
 use super::fleet::EngineKey;
 use super::link::DataCentreIndex;
+use super::view::StageTime;
 use crate::base::{AdapterName, LayerRange, ModelName, VersionName};
 
 new_key_type! {
@@ -85,6 +86,10 @@
     /// Flow weights of `groups` by phase and data centre of the stage before, summed up.
     /// Empty, or each row as long as `groups`.
     pub(crate) rows: BTreeMap<(RoutePhase, DataCentreIndex), Vec<f64>>,
+    /// Flow into each of `groups` by phase, from all data centres; as long as `groups`.
+    pub(crate) flows: BTreeMap<RoutePhase, Vec<f64>>,
+    /// Mean time from here to the last layer by phase, as of the last tick.
+    pub(crate) ahead: BTreeMap<RoutePhase, StageTime>,
 }
 
 impl LayerBoundary {
@@ -162,6 +167,14 @@
             .is_some_and(|boundary| boundary.len() > 0)
     }
 
+    /// Mean time from a layer to the last one; nothing after the last, or before the first tick.
+    pub(crate) fn ahead(&self, phase: RoutePhase, layer: u32) -> StageTime {
+        let boundary = self.boundaries.get(&layer);
+        boundary
+            .and_then(|boundary| boundary.ahead.get(&phase).copied())
+            .unwrap_or_default()
+    }
+
     /// First layer that no engine holds; none if all are held.
     pub(crate) fn first_uncovered(&self) -> Option<u32> {
         let mut next = 0;
--- a/crates/coordination/src/routing/planner.rs
+++ b/crates/coordination/src/routing/planner.rs
@@ -4,6 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
+use super::ahead::refresh_ahead;
 use super::bound::{FlowBound, find_bound, refresh_flow};
 use super::choice::{ChoiceTables, choose_route};
 use super::engine::EngineAnnouncement;
@@ -146,12 +147,13 @@
 
     fn refresh_graphs(&mut self, now: MonotonicTime) {
         let interval = self.settings.flow_interval;
-        if self
+        let is_due = self
             .refreshed
-            .is_some_and(|last| now.since(last) < interval)
-        {
+            .is_none_or(|last| now.since(last) >= interval);
+        if !is_due {
             return;
         }
+        self.refreshed = Some(now);
         let keys: Vec<_> = self.fleet.graphs.keys().collect();
         for key in keys {
             self.refresh_graph(now, key);
@@ -159,16 +161,18 @@
     }
 
     fn refresh_graph(&mut self, now: MonotonicTime, key: GraphKey) {
-        let Some(slot) = self.fleet.graphs.get_mut(key).filter(|g| g.is_stale) else {
+        let Some(slot) = self.fleet.graphs.get_mut(key) else {
             return;
         };
         let empty = LayerGraph::new(slot.id.clone());
         let mut graph = std::mem::replace(slot, empty);
-        refresh_flow(&self.fleet, &mut graph, &self.settings.workload);
+        if graph.is_stale {
+            refresh_flow(&self.fleet, &mut graph, &self.settings.workload);
+        }
+        refresh_ahead(now, &self.fleet, &mut graph, &self.settings);
         if let Some(slot) = self.fleet.graphs.get_mut(key) {
             *slot = graph;
         }
-        self.refreshed = Some(now);
     }
 
     fn note_failure(&mut self, now: MonotonicTime, server: &ServerName) {
--- a/crates/coordination/src/routing/policy/predicted_finish.rs
+++ b/crates/coordination/src/routing/policy/predicted_finish.rs
@@ -2,7 +2,8 @@
 //! that hold the prompt's prefix.
 //!
 //! The flow steers the whole onto the links and kinds that carry it; the prediction evens out
-//! queues; the random ones find capacity that the flow leaves free at low load.
+//! queues; the random ones find capacity that the flow leaves free at low load. More than three do
+//! worse: all entries see the same lagging reports, and would send to the same few engines.
 
 use super::RoutePolicy;
 use crate::routing::fleet::EngineKey;
--- a/crates/coordination/src/routing/settings.rs
+++ b/crates/coordination/src/routing/settings.rs
@@ -63,7 +63,7 @@
     fn default() -> Self {
         Self {
             policy: PolicyKind::PredictedFinish,
-            candidates: 8,
+            candidates: 3,
             flow_interval: Duration::from_secs(1),
             workload: WorkloadMix::default(),
             kv_headroom_percent: 5,
--- a/crates/coordination/src/routing/view.rs
+++ b/crates/coordination/src/routing/view.rs
@@ -50,6 +50,22 @@
 }
 
 impl StageTime {
+    #[must_use]
+    pub(crate) fn plus(self, other: Self) -> Self {
+        Self {
+            first_token: self.first_token + other.first_token,
+            per_token: self.per_token + other.per_token,
+        }
+    }
+
+    #[must_use]
+    pub(crate) fn times(self, factor: f64) -> Self {
+        Self {
+            first_token: self.first_token * factor,
+            per_token: self.per_token * factor,
+        }
+    }
+
     pub(crate) fn finish(self, expected_tokens: u32) -> f64 {
         self.first_token + self.per_token * f64::from(expected_tokens)
     }
@@ -83,24 +99,13 @@
         engine: &EngineRecord,
         point: &WalkPoint,
     ) -> StageTime {
-        let announced = &engine.announcement;
-        let load = engine.load.estimate();
-        let share = slow_start_share(self.now, engine.joined, &self.settings.slow_start);
         let cached = self.cached_tokens(key, point);
         let fresh = f64::from(self.worked_prompt().saturating_sub(cached));
-        let part = span_share(announced.layers, point.layer);
-        let waiting = load.prefill.as_f64() + fresh * part;
-        let prefill = announced.prefill_rate.seconds_for(waiting) / share;
-        let batch = f64::from(load.sequences) + 1.0;
-        let step = announced
-            .decode_rate
-            .seconds_for(batch)
-            .max(announced.step_floor.as_secs_f64());
-        let step = step * part / share;
+        let own = engine_time(self.now, self.settings, engine, fresh, point.layer);
         let (latency, per_token) = self.hop(engine, point);
         StageTime {
-            first_token: prefill + step + latency + fresh * per_token,
-            per_token: self.generates(step + latency + per_token),
+            first_token: own.first_token + latency + fresh * per_token,
+            per_token: self.generates(own.per_token + latency + per_token),
         }
     }
 
@@ -161,6 +166,32 @@
     }
 }
 
+/// Time that `engine` itself takes from `layer` on, for `fresh` prompt tokens and each token.
+pub(crate) fn engine_time(
+    now: MonotonicTime,
+    settings: &RoutingSettings,
+    engine: &EngineRecord,
+    fresh: f64,
+    layer: u32,
+) -> StageTime {
+    let announced = &engine.announcement;
+    let load = engine.load.estimate();
+    let share = slow_start_share(now, engine.joined, &settings.slow_start);
+    let part = span_share(announced.layers, layer);
+    let waiting = load.prefill.as_f64() + fresh * part;
+    let prefill = announced.prefill_rate.seconds_for(waiting) / share;
+    let batch = f64::from(load.sequences) + 1.0;
+    let step = announced
+        .decode_rate
+        .seconds_for(batch)
+        .max(announced.step_floor.as_secs_f64());
+    let step = step * part / share;
+    StageTime {
+        first_token: prefill + step,
+        per_token: step,
+    }
+}
+
 /// Part of `layers` that a stage from `first` on runs, above 0 and at most 1.
 pub(crate) fn span_share(layers: LayerRange, first: u32) -> f64 {
     let run = layers.end.saturating_sub(first.max(layers.first));
@@ -253,12 +284,15 @@
         engine.map_or(u64::MAX, |engine| engine.load.own_sequences())
     }
 
-    /// Predicted seconds that a stage on the engine adds until the request ends.
+    /// Predicted seconds from here to the last token over the engine, with the mean time of the
+    /// layers after it. Without those, engines that hold few layers would always look quick.
     pub(crate) fn predicted_finish(&self, key: EngineKey) -> f64 {
         let Some(engine) = self.context.fleet.get(key) else {
             return f64::INFINITY;
         };
         let time = self.context.predict(key, engine, &self.point);
-        time.finish(self.context.query.expected_tokens)
+        let end = engine.announcement.layers.end;
+        let ahead = self.context.graph.ahead(self.context.phase, end);
+        time.plus(ahead).finish(self.context.query.expected_tokens)
     }
 }
