--- a/crates/coordination/tests/routing_failures.rs
+++ b/crates/coordination/tests/routing_failures.rs
@@ -127,7 +127,7 @@
         ("gap", vec![engine("a", 0, 15), engine("b", 16, 32)]),
         ("end missing", vec![engine("a", 0, 16), engine("b", 16, 31)]),
         (
-            "dead end",
+            "cut after a short one",
             vec![engine("a", 0, 8), engine("b", 0, 16), engine("c", 16, 32)],
         ),
         ("two versions", vec![engine("a", 0, 32), v2("b", 0, 32)]),
@@ -151,7 +151,7 @@
     overlap is cut: v1: a[0..20] b[20..32]
     gap: no route: no engine holds layer 15 of version v1
     end missing: no route: no engine holds layer 31 of version v1
-    dead end: v1: b[0..16] c[16..32]
+    cut after a short one: v1: a[0..8] b[8..16] c[16..32]
     two versions: v1: a[0..32]
     roll-out half way: v1: a[0..32]
     mixed only: no route: no engine holds layer 16 of version v1; no engine holds layer 0 of version v2
