feat(pollenctl): apply, check, diff, get, history, in-force, explain, evidence, status, dump

Cause: operators need one tool that tells what is known when an answer is lost. Change: each command is one module over an HTTP client that asks the daemons in turn. A change goes out under one change id on every try; the id is written out before the first. Only a daemon's own word or a refused connection counts as not run, so a proxy's 502 or a 500 leaves the outcome unknown. Commands need `--based-on` or the line that `get` writes, so that an edited copy never overwrites a revision that its operator has not seen.

--- /dev/null
+++ b/crates/pollenctl/src/evidence.rs
@@ -0,0 +1,187 @@
+//! `evidence`: finds, tells, exports and verifies what happened.
+
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::path::Path;
+
+use pollendrift_coordination::base::RequestId;
+use pollendrift_coordination::evidence::{ChainHead, EvidenceRecord, tell, verify};
+use serde::Deserialize;
+
+use crate::client::OperatorClient;
+use crate::command::EvidenceCommand;
+use crate::failure::ToolFailure;
+use crate::run::ToolOutput;
+use crate::wall_clock::read_time;
+
+const EVIDENCE_PATH: &str = "/operator/v1/evidence";
+
+#[derive(Deserialize)]
+struct RecordList {
+    records: Vec<EvidenceRecord>,
+}
+
+/// Runs an evidence command; `verify` needs no daemon.
+pub(crate) async fn evidence<O>(
+    open: O,
+    command: &EvidenceCommand,
+    output: &mut ToolOutput<'_>,
+) -> Result<(), ToolFailure>
+where
+    O: Fn() -> Result<OperatorClient, ToolFailure>,
+{
+    match command {
+        EvidenceCommand::Find { .. } => find(&open()?, command, output).await,
+        EvidenceCommand::Show { request } => show(&open()?, request, output).await,
+        EvidenceCommand::Export { from, until, file } => {
+            let mut query = QueryText::default();
+            query.time("from", from.as_deref())?;
+            query.time("until", until.as_deref())?;
+            export(&open()?, &query, file, output).await
+        }
+        EvidenceCommand::Verify { heads, file } => verify_file(heads.as_deref(), file, output),
+    }
+}
+
+async fn find(
+    client: &OperatorClient,
+    command: &EvidenceCommand,
+    output: &mut ToolOutput<'_>,
+) -> Result<(), ToolFailure> {
+    let EvidenceCommand::Find {
+        request,
+        customer,
+        outcome,
+        selector,
+        from,
+        until,
+        limit,
+    } = command
+    else {
+        return Ok(());
+    };
+    let mut query = QueryText::default();
+    query.text("request", request.as_deref());
+    query.text("customer", customer.as_deref());
+    query.text("outcome", outcome.as_deref());
+    query.text("selector", selector.as_deref());
+    query.time("from", from.as_deref())?;
+    query.time("until", until.as_deref())?;
+    query.text("limit", Some(&limit.to_string()));
+    let path = format!("{EVIDENCE_PATH}{}", query.as_str());
+    let list: RecordList = client.get(&path).await?;
+    let mut lines = String::new();
+    for record in &list.records {
+        lines += &serde_json::to_string(record).map_err(ToolFailure::failed)?;
+        lines.push('\n');
+    }
+    output.print(&lines)
+}
+
+async fn show(
+    client: &OperatorClient,
+    request: &str,
+    output: &mut ToolOutput<'_>,
+) -> Result<(), ToolFailure> {
+    let path = format!("{EVIDENCE_PATH}/requests/{}", escaped(request));
+    let list: RecordList = client.get(&path).await?;
+    let lines = tell(&RequestId::from(request), &list.records);
+    output.print(&lines.join("\n"))
+}
+
+async fn export(
+    client: &OperatorClient,
+    query: &QueryText,
+    file: &Path,
+    output: &mut ToolOutput<'_>,
+) -> Result<(), ToolFailure> {
+    let named = |error: std::io::Error| ToolFailure::Refused {
+        reason: format!("{}: {error}", file.display()),
+    };
+    let path = format!("{EVIDENCE_PATH}/export{}", query.as_str());
+    let bytes = client.get_bytes(&path).await?;
+    let mut target = std::fs::File::create_new(file).map_err(named)?;
+    target.write_all(&bytes).map_err(named)?;
+    target.sync_all().map_err(named)?;
+    output.print(&format!("{} bytes in {}", bytes.len(), file.display()))
+}
+
+fn verify_file(
+    heads: Option<&Path>,
+    file: &Path,
+    output: &mut ToolOutput<'_>,
+) -> Result<(), ToolFailure> {
+    let text = read(file)?;
+    let noted = match heads {
+        Some(path) => read_heads(path)?,
+        None => Vec::new(),
+    };
+    let report = verify(&file.display().to_string(), text.lines(), &noted);
+    let mut lines = String::new();
+    for chain in &report.chains {
+        let head = serde_json::to_string(&chain.head).map_err(ToolFailure::failed)?;
+        let _ = writeln!(lines, "{head}");
+    }
+    output.print(&lines)?;
+    output.note(&report.findings.to_string());
+    if report.findings.has_errors() {
+        let reason = format!("{} is not whole", file.display());
+        return Err(ToolFailure::Differs { reason });
+    }
+    let records: u64 = report.chains.iter().map(|chain| chain.records).sum();
+    output.note(&format!("whole: {records} records; note the heads above"));
+    Ok(())
+}
+
+fn read_heads(path: &Path) -> Result<Vec<ChainHead>, ToolFailure> {
+    let text = read(path)?;
+    let lines = text.lines().filter(|line| !line.trim().is_empty());
+    let heads: Result<Vec<ChainHead>, _> = lines.map(serde_json::from_str).collect();
+    heads.map_err(|error| ToolFailure::Refused {
+        reason: format!("{}: {error}", path.display()),
+    })
+}
+
+fn read(path: &Path) -> Result<String, ToolFailure> {
+    std::fs::read_to_string(path).map_err(|error| ToolFailure::Refused {
+        reason: format!("{}: {error}", path.display()),
+    })
+}
+
+/// Query of a path.
+#[derive(Default)]
+struct QueryText {
+    text: String,
+}
+
+impl QueryText {
+    fn text(&mut self, key: &str, value: Option<&str>) {
+        let Some(value) = value else { return };
+        let joint = if self.text.is_empty() { '?' } else { '&' };
+        let _ = write!(self.text, "{joint}{key}={}", escaped(value));
+    }
+
+    fn time(&mut self, key: &str, value: Option<&str>) -> Result<(), ToolFailure> {
+        if let Some(value) = value {
+            let time = read_time(value)?;
+            self.text(key, Some(&time.0.to_string()));
+        }
+        Ok(())
+    }
+
+    fn as_str(&self) -> &str {
+        &self.text
+    }
+}
+
+/// Percent-encodes what may not stand in a path segment or a query value.
+fn escaped(text: &str) -> String {
+    text.bytes().fold(String::new(), |mut escaped, byte| {
+        if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b'~') {
+            escaped.push(char::from(byte));
+        } else {
+            let _ = write!(escaped, "%{byte:02X}");
+        }
+        escaped
+    })
+}
--- /dev/null
+++ b/crates/pollenctl/src/run.rs
@@ -0,0 +1,83 @@
+//! Runs a command and gives its exit code.
+
+use std::io::Write;
+
+use crate::client::OperatorClient;
+use crate::command::{CommandLine, ToolCommand};
+use crate::failure::ToolFailure;
+use crate::retry::RetrySettings;
+use crate::{apply, check, diff, evidence, explain, get, history, in_force};
+
+/// Where a command writes.
+pub(crate) struct ToolOutput<'a> {
+    /// What was asked for.
+    pub(crate) out: &'a mut dyn Write,
+    /// Notes, warnings and errors.
+    pub(crate) notes: &'a mut dyn Write,
+}
+
+impl ToolOutput<'_> {
+    /// Writes what was asked for.
+    pub(crate) fn print(&mut self, text: &str) -> Result<(), ToolFailure> {
+        let ended = if text.is_empty() || text.ends_with('\n') {
+            ""
+        } else {
+            "\n"
+        };
+        write!(self.out, "{text}{ended}")
+            .and_then(|()| self.out.flush())
+            .map_err(ToolFailure::failed)
+    }
+
+    /// Writes a note; one that can't be written changes nothing.
+    pub(crate) fn note(&mut self, text: &str) {
+        if !text.is_empty() {
+            let _ = writeln!(self.notes, "{}", text.trim_end());
+        }
+    }
+}
+
+/// Runs a command and gives its exit code; `docs/operators/pollenctl.md` lists the codes.
+pub async fn run(
+    line: CommandLine,
+    retry: &RetrySettings,
+    out: &mut dyn Write,
+    notes: &mut dyn Write,
+) -> u8 {
+    let mut output = ToolOutput { out, notes };
+    match dispatch(line, retry, &mut output).await {
+        Ok(()) => 0,
+        Err(failure) => {
+            output.note(&format!("pollenctl: {failure}"));
+            failure.exit_code()
+        }
+    }
+}
+
+async fn dispatch(
+    line: CommandLine,
+    retry: &RetrySettings,
+    output: &mut ToolOutput<'_>,
+) -> Result<(), ToolFailure> {
+    let open = || OperatorClient::open(&line.connection_options, retry);
+    match &line.tool_command {
+        ToolCommand::Apply {
+            change_id,
+            based_on,
+            file,
+        } => apply::apply(&open()?, change_id.clone(), *based_on, file, output).await,
+        ToolCommand::Check { file } => check::check(file, output),
+        ToolCommand::Diff { file } => diff::diff(&open()?, file, output).await,
+        ToolCommand::Dump => get::show(&open()?, "/operator/v1/dump", output).await,
+        ToolCommand::Evidence { evidence_command } => {
+            evidence::evidence(open, evidence_command, output).await
+        }
+        ToolCommand::Explain { .. } => explain::explain(&open()?, &line.tool_command, output).await,
+        ToolCommand::Get { revision } => get::get(&open()?, *revision, output).await,
+        ToolCommand::History { before, limit } => {
+            history::history(&open()?, *before, *limit, output).await
+        }
+        ToolCommand::InForce { at } => in_force::in_force(&open()?, at.as_deref(), output).await,
+        ToolCommand::Status => get::show(&open()?, "/operator/v1/status", output).await,
+    }
+}
--- /dev/null
+++ b/crates/pollenctl/src/transport.rs
@@ -0,0 +1,140 @@
+//! One request to one daemon, over plain TCP or TLS.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use rustls::{ClientConfig, RootCertStore};
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, ServerName};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_rustls::TlsConnector;
+
+use crate::address::ServerAddress;
+use crate::failure::ToolFailure;
+
+/// Most bytes of an answer.
+const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
+/// Longest that a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// An answer of a daemon.
+#[derive(Clone, Debug)]
+pub(crate) struct DaemonAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Bytes,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Debug, Display)]
+pub(crate) enum SendFailure {
+    /// No byte of the request went out.
+    #[display("not reached: {_0}")]
+    NotSent(String),
+    /// The request may have arrived.
+    #[display("no whole answer: {_0}")]
+    NoAnswer(String),
+}
+
+/// Opens connections.
+pub(crate) struct Transport {
+    tls: TlsConnector,
+    limit: Duration,
+}
+
+impl Transport {
+    /// A transport whose tries take at most `limit`; https daemons must be signed by a certificate
+    /// of `ca_file`.
+    pub(crate) fn new(ca_file: Option<&Path>, limit: Duration) -> Result<Self, ToolFailure> {
+        let mut roots = RootCertStore::empty();
+        if let Some(path) = ca_file {
+            let refused = |error| ToolFailure::Refused {
+                reason: format!("{}: {error}", path.display()),
+            };
+            let certificates = CertificateDer::pem_file_iter(path);
+            for certificate in certificates.map_err(|error| refused(error.to_string()))? {
+                let certificate = certificate.map_err(|error| refused(error.to_string()))?;
+                let added = roots.add(certificate);
+                added.map_err(|error| refused(error.to_string()))?;
+            }
+        }
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let config = ClientConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .map_err(ToolFailure::failed)?
+            .with_root_certificates(roots)
+            .with_no_client_auth();
+        let tls = TlsConnector::from(Arc::new(config));
+        Ok(Self { tls, limit })
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub(crate) async fn send(
+        &self,
+        address: &ServerAddress,
+        request: Request<Full<Bytes>>,
+    ) -> Result<DaemonAnswer, SendFailure> {
+        let stream = self.connect(address).await?;
+        if !address.secure {
+            return self.exchange(stream, request).await;
+        }
+        let name = ServerName::try_from(address.host.clone()).map_err(not_sent)?;
+        let stream = timeout(CONNECT_TIMEOUT, self.tls.connect(name, stream)).await;
+        let stream = stream.map_err(not_sent)?.map_err(not_sent)?;
+        self.exchange(stream, request).await
+    }
+
+    async fn connect(&self, address: &ServerAddress) -> Result<TcpStream, SendFailure> {
+        let target = (address.host.as_str(), address.port);
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target)).await;
+        stream.map_err(not_sent)?.map_err(not_sent)
+    }
+
+    async fn exchange<S>(
+        &self,
+        stream: S,
+        request: Request<Full<Bytes>>,
+    ) -> Result<DaemonAnswer, SendFailure>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = handshake.map_err(not_sent)?;
+        let driver = tokio::spawn(connection);
+        let answer = timeout(self.limit, async {
+            let response = sender.send_request(request).await.map_err(no_answer)?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+            let body = body.collect().await.map_err(no_answer)?.to_bytes();
+            Ok(DaemonAnswer { status, body })
+        })
+        .await;
+        driver.abort();
+        answer.unwrap_or_else(|_| {
+            let seconds = self.limit.as_secs();
+            Err(SendFailure::NoAnswer(format!("none within {seconds} s")))
+        })
+    }
+}
+
+fn not_sent<E>(error: E) -> SendFailure
+where
+    E: std::fmt::Display,
+{
+    SendFailure::NotSent(error.to_string())
+}
+
+fn no_answer<E>(error: E) -> SendFailure
+where
+    E: std::fmt::Display,
+{
+    SendFailure::NoAnswer(error.to_string())
+}
--- /dev/null
+++ b/crates/pollenctl/tests/commands/main.rs
@@ -0,0 +1,6 @@
+//! Commands against a scripted daemon.
+#![allow(clippy::unwrap_used, reason = "a test that can not go on must stop")]
+
+mod apply;
+mod support;
+mod views;
--- /dev/null
+++ b/crates/pollenctl/tests/commands/views.rs
@@ -0,0 +1,250 @@
+//! What operators see of the configuration, its history and its effects.
+
+use std::fmt::Write;
+
+use crate::support::{Scripted, ScriptedDaemon, TestFile, pollenctl};
+use pollendrift_coordination::base::{Revision, WallTime};
+use pollendrift_coordination::configuration::{
+    ChangeLog, ChangeRequest, ChangeRetention, ConfigurationView, DaemonRevision, ExplainBody,
+    ExplainView, HistoryView, InForceView,
+};
+use pollendrift_coordination::replicated::ReplicatedTime;
+
+fn changed_log() -> ChangeLog {
+    let mut log = ChangeLog::new(ChangeRetention::default());
+    for number in 0..2 {
+        let text = format!(
+            "# made by hand\nkind: selector\nname: s\nmodel: m\norder: {number}\nfor:\n  matchLabels: {{customer/name: c}}\n"
+        );
+        let request = ChangeRequest {
+            change_id: format!("c{number}").into(),
+            based_on: Revision(number),
+            operator: "anna".into(),
+            text: text.into(),
+        };
+        log.decide(
+            &request,
+            WallTime(1_000 * number),
+            ReplicatedTime::default(),
+        );
+    }
+    log
+}
+
+fn json<T>(value: &T) -> Vec<Scripted>
+where
+    T: serde::Serialize,
+{
+    vec![Scripted::Answer(200, serde_json::to_string(value).unwrap())]
+}
+
+#[tokio::test]
+async fn views_are_written_for_people() {
+    let log = changed_log();
+    let body = ExplainBody {
+        customer: "d".into(),
+        model: Some("m".into()),
+        ..ExplainBody::default()
+    };
+    let explained = ExplainView::of(&log.build().unwrap(), &body.facts().unwrap());
+    let daemons = InForceView {
+        at: None,
+        daemons: vec![
+            DaemonRevision {
+                host: "h1".into(),
+                revision: Some(Revision(2)),
+                heard_ms_ago: Some(40),
+            },
+            DaemonRevision {
+                host: "h2".into(),
+                revision: None,
+                heard_ms_ago: None,
+            },
+        ],
+    };
+    let same = TestFile::new("same.yaml", &log.canonical().text());
+    let other = TestFile::new(
+        "other.yaml",
+        "kind: selector\nname: s\nmodel: m\norder: 5\n---\nkind: selector\nname: t\nservice: p\n",
+    );
+    let cases: Vec<(Vec<&str>, Vec<Scripted>)> = vec![
+        (
+            vec!["get"],
+            json(&ConfigurationView::of(&log, None).unwrap()),
+        ),
+        (
+            vec!["get", "--revision", "1"],
+            json(&ConfigurationView::of(&log, Some(Revision(1))).unwrap()),
+        ),
+        (
+            vec!["history", "--before", "9"],
+            json(&HistoryView::of(&log, None, 100)),
+        ),
+        (vec!["in-force"], json(&daemons)),
+        (
+            vec!["in-force", "--at", "1970-01-01T00:00:00.5Z"],
+            json(&InForceView::at(&log, WallTime(500))),
+        ),
+        (vec!["in-force", "--at", "0"], json(&InForceView::default())),
+        (
+            vec![
+                "explain",
+                "--customer",
+                "d",
+                "--model",
+                "m",
+                "--attribute",
+                "header.x=1",
+            ],
+            json(&explained),
+        ),
+        (
+            vec!["diff", &same.path],
+            json(&ConfigurationView::of(&log, None).unwrap()),
+        ),
+        (
+            vec!["diff", &other.path],
+            json(&ConfigurationView::of(&log, None).unwrap()),
+        ),
+        (
+            vec!["status"],
+            json(&serde_json::json!({"redundancy": "whole"})),
+        ),
+        (
+            vec!["dump"],
+            vec![Scripted::Answer(200, "not JSON".to_owned())],
+        ),
+        (
+            vec![
+                "evidence",
+                "find",
+                "--customer",
+                "a&b",
+                "--from",
+                "1970-01-01T00:00:01Z",
+            ],
+            json(&serde_json::json!({"records": []})),
+        ),
+        (
+            vec!["evidence", "show", "r/1"],
+            json(&serde_json::json!({"records": []})),
+        ),
+        (
+            vec!["get", "--revision", "99"],
+            vec![Scripted::Answer(
+                404,
+                r#"{"title":"not retained"}"#.to_owned(),
+            )],
+        ),
+    ];
+    let mut report = String::new();
+    for (command, script) in cases {
+        let daemon = ScriptedDaemon::start(script).await;
+        let address = daemon.address.to_string();
+        let ran = pollenctl(&[&["--servers", &address][..], &command[..]].concat()).await;
+        let words = command
+            .join(" ")
+            .replace(&same.path, "SAME")
+            .replace(&other.path, "OTHER");
+        let asked = daemon.seen().join(" | ");
+        let _ = writeln!(
+            report,
+            "== {words}: exit {}\nasked: {asked}\n{}{}",
+            ran.exit, ran.out, ran.notes
+        );
+    }
+    insta::assert_snapshot!(report, @r#"
+    == get: exit 0
+    asked: GET /operator/v1/configuration 
+    # revision: 2
+    # made by hand
+    kind: selector
+    name: s
+    model: m
+    order: 1
+    for:
+      matchLabels: {customer/name: c}
+
+    == get --revision 1: exit 0
+    asked: GET /operator/v1/configuration?revision=1 
+    # revision: 1
+    kind: selector
+    name: "s"
+    order: 0
+    model: "m"
+    for:
+      matchExpressions:
+        - {key: "customer/name", operator: In, values: ["c"]}
+
+    == history --before 9: exit 0
+    asked: GET /operator/v1/history?limit=100&before=9 
+    2 1970-01-01T00:00:01.000Z anna change c1: ~ selector s
+    1 1970-01-01T00:00:00.000Z anna change c0: + selector s
+
+    == in-force: exit 0
+    asked: GET /operator/v1/in-force 
+    h1 revision 2, heard of 40 ms ago
+    h2 not heard of
+
+    == in-force --at 1970-01-01T00:00:00.5Z: exit 0
+    asked: GET /operator/v1/in-force?at=500 
+    # revision: 1
+    kind: selector
+    name: "s"
+    order: 0
+    model: "m"
+    for:
+      matchExpressions:
+        - {key: "customer/name", operator: In, values: ["c"]}
+    revision 1, change c0 by anna at 1970-01-01T00:00:00.000Z
+
+    == in-force --at 0: exit 1
+    asked: GET /operator/v1/in-force?at=0 
+    pollenctl: 1970-01-01T00:00:00.000Z is before the retained history
+
+    == explain --customer d --model m --attribute header.x=1: exit 0
+    asked: POST /operator/v1/explain {"customer":"d","model":"m","adapter":null,"service":null,"path":"","attributes":{"header.x":"1"}}
+    revision 2: no selector serves it
+      1 s: for needs customer/name In [c], but it is d
+
+    == diff SAME: exit 0
+    asked: GET /operator/v1/configuration 
+    no difference from revision 2
+
+    == diff OTHER: exit 5
+    asked: GET /operator/v1/configuration 
+    ~ selector s
+        - order: 1
+        - for:
+        -   matchExpressions:
+        -     - {key: "customer/name", operator: In, values: ["c"]}
+        + order: 5
+    + selector t
+        + kind: selector
+        + name: "t"
+        + order: 100
+        + service: "p"
+    pollenctl: the file differs from revision 2
+
+    == status: exit 0
+    asked: GET /operator/v1/status 
+    {
+      "redundancy": "whole"
+    }
+
+    == dump: exit 1
+    asked: GET /operator/v1/dump 
+    pollenctl: the daemon's answer is not understood: expected ident at line 1 column 2
+
+    == evidence find --customer a&b --from 1970-01-01T00:00:01Z: exit 0
+    asked: GET /operator/v1/evidence?customer=a%26b&from=1000&limit=100 
+
+    == evidence show r/1: exit 0
+    asked: GET /operator/v1/evidence/requests/r%2F1 
+    no record speaks of request r/1
+
+    == get --revision 99: exit 1
+    asked: GET /operator/v1/configuration?revision=99 
+    pollenctl: 404 Not Found not retained
+    "#);
+}
