feat(telemetry): keep evidence files on keepers and export from them

Cause: the agreed state remembers the latest records only; an inspection needs all of them. Change: segments in the agreed order, torn tails cut and filled again, holes named, retention that is on record before it happens and is made whole after a crash, find and export. A noted head counts as dropped if a later life of its host is. Conclusion: cut at every fifth byte of the last segment, every export verifies; dropping without a record is named as a removal.

--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -1,11 +1,13 @@
 //! What a running daemon tells of itself: evidence, logs and metrics.
 
 mod instruments;
+mod journal;
 mod logs;
 mod metrics;
 mod recorder;
 
 pub use instruments::{INSTRUMENTS, InstrumentKind, InstrumentSpec};
+pub use journal::{EvidenceJournal, JournalError, RetentionPlan};
 pub use logs::{LogControl, LogError, log_field, log_to};
 pub use metrics::{MetricError, MetricRegistry, RefusedConnection, RequestEnd};
 pub use recorder::{EvidenceRecorder, EvidenceSink, OpenRequest, SinkError, StoreFuture};
--- /dev/null
+++ b/crates/daemon/tests/telemetry_journal.rs
@@ -0,0 +1,222 @@
+//! Contract of a keeper's evidence files: crashes, holes, retention, and exports that verify.
+#![allow(clippy::unwrap_used, reason = "a helper that fails is a failed test")]
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use pollendrift::telemetry::EvidenceJournal;
+use pollendrift_coordination::base::{Incarnation, SequenceNumber, WallTime};
+use pollendrift_coordination::evidence::{
+    ChainHead, ChainWriter, EvidenceDigest, EvidenceEvent, EvidenceFilter, RetentionPolicy,
+    RevisionInForce, SealedRecord, verify,
+};
+use pollendrift_coordination::replicated::{EvidencePosition, IndexedRecord};
+
+const DAY: u64 = 86_400_000;
+/// Small segments: two records of this file's size.
+const SEGMENT_BYTES: u64 = 600;
+
+/// Writers whose records alternate in the agreed order, one record a day.
+struct AgreedRecords {
+    heads: Vec<ChainHead>,
+    records: Vec<IndexedRecord>,
+}
+
+impl AgreedRecords {
+    fn new(hosts: &[&str]) -> Self {
+        let heads = hosts.iter().map(|host| ChainHead {
+            writer: ChainWriter {
+                host: (*host).into(),
+                incarnation: Incarnation(1),
+            },
+            sequence: SequenceNumber(0),
+            digest: EvidenceDigest::ZERO,
+        });
+        Self {
+            heads: heads.collect(),
+            records: Vec::new(),
+        }
+    }
+
+    fn with(mut self, count: usize) -> Self {
+        for number in 0..count {
+            let event = EvidenceEvent::RevisionInForce(RevisionInForce { revision: 4.into() });
+            let writer = number % self.heads.len();
+            self.add(writer, event);
+        }
+        self
+    }
+
+    fn add(&mut self, writer: usize, event: EvidenceEvent) {
+        let position = u64::try_from(self.records.len()).unwrap();
+        let head = &mut self.heads[writer];
+        let sealed = SealedRecord::seal(head, WallTime(position * DAY), event).unwrap();
+        *head = sealed.head();
+        self.records.push(IndexedRecord {
+            position: EvidencePosition(position),
+            writer: sealed.record.writer.host.clone(),
+            incarnation: sealed.record.writer.incarnation,
+            sequence: sealed.record.sequence,
+            record: sealed.line.as_bytes().into(),
+        });
+    }
+}
+
+fn open(folder: &Path) -> EvidenceJournal {
+    EvidenceJournal::open_with("brest-1".into(), folder, SEGMENT_BYTES).unwrap()
+}
+
+/// What an inspector finds in the export.
+fn verified(journal: &EvidenceJournal) -> String {
+    let mut bytes = Vec::new();
+    journal.export(WallTime(100 * DAY), &mut bytes).unwrap();
+    let text = String::from_utf8(bytes).unwrap();
+    let report = verify("export", text.lines(), &[]);
+    let chains = report.chains.iter();
+    let chains = chains.map(|chain| format!("{} {}", chain.head.writer, chain.records));
+    let chains: Vec<_> = chains.collect();
+    format!("{}; {}", chains.join(", "), report.findings)
+}
+
+fn files(folder: &Path) -> Vec<PathBuf> {
+    let entries = fs::read_dir(folder.join("evidence")).unwrap();
+    let mut files: Vec<_> = entries.map(|entry| entry.unwrap().path()).collect();
+    files.sort();
+    files
+}
+
+#[test]
+fn records_come_back_after_a_crash_and_once_only() {
+    // What happens: the keeper dies in the middle of its last write. What it had reported as stored
+    // is there again; what was cut off comes again from the agreed log; nothing stands twice.
+    let agreed = AgreedRecords::new(&["brest-1", "brest-2"]).with(5);
+    let whole = tempfile::tempdir().unwrap();
+    open(whole.path()).append(&agreed.records).unwrap();
+    let last = files(whole.path()).pop().unwrap();
+    let bytes = fs::read(&last).unwrap();
+    for cut in (0..bytes.len()).step_by(5).chain([bytes.len()]) {
+        fs::write(&last, &bytes[..cut]).unwrap();
+        let mut journal = open(whole.path());
+        assert!(journal.next() <= EvidencePosition(5));
+        journal.append(&agreed.records).unwrap();
+        assert_eq!(journal.next(), EvidencePosition(5));
+        let expected = "brest-1/1 3, brest-2/1 2; ";
+        assert_eq!(verified(&journal), expected, "cut at byte {cut}");
+        assert_eq!(fs::read(&last).unwrap(), bytes);
+    }
+}
+
+#[test]
+fn a_hole_and_a_damaged_line_are_named_by_verification() {
+    // What happens: the keeper was away longer than the agreed state remembers records, then a
+    // stranger's record holds a line end, then a bit flips on the disk.
+    let folder = tempfile::tempdir().unwrap();
+    let mut agreed = AgreedRecords::new(&["brest-1"]).with(9);
+    let mut journal = open(folder.path());
+    journal.append(&agreed.records[..2]).unwrap();
+    agreed.records[5].record = b"{\"record\":\nx".as_slice().into();
+    journal.append(&agreed.records[4..]).unwrap();
+    drop(journal);
+    let last = files(folder.path()).pop().unwrap();
+    let mut bytes = fs::read(&last).unwrap();
+    let index = bytes.len() - 100;
+    bytes[index] ^= 1;
+    fs::write(&last, bytes).unwrap();
+    let journal = open(folder.path());
+    assert_eq!(journal.next(), EvidencePosition(9));
+    insta::assert_snapshot!(verified(&journal), @"
+    brest-1/1 5; export:6:1: error: damaged: not readable: missing field `detail` at line 1 column 223 (accepted: the line as it was exported)
+    export:3:1: error: gap: records 3..=4 of brest-1/1 are missing before this line (accepted: every record, or an anchor where retention dropped the first ones)
+    export:4:1: error: gap: records 6..=6 of brest-1/1 are missing before this line (accepted: every record, or an anchor where retention dropped the first ones)
+    ");
+}
+
+#[test]
+fn retention_leaves_exports_that_verify_also_when_it_is_cut_off() {
+    // What happens: old segments are dropped once the drop is on record. A crash leaves either
+    // the record without the drop, or the drop half done; both are made whole at the next start.
+    let folder = tempfile::tempdir().unwrap();
+    let mut agreed = AgreedRecords::new(&["brest-1", "brest-2"]).with(8);
+    let mut journal = open(folder.path());
+    journal.append(&agreed.records).unwrap();
+    let policy = RetentionPolicy {
+        max_age: Duration::from_secs(3 * 86_400),
+        max_bytes: 1 << 20,
+    };
+    let plan = journal
+        .plan_retention(WallTime(8 * DAY), &policy)
+        .unwrap()
+        .unwrap();
+    let mut lines = vec![format!("planned: {} records", plan.records.len())];
+    for record in &plan.records {
+        agreed.add(0, EvidenceEvent::RetentionApplied(record.clone()));
+    }
+    journal.append(&agreed.records).unwrap();
+    lines.push(format!("on record, not dropped: {}", verified(&journal)));
+    let first = files(folder.path()).remove(0);
+    let kept = fs::read(&first).unwrap();
+    journal.apply(plan).unwrap();
+    lines.push(format!("dropped: {}", verified(&journal)));
+    fs::write(&first, kept).unwrap();
+    let mut journal = open(folder.path());
+    lines.push(format!(
+        "half dropped, opened again: {}",
+        verified(&journal)
+    ));
+    let again = journal.plan_retention(WallTime(8 * DAY), &policy).unwrap();
+    lines.push(format!("nothing more is old: {}", again.is_none()));
+    let small = RetentionPolicy {
+        max_age: Duration::from_secs(100 * 86_400),
+        max_bytes: SEGMENT_BYTES,
+    };
+    let plan = journal
+        .plan_retention(WallTime(8 * DAY), &small)
+        .unwrap()
+        .unwrap();
+    journal.apply(plan).unwrap();
+    lines.push(format!(
+        "dropped for its bytes, without a record: {}",
+        verified(&journal)
+    ));
+    insta::assert_snapshot!(lines.join("\n"), @"
+    planned: 4 records
+    on record, not dropped: brest-1/1 8, brest-2/1 4; 
+    dropped: brest-1/1 5, brest-2/1 2; 
+    half dropped, opened again: brest-1/1 5, brest-2/1 2; 
+    nothing more is old: true
+    dropped for its bytes, without a record: brest-1/1 1, brest-2/1 0; export:1:1: error: removed: no keeper recorded that brest-1/1 was dropped through 7 (accepted: a record `retention-applied` for the anchor)
+    export:2:1: error: removed: no keeper recorded that brest-2/1 was dropped through 4 (accepted: a record `retention-applied` for the anchor)
+    ");
+}
+
+#[test]
+fn records_are_found_across_files_up_to_a_limit() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut journal = open(folder.path());
+    journal
+        .append(&AgreedRecords::new(&["brest-1"]).with(7).records)
+        .unwrap();
+    let filter = EvidenceFilter {
+        from: Some(WallTime(2 * DAY)),
+        until: Some(WallTime(6 * DAY)),
+        ..EvidenceFilter::default()
+    };
+    let numbers = |limit| {
+        let found = journal.find(&filter, limit).unwrap();
+        found
+            .iter()
+            .map(|record| record.sequence.0)
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(numbers(100), [3, 4, 5, 6]);
+    assert_eq!(numbers(2), [3, 4]);
+}
+
+#[test]
+fn a_folder_that_is_no_folder_is_an_error_that_names_it() {
+    let folder = tempfile::tempdir().unwrap();
+    fs::write(folder.path().join("evidence"), "x").unwrap();
+    let error = EvidenceJournal::open("brest-1".into(), folder.path()).unwrap_err();
+    assert!(error.to_string().contains("evidence"));
+}
