--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -7,7 +7,7 @@
 use std::thread::{Builder, JoinHandle};
 
 use derive_more::{Display, Error};
-use pollendrift_coordination::agreement::{EntryPayload, PersistOrder, StoredSnapshot};
+use pollendrift_coordination::agreement::{EntryPayload, LogIndex, PersistOrder, StoredSnapshot};
 
 use crate::border::{LogStore, PersistBatch, StoreSnapshot, StoreUsage, SyncMark};
 use crate::error::StoreError;
@@ -231,9 +231,9 @@
 
 /// Writes hard state, snapshot, truncation and entries; without a snapshot that is one sync.
 ///
-/// A snapshot behind the end of the log is the keeper's own, or agrees with the log; one beyond it
-/// came from the leader and the log restarts after it. A conflicting suffix goes with the
-/// truncation that follows; recovery drops it too if a crash comes in between.
+/// The log restarts behind a snapshot that reaches beyond it, or from which on everything is
+/// truncated: such a log may contradict the snapshot, and a crash before the truncation is written
+/// would leave the two joined. Behind any other snapshot the log goes on.
 fn commit_order(store: &mut dyn LogStore, order: PersistOrder) -> Result<SyncMark, StoreError> {
     let mut batch = PersistBatch {
         hard: order.hard_state,
@@ -246,7 +246,7 @@
             ..PersistBatch::default()
         };
         store.persist(&hard)?;
-        commit_snapshot(store, snapshot)?;
+        commit_snapshot(store, snapshot, order.truncate_from)?;
     }
     store.persist(&batch)
 }
@@ -254,13 +254,16 @@
 fn commit_snapshot(
     store: &mut dyn LogStore,
     snapshot: StoredSnapshot,
+    truncate_from: Option<LogIndex>,
 ) -> Result<SyncMark, StoreError> {
     let snapshot = StoreSnapshot {
         mark: snapshot.mark,
         state: snapshot.bytes.to_vec(),
     };
-    if snapshot.mark.index < store.next_index() {
-        return store.save_snapshot(&snapshot);
+    let after = snapshot.mark.index.next();
+    let is_beyond = store.next_index() < after;
+    if is_beyond || truncate_from.is_some_and(|from| from <= after) {
+        return store.install_snapshot(&snapshot);
     }
-    store.install_snapshot(&snapshot)
+    store.save_snapshot(&snapshot)
 }
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -49,6 +49,9 @@
     pub(crate) mark: SnapshotMark,
     /// Lowest segment that is still needed beside this snapshot.
     pub(crate) first_segment: u64,
+    /// For a leader's snapshot: number of the frame that restarts the log behind it. Where that
+    /// frame isn't there yet, all that the log holds is void.
+    pub(crate) restart_frame: Option<u64>,
 }
 
 /// A log entry as it is written.
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -373,9 +373,10 @@
 
 /// Puts the snapshot before the log's entries.
 ///
-/// A crash between the snapshot's rename and the log's restart leaves a log that ends before the
-/// snapshot, or that disagrees with it at its last index; the snapshot is of committed entries, so
-/// it wins and the log restarts behind it.
+/// A leader's snapshot is written before the frame that restarts the log behind it. A crash between
+/// the two leaves a log that ends before the snapshot or contradicts it, at times only in entries
+/// whose segments are gone: so the snapshot itself names the frame, and while that is missing the
+/// log's entries are void. Any other log has to hold what its snapshot was taken of.
 fn join_snapshot(
     files: &dyn FileSystem,
     log: &ReplayedLog,
@@ -393,24 +394,33 @@
     };
     let mark = &read.snapshot.mark;
     let after = mark.index.next();
-    if log.base > after {
+    if log.base > after && read.restart_frame != Some(log.frame) {
         return Err(StoreError::Missing {
             path: format!("{} log entries {} to {}", files.folder(), after, log.base),
             needed_by: path_of(files, &snapshot_name(mark.index.0)),
         });
     }
+    let restarts = read.restart_frame == Some(log.frame);
     let same_term = |entry: &LogEntry| entry.index != mark.index || entry.term == mark.term;
-    let agrees = log.next() >= after && log.entries.iter().all(same_term);
-    let entries = if agrees {
+    let holds_end = log.next() >= after && log.entries.iter().all(same_term);
+    if !restarts && !holds_end {
+        let path = path_of(files, &snapshot_name(mark.index.0));
+        return Err(StoreError::damaged(
+            &path,
+            0,
+            "log lacks the entry that the snapshot ends with",
+        ));
+    }
+    let entries = if restarts {
+        Vec::new()
+    } else {
         let joined = log.entries.iter().filter(|entry| entry.index > mark.index);
         joined.cloned().collect()
-    } else {
-        Vec::new()
     };
     let recovered = RecoveredLog {
         hard,
         snapshot: Some(read.snapshot),
         entries,
     };
-    Ok((recovered, (!agrees).then_some(after)))
+    Ok((recovered, restarts.then_some(after)))
 }
--- a/crates/store/src/snapshot.rs
+++ b/crates/store/src/snapshot.rs
@@ -14,6 +14,7 @@
 pub(crate) struct ReadSnapshot {
     pub(crate) snapshot: StoreSnapshot,
     pub(crate) first_segment: u64,
+    pub(crate) restart_frame: Option<u64>,
     pub(crate) bytes: u64,
 }
 
@@ -25,6 +26,7 @@
     files: &dyn FileSystem,
     snapshot: &StoreSnapshot,
     first_segment: u64,
+    restart_frame: Option<u64>,
 ) -> Result<u64, StoreError> {
     let name = snapshot_name(snapshot.mark.index.0);
     let temporary = format!("{name}{TEMPORARY_ENDING}");
@@ -33,6 +35,7 @@
     let head = SnapshotHead {
         mark: snapshot.mark.clone(),
         first_segment,
+        restart_frame,
     };
     let start = encode_start(FileKind::Snapshot, &head)?;
     let state = encode_frame(&snapshot.state)?;
@@ -85,6 +88,7 @@
             state,
         },
         first_segment: head.first_segment,
+        restart_frame: head.restart_frame,
         bytes: bytes.len() as u64,
     })
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -287,7 +287,11 @@
         Ok(())
     }
 
-    fn write_and_clean(&mut self, snapshot: &StoreSnapshot) -> Result<(), StoreError> {
+    fn write_and_clean(
+        &mut self,
+        snapshot: &StoreSnapshot,
+        restart_frame: Option<u64>,
+    ) -> Result<(), StoreError> {
         let after = snapshot.mark.index.next();
         let needed = self
             .spans
@@ -296,7 +300,7 @@
             .or(self.spans.first())
             .map_or(1, |span| span.number);
         self.snapshot_index = snapshot.mark.index;
-        self.snapshot_bytes = write_snapshot(self.files.as_ref(), snapshot, needed)?;
+        self.snapshot_bytes = write_snapshot(self.files.as_ref(), snapshot, needed, restart_frame)?;
         self.syncs += 2;
         self.spans.retain(|span| span.number >= needed);
         self.remove_behind(snapshot.mark.index, needed)
@@ -336,7 +340,7 @@
                     found: snapshot.mark.index.next(),
                 });
             }
-            store.write_and_clean(snapshot)?;
+            store.write_and_clean(snapshot, None)?;
             Ok(store.mark)
         })
     }
@@ -350,7 +354,7 @@
                     found: snapshot.mark.index,
                 });
             }
-            store.write_and_clean(snapshot)?;
+            store.write_and_clean(snapshot, Some(store.mark.frame))?;
             store.write_record(LogRecord {
                 restart_at: Some(after),
                 ..LogRecord::default()
--- a/crates/store/tests/store/crash.rs
+++ b/crates/store/tests/store/crash.rs
@@ -180,7 +180,7 @@
     (
         StoreUsage {
             log_bytes: 694,
-            snapshot_bytes: 810,
+            snapshot_bytes: 825,
             segments: 1,
             syncs: 40,
         },
--- a/crates/store/tests/store/fault_files.rs
+++ b/crates/store/tests/store/fault_files.rs
@@ -61,6 +61,11 @@
         self.disk().fault = None;
     }
 
+    /// Whether power is lost.
+    pub(crate) fn is_off(&self) -> bool {
+        self.disk().off
+    }
+
     /// Power returns: of what was not synced, names are old or new and content is a part.
     pub(crate) fn restore_power(&self, seed: u64) {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -132,6 +137,7 @@
         let mut target = image.disk();
         target.next_inode = source.next_inode;
         target.names.clone_from(&source.names);
+        target.synced_names.clone_from(&source.synced_names);
         target.files.clone_from(&source.files);
         drop(target);
         image
--- a/crates/store/tests/store/identity.rs
+++ b/crates/store/tests/store/identity.rs
@@ -85,3 +85,19 @@
     assert!(restored.mark() < told);
     assert_eq!(restored.usage().segments, 1);
 }
+
+/// The operator sees: a fresh folder on a host whose clock went back still gets an incarnation that
+/// the group takes for a new one; a keeper that has voted never changes its own.
+#[test]
+fn only_a_keeper_without_a_group_raises_its_incarnation() {
+    let files = FaultFiles::default();
+    let mut store = open_as(&files, "h1", 3).expect("fresh").store;
+    store.raise_incarnation(Incarnation(70)).expect("no fault");
+    store.raise_incarnation(Incarnation(9)).expect("no fault");
+    assert_eq!(store.identity().incarnation, Incarnation(71));
+    store.join_group(group()).expect("no fault");
+    store.raise_incarnation(Incarnation(90)).expect("no fault");
+    drop(store);
+    let identity = open(&files).expect("free").store.identity().clone();
+    assert_eq!((identity.incarnation, identity.opens), (Incarnation(71), 2));
+}
--- a/crates/store/tests/store/main.rs
+++ b/crates/store/tests/store/main.rs
@@ -12,4 +12,5 @@
 mod fault_files;
 mod frames;
 mod identity;
+mod orders;
 mod workload;
