feat(evidence): put every request and refusal on record through the keepers

Cause: nothing told an inspector what was asked, decided and answered. Change: a request's beginning is stored before its first byte and its end before its last event, each bounded in time; refusals are recorded with what decided; keepers copy agreed records into files; without room for evidence no new work is taken. Metrics count requests, refusals and tokens. Failure found: a host that did not yet have its life said that it was ready; it is unready until then, and refuses truly. Conclusion: no work runs unrecorded.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -12,6 +12,7 @@
 use pollendrift_coordination::replicated::ProcessNonce;
 use pollendrift_coordination::routing::RoutingSettings;
 use pollendrift_http::{HttpClient, HttpServer, ServerBounds, StreamAcceptor};
+use tokio::sync::OnceCell;
 use tokio::task::JoinHandle;
 
 use crate::access::{AccessControl, AccessError, FaceAcceptor, FaceKind};
@@ -19,6 +20,7 @@
 use crate::announcements::AnnouncementHandler;
 use crate::clock::{SystemClock, TimeSource};
 use crate::entry::{DraftSettings, EntryContext, EntryHandler};
+use crate::evidence::{EvidenceFiles, run_recorder};
 use crate::faces::FaceRouter;
 use crate::fleet::BackendFleet;
 use crate::lifecycle::{LifeControl, LifeStep};
@@ -26,6 +28,7 @@
 use crate::platform::{DumpSource, MetricSource, PlatformHandler};
 use crate::settings::{DaemonSettings, DrainSettings, EntrySettings};
 use crate::tasks::TaskGroup;
+use crate::telemetry::{JournalError, MetricError, MetricRegistry};
 
 /// Time between two ticks of the systems.
 const TICK: Duration = Duration::from_millis(100);
@@ -51,6 +54,12 @@
     /// The agreed state can't start.
     #[display("{_0}")]
     Node(NodeError),
+    /// Metrics can't be kept.
+    #[display("{_0}")]
+    Metrics(MetricError),
+    /// The evidence files can't be read.
+    #[display("{_0}")]
+    Evidence(JournalError),
 }
 
 /// A running daemon; dropping it stops at once, as a crash does.
@@ -85,6 +94,8 @@
         };
         let node = Arc::new(AgreedNode::start(settings, parts).await?);
         let agreed: Arc<dyn AgreedState> = Arc::clone(&node) as Arc<dyn AgreedState>;
+        let metrics = Arc::new(MetricRegistry::new()?);
+        let recorder = Arc::new(OnceCell::new());
         let life = LifeControl::default();
         let context = Arc::new(EntryContext {
             host: settings.host.clone(),
@@ -98,6 +109,8 @@
             client: HttpClient::new(MAX_ANSWER_BYTES),
             drafts: DraftSettings::default(),
             life: life.watch(),
+            recorder: Arc::clone(&recorder),
+            metrics: Arc::clone(&metrics),
             tasks: TaskGroup::default(),
             named: AtomicU64::new(0),
             tickets: AtomicU64::new(0),
@@ -113,8 +126,7 @@
             }),
         };
         let platform = PlatformHandler {
-            life: life.watch(),
-            agreed: Arc::clone(&agreed),
+            entry: Arc::clone(&context),
             sources: vec![
                 Arc::new(FleetDump {
                     fleet: Arc::clone(&fleet),
@@ -124,7 +136,7 @@
                     clock: Arc::clone(&clock),
                 }),
             ],
-            metrics: Arc::new(NoMetrics),
+            metrics: Arc::new(DaemonMetrics { metrics }),
         };
         let mut servers = Vec::new();
         for (address, faces) in listen_addresses(settings) {
@@ -147,7 +159,20 @@
             )
             .await?,
         );
-        let tasks = vec![tokio::spawn(tick_loop(fleet, clock))];
+        let mut tasks = vec![
+            tokio::spawn(tick_loop(fleet, Arc::clone(&clock))),
+            tokio::spawn(run_recorder(
+                recorder,
+                settings.host.clone(),
+                settings.evidence.clone(),
+                agreed,
+                clock,
+            )),
+        ];
+        let files = open_files(settings, &node)?;
+        if let (Some(files), Some(shared)) = (&files, node.shared()) {
+            tasks.push(tokio::spawn(files.clone().run(shared.clone())));
+        }
         Ok(Self {
             servers,
             context,
@@ -158,6 +183,11 @@
         })
     }
 
+    /// Why the balancer should send nothing here; `None` if it should.
+    pub fn unready_reason(&self) -> Option<String> {
+        self.context.unready_reason()
+    }
+
     /// This host's part in the agreed state.
     pub fn node(&self) -> &Arc<AgreedNode> {
         &self.node
@@ -175,6 +205,9 @@
                 server.drain().await;
             }
             self.context.tasks.finished().await;
+            if let Some(recorder) = self.context.recorder.get() {
+                recorder.settle().await;
+            }
         };
         tokio::time::timeout(self.drain.timeout, finished)
             .await
@@ -231,6 +264,17 @@
         .map_err(|error| StartError::Listen { address, error })
 }
 
+/// Evidence files, on a host with a keeper.
+fn open_files(
+    settings: &DaemonSettings,
+    node: &AgreedNode,
+) -> Result<Option<EvidenceFiles>, JournalError> {
+    match (&settings.data_folder, node.shared()) {
+        (Some(folder), Some(_)) => EvidenceFiles::open(settings.host.clone(), folder).map(Some),
+        _ => Ok(None),
+    }
+}
+
 async fn tick_loop(fleet: Arc<BackendFleet>, clock: Arc<dyn TimeSource>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -275,10 +319,12 @@
     }
 }
 
-struct NoMetrics;
+struct DaemonMetrics {
+    metrics: Arc<MetricRegistry>,
+}
 
-impl MetricSource for NoMetrics {
+impl MetricSource for DaemonMetrics {
     fn metrics_text(&self) -> String {
-        String::new()
+        self.metrics.text()
     }
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -6,6 +6,7 @@
 mod completions;
 mod context;
 mod draft;
+mod record;
 mod refusal;
 mod selection;
 mod services;
@@ -21,6 +22,7 @@
 pub use context::EntryContext;
 pub use draft::DraftSettings;
 
+use record::{RequestArrival, record_refusal};
 use refusal::Refusal;
 
 const SERVICE_PREFIX: &str = "/services/";
@@ -39,28 +41,45 @@
 
     async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let context = &self.context;
-        let id = context.request_id(request.headers());
-        let customer = match context.admit_caller(request.headers()) {
-            Ok(customer) => customer,
-            Err(refusal) => return refusal.response(&id),
+        let mut arrival = RequestArrival {
+            id: context.request_id(request.headers()),
+            customer: None,
+            operation: format!("{} {}", request.method(), request.uri().path()).into(),
+            arrived: context.clock.now(),
         };
-        let path = request.uri().path();
-        let result = match (request.method(), path) {
-            (&Method::POST, completions::COMPLETIONS_PATH) => {
-                completions::complete(context, customer, &id, request).await
+        let result = match context.admit_caller(request.headers()) {
+            Ok(customer) => {
+                arrival.customer = Some(customer);
+                dispatch(context, &arrival, request).await
             }
-            (&Method::POST, completions::CHAT_PATH) => {
-                completions::chat(context, customer, &id, request).await
-            }
-            (_, completions::COMPLETIONS_PATH | completions::CHAT_PATH) => {
-                Err(Refusal::method_not_allowed("POST"))
-            }
-            (_, path) if path.starts_with(SERVICE_PREFIX) => {
-                services::call(context, customer, &id, request).await
-            }
-            (_, path) => Err(Refusal::no_such_path(path)),
+            Err(refusal) => Err(refusal),
         };
-        result.unwrap_or_else(|refusal| refusal.response(&id))
+        result.unwrap_or_else(|refusal| {
+            record_refusal(context, &arrival, &refusal);
+            refusal.response(&arrival.id)
+        })
+    }
+}
+
+async fn dispatch(
+    context: &Arc<EntryContext>,
+    arrival: &RequestArrival,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Refusal> {
+    match (request.method(), request.uri().path()) {
+        (&Method::POST, completions::COMPLETIONS_PATH) => {
+            completions::complete(context, arrival, request).await
+        }
+        (&Method::POST, completions::CHAT_PATH) => {
+            completions::chat(context, arrival, request).await
+        }
+        (_, completions::COMPLETIONS_PATH | completions::CHAT_PATH) => {
+            Err(Refusal::method_not_allowed("POST"))
+        }
+        (_, path) if path.starts_with(SERVICE_PREFIX) => {
+            services::call(context, arrival, request).await
+        }
+        (_, path) => Err(Refusal::no_such_path(path)),
     }
 }
 
--- a/crates/daemon/src/entry/completions.rs
+++ b/crates/daemon/src/entry/completions.rs
@@ -5,12 +5,13 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use pollendrift_border::{ChatRequest, CompletionRequest};
-use pollendrift_coordination::base::{CustomerName, RequestId};
 use pollendrift_coordination::configuration::{RequestFacts, RequestTarget, SelectorTarget};
+use pollendrift_coordination::evidence::BodyDigest;
 use pollendrift_http::{ResponseBody, read_json};
 
 use super::context::EntryContext;
 use super::draft::{DraftJob, run_draft};
+use super::record::{RequestArrival, RunningRequest};
 use super::refusal::Refusal;
 use super::selection::select;
 use super::stream::ReplyFormat;
@@ -23,8 +24,7 @@
 /// Acts on a completion request.
 pub(super) async fn complete(
     context: &Arc<EntryContext>,
-    customer: CustomerName,
-    id: &RequestId,
+    arrival: &RequestArrival,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let path = request.uri().path().to_owned();
@@ -40,14 +40,13 @@
         stream: body.stream.unwrap_or(false),
         format: ReplyFormat::Completion,
     };
-    start(context, customer, id, ask).await
+    start(context, arrival, ask).await
 }
 
 /// Acts on a chat completion request.
 pub(super) async fn chat(
     context: &Arc<EntryContext>,
-    customer: CustomerName,
-    id: &RequestId,
+    arrival: &RequestArrival,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let path = request.uri().path().to_owned();
@@ -68,7 +67,7 @@
         stream: body.stream.unwrap_or(false),
         format: ReplyFormat::Chat,
     };
-    start(context, customer, id, ask).await
+    start(context, arrival, ask).await
 }
 
 /// A draft as either path asks for it.
@@ -84,10 +83,12 @@
 
 async fn start(
     context: &Arc<EntryContext>,
-    customer: CustomerName,
-    id: &RequestId,
+    arrival: &RequestArrival,
     ask: DraftAsk,
 ) -> Result<Response<ResponseBody>, Refusal> {
+    let Some(customer) = arrival.customer.clone() else {
+        return Err(Refusal::unauthorized("the request names no customer"));
+    };
     let mut facts = RequestFacts::draft(customer, ask.model.as_str().into());
     facts.path = ask.path.as_str().into();
     if let RequestTarget::Model { adapter, .. } = &mut facts.target {
@@ -114,8 +115,11 @@
         .settings
         .max_tokens
         .and_then(|limit| u32::try_from(limit).ok());
+    let body = BodyDigest::of(ask.prompt.as_bytes());
+    let record = RunningRequest::begin(context, arrival, None, body, &served)?;
     let job = DraftJob {
-        id: id.clone(),
+        id: arrival.id.clone(),
+        record,
         model,
         version,
         adapter,
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -7,6 +7,7 @@
 use http::HeaderMap;
 use pollendrift_coordination::base::{CustomerName, HostName, RequestId};
 use pollendrift_http::HttpClient;
+use tokio::sync::OnceCell;
 
 use super::draft::DraftSettings;
 use super::refusal::Refusal;
@@ -16,6 +17,7 @@
 use crate::fleet::BackendFleet;
 use crate::lifecycle::{LifeStep, LifeWatch};
 use crate::tasks::TaskGroup;
+use crate::telemetry::{EvidenceRecorder, MetricRegistry};
 
 /// Header that names a request.
 pub(super) const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -45,6 +47,10 @@
     pub drafts: DraftSettings,
     /// Whether new work is taken.
     pub life: LifeWatch,
+    /// Evidence of this process; empty until the keepers gave it its life.
+    pub recorder: Arc<OnceCell<Arc<EvidenceRecorder>>>,
+    /// Metrics of this process.
+    pub metrics: Arc<MetricRegistry>,
     /// Tasks that outlive their request; a planned stop waits for them.
     pub tasks: TaskGroup,
     /// Requests that this process has named; part of their ids.
@@ -63,6 +69,23 @@
 }
 
 impl EntryContext {
+    /// Why the balancer should send nothing here; `None` if it should.
+    pub fn unready_reason(&self) -> Option<String> {
+        if self.life.step() != LifeStep::Serving {
+            return Some("it is leaving for a planned stop".to_owned());
+        }
+        if let Err(stale) = self.agreed.configuration() {
+            return Some(stale.to_string());
+        }
+        match self.recorder.get() {
+            None => Some("the keepers have not yet given this process its life".to_owned()),
+            Some(recorder) if !recorder.may_accept() => {
+                Some("the keepers take no evidence".to_owned())
+            }
+            Some(_) => None,
+        }
+    }
+
     /// The caller's id of the request if it gave a fit one, else a new id.
     pub(super) fn request_id(&self, headers: &HeaderMap) -> RequestId {
         let given = headers
--- a/crates/daemon/src/entry/draft.rs
+++ b/crates/daemon/src/entry/draft.rs
@@ -18,6 +18,9 @@
     AdapterName, AttemptNumber, LayerRange, ModelName, RequestId, ServerName, TokenPosition,
     VersionName,
 };
+use pollendrift_coordination::evidence::{
+    AttemptTrace, BodyDigest, OutcomeKind, RouteStage as TracedStage,
+};
 use pollendrift_coordination::ledger::{
     ChainLink, FinalEvent, FinalVerdict, GeneratedToken, LedgerSettings, TokenLedger, TokenResult,
     TokenVerdict,
@@ -30,6 +33,7 @@
 use flight_guard::FlightGuard;
 
 use super::context::EntryContext;
+use super::record::{RequestEnding, RunningRequest};
 use super::refusal::Refusal;
 use super::selection::ServedRequest;
 use super::stream::{ReplyFormat, ReplyWriter};
@@ -65,9 +69,9 @@
 }
 
 /// A draft that is to run.
-#[derive(Debug)]
 pub(super) struct DraftJob {
     pub(super) id: RequestId,
+    pub(super) record: RunningRequest,
     pub(super) model: ModelName,
     pub(super) version: Option<VersionName>,
     pub(super) adapter: Option<AdapterName>,
@@ -151,15 +155,29 @@
             }
         };
         drop(watch);
+        let Self {
+            job, ledger, link, ..
+        } = self;
+        let tokens = ledger
+            .as_ref()
+            .map_or(&[][..], TokenLedger::confirmed_prefix);
+        let answer = answer_digest(tokens);
         match ended {
             Ok(reason) => {
-                let tokens = self
-                    .ledger
-                    .as_ref()
-                    .map_or(&[][..], TokenLedger::confirmed_prefix);
-                self.link.finish(tokens, &reason).await;
+                let ending = RequestEnding {
+                    outcome: OutcomeKind::Complete,
+                    status: StatusCode::OK,
+                    reason: "every token's layers ran once, in order, in one version".into(),
+                    answer,
+                };
+                job.record.finish(ending).await;
+                link.finish(tokens, &reason).await;
+            }
+            Err(refusal) => {
+                let ending = RequestEnding::of_refusal(&refusal, link.has_begun());
+                job.record.finish(RequestEnding { answer, ..ending }).await;
+                link.fail(refusal.on_record()).await;
             }
-            Err(refusal) => self.link.fail(refusal).await,
         }
     }
 
@@ -168,7 +186,11 @@
         for _ in 0..self.context.drafts.max_attempts {
             let route = self.route(&failure)?;
             let mut flight = FlightGuard::new(&self.context, route.flight);
-            match self.attempt(&route, &mut flight).await {
+            let from = self.next_position();
+            let end = self.attempt(&route, &mut flight).await;
+            let trace = self.trace(&route, from, &end);
+            self.job.record.attempt(trace);
+            match end {
                 AttemptEnd::Complete { reason } => return Ok(reason),
                 AttemptEnd::Failed { server, reason } => {
                     log::warn!(request:% = self.job.id, server:% = server, reason:% = reason; "attempt failed");
@@ -218,6 +240,34 @@
         })
     }
 
+    fn next_position(&self) -> TokenPosition {
+        self.ledger
+            .as_ref()
+            .map_or(TokenPosition(0), TokenLedger::next_position)
+    }
+
+    /// One attempt, for the evidence.
+    fn trace(&self, route: &DraftRoute, from: TokenPosition, end: &AttemptEnd) -> AttemptTrace {
+        let ending = match end {
+            AttemptEnd::Complete { reason } => format!("complete: {reason}"),
+            AttemptEnd::Failed { server, reason } => format!("{server}: {reason}"),
+        };
+        let stage = |stage: &PlannedStage| TracedStage {
+            server: stage.server.clone(),
+            layers: Some(stage.layers),
+        };
+        AttemptTrace {
+            attempt: self.attempt,
+            model: Some(self.job.model.clone()),
+            version: Some(route.plan.version.clone()),
+            adapter: self.job.adapter.clone(),
+            stages: route.stages.iter().map(stage).collect(),
+            from,
+            tokens: self.next_position().0.saturating_sub(from.0),
+            ending: ending.into(),
+        }
+    }
+
     /// The truth about a draft that can't be completed.
     fn refusal(&self, detail: String) -> Refusal {
         if !self.may_have_run {
@@ -391,6 +441,8 @@
         let ledger = self.ledger.as_mut()?;
         match ledger.accept(token_result(event)) {
             TokenVerdict::Release { tokens, .. } => {
+                self.job.record.first_byte().await;
+                self.job.record.tokens(tokens.len());
                 self.link.tokens(&tokens).await;
                 None
             }
@@ -416,6 +468,12 @@
     }
 }
 
+/// Length and digest of the text that went to the caller.
+fn answer_digest(tokens: &[GeneratedToken]) -> BodyDigest {
+    let text: String = tokens.iter().map(|token| token.text.as_ref()).collect();
+    BodyDigest::of(text.as_bytes())
+}
+
 fn route_stage(stage: &PlannedStage) -> RouteStage {
     RouteStage {
         server: stage.server.to_string(),
--- a/crates/daemon/src/entry/draft/caller_link.rs
+++ b/crates/daemon/src/entry/draft/caller_link.rs
@@ -25,6 +25,11 @@
 }
 
 impl CallerLink {
+    /// Whether the caller has seen a part of the answer.
+    pub(super) fn has_begun(&self) -> bool {
+        self.reply.is_none()
+    }
+
     /// Sends released tokens on, if the caller reads a stream.
     pub(super) async fn tokens(&mut self, tokens: &[ReleasedToken]) {
         if !self.stream {
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -4,7 +4,8 @@
 
 use http::{HeaderValue, Response, StatusCode, header};
 use pollendrift_border::{ProblemReport, ProblemReportOutcome};
-use pollendrift_coordination::base::{RequestId, ServerName};
+use pollendrift_coordination::base::{RequestId, Revision, ServerName};
+use pollendrift_coordination::evidence::DecisionTrace;
 use pollendrift_http::{ClientError, ReadFailure, ResponseBody, json_response};
 
 use super::context::REQUEST_ID_HEADER;
@@ -23,7 +24,12 @@
     pub(crate) detail: String,
     pub(crate) outcome: ProblemReportOutcome,
     pub(crate) retry_after: Option<Duration>,
-    pub(crate) considered: Vec<String>,
+    /// What the configuration decided, where it was asked.
+    pub(crate) decision: Option<Box<DecisionTrace>>,
+    /// Revision by which it was decided.
+    pub(crate) revision: Option<Revision>,
+    /// Whether the evidence already tells this as the end of a request that was taken on.
+    pub(crate) recorded: bool,
 }
 
 impl Refusal {
@@ -41,7 +47,9 @@
             detail,
             outcome: ProblemReportOutcome::NotRun,
             retry_after: None,
-            considered: Vec::new(),
+            decision: None,
+            revision: None,
+            recorded: false,
         }
     }
 
@@ -192,6 +200,22 @@
         )
     }
 
+    /// The same refusal, told as the end of a request that is on record.
+    pub(crate) fn on_record(mut self) -> Self {
+        self.recorded = true;
+        self
+    }
+
+    fn considered(&self) -> Vec<String> {
+        let verdicts = self
+            .decision
+            .iter()
+            .flat_map(|decision| &decision.considered);
+        verdicts
+            .map(|verdict| format!("{}: {}", verdict.selector, verdict.reason))
+            .collect()
+    }
+
     /// The problem report for `id`.
     pub(crate) fn report(&self, id: &RequestId) -> ProblemReport {
         ProblemReport {
@@ -201,7 +225,7 @@
             detail: self.detail.clone(),
             outcome: self.outcome,
             request_id: id.to_string(),
-            considered: self.considered.clone(),
+            considered: self.considered(),
         }
     }
 
--- a/crates/daemon/src/entry/selection.rs
+++ b/crates/daemon/src/entry/selection.rs
@@ -1,11 +1,14 @@
 //! Which selector serves a request, and which backend servers it allows.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use http::StatusCode;
 use pollendrift_coordination::configuration::{
-    Configuration, RequestFacts, SelectedRequest, SelectionVerdict, Selector,
+    Configuration, ConsideredSelector, LabelSet, RequestFacts, SelectedRequest, SelectionRefusal,
+    SelectionVerdict, Selector,
 };
+use pollendrift_coordination::evidence::{DecisionTrace, SelectorVerdict};
 
 use super::context::EntryContext;
 use super::refusal::Refusal;
@@ -33,7 +36,6 @@
             selected: *selected,
         }),
         SelectionVerdict::Refused(refused) => {
-            let considered = refused.considered.iter().map(ToString::to_string).collect();
             let refusal = Refusal::not_run(
                 StatusCode::FORBIDDEN,
                 "no-selector",
@@ -41,14 +43,47 @@
                 refused.to_string(),
             );
             Err(Refusal {
-                considered,
+                decision: Some(Box::new(refused_decision(&configuration, facts, &refused))),
+                revision: Some(refused.revision),
                 ..refusal
             })
         }
     }
 }
 
+fn refused_decision(
+    configuration: &Configuration,
+    facts: &RequestFacts,
+    refused: &SelectionRefusal,
+) -> DecisionTrace {
+    let verdict = |considered: &ConsideredSelector| SelectorVerdict {
+        selector: considered.selector.clone(),
+        reason: considered.reason.to_string().into(),
+    };
+    DecisionTrace {
+        selector: None,
+        labels: traced_labels(&configuration.request_labels(facts)),
+        considered: refused.considered.iter().map(verdict).collect(),
+    }
+}
+
+fn traced_labels(labels: &LabelSet) -> BTreeMap<Arc<str>, Arc<str>> {
+    let pairs = labels.iter();
+    pairs
+        .map(|(key, value)| (Arc::from(key.as_str()), Arc::from(value.as_str())))
+        .collect()
+}
+
 impl ServedRequest {
+    /// What decided, for the evidence.
+    pub(super) fn decision(&self) -> DecisionTrace {
+        DecisionTrace {
+            selector: Some(self.selected.selector.clone()),
+            labels: traced_labels(&self.selected.labels),
+            considered: Vec::new(),
+        }
+    }
+
     /// The selector that serves the request.
     pub(super) fn selector(&self) -> Option<&Selector> {
         self.configuration.selector(self.selected.key)
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -11,16 +11,22 @@
 use bytes::Bytes;
 use http::{Request, Response, request};
 use hyper::body::Incoming;
-use pollendrift_coordination::base::{CustomerName, RequestId, ServiceName};
+use pollendrift_coordination::base::{
+    AttemptNumber, ClaimKey, CustomerName, RequestId, ServiceName, TokenPosition,
+};
 use pollendrift_coordination::configuration::RequestFacts;
+use pollendrift_coordination::evidence::{AttemptTrace, BodyDigest, RouteStage};
 use pollendrift_http::{ClientError, ResponseBody, read_bounded};
 
 use super::SERVICE_PREFIX;
 use super::context::EntryContext;
+use super::record::{RequestArrival, RequestEnding, RunningRequest};
 use super::refusal::Refusal;
 use super::selection::{ServedRequest, select};
 use crate::fleet::ServerView;
 
+use proxy::WholeAnswer;
+
 /// Header that names a call; a resend carries the same.
 const KEY_HEADER: &str = "idempotency-key";
 const MAX_KEY_BYTES: usize = 256;
@@ -39,11 +45,13 @@
 /// Acts on a call of a plain service.
 pub(super) async fn call(
     context: &Arc<EntryContext>,
-    customer: CustomerName,
-    id: &RequestId,
+    arrival: &RequestArrival,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let service = service_name(request.uri().path())?;
+    let Some(customer) = arrival.customer.clone() else {
+        return Err(Refusal::unauthorized("the request names no customer"));
+    };
     let mut facts = RequestFacts::call(customer.clone(), service.clone());
     facts.path = request.uri().path().into();
     let served = select(context, &facts)?;
@@ -53,10 +61,14 @@
     let body = read_bounded(body, context.max_body_bytes)
         .await
         .map_err(|failure| Refusal::bad_body(&failure))?;
+    let claim = key.as_deref().map(ClaimKey::from);
+    let digest = BodyDigest::of(&body);
+    let record = RunningRequest::begin(context, arrival, claim, digest, &served)?;
     let context = Arc::clone(context);
+    let id = arrival.id.clone();
     let call = ServiceCall {
         context,
-        id: id.clone(),
+        id,
         customer,
         service,
         head,
@@ -64,17 +76,32 @@
         served,
     };
     match key {
-        Some(key) if !call.is_idempotent() => claimed::run(call, key).await,
-        _ => call.run().await,
+        Some(key) if !call.is_idempotent() => claimed::run(call, record, key).await,
+        _ => call.run(record).await,
     }
 }
 
 impl ServiceCall {
-    async fn run(&self) -> Result<Response<ResponseBody>, Refusal> {
+    async fn run(&self, mut record: RunningRequest) -> Result<Response<ResponseBody>, Refusal> {
+        let result = self.attempts(&mut record).await;
+        let ending = match &result {
+            Ok(answer) => answer.ending(),
+            Err(refusal) => RequestEnding::of_refusal(refusal, false),
+        };
+        record.first_byte().await;
+        record.finish(ending).await;
+        result
+            .map(|answer| proxy::response(answer, &self.id))
+            .map_err(Refusal::on_record)
+    }
+
+    async fn attempts(&self, record: &mut RunningRequest) -> Result<WholeAnswer, Refusal> {
         let mut refusal = self.nobody_serves();
-        for server in self.servers() {
-            match self.send(&server).await {
-                Ok(answer) => return Ok(proxy::response(answer, &self.id)),
+        for (turn, server) in self.servers().iter().enumerate() {
+            let result = self.send(server).await;
+            record.attempt(self.trace(turn, server, &result));
+            match result {
+                Ok(answer) => return Ok(answer),
                 Err(ClientError::NotSent { reason }) => {
                     refusal = Refusal::no_pipeline(format!("{}: {reason}", server.facts.name));
                 }
@@ -89,6 +116,32 @@
         Err(refusal)
     }
 
+    /// One attempt, for the evidence.
+    fn trace(
+        &self,
+        turn: usize,
+        server: &ServerView,
+        result: &Result<WholeAnswer, ClientError>,
+    ) -> AttemptTrace {
+        let ending = match result {
+            Ok(answer) => format!("answered with status {}", answer.status.as_u16()),
+            Err(error) => error.to_string(),
+        };
+        AttemptTrace {
+            attempt: AttemptNumber(u32::try_from(turn).unwrap_or(u32::MAX).saturating_add(1)),
+            model: None,
+            version: None,
+            adapter: None,
+            stages: vec![RouteStage {
+                server: server.facts.name.clone(),
+                layers: None,
+            }],
+            from: TokenPosition(0),
+            tokens: 0,
+            ending: ending.into(),
+        }
+    }
+
     /// Servers that may take the call, the least loaded first.
     fn servers(&self) -> Vec<Arc<ServerView>> {
         let fleet = &self.context.fleet;
@@ -101,7 +154,7 @@
     }
 
     /// Sends the call to one server, if it still may take work.
-    async fn send(&self, server: &ServerView) -> Result<proxy::WholeAnswer, ClientError> {
+    async fn send(&self, server: &ServerView) -> Result<WholeAnswer, ClientError> {
         // Asked right before the send: between two servers time passes, and leases end.
         if !self
             .context
--- a/crates/daemon/src/entry/services/claimed.rs
+++ b/crates/daemon/src/entry/services/claimed.rs
@@ -21,6 +21,7 @@
 
 use super::ServiceCall;
 use super::proxy::{self, WholeAnswer};
+use crate::entry::record::{RequestEnding, RunningRequest};
 use crate::entry::refusal::Refusal;
 
 /// Pause between two tries to settle a claim while no keeper answers.
@@ -36,7 +37,11 @@
 ];
 
 /// Acts on a call that carries a key and is not idempotent.
-pub(super) async fn run(call: ServiceCall, key: String) -> Result<Response<ResponseBody>, Refusal> {
+pub(super) async fn run(
+    call: ServiceCall,
+    record: RunningRequest,
+    key: String,
+) -> Result<Response<ResponseBody>, Refusal> {
     let Some(life) = call.context.agreed.life() else {
         return Err(Refusal::not_ready(
             "the keepers have not yet given this process its life",
@@ -63,12 +68,14 @@
     let context = Arc::clone(&call.context);
     let runner = ClaimRunner {
         call,
+        record: Some(record),
         answer: None,
         told: Some(told),
     };
     context.tasks.spawn(runner.run(take));
     match verdict.await {
-        Ok(told) => told.into_reply(&id),
+        Ok(Ok(answer)) => Ok(proxy::response(answer, &id)),
+        Ok(Err(refusal)) => Err(refusal.on_record()),
         Err(_) => Err(Refusal::unknown(
             StatusCode::INTERNAL_SERVER_ERROR,
             "internal",
@@ -86,8 +93,10 @@
 
 struct ClaimRunner {
     call: ServiceCall,
+    /// Taken when the caller has been told.
+    record: Option<RunningRequest>,
     answer: Option<WholeAnswer>,
-    told: Option<oneshot::Sender<ToldVerdict>>,
+    told: Option<oneshot::Sender<Result<WholeAnswer, Refusal>>>,
 }
 
 impl ClaimRunner {
@@ -108,7 +117,7 @@
                     None
                 }
                 CallEffect::Tell(verdict) => {
-                    self.tell(verdict);
+                    self.tell(verdict).await;
                     None
                 }
             };
@@ -130,8 +139,13 @@
     }
 
     async fn send(&mut self) -> CallEvent {
-        for server in self.call.servers() {
-            match self.call.send(&server).await {
+        for (turn, server) in self.call.servers().into_iter().enumerate() {
+            let result = self.call.send(&server).await;
+            let trace = self.call.trace(turn, &server, &result);
+            if let Some(record) = &mut self.record {
+                record.attempt(trace);
+            }
+            match result {
                 Ok(answer) => {
                     let stored = stored_answer(&answer);
                     self.answer = Some(answer);
@@ -164,28 +178,34 @@
         }
     }
 
-    fn tell(&mut self, verdict: CallerVerdict) {
+    async fn tell(&mut self, verdict: CallerVerdict) {
+        let reply = ToldVerdict {
+            verdict,
+            answer: self.answer.take(),
+        }
+        .into_answer();
+        if let Some(record) = self.record.take() {
+            let ending = match &reply {
+                Ok(answer) => answer.ending(),
+                Err(refusal) => RequestEnding::of_refusal(refusal, false),
+            };
+            record.finish(ending).await;
+        }
         if let Some(told) = self.told.take() {
             // A caller that went away reads the stored outcome when it resends its key.
-            let _ = told.send(ToldVerdict {
-                verdict,
-                answer: self.answer.take(),
-            });
+            let _ = told.send(reply);
         }
     }
 }
 
 impl ToldVerdict {
-    fn into_reply(
-        self,
-        id: &pollendrift_coordination::base::RequestId,
-    ) -> Result<Response<ResponseBody>, Refusal> {
+    fn into_answer(self) -> Result<WholeAnswer, Refusal> {
         match self.verdict {
             CallerVerdict::Answer(stored) => match self.answer {
-                Some(answer) => Ok(proxy::response(answer, id)),
-                None => stored_response(stored, id),
+                Some(answer) => Ok(answer),
+                None => kept_answer(stored),
             },
-            CallerVerdict::StoredAnswer { answer, .. } => stored_response(answer, id),
+            CallerVerdict::StoredAnswer { answer, .. } => kept_answer(answer),
             CallerVerdict::InProgress { request } => Err(Refusal::in_progress(&request)),
             CallerVerdict::Unknown { request } => Err(Refusal::may_have_run(&request)),
             CallerVerdict::BodyDiffers { request } => Err(Refusal::key_reused(&request)),
@@ -194,10 +214,7 @@
     }
 }
 
-fn stored_response(
-    stored: StoredAnswer,
-    id: &pollendrift_coordination::base::RequestId,
-) -> Result<Response<ResponseBody>, Refusal> {
+fn kept_answer(stored: StoredAnswer) -> Result<WholeAnswer, Refusal> {
     let AnswerBody::Whole(body) = stored.body else {
         return Err(Refusal::answer_not_kept(stored.status));
     };
@@ -210,14 +227,11 @@
         }
     }
     let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
-    Ok(proxy::response(
-        WholeAnswer {
-            status,
-            headers,
-            body: Bytes::from(body),
-        },
-        id,
-    ))
+    Ok(WholeAnswer {
+        status,
+        headers,
+        body: Bytes::from(body),
+    })
 }
 
 fn stored_answer(answer: &WholeAnswer) -> StoredAnswer {
--- a/crates/daemon/src/entry/services/proxy.rs
+++ b/crates/daemon/src/entry/services/proxy.rs
@@ -4,10 +4,12 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::Full;
 use pollendrift_coordination::base::{RequestId, ServiceName};
+use pollendrift_coordination::evidence::{BodyDigest, OutcomeKind};
 use pollendrift_http::{ClientError, HttpClient, ResponseBody, full_body};
 
 use crate::entry::SERVICE_PREFIX;
 use crate::entry::context::REQUEST_ID_HEADER;
+use crate::entry::record::RequestEnding;
 
 /// Headers that belong to one connection and are not passed on.
 const HOP_HEADERS: [HeaderName; 7] = [
@@ -28,6 +30,18 @@
     pub(super) body: Bytes,
 }
 
+impl WholeAnswer {
+    /// The end of a request that this answers.
+    pub(super) fn ending(&self) -> RequestEnding {
+        RequestEnding {
+            outcome: OutcomeKind::Complete,
+            status: self.status,
+            reason: "the backend server's whole answer was passed on".into(),
+            answer: BodyDigest::of(&self.body),
+        }
+    }
+}
+
 /// Sends a call and reads its whole answer: a body that ends early is no answer.
 pub(super) async fn send(
     client: &HttpClient,
--- /dev/null
+++ b/crates/daemon/src/evidence.rs
@@ -0,0 +1,180 @@
+//! The way of evidence: from this process through the agreement group into keepers' files.
+
+use std::path::Path;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use pollendrift_coordination::base::{HostName, Incarnation, WallTime};
+use pollendrift_coordination::evidence::{
+    BufferBounds, ChainWriter, EvidenceBuffer, EvidenceFilter, EvidenceRecord, KeeperBatch,
+    agreed_through,
+};
+use pollendrift_coordination::replicated::{CommandAnswer, IndexedRecord, ReplicatedCommand};
+use tokio::sync::OnceCell;
+
+use crate::agreed::AgreedState;
+use crate::clock::TimeSource;
+use crate::settings::EvidenceSettings;
+use crate::state::SharedState;
+use crate::telemetry::{
+    EvidenceJournal, EvidenceRecorder, EvidenceSink, JournalError, SinkError, StoreFuture,
+};
+
+/// The agreement group as the one keeper of a buffer: its word is that of a majority that synced.
+const GROUP: &str = "keepers";
+/// Records that one append takes.
+const APPEND_RECORDS: usize = 1_024;
+/// Time between two looks for new records.
+const COPY_PERIOD: Duration = Duration::from_millis(200);
+/// Pause before a process without a life asks again.
+const LIFE_PAUSE: Duration = Duration::from_millis(20);
+
+/// Gives batches to the agreement group.
+pub struct AgreedSink {
+    agreed: Arc<dyn AgreedState>,
+}
+
+impl EvidenceSink for AgreedSink {
+    fn store(&self, batch: KeeperBatch) -> StoreFuture {
+        let agreed = Arc::clone(&self.agreed);
+        Box::pin(async move {
+            let command = ReplicatedCommand::RecordEvidence(batch.batch.to_agreed());
+            match agreed.submit(command).await {
+                Ok(CommandAnswer::Evidence(answer)) => {
+                    agreed_through(&answer).ok_or(SinkError::Superseded)
+                }
+                Ok(_) => Err(SinkError::Later {
+                    reason: "keepers answered another command".to_owned(),
+                }),
+                Err(error) => Err(SinkError::Later {
+                    reason: error.to_string(),
+                }),
+            }
+        })
+    }
+}
+
+/// Waits for this process's life, then records for as long as the process lives.
+pub async fn run_recorder(
+    recorder: Arc<OnceCell<Arc<EvidenceRecorder>>>,
+    host: HostName,
+    settings: EvidenceSettings,
+    agreed: Arc<dyn AgreedState>,
+    clock: Arc<dyn TimeSource>,
+) {
+    let life = wait_for_life(&agreed).await;
+    let writer = ChainWriter {
+        host,
+        incarnation: life,
+    };
+    let buffer = EvidenceBuffer::new(writer, buffer_bounds(&settings), [HostName::from(GROUP)]);
+    let running = Arc::new(EvidenceRecorder::new(buffer, clock));
+    // Set once: this task is the only one that sets it.
+    let _ = recorder.set(Arc::clone(&running));
+    running.run(&AgreedSink { agreed }).await;
+}
+
+async fn wait_for_life(agreed: &Arc<dyn AgreedState>) -> Incarnation {
+    loop {
+        if let Some(life) = agreed.life() {
+            return life;
+        }
+        tokio::time::sleep(LIFE_PAUSE).await;
+    }
+}
+
+fn buffer_bounds(settings: &EvidenceSettings) -> BufferBounds {
+    let size = |count: u64| usize::try_from(count).unwrap_or(usize::MAX);
+    BufferBounds {
+        max_records: size(settings.max_buffer_records),
+        max_bytes: size(settings.max_buffer_bytes),
+        max_batch_records: size(settings.max_batch_records),
+        batch_delay: settings.batch_delay,
+        resend_delay: settings.resend_delay,
+        copies: 1,
+    }
+}
+
+/// Evidence files of this host's keeper.
+#[derive(Clone, Debug)]
+pub struct EvidenceFiles {
+    journal: Arc<Mutex<EvidenceJournal>>,
+}
+
+impl EvidenceFiles {
+    /// Opens the files in the keeper's data folder.
+    ///
+    /// # Errors
+    /// The files can't be read.
+    pub fn open(host: HostName, folder: &Path) -> Result<Self, JournalError> {
+        let journal = EvidenceJournal::open(host, folder)?;
+        Ok(Self {
+            journal: Arc::new(Mutex::new(journal)),
+        })
+    }
+
+    /// Records that match `filter`, at most `limit`; reads files, so it blocks.
+    ///
+    /// # Errors
+    /// The files can't be read.
+    pub fn find(
+        &self,
+        filter: &EvidenceFilter,
+        limit: usize,
+    ) -> Result<Vec<EvidenceRecord>, JournalError> {
+        self.lock().find(filter, limit)
+    }
+
+    /// The whole evidence of this keeper as JSON lines; reads files, so it blocks.
+    ///
+    /// # Errors
+    /// The files can't be read.
+    pub fn export(&self, now: WallTime) -> Result<Vec<u8>, JournalError> {
+        let mut lines = Vec::new();
+        self.lock().export(now, &mut lines)?;
+        Ok(lines)
+    }
+
+    /// Copies agreed records into the files for as long as the process lives, or until the disk
+    /// fails: the log holds the records until then, and a restart copies what is missing.
+    pub async fn run(self, shared: SharedState) {
+        let mut ticks = tokio::time::interval(COPY_PERIOD);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let files = self.clone();
+            let state = shared.clone();
+            let copied = tokio::task::spawn_blocking(move || files.copy(&state)).await;
+            match copied {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => {
+                    log::error!(error:% = error; "evidence files stopped");
+                    return;
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn copy(&self, shared: &SharedState) -> Result<(), JournalError> {
+        loop {
+            let next = self.lock().next();
+            let records: Vec<IndexedRecord> = shared.look(|state| {
+                state
+                    .evidence()
+                    .since(next)
+                    .take(APPEND_RECORDS)
+                    .cloned()
+                    .collect()
+            });
+            if records.is_empty() {
+                return Ok(());
+            }
+            self.lock().append(&records)?;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EvidenceJournal> {
+        self.journal.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod daemon;
 pub mod entry;
+pub mod evidence;
 pub mod faces;
 pub mod feed;
 pub mod fleet;
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -4,12 +4,8 @@
 //! that the balancer moves away before anything is refused; then it refuses new work, truly not
 //! run, and lets what runs finish.
 
-use std::sync::Arc;
-
 use tokio::sync::watch;
 
-use crate::agreed::AgreedState;
-
 /// Step of a daemon's life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LifeStep {
@@ -60,14 +56,4 @@
     pub fn step(&self) -> LifeStep {
         *self.step.borrow()
     }
-
-    /// Why the balancer should send nothing here; `None` if it should.
-    pub fn unready_reason(&self, agreed: &Arc<dyn AgreedState>) -> Option<String> {
-        match self.step() {
-            LifeStep::Leaving | LifeStep::Closed => {
-                Some("it is leaving for a planned stop".to_owned())
-            }
-            LifeStep::Serving => agreed.configuration().err().map(|stale| stale.to_string()),
-        }
-    }
 }
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -7,8 +7,7 @@
 use hyper::body::Incoming;
 use pollendrift_http::{HandlerFuture, HttpHandler, ResponseBody, json_response, text_response};
 
-use crate::agreed::AgreedState;
-use crate::lifecycle::LifeWatch;
+use crate::entry::EntryContext;
 
 /// Gives one part of the dump; no part may hold a secret.
 pub trait DumpSource: Send + Sync {
@@ -21,9 +20,7 @@
 /// Answers the platform.
 pub struct PlatformHandler {
     /// Whether this host takes new work.
-    pub life: LifeWatch,
-    /// State that all hosts agree on.
-    pub agreed: Arc<dyn AgreedState>,
+    pub entry: Arc<EntryContext>,
     /// Parts of the dump, in alphabetical order of their names.
     pub sources: Vec<Arc<dyn DumpSource>>,
     /// Metrics in the usual text format.
@@ -62,7 +59,7 @@
     }
 
     fn readiness(&self) -> Response<ResponseBody> {
-        match self.life.unready_reason(&self.agreed) {
+        match self.entry.unready_reason() {
             None => text_response(StatusCode::OK, "ready\n"),
             Some(reason) => text_response(
                 StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/daemon/tests/hosts/support.rs
+++ b/crates/daemon/tests/hosts/support.rs
@@ -125,12 +125,12 @@
         }
     }
 
-    /// Waits until a host serves `revision` and has its life.
+    /// Waits until a host is ready and serves `revision`.
     pub(crate) async fn wait_revision(&self, index: usize, revision: Revision) {
-        let node = self.host(index).node();
+        let host = self.host(index);
         until(|| {
-            let held = node.configuration().map(|held| held.revision());
-            held == Ok(revision) && node.life().is_some()
+            let held = host.node().configuration().map(|held| held.revision());
+            held == Ok(revision) && host.unready_reason().is_none()
         })
         .await;
     }
