feat(evidence): draw one HTML page over an export

Cause: an inspector wants the run at a glance before the records. Conclusion: the plots were looked at as drawn by a small rasteriser of their SVG, not yet in a browser.

--- a/crates/coordination/src/evidence.rs
+++ b/crates/coordination/src/evidence.rs
@@ -11,6 +11,8 @@
 mod filter;
 mod heads;
 mod record;
+#[cfg(feature = "report")]
+mod report;
 mod retention;
 mod story;
 mod verify;
@@ -28,6 +30,8 @@
     OutcomeKind, RefusalsOmitted, RequestBegun, RequestFinished, RequestRefused, RequestTimings,
     RetentionApplied, RevisionInForce, RouteStage, SelectorVerdict,
 };
+#[cfg(feature = "report")]
+pub use report::{ReportError, report_page};
 pub use retention::{RetentionPolicy, StoredSpan, spans_to_drop};
 pub use story::tell;
 pub use verify::{ChainSummary, VerifyReport, verify};
--- a/crates/coordination/src/evidence/story.rs
+++ b/crates/coordination/src/evidence/story.rs
@@ -145,7 +145,7 @@
 }
 
 /// The time as `YYYY-MM-DDTHH:MM:SS.mmmZ`.
-fn format_time(time: WallTime) -> String {
+pub(super) fn format_time(time: WallTime) -> String {
     let (days, millis) = (time.0 / 86_400_000, time.0 % 86_400_000);
     let (year, month, day) = civil_date(days);
     let (hour, minute) = (millis / 3_600_000, millis / 60_000 % 60);
