feat(limits): share by weight, refuse early; feat(retries): proof, budgets, ejection

A flood by one customer must not delay the others, and retries must not multiply a failure or run a call twice.

Failures of work sent before an ejection no longer count towards the next one: the new test showed a returned server ejected again by its first failure.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod following;
 pub mod leases;
 pub mod ledger;
+pub mod limits;
 pub mod replicated;
 pub mod retries;
 pub mod routing;
--- a/crates/coordination/src/retries/outlier.rs
+++ b/crates/coordination/src/retries/outlier.rs
@@ -78,8 +78,13 @@
         class: C,
         peers: usize,
     ) -> Option<Ejection<C>> {
+        // Work that was under way when the ejection began still fails; counted, it would eject the
+        // server again with its first failure after it is back.
+        if self.is_ejected(now, key) {
+            return None;
+        }
         let count = *self.count_failure(key)?;
-        if count.in_a_row < self.settings.consecutive_failures || self.is_ejected(now, key) {
+        if count.in_a_row < self.settings.consecutive_failures {
             return None;
         }
         if self.ejected_peers(now, &class) >= self.allowed_ejections(peers) {
