--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -20,18 +20,21 @@
 use crate::announcements::AnnouncementHandler;
 use crate::clock::{SystemClock, TimeSource};
 use crate::entry::{DraftSettings, EntryContext, EntryHandler};
-use crate::evidence::{EvidenceFiles, run_recorder};
+use crate::evidence::run_recorder;
 use crate::faces::FaceRouter;
 use crate::fleet::BackendFleet;
 use crate::lifecycle::{LifeControl, LifeStep};
 use crate::node::{AgreedNode, NodeError, NodeParts};
+use crate::operators::{OperatorContext, OperatorHandler, keeper_state};
 use crate::platform::{DumpSource, MetricSource, PlatformHandler};
 use crate::settings::{DaemonSettings, DrainSettings, EntrySettings};
 use crate::tasks::TaskGroup;
-use crate::telemetry::{JournalError, MetricError, MetricRegistry};
+use crate::telemetry::{MetricError, MetricRegistry};
 
 /// Time between two ticks of the systems.
 const TICK: Duration = Duration::from_millis(100);
+/// Time between two looks at the key files.
+const KEY_TICK: Duration = Duration::from_secs(10);
 /// Largest answer of a plain service, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -57,15 +60,13 @@
     /// Metrics can't be kept.
     #[display("{_0}")]
     Metrics(MetricError),
-    /// The evidence files can't be read.
-    #[display("{_0}")]
-    Evidence(JournalError),
 }
 
 /// A running daemon; dropping it stops at once, as a crash does.
 pub struct RouterDaemon {
     servers: Vec<HttpServer>,
     context: Arc<EntryContext>,
+    access: Arc<AccessControl>,
     node: Arc<AgreedNode>,
     life: LifeControl,
     drain: DrainSettings,
@@ -73,11 +74,14 @@
 }
 
 impl RouterDaemon {
-    /// Starts the daemon of one host.
+    /// Starts the daemon of one host; `warnings` about its settings are said in the status.
     ///
     /// # Errors
     /// An address, the keys or the data folder can't be used; nothing is left running.
-    pub async fn start(settings: &DaemonSettings) -> Result<Self, StartError> {
+    pub async fn start(
+        settings: &DaemonSettings,
+        warnings: Vec<String>,
+    ) -> Result<Self, StartError> {
         let access = Arc::new(AccessControl::new(settings)?);
         let clock: Arc<dyn TimeSource> = Arc::new(SystemClock::default());
         let leases = BackendLeaseSettings {
@@ -115,8 +119,29 @@
             named: AtomicU64::new(0),
             tickets: AtomicU64::new(0),
         });
+        let dump: Vec<Arc<dyn DumpSource>> = vec![
+            Arc::new(FleetDump {
+                fleet: Arc::clone(&fleet),
+            }),
+            Arc::new(NodeDump {
+                node: Arc::clone(&node),
+            }),
+            Arc::new(RoutingDumpSource {
+                fleet: Arc::clone(&fleet),
+                clock: Arc::clone(&clock),
+            }),
+        ];
+        let operators = Arc::new(OperatorContext {
+            entry: Arc::clone(&context),
+            node: Arc::clone(&node),
+            access: Arc::clone(&access),
+            desk: Arc::clone(node.desk()),
+            dump: dump.clone(),
+            warnings,
+        });
         let router = FaceRouter {
             entry: Arc::new(EntryHandler::new(Arc::clone(&context))),
+            operators: Arc::new(OperatorHandler::new(operators)),
             announcements: Arc::new(AnnouncementHandler {
                 fleet: Arc::clone(&fleet),
                 access: Arc::clone(&access),
@@ -127,15 +152,7 @@
         };
         let platform = PlatformHandler {
             entry: Arc::clone(&context),
-            sources: vec![
-                Arc::new(FleetDump {
-                    fleet: Arc::clone(&fleet),
-                }),
-                Arc::new(RoutingDumpSource {
-                    fleet: Arc::clone(&fleet),
-                    clock: Arc::clone(&clock),
-                }),
-            ],
+            sources: dump,
             metrics: Arc::new(DaemonMetrics { metrics }),
         };
         let mut servers = Vec::new();
@@ -159,8 +176,9 @@
             )
             .await?,
         );
-        let mut tasks = vec![
+        let tasks = vec![
             tokio::spawn(tick_loop(fleet, Arc::clone(&clock))),
+            tokio::spawn(key_loop(Arc::clone(&access))),
             tokio::spawn(run_recorder(
                 recorder,
                 settings.host.clone(),
@@ -169,13 +187,10 @@
                 clock,
             )),
         ];
-        let files = open_files(settings, &node)?;
-        if let (Some(files), Some(shared)) = (&files, node.shared()) {
-            tasks.push(tokio::spawn(files.clone().run(shared.clone())));
-        }
         Ok(Self {
             servers,
             context,
+            access,
             node,
             life,
             drain: settings.drain.clone(),
@@ -183,6 +198,11 @@
         })
     }
 
+    /// Who may come in; its tokens and keys can be replaced.
+    pub fn access(&self) -> &AccessControl {
+        &self.access
+    }
+
     /// Why the balancer should send nothing here; `None` if it should.
     pub fn unready_reason(&self) -> Option<String> {
         self.context.unready_reason()
@@ -264,14 +284,15 @@
         .map_err(|error| StartError::Listen { address, error })
 }
 
-/// Evidence files, on a host with a keeper.
-fn open_files(
-    settings: &DaemonSettings,
-    node: &AgreedNode,
-) -> Result<Option<EvidenceFiles>, JournalError> {
-    match (&settings.data_folder, node.shared()) {
-        (Some(folder), Some(_)) => EvidenceFiles::open(settings.host.clone(), folder).map(Some),
-        _ => Ok(None),
+async fn key_loop(access: Arc<AccessControl>) {
+    let mut ticks = tokio::time::interval(KEY_TICK);
+    loop {
+        ticks.tick().await;
+        match access.refresh_keys() {
+            Ok(true) => log::info!("new keys are in force"),
+            Ok(false) => {}
+            Err(error) => log::error!(error:% = error; "keys not taken, the old ones stay"),
+        }
     }
 }
 
@@ -304,6 +325,23 @@
     }
 }
 
+struct NodeDump {
+    node: Arc<AgreedNode>,
+}
+
+impl DumpSource for NodeDump {
+    fn name(&self) -> &'static str {
+        "keeper"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        self.node
+            .keeper_status()
+            .map(keeper_state)
+            .unwrap_or_default()
+    }
+}
+
 struct RoutingDumpSource {
     fleet: Arc<BackendFleet>,
     clock: Arc<dyn TimeSource>,
--- a/crates/daemon/src/faces.rs
+++ b/crates/daemon/src/faces.rs
@@ -10,6 +10,7 @@
 use crate::announcements::AnnouncementHandler;
 use crate::daemon::FaceSet;
 use crate::entry::EntryHandler;
+use crate::operators::OperatorHandler;
 
 const BACKEND_PREFIX: &str = "/backend/";
 const OPERATOR_PREFIX: &str = "/operator/";
@@ -19,6 +20,8 @@
 pub struct FaceRouter {
     /// Callers' face.
     pub entry: Arc<EntryHandler>,
+    /// Operators' face.
+    pub operators: Arc<OperatorHandler>,
     /// Backend servers' face.
     pub announcements: Arc<AnnouncementHandler>,
 }
@@ -46,6 +49,9 @@
         if path.starts_with(BACKEND_PREFIX) && self.faces.backend_servers {
             return Arc::clone(&self.router.announcements).handle(request, peer);
         }
+        if path.starts_with(OPERATOR_PREFIX) && self.faces.operators {
+            return Arc::clone(&self.router.operators).handle(request, peer);
+        }
         if path.starts_with(OPERATOR_PREFIX)
             || path.starts_with(BACKEND_PREFIX)
             || !self.faces.callers
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -5,6 +5,7 @@
 use pollendrift_coordination::base::HostName;
 
 use crate::feed::ConfigurationFeed;
+use crate::operators::KeeperDesk;
 use crate::peers::{PeerAnswer, PeerCall, PeerFrame, PeerHandler, PeerHub, PeerQuestion};
 use crate::spread::LeaseSpreader;
 
@@ -12,6 +13,8 @@
 pub struct FrameTargets {
     /// Configuration.
     pub feed: Arc<ConfigurationFeed>,
+    /// Operators' questions.
+    pub desk: Arc<KeeperDesk>,
     /// Leases.
     pub spreader: Arc<LeaseSpreader>,
 }
@@ -54,12 +57,14 @@
 
 fn answer_call(targets: &FrameTargets, hub: &PeerHub, from: &HostName, call: PeerCall) {
     let feed = Arc::clone(&targets.feed);
+    let desk = Arc::clone(&targets.desk);
     let hub = hub.clone();
     let from = from.clone();
     tokio::spawn(async move {
         let work = async {
             match call.question {
                 PeerQuestion::ConfigurationAfter { have } => feed.answer(have).await,
+                PeerQuestion::Operator(question) => desk.serve(&question.0).await,
                 _ => PeerAnswer::NotRun {
                     reason: "this host does not answer that".to_owned(),
                 },
--- a/crates/daemon/src/keeper/calls.rs
+++ b/crates/daemon/src/keeper/calls.rs
@@ -20,7 +20,9 @@
 ) -> Option<PeerCall> {
     if matches!(
         call.question,
-        PeerQuestion::RequestLookUp(_) | PeerQuestion::ConfigurationAfter { .. }
+        PeerQuestion::RequestLookUp(_)
+            | PeerQuestion::ConfigurationAfter { .. }
+            | PeerQuestion::Operator(_)
     ) {
         return Some(call);
     }
@@ -53,11 +55,11 @@
         }
         PeerQuestion::Introduction(asker) => introduce(port, &asker),
         PeerQuestion::Join(keeper) => join(port, from, keeper).await,
-        PeerQuestion::RequestLookUp(_) | PeerQuestion::ConfigurationAfter { .. } => {
-            PeerAnswer::NotRun {
-                reason: "not a question to a keeper".to_owned(),
-            }
-        }
+        PeerQuestion::RequestLookUp(_)
+        | PeerQuestion::ConfigurationAfter { .. }
+        | PeerQuestion::Operator(_) => PeerAnswer::NotRun {
+            reason: "not a question to a keeper".to_owned(),
+        },
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod keeper;
 pub mod lifecycle;
 pub mod node;
+pub mod operators;
 pub mod peers;
 pub mod platform;
 pub mod settings;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
@@ -19,19 +19,23 @@
 use crate::access::AccessControl;
 use crate::agreed::{AgreedState, StaleConfiguration, SubmitFuture};
 use crate::clock::TimeSource;
+use crate::evidence::EvidenceFiles;
 use crate::feed::{ConfigurationFeed, follow_own_keeper};
 use crate::fleet::BackendFleet;
 use crate::frames::{DaemonFrames, FrameTargets};
 use crate::keeper::{
-    ClientSettings, KeeperClient, KeeperError, KeeperFrames, KeeperSettings, KeeperStart,
-    KeeperStatus, RetryPermission, RunningKeeper, SubmitError, keeper_queue, start_keeper,
+    ClientSettings, KeeperClient, KeeperError, KeeperFrames, KeeperHandle, KeeperSettings,
+    KeeperStart, KeeperStatus, RetryPermission, RunningKeeper, SubmitError, keeper_queue,
+    start_keeper,
 };
+use crate::operators::KeeperDesk;
 use crate::peers::{
     LinkSettings, PeerAddress, PeerHandler, PeerHub, PeerNode, PeerTasks, start_peers,
 };
 use crate::settings::DaemonSettings;
 use crate::spread::LeaseSpreader;
 use crate::state::SharedState;
+use crate::telemetry::JournalError;
 use crate::transport::AccessTransport;
 
 /// Pause between two tries to announce this process's life to the keepers.
@@ -55,14 +59,19 @@
     /// The keeper can't start.
     #[display("{_0}")]
     Keeper(KeeperError),
+    /// The evidence files can't be read.
+    #[display("{_0}")]
+    Evidence(JournalError),
 }
 
 /// This host's part in the agreed state; dropping it ends it at once, as a crash does.
 pub struct AgreedNode {
     feed: Arc<ConfigurationFeed>,
     client: KeeperClient,
-    keeper: Option<RunningKeeper>,
+    /// Taken at the planned stop.
+    keeper: Mutex<Option<RunningKeeper>>,
     shared: Option<SharedState>,
+    desk: Arc<KeeperDesk>,
     peers: PeerTasks,
     tasks: Vec<JoinHandle<()>>,
     life: tokio::sync::watch::Receiver<Option<Incarnation>>,
@@ -90,10 +99,7 @@
         let listener = TcpListener::bind(address)
             .await
             .map_err(|error| NodeError::Listen { address, error })?;
-        let keepers: Vec<HostName> = settings
-            .initial_keepers()
-            .map(|peer| peer.name.clone())
-            .collect();
+        let keepers = initial_keepers(settings);
         let is_keeper = keepers.contains(&settings.host);
         let frames = Arc::new(DaemonFrames::default());
         let queue = is_keeper.then(|| keeper_queue(KeeperSettings::default().queue));
@@ -140,8 +146,24 @@
             shared.clone(),
             Arc::clone(&parts.clock),
         ));
-        let spreader = Arc::new(LeaseSpreader::new(parts.fleet, parts.clock));
+        let spreader = Arc::new(LeaseSpreader::new(
+            Arc::clone(&parts.fleet),
+            Arc::clone(&parts.clock),
+        ));
+        let files = match (&shared, &settings.data_folder) {
+            (Some(_), Some(folder)) => Some(EvidenceFiles::open(settings.host.clone(), folder)?),
+            _ => None,
+        };
+        let desk = Arc::new(KeeperDesk::new(
+            hub.clone(),
+            initial_keepers(settings),
+            client.clone(),
+            shared.clone(),
+            files.clone(),
+            Arc::clone(&parts.clock),
+        ));
         frames.connect(FrameTargets {
+            desk: Arc::clone(&desk),
             feed: Arc::clone(&feed),
             spreader: Arc::clone(&spreader),
         });
@@ -150,6 +172,9 @@
             tokio::spawn(spreader.run(hub.clone())),
         ];
         if let Some(shared) = &shared {
+            if let Some(files) = files {
+                tasks.push(tokio::spawn(files.run(shared.clone())));
+            }
             tasks.push(tokio::spawn(follow_own_keeper(
                 Arc::clone(&feed),
                 shared.clone(),
@@ -164,8 +189,9 @@
         Ok(Self {
             feed,
             client,
-            keeper,
+            keeper: Mutex::new(keeper),
             shared,
+            desk,
             peers,
             tasks,
             life,
@@ -179,7 +205,7 @@
 
     /// State of this host's keeper; `None` without one.
     pub fn keeper_status(&self) -> Option<KeeperStatus> {
-        self.keeper.as_ref().map(|keeper| keeper.handle().status())
+        self.keeper_handle().map(|handle| handle.status())
     }
 
     /// The replicated state of this host's keeper.
@@ -187,6 +213,11 @@
         self.shared.as_ref()
     }
 
+    /// Answers operators' questions that need a keeper.
+    pub fn desk(&self) -> &Arc<KeeperDesk> {
+        &self.desk
+    }
+
     /// Links to the peers.
     pub fn hub(&self) -> &PeerHub {
         self.peers.hub()
@@ -199,8 +230,8 @@
 
     /// Gives leadership away, before a planned stop closes the links.
     pub async fn hand_over(&self) -> bool {
-        match &self.keeper {
-            Some(keeper) => keeper.handle().hand_over(HAND_OVER_PATIENCE).await,
+        match self.keeper_handle() {
+            Some(handle) => handle.hand_over(HAND_OVER_PATIENCE).await,
             None => true,
         }
     }
@@ -209,12 +240,22 @@
     ///
     /// # Errors
     /// The store failed at the last sync.
-    pub async fn stop(mut self) -> Result<(), KeeperError> {
-        if let Some(keeper) = self.keeper.take() {
-            keeper.handle().stop();
-            keeper.finish().await?;
-        }
-        Ok(())
+    pub async fn stop(&self) -> Result<(), KeeperError> {
+        let keeper = self
+            .keeper
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        let Some(keeper) = keeper else {
+            return Ok(());
+        };
+        keeper.handle().stop();
+        keeper.finish().await
+    }
+
+    fn keeper_handle(&self) -> Option<KeeperHandle> {
+        let keeper = self.keeper.lock().unwrap_or_else(PoisonError::into_inner);
+        keeper.as_ref().map(|keeper| keeper.handle().clone())
     }
 }
 
@@ -270,6 +311,13 @@
     }
 }
 
+fn initial_keepers(settings: &DaemonSettings) -> Vec<HostName> {
+    settings
+        .initial_keepers()
+        .map(|peer| peer.name.clone())
+        .collect()
+}
+
 fn connect_peers(
     settings: &DaemonSettings,
     parts: &NodeParts,
--- /dev/null
+++ b/crates/daemon/src/operators/changes.rs
@@ -0,0 +1,101 @@
+//! `POST /operator/v1/changes`: an operator replaces the configuration.
+
+use std::sync::Arc;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use pollendrift_coordination::configuration::{
+    CanonicalText, ChangeAnswer, ChangeBody, ChangeReply, ChangeRequest, ParsedConfiguration,
+};
+use pollendrift_coordination::evidence::{BodyDigest, ConfigurationChanged, EvidenceEvent};
+use pollendrift_coordination::replicated::{CommandAnswer, ReplicatedCommand};
+use pollendrift_http::{ResponseBody, json_response, read_json};
+
+use super::OperatorContext;
+use super::problem::OperatorProblem;
+use crate::access::OperatorIdentity;
+use crate::agreed::AgreedState;
+use crate::keeper::SubmitError;
+
+const MAX_CHANGE_BYTES: usize = 8 << 20;
+
+/// Acts on a change; a resend under the same change id gets its first answer.
+pub(super) async fn change(
+    context: &Arc<OperatorContext>,
+    operator: &OperatorIdentity,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, OperatorProblem> {
+    let body: ChangeBody = read_json(request.into_body(), MAX_CHANGE_BYTES)
+        .await
+        .map_err(|failure| OperatorProblem::bad_body(&failure))?;
+    let change = ChangeRequest {
+        change_id: body.change_id,
+        based_on: body.based_on,
+        operator: operator.name.clone(),
+        text: body.text,
+    };
+    let command = ReplicatedCommand::ChangeConfiguration(change.clone());
+    let answer = match context.node.submit(command).await {
+        Ok(CommandAnswer::Change(answer)) => answer,
+        Ok(_) => {
+            return Err(OperatorProblem::unknown(
+                "keepers answered another command".to_owned(),
+            ));
+        }
+        Err(SubmitError::NotRun { reason }) => return Err(OperatorProblem::unavailable(reason)),
+        Err(SubmitError::Unknown { reason }) => {
+            let advice = "send it again under the same change id to learn what became of it";
+            return Err(OperatorProblem::unknown(format!("{reason}; {advice}")));
+        }
+    };
+    record(context, &change, &answer);
+    let reply = ChangeReply::from(answer);
+    let status = StatusCode::from_u16(reply.status()).unwrap_or(StatusCode::OK);
+    Ok(json_response(status, &reply))
+}
+
+fn record(context: &OperatorContext, change: &ChangeRequest, answer: &ChangeAnswer) {
+    let Some(recorder) = context.entry.recorder.get() else {
+        return;
+    };
+    let (revision, reason) = match answer {
+        ChangeAnswer::Accepted { revision, .. } => (Some(*revision), String::new()),
+        ChangeAnswer::Conflict(conflict) => (None, conflict.to_string()),
+        ChangeAnswer::Refused { findings } => (None, findings.to_string()),
+        ChangeAnswer::ChangeIdReused => {
+            (None, "the change id stands for another change".to_owned())
+        }
+    };
+    let event = EvidenceEvent::ConfigurationChanged(ConfigurationChanged {
+        change: change.change_id.clone(),
+        operator: change.operator.clone(),
+        based_on: change.based_on,
+        revision,
+        documents: BodyDigest::of(change.text.as_bytes()),
+        touched: touched(context, change),
+        reason: reason.into(),
+    });
+    if let Err(full) = recorder.note(event) {
+        // The change itself is in the replicated history, which names operator, time and content.
+        log::error!(change:% = change.change_id, error:% = full; "change not in evidence");
+    }
+}
+
+/// Documents in which the change differs from what this host holds.
+fn touched(context: &OperatorContext, change: &ChangeRequest) -> Vec<Arc<str>> {
+    let Ok(parsed) = ParsedConfiguration::parse(change.change_id.as_str(), &change.text) else {
+        return Vec::new();
+    };
+    let before = context.node.configuration();
+    let earlier = before.map_or_else(
+        |_| CanonicalText::default(),
+        |held| held.canonical().clone(),
+    );
+    let difference = earlier.difference(&parsed.canonical());
+    let keys = difference
+        .added
+        .iter()
+        .chain(&difference.removed)
+        .chain(&difference.changed);
+    keys.map(|key| Arc::from(key.to_string())).collect()
+}
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -124,6 +124,8 @@
         /// Revision that the asker holds; its content is left out of the answer.
         have: Option<Revision>,
     },
+    /// An operator's question that needs a keeper, encoded.
+    Operator(FrameBytes),
     /// What is known of a request?
     RequestLookUp(RequestId),
     /// Which keeper are you, and of which group? Asked by a keeper that belongs to none.
@@ -144,6 +146,8 @@
         /// Its canonical text; `None` if the asker holds it.
         content: Option<FrameBytes>,
     },
+    /// Encoded answer to an operator's question.
+    Operator(FrameBytes),
     /// Log index that must be applied.
     Readable(u64),
     /// Encoded record of the request; `None` if this host knows nothing of it.
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,121 @@
+//! `pollendrift run`: one daemon from its settings to its planned stop.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use pollendrift::daemon::RouterDaemon;
+use pollendrift::settings::{DaemonSettings, LoadedSettings};
+use pollendrift::telemetry::LogControl;
+use pollendrift_coordination::base::FindingList;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Exit code of settings that are refused.
+const EXIT_FINDINGS: u8 = 2;
+
+/// Runs the daemon; exits 0 after a planned stop that interrupted nothing.
+pub(crate) fn run(path: &Path) -> ExitCode {
+    let loaded = match DaemonSettings::load(path) {
+        Ok(loaded) => loaded,
+        Err(findings) => return refuse(&findings),
+    };
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error),
+    };
+    match runtime.block_on(serve(path, loaded)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => fail(error.as_ref()),
+    }
+}
+
+fn refuse(findings: &FindingList) -> ExitCode {
+    eprint!("{findings}");
+    ExitCode::from(EXIT_FINDINGS)
+}
+
+fn fail(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("pollendrift: {error}");
+    ExitCode::FAILURE
+}
+
+async fn serve(path: &Path, loaded: LoadedSettings) -> Result<bool, Box<dyn std::error::Error>> {
+    let LoadedSettings { settings, warnings } = loaded;
+    let logs = LogControl::start(&settings.logs)?;
+    let warnings: Vec<String> = warnings.iter().map(ToString::to_string).collect();
+    for warning in &warnings {
+        log::warn!("{warning}");
+    }
+    let mut signals = StopSignals::new()?;
+    let daemon = RouterDaemon::start(&settings, warnings).await?;
+    log::info!(host:% = settings.host; "serving");
+    while signals.next().await == Wanted::Reload {
+        reload(path, &daemon, &logs);
+    }
+    log::info!(host:% = settings.host; "leaving as planned");
+    let draining = daemon.drain();
+    let mut draining = std::pin::pin!(draining);
+    loop {
+        tokio::select! {
+            finished = &mut draining => {
+                log::info!(finished = finished; "stopped");
+                return Ok(finished);
+            }
+            wanted = signals.next() => match wanted {
+                Wanted::Stop => log::warn!("already leaving; what runs is not cut short"),
+                Wanted::Reload => log::warn!("leaving; settings are not read again"),
+            },
+        }
+    }
+}
+
+/// Takes tokens, keys and log levels into force; all other settings need a restart.
+fn reload(path: &Path, daemon: &RouterDaemon, logs: &LogControl) {
+    let loaded = match DaemonSettings::load(path) {
+        Ok(loaded) => loaded,
+        Err(findings) => {
+            log::error!("settings not taken, the old ones stay:\n{findings}");
+            return;
+        }
+    };
+    if let Err(error) = daemon.access().reload(&loaded.settings) {
+        log::error!("tokens and keys not taken, the old ones stay: {error}");
+    }
+    if let Err(error) = logs.change(&loaded.settings.logs) {
+        log::error!("log levels not taken, the old ones stay: {error}");
+    }
+    log::info!("settings read again");
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wanted {
+    Stop,
+    Reload,
+}
+
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl StopSignals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    async fn next(&mut self) -> Wanted {
+        tokio::select! {
+            _ = self.terminate.recv() => Wanted::Stop,
+            _ = self.interrupt.recv() => Wanted::Stop,
+            _ = self.hangup.recv() => Wanted::Reload,
+        }
+    }
+}
--- a/crates/daemon/tests/hosts/support.rs
+++ b/crates/daemon/tests/hosts/support.rs
@@ -75,7 +75,7 @@
         let settings = DaemonSettings::parse(&"test".into(), PathBuf::new(), &text);
         let settings = settings.unwrap().settings;
         // The folder's lock and the ports of a crashed host are free once its tasks have ended.
-        self.hosts[index] = Some(eventually(|| RouterDaemon::start(&settings)).await);
+        self.hosts[index] = Some(eventually(|| RouterDaemon::start(&settings, Vec::new())).await);
     }
 
     /// Ends a host at once, as a crash does.
--- a/crates/standins/examples/quickstart/main.rs
+++ b/crates/standins/examples/quickstart/main.rs
@@ -57,7 +57,7 @@
 async fn run(options: &QuickstartOptions) -> Result<(), Box<dyn Error>> {
     let folder = tempfile::tempdir()?;
     let settings = host_settings(folder.path())?;
-    let daemon = RouterDaemon::start(&settings).await?;
+    let daemon = RouterDaemon::start(&settings, Vec::new()).await?;
     apply_selectors(&daemon).await?;
     let entry = settings.listen.callers.to_string();
 
