fix(agreement): count no voter without a known value

Cause: a voter missing from the leader's table would have counted with the leader's own value; bytes of earlier terms' entries freed room in the bound on uncommitted bytes; a hand-over to a silent keeper refused callers for an election timeout before it failed. Change: such a voter counts for nothing, each proposal frees its own bytes, and a hand-over to a silent keeper is refused at once. A group of one is tested.

--- a/crates/coordination/src/agreement/change.rs
+++ b/crates/coordination/src/agreement/change.rs
@@ -23,7 +23,11 @@
     fn append_membership(&mut self, membership: Membership, token: Option<RequestToken>) {
         let index = self.append_own(EntryPayload::Membership(membership));
         if let RoleState::Leader(leader) = &mut self.role {
-            leader.change = token.map(|token| PendingEntry { index, token });
+            leader.change = token.map(|token| PendingEntry {
+                index,
+                token,
+                bytes: 0,
+            });
         }
         self.refresh_peers();
     }
--- a/crates/coordination/src/agreement/handover.rs
+++ b/crates/coordination/src/agreement/handover.rs
@@ -49,6 +49,11 @@
             .max()
             .cloned()
             .ok_or(RefusalReason::NotMember)?;
+        let window = self.contact_window();
+        let peer = leader.peers.get(&target);
+        if !peer.is_some_and(|peer| peer.is_in_contact(self.now, window)) {
+            return Err(RefusalReason::NotAnswering);
+        }
         Ok(HandOverState {
             token,
             target,
--- a/crates/coordination/src/agreement/lead.rs
+++ b/crates/coordination/src/agreement/lead.rs
@@ -32,6 +32,14 @@
 pub(super) struct PendingEntry {
     pub(super) index: LogIndex,
     pub(super) token: RequestToken,
+    /// Bytes that the entry counts for in the bound on what is uncommitted.
+    pub(super) bytes: usize,
+}
+
+/// Whose majority is meant, and who asks.
+pub(super) struct QuorumView<'a> {
+    pub(super) membership: &'a Membership,
+    pub(super) keeper: &'a KeeperId,
 }
 
 /// State that lives as long as one leadership.
@@ -73,10 +81,11 @@
         }
     }
 
-    /// The value that a majority of voters reached, where `own` is this keeper's.
+    /// The value that a majority of voters reached, where `own` is this keeper's; a voter without
+    /// a known value counts for none.
     pub(super) fn quorum_value<T, F>(
         &self,
-        membership: &Membership,
+        quorum: &QuorumView<'_>,
         own: T,
         of_peer: F,
     ) -> Option<T>
@@ -84,10 +93,18 @@
         T: Ord + Copy,
         F: Fn(&PeerProgress) -> T,
     {
-        let value = |voter: &KeeperId| self.peers.get(voter).map_or(own, &of_peer);
-        let mut values: Vec<T> = membership.voters.iter().map(value).collect();
+        let value = |voter: &KeeperId| {
+            if voter == quorum.keeper {
+                return Some(own);
+            }
+            self.peers.get(voter).map(&of_peer)
+        };
+        let voters = &quorum.membership.voters;
+        let mut values: Vec<T> = voters.iter().filter_map(value).collect();
         values.sort_unstable_by(|left, right| right.cmp(left));
-        values.get(membership.quorum().checked_sub(1)?).copied()
+        values
+            .get(quorum.membership.quorum().checked_sub(1)?)
+            .copied()
     }
 }
 
@@ -104,7 +121,11 @@
         let bytes = self.log.entry(index).map_or(0, entry_bytes);
         if let RoleState::Leader(leader) = &mut self.role {
             leader.uncommitted_bytes = leader.uncommitted_bytes.saturating_add(bytes);
-            leader.proposals.push_back(PendingEntry { index, token });
+            leader.proposals.push_back(PendingEntry {
+                index,
+                token,
+                bytes,
+            });
         }
     }
 
@@ -164,7 +185,7 @@
 
     pub(super) fn leadership_end(&self, leader: &LeaderState) -> MonotonicTime {
         leader
-            .quorum_value(self.log.membership(), self.now, |peer| peer.contact_at)
+            .quorum_value(&self.quorum_view(), self.now, |peer| peer.contact_at)
             .unwrap_or(self.now)
             .after(self.settings.election_timeout)
     }
@@ -177,6 +198,13 @@
         }
     }
 
+    fn quorum_view(&self) -> QuorumView<'_> {
+        QuorumView {
+            membership: self.log.membership(),
+            keeper: &self.id,
+        }
+    }
+
     /// Whether peers answer within the time that a leader may count on.
     pub(super) fn contact_window(&self) -> Duration {
         self.settings.election_timeout
@@ -199,7 +227,7 @@
             return;
         };
         let durable = self.writes.durable_index();
-        let reached = leader.quorum_value(self.log.membership(), durable, |peer| peer.matched);
+        let reached = leader.quorum_value(&self.quorum_view(), durable, |peer| peer.matched);
         let Some(reached) = reached else {
             return;
         };
@@ -378,12 +406,11 @@
     }
 
     /// Answers the requests whose entries were just delivered.
-    pub(super) fn settle_committed(&mut self, delivered_bytes: usize) {
+    pub(super) fn settle_committed(&mut self) {
         let commit = self.commit;
         let RoleState::Leader(leader) = &mut self.role else {
             return;
         };
-        leader.uncommitted_bytes = leader.uncommitted_bytes.saturating_sub(delivered_bytes);
         while leader
             .proposals
             .front()
@@ -392,6 +419,7 @@
             let Some(pending) = leader.proposals.pop_front() else {
                 break;
             };
+            leader.uncommitted_bytes = leader.uncommitted_bytes.saturating_sub(pending.bytes);
             self.effects.push(AgreementEffect::Proposal {
                 token: pending.token,
                 outcome: ProposalOutcome::Committed(pending.index),
--- a/crates/coordination/src/agreement/node.rs
+++ b/crates/coordination/src/agreement/node.rs
@@ -7,7 +7,7 @@
 use super::entry::{EntryPayload, HardState, KeeperId, LogEntry, LogIndex, Membership, Term};
 use super::identity::IdentityTable;
 use super::lead::LeaderState;
-use super::log::{ReplicatedLog, entry_bytes};
+use super::log::ReplicatedLog;
 use super::message::{AgreementEnvelope, AgreementMessage, StartMark};
 use super::persist::{HeldAction, PersistQueue};
 use super::port::{
@@ -310,9 +310,8 @@
             .cloned()
             .collect();
         self.delivered = self.commit;
-        let bytes = entries.iter().map(entry_bytes).sum();
         self.effects.push(AgreementEffect::Committed(entries));
-        self.settle_committed(bytes);
+        self.settle_committed();
         self.want_snapshot();
     }
 
--- a/crates/coordination/src/agreement/port.rs
+++ b/crates/coordination/src/agreement/port.rs
@@ -267,6 +267,9 @@
     /// The learner lacks committed entries.
     #[display("learner has not caught up")]
     NotCaughtUp,
+    /// The keeper that should lead does not answer now.
+    #[display("keeper does not answer")]
+    NotAnswering,
     /// The leader would remove itself; hand leadership over first.
     #[display("hand leadership over before removing its holder")]
     HandOverFirst,
--- a/crates/coordination/src/agreement/read.rs
+++ b/crates/coordination/src/agreement/read.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 
 use super::entry::LogIndex;
+use super::lead::QuorumView;
 use super::message::HeartbeatRound;
 use super::node::{AgreementNode, RoleState};
 use super::port::{AgreementEffect, ReadOutcome, RefusalReason, RequestToken};
@@ -81,7 +82,11 @@
             return;
         };
         let own = leader.round;
-        let answered = leader.quorum_value(self.log.membership(), own, |peer| peer.answered_round);
+        let quorum = QuorumView {
+            membership: self.log.membership(),
+            keeper: &self.id,
+        };
+        let answered = leader.quorum_value(&quorum, own, |peer| peer.answered_round);
         let Some(answered) = answered else {
             return;
         };
--- a/crates/coordination/tests/agreement_contract.rs
+++ b/crates/coordination/tests/agreement_contract.rs
@@ -312,6 +312,35 @@
     "#);
 }
 
+/// A group of one leads itself, and accepts once its own disk has the command.
+#[test]
+fn one_keeper_alone_accepts_after_its_own_sync() {
+    let mut alone = membership();
+    alone.voters = BTreeSet::from([keeper("a", 2)]);
+    let restored = RestoredState::founding(alone);
+    let start = MonotonicTime::START;
+    let mut node = AgreementNode::new(settings(), keeper("a", 2), restored, start, 7);
+    let now = node.next_deadline();
+    let synced = |sequence| AgreementInput::Persisted(PersistSequence(sequence));
+    let mut told = Vec::new();
+    for inputs in [
+        vec![],
+        vec![synced(1)],
+        vec![propose(1, 4), synced(2)],
+        vec![synced(3)],
+    ] {
+        told.push(outcomes(&node.tick(now, inputs)).join(", "));
+    }
+    insta::assert_debug_snapshot!(told, @r#"
+    [
+        "persist 0",
+        "persist 1",
+        "persist 1",
+        "1 Committed(LogIndex(3))",
+    ]
+    "#);
+}
+
 fn any_message() -> impl Strategy<Value = AgreementMessage> {
     let number = || 0..5_u64;
     let vote =
