--- a/crates/coordination/tests/evidence_verify.rs
+++ b/crates/coordination/tests/evidence_verify.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a helper that fails is a failed test")]
 
 use pollendrift_coordination::evidence::{
-    ChainHead, OutcomeKind, SealedRecord, VerifyReport, verify,
+    ChainHead, EvidenceBatch, HeadTable, OutcomeKind, SealedRecord, VerifyReport, verify,
 };
 use proptest::prelude::{ProptestConfig, any, prop, prop_assert, proptest};
 
@@ -223,6 +223,19 @@
         prop_assert!(!covered || verify_lines(&lines, &[]).findings.has_errors());
     }
 
+    /// Nothing that a stranger sends as a batch is stored unless its chain is whole.
+    #[test]
+    fn any_batch_is_refused(lines in prop::collection::vec("[{}\\[\\]\",:a-z0-9]{0,64}", 0..4), bytes in any::<Vec<u8>>()) {
+        let batch = EvidenceBatch {
+            writer: evidence_support::writer("brest-1"),
+            first: 1.into(),
+            lines: lines.into_iter().map(Into::into).collect(),
+        };
+        prop_assert!(HeadTable::default().check(&batch).is_err());
+        let decoded: Result<EvidenceBatch, _> = ciborium::from_reader(bytes.as_slice());
+        prop_assert!(decoded.is_err());
+    }
+
     /// Nothing that a stranger writes stops the decoder.
     #[test]
     fn any_text_is_read_or_refused(text in any::<String>(), tail in "[{}\\[\\]\",:a-z0-9]{0,64}") {
