fix(agreement): report unworkable settings at their place and never overflow

Cause: settings were raised in silence, and a heartbeat interval near the largest duration would have overflowed in a product. Change: findings name every unworkable option; products saturate. Figures: a unit test with four findings at once, one of them that interval.

--- a/crates/coordination/src/agreement/lead.rs
+++ b/crates/coordination/src/agreement/lead.rs
@@ -301,7 +301,10 @@
         };
         let membership = self.log.membership();
         leader.peers.retain(|peer, _| !membership.supersedes(peer));
-        let patience = self.settings.election_timeout * LEAVING_ELECTION_TIMEOUTS;
+        let patience = self
+            .settings
+            .election_timeout
+            .saturating_mul(LEAVING_ELECTION_TIMEOUTS);
         let leaving = LeavingPeer {
             removed_at: self.log.membership_index(),
             due: self.now.after(patience),
--- a/crates/coordination/src/agreement/settings.rs
+++ b/crates/coordination/src/agreement/settings.rs
@@ -84,7 +84,11 @@
             let place = place_of("heartbeat_interval");
             findings.error(place, "heartbeat_interval is too short", "at least 1 ms");
         }
-        if self.election_timeout < self.heartbeat_interval * HEARTBEATS_PER_ELECTION {
+        if self.election_timeout
+            < self
+                .heartbeat_interval
+                .saturating_mul(HEARTBEATS_PER_ELECTION)
+        {
             let place = place_of("election_timeout");
             let accepted = "at least three times heartbeat_interval";
             findings.error(place, "election_timeout is too short", accepted);
@@ -106,7 +110,7 @@
         findings
     }
 
-    fn bounds(&self) -> [(&'static str, usize); 8] {
+    fn bounds(&self) -> [(&'static str, usize); 9] {
         let snapshot_after = usize::try_from(self.snapshot_after_entries).unwrap_or(usize::MAX);
         [
             ("max_append_entries", self.max_append_entries),
@@ -116,6 +120,7 @@
             ("max_uncommitted_entries", self.max_uncommitted_entries),
             ("max_pending_reads", self.max_pending_reads),
             ("snapshot_chunk_bytes", self.snapshot_chunk_bytes),
+            ("max_snapshot_bytes", self.max_snapshot_bytes),
             ("snapshot_after_entries", snapshot_after),
         ]
     }
@@ -124,9 +129,10 @@
     #[must_use]
     pub fn checked(mut self) -> Self {
         self.heartbeat_interval = self.heartbeat_interval.max(SHORTEST_HEARTBEAT);
-        self.election_timeout = self
-            .election_timeout
-            .max(self.heartbeat_interval * HEARTBEATS_PER_ELECTION);
+        self.election_timeout = self.election_timeout.max(
+            self.heartbeat_interval
+                .saturating_mul(HEARTBEATS_PER_ELECTION),
+        );
         self.resend_timeout = self.resend_timeout.max(SHORTEST_HEARTBEAT);
         self.max_append_entries = self.max_append_entries.max(1);
         self.max_append_bytes = self.max_append_bytes.max(1);
@@ -141,3 +147,37 @@
         self
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::sync::Arc;
+
+    use super::{AgreementSettings, Duration, Place};
+
+    fn place_of(name: &str) -> Place {
+        Place {
+            file: Arc::from(name),
+            line: 0,
+            column: 0,
+        }
+    }
+
+    #[test]
+    fn all_unworkable_values_are_found_at_once() {
+        let settings = AgreementSettings {
+            heartbeat_interval: Duration::MAX,
+            resend_timeout: Duration::ZERO,
+            max_uncommitted_bytes: 10,
+            snapshot_after_entries: 0,
+            ..AgreementSettings::default()
+        };
+        insta::assert_snapshot!(settings.findings(place_of), @"
+        election_timeout:0:0: error: election_timeout is too short (accepted: at least three times heartbeat_interval)
+        resend_timeout:0:0: error: resend_timeout is too short (accepted: at least 1 ms)
+        max_uncommitted_bytes:0:0: error: max_uncommitted_bytes is too small (accepted: at least max_command_bytes)
+        snapshot_after_entries:0:0: error: snapshot_after_entries is 0 (accepted: at least 1)
+        ");
+        assert!(settings.checked().findings(place_of).is_empty());
+        assert!(AgreementSettings::default().findings(place_of).is_empty());
+    }
+}
