test(agreement): count only voters of the membership, amid replacements too

Cause: a trial that counted any vote passed every case. Change: a contract test for votes of strangers and unknown incarnations, and a case that replaces disks while a second host fails.

--- a/crates/coordination/tests/agreement_contract.rs
+++ b/crates/coordination/tests/agreement_contract.rs
@@ -50,8 +50,12 @@
 }
 
 fn from_b(message: AgreementMessage) -> AgreementInput {
+    from_keeper(keeper("b", 2), message)
+}
+
+fn from_keeper(from: KeeperId, message: AgreementMessage) -> AgreementInput {
     AgreementInput::Message(AgreementEnvelope {
-        from: keeper("b", 2),
+        from,
         to: keeper("a", 2),
         start: StartMark {
             nonce: 1,
@@ -187,6 +191,39 @@
     assert_eq!(commits, [0, 0, 2]);
 }
 
+/// Two leaders could be elected if a disk that came back empty counted under its new incarnation
+/// before the membership names it, or a host that is in no membership. Only the voter counts.
+#[test]
+fn only_voters_of_the_membership_are_counted() {
+    let mut node = follower();
+    let now = node.next_deadline();
+    node.tick(now, Vec::new());
+    let mut roles = Vec::new();
+    for voter in [keeper("b", 3), keeper("d", 2), keeper("c", 2)] {
+        let AgreementInput::Message(vote) = grant(VoteKind::PreVote) else {
+            return;
+        };
+        node.tick(now, vec![from_keeper(voter, vote.message)]);
+        roles.push((node.status().role.to_string(), node.status().term.0));
+    }
+    insta::assert_debug_snapshot!(roles, @r#"
+    [
+        (
+            "candidate",
+            1,
+        ),
+        (
+            "candidate",
+            1,
+        ),
+        (
+            "candidate",
+            2,
+        ),
+    ]
+    "#);
+}
+
 /// Callers over a bound are told at once that nothing was appended. All proposals of a tick, and
 /// those that come while a sync runs, share one persist order.
 #[test]
--- a/crates/coordination/tests/agreement_faults/cases.rs
+++ b/crates/coordination/tests/agreement_faults/cases.rs
@@ -63,6 +63,7 @@
     case("replacement on a rough network", 3, rough_replacement),
     case("hand-over under load", 3, hand_over),
     case("anything at any time", 5, anything),
+    case("replacements amid other faults", 5, busy_replacements),
 ];
 
 const fn case(name: &'static str, keepers: usize, act: fn(&mut Cluster)) -> FaultCase {
@@ -336,3 +337,28 @@
         cluster.run_for_random(700 * MILLISECOND);
     }
 }
+
+/// Callers see any of the above. Disks are lost one after the other; while each is being replaced,
+/// a second host dies, is paused or cut off, messages suffer, or leadership is handed over.
+fn busy_replacements(cluster: &mut Cluster) {
+    for _ in 0..3 {
+        let lost = cluster.random_host();
+        cluster.crash(lost, true);
+        cluster.empty_disk(lost);
+        cluster.start(lost);
+        let id = cluster.id(lost);
+        cluster.change_until_done(&MembershipChange::AddLearner(id));
+        let other = (lost + cluster.random.random_range(1..5)) % 5;
+        match cluster.random.random_range(0..5) {
+            0 => cluster.crash(other, true),
+            1 => cluster.pause(other),
+            2 => cluster.partition(&[other]),
+            3 => cluster.faults = NetworkFaults::ROUGH,
+            _ => cluster.hand_over(cluster.leader().unwrap_or(other), other),
+        }
+        cluster.replace(lost);
+        cluster.run_for_random(SECOND);
+        cluster.heal();
+        cluster.start_all();
+    }
+}
