fix(announcements): tell a server that its number is old

Cause: a load run that came back under an old incarnation was answered 200 and not heard: 12,796 drafts were refused, truly, but nobody said why. Change: a stale announcement is answered 409 with the number that is held; the load takes a fresh incarnation each run.

--- a/crates/daemon/src/announcements.rs
+++ b/crates/daemon/src/announcements.rs
@@ -7,13 +7,14 @@
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use pollendrift_border::{Announcement, AnnouncementReply};
+use pollendrift_coordination::leases::MergeVerdict;
 use pollendrift_http::{
     HandlerFuture, HttpHandler, ResponseBody, json_response, read_json, text_response,
 };
 
 use crate::access::AccessControl;
 use crate::clock::TimeSource;
-use crate::fleet::{AnnounceError, BackendFleet};
+use crate::fleet::{AnnounceError, BackendFleet, HeldAnnouncement};
 
 /// Path that announcements come on.
 pub const ANNOUNCEMENT_PATH: &str = "/backend/v1/announcements";
@@ -64,6 +65,9 @@
                 }
             };
         match self.fleet.announce(self.clock.now(), &announcement) {
+            Ok(MergeVerdict::Stale) => {
+                json_response(StatusCode::CONFLICT, &self.reply(&announcement))
+            }
             Ok(_) => json_response(StatusCode::OK, &self.reply(&announcement)),
             Err(error @ AnnounceError::Malformed { .. }) => {
                 text_response(StatusCode::BAD_REQUEST, format!("{error}\n"))
@@ -75,9 +79,14 @@
     }
 
     fn reply(&self, announcement: &Announcement) -> AnnouncementReply {
+        let held = self.fleet.held(&announcement.server);
+        let held = held.unwrap_or(HeldAnnouncement {
+            incarnation: announcement.incarnation,
+            sequence: announcement.sequence,
+        });
         AnnouncementReply {
-            heard_incarnation: announcement.incarnation,
-            heard_sequence: announcement.sequence,
+            heard_incarnation: held.incarnation,
+            heard_sequence: held.sequence,
             lease_millis: millis(self.lease),
             heartbeat_millis: millis(self.heartbeat),
         }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -49,6 +49,15 @@
     pub load: ServerLoad,
 }
 
+/// Number of the newest announcement that is held of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldAnnouncement {
+    /// Life of the server's process.
+    pub incarnation: u64,
+    /// Number within that life.
+    pub sequence: u64,
+}
+
 /// All backend servers that this host has heard of.
 pub struct BackendFleet {
     inner: Mutex<FleetState>,
@@ -154,6 +163,16 @@
         self.lock().views.get(server).cloned()
     }
 
+    /// Number of the newest announcement that is held of `server`.
+    pub fn held(&self, server: &str) -> Option<HeldAnnouncement> {
+        let state = self.lock();
+        let held = &state.leases.get(&ServerName::from(server))?.announce;
+        Some(HeldAnnouncement {
+            incarnation: held.incarnation.0,
+            sequence: held.sequence.0,
+        })
+    }
+
     /// All leases, for the dump.
     pub fn dump(&self) -> Vec<ServerLease> {
         self.lock().leases.iter().cloned().collect()
--- a/crates/standins/examples/load/main.rs
+++ b/crates/standins/examples/load/main.rs
@@ -8,7 +8,7 @@
 use bpaf::Bpaf;
 use pollendrift_standins::engine::{EngineServer, EngineSettings};
 use pollendrift_standins::fleet::{ModelShape, mixed_engines};
-use pollendrift_standins::harness::loopback;
+use pollendrift_standins::harness::{fresh_incarnation, loopback};
 use pollendrift_standins::load::{LoadPlan, run_load};
 use pollendrift_standins::service::PlainService;
 
@@ -98,7 +98,7 @@
 ) -> std::io::Result<Vec<EngineServer>> {
     let mut engines = Vec::new();
     for index in 0..options.engines {
-        engines.push(start_engine(options, shape, index, 1).await?);
+        engines.push(start_engine(options, shape, index, fresh_incarnation()).await?);
     }
     Ok(engines)
 }
@@ -127,7 +127,11 @@
     for index in 0..3 {
         let mut service =
             PlainService::start(&format!("portal-{index}"), "portal", loopback()).await?;
-        service.announce(options.entry.clone(), 1, data_centre(index));
+        service.announce(
+            options.entry.clone(),
+            fresh_incarnation(),
+            data_centre(index),
+        );
         services.push(service);
     }
     Ok(services)
@@ -154,7 +158,8 @@
         tokio::time::sleep(Duration::from_millis(options.kill_every)).await;
         let index = round % engines.len();
         round += 1;
-        let incarnation = u64::try_from(round).unwrap_or(u64::MAX).saturating_add(1);
+        let life = u64::try_from(round).unwrap_or(0);
+        let incarnation = fresh_incarnation().saturating_add(life);
         let started = start_engine(
             options,
             shape,
--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -30,6 +30,15 @@
         .collect()
 }
 
+/// An incarnation above those of all earlier runs: seconds since the Unix epoch.
+///
+/// Hosts remember servers for a while after their leases end, so a stand-in that comes back under
+/// an old incarnation is, rightly, not heard.
+pub fn fresh_incarnation() -> u64 {
+    let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since_epoch.map_or(1, |time| time.as_secs())
+}
+
 /// Addresses of one host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HostAddresses {
