feat(placement): restore whole pipelines first, then even out the slowest layers

After the loss of an engine a pipeline must be whole again over a weight store that serves few loads, a roll-out must not mix or lose versions, and two holders must not order one engine.

A pure tick over observations and targets: fewest loads at gaps, spare engines only, the old version kept until the new one was seen whole. Orders carry the fencing number and the end of the right; engines that ignore the number wait out the old lease, and loads count only when seen. Nothing is ordered while engines still announce themselves after a restart.

Not measured at size; adapters and roles are not placed yet.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod leases;
 pub mod ledger;
 pub mod limits;
+pub mod placement;
 pub mod replicated;
 pub mod retries;
 pub mod routing;
--- /dev/null
+++ b/crates/coordination/src/placement/engine.rs
@@ -0,0 +1,103 @@
+//! Engines as placement sees them, and what selectors want placed.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use slotmap::new_key_type;
+
+use crate::base::{LayerRange, ModelName, MonotonicTime, ServerName, VersionName};
+
+new_key_type! {
+    /// Key of an engine in the placement table.
+    pub(crate) struct PlacedKey;
+}
+
+/// A model in one version.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[display("{model}@{version}")]
+pub struct WeightsId {
+    /// Model.
+    pub model: ModelName,
+    /// Version.
+    pub version: VersionName,
+}
+
+/// Weights on an engine.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[display("{weights}[{layers}]")]
+pub struct HeldWeights {
+    /// Which weights.
+    pub weights: WeightsId,
+    /// Which layers of them.
+    pub layers: LayerRange,
+}
+
+/// What an engine was last seen to be and to hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineObservation {
+    /// Engine.
+    pub server: ServerName,
+    /// Layers that fit in its memory.
+    pub max_layers: u32,
+    /// Tokens a second that it would run through a single layer.
+    pub layer_rate: u32,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// What it serves now.
+    pub held: Option<HeldWeights>,
+    /// What it is loading.
+    pub loading: Option<HeldWeights>,
+}
+
+/// Weights that selectors want served.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacementTarget {
+    /// Which weights.
+    pub weights: WeightsId,
+    /// Number of layers of the model.
+    pub layers: u32,
+    /// Share of the engines relative to other targets; at least 1.
+    pub share: u32,
+}
+
+/// An engine in the placement table.
+#[derive(Clone, Debug)]
+pub(crate) struct PlacedEngine {
+    pub(crate) seen: EngineObservation,
+    /// Load ordered by this process and not yet seen; it counts as planned.
+    pub(crate) ordered: Option<PendingLoad>,
+    /// Until when the engine is left out, because a load was not seen in time.
+    pub(crate) left_out_until: Option<MonotonicTime>,
+}
+
+/// A load that was ordered.
+#[derive(Clone, Debug)]
+pub(crate) struct PendingLoad {
+    pub(crate) load: HeldWeights,
+    pub(crate) at: MonotonicTime,
+}
+
+impl PlacedEngine {
+    /// What the engine will hold once its loads are done.
+    pub(crate) fn planned(&self) -> Option<&HeldWeights> {
+        let ordered = self.ordered.as_ref().map(|pending| &pending.load);
+        ordered
+            .or(self.seen.loading.as_ref())
+            .or(self.seen.held.as_ref())
+    }
+
+    /// Whether the weight store is loading to it, as far as is known.
+    pub(crate) fn is_loading(&self) -> bool {
+        self.ordered.is_some() || self.seen.loading.is_some()
+    }
+
+    /// Whether it may be ordered to load something else now.
+    pub(crate) fn can_be_ordered(&self, now: MonotonicTime) -> bool {
+        let is_left_out = self.left_out_until.is_some_and(|until| until > now);
+        !self.is_loading() && !is_left_out && self.seen.max_layers > 0
+    }
+
+    /// Tokens a second over a span of so many layers.
+    pub(crate) fn rate_over(&self, layers: LayerRange) -> f64 {
+        f64::from(self.seen.layer_rate) / f64::from(layers.len().max(1))
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/placement/table.rs
@@ -0,0 +1,465 @@
+//! The placement table: observations and targets in, orders out.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use slotmap::SlotMap;
+
+use super::balance::find_range;
+use super::coverage::LayerCoverage;
+use super::engine::{
+    EngineObservation, HeldWeights, PendingLoad, PlacedEngine, PlacedKey, PlacementTarget,
+    WeightsId,
+};
+use super::order::{LoadOrder, PlacementReport, PlacementRight, PlacementWait};
+use super::restore::{SpareEngine, find_loads};
+use super::settings::PlacementSettings;
+use crate::base::{FencingNumber, LayerRange, MonotonicTime, ServerName};
+
+/// Engines in use that are weighed for one move.
+const MAX_MOVES: usize = 32;
+
+/// A right in force, and since when.
+#[derive(Clone, Copy, Debug)]
+struct HeldRight {
+    right: PlacementRight,
+    since: MonotonicTime,
+}
+
+/// Engines, what selectors want on them, and what was ordered.
+///
+/// Invariants: an engine has at most one load under way that this process ordered; no order takes
+/// an engine away from the last whole pipeline of a model.
+#[derive(Clone, Debug)]
+pub struct PlacementTable {
+    settings: PlacementSettings,
+    started: MonotonicTime,
+    right: Option<HeldRight>,
+    engines: SlotMap<PlacedKey, PlacedEngine>,
+    by_name: BTreeMap<ServerName, PlacedKey>,
+    targets: Vec<PlacementTarget>,
+    balanced: Option<MonotonicTime>,
+}
+
+impl PlacementTable {
+    /// A table that begins to see engines at `started`.
+    pub fn new(settings: PlacementSettings, started: MonotonicTime) -> Self {
+        Self {
+            settings,
+            started,
+            right: None,
+            engines: SlotMap::with_key(),
+            by_name: BTreeMap::new(),
+            targets: Vec::new(),
+            balanced: None,
+        }
+    }
+
+    /// Sets what selectors want, the most important first.
+    pub fn set_targets(&mut self, targets: Vec<PlacementTarget>) {
+        self.targets = targets;
+    }
+
+    /// Takes or renews the right. A number lower than the one held changes nothing.
+    pub fn grant(&mut self, now: MonotonicTime, right: PlacementRight) {
+        let held = self
+            .right
+            .map_or(FencingNumber(0), |held| held.right.fencing);
+        if right.fencing < held {
+            return;
+        }
+        let since = match self.right {
+            // Renewed in time, no one else can have had the right meanwhile.
+            Some(held) if held.right.fencing == right.fencing && held.right.until >= now => {
+                held.since
+            }
+            _ => now,
+        };
+        self.right = Some(HeldRight { right, since });
+    }
+
+    /// Takes what an engine was seen to hold. A load counts as done only when it is seen here.
+    pub fn observe(&mut self, seen: EngineObservation) {
+        let Some(engine) = self
+            .by_name
+            .get(&seen.server)
+            .and_then(|key| self.engines.get_mut(*key))
+        else {
+            self.insert(seen);
+            return;
+        };
+        let ordered = engine.ordered.as_ref().map(|pending| &pending.load);
+        if ordered.is_some() && ordered == seen.held.as_ref() {
+            engine.ordered = None;
+            engine.left_out_until = None;
+        }
+        engine.seen = seen;
+    }
+
+    /// An engine is gone, with what it held and was loading.
+    pub fn remove(&mut self, server: &ServerName) {
+        if let Some(key) = self.by_name.remove(server) {
+            self.engines.remove(key);
+        }
+    }
+
+    /// Decides what to order now.
+    pub fn tick(&mut self, now: MonotonicTime) -> PlacementReport {
+        let mut report = PlacementReport::default();
+        self.expire_loads(now);
+        let Some(held) = self.right.filter(|held| held.right.until > now) else {
+            report.waits.push(PlacementWait::NoRight);
+            return report;
+        };
+        let until = self.started.after(self.settings.settle);
+        if now < until {
+            report.waits.push(PlacementWait::Settling { until });
+            return report;
+        }
+        let is_whole = self.restore(now, held, &mut report);
+        if is_whole {
+            self.balance(now, held, &mut report);
+        }
+        report
+    }
+
+    fn insert(&mut self, seen: EngineObservation) {
+        let server = seen.server.clone();
+        let key = self.engines.insert(PlacedEngine {
+            seen,
+            ordered: None,
+            left_out_until: None,
+        });
+        self.by_name.insert(server, key);
+    }
+
+    /// Loads not seen in time free the store; their engines are left out for a while. One that
+    /// ignores fencing numbers may still begin the load later, so what it holds is only believed
+    /// when it is seen, and until then it is not counted for any pipeline.
+    fn expire_loads(&mut self, now: MonotonicTime) {
+        let timeout = self.settings.load_timeout;
+        for engine in self.engines.values_mut() {
+            let is_late = |pending: &PendingLoad| now.since(pending.at) >= timeout;
+            if engine.ordered.as_ref().is_some_and(is_late) {
+                engine.ordered = None;
+                engine.left_out_until = Some(now.after(timeout));
+            }
+        }
+    }
+
+    /// Orders the fewest loads that make each target whole; true if all are whole as planned.
+    fn restore(
+        &mut self,
+        now: MonotonicTime,
+        held: HeldRight,
+        report: &mut PlacementReport,
+    ) -> bool {
+        let mut is_whole = true;
+        for target in self.targets.clone() {
+            let planned = self.cover(&target, PlacedEngine::planned);
+            if planned.is_whole() {
+                continue;
+            }
+            is_whole = false;
+            let spares = self.find_spares(now, held, report);
+            match find_loads(&planned, target.layers, &spares) {
+                Ok(loads) => {
+                    for load in loads {
+                        self.order(now, held, load.key, &target.weights, load.layers, report);
+                    }
+                }
+                Err(layer) => report.waits.push(PlacementWait::Blocked {
+                    weights: target.weights.clone(),
+                    layer,
+                }),
+            }
+        }
+        is_whole
+    }
+
+    /// Orders one load that raises the slowest layer of the target that is served least.
+    fn balance(&mut self, now: MonotonicTime, held: HeldRight, report: &mut PlacementReport) {
+        let Some(target) = self.find_neediest() else {
+            return;
+        };
+        let coverage = self.cover(&target, PlacedEngine::planned);
+        let cuts = self.find_cuts(&target);
+        let spares = self.find_spares(now, held, report);
+        let free = spares.iter().find(|spare| spare.is_free);
+        let choice = match free {
+            Some(spare) => self.weigh_free(&coverage, &target, &cuts, spare.key),
+            None if self.may_move(now) => self.weigh_moves(&coverage, &target, &cuts, &spares),
+            None => None,
+        };
+        if let Some((key, layers)) = choice {
+            self.order(now, held, key, &target.weights, layers, report);
+        }
+    }
+
+    /// Moves of engines in use cost loads and caches; they keep an interval.
+    fn may_move(&mut self, now: MonotonicTime) -> bool {
+        let interval = self.settings.balance_interval;
+        let is_due = self.balanced.is_none_or(|last| now.since(last) >= interval);
+        if is_due {
+            self.balanced = Some(now);
+        }
+        is_due
+    }
+
+    fn weigh_free(
+        &self,
+        coverage: &LayerCoverage,
+        target: &PlacementTarget,
+        cuts: &[u32],
+        key: PlacedKey,
+    ) -> Option<(PlacedKey, LayerRange)> {
+        let engine = self.engines.get(key)?;
+        let choice = find_range(coverage, target.layers, cuts, engine)?;
+        Some((key, choice.layers))
+    }
+
+    /// Best move of an engine in use, if it raises the slowest layer by the least gain or more.
+    fn weigh_moves(
+        &self,
+        coverage: &LayerCoverage,
+        target: &PlacementTarget,
+        cuts: &[u32],
+        spares: &[SpareEngine],
+    ) -> Option<(PlacedKey, LayerRange)> {
+        let gain = 1.0 + f64::from(self.settings.min_gain_percent) / 100.0;
+        let wanted = coverage.slowest().1 * gain;
+        let mut best = None;
+        for spare in spares.iter().take(MAX_MOVES) {
+            let engine = self.engines.get(spare.key)?;
+            let mut without = coverage.clone();
+            if let Some(held) = engine
+                .planned()
+                .filter(|held| held.weights == target.weights)
+            {
+                without.remove(held.layers, engine.rate_over(held.layers));
+            }
+            let Some(choice) = find_range(&without, target.layers, cuts, engine) else {
+                continue;
+            };
+            let is_better = best.is_none_or(|(_, other)| choice.is_better_than(&other));
+            if choice.slowest >= wanted && is_better {
+                best = Some((spare.key, choice));
+            }
+        }
+        best.map(|(key, choice)| (key, choice.layers))
+    }
+
+    fn find_neediest(&self) -> Option<PlacementTarget> {
+        let need = |target: &PlacementTarget| {
+            let (_, rate) = self.cover(target, PlacedEngine::planned).slowest();
+            rate / f64::from(target.share.max(1))
+        };
+        let compare = |a: &&PlacementTarget, b: &&PlacementTarget| need(a).total_cmp(&need(b));
+        self.targets.iter().min_by(compare).cloned()
+    }
+
+    /// Layers at which ranges of the target begin or end.
+    fn find_cuts(&self, target: &PlacementTarget) -> Vec<u32> {
+        let planned = self.engines.values().filter_map(PlacedEngine::planned);
+        let own = planned.filter(|held| held.weights == target.weights);
+        let cuts: BTreeSet<u32> = own
+            .flat_map(|held| [held.layers.first, held.layers.end])
+            .collect();
+        cuts.into_iter().collect()
+    }
+
+    /// Coverage of a target by what `select` says of each engine.
+    fn cover<F>(&self, target: &PlacementTarget, select: F) -> LayerCoverage
+    where
+        F: Fn(&PlacedEngine) -> Option<&HeldWeights>,
+    {
+        self.cover_weights(&target.weights, target.layers, select)
+    }
+
+    fn cover_weights<F>(&self, weights: &WeightsId, layers: u32, select: F) -> LayerCoverage
+    where
+        F: Fn(&PlacedEngine) -> Option<&HeldWeights>,
+    {
+        let mut coverage = LayerCoverage::new(layers);
+        for engine in self.engines.values() {
+            if let Some(held) = select(engine).filter(|held| held.weights == *weights) {
+                coverage.add(held.layers, engine.rate_over(held.layers));
+            }
+        }
+        coverage
+    }
+
+    /// Engines that hold nothing, or nothing that a whole pipeline needs, by name.
+    fn find_spares(
+        &self,
+        now: MonotonicTime,
+        held: HeldRight,
+        report: &mut PlacementReport,
+    ) -> Vec<SpareEngine> {
+        let mut coverages: BTreeMap<WeightsId, LayerCoverage> = BTreeMap::new();
+        let mut spares = Vec::new();
+        for key in self.by_name.values() {
+            let Some(engine) = self.engines.get(*key).filter(|e| e.can_be_ordered(now)) else {
+                continue;
+            };
+            if !self.may_spare(engine, &mut coverages) || !self.may_order(now, held, engine, report)
+            {
+                continue;
+            }
+            spares.push(SpareEngine {
+                key: *key,
+                max_layers: engine.seen.max_layers,
+                layer_rate: engine.seen.layer_rate,
+                is_free: self.is_unwanted(engine),
+            });
+        }
+        spares
+    }
+
+    /// Whether a model is served no worse than by one whole pipeline without the engine. Each engine
+    /// that is found to be spare is taken out of the count, so that two that stand in for each other
+    /// are not both taken.
+    ///
+    /// During a roll-out the old version keeps a whole pipeline until one of the new version was
+    /// seen: planned loads may fail, and then neither version could serve a request.
+    fn may_spare(
+        &self,
+        engine: &PlacedEngine,
+        coverages: &mut BTreeMap<WeightsId, LayerCoverage>,
+    ) -> bool {
+        let Some(held) = &engine.seen.held else {
+            return true;
+        };
+        let is_target = self
+            .targets
+            .iter()
+            .any(|target| target.weights == held.weights);
+        if !is_target && self.is_replaced(&held.weights) {
+            return true;
+        }
+        let layers = self.count_layers(&held.weights);
+        let coverage = coverages.entry(held.weights.clone()).or_insert_with(|| {
+            let serving = |e: &PlacedEngine| {
+                if e.is_loading() {
+                    None
+                } else {
+                    e.seen.held.clone()
+                }
+            };
+            let mut coverage = LayerCoverage::new(layers);
+            for other in self.engines.values() {
+                if let Some(held) = serving(other).filter(|h| h.weights == held.weights) {
+                    coverage.add(held.layers, other.rate_over(held.layers));
+                }
+            }
+            coverage
+        });
+        if coverage.is_whole() && !coverage.is_redundant(held.layers) {
+            return false;
+        }
+        // Without a whole pipeline there is none to break, but what the target wants stays.
+        if !coverage.is_whole() && is_target && !coverage.is_redundant(held.layers) {
+            return false;
+        }
+        coverage.remove(held.layers, engine.rate_over(held.layers));
+        true
+    }
+
+    /// Whether the engine holds nothing, or only what is not wanted any more.
+    fn is_unwanted(&self, engine: &PlacedEngine) -> bool {
+        engine.seen.held.as_ref().is_none_or(|held| {
+            let is_target = self.targets.iter().any(|t| t.weights == held.weights);
+            !is_target && self.is_replaced(&held.weights)
+        })
+    }
+
+    /// Whether another version of the model, one that is wanted, was seen to be whole.
+    fn is_replaced(&self, weights: &WeightsId) -> bool {
+        let others = self
+            .targets
+            .iter()
+            .filter(|t| t.weights.model == weights.model);
+        let mut others = others.peekable();
+        if others.peek().is_none() {
+            return true;
+        }
+        others.any(|target| {
+            self.cover(target, |engine| engine.seen.held.as_ref())
+                .is_whole()
+        })
+    }
+
+    /// Layers of a model: what a target says, or what is held.
+    fn count_layers(&self, weights: &WeightsId) -> u32 {
+        let target = self
+            .targets
+            .iter()
+            .find(|t| t.weights.model == weights.model);
+        let held = self
+            .engines
+            .values()
+            .filter_map(|engine| engine.seen.held.as_ref());
+        let own = held.filter(|held| held.weights == *weights);
+        let most = own.map(|held| held.layers.end).max().unwrap_or(0);
+        target.map_or(most, |target| target.layers)
+    }
+
+    /// Engines that check fencing numbers refuse the last holder's orders by themselves. The others
+    /// would take them, as late as its right lasted; after a wait longer than that none can come.
+    fn may_order(
+        &self,
+        now: MonotonicTime,
+        held: HeldRight,
+        engine: &PlacedEngine,
+        report: &mut PlacementReport,
+    ) -> bool {
+        let until = held.since.after(self.settings.unfenced_wait);
+        if engine.seen.checks_fencing || now >= until {
+            return true;
+        }
+        let server = engine.seen.server.clone();
+        let wait = PlacementWait::Unfenced { server, until };
+        if !report.waits.contains(&wait) {
+            report.waits.push(wait);
+        }
+        false
+    }
+
+    fn order(
+        &mut self,
+        now: MonotonicTime,
+        held: HeldRight,
+        key: PlacedKey,
+        weights: &WeightsId,
+        layers: LayerRange,
+        report: &mut PlacementReport,
+    ) {
+        let loading = self
+            .engines
+            .values()
+            .filter(|engine| engine.is_loading())
+            .count();
+        if loading >= self.settings.max_loads as usize {
+            if !report.waits.contains(&PlacementWait::StoreBusy) {
+                report.waits.push(PlacementWait::StoreBusy);
+            }
+            return;
+        }
+        let Some(engine) = self.engines.get_mut(key) else {
+            return;
+        };
+        let load = HeldWeights {
+            weights: weights.clone(),
+            layers,
+        };
+        engine.ordered = Some(PendingLoad {
+            load: load.clone(),
+            at: now,
+        });
+        report.orders.push(LoadOrder {
+            server: engine.seen.server.clone(),
+            fencing: held.right.fencing,
+            valid_until: held.right.until,
+            load,
+        });
+    }
+}
