fix(store): write the end of the log anew before answering from it

After a failed sync the kernel may drop the pages, mark them clean and still show them to readers. A restarted keeper read such frames, synced with success, answered from them, and lost them in the next power cut. The last two segments are now written into new files and synced at each start; cutting a torn tail is part of that, so files are never truncated in place.

A keeper on a disk that fails to sync stops, says what to do, and the others go on (cluster test).

--- a/crates/daemon/examples/keeper_measure.rs
+++ b/crates/daemon/examples/keeper_measure.rs
@@ -24,6 +24,9 @@
 #[allow(dead_code, reason = "the tests use the rest")]
 #[path = "../tests/keeper_cluster/cluster.rs"]
 mod cluster;
+#[allow(dead_code, reason = "the tests use the rest")]
+#[path = "../tests/keeper_cluster/failing.rs"]
+mod failing;
 
 const SUBMITTERS: [usize; 3] = [1, 8, 64];
 const LOAD_TIME: Duration = Duration::from_secs(3);
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -24,5 +24,5 @@
 pub use handle::KeeperHandle;
 pub use port::{KeeperInbox, KeeperPort, keeper_queue};
 pub use settings::KeeperSettings;
-pub use start::{KeeperStart, RunningKeeper, start_keeper};
+pub use start::{KeeperStart, RunningKeeper, start_keeper, start_keeper_on};
 pub use status::KeeperStatus;
--- a/crates/daemon/src/keeper/start.rs
+++ b/crates/daemon/src/keeper/start.rs
@@ -8,8 +8,8 @@
 };
 use pollendrift_coordination::base::HostName;
 use pollendrift_store::{
-    CommitThread, DiskFiles, LogStore, OpenRequest, OpenedStore, PersistBatch, RecoveredLog,
-    SegmentStore,
+    CommitThread, DiskFiles, FileSystem, LogStore, OpenRequest, OpenedStore, PersistBatch,
+    RecoveredLog, SegmentStore,
 };
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, JoinSet};
@@ -95,12 +95,23 @@
 /// # Errors
 /// The folder can't be opened, or its snapshot can't be read.
 pub fn start_keeper(start: KeeperStart) -> Result<RunningKeeper, KeeperError> {
+    let files = Box::new(DiskFiles::new(&start.folder));
+    start_keeper_on(start, files)
+}
+
+/// Starts a keeper on other files than those of its folder, such as ones that fail.
+///
+/// # Errors
+/// See [`start_keeper`].
+pub fn start_keeper_on(
+    start: KeeperStart,
+    files: Box<dyn FileSystem>,
+) -> Result<RunningKeeper, KeeperError> {
     let request = OpenRequest {
         host: start.hub.host().clone(),
         wall: start.clock.wall(),
         settings: start.settings.store,
     };
-    let files = Box::new(DiskFiles::new(&start.folder));
     let opened = SegmentStore::open(files, &request)?;
     if let Some(tail) = &opened.report.torn_tail {
         log::warn!(path:% = tail.path, offset:% = tail.offset, bytes:% = tail.bytes;
--- a/crates/daemon/tests/keeper_cluster/cluster.rs
+++ b/crates/daemon/tests/keeper_cluster/cluster.rs
@@ -10,7 +10,7 @@
 use pollendrift::clock::{SystemClock, TimeSource};
 use pollendrift::keeper::{
     ClientSettings, KeeperError, KeeperFrames, KeeperSettings, KeeperStart, KeeperStatus,
-    RunningKeeper, SubmitError, keeper_queue, start_keeper,
+    RunningKeeper, SubmitError, keeper_queue, start_keeper_on,
 };
 use pollendrift::peers::{
     BoxFuture, LinkSettings, PeerAddress, PeerDialer, PeerFrame, PeerHandler, PeerHub, PeerNode,
@@ -24,6 +24,8 @@
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 
+use crate::failing::{FailingFiles, FailingHost};
+
 /// Longer than any wait of a sound run; a test that reaches it fails.
 pub(crate) const GUARD: Duration = Duration::from_secs(30);
 pub(crate) const KEEPERS: [&str; 3] = ["a", "b", "c"];
@@ -138,6 +140,8 @@
     pub(crate) running: BTreeMap<&'static str, Host>,
     pub(crate) settings: KeeperSettings,
     pub(crate) clock: Arc<dyn TimeSource>,
+    /// Host whose disk fails to sync, once one is named.
+    pub(crate) failing: FailingHost,
 }
 
 pub(crate) fn settings() -> KeeperSettings {
@@ -194,6 +198,7 @@
             running: BTreeMap::new(),
             settings,
             clock: Arc::new(SystemClock::default()),
+            failing: FailingHost::default(),
         }
     }
 
@@ -217,7 +222,8 @@
             machine: Box::new(ListMachine { list: list.clone() }),
             clock: self.clock.clone(),
         };
-        let keeper = start_keeper(start)?;
+        let files = FailingFiles::new(self.folders[name].path(), self.failing.clone());
+        let keeper = start_keeper_on(start, Box::new(files))?;
         let host = Host {
             peers,
             keeper,
--- /dev/null
+++ b/crates/daemon/tests/keeper_cluster/failing.rs
@@ -0,0 +1,110 @@
+//! Files of a folder on disk, whose syncs can be made to fail.
+
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+
+use pollendrift_store::{DiskFiles, FileFingerprint, FileSystem, FolderLock, StoreFile};
+
+/// Folder whose syncs fail from now on; shared by all hosts of a group.
+#[derive(Clone, Default)]
+pub(crate) struct FailingHost {
+    folder: Arc<Mutex<Option<PathBuf>>>,
+}
+
+impl FailingHost {
+    pub(crate) fn fail(&self, folder: &Path) {
+        *self.folder.lock().expect("no test panics with it") = Some(folder.to_owned());
+    }
+
+    fn check(&self, folder: &Path) -> io::Result<()> {
+        let failing = self.folder.lock().expect("no test panics with it");
+        if failing.as_deref() == Some(folder) {
+            return Err(io::Error::other("medium error"));
+        }
+        Ok(())
+    }
+}
+
+pub(crate) struct FailingFiles {
+    folder: PathBuf,
+    files: DiskFiles,
+    failing: FailingHost,
+}
+
+impl FailingFiles {
+    pub(crate) fn new(folder: &Path, failing: FailingHost) -> Self {
+        Self {
+            folder: folder.to_owned(),
+            files: DiskFiles::new(folder),
+            failing,
+        }
+    }
+
+    fn wrap(&self, file: Box<dyn StoreFile>) -> Box<dyn StoreFile> {
+        Box::new(FailingFile {
+            folder: self.folder.clone(),
+            file,
+            failing: self.failing.clone(),
+        })
+    }
+}
+
+struct FailingFile {
+    folder: PathBuf,
+    file: Box<dyn StoreFile>,
+    failing: FailingHost,
+}
+
+impl StoreFile for FailingFile {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.file.append(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.failing.check(&self.folder)?;
+        self.file.sync()
+    }
+}
+
+impl FileSystem for FailingFiles {
+    fn folder(&self) -> String {
+        "data".to_owned()
+    }
+
+    fn lock(&self, name: &str) -> io::Result<Option<Box<dyn FolderLock>>> {
+        self.files.lock(name)
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.files.list()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.files.read(name)
+    }
+
+    fn create(&self, name: &str) -> io::Result<Box<dyn StoreFile>> {
+        self.files.create(name).map(|file| self.wrap(file))
+    }
+
+    fn open(&self, name: &str) -> io::Result<Box<dyn StoreFile>> {
+        self.files.open(name).map(|file| self.wrap(file))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        self.files.rename(from, to)
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.files.remove(name)
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        self.files.sync_folder()
+    }
+
+    fn fingerprint(&self, name: &str) -> io::Result<FileFingerprint> {
+        self.files.fingerprint(name)
+    }
+}
--- a/crates/daemon/tests/keeper_cluster/losses.rs
+++ b/crates/daemon/tests/keeper_cluster/losses.rs
@@ -94,3 +94,36 @@
         assert!(!list.contains(&"first".to_owned()));
     }
 }
+
+/// The operator sees: a keeper whose disk fails a sync stops and says what to do; the others go on.
+/// The caller of the command in flight is told "unknown": the others may hold it, as a leader sends
+/// entries while it syncs them. Its keeper must not count itself, nor try the sync again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_failed_sync_stops_the_leader_and_the_others_go_on() {
+    let mut cluster = Cluster::start(settings()).await;
+    cluster.accept("a", "1").await;
+    let leader = cluster.leader().await;
+    cluster.failing.fail(cluster.folders[leader].path());
+    let in_flight = cluster.submit(leader, "in flight").await;
+    let known = !matches!(in_flight, Err(SubmitError::NotRun { .. }));
+    assert!(
+        known,
+        "a command that the leader took is never not run: {in_flight:?}"
+    );
+    let stopped = cluster
+        .wait_for(leader, "a stop", |status| status.stopped.is_some())
+        .await;
+    let reason = stopped.stopped.expect("just seen").to_string();
+    let (_, advice) = reason.split_once(": ").expect("path and reason");
+    insta::assert_snapshot!(advice, @"medium error while syncing the log: check the disk; restart the keeper if it is sound, replace the disk and empty the data folder if not");
+    cluster.kill(leader).await;
+    let [one, two] = others(leader);
+    cluster.leader().await;
+    cluster.accept(one, "2").await;
+    let list = cluster.list(two).await;
+    assert_eq!(
+        (list.first(), list.last()),
+        (Some(&"1".to_owned()), Some(&"2".to_owned()))
+    );
+    assert!(in_flight.is_err() || list.contains(&"in flight".to_owned()));
+}
--- a/crates/daemon/tests/keeper_cluster/main.rs
+++ b/crates/daemon/tests/keeper_cluster/main.rs
@@ -8,5 +8,6 @@
 
 mod cluster;
 mod disks;
+mod failing;
 mod losses;
 mod service;
--- a/crates/store/src/files.rs
+++ b/crates/store/src/files.rs
@@ -29,12 +29,6 @@
     /// # Errors
     /// The operating system's; what was written since the last sync may be lost.
     fn sync(&mut self) -> io::Result<()>;
-
-    /// Cuts the file to `bytes`.
-    ///
-    /// # Errors
-    /// The operating system's.
-    fn truncate(&mut self, bytes: u64) -> io::Result<()>;
 }
 
 /// Exclusive use of a folder, given back on drop.
@@ -212,10 +206,6 @@
     fn sync(&mut self) -> io::Result<()> {
         self.file.sync_data()
     }
-
-    fn truncate(&mut self, bytes: u64) -> io::Result<()> {
-        self.file.set_len(bytes)
-    }
 }
 
 /// The operating system lets go of the lock with the last handle, also when the process is killed.
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -110,13 +110,6 @@
     }
 }
 
-/// The log segment that is still written to.
-pub(crate) struct LastSegment {
-    pub(crate) number: u64,
-    /// Bytes that hold whole frames.
-    pub(crate) bytes: u64,
-}
-
 /// One segment and what is known of it without its frames.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SegmentSpan {
@@ -131,7 +124,8 @@
     pub(crate) log: ReplayedLog,
     pub(crate) recovered: RecoveredLog,
     pub(crate) spans: Vec<SegmentSpan>,
-    pub(crate) last: LastSegment,
+    /// The segment that is written to from now on.
+    pub(crate) last_segment: u64,
     pub(crate) snapshot_bytes: u64,
     /// The next append must restart the log here, behind the snapshot.
     pub(crate) restart_at: Option<LogIndex>,
@@ -169,11 +163,8 @@
             needed_by: path_of(files, &segment_name(last.number)),
         });
     }
-    let last = LastSegment {
-        number: last.number,
-        bytes: last.bytes,
-    };
-    sync_last(files, &last, &mut report)?;
+    let last_segment = last.number;
+    rewrite_tail(files, &spans)?;
     let snapshot_bytes = snapshot.as_ref().map_or(0, |read| read.bytes);
     let (recovered, restart_at) = join_snapshot(files, &log, snapshot)?;
     report.segments = spans.len() as u64;
@@ -181,7 +172,7 @@
         log,
         recovered,
         spans,
-        last,
+        last_segment,
         snapshot_bytes,
         restart_at,
         report,
@@ -350,25 +341,32 @@
     }
 }
 
-/// Cuts the torn tail, then syncs what was read.
+/// Segments at the end that are written anew: a failed sync is in the last one or, if it was that
+/// of a seal, in the one before.
+const REWRITTEN_SEGMENTS: usize = 2;
+
+/// Writes the end of the log anew, without a torn tail, and syncs it before anything is answered.
 ///
-/// A process that was killed between write and sync leaves whole frames that only the page cache
-/// holds: a keeper that answered from them could lose them to a power cut. The sync before the
-/// first answer makes what was read and what is on disk the same.
-fn sync_last(
-    files: &dyn FileSystem,
-    last: &LastSegment,
-    report: &mut RecoveryReport,
-) -> Result<(), StoreError> {
-    let name = segment_name(last.number);
-    let path = path_of(files, &name);
-    let failed = |error| StoreError::disk("repairing the end of the log", &path, error);
-    let mut file = files.open(&name).map_err(failed)?;
-    if report.torn_tail.is_some() {
-        file.truncate(last.bytes).map_err(failed)?;
+/// What was read may be in the page cache only: a killed process leaves frames that were never
+/// synced, and a failed sync leaves frames whose pages count as clean, so that no later sync writes
+/// them. A keeper that answered from either would forget it in a power cut.
+fn rewrite_tail(files: &dyn FileSystem, spans: &[SegmentSpan]) -> Result<(), StoreError> {
+    let first = spans.len().saturating_sub(REWRITTEN_SEGMENTS);
+    for span in spans.iter().skip(first) {
+        let name = segment_name(span.number);
+        let path = path_of(files, &name);
+        let failed = |error| StoreError::disk("writing the end of the log anew", &path, error);
+        let mut bytes = files.read(&name).map_err(failed)?;
+        bytes.truncate(usize::try_from(span.bytes).unwrap_or(usize::MAX));
+        let temporary = format!("{name}{TEMPORARY_ENDING}");
+        let mut file = files.create(&temporary).map_err(failed)?;
+        file.append(&bytes).map_err(failed)?;
+        file.sync().map_err(failed)?;
+        files.rename(&temporary, &name).map_err(failed)?;
     }
-    file.sync().map_err(failed)?;
-    files.sync_folder().map_err(failed)
+    files
+        .sync_folder()
+        .map_err(|error| StoreError::disk("syncing the folder", &files.folder(), error))
 }
 
 /// Puts the snapshot before the log's entries.
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -87,7 +87,7 @@
         }
         let mut replay = replay_folder(files.as_ref())?;
         replay.report.fresh = opened.fresh;
-        let name = segment_name(replay.last.number);
+        let name = segment_name(replay.last_segment);
         let current = files.open(&name).map_err(|error| {
             let path = path_of(files.as_ref(), &name);
             StoreError::disk("opening the log", &path, error)
--- a/crates/store/tests/store/crash.rs
+++ b/crates/store/tests/store/crash.rs
@@ -2,6 +2,7 @@
 
 use std::io::ErrorKind;
 
+use pollendrift_coordination::agreement::{HardState, Term};
 use pollendrift_store::{LogStore, PersistBatch, RecoveredLog, StoreError};
 
 use crate::fault_files::{Fault, FaultFiles};
@@ -192,3 +193,37 @@
     )
     "#);
 }
+
+/// The caller sees: what a restarted store has read and answered from stays, through a power loss.
+/// A sync fails, so the pages are dropped but stay readable; the process is started again, reads
+/// them, and syncs: that sync succeeds and writes nothing. Only writing the end of the log anew
+/// puts on disk what was read.
+#[test]
+fn what_is_read_after_a_failed_sync_survives_a_power_loss() {
+    let mut step = 0;
+    while let Some(run) = interrupt(step, Fault::Error(ErrorKind::Other)) {
+        let place = format!("step {step}");
+        let mut opened = open(&run.files).unwrap_or_else(|error| panic!("{place}: {error}"));
+        let batch = PersistBatch {
+            hard: Some(HardState {
+                term: Term(50),
+                voted_for: None,
+            }),
+            ..PersistBatch::default()
+        };
+        let hard = batch.hard.clone().expect("just set");
+        opened
+            .store
+            .persist(&batch)
+            .unwrap_or_else(|error| panic!("{place}: {error}"));
+        drop(opened.store);
+        run.files.restore_power(step);
+        let again = open(&run.files).unwrap_or_else(|error| panic!("{place}: {error}"));
+        let expected = RecoveredLog {
+            hard,
+            ..opened.recovered
+        };
+        assert_eq!(again.recovered, expected, "{place}");
+        step += 1;
+    }
+}
--- a/crates/store/tests/store/fault_files.rs
+++ b/crates/store/tests/store/fault_files.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use pollendrift_store::{FileFingerprint, FileSystem, FolderLock, StoreFile};
@@ -23,6 +24,20 @@
 struct FileData {
     content: Vec<u8>,
     synced: Vec<u8>,
+    /// Bytes that a failed sync has dropped: readable until power is lost, and no later sync writes
+    /// them, as their pages count as clean.
+    dropped: Vec<Range<usize>>,
+}
+
+impl FileData {
+    fn sync(&mut self) {
+        self.synced.clone_from(&self.content);
+        for range in &self.dropped {
+            if let Some(bytes) = self.synced.get_mut(range.clone()) {
+                bytes.fill(0);
+            }
+        }
+    }
 }
 
 #[derive(Default)]
@@ -170,13 +185,6 @@
 where
     R: Rng,
 {
-    if file.content.len() < file.synced.len() {
-        return if random.random() {
-            file.content.clone()
-        } else {
-            file.synced.clone()
-        };
-    }
     let synced = file.synced.len();
     let mut bytes = file.content[..random.random_range(synced..=file.content.len())].to_vec();
     let mut start = synced;
@@ -221,16 +229,19 @@
     }
 
     fn sync(&mut self) -> io::Result<()> {
-        let mut disk = self.files.step()?;
-        self.data(&mut disk, |file| file.synced.clone_from(&file.content));
-        Ok(())
-    }
-
-    fn truncate(&mut self, bytes: u64) -> io::Result<()> {
-        let mut disk = self.files.step()?;
-        let length = usize::try_from(bytes).expect("test files are small");
-        self.data(&mut disk, |file| file.content.truncate(length));
-        Ok(())
+        match self.files.step() {
+            Ok(mut disk) => {
+                self.data(&mut disk, FileData::sync);
+                Ok(())
+            }
+            Err(error) => {
+                let mut disk = self.files.disk();
+                self.data(&mut disk, |file| {
+                    file.dropped.push(file.synced.len()..file.content.len());
+                });
+                Err(error)
+            }
+        }
     }
 }
 
