perf(configuration): an edit costs what it changes

Change: a text is split at document markers, and documents whose exact text was checked before are taken from a cache; the shadow warning looks only at selectors that could take all requests; followers can take deltas with a digest. Every unreadable document is now a finding of its own, not only the first.

--- a/crates/coordination/src/configuration.rs
+++ b/crates/coordination/src/configuration.rs
@@ -7,11 +7,14 @@
 mod canonical;
 mod change;
 mod change_log;
+mod checked;
+mod chunk;
 mod constraint;
 mod delta;
 mod document;
 mod expression;
 mod facts;
+mod followed;
 mod interface;
 mod known;
 mod label;
@@ -28,10 +31,12 @@
     ChangeAnswer, ChangeConflict, ChangeRequest, ChangeSummary, MAX_ANSWERED_FINDINGS,
 };
 pub use change_log::{ChangeDecision, ChangeLog, ChangeRetention, InForceAnswer};
+pub use checked::{CheckedDocument, DocumentCache, DocumentContent};
 pub use delta::{ConfigurationDelta, DifferenceSummary, DocumentChange, MAX_NAMED_DOCUMENTS};
 pub use document::{MAX_DEPTH, MAX_DOCUMENTS, MAX_TEXT_BYTES};
 pub use expression::{LabelExpression, Mismatch, Requirement, RequirementTest};
 pub use facts::{HostFacts, RequestFacts, RequestTarget, ServerFacts};
+pub use followed::{FollowFailure, FollowedConfiguration};
 pub use interface::{
     ChangeBody, ChangeReply, ConfigurationView, DaemonRevision, ExplainBody, ExplainView,
     ExplainedSelector, ExplainedServer, HistoryView, InForceView, MAX_HISTORY_PAGE,
--- a/crates/coordination/src/configuration/canonical.rs
+++ b/crates/coordination/src/configuration/canonical.rs
@@ -2,15 +2,16 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::sync::Arc;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use super::checked::CheckedDocument;
 use super::expression::{LabelExpression, RequirementTest};
 use super::label::LabelValue;
 use super::model::{DocumentKey, LabelRule, Selector, SelectorTarget};
-use super::parse::ParsedConfiguration;
 
 /// SHA-256 over a canonical text.
 ///
@@ -69,33 +70,28 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct CanonicalText {
-    documents: BTreeMap<DocumentKey, String>,
+    documents: BTreeMap<DocumentKey, Arc<str>>,
 }
 
 impl CanonicalText {
-    /// Canonical form of a checked configuration.
-    pub(super) fn of(parsed: &ParsedConfiguration) -> Self {
-        let rules = parsed
-            .rules
+    /// Canonical form of checked documents.
+    pub(super) fn of(documents: &[Arc<CheckedDocument>]) -> Self {
+        let texts = documents
             .iter()
-            .map(|rule| (rule.document_key(), write_rule(rule)));
-        let selectors = parsed
-            .selectors
-            .iter()
-            .map(|selector| (selector.document_key(), write_selector(selector)));
+            .map(|document| (document.key.clone(), document.canonical.clone()));
         Self {
-            documents: rules.chain(selectors).collect(),
+            documents: texts.collect(),
         }
     }
 
     /// The documents in canonical order.
-    pub fn documents(&self) -> &BTreeMap<DocumentKey, String> {
+    pub fn documents(&self) -> &BTreeMap<DocumentKey, Arc<str>> {
         &self.documents
     }
 
     /// The whole text, a YAML stream that parses to the same configuration.
     pub fn text(&self) -> String {
-        let texts: Vec<&str> = self.documents.values().map(String::as_str).collect();
+        let texts: Vec<&str> = self.documents.values().map(AsRef::as_ref).collect();
         texts.join("---\n")
     }
 
@@ -105,7 +101,11 @@
     }
 
     /// Sets a document, or removes it where `text` is `None`; gives what stood there.
-    pub(super) fn replace(&mut self, key: &DocumentKey, text: Option<String>) -> Option<String> {
+    pub(super) fn replace(
+        &mut self,
+        key: &DocumentKey,
+        text: Option<Arc<str>>,
+    ) -> Option<Arc<str>> {
         match text {
             Some(text) => self.documents.insert(key.clone(), text),
             None => self.documents.remove(key),
@@ -117,7 +117,7 @@
     serde_json::Value::from(text).to_string()
 }
 
-fn write_rule(rule: &LabelRule) -> String {
+pub(super) fn write_rule(rule: &LabelRule) -> String {
     let mut text = format!("kind: labels\non: {}\n", rule.subject);
     if let Some(name) = &rule.name {
         let _ = writeln!(text, "name: {}", quoted(name.as_str()));
@@ -139,7 +139,7 @@
     text
 }
 
-fn write_selector(selector: &Selector) -> String {
+pub(super) fn write_selector(selector: &Selector) -> String {
     let mut text = format!("kind: selector\nname: {}\n", quoted(selector.name.as_str()));
     let _ = writeln!(text, "order: {}", selector.order);
     match &selector.target {
--- a/crates/coordination/src/configuration/change_log.rs
+++ b/crates/coordination/src/configuration/change_log.rs
@@ -8,6 +8,7 @@
 
 use super::canonical::{CanonicalText, ContentDigest};
 use super::change::{ChangeAnswer, ChangeConflict, ChangeRequest, ChangeSummary, bounded_findings};
+use super::checked::DocumentCache;
 use super::delta::{ConfigurationDelta, DocumentChange};
 use super::parse::ParsedConfiguration;
 use super::table::Configuration;
@@ -94,7 +95,7 @@
 ///
 /// Invariants: `history` holds successive revisions, the last of which is `revision`;
 /// `answer_order` holds each key of `answers` once, oldest first.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct ChangeLog {
     retention: ChangeRetention,
     revision: Revision,
@@ -105,6 +106,9 @@
     answer_order: VecDeque<ChangeId>,
     history: VecDeque<HistoryRecord>,
     history_bytes: usize,
+    /// Documents of the last good text; speeds up the next check and decides nothing.
+    #[serde(skip)]
+    cache: DocumentCache,
 }
 
 impl ChangeLog {
@@ -138,7 +142,8 @@
         now: ReplicatedTime,
     ) -> ChangeDecision {
         self.expire(now);
-        let parsed = ParsedConfiguration::parse(request.change_id.as_str(), &request.text);
+        let file = request.change_id.as_str();
+        let parsed = ParsedConfiguration::parse_after(file, &request.text, &mut self.cache);
         let digest = request_digest(request, parsed.as_ref().ok());
         if let Some(recorded) = self.answers.get(&request.change_id) {
             if recorded.request == digest {
@@ -254,7 +259,7 @@
         now: ReplicatedTime,
     ) -> ChangeAnswer {
         let canonical = parsed.canonical();
-        let changes = self.canonical.changes_to(&canonical);
+        let changes = self.canonical.changes_to(canonical);
         let revision = self.revision.next();
         let summary = ChangeSummary {
             revision,
@@ -262,7 +267,7 @@
             operator: request.operator.clone(),
             time: wall,
             digest: canonical.digest(),
-            difference: self.canonical.difference(&canonical),
+            difference: self.canonical.difference(canonical),
         };
         let undo = self.canonical.apply(&changes);
         self.history_bytes += undo_bytes(&undo);
@@ -290,7 +295,7 @@
             based_on: request.based_on,
             current: self.revision,
             winner: winner.map(|record| record.summary.clone()),
-            difference: self.canonical.difference(&parsed.canonical()),
+            difference: self.canonical.difference(parsed.canonical()),
         }
     }
 
@@ -364,6 +369,6 @@
 
 fn undo_bytes(undo: &[DocumentChange]) -> usize {
     undo.iter()
-        .map(|change| change.text.as_ref().map_or(0, String::len))
+        .map(|change| change.text.as_ref().map_or(0, |text| text.len()))
         .sum()
 }
--- a/crates/coordination/src/configuration/delta.rs
+++ b/crates/coordination/src/configuration/delta.rs
@@ -1,6 +1,7 @@
 //! Differences between two configurations, document by document.
 
 use std::fmt;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -17,7 +18,7 @@
     /// Which document.
     pub key: DocumentKey,
     /// Its canonical text; `None` where there is no such document.
-    pub text: Option<String>,
+    pub text: Option<Arc<str>>,
 }
 
 /// All that turns one configuration into another.
--- a/crates/coordination/src/configuration/document.rs
+++ b/crates/coordination/src/configuration/document.rs
@@ -10,6 +10,7 @@
 use serde::de::{MapAccess, SeqAccess, Visitor};
 use serde_saphyr::{DuplicateKeyPolicy, Location, MergeKeyPolicy, Spanned};
 
+use super::chunk::TextChunk;
 use crate::base::{FindingList, Place};
 
 /// Most bytes that a configuration text may hold.
@@ -56,32 +57,20 @@
     }
 }
 
-/// Reads all documents of `text`; a text that is no YAML or over a bound is one finding.
-pub(super) fn read_documents(
+/// Reads the document of a chunk; one that is no YAML or over a bound is one finding.
+pub(super) fn read_chunk(
     file: &Arc<str>,
-    text: &str,
+    chunk: TextChunk<'_>,
     findings: &mut FindingList,
 ) -> Vec<PlacedNode> {
-    if text.len() > MAX_TEXT_BYTES {
-        let message = format!("the text holds {} bytes", text.len());
-        findings.error(
-            whole_file(file),
-            message,
-            format!("at most {MAX_TEXT_BYTES} bytes"),
-        );
-        return Vec::new();
-    }
+    let reader = NodeReader { file, chunk };
     let parsed: Result<Vec<Spanned<RawNode>>, _> =
-        serde_saphyr::from_multiple_with_options(text, read_options());
+        serde_saphyr::from_multiple_with_options(chunk.text, read_options());
     match parsed {
-        Ok(nodes) => {
-            let reader = NodeReader { file, text };
-            nodes.into_iter().map(|node| reader.place(node)).collect()
-        }
+        Ok(nodes) => nodes.into_iter().map(|node| reader.node(node)).collect(),
         Err(error) => {
-            let place = error
-                .location()
-                .map_or_else(|| whole_file(file), |location| place_of(file, &location));
+            let location = error.location();
+            let place = location.map_or_else(|| whole_file(file), |at| reader.place(&at));
             let message = first_line(&error.without_snippet().to_string());
             findings.error(
                 place,
@@ -99,7 +88,6 @@
             max_aliases: 0,
             max_anchors: 0,
             max_depth: MAX_DEPTH,
-            max_documents: MAX_DOCUMENTS,
             max_nodes: MAX_NODES,
             max_events: 4 * MAX_NODES,
             max_total_scalar_bytes: MAX_TEXT_BYTES,
@@ -113,11 +101,15 @@
     }
 }
 
+/// The library's words without the place that they end in: it counts from the document's start.
 fn first_line(text: &str) -> String {
-    text.lines().next().unwrap_or_default().to_owned()
+    let line = text.lines().next().unwrap_or_default();
+    line.rsplit_once(" at line ")
+        .map_or(line, |(words, _)| words)
+        .to_owned()
 }
 
-fn whole_file(file: &Arc<str>) -> Place {
+pub(super) fn whole_file(file: &Arc<str>) -> Place {
     Place {
         file: file.clone(),
         line: 0,
@@ -125,43 +117,44 @@
     }
 }
 
-fn place_of(file: &Arc<str>, location: &Location) -> Place {
-    Place {
-        file: file.clone(),
-        line: u32::try_from(location.line()).unwrap_or(u32::MAX),
-        column: u32::try_from(location.column()).unwrap_or(u32::MAX),
-    }
-}
-
 struct NodeReader<'a> {
     file: &'a Arc<str>,
-    text: &'a str,
+    chunk: TextChunk<'a>,
 }
 
 impl NodeReader<'_> {
-    fn place(&self, node: Spanned<RawNode>) -> PlacedNode {
+    fn place(&self, location: &Location) -> Place {
+        let line = u32::try_from(location.line()).unwrap_or(u32::MAX);
+        Place {
+            file: self.file.clone(),
+            line: line.saturating_add(self.chunk.first_line - 1),
+            column: u32::try_from(location.column()).unwrap_or(u32::MAX),
+        }
+    }
+
+    fn node(&self, node: Spanned<RawNode>) -> PlacedNode {
         let value = match node.value {
             RawNode::Empty => NodeValue::Empty,
             RawNode::Text(text) => NodeValue::Text(text),
             RawNode::Typed(text) => NodeValue::Text(self.spelling(&node.referenced, text)),
             RawNode::List(nodes) => {
-                NodeValue::List(nodes.into_iter().map(|node| self.place(node)).collect())
+                NodeValue::List(nodes.into_iter().map(|node| self.node(node)).collect())
             }
             RawNode::Map(entries) => {
                 NodeValue::Map(entries.into_iter().map(|entry| self.entry(entry)).collect())
             }
         };
         PlacedNode {
-            place: place_of(self.file, &node.referenced),
+            place: self.place(&node.referenced),
             value,
         }
     }
 
     fn entry(&self, entry: RawEntry) -> PlacedEntry {
         PlacedEntry {
-            key_place: place_of(self.file, &entry.key.referenced),
+            key_place: self.place(&entry.key.referenced),
             key: entry.key.value,
-            node: self.place(entry.node),
+            node: self.node(entry.node),
         }
     }
 
@@ -174,7 +167,7 @@
             return parsed;
         };
         let end = start.saturating_add(usize::try_from(length).unwrap_or(0));
-        match self.text.get(start..end).map(str::trim) {
+        match self.chunk.text.get(start..end).map(str::trim) {
             Some(spelling) if !spelling.is_empty() => spelling.to_owned(),
             _ => parsed,
         }
--- a/crates/coordination/src/configuration/lint.rs
+++ b/crates/coordination/src/configuration/lint.rs
@@ -1,13 +1,17 @@
 //! Warns about selectors that can never serve a request.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
+use super::checked::{CheckedDocument, DocumentContent};
 use super::constraint::MergedConstraint;
 use super::expression::{LabelExpression, RequirementTest};
 use super::label::{LabelKey, LabelValue};
 use super::model::{Selector, SelectorTarget};
 use crate::base::{FindingList, Place};
 
+const CUSTOMER_NAME: &str = "customer/name";
+
 struct LintedSelector<'a> {
     selector: &'a Selector,
     place: &'a Place,
@@ -16,9 +20,16 @@
 
 /// Adds a warning for each selector that matches nothing or stands behind one that takes all of
 /// its requests.
-pub(super) fn warn_selectors(selectors: &[Selector], places: &[Place], findings: &mut FindingList) {
+pub(super) fn warn_selectors(
+    documents: &[Arc<CheckedDocument>],
+    places: &[Place],
+    findings: &mut FindingList,
+) {
     let mut by_target: BTreeMap<String, Vec<LintedSelector<'_>>> = BTreeMap::new();
-    for (selector, place) in selectors.iter().zip(places) {
+    for (document, place) in documents.iter().zip(places) {
+        let DocumentContent::Selector(selector) = &document.content else {
+            continue;
+        };
         let serves = MergedConstraint::of(&with_facts(selector));
         if let Some(reason) = never_matches(selector, &serves) {
             let message = format!("selector {} never matches: {reason}", selector.name);
@@ -53,7 +64,7 @@
     if let (Some(key), Some(value)) = (LabelKey::new(key), LabelValue::new(name)) {
         expression.require(key, RequirementTest::In(BTreeSet::from([value])));
     }
-    if let Some(customer) = LabelKey::new("customer/name") {
+    if let Some(customer) = LabelKey::new(CUSTOMER_NAME) {
         expression.require(customer, RequirementTest::Exists);
     }
     expression
@@ -78,18 +89,30 @@
     excluded.then(|| format!("allow asks for another {announced} than {name}"))
 }
 
+/// Looks for each selector at those before it that name no customer or one of its customers: no
+/// other one can take all of its requests.
 fn warn_shadowed(group: &[LintedSelector<'_>], findings: &mut FindingList) {
-    for (index, later) in group.iter().enumerate() {
-        let earlier = group[..index]
-            .iter()
-            .find(|earlier| takes_all(earlier, later));
-        let Some(earlier) = earlier else { continue };
-        let message = format!(
-            "selector {} is shadowed: {} stands before it and takes all of its requests",
-            later.selector.name, earlier.selector.name
-        );
-        let expected = "a lower order, or a for that the earlier one does not take";
-        findings.warning(later.place.clone(), message, expected);
+    let mut general: Vec<&LintedSelector<'_>> = Vec::new();
+    let mut by_customer: BTreeMap<&LabelValue, Vec<&LintedSelector<'_>>> = BTreeMap::new();
+    for later in group {
+        let customers = later.serves.values(CUSTOMER_NAME).unwrap_or_default();
+        let own = customers.first().and_then(|first| by_customer.get(*first));
+        let mut candidates = own.into_iter().flatten().chain(&general);
+        let earlier = candidates.find(|earlier| takes_all(earlier, later));
+        if let Some(earlier) = earlier {
+            let message = format!(
+                "selector {} is shadowed: {} stands before it and takes all of its requests",
+                later.selector.name, earlier.selector.name
+            );
+            let expected = "a lower order, or a for that the earlier one does not take";
+            findings.warning(later.place.clone(), message, expected);
+        }
+        if customers.is_empty() {
+            general.push(later);
+        }
+        for customer in customers {
+            by_customer.entry(customer).or_default().push(later);
+        }
     }
 }
 
--- a/crates/coordination/src/configuration/parse.rs
+++ b/crates/coordination/src/configuration/parse.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use super::canonical::CanonicalText;
-use super::document::{MAX_TEXT_BYTES, PlacedNode, read_documents};
+use super::checked::{CachedDocument, CheckedDocument, DocumentCache, DocumentContent};
+use super::chunk::{TextChunk, split_documents};
+use super::document::{MAX_DOCUMENTS, MAX_TEXT_BYTES, PlacedNode, read_chunk, whole_file};
 use super::known::check_label;
 use super::label::{
     KEY_RULE, LabelKey, LabelSet, LabelSubject, LabelValue, NamePattern, VALUE_RULE,
@@ -21,10 +23,8 @@
 /// A checked configuration text.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ParsedConfiguration {
-    /// Label rules, in the order of the text.
-    pub rules: Vec<LabelRule>,
-    /// Selectors, in the order of the text.
-    pub selectors: Vec<Selector>,
+    documents: Vec<Arc<CheckedDocument>>,
+    canonical: CanonicalText,
     /// What is accepted but likely not meant.
     pub warnings: FindingList,
 }
@@ -35,61 +35,162 @@
     /// # Errors
     /// All findings, warnings included, if any of them refuses the text.
     pub fn parse(file: &str, text: &str) -> Result<Self, FindingList> {
+        Self::parse_after(file, text, &mut DocumentCache::default())
+    }
+
+    /// Checks `text` whole, but reads only documents that `cache` does not hold. The outcome is the
+    /// same as that of [`ParsedConfiguration::parse`]. A good text's documents then are the cache.
+    ///
+    /// # Errors
+    /// All findings, warnings included, if any of them refuses the text; the cache is unchanged.
+    pub fn parse_after(
+        file: &str,
+        text: &str,
+        cache: &mut DocumentCache,
+    ) -> Result<Self, FindingList> {
         let file: Arc<str> = Arc::from(file);
+        let chunks = bounded_chunks(&file, text)?;
         let mut reader = ConfigurationReader::default();
-        for node in read_documents(&file, text, &mut reader.findings) {
-            reader.read_document(node);
+        for chunk in chunks {
+            reader.read_chunk(&file, chunk, cache);
         }
-        reader.finish(&file)
+        let next = std::mem::take(&mut reader.cache);
+        let parsed = reader.finish(&file)?;
+        *cache = next;
+        Ok(parsed)
     }
 
     /// The text in canonical form: equal for equal content, whatever its order and spelling.
-    pub fn canonical(&self) -> CanonicalText {
-        CanonicalText::of(self)
+    pub fn canonical(&self) -> &CanonicalText {
+        &self.canonical
     }
+
+    /// Label rules, in the order of the text.
+    pub fn rules(&self) -> impl Iterator<Item = &Arc<LabelRule>> {
+        self.documents
+            .iter()
+            .filter_map(|document| match &document.content {
+                DocumentContent::Rule(rule) => Some(rule),
+                DocumentContent::Selector(_) => None,
+            })
+    }
+
+    /// Selectors, in the order of the text.
+    pub fn selectors(&self) -> impl Iterator<Item = &Arc<Selector>> {
+        self.documents
+            .iter()
+            .filter_map(|document| match &document.content {
+                DocumentContent::Selector(selector) => Some(selector),
+                DocumentContent::Rule(_) => None,
+            })
+    }
+}
+
+/// Splits a text, or says which bound it passes.
+fn bounded_chunks<'a>(file: &Arc<str>, text: &'a str) -> Result<Vec<TextChunk<'a>>, FindingList> {
+    let mut findings = FindingList::default();
+    if text.len() > MAX_TEXT_BYTES {
+        let message = format!("the text holds {} bytes", text.len());
+        let expected = format!("at most {MAX_TEXT_BYTES} bytes");
+        findings.error(whole_file(file), message, expected);
+        return Err(findings);
+    }
+    let chunks = split_documents(text);
+    if chunks.len() > MAX_DOCUMENTS {
+        let message = format!("the text holds {} documents", chunks.len());
+        let expected = format!("at most {MAX_DOCUMENTS} documents");
+        findings.error(whole_file(file), message, expected);
+        return Err(findings);
+    }
+    Ok(chunks)
 }
 
 #[derive(Default)]
 struct ConfigurationReader {
-    rules: Vec<LabelRule>,
-    selectors: Vec<Selector>,
-    selector_places: Vec<Place>,
+    documents: Vec<Arc<CheckedDocument>>,
+    /// Where each of `documents` begins.
+    document_places: Vec<Place>,
     places: BTreeMap<DocumentKey, Place>,
     findings: FindingList,
+    cache: DocumentCache,
 }
 
 impl ConfigurationReader {
     fn finish(mut self, file: &Arc<str>) -> Result<ParsedConfiguration, FindingList> {
-        warn_selectors(&self.selectors, &self.selector_places, &mut self.findings);
+        warn_selectors(&self.documents, &self.document_places, &mut self.findings);
         if self.findings.has_errors() {
             return Err(self.findings);
         }
         let parsed = ParsedConfiguration {
-            rules: self.rules,
-            selectors: self.selectors,
+            canonical: CanonicalText::of(&self.documents),
+            documents: self.documents,
             warnings: self.findings,
         };
         check_canonical_size(parsed, file)
     }
 
-    fn read_document(&mut self, node: PlacedNode) {
-        let Some(mut reader) = FieldReader::open(node, "the document", &mut self.findings) else {
+    fn read_chunk(&mut self, file: &Arc<str>, chunk: TextChunk<'_>, cache: &DocumentCache) {
+        if let Some((text, cached)) = cache.get(chunk.text) {
+            let place = Place {
+                file: file.clone(),
+                line: cached.line.saturating_add(chunk.first_line - 1),
+                column: cached.column,
+            };
+            self.cache.insert(text.clone(), cached.clone());
+            self.add(cached.document.clone(), place);
             return;
-        };
-        let Some(kind) = reader.need_text("kind", KIND_RULE, &mut self.findings) else {
+        }
+        let earlier = std::mem::take(&mut self.findings);
+        let nodes = read_chunk(file, chunk, &mut self.findings);
+        let is_single = nodes.len() == 1;
+        for node in nodes {
+            let place = node.place.clone();
+            let Some(document) = self.read_document(node) else {
+                continue;
+            };
+            let document = Arc::new(document);
+            if is_single && self.findings.is_empty() {
+                let cached = CachedDocument {
+                    document: document.clone(),
+                    line: place.line.saturating_sub(chunk.first_line - 1),
+                    column: place.column,
+                };
+                self.cache.insert(Arc::from(chunk.text), cached);
+            }
+            self.add(document, place);
+        }
+        let own = std::mem::replace(&mut self.findings, earlier);
+        self.findings.extend(own);
+    }
+
+    /// Adds a document unless its key is given already.
+    fn add(&mut self, document: Arc<CheckedDocument>, place: Place) {
+        let key = &document.key;
+        if let Some(first) = self.places.get(key) {
+            let message = format!("{key} is already given in line {}", first.line);
+            self.findings.error(place, message, "each document once");
             return;
-        };
+        }
+        self.places.insert(key.clone(), place.clone());
+        self.documents.push(document);
+        self.document_places.push(place);
+    }
+
+    fn read_document(&mut self, node: PlacedNode) -> Option<CheckedDocument> {
+        let mut reader = FieldReader::open(node, "the document", &mut self.findings)?;
+        let kind = reader.need_text("kind", KIND_RULE, &mut self.findings)?;
         match kind.text.as_str() {
-            "labels" => self.read_labels(reader),
-            "selector" => self.read_selector(reader),
+            "labels" => self.read_labels(reader).map(CheckedDocument::rule),
+            "selector" => self.read_selector(reader).map(CheckedDocument::selector),
             other => {
                 let message = format!("there is no kind {other}");
                 self.findings.error(kind.place, message, KIND_RULE);
+                None
             }
         }
     }
 
-    fn read_labels(&mut self, mut reader: FieldReader) {
+    fn read_labels(&mut self, mut reader: FieldReader) -> Option<LabelRule> {
         let place = reader.place().clone();
         let subject = self.read_subject(&mut reader);
         let name = self.read_name(&mut reader, subject);
@@ -97,7 +198,7 @@
         let labels = self.read_label_set(&mut reader, subject);
         let named = name.is_some() || !matching.is_empty();
         reader.close(&mut self.findings);
-        let Some(subject) = subject else { return };
+        let subject = subject?;
         if subject == LabelSubject::Customer && !matching.is_empty() {
             let message = "match has no meaning on a customer";
             self.findings
@@ -108,15 +209,12 @@
             self.findings
                 .error(place.clone(), message, "name: a name or a pattern with *");
         }
-        let rule = LabelRule {
+        Some(LabelRule {
             subject,
             name,
             matching,
             labels,
-        };
-        if self.is_first(rule.document_key(), place) {
-            self.rules.push(rule);
-        }
+        })
     }
 
     fn read_subject(&mut self, reader: &mut FieldReader) -> Option<LabelSubject> {
@@ -175,29 +273,20 @@
         labels
     }
 
-    fn read_selector(&mut self, mut reader: FieldReader) {
-        let place = reader.place().clone();
+    fn read_selector(&mut self, mut reader: FieldReader) -> Option<Selector> {
         let name = reader.need_text("name", "a name, unique among selectors", &mut self.findings);
         let order = self.read_order(&mut reader);
         let target = self.read_target(&mut reader);
         let serves = read_expression(reader.take("for"), &mut self.findings);
         let allows = read_expression(reader.take("allow"), &mut self.findings);
         reader.close(&mut self.findings);
-        let name = name.and_then(|name| self.checked_name(name));
-        let (Some(name), Some(target)) = (name, target) else {
-            return;
-        };
-        let selector = Selector {
-            name: name.into(),
+        Some(Selector {
+            name: name.and_then(|name| self.checked_name(name))?.into(),
             order,
-            target,
+            target: target?,
             serves,
             allows,
-        };
-        if self.is_first(selector.document_key(), place.clone()) {
-            self.selectors.push(selector);
-            self.selector_places.push(place);
-        }
+        })
     }
 
     fn read_order(&mut self, reader: &mut FieldReader) -> u32 {
@@ -260,16 +349,6 @@
             .error(text.place, "this is no name", VALUE_RULE);
         None
     }
-
-    fn is_first(&mut self, key: DocumentKey, place: Place) -> bool {
-        if let Some(first) = self.places.get(&key) {
-            let message = format!("{key} is already given in line {}", first.line);
-            self.findings.error(place, message, "each document once");
-            return false;
-        }
-        self.places.insert(key, place);
-        true
-    }
 }
 
 /// Refuses a text whose canonical form is over the bound.
@@ -284,14 +363,9 @@
     if bytes <= MAX_TEXT_BYTES {
         return Ok(parsed);
     }
-    let place = Place {
-        file: file.clone(),
-        line: 0,
-        column: 0,
-    };
     let message = format!("in canonical form the text holds {bytes} bytes");
     let expected = format!("at most {MAX_TEXT_BYTES} bytes");
-    parsed.warnings.error(place, message, expected);
+    parsed.warnings.error(whole_file(file), message, expected);
     Err(parsed.warnings)
 }
 
--- a/crates/coordination/src/configuration/select.rs
+++ b/crates/coordination/src/configuration/select.rs
@@ -138,7 +138,7 @@
         let (own, general) = selectors.candidates(&facts.customer);
         let mut considered = Vec::new();
         for key in self.in_order(own, general) {
-            let Some(selector) = self.selectors.get(key) else {
+            let Some(selector) = self.selector(key) else {
                 continue;
             };
             match selector.mismatch(facts, &labels) {
@@ -158,7 +158,7 @@
     /// Each selector in order with its reason; looks at all of them.
     pub fn explain(&self, facts: &RequestFacts) -> Vec<SelectorExplanation> {
         let labels = self.request_labels(facts);
-        let mut ordered: Vec<&Selector> = self.selectors.values().collect();
+        let mut ordered: Vec<&Selector> = self.selectors.values().map(AsRef::as_ref).collect();
         ordered.sort_by(|a, b| a.rank().cmp(&b.rank()));
         let mut decided = false;
         let explain_one = |selector: &Selector| {
@@ -230,7 +230,7 @@
     }
 
     fn rank_of(&self, key: SelectorKey) -> Option<(u32, &SelectorName)> {
-        self.selectors.get(key).map(Selector::rank)
+        self.selector(key).map(Selector::rank)
     }
 }
 
--- a/crates/coordination/src/configuration/table.rs
+++ b/crates/coordination/src/configuration/table.rs
@@ -1,6 +1,7 @@
 //! The configuration in force, laid out for matching.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 use slotmap::{SlotMap, new_key_type};
 
@@ -29,9 +30,9 @@
     revision: Revision,
     canonical: CanonicalText,
     digest: Option<ContentDigest>,
-    pub(super) selectors: SlotMap<SelectorKey, Selector>,
+    pub(super) selectors: SlotMap<SelectorKey, Arc<Selector>>,
     pub(super) index: SelectorIndex,
-    rules: SlotMap<RuleKey, LabelRule>,
+    rules: SlotMap<RuleKey, Arc<LabelRule>>,
     rule_index: RuleIndex,
 }
 
@@ -69,15 +70,14 @@
 impl Configuration {
     /// Lays out a checked configuration.
     pub fn build(revision: Revision, parsed: &ParsedConfiguration) -> Self {
-        let canonical = parsed.canonical();
         let mut configuration = Self {
             revision,
-            digest: Some(canonical.digest()),
-            canonical,
+            digest: Some(parsed.canonical().digest()),
+            canonical: parsed.canonical().clone(),
             ..Self::default()
         };
-        configuration.add_selectors(&parsed.selectors);
-        configuration.add_rules(&parsed.rules);
+        configuration.add_selectors(parsed.selectors().cloned().collect());
+        configuration.add_rules(parsed.rules().cloned().collect());
         configuration
     }
 
@@ -98,12 +98,14 @@
 
     /// A selector.
     pub fn selector(&self, key: SelectorKey) -> Option<&Selector> {
-        self.selectors.get(key)
+        self.selectors.get(key).map(AsRef::as_ref)
     }
 
     /// All selectors, in no order.
     pub fn selectors(&self) -> impl Iterator<Item = (SelectorKey, &Selector)> {
-        self.selectors.iter()
+        self.selectors
+            .iter()
+            .map(|(key, selector)| (key, selector.as_ref()))
     }
 
     /// Number of selectors.
@@ -186,19 +188,17 @@
         labels
     }
 
-    fn add_selectors(&mut self, selectors: &[Selector]) {
-        let mut ordered: Vec<&Selector> = selectors.iter().collect();
-        ordered.sort_by(|a, b| a.rank().cmp(&b.rank()));
-        for selector in ordered {
+    fn add_selectors(&mut self, mut selectors: Vec<Arc<Selector>>) {
+        selectors.sort_by(|a, b| a.rank().cmp(&b.rank()));
+        for selector in selectors {
             let key = self.selectors.insert(selector.clone());
-            self.index.add(key, selector);
+            self.index.add(key, &selector);
         }
     }
 
-    fn add_rules(&mut self, rules: &[LabelRule]) {
-        let mut ordered: Vec<&LabelRule> = rules.iter().collect();
-        ordered.sort_by(|a, b| (a.specificity(), a).cmp(&(b.specificity(), b)));
-        for rule in ordered {
+    fn add_rules(&mut self, mut rules: Vec<Arc<LabelRule>>) {
+        rules.sort_by(|a, b| (a.specificity(), a).cmp(&(b.specificity(), b)));
+        for rule in rules {
             let key = self.rules.insert(rule.clone());
             match &rule.name {
                 Some(name) if name.is_exact() => {
--- a/crates/coordination/src/replicated/state.rs
+++ b/crates/coordination/src/replicated/state.rs
@@ -31,7 +31,7 @@
 }
 
 /// All replicated tables; everything here is part of a snapshot.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct ReplicatedTables {
     format: u16,
     applied: LogIndex,
--- a/crates/coordination/tests/configuration_change.rs
+++ b/crates/coordination/tests/configuration_change.rs
@@ -7,7 +7,7 @@
 
 use pollendrift_coordination::base::{Revision, WallTime};
 use pollendrift_coordination::configuration::{
-    ChangeAnswer, ChangeLog, ChangeRequest, ChangeRetention,
+    ChangeAnswer, ChangeLog, ChangeRequest, ChangeRetention, FollowedConfiguration,
 };
 use pollendrift_coordination::replicated::ReplicatedTime;
 use proptest::prelude::{any, proptest};
@@ -178,10 +178,13 @@
     assert_eq!(log.answer_count(), 1);
 }
 
-/// A follower that applies the delta holds the same text as one that pulled the whole.
+/// Followers hold the same content whether they take each delta, skip some or pull the whole. A
+/// delta that is late, comes twice, starts elsewhere or was altered on the way changes nothing.
 #[test]
-fn a_delta_leads_to_the_same_text() {
+fn deltas_lead_to_the_same_content() {
     let mut log = ChangeLog::new(ChangeRetention::default());
+    let mut steady = FollowedConfiguration::default();
+    let mut held = vec![steady.clone()];
     let texts = ["a b c", "a c", "a c d", "d"];
     for (index, customers) in texts.iter().enumerate() {
         let documents: Vec<String> = customers
@@ -196,14 +199,45 @@
             &documents.join("---\n"),
         );
         log.decide(&request, WallTime(0), NOW);
+        steady
+            .take_delta(&log.delta_since(Revision(based_on)).unwrap())
+            .unwrap();
+        held.push(steady.clone());
     }
-    for from in 0..=4 {
-        let delta = log.delta_since(Revision(from)).unwrap();
-        let mut followed = log.canonical_at(Revision(from)).unwrap();
-        followed.apply(&delta.changes);
-        assert_eq!(followed.digest(), delta.digest);
-        assert_eq!(&followed, log.canonical());
+    for (from, mut follower) in held.into_iter().enumerate() {
+        let delta = log.delta_since(Revision(from as u64)).unwrap();
+        follower.take_delta(&delta).unwrap();
+        assert_eq!(follower.current().canonical(), log.canonical());
+        assert_eq!(follower.current().revision(), Revision(4));
     }
+    let mut whole = FollowedConfiguration::default();
+    whole
+        .take_whole(Revision(4), &log.canonical().text())
+        .unwrap();
+    assert_eq!(whole.current().digest(), steady.current().digest());
+
+    let mut altered = log.delta_since(Revision(3)).unwrap();
+    altered.from = Revision(4);
+    altered.to = Revision(5);
+    altered.changes[0].text = None;
+    let refusals = [
+        steady.take_delta(&log.delta_since(Revision(3)).unwrap()),
+        steady.take_delta(&altered),
+        steady.take_whole(Revision(3), ""),
+        steady.take_whole(Revision(5), "kind: pipeline\n"),
+    ];
+    let refusals: Vec<String> = refusals
+        .map(|refusal| refusal.unwrap_err().to_string())
+        .into();
+    insta::assert_debug_snapshot!(refusals, @r#"
+    [
+        "the delta starts from revision 3, not 4",
+        "revision 5 has another content than its digest says",
+        "revision 3 is below 4",
+        "revision 5 can't be read: revision 5:1:7: error: there is no kind pipeline (accepted: kind: labels or kind: selector)\n",
+    ]
+    "#);
+    assert_eq!(steady.current().revision(), Revision(4));
     assert!(log.delta_since(Revision(5)).is_none());
 }
 
--- a/crates/coordination/tests/configuration_parse.rs
+++ b/crates/coordination/tests/configuration_parse.rs
@@ -4,7 +4,11 @@
 use std::fmt::Write;
 
 use pollendrift_coordination::base::Revision;
-use pollendrift_coordination::configuration::{Configuration, MAX_TEXT_BYTES, ParsedConfiguration};
+use pollendrift_coordination::configuration::{
+    Configuration, DocumentCache, MAX_TEXT_BYTES, ParsedConfiguration,
+};
+use proptest::prelude::proptest;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 
 fn findings_of(text: &str) -> String {
     match ParsedConfiguration::parse("change.yaml", text) {
@@ -98,6 +102,7 @@
         ("tab", "kind: labels\n\ton: host\n".to_owned()),
         ("anchor", "kind: &a labels\non: *a\n".to_owned()),
         ("deep", deep),
+        ("two", "---\nkind: [\n---\nkind: {\n".to_owned()),
         ("large", "#".repeat(MAX_TEXT_BYTES + 1)),
     ];
     let mut report = String::new();
@@ -105,10 +110,12 @@
         let _ = write!(report, "{name}: {}", findings_of(&text));
     }
     insta::assert_snapshot!(report, @r#"
-    truncated: change.yaml:2:9: error: not readable as YAML: unclosed bracket '{' at line 2, column 9 (accepted: YAML documents, nested at most 8 deep, without anchors)
-    tab: change.yaml:1:7: error: not readable as YAML: while scanning a plain scalar, found a tab at line 1, column 7 (accepted: YAML documents, nested at most 8 deep, without anchors)
-    anchor: change.yaml:1:10: error: not readable as YAML: budget breached: Anchors { anchors: 1 } at line 1, column 10 (accepted: YAML documents, nested at most 8 deep, without anchors)
-    deep: change.yaml:1:14: error: not readable as YAML: budget breached: Depth { depth: 9 } at line 1, column 14 (accepted: YAML documents, nested at most 8 deep, without anchors)
+    truncated: change.yaml:2:9: error: not readable as YAML: unclosed bracket '{' (accepted: YAML documents, nested at most 8 deep, without anchors)
+    tab: change.yaml:1:7: error: not readable as YAML: while scanning a plain scalar, found a tab (accepted: YAML documents, nested at most 8 deep, without anchors)
+    anchor: change.yaml:1:10: error: not readable as YAML: budget breached: Anchors { anchors: 1 } (accepted: YAML documents, nested at most 8 deep, without anchors)
+    deep: change.yaml:1:14: error: not readable as YAML: budget breached: Depth { depth: 9 } (accepted: YAML documents, nested at most 8 deep, without anchors)
+    two: change.yaml:2:7: error: not readable as YAML: unclosed bracket '[' (accepted: YAML documents, nested at most 8 deep, without anchors)
+    change.yaml:4:7: error: not readable as YAML: unclosed bracket '{' (accepted: YAML documents, nested at most 8 deep, without anchors)
     large: change.yaml:0:0: error: the text holds 4194305 bytes (accepted: at most 4194304 bytes)
     "#);
 }
@@ -244,7 +251,12 @@
 for:
   matchExpressions: [{key: tier, operator: In, values: [gold]}]
 ";
-    let parse = |text: &str| ParsedConfiguration::parse("f", text).unwrap().canonical();
+    let parse = |text: &str| {
+        ParsedConfiguration::parse("f", text)
+            .unwrap()
+            .canonical()
+            .clone()
+    };
     assert_eq!(parse(first), parse(second));
     assert_eq!(parse(first), parse(&parse(first).text()));
     insta::assert_snapshot!(parse(first).text(), @r#"
@@ -275,3 +287,48 @@
         assert_eq!(configuration.selector_count(), 0);
     }
 }
+
+const DOCUMENTS: [&str; 9] = [
+    "kind: selector\nname: a\nmodel: m\n",
+    "# above\nkind: selector\nname: b\nmodel: m\n",
+    "kind: labels\non: customer\nname: c\nlabels: {weight: 1}\n",
+    "kind: labels\non: customer\nname: c\nlabels: {weight: many}\n",
+    "  kind: selector\n  name: d\n  model: m\n",
+    "{kind: selector, name: e",
+    "",
+    "# only a comment\n",
+    "kind: selector\nname: a\nmodel: m\n...\nkind: selector\nname: f\nmodel: m\n",
+];
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Edits follow one another, good and bad. What is known of earlier texts changes no verdict, no
+    /// finding, no place and no content.
+    #[test]
+    fn a_cache_changes_nothing_but_the_time(
+        edits in proptest::collection::vec(
+            proptest::collection::vec((0..DOCUMENTS.len(), 0..3_usize), 0..6),
+            1..6,
+        ),
+    ) {
+        let mut cache = DocumentCache::default();
+        for edit in edits {
+            let text: String = edit
+                .into_iter()
+                .map(|(document, marker)| {
+                    let marker = ["---\n", "---  # next\n", "---\n\n\n"][marker];
+                    format!("{marker}{}", DOCUMENTS[document])
+                })
+                .collect();
+            let known = ParsedConfiguration::parse_after("f", &text, &mut cache);
+            assert_eq!(known, ParsedConfiguration::parse("f", &text), "{text}");
+        }
+    }
+}
--- a/crates/pollenctl/src/check.rs
+++ b/crates/pollenctl/src/check.rs
@@ -12,7 +12,7 @@
     output.note(&parsed.warnings.to_string());
     output.print(&format!(
         "good: {} selectors, {} label rules",
-        parsed.selectors.len(),
-        parsed.rules.len()
+        parsed.selectors().count(),
+        parsed.rules().count()
     ))
 }
--- a/crates/pollenctl/src/diff.rs
+++ b/crates/pollenctl/src/diff.rs
@@ -22,8 +22,7 @@
     let view: ConfigurationView = client.get("/operator/v1/configuration").await?;
     let in_force = ParsedConfiguration::parse("in force", &view.text)
         .map_err(|findings| ToolFailure::Findings { findings })?;
-    let (earlier, later) = (in_force.canonical(), checked.parsed.canonical());
-    let text = written(&earlier, &later);
+    let text = written(in_force.canonical(), checked.parsed.canonical());
     if text.is_empty() {
         return output.print(&format!("no difference from revision {}", view.revision));
     }
@@ -38,7 +37,7 @@
         let old = earlier
             .documents()
             .get(&change.key)
-            .map_or("", String::as_str);
+            .map_or("", AsRef::as_ref);
         let new = change.text.as_deref().unwrap_or("");
         let mark = match (old.is_empty(), new.is_empty()) {
             (true, _) => '+',
