--- a/crates/coordination/tests/agreement_faults/cases.rs
+++ b/crates/coordination/tests/agreement_faults/cases.rs
@@ -46,6 +46,7 @@
     case("leader cut off for minutes", 3, leader_cut_off),
     case("isolated leader with a slow clock", 3, slow_clock),
     case("leader cut off one way", 3, leader_cut_one_way),
+    case("one link to the leader cut", 3, one_link_cut),
     case("only one keeper reaches all", 5, one_reaches_all),
     case("rough network", 5, rough_network),
     case("disks stall", 3, disks_stall),
@@ -144,6 +145,26 @@
     cluster.expect_accepting("nobody follows a deaf leader");
 }
 
+/// Callers notice nothing. One follower loses its link to the leader alone and asks the other for
+/// votes; as no command comes in, its log is as new as any. The other hears the leader and gives
+/// none, so the leader stays.
+fn one_link_cut(cluster: &mut Cluster) {
+    cluster.client_interval = 10 * SECOND;
+    cluster.run_for(100 * MILLISECOND);
+    let leader = cluster.await_leader();
+    let term = cluster.leader_term();
+    let follower = (leader + 1) % 3;
+    cluster.cut_one_way(leader, follower);
+    cluster.cut_one_way(follower, leader);
+    cluster.run_for(5 * SECOND);
+    cluster.expect(
+        cluster.leader_term() == term,
+        "one cut link unseats the leader",
+    );
+    cluster.client_interval = 7 * MILLISECOND;
+    cluster.run_for(10 * SECOND);
+}
+
 /// Callers wait for some elections. All links but those of one follower are cut, so no other can
 /// lead: the leader steps down, and the one that reaches all is elected in the end.
 fn one_reaches_all(cluster: &mut Cluster) {
