--- a/crates/coordination/tests/agreement_faults/main.rs
+++ b/crates/coordination/tests/agreement_faults/main.rs
@@ -17,7 +17,7 @@
 
 use cases::{CASES, FaultCase, small_settings};
 use cluster::{Cluster, MILLISECOND, SECOND};
-use recovery::{ELECTION_TIMEOUTS, measure_recovery};
+use recovery::{ELECTION_TIMEOUTS, LeaderEnd, measure_recovery};
 
 /// Seeds that run by default; every one that ever showed a fault is added to `FOUND_SEEDS`.
 const FIXED_SEEDS: u64 = 4;
@@ -60,13 +60,22 @@
 fn next_command_is_accepted_within_four_election_timeouts() {
     let setups = [3, 5].map(|keepers| ELECTION_TIMEOUTS.map(|timeout| (keepers, timeout)));
     for (keepers, timeout) in setups.into_iter().flatten() {
-        let (median, longest) = measure_recovery(keepers, timeout, seed_count());
+        let (median, longest) = measure_recovery(LeaderEnd::Crash, keepers, timeout, seed_count());
         let election = timeout / MILLISECOND;
         println!("{keepers} keepers, timeout {election} ms: p50 {median} us, max {longest} us");
         assert!(median > 0 && longest < 4 * timeout, "{median} {longest}");
     }
 }
 
+/// Callers are refused for a moment at a planned stop: the order to stand spares the timeout.
+#[test]
+fn hand_over_takes_less_than_an_election_timeout() {
+    let timeout = 300 * MILLISECOND;
+    let (median, longest) = measure_recovery(LeaderEnd::HandOver, 3, timeout, seed_count());
+    println!("hand-over, timeout 300 ms: p50 {median} us, max {longest} us");
+    assert!(median > 0 && longest < timeout, "{median} {longest}");
+}
+
 /// The operator sees what the group can still lose: one of three, none while a disk is lost and
 /// until its replacement votes, then one again.
 #[test]
--- a/crates/coordination/tests/agreement_faults/recovery.rs
+++ b/crates/coordination/tests/agreement_faults/recovery.rs
@@ -14,8 +14,16 @@
     1_000 * MILLISECOND,
 ];
 
+/// What ends a leadership.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LeaderEnd {
+    Crash,
+    HandOver,
+}
+
 /// Median and longest time over `seeds` runs under steady load.
 pub(crate) fn measure_recovery(
+    end: LeaderEnd,
     keepers: usize,
     election_timeout: Micros,
     seeds: u64,
@@ -26,22 +34,31 @@
         ..AgreementSettings::default()
     };
     let mut times: Vec<Micros> = (0..seeds)
-        .map(|seed| recover_once(seed, keepers, settings.clone()))
+        .map(|seed| recover_once(end, seed, keepers, settings.clone()))
         .collect();
     times.sort_unstable();
     (times[times.len() / 2], times[times.len() - 1])
 }
 
-fn recover_once(seed: u64, keepers: usize, settings: AgreementSettings) -> Micros {
+/// Time to the first command that the next leader accepts.
+fn recover_once(end: LeaderEnd, seed: u64, keepers: usize, settings: AgreementSettings) -> Micros {
     let mut cluster = Cluster::new(seed, keepers, settings);
     cluster.client_interval = MILLISECOND;
     cluster.await_leader();
     cluster.run_for_random(SECOND);
     let leader = cluster.await_leader();
-    cluster.crash(leader, true);
-    let lost_at = cluster.now;
-    while cluster.last_accepted_at <= lost_at && cluster.now < lost_at + 60 * SECOND {
+    let ended_at = cluster.now;
+    match end {
+        LeaderEnd::Crash => cluster.crash(leader, true),
+        LeaderEnd::HandOver => cluster.hand_over(leader, (leader + 1) % keepers),
+    }
+    while cluster.leader().is_none_or(|next| next == leader) && cluster.now < ended_at + 60 * SECOND
+    {
+        cluster.run_for(MILLISECOND);
+    }
+    let elected_at = cluster.now;
+    while cluster.last_accepted_at < elected_at && cluster.now < ended_at + 60 * SECOND {
         cluster.run_for(MILLISECOND);
     }
-    cluster.last_accepted_at.saturating_sub(lost_at)
+    cluster.now - ended_at
 }
