--- a/crates/coordination/tests/agreement_contract.rs
+++ b/crates/coordination/tests/agreement_contract.rs
@@ -224,6 +224,24 @@
     "#);
 }
 
+/// A follower that holds entries of a lost leader would deliver them as accepted if it took the new
+/// leader's commit index for its own whole log. Only what that leader compared is committed.
+#[test]
+fn follower_commits_only_what_was_compared() {
+    let mut node = follower();
+    let stale = from_b(append(1, &[(2, 1), (3, 1)]));
+    let AgreementMessage::Append(mut probe) = append(1, &[]) else {
+        return;
+    };
+    probe.commit = LogIndex(3);
+    let probe = from_b(AgreementMessage::Append(probe));
+    node.tick(MonotonicTime::START, vec![stale, probe]);
+    assert_eq!(
+        (node.commit_index(), node.last_index()),
+        (LogIndex(1), LogIndex(3))
+    );
+}
+
 /// Callers over a bound are told at once that nothing was appended. All proposals of a tick, and
 /// those that come while a sync runs, share one persist order.
 #[test]
