feat(routing): measure the death of an engine in the policy comparison

The example kills an engine in the middle of a run and compares with a run in which it lives: tokens left against the bound left, and the time to the next token of each sequence that it ran.

--- a/crates/standins/examples/policies/experiment.rs
+++ b/crates/standins/examples/policies/experiment.rs
@@ -13,7 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use slotmap::{SlotMap, new_key_type};
 
-use crate::fleet::{ACTIVATION_BYTES, KINDS, announcements, links, make_planner};
+use crate::fleet::{KINDS, announcements, make_planner};
 use crate::{Options, fail};
 
 const ENTRIES: usize = 9;
@@ -22,52 +22,63 @@
 const REPORT_AGE: u64 = 300_000;
 const TICK_EVERY: u64 = 1_000_000;
 const RETRY_AFTER: u64 = 20_000;
-const PREFILL_CHUNK: u32 = 1_024;
+/// Microseconds from an entry or a last stage to a first stage.
+const CALL_TIME: u64 = 300;
 
 new_key_type! {
-    struct SequenceKey;
+    pub(crate) struct SequenceKey;
 }
 
 #[derive(Clone, Copy)]
-struct WorkItem {
-    sequence: SequenceKey,
-    stage: usize,
+pub(crate) struct WorkItem {
+    pub(crate) sequence: SequenceKey,
+    pub(crate) stage: usize,
     /// Prompt tokens; 0 for a decode step.
-    prompt: u32,
+    pub(crate) prompt: u32,
 }
 
 #[derive(Default)]
-struct FakeEngine {
-    decode: VecDeque<WorkItem>,
-    prefill: VecDeque<WorkItem>,
-    batch: Vec<WorkItem>,
-    is_busy: bool,
-    link_free: u64,
-    figures: LoadFigures,
+pub(crate) struct FakeEngine {
+    pub(crate) decode: VecDeque<WorkItem>,
+    pub(crate) prefill: VecDeque<WorkItem>,
+    pub(crate) batch: Vec<WorkItem>,
+    pub(crate) is_busy: bool,
+    pub(crate) is_dead: bool,
+    pub(crate) link_free: u64,
+    pub(crate) figures: LoadFigures,
     reports: VecDeque<(u64, LoadFigures)>,
     /// Microseconds of measured steps.
-    worked: u64,
+    pub(crate) worked: u64,
     /// Microseconds of that without the floor of a step.
-    useful: u64,
+    pub(crate) useful: u64,
 }
 
-struct Sequence {
-    entry: usize,
-    plan: RoutePlan,
-    flight: FlightKey,
-    engines: Vec<usize>,
-    last_token: u64,
-    made: u32,
-    wanted: u32,
+/// What is left to do for a request, new or after the loss of an engine.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Job {
+    pub(crate) prompt: u32,
+    /// Tokens that the caller has; they are replayed after the prompt.
+    pub(crate) made: u32,
+    pub(crate) wanted: u32,
+    /// Time of the last token, or of the arrival.
+    pub(crate) last_token: u64,
+    /// Engine that was lost, and when.
+    pub(crate) lost: Option<(usize, u64)>,
+}
+
+pub(crate) struct Sequence {
+    pub(crate) entry: usize,
+    pub(crate) plan: RoutePlan,
+    pub(crate) flight: FlightKey,
+    pub(crate) engines: Vec<usize>,
+    pub(crate) job: Job,
+    /// Stages that have worked through the prompt.
+    pub(crate) prefilled: usize,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Request {
-        prompt: u32,
-        wanted: u32,
-        arrived: u64,
-    },
+pub(crate) enum Event {
+    Request(Job),
     Deliver {
         engine: usize,
         sequence: SequenceKey,
@@ -80,6 +91,19 @@
     Report,
     Tick,
     Arrival,
+    /// The second half begins, with the death of an engine or without.
+    Death {
+        engine: Option<usize>,
+    },
+    /// An entry sees that an engine of a sequence is gone.
+    Lost {
+        engine: usize,
+        sequence: SequenceKey,
+    },
+    /// The lease of a dead engine ends.
+    LeaseEnd {
+        engine: usize,
+    },
 }
 
 /// How requests arrive.
@@ -92,22 +116,27 @@
 }
 
 pub(crate) struct Experiment {
-    now: u64,
+    pub(crate) now: u64,
     order: u64,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     rng: ChaCha8Rng,
-    planners: Vec<FleetPlanner>,
-    announced: Vec<EngineAnnouncement>,
-    engines: Vec<FakeEngine>,
+    pub(crate) planners: Vec<FleetPlanner>,
+    pub(crate) announced: Vec<EngineAnnouncement>,
+    pub(crate) engines: Vec<FakeEngine>,
     by_name: BTreeMap<String, usize>,
-    sequences: SlotMap<SequenceKey, Sequence>,
-    wires: BTreeMap<(String, String), u64>,
+    pub(crate) sequences: SlotMap<SequenceKey, Sequence>,
+    pub(crate) wires: BTreeMap<(String, String), u64>,
     shape: LoadShape,
-    measured_from: u64,
+    pub(crate) measured_from: u64,
     pub(crate) tokens: u64,
     pub(crate) unrouted: u64,
     pub(crate) first_token: Histogram<u64>,
     pub(crate) interval: Histogram<u64>,
+    /// From the loss of an engine to the next token of each sequence that it ran.
+    pub(crate) resumed: Histogram<u64>,
+    /// Tokens after the death of an engine.
+    pub(crate) tokens_after: u64,
+    pub(crate) death: Option<u64>,
 }
 
 impl Experiment {
@@ -142,6 +171,9 @@
             unrouted: 0,
             first_token: histogram().unwrap_or_else(|error| fail(&error.to_string())),
             interval: histogram().unwrap_or_else(|error| fail(&error.to_string())),
+            resumed: histogram().unwrap_or_else(|error| fail(&error.to_string())),
+            tokens_after: 0,
+            death: None,
         }
     }
 
@@ -165,11 +197,10 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Request {
-                prompt,
-                wanted,
-                arrived,
-            } => self.route(prompt, wanted, arrived),
+            Event::Request(job) => self.route(job),
+            Event::Death { engine } => self.die(engine),
+            Event::Lost { engine, sequence } => self.resume(engine, sequence),
+            Event::LeaseEnd { engine } => self.end_lease(engine),
             Event::Deliver {
                 engine,
                 sequence,
@@ -192,7 +223,7 @@
         }
     }
 
-    fn schedule(&mut self, after: u64, event: Event) {
+    pub(crate) fn schedule(&mut self, after: u64, event: Event) {
         self.order += 1;
         self.events
             .push(Reverse((self.now + after, self.order, event)));
@@ -211,30 +242,32 @@
         let prompt = self.rng.random_range(128..=896);
         let wanted = self.rng.random_range(64..=352);
         let spread = self.rng.random_range(0..100_000);
-        let arrived = self.now + spread;
-        self.schedule(
-            spread,
-            Event::Request {
-                prompt,
-                wanted,
-                arrived,
-            },
-        );
+        let job = Job {
+            prompt,
+            made: 0,
+            wanted,
+            last_token: self.now + spread,
+            lost: None,
+        };
+        self.schedule(spread, Event::Request(job));
     }
 
-    fn route(&mut self, prompt: u32, wanted: u32, arrived: u64) {
+    pub(crate) fn route(&mut self, job: Job) {
         let entry = self.rng.random_range(0..ENTRIES);
         let time = MonotonicTime::from_micros(self.now);
-        let mix = WorkloadMix::default();
+        let mean = WorkloadMix::default().output_tokens;
         let model = ModelName::from("m");
+        let lost = job
+            .lost
+            .map(|(engine, _)| self.announced[engine].server.clone());
         let query = RouteQuery {
             model: &model,
             version: None,
             adapter: None,
             allowed: &PermitAll,
-            excluded: &[],
-            prompt_tokens: prompt,
-            expected_tokens: mix.output_tokens,
+            excluded: lost.as_slice(),
+            prompt_tokens: job.prompt + job.made,
+            expected_tokens: mean.saturating_sub(job.made).max(1),
             prefixes: &[],
             deadline: None,
             priority: RoutePriority::Normal,
@@ -242,191 +275,73 @@
         let planner = &mut self.planners[entry];
         let Ok(plan) = planner.choose(time, &query) else {
             self.unrouted += 1;
-            self.schedule(
-                RETRY_AFTER,
-                Event::Request {
-                    prompt,
-                    wanted,
-                    arrived,
-                },
-            );
+            self.schedule(RETRY_AFTER, Event::Request(job));
             return;
         };
         let flight = planner.started(time, &plan);
-        let engines: Vec<usize> = plan
-            .stages
-            .iter()
-            .map(|stage| self.by_name[stage.server.as_str()])
-            .collect();
+        let names = plan.stages.iter().map(|stage| stage.server.as_str());
+        let engines: Vec<usize> = names.map(|name| self.by_name[name]).collect();
+        let prompt = plan.prompt_tokens;
         for engine in &engines {
             let figures = &mut self.engines[*engine].figures;
             figures.sequences += 1;
             figures.kv.0 += u64::from(prompt);
             figures.prefill.0 += u64::from(prompt);
         }
-        let first = engines[0];
+        let engine = engines[0];
         let sequence = self.sequences.insert(Sequence {
             entry,
             plan,
             flight,
             engines,
-            last_token: arrived,
-            made: 0,
-            wanted,
+            job,
+            prefilled: 0,
         });
-        self.schedule(
-            300,
-            Event::Deliver {
-                engine: first,
-                sequence,
-                stage: 0,
-                prompt,
-            },
-        );
-    }
-
-    fn deliver(&mut self, engine: usize, item: WorkItem) {
-        let queues = &mut self.engines[engine];
-        if item.prompt > 0 {
-            queues.prefill.push_back(item);
-        } else {
-            queues.decode.push_back(item);
-        }
-        self.begin_step(engine);
-    }
-
-    /// One step works on all decode items and at least one prompt, up to the chunk.
-    fn begin_step(&mut self, index: usize) {
-        let engine = &mut self.engines[index];
-        if engine.is_busy || (engine.decode.is_empty() && engine.prefill.is_empty()) {
-            return;
-        }
-        let mut batch: Vec<WorkItem> = engine.decode.drain(..).collect();
-        let mut chunk = 0;
-        while let Some(item) = engine.prefill.pop_front() {
-            chunk += item.prompt;
-            batch.push(item);
-            if chunk >= PREFILL_CHUNK {
-                break;
-            }
-        }
-        let announced = &self.announced[index];
-        let mut seconds = 0.0;
-        let mut largest: f64 = 0.0;
-        for item in &batch {
-            let run = self.sequences[item.sequence].plan.stages[item.stage]
-                .layers
-                .len();
-            let part = f64::from(run) / f64::from(announced.layers.len());
-            largest = largest.max(part);
-            seconds += if item.prompt > 0 {
-                announced.prefill_rate.seconds_for(f64::from(item.prompt)) * part
-            } else {
-                announced.decode_rate.seconds_for(1.0) * part
-            };
-        }
-        let useful = (seconds * 1e6) as u64;
-        let seconds = seconds.max(announced.step_floor.as_secs_f64() * largest);
-        engine.batch = batch;
-        engine.is_busy = true;
-        let micros = (seconds * 1e6) as u64;
-        if self.now >= self.measured_from {
-            engine.worked += micros;
-            engine.useful += useful;
-        }
-        self.schedule(micros, Event::StepDone { engine: index });
-    }
-
-    fn finish_step(&mut self, index: usize) {
-        let batch = std::mem::take(&mut self.engines[index].batch);
-        self.engines[index].is_busy = false;
-        for item in batch {
-            self.engines[index].figures.prefill.0 -= u64::from(item.prompt);
-            let next = item.stage + 1;
-            match self.sequences[item.sequence].engines.get(next).copied() {
-                Some(engine) => self.forward(
-                    index,
-                    engine,
-                    WorkItem {
-                        stage: next,
-                        ..item
-                    },
-                ),
-                None => self.emit(item),
-            }
-        }
-        self.begin_step(index);
-    }
-
-    /// Activations wait for the sender's link and for the link between data centres.
-    fn forward(&mut self, from: usize, engine: usize, item: WorkItem) {
-        let (sender, receiver) = (&self.announced[from], &self.announced[engine]);
-        let bytes = u64::from(ACTIVATION_BYTES) * u64::from(item.prompt.max(1));
-        let rate = sender.link_rate.0.min(receiver.link_rate.0);
-        let start = self.engines[from].link_free.max(self.now);
-        let mut done = start + bytes * 1_000_000 / rate;
-        self.engines[from].link_free = done;
-        let mut latency = 50;
-        let (one, other) = (&sender.data_centre, &receiver.data_centre);
-        let found = links().into_iter().find(|(a, b, _)| {
-            (*a == one.as_str() && *b == other.as_str())
-                || (*b == one.as_str() && *a == other.as_str())
-        });
-        if let Some((_, _, link)) = found {
-            let wire = self
-                .wires
-                .entry((one.to_string(), other.to_string()))
-                .or_default();
-            *wire = (*wire).max(self.now) + bytes * 1_000_000 / link.rate.0;
-            done = done.max(*wire);
-            latency = u64::try_from(link.latency.as_micros()).unwrap_or(u64::MAX);
-        }
-        let WorkItem {
+        let event = Event::Deliver {
+            engine,
             sequence,
-            stage,
+            stage: 0,
             prompt,
-        } = item;
-        self.schedule(
-            done - self.now + latency,
-            Event::Deliver {
-                engine,
-                sequence,
-                stage,
-                prompt,
-            },
-        );
+        };
+        self.schedule(CALL_TIME, event);
     }
 
-    fn emit(&mut self, item: WorkItem) {
+    pub(crate) fn emit(&mut self, item: WorkItem) {
         let now = self.now;
         let time = MonotonicTime::from_micros(now);
-        let sequence = &mut self.sequences[item.sequence];
-        let is_first = sequence.made == 0;
-        sequence.made += 1;
-        if is_first {
+        let Some(sequence) = self.sequences.get_mut(item.sequence) else {
+            return;
+        };
+        let is_first = sequence.job.made == 0;
+        sequence.job.made += 1;
+        if item.prompt > 0 {
             self.planners[sequence.entry].first_token(time, sequence.flight);
+            if let Some((_, lost_at)) = sequence.job.lost {
+                self.resumed.saturating_record((now - lost_at).max(1));
+            }
         }
         if now >= self.measured_from {
             self.tokens += 1;
+            self.tokens_after += u64::from(self.death.is_some());
             let histogram = if is_first {
                 &mut self.first_token
             } else {
                 &mut self.interval
             };
-            histogram.saturating_record((now - sequence.last_token).max(1));
+            histogram.saturating_record((now - sequence.job.last_token).max(1));
         }
-        sequence.last_token = now;
+        sequence.job.last_token = now;
         for engine in &sequence.engines {
             self.engines[*engine].figures.kv.0 += 1;
         }
-        if sequence.made < sequence.wanted {
+        if sequence.job.made < sequence.job.wanted {
             let event = Event::Deliver {
                 engine: sequence.engines[0],
                 sequence: item.sequence,
                 stage: 0,
                 prompt: 0,
             };
-            self.schedule(300, event);
+            self.schedule(CALL_TIME, event);
             return;
         }
         self.end(item.sequence);
@@ -438,19 +353,31 @@
         };
         let time = MonotonicTime::from_micros(self.now);
         self.planners[sequence.entry].finished(time, sequence.flight);
-        for engine in &sequence.engines {
-            let figures = &mut self.engines[*engine].figures;
-            figures.sequences -= 1;
-            figures.kv.0 -= u64::from(sequence.plan.prompt_tokens + sequence.made);
-        }
+        self.release(&sequence);
         if matches!(self.shape, LoadShape::Closed(_)) {
             self.request();
         }
     }
 
+    /// Takes a sequence that ended off its engines' figures.
+    pub(crate) fn release(&mut self, sequence: &Sequence) {
+        let kv = u64::from(sequence.job.prompt + sequence.job.made);
+        for (stage, engine) in sequence.engines.iter().enumerate() {
+            let figures = &mut self.engines[*engine].figures;
+            figures.sequences -= 1;
+            figures.kv.0 = figures.kv.0.saturating_sub(kv);
+            if stage >= sequence.prefilled {
+                figures.prefill.0 -= u64::from(sequence.plan.prompt_tokens);
+            }
+        }
+    }
+
     /// Reports arrive with figures that are older than they are.
     fn report(&mut self) {
         for (index, engine) in self.engines.iter_mut().enumerate() {
+            if engine.is_dead {
+                continue;
+            }
             engine.reports.push_back((self.now, engine.figures));
             while engine.reports.len() > 1 && engine.reports[1].0 + REPORT_AGE <= self.now {
                 engine.reports.pop_front();
--- a/crates/standins/examples/policies/main.rs
+++ b/crates/standins/examples/policies/main.rs
@@ -6,12 +6,16 @@
 //! arrivals at four fifths of the bound (latencies). Prints one table.
 
 mod experiment;
+mod failure;
 mod fleet;
+mod steps;
 
 use bpaf::Bpaf;
 use hdrhistogram::Histogram;
 use pollendrift_coordination::base::VersionName;
-use pollendrift_coordination::routing::{PolicyKind, RoutePlanner, RoutingSettings, WorkloadMix};
+use pollendrift_coordination::routing::{
+    FleetPlanner, PolicyKind, RoutePlanner, RoutingSettings, WorkloadMix,
+};
 
 use crate::experiment::{Experiment, LoadShape};
 use crate::fleet::{announcements, make_planner};
@@ -32,6 +36,9 @@
     /// Engines compared for each stage
     #[bpaf(fallback(3))]
     candidates: u32,
+    /// Engine that dies in the last run, by its number
+    #[bpaf(fallback(12))]
+    victim: usize,
     /// Print how busy the engines of each kind were in the throughput run
     detail: bool,
 }
@@ -93,4 +100,48 @@
             millis(&open.interval, 0.95),
         );
     }
+    print_death(&options, bound.flow);
+}
+
+/// Kills one engine under the default policy, once with the engines full and once at four fifths of
+/// the bound, and compares what is lost with what the hardware lost.
+fn print_death(options: &Options, bound: f64) {
+    let victim = announcements()[options.victim].server.clone();
+    let mut planner = make_planner(RoutingSettings::default(), options.seed, &announcements());
+    let find = |planner: &FleetPlanner| planner.bound(&"m".into(), None, &VersionName::from("v1"));
+    let before = find(&planner);
+    planner.remove(&victim);
+    let left = find(&planner);
+    let mean = f64::from(WorkloadMix::default().output_tokens);
+    let shapes = [
+        ("full", LoadShape::Closed(options.concurrency)),
+        ("0.8", LoadShape::Open(bound * 0.8 / mean)),
+    ];
+    println!(
+        "death of {victim}: {:.1}% of the bound is left by flow, {:.1}% by compute",
+        left.flow / before.flow * 100.0,
+        left.compute / before.compute * 100.0
+    );
+    println!(
+        "{:<5} {:>12} {:>8} | {:>8} {:>8} {:>8}",
+        "load", "tokens after", "resumed", "next p50", "next p95", "next max"
+    );
+    for (name, shape) in shapes {
+        let run_with = |victim| {
+            let mut run = Experiment::new(PolicyKind::default(), options, shape);
+            run.plan_death(victim, options.seconds);
+            run.run(options.seconds);
+            run
+        };
+        let intact = run_with(None);
+        let run = run_with(Some(options.victim));
+        println!(
+            "{name:<5} {:>11.1}% {:>8} | {:>5.0} ms {:>5.0} ms {:>5.0} ms",
+            run.tokens_after as f64 / intact.tokens_after as f64 * 100.0,
+            run.resumed.len(),
+            run.resumed.value_at_quantile(0.5) as f64 / 1e3,
+            run.resumed.value_at_quantile(0.95) as f64 / 1e3,
+            run.resumed.max() as f64 / 1e3,
+        );
+    }
 }
