fix(routing): count the prompt that each stage must work through

A prefix counted only if all stages before held it. The need runs the other way: a stage works through what it or a later stage lacks, since that one needs its activations.

Each stage now carries its own cached tokens, and its load counts only the rest. After the loss of one engine the stages behind it keep what they hold.

--- a/crates/coordination/src/routing/choice.rs
+++ b/crates/coordination/src/routing/choice.rs
@@ -185,7 +185,7 @@
     policy: &mut dyn RoutePolicy,
     rng: &mut ChaCha8Rng,
 ) -> Option<Vec<EngineKey>> {
-    let mut point = start_point(context);
+    let mut point = start_point();
     let mut keys = Vec::new();
     while point.layer < context.graph.id.layers {
         let mut view = StageView {
@@ -195,33 +195,31 @@
             rng,
         };
         let key = policy.pick(&mut view)?;
-        point = step(context, key, &point)?;
+        point = step(context, key)?;
         keys.push(key);
     }
     Some(keys)
 }
 
-fn step(context: &ChoiceContext<'_>, key: EngineKey, point: &WalkPoint) -> Option<WalkPoint> {
+fn step(context: &ChoiceContext<'_>, key: EngineKey) -> Option<WalkPoint> {
     let engine = context.fleet.get(key)?;
     Some(WalkPoint {
         layer: engine.announcement.layers.end,
         data_centre: engine.data_centre,
         link_rate: Some(engine.announcement.link_rate),
-        cached_tokens: context.cached_tokens(key, point),
     })
 }
 
 fn finish_walk(context: &ChoiceContext<'_>, keys: &[EngineKey]) -> Walk {
-    let mut point = start_point(context);
+    let mut point = start_point();
     let mut time = StageTime::default();
     let mut stages = Vec::with_capacity(keys.len());
-    for key in keys {
+    let cached = find_cached(context, keys);
+    for (key, cached_tokens) in keys.iter().zip(&cached) {
         let Some(engine) = context.fleet.get(*key) else {
             continue;
         };
-        let added = context.predict(*key, engine, &point);
-        time.first_token += added.first_token;
-        time.per_token += added.per_token;
+        time = time.plus(context.predict_with(engine, &point, *cached_tokens));
         let end = engine.announcement.layers.end;
         stages.push(RouteStage {
             engine: *key,
@@ -230,16 +228,30 @@
                 first: point.layer,
                 end,
             },
+            cached_tokens: *cached_tokens,
         });
-        point = step(context, *key, &point).unwrap_or(point);
+        point = step(context, *key).unwrap_or(point);
     }
     Walk {
         stages,
         time,
-        cached_tokens: point.cached_tokens,
+        cached_tokens: cached.first().copied().unwrap_or(0),
     }
 }
 
+/// Tokens of the prompt that each stage need not work through. A stage must still run what a later
+/// one lacks, since that one needs its activations; a stage that holds more than those before it
+/// works through less than they do.
+fn find_cached(context: &ChoiceContext<'_>, keys: &[EngineKey]) -> Vec<u32> {
+    let mut cached: Vec<u32> = keys.iter().map(|key| context.cached_tokens(*key)).collect();
+    let mut least = u32::MAX;
+    for tokens in cached.iter_mut().rev() {
+        least = least.min(*tokens);
+        *tokens = least;
+    }
+    cached
+}
+
 fn make_plan(context: &ChoiceContext<'_>, walk: Walk, prefill: Option<Walk>) -> RoutePlan {
     let id = &context.graph.id;
     let query = context.query;
--- a/crates/coordination/src/routing/flight.rs
+++ b/crates/coordination/src/routing/flight.rs
@@ -35,20 +35,19 @@
         plan: &RoutePlan,
     ) -> FlightKey {
         let is_split = !plan.prefill.is_empty();
-        let fresh = plan.prompt_tokens.saturating_sub(plan.cached_tokens);
         let prompt_kv = i64::from(plan.prompt_tokens);
         let whole_kv = prompt_kv + i64::from(plan.expected_tokens);
-        let decode_fresh = if is_split { 0 } else { fresh };
+        let decode_prompt = if is_split { 0 } else { plan.prompt_tokens };
         let mut stages = Vec::with_capacity(plan.stages.len() + plan.prefill.len());
         stages.extend(
             plan.stages
                 .iter()
-                .map(|s| stage(fleet, s, decode_fresh, whole_kv)),
+                .map(|s| stage(fleet, s, decode_prompt, whole_kv)),
         );
         stages.extend(
             plan.prefill
                 .iter()
-                .map(|s| stage(fleet, s, fresh, prompt_kv)),
+                .map(|s| stage(fleet, s, plan.prompt_tokens, prompt_kv)),
         );
         for stage in &stages {
             apply(now, fleet, stage.engine, stage.left);
@@ -92,7 +91,8 @@
     }
 }
 
-fn stage(fleet: &FleetTable, stage: &RouteStage, fresh: u32, kv: i64) -> FlightStage {
+fn stage(fleet: &FleetTable, stage: &RouteStage, prompt: u32, kv: i64) -> FlightStage {
+    let fresh = prompt.saturating_sub(stage.cached_tokens);
     let part = fleet.get(stage.engine).map_or(1.0, |engine| {
         span_share(engine.announcement.layers, stage.layers.first)
     });
--- a/crates/coordination/src/routing/plan.rs
+++ b/crates/coordination/src/routing/plan.rs
@@ -82,6 +82,8 @@
     pub server: ServerName,
     /// Layers that it runs; the end of the range that it holds.
     pub layers: LayerRange,
+    /// Tokens of the prompt that it need not work through: it and all stages after it hold them.
+    pub cached_tokens: u32,
 }
 
 /// A pipeline that covers all layers once, in order, in one version.
@@ -99,7 +101,8 @@
     pub stages: Vec<RouteStage>,
     /// Stages that work through the prompt and hand over their KV cache; empty if `stages` do it.
     pub prefill: Vec<RouteStage>,
-    /// Tokens of the prompt that all stages that work on it hold in their caches.
+    /// Tokens of the prompt that all stages that work on it hold in their caches; later stages may
+    /// hold more.
     pub cached_tokens: u32,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
--- a/crates/coordination/src/routing/search.rs
+++ b/crates/coordination/src/routing/search.rs
@@ -31,12 +31,11 @@
 }
 
 /// Start of every walk.
-pub(crate) fn start_point(context: &ChoiceContext<'_>) -> WalkPoint {
+pub(crate) fn start_point() -> WalkPoint {
     WalkPoint {
         layer: 0,
         data_centre: ENTRY,
         link_rate: None,
-        cached_tokens: context.query.prefixes.last().map_or(0, |p| p.tokens),
     }
 }
 
@@ -44,7 +43,7 @@
 pub(crate) fn search(context: &ChoiceContext<'_>) -> SearchOutcome {
     let start = BestWay {
         seconds: 0.0,
-        point: start_point(context),
+        point: start_point(),
         stages: Vec::new(),
     };
     let mut ways = BTreeMap::from([(0, start)]);
@@ -113,7 +112,6 @@
         layer: end,
         data_centre: engine.data_centre,
         link_rate: Some(engine.announcement.link_rate),
-        cached_tokens: context.cached_tokens(key, &way.point),
     };
     ways.insert(
         end,
--- a/crates/coordination/src/routing/view.rs
+++ b/crates/coordination/src/routing/view.rs
@@ -38,8 +38,6 @@
     pub(crate) data_centre: DataCentreIndex,
     /// Link of the engine before; none before the first stage.
     pub(crate) link_rate: Option<ByteRate>,
-    /// Tokens of the prompt that all stages so far hold in their caches.
-    pub(crate) cached_tokens: u32,
 }
 
 /// What a stage adds to the time of a request, in seconds.
@@ -99,7 +97,16 @@
         engine: &EngineRecord,
         point: &WalkPoint,
     ) -> StageTime {
-        let cached = self.cached_tokens(key, point);
+        self.predict_with(engine, point, self.cached_tokens(key))
+    }
+
+    /// Time that a stage adds when `cached` tokens of the prompt need not be worked through.
+    pub(crate) fn predict_with(
+        &self,
+        engine: &EngineRecord,
+        point: &WalkPoint,
+        cached: u32,
+    ) -> StageTime {
         let fresh = f64::from(self.worked_prompt().saturating_sub(cached));
         let own = engine_time(self.now, self.settings, engine, fresh, point.layer);
         let (latency, per_token) = self.hop(engine, point);
@@ -109,13 +116,12 @@
         }
     }
 
-    /// Tokens of the prompt that the stages so far and this engine hold.
-    pub(crate) fn cached_tokens(&self, key: EngineKey, point: &WalkPoint) -> u32 {
-        if point.cached_tokens == 0 || self.worked_prompt() == 0 {
+    /// Tokens of the prompt that an engine holds, where this phase works on the prompt.
+    pub(crate) fn cached_tokens(&self, key: EngineKey) -> u32 {
+        if self.query.prefixes.is_empty() || self.worked_prompt() == 0 {
             return 0;
         }
-        let own = self.prefixes.cached_tokens(key, self.query.prefixes);
-        own.min(point.cached_tokens)
+        self.prefixes.cached_tokens(key, self.query.prefixes)
     }
 
     /// Prompt tokens that this phase works through.
--- a/crates/coordination/tests/routing_failures.rs
+++ b/crates/coordination/tests/routing_contract/routes.rs
@@ -1,115 +1,19 @@
-//! Contract of the route planner: fault cases in tables, and coverage under any fleet.
-
-use std::sync::LazyLock;
-use std::time::Duration;
+//! Routes and refusals over fleets that lack something.
 
+use crate::support::{
+    LATER, LAYERS, changed, choose, choose_with, describe, engine, planner, planner_with,
+};
 use pollendrift_coordination::base::{
-    AdapterName, DataCentreName, Incarnation, LayerRange, ModelName, MonotonicTime, SequenceNumber,
-    ServerName, VersionName,
+    AdapterName, DataCentreName, Incarnation, ModelName, SequenceNumber, ServerName, VersionName,
 };
 use pollendrift_coordination::ledger::check_chain;
-use pollendrift_coordination::retries::{OutlierSettings, SlowStartSettings};
+use pollendrift_coordination::retries::OutlierSettings;
 use pollendrift_coordination::routing::{
-    AcceleratorKind, ByteRate, CacheChange, CacheEvent, CacheOutcome, EngineAnnouncement,
-    EngineRecord, EngineRole, FleetPlanner, LinkFigures, LoadFigures, LoadReport, NoRoute,
-    PermitAll, PolicyKind, PrefixDigest, PromptPrefix, RoutePlan, RoutePlanner, RoutePriority,
-    RouteQuery, RoutingSettings, TokenCount, TokenRate, UpsertOutcome,
+    ByteRate, EngineAnnouncement, EngineRecord, FleetPlanner, LinkFigures, LoadFigures, LoadReport,
+    PolicyKind, RoutePlanner, RoutePriority, RoutingSettings, TokenCount,
 };
 use proptest::prelude::{ProptestConfig, prop, proptest};
-
-const LAYERS: u32 = 32;
-const LATER: MonotonicTime = MonotonicTime::from_millis(60_000);
-
-fn engine(name: &str, first: u32, end: u32) -> EngineAnnouncement {
-    EngineAnnouncement {
-        server: ServerName::from(name),
-        incarnation: Incarnation(1),
-        sequence: SequenceNumber(1),
-        kind: AcceleratorKind::from("k"),
-        data_centre: DataCentreName::from("d1"),
-        model: ModelName::from("m"),
-        version: VersionName::from("v1"),
-        model_layers: LAYERS,
-        layers: LayerRange { first, end },
-        adapters: vec![AdapterName::from("a1")],
-        role: EngineRole::Both,
-        kv_capacity: TokenCount(100_000),
-        prefill_rate: TokenRate(10_000),
-        decode_rate: TokenRate(1_000),
-        step_floor: Duration::from_millis(5),
-        link_rate: ByteRate(1_000_000_000),
-        activation_bytes: 8_192,
-        kv_bytes: 65_536,
-    }
-}
-
-fn planner_with(settings: RoutingSettings, engines: Vec<EngineAnnouncement>) -> FleetPlanner {
-    let mut planner = FleetPlanner::new(settings, 7);
-    for engine in engines {
-        let outcome = planner.announce(MonotonicTime::START, engine);
-        assert_eq!(outcome, Ok(UpsertOutcome::Joined));
-    }
-    planner.tick(LATER);
-    planner
-}
-
-fn planner(engines: Vec<EngineAnnouncement>) -> FleetPlanner {
-    planner_with(RoutingSettings::default(), engines)
-}
-
-fn changed<F>(name: &str, first: u32, end: u32, change: F) -> EngineAnnouncement
-where
-    F: FnOnce(&mut EngineAnnouncement),
-{
-    let mut announcement = engine(name, first, end);
-    change(&mut announcement);
-    announcement
-}
-
-fn query(model: &ModelName) -> RouteQuery<'_> {
-    RouteQuery {
-        model,
-        version: None,
-        adapter: None,
-        allowed: &PermitAll,
-        excluded: &[],
-        prompt_tokens: 100,
-        expected_tokens: 50,
-        prefixes: &[],
-        deadline: None,
-        priority: RoutePriority::Normal,
-    }
-}
-
-fn choose_with<'a, F>(planner: &mut FleetPlanner, change: F) -> Result<RoutePlan, NoRoute>
-where
-    F: FnOnce(&mut RouteQuery<'a>),
-{
-    static MODEL: LazyLock<ModelName> = LazyLock::new(|| ModelName::from("m"));
-    let mut query = query(&MODEL);
-    change(&mut query);
-    planner.choose(LATER, &query)
-}
-
-fn choose(planner: &mut FleetPlanner) -> Result<RoutePlan, NoRoute> {
-    choose_with(planner, |_| {})
-}
-
-fn describe(result: Result<RoutePlan, NoRoute>) -> String {
-    let plan = match result {
-        Ok(plan) => plan,
-        Err(error) => return error.to_string(),
-    };
-    let stages = |stages: &[pollendrift_coordination::routing::RouteStage]| {
-        let texts = stages.iter().map(|s| format!("{}[{}]", s.server, s.layers));
-        texts.collect::<Vec<_>>().join(" ")
-    };
-    if plan.prefill.is_empty() {
-        return format!("{}: {}", plan.version, stages(&plan.stages));
-    }
-    let (prefill, decode) = (stages(&plan.prefill), stages(&plan.stages));
-    format!("{}: {prefill} => {decode}", plan.version)
-}
+use std::time::Duration;
 
 // The caller gets a pipeline over all layers in one version, or the true reason why there is none.
 // Each fleet lacks something: a layer, a version over all layers, an adapter, the model itself.
@@ -258,141 +162,6 @@
     assert!(!planner.dump(back).engines[0].ejected);
 }
 
-// The caller's prompt goes where its prefix is cached, and nowhere for a hit that may be gone.
-// `b` tells of the prefix, then event 3 is lost and 4 arrives; a snapshot ends the doubt.
-// Until the snapshot nothing of `b` counts, since event 3 may have evicted the prefix.
-#[test]
-fn a_gap_in_cache_events_means_not_known() {
-    let slow = |name| changed(name, 0, 32, |e| e.prefill_rate = TokenRate(1_000));
-    let mut planner = planner(vec![slow("a"), slow("b")]);
-    let digest = PrefixDigest(9);
-    let event = |sequence, change| CacheEvent {
-        server: ServerName::from("b"),
-        incarnation: Incarnation(1),
-        sequence: SequenceNumber(sequence),
-        change,
-    };
-    let prefixes = [PromptPrefix { digest, tokens: 80 }];
-    let mut outcomes = Vec::new();
-    let steps = [
-        event(1, CacheChange::Stored(vec![digest])),
-        event(2, CacheChange::Stored(vec![PrefixDigest(1)])),
-        event(4, CacheChange::Stored(vec![digest])),
-        event(5, CacheChange::Stored(vec![digest])),
-        event(3, CacheChange::Evicted(vec![digest])),
-        event(6, CacheChange::Snapshot(vec![digest])),
-        event(7, CacheChange::Evicted(vec![digest])),
-    ];
-    for step in steps {
-        let outcome = planner.cache_event(&step);
-        let plan = choose_with(&mut planner, |query| query.prefixes = &prefixes).unwrap();
-        outcomes.push((step.sequence.0, outcome, plan.cached_tokens));
-    }
-    let expected = [
-        (1, CacheOutcome::Applied, 80),
-        (2, CacheOutcome::Applied, 80),
-        (4, CacheOutcome::ResyncNeeded, 0),
-        (5, CacheOutcome::ResyncNeeded, 0),
-        (3, CacheOutcome::Ignored, 0),
-        (6, CacheOutcome::Applied, 80),
-        (7, CacheOutcome::Applied, 0),
-    ];
-    assert_eq!(outcomes, expected);
-}
-
-// The caller's requests are spread though every report still says that both engines are idle.
-// 40 requests go out, then reports that were taken before them arrive late, then a fresh one.
-// Own work after the time of a report counts on top of it; an older report changes nothing.
-#[test]
-fn lagging_reports_do_not_hide_own_work() {
-    let mut planner = planner(vec![engine("a", 0, 32), engine("b", 0, 32)]);
-    let report = |sequence, taken, sequences| LoadReport {
-        server: ServerName::from("a"),
-        incarnation: Incarnation(1),
-        sequence: SequenceNumber(sequence),
-        taken,
-        figures: LoadFigures {
-            sequences,
-            ..LoadFigures::default()
-        },
-    };
-    let mut flights = Vec::new();
-    for _ in 0..40 {
-        let plan = choose(&mut planner).unwrap();
-        flights.push(planner.started(LATER, &plan));
-    }
-    let own: Vec<u64> = planner
-        .dump(LATER)
-        .engines
-        .iter()
-        .map(|e| e.own_sequences)
-        .collect();
-    assert!(own.iter().all(|count| (18..=22).contains(count)), "{own:?}");
-    let before = MonotonicTime::from_millis(59_000);
-    let after = MonotonicTime::from_millis(61_000);
-    let mut seen = Vec::new();
-    for step in [
-        report(1, before, 7),
-        report(3, after, 30),
-        report(2, after, 0),
-    ] {
-        planner.report(&step);
-        seen.push(planner.dump(after).engines[0].load.sequences - u32::try_from(own[0]).unwrap());
-    }
-    let others = u32::try_from(own[0]).unwrap();
-    assert_eq!(seen, [7, 30 - others, 30 - others]);
-    for flight in flights {
-        planner.finished(after, flight);
-    }
-    assert_eq!(planner.dump(after).engines[0].load.sequences, 30 - others);
-    assert_eq!(planner.dump(after).flights, 0);
-}
-
-// The caller's prompt is worked through apart only where the hand-over pays.
-// A prefill engine is twenty times as fast as the whole one; then its link is a hundred times
-// slower. The hand-over of the KV cache counts in the prediction, so the slow link loses.
-#[test]
-fn a_hand_over_counts_the_link() {
-    let fleet = |link| {
-        let role = |name: &str, role| {
-            changed(name, 0, 32, |e| {
-                e.role = role;
-                e.prefill_rate = TokenRate(20_000);
-                e.link_rate = ByteRate(link);
-            })
-        };
-        let whole = changed("w", 0, 32, |e| e.prefill_rate = TokenRate(1_000));
-        planner(vec![
-            role("p", EngineRole::Prefill),
-            role("d", EngineRole::Decode),
-            whole,
-        ])
-    };
-    let long = |planner: &mut FleetPlanner| {
-        describe(choose_with(planner, |query| query.prompt_tokens = 2_000))
-    };
-    assert_eq!(long(&mut fleet(1_000_000_000)), "v1: p[0..32] => d[0..32]");
-    assert_eq!(long(&mut fleet(10_000_000)), "v1: w[0..32]");
-}
-
-// The caller sees no burst onto a cold engine: one that joined a moment ago takes a tenth.
-// `b` joins beside `a` at the time of the choices; both are idle, so prediction alone would halve.
-#[test]
-fn a_new_engine_starts_slowly() {
-    let settings = RoutingSettings {
-        policy: PolicyKind::PowerOfTwo,
-        slow_start: SlowStartSettings::default(),
-        ..RoutingSettings::default()
-    };
-    let mut planner = planner_with(settings, vec![engine("a", 0, 32)]);
-    assert!(planner.announce(LATER, engine("b", 0, 32)).is_ok());
-    let picks = (0..1_000).map(|_| choose(&mut planner).unwrap());
-    let to_new = picks
-        .filter(|plan| plan.stages[0].server.as_str() == "b")
-        .count();
-    assert!((20..300).contains(&to_new), "{to_new}");
-}
-
 // An announcement that is old, repeated or unfit changes nothing; all that is wrong is named.
 // Arrival order is no guide, since the balancer sends heartbeats through any entry.
 #[test]
