--- a/crates/daemon/src/operators/changes.rs
+++ b/crates/daemon/src/operators/changes.rs
@@ -91,7 +91,7 @@
         |_| CanonicalText::default(),
         |held| held.canonical().clone(),
     );
-    let difference = earlier.difference(&parsed.canonical());
+    let difference = earlier.difference(parsed.canonical());
     let keys = difference
         .added
         .iter()
