feat(limits): admit by weight, priority and deadline; resend within budgets

Cause: every request ran at once, drafts had no deadline and were tried again five times whatever their customer had used up. Change: an admission gate at each entry (labels' limits divided by the entries, queue bounded in count and time, refusals at once with Retry-After); deadlines go to the planner; drafts and calls resend by the retry desk's word. A call of which one attempt may have run is never told not-run by a later one. Failure found: after a start of all engines drafts were refused as past their deadline, predicted 638 s for 2,000 tokens: slow start was counted as speed. Conclusion: refusals are early and their reason is true.

--- a/crates/coordination/src/routing/ahead.rs
+++ b/crates/coordination/src/routing/ahead.rs
@@ -7,14 +7,12 @@
 use super::graph::{EngineGroup, LayerGraph, RoutePhase};
 use super::settings::RoutingSettings;
 use super::view::{StageTime, engine_time};
-use crate::base::MonotonicTime;
 
 /// Members of a group that are looked at.
 const SAMPLES: usize = 4;
 
 /// Refreshes the time ahead of each boundary, from the last one forwards.
 pub(crate) fn refresh_ahead(
-    now: MonotonicTime,
     fleet: &FleetTable,
     graph: &mut LayerGraph,
     settings: &RoutingSettings,
@@ -22,7 +20,7 @@
     let layers: Vec<u32> = graph.boundaries.keys().rev().copied().collect();
     for phase in RoutePhase::ALL {
         for layer in &layers {
-            let ahead = find_ahead(now, fleet, graph, settings, phase, *layer);
+            let ahead = find_ahead(fleet, graph, settings, phase, *layer);
             if let Some(boundary) = graph.boundaries.get_mut(layer) {
                 boundary.ahead.insert(phase, ahead);
             }
@@ -31,7 +29,6 @@
 }
 
 fn find_ahead(
-    now: MonotonicTime,
     fleet: &FleetTable,
     graph: &LayerGraph,
     settings: &RoutingSettings,
@@ -50,7 +47,7 @@
         let Some(group) = graph.groups.get(*key).filter(|_| *flow > 0.0) else {
             continue;
         };
-        let own = mean_time(now, fleet, group, settings, layer);
+        let own = mean_time(fleet, group, settings, layer);
         let after = graph.ahead(phase, group.shape.layers.end);
         mean = mean.plus(own.plus(after).times(flow / total));
     }
@@ -58,7 +55,6 @@
 }
 
 fn mean_time(
-    now: MonotonicTime,
     fleet: &FleetTable,
     group: &EngineGroup,
     settings: &RoutingSettings,
@@ -70,7 +66,7 @@
     let mut mean = StageTime::default();
     let mut count = 0.0;
     for engine in members.filter_map(|key| fleet.get(*key)) {
-        mean = mean.plus(engine_time(now, settings, engine, fresh, layer));
+        mean = mean.plus(engine_time(engine, fresh, layer));
         count += 1.0;
     }
     mean.times(1.0 / f64::max(count, 1.0))
--- a/crates/coordination/src/routing/planner.rs
+++ b/crates/coordination/src/routing/planner.rs
@@ -156,11 +156,11 @@
         self.refreshed = Some(now);
         let keys: Vec<_> = self.fleet.graphs.keys().collect();
         for key in keys {
-            self.refresh_graph(now, key);
+            self.refresh_graph(key);
         }
     }
 
-    fn refresh_graph(&mut self, now: MonotonicTime, key: GraphKey) {
+    fn refresh_graph(&mut self, key: GraphKey) {
         let Some(slot) = self.fleet.graphs.get_mut(key) else {
             return;
         };
@@ -169,7 +169,7 @@
         if graph.is_stale {
             refresh_flow(&self.fleet, &mut graph, &self.settings.workload);
         }
-        refresh_ahead(now, &self.fleet, &mut graph, &self.settings);
+        refresh_ahead(&self.fleet, &mut graph, &self.settings);
         if let Some(slot) = self.fleet.graphs.get_mut(key) {
             *slot = graph;
         }
--- a/crates/coordination/src/routing/view.rs
+++ b/crates/coordination/src/routing/view.rs
@@ -101,7 +101,7 @@
     ) -> StageTime {
         let cached = self.cached_tokens(key, point);
         let fresh = f64::from(self.worked_prompt().saturating_sub(cached));
-        let own = engine_time(self.now, self.settings, engine, fresh, point.layer);
+        let own = engine_time(engine, fresh, point.layer);
         let (latency, per_token) = self.hop(engine, point);
         StageTime {
             first_token: own.first_token + latency + fresh * per_token,
@@ -167,25 +167,22 @@
 }
 
 /// Time that `engine` itself takes from `layer` on, for `fresh` prompt tokens and each token.
-pub(crate) fn engine_time(
-    now: MonotonicTime,
-    settings: &RoutingSettings,
-    engine: &EngineRecord,
-    fresh: f64,
-    layer: u32,
-) -> StageTime {
+///
+/// Slow start is left out: it says how much of the load an engine gets, not how fast it is. Counted
+/// as speed, it made deadlines look out of reach after a restart of all engines, and requests were
+/// refused that would have ended in a tenth of the predicted time.
+pub(crate) fn engine_time(engine: &EngineRecord, fresh: f64, layer: u32) -> StageTime {
     let announced = &engine.announcement;
     let load = engine.load.estimate();
-    let share = slow_start_share(now, engine.joined, &settings.slow_start);
     let part = span_share(announced.layers, layer);
     let waiting = load.prefill.as_f64() + fresh * part;
-    let prefill = announced.prefill_rate.seconds_for(waiting) / share;
+    let prefill = announced.prefill_rate.seconds_for(waiting);
     let batch = f64::from(load.sequences) + 1.0;
     let step = announced
         .decode_rate
         .seconds_for(batch)
         .max(announced.step_floor.as_secs_f64());
-    let step = step * part / share;
+    let step = step * part;
     StageTime {
         first_token: prefill + step,
         per_token: step,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -9,13 +9,16 @@
 
 use derive_more::{Display, Error, From};
 use pollendrift_coordination::leases::BackendLeaseSettings;
+use pollendrift_coordination::limits::LimitSettings;
 use pollendrift_coordination::replicated::ProcessNonce;
+use pollendrift_coordination::retries::RetrySettings as CoreRetrySettings;
 use pollendrift_coordination::routing::RoutingSettings;
 use pollendrift_http::{HttpClient, HttpServer, ServerBounds, StreamAcceptor};
 use tokio::sync::OnceCell;
 use tokio::task::JoinHandle;
 
 use crate::access::{AccessControl, AccessError, FaceAcceptor, FaceKind};
+use crate::admission::{AdmissionGate, GateBounds};
 use crate::agreed::AgreedState;
 use crate::announcements::AnnouncementHandler;
 use crate::clock::{SystemClock, TimeSource};
@@ -27,7 +30,8 @@
 use crate::node::{AgreedNode, NodeError, NodeParts};
 use crate::operators::{OperatorContext, OperatorHandler, keeper_state};
 use crate::platform::{DumpSource, MetricSource, PlatformHandler};
-use crate::settings::{DaemonSettings, DrainSettings, EntrySettings};
+use crate::resend::ResendDesk;
+use crate::settings::{DaemonSettings, DrainSettings, EntrySettings, RetrySettings};
 use crate::tasks::TaskGroup;
 use crate::telemetry::{MetricError, MetricRegistry};
 
@@ -100,6 +104,7 @@
         let agreed: Arc<dyn AgreedState> = Arc::clone(&node) as Arc<dyn AgreedState>;
         let metrics = Arc::new(MetricRegistry::new()?);
         let recorder = Arc::new(OnceCell::new());
+        let gate = Arc::new(admission_gate(settings, Arc::clone(&clock)));
         let life = LifeControl::default();
         let context = Arc::new(EntryContext {
             host: settings.host.clone(),
@@ -113,6 +118,8 @@
             client: HttpClient::new(MAX_ANSWER_BYTES),
             drafts: DraftSettings::default(),
             life: life.watch(),
+            gate: Arc::clone(&gate),
+            resends: ResendDesk::new(retry_settings(&settings.retries), Arc::clone(&clock)),
             recorder: Arc::clone(&recorder),
             metrics: Arc::clone(&metrics),
             tasks: TaskGroup::default(),
@@ -153,7 +160,9 @@
         let platform = PlatformHandler {
             entry: Arc::clone(&context),
             sources: dump,
-            metrics: Arc::new(DaemonMetrics { metrics }),
+            metrics: Arc::new(DaemonMetrics {
+                metrics: Arc::clone(&metrics),
+            }),
         };
         let mut servers = Vec::new();
         for (address, faces) in listen_addresses(settings) {
@@ -177,7 +186,12 @@
             .await?,
         );
         let tasks = vec![
-            tokio::spawn(tick_loop(fleet, Arc::clone(&clock))),
+            tokio::spawn(tick_loop(
+                fleet,
+                Arc::clone(&gate),
+                Arc::clone(&metrics),
+                Arc::clone(&clock),
+            )),
             tokio::spawn(key_loop(Arc::clone(&access))),
             tokio::spawn(run_recorder(
                 recorder,
@@ -296,17 +310,52 @@
     }
 }
 
-async fn tick_loop(fleet: Arc<BackendFleet>, clock: Arc<dyn TimeSource>) {
+async fn tick_loop(
+    fleet: Arc<BackendFleet>,
+    gate: Arc<AdmissionGate>,
+    metrics: Arc<MetricRegistry>,
+    clock: Arc<dyn TimeSource>,
+) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        gate.tick();
+        metrics.requests_queued(u64::from(gate.status().queued));
         for news in fleet.tick(clock.now()) {
             log::info!(news:? = news; "backend server lease");
         }
     }
 }
 
+fn admission_gate(settings: &DaemonSettings, clock: Arc<dyn TimeSource>) -> AdmissionGate {
+    let limits = &settings.limits;
+    let bounds = GateBounds {
+        max_running: to_u32(limits.max_running),
+        max_wait: limits.max_queue_wait,
+        entries: u32::try_from(settings.peers.len()).unwrap_or(u32::MAX),
+    };
+    let table = LimitSettings {
+        max_queued: to_u32(limits.max_queued),
+        ..LimitSettings::default()
+    };
+    AdmissionGate::new(table, bounds, clock)
+}
+
+fn retry_settings(settings: &RetrySettings) -> CoreRetrySettings {
+    CoreRetrySettings {
+        max_attempts: to_u32(settings.max_attempts),
+        budget_ratio: settings.budget_ratio,
+        budget_floor: f64::from(to_u32(settings.budget_per_second)),
+        base_backoff: settings.backoff,
+        ..CoreRetrySettings::default()
+    }
+}
+
+fn to_u32(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
 fn to_usize(number: u64) -> usize {
     usize::try_from(number).unwrap_or(usize::MAX)
 }
--- a/crates/daemon/src/entry/completions.rs
+++ b/crates/daemon/src/entry/completions.rs
@@ -10,7 +10,7 @@
 use pollendrift_http::{ResponseBody, read_json};
 
 use super::context::EntryContext;
-use super::draft::{DraftJob, run_draft};
+use super::draft::{DraftJob, estimate_tokens, run_draft};
 use super::record::{RequestArrival, RunningRequest};
 use super::refusal::Refusal;
 use super::selection::select;
@@ -89,11 +89,12 @@
     let Some(customer) = arrival.customer.clone() else {
         return Err(Refusal::unauthorized("the request names no customer"));
     };
-    let mut facts = RequestFacts::draft(customer, ask.model.as_str().into());
+    let mut facts = RequestFacts::draft(customer.clone(), ask.model.as_str().into());
     facts.path = ask.path.as_str().into();
     if let RequestTarget::Model { adapter, .. } = &mut facts.target {
         *adapter = ask.adapter.as_deref().map(Into::into);
     }
+    let caller = customer;
     let served = select(context, &facts)?;
     let SelectorTarget::Model {
         model,
@@ -115,18 +116,26 @@
         .settings
         .max_tokens
         .and_then(|limit| u32::try_from(limit).ok());
+    let max_tokens = asked
+        .min(allowed.unwrap_or(u32::MAX))
+        .min(context.drafts.ledger.max_tokens);
+    let prompt_tokens = estimate_tokens(&ask.prompt);
+    let tokens = u64::from(prompt_tokens) + u64::from(max_tokens);
+    let deadline = served.deadline(context, arrival.arrived);
+    let ticket = served.admit(context, &caller, tokens, deadline).await?;
     let body = BodyDigest::of(ask.prompt.as_bytes());
-    let record = RunningRequest::begin(context, arrival, None, body, &served)?;
+    let record = RunningRequest::begin(context, arrival, None, body, &served, ticket)?;
     let job = DraftJob {
         id: arrival.id.clone(),
         record,
+        customer: caller,
+        deadline,
+        prompt_tokens,
         model,
         version,
         adapter,
         prompt: ask.prompt,
-        max_tokens: asked
-            .min(allowed.unwrap_or(u32::MAX))
-            .min(context.drafts.ledger.max_tokens),
+        max_tokens,
         stream: ask.stream,
         format: ask.format,
         served,
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -12,10 +12,12 @@
 use super::draft::DraftSettings;
 use super::refusal::Refusal;
 use crate::access::{AccessControl, bearer_token};
+use crate::admission::AdmissionGate;
 use crate::agreed::AgreedState;
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
 use crate::lifecycle::{LifeStep, LifeWatch};
+use crate::resend::ResendDesk;
 use crate::tasks::TaskGroup;
 use crate::telemetry::{EvidenceRecorder, MetricRegistry};
 
@@ -47,6 +49,10 @@
     pub drafts: DraftSettings,
     /// Whether new work is taken.
     pub life: LifeWatch,
+    /// Admits requests.
+    pub gate: Arc<AdmissionGate>,
+    /// Decides on resends.
+    pub resends: ResendDesk,
     /// Evidence of this process; empty until the keepers gave it its life.
     pub recorder: Arc<OnceCell<Arc<EvidenceRecorder>>>,
     /// Metrics of this process.
--- a/crates/daemon/src/entry/draft.rs
+++ b/crates/daemon/src/entry/draft.rs
@@ -15,8 +15,8 @@
     ChainLink as BorderLink, LayerSpan, RouteStage, SequenceEvent, SequenceRequest, TokenEvent,
 };
 use pollendrift_coordination::base::{
-    AdapterName, AttemptNumber, LayerRange, ModelName, RequestId, ServerName, TokenPosition,
-    VersionName,
+    AdapterName, AttemptNumber, CustomerName, LayerRange, ModelName, RequestId, ServerName,
+    TokenPosition, VersionName,
 };
 use pollendrift_coordination::evidence::{
     AttemptTrace, BodyDigest, OutcomeKind, RouteStage as TracedStage,
@@ -25,6 +25,7 @@
     ChainLink, FinalEvent, FinalVerdict, GeneratedToken, LedgerSettings, TokenLedger, TokenResult,
     TokenVerdict,
 };
+use pollendrift_coordination::retries::{CallDeadline, CallKind, SendOutcome};
 use pollendrift_coordination::routing::RoutePriority;
 use pollendrift_http::{ClientError, LineReader, ResponseBody, channel_body};
 use tokio::sync::oneshot;
@@ -37,7 +38,9 @@
 use super::refusal::Refusal;
 use super::selection::ServedRequest;
 use super::stream::{ReplyFormat, ReplyWriter};
+use crate::admission::URGENT_FROM;
 use crate::fleet::{DraftQuery, DraftRoute, PlannedStage};
+use crate::resend::ResendQuery;
 
 /// Path on which a first stage takes sequences.
 const SEQUENCE_PATH: &str = "/engine/v1/sequences";
@@ -47,8 +50,6 @@
 /// How drafts run.
 #[derive(Clone, Debug)]
 pub struct DraftSettings {
-    /// Attempts at one request.
-    pub max_attempts: u32,
     /// Longest wait for the first event of an attempt.
     pub first_event_timeout: Duration,
     /// Longest silence between two events of an attempt.
@@ -60,7 +61,6 @@
 impl Default for DraftSettings {
     fn default() -> Self {
         Self {
-            max_attempts: 5,
             first_event_timeout: Duration::from_secs(10),
             stall_timeout: Duration::from_millis(800),
             ledger: LedgerSettings::default(),
@@ -72,6 +72,10 @@
 pub(super) struct DraftJob {
     pub(super) id: RequestId,
     pub(super) record: RunningRequest,
+    pub(super) customer: CustomerName,
+    pub(super) deadline: CallDeadline,
+    /// Estimate, until an engine has counted them.
+    pub(super) prompt_tokens: u32,
     pub(super) model: ModelName,
     pub(super) version: Option<VersionName>,
     pub(super) adapter: Option<AdapterName>,
@@ -183,7 +187,7 @@
 
     async fn attempts(&mut self) -> Result<String, Refusal> {
         let mut failure = String::new();
-        for _ in 0..self.context.drafts.max_attempts {
+        loop {
             let route = self.route(&failure)?;
             let mut flight = FlightGuard::new(&self.context, route.flight);
             let from = self.next_position();
@@ -199,9 +203,28 @@
                     self.excluded.push(server);
                 }
             }
+            drop(flight);
+            self.wait_for_resend(&failure).await?;
+        }
+    }
+
+    /// Waits before the next attempt, or says why there is none.
+    async fn wait_for_resend(&self, failure: &str) -> Result<(), Refusal> {
+        // A draft runs no effect outside its engines, and the ledger lets each token out once.
+        let query = ResendQuery {
+            customer: &self.job.customer,
+            kind: CallKind::Idempotent,
+            outcome: SendOutcome::IncompleteAnswer,
+            attempts: self.attempt.0,
+            deadline: self.job.deadline,
+        };
+        match self.context.resends.wait(query) {
+            Ok(wait) => {
+                tokio::time::sleep(wait).await;
+                Ok(())
+            }
+            Err(reason) => Err(self.refusal(format!("{failure}; not tried again: {reason}"))),
         }
-        let detail = format!("every attempt failed, the last one at {failure}");
-        Err(self.refusal(detail))
     }
 
     fn route(&self, failure: &str) -> Result<DraftRoute, Refusal> {
@@ -225,10 +248,10 @@
             version,
             adapter: self.job.adapter.as_ref(),
             excluded: &self.excluded,
-            prompt_tokens: estimate_tokens(&self.job.prompt).saturating_add(confirmed),
+            prompt_tokens: self.job.prompt_tokens.saturating_add(confirmed),
             expected_tokens: self.job.max_tokens.saturating_sub(confirmed),
-            deadline: None,
-            priority: RoutePriority::Normal,
+            deadline: Some(self.job.deadline.0),
+            priority: self.route_priority(),
         };
         self.context.fleet.route(now, &query).map_err(|missing| {
             let after = if failure.is_empty() {
@@ -240,6 +263,13 @@
         })
     }
 
+    fn route_priority(&self) -> RoutePriority {
+        match self.job.served.selected.settings.priority {
+            Some(priority) if priority >= URGENT_FROM => RoutePriority::Urgent,
+            _ => RoutePriority::Normal,
+        }
+    }
+
     fn next_position(&self) -> TokenPosition {
         self.ledger
             .as_ref()
@@ -456,7 +486,7 @@
 }
 
 /// Tokens of a text before any engine has counted them: words, with a third for punctuation.
-fn estimate_tokens(text: &str) -> u32 {
+pub(super) fn estimate_tokens(text: &str) -> u32 {
     let words = u32::try_from(text.split_whitespace().count()).unwrap_or(u32::MAX);
     words.saturating_add(words / 3).max(1)
 }
--- a/crates/daemon/src/entry/record.rs
+++ b/crates/daemon/src/entry/record.rs
@@ -13,6 +13,7 @@
 use super::context::EntryContext;
 use super::refusal::Refusal;
 use super::selection::ServedRequest;
+use crate::admission::AdmissionTicket;
 use crate::telemetry::{OpenRequest, RequestEnd};
 
 /// Longest wait of a caller for its request's records to be stored.
@@ -36,6 +37,8 @@
 pub(super) struct RunningRequest {
     context: Arc<EntryContext>,
     arrived: MonotonicTime,
+    /// Makes room at the end.
+    _ticket: AdmissionTicket,
     open: Option<OpenRequest>,
     first_at: Option<MonotonicTime>,
     last_at: MonotonicTime,
@@ -81,6 +84,7 @@
         key: Option<ClaimKey>,
         body: BodyDigest,
         served: &ServedRequest,
+        ticket: AdmissionTicket,
     ) -> Result<Self, Refusal> {
         let Some(recorder) = context.recorder.get() else {
             return Err(Refusal::not_ready(
@@ -90,6 +94,7 @@
         let Some(customer) = arrival.customer.clone() else {
             return Err(Refusal::unauthorized("the request names no customer"));
         };
+        let caller = customer.clone();
         let begun = RequestBegun {
             request: arrival.id.clone(),
             customer,
@@ -99,13 +104,17 @@
             revision: served.configuration.revision(),
             decision: served.decision(),
         };
-        let open = recorder
+        let mut open = recorder
             .begin(begun)
             .map_err(|full| Refusal::not_ready(&format!("the keepers take no evidence: {full}")))?;
         context.metrics.request_begun();
+        context.resends.called(&caller);
+        let queued = context.clock.now().since(arrival.arrived);
+        open.update(|end| end.timings.queued_us = micros(queued));
         Ok(Self {
             context: Arc::clone(context),
             arrived: arrival.arrived,
+            _ticket: ticket,
             open: Some(open),
             first_at: None,
             last_at: arrival.arrived,
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -6,6 +6,7 @@
 use pollendrift_border::{ProblemReport, ProblemReportOutcome};
 use pollendrift_coordination::base::{RequestId, Revision, ServerName};
 use pollendrift_coordination::evidence::DecisionTrace;
+use pollendrift_coordination::limits::{RefusalReason, RequestRefusal};
 use pollendrift_http::{ClientError, ReadFailure, ResponseBody, json_response};
 
 use super::context::REQUEST_ID_HEADER;
@@ -200,6 +201,22 @@
         )
     }
 
+    /// Admission refused it.
+    pub(crate) fn not_admitted(refusal: &RequestRefusal) -> Self {
+        let status = match refusal.reason {
+            RefusalReason::RateLimited => StatusCode::TOO_MANY_REQUESTS,
+            RefusalReason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RefusalReason::QueueFull
+            | RefusalReason::DeadlineUnreachable
+            | RefusalReason::TooManyCustomers => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let told = Self::not_run(status, "not-admitted", "Not admitted", refusal.to_string());
+        Self {
+            retry_after: refusal.retry_after,
+            ..told
+        }
+    }
+
     /// The same refusal, told as the end of a request that is on record.
     pub(crate) fn on_record(mut self) -> Self {
         self.recorded = true;
--- a/crates/daemon/src/entry/selection.rs
+++ b/crates/daemon/src/entry/selection.rs
@@ -4,14 +4,17 @@
 use std::sync::Arc;
 
 use http::StatusCode;
+use pollendrift_coordination::base::{CustomerName, MonotonicTime};
 use pollendrift_coordination::configuration::{
     Configuration, ConsideredSelector, LabelSet, RequestFacts, SelectedRequest, SelectionRefusal,
     SelectionVerdict, Selector,
 };
 use pollendrift_coordination::evidence::{DecisionTrace, SelectorVerdict};
+use pollendrift_coordination::retries::CallDeadline;
 
 use super::context::EntryContext;
 use super::refusal::Refusal;
+use crate::admission::{AdmissionTicket, GateRequest};
 use crate::fleet::ServerView;
 
 /// A request that a selector serves, in the configuration that decided.
@@ -75,6 +78,38 @@
 }
 
 impl ServedRequest {
+    /// Time by which a request that came in at `arrived` must have ended.
+    pub(super) fn deadline(&self, context: &EntryContext, arrived: MonotonicTime) -> CallDeadline {
+        let time = self
+            .selected
+            .settings
+            .deadline
+            .unwrap_or(context.default_deadline);
+        CallDeadline::from_remaining(arrived, time)
+    }
+
+    /// Waits for room for a request of `tokens` tokens; 0 for a call of a plain service.
+    pub(super) async fn admit(
+        &self,
+        context: &EntryContext,
+        customer: &CustomerName,
+        tokens: u64,
+        deadline: CallDeadline,
+    ) -> Result<AdmissionTicket, Refusal> {
+        let request = GateRequest {
+            customer,
+            settings: &self.selected.settings,
+            tokens,
+            deadline: Some(deadline.0),
+        };
+        let admitted = context.gate.admit(request).await;
+        admitted.map_err(|refusal| Refusal {
+            decision: Some(Box::new(self.decision())),
+            revision: Some(self.configuration.revision()),
+            ..Refusal::not_admitted(&refusal)
+        })
+    }
+
     /// What decided, for the evidence.
     pub(super) fn decision(&self) -> DecisionTrace {
         DecisionTrace {
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -16,6 +16,7 @@
 };
 use pollendrift_coordination::configuration::RequestFacts;
 use pollendrift_coordination::evidence::{AttemptTrace, BodyDigest, RouteStage};
+use pollendrift_coordination::retries::{CallDeadline, CallKind};
 use pollendrift_http::{ClientError, ResponseBody, read_bounded};
 
 use super::SERVICE_PREFIX;
@@ -24,6 +25,7 @@
 use super::refusal::Refusal;
 use super::selection::{ServedRequest, select};
 use crate::fleet::ServerView;
+use crate::resend::{ResendQuery, send_outcome};
 
 use proxy::WholeAnswer;
 
@@ -40,6 +42,7 @@
     head: request::Parts,
     body: Bytes,
     served: ServedRequest,
+    deadline: CallDeadline,
 }
 
 /// Acts on a call of a plain service.
@@ -63,7 +66,9 @@
         .map_err(|failure| Refusal::bad_body(&failure))?;
     let claim = key.as_deref().map(ClaimKey::from);
     let digest = BodyDigest::of(&body);
-    let record = RunningRequest::begin(context, arrival, claim, digest, &served)?;
+    let deadline = served.deadline(context, arrival.arrived);
+    let ticket = served.admit(context, &customer, 0, deadline).await?;
+    let record = RunningRequest::begin(context, arrival, claim, digest, &served, ticket)?;
     let context = Arc::clone(context);
     let id = arrival.id.clone();
     let call = ServiceCall {
@@ -74,6 +79,7 @@
         head,
         body,
         served,
+        deadline,
     };
     match key {
         Some(key) if !call.is_idempotent() => claimed::run(call, record, key).await,
@@ -97,23 +103,49 @@
 
     async fn attempts(&self, record: &mut RunningRequest) -> Result<WholeAnswer, Refusal> {
         let mut refusal = self.nobody_serves();
+        let mut lost = None;
         for (turn, server) in self.servers().iter().enumerate() {
             let result = self.send(server).await;
             record.attempt(self.trace(turn, server, &result));
-            match result {
+            let error = match result {
                 Ok(answer) => return Ok(answer),
-                Err(ClientError::NotSent { reason }) => {
+                Err(error) => error,
+            };
+            match &error {
+                ClientError::NotSent { reason } => {
                     refusal = Refusal::no_pipeline(format!("{}: {reason}", server.facts.name));
                 }
-                Err(error) => {
-                    refusal = Refusal::lost_answer(&server.facts.name, &error);
-                    if !self.is_idempotent() {
-                        return Err(refusal);
-                    }
-                }
+                // From here on it may have run, whatever later attempts come to.
+                error => lost = Some(Refusal::lost_answer(&server.facts.name, error)),
+            }
+            if !self.may_resend(turn, &error).await {
+                break;
             }
         }
-        Err(refusal)
+        Err(lost.unwrap_or(refusal))
+    }
+
+    /// Waits before the next attempt; false if there is none.
+    async fn may_resend(&self, turn: usize, error: &ClientError) -> bool {
+        let kind = if self.is_idempotent() {
+            CallKind::Idempotent
+        } else {
+            CallKind::NonIdempotent
+        };
+        let query = ResendQuery {
+            customer: &self.customer,
+            kind,
+            outcome: send_outcome(error),
+            attempts: u32::try_from(turn).unwrap_or(u32::MAX).saturating_add(1),
+            deadline: self.deadline,
+        };
+        match self.context.resends.wait(query) {
+            Ok(wait) => {
+                tokio::time::sleep(wait).await;
+                true
+            }
+            Err(_) => false,
+        }
     }
 
     /// One attempt, for the evidence.
@@ -166,12 +198,7 @@
             });
         }
         let request = proxy::outgoing(&self.head, &self.service, &self.body, &server.address)?;
-        let deadline = self
-            .served
-            .selected
-            .settings
-            .deadline
-            .unwrap_or(self.context.default_deadline);
+        let deadline = self.deadline.remaining(self.context.clock.now());
         let answer =
             tokio::time::timeout(deadline, proxy::send(&self.context.client, request)).await;
         let late = || ClientError::NoAnswer {
--- a/crates/daemon/src/entry/services/claimed.rs
+++ b/crates/daemon/src/entry/services/claimed.rs
@@ -152,7 +152,11 @@
                     return CallEvent::Answered(stored);
                 }
                 // Proved not to have run there, so the one run is still to be had elsewhere.
-                Err(ClientError::NotSent { .. }) => {}
+                Err(error @ ClientError::NotSent { .. }) => {
+                    if !self.call.may_resend(turn, &error).await {
+                        break;
+                    }
+                }
                 Err(error) => {
                     log::warn!(request:% = self.call.id, error:% = error; "answer lost");
                     return CallEvent::AnswerLost;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! where the settings name a data folder.
 
 pub mod access;
+pub mod admission;
 pub mod agreed;
 pub mod announcements;
 pub mod clock;
@@ -20,6 +21,7 @@
 pub mod operators;
 pub mod peers;
 pub mod platform;
+pub mod resend;
 pub mod settings;
 pub mod spread;
 pub mod state;
