fix(agreement): give each keeper timeouts of its own also under one seed

Cause: three keepers with one seed and one incarnation drew the same election timeouts, and could split their votes again and again. Change: host and incarnation go into the seed.

--- a/crates/coordination/src/agreement/node.rs
+++ b/crates/coordination/src/agreement/node.rs
@@ -82,7 +82,7 @@
         now: MonotonicTime,
         seed: u64,
     ) -> Self {
-        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut random = ChaCha8Rng::seed_from_u64(own_seed(&id, seed));
         let hard_state = restored.hard_state.clone();
         let restored_log = ReplicatedLog::restore(restored);
         let role = match restored_log {
@@ -357,6 +357,17 @@
     }
 }
 
+/// Seed of one keeper. Two that were given the same seed must not draw the same timeouts: they
+/// would stand in the same moment again and again, and split the votes each time.
+fn own_seed(id: &KeeperId, seed: u64) -> u64 {
+    const FNV_PRIME: u64 = 0x0100_0000_01b3;
+    let host = id.host.as_str().bytes();
+    let incarnation = id.incarnation.0.to_be_bytes();
+    host.chain(incarnation).fold(seed, |folded, byte| {
+        (folded ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
 impl RestoredState {
     /// The disk of each first voter of a new group: one entry that names them all.
     ///
--- a/crates/coordination/src/agreement/persist.rs
+++ b/crates/coordination/src/agreement/persist.rs
@@ -134,7 +134,7 @@
 
     /// Notes a finished sync and returns what was held for it.
     fn finish(&mut self, sequence: PersistSequence) -> Vec<HeldAction> {
-        if !self.outstanding || sequence < self.issued {
+        if !self.outstanding || sequence != self.issued {
             return Vec::new();
         }
         self.outstanding = false;
--- a/crates/coordination/tests/agreement_contract.rs
+++ b/crates/coordination/tests/agreement_contract.rs
@@ -270,6 +270,49 @@
     "#);
 }
 
+/// Operators are told why a change of the membership is not made; a learner that lacks entries and
+/// counted would turn the loss of one more host into a standstill.
+#[test]
+fn membership_changes_that_would_do_harm_are_refused() {
+    let (mut node, now) = leader();
+    let matched = |index| {
+        from_b(AgreementMessage::AppendReply(AppendReply {
+            term: Term(2),
+            outcome: AppendOutcome::Matched(LogIndex(index)),
+        }))
+    };
+    let synced = |sequence| AgreementInput::Persisted(PersistSequence(sequence));
+    let change = |change| AgreementInput::ChangeMembership {
+        token: RequestToken(1),
+        change,
+    };
+    let learner = change(MembershipChange::AddLearner(keeper("d", 1)));
+    node.tick(now, vec![synced(2), matched(2)]);
+    node.tick(now, vec![learner]);
+    node.tick(now, vec![synced(3), matched(3)]);
+    let refused = [
+        MembershipChange::Promote(keeper("d", 1)),
+        MembershipChange::Promote(keeper("c", 2)),
+        MembershipChange::AddLearner(keeper("b", 1)),
+        MembershipChange::Remove(keeper("e", 1)),
+        MembershipChange::Remove(keeper("a", 2)),
+    ];
+    let target = HostName::from("e");
+    let token = RequestToken(2);
+    let mut inputs: Vec<AgreementInput> = refused.into_iter().map(change).collect();
+    inputs.push(AgreementInput::HandOver { token, target });
+    insta::assert_debug_snapshot!(outcomes(&node.tick(now, inputs)), @r#"
+    [
+        "NotAppended(NotCaughtUp)",
+        "NotAppended(NotLearner)",
+        "NotAppended(AlreadyMember)",
+        "NotAppended(NotMember)",
+        "NotAppended(HandOverFirst)",
+        "Refused(NotMember)",
+    ]
+    "#);
+}
+
 /// Messages that must not count are dropped with their reason, and change nothing.
 #[test]
 fn messages_that_must_not_count_are_dropped() {
@@ -396,6 +439,18 @@
     "#);
 }
 
+/// Keepers with one seed and one incarnation would split their votes for ever if they drew the
+/// same timeouts.
+#[test]
+fn keepers_with_the_same_seed_draw_other_timeouts() {
+    let due = ["a", "b", "c"].map(|host| {
+        let restored = RestoredState::founding(membership());
+        let id = keeper(host, 2);
+        AgreementNode::new(settings(), id, restored, MonotonicTime::START, 7).next_deadline()
+    });
+    assert!(due[0] != due[1] && due[1] != due[2] && due[0] != due[2]);
+}
+
 fn any_message() -> impl Strategy<Value = AgreementMessage> {
     let number = || 0..5_u64;
     let vote =
