--- a/crates/daemon/tests/hosts/claims.rs
+++ b/crates/daemon/tests/hosts/claims.rs
@@ -23,8 +23,8 @@
 fn told(outcome: &CallOutcome) -> &'static str {
     match outcome {
         CallOutcome::Answered(_) => "answered",
-        CallOutcome::NotRun(_) => "not run",
-        CallOutcome::Unknown(_) => "unknown",
+        CallOutcome::NotRun(_) | CallOutcome::NotSent(_) => "not run",
+        CallOutcome::Broken(_) | CallOutcome::Unknown(_) => "unknown",
     }
 }
 
--- a/crates/daemon/tests/hosts/stops.rs
+++ b/crates/daemon/tests/hosts/stops.rs
@@ -29,7 +29,7 @@
     }
     let refused = matches!(
         caller.post("portal", "filings", "late", "a").await,
-        CallOutcome::NotRun(_)
+        CallOutcome::NotRun(_) | CallOutcome::NotSent(_)
     );
     service.hold(false);
     let answered = matches!(sent.await.unwrap(), CallOutcome::Answered(_));
--- a/crates/standins/examples/load/main.rs
+++ b/crates/standins/examples/load/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Exits 1 if an answer was wrong or incomplete, or a keyed call ran more than once.
 
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -9,7 +11,7 @@
 use pollendrift_standins::engine::{EngineServer, EngineSettings};
 use pollendrift_standins::fleet::{ModelShape, mixed_engines};
 use pollendrift_standins::harness::{fresh_incarnation, loopback};
-use pollendrift_standins::load::{LoadPlan, run_load};
+use pollendrift_standins::load::{LoadPlan, SentRequest, run_load};
 use pollendrift_standins::service::PlainService;
 
 /// Sends a checked load through running daemons.
@@ -40,6 +42,9 @@
     /// Kill and replace an engine this often, in milliseconds; 0 for never
     #[bpaf(argument("MS"), fallback(0), display_fallback)]
     kill_every: u64,
+    /// File that gets one JSON line for each request: its id and what its caller saw
+    #[bpaf(argument("FILE"))]
+    sent: Option<PathBuf>,
     /// Seed of prompts and turns
     #[bpaf(argument("N"), fallback(1), display_fallback)]
     seed: u64,
@@ -74,12 +79,16 @@
         prompt_words: 24,
         shape: shape.clone(),
         seed: options.seed,
+        run: format!("load-{:x}", fresh_incarnation()),
     };
     let report = tokio::select! {
         report = run_load(&plan) => report,
         error = kill_loop(options, &shape, &mut engines) => return Err(error),
     };
     print!("{report}");
+    if let Some(file) = &options.sent {
+        write_sent(file, &report.sent)?;
+    }
     let doubled = services.iter().flat_map(|service| service.runs()).fold(
         std::collections::BTreeMap::<String, u64>::new(),
         |mut runs, (key, count)| {
@@ -92,6 +101,15 @@
     Ok(report.wrong == 0 && report.incomplete == 0 && doubled == 0)
 }
 
+fn write_sent(file: &Path, sent: &[SentRequest]) -> std::io::Result<()> {
+    let mut lines = std::io::BufWriter::new(std::fs::File::create(file)?);
+    for request in sent {
+        serde_json::to_writer(&mut lines, request)?;
+        writeln!(lines)?;
+    }
+    lines.flush()
+}
+
 async fn start_engines(
     options: &LoadOptions,
     shape: &ModelShape,
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -14,6 +14,7 @@
 use crate::token::token_text;
 
 const MAX_ANSWER_BYTES: usize = 16 << 20;
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
 
 /// What was wrong with an answer.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -103,6 +104,7 @@
     client: HttpClient,
     entry: String,
     token: String,
+    request_id: Option<String>,
 }
 
 impl DraftCaller {
@@ -112,9 +114,16 @@
             client: HttpClient::new(MAX_ANSWER_BYTES),
             entry: entry.to_owned(),
             token: token.to_owned(),
+            request_id: None,
         }
     }
 
+    /// Sends `id` with each draft, as its `x-request-id`.
+    pub fn with_request_id(mut self, id: &str) -> Self {
+        self.request_id = Some(id.to_owned());
+        self
+    }
+
     /// Streams one draft; `show` gets each token's text as it comes.
     ///
     /// # Errors
@@ -164,8 +173,12 @@
             adapter: None,
         };
         let body = serde_json::to_vec(&body).map_err(|error| not_sent(error.to_string()))?;
-        Request::post(format!("http://{}/v1/completions", self.entry))
-            .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
+        let mut request = Request::post(format!("http://{}/v1/completions", self.entry))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.token));
+        if let Some(id) = &self.request_id {
+            request = request.header(REQUEST_ID_HEADER, id);
+        }
+        request
             .body(Full::new(body.into()))
             .map_err(|error| not_sent(error.to_string()))
     }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -1,7 +1,9 @@
 //! A load of checked drafts and keyed service calls, and what came of it.
 
 mod call;
+mod inspect;
 mod report;
+mod sent;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +15,9 @@
 use tokio::time::Instant;
 
 pub use call::{CallOutcome, ServiceCaller};
+pub use inspect::{InspectionReport, inspect};
 pub use report::{CallCounts, LoadReport};
+pub use sent::{SeenOutcome, SentRequest};
 
 use crate::caller::DraftCaller;
 use crate::fleet::ModelShape;
@@ -51,6 +55,8 @@
     pub shape: ModelShape,
     /// Fixes prompts and turns.
     pub seed: u64,
+    /// Start of the id of every request; no two runs against the same daemons share one.
+    pub run: String,
 }
 
 /// Runs the load to its end.
@@ -90,12 +96,20 @@
             return;
         };
         turn += 1;
-        let caller = DraftCaller::new(entry, &plan.token);
+        let id = format!("{}-draft-{index}-{turn}", plan.run);
+        let caller = DraftCaller::new(entry, &plan.token).with_request_id(&id);
         let reply = caller
             .draft(&plan.shape.model, &prompt, plan.max_tokens, |_| {})
             .await;
         let expected = expected_answer(&weights, &prompt, plan.max_tokens);
+        let received = reply.as_ref().map_or(0, |reply| reply.texts.len());
+        let seen = SeenOutcome::of_draft(&reply);
         let mut report = report.lock().await;
+        report.sent.push(SentRequest {
+            request: id,
+            seen,
+            received,
+        });
         match reply {
             Ok(reply) => report.take_draft(&reply, &expected),
             Err(error) => report.take_lost_draft(&error),
@@ -112,10 +126,18 @@
         };
         let key = format!("{:x}-{index}-{number}", plan.seed);
         number += 1;
-        let caller = ServiceCaller::new(entry, &plan.token);
+        let id = format!("{}-call-{index}-{number}", plan.run);
+        let caller = ServiceCaller::new(entry, &plan.token).with_request_id(&id);
         let sent_at = Instant::now();
         let outcome = caller.file("portal", &key).await;
-        report.lock().await.take_call(outcome, sent_at.elapsed());
+        let seen = SeenOutcome::of_call(&outcome);
+        let mut report = report.lock().await;
+        report.sent.push(SentRequest {
+            request: id,
+            seen,
+            received: usize::from(seen == SeenOutcome::Complete),
+        });
+        report.take_call(outcome, sent_at.elapsed());
     }
 }
 
--- a/crates/standins/src/load/call.rs
+++ b/crates/standins/src/load/call.rs
@@ -6,6 +6,7 @@
 use pollendrift_border::{ProblemReport, ProblemReportOutcome};
 use pollendrift_http::{ClientError, HttpClient};
 
+use crate::caller::REQUEST_ID_HEADER;
 use crate::service::KEY_HEADER;
 
 const MAX_ANSWER_BYTES: usize = 1 << 20;
@@ -17,6 +18,10 @@
     Answered(String),
     /// It did not run.
     NotRun(String),
+    /// The entry could not be reached.
+    NotSent(String),
+    /// The connection broke, so it may have run.
+    Broken(String),
     /// It may have run.
     Unknown(String),
 }
@@ -27,6 +32,7 @@
     client: HttpClient,
     entry: String,
     token: String,
+    request_id: Option<String>,
 }
 
 impl ServiceCaller {
@@ -36,9 +42,16 @@
             client: HttpClient::new(MAX_ANSWER_BYTES),
             entry: entry.to_owned(),
             token: token.to_owned(),
+            request_id: None,
         }
     }
 
+    /// Sends `id` with each call, as its `x-request-id`.
+    pub fn with_request_id(mut self, id: &str) -> Self {
+        self.request_id = Some(id.to_owned());
+        self
+    }
+
     /// Files one attestation under `key`.
     pub async fn file(&self, service: &str, key: &str) -> CallOutcome {
         self.post(service, "attestations", key, "attestation").await
@@ -51,9 +64,12 @@
         if !key.is_empty() {
             request = request.header(KEY_HEADER, key);
         }
+        if let Some(id) = &self.request_id {
+            request = request.header(REQUEST_ID_HEADER, id);
+        }
         match request.body(Full::new(Bytes::from(body.to_owned()))) {
             Ok(request) => self.send(request).await,
-            Err(error) => CallOutcome::NotRun(error.to_string()),
+            Err(error) => CallOutcome::NotSent(error.to_string()),
         }
     }
 
@@ -61,14 +77,14 @@
         let response = match self.client.send(request).await {
             Ok(response) => response,
             Err(error @ ClientError::NotSent { .. }) => {
-                return CallOutcome::NotRun(error.to_string());
+                return CallOutcome::NotSent(error.to_string());
             }
-            Err(error) => return CallOutcome::Unknown(error.to_string()),
+            Err(error) => return CallOutcome::Broken(error.to_string()),
         };
         let status = response.status();
         match self.client.read(response).await {
             Ok(body) => told(status, &body),
-            Err(error) => CallOutcome::Unknown(error.to_string()),
+            Err(error) => CallOutcome::Broken(error.to_string()),
         }
     }
 }
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -8,6 +8,7 @@
 use pollendrift_http::ClientError;
 
 use super::call::CallOutcome;
+use super::sent::SentRequest;
 use crate::caller::{AnswerFault, DraftReply};
 
 const HIGHEST_MICROS: u64 = 120_000_000;
@@ -43,6 +44,8 @@
     pub lost: BTreeMap<String, u64>,
     /// Calls of plain services.
     pub calls: CallCounts,
+    /// Every request that was sent.
+    pub sent: Vec<SentRequest>,
     first_token: Option<Histogram<u64>>,
     between_tokens: Option<Histogram<u64>>,
     call_times: Option<Histogram<u64>>,
@@ -67,6 +70,7 @@
             refusals: BTreeMap::new(),
             lost: BTreeMap::new(),
             calls: CallCounts::default(),
+            sent: Vec::new(),
             first_token: histogram(),
             between_tokens: histogram(),
             call_times: histogram(),
@@ -100,8 +104,8 @@
                 self.calls.answered += 1;
                 record(&mut self.call_times, time);
             }
-            CallOutcome::NotRun(_) => self.calls.not_run += 1,
-            CallOutcome::Unknown(_) => self.calls.unknown += 1,
+            CallOutcome::NotRun(_) | CallOutcome::NotSent(_) => self.calls.not_run += 1,
+            CallOutcome::Broken(_) | CallOutcome::Unknown(_) => self.calls.unknown += 1,
         }
     }
 
