feat(evidence): refusals wait for their record, old files are dropped, revisions noted

Cause: after kill -9 of four daemons under load 15 of 1,791 requests were missing from evidence: refusals of a host that had no life yet, and of one that died before its next batch. Retention was planned but never run, and no daemon noted which revision it served. Change: RecorderSlot keeps early events for the chain to begin with; a refusal goes out once it is stored or after 250 ms; keepers drop old segments every ten minutes once the drop is on record; the feed notes each revision in force; the dump shows the buffer.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,7 +14,6 @@
 use pollendrift_coordination::retries::RetrySettings as CoreRetrySettings;
 use pollendrift_coordination::routing::RoutingSettings;
 use pollendrift_http::{HttpClient, HttpServer, ServerBounds, StreamAcceptor};
-use tokio::sync::OnceCell;
 use tokio::task::JoinHandle;
 
 use crate::access::{AccessControl, AccessError, FaceAcceptor, FaceKind};
@@ -33,7 +32,7 @@
 use crate::resend::ResendDesk;
 use crate::settings::{DaemonSettings, DrainSettings, EntrySettings, RetrySettings};
 use crate::tasks::TaskGroup;
-use crate::telemetry::{MetricError, MetricRegistry};
+use crate::telemetry::{MetricError, MetricRegistry, RecorderSlot};
 
 /// Time between two ticks of the systems.
 const TICK: Duration = Duration::from_millis(100);
@@ -94,7 +93,9 @@
         };
         let seed = clock.wall().0;
         let fleet = Arc::new(BackendFleet::new(leases, RoutingSettings::default(), seed));
+        let recorder = Arc::new(RecorderSlot::new(Arc::clone(&clock)));
         let parts = NodeParts {
+            recorder: Arc::clone(&recorder),
             access: Arc::clone(&access),
             fleet: Arc::clone(&fleet),
             clock: Arc::clone(&clock),
@@ -103,7 +104,6 @@
         let node = Arc::new(AgreedNode::start(settings, parts).await?);
         let agreed: Arc<dyn AgreedState> = Arc::clone(&node) as Arc<dyn AgreedState>;
         let metrics = Arc::new(MetricRegistry::new()?);
-        let recorder = Arc::new(OnceCell::new());
         let gate = Arc::new(admission_gate(settings, Arc::clone(&clock)));
         let life = LifeControl::default();
         let context = Arc::new(EntryContext {
@@ -130,6 +130,9 @@
             Arc::new(FleetDump {
                 fleet: Arc::clone(&fleet),
             }),
+            Arc::new(EvidenceDump {
+                recorder: Arc::clone(&recorder),
+            }),
             Arc::new(NodeDump {
                 node: Arc::clone(&node),
             }),
@@ -374,6 +377,23 @@
     }
 }
 
+struct EvidenceDump {
+    recorder: Arc<RecorderSlot>,
+}
+
+impl DumpSource for EvidenceDump {
+    fn name(&self) -> &'static str {
+        "evidence"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        self.recorder
+            .get()
+            .and_then(|recorder| serde_json::to_value(recorder.status()).ok())
+            .unwrap_or_default()
+    }
+}
+
 struct NodeDump {
     node: Arc<AgreedNode>,
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -54,10 +54,13 @@
             }
             Err(refusal) => Err(refusal),
         };
-        result.unwrap_or_else(|refusal| {
-            record_refusal(context, &arrival, &refusal);
-            refusal.response(&arrival.id)
-        })
+        match result {
+            Ok(response) => response,
+            Err(refusal) => {
+                record_refusal(context, &arrival, &refusal).await;
+                refusal.response(&arrival.id)
+            }
+        }
     }
 }
 
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -7,7 +7,6 @@
 use http::HeaderMap;
 use pollendrift_coordination::base::{CustomerName, HostName, RequestId};
 use pollendrift_http::HttpClient;
-use tokio::sync::OnceCell;
 
 use super::draft::DraftSettings;
 use super::refusal::Refusal;
@@ -19,7 +18,7 @@
 use crate::lifecycle::{LifeStep, LifeWatch};
 use crate::resend::ResendDesk;
 use crate::tasks::TaskGroup;
-use crate::telemetry::{EvidenceRecorder, MetricRegistry};
+use crate::telemetry::{MetricRegistry, RecorderSlot};
 
 /// Header that names a request.
 pub(super) const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -54,7 +53,7 @@
     /// Decides on resends.
     pub resends: ResendDesk,
     /// Evidence of this process; empty until the keepers gave it its life.
-    pub recorder: Arc<OnceCell<Arc<EvidenceRecorder>>>,
+    pub recorder: Arc<RecorderSlot>,
     /// Metrics of this process.
     pub metrics: Arc<MetricRegistry>,
     /// Tasks that outlive their request; a planned stop waits for them.
--- a/crates/daemon/src/entry/record.rs
+++ b/crates/daemon/src/entry/record.rs
@@ -23,6 +23,13 @@
 /// stays in the buffer, is sent when the keepers are back, and no new work is taken meanwhile.
 const STORE_PATIENCE: Duration = Duration::from_secs(3);
 
+/// Longest wait of a refused caller for the record of its refusal to be stored.
+///
+/// Failure: an entry that dies between the refusal and the next batch leaves a caller with a
+/// refusal that evidence does not know. Waiting for the keepers closes that gap. Without keepers
+/// refusals are what every caller gets, so their wait is short.
+const REFUSAL_PATIENCE: Duration = Duration::from_millis(250);
+
 /// A request that has come in.
 #[derive(Clone, Debug)]
 pub(super) struct RequestArrival {
@@ -196,17 +203,19 @@
     }
 }
 
-/// Puts a refusal on record, unless it ended a request whose end is on record already.
-pub(super) fn record_refusal(context: &EntryContext, arrival: &RequestArrival, refusal: &Refusal) {
+/// Puts a refusal on record and waits until it is stored, unless it ended a request whose end is on
+/// record already.
+pub(super) async fn record_refusal(
+    context: &EntryContext,
+    arrival: &RequestArrival,
+    refusal: &Refusal,
+) {
     if refusal.recorded {
         return;
     }
     let outcome = outcome_kind(refusal);
     context.metrics.request_refused(outcome, refusal.kind);
-    let Some(recorder) = context.recorder.get() else {
-        return;
-    };
-    recorder.refuse(RequestRefused {
+    let stored = context.recorder.refuse(RequestRefused {
         request: arrival.id.clone(),
         customer: arrival.customer.clone(),
         operation: Arc::clone(&arrival.operation),
@@ -218,6 +227,8 @@
         kind: refusal.kind.into(),
         reason: refusal.detail.as_str().into(),
     });
+    // While keepers are away the record stays in the buffer, and the refusal goes out.
+    let _ = tokio::time::timeout(REFUSAL_PATIENCE, stored).await;
 }
 
 fn outcome_kind(refusal: &Refusal) -> OutcomeKind {
--- a/crates/daemon/src/evidence.rs
+++ b/crates/daemon/src/evidence.rs
@@ -6,18 +6,18 @@
 
 use pollendrift_coordination::base::{HostName, Incarnation, WallTime};
 use pollendrift_coordination::evidence::{
-    BufferBounds, ChainWriter, EvidenceBuffer, EvidenceFilter, EvidenceRecord, KeeperBatch,
-    agreed_through,
+    BufferBounds, ChainWriter, EvidenceBuffer, EvidenceEvent, EvidenceFilter, EvidenceRecord,
+    KeeperBatch, RetentionPolicy, agreed_through,
 };
 use pollendrift_coordination::replicated::{CommandAnswer, IndexedRecord, ReplicatedCommand};
-use tokio::sync::OnceCell;
 
 use crate::agreed::AgreedState;
 use crate::clock::TimeSource;
 use crate::settings::EvidenceSettings;
 use crate::state::SharedState;
 use crate::telemetry::{
-    EvidenceJournal, EvidenceRecorder, EvidenceSink, JournalError, SinkError, StoreFuture,
+    EvidenceJournal, EvidenceRecorder, EvidenceSink, JournalError, RecorderSlot, RetentionPlan,
+    SinkError, StoreFuture,
 };
 
 /// The agreement group as the one keeper of a buffer: its word is that of a majority that synced.
@@ -26,6 +26,8 @@
 const APPEND_RECORDS: usize = 1_024;
 /// Time between two looks for new records.
 const COPY_PERIOD: Duration = Duration::from_millis(200);
+/// Time between two looks for old records.
+const RETENTION_PERIOD: Duration = Duration::from_secs(600);
 /// Pause before a process without a life asks again.
 const LIFE_PAUSE: Duration = Duration::from_millis(20);
 
@@ -56,7 +58,7 @@
 
 /// Waits for this process's life, then records for as long as the process lives.
 pub async fn run_recorder(
-    recorder: Arc<OnceCell<Arc<EvidenceRecorder>>>,
+    recorder: Arc<RecorderSlot>,
     host: HostName,
     settings: EvidenceSettings,
     agreed: Arc<dyn AgreedState>,
@@ -69,8 +71,7 @@
     };
     let buffer = EvidenceBuffer::new(writer, buffer_bounds(&settings), [HostName::from(GROUP)]);
     let running = Arc::new(EvidenceRecorder::new(buffer, clock));
-    // Set once: this task is the only one that sets it.
-    let _ = recorder.set(Arc::clone(&running));
+    recorder.open(Arc::clone(&running));
     running.run(&AgreedSink { agreed }).await;
 }
 
@@ -95,6 +96,22 @@
     }
 }
 
+/// What the settings say of old records.
+pub(crate) fn retention_policy(settings: &EvidenceSettings) -> RetentionPolicy {
+    RetentionPolicy {
+        max_age: settings.retain_age,
+        max_bytes: settings.retain_bytes,
+    }
+}
+
+/// Whether all records of a drop are on their way; it is tried again later if they are not.
+fn note_plan(recorder: &EvidenceRecorder, plan: &RetentionPlan) -> bool {
+    plan.records.iter().all(|record| {
+        let event = EvidenceEvent::RetentionApplied(record.clone());
+        recorder.note(event).is_ok()
+    })
+}
+
 /// Evidence files of this host's keeper.
 #[derive(Clone, Debug)]
 pub struct EvidenceFiles {
@@ -107,10 +124,14 @@
     /// # Errors
     /// The files can't be read.
     pub fn open(host: HostName, folder: &Path) -> Result<Self, JournalError> {
-        let journal = EvidenceJournal::open(host, folder)?;
-        Ok(Self {
+        EvidenceJournal::open(host, folder).map(Self::new)
+    }
+
+    /// Files that are open already.
+    pub fn new(journal: EvidenceJournal) -> Self {
+        Self {
             journal: Arc::new(Mutex::new(journal)),
-        })
+        }
     }
 
     /// Records that match `filter`, at most `limit`; reads files, so it blocks.
@@ -156,6 +177,61 @@
         }
     }
 
+    /// Drops old records for as long as the process lives.
+    pub async fn retain(
+        self,
+        policy: RetentionPolicy,
+        recorder: Arc<RecorderSlot>,
+        clock: Arc<dyn TimeSource>,
+    ) {
+        let mut ticks = tokio::time::interval(RETENTION_PERIOD);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            if let Err(error) = self.retain_once(clock.wall(), policy, &recorder).await {
+                log::error!(error:% = error; "old evidence is not dropped");
+            }
+        }
+    }
+
+    /// Drops what is old at `now`, once the records of the drop are stored; true if anything was.
+    ///
+    /// # Errors
+    /// The files can't be read or changed.
+    pub async fn retain_once(
+        &self,
+        now: WallTime,
+        policy: RetentionPolicy,
+        recorder: &RecorderSlot,
+    ) -> Result<bool, JournalError> {
+        let Some(recorder) = recorder.get() else {
+            return Ok(false);
+        };
+        let Some(plan) = self
+            .on_disk(move |journal| journal.plan_retention(now, &policy))
+            .await?
+        else {
+            return Ok(false);
+        };
+        if !note_plan(recorder, &plan) {
+            return Ok(false);
+        }
+        recorder.settle().await;
+        self.on_disk(move |journal| journal.apply(plan)).await?;
+        Ok(true)
+    }
+
+    async fn on_disk<F, R>(&self, work: F) -> Result<R, JournalError>
+    where
+        F: FnOnce(&mut EvidenceJournal) -> Result<R, JournalError> + Send + 'static,
+        R: Send + 'static,
+    {
+        let files = self.clone();
+        tokio::task::spawn_blocking(move || work(&mut files.lock()))
+            .await
+            .unwrap_or(Err(JournalError::Failed))
+    }
+
     fn copy(&self, shared: &SharedState) -> Result<(), JournalError> {
         loop {
             let next = self.lock().next();
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -9,6 +9,7 @@
 
 use pollendrift_coordination::base::{HostName, MonotonicTime, Revision};
 use pollendrift_coordination::configuration::{Configuration, ParsedConfiguration};
+use pollendrift_coordination::evidence::{EvidenceEvent, RevisionInForce};
 use pollendrift_coordination::following::{
     AnswerVerdict, FollowSettings, RevisionFollower, RevisionQuestion,
 };
@@ -20,6 +21,7 @@
 use crate::keeper::KeeperClient;
 use crate::peers::{ConfigurationFrame, PeerAnswer, PeerFrame, PeerHub, PeerQuestion};
 use crate::state::SharedState;
+use crate::telemetry::RecorderSlot;
 
 /// Time between two statements of the revision held, if it does not change.
 const STATEMENT_PERIOD: Duration = Duration::from_secs(1);
@@ -43,6 +45,7 @@
     /// State of this host's keeper, if it has one.
     shared: Option<SharedState>,
     clock: Arc<dyn TimeSource>,
+    recorder: Arc<RecorderSlot>,
     wake: Notify,
     patience: Duration,
 }
@@ -70,6 +73,7 @@
         client: KeeperClient,
         shared: Option<SharedState>,
         clock: Arc<dyn TimeSource>,
+        recorder: Arc<RecorderSlot>,
     ) -> Self {
         let own = keepers.iter().position(|keeper| keeper == hub.host());
         let turn = own.unwrap_or_else(|| hub.hosts().take_while(|host| *host < hub.host()).count());
@@ -84,6 +88,7 @@
             client,
             shared,
             clock,
+            recorder,
             wake: Notify::new(),
             patience: settings.period,
         }
@@ -202,6 +207,10 @@
         };
         if verdict == AnswerVerdict::Advanced {
             log::info!(revision:% = fresh.revision; "configuration in force");
+            self.recorder
+                .note(EvidenceEvent::RevisionInForce(RevisionInForce {
+                    revision: fresh.revision,
+                }));
             self.state_revision();
         }
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -19,7 +19,7 @@
 use crate::access::AccessControl;
 use crate::agreed::{AgreedState, StaleConfiguration, SubmitFuture};
 use crate::clock::TimeSource;
-use crate::evidence::EvidenceFiles;
+use crate::evidence::{EvidenceFiles, retention_policy};
 use crate::feed::{ConfigurationFeed, follow_own_keeper};
 use crate::fleet::BackendFleet;
 use crate::frames::{DaemonFrames, FrameTargets};
@@ -35,7 +35,7 @@
 use crate::settings::DaemonSettings;
 use crate::spread::LeaseSpreader;
 use crate::state::SharedState;
-use crate::telemetry::JournalError;
+use crate::telemetry::{JournalError, RecorderSlot};
 use crate::transport::AccessTransport;
 
 /// Pause between two tries to announce this process's life to the keepers.
@@ -83,6 +83,8 @@
     pub access: Arc<AccessControl>,
     /// Backend servers.
     pub fleet: Arc<BackendFleet>,
+    /// Evidence of this process.
+    pub recorder: Arc<RecorderSlot>,
     /// The present time.
     pub clock: Arc<dyn TimeSource>,
     /// Drawn at the start of the process.
@@ -145,6 +147,7 @@
             client.clone(),
             shared.clone(),
             Arc::clone(&parts.clock),
+            Arc::clone(&parts.recorder),
         ));
         let spreader = Arc::new(LeaseSpreader::new(
             Arc::clone(&parts.fleet),
@@ -173,7 +176,12 @@
         ];
         if let Some(shared) = &shared {
             if let Some(files) = files {
-                tasks.push(tokio::spawn(files.run(shared.clone())));
+                tasks.push(tokio::spawn(files.clone().run(shared.clone())));
+                tasks.push(tokio::spawn(files.retain(
+                    retention_policy(&settings.evidence),
+                    Arc::clone(&parts.recorder),
+                    Arc::clone(&parts.clock),
+                )));
             }
             tasks.push(tokio::spawn(follow_own_keeper(
                 Arc::clone(&feed),
--- a/crates/daemon/src/operators/changes.rs
+++ b/crates/daemon/src/operators/changes.rs
@@ -55,9 +55,6 @@
 }
 
 fn record(context: &OperatorContext, change: &ChangeRequest, answer: &ChangeAnswer) {
-    let Some(recorder) = context.entry.recorder.get() else {
-        return;
-    };
     let (revision, reason) = match answer {
         ChangeAnswer::Accepted { revision, .. } => (Some(*revision), String::new()),
         ChangeAnswer::Conflict(conflict) => (None, conflict.to_string()),
@@ -75,10 +72,8 @@
         touched: touched(context, change),
         reason: reason.into(),
     });
-    if let Err(full) = recorder.note(event) {
-        // The change itself is in the replicated history, which names operator, time and content.
-        log::error!(change:% = change.change_id, error:% = full; "change not in evidence");
-    }
+    // The change itself is in the replicated history too, which names operator, time and content.
+    context.entry.recorder.note(event);
 }
 
 /// Documents in which the change differs from what this host holds.
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -5,9 +5,11 @@
 mod logs;
 mod metrics;
 mod recorder;
+mod slot;
 
 pub use instruments::{INSTRUMENTS, InstrumentKind, InstrumentSpec};
 pub use journal::{EvidenceJournal, JournalError, RetentionPlan};
 pub use logs::{LogControl, LogError, log_field, log_to};
 pub use metrics::{MetricError, MetricRegistry, RefusedConnection, RequestEnd};
 pub use recorder::{EvidenceRecorder, EvidenceSink, OpenRequest, SinkError, StoreFuture};
+pub use slot::RecorderSlot;
--- a/crates/daemon/src/telemetry/recorder.rs
+++ b/crates/daemon/src/telemetry/recorder.rs
@@ -106,16 +106,17 @@
         })
     }
 
-    /// Records a refusal; nothing waits for it.
-    pub fn refuse(&self, event: RequestRefused) {
+    /// Records a refusal; `None` if it was only counted.
+    pub fn refuse(&self, event: RequestRefused) -> Option<SequenceNumber> {
         let event = EvidenceEvent::RequestRefused(event);
         let refused = self
             .buffer()
             .refuse(self.clock.now(), self.clock.wall(), event);
-        if let Err(error) = refused {
-            log::error!("a refusal is not on record: {error}");
-        }
         self.recorded.notify_one();
+        refused.unwrap_or_else(|error| {
+            log::error!("a refusal is not on record: {error}");
+            None
+        })
     }
 
     /// Records something that no caller causes.
--- /dev/null
+++ b/crates/daemon/tests/hosts/evidence.rs
@@ -0,0 +1,95 @@
+//! Evidence tells of every request what its caller saw, also of those that a host refused early.
+
+use std::time::Duration;
+
+use http::header;
+use pollendrift_http::HttpClient;
+use pollendrift_standins::engine::{EngineServer, EngineSettings};
+use pollendrift_standins::fleet::{ModelShape, mixed_engines};
+use pollendrift_standins::harness::{CUSTOMER_TOKEN, OPERATOR_TOKEN, loopback};
+use pollendrift_standins::load::{LoadPlan, SentRequest, inspect, run_load};
+use pollendrift_standins::service::PlainService;
+
+use crate::support::HostGroup;
+
+fn plan(group: &HostGroup, run: &str) -> LoadPlan {
+    LoadPlan {
+        entries: group.entries(),
+        token: CUSTOMER_TOKEN.to_owned(),
+        drafters: 6,
+        clerks: 2,
+        duration: Duration::from_millis(600),
+        max_tokens: 8,
+        prompt_words: 4,
+        shape: ModelShape::default(),
+        seed: 11,
+        run: run.to_owned(),
+    }
+}
+
+async fn engines(group: &HostGroup) -> Vec<EngineServer> {
+    let mut engines = Vec::new();
+    for (index, offer) in mixed_engines(&ModelShape::default(), 8)
+        .into_iter()
+        .enumerate()
+    {
+        let server = format!("engine-{index}");
+        let mut engine = EngineServer::start(EngineSettings { server, offer }, loopback())
+            .await
+            .unwrap();
+        engine.announce(group.entries(), 1, "dc-a");
+        engines.push(engine);
+    }
+    engines
+}
+
+async fn export(group: &HostGroup, index: usize) -> String {
+    let client = HttpClient::new(64 << 20);
+    let url = format!("http://{}/operator/v1/evidence/export", group.entry(index));
+    let request = http::Request::get(url)
+        .header(header::AUTHORIZATION, format!("Bearer {OPERATOR_TOKEN}"))
+        .body(Default::default())
+        .unwrap();
+    let response = client.send(request).await.unwrap();
+    let body = client.read(response).await.unwrap();
+    String::from_utf8(body.to_vec()).unwrap()
+}
+
+/// Keepers copy agreed records to their files a moment later.
+async fn inspected(group: &HostGroup, sent: &[SentRequest]) -> (usize, usize) {
+    let mut found = (usize::MAX, usize::MAX);
+    for _ in 0..200 {
+        let report = inspect(sent, &export(group, 0).await).unwrap();
+        found = (report.missing.len(), report.untrue.len());
+        if found == (0, 0) {
+            break;
+        }
+    }
+    found
+}
+
+// Callers send to all entries while one of them, no keeper, dies without warning and comes back. It
+// refuses what comes before it has its life. Every request, refusals included, is in evidence as
+// its caller saw it, since a caller gets an end or a refusal only once keepers have the record.
+#[tokio::test(flavor = "multi_thread")]
+async fn evidence_agrees_with_callers_while_an_entry_dies() {
+    let mut group = HostGroup::start(4, 3).await;
+    let _engines = engines(&group).await;
+    let mut service = PlainService::start("portal-1", "portal", loopback())
+        .await
+        .unwrap();
+    service.announce(group.entries(), 1, "dc-a");
+    group.wait_servers(9).await;
+    let first = tokio::spawn({
+        let plan = plan(&group, "first");
+        async move { run_load(&plan).await }
+    });
+    tokio::task::yield_now().await;
+    group.crash(3);
+    let mut sent = first.await.unwrap().sent;
+    group.restart(3).await;
+    sent.extend(run_load(&plan(&group, "second")).await.sent);
+    let ended = sent.iter().filter(|request| request.received > 0).count();
+    assert!(ended > 20, "{ended} requests got an answer");
+    assert_eq!(inspected(&group, &sent).await, (0, 0));
+}
--- a/crates/daemon/tests/hosts/main.rs
+++ b/crates/daemon/tests/hosts/main.rs
@@ -4,5 +4,6 @@
 mod claims;
 mod configuration;
 mod drafts;
+mod evidence;
 mod stops;
 mod support;
--- a/crates/standins/src/load/inspect.rs
+++ b/crates/standins/src/load/inspect.rs
@@ -24,6 +24,8 @@
     pub sent: usize,
     /// Requests by what the caller saw and what evidence says.
     pub pairs: BTreeMap<String, u64>,
+    /// Requests whose entry died before the record of their beginning was stored: no byte came.
+    pub cut_off: Vec<String>,
     /// Requests of which evidence lacks what the caller saw.
     pub missing: Vec<String>,
     /// Requests of which evidence says something that is not so.
@@ -58,6 +60,7 @@
         let line = format!("{:?} | {}", request.seen, record.words());
         match judge(request, record) {
             Verdict::Agrees => {}
+            Verdict::CutOff => report.cut_off.push(format!("{} {line}", request.request)),
             Verdict::Missing => report.missing.push(format!("{} {line}", request.request)),
             Verdict::Untrue => report.untrue.push(format!("{} {line}", request.request)),
         }
@@ -68,6 +71,7 @@
 
 enum Verdict {
     Agrees,
+    CutOff,
     Missing,
     Untrue,
 }
@@ -100,6 +104,7 @@
 ) -> Verdict {
     match outcome {
         Some(OutcomeKind::NotRun) if request.received > 0 => Verdict::Untrue,
+        None if record.begun == 0 && request.received == 0 => Verdict::CutOff,
         None if record.begun == 0 => Verdict::Missing,
         _ => Verdict::Agrees,
     }
@@ -145,11 +150,15 @@
 impl fmt::Display for InspectionReport {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(formatter, "sent    {}", self.sent)?;
+        writeln!(formatter, "cut off {}", self.cut_off.len())?;
         writeln!(formatter, "missing {}", self.missing.len())?;
         writeln!(formatter, "false   {}", self.untrue.len())?;
         for (pair, count) in &self.pairs {
             writeln!(formatter, "{count:>8} {pair}")?;
         }
+        for line in self.cut_off.iter().take(SHOWN) {
+            writeln!(formatter, "cut off: {line}")?;
+        }
         for line in self.missing.iter().take(SHOWN) {
             writeln!(formatter, "missing: {line}")?;
         }
