--- a/crates/coordination/src/agreement/port.rs
+++ b/crates/coordination/src/agreement/port.rs
@@ -133,7 +133,9 @@
     Send(AgreementEnvelope),
     /// Write and sync, then report [`AgreementInput::Persisted`].
     Persist(PersistOrder),
-    /// Apply these entries, in order; each index is delivered once in the life of a process.
+    /// Apply these entries, in order; each index is delivered once in the life of a process. Only
+    /// [`EntryPayload::Command`](super::EntryPayload::Command) carries something for the state
+    /// machine; the others still move the applied index.
     Committed(Vec<LogEntry>),
     /// Replace the whole state by this snapshot; it is already synced.
     InstallSnapshot(StoredSnapshot),
