--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::{AtomicU16, Ordering};
 
 /// Credential of the customer that [`HostBuilder`] names.
 pub const CUSTOMER_TOKEN: &str = "customer-token";
@@ -15,19 +16,44 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// Loopback addresses whose ports were free a moment ago.
+/// Ports from which [`free_addresses`] takes; below those that systems give to outgoing connections.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+/// How many ports apart two processes begin.
+const PROCESS_STRIDE: u32 = 97;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Loopback addresses whose ports were free a moment ago, each given once in a process.
+///
+/// A host that is started again needs its old ports. Had they come from the system's range for
+/// outgoing connections, any connection could hold one of them by then, and the start would wait
+/// for as long as that connection lives.
 ///
 /// # Errors
 /// No port is free.
 pub fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
-    let mut listeners = Vec::new();
-    for _ in 0..count {
-        listeners.push(std::net::TcpListener::bind(loopback())?);
+    let mut addresses = Vec::new();
+    for _ in PORTS {
+        if addresses.len() == count {
+            break;
+        }
+        let address = SocketAddr::from(([127, 0, 0, 1], next_port()));
+        if std::net::TcpListener::bind(address).is_ok() {
+            addresses.push(address);
+        }
     }
-    listeners
-        .iter()
-        .map(std::net::TcpListener::local_addr)
-        .collect()
+    if addresses.len() < count {
+        return Err(std::io::Error::other("no port is free"));
+    }
+    Ok(addresses)
+}
+
+fn next_port() -> u16 {
+    let size = PORTS.end - PORTS.start;
+    let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    let start = std::process::id().wrapping_mul(PROCESS_STRIDE) % u32::from(size);
+    let offset = (u32::from(number) + start) % u32::from(size);
+    PORTS.start + u16::try_from(offset).unwrap_or(0)
 }
 
 /// An incarnation above those of all earlier runs: seconds since the Unix epoch.
