feat(routing): let resumed sequences use the caches that are left

The comparison replayed the whole prefix on every stage, though engines that live on hold theirs.

Fake engines now publish cache events per prompt and 64 tokens, 300 ms late, and resumed sequences name their prefixes.

--- a/crates/standins/examples/policies/experiment.rs
+++ b/crates/standins/examples/policies/experiment.rs
@@ -13,13 +13,14 @@
 use rand_chacha::ChaCha8Rng;
 use slotmap::{SlotMap, new_key_type};
 
+use crate::cache::{BLOCK, CacheNews};
 use crate::fleet::{KINDS, announcements, make_planner};
 use crate::{Options, fail};
 
 const ENTRIES: usize = 9;
 const START: u64 = 60_000_000;
 const REPORT_EVERY: u64 = 500_000;
-const REPORT_AGE: u64 = 300_000;
+pub(crate) const REPORT_AGE: u64 = 300_000;
 const TICK_EVERY: u64 = 1_000_000;
 const RETRY_AFTER: u64 = 20_000;
 /// Microseconds from an entry or a last stage to a first stage.
@@ -56,6 +57,8 @@
 /// What is left to do for a request, new or after the loss of an engine.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Job {
+    /// Number of the request, from which the digests of its prefixes are made.
+    pub(crate) number: u64,
     pub(crate) prompt: u32,
     /// Tokens that the caller has; they are replayed after the prompt.
     pub(crate) made: u32,
@@ -76,6 +79,13 @@
     pub(crate) prefilled: usize,
 }
 
+impl Sequence {
+    /// Prompt tokens that a stage works through.
+    pub(crate) fn fresh_tokens(&self, stage: usize) -> u32 {
+        self.plan.prompt_tokens - self.plan.stages[stage].cached_tokens
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Event {
     Request(Job),
@@ -100,6 +110,8 @@
         engine: usize,
         sequence: SequenceKey,
     },
+    /// A cache event of an engine arrives.
+    Cache(CacheNews),
     /// The lease of a dead engine ends.
     LeaseEnd {
         engine: usize,
@@ -134,6 +146,9 @@
     pub(crate) interval: Histogram<u64>,
     /// From the loss of an engine to the next token of each sequence that it ran.
     pub(crate) resumed: Histogram<u64>,
+    pub(crate) requests: u64,
+    /// Number of the last cache event of each engine.
+    pub(crate) cache_events: Vec<u64>,
     /// Tokens after the death of an engine.
     pub(crate) tokens_after: u64,
     pub(crate) death: Option<u64>,
@@ -172,6 +187,8 @@
             first_token: histogram().unwrap_or_else(|error| fail(&error.to_string())),
             interval: histogram().unwrap_or_else(|error| fail(&error.to_string())),
             resumed: histogram().unwrap_or_else(|error| fail(&error.to_string())),
+            requests: 0,
+            cache_events: vec![0; announcements().len()],
             tokens_after: 0,
             death: None,
         }
@@ -200,6 +217,7 @@
             Event::Request(job) => self.route(job),
             Event::Death { engine } => self.die(engine),
             Event::Lost { engine, sequence } => self.resume(engine, sequence),
+            Event::Cache(news) => self.tell_cache(news),
             Event::LeaseEnd { engine } => self.end_lease(engine),
             Event::Deliver {
                 engine,
@@ -242,7 +260,9 @@
         let prompt = self.rng.random_range(128..=896);
         let wanted = self.rng.random_range(64..=352);
         let spread = self.rng.random_range(0..100_000);
+        self.requests += 1;
         let job = Job {
+            number: self.requests,
             prompt,
             made: 0,
             wanted,
@@ -260,6 +280,7 @@
         let lost = job
             .lost
             .map(|(engine, _)| self.announced[engine].server.clone());
+        let prefixes = self.find_prefixes(&job);
         let query = RouteQuery {
             model: &model,
             version: None,
@@ -268,7 +289,7 @@
             excluded: lost.as_slice(),
             prompt_tokens: job.prompt + job.made,
             expected_tokens: mean.saturating_sub(job.made).max(1),
-            prefixes: &[],
+            prefixes: &prefixes,
             deadline: None,
             priority: RoutePriority::Normal,
         };
@@ -282,11 +303,11 @@
         let names = plan.stages.iter().map(|stage| stage.server.as_str());
         let engines: Vec<usize> = names.map(|name| self.by_name[name]).collect();
         let prompt = plan.prompt_tokens;
-        for engine in &engines {
+        for (stage, engine) in plan.stages.iter().zip(&engines) {
             let figures = &mut self.engines[*engine].figures;
             figures.sequences += 1;
             figures.kv.0 += u64::from(prompt);
-            figures.prefill.0 += u64::from(prompt);
+            figures.prefill.0 += u64::from(prompt - stage.cached_tokens);
         }
         let engine = engines[0];
         let sequence = self.sequences.insert(Sequence {
@@ -331,6 +352,13 @@
             histogram.saturating_record((now - sequence.job.last_token).max(1));
         }
         sequence.job.last_token = now;
+        let is_block = item.prompt > 0 || sequence.job.made % BLOCK == 0;
+        if is_block {
+            self.note_stored(item.sequence);
+        }
+        let Some(sequence) = self.sequences.get(item.sequence) else {
+            return;
+        };
         for engine in &sequence.engines {
             self.engines[*engine].figures.kv.0 += 1;
         }
@@ -353,6 +381,7 @@
         };
         let time = MonotonicTime::from_micros(self.now);
         self.planners[sequence.entry].finished(time, sequence.flight);
+        self.note_evicted(&sequence);
         self.release(&sequence);
         if matches!(self.shape, LoadShape::Closed(_)) {
             self.request();
@@ -367,7 +396,7 @@
             figures.sequences -= 1;
             figures.kv.0 = figures.kv.0.saturating_sub(kv);
             if stage >= sequence.prefilled {
-                figures.prefill.0 -= u64::from(sequence.plan.prompt_tokens);
+                figures.prefill.0 -= u64::from(sequence.fresh_tokens(stage));
             }
         }
     }
--- a/crates/standins/examples/policies/main.rs
+++ b/crates/standins/examples/policies/main.rs
@@ -5,6 +5,7 @@
 //! requests, once with more of them than the engines can take (throughput) and once with Poisson
 //! arrivals at four fifths of the bound (latencies). Prints one table.
 
+mod cache;
 mod experiment;
 mod failure;
 mod fleet;
--- a/crates/standins/examples/policies/steps.rs
+++ b/crates/standins/examples/policies/steps.rs
@@ -40,7 +40,8 @@
         let mut batch: Vec<WorkItem> = engine.decode.drain(..).collect();
         let mut chunk = 0;
         while let Some(item) = engine.prefill.pop_front() {
-            chunk += item.prompt;
+            let sequence = self.sequences.get(item.sequence);
+            chunk += sequence.map_or(0, |sequence| sequence.fresh_tokens(item.stage));
             batch.push(item);
             if chunk >= PREFILL_CHUNK {
                 break;
@@ -51,13 +52,13 @@
         let mut largest: f64 = 0.0;
         batch.retain(|item| self.sequences.contains_key(item.sequence));
         for item in &batch {
-            let run = self.sequences[item.sequence].plan.stages[item.stage]
-                .layers
-                .len();
+            let sequence = &self.sequences[item.sequence];
+            let run = sequence.plan.stages[item.stage].layers.len();
             let part = f64::from(run) / f64::from(announced.layers.len());
             largest = largest.max(part);
             seconds += if item.prompt > 0 {
-                announced.prefill_rate.seconds_for(f64::from(item.prompt)) * part
+                let fresh = f64::from(sequence.fresh_tokens(item.stage));
+                announced.prefill_rate.seconds_for(fresh) * part
             } else {
                 announced.decode_rate.seconds_for(1.0) * part
             };
@@ -83,8 +84,9 @@
             };
             if item.prompt > 0 {
                 sequence.prefilled = item.stage + 1;
+                let fresh = u64::from(sequence.fresh_tokens(item.stage));
+                self.engines[index].figures.prefill.0 -= fresh;
             }
-            self.engines[index].figures.prefill.0 -= u64::from(item.prompt);
             let next = item.stage + 1;
             match sequence.engines.get(next).copied() {
                 Some(engine) => self.forward(
@@ -104,7 +106,13 @@
     /// Activations wait for the sender's link and for the link between data centres.
     fn forward(&mut self, from: usize, engine: usize, item: WorkItem) {
         let (sender, receiver) = (&self.announced[from], &self.announced[engine]);
-        let bytes = u64::from(ACTIVATION_BYTES) * u64::from(item.prompt.max(1));
+        let fresh = match item.prompt {
+            0 => 1,
+            _ => self.sequences[item.sequence]
+                .fresh_tokens(item.stage)
+                .max(1),
+        };
+        let bytes = u64::from(ACTIVATION_BYTES) * u64::from(fresh);
         let rate = sender.link_rate.0.min(receiver.link_rate.0);
         let start = self.engines[from].link_free.max(self.now);
         let mut done = start + bytes * 1_000_000 / rate;
