--- a/crates/coordination/benches/routing.rs
+++ b/crates/coordination/benches/routing.rs
@@ -8,8 +8,8 @@
     Incarnation, LayerRange, ModelName, MonotonicTime, SequenceNumber,
 };
 use pollendrift_coordination::routing::{
-    ByteRate, EngineAnnouncement, EngineRecord, EngineRole, FleetPlanner, PermitAll, RoutePlanner,
-    RoutePriority, RouteQuery, RoutingSettings, TokenCount, TokenRate,
+    ByteRate, EngineAnnouncement, EngineRecord, EngineRole, FleetPlanner, LoadFigures, LoadReport,
+    PermitAll, RoutePlanner, RoutePriority, RouteQuery, RoutingSettings, TokenCount, TokenRate,
 };
 
 const SIZES: [u32; 4] = [40, 400, 4_000, 12_000];
@@ -102,6 +102,32 @@
     group.finish();
 }
 
+/// One heartbeat with a load report, as each engine sends it.
+fn hear(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("routing_heartbeat");
+    for size in SIZES {
+        let mut planner = planner(size);
+        let mut number = 1;
+        group.bench_function(BenchmarkId::from_parameter(size), |bencher| {
+            bencher.iter(|| {
+                number += 1;
+                let mut announcement = engine(number % size);
+                announcement.sequence = SequenceNumber(u64::from(number) + 1);
+                let report = LoadReport {
+                    server: announcement.server.clone(),
+                    incarnation: Incarnation(1),
+                    sequence: SequenceNumber(u64::from(number) + 1),
+                    taken: LATER,
+                    figures: LoadFigures::default(),
+                };
+                assert!(planner.announce(LATER, announcement).is_ok());
+                black_box(planner.report(&report))
+            });
+        });
+    }
+    group.finish();
+}
+
 fn refuse(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("routing_refusal");
     let model = ModelName::from("m");
@@ -139,5 +165,5 @@
     group.finish();
 }
 
-criterion_group!(benches, decide, start_and_finish, refuse, tick);
+criterion_group!(benches, decide, start_and_finish, hear, refuse, tick);
 criterion_main!(benches);
