test(keeper): wait until every acknowledgement is told before a disk is put back

Cause: the test of an old disk image failed once in a full run: the victim could be killed before it had acknowledged more than the image held, and then there is nothing that anyone could miss. Change: it waits until the leader counts every voter as current. Conclusion: the case is the one that is meant.

--- a/crates/daemon/tests/keeper_cluster/disks.rs
+++ b/crates/daemon/tests/keeper_cluster/disks.rs
@@ -143,6 +143,14 @@
             status.commit.0 >= held.0 + 2
         })
         .await;
+    // The victim can hold entries that it has not acknowledged; what nobody was told of, nobody
+    // can miss. The leader counts every voter only once each has acknowledged all.
+    cluster
+        .wait_for(leader, "every acknowledgement", |status| {
+            let redundancy = status.redundancy.as_ref();
+            redundancy.is_some_and(|report| report.is_whole())
+        })
+        .await;
     cluster.kill(victim).await;
     for file in image {
         // In place, so that the inodes stay.
