feat(placement): order engines to load what selectors name

Cause: a span whose only engine died stayed missing until somebody reloaded an engine by hand. Change: while a selector names a model with a version, one host at a time holds the order right and runs the placement table over announced engines; orders go to the engines' order path and the right is checked again before each is written. Stand-in engines take orders, and refuse old numbers. Engines of models that some selector names without a version are never ordered. Conclusion: drafts become whole again without an operator; off where no selector names a version.

--- a/crates/border/src/generated.rs
+++ b/crates/border/src/generated.rs
@@ -282,6 +282,25 @@
     #[doc = "First layer of the span."]
     pub first: u32,
 }
+#[doc = "Answer to an order; a load is done only when it is announced."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+pub struct OrderReply {
+    #[doc = "Whether the engine began the load, or had begun it."]
+    pub accepted: bool,
+    #[doc = "Highest fencing number that the engine has taken an order under."]
+    pub highest_fencing: u64,
+}
+#[doc = "Orders a model engine to load layers in place of what it holds."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+pub struct OrderRequest {
+    #[doc = "Number of the right under which the order is given."]
+    pub fencing: u64,
+    pub layers: LayerSpan,
+    #[doc = "Model to load."]
+    pub model: ::std::string::String,
+    #[doc = "Version of its weights."]
+    pub version: ::std::string::String,
+}
 #[doc = "Body of a refusal: problem details (RFC 9457) with the outcome."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
 pub struct ProblemReport {
--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -15,6 +15,7 @@
 pub use generated::{
     Announcement, AnnouncementReply, AnnouncementState, ChainLink, ChatMessage, ChatRequest,
     CompleteEvent, CompletionRequest, EngineOffer, EngineOfferRole, FailedEvent, LayerSpan,
-    ProblemReport, ProblemReportOutcome, RouteStage, SequenceEvent, SequenceRequest, ServerLoad,
-    ServerOffer, ServiceOffer, StepRefusal, StepRefusalReason, StepReply, StepRequest, TokenEvent,
+    OrderReply, OrderRequest, ProblemReport, ProblemReportOutcome, RouteStage, SequenceEvent,
+    SequenceRequest, ServerLoad, ServerOffer, ServiceOffer, StepRefusal, StepRefusalReason,
+    StepReply, StepRequest, TokenEvent,
 };
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -28,6 +28,7 @@
 use crate::lifecycle::{LifeControl, LifeStep};
 use crate::node::{AgreedNode, NodeError, NodeParts};
 use crate::operators::{OperatorContext, OperatorHandler, keeper_state};
+use crate::placement::{PlacementParts, run_placement};
 use crate::platform::{DumpSource, MetricSource, PlatformHandler};
 use crate::resend::ResendDesk;
 use crate::settings::{DaemonSettings, DrainSettings, EntrySettings, RetrySettings};
@@ -188,7 +189,15 @@
             )
             .await?,
         );
+        let placement = PlacementParts {
+            host: settings.host.clone(),
+            settings: settings.placement.clone(),
+            fleet: Arc::clone(&fleet),
+            agreed: Arc::clone(&agreed),
+            clock: Arc::clone(&clock),
+        };
         let tasks = vec![
+            tokio::spawn(run_placement(placement)),
             tokio::spawn(tick_loop(
                 fleet,
                 Arc::clone(&gate),
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -49,6 +49,15 @@
     pub load: ServerLoad,
 }
 
+/// A model engine that may get new work, as placement looks at it.
+#[derive(Clone, Debug)]
+pub(crate) struct FleetEngine {
+    /// Its view.
+    pub(crate) view: Arc<ServerView>,
+    /// Whether it refuses orders with an old fencing number.
+    pub(crate) checks_fencing: bool,
+}
+
 /// Number of the newest announcement that is held of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldAnnouncement {
@@ -147,6 +156,20 @@
             .collect()
     }
 
+    /// Model engines that may get new work now.
+    pub(crate) fn engines(&self, now: MonotonicTime) -> Vec<FleetEngine> {
+        let state = self.lock();
+        let serving = state.leases.iter().filter(|lease| lease.is_serving(now));
+        let engines = serving.filter_map(|lease| {
+            let view = state.views.get(&lease.announce.server)?;
+            matches!(view.offer, ServerOffer::Engine(_)).then(|| FleetEngine {
+                view: Arc::clone(view),
+                checks_fencing: lease.announce.checks_fencing,
+            })
+        });
+        engines.collect()
+    }
+
     /// Servers of a plain service that may get new work now.
     pub fn serving_service(
         &self,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod node;
 pub mod operators;
 pub mod peers;
+pub(crate) mod placement;
 pub mod platform;
 pub mod resend;
 pub mod settings;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -21,6 +21,7 @@
 mod logs;
 mod node;
 mod parties;
+mod placement;
 mod quantity;
 mod reader;
 mod retries;
@@ -40,6 +41,7 @@
 pub use parties::{
     BackendProof, BackendSettings, CustomerSettings, OperatorRole, OperatorSettings, PeerSettings,
 };
+pub use placement::PlacementSettings;
 pub use retries::RetrySettings;
 pub use snapshots::SnapshotSettings;
 pub use tls::{KeyFiles, PlainText, TlsSettings};
@@ -94,6 +96,8 @@
     pub limits: LimitSettings,
     /// Logs.
     pub logs: LogSettings,
+    /// Placement.
+    pub placement: PlacementSettings,
     /// Retries.
     pub retries: RetrySettings,
     /// Snapshots.
@@ -242,6 +246,7 @@
     let leases = section.section("leases", LeaseSettings::read);
     let limits = section.section("limits", LimitSettings::read);
     let logs = section.section("logs", LogSettings::read);
+    let placement = section.section("placement", PlacementSettings::read);
     let retries = section.section("retries", RetrySettings::read);
     let snapshots = section.section("snapshots", SnapshotSettings::read);
     report_data_folder(section, data_folder.as_ref());
@@ -272,6 +277,7 @@
         leases,
         limits,
         logs,
+        placement,
         retries,
         snapshots,
     })
--- a/crates/daemon/tests/hosts/support.rs
+++ b/crates/daemon/tests/hosts/support.rs
@@ -36,11 +36,17 @@
 impl HostGroup {
     /// Starts `hosts` hosts, the first `keepers` of them keepers, and puts [`SELECTORS`] in force.
     pub(crate) async fn start(hosts: usize, keepers: usize) -> Self {
-        let mut group = Self::cold(hosts, keepers);
+        Self::cold(hosts, keepers).launch(SELECTORS).await
+    }
+
+    /// Starts all hosts, and puts `selectors` in force.
+    pub(crate) async fn launch(self, selectors: &str) -> Self {
+        let hosts = self.hosts.len();
+        let mut group = self;
         for index in 0..hosts {
             group.restart(index).await;
         }
-        let answer = group.change(0, "first", Revision(0), SELECTORS).await;
+        let answer = group.change(0, "first", Revision(0), selectors).await;
         assert!(
             matches!(answer, Some(ChangeAnswer::Accepted { .. })),
             "{answer:?}"
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -3,13 +3,14 @@
 mod cache;
 mod fault;
 mod handler;
+mod order;
 mod pace;
 mod sequence;
 mod step;
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use pollendrift_border::{EngineOffer, ServerLoad, ServerOffer};
 use pollendrift_http::{HttpClient, HttpServer, ServerBounds};
@@ -18,6 +19,7 @@
 
 use crate::announcer::{AnnouncerSettings, OfferSource, ServerAnnouncer};
 use cache::SequenceTable;
+use order::OrderState;
 use pace::EnginePace;
 
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -34,16 +36,36 @@
 /// State that all handlers of one engine share.
 #[derive(Debug)]
 pub(crate) struct EngineContext {
-    pub(crate) settings: EngineSettings,
+    pub(crate) server: String,
+    /// What is served and announced now; a load replaces it.
+    offer: Mutex<Arc<EngineOffer>>,
+    pub(crate) orders: Mutex<OrderState>,
     pub(crate) sequences: SequenceTable,
     pub(crate) pace: EnginePace,
     pub(crate) faults: FaultPlan,
     pub(crate) client: HttpClient,
 }
 
+impl EngineContext {
+    /// What is served now.
+    pub(crate) fn served(&self) -> Arc<EngineOffer> {
+        Arc::clone(&lock(&self.offer))
+    }
+
+    /// Serves `offer` from now on.
+    pub(crate) fn serve(&self, offer: EngineOffer) {
+        *lock(&self.offer) = Arc::new(offer);
+    }
+}
+
+/// Locks what no panic can leave half changed.
+pub(crate) fn lock<T>(held: &Mutex<T>) -> MutexGuard<'_, T> {
+    held.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl OfferSource for EngineContext {
     fn offer(&self) -> ServerOffer {
-        ServerOffer::Engine(self.settings.offer.clone())
+        ServerOffer::Engine(self.served().as_ref().clone())
     }
 
     fn load(&self) -> ServerLoad {
@@ -72,7 +94,9 @@
     pub async fn start(settings: EngineSettings, address: SocketAddr) -> io::Result<Self> {
         let pace = EnginePace::new(&settings.offer);
         let context = Arc::new(EngineContext {
-            settings,
+            server: settings.server,
+            offer: Mutex::new(Arc::new(settings.offer)),
+            orders: Mutex::default(),
             sequences: SequenceTable::default(),
             pace,
             faults: FaultPlan::default(),
@@ -91,10 +115,10 @@
     pub fn announce(&mut self, entries: Vec<String>, incarnation: u64, data_centre: &str) {
         let settings = AnnouncerSettings {
             entries,
-            server: self.context.settings.server.clone(),
+            server: self.context.server.clone(),
             incarnation,
             data_centre: data_centre.to_owned(),
-            checks_fencing: true,
+            checks_fencing: !self.context.faults.ignores_fencing(),
         };
         let source: Arc<dyn OfferSource> = Arc::clone(&self.context) as Arc<dyn OfferSource>;
         self.announcer = Some(ServerAnnouncer::start(
@@ -121,6 +145,11 @@
         &self.context.faults
     }
 
+    /// What the engine serves now.
+    pub fn served(&self) -> Arc<EngineOffer> {
+        self.context.served()
+    }
+
     /// Sequences whose KV the engine holds.
     pub fn open_sequences(&self) -> usize {
         self.context.sequences.len()
--- a/crates/standins/src/engine/fault.rs
+++ b/crates/standins/src/engine/fault.rs
@@ -11,6 +11,7 @@
     stall_after_tokens: AtomicU64,
     slow_percent: AtomicU64,
     skip_layer: AtomicBool,
+    ignore_fencing: AtomicBool,
 }
 
 impl FaultPlan {
@@ -44,6 +45,15 @@
         self.skip_layer.store(on, Ordering::Relaxed);
     }
 
+    /// Takes orders under old fencing numbers too; set before the engine announces itself, which says so.
+    pub fn ignore_fencing(&self, on: bool) {
+        self.ignore_fencing.store(on, Ordering::Relaxed);
+    }
+
+    pub(crate) fn ignores_fencing(&self) -> bool {
+        self.ignore_fencing.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn duplicates(&self) -> bool {
         self.duplicate_tokens.load(Ordering::Relaxed)
     }
--- a/crates/standins/src/engine/handler.rs
+++ b/crates/standins/src/engine/handler.rs
@@ -5,11 +5,12 @@
 
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use pollendrift_border::{SequenceRequest, StepRequest};
+use pollendrift_border::{OrderRequest, SequenceRequest, StepRequest};
 use pollendrift_http::{
     HandlerFuture, HttpHandler, ResponseBody, channel_body, json_response, read_json, text_response,
 };
 
+use super::order::{ORDER_PATH, take_order};
 use super::sequence::{SEQUENCE_PATH, run_sequence};
 use super::step::{STEP_PATH, run_step};
 use super::{EngineContext, MAX_BODY_BYTES};
@@ -38,6 +39,9 @@
         if path == SEQUENCE_PATH {
             return self.sequence(request).await;
         }
+        if path == ORDER_PATH {
+            return self.order(request).await;
+        }
         if let Some(sequence) = released_sequence(&path) {
             return self.release(sequence, request).await;
         }
@@ -55,6 +59,20 @@
         }
     }
 
+    async fn order(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let order: OrderRequest = match read_json(request.into_body(), MAX_BODY_BYTES).await {
+            Ok(order) => order,
+            Err(failure) => return text_response(StatusCode::BAD_REQUEST, failure.to_string()),
+        };
+        let reply = take_order(&self.context, order);
+        let status = if reply.accepted {
+            StatusCode::OK
+        } else {
+            StatusCode::CONFLICT
+        };
+        json_response(status, &reply)
+    }
+
     async fn release(&self, sequence: &str, request: Request<Incoming>) -> Response<ResponseBody> {
         let attempt: u32 = match read_json(request.into_body(), MAX_BODY_BYTES).await {
             Ok(attempt) => attempt,
--- a/crates/standins/src/engine/step.rs
+++ b/crates/standins/src/engine/step.rs
@@ -103,10 +103,11 @@
     context: &EngineContext,
     route: &'route [RouteStage],
 ) -> Result<&'route RouteStage, StepRefusal> {
-    let held = &context.settings.offer.layers;
+    let offer = context.served();
+    let held = &offer.layers;
     route
         .first()
-        .filter(|stage| stage.server == context.settings.server)
+        .filter(|stage| stage.server == context.server)
         .filter(|stage| held.first <= stage.layers.first && stage.layers.end <= held.end)
         .filter(|stage| stage.layers.first < stage.layers.end)
         .ok_or_else(|| refusal(context, StepRefusalReason::WrongLayers, 0))
@@ -117,7 +118,7 @@
     version: &str,
     adapter: Option<&str>,
 ) -> Result<StandInWeights, StepRefusal> {
-    let offer = &context.settings.offer;
+    let offer = context.served();
     let holds_adapter =
         adapter.is_none_or(|adapter| offer.adapters.iter().any(|held| held == adapter));
     if offer.version != version || !holds_adapter {
@@ -137,7 +138,7 @@
     have_positions: u32,
 ) -> StepRefusal {
     StepRefusal {
-        server: context.settings.server.clone(),
+        server: context.server.clone(),
         reason,
         have_positions,
     }
@@ -165,7 +166,7 @@
 
 fn own_link(context: &EngineContext, work: &StageWork<'_>) -> ChainLink {
     ChainLink {
-        server: context.settings.server.clone(),
+        server: context.server.clone(),
         version: work.step.version.clone(),
         layers: run_span(context, work.stage),
     }
