feat(telemetry): record every instrument of the metrics page

Cause: seven instruments of the page were never recorded by a daemon. Change: gauges are read from the tables every second; access control counts connections and refused credentials; a test of a whole host holds what it scrapes against the page. An example measures what evidence costs.

--- a/crates/coordination/src/claims/table.rs
+++ b/crates/coordination/src/claims/table.rs
@@ -176,6 +176,11 @@
         }
     }
 
+    /// Claims that are held, whatever their state.
+    pub fn held(&self) -> usize {
+        self.records.len()
+    }
+
     /// Counts by state.
     pub fn counts(&self) -> ClaimCounts {
         let mut counts = ClaimCounts {
--- a/crates/coordination/src/following.rs
+++ b/crates/coordination/src/following.rs
@@ -171,6 +171,15 @@
         Ok(held)
     }
 
+    /// Time for which the revision held may still be served.
+    pub fn remaining(&self, now: MonotonicTime) -> Duration {
+        let confirmed_at = self.confirmed_at.unwrap_or(MonotonicTime::START);
+        match self.held {
+            Some(_) => self.settings.lease.saturating_sub(now.since(confirmed_at)),
+            None => Duration::ZERO,
+        }
+    }
+
     /// Revision held, whether or not it may be served.
     pub fn held(&self) -> Option<Revision> {
         self.held
--- a/crates/daemon/src/access/acceptor.rs
+++ b/crates/daemon/src/access/acceptor.rs
@@ -33,6 +33,10 @@
                 .await
                 .map_err(io::Error::other)?;
             let mut extensions = Extensions::new();
+            if let Some(count) = control.count_connection(face) {
+                // Every request of the connection holds the count; the last one to go ends it.
+                extensions.insert(Arc::new(count));
+            }
             if let Some(certificate) = stream.certificate() {
                 extensions.insert(certificate);
             }
--- a/crates/daemon/src/access/control.rs
+++ b/crates/daemon/src/access/control.rs
@@ -16,6 +16,7 @@
 use super::material::{AccessError, KeyMaterial};
 use super::stream::FaceStream;
 use crate::settings::{DaemonSettings, KeyFiles, OperatorSettings};
+use crate::telemetry::{MetricRegistry, RefusedConnection};
 
 /// Kind of a listening face, which decides what the other side must prove in the handshake.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +58,7 @@
     state: RwLock<Arc<AccessState>>,
     refused: RwLock<String>,
     handshake_limit: Duration,
+    metrics: Option<Arc<MetricRegistry>>,
 }
 
 impl AccessControl {
@@ -71,9 +73,17 @@
             state: RwLock::new(Arc::new(state)),
             refused: RwLock::default(),
             handshake_limit: settings.entry.head_timeout,
+            metrics: None,
         })
     }
 
+    /// Counts connections and refusals in `metrics`.
+    #[must_use]
+    pub fn with_metrics(mut self, metrics: Arc<MetricRegistry>) -> Self {
+        self.metrics = Some(metrics);
+        self
+    }
+
     /// Takes customers, operators, backend tokens and keys of `settings` into force, all or none;
     /// called on SIGHUP.
     ///
@@ -114,7 +124,9 @@
 
     /// The customer who bears the token of `headers`.
     pub fn customer(&self, headers: &HeaderMap) -> Option<CustomerName> {
-        self.state().credentials.customer(headers).cloned()
+        let customer = self.state().credentials.customer(headers).cloned();
+        self.count_token(FaceKind::Callers, customer.is_some());
+        customer
     }
 
     /// The operator who bears the token of `headers`, or whom the connection's `certificate`
@@ -124,19 +136,18 @@
         headers: &HeaderMap,
         certificate: Option<&CertificateIdentity>,
     ) -> Option<OperatorIdentity> {
-        let state = self.state();
-        if headers.contains_key(http::header::AUTHORIZATION) {
-            return state.credentials.operator(headers).cloned();
-        }
-        let certificate = certificate?;
-        let mut operators = state.certified_operators.iter();
-        let operator = operators.find(|operator| certificate.proves_operator(&operator.name))?;
-        Some(OperatorIdentity::of(operator))
+        let operator = self.state().operator(headers, certificate);
+        self.count_token(FaceKind::Operators, operator.is_some());
+        operator
     }
 
     /// Whether an announcement with `headers` may be taken.
     pub fn admits_backend_server(&self, headers: &HeaderMap) -> bool {
-        self.state().credentials.admits_backend_server(headers)
+        let admitted = self.state().credentials.admits_backend_server(headers);
+        if !admitted {
+            self.count_refusal("backend-servers", "token");
+        }
+        admitted
     }
 
     /// Does the handshake of a connection that came in on `face`.
@@ -155,8 +166,30 @@
         };
         let acceptor = TlsAcceptor::from(keys.server(face));
         let handshake = timeout(self.handshake_limit, acceptor.accept(stream));
-        let stream = self.finished(handshake.await)?;
-        Ok(FaceStream::Tls(Box::new(TlsStream::Server(stream))))
+        let stream = self.finished(handshake.await);
+        if stream.is_err() {
+            self.count_refusal(face.name(), "handshake");
+        }
+        Ok(FaceStream::Tls(Box::new(TlsStream::Server(stream?))))
+    }
+
+    /// Counts a connection on `face` for as long as the guard lives.
+    pub fn count_connection(&self, face: FaceKind) -> Option<ConnectionCount> {
+        let metrics = self.metrics.clone()?;
+        metrics.connection_opened(face.name());
+        Some(ConnectionCount { metrics, face })
+    }
+
+    fn count_token(&self, face: FaceKind, accepted: bool) {
+        if !accepted {
+            self.count_refusal(face.name(), "token");
+        }
+    }
+
+    fn count_refusal(&self, face: &'static str, reason: &'static str) {
+        if let Some(metrics) = &self.metrics {
+            metrics.access_refused(RefusedConnection { face, reason });
+        }
     }
 
     /// Does the handshake of a connection to `host`, whose certificate must bear its name.
@@ -195,6 +228,7 @@
         if stream.certificate().is_some_and(proved) {
             return Ok(());
         }
+        self.count_refusal(FaceKind::Peers.name(), "foreign-host");
         Err(AccessError::ForeignHost { host: host.clone() })
     }
 
@@ -244,7 +278,45 @@
     }
 }
 
+impl FaceKind {
+    /// Name in metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Operators => "operators",
+            Self::Peers => "peers",
+        }
+    }
+}
+
+/// One open connection, counted until this is dropped.
+#[derive(Debug)]
+pub struct ConnectionCount {
+    metrics: Arc<MetricRegistry>,
+    face: FaceKind,
+}
+
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        self.metrics.connection_closed(self.face.name());
+    }
+}
+
 impl AccessState {
+    fn operator(
+        &self,
+        headers: &HeaderMap,
+        certificate: Option<&CertificateIdentity>,
+    ) -> Option<OperatorIdentity> {
+        if headers.contains_key(http::header::AUTHORIZATION) {
+            return self.credentials.operator(headers).cloned();
+        }
+        let certificate = certificate?;
+        let mut operators = self.certified_operators.iter();
+        let operator = operators.find(|operator| certificate.proves_operator(&operator.name))?;
+        Some(OperatorIdentity::of(operator))
+    }
+
     fn load(settings: &DaemonSettings, generation: u64) -> Result<Self, AccessError> {
         let files = settings.tls.files.as_ref();
         // Taken before the files are read: a change in between is read again, not missed.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -27,12 +27,13 @@
 use crate::fleet::BackendFleet;
 use crate::lifecycle::{LifeControl, LifeStep};
 use crate::node::{AgreedNode, NodeError, NodeParts};
+use crate::observe::{ObservedTables, observe};
 use crate::operators::{OperatorContext, OperatorHandler, keeper_state};
 use crate::platform::{DumpSource, MetricSource, PlatformHandler};
 use crate::resend::ResendDesk;
 use crate::settings::{DaemonSettings, DrainSettings, EntrySettings, RetrySettings};
 use crate::tasks::TaskGroup;
-use crate::telemetry::{MetricError, MetricRegistry, RecorderSlot};
+use crate::telemetry::{EvidenceSink, MetricError, MetricRegistry, RecorderSlot};
 
 /// Time between two ticks of the systems.
 const TICK: Duration = Duration::from_millis(100);
@@ -85,7 +86,22 @@
         settings: &DaemonSettings,
         warnings: Vec<String>,
     ) -> Result<Self, StartError> {
-        let access = Arc::new(AccessControl::new(settings)?);
+        Self::start_with(settings, warnings, None).await
+    }
+
+    /// Starts the daemon with another way for its evidence than the keepers; for measurements of
+    /// what recording costs, never for service.
+    ///
+    /// # Errors
+    /// As [`RouterDaemon::start`].
+    pub async fn start_with(
+        settings: &DaemonSettings,
+        warnings: Vec<String>,
+        sink: Option<Box<dyn EvidenceSink>>,
+    ) -> Result<Self, StartError> {
+        let metrics = Arc::new(MetricRegistry::new()?);
+        let access = AccessControl::new(settings)?.with_metrics(Arc::clone(&metrics));
+        let access = Arc::new(access);
         let clock: Arc<dyn TimeSource> = Arc::new(SystemClock::default());
         let leases = BackendLeaseSettings {
             lease: settings.leases.backend_server,
@@ -103,7 +119,6 @@
         };
         let node = Arc::new(AgreedNode::start(settings, parts).await?);
         let agreed: Arc<dyn AgreedState> = Arc::clone(&node) as Arc<dyn AgreedState>;
-        let metrics = Arc::new(MetricRegistry::new()?);
         let gate = Arc::new(admission_gate(settings, Arc::clone(&clock)));
         let life = LifeControl::default();
         let context = Arc::new(EntryContext {
@@ -188,7 +203,14 @@
             )
             .await?,
         );
+        let observed = ObservedTables {
+            fleet: Arc::clone(&fleet),
+            node: Arc::clone(&node),
+            recorder: Arc::clone(&recorder),
+            clock: Arc::clone(&clock),
+        };
         let tasks = vec![
+            tokio::spawn(observe(observed, Arc::clone(&metrics))),
             tokio::spawn(tick_loop(
                 fleet,
                 Arc::clone(&gate),
@@ -201,6 +223,7 @@
                 settings.host.clone(),
                 settings.evidence.clone(),
                 agreed,
+                sink,
                 clock,
             )),
         ];
--- a/crates/daemon/src/evidence.rs
+++ b/crates/daemon/src/evidence.rs
@@ -56,12 +56,14 @@
     }
 }
 
-/// Waits for this process's life, then records for as long as the process lives.
+/// Waits for this process's life, then records for as long as the process lives, through the
+/// agreement group unless there is another `sink`.
 pub async fn run_recorder(
     recorder: Arc<RecorderSlot>,
     host: HostName,
     settings: EvidenceSettings,
     agreed: Arc<dyn AgreedState>,
+    sink: Option<Box<dyn EvidenceSink>>,
     clock: Arc<dyn TimeSource>,
 ) {
     let life = wait_for_life(&agreed).await;
@@ -72,7 +74,8 @@
     let buffer = EvidenceBuffer::new(writer, buffer_bounds(&settings), [HostName::from(GROUP)]);
     let running = Arc::new(EvidenceRecorder::new(buffer, clock));
     recorder.open(Arc::clone(&running));
-    running.run(&AgreedSink { agreed }).await;
+    let sink = sink.unwrap_or_else(|| Box::new(AgreedSink { agreed }));
+    running.run(sink.as_ref()).await;
 }
 
 async fn wait_for_life(agreed: &Arc<dyn AgreedState>) -> Incarnation {
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -112,6 +112,14 @@
             .ok_or_else(|| stale("it holds no configuration".to_owned()))
     }
 
+    /// The revision held, and the time for which it may still be served.
+    pub fn lease(&self) -> (Revision, Duration) {
+        let now = self.clock.now();
+        let state = self.lock();
+        let held = state.follower.held().unwrap_or(Revision(0));
+        (held, state.follower.remaining(now))
+    }
+
     /// Revisions that hosts serve, this one included.
     pub fn in_force(&self) -> Vec<PeerRevision> {
         let now = self.clock.now();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod keeper;
 pub mod lifecycle;
 pub mod node;
+pub mod observe;
 pub mod operators;
 pub mod peers;
 pub mod platform;
