feat(pollenctl): report makes a page of an export; test whole hosts under TLS

Cause: the page could not be made by an operator; TLS was tested at single faces only. Change: pollenctl report EXPORT FILE; hosts tests over TLS: three hosts agree, each wrong credential is refused in a table, keys are replaced while connections stay open.

--- a/crates/daemon/tests/hosts/main.rs
+++ b/crates/daemon/tests/hosts/main.rs
@@ -8,3 +8,4 @@
 mod metrics;
 mod stops;
 mod support;
+mod tls;
--- a/crates/daemon/tests/hosts/support.rs
+++ b/crates/daemon/tests/hosts/support.rs
@@ -28,6 +28,8 @@
 /// Hosts that know each other; the first ones are keepers.
 pub(crate) struct HostGroup {
     pub(crate) builder: HostBuilder,
+    /// Added to the settings of each host.
+    more: Vec<String>,
     folders: Vec<tempfile::TempDir>,
     hosts: Vec<Option<RouterDaemon>>,
     client: HttpClient,
@@ -63,6 +65,7 @@
         .unwrap();
         Self {
             builder: builder.with("drain: {notice: 0ms}\n"),
+            more: vec![String::new(); hosts],
             folders: (0..hosts).map(|_| tempfile::tempdir().unwrap()).collect(),
             hosts: (0..hosts).map(|_| None).collect(),
             client: HttpClient::new(1 << 22),
@@ -71,13 +74,18 @@
 
     /// Starts a host that is not running.
     pub(crate) async fn restart(&mut self, index: usize) {
-        let text = self.builder.settings(index, self.folders[index].path());
+        let text = self.builder.settings(index, self.folders[index].path()) + &self.more[index];
         let settings = DaemonSettings::parse(&"test".into(), PathBuf::new(), &text);
         let settings = settings.unwrap().settings;
         // The folder's lock and the ports of a crashed host are free once its tasks have ended.
         self.hosts[index] = Some(eventually(|| RouterDaemon::start(&settings, Vec::new())).await);
     }
 
+    /// Adds to the settings of a host that is not running yet.
+    pub(crate) fn add_settings(&mut self, index: usize, more: &str) {
+        self.more[index].push_str(more);
+    }
+
     /// Ends a host at once, as a crash does.
     pub(crate) fn crash(&mut self, index: usize) {
         self.hosts[index] = None;
--- /dev/null
+++ b/crates/daemon/tests/hosts/tls.rs
@@ -0,0 +1,221 @@
+//! Whole hosts under TLS: who comes in, who does not, and new keys while everything runs.
+
+use std::path::{Path, PathBuf};
+
+use pollendrift::access::{AccessControl, CertificateRequest, FaceStream, KeyFolder, Validity};
+use pollendrift::settings::{DaemonSettings, KeyFiles};
+use pollendrift_coordination::base::{Revision, WallTime};
+use pollendrift_coordination::configuration::ChangeAnswer;
+use pollendrift_standins::harness::{CUSTOMER_TOKEN, HostBuilder, OPERATOR_TOKEN};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::support::{HostGroup, SELECTORS, until};
+
+const YEAR: u64 = 365 * 86_400_000;
+const GOOD: Validity = Validity {
+    from: WallTime(30 * YEAR),
+    until: WallTime(130 * YEAR),
+};
+const EXPIRED: Validity = Validity {
+    from: WallTime(30 * YEAR),
+    until: WallTime(31 * YEAR),
+};
+const STATUS: &str = "/operator/v1/status";
+const PORTAL: &str = "/services/portal/dossiers/7";
+
+/// Three hosts whose faces speak TLS.
+struct SecureGroup {
+    group: HostGroup,
+    keys: tempfile::TempDir,
+}
+
+fn host_keys(folder: &Path, name: &str, validity: Validity) -> KeyFiles {
+    let request = CertificateRequest::Host {
+        name: name.into(),
+        addresses: vec!["127.0.0.1".parse().unwrap()],
+    };
+    let authority = KeyFolder::open(folder, GOOD).unwrap();
+    authority.issue(&request, validity).unwrap()
+}
+
+fn operator_keys(folder: &Path, name: &str, validity: Validity) -> KeyFiles {
+    let request = CertificateRequest::Operator { name: name.into() };
+    let authority = KeyFolder::open(folder, GOOD).unwrap();
+    authority.issue(&request, validity).unwrap()
+}
+
+fn tls_section(files: &KeyFiles) -> String {
+    format!(
+        "tls: {{certificate: {}, key: {}, authority: {}}}\n",
+        files.certificate.display(),
+        files.key.display(),
+        files.authority.display()
+    )
+}
+
+impl SecureGroup {
+    async fn start() -> Self {
+        let keys = tempfile::tempdir().unwrap();
+        let mut group = HostGroup::cold(3, 3);
+        group.builder = group.builder.clone().with_certified_operator("nolwenn");
+        for index in 0..3 {
+            let files = host_keys(keys.path(), &HostBuilder::name(index), GOOD);
+            group.add_settings(index, &tls_section(&files));
+            group.restart(index).await;
+        }
+        let answer = group.change(0, "first", Revision(0), SELECTORS).await;
+        assert!(matches!(answer, Some(ChangeAnswer::Accepted { .. })));
+        for index in 0..3 {
+            group.wait_revision(index, Revision(1)).await;
+        }
+        Self { group, keys }
+    }
+
+    /// Someone who shows the certificate of `files` and trusts its authority.
+    fn visitor(&self, files: KeyFiles) -> AccessControl {
+        let text = self.group.builder.settings(0, self.keys.path());
+        let parsed = DaemonSettings::parse(&"visitor".into(), PathBuf::new(), &text);
+        let mut settings = parsed.unwrap().settings;
+        settings.tls.files = Some(files);
+        AccessControl::new(&settings).unwrap()
+    }
+
+    /// What host 0 answers to `visitor` with a bearer token.
+    async fn ask(&self, visitor: &AccessControl, path: &str, token: &str) -> String {
+        match self.connect(visitor, "host-0").await {
+            Ok(stream) => exchange(stream, path, token).await,
+            Err(_) => "no connection".to_owned(),
+        }
+    }
+
+    async fn connect(&self, visitor: &AccessControl, expected: &str) -> Result<FaceStream, String> {
+        let stream = TcpStream::connect(self.group.entry(0)).await.unwrap();
+        let connected = visitor.connect(&expected.into(), stream).await;
+        connected.map_err(|error| error.to_string())
+    }
+}
+
+async fn exchange(mut stream: FaceStream, path: &str, token: &str) -> String {
+    let bearer = match token {
+        "" => String::new(),
+        token => format!("authorization: Bearer {token}\r\n"),
+    };
+    let request = format!("GET {path} HTTP/1.1\r\nhost: h\r\n{bearer}connection: close\r\n\r\n");
+    let mut answer = Vec::new();
+    // A refused certificate shows as a write or a read that fails.
+    let _ = stream.write_all(request.as_bytes()).await;
+    let _ = stream.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    let status = answer.split(' ').nth(1);
+    status.map_or("closed without an answer".to_owned(), str::to_owned)
+}
+
+// Three hosts know each other by certificates only, and agree on a change: peers' links are up under
+// mutual TLS. Then everybody knocks at the first host with every kind of credential; nothing but
+// the right one gets an answer, and none of the wrong ones disturbs the hosts.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_wrong_credential_is_refused_by_running_hosts() {
+    let secure = SecureGroup::start().await;
+    let foreign = tempfile::tempdir().unwrap();
+    let own = secure.keys.path();
+    let operator = operator_keys(own, "nolwenn", GOOD);
+    let forged = KeyFiles {
+        authority: operator.authority.clone(),
+        ..operator_keys(foreign.path(), "nolwenn", GOOD)
+    };
+    let visitors = [
+        ("a certificate of the authority", operator),
+        (
+            "an expired certificate",
+            operator_keys(own, "late", EXPIRED),
+        ),
+        ("a certificate of a foreign authority", forged),
+        (
+            "another operator's certificate",
+            operator_keys(own, "gwen", GOOD),
+        ),
+        ("a host's certificate", host_keys(own, "nolwenn", GOOD)),
+    ];
+    let mut table = Vec::new();
+    for (name, files) in visitors {
+        let visitor = secure.visitor(files);
+        for (path, token) in [
+            (PORTAL, CUSTOMER_TOKEN),
+            (PORTAL, "wrong"),
+            (PORTAL, ""),
+            (STATUS, OPERATOR_TOKEN),
+            (STATUS, CUSTOMER_TOKEN),
+            (STATUS, ""),
+        ] {
+            let seen = secure.ask(&visitor, path, token).await;
+            table.push(format!("{name}, token `{token}`: GET {path}: {seen}"));
+        }
+    }
+    let visitor = secure.visitor(operator_keys(own, "again", GOOD));
+    let named = secure.connect(&visitor, "host-1").await;
+    table.push(format!("another host's name expected: {}", named.is_err()));
+    let plain = TcpStream::connect(secure.group.entry(0)).await.unwrap();
+    let seen = exchange(FaceStream::Plain(plain), PORTAL, CUSTOMER_TOKEN).await;
+    table.push(format!("plain text: {seen}"));
+    let answer = secure
+        .group
+        .change(2, "later", Revision(1), SELECTORS)
+        .await;
+    table.push(format!("still agreed: {}", answer.is_some()));
+    insta::assert_snapshot!(table.join("\n"), @r"
+    a certificate of the authority, token `customer-token`: GET /services/portal/dossiers/7: 503
+    a certificate of the authority, token `wrong`: GET /services/portal/dossiers/7: 401
+    a certificate of the authority, token ``: GET /services/portal/dossiers/7: 401
+    a certificate of the authority, token `operator-token`: GET /operator/v1/status: 200
+    a certificate of the authority, token `customer-token`: GET /operator/v1/status: 401
+    a certificate of the authority, token ``: GET /operator/v1/status: 200
+    an expired certificate, token `customer-token`: GET /services/portal/dossiers/7: closed without an answer
+    an expired certificate, token `wrong`: GET /services/portal/dossiers/7: closed without an answer
+    an expired certificate, token ``: GET /services/portal/dossiers/7: closed without an answer
+    an expired certificate, token `operator-token`: GET /operator/v1/status: closed without an answer
+    an expired certificate, token `customer-token`: GET /operator/v1/status: closed without an answer
+    an expired certificate, token ``: GET /operator/v1/status: closed without an answer
+    a certificate of a foreign authority, token `customer-token`: GET /services/portal/dossiers/7: closed without an answer
+    a certificate of a foreign authority, token `wrong`: GET /services/portal/dossiers/7: closed without an answer
+    a certificate of a foreign authority, token ``: GET /services/portal/dossiers/7: closed without an answer
+    a certificate of a foreign authority, token `operator-token`: GET /operator/v1/status: closed without an answer
+    a certificate of a foreign authority, token `customer-token`: GET /operator/v1/status: closed without an answer
+    a certificate of a foreign authority, token ``: GET /operator/v1/status: closed without an answer
+    another operator's certificate, token `customer-token`: GET /services/portal/dossiers/7: 503
+    another operator's certificate, token `wrong`: GET /services/portal/dossiers/7: 401
+    another operator's certificate, token ``: GET /services/portal/dossiers/7: 401
+    another operator's certificate, token `operator-token`: GET /operator/v1/status: 200
+    another operator's certificate, token `customer-token`: GET /operator/v1/status: 401
+    another operator's certificate, token ``: GET /operator/v1/status: 401
+    a host's certificate, token `customer-token`: GET /services/portal/dossiers/7: 503
+    a host's certificate, token `wrong`: GET /services/portal/dossiers/7: 401
+    a host's certificate, token ``: GET /services/portal/dossiers/7: 401
+    a host's certificate, token `operator-token`: GET /operator/v1/status: 200
+    a host's certificate, token `customer-token`: GET /operator/v1/status: 401
+    a host's certificate, token ``: GET /operator/v1/status: 401
+    another host's name expected: true
+    plain text: closed without an answer
+    still agreed: true
+    ");
+}
+
+// The host's certificate is replaced on the disk while it serves. New connections meet the new one;
+// a connection that is open already goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_are_replaced_without_a_restart() {
+    let secure = SecureGroup::start().await;
+    let visitor = secure.visitor(operator_keys(secure.keys.path(), "visitor", GOOD));
+    let open = secure.connect(&visitor, "host-0").await.unwrap();
+    let before = open.certificate().unwrap();
+    let old = secure.keys.path();
+    std::fs::remove_file(old.join("host-0.key")).unwrap();
+    std::fs::remove_file(old.join("host-0.pem")).unwrap();
+    host_keys(old, "host-0", GOOD);
+    let access = secure.group.host(0).access();
+    until(|| access.refresh_keys().is_ok() && access.status().generation > 1).await;
+    let new = secure.connect(&visitor, "host-0").await.unwrap();
+    assert_ne!(new.certificate().unwrap(), before);
+    assert_eq!(exchange(open, STATUS, OPERATOR_TOKEN).await, "200");
+    assert_eq!(exchange(new, STATUS, OPERATOR_TOKEN).await, "200");
+}
--- a/crates/pollenctl/src/command.rs
+++ b/crates/pollenctl/src/command.rs
@@ -139,6 +139,16 @@
         #[bpaf(argument("TIME"), optional)]
         at: Option<String>,
     },
+    /// Make one HTML page with plots of an exported file, without any daemon
+    #[bpaf(command)]
+    Report {
+        /// File that `evidence export` wrote
+        #[bpaf(positional("EXPORT"))]
+        export: PathBuf,
+        /// Page to write; it must not exist
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Show the state of one daemon, its keepers and its peers as JSON
     #[bpaf(command)]
     Status,
--- a/crates/pollenctl/src/lib.rs
+++ b/crates/pollenctl/src/lib.rs
@@ -14,6 +14,7 @@
 mod get;
 mod history;
 mod in_force;
+mod report;
 mod retry;
 mod run;
 mod text;
--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -57,6 +57,7 @@
     keepers: usize,
     token_digest: String,
     operator_digest: String,
+    operators: String,
     more: String,
 }
 
@@ -86,6 +87,7 @@
             keepers,
             token_digest,
             operator_digest,
+            operators: String::new(),
             more: String::new(),
         })
     }
@@ -97,6 +99,13 @@
         self
     }
 
+    /// Adds an operator who proves itself by its certificate.
+    #[must_use]
+    pub fn with_certified_operator(mut self, name: &str) -> Self {
+        self.operators += &format!("  - {{name: {name}, role: viewer, certificate: true}}\n");
+        self
+    }
+
     /// Addresses of the hosts, in order.
     pub fn hosts(&self) -> &[HostAddresses] {
         &self.hosts
@@ -122,7 +131,7 @@
             "host: {}\ndata_centre: {}\n{data}listen: {{callers: {entry}, operators: {entry}, \
              backend_servers: {entry}, platform: {}, peers: {}}}\npeers:\n{}customers:\n  \
              - {{name: {CUSTOMER}, token_sha256: {}}}\noperators:\n  - {{name: operator-1, role: editor, \
-             token_sha256: {}}}\nbackend_servers: {{proof: not-required}}\n{}",
+             token_sha256: {}}}\n{}backend_servers: {{proof: not-required}}\n{}",
             Self::name(index),
             data_centre(index),
             own.platform,
@@ -130,6 +139,7 @@
             self.peer_lines(),
             self.token_digest,
             self.operator_digest,
+            self.operators,
             self.more,
         )
     }
