feat(entry): bound slow bodies and all connections; draw pauses as pauses

Cause: entry.body_timeout and entry.max_connections were read and never used, so a stranger could hold a request for ever with a body that never comes; the report drew lines across idle times.

--- a/crates/coordination/src/evidence/report/plots.rs
+++ b/crates/coordination/src/evidence/report/plots.rs
@@ -85,7 +85,9 @@
     ] {
         plots.push(ReportPlot {
             title,
-            note: "Half, 95 and 99 of 100 requests took no longer.".into(),
+            note: "Half, 95 and 99 of 100 requests took no longer; across a pause the line joins \
+                   the values before and after it."
+                .into(),
             svg: line_plot(figures, "seconds", &latency_lines(figures, pick))?,
         });
     }
@@ -118,13 +120,33 @@
         .filter(|kind| figures.outcomes.contains_key(kind));
     let line = |kind: OutcomeKind| PlotLine {
         name: kind.to_string(),
-        points: points(figures, |bucket| {
-            Some(real(bucket.outcomes.get(&kind).copied().unwrap_or(0)))
-        }),
+        points: with_pauses(
+            figures.width(),
+            &points(figures, |bucket| {
+                Some(real(bucket.outcomes.get(&kind).copied().unwrap_or(0)))
+            }),
+        ),
     };
     seen.map(line).collect()
 }
 
+/// Brings counts down to zero where nothing was recorded: a line straight across a pause would show
+/// requests that never were.
+fn with_pauses(width: u64, counts: &[(f64, f64)]) -> Vec<(f64, f64)> {
+    let width = std::time::Duration::from_millis(width).as_secs_f64();
+    let mut filled = Vec::with_capacity(counts.len());
+    for (at, count) in counts.iter().copied() {
+        if let Some((before, _)) = filled.last().copied()
+            && at - before > width * 1.5
+        {
+            filled.push((before + width, 0.0));
+            filled.push((at - width, 0.0));
+        }
+        filled.push((at, count));
+    }
+    filled
+}
+
 fn latency_lines<F>(figures: &ReportFigures, pick: F) -> Vec<PlotLine>
 where
     F: Fn(&ReportBucket) -> &Latencies,
--- a/crates/coordination/tests/evidence_report.rs
+++ b/crates/coordination/tests/evidence_report.rs
@@ -44,17 +44,17 @@
     }
     events.pop();
     let spread = chain(host, events);
-    respaced(spread)
+    respaced(spread, 250)
 }
 
-/// The same events, a quarter of a second apart.
-fn respaced(records: Vec<SealedRecord>) -> Vec<SealedRecord> {
+/// The same events, `pause` milliseconds apart.
+fn respaced(records: Vec<SealedRecord>, pause: u64) -> Vec<SealedRecord> {
     let mut head = records[0].head();
     head.sequence = 0.into();
     head.digest = pollendrift_coordination::evidence::EvidenceDigest::ZERO;
     let mut time = records[0].record.time;
     let sealed = records.into_iter().map(|sealed| {
-        time = WallTime(time.0 + 250);
+        time = WallTime(time.0 + pause);
         let next = SealedRecord::seal(&head, time, sealed.record.event).unwrap();
         head = next.head();
         next
@@ -106,3 +106,33 @@
     let page = report_page("export.jsonl", lines.iter().map(String::as_str)).unwrap();
     assert!(page.len() < 200_000);
 }
+
+#[test]
+fn a_pause_is_drawn_as_no_requests() {
+    // What a reader would see: nothing was asked for two minutes. A line straight across the pause
+    // would show requests that never were.
+    let events = vec![
+        finished("r1", OutcomeKind::Complete),
+        finished("r2", OutcomeKind::Complete),
+    ];
+    let lines = export(&[respaced(chain("brest-1", events), 120_000)]);
+    let page = report_page("export.jsonl", lines.iter().map(String::as_str)).unwrap();
+    let section = page
+        .split("<h2>")
+        .find(|part| part.starts_with("Requests<"))
+        .unwrap();
+    // Axes and legend have lines of two points.
+    let lines = section.split("points=\"").map(heights);
+    let drawn = lines.max_by_key(Vec::len).unwrap();
+    assert_eq!(drawn.len(), 4, "{drawn:?}");
+    assert!(drawn[0] < drawn[1] && drawn[1] == drawn[2] && drawn[3] == drawn[0]);
+}
+
+/// Heights of the points that `text` begins with.
+fn heights(text: &str) -> Vec<f64> {
+    let points = text.split('"').next().unwrap_or_default();
+    points
+        .split_whitespace()
+        .filter_map(|point| point.split(',').nth(1)?.parse().ok())
+        .collect()
+}
--- a/crates/daemon/src/announcements.rs
+++ b/crates/daemon/src/announcements.rs
@@ -9,7 +9,8 @@
 use pollendrift_border::{Announcement, AnnouncementReply};
 use pollendrift_coordination::leases::MergeVerdict;
 use pollendrift_http::{
-    HandlerFuture, HttpHandler, ResponseBody, json_response, read_json, text_response,
+    HandlerFuture, HttpHandler, ReadFailure, ResponseBody, json_response, read_json, read_within,
+    text_response,
 };
 
 use crate::access::AccessControl;
@@ -18,6 +19,8 @@
 
 /// Path that announcements come on.
 pub const ANNOUNCEMENT_PATH: &str = "/backend/v1/announcements";
+/// Time in which an announcement must have come.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
 
 /// Takes announcements.
@@ -57,13 +60,12 @@
                 "a bearer token of a backend server is expected\n",
             );
         }
-        let announcement: Announcement =
-            match read_json(request.into_body(), MAX_ANNOUNCEMENT_BYTES).await {
-                Ok(announcement) => announcement,
-                Err(failure) => {
-                    return text_response(StatusCode::BAD_REQUEST, format!("{failure}\n"));
-                }
-            };
+        let announcement: Announcement = match read_announcement(request.into_body()).await {
+            Ok(announcement) => announcement,
+            Err(failure) => {
+                return text_response(StatusCode::BAD_REQUEST, format!("{failure}\n"));
+            }
+        };
         match self.fleet.announce(self.clock.now(), &announcement) {
             Ok(MergeVerdict::Stale) => {
                 json_response(StatusCode::CONFLICT, &self.reply(&announcement))
@@ -102,3 +104,8 @@
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+async fn read_announcement(body: Incoming) -> Result<Announcement, ReadFailure> {
+    let read = read_json(body, MAX_ANNOUNCEMENT_BYTES);
+    read_within(ANNOUNCEMENT_TIMEOUT, read).await
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -126,6 +126,7 @@
             incarnation: clock.wall().0,
             default_deadline: settings.limits.default_deadline,
             max_body_bytes: to_usize(settings.entry.max_body_bytes),
+            body_timeout: settings.entry.body_timeout,
             clock: Arc::clone(&clock),
             access: Arc::clone(&access),
             fleet: Arc::clone(&fleet),
@@ -318,6 +319,7 @@
         max_head_bytes: to_usize(settings.max_header_bytes),
         head_timeout: settings.head_timeout,
         max_connections_per_address: to_usize(settings.max_connections_per_address),
+        max_connections: to_usize(settings.max_connections),
     };
     HttpServer::start(address, bounds, acceptor, handler)
         .await
--- a/crates/daemon/src/entry/completions.rs
+++ b/crates/daemon/src/entry/completions.rs
@@ -7,7 +7,7 @@
 use pollendrift_border::{ChatRequest, CompletionRequest};
 use pollendrift_coordination::configuration::{RequestFacts, RequestTarget, SelectorTarget};
 use pollendrift_coordination::evidence::BodyDigest;
-use pollendrift_http::{ResponseBody, read_json};
+use pollendrift_http::{ResponseBody, read_json, read_within};
 
 use super::context::EntryContext;
 use super::draft::{DraftJob, estimate_tokens, run_draft};
@@ -28,7 +28,8 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let path = request.uri().path().to_owned();
-    let body: CompletionRequest = read_json(request.into_body(), context.max_body_bytes)
+    let read = read_json(request.into_body(), context.max_body_bytes);
+    let body: CompletionRequest = read_within(context.body_timeout, read)
         .await
         .map_err(|failure| Refusal::bad_body(&failure))?;
     let ask = DraftAsk {
@@ -50,7 +51,8 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let path = request.uri().path().to_owned();
-    let body: ChatRequest = read_json(request.into_body(), context.max_body_bytes)
+    let read = read_json(request.into_body(), context.max_body_bytes);
+    let body: ChatRequest = read_within(context.body_timeout, read)
         .await
         .map_err(|failure| Refusal::bad_body(&failure))?;
     let lines: Vec<String> = body
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -34,6 +34,8 @@
     pub default_deadline: Duration,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
+    /// Time in which the body of a request must have come.
+    pub body_timeout: Duration,
     /// The present time.
     pub clock: Arc<dyn TimeSource>,
     /// Who the callers are.
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -115,6 +115,7 @@
     pub(crate) fn bad_body(failure: &ReadFailure) -> Self {
         let status = match failure {
             ReadFailure::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            ReadFailure::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
             ReadFailure::EndedEarly { .. } | ReadFailure::Malformed { .. } => {
                 StatusCode::BAD_REQUEST
             }
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -17,7 +17,7 @@
 use pollendrift_coordination::configuration::RequestFacts;
 use pollendrift_coordination::evidence::{AttemptTrace, BodyDigest, RouteStage};
 use pollendrift_coordination::retries::{CallDeadline, CallKind};
-use pollendrift_http::{ClientError, ResponseBody, read_bounded};
+use pollendrift_http::{ClientError, ResponseBody, read_bounded, read_within};
 
 use super::SERVICE_PREFIX;
 use super::context::EntryContext;
@@ -61,7 +61,8 @@
     let key = call_key(&request)?;
     let (head, body) = request.into_parts();
     // Read whole before anything is sent: a caller that breaks off here is truly not run.
-    let body = read_bounded(body, context.max_body_bytes)
+    let read = read_bounded(body, context.max_body_bytes);
+    let body = read_within(context.body_timeout, read)
         .await
         .map_err(|failure| Refusal::bad_body(&failure))?;
     let claim = key.as_deref().map(ClaimKey::from);
--- a/crates/daemon/src/operators/changes.rs
+++ b/crates/daemon/src/operators/changes.rs
@@ -9,7 +9,7 @@
 };
 use pollendrift_coordination::evidence::{BodyDigest, ConfigurationChanged, EvidenceEvent};
 use pollendrift_coordination::replicated::{CommandAnswer, ReplicatedCommand};
-use pollendrift_http::{ResponseBody, json_response, read_json};
+use pollendrift_http::{ResponseBody, json_response, read_json, read_within};
 
 use super::OperatorContext;
 use super::problem::OperatorProblem;
@@ -25,7 +25,8 @@
     operator: &OperatorIdentity,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, OperatorProblem> {
-    let body: ChangeBody = read_json(request.into_body(), MAX_CHANGE_BYTES)
+    let read = read_json(request.into_body(), MAX_CHANGE_BYTES);
+    let body: ChangeBody = read_within(context.entry.body_timeout, read)
         .await
         .map_err(|failure| OperatorProblem::bad_body(&failure))?;
     let change = ChangeRequest {
--- a/crates/daemon/src/operators/problem.rs
+++ b/crates/daemon/src/operators/problem.rs
@@ -50,6 +50,7 @@
     pub(super) fn bad_body(failure: &ReadFailure) -> Self {
         let status = match failure {
             ReadFailure::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            ReadFailure::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
             _ => StatusCode::BAD_REQUEST,
         };
         Self::not_run(status, "Body not accepted", failure.to_string())
--- a/crates/daemon/src/operators/questions.rs
+++ b/crates/daemon/src/operators/questions.rs
@@ -11,7 +11,7 @@
     InForceView,
 };
 use pollendrift_coordination::evidence::{EvidenceFilter, EvidenceRecord};
-use pollendrift_http::{ResponseBody, full_body, json_response, read_json};
+use pollendrift_http::{ResponseBody, full_body, json_response, read_json, read_within};
 use serde::{Deserialize, Serialize};
 
 use super::OperatorContext;
@@ -337,7 +337,8 @@
     context: &Arc<OperatorContext>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, OperatorProblem> {
-    let body: ExplainBody = read_json(request.into_body(), MAX_EXPLAIN_BYTES)
+    let read = read_json(request.into_body(), MAX_EXPLAIN_BYTES);
+    let body: ExplainBody = read_within(context.entry.body_timeout, read)
         .await
         .map_err(|failure| OperatorProblem::bad_body(&failure))?;
     let Some(facts) = body.facts() else {
--- a/crates/daemon/tests/hosts/main.rs
+++ b/crates/daemon/tests/hosts/main.rs
@@ -1,6 +1,7 @@
 //! Whole daemons under failure, over real loopback connections with stand-in backend servers.
 #![allow(clippy::unwrap_used, reason = "a helper that fails is a failed test")]
 
+mod bad_input;
 mod claims;
 mod configuration;
 mod drafts;
--- a/crates/daemon/tests/hosts/support.rs
+++ b/crates/daemon/tests/hosts/support.rs
@@ -38,7 +38,13 @@
 impl HostGroup {
     /// Starts `hosts` hosts, the first `keepers` of them keepers, and puts [`SELECTORS`] in force.
     pub(crate) async fn start(hosts: usize, keepers: usize) -> Self {
-        let mut group = Self::cold(hosts, keepers);
+        Self::cold(hosts, keepers).begin().await
+    }
+
+    /// Starts all hosts and puts [`SELECTORS`] in force.
+    pub(crate) async fn begin(mut self) -> Self {
+        let hosts = self.hosts.len();
+        let group = &mut self;
         for index in 0..hosts {
             group.restart(index).await;
         }
@@ -50,7 +56,7 @@
         for index in 0..hosts {
             group.wait_revision(index, Revision(1)).await;
         }
-        group
+        self
     }
 
     /// Hosts that are not running yet.
--- a/crates/daemon/tests/hosts/tls.rs
+++ b/crates/daemon/tests/hosts/tls.rs
@@ -5,7 +5,6 @@
 use pollendrift::access::{AccessControl, CertificateRequest, FaceStream, KeyFolder, Validity};
 use pollendrift::settings::{DaemonSettings, KeyFiles};
 use pollendrift_coordination::base::{Revision, WallTime};
-use pollendrift_coordination::configuration::ChangeAnswer;
 use pollendrift_standins::harness::{CUSTOMER_TOKEN, HostBuilder, OPERATOR_TOKEN};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -62,13 +61,8 @@
         for index in 0..3 {
             let files = host_keys(keys.path(), &HostBuilder::name(index), GOOD);
             group.add_settings(index, &tls_section(&files));
-            group.restart(index).await;
-        }
-        let answer = group.change(0, "first", Revision(0), SELECTORS).await;
-        assert!(matches!(answer, Some(ChangeAnswer::Accepted { .. })));
-        for index in 0..3 {
-            group.wait_revision(index, Revision(1)).await;
         }
+        let group = group.begin().await;
         Self { group, keys }
     }
 
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,6 +1,8 @@
 //! Bodies: bounded reading and streamed writing.
 
 use std::convert::Infallible;
+use std::future::Future;
+use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -168,6 +170,12 @@
         /// The transport's words.
         reason: String,
     },
+    /// The peer sent too slowly.
+    #[display("body did not come within {} ms", limit.as_millis())]
+    TooSlow {
+        /// Time that it had.
+        limit: Duration,
+    },
     /// The bytes are not the expected JSON.
     #[display("body is not valid JSON for this request: {reason}")]
     Malformed {
@@ -176,6 +184,19 @@
     },
 }
 
+/// Gives up `read` after `limit`: a stranger who sends a byte now and then holds no memory for long.
+///
+/// # Errors
+/// [`ReadFailure::TooSlow`], and those of `read`.
+pub async fn read_within<F, T>(limit: Duration, read: F) -> Result<T, ReadFailure>
+where
+    F: Future<Output = Result<T, ReadFailure>>,
+{
+    tokio::time::timeout(limit, read)
+        .await
+        .unwrap_or(Err(ReadFailure::TooSlow { limit }))
+}
+
 /// Reads a whole body of at most `limit` bytes.
 ///
 /// # Errors
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub use body::{
     BodyError, BodySender, ReadFailure, ReaderWatch, ResponseBody, channel_body, empty_body,
-    full_body, json_response, read_bounded, read_json, text_response,
+    full_body, json_response, read_bounded, read_json, read_within, text_response,
 };
 pub use client::{ClientError, HttpClient, LineReader, PendingCall};
 pub use server::{
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -34,6 +35,8 @@
     pub head_timeout: Duration,
     /// Open connections from one address.
     pub max_connections_per_address: usize,
+    /// Open connections in all.
+    pub max_connections: usize,
 }
 
 impl Default for ServerBounds {
@@ -43,6 +46,7 @@
             max_head_bytes: 32 * 1024,
             head_timeout: Duration::from_secs(10),
             max_connections_per_address: 4_096,
+            max_connections: 16_384,
         }
     }
 }
@@ -87,16 +91,22 @@
 #[derive(Debug, Default)]
 struct ConnectionTable {
     counts: Mutex<BTreeMap<IpAddr, usize>>,
+    /// Sum of the counts; changed under their lock only.
+    total: AtomicUsize,
 }
 
 impl ConnectionTable {
-    fn open(self: &Arc<Self>, address: IpAddr, limit: usize) -> Option<ConnectionGuard> {
+    fn open(self: &Arc<Self>, address: IpAddr, bounds: &ServerBounds) -> Option<ConnectionGuard> {
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.total.load(Ordering::Relaxed) >= bounds.max_connections {
+            return None;
+        }
         let count = counts.entry(address).or_insert(0);
-        if *count >= limit {
+        if *count >= bounds.max_connections_per_address {
             return None;
         }
         *count += 1;
+        self.total.fetch_add(1, Ordering::Relaxed);
         Some(ConnectionGuard {
             table: Arc::clone(self),
             address,
@@ -109,6 +119,7 @@
             return;
         };
         *count = count.saturating_sub(1);
+        self.total.fetch_sub(1, Ordering::Relaxed);
         if *count == 0 {
             counts.remove(&address);
         }
@@ -213,9 +224,8 @@
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                     continue;
                 };
-                let limit = context.bounds.max_connections_per_address;
-                let Some(guard) = table.open(peer.ip(), limit) else {
-                    log::warn!(peer:% = peer; "connection refused: too many from this address");
+                let Some(guard) = table.open(peer.ip(), &context.bounds) else {
+                    log::warn!(peer:% = peer; "connection refused: too many are open");
                     continue;
                 };
                 connections.spawn(serve_connection(stream, peer, Arc::clone(&context), guard));
