--- /dev/null
+++ b/crates/border/tests/interface_pages.rs
@@ -0,0 +1,90 @@
+//! Examples on the pages about interfaces: each must be a body of the border, field by field.
+
+use std::path::Path;
+
+use insta::assert_snapshot;
+use pollendrift_border::{
+    Announcement, AnnouncementReply, ChatRequest, CompletionRequest, ProblemReport, SequenceEvent,
+    SequenceRequest, StepRefusal, StepReply, StepRequest,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Deserializer, Value};
+
+/// Whether `example` is a `T` from which nothing is lost or added.
+fn is_body<T>(example: &Value) -> bool
+where
+    T: DeserializeOwned + Serialize,
+{
+    let body: Result<T, _> = serde_json::from_value(example.clone());
+    body.ok()
+        .and_then(|body| serde_json::to_value(body).ok())
+        .is_some_and(|back| back == *example)
+}
+
+fn body_name(example: &Value) -> String {
+    let known: [(&str, fn(&Value) -> bool); 10] = [
+        ("Announcement", is_body::<Announcement>),
+        ("AnnouncementReply", is_body::<AnnouncementReply>),
+        ("ChatRequest", is_body::<ChatRequest>),
+        ("CompletionRequest", is_body::<CompletionRequest>),
+        ("ProblemReport", is_body::<ProblemReport>),
+        ("SequenceEvent", is_body::<SequenceEvent>),
+        ("SequenceRequest", is_body::<SequenceRequest>),
+        ("StepRefusal", is_body::<StepRefusal>),
+        ("StepReply", is_body::<StepReply>),
+        ("StepRequest", is_body::<StepRequest>),
+    ];
+    let found = known.iter().find(|(_, fits)| fits(example));
+    let object = || example.get("object").and_then(Value::as_str);
+    match found {
+        Some((name, _)) => (*name).to_owned(),
+        None => format!("no body of the border: {}", object().unwrap_or("?")),
+    }
+}
+
+/// Names of the bodies in the JSON blocks and `data:` lines of a page.
+fn bodies(page: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/interfaces");
+    let text = std::fs::read_to_string(path.join(page)).unwrap();
+    let code: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("    "))
+        .map(|line| line.strip_prefix("data: ").unwrap_or(line))
+        .filter(|line| !line.starts_with(char::is_alphabetic) && *line != "[DONE]")
+        .collect();
+    let code = code.join("\n");
+    let examples = Deserializer::from_str(&code).into_iter::<Value>();
+    let names: Vec<String> = examples
+        .map(|example| body_name(&example.unwrap()))
+        .collect();
+    names.join("\n")
+}
+
+#[test]
+fn callers_page_shows_bodies_of_the_border() {
+    assert_snapshot!(bodies("callers.md"), @r"
+    CompletionRequest
+    ChatRequest
+    no body of the border: text_completion
+    no body of the border: text_completion
+    ProblemReport
+    no body of the border: text_completion
+    ProblemReport
+    ");
+}
+
+#[test]
+fn engines_page_shows_bodies_of_the_border() {
+    assert_snapshot!(bodies("engines.md"), @r"
+    Announcement
+    AnnouncementReply
+    SequenceRequest
+    SequenceEvent
+    SequenceEvent
+    SequenceEvent
+    StepRequest
+    StepReply
+    StepRefusal
+    ");
+}
