--- a/crates/border/tests/interface_pages.rs
+++ b/crates/border/tests/interface_pages.rs
@@ -1,5 +1,6 @@
 //! Examples on the pages about interfaces: each must be a body of the border, field by field.
 
+use std::error::Error;
 use std::path::Path;
 
 use insta::assert_snapshot;
@@ -11,6 +12,8 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Deserializer, Value};
 
+type BodyCheck = fn(&Value) -> bool;
+
 /// Whether `example` is a `T` from which nothing is lost or added.
 fn is_body<T>(example: &Value) -> bool
 where
@@ -23,7 +26,7 @@
 }
 
 fn body_name(example: &Value) -> String {
-    let known: [(&str, fn(&Value) -> bool); 10] = [
+    let known: [(&str, BodyCheck); 10] = [
         ("Announcement", is_body::<Announcement>),
         ("AnnouncementReply", is_body::<AnnouncementReply>),
         ("ChatRequest", is_body::<ChatRequest>),
@@ -44,9 +47,9 @@
 }
 
 /// Names of the bodies in the JSON blocks and `data:` lines of a page.
-fn bodies(page: &str) -> String {
+fn bodies(page: &str) -> Result<String, Box<dyn Error>> {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/interfaces");
-    let text = std::fs::read_to_string(path.join(page)).unwrap();
+    let text = std::fs::read_to_string(path.join(page))?;
     let code: Vec<&str> = text
         .lines()
         .filter_map(|line| line.strip_prefix("    "))
@@ -55,15 +58,15 @@
         .collect();
     let code = code.join("\n");
     let examples = Deserializer::from_str(&code).into_iter::<Value>();
-    let names: Vec<String> = examples
-        .map(|example| body_name(&example.unwrap()))
+    let names: Result<Vec<String>, _> = examples
+        .map(|example| example.map(|example| body_name(&example)))
         .collect();
-    names.join("\n")
+    Ok(names?.join("\n"))
 }
 
 #[test]
 fn callers_page_shows_bodies_of_the_border() {
-    assert_snapshot!(bodies("callers.md"), @r"
+    assert_snapshot!(bodies("callers.md").unwrap(), @r"
     CompletionRequest
     ChatRequest
     no body of the border: text_completion
@@ -76,7 +79,7 @@
 
 #[test]
 fn engines_page_shows_bodies_of_the_border() {
-    assert_snapshot!(bodies("engines.md"), @r"
+    assert_snapshot!(bodies("engines.md").unwrap(), @r"
     Announcement
     AnnouncementReply
     SequenceRequest
