feat(streams): go on with a stream at another entry when its entry dies

Cause: an entry that died in the middle of a stream lost the rest of the answer. Change: an entry tells one other host of each token before its caller gets it; a caller that names its last event goes on at any entry, with attempts above those of the lost one. A gap in what was told makes the stream unknown, never wrong. draft.rs is split by job. Measured: an entry crashed after 9 tokens, the answer went on at each of the three others, whole each time (three runs of the test); a foreign draft and an unknown position were refused. Conclusion: single-entry loss no longer loses an answer.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod replicated;
 pub mod retries;
 pub mod routing;
+pub mod streams;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -119,6 +119,7 @@
             drafts: DraftSettings::default(),
             life: life.watch(),
             gate: Arc::clone(&gate),
+            streams: Arc::clone(node.streams()),
             resends: ResendDesk::new(retry_settings(&settings.retries), Arc::clone(&clock)),
             recorder: Arc::clone(&recorder),
             metrics: Arc::clone(&metrics),
--- a/crates/daemon/src/entry/completions.rs
+++ b/crates/daemon/src/entry/completions.rs
@@ -5,12 +5,15 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use pollendrift_border::{ChatRequest, CompletionRequest};
+use pollendrift_coordination::base::{AdapterName, TokenPosition};
 use pollendrift_coordination::configuration::{RequestFacts, RequestTarget, SelectorTarget};
 use pollendrift_coordination::evidence::BodyDigest;
 use pollendrift_http::{ResponseBody, read_json};
 
 use super::context::EntryContext;
-use super::draft::{DraftJob, estimate_tokens, run_draft};
+use super::draft::{
+    DraftJob, draft_digest, estimate_tokens, find_resume, last_position, run_draft,
+};
 use super::record::{RequestArrival, RunningRequest};
 use super::refusal::Refusal;
 use super::selection::select;
@@ -28,6 +31,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let path = request.uri().path().to_owned();
+    let last = last_position(request.headers())?;
     let body: CompletionRequest = read_json(request.into_body(), context.max_body_bytes)
         .await
         .map_err(|failure| Refusal::bad_body(&failure))?;
@@ -38,6 +42,7 @@
         prompt: body.prompt,
         max_tokens: body.max_tokens,
         stream: body.stream.unwrap_or(false),
+        last,
         format: ReplyFormat::Completion,
     };
     start(context, arrival, ask).await
@@ -50,6 +55,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let path = request.uri().path().to_owned();
+    let last = last_position(request.headers())?;
     let body: ChatRequest = read_json(request.into_body(), context.max_body_bytes)
         .await
         .map_err(|failure| Refusal::bad_body(&failure))?;
@@ -65,6 +71,7 @@
         prompt: lines.join("\n"),
         max_tokens: body.max_tokens,
         stream: body.stream.unwrap_or(false),
+        last,
         format: ReplyFormat::Chat,
     };
     start(context, arrival, ask).await
@@ -78,6 +85,8 @@
     prompt: String,
     max_tokens: Option<u32>,
     stream: bool,
+    /// Last position that a caller who goes on reading holds.
+    last: Option<TokenPosition>,
     format: ReplyFormat,
 }
 
@@ -123,6 +132,16 @@
     let tokens = u64::from(prompt_tokens) + u64::from(max_tokens);
     let deadline = served.deadline(context, arrival.arrived);
     let ticket = served.admit(context, &caller, tokens, deadline).await?;
+    let digest = draft_digest(
+        model.as_str(),
+        adapter.as_ref().map(AdapterName::as_str),
+        &ask.prompt,
+        max_tokens,
+    );
+    let resume = match ask.last {
+        Some(last) => Some(find_resume(context, &arrival.id, &caller, digest, last).await?),
+        None => None,
+    };
     let body = BodyDigest::of(ask.prompt.as_bytes());
     let record = RunningRequest::begin(context, arrival, None, body, &served, ticket)?;
     let job = DraftJob {
@@ -132,7 +151,12 @@
         deadline,
         prompt_tokens,
         model,
-        version,
+        digest,
+        version: resume
+            .as_ref()
+            .map(|resume| resume.version.clone())
+            .or(version),
+        resume,
         adapter,
         prompt: ask.prompt,
         max_tokens,
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -17,6 +17,7 @@
 use crate::fleet::BackendFleet;
 use crate::lifecycle::{LifeStep, LifeWatch};
 use crate::resend::ResendDesk;
+use crate::streams::StreamKeeper;
 use crate::tasks::TaskGroup;
 use crate::telemetry::{MetricRegistry, RecorderSlot};
 
@@ -50,6 +51,8 @@
     pub life: LifeWatch,
     /// Admits requests.
     pub gate: Arc<AdmissionGate>,
+    /// Streams that can go on at another entry.
+    pub streams: Arc<StreamKeeper>,
     /// Decides on resends.
     pub resends: ResendDesk,
     /// Evidence of this process; empty until the keepers gave it its life.
--- a/crates/daemon/src/entry/draft.rs
+++ b/crates/daemon/src/entry/draft.rs
@@ -6,32 +6,33 @@
 
 mod caller_link;
 mod flight_guard;
+mod resume;
+mod telling;
+mod wire;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::{Response, StatusCode};
-use pollendrift_border::{
-    ChainLink as BorderLink, LayerSpan, RouteStage, SequenceEvent, SequenceRequest, TokenEvent,
-};
+use pollendrift_border::{SequenceEvent, SequenceRequest, TokenEvent};
 use pollendrift_coordination::base::{
-    AdapterName, AttemptNumber, CustomerName, LayerRange, ModelName, RequestId, ServerName,
-    TokenPosition, VersionName,
-};
-use pollendrift_coordination::evidence::{
-    AttemptTrace, BodyDigest, OutcomeKind, RouteStage as TracedStage,
+    AdapterName, AttemptNumber, CustomerName, ModelName, RequestId, ServerName, TokenPosition,
+    VersionName,
 };
+use pollendrift_coordination::evidence::{BodyDigest, OutcomeKind};
 use pollendrift_coordination::ledger::{
-    ChainLink, FinalEvent, FinalVerdict, GeneratedToken, LedgerSettings, TokenLedger, TokenResult,
-    TokenVerdict,
+    FinalEvent, FinalVerdict, GeneratedToken, LedgerSettings, TokenLedger, TokenVerdict,
 };
 use pollendrift_coordination::retries::{CallDeadline, CallKind, SendOutcome};
 use pollendrift_coordination::routing::RoutePriority;
+use pollendrift_coordination::streams::DraftDigest;
 use pollendrift_http::{ClientError, LineReader, ResponseBody, channel_body};
 use tokio::sync::oneshot;
 
 use caller_link::{CallerLink, FirstAnswer};
 use flight_guard::FlightGuard;
+pub(super) use resume::{ResumePoint, draft_digest, find_resume, last_position};
+use wire::{route_stage, token_result};
 
 use super::context::EntryContext;
 use super::record::{RequestEnding, RunningRequest};
@@ -39,7 +40,7 @@
 use super::selection::ServedRequest;
 use super::stream::{ReplyFormat, ReplyWriter};
 use crate::admission::URGENT_FROM;
-use crate::fleet::{DraftQuery, DraftRoute, PlannedStage};
+use crate::fleet::{DraftQuery, DraftRoute};
 use crate::resend::ResendQuery;
 
 /// Path on which a first stage takes sequences.
@@ -77,6 +78,9 @@
     /// Estimate, until an engine has counted them.
     pub(super) prompt_tokens: u32,
     pub(super) model: ModelName,
+    pub(super) digest: DraftDigest,
+    /// Where a lost stream goes on.
+    pub(super) resume: Option<ResumePoint>,
     pub(super) version: Option<VersionName>,
     pub(super) adapter: Option<AdapterName>,
     pub(super) prompt: String,
@@ -100,12 +104,21 @@
         model: job.model.to_string(),
         format: job.format,
     };
+    let ledger = job
+        .resume
+        .as_ref()
+        .map(|resume| resumed_ledger(context, &job, resume));
+    let attempt = job
+        .resume
+        .as_ref()
+        .map_or(AttemptNumber(0), |resume| resume.attempt);
     let runner = DraftRunner {
         context: Arc::clone(context),
-        ledger: None,
-        attempt: AttemptNumber(0),
+        ledger,
+        attempt,
         excluded: Vec::new(),
         fruitless: 0,
+        told: false,
         may_have_run: false,
         link: CallerLink {
             writer: writer.clone(),
@@ -129,6 +142,17 @@
     }
 }
 
+/// A ledger of an answer of which the caller holds a part from another entry.
+fn resumed_ledger(context: &EntryContext, job: &DraftJob, resume: &ResumePoint) -> TokenLedger {
+    TokenLedger::resume(
+        job.id.clone(),
+        resume.model_layers,
+        resume.version.clone(),
+        context.drafts.ledger,
+        resume.tokens.clone(),
+    )
+}
+
 struct DraftRunner {
     context: Arc<EntryContext>,
     job: DraftJob,
@@ -141,6 +165,8 @@
     /// A long answer may outlive many stages. Counted over the whole answer, the bound on attempts
     /// ended drafts that lost a stage now and then and went on well in between.
     fruitless: u32,
+    /// Whether another host was told of the stream.
+    told: bool,
     /// Whether any engine may have run a layer; decides between `not-run` and `unknown`.
     may_have_run: bool,
     link: CallerLink,
@@ -193,6 +219,9 @@
 
     async fn attempts(&mut self) -> Result<String, Refusal> {
         let mut failure = String::new();
+        if let Some(finish) = self.show_resumed().await {
+            return Ok(finish);
+        }
         loop {
             let route = self.route(&failure)?;
             let mut flight = FlightGuard::new(&self.context, route.flight);
@@ -201,7 +230,10 @@
             let trace = self.trace(&route, from, &end);
             self.job.record.attempt(trace);
             match end {
-                AttemptEnd::Complete { reason } => return Ok(reason),
+                AttemptEnd::Complete { reason } => {
+                    self.tell_stream(&[], Some(reason.clone()));
+                    return Ok(reason);
+                }
                 AttemptEnd::Failed { server, reason } => {
                     log::warn!(request:% = self.job.id, server:% = server, reason:% = reason; "attempt failed");
                     flight.fail(&server);
@@ -287,28 +319,6 @@
             .map_or(TokenPosition(0), TokenLedger::next_position)
     }
 
-    /// One attempt, for the evidence.
-    fn trace(&self, route: &DraftRoute, from: TokenPosition, end: &AttemptEnd) -> AttemptTrace {
-        let ending = match end {
-            AttemptEnd::Complete { reason } => format!("complete: {reason}"),
-            AttemptEnd::Failed { server, reason } => format!("{server}: {reason}"),
-        };
-        let stage = |stage: &PlannedStage| TracedStage {
-            server: stage.server.clone(),
-            layers: Some(stage.layers),
-        };
-        AttemptTrace {
-            attempt: self.attempt,
-            model: Some(self.job.model.clone()),
-            version: Some(route.plan.version.clone()),
-            adapter: self.job.adapter.clone(),
-            stages: route.stages.iter().map(stage).collect(),
-            from,
-            tokens: self.next_position().0.saturating_sub(from.0),
-            ending: ending.into(),
-        }
-    }
-
     /// The truth about a draft that can't be completed.
     fn refusal(&self, detail: String) -> Refusal {
         if !self.may_have_run {
@@ -484,6 +494,7 @@
             TokenVerdict::Release { tokens, .. } => {
                 self.job.record.first_byte().await;
                 self.job.record.tokens(tokens.len());
+                self.tell_stream(&tokens, None);
                 self.link.tokens(&tokens).await;
                 None
             }
@@ -514,35 +525,3 @@
     let text: String = tokens.iter().map(|token| token.text.as_ref()).collect();
     BodyDigest::of(text.as_bytes())
 }
-
-fn route_stage(stage: &PlannedStage) -> RouteStage {
-    RouteStage {
-        server: stage.server.to_string(),
-        address: stage.address.to_string(),
-        layers: LayerSpan {
-            first: stage.layers.first,
-            end: stage.layers.end,
-        },
-    }
-}
-
-fn token_result(event: TokenEvent) -> TokenResult {
-    let link = |link: BorderLink| ChainLink {
-        server: link.server.into(),
-        layers: LayerRange {
-            first: link.layers.first,
-            end: link.layers.end,
-        },
-        version: link.version.into(),
-    };
-    TokenResult {
-        request: event.request.into(),
-        attempt: AttemptNumber(event.attempt),
-        position: TokenPosition(event.position),
-        chain: event.chain.into_iter().map(link).collect(),
-        token: GeneratedToken {
-            id: event.token,
-            text: event.text.into(),
-        },
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/entry/draft/resume.rs
@@ -0,0 +1,104 @@
+//! A draft that a caller goes on reading, after its entry or its connection was lost.
+
+use http::{HeaderMap, StatusCode};
+use pollendrift_coordination::base::{
+    AttemptNumber, CustomerName, RequestId, TokenPosition, VersionName,
+};
+use pollendrift_coordination::ledger::GeneratedToken;
+use pollendrift_coordination::streams::{DraftDigest, StreamRecord};
+use sha2::{Digest, Sha256};
+
+use crate::entry::EntryContext;
+use crate::entry::refusal::Refusal;
+
+/// Header that names the last event that a caller holds.
+const LAST_EVENT_HEADER: &str = "last-event-id";
+/// Above all attempts that the lost entry may still begin: engines drop the lower ones.
+const ATTEMPT_STEP: u32 = 1_000;
+
+/// Where an answer goes on.
+#[derive(Clone, Debug)]
+pub(crate) struct ResumePoint {
+    /// Tokens of the answer so far, those that the caller lacks included.
+    pub(crate) tokens: Vec<GeneratedToken>,
+    /// First position that the caller lacks.
+    pub(crate) from: TokenPosition,
+    pub(crate) version: VersionName,
+    pub(crate) model_layers: u32,
+    pub(crate) attempt: AttemptNumber,
+    pub(crate) finish: Option<String>,
+}
+
+/// The last position that the caller holds, if it goes on reading.
+pub(crate) fn last_position(headers: &HeaderMap) -> Result<Option<TokenPosition>, Refusal> {
+    let Some(value) = headers.get(LAST_EVENT_HEADER) else {
+        return Ok(None);
+    };
+    let position = value.to_str().ok().and_then(|text| text.parse().ok());
+    match position {
+        Some(position) => Ok(Some(TokenPosition(position))),
+        None => Err(Refusal::not_run(
+            StatusCode::BAD_REQUEST,
+            "last-event-id",
+            "Position not understood",
+            "`last-event-id` is the id of the last event that was read".to_owned(),
+        )),
+    }
+}
+
+/// Digest of all that a draft asks for.
+pub(crate) fn draft_digest(
+    model: &str,
+    adapter: Option<&str>,
+    prompt: &str,
+    max_tokens: u32,
+) -> DraftDigest {
+    let mut hasher = Sha256::new();
+    for part in [model, adapter.unwrap_or(""), prompt] {
+        hasher.update(u64::try_from(part.len()).unwrap_or(u64::MAX).to_be_bytes());
+        hasher.update(part);
+    }
+    hasher.update(max_tokens.to_be_bytes());
+    hasher.finalize().into()
+}
+
+/// Acts where the caller names its last event: finds where the answer goes on.
+pub(crate) async fn find_resume(
+    context: &EntryContext,
+    request: &RequestId,
+    customer: &CustomerName,
+    digest: DraftDigest,
+    last: TokenPosition,
+) -> Result<ResumePoint, Refusal> {
+    let record = context.streams.find(request).await;
+    let known = record.filter(|record| record.customer == *customer && record.digest == digest);
+    let Some(record) = known else {
+        return Err(not_resumable("no host knows this stream of this draft"));
+    };
+    let from = last.next();
+    if usize::try_from(from.0).unwrap_or(usize::MAX) > record.tokens.len() {
+        return Err(not_resumable("its last tokens were lost with its entry"));
+    }
+    Ok(resume_point(record, from))
+}
+
+fn resume_point(record: StreamRecord, from: TokenPosition) -> ResumePoint {
+    ResumePoint {
+        from,
+        version: record.version,
+        model_layers: record.model_layers,
+        attempt: AttemptNumber(record.attempt.0.saturating_add(ATTEMPT_STEP)),
+        finish: record.finish,
+        tokens: record.tokens,
+    }
+}
+
+fn not_resumable(why: &str) -> Refusal {
+    let detail = format!("{why}; send the draft without `last-event-id` to begin anew");
+    Refusal::unknown(
+        StatusCode::CONFLICT,
+        "not-resumable",
+        "The stream can't go on",
+        detail,
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/entry/draft/telling.rs
@@ -0,0 +1,95 @@
+//! What a running draft tells others: another host, so that it can go on there, and the evidence.
+
+use pollendrift_coordination::base::TokenPosition;
+use pollendrift_coordination::evidence::{AttemptTrace, RouteStage as TracedStage};
+use pollendrift_coordination::ledger::ReleasedToken;
+use pollendrift_coordination::streams::StreamNote;
+
+use super::{AttemptEnd, DraftRunner};
+use crate::fleet::{DraftRoute, PlannedStage};
+
+impl DraftRunner {
+    /// Sends what the lost entry had released and the caller lacks; the end, if it had come.
+    pub(super) async fn show_resumed(&mut self) -> Option<String> {
+        let resume = self.job.resume.take()?;
+        let missing = resume
+            .tokens
+            .into_iter()
+            .zip(0..)
+            .skip(to_usize(resume.from.0));
+        let missing: Vec<ReleasedToken> = missing
+            .map(|(token, position)| ReleasedToken {
+                position: TokenPosition(position),
+                token,
+            })
+            .collect();
+        if !missing.is_empty() {
+            self.job.record.first_byte().await;
+            self.link.tokens(&missing).await;
+        }
+        resume.finish
+    }
+
+    /// Tells another host of tokens before the caller gets them.
+    pub(super) fn tell_stream(&mut self, tokens: &[ReleasedToken], finish: Option<String>) {
+        let Some(ledger) = self.ledger.as_ref().filter(|_| self.job.stream) else {
+            return;
+        };
+        let Some(link) = ledger.route().last() else {
+            return;
+        };
+        // The first note carries all that is known, so that it fits any host: after a resume the
+        // one that remembers is another than before.
+        let first_note = !std::mem::replace(&mut self.told, true);
+        let (first, told) = match tokens.first() {
+            _ if first_note => (TokenPosition(0), ledger.confirmed_prefix().to_vec()),
+            Some(token) => (
+                token.position,
+                tokens.iter().map(|token| token.token.clone()).collect(),
+            ),
+            None => (ledger.next_position(), Vec::new()),
+        };
+        self.context.streams.tell(StreamNote {
+            request: self.job.id.clone(),
+            customer: self.job.customer.clone(),
+            digest: self.job.digest,
+            version: link.version.clone(),
+            model_layers: link.layers.end,
+            attempt: self.attempt,
+            first,
+            tokens: told,
+            finish,
+        });
+    }
+
+    /// One attempt, for the evidence.
+    pub(super) fn trace(
+        &self,
+        route: &DraftRoute,
+        from: TokenPosition,
+        end: &AttemptEnd,
+    ) -> AttemptTrace {
+        let ending = match end {
+            AttemptEnd::Complete { reason } => format!("complete: {reason}"),
+            AttemptEnd::Failed { server, reason } => format!("{server}: {reason}"),
+        };
+        let stage = |stage: &PlannedStage| TracedStage {
+            server: stage.server.clone(),
+            layers: Some(stage.layers),
+        };
+        AttemptTrace {
+            attempt: self.attempt,
+            model: Some(self.job.model.clone()),
+            version: Some(route.plan.version.clone()),
+            adapter: self.job.adapter.clone(),
+            stages: route.stages.iter().map(stage).collect(),
+            from,
+            tokens: self.next_position().0.saturating_sub(from.0),
+            ending: ending.into(),
+        }
+    }
+}
+
+fn to_usize(number: u32) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -8,6 +8,7 @@
 use crate::operators::KeeperDesk;
 use crate::peers::{PeerAnswer, PeerCall, PeerFrame, PeerHandler, PeerHub, PeerQuestion};
 use crate::spread::LeaseSpreader;
+use crate::streams::StreamKeeper;
 
 /// Parts that take frames.
 pub struct FrameTargets {
@@ -15,6 +16,8 @@
     pub feed: Arc<ConfigurationFeed>,
     /// Operators' questions.
     pub desk: Arc<KeeperDesk>,
+    /// Streams that can go on elsewhere.
+    pub streams: Arc<StreamKeeper>,
     /// Leases.
     pub spreader: Arc<LeaseSpreader>,
 }
@@ -43,6 +46,7 @@
         match frame {
             PeerFrame::Configuration(frame) => targets.feed.take(from, frame),
             PeerFrame::Leases(deltas) => targets.spreader.take(deltas),
+            PeerFrame::Stream(note) => targets.streams.take(note),
             PeerFrame::Call(call) => answer_call(targets, hub, from, call),
             _ => {}
         }
@@ -58,12 +62,14 @@
 fn answer_call(targets: &FrameTargets, hub: &PeerHub, from: &HostName, call: PeerCall) {
     let feed = Arc::clone(&targets.feed);
     let desk = Arc::clone(&targets.desk);
+    let streams = Arc::clone(&targets.streams);
     let hub = hub.clone();
     let from = from.clone();
     tokio::spawn(async move {
         let work = async {
             match call.question {
                 PeerQuestion::ConfigurationAfter { have } => feed.answer(have).await,
+                PeerQuestion::RequestLookUp(request) => streams.answer(&request),
                 PeerQuestion::Operator(question) => desk.serve(&question.0).await,
                 _ => PeerAnswer::NotRun {
                     reason: "this host does not answer that".to_owned(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod settings;
 pub mod spread;
 pub mod state;
+pub mod streams;
 pub mod tasks;
 pub mod telemetry;
 pub mod transport;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -35,6 +35,7 @@
 use crate::settings::DaemonSettings;
 use crate::spread::LeaseSpreader;
 use crate::state::SharedState;
+use crate::streams::StreamKeeper;
 use crate::telemetry::{JournalError, RecorderSlot};
 use crate::transport::AccessTransport;
 
@@ -72,6 +73,7 @@
     keeper: Mutex<Option<RunningKeeper>>,
     shared: Option<SharedState>,
     desk: Arc<KeeperDesk>,
+    streams: Arc<StreamKeeper>,
     peers: PeerTasks,
     tasks: Vec<JoinHandle<()>>,
     life: tokio::sync::watch::Receiver<Option<Incarnation>>,
@@ -165,7 +167,9 @@
             files.clone(),
             Arc::clone(&parts.clock),
         ));
+        let streams = Arc::new(StreamKeeper::new(hub.clone(), Arc::clone(&parts.clock)));
         frames.connect(FrameTargets {
+            streams: Arc::clone(&streams),
             desk: Arc::clone(&desk),
             feed: Arc::clone(&feed),
             spreader: Arc::clone(&spreader),
@@ -200,6 +204,7 @@
             keeper: Mutex::new(keeper),
             shared,
             desk,
+            streams,
             peers,
             tasks,
             life,
@@ -221,6 +226,11 @@
         self.shared.as_ref()
     }
 
+    /// Streams that can go on at another entry.
+    pub fn streams(&self) -> &Arc<StreamKeeper> {
+        &self.streams
+    }
+
     /// Answers operators' questions that need a keeper.
     pub fn desk(&self) -> &Arc<KeeperDesk> {
         &self.desk
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -8,6 +8,7 @@
 use pollendrift_coordination::base::{HostName, Incarnation, RequestId, Revision};
 use pollendrift_coordination::configuration::ConfigurationDelta;
 use pollendrift_coordination::leases::LeaseDelta;
+use pollendrift_coordination::streams::StreamNote;
 use pollendrift_store::JoinedGroup;
 use serde::de::Visitor;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -219,6 +220,8 @@
     },
     /// Configurations.
     Configuration(ConfigurationFrame),
+    /// Tokens that go to a caller of the sender.
+    Stream(StreamNote),
     /// Leases of backend servers that changed or were renewed.
     Leases(Vec<LeaseDelta>),
 }
--- a/crates/daemon/tests/hosts/main.rs
+++ b/crates/daemon/tests/hosts/main.rs
@@ -5,5 +5,6 @@
 mod configuration;
 mod drafts;
 mod evidence;
+mod resumes;
 mod stops;
 mod support;
--- /dev/null
+++ b/crates/daemon/tests/hosts/resumes.rs
@@ -0,0 +1,128 @@
+//! Streams go on at another entry.
+
+use pollendrift_standins::caller::{DraftAsk, DraftCaller, DraftReply};
+use pollendrift_standins::engine::{EngineServer, EngineSettings};
+use pollendrift_standins::fleet::{ModelShape, mixed_engines};
+use pollendrift_standins::harness::{CUSTOMER_TOKEN, loopback};
+use pollendrift_standins::token::{StandInWeights, expected_answer};
+
+use crate::support::HostGroup;
+
+const PROMPT: &str = "isolation list for boiler two";
+const TOKENS: u32 = 40;
+
+async fn engines(group: &HostGroup, shape: &ModelShape) -> Vec<EngineServer> {
+    let mut engines = Vec::new();
+    for (index, offer) in mixed_engines(shape, 4).into_iter().enumerate() {
+        let settings = EngineSettings {
+            server: format!("engine-{index}"),
+            offer,
+        };
+        let mut engine = EngineServer::start(settings, loopback()).await.unwrap();
+        engine.announce(group.entries(), 1, "dc-a");
+        engines.push(engine);
+    }
+    group.wait_servers(engines.len()).await;
+    engines
+}
+
+fn caller(group: &HostGroup, index: usize) -> DraftCaller {
+    DraftCaller::new(&group.entry(index), CUSTOMER_TOKEN)
+}
+
+fn join(first: DraftReply, rest: DraftReply) -> DraftReply {
+    DraftReply {
+        texts: [first.texts, rest.texts].concat(),
+        positions: [first.positions, rest.positions].concat(),
+        arrivals: Vec::new(),
+        complete: rest.complete,
+        refusal: rest.refusal,
+    }
+}
+
+// The caller's entry dies while it streams. The caller reconnects at each other entry in turn with
+// its request's id and the last position that it holds. The entry had told one other host of each
+// token before the caller got it, so the answer goes on without a gap or a second word. A foreign
+// draft under the same id, and a position that nobody knows, are told that the stream can't go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_at_another_entry_when_its_entry_dies() {
+    let shape = ModelShape::default();
+    let weights = StandInWeights::new(&shape.model, &shape.version, None, shape.layers);
+    let expected = expected_answer(&weights, PROMPT, TOKENS);
+    let mut group = HostGroup::start(4, 3).await;
+    let _engines = engines(&group, &shape).await;
+    let mut seen = Vec::new();
+    for other in [0, 1, 2] {
+        let id = format!("draft-{other}");
+        let ask = DraftAsk {
+            model: &shape.model,
+            prompt: PROMPT,
+            max_tokens: TOKENS,
+            id: Some(&id),
+            last: None,
+        };
+        let mut shown = 0;
+        let dying = caller(&group, 3);
+        let first = {
+            let group = &mut group;
+            dying
+                .read(&ask, |_| {
+                    shown += 1;
+                    if shown == 9 {
+                        group.crash(3);
+                    }
+                })
+                .await
+                .unwrap()
+        };
+        let last = first.positions.last().copied();
+        let rest = caller(&group, other)
+            .read(&DraftAsk { last, ..ask }, |_| {})
+            .await
+            .unwrap();
+        let resumed = rest.texts.len();
+        let whole = join(first.clone(), rest).check(&expected);
+        seen.push(format!(
+            "entry {other}: cut {}, went on {}, {whole:?}",
+            !first.complete,
+            resumed > 0
+        ));
+        let foreign = DraftAsk {
+            prompt: "another draft",
+            last,
+            ..ask
+        };
+        let beyond = DraftAsk {
+            last: Some(30_000),
+            ..ask
+        };
+        for (name, ask) in [("foreign", foreign), ("beyond", beyond)] {
+            let refusal = caller(&group, other)
+                .read(&ask, |_| {})
+                .await
+                .unwrap()
+                .refusal
+                .unwrap();
+            seen.push(format!(
+                "entry {other}, {name}: {} {}",
+                refusal.status, refusal.outcome
+            ));
+        }
+        group.restart(3).await;
+        group
+            .wait_revision(3, pollendrift_coordination::base::Revision(1))
+            .await;
+        group.wait_servers(4).await;
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    entry 0: cut true, went on true, Ok(())
+    entry 0, foreign: 409 unknown
+    entry 0, beyond: 409 unknown
+    entry 1: cut true, went on true, Ok(())
+    entry 1, foreign: 409 unknown
+    entry 1, beyond: 409 unknown
+    entry 2: cut true, went on true, Ok(())
+    entry 2, foreign: 409 unknown
+    entry 2, beyond: 409 unknown
+    ");
+}
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -98,6 +98,24 @@
     finish_reason: Option<String>,
 }
 
+/// A draft that is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct DraftAsk<'ask> {
+    /// Model.
+    pub model: &'ask str,
+    /// Prompt.
+    pub prompt: &'ask str,
+    /// Tokens at most.
+    pub max_tokens: u32,
+    /// Request id; the entry gives one if absent.
+    pub id: Option<&'ask str>,
+    /// Last position that the caller holds.
+    pub last: Option<u32>,
+}
+
+/// Header that names the last event that a caller holds.
+const LAST_EVENT_HEADER: &str = "last-event-id";
+
 /// Sends drafts to one entry as one customer.
 #[derive(Clone, Debug)]
 pub struct DraftCaller {
@@ -135,14 +153,29 @@
         max_tokens: u32,
         show: F,
     ) -> Result<DraftReply, ClientError>
+    where
+        F: FnMut(&str),
+    {
+        let ask = DraftAsk {
+            model,
+            prompt,
+            max_tokens,
+            id: None,
+            last: None,
+        };
+        self.read(&ask, show).await
+    }
+
+    /// Streams a draft under `id`, from the event after `last` if the caller holds a part of it.
+    ///
+    /// # Errors
+    /// The entry could not be reached or broke off before its first byte.
+    pub async fn read<F>(&self, ask: &DraftAsk<'_>, show: F) -> Result<DraftReply, ClientError>
     where
         F: FnMut(&str),
     {
         let sent_at = Instant::now();
-        let response = self
-            .client
-            .send(self.request(model, prompt, max_tokens)?)
-            .await?;
+        let response = self.client.send(self.request(ask)?).await?;
         let mut reply = DraftReply::default();
         if !response.status().is_success() {
             let body = self.client.read(response).await?;
@@ -158,26 +191,24 @@
         Ok(reply)
     }
 
-    fn request(
-        &self,
-        model: &str,
-        prompt: &str,
-        max_tokens: u32,
-    ) -> Result<Request<Full<Bytes>>, ClientError> {
+    fn request(&self, ask: &DraftAsk<'_>) -> Result<Request<Full<Bytes>>, ClientError> {
         let not_sent = |reason: String| ClientError::NotSent { reason };
         let body = CompletionRequest {
-            model: model.to_owned(),
-            prompt: prompt.to_owned(),
-            max_tokens: Some(max_tokens),
+            model: ask.model.to_owned(),
+            prompt: ask.prompt.to_owned(),
+            max_tokens: Some(ask.max_tokens),
             stream: Some(true),
             adapter: None,
         };
         let body = serde_json::to_vec(&body).map_err(|error| not_sent(error.to_string()))?;
         let mut request = Request::post(format!("http://{}/v1/completions", self.entry))
             .header(header::AUTHORIZATION, format!("Bearer {}", self.token));
-        if let Some(id) = &self.request_id {
+        if let Some(id) = ask.id.or(self.request_id.as_deref()) {
             request = request.header(REQUEST_ID_HEADER, id);
         }
+        if let Some(last) = ask.last {
+            request = request.header(LAST_EVENT_HEADER, last);
+        }
         request
             .body(Full::new(body.into()))
             .map_err(|error| not_sent(error.to_string()))
