--- a/crates/daemon/src/entry/completions.rs
+++ b/crates/daemon/src/entry/completions.rs
@@ -8,7 +8,7 @@
 use pollendrift_coordination::base::{AdapterName, TokenPosition};
 use pollendrift_coordination::configuration::{RequestFacts, RequestTarget, SelectorTarget};
 use pollendrift_coordination::evidence::BodyDigest;
-use pollendrift_http::{ResponseBody, read_json};
+use pollendrift_http::{ResponseBody, read_json, read_within};
 
 use super::context::EntryContext;
 use super::draft::{
@@ -32,7 +32,8 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     let path = request.uri().path().to_owned();
     let last = last_position(request.headers())?;
-    let body: CompletionRequest = read_json(request.into_body(), context.max_body_bytes)
+    let read = read_json(request.into_body(), context.max_body_bytes);
+    let body: CompletionRequest = read_within(context.body_timeout, read)
         .await
         .map_err(|failure| Refusal::bad_body(&failure))?;
     let ask = DraftAsk {
@@ -56,7 +57,8 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     let path = request.uri().path().to_owned();
     let last = last_position(request.headers())?;
-    let body: ChatRequest = read_json(request.into_body(), context.max_body_bytes)
+    let read = read_json(request.into_body(), context.max_body_bytes);
+    let body: ChatRequest = read_within(context.body_timeout, read)
         .await
         .map_err(|failure| Refusal::bad_body(&failure))?;
     let lines: Vec<String> = body
