--- a/crates/daemon/tests/hosts/main.rs
+++ b/crates/daemon/tests/hosts/main.rs
@@ -7,6 +7,7 @@
 mod drafts;
 mod evidence;
 mod metrics;
+mod resumes;
 mod stops;
 mod support;
 mod tls;
