fix(drafts): take an engine's word that nothing started

Cause: a draft whose engines all refused before a layer ran was told unknown, and a whole chat answer named itself a chunk. Change: what an attempt proves is kept with its end; the stand-in says that nothing started only where it refused before its first step; the object of a whole chat answer is chat.completion.

--- a/crates/daemon/src/entry/draft.rs
+++ b/crates/daemon/src/entry/draft.rs
@@ -177,7 +177,12 @@
     /// The caller has the whole answer.
     Complete { reason: String },
     /// The server is not asked again for this request.
-    Failed { server: ServerName, reason: String },
+    Failed {
+        server: ServerName,
+        reason: String,
+        /// False only where it is proved that no layer ran.
+        started: bool,
+    },
 }
 
 impl DraftRunner {
@@ -234,7 +239,12 @@
                     self.tell_stream(&[], Some(reason.clone()));
                     return Ok(reason);
                 }
-                AttemptEnd::Failed { server, reason } => {
+                AttemptEnd::Failed {
+                    server,
+                    reason,
+                    started,
+                } => {
+                    self.may_have_run |= started;
                     log::warn!(request:% = self.job.id, server:% = server, reason:% = reason; "attempt failed");
                     flight.fail(&server);
                     failure = format!("{server}: {reason}");
@@ -344,6 +354,7 @@
             return AttemptEnd::Failed {
                 server: head,
                 reason,
+                started: false,
             };
         }
         // Asked again after every wait: a paused process would else use a lease that is over.
@@ -354,13 +365,19 @@
             .iter()
             .find(|stage| !fleet.may_take_work(now, &stage.server));
         if let Some(stage) = lapsed {
-            return failed(stage.server.clone(), "its lease ran out");
+            return AttemptEnd::Failed {
+                server: stage.server.clone(),
+                reason: "its lease ran out".to_owned(),
+                started: false,
+            };
         }
         match self.open(route).await {
             Ok(reader) => self.relay(&head, reader, flight).await,
             Err(error) => AttemptEnd::Failed {
                 server: head,
                 reason: error.to_string(),
+                // Only a connection that never opened proves that no layer ran.
+                started: !matches!(error, ClientError::NotSent { .. }),
             },
         }
     }
@@ -390,8 +407,6 @@
                 reason: "no answer in time".to_owned(),
             })
         });
-        // Only a connection that never opened proves that no layer ran.
-        self.may_have_run |= !matches!(answer, Err(ClientError::NotSent { .. }));
         let response = answer?;
         if response.status() != StatusCode::OK {
             return Err(ClientError::BadAnswer {
@@ -443,6 +458,7 @@
                     return AttemptEnd::Failed {
                         server: head.clone(),
                         reason: error.to_string(),
+                        started: true,
                     };
                 }
                 Err(_) => return failed(head.clone(), "it fell silent"),
@@ -484,6 +500,7 @@
             SequenceEvent::Failed(event) => Some(AttemptEnd::Failed {
                 server: event.server.as_str().into(),
                 reason: event.reason,
+                started: event.started || self.next_position() > TokenPosition(0),
             }),
         }
     }
@@ -517,6 +534,7 @@
     AttemptEnd::Failed {
         server,
         reason: reason.to_owned(),
+        started: true,
     }
 }
 
--- a/crates/daemon/src/entry/draft/telling.rs
+++ b/crates/daemon/src/entry/draft/telling.rs
@@ -71,7 +71,7 @@
     ) -> AttemptTrace {
         let ending = match end {
             AttemptEnd::Complete { reason } => format!("complete: {reason}"),
-            AttemptEnd::Failed { server, reason } => format!("{server}: {reason}"),
+            AttemptEnd::Failed { server, reason, .. } => format!("{server}: {reason}"),
         };
         let stage = |stage: &PlannedStage| TracedStage {
             server: stage.server.clone(),
--- a/crates/daemon/src/entry/stream.rs
+++ b/crates/daemon/src/entry/stream.rs
@@ -110,6 +110,7 @@
         if self.format == ReplyFormat::Chat {
             let [choice] = &mut reply.choices;
             choice.message = choice.delta.take();
+            reply.object = "chat.completion";
         }
         reply.usage = Some(Usage {
             completion_tokens: tokens.len(),
--- a/crates/daemon/tests/hosts/drafts.rs
+++ b/crates/daemon/tests/hosts/drafts.rs
@@ -203,3 +203,14 @@
     }
     insta::assert_snapshot!(host.verdict().await, @"whole");
 }
+
+// The caller is told `not-run`, and it is true: every engine of the first span refuses the work by
+// its own word before a layer runs, since it holds another version than it announced. Told
+// `unknown`, the caller would have to ask somebody what became of a draft that never began.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_that_prove_that_nothing_started_make_a_true_not_run() {
+    let host = OneHost::start(4).await;
+    host.engines[0].faults().refuse_work(true);
+    let refusal = host.draft().await.refusal.unwrap();
+    insta::assert_snapshot!(format!("{} {}", refusal.status, refusal.outcome), @"503 not-run");
+}
--- a/crates/standins/src/engine/fault.rs
+++ b/crates/standins/src/engine/fault.rs
@@ -11,6 +11,7 @@
     stall_after_tokens: AtomicU64,
     slow_percent: AtomicU64,
     skip_layer: AtomicBool,
+    refuse_work: AtomicBool,
 }
 
 impl FaultPlan {
@@ -44,6 +45,15 @@
         self.skip_layer.store(on, Ordering::Relaxed);
     }
 
+    /// Refuses all work before its first step, as an engine does that holds another version.
+    pub fn refuse_work(&self, on: bool) {
+        self.refuse_work.store(on, Ordering::Relaxed);
+    }
+
+    pub(crate) fn refuses_work(&self) -> bool {
+        self.refuse_work.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn duplicates(&self) -> bool {
         self.duplicate_tokens.load(Ordering::Relaxed)
     }
--- a/crates/standins/src/engine/sequence.rs
+++ b/crates/standins/src/engine/sequence.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use pollendrift_border::{
-    CompleteEvent, FailedEvent, SequenceEvent, SequenceRequest, StepRefusal, StepReply,
-    StepRequest, TokenEvent,
+    CompleteEvent, FailedEvent, SequenceEvent, SequenceRequest, StepRefusal, StepRefusalReason,
+    StepReply, StepRequest, TokenEvent,
 };
 use pollendrift_http::BodySender;
 
@@ -61,7 +61,11 @@
             Ok(reply) => reply,
             Err(refusal) => {
                 return stream
-                    .send(failed(request, &refusal, stream.sent > 0))
+                    .send(failed(
+                        request,
+                        &refusal,
+                        has_started(context, &refusal, stream.sent),
+                    ))
                     .await;
             }
         };
@@ -135,6 +139,18 @@
     })
 }
 
+/// Whether any layer may have run: not if this engine refused the work before its first step.
+fn has_started(context: &EngineContext, refusal: &StepRefusal, sent: u64) -> bool {
+    let refused_here = refusal.server == context.settings.server;
+    let before_work = matches!(
+        refusal.reason,
+        StepRefusalReason::OldAttempt
+            | StepRefusalReason::WrongLayers
+            | StepRefusalReason::WrongVersion
+    );
+    sent > 0 || !(refused_here && before_work)
+}
+
 fn failed(request: &SequenceRequest, refusal: &StepRefusal, started: bool) -> SequenceEvent {
     SequenceEvent::Failed(FailedEvent {
         request: request.request.clone(),
--- a/crates/standins/src/engine/step.rs
+++ b/crates/standins/src/engine/step.rs
@@ -120,7 +120,7 @@
     let offer = &context.settings.offer;
     let holds_adapter =
         adapter.is_none_or(|adapter| offer.adapters.iter().any(|held| held == adapter));
-    if offer.version != version || !holds_adapter {
+    if offer.version != version || !holds_adapter || context.faults.refuses_work() {
         return Err(refusal(context, StepRefusalReason::WrongVersion, 0));
     }
     Ok(StandInWeights::new(
