--- a/crates/daemon/tests/hosts/main.rs
+++ b/crates/daemon/tests/hosts/main.rs
@@ -8,6 +8,7 @@
 mod evidence;
 mod metrics;
 mod placement;
+mod resumes;
 mod stops;
 mod support;
 mod tls;
--- a/crates/standins/src/engine/fault.rs
+++ b/crates/standins/src/engine/fault.rs
@@ -12,6 +12,7 @@
     slow_percent: AtomicU64,
     skip_layer: AtomicBool,
     ignore_fencing: AtomicBool,
+    refuse_work: AtomicBool,
 }
 
 impl FaultPlan {
@@ -54,6 +55,15 @@
         self.ignore_fencing.load(Ordering::Relaxed)
     }
 
+    /// Refuses all work before its first step, as an engine does that holds another version.
+    pub fn refuse_work(&self, on: bool) {
+        self.refuse_work.store(on, Ordering::Relaxed);
+    }
+
+    pub(crate) fn refuses_work(&self) -> bool {
+        self.refuse_work.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn duplicates(&self) -> bool {
         self.duplicate_tokens.load(Ordering::Relaxed)
     }
