feat(leases): tell an announcement once, heartbeats as renewals, service calls by an index

Cause: each heartbeat of each server went to every host as the whole announcement with its load as JSON, and every receiver decoded it again. A call of a plain service copied the views of all servers.

Change: a delta is the full announcement only where its content changed since the receiver was told all; between, a renewal names server, incarnation, sequence, content digest and age. Load travels when it moved by an eighth and with every eighth heartbeat. A receiver that lacks the content asks. A renewal no longer decodes the offer. Services are found by an index. Peer protocol 2.

--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -6,17 +6,23 @@
 //! out; [`LeaseTable::delta`] feeds the other entries.
 
 mod delta;
+mod digest;
+mod load;
 mod record;
 mod settings;
+mod subset;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use slotmap::{SlotMap, new_key_type};
 
-pub use delta::{DeltaCursor, LeaseDelta};
+pub use delta::{DeltaCursor, FullLease, LeaseDelta, LeaseRenewal};
+pub use digest::ContentDigest;
+pub use load::AnnouncedLoad;
 pub use record::{HeardFrom, LeaseNews, MergeVerdict, ServerAnnounce, ServerLease, ServerState};
 pub use settings::BackendLeaseSettings;
+pub use subset::{SubsetHost, SubsetSettings, entries_of, works_with};
 
 use record::Hearing;
 
@@ -140,7 +146,7 @@
         let key = self.leases.insert(lease);
         self.by_name.insert(name, key);
         self.by_expiry.insert((deadline, key));
-        self.touch(key);
+        self.touch(key, true);
         MergeVerdict::Changed
     }
 
@@ -171,7 +177,7 @@
         let deadline = lease.deadline;
         self.by_expiry.remove(&(old_deadline, key));
         self.by_expiry.insert((deadline, key));
-        self.touch(key);
+        self.touch(key, changed);
         if changed {
             MergeVerdict::Changed
         } else {
@@ -201,14 +207,14 @@
         self.by_version.remove(&lease.version);
     }
 
-    fn touch(&mut self, key: LeaseKey) {
+    fn touch(&mut self, key: LeaseKey, is_changed: bool) {
         self.version += 1;
         let version = self.version;
         let Some(lease) = self.leases.get_mut(key) else {
             return;
         };
         self.by_version.remove(&lease.version);
-        lease.version = version;
+        lease.touch(version, is_changed);
         self.by_version.insert(version, key);
     }
 }
--- /dev/null
+++ b/crates/coordination/src/leases/digest.rs
@@ -0,0 +1,42 @@
+//! Digest of what an announcement says besides its number and load.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use super::{ServerAnnounce, ServerState};
+
+/// Digest of an announcement's content: equal on every host that holds equal content.
+///
+/// A renewal names it. Failure: a host that missed a changed offer would take the renewal for one
+/// of the old offer, and route by that for as long as the server lives. 64 bits are enough, since
+/// only announcements of one server's one life are ever compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ContentDigest(u64);
+
+impl ContentDigest {
+    /// Digest of `announce`, its sequence number and load left out.
+    pub fn of(announce: &ServerAnnounce) -> Self {
+        let mut hasher = Sha256::new();
+        let texts = [
+            announce.server.as_str(),
+            &announce.address,
+            announce.data_centre.as_str(),
+            &announce.offer,
+        ];
+        for text in texts {
+            hasher.update((text.len() as u64).to_be_bytes());
+            hasher.update(text.as_bytes());
+        }
+        hasher.update(announce.incarnation.0.to_be_bytes());
+        let is_leaving = announce.state == ServerState::Leaving;
+        hasher.update([u8::from(is_leaving), u8::from(announce.checks_fencing)]);
+        let bytes: [u8; 32] = hasher.finalize().into();
+        let (first, _) = bytes.split_at(8);
+        Self(
+            first
+                .iter()
+                .fold(0, |sum, byte| sum << 8 | u64::from(*byte)),
+        )
+    }
+}
--- a/crates/coordination/src/leases/record.rs
+++ b/crates/coordination/src/leases/record.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::{AnnouncedLoad, ContentDigest};
 use crate::base::{DataCentreName, Incarnation, MonotonicTime, SequenceNumber, ServerName};
 
 /// Whether a server asks for work.
@@ -18,7 +19,7 @@
 
 /// An announcement as entries keep and exchange it.
 ///
-/// `offer` and `load` stay encoded here: leases decide nothing on them.
+/// `offer` stays encoded here: leases decide nothing on it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerAnnounce {
     /// Name, unique among backend servers.
@@ -37,14 +38,15 @@
     pub checks_fencing: bool,
     /// What it offers, encoded as at the HTTP border.
     pub offer: Arc<str>,
-    /// Load, encoded as at the HTTP border; a lagging hint.
-    pub load: Arc<str>,
+    /// Load; a lagging hint.
+    pub load: AnnouncedLoad,
 }
 
 /// Lease of one backend server on this host.
 ///
 /// Invariants: (incarnation, sequence) of `announce` never falls; `ended` is false only while the
-/// lease runs; `version` is unique in the table.
+/// lease runs; `version` is unique in the table, and neither `content_version` nor `load_version`
+/// is above it; `digest` is that of `announce`; `told_load` is within a step of `announce.load`.
 #[derive(Clone, Debug, Serialize)]
 pub struct ServerLease {
     /// Last announcement in (incarnation, sequence) order.
@@ -57,19 +59,31 @@
     pub from: HeardFrom,
     /// Whether the lease ran out.
     pub ended: bool,
-    /// Version of the table at the last change; orders deltas.
+    /// Version of the table at the last renewal or change; orders deltas.
     pub version: u64,
+    /// Version of the table when `digest` last changed.
+    pub content_version: u64,
+    /// Version of the table when `told_load` last changed.
+    pub load_version: u64,
+    /// Digest of the announcement's content.
+    pub digest: ContentDigest,
+    /// Load that peers are told.
+    pub told_load: AnnouncedLoad,
 }
 
 impl ServerLease {
     pub(super) fn new(announce: ServerAnnounce, hearing: Hearing) -> Self {
         Self {
-            announce,
             heard_at: hearing.heard_at,
             deadline: hearing.deadline,
             from: hearing.from,
             ended: false,
             version: 0,
+            content_version: 0,
+            load_version: 0,
+            digest: ContentDigest::of(&announce),
+            told_load: announce.load,
+            announce,
         }
     }
 
@@ -94,6 +108,20 @@
             || held.state != announce.state
             || held.offer != announce.offer
             || held.data_centre != announce.data_centre
+            || held.checks_fencing != announce.checks_fencing
+    }
+
+    /// Marks what peers must be told again, as of `version` of the table.
+    pub(super) fn touch(&mut self, version: u64, is_changed: bool) {
+        self.version = version;
+        if is_changed {
+            self.digest = ContentDigest::of(&self.announce);
+            self.content_version = version;
+        }
+        if is_changed || self.announce.load.is_beyond_step(&self.told_load) {
+            self.told_load = self.announce.load;
+            self.load_version = version;
+        }
     }
 
     pub(super) fn renew(&mut self, announce: ServerAnnounce, hearing: Hearing) {
@@ -140,6 +168,8 @@
     Stale,
     /// The server is leaving; only a new incarnation brings it back.
     Left,
+    /// A renewal of content that is not held; the full announcement is needed.
+    Unknown,
     /// The table holds as many servers as it may.
     Full,
 }
--- /dev/null
+++ b/crates/coordination/src/leases/subset.rs
@@ -0,0 +1,182 @@
+//! Which entries work with which backend servers, once a fleet is too large for all to hold all.
+//!
+//! Rendezvous hashing: every host works out the same answer from the same list of hosts, a host
+//! that comes or goes moves only its own share, and no host keeps a table. Entries of the server's
+//! own region are taken; the overlap says how many of them.
+
+use std::cmp::Reverse;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::base::{DataCentreName, HostName, ServerName};
+
+/// How servers are shared out among entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubsetSettings {
+    /// Entries that work with each server.
+    pub overlap: usize,
+    /// Hosts up to which each works with every server.
+    pub whole_up_to: usize,
+}
+
+impl Default for SubsetSettings {
+    fn default() -> Self {
+        Self {
+            overlap: 4,
+            whole_up_to: 32,
+        }
+    }
+}
+
+/// An entry that may be given servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SubsetHost {
+    /// The host.
+    pub host: HostName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// Region of the data centre; servers are only given to hosts of their own region.
+    pub region: DataCentreName,
+}
+
+/// Entries that work with `server`, best first: those of its region, as many as the overlap,
+/// spread over the region's data centres before any data centre gets a second.
+///
+/// With few hosts all of them are returned, whatever their region.
+pub fn entries_of<'hosts>(
+    settings: &SubsetSettings,
+    server: &ServerName,
+    region: &DataCentreName,
+    hosts: &'hosts [SubsetHost],
+) -> Vec<&'hosts SubsetHost> {
+    if hosts.len() <= settings.whole_up_to {
+        return hosts.iter().collect();
+    }
+    let local = hosts.iter().filter(|host| host.region == *region);
+    let mut ranked: Vec<_> = local
+        .map(|host| (weight(server, &host.host), host))
+        .collect();
+    ranked.sort_by(|one, other| {
+        (Reverse(one.0), &one.1.host).cmp(&(Reverse(other.0), &other.1.host))
+    });
+    // A lost data centre must not take all entries of a server with it.
+    let mut rounds: Vec<(usize, &SubsetHost)> = Vec::with_capacity(ranked.len());
+    for (_, host) in ranked {
+        let same = |(_, other): &&(usize, &SubsetHost)| other.data_centre == host.data_centre;
+        rounds.push((rounds.iter().filter(same).count(), host));
+    }
+    rounds.sort_by_key(|(round, _)| *round);
+    let chosen = rounds.into_iter().map(|(_, host)| host);
+    chosen.take(settings.overlap).collect()
+}
+
+/// Whether `host` works with `server`.
+pub fn works_with(
+    settings: &SubsetSettings,
+    host: &HostName,
+    server: &ServerName,
+    region: &DataCentreName,
+    hosts: &[SubsetHost],
+) -> bool {
+    let entries = entries_of(settings, server, region, hosts);
+    entries.iter().any(|entry| entry.host == *host)
+}
+
+fn weight(server: &ServerName, host: &HostName) -> u64 {
+    let mut hasher = Sha256::new();
+    hasher.update((server.as_str().len() as u64).to_be_bytes());
+    hasher.update(server.as_str().as_bytes());
+    hasher.update(host.as_str().as_bytes());
+    let bytes: [u8; 32] = hasher.finalize().into();
+    let (first, _) = bytes.split_at(8);
+    first
+        .iter()
+        .fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::BTreeMap;
+
+    use super::*;
+
+    fn hosts(count: usize) -> Vec<SubsetHost> {
+        let host = |index: usize| SubsetHost {
+            host: format!("host-{index}").into(),
+            data_centre: format!("dc-{}", index % 14).into(),
+            region: format!("region-{}", index % 14 % 4).into(),
+        };
+        (0..count).map(host).collect()
+    }
+
+    fn server(index: usize) -> (ServerName, DataCentreName) {
+        let region = format!("region-{}", index % 4).into();
+        (format!("engine-{index}").into(), region)
+    }
+
+    #[test]
+    fn servers_are_shared_evenly_over_data_centres_of_their_region() {
+        let settings = SubsetSettings::default();
+        let hosts = hosts(400);
+        let mut shares = BTreeMap::new();
+        for index in 0..2_000 {
+            let (server, region) = server(index);
+            let entries = entries_of(&settings, &server, &region, &hosts);
+            let mut centres: Vec<_> = entries.iter().map(|e| &e.data_centre).collect();
+            centres.sort();
+            centres.dedup();
+            assert_eq!(
+                (entries.len(), centres.len()),
+                (
+                    4,
+                    entries
+                        .len()
+                        .min(if matches!(index % 4, 0 | 1) { 4 } else { 3 })
+                )
+            );
+            assert!(entries.iter().all(|entry| entry.region == region));
+            for entry in entries {
+                *shares.entry(&entry.host).or_insert(0_u32) += 1;
+            }
+        }
+        let span = (shares.values().min(), shares.values().max());
+        insta::assert_snapshot!(format!("{} hosts, {span:?}", shares.len()), @"400 hosts, (Some(9), Some(35))");
+    }
+
+    // Callers would see many engines forgotten at once if the loss of one entry moved others'
+    // shares. Two of 400 entries are lost; only servers that they worked with get new entries.
+    #[test]
+    fn a_lost_entry_moves_only_its_own_servers() {
+        let settings = SubsetSettings::default();
+        let all = hosts(400);
+        let left: Vec<_> = all
+            .iter()
+            .filter(|h| !["host-7", "host-8"].contains(&h.host.as_str()))
+            .cloned()
+            .collect();
+        let mut moved = 0;
+        for index in 0..2_000 {
+            let (server, region) = server(index);
+            let before = entries_of(&settings, &server, &region, &all);
+            let after = entries_of(&settings, &server, &region, &left);
+            let kept = before.iter().filter(|entry| after.contains(entry)).count();
+            let lost = before.iter().filter(|entry| !left.contains(entry)).count();
+            assert_eq!(kept + lost, before.len(), "{server}");
+            moved += lost;
+        }
+        insta::assert_snapshot!(format!("{moved} of 8000"), @"37 of 8000");
+    }
+
+    #[test]
+    fn few_hosts_work_with_every_server() {
+        let settings = SubsetSettings::default();
+        let hosts = hosts(9);
+        let (server, region) = server(3);
+        assert!(
+            hosts
+                .iter()
+                .all(|h| works_with(&settings, &h.host, &server, &region, &hosts))
+        );
+    }
+}
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -3,24 +3,26 @@
 
 mod announcement;
 mod route;
+mod service_index;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use pollendrift_border::{Announcement, EngineOffer, ServerLoad, ServerOffer};
+use pollendrift_border::{Announcement, EngineOffer, ServerOffer};
 use pollendrift_coordination::base::{MonotonicTime, ServerName, ServiceName};
 use pollendrift_coordination::configuration::ServerFacts;
 use pollendrift_coordination::leases::{
-    BackendLeaseSettings, DeltaCursor, LeaseDelta, LeaseNews, LeaseTable, MergeVerdict,
-    ServerAnnounce, ServerLease, ServerState,
+    AnnouncedLoad, BackendLeaseSettings, DeltaCursor, LeaseDelta, LeaseNews, LeaseTable,
+    MergeVerdict, ServerAnnounce, ServerLease, ServerState,
 };
 use pollendrift_coordination::routing::{FleetPlanner, RoutePlanner, RoutingDump, RoutingSettings};
 
 pub use route::{DraftQuery, DraftRoute, PlannedStage};
 
 use announcement::{check_announcement, decode, encode, engine_announcement, load_report};
+use service_index::ServiceIndex;
 
 /// Why an announcement was not taken.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -46,7 +48,7 @@
     /// What it offers.
     pub offer: ServerOffer,
     /// Last load that it reported.
-    pub load: ServerLoad,
+    pub load: AnnouncedLoad,
 }
 
 /// Number of the newest announcement that is held of a server.
@@ -67,6 +69,8 @@
     leases: LeaseTable,
     /// Decoded offers of servers in `leases`; only those that decoded.
     views: BTreeMap<ServerName, Arc<ServerView>>,
+    /// Servers of `views` that offer a plain service, each once.
+    services: ServiceIndex,
     /// Holds just the engines of `views` that may take work by the last tick.
     planner: Box<dyn RoutePlanner>,
 }
@@ -77,6 +81,7 @@
         let inner = FleetState {
             leases: LeaseTable::new(settings),
             views: BTreeMap::new(),
+            services: ServiceIndex::default(),
             planner: Box::new(FleetPlanner::new(routing, seed)),
         };
         Self {
@@ -121,6 +126,11 @@
         self.lock().leases.delta(now, cursor, limit)
     }
 
+    /// Full announcements of those of `servers` that this host heard of itself.
+    pub fn own_full(&self, now: MonotonicTime, servers: &[ServerName]) -> Vec<LeaseDelta> {
+        self.lock().leases.full(now, servers)
+    }
+
     /// Ends leases that ran out.
     pub fn tick(&self, now: MonotonicTime) -> Vec<LeaseNews> {
         let mut state = self.lock();
@@ -153,9 +163,13 @@
         now: MonotonicTime,
         service: &ServiceName,
     ) -> Vec<Arc<ServerView>> {
-        let mut views = self.serving(now);
-        views.retain(|view| view.facts.service.as_ref() == Some(service));
-        views
+        let state = self.lock();
+        let servers = state.services.servers(service);
+        servers
+            .filter(|server| state.leases.may_take_work(now, server))
+            .filter_map(|server| state.views.get(server))
+            .cloned()
+            .collect()
     }
 
     /// The view of one server.
@@ -211,7 +225,7 @@
         delta: LeaseDelta,
         transit: Duration,
     ) -> MergeVerdict {
-        let server = delta.announce.server.clone();
+        let server = delta.server().clone();
         let verdict = self.leases.merge_delta(now, delta, transit);
         self.follow(now, &server, verdict)
     }
@@ -223,34 +237,49 @@
         server: &ServerName,
         verdict: MergeVerdict,
     ) -> MergeVerdict {
-        if !matches!(verdict, MergeVerdict::Changed | MergeVerdict::Renewed) {
-            return verdict;
+        match verdict {
+            MergeVerdict::Changed => self.take_change(now, server),
+            MergeVerdict::Renewed => self.take_load(server),
+            MergeVerdict::Stale
+            | MergeVerdict::Left
+            | MergeVerdict::Unknown
+            | MergeVerdict::Full => {}
         }
+        verdict
+    }
+
+    fn take_change(&mut self, now: MonotonicTime, server: &ServerName) {
         let Some(lease) = self.leases.get(server).cloned() else {
-            return verdict;
+            return;
         };
         match decode(&lease.announce) {
             Some(view) => self.take_view(now, &lease, view),
             None => self.drop_view(server),
         }
-        verdict
+    }
+
+    /// A renewal changes nothing but the load, so the offer isn't decoded again.
+    fn take_load(&mut self, server: &ServerName) {
+        let Some(lease) = self.leases.get(server) else {
+            return;
+        };
+        if let Some(view) = self.views.get_mut(server) {
+            Arc::make_mut(view).load = lease.announce.load;
+        }
+        self.planner
+            .report(&load_report(&lease.announce, lease.heard_at));
     }
 
     fn take_view(&mut self, now: MonotonicTime, lease: &ServerLease, view: ServerView) {
         if let ServerOffer::Engine(offer) = &view.offer {
-            self.tell_planner(now, lease, &view, offer);
+            self.tell_planner(now, lease, offer);
         }
-        self.views
-            .insert(lease.announce.server.clone(), Arc::new(view));
+        let server = &lease.announce.server;
+        self.services.place(server, view.facts.service.as_ref());
+        self.views.insert(server.clone(), Arc::new(view));
     }
 
-    fn tell_planner(
-        &mut self,
-        now: MonotonicTime,
-        lease: &ServerLease,
-        view: &ServerView,
-        offer: &EngineOffer,
-    ) {
+    fn tell_planner(&mut self, now: MonotonicTime, lease: &ServerLease, offer: &EngineOffer) {
         if lease.announce.state == ServerState::Leaving {
             self.planner.remove(&lease.announce.server);
             return;
@@ -261,11 +290,12 @@
             return;
         }
         self.planner
-            .report(&load_report(&lease.announce, &view.load, lease.heard_at));
+            .report(&load_report(&lease.announce, lease.heard_at));
     }
 
     fn drop_view(&mut self, server: &ServerName) {
         self.views.remove(server);
+        self.services.place(server, None);
         self.planner.remove(server);
     }
 
--- a/crates/daemon/src/fleet/announcement.rs
+++ b/crates/daemon/src/fleet/announcement.rs
@@ -4,12 +4,11 @@
 use std::time::Duration;
 
 use pollendrift_border::{
-    Announcement, AnnouncementState, EngineOffer, EngineOfferRole, ServerLoad, ServerOffer,
-    ServiceOffer,
+    Announcement, AnnouncementState, EngineOffer, EngineOfferRole, ServerOffer, ServiceOffer,
 };
 use pollendrift_coordination::base::{Incarnation, LayerRange, MonotonicTime, SequenceNumber};
 use pollendrift_coordination::configuration::ServerFacts;
-use pollendrift_coordination::leases::{ServerAnnounce, ServerState};
+use pollendrift_coordination::leases::{AnnouncedLoad, ServerAnnounce, ServerState};
 use pollendrift_coordination::routing::{
     ByteRate, EngineAnnouncement, EngineRole, LoadFigures, LoadReport, TokenCount, TokenRate,
 };
@@ -36,16 +35,18 @@
         offer: serde_json::to_string(&announcement.offer)
             .map_err(malformed)?
             .into(),
-        load: serde_json::to_string(&announcement.load)
-            .map_err(malformed)?
-            .into(),
+        load: AnnouncedLoad {
+            running: announcement.load.running,
+            queued: announcement.load.queued,
+            prefill_tokens: announcement.load.prefill_tokens,
+            kv_used_tokens: announcement.load.kv_used_tokens,
+        },
     })
 }
 
 /// Makes the view of a server; `None` if it was encoded by a newer version of this program.
 pub(super) fn decode(announce: &ServerAnnounce) -> Option<ServerView> {
     let offer: ServerOffer = serde_json::from_str(&announce.offer).ok()?;
-    let load: ServerLoad = serde_json::from_str(&announce.load).ok()?;
     let facts = match &offer {
         ServerOffer::Engine(engine) => engine_facts(announce, engine),
         ServerOffer::Service(service) => service_facts(announce, service),
@@ -54,7 +55,7 @@
         facts,
         address: Arc::clone(&announce.address),
         offer,
-        load,
+        load: announce.load,
     })
 }
 
@@ -181,11 +182,8 @@
 }
 
 /// What the planner is told of an engine's load.
-pub(super) fn load_report(
-    announce: &ServerAnnounce,
-    load: &ServerLoad,
-    taken: MonotonicTime,
-) -> LoadReport {
+pub(super) fn load_report(announce: &ServerAnnounce, taken: MonotonicTime) -> LoadReport {
+    let load = &announce.load;
     LoadReport {
         server: announce.server.clone(),
         incarnation: announce.incarnation,
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -45,7 +45,8 @@
         };
         match frame {
             PeerFrame::Configuration(frame) => targets.feed.take(from, frame),
-            PeerFrame::Leases(deltas) => targets.spreader.take(deltas),
+            PeerFrame::Leases(deltas) => targets.spreader.take(hub, from, deltas),
+            PeerFrame::LeaseQuestion(servers) => targets.spreader.answer(hub, from, &servers),
             PeerFrame::Stream(note) => targets.streams.take(note),
             PeerFrame::Call(call) => answer_call(targets, hub, from, call),
             _ => {}
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use pollendrift_coordination::agreement::{AgreementEnvelope, KeeperId};
-use pollendrift_coordination::base::{HostName, Incarnation, RequestId, Revision};
+use pollendrift_coordination::base::{HostName, Incarnation, RequestId, Revision, ServerName};
 use pollendrift_coordination::configuration::ConfigurationDelta;
 use pollendrift_coordination::leases::LeaseDelta;
 use pollendrift_coordination::streams::StreamNote;
@@ -17,7 +17,7 @@
 use super::error::HelloRefusal;
 
 /// Version of the frames. Peers of another version are refused, never guessed at.
-pub const PEER_PROTOCOL: u32 = 1;
+pub const PEER_PROTOCOL: u32 = 2;
 
 /// Deepest nesting of a frame; the deepest that is sent has about ten levels.
 const FRAME_DEPTH: usize = 32;
@@ -224,6 +224,8 @@
     Stream(StreamNote),
     /// Leases of backend servers that changed or were renewed.
     Leases(Vec<LeaseDelta>),
+    /// Asks for full announcements of servers that the receiver renewed and the sender lacks.
+    LeaseQuestion(Vec<ServerName>),
 }
 
 impl PeerFrame {
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -1,14 +1,15 @@
 //! Spreads backend servers' leases between hosts: each host tells every peer what it heard itself.
 //!
 //! Deltas go out on every tick in which something was heard. A peer is told again from the start
-//! when its link comes up, since what was queued for the broken link is lost.
+//! when its link comes up, since what was queued for the broken link is lost. A peer that gets a
+//! renewal of content which it does not hold asks for the full announcement.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use pollendrift_coordination::base::{HostName, MonotonicTime};
-use pollendrift_coordination::leases::{DeltaCursor, LeaseDelta};
+use pollendrift_coordination::base::{HostName, MonotonicTime, ServerName};
+use pollendrift_coordination::leases::{DeltaCursor, LeaseDelta, MergeVerdict};
 
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
@@ -42,11 +43,32 @@
         }
     }
 
-    /// Takes what a peer heard.
-    pub fn take(&self, deltas: Vec<LeaseDelta>) {
+    /// Takes what the peer `from` heard, and asks for what it takes to be known here and is not.
+    ///
+    /// A question or its answer that is lost is made up for by the next renewal.
+    pub fn take(&self, hub: &PeerHub, from: &HostName, deltas: Vec<LeaseDelta>) {
         let now = self.clock.now();
+        let mut unknown = Vec::new();
         for delta in deltas {
-            self.fleet.merge_delta(now, delta, TRANSIT_ALLOWANCE);
+            let server = delta.server().clone();
+            let verdict = self.fleet.merge_delta(now, delta, TRANSIT_ALLOWANCE);
+            if verdict == MergeVerdict::Unknown {
+                unknown.push(server);
+            }
+        }
+        if !unknown.is_empty() {
+            let _ = hub.send(from, &PeerFrame::LeaseQuestion(unknown));
+        }
+    }
+
+    /// Answers a peer's question for full announcements.
+    pub fn answer(&self, hub: &PeerHub, from: &HostName, servers: &[ServerName]) {
+        let now = self.clock.now();
+        for servers in servers.chunks(FRAME_LEASES) {
+            let deltas = self.fleet.own_full(now, servers);
+            if !deltas.is_empty() {
+                let _ = hub.send(from, &PeerFrame::Leases(deltas));
+            }
         }
     }
 
@@ -71,16 +93,21 @@
         }
     }
 
+    /// Tells `host` all that it wasn't told, in as many frames as it takes.
     fn tell(&self, hub: &PeerHub, now: MonotonicTime, host: &HostName) {
+        while self.tell_frame(hub, now, host) {}
+    }
+
+    /// Sends one frame; says whether there may be more to tell.
+    fn tell_frame(&self, hub: &PeerHub, now: MonotonicTime, host: &HostName) -> bool {
         let cursor = self.lock().get(host).copied().unwrap_or_default();
         let (deltas, reached) = self.fleet.own_delta(now, cursor, FRAME_LEASES);
-        if deltas.is_empty() && reached == cursor {
-            return;
-        }
+        let is_frame_full = deltas.len() >= FRAME_LEASES;
         let sent = deltas.is_empty() || hub.send(host, &PeerFrame::Leases(deltas)).is_ok();
         if sent {
             self.lock().insert(host.clone(), reached);
         }
+        sent && is_frame_full
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<HostName, DeltaCursor>> {
