--- /dev/null
+++ b/crates/standins/examples/experiment/changes.rs
@@ -0,0 +1,76 @@
+//! Changes of the configuration as customers grow: bytes and time.
+
+use pollendrift::peers::{ConfigurationFrame, FrameBytes, PeerFrame, encode_frame};
+use pollendrift_coordination::base::{Revision, WallTime};
+use pollendrift_coordination::configuration::{
+    ChangeLog, ChangeRequest, ChangeRetention, ConfigurationDelta, FollowedConfiguration,
+    ParsedConfiguration,
+};
+use pollendrift_coordination::replicated::ReplicatedTime;
+
+use crate::clock::micros_per_call;
+use crate::fail;
+use crate::routing::{CUSTOMER_SIZES, customers_text};
+use crate::series::Series;
+
+const FRAME_BOUND: usize = 64 * 1024 * 1024;
+
+pub(crate) fn run(_seed: u64) -> Vec<Series> {
+    let mut whole_bytes = Series::new("configuration, whole", "customers", "bytes");
+    let mut delta_bytes = Series::new("configuration, one edit as a delta", "customers", "bytes");
+    let mut check = Series::new("parse and check a text", "customers", "us");
+    let mut take_whole = Series::new("follower takes a whole", "customers", "us");
+    let mut take_delta = Series::new("follower takes a delta", "customers", "us");
+    for size in CUSTOMER_SIZES {
+        let mut log = ChangeLog::new(ChangeRetention::default());
+        accept(&mut log, size, 5);
+        let mut follower = FollowedConfiguration::default();
+        let first = follower.take_whole(log.revision(), &log.canonical().text());
+        if first.is_err() {
+            fail("a follower can't read an accepted configuration");
+        }
+        let delta = accept(&mut log, size, 6);
+        let text = log.canonical().text();
+        let whole = ConfigurationFrame::Whole {
+            revision: log.revision(),
+            content: FrameBytes::from(text.clone().into_bytes()),
+        };
+        whole_bytes.add(size, frame_bytes(whole));
+        delta_bytes.add(size, frame_bytes(ConfigurationFrame::Push(delta.clone())));
+        let input = customers_text(size, 6);
+        check.add(
+            size,
+            micros_per_call(|| ParsedConfiguration::parse("experiment", &input)),
+        );
+        take_whole.add(
+            size,
+            micros_per_call(|| FollowedConfiguration::default().take_whole(Revision(2), &text)),
+        );
+        let cloning = micros_per_call(|| follower.clone());
+        let taking = micros_per_call(|| follower.clone().take_delta(&delta));
+        take_delta.add(size, (taking - cloning).max(0.0));
+    }
+    vec![whole_bytes, delta_bytes, check, take_whole, take_delta]
+}
+
+fn accept(log: &mut ChangeLog, customers: usize, weight: u32) -> ConfigurationDelta {
+    let based_on = log.revision();
+    let request = ChangeRequest {
+        change_id: format!("change-{weight}").into(),
+        based_on,
+        operator: "operator-1".into(),
+        text: customers_text(customers, weight),
+    };
+    log.decide(&request, WallTime(0), ReplicatedTime::default());
+    match log.delta_since(based_on) {
+        Some(delta) if log.revision() > based_on => delta,
+        _ => fail("a change of the experiment was not accepted"),
+    }
+}
+
+fn frame_bytes(frame: ConfigurationFrame) -> f64 {
+    match encode_frame(&PeerFrame::Configuration(frame), FRAME_BOUND) {
+        Ok(bytes) => bytes.len() as f64,
+        Err(error) => fail(&error.to_string()),
+    }
+}
