perf(routing): find engines of a narrow selector by a bounded number of samples

Cause: three samples of a stage fail at 42 of 100 stages where a selector allows one kind of four; the complete search behind them looked at every engine of the model.

Change: between the two, up to 128 uniform samples, where a boundary has more engines than that. The complete search stays behind them, so a refusal still has seen every engine.

--- a/crates/coordination/src/routing/choice.rs
+++ b/crates/coordination/src/routing/choice.rs
@@ -7,7 +7,7 @@
 use super::graph::{LayerGraph, RoutePhase};
 use super::outliers::EngineOutliers;
 use super::plan::{NoRoute, NoRouteReason, RoutePlan, RouteQuery, RouteStage};
-use super::policy::RoutePolicy;
+use super::policy::{LongProbe, PROBES, RoutePolicy};
 use super::prefix::PrefixIndex;
 use super::search::{SearchOutcome, search, start_point};
 use super::settings::RoutingSettings;
@@ -155,8 +155,9 @@
     Ok((prefill, decode))
 }
 
-/// Walks by the policy's samples; where they fail, by the complete search, and only then with
-/// engines that are ejected, since a doubtful pipeline serves the caller better than none.
+/// Walks by the policy's samples; where they fail, by more samples if there are many engines, then
+/// by the complete search, and only then with engines that are ejected, since a doubtful pipeline
+/// serves the caller better than none.
 fn walk(
     context: ChoiceContext<'_>,
     policy: &mut dyn RoutePolicy,
@@ -165,6 +166,13 @@
     if let Some(keys) = walk_by_policy(&context, policy, rng) {
         return Ok(finish_walk(&context, &keys));
     }
+    // With fewer engines the complete search is as quick, and finds the best.
+    let mut boundaries = context.graph.boundaries.values();
+    if boundaries.any(|boundary| boundary.len() > PROBES)
+        && let Some(keys) = walk_by_policy(&context, &mut LongProbe, rng)
+    {
+        return Ok(finish_walk(&context, &keys));
+    }
     match search(&context) {
         SearchOutcome::Found(keys) => Ok(finish_walk(&context, &keys)),
         SearchOutcome::Missing {
--- a/crates/coordination/src/routing/policy.rs
+++ b/crates/coordination/src/routing/policy.rs
@@ -2,6 +2,7 @@
 
 mod flow_weighted;
 mod least_outstanding;
+mod long_probe;
 mod power_of_two;
 mod predicted_finish;
 mod round_robin;
@@ -11,6 +12,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+pub(super) use long_probe::{LongProbe, PROBES};
+
 use super::fleet::EngineKey;
 use super::view::StageView;
 
