--- a/crates/standins/examples/experiment/fleet.rs
+++ b/crates/standins/examples/experiment/fleet.rs
@@ -20,6 +20,8 @@
 const KINDS: usize = 4;
 const SPANS: usize = 4;
 const SPAN_LAYERS: u32 = 16;
+/// Engines of one pipeline of each model; they share a data centre and a kind.
+const PIPELINES: usize = MODELS * SPANS;
 /// One in so many servers is a plain service.
 const SERVICE_PART: usize = 14;
 /// Plain services.
@@ -46,13 +48,8 @@
             server: format!("engine-{index:05}"),
             incarnation: 1_764_720_000_000 + index as u64,
             sequence,
-            address: format!(
-                "10.{}.{}.{}:8000",
-                index % DATA_CENTRES,
-                index / 250,
-                index % 250
-            ),
-            data_centre: format!("centre-{}", index % DATA_CENTRES),
+            address: format!("10.0.{}.{}:8000", index / 250, index % 250),
+            data_centre: format!("centre-{}", index / PIPELINES % DATA_CENTRES),
             state: AnnouncementState::Serving,
             checks_fencing: index.is_multiple_of(2),
             offer: if index % SERVICE_PART == SERVICE_PART - 1 {
@@ -85,7 +82,7 @@
 fn engine(index: usize) -> ServerOffer {
     let model = index % MODELS;
     let span = index / MODELS % SPANS;
-    let kind = index / (MODELS * SPANS) % KINDS;
+    let kind = index / PIPELINES % KINDS;
     let first = u32::try_from(span).unwrap_or(0) * SPAN_LAYERS;
     let speed = kind as u64 + 1;
     ServerOffer::Engine(EngineOffer {
