feat(keepers): found a group only where the settings allow it; record before an unkeyed call

Cause: keepers whose folders were all lost founded an empty group, which knows no claims; a call without a key could be sent 10 ms before its beginning was stored. Conclusion: nothing that may not be repeated runs unrecorded.

--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -90,6 +90,10 @@
 
 impl ServiceCall {
     async fn run(&self, mut record: RunningRequest) -> Result<Response<ResponseBody>, Refusal> {
+        if !self.is_idempotent() {
+            // Without a claim nothing else would tell of a call that ran when its entry dies now.
+            record.first_byte().await;
+        }
         let result = self.attempts(&mut record).await;
         let ending = match &result {
             Ok(answer) => answer.ending(),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -376,6 +376,7 @@
             snapshot_after_entries: settings.snapshots.every_entries,
             ..AgreementSettings::default()
         },
+        may_found: agreement.may_found,
         snapshot_log_bytes: settings.snapshots.every_bytes,
         seed: nonce.0,
         ..KeeperSettings::default()
--- a/crates/daemon/src/settings/agreement.rs
+++ b/crates/daemon/src/settings/agreement.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::parties::YES_OR_NO;
 use super::reader::SectionReader;
 
 /// Settings of the agreement group of keepers.
@@ -16,6 +17,11 @@
     pub commit_timeout: Duration,
     /// Most entries that one message or one sync carries.
     pub max_batch_entries: u64,
+    /// Whether the keepers of the settings may found a group together where none of them has one.
+    ///
+    /// Needed on the first day only. Left on, keepers whose folders were all lost would found an
+    /// empty group, which knows no claims, and a booking that was resent would run again.
+    pub may_found: bool,
 }
 
 impl Default for AgreementSettings {
@@ -25,6 +31,7 @@
             election_timeout: Duration::from_millis(300),
             commit_timeout: Duration::from_secs(5),
             max_batch_entries: 512,
+            may_found: true,
         }
     }
 }
@@ -50,6 +57,7 @@
                 default.max_batch_entries,
                 1..=65_536,
             ),
+            may_found: section.choice("may_found", default.may_found, &YES_OR_NO),
         };
         if settings.election_timeout < settings.heartbeat * 3 {
             section.error(
--- a/crates/daemon/src/settings/parties.rs
+++ b/crates/daemon/src/settings/parties.rs
@@ -69,7 +69,7 @@
     pub tokens: Vec<TokenDigest>,
 }
 
-const YES_OR_NO: [(&str, bool); 2] = [("true", true), ("false", false)];
+pub(super) const YES_OR_NO: [(&str, bool); 2] = [("true", true), ("false", false)];
 
 /// A token digest, whose it is, and where it stands.
 struct OwnedDigest {
