feat(feed): send hosts what changed instead of the whole configuration

Cause: every host read the whole text again at each change. Change: keepers answer with a delta from the revision that the asker holds; a delta that does not fit is refused and the whole is asked for next. The frames' version rises to 2, as the answer's layout is another. `delta_since` costs what was touched.

--- a/crates/coordination/src/configuration/change_log.rs
+++ b/crates/coordination/src/configuration/change_log.rs
@@ -10,6 +10,7 @@
 use super::change::{ChangeAnswer, ChangeConflict, ChangeRequest, ChangeSummary, bounded_findings};
 use super::checked::DocumentCache;
 use super::delta::{ConfigurationDelta, DocumentChange};
+use super::model::DocumentKey;
 use super::parse::ParsedConfiguration;
 use super::table::Configuration;
 use crate::base::{ChangeId, FindingList, Revision, WallTime};
@@ -234,13 +235,36 @@
     }
 
     /// What leads from a retained revision to the one in force.
+    ///
+    /// Costs what the changes in between touched, not the whole text: hundreds of hosts ask for it
+    /// after each change.
     pub fn delta_since(&self, from: Revision) -> Option<ConfigurationDelta> {
-        let earlier = self.canonical_at(from)?;
+        let mut earlier: BTreeMap<&DocumentKey, Option<&Arc<str>>> = BTreeMap::new();
+        let mut reached = self.revision;
+        for record in self.history.iter().rev() {
+            if reached <= from {
+                break;
+            }
+            let undone = record.undo.iter();
+            earlier.extend(undone.map(|change| (&change.key, change.text.as_ref())));
+            reached = Revision(record.summary.revision.0.saturating_sub(1));
+        }
+        if reached != from {
+            return None;
+        }
+        let changes = earlier.into_iter().filter_map(|(key, before)| {
+            let text = self.canonical.documents().get(key);
+            (text != before).then(|| DocumentChange {
+                key: key.clone(),
+                text: text.cloned(),
+            })
+        });
+        let last = self.history.back();
         Some(ConfigurationDelta {
             from,
             to: self.revision,
-            changes: earlier.changes_to(&self.canonical),
-            digest: self.canonical.digest(),
+            changes: changes.collect(),
+            digest: last.map_or_else(|| self.canonical.digest(), |last| last.summary.digest),
         })
     }
 
--- a/crates/coordination/src/configuration/followed.rs
+++ b/crates/coordination/src/configuration/followed.rs
@@ -62,6 +62,22 @@
         &self.current
     }
 
+    /// Takes a configuration that was laid out in this process.
+    ///
+    /// # Errors
+    /// It is older than what is held.
+    pub fn adopt(
+        &mut self,
+        configuration: Arc<Configuration>,
+    ) -> Result<Arc<Configuration>, FollowFailure> {
+        let (held, offered) = (self.current.revision(), configuration.revision());
+        if offered < held {
+            return Err(FollowFailure::Older { held, offered });
+        }
+        self.current = configuration;
+        Ok(self.current.clone())
+    }
+
     /// Takes a whole text.
     ///
     /// # Errors
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -3,12 +3,14 @@
 //! Every host follows in the same way, keepers included: an isolated keeper has the old state on
 //! its disk and must not serve it.
 
+mod copy;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use pollendrift_coordination::base::{HostName, MonotonicTime, Revision};
-use pollendrift_coordination::configuration::{Configuration, ParsedConfiguration};
+use pollendrift_coordination::configuration::Configuration;
 use pollendrift_coordination::evidence::{EvidenceEvent, RevisionInForce};
 use pollendrift_coordination::following::{
     AnswerVerdict, FollowSettings, RevisionFollower, RevisionQuestion,
@@ -16,6 +18,7 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 
+use self::copy::{ConfigurationCopy, CopyVerdict, OfferedContent, content_for};
 use crate::agreed::StaleConfiguration;
 use crate::clock::TimeSource;
 use crate::keeper::KeeperClient;
@@ -40,6 +43,8 @@
 /// The configuration that this host holds, and its lease.
 pub struct ConfigurationFeed {
     state: Mutex<FeedState>,
+    /// Locked before `state`, never after it: reading a text must not hold up requests.
+    copy: Mutex<ConfigurationCopy>,
     hub: PeerHub,
     client: KeeperClient,
     /// State of this host's keeper, if it has one.
@@ -54,14 +59,16 @@
     follower: RevisionFollower,
     /// Content of the follower's revision; `None` before the first answer.
     held: Option<Arc<Configuration>>,
+    /// A content was refused: the next question asks for the whole.
+    ask_whole: bool,
     /// Bounded by the hosts of the settings: only peers can speak.
     peers: BTreeMap<HostName, PeerRevision>,
 }
 
-/// A quorum-checked answer: the revision, and its content unless it is held.
+/// A quorum-checked answer: the revision, and what leads there.
 struct FreshRevision {
     revision: Revision,
-    content: Option<Arc<Configuration>>,
+    content: OfferedContent,
 }
 
 impl ConfigurationFeed {
@@ -82,8 +89,10 @@
             state: Mutex::new(FeedState {
                 follower,
                 held: None,
+                ask_whole: false,
                 peers: BTreeMap::new(),
             }),
+            copy: Mutex::default(),
             hub,
             client,
             shared,
@@ -149,14 +158,17 @@
     /// Answers another host's question after a quorum-checked read at this host's keeper.
     pub async fn answer(&self, have: Option<Revision>) -> PeerAnswer {
         let not_run = |reason: String| PeerAnswer::NotRun { reason };
-        match self.read_own(have).await {
-            Ok(fresh) => PeerAnswer::Configuration {
-                revision: fresh.revision,
-                content: fresh
-                    .content
-                    .map(|content| content.canonical().text().into_bytes().into()),
-            },
-            Err(reason) => not_run(reason),
+        let shared = match self.read_barrier().await {
+            Ok(shared) => shared,
+            Err(reason) => return not_run(reason),
+        };
+        let (configuration, delta) = shared.look(|state| {
+            let delta = have.and_then(|have| state.changes().delta_since(have));
+            (state.configuration(), delta)
+        });
+        PeerAnswer::Configuration {
+            revision: configuration.revision(),
+            content: content_for(have, &configuration, delta),
         }
     }
 
@@ -183,7 +195,7 @@
 
     async fn ask(self: Arc<Self>, question: RevisionQuestion) {
         let answer = if question.keeper == *self.hub.host() {
-            self.read_own(question.have).await
+            self.read_own().await
         } else {
             self.read_from(&question).await
         };
@@ -196,15 +208,35 @@
     }
 
     fn take_answer(&self, asked_at: MonotonicTime, fresh: FreshRevision) {
+        let mut copy = self.copy.lock().unwrap_or_else(PoisonError::into_inner);
+        let taken = match copy.take(fresh.revision, fresh.content) {
+            CopyVerdict::Taken(configuration) => Some(configuration),
+            CopyVerdict::NotNeeded | CopyVerdict::Crossed => None,
+            CopyVerdict::Refused(reason) => {
+                // As if unanswered: the next question goes to another keeper.
+                self.lock().ask_whole = true;
+                log::warn!(revision:% = fresh.revision, reason:% = reason; "configuration refused");
+                return;
+            }
+        };
         let verdict = {
             let mut state = self.lock();
-            let has_content = fresh.content.is_some();
+            let has_content = taken.is_some();
             let verdict = state.follower.answer(asked_at, fresh.revision, has_content);
-            if verdict == AnswerVerdict::Advanced {
-                state.held = fresh.content;
+            match verdict {
+                AnswerVerdict::Advanced => {
+                    state.held = taken;
+                    state.ask_whole = false;
+                }
+                AnswerVerdict::ContentMissing => {
+                    state.follower.hear(self.clock.now(), fresh.revision);
+                    self.wake.notify_one();
+                }
+                AnswerVerdict::Renewed | AnswerVerdict::Stale => {}
             }
             verdict
         };
+        drop(copy);
         if verdict == AnswerVerdict::Advanced {
             log::info!(revision:% = fresh.revision; "configuration in force");
             self.recorder
@@ -215,28 +247,32 @@
         }
     }
 
-    async fn read_own(&self, have: Option<Revision>) -> Result<FreshRevision, String> {
+    /// State of this host's keeper, which holds all that was accepted before this call.
+    async fn read_barrier(&self) -> Result<&SharedState, String> {
         let shared = self.shared.as_ref().ok_or("this host has no keeper")?;
         self.client
             .read_barrier()
             .await
             .map_err(|error| error.to_string())?;
-        let configuration = shared.configuration();
-        let revision = configuration.revision();
-        let content = (have != Some(revision)).then_some(configuration);
-        Ok(FreshRevision { revision, content })
+        Ok(shared)
+    }
+
+    async fn read_own(&self) -> Result<FreshRevision, String> {
+        let configuration = self.read_barrier().await?.configuration();
+        Ok(FreshRevision {
+            revision: configuration.revision(),
+            content: OfferedContent::Built(configuration),
+        })
     }
 
     async fn read_from(&self, question: &RevisionQuestion) -> Result<FreshRevision, String> {
-        let ask = PeerQuestion::ConfigurationAfter {
-            have: question.have,
-        };
+        let ask_whole = self.lock().ask_whole;
+        let have = question.have.filter(|_| !ask_whole);
+        let ask = PeerQuestion::ConfigurationAfter { have };
         let answer = self.hub.call(&question.keeper, ask, 0, self.patience).await;
         match answer.map_err(|error| error.to_string())? {
             PeerAnswer::Configuration { revision, content } => {
-                let content = content
-                    .map(|content| read_content(revision, &content.0))
-                    .transpose()?;
+                let content = OfferedContent::Sent(content);
                 Ok(FreshRevision { revision, content })
             }
             PeerAnswer::NotRun { reason } | PeerAnswer::Unknown { reason } => Err(reason),
@@ -262,14 +298,6 @@
     }
 }
 
-fn read_content(revision: Revision, content: &[u8]) -> Result<Arc<Configuration>, String> {
-    let text = std::str::from_utf8(content).map_err(|error| error.to_string())?;
-    let name = format!("revision {revision}");
-    let parsed =
-        ParsedConfiguration::parse(&name, text).map_err(|findings| findings.to_string())?;
-    Ok(Arc::new(Configuration::build(revision, &parsed)))
-}
-
 /// Wakes the feed when this host's keeper applies a change, so that it asks at once.
 pub async fn follow_own_keeper(feed: Arc<ConfigurationFeed>, shared: SharedState) {
     let mut revisions = shared.watch_revision();
--- /dev/null
+++ b/crates/daemon/src/feed/copy/tests.rs
@@ -0,0 +1,134 @@
+use pollendrift_coordination::base::{Revision, WallTime};
+use pollendrift_coordination::configuration::{
+    ChangeLog, ChangeRequest, ChangeRetention, Configuration, ConfigurationDelta, ContentDigest,
+};
+use pollendrift_coordination::replicated::ReplicatedTime;
+
+use super::{ConfigurationCopy, CopyVerdict, OfferedContent, content_for};
+use crate::peers::ConfigurationContent;
+
+/// Documents of the tests' texts; only the last one's weight differs between revisions.
+fn text(weight: usize) -> String {
+    format!(
+        "kind: labels\non: customer\nname: a\nlabels: {{weight: 5}}\n---\n\
+         kind: labels\non: customer\nname: b\nlabels: {{weight: {weight}}}\n"
+    )
+}
+
+/// A log at revision `revisions`; revision N gives customer b the weight N.
+fn log(revisions: u64) -> ChangeLog {
+    let mut log = ChangeLog::new(ChangeRetention::default());
+    for number in 0..revisions {
+        let change = ChangeRequest {
+            change_id: format!("c{number}").into(),
+            based_on: Revision(number),
+            operator: "anna".into(),
+            text: text(number as usize + 1).into(),
+        };
+        log.decide(&change, WallTime(0), ReplicatedTime::default());
+    }
+    log
+}
+
+fn sent_whole(log: &ChangeLog) -> OfferedContent {
+    let text = log.canonical().text().into_bytes();
+    OfferedContent::Sent(ConfigurationContent::Whole(text.into()))
+}
+
+fn show(verdict: CopyVerdict) -> String {
+    match verdict {
+        CopyVerdict::Taken(taken) => format!("taken, serves {}", taken.revision()),
+        CopyVerdict::NotNeeded => "not needed".to_owned(),
+        CopyVerdict::Crossed => "crossed, asks for a delta".to_owned(),
+        CopyVerdict::Refused(reason) => format!("refused, asks for the whole: {reason}"),
+    }
+}
+
+/// The caller sees the old configuration until a good content comes, never a mixture.
+/// A copy at revision 2 gets a delta that does not fit, then the whole of revision 4.
+/// Answers cross, keepers may be damaged, and a lost delta leaves a gap; the digest and the start
+/// of a delta tell, and only the whole is sure to mend it.
+#[test]
+fn delta_that_does_not_fit_is_never_served() {
+    let good = log(4).delta_since(Revision(2)).unwrap();
+    let other = |from: u64, to: u64| ConfigurationDelta {
+        from: Revision(from),
+        to: Revision(to),
+        ..good.clone()
+    };
+    let wrong_digest = ConfigurationDelta {
+        digest: ContentDigest([0; 32]),
+        ..good.clone()
+    };
+    let lost_change = ConfigurationDelta {
+        changes: Vec::new(),
+        ..good.clone()
+    };
+    let cases = [
+        ("fits", 4, good.clone()),
+        ("digest", 4, wrong_digest),
+        ("change lost", 4, lost_change),
+        ("gap", 4, other(3, 4)),
+        ("crossed", 4, other(1, 4)),
+        ("another revision", 5, good.clone()),
+        ("as new", 2, other(1, 2)),
+        ("older", 1, other(0, 1)),
+    ];
+    let mut shown = String::new();
+    for (case, revision, delta) in cases {
+        let mut copy = ConfigurationCopy::default();
+        copy.take(Revision(2), sent_whole(&log(2)));
+        let content = OfferedContent::Sent(ConfigurationContent::Delta(delta));
+        let verdict = show(copy.take(Revision(revision), content));
+        let after = copy.held.current().revision();
+        let mended = show(copy.take(Revision(4), sent_whole(&log(4))));
+        shown += &format!("{case}: {verdict}; holds {after}; whole of 4: {mended}\n");
+    }
+    let mut empty = ConfigurationCopy::default();
+    let content = OfferedContent::Sent(ConfigurationContent::Delta(good));
+    shown += &format!("first: {}\n", show(empty.take(Revision(4), content)));
+    insta::assert_snapshot!(shown, @r"
+    fits: taken, serves 4; holds 4; whole of 4: not needed
+    digest: refused, asks for the whole: revision 4 has another content than its digest says; holds 2; whole of 4: taken, serves 4
+    change lost: refused, asks for the whole: revision 4 has another content than its digest says; holds 2; whole of 4: taken, serves 4
+    gap: refused, asks for the whole: the delta starts from revision 3, not 2; holds 2; whole of 4: taken, serves 4
+    crossed: crossed, asks for a delta; holds 2; whole of 4: taken, serves 4
+    another revision: refused, asks for the whole: the delta leads to revision 4, not 5; holds 2; whole of 4: taken, serves 4
+    as new: not needed; holds 2; whole of 4: taken, serves 4
+    older: not needed; holds 2; whole of 4: taken, serves 4
+    first: refused, asks for the whole: a delta came before any whole
+    ");
+}
+
+/// The host asks with what it holds; a revision no longer retained, or a delta too large for a
+/// frame, gets the whole.
+#[test]
+fn content_is_the_smallest_that_leads_there() {
+    let large = "x".repeat(super::MAX_DELTA_BYTES);
+    let cases = [Some(4), Some(3), Some(9), None];
+    let mut changes = log(4);
+    let configuration: &Configuration = &changes.build().unwrap();
+    let kind = |content: &ConfigurationContent| match content {
+        ConfigurationContent::Unchanged => "unchanged",
+        ConfigurationContent::Delta(_) => "delta",
+        ConfigurationContent::Whole(_) => "whole",
+    };
+    let mut shown = String::new();
+    for have in cases {
+        let have = have.map(Revision);
+        let delta = have.and_then(|have| changes.delta_since(have));
+        let content = content_for(have, configuration, delta);
+        shown += &format!("{have:?}: {}\n", kind(&content));
+    }
+    let mut delta = changes.delta_since(Revision(3)).unwrap();
+    delta.changes[0].text = Some(large.into());
+    let content = content_for(Some(Revision(3)), configuration, Some(delta));
+    shown += &format!("large: {}\n", kind(&content));
+    insta::assert_snapshot!(shown, @r"
+    Some(Revision(4)): unchanged
+    Some(Revision(3)): delta
+    Some(Revision(9)): whole
+    None: whole
+    large: whole
+    ");
+}
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -20,9 +20,9 @@
 pub use calls::{CallError, CallNumber};
 pub use error::{HelloRefusal, LinkError};
 pub use frame::{
-    ConfigurationFrame, FrameBytes, FrameError, HeartbeatNumber, KeeperIntroduction, PEER_PROTOCOL,
-    PeerAnswer, PeerCall, PeerFrame, PeerHello, PeerQuestion, decode_agreement, decode_frame,
-    encode_agreement, encode_frame,
+    ConfigurationContent, ConfigurationFrame, FrameBytes, FrameError, HeartbeatNumber,
+    KeeperIntroduction, PEER_PROTOCOL, PeerAnswer, PeerCall, PeerFrame, PeerHello, PeerQuestion,
+    decode_agreement, decode_frame, encode_agreement, encode_frame,
 };
 pub use hub::{PeerAddress, PeerHandler, PeerHub, PeerNode, PeerTasks, start_peers};
 pub use inbound::serve_stream;
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -16,7 +16,7 @@
 use super::error::HelloRefusal;
 
 /// Version of the frames. Peers of another version are refused, never guessed at.
-pub const PEER_PROTOCOL: u32 = 1;
+pub const PEER_PROTOCOL: u32 = 2;
 
 /// Deepest nesting of a frame; the deepest that is sent has about ten levels.
 const FRAME_DEPTH: usize = 32;
@@ -134,6 +134,17 @@
     Join(KeeperId),
 }
 
+/// What leads the asker to a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConfigurationContent {
+    /// Nothing: the asker holds it.
+    Unchanged,
+    /// What changed since the revision that the asker holds.
+    Delta(ConfigurationDelta),
+    /// Canonical text.
+    Whole(FrameBytes),
+}
+
 /// An answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerAnswer {
@@ -143,8 +154,8 @@
     Configuration {
         /// Its revision.
         revision: Revision,
-        /// Its canonical text; `None` if the asker holds it.
-        content: Option<FrameBytes>,
+        /// What the asker lacks of it.
+        content: ConfigurationContent,
     },
     /// Encoded answer to an operator's question.
     Operator(FrameBytes),
