--- a/crates/coordination/src/configuration/change_log.rs
+++ b/crates/coordination/src/configuration/change_log.rs
@@ -252,18 +252,22 @@
         if reached != from {
             return None;
         }
-        let changes = earlier.into_iter().filter_map(|(key, before)| {
+        let differing = earlier.into_iter().filter_map(|(key, before)| {
             let text = self.canonical.documents().get(key);
             (text != before).then(|| DocumentChange {
                 key: key.clone(),
                 text: text.cloned(),
             })
         });
+        // Documents that are set stand before those that are removed, as in `changes_to`.
+        let (mut changes, removed): (Vec<_>, Vec<_>) =
+            differing.partition(|change| change.text.is_some());
+        changes.extend(removed);
         let last = self.history.back();
         Some(ConfigurationDelta {
             from,
             to: self.revision,
-            changes: changes.collect(),
+            changes,
             digest: last.map_or_else(|| self.canonical.digest(), |last| last.summary.digest),
         })
     }
