--- a/crates/daemon/examples/feed_measure.rs
+++ b/crates/daemon/examples/feed_measure.rs
@@ -98,10 +98,6 @@
 fn main() {
     let mut log = ChangeLog::new(ChangeRetention::default());
     change(&mut log, 0);
-    let mut follower = FollowedConfiguration::default();
-    follower
-        .take_whole(Revision(1), &log.canonical().text())
-        .expect("whole is taken");
     let mut whole = WayCosts::default();
     let mut delta = WayCosts::default();
     for number in 1..=CHANGES {
@@ -120,6 +116,15 @@
             let _ = Configuration::build(revision, &parsed);
         };
         follow(&mut whole, revision, make_whole, take_whole);
+    }
+    // Apart from the wholes, whose freed memory would be tidied up at the deltas' cost.
+    let mut follower = FollowedConfiguration::default();
+    follower
+        .take_whole(log.revision(), &log.canonical().text())
+        .expect("whole is taken");
+    for number in CHANGES + 1..=2 * CHANGES {
+        change(&mut log, number);
+        let revision = log.revision();
         let make_delta = || {
             let delta = log.delta_since(Revision(number)).expect("retained");
             ConfigurationContent::Delta(delta)
