--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -135,6 +135,17 @@
     Join(KeeperId),
 }
 
+/// What leads the asker to a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConfigurationContent {
+    /// Nothing: the asker holds it.
+    Unchanged,
+    /// What changed since the revision that the asker holds.
+    Delta(ConfigurationDelta),
+    /// Canonical text.
+    Whole(FrameBytes),
+}
+
 /// An answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerAnswer {
@@ -144,8 +155,8 @@
     Configuration {
         /// Its revision.
         revision: Revision,
-        /// Its canonical text; `None` if the asker holds it.
-        content: Option<FrameBytes>,
+        /// What the asker lacks of it.
+        content: ConfigurationContent,
     },
     /// Encoded answer to an operator's question.
     Operator(FrameBytes),
