refactor(base): make all counters by one macro

Cause: four counters of the agreement core repeated the derives and the successor of base's numbers. Change: they are made by the same macro.

--- a/crates/coordination/src/agreement/entry.rs
+++ b/crates/coordination/src/agreement/entry.rs
@@ -3,56 +3,20 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use derive_more::{Display, From};
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::base::{HostName, Incarnation};
-
-/// Number of a leadership period; at most one leader exists in each.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    From,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct Term(pub u64);
-
-/// Position in the log, from 1; 0 stands before the first entry.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    From,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct LogIndex(pub u64);
-
-impl Term {
-    /// The term that follows this one.
-    #[must_use]
-    pub fn next(self) -> Self {
-        Self(self.0.saturating_add(1))
-    }
-}
+use crate::base::{HostName, Incarnation, number_type};
+
+number_type!(
+    /// Number of a leadership period; at most one leader exists in each.
+    Term(u64)
+);
+
+number_type!(
+    /// Position in the log, from 1; 0 stands before the first entry.
+    LogIndex(u64)
+);
 
 impl LogIndex {
     /// The index before this one; 0 stays 0.
@@ -60,12 +24,6 @@
     pub fn previous(self) -> Self {
         Self(self.0.saturating_sub(1))
     }
-
-    /// The index that follows this one.
-    #[must_use]
-    pub fn next(self) -> Self {
-        Self(self.0.saturating_add(1))
-    }
 }
 
 /// Identity of a keeper: its host, and the life of the disk that its votes are written on.
--- a/crates/coordination/src/agreement/port.rs
+++ b/crates/coordination/src/agreement/port.rs
@@ -2,51 +2,23 @@
 
 use std::sync::Arc;
 
-use derive_more::{Display, From};
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use super::entry::{HardState, KeeperId, LogEntry, LogIndex, Membership, SnapshotMark, Term};
 use super::message::AgreementEnvelope;
 use super::redundancy::RedundancyReport;
-use crate::base::HostName;
+use crate::base::{HostName, number_type};
 
-/// Token of one request, chosen by the caller and returned with the outcome.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    From,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct RequestToken(pub u64);
+number_type!(
+    /// Token of one request, chosen by the caller and returned with the outcome.
+    RequestToken(u64)
+);
 
-/// Number of a persist order, from 1, without gaps.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    From,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct PersistSequence(pub u64);
+number_type!(
+    /// Number of a persist order, from 1, without gaps.
+    PersistSequence(u64)
+);
 
 /// A snapshot with its content.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/coordination/src/base.rs
+++ b/crates/coordination/src/base.rs
@@ -10,6 +10,7 @@
     AdapterName, ChangeId, ClaimKey, CustomerName, DataCentreName, HostName, ModelName,
     OperatorName, RequestId, SelectorName, ServerName, ServiceName, VersionName,
 };
+pub(crate) use number::number_type;
 pub use number::{
     AttemptNumber, FencingNumber, Incarnation, LayerRange, Revision, SequenceNumber, TokenPosition,
 };
--- a/crates/coordination/src/base/number.rs
+++ b/crates/coordination/src/base/number.rs
@@ -1,14 +1,15 @@
 //! Counters and positions as newtypes.
 
-use derive_more::{Display, From};
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+/// Makes a newtype over an unsigned integer that counts or positions something.
 macro_rules! number_type {
     ($(#[$doc:meta])* $name:ident($inner:ty)) => {
         $(#[$doc])*
         #[derive(
-            Clone, Copy, Debug, Default, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
-            Deserialize,
+            Clone, Copy, Debug, Default, derive_more::Display, derive_more::From, PartialEq, Eq,
+            PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
         )]
         #[serde(transparent)]
         pub struct $name(pub $inner);
@@ -23,6 +24,8 @@
     };
 }
 
+pub(crate) use number_type;
+
 number_type!(
     /// Number of one attempt at a request, from 1; results of older attempts are dropped.
     AttemptNumber(u32)
