fix(inspect): count each entry at which a stream goes on

Change: the load says at how many entries it went on; as many more beginnings are allowed, and an earlier entry's caller-gone. One more beginning or a second end is still false. Conclusion: the table of the narrowed check stands beside it.

--- a/crates/standins/src/load/sent.rs
+++ b/crates/standins/src/load/sent.rs
@@ -16,6 +16,9 @@
     pub seen: SeenOutcome,
     /// Tokens or, for a call, answers that came.
     pub received: usize,
+    /// Entries at which the caller went on after its stream broke off.
+    #[serde(default)]
+    pub resumes: usize,
 }
 
 /// What the caller of one request saw.
--- a/crates/standins/tests/inspection.rs
+++ b/crates/standins/tests/inspection.rs
@@ -55,10 +55,15 @@
 }
 
 fn judged(seen: SeenOutcome, received: usize, export: &str) -> &'static str {
+    judged_after(0, seen, received, export)
+}
+
+fn judged_after(resumes: usize, seen: SeenOutcome, received: usize, export: &str) -> &'static str {
     let sent = SentRequest {
         request: "r1".into(),
         seen,
         received,
+        resumes,
     };
     let report = inspect(&[sent], export).unwrap();
     let counts = [&report.cut_off, &report.missing, &report.untrue].map(Vec::len);
@@ -169,3 +174,55 @@
     let error = inspect(&[], &damaged).unwrap_err();
     assert!(error.starts_with("line 2 of the export"), "{error}");
 }
+
+// A stream that went on at another entry is taken on there anew, and the first entry may record
+// that its caller went away. Without that allowance each such answer counted as false; with it, a
+// second end or one more beginning than the caller made still does.
+#[test]
+fn a_stream_that_went_on_elsewhere_may_begin_once_more() {
+    let gone = ended(OutcomeKind::CallerGone);
+    let complete = ended(OutcomeKind::Complete);
+    let cases: Vec<(&str, usize, Vec<EvidenceEvent>)> = vec![
+        (
+            "first entry died",
+            1,
+            vec![begun(), begun(), complete.clone()],
+        ),
+        (
+            "first entry lost its caller",
+            1,
+            vec![begun(), gone.clone(), begun(), complete.clone()],
+        ),
+        (
+            "begun once too often",
+            1,
+            vec![begun(), begun(), begun(), complete.clone()],
+        ),
+        (
+            "ended twice",
+            1,
+            vec![begun(), complete.clone(), begun(), complete.clone()],
+        ),
+        (
+            "went away for good",
+            1,
+            vec![begun(), begun(), gone.clone()],
+        ),
+        ("did not go on", 0, vec![begun(), gone, begun(), complete]),
+    ];
+    let verdict = |(name, resumes, events): (&str, usize, Vec<EvidenceEvent>)| {
+        format!(
+            "{name}: {}",
+            judged_after(resumes, SeenOutcome::Complete, 1, &export(events))
+        )
+    };
+    let table: Vec<String> = cases.into_iter().map(verdict).collect();
+    insta::assert_snapshot!(table.join("\n"), @r"
+    first entry died: agrees
+    first entry lost its caller: agrees
+    begun once too often: false
+    ended twice: false
+    went away for good: missing
+    did not go on: false
+    ");
+}
