--- a/crates/daemon/tests/hosts/configuration.rs
+++ b/crates/daemon/tests/hosts/configuration.rs
@@ -1,9 +1,16 @@
 //! An accepted configuration stays in force, through losses, races and restarts.
 
+use std::sync::Arc;
+
 use pollendrift_coordination::base::Revision;
 use pollendrift_coordination::configuration::ChangeAnswer;
+use pollendrift_standins::caller::DraftCaller;
+use pollendrift_standins::engine::{EngineServer, EngineSettings};
+use pollendrift_standins::fleet::{ModelShape, mixed_engines};
+use pollendrift_standins::harness::{CUSTOMER_TOKEN, loopback};
+use pollendrift_standins::token::{StandInWeights, expected_answer};
 
-use crate::support::{HostGroup, SELECTORS};
+use crate::support::{HostGroup, SELECTORS, until};
 
 fn selectors_with(name: &str) -> String {
     format!("{SELECTORS}---\nkind: selector\nname: {name}\nmodel: other-{name}\n")
@@ -109,3 +116,54 @@
     host 2 lost: accepted as 4
     ");
 }
+
+// The caller of a cut-off entry is refused, truly not run, rather than served by a configuration
+// that may be replaced by now; a caller whose stream runs gets its whole answer. The entry loses
+// every keeper at once; its lease counts from its last question that was answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_off_entry_refuses_new_work_and_finishes_what_runs() {
+    let shape = ModelShape::default();
+    let weights = StandInWeights::new(&shape.model, &shape.version, None, shape.layers);
+    let prompt = "clause note on anchors";
+    let mut group = HostGroup::start(4, 3).await;
+    let mut engines = Vec::new();
+    for (index, offer) in mixed_engines(&shape, 4).into_iter().enumerate() {
+        let settings = EngineSettings {
+            server: format!("engine-{index}"),
+            offer,
+        };
+        let mut engine = EngineServer::start(settings, loopback()).await.unwrap();
+        engine.announce(vec![group.entry(3)], 1, "dc-a");
+        engines.push(engine);
+    }
+    group.wait_servers(engines.len()).await;
+    let caller = DraftCaller::new(&group.entry(3), CUSTOMER_TOKEN);
+    let begun = Arc::new(tokio::sync::Notify::new());
+    let seen = Arc::clone(&begun);
+    let streaming = caller.clone();
+    let running = tokio::spawn(async move {
+        streaming
+            .draft("draft", prompt, 200, |_| seen.notify_one())
+            .await
+            .unwrap()
+    });
+    begun.notified().await;
+    for keeper in 0..3 {
+        group.crash(keeper);
+    }
+    until(|| group.host(3).unready_reason().is_some()).await;
+    let refusal = caller
+        .draft("draft", prompt, 4, |_| {})
+        .await
+        .unwrap()
+        .refusal
+        .unwrap();
+    let whole = running
+        .await
+        .unwrap()
+        .check(&expected_answer(&weights, prompt, 200));
+    insta::assert_snapshot!(
+        format!("new: {} {}, running: {whole:?}", refusal.status, refusal.outcome),
+        @"new: 503 not-run, running: Ok(())"
+    );
+}
