refactor(drafts): read both kinds of body in one place

Cause: completions and chat read path, position and body twice, and one function did selection, bounds and start in one stretch. Change: one reader for both, small steps for facts and bounds. Behaviour unchanged.

--- a/crates/daemon/src/entry/completions.rs
+++ b/crates/daemon/src/entry/completions.rs
@@ -4,11 +4,12 @@
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use pollendrift_border::{ChatRequest, CompletionRequest};
-use pollendrift_coordination::base::{AdapterName, TokenPosition};
+use pollendrift_border::{ChatMessage, ChatRequest, CompletionRequest};
+use pollendrift_coordination::base::{AdapterName, CustomerName, TokenPosition};
 use pollendrift_coordination::configuration::{RequestFacts, RequestTarget, SelectorTarget};
 use pollendrift_coordination::evidence::BodyDigest;
 use pollendrift_http::{ResponseBody, read_json, read_within};
+use serde::de::DeserializeOwned;
 
 use super::context::EntryContext;
 use super::draft::{
@@ -16,7 +17,7 @@
 };
 use super::record::{RequestArrival, RunningRequest};
 use super::refusal::Refusal;
-use super::selection::select;
+use super::selection::{ServedRequest, select};
 use super::stream::ReplyFormat;
 
 pub(super) const COMPLETIONS_PATH: &str = "/v1/completions";
@@ -30,12 +31,7 @@
     arrival: &RequestArrival,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let path = request.uri().path().to_owned();
-    let last = last_position(request.headers())?;
-    let read = read_json(request.into_body(), context.max_body_bytes);
-    let body: CompletionRequest = read_within(context.body_timeout, read)
-        .await
-        .map_err(|failure| Refusal::bad_body(&failure))?;
+    let DraftBody { path, last, body } = read_body::<CompletionRequest>(context, request).await?;
     let ask = DraftAsk {
         path,
         model: body.model,
@@ -55,22 +51,12 @@
     arrival: &RequestArrival,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let path = request.uri().path().to_owned();
-    let last = last_position(request.headers())?;
-    let read = read_json(request.into_body(), context.max_body_bytes);
-    let body: ChatRequest = read_within(context.body_timeout, read)
-        .await
-        .map_err(|failure| Refusal::bad_body(&failure))?;
-    let lines: Vec<String> = body
-        .messages
-        .iter()
-        .map(|message| format!("{}: {}", message.role, message.content))
-        .collect();
+    let DraftBody { path, last, body } = read_body::<ChatRequest>(context, request).await?;
     let ask = DraftAsk {
         path,
         model: body.model,
         adapter: body.adapter,
-        prompt: lines.join("\n"),
+        prompt: chat_prompt(&body.messages),
         max_tokens: body.max_tokens,
         stream: body.stream.unwrap_or(false),
         last,
@@ -79,6 +65,34 @@
     start(context, arrival, ask).await
 }
 
+/// A request for a draft whose body has been read.
+struct DraftBody<T> {
+    path: String,
+    last: Option<TokenPosition>,
+    body: T,
+}
+
+async fn read_body<T>(
+    context: &EntryContext,
+    request: Request<Incoming>,
+) -> Result<DraftBody<T>, Refusal>
+where
+    T: DeserializeOwned,
+{
+    let path = request.uri().path().to_owned();
+    let last = last_position(request.headers())?;
+    let read = read_json(request.into_body(), context.max_body_bytes);
+    let body = read_within(context.body_timeout, read).await;
+    let body = body.map_err(|failure| Refusal::bad_body(&failure))?;
+    Ok(DraftBody { path, last, body })
+}
+
+fn chat_prompt(messages: &[ChatMessage]) -> String {
+    let line = |message: &ChatMessage| format!("{}: {}", message.role, message.content);
+    let lines: Vec<String> = messages.iter().map(line).collect();
+    lines.join("\n")
+}
+
 /// A draft as either path asks for it.
 struct DraftAsk {
     path: String,
@@ -92,20 +106,36 @@
     format: ReplyFormat,
 }
 
+fn draft_facts(customer: CustomerName, ask: &DraftAsk) -> RequestFacts {
+    let mut facts = RequestFacts::draft(customer, ask.model.as_str().into());
+    facts.path = ask.path.as_str().into();
+    if let RequestTarget::Model { adapter, .. } = &mut facts.target {
+        *adapter = ask.adapter.as_deref().map(Into::into);
+    }
+    facts
+}
+
+/// Tokens of the answer: what the caller asks for, within its labels and this host's bound.
+fn bound_tokens(context: &EntryContext, served: &ServedRequest, asked: Option<u32>) -> u32 {
+    let labelled = served.selected.settings.max_tokens;
+    let allowed = labelled
+        .and_then(|limit| u32::try_from(limit).ok())
+        .unwrap_or(u32::MAX);
+    asked
+        .unwrap_or(DEFAULT_MAX_TOKENS)
+        .min(allowed)
+        .min(context.drafts.ledger.max_tokens)
+}
+
 async fn start(
     context: &Arc<EntryContext>,
     arrival: &RequestArrival,
     ask: DraftAsk,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let Some(customer) = arrival.customer.clone() else {
+    let Some(caller) = arrival.customer.clone() else {
         return Err(Refusal::unauthorized("the request names no customer"));
     };
-    let mut facts = RequestFacts::draft(customer.clone(), ask.model.as_str().into());
-    facts.path = ask.path.as_str().into();
-    if let RequestTarget::Model { adapter, .. } = &mut facts.target {
-        *adapter = ask.adapter.as_deref().map(Into::into);
-    }
-    let caller = customer;
+    let facts = draft_facts(caller.clone(), &ask);
     let served = select(context, &facts)?;
     let SelectorTarget::Model {
         model,
@@ -121,15 +151,7 @@
             detail,
         ));
     };
-    let asked = ask.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
-    let allowed = served
-        .selected
-        .settings
-        .max_tokens
-        .and_then(|limit| u32::try_from(limit).ok());
-    let max_tokens = asked
-        .min(allowed.unwrap_or(u32::MAX))
-        .min(context.drafts.ledger.max_tokens);
+    let max_tokens = bound_tokens(context, &served, ask.max_tokens);
     let prompt_tokens = estimate_tokens(&ask.prompt);
     let tokens = u64::from(prompt_tokens) + u64::from(max_tokens);
     let deadline = served.deadline(context, arrival.arrived);
