fix(refusals): say so where no selector names the model

Cause: a refusal of a model that no selector names listed nothing considered. Change: its detail counts the selectors and names the target. Conclusion: every refusal says what was looked at.

--- a/crates/daemon/src/entry/selection.rs
+++ b/crates/daemon/src/entry/selection.rs
@@ -6,8 +6,8 @@
 use http::StatusCode;
 use pollendrift_coordination::base::{CustomerName, MonotonicTime};
 use pollendrift_coordination::configuration::{
-    Configuration, ConsideredSelector, LabelSet, RequestFacts, SelectedRequest, SelectionRefusal,
-    SelectionVerdict, Selector,
+    Configuration, ConsideredSelector, LabelSet, RequestFacts, RequestTarget, SelectedRequest,
+    SelectionRefusal, SelectionVerdict, Selector,
 };
 use pollendrift_coordination::evidence::{DecisionTrace, SelectorVerdict};
 use pollendrift_coordination::retries::CallDeadline;
@@ -43,7 +43,7 @@
                 StatusCode::FORBIDDEN,
                 "no-selector",
                 "No selector allows this request",
-                refused.to_string(),
+                refusal_detail(&configuration, facts, &refused),
             );
             Err(Refusal {
                 decision: Some(Box::new(refused_decision(&configuration, facts, &refused))),
@@ -54,6 +54,24 @@
     }
 }
 
+/// Why no selector serves the request; where none names its target, that is said too, since such
+/// selectors are passed over without being considered one by one.
+fn refusal_detail(
+    configuration: &Configuration,
+    facts: &RequestFacts,
+    refused: &SelectionRefusal,
+) -> String {
+    if !refused.considered.is_empty() || refused.unnamed > 0 {
+        return refused.to_string();
+    }
+    let target = match &facts.target {
+        RequestTarget::Model { model, .. } => format!("model {model}"),
+        RequestTarget::Service(service) => format!("service {service}"),
+    };
+    let count = configuration.selector_count();
+    format!("{refused}: none of its {count} selectors names {target} for this customer")
+}
+
 fn refused_decision(
     configuration: &Configuration,
     facts: &RequestFacts,
--- a/crates/daemon/tests/hosts/drafts.rs
+++ b/crates/daemon/tests/hosts/drafts.rs
@@ -214,3 +214,20 @@
     let refusal = host.draft().await.refusal.unwrap();
     insta::assert_snapshot!(format!("{} {}", refusal.status, refusal.outcome), @"503 not-run");
 }
+
+// The caller misspells the model. No selector names it, so none is considered one by one; the
+// refusal must still say what was looked at, or the caller asks an operator what went wrong.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_model_that_no_selector_names_is_refused_by_name() {
+    let host = OneHost::start(1).await;
+    let reply = host
+        .caller
+        .draft("drafft", PROMPT, TOKENS, |_| {})
+        .await
+        .unwrap();
+    let refusal = reply.refusal.unwrap();
+    insta::assert_snapshot!(
+        format!("{} {} {}", refusal.status, refusal.outcome, refusal.detail),
+        @"403 not-run no selector of revision 1 serves this request: none of its 2 selectors names model drafft for this customer"
+    );
+}
