--- a/crates/coordination/src/agreement.rs
+++ b/crates/coordination/src/agreement.rs
@@ -9,6 +9,7 @@
 mod identity;
 mod lead;
 mod log;
+mod lost;
 mod machine;
 mod message;
 mod node;
--- a/crates/coordination/src/agreement/change.rs
+++ b/crates/coordination/src/agreement/change.rs
@@ -11,7 +11,10 @@
     /// Appends a changed membership, or says why not.
     pub(super) fn change_membership(&mut self, token: RequestToken, change: MembershipChange) {
         match self.plan_change(change) {
-            Ok(membership) => self.append_membership(membership, Some(token)),
+            Ok(membership) => {
+                self.note_promotion(&membership);
+                self.append_membership(membership, Some(token));
+            }
             Err(reason) => {
                 let outcome = ProposalOutcome::NotAppended(reason);
                 self.effects
@@ -20,7 +23,22 @@
         }
     }
 
-    fn append_membership(&mut self, membership: Membership, token: Option<RequestToken>) {
+    /// Remembers when a keeper began to vote, perhaps in place of one that is lost.
+    fn note_promotion(&mut self, membership: &Membership) {
+        let is_promotion = membership.voters.len() > self.log.membership().voters.len();
+        let now = self.now;
+        if let RoleState::Leader(leader) = &mut self.role
+            && is_promotion
+        {
+            leader.promoted_at = Some(now);
+        }
+    }
+
+    pub(super) fn append_membership(
+        &mut self,
+        membership: Membership,
+        token: Option<RequestToken>,
+    ) {
         let index = self.append_own(EntryPayload::Membership(membership));
         if let RoleState::Leader(leader) = &mut self.role {
             leader.change = token.map(|token| PendingEntry {
@@ -50,7 +68,7 @@
 
     /// One change at a time, and none before an entry of the own term is committed: two
     /// memberships that differ by more than one voter could elect two leaders.
-    fn may_change_membership(&self) -> bool {
+    pub(super) fn may_change_membership(&self) -> bool {
         self.has_committed_in_term() && self.log.membership_index() <= self.commit
     }
 
@@ -91,7 +109,7 @@
     }
 
     /// Refuses a membership of which no quorum answers now: the group could not even undo it.
-    fn keep_quorum(
+    pub(super) fn keep_quorum(
         &self,
         leader: &LeaderState,
         membership: Membership,
--- a/crates/coordination/src/agreement/lead.rs
+++ b/crates/coordination/src/agreement/lead.rs
@@ -58,6 +58,8 @@
     pub(super) proposals: VecDeque<PendingEntry>,
     pub(super) uncommitted_bytes: usize,
     pub(super) change: Option<PendingEntry>,
+    /// When a keeper last began to vote, until that is set against a lost one.
+    pub(super) promoted_at: Option<MonotonicTime>,
     pub(super) hand_over: Option<HandOverState>,
     pub(super) told_redundancy: Option<RedundancyReport>,
     /// Witness records that peers were told last.
@@ -75,6 +77,7 @@
             proposals: VecDeque::new(),
             uncommitted_bytes: 0,
             change: None,
+            promoted_at: None,
             hand_over: None,
             told_redundancy: None,
             told_records: Vec::new(),
@@ -215,6 +218,7 @@
         self.advance_commit();
         self.drop_left_peers();
         self.retire_former_incarnations();
+        self.retire_lost_voters();
         self.run_hand_over();
         self.run_heartbeat();
         self.replicate();
--- a/crates/coordination/src/agreement/settings.rs
+++ b/crates/coordination/src/agreement/settings.rs
@@ -24,6 +24,9 @@
     /// lies at random between this and one and a half times this. A leader that reaches no quorum for this long
     /// steps down.
     pub election_timeout: Duration,
+    /// Silence after which a leader takes a voter out of the group; `None` to leave that to
+    /// operators. Far above a restart, which would else cost two changes of membership.
+    pub lost_voter_timeout: Option<Duration>,
     /// Time without progress after which unanswered entries or snapshot chunks are sent again.
     pub resend_timeout: Duration,
     /// Entries that one append message carries at most.
@@ -55,6 +58,7 @@
         Self {
             heartbeat_interval: Duration::from_millis(50),
             election_timeout: Duration::from_millis(300),
+            lost_voter_timeout: None,
             resend_timeout: Duration::from_millis(150),
             max_append_entries: 256,
             max_append_bytes: 256 * 1024,
--- a/crates/coordination/src/configuration.rs
+++ b/crates/coordination/src/configuration.rs
@@ -26,6 +26,7 @@
 mod select;
 mod table;
 
+pub use canonical::write_source as source_document;
 pub use canonical::{CanonicalText, ContentDigest};
 pub use change::{
     ChangeAnswer, ChangeConflict, ChangeRequest, ChangeSummary, MAX_ANSWERED_FINDINGS,
@@ -45,7 +46,7 @@
 pub use label::{
     LabelKey, LabelSet, LabelSubject, LabelValue, MAX_KEY_BYTES, MAX_VALUE_BYTES, NamePattern,
 };
-pub use model::{DEFAULT_ORDER, DocumentKey, LabelRule, Selector, SelectorTarget};
+pub use model::{DEFAULT_ORDER, DocumentKey, LabelRule, PublishedSource, Selector, SelectorTarget};
 pub use parse::ParsedConfiguration;
 pub use select::{
     AllowMismatch, ConsideredSelector, MAX_NAMED_SELECTORS, SelectMismatch, SelectedRequest,
--- a/crates/coordination/src/configuration/canonical.rs
+++ b/crates/coordination/src/configuration/canonical.rs
@@ -11,7 +11,7 @@
 use super::checked::CheckedDocument;
 use super::expression::{LabelExpression, RequirementTest};
 use super::label::LabelValue;
-use super::model::{DocumentKey, LabelRule, Selector, SelectorTarget};
+use super::model::{DocumentKey, LabelRule, PublishedSource, Selector, SelectorTarget};
 
 /// SHA-256 over a canonical text.
 ///
@@ -165,6 +165,15 @@
     text
 }
 
+/// A source as a document of a configuration.
+pub fn write_source(source: &PublishedSource) -> String {
+    let version = source.version;
+    format!(
+        "kind: source\nversion: {version}\ntext: {}\n",
+        quoted(&source.text)
+    )
+}
+
 fn write_expression(text: &mut String, name: &str, expression: &LabelExpression) {
     if expression.is_empty() {
         return;
--- a/crates/coordination/src/configuration/checked.rs
+++ b/crates/coordination/src/configuration/checked.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::canonical::{write_rule, write_selector};
-use super::model::{DocumentKey, LabelRule, Selector};
+use super::canonical::{write_rule, write_selector, write_source};
+use super::model::{DocumentKey, LabelRule, PublishedSource, Selector};
 
 /// What a document says.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +13,8 @@
     Rule(Arc<LabelRule>),
     /// A selector.
     Selector(Arc<Selector>),
+    /// A published source.
+    Source(Arc<PublishedSource>),
 }
 
 /// A document without findings.
@@ -42,6 +44,14 @@
             content: DocumentContent::Selector(Arc::new(selector)),
         }
     }
+
+    pub(super) fn source(source: PublishedSource) -> Self {
+        Self {
+            key: DocumentKey::Source,
+            canonical: Arc::from(write_source(&source)),
+            content: DocumentContent::Source(Arc::new(source)),
+        }
+    }
 }
 
 /// Checked documents by their exact text.
--- a/crates/coordination/src/configuration/model.rs
+++ b/crates/coordination/src/configuration/model.rs
@@ -1,11 +1,14 @@
 //! What operators write: label rules and selectors, checked and without places.
 
+use std::sync::Arc;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use super::expression::LabelExpression;
 use super::label::{LabelSet, LabelSubject, NamePattern};
 use crate::base::{AdapterName, ModelName, SelectorName, ServiceName, VersionName};
+use crate::routes::SourceVersion;
 
 /// Order of a selector that names none.
 pub const DEFAULT_ORDER: u32 = 100;
@@ -40,6 +43,21 @@
     /// A selector, by its name.
     #[display("selector {_0}")]
     Selector(SelectorName),
+    /// The published source.
+    #[display("source")]
+    Source,
+}
+
+/// A document that operators wrote in a platform's own form, kept as they sent it.
+///
+/// It stands beside labels and selectors in one configuration, so that it has a revision, a history
+/// and a place in the evidence like them, and is read back just as it was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PublishedSource {
+    /// Version that its operators gave it.
+    pub version: SourceVersion,
+    /// The text.
+    pub text: Arc<str>,
 }
 
 /// What a selector serves.
--- a/crates/coordination/src/configuration/parse.rs
+++ b/crates/coordination/src/configuration/parse.rs
@@ -12,12 +12,15 @@
     KEY_RULE, LabelKey, LabelSet, LabelSubject, LabelValue, NamePattern, VALUE_RULE,
 };
 use super::lint::warn_selectors;
-use super::model::{DEFAULT_ORDER, DocumentKey, LabelRule, Selector, SelectorTarget};
+use super::model::{
+    DEFAULT_ORDER, DocumentKey, LabelRule, PublishedSource, Selector, SelectorTarget,
+};
 use super::parse_expression::read_expression;
 use super::reader::{FieldReader, PlacedText};
 use crate::base::{FindingList, Place};
+use crate::routes::SourceVersion;
 
-const KIND_RULE: &str = "kind: labels or kind: selector";
+const KIND_RULE: &str = "kind: labels, kind: selector or kind: source";
 const MOST_ORDER: u32 = 1_000_000;
 
 /// A checked configuration text.
@@ -71,7 +74,7 @@
             .iter()
             .filter_map(|document| match &document.content {
                 DocumentContent::Rule(rule) => Some(rule),
-                DocumentContent::Selector(_) => None,
+                DocumentContent::Selector(_) | DocumentContent::Source(_) => None,
             })
     }
 
@@ -81,7 +84,17 @@
             .iter()
             .filter_map(|document| match &document.content {
                 DocumentContent::Selector(selector) => Some(selector),
-                DocumentContent::Rule(_) => None,
+                DocumentContent::Rule(_) | DocumentContent::Source(_) => None,
+            })
+    }
+
+    /// The published source, if there is one.
+    pub fn source(&self) -> Option<&Arc<PublishedSource>> {
+        self.documents
+            .iter()
+            .find_map(|document| match &document.content {
+                DocumentContent::Source(source) => Some(source),
+                DocumentContent::Rule(_) | DocumentContent::Selector(_) => None,
             })
     }
 }
@@ -182,6 +195,7 @@
         match kind.text.as_str() {
             "labels" => self.read_labels(reader).map(CheckedDocument::rule),
             "selector" => self.read_selector(reader).map(CheckedDocument::selector),
+            "source" => self.read_source(reader).map(CheckedDocument::source),
             other => {
                 let message = format!("there is no kind {other}");
                 self.findings.error(kind.place, message, KIND_RULE);
@@ -289,6 +303,23 @@
         })
     }
 
+    fn read_source(&mut self, mut reader: FieldReader) -> Option<PublishedSource> {
+        let expected = "a whole number";
+        let version = reader.need_text("version", expected, &mut self.findings);
+        let text = reader.need_text("text", "the source as it was sent", &mut self.findings);
+        reader.close(&mut self.findings);
+        let version = version?;
+        let Ok(number) = version.text.parse() else {
+            let message = format!("version can't be {}", version.text);
+            self.findings.error(version.place, message, expected);
+            return None;
+        };
+        Some(PublishedSource {
+            version: SourceVersion(number),
+            text: text?.text.into(),
+        })
+    }
+
     fn read_order(&mut self, reader: &mut FieldReader) -> u32 {
         let Some(text) = reader.take_text("order", &mut self.findings) else {
             return DEFAULT_ORDER;
--- a/crates/coordination/src/configuration/table.rs
+++ b/crates/coordination/src/configuration/table.rs
@@ -10,7 +10,7 @@
 use super::facts::{HostFacts, RequestFacts, ServerFacts};
 use super::known::KnownSettings;
 use super::label::{LabelKey, LabelSet, LabelSubject};
-use super::model::{LabelRule, Selector, SelectorTarget};
+use super::model::{LabelRule, PublishedSource, Selector, SelectorTarget};
 use super::parse::ParsedConfiguration;
 use crate::base::{CustomerName, Revision};
 
@@ -34,6 +34,7 @@
     pub(super) index: SelectorIndex,
     rules: SlotMap<RuleKey, Arc<LabelRule>>,
     rule_index: RuleIndex,
+    source: Option<Arc<PublishedSource>>,
 }
 
 /// Selectors by what they need of a request.
@@ -74,6 +75,7 @@
             revision,
             digest: Some(parsed.canonical().digest()),
             canonical: parsed.canonical().clone(),
+            source: parsed.source().cloned(),
             ..Self::default()
         };
         configuration.add_selectors(parsed.selectors().cloned().collect());
@@ -96,6 +98,11 @@
         self.digest.unwrap_or_else(|| self.canonical.digest())
     }
 
+    /// The published source, if there is one.
+    pub fn source(&self) -> Option<&Arc<PublishedSource>> {
+        self.source.as_ref()
+    }
+
     /// A selector.
     pub fn selector(&self, key: SelectorKey) -> Option<&Selector> {
         self.selectors.get(key).map(AsRef::as_ref)
--- a/crates/coordination/src/following.rs
+++ b/crates/coordination/src/following.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Sets whom to ask, as keepers come and go.
+    pub fn set_keepers(&mut self, keepers: Vec<HostName>) {
+        self.keepers = keepers;
+    }
+
     /// The question that is due, if any.
     ///
     /// Each question goes to the next keeper when the one before was not answered: a keeper that
--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -11,6 +11,7 @@
 mod record;
 mod settings;
 mod subset;
+mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -23,6 +24,7 @@
 pub use record::{HeardFrom, LeaseNews, MergeVerdict, ServerAnnounce, ServerLease, ServerState};
 pub use settings::BackendLeaseSettings;
 pub use subset::{SubsetHost, SubsetSettings, entries_of, works_with};
+pub use worker::{WorkerLayers, WorkerOffer};
 
 use record::Hearing;
 
--- a/crates/coordination/src/retries/budget.rs
+++ b/crates/coordination/src/retries/budget.rs
@@ -1,4 +1,4 @@
-//! Retry budgets: retries of a customer stay a small share of its calls.
+//! Retry budgets: retries of a customer, or at a service, stay a small share of its calls.
 
 use std::collections::BTreeMap;
 
@@ -7,23 +7,26 @@
 use crate::limits::TokenBucket;
 
 #[derive(Clone, Copy, Debug)]
-struct CustomerBudget {
+struct RetryBudget {
     bucket: TokenBucket,
     last_call: MonotonicTime,
 }
 
-/// Budgets by customer.
+/// Budgets by customer, or by whatever else `K` names.
 ///
 /// Without them every caller of a failing service would send each call as often as it may, and the
 /// service would meet a multiple of its load just when it can take least. A budget bounds the sum.
 #[derive(Clone, Debug)]
-pub struct BudgetTable {
+pub struct BudgetTable<K = CustomerName> {
     settings: RetrySettings,
-    budgets: BTreeMap<CustomerName, CustomerBudget>,
+    budgets: BTreeMap<K, RetryBudget>,
 }
 
-impl BudgetTable {
-    /// A table in which every customer starts with a full budget.
+impl<K> BudgetTable<K>
+where
+    K: Ord + Clone,
+{
+    /// A table in which everybody starts with a full budget.
     pub fn new(settings: RetrySettings) -> Self {
         Self {
             settings,
@@ -32,16 +35,16 @@
     }
 
     /// Notes the first attempt of a call, which earns a part of a retry.
-    pub fn called(&mut self, now: MonotonicTime, customer: &CustomerName) {
+    pub fn called(&mut self, now: MonotonicTime, key: &K) {
         let ratio = self.settings.budget_ratio;
-        let budget = self.find(now, customer);
+        let budget = self.find(now, key);
         budget.last_call = now;
         budget.bucket.deposit(ratio);
     }
 
     /// Takes a retry from the budget; false if there is none.
-    pub fn take(&mut self, now: MonotonicTime, customer: &CustomerName) -> bool {
-        self.find(now, customer).bucket.take(now).is_ok()
+    pub fn take(&mut self, now: MonotonicTime, key: &K) -> bool {
+        self.find(now, key).bucket.take(now).is_ok()
     }
 
     /// The settings in force.
@@ -49,7 +52,7 @@
         &self.settings
     }
 
-    /// Customers whose budgets are kept.
+    /// Keys whose budgets are kept.
     pub fn len(&self) -> usize {
         self.budgets.len()
     }
@@ -59,15 +62,15 @@
         self.budgets.is_empty()
     }
 
-    fn find(&mut self, now: MonotonicTime, customer: &CustomerName) -> &mut CustomerBudget {
+    fn find(&mut self, now: MonotonicTime, key: &K) -> &mut RetryBudget {
         let is_full = self.budgets.len() >= self.settings.max_customers.max(1) as usize;
-        if is_full && !self.budgets.contains_key(customer) {
+        if is_full && !self.budgets.contains_key(key) {
             self.forget_quietest();
         }
         let settings = self.settings;
         self.budgets
-            .entry(customer.clone())
-            .or_insert_with(|| CustomerBudget {
+            .entry(key.clone())
+            .or_insert_with(|| RetryBudget {
                 bucket: TokenBucket::new(now, settings.budget_floor, settings.budget_burst),
                 last_call: now,
             })
@@ -78,8 +81,8 @@
             .budgets
             .iter()
             .min_by_key(|(_, budget)| budget.last_call);
-        if let Some(customer) = quietest.map(|(customer, _)| customer.clone()) {
-            self.budgets.remove(&customer);
+        if let Some(key) = quietest.map(|(key, _)| key.clone()) {
+            self.budgets.remove(&key);
         }
     }
 }
--- /dev/null
+++ b/crates/coordination/src/routes.rs
@@ -0,0 +1,13 @@
+//! Routes: which service serves which requests of callers, under which bounds, and whose keys hold.
+//!
+//! A document of routes is what operators of a platform publish as a whole, under a version of
+//! their own. [`RouteTable`] is the document laid out for requests.
+
+mod document;
+mod table;
+
+pub use document::{
+    AcceleratorSpec, CallerBounds, CustomerKeys, EngineSpec, Route, RouteDocument, RouteKind,
+    ServiceSpec, SourceVersion, SplitPart,
+};
+pub use table::{RouteTable, TableError};
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -22,6 +22,7 @@
 mod policy;
 mod prefix;
 mod search;
+mod servers;
 mod settings;
 mod unit;
 mod view;
@@ -40,5 +41,6 @@
 pub use planner::{EngineDump, FleetPlanner, RoutePlanner, RoutingDump};
 pub use policy::PolicyKind;
 pub use prefix::{CacheChange, CacheEvent, CacheOutcome, PrefixDigest, PromptPrefix};
+pub use servers::{ServerCandidate, ServerLoads, ToldLoad};
 pub use settings::{RoutingSettings, WorkloadMix};
 pub use unit::{ByteRate, TokenCount, TokenRate};
--- a/crates/coordination/src/streams.rs
+++ b/crates/coordination/src/streams.rs
@@ -6,6 +6,7 @@
 //! the telling; a token that was told to the caller and lost on the way here ends the stream's
 //! being resumable, and the caller is told so.
 
+mod events;
 mod settings;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+pub use events::{EventFramer, EventId, EventProgress, EventTooLong, EventVerdict, StreamEvent};
 pub use settings::StreamSettings;
 
 use crate::base::{
--- a/crates/coordination/tests/configuration_change.rs
+++ b/crates/coordination/tests/configuration_change.rs
@@ -96,8 +96,8 @@
     same id, other content -> change id reused
     same id, other number -> change id reused
     same id, other operator -> change id reused
-    bad text -> refused: c4:1:7: error: there is no kind label (accepted: kind: labels or kind: selector)
-    resend of the bad text -> refused: c4:1:7: error: there is no kind label (accepted: kind: labels or kind: selector)
+    bad text -> refused: c4:1:7: error: there is no kind label (accepted: kind: labels, kind: selector or kind: source)
+    resend of the bad text -> refused: c4:1:7: error: there is no kind label (accepted: kind: labels, kind: selector or kind: source)
     corrected under the same id -> change id reused
     a number not yet given -> conflict: based on revision 9, but 2 is in force; yours against it: - labels on customer b
     "#);
@@ -234,7 +234,7 @@
         "the delta starts from revision 3, not 4",
         "revision 5 has another content than its digest says",
         "revision 3 is below 4",
-        "revision 5 can't be read: revision 5:1:7: error: there is no kind pipeline (accepted: kind: labels or kind: selector)\n",
+        "revision 5 can't be read: revision 5:1:7: error: there is no kind pipeline (accepted: kind: labels, kind: selector or kind: source)\n",
     ]
     "#);
     assert_eq!(steady.current().revision(), Revision(4));
--- a/crates/coordination/tests/configuration_interface.rs
+++ b/crates/coordination/tests/configuration_interface.rs
@@ -43,7 +43,7 @@
     200 {"outcome":"accepted","revision":1,"warnings":[]}
     409 {"outcome":"conflict","conflict":{"based_on":0,"current":1,"winner":{"revision":1,"change_id":"c1","operator":"anna","time":1000,"digest":"4d2ac9a783dd39449349e28dfa53651bd1c4cb0f60a9953862dc87b7a98cf1c7","difference":{"added":[{"selector":"s"}],"removed":[],"changed":[],"unnamed":0}},"difference":{"added":[],"removed":[],"changed":[{"selector":"s"}],"unnamed":0}}}
     409 {"outcome":"change-id-reused"}
-    422 {"outcome":"refused","findings":[{"severity":"error","place":{"file":"c3","line":1,"column":7},"message":"there is no kind x","expected":"kind: labels or kind: selector"}]}
+    422 {"outcome":"refused","findings":[{"severity":"error","place":{"file":"c3","line":1,"column":7},"message":"there is no kind x","expected":"kind: labels, kind: selector or kind: source"}]}
     "#);
 }
 
--- a/crates/coordination/tests/configuration_parse.rs
+++ b/crates/coordination/tests/configuration_parse.rs
@@ -90,7 +90,7 @@
     change.yaml:38:22: error: values holds 0 (accepted: values: a list of 1 to 4096 label values)
     change.yaml:40:1: error: the selector serves nothing (accepted: one of model and service)
     change.yaml:43:1: error: the document is a list (accepted: a map of keys and values)
-    change.yaml:45:7: error: there is no kind pipeline (accepted: kind: labels or kind: selector)
+    change.yaml:45:7: error: there is no kind pipeline (accepted: kind: labels, kind: selector or kind: source)
     "#);
 }
 
--- a/crates/daemon/examples/keeper_measure.rs
+++ b/crates/daemon/examples/keeper_measure.rs
@@ -129,7 +129,7 @@
 async fn measure_losses(cluster: &mut Cluster) {
     let peers = cluster.dialer.link("d", Arc::new(NoFrames)).await;
     let settings = ClientSettings::default();
-    let client = KeeperClient::new(peers.hub().clone(), keepers(), None, settings);
+    let client = KeeperClient::new(peers.hub().clone(), keepers().into(), None, settings);
     let mut accepted = Vec::new();
     let mut caught_up = Vec::new();
     for round in 0..ROUNDS {
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,7 +1,8 @@
 //! Where the present time comes from; deciding functions take it as an argument.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use pollendrift_coordination::base::{MonotonicTime, WallTime};
 
 /// A source of the present time.
@@ -13,22 +14,37 @@
 }
 
 /// The machine's clocks.
+///
+/// Monotonic time is the time since the machine booted, which goes on while it is suspended. The
+/// usual steady clock stands still then: a host that was suspended for a minute would find all its
+/// leases as fresh as before, and serve keys that were revoked meanwhile.
 #[derive(Clone, Debug)]
 pub struct SystemClock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Default for SystemClock {
     fn default() -> Self {
         Self {
-            start: Instant::now(),
+            start: since_boot(),
+        }
+    }
+}
+
+fn since_boot() -> Duration {
+    match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+        Ok(time) => Duration::from(time),
+        // Every Linux since 2.6.39 has the clock, and the call has no other error.
+        Err(error) => {
+            log::error!(error:% = error; "no clock since boot; time stands still");
+            Duration::ZERO
         }
     }
 }
 
 impl TimeSource for SystemClock {
     fn now(&self) -> MonotonicTime {
-        MonotonicTime::START.after(self.start.elapsed())
+        MonotonicTime::START.after(since_boot().saturating_sub(self.start))
     }
 
     fn wall(&self) -> WallTime {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -13,6 +13,7 @@
 use pollendrift_coordination::replicated::ProcessNonce;
 use pollendrift_coordination::retries::RetrySettings as CoreRetrySettings;
 use pollendrift_coordination::routing::RoutingSettings;
+use pollendrift_dialect::PlatformDialect;
 use pollendrift_http::{HttpClient, HttpServer, ServerBounds, StreamAcceptor};
 use tokio::task::JoinHandle;
 
@@ -31,6 +32,10 @@
 use crate::operators::{OperatorContext, OperatorHandler, keeper_state};
 use crate::placement::{PlacementParts, run_placement};
 use crate::platform::{DumpSource, MetricSource, PlatformHandler};
+use crate::relay::{
+    ControlHandler, PlacerParts, Publisher, RelayContext, RelayFaces, RelayHandler, RelayParts,
+    run_chains, run_placer,
+};
 use crate::resend::ResendDesk;
 use crate::settings::{DaemonSettings, DrainSettings, EntrySettings, RetrySettings};
 use crate::tasks::TaskGroup;
@@ -62,11 +67,24 @@
     /// The agreed state can't start.
     #[display("{_0}")]
     Node(NodeError),
+    /// The settings ask for a relay in a build that knows no platform's dialect.
+    #[display("`relay` is enabled, but this build speaks no platform's dialect")]
+    NoDialect,
     /// Metrics can't be kept.
     #[display("{_0}")]
     Metrics(MetricError),
 }
 
+/// Parts that most builds do without.
+#[derive(Default)]
+pub struct DaemonExtras {
+    /// Another way for the evidence than the keepers; for measurements of what recording costs,
+    /// never for service.
+    pub sink: Option<Box<dyn EvidenceSink>>,
+    /// Dialect of a platform, spoken where the settings enable the relay.
+    pub dialect: Option<PlatformDialect>,
+}
+
 /// A running daemon; dropping it stops at once, as a crash does.
 pub struct RouterDaemon {
     servers: Vec<HttpServer>,
@@ -87,19 +105,23 @@
         settings: &DaemonSettings,
         warnings: Vec<String>,
     ) -> Result<Self, StartError> {
-        Self::start_with(settings, warnings, None).await
+        Self::start_with(settings, warnings, DaemonExtras::default()).await
     }
 
-    /// Starts the daemon with another way for its evidence than the keepers; for measurements of
-    /// what recording costs, never for service.
+    /// Starts the daemon with parts that most builds do without.
     ///
     /// # Errors
     /// As [`RouterDaemon::start`].
     pub async fn start_with(
         settings: &DaemonSettings,
         warnings: Vec<String>,
-        sink: Option<Box<dyn EvidenceSink>>,
+        extras: DaemonExtras,
     ) -> Result<Self, StartError> {
+        let DaemonExtras { sink, dialect } = extras;
+        let dialect = dialect.filter(|_| settings.relay.enabled);
+        if settings.relay.enabled && dialect.is_none() {
+            return Err(StartError::NoDialect);
+        }
         let metrics = Arc::new(MetricRegistry::new()?);
         let access = AccessControl::new(settings)?.with_metrics(Arc::clone(&metrics));
         let access = Arc::new(access);
@@ -144,6 +166,19 @@
             named: AtomicU64::new(0),
             tickets: AtomicU64::new(0),
         });
+        let relay = dialect.map(|dialect| {
+            RelayContext::new(RelayParts {
+                dialect,
+                settings: settings.relay.clone(),
+                data_centre: settings.data_centre.clone(),
+                agreed: Arc::clone(&agreed),
+                fleet: Arc::clone(&fleet),
+                clock: Arc::clone(&clock),
+                life: life.watch(),
+                seed,
+            })
+        });
+        let relay = relay.map(Arc::new);
         let dump: Vec<Arc<dyn DumpSource>> = vec![
             Arc::new(FleetDump {
                 fleet: Arc::clone(&fleet),
@@ -177,9 +212,13 @@
                 lease: settings.leases.backend_server,
                 heartbeat: settings.leases.heartbeat,
             }),
+            relay: relay
+                .as_ref()
+                .map(|relay| relay_faces(relay, &node, &fleet, &clock)),
         };
         let platform = PlatformHandler {
             entry: Arc::clone(&context),
+            relay: relay.clone(),
             sources: dump,
             metrics: Arc::new(DaemonMetrics {
                 metrics: Arc::clone(&metrics),
@@ -219,7 +258,8 @@
             recorder: Arc::clone(&recorder),
             clock: Arc::clone(&clock),
         };
-        let tasks = vec![
+        let relay_tasks = relay.map(|relay| start_relay(settings, relay, &agreed));
+        let mut tasks = vec![
             tokio::spawn(observe(observed, Arc::clone(&metrics))),
             tokio::spawn(run_placement(placement)),
             tokio::spawn(tick_loop(
@@ -238,6 +278,7 @@
                 clock,
             )),
         ];
+        tasks.extend(relay_tasks.into_iter().flatten());
         Ok(Self {
             servers,
             context,
@@ -336,6 +377,48 @@
         .map_err(|error| StartError::Listen { address, error })
 }
 
+fn relay_faces(
+    relay: &Arc<RelayContext>,
+    node: &Arc<AgreedNode>,
+    fleet: &Arc<BackendFleet>,
+    clock: &Arc<dyn TimeSource>,
+) -> RelayFaces {
+    let dialect = relay.dialect().clone();
+    let publisher = Publisher {
+        agreed: Arc::clone(node) as Arc<dyn AgreedState>,
+        client: node.client().clone(),
+        shared: node.shared().cloned(),
+        dialect: Arc::clone(&dialect.operators),
+    };
+    RelayFaces {
+        callers: Arc::new(RelayHandler::new(Arc::clone(relay))),
+        control: Arc::new(ControlHandler {
+            dialect,
+            fleet: Arc::clone(fleet),
+            publisher,
+            clock: Arc::clone(clock),
+        }),
+    }
+}
+
+/// Entries follow the chains; keepers place layers, whichever of them holds the right.
+fn start_relay(
+    settings: &DaemonSettings,
+    relay: Arc<RelayContext>,
+    agreed: &Arc<dyn AgreedState>,
+) -> Vec<JoinHandle<()>> {
+    if !settings.is_keeper() {
+        return vec![tokio::spawn(run_chains(relay))];
+    }
+    let placer = PlacerParts {
+        host: settings.host.clone(),
+        lease: settings.placement.lease,
+        context: relay,
+        agreed: Arc::clone(agreed),
+    };
+    vec![tokio::spawn(run_placer(placer))]
+}
+
 async fn key_loop(access: Arc<AccessControl>) {
     let mut ticks = tokio::time::interval(KEY_TICK);
     loop {
--- a/crates/daemon/src/faces.rs
+++ b/crates/daemon/src/faces.rs
@@ -11,6 +11,7 @@
 use crate::daemon::FaceSet;
 use crate::entry::EntryHandler;
 use crate::operators::OperatorHandler;
+use crate::relay::RelayFaces;
 
 const BACKEND_PREFIX: &str = "/backend/";
 const OPERATOR_PREFIX: &str = "/operator/";
@@ -24,6 +25,8 @@
     pub operators: Arc<OperatorHandler>,
     /// Backend servers' face.
     pub announcements: Arc<AnnouncementHandler>,
+    /// Handlers in a platform's dialect, in place of all others.
+    pub relay: Option<RelayFaces>,
 }
 
 impl FaceRouter {
@@ -45,6 +48,9 @@
 
 impl HttpHandler for FaceHandler {
     fn handle(self: Arc<Self>, request: Request<Incoming>, peer: SocketAddr) -> HandlerFuture {
+        if let Some(relay) = &self.router.relay {
+            return self.relay(relay, request, peer);
+        }
         let path = request.uri().path();
         if path.starts_with(BACKEND_PREFIX) && self.faces.backend_servers {
             return Arc::clone(&self.router.announcements).handle(request, peer);
@@ -65,3 +71,17 @@
         Arc::clone(&self.router.entry).handle(request, peer)
     }
 }
+
+impl FaceHandler {
+    fn relay(
+        &self,
+        relay: &RelayFaces,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> HandlerFuture {
+        if self.faces.callers {
+            return Arc::clone(&relay.callers).handle(request, peer);
+        }
+        Arc::clone(&relay.control).handle(request, peer)
+    }
+}
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -21,7 +21,7 @@
 use self::copy::{ConfigurationCopy, CopyVerdict, OfferedContent, content_for};
 use crate::agreed::StaleConfiguration;
 use crate::clock::TimeSource;
-use crate::keeper::KeeperClient;
+use crate::keeper::{KeeperClient, KeeperList};
 use crate::peers::{ConfigurationFrame, PeerAnswer, PeerFrame, PeerHub, PeerQuestion};
 use crate::state::SharedState;
 use crate::telemetry::RecorderSlot;
@@ -46,6 +46,7 @@
     /// Locked before `state`, never after it: reading a text must not hold up requests.
     copy: Mutex<ConfigurationCopy>,
     hub: PeerHub,
+    keepers: KeeperList,
     client: KeeperClient,
     /// State of this host's keeper, if it has one.
     shared: Option<SharedState>,
@@ -75,16 +76,18 @@
     /// A feed that holds nothing yet.
     pub fn new(
         settings: FollowSettings,
-        keepers: Vec<HostName>,
+        keepers: KeeperList,
         hub: PeerHub,
         client: KeeperClient,
         shared: Option<SharedState>,
         clock: Arc<dyn TimeSource>,
         recorder: Arc<RecorderSlot>,
     ) -> Self {
-        let own = keepers.iter().position(|keeper| keeper == hub.host());
-        let turn = own.unwrap_or_else(|| hub.hosts().take_while(|host| *host < hub.host()).count());
-        let follower = RevisionFollower::new(settings, keepers, turn);
+        let hosts = keepers.hosts();
+        let own = hosts.iter().position(|keeper| keeper == hub.host());
+        let spread = || usize::from(rand::random::<u16>());
+        let turn = own.unwrap_or_else(spread);
+        let follower = RevisionFollower::new(settings, hosts, turn);
         Self {
             state: Mutex::new(FeedState {
                 follower,
@@ -94,6 +97,7 @@
             }),
             copy: Mutex::default(),
             hub,
+            keepers,
             client,
             shared,
             clock,
@@ -185,7 +189,12 @@
         let mut stated_at = MonotonicTime::START;
         loop {
             let now = self.clock.now();
-            let question = self.lock().follower.tick(now);
+            let keepers = self.keepers.hosts();
+            let question = {
+                let mut state = self.lock();
+                state.follower.set_keepers(keepers);
+                state.follower.tick(now)
+            };
             if let Some(question) = question {
                 tokio::spawn(Arc::clone(&self).ask(question));
             }
@@ -297,7 +306,7 @@
         let frame = PeerFrame::Configuration(ConfigurationFrame::Holds { revision });
         for host in self.hub.hosts() {
             // A statement that can't be sent is made again within a second.
-            let _ = self.hub.send(host, &frame);
+            let _ = self.hub.send(&host, &frame);
         }
     }
 
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -4,6 +4,7 @@
 mod announcement;
 mod route;
 mod service_index;
+mod worker;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -20,6 +21,7 @@
 use pollendrift_coordination::routing::{FleetPlanner, RoutePlanner, RoutingDump, RoutingSettings};
 
 pub use route::{DraftQuery, DraftRoute, PlannedStage};
+pub use worker::WorkerView;
 
 use announcement::{check_announcement, decode, encode, engine_announcement, load_report};
 use service_index::ServiceIndex;
@@ -78,6 +80,8 @@
     leases: LeaseTable,
     /// Decoded offers of servers in `leases`; only those that decoded.
     views: BTreeMap<ServerName, Arc<ServerView>>,
+    /// Servers in `leases` that serve a published service.
+    workers: BTreeMap<ServerName, Arc<WorkerView>>,
     /// Servers of `views` that offer a plain service, each once.
     services: ServiceIndex,
     /// Holds just the engines of `views` that may take work by the last tick.
@@ -90,6 +94,7 @@
         let inner = FleetState {
             leases: LeaseTable::new(settings),
             views: BTreeMap::new(),
+            workers: BTreeMap::new(),
             services: ServiceIndex::default(),
             planner: Box::new(FleetPlanner::new(routing, seed)),
         };
@@ -275,6 +280,10 @@
         let Some(lease) = self.leases.get(server).cloned() else {
             return;
         };
+        if let Some(worker) = WorkerView::decode(&lease.announce) {
+            self.workers.insert(server.clone(), Arc::new(worker));
+            return;
+        }
         match decode(&lease.announce) {
             Some(view) => self.take_view(now, &lease, view),
             None => self.drop_view(server),
@@ -318,6 +327,7 @@
 
     fn drop_view(&mut self, server: &ServerName) {
         self.views.remove(server);
+        self.workers.remove(server);
         self.services.place(server, None);
         self.planner.remove(server);
     }
--- /dev/null
+++ b/crates/daemon/src/fleet/worker.rs
@@ -0,0 +1,113 @@
+//! Backend servers of published services.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use pollendrift_coordination::base::{
+    DataCentreName, Incarnation, MonotonicTime, SequenceNumber, ServerName,
+};
+use pollendrift_coordination::leases::{
+    AnnouncedLoad, MergeVerdict, ServerAnnounce, ServerState, WorkerOffer,
+};
+use pollendrift_dialect::ServerNote;
+
+use super::{AnnounceError, BackendFleet};
+
+/// Number of the last announcement of a life. A server that left says no number; this one outranks
+/// whatever another host has heard of the same life.
+const LAST_SEQUENCE: SequenceNumber = SequenceNumber(u64::MAX);
+
+/// A server of a published service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerView {
+    /// Its name.
+    pub server: ServerName,
+    /// Life of its process.
+    pub incarnation: Incarnation,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentreName,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// What it offers.
+    pub offer: WorkerOffer,
+}
+
+impl WorkerView {
+    /// The view of an announcement; `None` if it is none of a published service's server.
+    pub(super) fn decode(announce: &ServerAnnounce) -> Option<Self> {
+        Some(Self {
+            server: announce.server.clone(),
+            incarnation: announce.incarnation,
+            address: announce.address.parse().ok()?,
+            data_centre: announce.data_centre.clone(),
+            checks_fencing: announce.checks_fencing,
+            offer: serde_json::from_str(&announce.offer).ok()?,
+        })
+    }
+}
+
+impl BackendFleet {
+    /// Takes what a server of a published service said of itself to this host.
+    ///
+    /// # Errors
+    /// The table is full, or the offer can't be kept.
+    pub fn announce_worker(
+        &self,
+        now: MonotonicTime,
+        note: &ServerNote,
+    ) -> Result<MergeVerdict, AnnounceError> {
+        let offer = serde_json::to_string(&note.offer).map_err(|error| {
+            let reason = error.to_string();
+            AnnounceError::Malformed { reason }
+        })?;
+        let announce = ServerAnnounce {
+            server: note.server.clone(),
+            incarnation: note.incarnation,
+            sequence: note.sequence,
+            address: note.address.to_string().into(),
+            data_centre: note.data_centre.clone(),
+            state: note.state,
+            checks_fencing: note.checks_fencing,
+            offer: offer.into(),
+            load: AnnouncedLoad::default(),
+        };
+        match self.lock().merge(now, announce) {
+            MergeVerdict::Full => Err(AnnounceError::Full),
+            verdict => Ok(verdict),
+        }
+    }
+
+    /// A server said that it has left; false if this host does not know it.
+    pub fn leave_worker(&self, now: MonotonicTime, server: &ServerName) -> bool {
+        let mut state = self.lock();
+        let Some(lease) = state.leases.get(server) else {
+            return false;
+        };
+        let announce = ServerAnnounce {
+            sequence: LAST_SEQUENCE,
+            state: ServerState::Leaving,
+            ..lease.announce.clone()
+        };
+        state.merge(now, announce);
+        true
+    }
+
+    /// Servers of published services that may get new work now. Of two at one address only the
+    /// later one is there: the other's last heartbeat was late.
+    pub fn workers(&self, now: MonotonicTime) -> Vec<Arc<WorkerView>> {
+        let state = self.lock();
+        let serving = state.leases.iter().filter(|lease| lease.is_serving(now));
+        let workers = serving.filter_map(|lease| state.workers.get(&lease.announce.server));
+        let mut by_address: BTreeMap<SocketAddr, &Arc<WorkerView>> = BTreeMap::new();
+        for worker in workers {
+            let holder = by_address.entry(worker.address).or_insert(worker);
+            if holder.incarnation < worker.incarnation {
+                *holder = worker;
+            }
+        }
+        by_address.into_values().cloned().collect()
+    }
+}
--- a/crates/daemon/src/keeper/calls.rs
+++ b/crates/daemon/src/keeper/calls.rs
@@ -31,7 +31,7 @@
     let from = from.clone();
     tokio::spawn(async move {
         let number = call.number;
-        let work = answer(&port, &from, call.question);
+        let work = answer(&port, &hub, &from, call.question);
         // Later than the asker's patience nobody listens.
         if let Ok(answer) = timeout(call.patience, work).await {
             let _ = hub.answer(&from, number, answer);
@@ -40,7 +40,12 @@
     None
 }
 
-async fn answer(port: &KeeperPort, from: &HostName, question: PeerQuestion) -> PeerAnswer {
+async fn answer(
+    port: &KeeperPort,
+    hub: &PeerHub,
+    from: &HostName,
+    question: PeerQuestion,
+) -> PeerAnswer {
     match question {
         PeerQuestion::Submit(command) => {
             let command = command.0.as_ref().into();
@@ -54,7 +59,10 @@
             into_answer(outcome, |index| PeerAnswer::Readable(index.0))
         }
         PeerQuestion::Introduction(asker) => introduce(port, &asker),
-        PeerQuestion::Join(keeper) => join(port, from, keeper).await,
+        PeerQuestion::Join(keeper) => {
+            let is_open = hub.discovery().is_some();
+            join(port, from, keeper, is_open).await
+        }
         PeerQuestion::RequestLookUp(_)
         | PeerQuestion::ConfigurationAfter { .. }
         | PeerQuestion::Operator(_) => PeerAnswer::NotRun {
@@ -95,14 +103,14 @@
 }
 
 /// Does the next step that takes a keeper in: first as a learner, then as a voter.
-async fn join(port: &KeeperPort, from: &HostName, keeper: KeeperId) -> PeerAnswer {
+async fn join(port: &KeeperPort, from: &HostName, keeper: KeeperId, is_open: bool) -> PeerAnswer {
     if keeper.host != *from {
         return PeerAnswer::NotRun {
             reason: "a host joins for itself only".to_owned(),
         };
     }
     let known = port.introduction();
-    if !known.is_some_and(|own| own.keepers.contains(from)) {
+    if !is_open && !known.is_some_and(|own| own.keepers.contains(from)) {
         return PeerAnswer::NotRun {
             reason: "settings don't name the host as a keeper".to_owned(),
         };
--- a/crates/daemon/src/keeper/client.rs
+++ b/crates/daemon/src/keeper/client.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::error::SubmitError;
+use super::list::KeeperList;
 use super::port::{KeeperPort, KeeperRequest, LocalOutcome};
 use crate::peers::{CallError, PeerAnswer, PeerHub, PeerQuestion};
 
@@ -47,7 +48,7 @@
     hub: PeerHub,
     /// The own keeper, on a host that has one.
     local: Option<KeeperPort>,
-    keepers: Arc<[HostName]>,
+    keepers: KeeperList,
     settings: ClientSettings,
     leader: Arc<Mutex<Option<HostName>>>,
 }
@@ -65,18 +66,18 @@
 }
 
 impl KeeperClient {
-    /// A client of the keepers on `keepers`; `local` is this host's own.
+    /// A client of `keepers`; `local` is this host's own.
     #[must_use]
     pub fn new(
         hub: PeerHub,
-        keepers: Vec<HostName>,
+        keepers: KeeperList,
         local: Option<KeeperPort>,
         settings: ClientSettings,
     ) -> Self {
         Self {
             hub,
             local,
-            keepers: keepers.into(),
+            keepers,
             settings,
             leader: Arc::default(),
         }
@@ -226,8 +227,9 @@
     fn choice(&self, asked: usize) -> Option<HostName> {
         let own = self.hub.host().as_str().bytes().map(usize::from);
         let start = own.fold(0, usize::wrapping_add);
-        let position = start.wrapping_add(asked).checked_rem(self.keepers.len())?;
-        self.keepers.get(position).cloned()
+        let keepers = self.keepers.hosts();
+        let position = start.wrapping_add(asked).checked_rem(keepers.len())?;
+        keepers.get(position).cloned()
     }
 
     fn remember(&self, leader: Option<HostName>) {
--- a/crates/daemon/src/keeper/formation.rs
+++ b/crates/daemon/src/keeper/formation.rs
@@ -1,10 +1,11 @@
 //! Finds the group of a keeper that has none, or founds it together with all others.
 //!
 //! Only a keeper with a fresh folder comes here, and it has never voted. It asks every other keeper
-//! of the settings. If one belongs to a group, this one joins that group. If all answer and none
-//! does, the host with the lowest name writes down the first membership, and the others learn it by
-//! asking. All have to answer: a keeper that can't be asked may hold a group's log, and a second
-//! group beside it would accept changes that contradict the first.
+//! that it knows. If one belongs to a group, this one joins that group. If all founders answer and
+//! none does, the founder with the lowest name writes down the first membership, and the others
+//! learn it by asking. All founders have to answer: one that can't be asked may hold a group's log,
+//! and a second group beside it would accept changes that contradict the first. Founders are the
+//! keepers of the settings, or the hosts at the seed addresses; others can't hold a log before.
 
 use std::collections::BTreeSet;
 
@@ -15,6 +16,7 @@
 use tokio::time::sleep;
 
 use super::error::KeeperError;
+use super::list::KeeperList;
 use super::settings::KeeperSettings;
 use crate::peers::{KeeperIntroduction, PeerAnswer, PeerHub, PeerQuestion};
 
@@ -35,7 +37,7 @@
     store: &mut SegmentStore,
     hub: &PeerHub,
     introduction: &watch::Sender<Option<KeeperIntroduction>>,
-    keepers: &[HostName],
+    keepers: &KeeperList,
     settings: &KeeperSettings,
 ) -> Result<(), KeeperError> {
     loop {
@@ -44,7 +46,7 @@
         if own.group.is_some() {
             return Ok(());
         }
-        match ask_around(hub, &own, settings).await {
+        match ask_around(hub, &own, keepers, settings).await {
             Findings::Group(group) => store.join_group(group)?,
             Findings::Outranked(answer) => {
                 if let Some(rival) = answer.outranked_by {
@@ -59,16 +61,15 @@
     }
 }
 
-fn introduce(store: &SegmentStore, keepers: &[HostName]) -> KeeperIntroduction {
+fn introduce(store: &SegmentStore, keepers: &KeeperList) -> KeeperIntroduction {
     let identity = store.identity();
-    let sorted: BTreeSet<HostName> = keepers.iter().cloned().collect();
     KeeperIntroduction {
         keeper: KeeperId {
             host: identity.host.clone(),
             incarnation: identity.incarnation,
         },
         group: identity.group.clone(),
-        keepers: sorted.into_iter().collect(),
+        keepers: keepers.founders().unwrap_or_default(),
         outranked_by: None,
     }
 }
@@ -94,15 +95,19 @@
 async fn ask_around(
     hub: &PeerHub,
     own: &KeeperIntroduction,
+    keepers: &KeeperList,
     settings: &KeeperSettings,
 ) -> Findings {
     let mut others = Vec::new();
-    let mut unsettled = false;
-    for host in own.keepers.iter().filter(|host| **host != own.keeper.host) {
+    let mut unsettled = !own.keepers.contains(&own.keeper.host);
+    let known = keepers.hosts().into_iter().chain(own.keepers.clone());
+    let known: BTreeSet<HostName> = known.filter(|host| *host != own.keeper.host).collect();
+    for host in &known {
         let question = PeerQuestion::Introduction(own.clone());
         let answer = hub.call(host, question, 1, settings.join_pause * 5).await;
+        let is_founder = own.keepers.contains(host);
         let Ok(PeerAnswer::Introduced(answer)) = answer else {
-            unsettled = true;
+            unsettled |= is_founder;
             continue;
         };
         if answer.outranked_by.is_some() {
@@ -111,8 +116,11 @@
         if let Some(group) = answer.group {
             return Findings::Group(group);
         }
+        if !is_founder {
+            continue;
+        }
         if answer.keepers != own.keepers {
-            log::warn!(peer:% = host; "settings name other keepers than here; no group is founded");
+            log::warn!(peer:% = host; "it takes others for founders than this host; no group is founded");
             unsettled = true;
         }
         others.push(answer.keeper);
--- a/crates/daemon/src/keeper/settings.rs
+++ b/crates/daemon/src/keeper/settings.rs
@@ -20,6 +20,8 @@
     pub queue: usize,
     /// Time between two attempts to found or find the group, and to join it.
     pub join_pause: Duration,
+    /// Time without a leader after which a voter asks whether it still belongs.
+    pub stranded: Duration,
     /// Whether this host may found a group together with all other keepers of the settings, where
     /// none of them has one. Off, an empty group stays empty until an operator turns it on.
     pub may_found: bool,
@@ -36,6 +38,7 @@
             snapshot_log_bytes: 16 * 1024 * 1024,
             queue: 8_192,
             join_pause: Duration::from_millis(200),
+            stranded: Duration::from_secs(3),
             may_found: true,
             seed: 0,
         }
--- a/crates/daemon/src/keeper/start.rs
+++ b/crates/daemon/src/keeper/start.rs
@@ -6,7 +6,6 @@
 use pollendrift_coordination::agreement::{
     AgreementNode, KeeperId, LogIndex, RestoredState, StateMachine, StoredSnapshot,
 };
-use pollendrift_coordination::base::HostName;
 use pollendrift_store::{
     CommitThread, DiskFiles, FileSystem, LogStore, OpenRequest, OpenedStore, PersistBatch,
     RecoveredLog, SegmentStore,
@@ -19,6 +18,7 @@
 use super::formation::find_group;
 use super::handle::KeeperHandle;
 use super::join::keep_joining;
+use super::list::KeeperList;
 use super::port::{KeeperInbox, KeeperPort};
 use super::runtime::{KeeperRuntime, OpenRequests};
 use super::settings::KeeperSettings;
@@ -34,8 +34,8 @@
     pub settings: KeeperSettings,
     /// Settings of requests to the group.
     pub client: ClientSettings,
-    /// Hosts that the settings name as keepers, this one included.
-    pub keepers: Vec<HostName>,
+    /// The keepers, this host included.
+    pub keepers: KeeperList,
     /// Links to the peers; their handler feeds `port` by [`super::KeeperFrames`].
     pub hub: PeerHub,
     /// Sending side of `inbox`.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod peers;
 pub(crate) mod placement;
 pub mod platform;
+pub(crate) mod relay;
 pub mod resend;
 pub mod settings;
 pub mod spread;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,6 +10,7 @@
 use pollendrift_coordination::base::{HostName, Incarnation};
 use pollendrift_coordination::configuration::Configuration;
 use pollendrift_coordination::following::FollowSettings;
+use pollendrift_coordination::hosts::HostReach;
 use pollendrift_coordination::replicated::{
     CommandAnswer, ProcessNonce, ReplicatedCommand, ReplicatedSettings, StartHost,
 };
@@ -24,13 +25,14 @@
 use crate::fleet::BackendFleet;
 use crate::frames::{DaemonFrames, FrameTargets};
 use crate::keeper::{
-    ClientSettings, KeeperClient, KeeperError, KeeperFrames, KeeperHandle, KeeperSettings,
-    KeeperStart, KeeperStatus, RetryPermission, RunningKeeper, SubmitError, keeper_queue,
-    start_keeper,
+    ClientSettings, KeeperClient, KeeperError, KeeperFrames, KeeperHandle, KeeperList,
+    KeeperSettings, KeeperStart, KeeperStatus, RetryPermission, RunningKeeper, SubmitError,
+    keeper_queue, start_keeper,
 };
 use crate::operators::KeeperDesk;
 use crate::peers::{
-    LinkSettings, PeerAddress, PeerHandler, PeerHub, PeerNode, PeerTasks, start_peers,
+    DiscoveryStart, LinkSettings, PeerAddress, PeerDiscovery, PeerHandler, PeerHub, PeerNode,
+    PeerTasks, start_peers,
 };
 use crate::settings::DaemonSettings;
 use crate::spread::LeaseSpreader;
@@ -41,6 +43,9 @@
 
 /// Pause between two tries to announce this process's life to the keepers.
 const START_PAUSE: Duration = Duration::from_millis(200);
+/// Silence after which a keeper that nobody replaced is taken out of the group. Restarts end within
+/// a few seconds; a partition that lasts longer costs two changes of membership when it heals.
+const LOST_VOTER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time that leadership may take to be handed over at a planned stop.
 const HAND_OVER_PATIENCE: Duration = Duration::from_secs(3);
 
@@ -103,16 +108,21 @@
         let listener = TcpListener::bind(address)
             .await
             .map_err(|error| NodeError::Listen { address, error })?;
-        let keepers = initial_keepers(settings);
-        let is_keeper = keepers.contains(&settings.host);
+        let discovery = start_discovery(settings, &parts);
+        let keepers = match &discovery {
+            Some(discovery) => KeeperList::Found(Arc::clone(discovery)),
+            None => initial_keepers(settings).into(),
+        };
+        let is_keeper = settings.is_keeper();
         let frames = Arc::new(DaemonFrames::default());
         let queue = is_keeper.then(|| keeper_queue(KeeperSettings::default().queue));
         let handler: Arc<dyn PeerHandler> = match &queue {
             Some((port, _)) => Arc::new(KeeperFrames::new(port.clone(), frames.clone())),
             None => frames.clone(),
         };
-        let mut peers = connect_peers(settings, &parts, handler);
+        let mut peers = connect_peers(settings, &parts, discovery, handler);
         peers.accept(listener, Arc::new(transport(settings, &parts)));
+        peers.discover();
         let hub = peers.hub().clone();
         let shared = is_keeper.then(|| shared_state(settings, parts.nonce));
         let keeper = match (queue, &shared, &settings.data_folder) {
@@ -138,13 +148,14 @@
                 client_settings(settings),
             ),
         };
+        let lease = configuration_lease(settings);
         let follow = FollowSettings {
-            lease: settings.leases.configuration,
-            period: settings.leases.configuration / 4,
+            lease,
+            period: lease / 4,
         };
         let feed = Arc::new(ConfigurationFeed::new(
             follow,
-            keepers,
+            keepers.clone(),
             hub.clone(),
             client.clone(),
             shared.clone(),
@@ -161,7 +172,7 @@
         };
         let desk = Arc::new(KeeperDesk::new(
             hub.clone(),
-            initial_keepers(settings),
+            keepers,
             client.clone(),
             shared.clone(),
             files.clone(),
@@ -329,6 +340,18 @@
     }
 }
 
+/// Lease on the configuration.
+///
+/// It counts from the question to a quorum. Whatever was revoked after that question is served for
+/// no longer than the lease, so a lease shorter than the bound on revoked keys keeps the bound on a
+/// host that is cut off. The rest is for requests that are under way when the lease ends.
+fn configuration_lease(settings: &DaemonSettings) -> Duration {
+    if settings.relay.enabled {
+        return settings.relay.revoke_within * 4 / 5;
+    }
+    settings.leases.configuration
+}
+
 fn initial_keepers(settings: &DaemonSettings) -> Vec<HostName> {
     settings
         .initial_keepers()
@@ -336,14 +359,34 @@
         .collect()
 }
 
+fn start_discovery(settings: &DaemonSettings, parts: &NodeParts) -> Option<Arc<PeerDiscovery>> {
+    if !settings.discovery.is_on() {
+        return None;
+    }
+    let start = DiscoveryStart {
+        host: settings.host.clone(),
+        reach: HostReach {
+            address: settings.listen.peers,
+            keeper: settings.is_keeper(),
+        },
+        seeds: settings.discovery.peer_addresses(),
+    };
+    Some(Arc::new(PeerDiscovery::new(
+        start,
+        Arc::clone(&parts.clock),
+    )))
+}
+
 fn connect_peers(
     settings: &DaemonSettings,
     parts: &NodeParts,
+    discovery: Option<Arc<PeerDiscovery>>,
     handler: Arc<dyn PeerHandler>,
 ) -> PeerTasks {
     let node = PeerNode {
         host: settings.host.clone(),
         process: Incarnation(parts.nonce.0),
+        discovery,
     };
     let links = LinkSettings {
         seed: parts.nonce.0,
@@ -374,6 +417,8 @@
             election_timeout: agreement.election_timeout,
             max_append_entries: usize::try_from(agreement.max_batch_entries).unwrap_or(usize::MAX),
             snapshot_after_entries: settings.snapshots.every_entries,
+            lost_voter_timeout: settings.discovery.is_on().then_some(LOST_VOTER_TIMEOUT),
+            resend_timeout: agreement.election_timeout / 2,
             ..AgreementSettings::default()
         },
         may_found: agreement.may_found,
--- a/crates/daemon/src/operators/questions.rs
+++ b/crates/daemon/src/operators/questions.rs
@@ -20,7 +20,7 @@
 use crate::agreed::AgreedState;
 use crate::clock::TimeSource;
 use crate::evidence::EvidenceFiles;
-use crate::keeper::KeeperClient;
+use crate::keeper::{KeeperClient, KeeperList};
 use crate::peers::{PeerAnswer, PeerHub, PeerQuestion};
 use crate::state::SharedState;
 
@@ -187,7 +187,7 @@
 /// Answers keepers' questions on a host with a keeper; passes them to one elsewhere.
 pub struct KeeperDesk {
     hub: PeerHub,
-    keepers: Vec<HostName>,
+    keepers: KeeperList,
     client: KeeperClient,
     shared: Option<SharedState>,
     files: Option<EvidenceFiles>,
@@ -198,7 +198,7 @@
     /// A desk over this host's keeper, if it has one.
     pub fn new(
         hub: PeerHub,
-        keepers: Vec<HostName>,
+        keepers: KeeperList,
         client: KeeperClient,
         shared: Option<SharedState>,
         files: Option<EvidenceFiles>,
@@ -228,9 +228,9 @@
         let bytes = serde_json::to_vec(&question)
             .map_err(|error| OperatorProblem::bad_query(error.to_string()))?;
         let mut reason = "the settings name no keeper".to_owned();
-        for keeper in &self.keepers {
+        for keeper in self.keepers.hosts() {
             let ask = PeerQuestion::Operator(bytes.clone().into());
-            match self.hub.call(keeper, ask, 0, KEEPER_PATIENCE).await {
+            match self.hub.call(&keeper, ask, 0, KEEPER_PATIENCE).await {
                 Ok(PeerAnswer::Operator(answer)) => {
                     return serde_json::from_slice(&answer.0)
                         .map_err(|error| OperatorProblem::unavailable(error.to_string()));
@@ -395,7 +395,7 @@
 pub(super) fn in_force_now(context: &OperatorContext) -> Response<ResponseBody> {
     let now = context.entry.clock.now();
     let heard = context.node.feed().in_force();
-    let mut hosts: Vec<HostName> = context.node.hub().hosts().cloned().collect();
+    let mut hosts: Vec<HostName> = context.node.hub().hosts();
     hosts.push(context.entry.host.clone());
     hosts.sort();
     let daemons = hosts.into_iter().map(|host| {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -6,6 +6,7 @@
 
 mod backoff;
 mod calls;
+mod discovery;
 mod error;
 mod frame;
 mod hub;
@@ -18,6 +19,7 @@
 mod transport;
 
 pub use calls::{CallError, CallNumber};
+pub use discovery::{DiscoveryStart, PeerDiscovery};
 pub use error::{HelloRefusal, LinkError};
 pub use frame::{
     ConfigurationContent, ConfigurationFrame, FrameBytes, FrameError, HeartbeatNumber,
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -7,6 +7,7 @@
 use pollendrift_coordination::agreement::{AgreementEnvelope, KeeperId};
 use pollendrift_coordination::base::{HostName, Incarnation, RequestId, Revision, ServerName};
 use pollendrift_coordination::configuration::ConfigurationDelta;
+use pollendrift_coordination::hosts::{HostNote, HostReach};
 use pollendrift_coordination::leases::LeaseDelta;
 use pollendrift_coordination::streams::StreamNote;
 use pollendrift_store::JoinedGroup;
@@ -17,7 +18,7 @@
 use super::error::HelloRefusal;
 
 /// Version of the frames. Peers of another version are refused, never guessed at.
-pub const PEER_PROTOCOL: u32 = 2;
+pub const PEER_PROTOCOL: u32 = 3;
 
 /// Deepest nesting of a frame; the deepest that is sent has about ten levels.
 const FRAME_DEPTH: usize = 32;
@@ -85,6 +86,8 @@
     pub host: HostName,
     /// Life of its process.
     pub process: Incarnation,
+    /// Where it takes links, where hosts find each other.
+    pub reach: Option<HostReach>,
 }
 
 /// What one process asks of another; the answer carries the same number.
@@ -231,6 +234,8 @@
     },
     /// Configurations.
     Configuration(ConfigurationFrame),
+    /// Keepers that the sender knows of.
+    Hosts(Vec<HostNote>),
     /// Tokens that go to a caller of the sender.
     Stream(StreamNote),
     /// Leases of backend servers that changed or were renewed.
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -2,17 +2,18 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
 use pollendrift_coordination::base::{HostName, Incarnation};
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::timeout;
 
 use super::calls::{CallError, CallNumber, CallTable};
+use super::discovery::PeerDiscovery;
 use super::frame::{
     PEER_PROTOCOL, PeerAnswer, PeerCall, PeerFrame, PeerHello, PeerQuestion, encode_frame,
 };
@@ -30,6 +31,8 @@
     pub host: HostName,
     /// Life of the process.
     pub process: Incarnation,
+    /// How peers are found where no list names them; `None` with a list, to which nobody is added.
+    pub discovery: Option<Arc<PeerDiscovery>>,
 }
 
 /// Where a peer listens.
@@ -61,6 +64,8 @@
     replies: Mutex<Option<Arc<FrameQueue>>>,
     notes: Mutex<LinkNotes>,
     up: watch::Sender<bool>,
+    /// Task that keeps the outbound link.
+    task: Mutex<Option<AbortHandle>>,
 }
 
 #[derive(Default)]
@@ -71,6 +76,25 @@
 }
 
 impl PeerSlot {
+    fn new(peer: PeerAddress, settings: &LinkSettings) -> Self {
+        Self {
+            queue: FrameQueue::new(settings),
+            replies: Mutex::default(),
+            notes: Mutex::default(),
+            up: watch::Sender::new(false),
+            task: Mutex::default(),
+            peer,
+        }
+    }
+
+    fn end(&self) {
+        let task = self.task.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(task) = task.as_ref() {
+            task.abort();
+        }
+        self.note_down("the peer was taken out".to_owned());
+    }
+
     fn notes(&self) -> MutexGuard<'_, LinkNotes> {
         self.notes.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -135,7 +159,7 @@
     pub(super) dialer: Box<dyn PeerDialer>,
     pub(super) handler: Arc<dyn PeerHandler>,
     pub(super) handshakes: Semaphore,
-    slots: BTreeMap<HostName, Arc<PeerSlot>>,
+    slots: RwLock<BTreeMap<HostName, Arc<PeerSlot>>>,
     pub(super) calls: CallTable,
 }
 
@@ -159,36 +183,22 @@
     dialer: Box<dyn PeerDialer>,
     handler: Arc<dyn PeerHandler>,
 ) -> PeerTasks {
-    let mut slots = BTreeMap::new();
-    for peer in peers {
-        if peer.host == node.host {
-            continue;
-        }
-        let slot = PeerSlot {
-            queue: FrameQueue::new(&settings),
-            replies: Mutex::default(),
-            notes: Mutex::default(),
-            up: watch::Sender::new(false),
-            peer,
-        };
-        slots.insert(slot.peer.host.clone(), Arc::new(slot));
-    }
     let shared = HubShared {
         node,
         dialer,
         handler,
         handshakes: Semaphore::new(settings.handshakes),
         calls: CallTable::new(settings.open_calls),
-        slots,
+        slots: RwLock::default(),
         settings,
     };
     let hub = PeerHub {
         shared: Arc::new(shared),
     };
-    let mut tasks = JoinSet::new();
-    for slot in hub.shared.slots.values() {
-        tasks.spawn(keep_link(hub.clone(), slot.clone()));
+    for peer in peers {
+        hub.add_peer(peer);
     }
+    let tasks = JoinSet::new();
     PeerTasks { hub, tasks }
 }
 
@@ -204,6 +214,21 @@
         self.tasks
             .spawn(accept_streams(self.hub.clone(), listener, acceptor));
     }
+
+    /// Finds peers from now on, where the node has a discovery.
+    pub fn discover(&mut self) {
+        if let Some(discovery) = self.hub.discovery().cloned() {
+            self.tasks.spawn(discovery.run(self.hub.clone()));
+        }
+    }
+}
+
+impl Drop for PeerTasks {
+    fn drop(&mut self) {
+        for slot in self.hub.slots().values() {
+            slot.end();
+        }
+    }
 }
 
 impl PeerHub {
@@ -213,9 +238,51 @@
         &self.shared.node.host
     }
 
-    /// Hosts of all peers.
-    pub fn hosts(&self) -> impl Iterator<Item = &HostName> {
-        self.shared.slots.keys()
+    /// Hosts of all peers, by name.
+    #[must_use]
+    pub fn hosts(&self) -> Vec<HostName> {
+        self.slots().keys().cloned().collect()
+    }
+
+    /// How peers are found; `None` where the settings list them.
+    #[must_use]
+    pub fn discovery(&self) -> Option<&Arc<PeerDiscovery>> {
+        self.shared.node.discovery.as_ref()
+    }
+
+    /// Keeps a link to `peer` from now on; one that is reached elsewhere than before gets a new
+    /// link.
+    pub(super) fn add_peer(&self, peer: PeerAddress) {
+        if peer.host == self.shared.node.host {
+            return;
+        }
+        let mut slots = self
+            .shared
+            .slots
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(slot) = slots.get(&peer.host) {
+            if slot.peer == peer {
+                return;
+            }
+            slot.end();
+        }
+        let slot = Arc::new(PeerSlot::new(peer, &self.shared.settings));
+        let task = tokio::spawn(keep_link(self.clone(), Arc::clone(&slot)));
+        *slot.task.lock().unwrap_or_else(PoisonError::into_inner) = Some(task.abort_handle());
+        slots.insert(slot.peer.host.clone(), slot);
+    }
+
+    /// Ends the link to a peer that is gone for good.
+    pub(super) fn remove_peer(&self, host: &HostName) {
+        let mut slots = self
+            .shared
+            .slots
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(slot) = slots.remove(host) {
+            slot.end();
+        }
     }
 
     /// Queues a frame; never waits.
@@ -296,8 +363,7 @@
     /// Every peer as this process sees it, by name.
     #[must_use]
     pub fn status(&self) -> Vec<PeerStatus> {
-        let slots = self.shared.slots.values();
-        slots.map(|slot| slot.status()).collect()
+        self.slots().values().map(|slot| slot.status()).collect()
     }
 
     fn encode(&self, frame: &PeerFrame) -> Result<Bytes, SendRefusal> {
@@ -307,8 +373,15 @@
         })
     }
 
-    pub(super) fn slot(&self, host: &HostName) -> Option<&Arc<PeerSlot>> {
-        self.shared.slots.get(host)
+    pub(super) fn slot(&self, host: &HostName) -> Option<Arc<PeerSlot>> {
+        self.slots().get(host).cloned()
+    }
+
+    fn slots(&self) -> RwLockReadGuard<'_, BTreeMap<HostName, Arc<PeerSlot>>> {
+        self.shared
+            .slots
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(super) fn hello(&self) -> PeerFrame {
@@ -316,6 +389,7 @@
             protocol: PEER_PROTOCOL,
             host: self.shared.node.host.clone(),
             process: self.shared.node.process,
+            reach: self.discovery().map(|discovery| discovery.own_reach()),
         })
     }
 }
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -118,6 +118,9 @@
         });
     }
     let host = hello.host.clone();
+    if let (Some(discovery), Some(reach)) = (hub.discovery(), hello.reach) {
+        discovery.greet(hub, &host, reach);
+    }
     if hub.slot(&host).is_none() {
         return Err(HelloRefusal::UnknownHost { host });
     }
@@ -128,7 +131,7 @@
 }
 
 async fn run_link(hub: &PeerHub, mut link: GreetedLink) -> LinkError {
-    let Some(slot) = hub.slot(&link.host).cloned() else {
+    let Some(slot) = hub.slot(&link.host) else {
         return LinkError::Closed;
     };
     let replies = Arc::new(FrameQueue::new(&hub.shared.settings));
@@ -174,6 +177,11 @@
                 what: "frame of the handshake",
             });
         }
+        PeerFrame::Hosts(notes) => {
+            if let Some(discovery) = hub.discovery() {
+                discovery.take(hub, &notes);
+            }
+        }
         frame => hub.shared.handler.handle(hub, &link.host, frame),
     }
     Ok(())
--- a/crates/daemon/src/peers/outbound.rs
+++ b/crates/daemon/src/peers/outbound.rs
@@ -1,13 +1,15 @@
 //! The link that this process opens to one peer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use pollendrift_coordination::base::HostName;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 use tokio_tungstenite::client_async_with_config;
 
 use super::backoff::RetryBackoff;
 use super::error::LinkError;
-use super::frame::{HeartbeatNumber, PeerFrame};
+use super::frame::{HeartbeatNumber, PeerFrame, PeerHello};
 use super::hub::{PeerHub, PeerSlot};
 use super::socket::{FrameReceiver, FrameSender, in_time, socket_config, split_socket};
 
@@ -64,19 +66,48 @@
     hub: &PeerHub,
     slot: &PeerSlot,
 ) -> Result<(FrameSender, FrameReceiver), LinkError> {
+    let (hello, sender, receiver) = exchange_hello(hub, &slot.peer.host, slot.peer.address).await?;
+    if hello.host != slot.peer.host {
+        return Err(LinkError::WrongHost {
+            found: hello.host,
+            expected: slot.peer.host.clone(),
+        });
+    }
+    if let (Some(discovery), Some(reach)) = (hub.discovery(), hello.reach) {
+        discovery.greet(hub, &hello.host, reach);
+    }
+    Ok((sender, receiver))
+}
+
+/// Asks whoever listens at `address` who it is; the link ends at once.
+pub(super) async fn ask_name(
+    hub: &PeerHub,
+    expected: &HostName,
+    address: SocketAddr,
+) -> Result<PeerHello, LinkError> {
+    let asking = exchange_hello(hub, expected, address);
+    let (hello, _, _) = timeout(hub.shared.settings.handshake_timeout, asking)
+        .await
+        .map_err(|_| LinkError::Timeout {
+            step: "the handshake",
+        })??;
+    Ok(hello)
+}
+
+async fn exchange_hello(
+    hub: &PeerHub,
+    expected: &HostName,
+    address: SocketAddr,
+) -> Result<(PeerHello, FrameSender, FrameReceiver), LinkError> {
     let settings = &hub.shared.settings;
-    let dialing = hub.shared.dialer.dial(&slot.peer.host, slot.peer.address);
+    let dialing = hub.shared.dialer.dial(expected, address);
     let stream = dialing.await.map_err(LinkError::Dial)?;
     let handshake = client_async_with_config(HANDSHAKE_URL, stream, Some(socket_config(settings)));
     let (socket, _) = in_time("the handshake", settings.handshake_timeout, handshake).await?;
     let (mut sender, mut receiver) = split_socket(socket, settings);
     sender.send(&hub.hello()).await?;
     match receiver.receive().await? {
-        PeerFrame::Hello(hello) if hello.host == slot.peer.host => Ok((sender, receiver)),
-        PeerFrame::Hello(hello) => Err(LinkError::WrongHost {
-            found: hello.host,
-            expected: slot.peer.host.clone(),
-        }),
+        PeerFrame::Hello(hello) => Ok((hello, sender, receiver)),
         PeerFrame::Refusal(refusal) => Err(LinkError::Refused { refusal }),
         _ => Err(LinkError::Unexpected {
             what: "first frame is no hello",
--- a/crates/daemon/src/placement.rs
+++ b/crates/daemon/src/placement.rs
@@ -23,7 +23,7 @@
 use crate::settings::PlacementSettings;
 
 use order::send_order;
-use right::RightKeeper;
+pub(crate) use right::RightKeeper;
 use wanted::{EngineSpans, WantedPlacement};
 
 /// Time between two ticks.
--- a/crates/daemon/src/placement/right.rs
+++ b/crates/daemon/src/placement/right.rs
@@ -19,14 +19,14 @@
 const RENEW_PARTS: u32 = 3;
 
 /// Asks for the right when it is time to.
-pub(super) struct RightKeeper {
+pub(crate) struct RightKeeper {
     host: HostName,
     lease: Duration,
     ask_at: MonotonicTime,
 }
 
 impl RightKeeper {
-    pub(super) fn new(host: HostName, lease: Duration) -> Self {
+    pub(crate) fn new(host: HostName, lease: Duration) -> Self {
         Self {
             host,
             lease,
@@ -36,7 +36,7 @@
 
     /// The right, if it was granted or renewed just now. Its end is counted from before the
     /// request was sent, so this host stops before the keepers let another one have it.
-    pub(super) async fn keep(
+    pub(crate) async fn keep(
         &mut self,
         agreed: &dyn AgreedState,
         clock: &dyn TimeSource,
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -8,6 +8,7 @@
 use pollendrift_http::{HandlerFuture, HttpHandler, ResponseBody, json_response, text_response};
 
 use crate::entry::EntryContext;
+use crate::relay::RelayContext;
 
 /// Gives one part of the dump; no part may hold a secret.
 pub trait DumpSource: Send + Sync {
@@ -21,6 +22,8 @@
 pub struct PlatformHandler {
     /// Whether this host takes new work.
     pub entry: Arc<EntryContext>,
+    /// Whether this host takes relayed work, where it does.
+    pub(crate) relay: Option<Arc<RelayContext>>,
     /// Parts of the dump, in alphabetical order of their names.
     pub sources: Vec<Arc<dyn DumpSource>>,
     /// Metrics in the usual text format.
@@ -46,9 +49,15 @@
         if request.method() != Method::GET {
             return text_response(StatusCode::METHOD_NOT_ALLOWED, "only GET is served\n");
         }
-        match request.uri().path() {
+        let path = request.uri().path();
+        if let Some(relay) = &self.relay
+            && path == relay.dialect().callers.readiness_path()
+        {
+            return readiness(relay.unready_reason());
+        }
+        match path {
             "/healthz" => text_response(StatusCode::OK, "alive\n"),
-            "/readyz" => self.readiness(),
+            "/readyz" => readiness(self.entry.unready_reason()),
             "/metrics" => text_response(StatusCode::OK, self.metrics.metrics_text()),
             "/dump" => json_response(StatusCode::OK, &self.dump()),
             _ => text_response(
@@ -58,16 +67,6 @@
         }
     }
 
-    fn readiness(&self) -> Response<ResponseBody> {
-        match self.entry.unready_reason() {
-            None => text_response(StatusCode::OK, "ready\n"),
-            Some(reason) => text_response(
-                StatusCode::SERVICE_UNAVAILABLE,
-                format!("not ready: {reason}\n"),
-            ),
-        }
-    }
-
     fn dump(&self) -> serde_json::Map<String, serde_json::Value> {
         self.sources
             .iter()
@@ -76,6 +75,16 @@
     }
 }
 
+fn readiness(gap: Option<String>) -> Response<ResponseBody> {
+    match gap {
+        None => text_response(StatusCode::OK, "ready\n"),
+        Some(reason) => text_response(
+            StatusCode::SERVICE_UNAVAILABLE,
+            format!("not ready: {reason}\n"),
+        ),
+    }
+}
+
 impl HttpHandler for PlatformHandler {
     fn handle(self: Arc<Self>, request: Request<Incoming>, _peer: SocketAddr) -> HandlerFuture {
         Box::pin(async move { self.answer(&request) })
--- /dev/null
+++ b/crates/daemon/src/relay.rs
@@ -0,0 +1,165 @@
+//! Serving by published routes, for servers that run their pipelines themselves.
+//!
+//! Callers, operators and backend servers speak a platform's dialect, which an adapter decodes. The
+//! decisions are made here and in `coordination`: which route and customer, which server or chain
+//! of engines, whether a failed send is followed by another, and what a caller is told.
+
+mod answer;
+mod calls;
+mod chains;
+mod context;
+mod control;
+mod drafts;
+mod placer;
+mod publish;
+mod request;
+mod routes;
+mod stream;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::request::Parts;
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use pollendrift_coordination::routes::{RouteKind, TableError};
+use pollendrift_dialect::{CallerRequest, RefusalKind};
+use pollendrift_http::{
+    HandlerFuture, HttpHandler, ReadFailure, ResponseBody, full_body, read_bounded, read_within,
+};
+
+use crate::lifecycle::LifeStep;
+
+pub(crate) use chains::run_chains;
+pub(crate) use context::{RelayContext, RelayParts};
+pub(crate) use control::ControlHandler;
+pub(crate) use placer::{PlacerParts, run_placer};
+pub(crate) use publish::Publisher;
+
+use request::{Refused, RelayRequest, refused};
+
+/// Time in which the body of a request must have come.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Advice to a caller whose request meets a host that is stopping.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+
+/// Handlers of all that speak the platform's dialect.
+#[derive(Clone, Debug)]
+pub struct RelayFaces {
+    /// Callers.
+    pub(crate) callers: Arc<RelayHandler>,
+    /// Operators and backend servers.
+    pub(crate) control: Arc<ControlHandler>,
+}
+
+/// Serves callers.
+#[derive(Debug)]
+pub(crate) struct RelayHandler {
+    context: Arc<RelayContext>,
+}
+
+impl RelayHandler {
+    /// A handler over `context`.
+    pub(crate) fn new(context: Arc<RelayContext>) -> Self {
+        Self { context }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let context = &self.context;
+        let (head, body) = request.into_parts();
+        let mut response = match context.dialect.callers.read(&head) {
+            Ok(call) => match serve(context, &call, head, body).await {
+                Ok(response) => response,
+                Err(refused) => context.refuse(&refused, Some(&call.attempt)),
+            },
+            Err(fault) => context.refuse(&refused(RefusalKind::Malformed, fault.reason), None),
+        };
+        if context.life.step() != LifeStep::Serving {
+            // The caller's next request should go to a host that stays.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+}
+
+impl HttpHandler for RelayHandler {
+    fn handle(self: Arc<Self>, request: Request<Incoming>, _peer: SocketAddr) -> HandlerFuture {
+        Box::pin(async move { self.answer(request).await })
+    }
+}
+
+async fn serve(
+    context: &Arc<RelayContext>,
+    call: &CallerRequest,
+    head: Parts,
+    body: Incoming,
+) -> Result<Response<ResponseBody>, Refused> {
+    let arrived = context.clock.now();
+    if context.life.step() == LifeStep::Closed {
+        let stopping = refused(RefusalKind::NotRun, "this host is stopping as planned");
+        return Err(stopping.retry_after(RETRY_ELSEWHERE));
+    }
+    let table = context.routes.current()?;
+    let route = table.route(&call.host, &call.path).map_err(table_refusal)?;
+    let customer = table
+        .customer(route, call.key.as_deref())
+        .map_err(table_refusal)?;
+    let service = table
+        .service(route, rand::random())
+        .ok_or_else(|| refused(RefusalKind::NotRun, "the route has no service"))?;
+    let limit = table.bounds().body_bytes;
+    let body = read_within(BODY_TIMEOUT, read_bounded(body, limit))
+        .await
+        .map_err(body_refusal)?;
+    let request = RelayRequest {
+        head,
+        body,
+        attempt: call.attempt.clone(),
+        route: Arc::clone(route),
+        service: Arc::clone(service),
+        customer: customer.map(|customer| customer.name.clone()),
+        draft: call.draft.clone(),
+        resume_after: call.resume_after,
+        arrived,
+        deadline: arrived.after(call.patience.unwrap_or(route.timeout).min(route.timeout)),
+    };
+    match route.kind {
+        RouteKind::Stream { .. } => drafts::serve(context, request).await,
+        RouteKind::Idempotent | RouteKind::NonIdempotent => calls::serve(context, &request).await,
+    }
+}
+
+fn table_refusal(error: TableError) -> Refused {
+    let kind = match error {
+        TableError::UnknownRoute => RefusalKind::UnknownRoute,
+        TableError::KeyMissing | TableError::KeyUnknown => RefusalKind::UnknownKey,
+    };
+    refused(kind, error.to_string())
+}
+
+fn body_refusal(failure: ReadFailure) -> Refused {
+    let kind = match failure {
+        ReadFailure::TooLarge { .. } => RefusalKind::BodyTooLarge,
+        ReadFailure::EndedEarly { .. }
+        | ReadFailure::TooSlow { .. }
+        | ReadFailure::Malformed { .. } => RefusalKind::Malformed,
+    };
+    refused(kind, failure.to_string())
+}
+
+impl RelayContext {
+    fn refuse(
+        &self,
+        refused: &Refused,
+        attempt: Option<&pollendrift_coordination::base::RequestId>,
+    ) -> Response<ResponseBody> {
+        let id = attempt.map_or("", |attempt| attempt.as_str());
+        log::info!(request = id, kind:% = refused.0.kind, reason = refused.0.reason.as_str(); "refused");
+        self.dialect
+            .callers
+            .refuse(&refused.0, attempt)
+            .map(full_body)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/answer.rs
@@ -0,0 +1,160 @@
+//! One send to a server, and what its answer proves.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, Response, header, response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use pollendrift_coordination::base::RequestId;
+use pollendrift_coordination::retries::SendOutcome;
+use pollendrift_dialect::AnswerHead;
+use pollendrift_http::{
+    ClientError, PooledAnswer, PooledConnection, ReadFailure, ResponseBody, full_body, read_bounded,
+};
+use tokio::time::timeout;
+
+use super::context::RelayContext;
+
+/// Largest answer that is held in memory.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Time in which the rest of an answer that says "not run" is read, so that its connection can be
+/// used again.
+const REST_TIMEOUT: Duration = Duration::from_millis(50);
+/// Headers that concern one connection; hyper writes its own.
+const CONNECTION_HEADERS: [HeaderName; 5] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+];
+
+/// A send that gave no answer that may be passed on.
+#[derive(Clone, Debug)]
+pub(super) struct FailedSend {
+    pub(super) outcome: SendOutcome,
+    pub(super) reason: String,
+    /// Server at fault, where the answer names another than the one that was asked.
+    pub(super) culprit: Option<SocketAddr>,
+}
+
+impl FailedSend {
+    pub(super) fn new(outcome: SendOutcome, reason: String) -> Self {
+        Self {
+            outcome,
+            reason,
+            culprit: None,
+        }
+    }
+}
+
+/// The head of an answer that is the server's own, to this request.
+pub(super) struct OpenAnswer {
+    pub(super) parts: response::Parts,
+    pub(super) body: Incoming,
+    pub(super) connection: PooledConnection,
+    pub(super) told: AnswerHead,
+}
+
+impl OpenAnswer {
+    /// Reads the whole body, and keeps the connection if nothing was wrong with it.
+    pub(super) async fn read(self) -> Result<Response<ResponseBody>, FailedSend> {
+        let bytes =
+            read_bounded(self.body, MAX_ANSWER_BYTES)
+                .await
+                .map_err(|failure: ReadFailure| {
+                    FailedSend::new(SendOutcome::IncompleteAnswer, failure.to_string())
+                })?;
+        self.connection.keep(&self.parts.headers);
+        let mut response = Response::new(full_body(bytes));
+        *response.status_mut() = self.parts.status;
+        *response.headers_mut() = passed_back(&self.parts.headers);
+        Ok(response)
+    }
+}
+
+/// Sends a request and reads the head of the answer, within `left`.
+///
+/// What is returned is the server's own answer to this very request. Anything else has spoiled its
+/// connection, which is closed: a late answer to another request would else meet the next one.
+pub(super) async fn send(
+    context: &RelayContext,
+    address: SocketAddr,
+    request: http::Request<Full<Bytes>>,
+    attempt: &RequestId,
+    left: Duration,
+) -> Result<OpenAnswer, FailedSend> {
+    let sending = context.pool.send(address, request);
+    let answer = match timeout(left, sending).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) => return Err(FailedSend::new(outcome_of(&error), error.to_string())),
+        Err(_) => {
+            let reason = "no answer in time".to_owned();
+            return Err(FailedSend::new(SendOutcome::TimedOut, reason));
+        }
+    };
+    judge(context, answer, attempt).await
+}
+
+fn outcome_of(error: &ClientError) -> SendOutcome {
+    match error {
+        ClientError::NotSent { .. } => SendOutcome::NotConnected,
+        ClientError::NoAnswer { .. } | ClientError::BadAnswer { .. } => SendOutcome::ResetAfterSend,
+    }
+}
+
+async fn judge(
+    context: &RelayContext,
+    answer: PooledAnswer,
+    attempt: &RequestId,
+) -> Result<OpenAnswer, FailedSend> {
+    let (parts, body) = answer.response.into_parts();
+    let told = context.dialect.servers.read(&parts);
+    let is_foreign = told.attempt.as_ref().is_some_and(|id| id != attempt);
+    if is_foreign {
+        let reason = "the answer belongs to another request".to_owned();
+        return Err(FailedSend::new(SendOutcome::ResetAfterSend, reason));
+    }
+    if told.not_run || told.wrong_server {
+        let failed = FailedSend {
+            outcome: SendOutcome::Declined,
+            reason: format!("the server answered {} and did not run it", parts.status),
+            culprit: told.culprit,
+        };
+        keep_after_refusal(&parts.headers, body, answer.connection).await;
+        return Err(failed);
+    }
+    let is_own = told.signed && told.attempt.is_some() && !told.encoded;
+    if !is_own {
+        let reason = format!("the answer {} is not signed by the server", parts.status);
+        return Err(FailedSend::new(SendOutcome::ErrorStatus, reason));
+    }
+    Ok(OpenAnswer {
+        parts,
+        body,
+        connection: answer.connection,
+        told,
+    })
+}
+
+async fn keep_after_refusal(headers: &HeaderMap, body: Incoming, connection: PooledConnection) {
+    let read = timeout(REST_TIMEOUT, read_bounded(body, MAX_ANSWER_BYTES)).await;
+    if matches!(read, Ok(Ok(_))) {
+        connection.keep(headers);
+    }
+}
+
+/// Headers of an answer as the caller gets them.
+pub(super) fn passed_back(from: &HeaderMap) -> HeaderMap {
+    let mut own = HeaderMap::with_capacity(from.len());
+    for (name, value) in from {
+        let concerns_connection =
+            CONNECTION_HEADERS.contains(name) || name.as_str() == "keep-alive";
+        if !concerns_connection {
+            own.append(name.clone(), value.clone());
+        }
+    }
+    own
+}
--- /dev/null
+++ b/crates/daemon/src/relay/chains.rs
@@ -0,0 +1,326 @@
+//! Chains of engines that run a draft: what the planner knows of them, and which one is taken.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pollendrift_coordination::base::{
+    DataCentreName, Incarnation, ModelName, MonotonicTime, SequenceNumber, ServerName,
+};
+use pollendrift_coordination::leases::WorkerLayers;
+use pollendrift_coordination::retries::SlowStartSettings;
+use pollendrift_coordination::routes::{EngineSpec, RouteTable, ServiceSpec};
+use pollendrift_coordination::routing::{
+    ByteRate, EngineAnnouncement, EngineRecord, EngineRole, FleetPlanner, FlightKey, LinkFigures,
+    NoRoute, RoutePlan, RoutePlanner, RoutePriority, RouteQuery, RoutingSettings, TokenCount,
+    TokenRate, WorkloadMix,
+};
+use pollendrift_dialect::StageHop;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::context::RelayContext;
+use super::request::RelayRequest;
+use crate::fleet::WorkerView;
+
+/// Time between two looks at the fleet. A server that leaves is asked about right before each send
+/// as well, so this only bounds how soon a new one is used.
+const CHAIN_TICK: Duration = Duration::from_millis(100);
+/// Requests that write at the same time on a busy engine, for its rate: about what a data centre's
+/// share of the usual load keeps running.
+const BUSY_BATCH: f64 = 16.0;
+/// Bytes a second in one megabit a second.
+const MEGABIT: f64 = 125_000.0;
+
+/// A chain that was taken, and counts as running until it is ended.
+#[derive(Clone, Debug)]
+pub(super) struct TakenChain {
+    pub(super) plan: RoutePlan,
+    pub(super) flight: FlightKey,
+    pub(super) hops: Vec<StageHop>,
+    /// Server of the first stage, which takes the request.
+    pub(super) first: ServerName,
+}
+
+impl TakenChain {
+    /// Server of the stage at `address`.
+    pub(super) fn server_at(&self, address: SocketAddr) -> Option<&ServerName> {
+        let stages = self.plan.stages.iter().zip(&self.hops);
+        let mut found = stages.filter(|(_, hop)| hop.address == address);
+        found.next().map(|(stage, _)| &stage.server)
+    }
+}
+
+/// What the planner was told of an engine.
+#[derive(Clone, Debug, PartialEq)]
+struct KnownEngine {
+    incarnation: Incarnation,
+    layers: WorkerLayers,
+    address: SocketAddr,
+}
+
+/// Engines that hold layers, and the planner over them.
+pub(super) struct ChainTable {
+    planner: FleetPlanner,
+    known: BTreeMap<ServerName, KnownEngine>,
+    data_centre: DataCentreName,
+    /// Specifications that the planner's figures were made from.
+    version: Option<u64>,
+    sequence: u64,
+}
+
+impl ChainTable {
+    /// A table of a host in `data_centre` that knows no engine.
+    pub(super) fn new(data_centre: DataCentreName, seed: u64) -> Self {
+        Self {
+            planner: FleetPlanner::new(routing_settings(), seed),
+            known: BTreeMap::new(),
+            data_centre,
+            version: None,
+            sequence: 0,
+        }
+    }
+
+    /// Brings the planner in line with what engines announced and operators published.
+    pub(super) fn follow(
+        &mut self,
+        now: MonotonicTime,
+        table: &RouteTable,
+        workers: &[Arc<WorkerView>],
+    ) {
+        if self.version != Some(table.version().0) {
+            self.version = Some(table.version().0);
+            self.known.clear();
+            self.set_links(table, workers);
+        }
+        let mut held = BTreeSet::new();
+        for worker in workers {
+            if self.follow_one(now, table, worker) {
+                held.insert(worker.server.clone());
+            }
+        }
+        let gone: Vec<ServerName> = self
+            .known
+            .keys()
+            .filter(|server| !held.contains(*server))
+            .cloned()
+            .collect();
+        for server in gone {
+            self.known.remove(&server);
+            self.planner.remove(&server);
+        }
+        self.planner.tick(now);
+    }
+
+    /// Tells the planner of one engine where it changed; false if it holds nothing to run.
+    fn follow_one(&mut self, now: MonotonicTime, table: &RouteTable, worker: &WorkerView) -> bool {
+        let Some(layers) = &worker.offer.layers else {
+            return false;
+        };
+        let spec = table.service_named(&worker.offer.service);
+        let Some(spec) = spec.and_then(|service| service.engine.as_ref()) else {
+            return false;
+        };
+        let known = KnownEngine {
+            incarnation: worker.incarnation,
+            layers: layers.clone(),
+            address: worker.address,
+        };
+        if self.known.get(&worker.server) == Some(&known) {
+            return true;
+        }
+        self.sequence += 1;
+        let sequence = SequenceNumber(self.sequence);
+        let Some(announcement) = describe(worker, layers, spec, sequence) else {
+            log::warn!(server:% = worker.server, kind = worker.offer.kind.as_str(); "engine of a kind that is not published");
+            return false;
+        };
+        // A life that is told anew must not look older than the one before it.
+        if let Err(findings) = self.planner.announce(now, announcement) {
+            log::warn!(server:% = worker.server, findings:% = findings; "engine not routed to");
+            return false;
+        }
+        self.known.insert(worker.server.clone(), known);
+        true
+    }
+
+    fn set_links(&mut self, table: &RouteTable, workers: &[Arc<WorkerView>]) {
+        let engines = table
+            .services()
+            .filter_map(|service| service.engine.as_ref());
+        let Some(rate) = engines.map(|spec| spec.pipe_mbps).reduce(f64::min) else {
+            return;
+        };
+        let centres: BTreeSet<&DataCentreName> = workers.iter().map(|w| &w.data_centre).collect();
+        let figures = LinkFigures {
+            rate: ByteRate((rate * MEGABIT) as u64),
+            latency: RoutingSettings::default().default_link.latency,
+        };
+        for one in &centres {
+            for other in centres.iter().filter(|other| *other != one) {
+                self.planner.set_link(one, other, figures);
+            }
+        }
+    }
+
+    /// Takes a chain for a request: one of this data centre, or any where this one has none.
+    ///
+    /// Crossing data centres costs 20 to 30 MB of activations for each request, and the pipe that
+    /// all share carries about 40 of those a second; so it is the last resort, not a choice by speed.
+    pub(super) fn take<F>(
+        &mut self,
+        now: MonotonicTime,
+        request: &RelayRequest,
+        excluded: &[ServerName],
+        may_take_work: F,
+    ) -> Result<TakenChain, NoRoute>
+    where
+        F: Fn(&ServerName) -> bool,
+    {
+        let near = self.data_centre.clone();
+        let is_near = |engine: &EngineRecord| {
+            engine.announcement.data_centre == near && may_take_work(&engine.announcement.server)
+        };
+        let is_any = |engine: &EngineRecord| may_take_work(&engine.announcement.server);
+        let model = pool_of(&request.service);
+        let draft = request.draft.as_ref();
+        let expected = draft.map_or(1, |draft| {
+            draft.expected_tokens.unwrap_or(draft.answer_tokens)
+        });
+        let mut query = RouteQuery {
+            model: &model,
+            version: None,
+            adapter: None,
+            allowed: &is_near,
+            excluded,
+            prompt_tokens: draft.map_or(0, |draft| draft.prompt_tokens),
+            expected_tokens: expected.max(1),
+            prefixes: &[],
+            deadline: None,
+            priority: RoutePriority::Normal,
+        };
+        let plan = match self.planner.choose(now, &query) {
+            Ok(plan) => plan,
+            Err(_) => {
+                query.allowed = &is_any;
+                self.planner.choose(now, &query)?
+            }
+        };
+        Ok(self.start(now, plan))
+    }
+
+    fn start(&mut self, now: MonotonicTime, plan: RoutePlan) -> TakenChain {
+        let flight = self.planner.started(now, &plan);
+        let hops = plan.stages.iter().filter_map(|stage| {
+            let known = self.known.get(&stage.server)?;
+            Some(StageHop {
+                address: known.address,
+                layers: stage.layers,
+            })
+        });
+        let hops: Vec<StageHop> = hops.collect();
+        let first = plan.stages.first().map(|stage| stage.server.clone());
+        TakenChain {
+            hops,
+            flight,
+            first: first.unwrap_or_else(|| ServerName::from("")),
+            plan,
+        }
+    }
+
+    /// The first event of a running chain came.
+    pub(super) fn first_event(&mut self, now: MonotonicTime, flight: FlightKey) {
+        self.planner.first_token(now, flight);
+    }
+
+    /// A chain ended well, or its caller went away.
+    pub(super) fn finished(&mut self, now: MonotonicTime, flight: FlightKey) {
+        self.planner.finished(now, flight);
+    }
+
+    /// A chain failed, by the fault of `culprit` where that is known.
+    pub(super) fn failed(
+        &mut self,
+        now: MonotonicTime,
+        flight: FlightKey,
+        culprit: Option<&ServerName>,
+    ) {
+        self.planner.failed(now, flight, culprit);
+    }
+}
+
+/// Engines of one service form one pool, whatever models they list.
+fn pool_of(service: &ServiceSpec) -> ModelName {
+    ModelName::from(service.name.as_str())
+}
+
+/// What the planner is told of an engine: its share of the layers at the pace of its kind.
+fn describe(
+    worker: &WorkerView,
+    layers: &WorkerLayers,
+    spec: &EngineSpec,
+    sequence: SequenceNumber,
+) -> Option<EngineAnnouncement> {
+    let kind = spec.kind(&worker.offer.kind)?;
+    let share = f64::from(layers.range.len()) / f64::from(spec.layers.max(1));
+    let floor = spec.step.as_secs_f64() * kind.step_pace * share;
+    let each = spec.step_per_request.as_secs_f64()
+        + spec.step_per_context.as_secs_f64() * f64::from(spec.usual_prompt) / 1_000.0;
+    let busy_step = floor + each * BUSY_BATCH * kind.step_pace * share;
+    Some(EngineAnnouncement {
+        server: worker.server.clone(),
+        incarnation: worker.incarnation,
+        sequence,
+        kind: kind.name.as_ref().into(),
+        data_centre: worker.data_centre.clone(),
+        model: ModelName::from(worker.offer.service.as_str()),
+        version: layers.version.clone(),
+        model_layers: spec.layers,
+        layers: layers.range,
+        adapters: Vec::new(),
+        role: EngineRole::Both,
+        kv_capacity: TokenCount(spec.kv_tokens(kind, layers.range.len()).max(1)),
+        prefill_rate: rate(spec.read_per_second / kind.read_pace / share),
+        decode_rate: rate(BUSY_BATCH / busy_step),
+        step_floor: Duration::try_from_secs_f64(floor).ok()?,
+        link_rate: ByteRate((spec.link_mbps * MEGABIT) as u64),
+        activation_bytes: spec.activation_bytes as u32,
+        kv_bytes: (spec.kv_bytes * share) as u32,
+    })
+}
+
+fn rate(per_second: f64) -> TokenRate {
+    TokenRate((per_second as u32).max(1))
+}
+
+fn routing_settings() -> RoutingSettings {
+    RoutingSettings {
+        workload: WorkloadMix {
+            prompt_tokens: 760,
+            output_tokens: 172,
+            ..WorkloadMix::default()
+        },
+        // Engines are as fast after a load as ever.
+        slow_start: SlowStartSettings {
+            window: Duration::ZERO,
+            first_percent: 100,
+        },
+        ..RoutingSettings::default()
+    }
+}
+
+/// Keeps the chains current for as long as the process lives.
+pub(crate) async fn run_chains(context: Arc<RelayContext>) {
+    let mut ticks = interval(CHAIN_TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = context.clock.now();
+        context.loads().tick(now);
+        let Ok(table) = context.routes.current() else {
+            continue;
+        };
+        let workers = context.fleet.workers(now);
+        context.chains().follow(now, &table, &workers);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/context.rs
@@ -0,0 +1,135 @@
+//! What every relayed request needs, passed in rather than global.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use pollendrift_coordination::base::{DataCentreName, MonotonicTime, ServiceName};
+use pollendrift_coordination::retries::{BudgetTable, OutlierSettings, RetrySettings};
+use pollendrift_coordination::routing::ServerLoads;
+use pollendrift_dialect::PlatformDialect;
+use pollendrift_http::{ConnectionPool, PoolSettings};
+
+use super::chains::ChainTable;
+use super::routes::RouteFeed;
+use crate::agreed::AgreedState;
+use crate::clock::TimeSource;
+use crate::fleet::BackendFleet;
+use crate::lifecycle::{LifeStep, LifeWatch};
+use crate::settings::RelaySettings;
+
+/// Hosts that are taken to share the retry budget. A host does not know how many take requests;
+/// with more than these the bound is kept by what each of them leaves unused.
+const BUDGET_HOSTS: f64 = 16.0;
+/// Part of the earned budget that is used, since windows of the bound slide over those used here.
+const BUDGET_PART: f64 = 0.8;
+
+/// What the relay is built from.
+pub(crate) struct RelayParts {
+    pub(crate) dialect: PlatformDialect,
+    pub(crate) settings: RelaySettings,
+    pub(crate) data_centre: DataCentreName,
+    pub(crate) agreed: Arc<dyn AgreedState>,
+    pub(crate) fleet: Arc<BackendFleet>,
+    pub(crate) clock: Arc<dyn TimeSource>,
+    pub(crate) life: LifeWatch,
+    pub(crate) seed: u64,
+}
+
+/// What handlers of relayed requests share.
+pub(crate) struct RelayContext {
+    pub(super) dialect: PlatformDialect,
+    pub(super) data_centre: DataCentreName,
+    pub(super) routes: RouteFeed,
+    pub(super) fleet: Arc<BackendFleet>,
+    pub(super) pool: ConnectionPool,
+    pub(super) clock: Arc<dyn TimeSource>,
+    pub(super) life: LifeWatch,
+    loads: Mutex<ServerLoads>,
+    chains: Mutex<ChainTable>,
+    budgets: Mutex<BudgetTable<ServiceName>>,
+}
+
+impl std::fmt::Debug for RelayContext {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("RelayContext")
+            .field("data_centre", &self.data_centre)
+            .finish_non_exhaustive()
+    }
+}
+
+impl RelayContext {
+    /// A context without requests.
+    pub(crate) fn new(parts: RelayParts) -> Self {
+        let operators = Arc::clone(&parts.dialect.operators);
+        Self {
+            routes: RouteFeed::new(Arc::clone(&parts.agreed), operators),
+            dialect: parts.dialect,
+            fleet: parts.fleet,
+            pool: ConnectionPool::new(PoolSettings::default()),
+            clock: parts.clock,
+            life: parts.life,
+            loads: Mutex::new(ServerLoads::new(outliers())),
+            chains: Mutex::new(ChainTable::new(parts.data_centre.clone(), parts.seed)),
+            budgets: Mutex::new(BudgetTable::new(budget_settings(&parts.settings))),
+            data_centre: parts.data_centre,
+        }
+    }
+
+    /// How the platform speaks.
+    pub(crate) fn dialect(&self) -> &PlatformDialect {
+        &self.dialect
+    }
+
+    /// Why the balancer should send nothing here; `None` if it should.
+    pub(crate) fn unready_reason(&self) -> Option<String> {
+        if self.life.step() != LifeStep::Serving {
+            return Some("it is leaving for a planned stop".to_owned());
+        }
+        self.routes.gap()
+    }
+
+    /// Loads of plain servers.
+    pub(super) fn loads(&self) -> MutexGuard<'_, ServerLoads> {
+        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Chains of engines.
+    pub(super) fn chains(&self) -> MutexGuard<'_, ChainTable> {
+        self.chains.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A first send to a service earns a part of a retry.
+    pub(super) fn earn_retry(&self, now: MonotonicTime, service: &ServiceName) {
+        self.budgets().called(now, service);
+    }
+
+    /// Takes a retry at a service from the budget; false if there is none.
+    pub(super) fn take_retry(&self, now: MonotonicTime, service: &ServiceName) -> bool {
+        self.budgets().take(now, service)
+    }
+
+    fn budgets(&self) -> MutexGuard<'_, BudgetTable<ServiceName>> {
+        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn outliers() -> OutlierSettings {
+    OutlierSettings {
+        base_ejection: Duration::from_secs(2),
+        max_ejection: Duration::from_secs(10),
+        ..OutlierSettings::default()
+    }
+}
+
+fn budget_settings(settings: &RelaySettings) -> RetrySettings {
+    let slack = settings.retry_slack as f64 * BUDGET_PART / BUDGET_HOSTS;
+    // Half of the slack may be saved up, the other half comes back within one window: a window of
+    // the bound that holds both sees no more than the slack.
+    RetrySettings {
+        budget_ratio: settings.retry_ratio * BUDGET_PART,
+        budget_floor: slack / 2.0 / settings.retry_window.as_secs_f64(),
+        budget_burst: slack / 2.0,
+        ..RetrySettings::default()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/drafts.rs
@@ -0,0 +1,248 @@
+//! Drafts: a chain of engines, and its events to the caller as they come.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Response;
+use pollendrift_coordination::base::ServerName;
+use pollendrift_coordination::retries::SendOutcome;
+use pollendrift_coordination::streams::EventId;
+use pollendrift_dialect::RefusalKind;
+use pollendrift_http::{ResponseBody, channel_body};
+
+use super::answer::{FailedSend, OpenAnswer, passed_back, send};
+use super::chains::TakenChain;
+use super::context::RelayContext;
+use super::request::{Refused, RelayRequest, SendTarget, refused};
+use super::stream::{StreamRun, run_stream};
+
+/// Time that must be left for a send to be of use.
+const MIN_LEFT: Duration = Duration::from_millis(50);
+/// Advice to a caller for whom no chain has room: about the time of a draft that runs.
+const RETRY_FULL: Duration = Duration::from_millis(500);
+/// Events that wait for a caller that reads slowly.
+const EVENT_QUEUE: usize = 32;
+/// Sends that engines declined before a request is given up; each named another engine at fault.
+const MAX_DECLINED: u32 = 4;
+
+/// A draft on its way: what was tried, and what came of it.
+pub(super) struct DraftRun {
+    pub(super) context: Arc<RelayContext>,
+    pub(super) request: RelayRequest,
+    /// Engines that failed it.
+    pub(super) excluded: Vec<ServerName>,
+    /// Sends that an engine may have begun to run.
+    sends: u32,
+    declined: u32,
+    may_have_run: bool,
+    last: Option<FailedSend>,
+}
+
+/// A chain that answered.
+pub(super) struct RunningDraft {
+    pub(super) answer: OpenAnswer,
+    pub(super) chain: ChainGuard,
+}
+
+/// Serves one draft.
+pub(super) async fn serve(
+    context: &Arc<RelayContext>,
+    request: RelayRequest,
+) -> Result<Response<ResponseBody>, Refused> {
+    context.earn_retry(request.arrived, &request.service.name);
+    let resume_after = request.resume_after;
+    let mut run = DraftRun {
+        context: Arc::clone(context),
+        request,
+        excluded: Vec::new(),
+        sends: 0,
+        declined: 0,
+        may_have_run: false,
+        last: None,
+    };
+    let running = match run.open(resume_after).await {
+        Some(running) => running,
+        None => return Err(run.conclude()),
+    };
+    if !running.answer.parts.status.is_success() {
+        let read = running.answer.read().await;
+        return read.map_err(|failed| refused(RefusalKind::UnknownOutcome, failed.reason));
+    }
+    let (sender, body) = channel_body(EVENT_QUEUE);
+    let mut response = Response::new(body);
+    *response.status_mut() = running.answer.parts.status;
+    *response.headers_mut() = passed_back(&running.answer.parts.headers);
+    let stream = StreamRun::new(run, running, resume_after);
+    tokio::spawn(run_stream(stream, sender));
+    Ok(response)
+}
+
+impl DraftRun {
+    /// Sends the draft until a chain answers it; `None` once no further send is allowed.
+    pub(super) async fn open(&mut self, resume_after: Option<EventId>) -> Option<RunningDraft> {
+        loop {
+            let now = self.context.clock.now();
+            if self.request.left(now) < MIN_LEFT || self.is_over() {
+                return None;
+            }
+            let is_repeat = self.sends + self.declined > 0;
+            if is_repeat && !self.context.take_retry(now, &self.request.service.name) {
+                return None;
+            }
+            let chain = self.take_chain()?;
+            match self.send(&chain.chain, resume_after).await {
+                Ok(answer) => {
+                    self.sends += 1;
+                    self.may_have_run = true;
+                    let is_error = answer.parts.status.is_server_error();
+                    if !is_error || !self.may_repeat() {
+                        return Some(RunningDraft { answer, chain });
+                    }
+                    let culprit = chain.chain.first.clone();
+                    self.excluded.push(culprit.clone());
+                    chain.failed(Some(&culprit));
+                }
+                Err(failed) => {
+                    let culprit = self.blame(&chain.chain, &failed);
+                    chain.failed(culprit.as_ref());
+                    self.excluded.extend(culprit);
+                    self.note(failed);
+                }
+            }
+        }
+    }
+
+    fn take_chain(&self) -> Option<ChainGuard> {
+        let now = self.context.clock.now();
+        let fleet = &self.context.fleet;
+        let taken = self
+            .context
+            .chains()
+            .take(now, &self.request, &self.excluded, |server| {
+                fleet.may_take_work(now, server)
+            });
+        match taken {
+            Ok(chain) => Some(ChainGuard::new(&self.context, chain)),
+            Err(none) => {
+                log::info!(request = self.request.attempt.as_str(), reasons:% = none; "no chain");
+                None
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        chain: &TakenChain,
+        resume_after: Option<EventId>,
+    ) -> Result<OpenAnswer, FailedSend> {
+        let now = self.context.clock.now();
+        let Some(hop) = chain.hops.first() else {
+            let reason = "the chain is empty".to_owned();
+            return Err(FailedSend::new(SendOutcome::NotConnected, reason));
+        };
+        let target = SendTarget {
+            server: &chain.first,
+            stages: &chain.hops,
+            resume_after,
+        };
+        let written = self
+            .request
+            .write(now, self.context.dialect.servers.as_ref(), target);
+        let left = self.request.left(now);
+        send(
+            &self.context,
+            hop.address,
+            written,
+            &self.request.attempt,
+            left,
+        )
+        .await
+    }
+
+    /// The engine that a failed send is laid to.
+    fn blame(&self, chain: &TakenChain, failed: &FailedSend) -> Option<ServerName> {
+        let named = failed.culprit.and_then(|address| chain.server_at(address));
+        Some(named.unwrap_or(&chain.first).clone())
+    }
+
+    fn note(&mut self, failed: FailedSend) {
+        let proof = failed.outcome.proof();
+        if proof.is_not_run() {
+            self.declined += 1;
+        } else {
+            self.sends += 1;
+            self.may_have_run = true;
+        }
+        self.last = Some(failed);
+    }
+
+    /// Whether no further send is allowed.
+    fn is_over(&self) -> bool {
+        let may_go_on = !self.may_have_run || self.request.route.kind.may_repeat();
+        !may_go_on || self.sends >= self.request.route.max_attempts || self.declined >= MAX_DECLINED
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.request.route.kind.may_repeat() && self.sends < self.request.route.max_attempts
+    }
+
+    fn conclude(&self) -> Refused {
+        let reason = self.last.as_ref().map_or_else(
+            || "no chain of engines has room".to_owned(),
+            |failed| failed.reason.clone(),
+        );
+        if !self.may_have_run {
+            return refused(RefusalKind::NotRun, reason).retry_after(RETRY_FULL);
+        }
+        let is_late =
+            self.last.as_ref().map(|failed| failed.outcome) == Some(SendOutcome::TimedOut);
+        let kind = if is_late {
+            RefusalKind::TimedOut
+        } else {
+            RefusalKind::UnknownOutcome
+        };
+        refused(kind, reason)
+    }
+}
+
+/// A chain that counts as running until this is ended or dropped.
+pub(super) struct ChainGuard {
+    context: Arc<RelayContext>,
+    pub(super) chain: TakenChain,
+    ended: bool,
+}
+
+impl ChainGuard {
+    fn new(context: &Arc<RelayContext>, chain: TakenChain) -> Self {
+        Self {
+            context: Arc::clone(context),
+            chain,
+            ended: false,
+        }
+    }
+
+    /// The first event came.
+    pub(super) fn first_event(&self) {
+        let now = self.context.clock.now();
+        self.context.chains().first_event(now, self.chain.flight);
+    }
+
+    /// It failed, by the fault of `culprit` where that is known.
+    pub(super) fn failed(mut self, culprit: Option<&ServerName>) {
+        self.ended = true;
+        let now = self.context.clock.now();
+        self.context
+            .chains()
+            .failed(now, self.chain.flight, culprit);
+    }
+}
+
+impl Drop for ChainGuard {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let now = self.context.clock.now();
+        self.context.chains().finished(now, self.chain.flight);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/placer.rs
@@ -0,0 +1,316 @@
+//! Placement of layers on the engines of published services.
+//!
+//! Each data centre is placed by itself, so that it serves its own callers: a chain that crosses
+//! data centres costs more on the pipe between them than anything that it could save.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use pollendrift_coordination::base::{
+    DataCentreName, HostName, Incarnation, ModelName, MonotonicTime, SequenceNumber, ServerName,
+    ServiceName, VersionName,
+};
+use pollendrift_coordination::placement::{
+    EngineObservation, HeldWeights, LoadOrder, PlacementSettings, PlacementTable, PlacementTarget,
+    WeightsId,
+};
+use pollendrift_coordination::routes::{AcceleratorSpec, EngineSpec, RouteTable};
+use pollendrift_dialect::{OrderOutcome, PlaceOrder, ServerDialect};
+use pollendrift_http::{ConnectionPool, PoolSettings, read_bounded};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use super::context::RelayContext;
+use crate::agreed::AgreedState;
+use crate::fleet::WorkerView;
+use crate::placement::RightKeeper;
+
+/// Time between two ticks.
+const PLACE_TICK: Duration = Duration::from_millis(200);
+/// Longest wait for an engine's answer to an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest answer to an order or a question.
+const MAX_REPLY_BYTES: usize = 64 * 1024;
+/// Tokens of request memory that an engine keeps beside its layers. About 45 drafts of 932 tokens
+/// run at a time in a data centre; with less on one engine of its chain, engines begin to refuse or
+/// to preempt while others are idle.
+const KEPT_KV_TOKENS: u64 = 38_000;
+/// Version under which published layers are placed; engines name none before they hold some.
+const PLACED_VERSION: &str = "published";
+
+/// What the placer works with.
+pub(crate) struct PlacerParts {
+    pub(crate) host: HostName,
+    pub(crate) lease: Duration,
+    pub(crate) context: Arc<RelayContext>,
+    pub(crate) agreed: Arc<dyn AgreedState>,
+}
+
+/// Places layers for as long as the process lives.
+pub(crate) async fn run_placer(parts: PlacerParts) {
+    let mut placer = LayerPlacer::new(parts);
+    let mut ticks = interval(PLACE_TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        placer.tick().await;
+    }
+}
+
+/// A pool of engines that hold one model together.
+type PoolKey = (ServiceName, DataCentreName);
+
+struct LayerPlacer {
+    parts: PlacerParts,
+    right: RightKeeper,
+    pools: BTreeMap<PoolKey, EnginePool>,
+    orders: BTreeMap<ServerName, OrderCount>,
+    client: ConnectionPool,
+}
+
+struct EnginePool {
+    table: PlacementTable,
+    seen: BTreeSet<ServerName>,
+}
+
+/// Orders that an engine has taken in its present life.
+#[derive(Clone, Copy)]
+struct OrderCount {
+    incarnation: Incarnation,
+    /// `None` where it must be asked for.
+    taken: Option<SequenceNumber>,
+}
+
+impl LayerPlacer {
+    fn new(parts: PlacerParts) -> Self {
+        let right = RightKeeper::new(parts.host.clone(), parts.lease);
+        Self {
+            parts,
+            right,
+            pools: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            client: ConnectionPool::new(PoolSettings::default()),
+        }
+    }
+
+    async fn tick(&mut self) {
+        let context = Arc::clone(&self.parts.context);
+        let Ok(table) = context.routes.current() else {
+            return;
+        };
+        let workers = context.fleet.workers(context.clock.now());
+        self.look(&table, &workers);
+        let right = self
+            .right
+            .keep(self.parts.agreed.as_ref(), context.clock.as_ref())
+            .await;
+        let now = context.clock.now();
+        let mut orders = Vec::new();
+        for pool in self.pools.values_mut() {
+            if let Some(right) = right {
+                pool.table.grant(now, right);
+            }
+            orders.extend(pool.table.tick(now).orders);
+        }
+        for order in orders {
+            let worker = workers.iter().find(|worker| worker.server == order.server);
+            if let Some(worker) = worker {
+                self.send(worker, &order).await;
+            }
+        }
+    }
+
+    /// Takes what operators published and engines announced.
+    fn look(&mut self, table: &RouteTable, workers: &[Arc<WorkerView>]) {
+        let now = self.parts.context.clock.now();
+        let mut seen: BTreeMap<PoolKey, BTreeSet<ServerName>> = BTreeMap::new();
+        for worker in workers {
+            let service = table.service_named(&worker.offer.service);
+            let Some(spec) = service.and_then(|service| service.engine.as_ref()) else {
+                continue;
+            };
+            let Some(kind) = spec.kind(&worker.offer.kind) else {
+                continue;
+            };
+            let key = (worker.offer.service.clone(), worker.data_centre.clone());
+            let pool = self
+                .pools
+                .entry(key.clone())
+                .or_insert_with(|| EnginePool::new(&key.0, spec, now));
+            pool.table.observe(observe(worker, spec, kind));
+            seen.entry(key).or_default().insert(worker.server.clone());
+        }
+        for (key, pool) in &mut self.pools {
+            let here = seen.remove(key).unwrap_or_default();
+            for gone in pool.seen.difference(&here) {
+                pool.table.remove(gone);
+            }
+            pool.seen = here;
+        }
+    }
+
+    async fn send(&mut self, worker: &WorkerView, order: &LoadOrder) {
+        let Some(expected) = self.orders_taken(worker).await else {
+            return;
+        };
+        let place = PlaceOrder {
+            layers: order.load.layers,
+            fencing: order.fencing,
+            expected: Some(expected),
+        };
+        // Checked right before the order is written: a process that was paused since it decided
+        // would else order in place of its successor.
+        if self.parts.context.clock.now() >= order.valid_until {
+            return;
+        }
+        let dialect = Arc::clone(&self.parts.context.dialect.servers);
+        let request = dialect.write_order(&worker.server, &place);
+        let status = match self.call(worker, request).await {
+            Ok((status, _)) => status,
+            Err(reason) => {
+                self.forget_count(worker);
+                log::warn!(server:% = worker.server, layers:% = place.layers, reason = reason.as_str(); "order without an answer");
+                return;
+            }
+        };
+        let outcome = dialect.read_order(status);
+        match outcome {
+            OrderOutcome::Begun => self.set_count(worker, expected.next()),
+            OrderOutcome::Holds => {}
+            _ => self.forget_count(worker),
+        }
+        log::info!(server:% = worker.server, layers:% = place.layers, fencing:% = order.fencing, outcome:? = outcome; "engine ordered");
+    }
+
+    /// Orders that the engine has taken: none in a life that was seen from its start, else asked.
+    async fn orders_taken(&mut self, worker: &WorkerView) -> Option<SequenceNumber> {
+        let known = self.orders.get(&worker.server).copied();
+        let known = known.filter(|count| count.incarnation == worker.incarnation);
+        match known {
+            Some(OrderCount {
+                taken: Some(taken), ..
+            }) => return Some(taken),
+            // An engine that holds nothing has taken nothing, as far as anyone can tell; where it
+            // has, the order is refused and the count asked for.
+            None if worker.offer.layers.is_none() => return Some(SequenceNumber(0)),
+            _ => {}
+        }
+        let dialect: Arc<dyn ServerDialect> = Arc::clone(&self.parts.context.dialect.servers);
+        match self.call(worker, dialect.write_report()).await {
+            Ok((_, body)) => {
+                let report = dialect.read_report(&body)?;
+                self.set_count(worker, report.orders);
+                Some(report.orders)
+            }
+            Err(reason) => {
+                log::warn!(server:% = worker.server, reason = reason.as_str(); "engine does not tell its state");
+                None
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        worker: &WorkerView,
+        request: Request<Bytes>,
+    ) -> Result<(http::StatusCode, Bytes), String> {
+        let calling = async {
+            let request = request.map(Full::new);
+            let answer = self.client.send(worker.address, request).await;
+            let answer = answer.map_err(|error| error.to_string())?;
+            let (parts, body) = answer.response.into_parts();
+            let body = read_bounded(body, MAX_REPLY_BYTES).await;
+            let body = body.map_err(|error| error.to_string())?;
+            answer.connection.keep(&parts.headers);
+            Ok((parts.status, body))
+        };
+        timeout(ORDER_TIMEOUT, calling)
+            .await
+            .unwrap_or_else(|_| Err("no answer in time".to_owned()))
+    }
+
+    fn set_count(&mut self, worker: &WorkerView, taken: SequenceNumber) {
+        let count = OrderCount {
+            incarnation: worker.incarnation,
+            taken: Some(taken),
+        };
+        self.orders.insert(worker.server.clone(), count);
+    }
+
+    fn forget_count(&mut self, worker: &WorkerView) {
+        let count = OrderCount {
+            incarnation: worker.incarnation,
+            taken: None,
+        };
+        self.orders.insert(worker.server.clone(), count);
+    }
+}
+
+impl EnginePool {
+    fn new(service: &ServiceName, spec: &EngineSpec, now: MonotonicTime) -> Self {
+        let mut table = PlacementTable::new(placement_settings(spec), now);
+        table.set_targets(vec![PlacementTarget {
+            weights: weights_of(service),
+            layers: spec.layers,
+            share: 1,
+        }]);
+        Self {
+            table,
+            seen: BTreeSet::new(),
+        }
+    }
+}
+
+fn weights_of(service: &ServiceName) -> WeightsId {
+    WeightsId {
+        model: ModelName::from(service.as_str()),
+        version: VersionName::from(PLACED_VERSION),
+    }
+}
+
+fn observe(worker: &WorkerView, spec: &EngineSpec, kind: &AcceleratorSpec) -> EngineObservation {
+    let held = worker.offer.layers.as_ref().map(|layers| HeldWeights {
+        weights: weights_of(&worker.offer.service),
+        layers: layers.range,
+    });
+    EngineObservation {
+        server: worker.server.clone(),
+        max_layers: most_layers(spec, kind),
+        layer_rate: layer_rate(spec, kind),
+        checks_fencing: worker.checks_fencing,
+        held,
+        loading: None,
+    }
+}
+
+/// Most layers that leave [`KEPT_KV_TOKENS`] of request memory.
+fn most_layers(spec: &EngineSpec, kind: &AcceleratorSpec) -> u32 {
+    let fits = (kind.memory_mb / spec.layer_mb.max(1.0)) as u32;
+    let mut layers = fits.min(spec.layers);
+    while layers > 1 && spec.kv_tokens(kind, layers) < KEPT_KV_TOKENS {
+        layers -= 1;
+    }
+    layers
+}
+
+/// Steps a second over a single layer.
+fn layer_rate(spec: &EngineSpec, kind: &AcceleratorSpec) -> u32 {
+    let step = spec.step.as_secs_f64() * kind.step_pace / f64::from(spec.layers.max(1));
+    (1.0 / step.max(1e-9)) as u32
+}
+
+fn placement_settings(spec: &EngineSpec) -> PlacementSettings {
+    PlacementSettings {
+        // Two heartbeats of an engine: all that are there have announced themselves.
+        settle: Duration::from_millis(2_500),
+        unfenced_wait: Duration::ZERO,
+        max_loads: spec.loads_at_once.saturating_mul(2),
+        load_timeout: spec.load.max(Duration::from_secs(4)),
+        // Moves of engines in use cost loads while they even out rates only.
+        balance_interval: Duration::from_secs(3_600),
+        ..PlacementSettings::default()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/request.rs
@@ -0,0 +1,92 @@
+//! One request of a caller, as the relay works on it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http_body_util::Full;
+use pollendrift_coordination::base::{CustomerName, MonotonicTime, RequestId, ServerName};
+use pollendrift_coordination::routes::{Route, ServiceSpec};
+use pollendrift_coordination::streams::EventId;
+use pollendrift_dialect::{
+    DraftSize, RefusalKind, RelayRefusal, ServerDialect, ServerSend, StageHop,
+};
+
+/// A request that has a route.
+#[derive(Debug)]
+pub(super) struct RelayRequest {
+    pub(super) head: Parts,
+    pub(super) body: Bytes,
+    pub(super) attempt: RequestId,
+    pub(super) route: Arc<Route>,
+    pub(super) service: Arc<ServiceSpec>,
+    pub(super) customer: Option<CustomerName>,
+    pub(super) draft: Option<DraftSize>,
+    /// Last event that the caller holds of an earlier answer.
+    pub(super) resume_after: Option<EventId>,
+    pub(super) arrived: MonotonicTime,
+    /// Time by which the caller must have an answer: its own patience, or the route's.
+    pub(super) deadline: MonotonicTime,
+}
+
+/// Where one send of a request goes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SendTarget<'send> {
+    pub(super) server: &'send ServerName,
+    pub(super) stages: &'send [StageHop],
+    pub(super) resume_after: Option<EventId>,
+}
+
+impl RelayRequest {
+    /// Time that is left.
+    pub(super) fn left(&self, now: MonotonicTime) -> Duration {
+        self.deadline.since(now)
+    }
+
+    /// The request as one server gets it.
+    pub(super) fn write(
+        &self,
+        now: MonotonicTime,
+        dialect: &dyn ServerDialect,
+        target: SendTarget<'_>,
+    ) -> http::Request<Full<Bytes>> {
+        let send = ServerSend {
+            head: &self.head,
+            server: target.server,
+            customer: self.customer.as_ref(),
+            left: self.left(now),
+            stages: target.stages,
+            resume_after: target.resume_after,
+        };
+        let mut request = http::Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = dialect.write(&send);
+        request
+    }
+}
+
+/// Why a request gets no answer of a backend server.
+#[derive(Clone, Debug)]
+pub(super) struct Refused(pub(super) RelayRefusal);
+
+impl Refused {
+    /// The same refusal with a time after which another attempt may be served.
+    pub(super) fn retry_after(mut self, wait: Duration) -> Self {
+        self.0.retry_after = Some(wait);
+        self
+    }
+}
+
+/// A refusal without advice.
+pub(super) fn refused<R>(kind: RefusalKind, reason: R) -> Refused
+where
+    R: Into<String>,
+{
+    Refused(RelayRefusal {
+        kind,
+        reason: reason.into(),
+        retry_after: None,
+    })
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -3,10 +3,11 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use pollendrift::daemon::RouterDaemon;
+use pollendrift::daemon::{DaemonExtras, RouterDaemon};
 use pollendrift::settings::{DaemonSettings, LoadedSettings};
 use pollendrift::telemetry::LogControl;
 use pollendrift_coordination::base::FindingList;
+use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit code of settings that are refused.
@@ -18,10 +19,7 @@
         Ok(loaded) => loaded,
         Err(findings) => return refuse(&findings),
     };
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-    {
+    let runtime = match runtime_builder().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return fail(&error),
     };
@@ -32,6 +30,15 @@
     }
 }
 
+/// On one core, threads that take turns cost more than they bring.
+fn runtime_builder() -> Builder {
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    if cores == 1 {
+        return Builder::new_current_thread();
+    }
+    Builder::new_multi_thread()
+}
+
 fn refuse(findings: &FindingList) -> ExitCode {
     eprint!("{findings}");
     ExitCode::from(EXIT_FINDINGS)
@@ -50,7 +57,11 @@
         log::warn!("{warning}");
     }
     let mut signals = StopSignals::new()?;
-    let daemon = RouterDaemon::start(&settings, warnings).await?;
+    let extras = DaemonExtras {
+        dialect: Some(pollendrift_platform::dialect()),
+        ..DaemonExtras::default()
+    };
+    let daemon = RouterDaemon::start_with(&settings, warnings, extras).await?;
     log::info!(host:% = settings.host; "serving");
     while signals.next().await == Wanted::Reload {
         reload(path, &daemon, &logs);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -12,6 +12,7 @@
 mod agreement;
 mod claims;
 mod digest;
+mod discovery;
 mod drain;
 mod entry;
 mod evidence;
@@ -24,6 +25,7 @@
 mod placement;
 mod quantity;
 mod reader;
+mod relay;
 mod retries;
 mod snapshots;
 mod tls;
@@ -31,6 +33,7 @@
 pub use agreement::AgreementSettings;
 pub use claims::ClaimSettings;
 pub use digest::{DigestError, TokenDigest};
+pub use discovery::DiscoverySettings;
 pub use drain::DrainSettings;
 pub use entry::EntrySettings;
 pub use evidence::EvidenceSettings;
@@ -42,6 +45,7 @@
     BackendProof, BackendSettings, CustomerSettings, OperatorRole, OperatorSettings, PeerSettings,
 };
 pub use placement::PlacementSettings;
+pub use relay::RelaySettings;
 pub use retries::RetrySettings;
 pub use snapshots::SnapshotSettings;
 pub use tls::{KeyFiles, PlainText, TlsSettings};
@@ -57,9 +61,9 @@
 
 /// Settings of one daemon.
 ///
-/// Invariants of every value that [`DaemonSettings::load`] made: `peers` names `host` once, with
-/// its own `data_centre`; at least one peer is a keeper; a keeper has a `data_folder`; no two
-/// parties share a name or a token.
+/// Invariants of every value that [`DaemonSettings::load`] made: either hosts find each other by
+/// `discovery`, or `peers` names `host` once, with its own `data_centre`, and at least one peer is a
+/// keeper; a keeper has a `data_folder`; no two parties share a name or a token.
 #[derive(Clone, Debug)]
 pub struct DaemonSettings {
     /// Name of this host.
@@ -84,6 +88,8 @@
     pub agreement: AgreementSettings,
     /// Claims on calls that may not be repeated.
     pub claims: ClaimSettings,
+    /// How hosts find each other where `peers` is empty.
+    pub discovery: DiscoverySettings,
     /// Planned stop.
     pub drain: DrainSettings,
     /// Bounds on what strangers can send.
@@ -98,6 +104,8 @@
     pub logs: LogSettings,
     /// Placement.
     pub placement: PlacementSettings,
+    /// Serving by published routes.
+    pub relay: RelaySettings,
     /// Retries.
     pub retries: RetrySettings,
     /// Snapshots.
@@ -186,6 +194,14 @@
         self.peers.iter().find(|peer| peer.name == self.host)
     }
 
+    /// Whether this host is a keeper: `peers` says so, or it has a disk where hosts find each other.
+    pub fn is_keeper(&self) -> bool {
+        if self.discovery.is_on() {
+            return self.data_folder.is_some();
+        }
+        self.initial_keepers().any(|peer| peer.name == self.host)
+    }
+
     /// Hosts that vote in the first membership of the agreement group.
     pub fn initial_keepers(&self) -> impl Iterator<Item = &PeerSettings> {
         self.peers.iter().filter(|peer| peer.keeper)
@@ -240,6 +256,7 @@
     });
     let agreement = section.section("agreement", AgreementSettings::read);
     let claims = section.section("claims", ClaimSettings::read);
+    let discovery = section.section("discovery", DiscoverySettings::read);
     let drain = section.section("drain", DrainSettings::read);
     let entry = section.section("entry", EntrySettings::read);
     let evidence = section.section("evidence", EvidenceSettings::read);
@@ -247,6 +264,7 @@
     let limits = section.section("limits", LimitSettings::read);
     let logs = section.section("logs", LogSettings::read);
     let placement = section.section("placement", PlacementSettings::read);
+    let relay = section.section("relay", RelaySettings::read);
     let retries = section.section("retries", RetrySettings::read);
     let snapshots = section.section("snapshots", SnapshotSettings::read);
     report_data_folder(section, data_folder.as_ref());
@@ -258,7 +276,11 @@
         listen: listen.as_ref(),
         has_data_folder: data_folder.is_some(),
     };
-    own.report(section, &peers);
+    if discovery.is_on() {
+        report_both_lists(section, &peers);
+    } else {
+        own.report(section, &peers);
+    }
     Some(DaemonSettings {
         host: host.value,
         data_centre: data_centre?.value,
@@ -271,6 +293,7 @@
         tls,
         agreement,
         claims,
+        discovery,
         drain,
         entry,
         evidence,
@@ -278,11 +301,25 @@
         limits,
         logs,
         placement,
+        relay,
         retries,
         snapshots,
     })
 }
 
+/// Two lists that disagree would split the hosts into those that go by one and those that go by the
+/// other.
+fn report_both_lists(section: &mut SectionReader<'_>, peers: &[PlacedValue<PeerSettings>]) {
+    if let Some(peer) = peers.first() {
+        let message = "`peers` lists hosts beside the seeds of `discovery`";
+        section.error(
+            peer.place.clone(),
+            message,
+            "one of `peers` and `discovery`",
+        );
+    }
+}
+
 fn report_data_folder(section: &mut SectionReader<'_>, folder: Option<&PlacedValue<PathBuf>>) {
     let Some(folder) = folder else { return };
     if folder.value.is_dir() {
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -256,6 +257,33 @@
         digests
     }
 
+    /// A list of addresses.
+    pub(super) fn addresses(&mut self, key: &'static str) -> Vec<SocketAddr> {
+        let expected = "a list of IP addresses with ports";
+        let Some(node) = self.take(key) else {
+            return Vec::new();
+        };
+        let NodeValue::List(nodes) = &node.value else {
+            self.context
+                .error(&node, format!("`{key}` is no list"), expected);
+            return Vec::new();
+        };
+        let mut addresses = Vec::new();
+        for node in nodes {
+            let Some(text) = self.scalar(key, node, expected) else {
+                continue;
+            };
+            match text.parse() {
+                Ok(address) => addresses.push(address),
+                Err(error) => {
+                    let message = format!("`{key}: {text}`: {error}");
+                    self.context.error(node, message, expected);
+                }
+            }
+        }
+        addresses
+    }
+
     /// The values of a free mapping, such as levels by package, in the order of their keys.
     pub(super) fn pairs(
         &mut self,
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -89,7 +89,7 @@
 
     fn tick(&self, hub: &PeerHub, now: MonotonicTime) {
         for host in hub.hosts() {
-            self.tell(hub, now, host);
+            self.tell(hub, now, &host);
         }
     }
 
--- a/crates/daemon/src/streams.rs
+++ b/crates/daemon/src/streams.rs
@@ -94,8 +94,12 @@
     }
 
     fn ranked(&self, request: &RequestId) -> Vec<HostName> {
-        let hosts = self.hub.hosts().chain([self.hub.host()]);
-        rank_hosts(request, hosts).into_iter().cloned().collect()
+        let mut hosts = self.hub.hosts();
+        hosts.push(self.hub.host().clone());
+        rank_hosts(request, hosts.iter())
+            .into_iter()
+            .cloned()
+            .collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, StreamTable> {
--- a/crates/daemon/tests/keeper_cluster/cluster.rs
+++ b/crates/daemon/tests/keeper_cluster/cluster.rs
@@ -89,6 +89,7 @@
         let node = PeerNode {
             host: host.clone(),
             process: Incarnation(1),
+            discovery: None,
         };
         let dialer = Box::new(self.clone());
         let mut tasks = start_peers(node, links(), peers.to_vec(), dialer, handler);
@@ -215,7 +216,7 @@
             folder: self.folders[name].path().to_owned(),
             settings: self.settings.clone(),
             client: ClientSettings::default(),
-            keepers: keepers(),
+            keepers: keepers().into(),
             hub: peers.hub().clone(),
             port,
             inbox,
--- a/crates/daemon/tests/keeper_cluster/service.rs
+++ b/crates/daemon/tests/keeper_cluster/service.rs
@@ -69,7 +69,7 @@
     let peers = cluster.dialer.link("d", Arc::new(NoFrames)).await;
     let client = KeeperClient::new(
         peers.hub().clone(),
-        keepers(),
+        keepers().into(),
         None,
         ClientSettings::default(),
     );
--- a/crates/daemon/tests/peers_contract.rs
+++ b/crates/daemon/tests/peers_contract.rs
@@ -105,6 +105,7 @@
     let node = PeerNode {
         host: HostName::from(host),
         process: Incarnation(1),
+        discovery: None,
     };
     let peers = peers.iter().map(|(host, address)| PeerAddress {
         host: HostName::from(*host),
@@ -127,6 +128,7 @@
         protocol,
         host,
         process: Incarnation(1),
+        reach: None,
     })
 }
 
@@ -226,7 +228,7 @@
         "nested deeply: frame can't be read: RecursionLimitExceeded; handled 0",
         "bytes behind: frame can't be read: bytes behind the frame; handled 0",
         "text: unexpected frame: text; handled 0",
-        "wrong version: refused: protocol 3 is not spoken here (spoken: 2); handled 0",
+        "wrong version: refused: protocol 4 is not spoken here (spoken: 3); handled 0",
         "unknown host: refused: host x is not in the settings; handled 0",
         "own name: refused: host b is not in the settings; handled 0",
         "other certificate: refused: hello names host a, but the certificate proves c; handled 0",
--- a/crates/daemon/tests/settings_findings.rs
+++ b/crates/daemon/tests/settings_findings.rs
@@ -139,7 +139,7 @@
     host.yaml:9:14: error: `data_folder`: /nonexistent/absent is no folder (accepted: a folder that exists)
     host.yaml:1:1: error: no peer is a keeper, so no configuration can be accepted (accepted: `keeper: true` on three or five peers with a data folder)
     host.yaml:1:1: error: `peers` does not name this host, brest-1 (accepted: a line with name, data_centre and address of this host)
-    host.yaml:2:1: error: unknown key `data_center` in the settings (accepted: agreement, backend_servers, claims, customers, data_centre, data_folder, drain, entry, evidence, host, leases, limits, listen, logs, operators, peers, placement, retries, snapshots, tls)
+    host.yaml:2:1: error: unknown key `data_center` in the settings (accepted: agreement, backend_servers, claims, customers, data_centre, data_folder, discovery, drain, entry, evidence, host, leases, limits, listen, logs, operators, peers, placement, relay, retries, snapshots, tls)
     ");
 }
 
--- a/crates/daemon/tests/settings_page.rs
+++ b/crates/daemon/tests/settings_page.rs
@@ -51,7 +51,7 @@
 #[test]
 fn the_page_lists_the_options_of_every_section() {
     let sections = page_options();
-    assert_eq!(sections.len(), 18);
+    assert_eq!(sections.len(), 20);
     for (section, options) in sections {
         assert_eq!(options, accepted_options(&section), "section {section}");
     }
--- a/crates/pollenctl/tests/commands/apply.rs
+++ b/crates/pollenctl/tests/commands/apply.rs
@@ -258,14 +258,14 @@
     insta::assert_snapshot!(report, @r#"
     == check BAD: exit 2
     pollenctl: BAD:2:1: error: the selector serves nothing (accepted: one of model and service)
-    BAD:5:7: error: there is no kind x (accepted: kind: labels or kind: selector)
+    BAD:5:7: error: there is no kind x (accepted: kind: labels, kind: selector or kind: source)
 
     == check UNMARKED: exit 0
     good: 1 selectors, 0 label rules
 
     == apply BAD: exit 2
     pollenctl: BAD:2:1: error: the selector serves nothing (accepted: one of model and service)
-    BAD:5:7: error: there is no kind x (accepted: kind: labels or kind: selector)
+    BAD:5:7: error: there is no kind x (accepted: kind: labels, kind: selector or kind: source)
 
     == apply UNMARKED: exit 2
     pollenctl: UNMARKED does not say which revision it was made from; make it with `pollenctl get`, or give --based-on (0 for the first change)
--- a/crates/standins/examples/evidence_cost/main.rs
+++ b/crates/standins/examples/evidence_cost/main.rs
@@ -9,7 +9,7 @@
 
 use bpaf::Bpaf;
 use pollendrift::agreed::AgreedState;
-use pollendrift::daemon::RouterDaemon;
+use pollendrift::daemon::{DaemonExtras, RouterDaemon};
 use pollendrift::settings::{DaemonSettings, TokenDigest};
 use pollendrift::telemetry::{EvidenceSink, SinkError, StoreFuture};
 use pollendrift_coordination::base::Revision;
@@ -123,7 +123,13 @@
             true => None,
             false => Some(Box::new(ForgetfulSink)),
         };
-        hosts.push(RouterDaemon::start_with(&settings.settings, Vec::new(), sink).await?);
+        hosts.push({
+            let extras = DaemonExtras {
+                sink,
+                ..DaemonExtras::default()
+            };
+            RouterDaemon::start_with(&settings.settings, Vec::new(), extras).await?
+        });
     }
     let entries: Vec<String> = builder
         .hosts()
--- a/crates/store/src/identity.rs
+++ b/crates/store/src/identity.rs
@@ -118,7 +118,7 @@
         });
     }
     let found = fingerprint_of(files, IDENTITY_NAME)?;
-    if found != identity.fingerprint {
+    if is_copied(identity.fingerprint, found) {
         return Err(StoreError::Copied {
             folder: files.folder(),
             reason: format!(
@@ -133,6 +133,17 @@
     Ok(Some(identity))
 }
 
+/// Whether a file is another than the one that was written.
+///
+/// Some file systems keep no creation time, and number their files anew at every start of a
+/// process; there every restart would look like a copy, and the keeper would refuse its own disk
+/// for ever. On those an old image of a disk is told by the other keepers alone: they remember what
+/// this one acknowledged, and refuse a start that holds less.
+fn is_copied(written: FileFingerprint, found: FileFingerprint) -> bool {
+    let has_creation_time = written.created != 0 || found.created != 0;
+    has_creation_time && written != found
+}
+
 /// Replaces the identity file; the fingerprint is that of the new file and survives the rename.
 pub(crate) fn write_identity(
     files: &dyn FileSystem,
