feat(relay): tell a dead stage from a slow one by the streams beside it

Change: an event of any stream proves the engines of its chain alive; only engines whose streams are silent together are left, and left out of new chains until an event clears them.

--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -14,6 +14,7 @@
 mod flight;
 mod flow;
 mod graph;
+mod health;
 mod link;
 mod load;
 mod outliers;
@@ -32,6 +33,7 @@
 pub use fleet::{EngineKey, EngineRecord, FleetTable, UpsertOutcome};
 pub use flight::FlightKey;
 pub use graph::GraphId;
+pub use health::{ChainHealth, HealthSettings, StreamSilence};
 pub use link::LinkFigures;
 pub use load::{LoadFigures, LoadReport};
 pub use plan::{
--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, HeaderName, Response, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use pollendrift_coordination::base::RequestId;
+use pollendrift_coordination::base::{RequestId, ServerName};
 use pollendrift_coordination::retries::SendOutcome;
 use pollendrift_dialect::AnswerHead;
 use pollendrift_http::{
@@ -38,6 +38,8 @@
     pub(super) reason: String,
     /// Server at fault, where the answer names another than the one that was asked.
     pub(super) culprit: Option<SocketAddr>,
+    /// Engines at fault for a silence.
+    pub(super) suspects: Vec<ServerName>,
 }
 
 impl FailedSend {
@@ -46,6 +48,7 @@
             outcome,
             reason,
             culprit: None,
+            suspects: Vec::new(),
         }
     }
 }
@@ -122,6 +125,7 @@
             outcome: SendOutcome::Declined,
             reason: format!("the server answered {} and did not run it", parts.status),
             culprit: told.culprit,
+            suspects: Vec::new(),
         };
         keep_after_refusal(&parts.headers, body, answer.connection).await;
         return Err(failed);
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -43,6 +43,11 @@
 }
 
 impl TakenChain {
+    /// Servers of all stages.
+    pub(super) fn servers(&self) -> impl Iterator<Item = &ServerName> {
+        self.plan.stages.iter().map(|stage| &stage.server)
+    }
+
     /// Server of the stage at `address`.
     pub(super) fn server_at(&self, address: SocketAddr) -> Option<&ServerName> {
         let stages = self.plan.stages.iter().zip(&self.hops);
@@ -169,21 +174,27 @@
     ///
     /// Crossing data centres costs 20 to 30 MB of activations for each request, and the pipe that
     /// all share carries about 40 of those a second; so it is the last resort, not a choice by speed.
-    pub(super) fn take<F>(
+    pub(super) fn take<F, H>(
         &mut self,
         now: MonotonicTime,
         request: &RelayRequest,
         excluded: &[ServerName],
         may_take_work: F,
+        is_healthy: H,
     ) -> Result<TakenChain, NoRoute>
     where
         F: Fn(&ServerName) -> bool,
+        H: Fn(&ServerName) -> bool,
     {
         let near = self.data_centre.clone();
         let is_near = |engine: &EngineRecord| {
-            engine.announcement.data_centre == near && may_take_work(&engine.announcement.server)
+            let server = &engine.announcement.server;
+            engine.announcement.data_centre == near && may_take_work(server) && is_healthy(server)
+        };
+        let is_any = |engine: &EngineRecord| {
+            let server = &engine.announcement.server;
+            may_take_work(server) && is_healthy(server)
         };
-        let is_any = |engine: &EngineRecord| may_take_work(&engine.announcement.server);
         let model = pool_of(&request.service);
         let draft = request.draft.as_ref();
         let expected = draft.map_or(1, |draft| {
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -5,7 +5,7 @@
 
 use pollendrift_coordination::base::{DataCentreName, MonotonicTime, ServiceName};
 use pollendrift_coordination::retries::{BudgetTable, OutlierSettings, RetrySettings};
-use pollendrift_coordination::routing::ServerLoads;
+use pollendrift_coordination::routing::{ChainHealth, HealthSettings, ServerLoads};
 use pollendrift_dialect::PlatformDialect;
 use pollendrift_http::{ConnectionPool, PoolSettings};
 
@@ -46,6 +46,7 @@
     pub(super) life: LifeWatch,
     loads: Mutex<ServerLoads>,
     chains: Mutex<ChainTable>,
+    health: Mutex<ChainHealth>,
     budgets: Mutex<BudgetTable<ServiceName>>,
 }
 
@@ -71,6 +72,7 @@
             life: parts.life,
             loads: Mutex::new(ServerLoads::new(outliers())),
             chains: Mutex::new(ChainTable::new(parts.data_centre.clone(), parts.seed)),
+            health: Mutex::new(ChainHealth::new(HealthSettings::default())),
             budgets: Mutex::new(BudgetTable::new(budget_settings(&parts.settings))),
             data_centre: parts.data_centre,
         }
@@ -99,6 +101,11 @@
         self.chains.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Engines as the streams of this host see them.
+    pub(super) fn health(&self) -> MutexGuard<'_, ChainHealth> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A first send to a service earns a part of a retry.
     pub(super) fn earn_retry(&self, now: MonotonicTime, service: &ServiceName) {
         self.budgets().called(now, service);
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use http::Response;
-use pollendrift_coordination::base::ServerName;
+use pollendrift_coordination::base::{MonotonicTime, ServerName};
 use pollendrift_coordination::retries::SendOutcome;
+use pollendrift_coordination::routing::StreamSilence;
 use pollendrift_coordination::streams::EventId;
 use pollendrift_dialect::RefusalKind;
 use pollendrift_http::{ResponseBody, channel_body};
+use tokio::time::sleep;
 
 use super::answer::{FailedSend, OpenAnswer, passed_back, send};
 use super::chains::TakenChain;
@@ -20,6 +22,15 @@
 const MIN_LEFT: Duration = Duration::from_millis(50);
 /// Advice to a caller for whom no chain has room: about the time of a draft that runs.
 const RETRY_FULL: Duration = Duration::from_millis(500);
+/// Time between two looks at a silent chain: a part of the pause that a caller may see.
+const WATCH_PERIOD: Duration = Duration::from_millis(25);
+/// Longest pause of full use, where a route names none.
+const DEFAULT_PAUSE: Duration = Duration::from_millis(200);
+/// Part of the longest pause after which streams that are silent together raise a suspicion. The
+/// rest is for the next chain, whose first event takes about 60 ms.
+const EARLY_SHARE: f64 = 0.6;
+/// Longest pauses after which one silent stream alone does.
+const LATE_PAUSES: u32 = 3;
 /// Events that wait for a caller that reads slowly.
 const EVENT_QUEUE: usize = 32;
 /// Sends that engines declined before a request is given up; each named another engine at fault.
@@ -103,9 +114,9 @@
                     chain.failed(Some(&culprit));
                 }
                 Err(failed) => {
-                    let culprit = self.blame(&chain.chain, &failed);
-                    chain.failed(culprit.as_ref());
-                    self.excluded.extend(culprit);
+                    let culprits = blame(&chain.chain, &failed);
+                    chain.failed(culprits.first());
+                    self.excluded.extend(culprits);
                     self.note(failed);
                 }
             }
@@ -115,12 +126,17 @@
     fn take_chain(&self) -> Option<ChainGuard> {
         let now = self.context.clock.now();
         let fleet = &self.context.fleet;
-        let taken = self
-            .context
-            .chains()
-            .take(now, &self.request, &self.excluded, |server| {
-                fleet.may_take_work(now, server)
-            });
+        let may_take_work = |server: &ServerName| fleet.may_take_work(now, server);
+        let health = self.context.health();
+        let is_healthy = |server: &ServerName| !health.is_suspected(now, server);
+        let taken = self.context.chains().take(
+            now,
+            &self.request,
+            &self.excluded,
+            may_take_work,
+            is_healthy,
+        );
+        drop(health);
         match taken {
             Ok(chain) => Some(ChainGuard::new(&self.context, chain)),
             Err(none) => {
@@ -149,30 +165,55 @@
             .request
             .write(now, self.context.dialect.servers.as_ref(), target);
         let left = self.request.left(now);
-        send(
-            &self.context,
-            hop.address,
-            written,
-            &self.request.attempt,
-            left,
-        )
-        .await
+        let attempt = &self.request.attempt;
+        let sending = send(&self.context, hop.address, written, attempt, left);
+        tokio::select! {
+            answered = sending => answered,
+            suspects = self.watch(chain, now) => Err(self.silent(&suspects)),
+        }
     }
 
-    /// The engine that a failed send is laid to.
-    fn blame(&self, chain: &TakenChain, failed: &FailedSend) -> Option<ServerName> {
-        let named = failed.culprit.and_then(|address| chain.server_at(address));
-        Some(named.unwrap_or(&chain.first).clone())
+    /// Resolves with the engines that are at fault, once a chain is silent by some fault since
+    /// `since`.
+    pub(super) async fn watch(&self, chain: &TakenChain, since: MonotonicTime) -> Vec<ServerName> {
+        let silence = self.silence(since);
+        loop {
+            sleep(WATCH_PERIOD).await;
+            let now = self.context.clock.now();
+            let suspects = self.context.health().suspect(now, silence, chain.servers());
+            if !suspects.is_empty() {
+                return suspects;
+            }
+        }
+    }
+
+    fn silence(&self, since: MonotonicTime) -> StreamSilence {
+        let pause = self.request.route.pause_target.unwrap_or(DEFAULT_PAUSE);
+        StreamSilence {
+            since,
+            early: pause.mul_f64(EARLY_SHARE),
+            late: pause * LATE_PAUSES,
+        }
+    }
+
+    fn silent(&self, suspects: &[ServerName]) -> FailedSend {
+        let names: Vec<&str> = suspects.iter().map(ServerName::as_str).collect();
+        let reason = format!("silent engines: {}", names.join(" "));
+        FailedSend {
+            suspects: suspects.to_vec(),
+            ..FailedSend::new(SendOutcome::TimedOut, reason)
+        }
     }
 
     fn note(&mut self, failed: FailedSend) {
         let proof = failed.outcome.proof();
-        if proof.is_not_run() {
+        // An engine that is gone does not count among those that a request was sent to.
+        if proof.is_not_run() || !failed.suspects.is_empty() {
             self.declined += 1;
         } else {
             self.sends += 1;
-            self.may_have_run = true;
         }
+        self.may_have_run |= !proof.is_not_run();
         self.last = Some(failed);
     }
 
@@ -182,6 +223,21 @@
         !may_go_on || self.sends >= self.request.route.max_attempts || self.declined >= MAX_DECLINED
     }
 
+    /// Gives a chain up that broke after it had begun. A chain that only fell silent is left for
+    /// its silent engines; any other break tells nothing of which engine is at fault, so all of
+    /// them are left out of the next.
+    pub(super) fn abandon(&mut self, chain: ChainGuard, suspects: Vec<ServerName>) {
+        if suspects.is_empty() {
+            self.excluded.extend(chain.chain.servers().cloned());
+        } else {
+            // Engines that are gone don't count among those that it was sent to.
+            self.sends = self.sends.saturating_sub(1);
+            self.declined += 1;
+            self.excluded.extend(suspects);
+        }
+        chain.failed(None);
+    }
+
     fn may_repeat(&self) -> bool {
         self.request.route.kind.may_repeat() && self.sends < self.request.route.max_attempts
     }
@@ -205,6 +261,15 @@
     }
 }
 
+/// The engines that a failed send is laid to.
+fn blame(chain: &TakenChain, failed: &FailedSend) -> Vec<ServerName> {
+    if !failed.suspects.is_empty() {
+        return failed.suspects.clone();
+    }
+    let named = failed.culprit.and_then(|address| chain.server_at(address));
+    vec![named.unwrap_or(&chain.first).clone()]
+}
+
 /// A chain that counts as running until this is ended or dropped.
 pub(super) struct ChainGuard {
     context: Arc<RelayContext>,
@@ -214,6 +279,7 @@
 
 impl ChainGuard {
     fn new(context: &Arc<RelayContext>, chain: TakenChain) -> Self {
+        context.health().started(chain.servers());
         Self {
             context: Arc::clone(context),
             chain,
@@ -221,10 +287,12 @@
         }
     }
 
-    /// The first event came.
-    pub(super) fn first_event(&self) {
-        let now = self.context.clock.now();
-        self.context.chains().first_event(now, self.chain.flight);
+    /// Events came; `is_first` if none had before.
+    pub(super) fn heard(&self, now: MonotonicTime, is_first: bool) {
+        self.context.health().heard(now, self.chain.servers());
+        if is_first {
+            self.context.chains().first_event(now, self.chain.flight);
+        }
     }
 
     /// It failed, by the fault of `culprit` where that is known.
@@ -239,10 +307,11 @@
 
 impl Drop for ChainGuard {
     fn drop(&mut self) {
+        let now = self.context.clock.now();
+        self.context.health().ended(now, self.chain.servers());
         if self.ended {
             return;
         }
-        let now = self.context.clock.now();
         self.context.chains().finished(now, self.chain.flight);
     }
 }
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -1,18 +1,13 @@
 //! The events of a draft, passed on whole and in order, over as many chains as it takes.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use pollendrift_coordination::base::ServerName;
 use pollendrift_coordination::streams::{EventFramer, EventId, EventProgress, EventVerdict};
 use pollendrift_http::BodySender;
 use tokio::time::timeout;
 
-use super::drafts::{ChainGuard, DraftRun, RunningDraft};
-
-/// Silence of a stream after which its chain is taken for broken, where its route names no longest
-/// pause.
-const DEFAULT_SILENCE: Duration = Duration::from_millis(1_000);
+use super::drafts::{DraftRun, RunningDraft};
 
 /// A stream that runs.
 pub(super) struct StreamRun {
@@ -27,8 +22,10 @@
     Whole,
     /// The caller went away.
     CallerGone,
-    /// The chain broke off, was silent, or sent what can't be passed on.
+    /// The chain broke off, or sent what can't be passed on.
     Broken(String),
+    /// These engines fell silent.
+    Silent(Vec<ServerName>),
 }
 
 impl StreamRun {
@@ -64,12 +61,13 @@
                 return;
             }
             ChainEnd::CallerGone => return,
-            ChainEnd::Broken(reason) => {
+            ChainEnd::Broken(_) | ChainEnd::Silent(_) => {
+                let (reason, suspects) = explain(end);
                 let after = progress.last();
                 log::info!(request = run.request.attempt.as_str(), reason = reason.as_str(),
                     after = after.map(|id| id.0); "chain broke");
                 let next = tokio::select! {
-                    next = go_on(&mut run, running, after) => next,
+                    next = go_on(&mut run, running, suspects, after) => next,
                     () = sender.closed() => return,
                 };
                 let Some(next) = next else {
@@ -86,22 +84,23 @@
 async fn go_on(
     run: &mut DraftRun,
     running: RunningDraft,
+    suspects: Vec<ServerName>,
     after: Option<EventId>,
 ) -> Option<RunningDraft> {
     let RunningDraft { answer, chain } = running;
     // The connection is closed first: the engine must not work on beside its successor.
     drop(answer);
-    exclude_all(run, &chain);
-    chain.failed(None);
+    run.abandon(chain, suspects);
     let next = run.open(after).await?;
     next.answer.parts.status.is_success().then_some(next)
 }
 
-/// Nothing tells which stage of a chain is silent, so all of its engines are left out of the next.
-fn exclude_all(run: &mut DraftRun, chain: &ChainGuard) {
-    let stages = chain.chain.plan.stages.iter();
-    run.excluded
-        .extend(stages.map(|stage| stage.server.clone()));
+fn explain(end: ChainEnd) -> (String, Vec<ServerName>) {
+    match end {
+        ChainEnd::Silent(suspects) => ("engines fell silent".to_owned(), suspects),
+        ChainEnd::Broken(reason) => (reason, Vec::new()),
+        ChainEnd::Whole | ChainEnd::CallerGone => (String::new(), Vec::new()),
+    }
 }
 
 async fn pass_on(
@@ -112,21 +111,23 @@
 ) -> ChainEnd {
     let mut framer = EventFramer::default();
     let mut is_first = true;
+    let mut heard_at = run.context.clock.now();
     loop {
         let left = run.request.left(run.context.clock.now());
-        let silence = if is_first {
-            left
-        } else {
-            silence(run).min(left)
+        let frame = tokio::select! {
+            frame = timeout(left, running.answer.body.frame()) => frame,
+            suspects = run.watch(&running.chain.chain, heard_at) => {
+                return ChainEnd::Silent(suspects);
+            }
         };
-        let frame = match timeout(silence, running.answer.body.frame()).await {
+        let frame = match frame {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) if framer.has_rest() => {
                 return ChainEnd::Broken("it ended within an event".to_owned());
             }
             Ok(None) => return ChainEnd::Whole,
             Ok(Some(Err(error))) => return ChainEnd::Broken(error.to_string()),
-            Err(_) => return ChainEnd::Broken("it was silent for too long".to_owned()),
+            Err(_) => return ChainEnd::Broken("its time is over".to_owned()),
         };
         let Ok(data) = frame.into_data() else {
             continue;
@@ -135,10 +136,9 @@
         match deliver(&mut framer, progress) {
             Ok(events) if events.is_empty() => {}
             Ok(events) => {
-                if is_first {
-                    running.chain.first_event();
-                    is_first = false;
-                }
+                heard_at = run.context.clock.now();
+                running.chain.heard(heard_at, is_first);
+                is_first = false;
                 if !sender.send(events).await {
                     return ChainEnd::CallerGone;
                 }
@@ -163,11 +163,3 @@
     }
     Ok(events.concat().into())
 }
-
-/// Silence after which the chain is taken for broken.
-fn silence(run: &DraftRun) -> Duration {
-    run.request
-        .route
-        .pause_target
-        .map_or(DEFAULT_SILENCE, |pause| pause * 2)
-}
