feat(relay): ask a silent engine before it is suspected

Cause: under load all streams over an engine may be silent together for longer than the limit, and engines that only read long prompts were left out, which loaded the others more. Change: an engine over which nothing was heard is asked for its state; only no answer suspects it.

--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -33,7 +33,7 @@
 pub use fleet::{EngineKey, EngineRecord, FleetTable, UpsertOutcome};
 pub use flight::FlightKey;
 pub use graph::GraphId;
-pub use health::{ChainHealth, HealthSettings, StreamSilence};
+pub use health::{ChainHealth, ChainVerdict, HealthSettings};
 pub use link::LinkFigures;
 pub use load::{LoadFigures, LoadReport};
 pub use plan::{
--- a/crates/coordination/src/routing/health.rs
+++ b/crates/coordination/src/routing/health.rs
@@ -2,10 +2,10 @@
 //!
 //! A stage that dies is silent: the first engine of the chain only stops to send events, and says
 //! nothing of the others for seconds. But many streams run over each engine at a time, and an event
-//! of any of them proves every engine of its chain alive. So an engine is suspected when all streams
-//! over it have fallen silent together, and a stream that is merely slow, such as one whose request
-//! was put back for want of memory, is left alone: sent again, it would read its prompt once more on
-//! engines that are short of room already.
+//! of any of them proves every engine of its chain alive. An engine over which nothing was heard is
+//! asked itself; only one that does not answer is suspected. A stream that is merely slow, such as
+//! one whose request was put back for want of memory, is left alone: sent again, it would read its
+//! prompt once more on engines that are short of room already.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -18,11 +18,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct HealthSettings {
-    /// Streams that must be silent together for an early suspicion. One stream alone may be silent
-    /// for many reasons.
-    pub early_streams: u32,
-    /// Events under way when a stage dies may come so much later than those of other streams.
-    pub settle: Duration,
+    /// Time for an engine's own answer. Within a region it comes in a few milliseconds, and it needs
+    /// no slot.
+    pub answer_time: Duration,
     /// Time for which a suspected engine is left out, unless an event clears it. Above the time in
     /// which its own heartbeats stop to renew its lease.
     pub suspicion: Duration,
@@ -31,8 +29,7 @@
 impl Default for HealthSettings {
     fn default() -> Self {
         Self {
-            early_streams: 3,
-            settle: Duration::from_millis(40),
+            answer_time: Duration::from_millis(80),
             suspicion: Duration::from_secs(6),
         }
     }
@@ -42,11 +39,22 @@
 struct EngineHealth {
     /// Streams that run over it.
     streams: u32,
-    /// Last event of any of them.
+    /// Last event of any of them, or own answer.
     heard_at: Option<MonotonicTime>,
+    /// When the answer that is waited for must have come.
+    asked_until: Option<MonotonicTime>,
     suspected_until: Option<MonotonicTime>,
 }
 
+/// What is known of the chain of a silent stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ChainVerdict {
+    /// Engines at fault; the stream is to go on without them.
+    pub suspects: Vec<ServerName>,
+    /// Engines to ask now whether they are alive; each is named to one asker at a time.
+    pub ask: Vec<ServerName>,
+}
+
 /// Engines as the streams of one host see them.
 #[derive(Clone, Debug, Default)]
 pub struct ChainHealth {
@@ -54,17 +62,6 @@
     engines: BTreeMap<ServerName, EngineHealth>,
 }
 
-/// How long a stream has been silent, against what its route allows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StreamSilence {
-    /// When its last event came, or its request was sent.
-    pub since: MonotonicTime,
-    /// Silence after which several streams together raise a suspicion.
-    pub early: Duration,
-    /// Silence after which one stream alone does.
-    pub late: Duration,
-}
-
 impl ChainHealth {
     /// A table without streams.
     pub fn new(settings: HealthSettings) -> Self {
@@ -74,6 +71,11 @@
         }
     }
 
+    /// Time for an engine's own answer.
+    pub fn answer_time(&self) -> Duration {
+        self.settings.answer_time
+    }
+
     /// A stream runs over `chain` from now on.
     pub fn started<'a, C>(&mut self, chain: C)
     where
@@ -99,7 +101,7 @@
         });
     }
 
-    /// An event came over `chain`: all of its engines are alive.
+    /// An event came over `chain`, or its only engine answered: all of it is alive.
     pub fn heard<'a, C>(&mut self, now: MonotonicTime, chain: C)
     where
         C: IntoIterator<Item = &'a ServerName>,
@@ -107,38 +109,52 @@
         for server in chain {
             let engine = self.find(server);
             engine.heard_at = Some(now);
+            engine.asked_until = None;
             engine.suspected_until = None;
         }
     }
 
-    /// Engines of `chain` that are at fault for the silence of a stream over it; none while it may
-    /// only be slow. They are left out of new chains from now on.
-    pub fn suspect<'a, C>(
+    /// An engine that was asked did not answer: it is left out of new chains from now on.
+    pub fn unanswered(&mut self, now: MonotonicTime, server: &ServerName) {
+        let suspicion = self.settings.suspicion;
+        let engine = self.find(server);
+        engine.asked_until = None;
+        engine.suspected_until = Some(now.after(suspicion));
+    }
+
+    /// Judges the chain of a stream that has been silent since `since`; `patience` is the silence
+    /// that needs no explanation.
+    pub fn judge<'a, C>(
         &mut self,
         now: MonotonicTime,
-        silence: StreamSilence,
+        since: MonotonicTime,
+        patience: Duration,
         chain: C,
-    ) -> Vec<ServerName>
+    ) -> ChainVerdict
     where
         C: IntoIterator<Item = &'a ServerName>,
     {
-        let passed = now.since(silence.since);
-        if passed < silence.early {
-            return Vec::new();
+        let mut verdict = ChainVerdict::default();
+        if now.since(since) < patience {
+            return verdict;
         }
-        let settings = self.settings;
-        let mut suspects = Vec::new();
+        let answer_time = self.settings.answer_time;
         for server in chain {
             let engine = self.find(server);
-            let quiet_from = silence.since.after(settings.settle);
-            let is_alive = engine.heard_at.is_some_and(|at| at > quiet_from);
-            let is_enough = engine.streams >= settings.early_streams || passed >= silence.late;
-            if !is_alive && is_enough {
-                engine.suspected_until = Some(now.after(settings.suspicion));
-                suspects.push(server.clone());
+            if engine.suspected_until.is_some_and(|until| until > now) {
+                verdict.suspects.push(server.clone());
+                continue;
+            }
+            let is_quiet = engine
+                .heard_at
+                .is_none_or(|heard| now.since(heard) >= patience);
+            let is_asked = engine.asked_until.is_some_and(|until| until > now);
+            if is_quiet && !is_asked {
+                engine.asked_until = Some(now.after(answer_time * 2));
+                verdict.ask.push(server.clone());
             }
         }
-        suspects
+        verdict
     }
 
     /// Whether an engine is to be left out of new chains.
--- a/crates/coordination/tests/routing_health.rs
+++ b/crates/coordination/tests/routing_health.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
-use pollendrift_coordination::routing::{ChainHealth, HealthSettings, StreamSilence};
+use pollendrift_coordination::routing::{ChainHealth, ChainVerdict, HealthSettings};
 
-const EARLY: Duration = Duration::from_millis(120);
-const LATE: Duration = Duration::from_millis(400);
+const PATIENCE: Duration = Duration::from_millis(100);
 
 fn at(millis: u64) -> MonotonicTime {
     MonotonicTime::from_millis(millis)
@@ -16,22 +15,18 @@
     names.iter().map(|name| ServerName::from(*name)).collect()
 }
 
-fn silence(since: u64) -> StreamSilence {
-    StreamSilence {
-        since: at(since),
-        early: EARLY,
-        late: LATE,
-    }
-}
-
-fn names(servers: &[ServerName]) -> String {
-    let names: Vec<&str> = servers.iter().map(ServerName::as_str).collect();
-    names.join(" ")
+fn told(now: u64, verdict: &ChainVerdict) -> String {
+    let names = |servers: &[ServerName]| {
+        let names: Vec<&str> = servers.iter().map(ServerName::as_str).collect();
+        names.join(" ")
+    };
+    let (suspects, ask) = (names(&verdict.suspects), names(&verdict.ask));
+    format!("{now}: suspects [{suspects}], ask [{ask}]")
 }
 
-/// The caller sees: one pause below its limit. Three streams run over a-d-z, others over a-e-z; d
-/// dies at 1,000 ms. Events of the other streams go on, so a and z are known to be alive, and d
-/// alone is left out when its streams have been silent for long enough together.
+/// The caller sees: one pause below its limit. Streams run over a-d-z, others over a-e-z; d dies at
+/// 1,000 ms. Events of the other streams go on, so a and z are known to be alive, and d alone is
+/// asked, once for all of its streams. It does not answer, and is left out until an event clears it.
 #[test]
 fn the_dead_stage_is_told_from_those_beside_it() {
     let mut health = ChainHealth::new(HealthSettings::default());
@@ -42,63 +37,67 @@
     }
     health.heard(at(1_000), &dead);
     let mut seen = Vec::new();
-    for now in [1_050, 1_100, 1_130] {
+    for now in [1_050, 1_100, 1_110] {
         health.heard(at(now), &other);
-        let suspects = health.suspect(at(now), silence(1_000), &dead);
-        seen.push(format!("{now}: {}", names(&suspects)));
+        seen.push(told(
+            now,
+            &health.judge(at(now), at(1_000), PATIENCE, &dead),
+        ));
     }
+    health.unanswered(at(1_180), &ServerName::from("d"));
+    seen.push(told(
+        1_180,
+        &health.judge(at(1_180), at(1_000), PATIENCE, &dead),
+    ));
     let left_out = ["a", "d", "e", "z"].map(|name| {
         let server = ServerName::from(name);
         format!("{name} {}", health.is_suspected(at(2_000), &server))
     });
     seen.push(left_out.join(", "));
     health.heard(at(2_100), &dead);
-    seen.push(format!(
-        "after an event of d: {}",
-        health.is_suspected(at(2_100), &ServerName::from("d"))
-    ));
+    let cleared = health.is_suspected(at(2_100), &ServerName::from("d"));
+    seen.push(format!("after an event of d: {cleared}"));
     insta::assert_snapshot!(seen.join("\n"), @r"
-    1050: 
-    1100: 
-    1130: d
+    1050: suspects [], ask []
+    1100: suspects [], ask [d]
+    1110: suspects [], ask []
+    1180: suspects [d], ask []
     a false, d true, e false, z false
     after an event of d: false
     ");
 }
 
 /// The caller sees: its stream pauses and goes on where it was. Engines are short of memory and put
-/// its request back, while other streams over the same engines go on. Sent again, it would be read
-/// once more by engines that are short already, and so would hundreds of others.
+/// its request back, or read a long prompt, and answer when they are asked. Sent again, the request
+/// would be read once more by engines that are short already, and so would hundreds of others.
 #[test]
-fn a_stream_that_is_slow_beside_others_is_left_alone() {
+fn a_slow_stream_is_left_alone() {
     let mut health = ChainHealth::new(HealthSettings::default());
     let engines = chain(&["a", "b"]);
-    for _ in 0..4 {
-        health.started(&engines);
-    }
-    let mut suspected = 0;
-    for now in (1_000..4_000).step_by(40) {
-        health.heard(at(now), &engines);
-        suspected += health.suspect(at(now), silence(900), &engines).len();
+    health.started(&engines);
+    let (mut suspected, mut asked) = (0, 0);
+    for now in (1_000..4_000).step_by(25) {
+        let verdict = health.judge(at(now), at(900), PATIENCE, &engines);
+        suspected += verdict.suspects.len();
+        asked += verdict.ask.len();
+        health.heard(at(now + 5), &verdict.ask);
     }
     assert_eq!(suspected, 0);
+    assert!((10..80).contains(&asked), "asked {asked} times");
 }
 
-/// The caller sees: a stream that is alone on its chain waits for longer before it is sent again,
-/// since nothing else tells a dead engine from a slow one.
+/// The caller sees: a stream that is alone on its chain waits for an answer, not for a lease. An
+/// asker that went away with its caller leaves the question open; the next one asks again.
 #[test]
-fn a_lone_stream_waits_for_longer() {
+fn a_question_without_an_asker_is_asked_again() {
     let mut health = ChainHealth::new(HealthSettings::default());
-    let engines = chain(&["a", "b"]);
+    let engines = chain(&["a"]);
     health.started(&engines);
-    health.heard(at(1_000), &engines);
-    let seen = [1_130, 1_390, 1_400].map(|now| {
-        let suspects = health.suspect(at(now), silence(1_000), &engines);
-        format!("{now}: {}", names(&suspects))
-    });
+    let seen = [1_100, 1_200, 1_260]
+        .map(|now| told(now, &health.judge(at(now), at(1_000), PATIENCE, &engines)));
     insta::assert_snapshot!(seen.join("\n"), @r"
-    1130: 
-    1390: 
-    1400: a b
+    1100: suspects [], ask [a]
+    1200: suspects [], ask []
+    1260: suspects [], ask [a]
     ");
 }
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -48,6 +48,13 @@
         self.plan.stages.iter().map(|stage| &stage.server)
     }
 
+    /// Address of a stage's server.
+    pub(super) fn address_of(&self, server: &ServerName) -> Option<SocketAddr> {
+        let mut stages = self.plan.stages.iter().zip(&self.hops);
+        let found = stages.find(|(stage, _)| stage.server == *server);
+        found.map(|(_, hop)| hop.address)
+    }
+
     /// Server of the stage at `address`.
     pub(super) fn server_at(&self, address: SocketAddr) -> Option<&ServerName> {
         let stages = self.plan.stages.iter().zip(&self.hops);
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -1,16 +1,17 @@
 //! Drafts: a chain of engines, and its events to the caller as they come.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::Response;
+use http_body_util::Full;
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
 use pollendrift_coordination::retries::SendOutcome;
-use pollendrift_coordination::routing::StreamSilence;
 use pollendrift_coordination::streams::EventId;
 use pollendrift_dialect::RefusalKind;
 use pollendrift_http::{ResponseBody, channel_body};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::answer::{FailedSend, OpenAnswer, passed_back, send};
 use super::chains::TakenChain;
@@ -26,11 +27,9 @@
 const WATCH_PERIOD: Duration = Duration::from_millis(25);
 /// Longest pause of full use, where a route names none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(200);
-/// Part of the longest pause after which streams that are silent together raise a suspicion. The
-/// rest is for the next chain, whose first event takes about 60 ms.
-const EARLY_SHARE: f64 = 0.6;
-/// Longest pauses after which one silent stream alone does.
-const LATE_PAUSES: u32 = 3;
+/// Part of the longest pause that a stream may be silent without its engines being asked. The rest
+/// is for their answers and for the next chain, whose first event takes about 60 ms.
+const PATIENCE_SHARE: f64 = 0.4;
 /// Events that wait for a caller that reads slowly.
 const EVENT_QUEUE: usize = 32;
 /// Sends that engines declined before a request is given up; each named another engine at fault.
@@ -173,26 +172,24 @@
         }
     }
 
-    /// Resolves with the engines that are at fault, once a chain is silent by some fault since
-    /// `since`.
+    /// Resolves with the engines that are at fault, once a chain has been silent since `since` by
+    /// some fault.
     pub(super) async fn watch(&self, chain: &TakenChain, since: MonotonicTime) -> Vec<ServerName> {
-        let silence = self.silence(since);
+        let pause = self.request.route.pause_target.unwrap_or(DEFAULT_PAUSE);
+        let patience = pause.mul_f64(PATIENCE_SHARE);
         loop {
             sleep(WATCH_PERIOD).await;
             let now = self.context.clock.now();
-            let suspects = self.context.health().suspect(now, silence, chain.servers());
-            if !suspects.is_empty() {
-                return suspects;
+            let judging = chain.servers();
+            let verdict = self.context.health().judge(now, since, patience, judging);
+            if !verdict.suspects.is_empty() {
+                return verdict.suspects;
+            }
+            for server in verdict.ask {
+                let address = chain.address_of(&server);
+                let context = Arc::clone(&self.context);
+                tokio::spawn(ask_alive(context, server, address));
             }
-        }
-    }
-
-    fn silence(&self, since: MonotonicTime) -> StreamSilence {
-        let pause = self.request.route.pause_target.unwrap_or(DEFAULT_PAUSE);
-        StreamSilence {
-            since,
-            early: pause.mul_f64(EARLY_SHARE),
-            late: pause * LATE_PAUSES,
         }
     }
 
@@ -261,6 +258,26 @@
     }
 }
 
+/// Asks an engine whether it is alive, and notes its answer or that there is none.
+async fn ask_alive(context: Arc<RelayContext>, server: ServerName, address: Option<SocketAddr>) {
+    let answer_time = context.health().answer_time();
+    let answered = match address {
+        Some(address) => {
+            let question = context.dialect.servers.write_report().map(Full::new);
+            let asking = context.pool.send(address, question);
+            matches!(timeout(answer_time, asking).await, Ok(Ok(_)))
+        }
+        None => false,
+    };
+    let now = context.clock.now();
+    if answered {
+        context.health().heard(now, [&server]);
+        return;
+    }
+    log::warn!(server:% = server; "engine does not answer");
+    context.health().unanswered(now, &server);
+}
+
 /// The engines that a failed send is laid to.
 fn blame(chain: &TakenChain, failed: &FailedSend) -> Vec<ServerName> {
     if !failed.suspects.is_empty() {
