--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -25,6 +25,7 @@
 mod search;
 mod servers;
 mod settings;
+mod survey;
 mod unit;
 mod view;
 
@@ -45,4 +46,5 @@
 pub use prefix::{CacheChange, CacheEvent, CacheOutcome, PrefixDigest, PromptPrefix};
 pub use servers::{ServerCandidate, ServerLoads, ToldLoad};
 pub use settings::{RoutingSettings, WorkloadMix};
+pub use survey::{EngineLoad, EngineNote, SurveyBoard, SurveyedEngine};
 pub use unit::{ByteRate, TokenCount, TokenRate};
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -258,7 +258,7 @@
             recorder: Arc::clone(&recorder),
             clock: Arc::clone(&clock),
         };
-        let relay_tasks = relay.map(|relay| start_relay(settings, relay, &agreed));
+        let relay_tasks = relay.map(|relay| start_relay(settings, relay, &node, &agreed));
         let mut tasks = vec![
             tokio::spawn(observe(observed, Arc::clone(&metrics))),
             tokio::spawn(run_placement(placement)),
@@ -405,6 +405,7 @@
 fn start_relay(
     settings: &DaemonSettings,
     relay: Arc<RelayContext>,
+    node: &AgreedNode,
     agreed: &Arc<dyn AgreedState>,
 ) -> Vec<JoinHandle<()>> {
     if !settings.is_keeper() {
@@ -415,6 +416,7 @@
         lease: settings.placement.lease,
         context: relay,
         agreed: Arc::clone(agreed),
+        hub: node.hub().clone(),
     };
     vec![tokio::spawn(run_placer(placer))]
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -18,7 +18,9 @@
     AnnouncedLoad, BackendLeaseSettings, DeltaCursor, LeaseDelta, LeaseNews, LeaseTable,
     MergeVerdict, ServerAnnounce, ServerLease, ServerState,
 };
-use pollendrift_coordination::routing::{FleetPlanner, RoutePlanner, RoutingDump, RoutingSettings};
+use pollendrift_coordination::routing::{
+    FleetPlanner, RoutePlanner, RoutingDump, RoutingSettings, SurveyBoard,
+};
 
 pub use route::{DraftQuery, DraftRoute, PlannedStage};
 pub use worker::WorkerView;
@@ -82,6 +84,8 @@
     views: BTreeMap<ServerName, Arc<ServerView>>,
     /// Servers in `leases` that serve a published service.
     workers: BTreeMap<ServerName, Arc<WorkerView>>,
+    /// What surveys found of engines in `workers`.
+    survey: SurveyBoard,
     /// Servers of `views` that offer a plain service, each once.
     services: ServiceIndex,
     /// Holds just the engines of `views` that may take work by the last tick.
@@ -95,6 +99,7 @@
             leases: LeaseTable::new(settings),
             views: BTreeMap::new(),
             workers: BTreeMap::new(),
+            survey: SurveyBoard::default(),
             services: ServiceIndex::default(),
             planner: Box::new(FleetPlanner::new(routing, seed)),
         };
--- a/crates/daemon/src/fleet/worker.rs
+++ b/crates/daemon/src/fleet/worker.rs
@@ -10,6 +10,7 @@
 use pollendrift_coordination::leases::{
     AnnouncedLoad, MergeVerdict, ServerAnnounce, ServerState, WorkerOffer,
 };
+use pollendrift_coordination::routing::{EngineNote, SurveyedEngine};
 use pollendrift_dialect::ServerNote;
 
 use super::{AnnounceError, BackendFleet};
@@ -95,6 +96,21 @@
         true
     }
 
+    /// Takes what a survey of engines found.
+    pub(crate) fn take_survey(&self, now: MonotonicTime, notes: Vec<EngineNote>) {
+        self.lock().survey.take(now, notes);
+    }
+
+    /// What surveys found of an engine.
+    pub(crate) fn surveyed(
+        &self,
+        now: MonotonicTime,
+        worker: &WorkerView,
+    ) -> Option<SurveyedEngine> {
+        let state = self.lock();
+        state.survey.get(now, &worker.server, worker.incarnation)
+    }
+
     /// Servers of published services that may get new work now. Of two at one address only the
     /// later one is there: the other's last heartbeat was late.
     pub fn workers(&self, now: MonotonicTime) -> Vec<Arc<WorkerView>> {
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -47,6 +47,7 @@
             PeerFrame::Configuration(frame) => targets.feed.take(from, frame),
             PeerFrame::Leases(deltas) => targets.spreader.take(hub, from, deltas),
             PeerFrame::LeaseQuestion(servers) => targets.spreader.answer(hub, from, &servers),
+            PeerFrame::Survey(notes) => targets.spreader.take_survey(notes),
             PeerFrame::Stream(note) => targets.streams.take(note),
             PeerFrame::Call(call) => answer_call(targets, hub, from, call),
             _ => {}
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -9,6 +9,7 @@
 use pollendrift_coordination::configuration::ConfigurationDelta;
 use pollendrift_coordination::hosts::{HostNote, HostReach};
 use pollendrift_coordination::leases::LeaseDelta;
+use pollendrift_coordination::routing::EngineNote;
 use pollendrift_coordination::streams::StreamNote;
 use pollendrift_store::JoinedGroup;
 use serde::de::Visitor;
@@ -240,6 +241,8 @@
     Stream(StreamNote),
     /// Leases of backend servers that changed or were renewed.
     Leases(Vec<LeaseDelta>),
+    /// What a survey of engines found.
+    Survey(Vec<EngineNote>),
     /// Asks for full announcements of servers that the receiver renewed and the sender lacks.
     LeaseQuestion(Vec<ServerName>),
 }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -15,6 +15,7 @@
 mod request;
 mod routes;
 mod stream;
+mod survey;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -101,7 +102,7 @@
         let stopping = refused(RefusalKind::NotRun, "this host is stopping as planned");
         return Err(stopping.retry_after(RETRY_ELSEWHERE));
     }
-    let table = context.routes.current()?;
+    let table = context.routes.wait(context.clock.as_ref()).await?;
     let route = table.route(&call.host, &call.path).map_err(table_refusal)?;
     let customer = table
         .customer(route, call.key.as_deref())
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -13,15 +13,16 @@
 use pollendrift_coordination::routes::{EngineSpec, RouteTable, ServiceSpec};
 use pollendrift_coordination::routing::{
     ByteRate, EngineAnnouncement, EngineRecord, EngineRole, FleetPlanner, FlightKey, LinkFigures,
-    NoRoute, NoRouteReason, RoutePlan, RoutePlanner, RoutePriority, RouteQuery, RoutingSettings,
-    TokenCount, TokenRate, WorkloadMix, is_whole_chain,
+    LoadFigures, LoadReport, NoRoute, NoRouteReason, RoutePlan, RoutePlanner, RoutePriority,
+    RouteQuery, RoutingSettings, SurveyedEngine, TokenCount, TokenRate, WorkloadMix,
+    is_whole_chain,
 };
 use pollendrift_dialect::StageHop;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::context::RelayContext;
 use super::request::RelayRequest;
-use crate::fleet::WorkerView;
+use crate::fleet::{BackendFleet, WorkerView};
 
 /// Time between two looks at the fleet. A server that leaves is asked about right before each send
 /// as well, so this only bounds how soon a new one is used.
@@ -29,6 +30,13 @@
 /// Requests that write at the same time on a busy engine, for its rate: about what a data centre's
 /// share of the usual load keeps running.
 const BUSY_BATCH: f64 = 16.0;
+/// Age of what an engine tells of its load.
+const REPORT_LAG: Duration = Duration::from_millis(200);
+/// Prompt tokens that a waiting request is taken to have.
+const WAITING_TOKENS: u64 = 760;
+/// How much sooner the first event must be expected of a chain in another data centre. Its events
+/// take a millisecond longer; the rest keeps requests near while loads are told late.
+const AWAY_PENALTY: Duration = Duration::from_millis(40);
 /// Bytes a second in one megabit a second.
 const MEGABIT: f64 = 125_000.0;
 
@@ -71,6 +79,8 @@
     address: SocketAddr,
     /// Published version that its figures were made from.
     published: u64,
+    /// How many times slower than its kind it is.
+    slowness: u32,
 }
 
 /// Engines that hold layers, and the planner over them.
@@ -78,6 +88,8 @@
     planner: FleetPlanner,
     known: BTreeMap<ServerName, KnownEngine>,
     data_centre: DataCentreName,
+    /// Data centres with engines.
+    centres: BTreeSet<DataCentreName>,
     /// Specifications that the planner's figures were made from.
     version: Option<u64>,
     sequence: u64,
@@ -90,6 +102,7 @@
             planner: FleetPlanner::new(routing_settings(), seed),
             known: BTreeMap::new(),
             data_centre,
+            centres: BTreeSet::new(),
             version: None,
             sequence: 0,
         }
@@ -101,15 +114,19 @@
         now: MonotonicTime,
         table: &RouteTable,
         workers: &[Arc<WorkerView>],
+        fleet: &BackendFleet,
     ) {
+        self.centres = workers.iter().map(|w| w.data_centre.clone()).collect();
         if self.version != Some(table.version().0) {
             self.version = Some(table.version().0);
             self.set_links(table, workers);
         }
         let mut held = BTreeSet::new();
         for worker in workers {
-            if self.follow_one(now, table, worker) {
+            let surveyed = fleet.surveyed(now, worker);
+            if self.follow_one(now, table, worker, surveyed) {
                 held.insert(worker.server.clone());
+                self.report(worker, surveyed);
             }
         }
         let gone: Vec<ServerName> = self
@@ -126,7 +143,13 @@
     }
 
     /// Tells the planner of one engine where it changed; false if it holds nothing to run.
-    fn follow_one(&mut self, now: MonotonicTime, table: &RouteTable, worker: &WorkerView) -> bool {
+    fn follow_one(
+        &mut self,
+        now: MonotonicTime,
+        table: &RouteTable,
+        worker: &WorkerView,
+        surveyed: Option<SurveyedEngine>,
+    ) -> bool {
         let Some(layers) = &worker.offer.layers else {
             return false;
         };
@@ -139,13 +162,14 @@
             layers: layers.clone(),
             address: worker.address,
             published: table.version().0,
+            slowness: slowness_of(surveyed),
         };
         if self.known.get(&worker.server) == Some(&known) {
             return true;
         }
         self.sequence += 1;
         let sequence = SequenceNumber(self.sequence);
-        let Some(announcement) = describe(worker, layers, spec, sequence) else {
+        let Some(announcement) = describe(worker, layers, spec, sequence, known.slowness) else {
             log::warn!(server:% = worker.server, kind = worker.offer.kind.as_str(); "engine of a kind that is not published");
             return false;
         };
@@ -158,6 +182,27 @@
         true
     }
 
+    /// Passes on what a survey found of an engine's load.
+    fn report(&mut self, worker: &WorkerView, surveyed: Option<SurveyedEngine>) {
+        let Some(surveyed) = surveyed else {
+            return;
+        };
+        let Some(load) = surveyed.load else {
+            return;
+        };
+        self.planner.report(&LoadReport {
+            server: worker.server.clone(),
+            incarnation: worker.incarnation,
+            sequence: SequenceNumber(surveyed.taken.as_micros()),
+            taken: surveyed.taken.before(REPORT_LAG),
+            figures: LoadFigures {
+                prefill: TokenCount(u64::from(load.waiting) * WAITING_TOKENS),
+                sequences: load.running.saturating_add(load.waiting),
+                kv: TokenCount(load.kv_tokens),
+            },
+        });
+    }
+
     fn set_links(&mut self, table: &RouteTable, workers: &[Arc<WorkerView>]) {
         let engines = table
             .services()
@@ -177,10 +222,13 @@
         }
     }
 
-    /// Takes a chain for a request: one of this data centre, or any where this one has none.
+    /// Takes a chain for a request: the one that is predicted to end first, among those that lie in
+    /// one data centre each. This data centre's own is preferred unless another is much quicker.
     ///
-    /// Crossing data centres costs 20 to 30 MB of activations for each request, and the pipe that
-    /// all share carries about 40 of those a second; so it is the last resort, not a choice by speed.
+    /// A chain that crosses data centres carries 20 to 30 MB of activations for each request, and
+    /// the pipe that all share takes about 40 of those a second; a caller's request and events are a
+    /// few kilobytes. So whole requests go to another data centre, and chains cross only where none
+    /// lies in one.
     pub(super) fn take<F, H>(
         &mut self,
         now: MonotonicTime,
@@ -193,12 +241,7 @@
         F: Fn(&ServerName) -> bool,
         H: Fn(&ServerName) -> bool,
     {
-        let near = self.data_centre.clone();
-        let is_near = |engine: &EngineRecord| {
-            let server = &engine.announcement.server;
-            engine.announcement.data_centre == near && may_take_work(server) && is_healthy(server)
-        };
-        let is_any = |engine: &EngineRecord| {
+        let is_good = |engine: &EngineRecord| {
             let server = &engine.announcement.server;
             may_take_work(server) && is_healthy(server)
         };
@@ -207,11 +250,11 @@
         let expected = draft.map_or(1, |draft| {
             draft.expected_tokens.unwrap_or(draft.answer_tokens)
         });
-        let mut query = RouteQuery {
+        let query = RouteQuery {
             model: &model,
             version: None,
             adapter: None,
-            allowed: &is_near,
+            allowed: &is_good,
             excluded,
             prompt_tokens: draft.map_or(0, |draft| draft.prompt_tokens),
             expected_tokens: expected.max(1),
@@ -219,12 +262,31 @@
             deadline: None,
             priority: RoutePriority::Normal,
         };
-        let plan = match self.planner.choose(now, &query) {
-            Ok(plan) => plan,
-            Err(_) => {
-                query.allowed = &is_any;
-                self.planner.choose(now, &query)?
+        let mut best: Option<(Duration, RoutePlan)> = None;
+        for centre in self.centres.clone() {
+            let is_there = |engine: &EngineRecord| {
+                engine.announcement.data_centre == centre && is_good(engine)
+            };
+            let query = RouteQuery {
+                allowed: &is_there,
+                ..query
+            };
+            let Ok(plan) = self.planner.choose(now, &query) else {
+                continue;
+            };
+            let away = if centre == self.data_centre {
+                Duration::ZERO
+            } else {
+                AWAY_PENALTY
+            };
+            let cost = plan.first_token + away;
+            if best.as_ref().is_none_or(|(other, _)| cost < *other) {
+                best = Some((cost, plan));
             }
+        }
+        let plan = match best {
+            Some((_, plan)) => plan,
+            None => self.planner.choose(now, &query)?,
         };
         let layers = request
             .service
@@ -289,6 +351,14 @@
     }
 }
 
+/// How many times slower an engine is than its kind, in whole steps, so that the planner is not
+/// told anew at each survey.
+fn slowness_of(surveyed: Option<SurveyedEngine>) -> u32 {
+    let load = surveyed.and_then(|surveyed| surveyed.load);
+    let percent = load.map_or(100, |load| load.slowness);
+    (percent.saturating_add(50) / 100).max(1)
+}
+
 /// Engines of one service form one pool, whatever models they list.
 fn pool_of(service: &ServiceSpec) -> ModelName {
     ModelName::from(service.name.as_str())
@@ -300,13 +370,15 @@
     layers: &WorkerLayers,
     spec: &EngineSpec,
     sequence: SequenceNumber,
+    slowness: u32,
 ) -> Option<EngineAnnouncement> {
     let kind = spec.kind(&worker.offer.kind)?;
     let share = f64::from(layers.range.len()) / f64::from(spec.layers.max(1));
-    let floor = spec.step.as_secs_f64() * kind.step_pace * share;
+    let slowness = f64::from(slowness);
+    let floor = spec.step.as_secs_f64() * kind.step_pace * share * slowness;
     let each = spec.step_per_request.as_secs_f64()
         + spec.step_per_context.as_secs_f64() * f64::from(spec.usual_prompt) / 1_000.0;
-    let busy_step = floor + each * BUSY_BATCH * kind.step_pace * share;
+    let busy_step = floor + each * BUSY_BATCH * kind.step_pace * share * slowness;
     Some(EngineAnnouncement {
         server: worker.server.clone(),
         incarnation: worker.incarnation,
@@ -320,7 +392,7 @@
         adapters: Vec::new(),
         role: EngineRole::Both,
         kv_capacity: TokenCount(spec.kv_tokens(kind, layers.range.len()).max(1)),
-        prefill_rate: rate(spec.read_per_second / kind.read_pace / share),
+        prefill_rate: rate(spec.read_per_second / kind.read_pace / share / slowness),
         decode_rate: rate(BUSY_BATCH / busy_step),
         step_floor: Duration::try_from_secs_f64(floor).ok()?,
         link_rate: ByteRate((spec.link_mbps * MEGABIT) as u64),
@@ -361,6 +433,8 @@
             continue;
         };
         let workers = context.fleet.workers(now);
-        context.chains().follow(now, &table, &workers);
+        context
+            .chains()
+            .follow(now, &table, &workers, &context.fleet);
     }
 }
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -24,14 +24,19 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::context::RelayContext;
+use super::survey::{SURVEY_PERIOD, survey};
 use crate::agreed::AgreedState;
 use crate::fleet::WorkerView;
+use crate::peers::PeerHub;
 use crate::placement::RightKeeper;
 
 /// Time between two ticks.
 const PLACE_TICK: Duration = Duration::from_millis(200);
 /// Longest wait for an engine's answer to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Surveys in a row without an answer after which an engine is taken for lost. One may be lost on
+/// the way.
+const LOST_SURVEYS: u32 = 2;
 /// Largest answer to an order or a question.
 const MAX_REPLY_BYTES: usize = 64 * 1024;
 /// Tokens of request memory that an engine keeps beside its layers.
@@ -49,6 +54,7 @@
     pub(crate) lease: Duration,
     pub(crate) context: Arc<RelayContext>,
     pub(crate) agreed: Arc<dyn AgreedState>,
+    pub(crate) hub: PeerHub,
 }
 
 /// Places layers for as long as the process lives.
@@ -71,6 +77,11 @@
     pools: BTreeMap<PoolKey, EnginePool>,
     orders: BTreeMap<ServerName, OrderCount>,
     client: ConnectionPool,
+    /// End of the right to order engines, on this host's clock.
+    right_until: MonotonicTime,
+    surveyed_at: MonotonicTime,
+    /// Surveys in a row that an engine left unanswered.
+    unanswered: BTreeMap<ServerName, u32>,
 }
 
 struct EnginePool {
@@ -95,6 +106,9 @@
             pools: BTreeMap::new(),
             orders: BTreeMap::new(),
             client: ConnectionPool::new(PoolSettings::default()),
+            right_until: MonotonicTime::START,
+            surveyed_at: MonotonicTime::START,
+            unanswered: BTreeMap::new(),
         }
     }
 
@@ -104,12 +118,20 @@
             return;
         };
         let workers = context.fleet.workers(context.clock.now());
+        self.survey(&workers).await;
+        let workers: Vec<Arc<WorkerView>> = workers
+            .into_iter()
+            .filter(|worker| !self.is_lost(worker))
+            .collect();
         self.look(&table, &workers);
         let right = self
             .right
             .keep(self.parts.agreed.as_ref(), context.clock.as_ref())
             .await;
         let now = context.clock.now();
+        if let Some(right) = right {
+            self.right_until = right.until;
+        }
         let mut orders = Vec::new();
         for pool in self.pools.values_mut() {
             if let Some(right) = right {
@@ -125,6 +147,34 @@
         }
     }
 
+    /// Asks the engines for their state, if this host holds the right to order them and it is time.
+    async fn survey(&mut self, workers: &[Arc<WorkerView>]) {
+        let context = Arc::clone(&self.parts.context);
+        let now = context.clock.now();
+        if now >= self.right_until || now.since(self.surveyed_at) < SURVEY_PERIOD {
+            return;
+        }
+        self.surveyed_at = now;
+        let notes = survey(&context, &self.client, &self.parts.hub, workers).await;
+        for note in &notes {
+            match note.load {
+                Some(_) => {
+                    self.unanswered.remove(&note.server);
+                }
+                None => *self.unanswered.entry(note.server.clone()).or_default() += 1,
+            }
+        }
+        context.fleet.take_survey(context.clock.now(), notes);
+    }
+
+    /// Whether an engine that still has its lease is gone. Its layers are placed elsewhere at once:
+    /// a crash sends nothing, and the lease runs on for seconds in which a data centre would have no
+    /// whole chain.
+    fn is_lost(&self, worker: &WorkerView) -> bool {
+        let missed = self.unanswered.get(&worker.server);
+        missed.is_some_and(|missed| *missed >= LOST_SURVEYS)
+    }
+
     /// Takes what operators published and engines announced.
     fn look(&mut self, table: &RouteTable, workers: &[Arc<WorkerView>]) {
         let now = self.parts.context.clock.now();
--- a/crates/daemon/src/relay/routes.rs
+++ b/crates/daemon/src/relay/routes.rs
@@ -3,23 +3,33 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use pollendrift_coordination::base::Revision;
+use pollendrift_coordination::base::{MonotonicTime, Revision};
 use pollendrift_coordination::configuration::Configuration;
 use pollendrift_coordination::routes::RouteTable;
 use pollendrift_dialect::{OperatorDialect, RefusalKind};
+use tokio::time::sleep;
 
 use super::request::{Refused, refused};
 use crate::agreed::AgreedState;
+use crate::clock::TimeSource;
 
 /// Advice to a caller of a host that can't tell which routes are in force: an election takes about
 /// as long.
 const RETRY_UNKNOWN: Duration = Duration::from_millis(500);
 
+/// Time without known routes for which requests wait: keepers that all started again have elected a
+/// leader and answered by then.
+const KNOWN_SOON: Duration = Duration::from_millis(1_800);
+/// Time between two looks of a waiting request.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
 /// Lays out the published source each time that it changes.
 pub(crate) struct RouteFeed {
     agreed: Arc<dyn AgreedState>,
     dialect: Arc<dyn OperatorDialect>,
     laid_out: Mutex<Option<LaidOut>>,
+    /// Since when no routes are known; `None` while some are.
+    unknown_since: Mutex<Option<MonotonicTime>>,
 }
 
 #[derive(Clone)]
@@ -35,6 +45,7 @@
             agreed,
             dialect,
             laid_out: Mutex::default(),
+            unknown_since: Mutex::new(Some(MonotonicTime::START)),
         }
     }
 
@@ -66,6 +77,47 @@
         Ok(table)
     }
 
+    /// The routes to serve by, after a short wait where they are about to be known.
+    ///
+    /// A host that has just started, or whose keepers are electing a leader, knows the routes a
+    /// moment later. Refused meanwhile, callers use up the one retry that many of them have. A host
+    /// that has been cut off for longer refuses at once.
+    ///
+    /// # Errors
+    /// As [`RouteFeed::current`].
+    pub(super) async fn wait(&self, clock: &dyn TimeSource) -> Result<Arc<RouteTable>, Refused> {
+        loop {
+            let refused = match self.current() {
+                Ok(table) => {
+                    self.set_unknown(None);
+                    return Ok(table);
+                }
+                Err(refused) => refused,
+            };
+            let now = clock.now();
+            let since = self.unknown_from(now);
+            if now.since(since) >= KNOWN_SOON {
+                return Err(refused);
+            }
+            sleep(LOOK_PERIOD).await;
+        }
+    }
+
+    fn unknown_from(&self, now: MonotonicTime) -> MonotonicTime {
+        let mut since = self
+            .unknown_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *since.get_or_insert(now)
+    }
+
+    fn set_unknown(&self, since: Option<MonotonicTime>) {
+        *self
+            .unknown_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = since;
+    }
+
     /// Why no routes are known; `None` if some are.
     pub(crate) fn gap(&self) -> Option<String> {
         self.current().err().map(|refused| refused.0.reason)
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -10,6 +10,7 @@
 
 use pollendrift_coordination::base::{HostName, MonotonicTime, ServerName};
 use pollendrift_coordination::leases::{DeltaCursor, LeaseDelta, MergeVerdict};
+use pollendrift_coordination::routing::EngineNote;
 
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
@@ -61,6 +62,11 @@
         }
     }
 
+    /// Takes what a survey of engines found.
+    pub fn take_survey(&self, notes: Vec<EngineNote>) {
+        self.fleet.take_survey(self.clock.now(), notes);
+    }
+
     /// Answers a peer's question for full announcements.
     pub fn answer(&self, hub: &PeerHub, from: &HostName, servers: &[ServerName]) {
         let now = self.clock.now();
--- a/crates/dialect/src/servers.rs
+++ b/crates/dialect/src/servers.rs
@@ -101,6 +101,12 @@
     pub orders: SequenceNumber,
     /// Whether one is in progress.
     pub busy: bool,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// How slow it is, in percent of its kind's usual time; 100 is usual.
+    pub slowness: u32,
     /// Request memory in use, in tokens times layers.
     pub kv_used: u64,
     /// Request memory in all, in tokens times layers.
