fix(fleet): keep engines whose heartbeats went to a cut-off host; let drafts wait for room

Change: a keeper that reaches no majority of keepers passes announcements on; engines that answer surveys stay; only a connection that nobody takes, or silence, suspects an engine; drafts wait up to 1.2 s for room, broken ones 1.5 s; room is asked for half of the expected answer. Tried and taken back: a placement of one chain by memory with few layers held twice.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -396,6 +396,7 @@
             dialect,
             fleet: Arc::clone(fleet),
             publisher,
+            hub: node.hub().clone(),
             clock: Arc::clone(clock),
         }),
     }
--- a/crates/daemon/src/fleet/worker.rs
+++ b/crates/daemon/src/fleet/worker.rs
@@ -13,7 +13,7 @@
 use pollendrift_coordination::routing::{EngineNote, SurveyedEngine};
 use pollendrift_dialect::ServerNote;
 
-use super::{AnnounceError, BackendFleet};
+use super::{AnnounceError, BackendFleet, FleetState};
 
 /// Number of the last announcement of a life. A server that left says no number; this one outranks
 /// whatever another host has heard of the same life.
@@ -111,12 +111,21 @@
         state.survey.get(now, &worker.server, worker.incarnation)
     }
 
+    /// Whether a server of a published service may get new work now; asked right before each send.
+    pub(crate) fn may_take(&self, now: MonotonicTime, server: &ServerName) -> bool {
+        let state = self.lock();
+        let worker = state.workers.get(server);
+        worker.is_some_and(|worker| state.is_there(now, worker))
+    }
+
     /// Servers of published services that may get new work now. Of two at one address only the
     /// later one is there: the other's last heartbeat was late.
     pub fn workers(&self, now: MonotonicTime) -> Vec<Arc<WorkerView>> {
         let state = self.lock();
-        let serving = state.leases.iter().filter(|lease| lease.is_serving(now));
-        let workers = serving.filter_map(|lease| state.workers.get(&lease.announce.server));
+        let workers = state
+            .workers
+            .values()
+            .filter(|worker| state.is_there(now, worker));
         let mut by_address: BTreeMap<SocketAddr, &Arc<WorkerView>> = BTreeMap::new();
         for worker in workers {
             let holder = by_address.entry(worker.address).or_insert(worker);
@@ -127,3 +136,22 @@
         by_address.into_values().cloned().collect()
     }
 }
+
+impl FleetState {
+    /// Whether a server is there and takes work: its lease runs, or it answers surveys.
+    ///
+    /// Heartbeats that went to a host which is cut off renew no lease elsewhere. Engines that serve
+    /// as ever would be left out, a third of a fleet at a time, and their layers placed anew. What
+    /// said that it leaves stays out, whatever it answers.
+    fn is_there(&self, now: MonotonicTime, worker: &WorkerView) -> bool {
+        let Some(lease) = self.leases.get(&worker.server) else {
+            return false;
+        };
+        if lease.is_serving(now) {
+            return true;
+        }
+        let surveyed = self.survey.get(now, &worker.server, worker.incarnation);
+        let answers = surveyed.is_some_and(|surveyed| surveyed.load.is_some());
+        answers && lease.announce.state == ServerState::Serving
+    }
+}
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -34,6 +34,9 @@
 const REPORT_LAG: Duration = Duration::from_millis(200);
 /// Prompt tokens that a waiting request is taken to have.
 const WAITING_TOKENS: u64 = 760;
+/// Part of the expected answer that room is asked for: over its time a draft that grows holds half
+/// of it, and many drafts of all ages share an engine.
+const GROWTH_PART: u32 = 2;
 /// How much sooner the first event must be expected of a chain in another data centre. Its events
 /// take a millisecond longer; the rest keeps requests near while loads are told late.
 const AWAY_PENALTY: Duration = Duration::from_millis(40);
@@ -234,6 +237,7 @@
         now: MonotonicTime,
         request: &RelayRequest,
         excluded: &[ServerName],
+        is_resume: bool,
         may_take_work: F,
         is_healthy: H,
     ) -> Result<TakenChain, NoRoute>
@@ -257,10 +261,15 @@
             allowed: &is_good,
             excluded,
             prompt_tokens: draft.map_or(0, |draft| draft.prompt_tokens),
-            expected_tokens: expected.max(1),
+            expected_tokens: (expected / GROWTH_PART).max(1),
             prefixes: &[],
             deadline: None,
-            priority: RoutePriority::Normal,
+            // The caller of a broken stream holds a part already, which would be lost.
+            priority: if is_resume {
+                RoutePriority::Urgent
+            } else {
+                RoutePriority::Normal
+            },
         };
         let mut best: Option<(Duration, RoutePlan)> = None;
         for centre in self.centres.clone() {
@@ -412,6 +421,9 @@
             output_tokens: 172,
             ..WorkloadMix::default()
         },
+        // Engines put the newest request back where memory runs out after all.
+        kv_headroom_percent: 2,
+        urgent_reserve_percent: 4,
         // Engines are as fast after a load as ever.
         slow_start: SlowStartSettings {
             window: Duration::ZERO,
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use pollendrift_coordination::base::{MonotonicTime, ServerName};
+use pollendrift_coordination::base::{HostName, MonotonicTime, ServerName};
 use pollendrift_dialect::{
     OperatorCall, OperatorReply, PlatformDialect, RegistryAck, RegistryCall, RegistryFault,
 };
@@ -18,6 +18,7 @@
 use super::publish::Publisher;
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
+use crate::peers::PeerHub;
 
 /// Largest body of an announcement or a document.
 const MAX_BODY_BYTES: usize = 8 << 20;
@@ -32,6 +33,7 @@
     pub(crate) dialect: PlatformDialect,
     pub(crate) fleet: Arc<BackendFleet>,
     pub(crate) publisher: Publisher,
+    pub(crate) hub: PeerHub,
     pub(crate) clock: Arc<dyn TimeSource>,
 }
 
@@ -78,6 +80,14 @@
 
     fn register(&self, call: Result<RegistryCall, RegistryFault>) -> Response<Bytes> {
         let now = self.clock.now();
+        if self.is_cut_off() {
+            let reason = "this host is cut off from most keepers".to_owned();
+            let elsewhere = true;
+            return self
+                .dialect
+                .registry
+                .refuse(&RegistryFault { reason, elsewhere });
+        }
         let taken = match call {
             Ok(RegistryCall::Announce(note)) => {
                 let taken = self.fleet.announce_worker(now, &note);
@@ -93,11 +103,37 @@
             }
             Err(reason) => {
                 log::warn!(reason = reason.as_str(); "announcement not taken");
-                self.dialect.registry.refuse(&RegistryFault { reason })
+                let elsewhere = false;
+                self.dialect
+                    .registry
+                    .refuse(&RegistryFault { reason, elsewhere })
             }
         }
     }
 
+    /// Whether links lead to no more than half of the keepers, this one counted.
+    ///
+    /// What is announced here would reach nobody: servers would be taken for gone elsewhere, and one
+    /// that leaves would go on getting work, though both were acknowledged.
+    fn is_cut_off(&self) -> bool {
+        let Some(discovery) = self.hub.discovery() else {
+            return false;
+        };
+        let keepers = discovery.keepers();
+        let up: Vec<HostName> = self
+            .hub
+            .status()
+            .into_iter()
+            .filter(|peer| peer.up)
+            .map(|peer| peer.host)
+            .collect();
+        let reached = keepers
+            .iter()
+            .filter(|keeper| *keeper == self.hub.host() || up.contains(keeper))
+            .count();
+        reached * 2 <= keepers.len()
+    }
+
     /// A host that has just started may not know the server while others do; acknowledged here, its
     /// leaving would be known to nobody, and work would go on to it. Refused, it asks another host.
     fn leave(&self, now: MonotonicTime, server: &ServerName) -> Result<(), String> {
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -5,24 +5,32 @@
 use std::time::Duration;
 
 use http::Response;
-use http_body_util::Full;
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
 use pollendrift_coordination::retries::SendOutcome;
 use pollendrift_coordination::streams::EventId;
 use pollendrift_dialect::RefusalKind;
 use pollendrift_http::{ResponseBody, channel_body};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::answer::{FailedSend, OpenAnswer, passed_back, send};
 use super::chains::TakenChain;
 use super::context::RelayContext;
 use super::request::{Refused, RelayRequest, SendTarget, refused};
 use super::stream::{StreamRun, run_stream};
+use super::survey::{EngineState, ask_engine};
 
 /// Time that must be left for a send to be of use.
 const MIN_LEFT: Duration = Duration::from_millis(50);
-/// Advice to a caller for whom no chain has room: about the time of a draft that runs.
-const RETRY_FULL: Duration = Duration::from_millis(500);
+/// Advice to a caller for whom no chain had room while it was waited for: about the time in which
+/// all drafts that run now have ended.
+const RETRY_FULL: Duration = Duration::from_millis(2_500);
+/// Time after its arrival for which a draft waits for a chain with room. Callers give a draft up
+/// that sends nothing for two seconds, and the first event takes up to half a second.
+const FIRST_PATIENCE: Duration = Duration::from_millis(1_200);
+/// Time after its last event for which a draft that was broken off waits for a chain with room.
+pub(super) const RESUME_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Time between two looks for room.
+const ROOM_PERIOD: Duration = Duration::from_millis(40);
 /// Time between two looks at a silent chain: a part of the pause that a caller may see.
 const WATCH_PERIOD: Duration = Duration::from_millis(25);
 /// Longest pause of full use, where a route names none.
@@ -70,7 +78,8 @@
         may_have_run: false,
         last: None,
     };
-    let running = match run.open(resume_after).await {
+    let wait_until = run.request.arrived.after(FIRST_PATIENCE);
+    let running = match run.open(resume_after, wait_until).await {
         Some(running) => running,
         None => return Err(run.conclude()),
     };
@@ -89,7 +98,15 @@
 
 impl DraftRun {
     /// Sends the draft until a chain answers it; `None` once no further send is allowed.
-    pub(super) async fn open(&mut self, resume_after: Option<EventId>) -> Option<RunningDraft> {
+    ///
+    /// Where no chain has room, it waits for some until `wait_until`: drafts end many times a second,
+    /// and a caller that is refused uses up the one retry that it may have.
+    pub(super) async fn open(
+        &mut self,
+        resume_after: Option<EventId>,
+        wait_until: MonotonicTime,
+    ) -> Option<RunningDraft> {
+        let is_resume = self.may_have_run;
         loop {
             let now = self.context.clock.now();
             if self.request.left(now) < MIN_LEFT || self.is_over() {
@@ -99,7 +116,13 @@
             if is_repeat && !self.context.take_retry(now, &self.request.service.name) {
                 return None;
             }
-            let chain = self.take_chain()?;
+            let Some(chain) = self.take_chain(is_resume) else {
+                if now >= wait_until {
+                    return None;
+                }
+                sleep(ROOM_PERIOD).await;
+                continue;
+            };
             match self.send(&chain.chain, resume_after).await {
                 Ok(answer) => {
                     self.sends += 1;
@@ -122,16 +145,17 @@
         }
     }
 
-    fn take_chain(&self) -> Option<ChainGuard> {
+    fn take_chain(&self, is_resume: bool) -> Option<ChainGuard> {
         let now = self.context.clock.now();
         let fleet = &self.context.fleet;
-        let may_take_work = |server: &ServerName| fleet.may_take_work(now, server);
+        let may_take_work = |server: &ServerName| fleet.may_take(now, server);
         let health = self.context.health();
         let is_healthy = |server: &ServerName| !health.is_suspected(now, server);
         let taken = self.context.chains().take(
             now,
             &self.request,
             &self.excluded,
+            is_resume,
             may_take_work,
             is_healthy,
         );
@@ -139,7 +163,7 @@
         match taken {
             Ok(chain) => Some(ChainGuard::new(&self.context, chain)),
             Err(none) => {
-                log::info!(request = self.request.attempt.as_str(), reasons:% = none; "no chain");
+                log::debug!(request = self.request.attempt.as_str(), reasons:% = none; "no chain");
                 None
             }
         }
@@ -261,14 +285,11 @@
 /// Asks an engine whether it is alive, and notes its answer or that there is none.
 async fn ask_alive(context: Arc<RelayContext>, server: ServerName, address: Option<SocketAddr>) {
     let answer_time = context.health().answer_time();
-    let answered = match address {
-        Some(address) => {
-            let question = context.dialect.servers.write_report().map(Full::new);
-            let asking = context.pool.send(address, question);
-            matches!(timeout(answer_time, asking).await, Ok(Ok(_)))
-        }
-        None => false,
+    let state = match address {
+        Some(address) => ask_engine(&context, &context.pool, address, answer_time).await,
+        None => EngineState::Silent,
     };
+    let answered = !matches!(state, EngineState::Silent);
     let now = context.clock.now();
     if answered {
         context.health().heard(now, [&server]);
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -7,7 +7,7 @@
 use pollendrift_http::BodySender;
 use tokio::time::timeout;
 
-use super::drafts::{DraftRun, RunningDraft};
+use super::drafts::{DraftRun, RESUME_PATIENCE, RunningDraft};
 
 /// A stream that runs.
 pub(super) struct StreamRun {
@@ -91,7 +91,8 @@
     // The connection is closed first: the engine must not work on beside its successor.
     drop(answer);
     run.abandon(chain, suspects);
-    let next = run.open(after).await?;
+    let wait_until = run.context.clock.now().after(RESUME_PATIENCE);
+    let next = run.open(after, wait_until).await?;
     next.answer.parts.status.is_success().then_some(next)
 }
 
--- a/crates/daemon/src/relay/survey.rs
+++ b/crates/daemon/src/relay/survey.rs
@@ -1,12 +1,13 @@
 //! Asks all engines for their state, and tells every host.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::Full;
 use pollendrift_coordination::routing::{EngineLoad, EngineNote};
 use pollendrift_dialect::EngineReport;
-use pollendrift_http::{ConnectionPool, read_bounded};
+use pollendrift_http::{ClientError, ConnectionPool, read_bounded};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -39,7 +40,8 @@
         let (context, pool) = (Arc::clone(context), pool.clone());
         asking.spawn(ask(context, pool, Arc::clone(worker)));
     }
-    let notes: Vec<EngineNote> = asking.join_all().await;
+    let notes = asking.join_all().await.into_iter();
+    let notes: Vec<EngineNote> = notes.flatten().collect();
     for notes in notes.chunks(FRAME_ENGINES) {
         let frame = PeerFrame::Survey(notes.to_vec());
         for host in hub.hosts() {
@@ -54,30 +56,60 @@
     context: Arc<RelayContext>,
     pool: ConnectionPool,
     worker: Arc<WorkerView>,
-) -> EngineNote {
+) -> Option<EngineNote> {
     let asked_at = context.clock.now();
-    let answer = timeout(ANSWER_TIME, report_of(&context, &pool, &worker)).await;
-    let report = answer.ok().flatten();
-    EngineNote {
+    let state = ask_engine(&context, &pool, worker.address, ANSWER_TIME).await;
+    let load = match state {
+        EngineState::Told(report) => Some(load_of(&worker, &report)),
+        EngineState::Silent => None,
+        EngineState::Unclear => return None,
+    };
+    Some(EngineNote {
         server: worker.server.clone(),
         incarnation: worker.incarnation,
-        load: report.map(|report| load_of(&worker, &report)),
+        load,
         age: context.clock.now().since(asked_at),
-    }
+    })
+}
+
+/// What asking an engine showed.
+pub(super) enum EngineState {
+    /// It answered.
+    Told(EngineReport),
+    /// Nobody took the question, or nothing came back in time.
+    Silent,
+    /// Somebody took the question, and the answer was lost or is none. Engines that lose answers
+    /// now and then are alive, and would else be taken for dead with every lost one.
+    Unclear,
 }
 
-async fn report_of(
+/// Asks the engine at `address` for its state.
+pub(super) async fn ask_engine(
     context: &RelayContext,
     pool: &ConnectionPool,
-    worker: &WorkerView,
-) -> Option<EngineReport> {
+    address: SocketAddr,
+    answer_time: Duration,
+) -> EngineState {
     let dialect = &context.dialect.servers;
     let question = dialect.write_report().map(Full::new);
-    let answer = pool.send(worker.address, question).await.ok()?;
-    let (parts, body) = answer.response.into_parts();
-    let body = read_bounded(body, MAX_REPLY_BYTES).await.ok()?;
-    answer.connection.keep(&parts.headers);
-    dialect.read_report(&body)
+    let asking = async {
+        let answer = match pool.send(address, question).await {
+            Ok(answer) => answer,
+            Err(ClientError::NotSent { .. }) => return EngineState::Silent,
+            Err(_) => return EngineState::Unclear,
+        };
+        let (parts, body) = answer.response.into_parts();
+        let Ok(body) = read_bounded(body, MAX_REPLY_BYTES).await else {
+            return EngineState::Unclear;
+        };
+        answer.connection.keep(&parts.headers);
+        dialect
+            .read_report(&body)
+            .map_or(EngineState::Unclear, EngineState::Told)
+    };
+    timeout(answer_time, asking)
+        .await
+        .unwrap_or(EngineState::Silent)
 }
 
 /// Engines count request memory in tokens times layers.
--- a/crates/dialect/src/registry.rs
+++ b/crates/dialect/src/registry.rs
@@ -5,9 +5,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{Method, Response};
-use pollendrift_coordination::base::{
-    DataCentreName, Incarnation, SequenceNumber, ServerName, ServiceName,
-};
+use pollendrift_coordination::base::{DataCentreName, Incarnation, SequenceNumber, ServerName};
 use pollendrift_coordination::leases::{ServerState, WorkerOffer};
 
 /// What a backend server says of itself.
@@ -47,12 +45,14 @@
     pub announce_at: Option<SocketAddr>,
 }
 
-/// Why a call names no server to use.
+/// Why a call was not taken.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("{reason}")]
 pub struct RegistryFault {
     /// All that is wrong with it.
     pub reason: String,
+    /// Whether another host may take it.
+    pub elsewhere: bool,
 }
 
 /// How backend servers speak of themselves.
@@ -70,9 +70,4 @@
 
     /// Writes the answer to a call that was not taken.
     fn refuse(&self, fault: &RegistryFault) -> Response<Bytes>;
-
-    /// The service that a note of `service` belongs to, for logs.
-    fn describe(&self, service: &ServiceName) -> String {
-        service.to_string()
-    }
 }
