--- a/crates/coordination/tests/routing_chains.rs
+++ b/crates/coordination/tests/routing_chains.rs
@@ -8,7 +8,8 @@
 /// reports which layers made a token, so only the list itself can be checked.
 #[test]
 fn a_chain_with_a_gap_an_overlap_or_a_missing_end_is_not_whole() {
-    let cases: [(&str, &[(u32, u32)], u32); 8] = [
+    type ChainCase<'a> = (&'a str, &'a [(u32, u32)], u32);
+    let cases: [ChainCase<'_>; 8] = [
         ("whole", &[(0, 30), (30, 80)], 80),
         ("one stage", &[(0, 80)], 80),
         ("a stage is missing", &[(0, 17), (27, 80)], 80),
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -157,7 +157,9 @@
         attempt: Option<&pollendrift_coordination::base::RequestId>,
     ) -> Response<ResponseBody> {
         let id = attempt.map_or("", |attempt| attempt.as_str());
-        log::info!(request = id, kind:% = refused.0.kind, reason = refused.0.reason.as_str(); "refused");
+        let advice = refused.0.retry_after.unwrap_or_default().as_millis();
+        log::warn!(request = id, kind:% = refused.0.kind, reason = refused.0.reason.as_str(),
+            retry_after_ms = u64::try_from(advice).unwrap_or(u64::MAX); "refused");
         self.dialect
             .callers
             .refuse(&refused.0, attempt)
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -52,8 +52,15 @@
             return Err(conclude(&history));
         }
         history.asked.push(worker.server.clone());
+        log::info!(request = request.attempt.as_str(), route = &*request.route.name,
+            server:% = worker.server, try = history.asked.len(); "sent");
         match send_once(context, request, &worker, now).await {
-            Ok(response) if !is_worth_another(request, &history, &response) => return Ok(response),
+            Ok(response) if !is_worth_another(request, &history, &response) => {
+                let took = context.clock.now().since(request.arrived).as_millis();
+                log::info!(request = request.attempt.as_str(), status = response.status().as_u16(),
+                    server:% = worker.server, took_ms = u64::try_from(took).unwrap_or(u64::MAX); "ended");
+                return Ok(response);
+            }
             Ok(response) => {
                 history.sends += 1;
                 history.may_have_run = true;
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -123,6 +123,7 @@
                 sleep(ROOM_PERIOD).await;
                 continue;
             };
+            chain.log_sent(&self.request, now, self.sends + self.declined + 1);
             match self.send(&chain.chain, resume_after).await {
                 Ok(answer) => {
                     self.sends += 1;
@@ -238,6 +239,16 @@
         self.last = Some(failed);
     }
 
+    /// Notes how the draft ended.
+    pub(super) fn log_end(&self, outcome: &str, last: Option<EventId>) {
+        let request = &self.request;
+        let taken = self.context.clock.now().since(request.arrived);
+        log::info!(request = request.attempt.as_str(), route = &*request.route.name,
+            customer = request.customer.as_ref().map_or("", |customer| customer.as_str()),
+            outcome = outcome, last_event = last.map_or(0, |last| last.0),
+            sends = self.sends, declined = self.declined, took_ms = millis(taken); "ended");
+    }
+
     /// Whether no further send is allowed.
     fn is_over(&self) -> bool {
         let may_go_on = !self.may_have_run || self.request.route.kind.may_repeat();
@@ -282,6 +293,10 @@
     }
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Asks an engine whether it is alive, and notes its answer or that there is none.
 async fn ask_alive(context: Arc<RelayContext>, server: ServerName, address: Option<SocketAddr>) {
     let answer_time = context.health().answer_time();
@@ -325,6 +340,18 @@
         }
     }
 
+    fn log_sent(&self, request: &RelayRequest, now: MonotonicTime, attempt: u32) {
+        let plan = &self.chain.plan;
+        let stages: Vec<String> = plan
+            .stages
+            .iter()
+            .map(|stage| format!("{}:{}", stage.server, stage.layers))
+            .collect();
+        log::info!(request = request.attempt.as_str(), route = &*request.route.name,
+            try = attempt, chain = stages.join(" ").as_str(),
+            predicted_ms = millis(plan.first_token), left_ms = millis(request.left(now)); "sent");
+    }
+
     /// Events came; `is_first` if none had before.
     pub(super) fn heard(&self, now: MonotonicTime, is_first: bool) {
         self.context.health().heard(now, self.chain.servers());
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -58,9 +58,13 @@
                     .connection
                     .keep(&running.answer.parts.headers);
                 sender.finish().await;
+                run.log_end("whole", progress.last());
+                return;
+            }
+            ChainEnd::CallerGone => {
+                run.log_end("caller-gone", progress.last());
                 return;
             }
-            ChainEnd::CallerGone => return,
             ChainEnd::Broken(_) | ChainEnd::Silent(_) => {
                 let (reason, suspects) = explain(end);
                 let after = progress.last();
@@ -72,6 +76,7 @@
                 };
                 let Some(next) = next else {
                     log::warn!(request = run.request.attempt.as_str(), reason = reason.as_str(); "stream cut");
+                    run.log_end("cut", after);
                     return;
                 };
                 running = next;
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -2,6 +2,7 @@
 
 mod instruments;
 mod journal;
+mod lines;
 mod logs;
 mod metrics;
 mod recorder;
@@ -9,6 +10,7 @@
 
 pub use instruments::{INSTRUMENTS, InstrumentKind, InstrumentSpec};
 pub use journal::{EvidenceJournal, JournalError, RetentionPlan};
+pub use lines::{LineAppender, LineBudget, LineSettings, line_of};
 pub use logs::{LogControl, LogError, log_field, log_to};
 pub use metrics::{MetricError, MetricRegistry, RefusedConnection, RequestEnd};
 pub use recorder::{EvidenceRecorder, EvidenceSink, OpenRequest, SinkError, StoreFuture};
--- a/crates/daemon/src/telemetry/logs.rs
+++ b/crates/daemon/src/telemetry/logs.rs
@@ -1,17 +1,15 @@
-//! Structured logs: one JSON object a line, to the standard error stream.
+//! Structured logs: one JSON object a line, to standard output.
 //!
-//! A record carries the request, customer and revision as `attributes`, under the keys of
-//! [`log_field`]: `log::info!(request = id.as_str(); "refused")`. No line is written per token, and
+//! A record carries the request, customer and revision under the keys of [`log_field`]: `log::info!(request = id.as_str(); "refused")`. No line is written per token, and
 //! no line holds a token, a key or the text of a prompt.
 
 use derive_more::{Display, Error, From};
 use log::SetLoggerError;
 use log4rs::append::Append;
-use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::runtime::ConfigErrors;
 use log4rs::config::{Appender, Config, Logger, Root};
-use log4rs::encode::json::JsonEncoder;
 
+use super::lines::{LineAppender, LineSettings};
 use crate::settings::LogSettings;
 
 const APPENDER: &str = "lines";
@@ -34,6 +32,9 @@
     /// A package name is no path of modules.
     #[display("log levels: {_0}")]
     Levels(ConfigErrors),
+    /// The thread that writes lines can't be started.
+    #[display("log lines: {_0}")]
+    Writer(std::io::Error),
     /// Another part of the process has started logs before.
     #[display("logs are started already: {_0}")]
     Started(SetLoggerError),
@@ -52,7 +53,7 @@
     ///
     /// If the levels can't be used or logs were started before.
     pub fn start(settings: &LogSettings) -> Result<Self, LogError> {
-        let config = log_to(settings, console())?;
+        let config = log_to(settings, lines()?)?;
         let handle = log4rs::init_config(config)?;
         Ok(Self { handle })
     }
@@ -63,7 +64,7 @@
     ///
     /// If the levels can't be used; the old ones stay.
     pub fn change(&self, settings: &LogSettings) -> Result<(), LogError> {
-        self.handle.set_config(log_to(settings, console())?);
+        self.handle.set_config(log_to(settings, lines()?)?);
         Ok(())
     }
 }
@@ -86,10 +87,7 @@
     Ok(config)
 }
 
-fn console() -> Box<dyn Append> {
-    let appender = ConsoleAppender::builder()
-        .target(Target::Stderr)
-        .encoder(Box::new(JsonEncoder::new()))
-        .build();
-    Box::new(appender)
+fn lines() -> Result<Box<dyn Append>, LogError> {
+    let appender = LineAppender::start(LineSettings::default(), std::io::stdout())?;
+    Ok(Box::new(appender))
 }
