--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -32,14 +32,22 @@
 const BUSY_BATCH: f64 = 16.0;
 /// Age of what an engine tells of its load.
 const REPORT_LAG: Duration = Duration::from_millis(200);
-/// Prompt tokens that a waiting request is taken to have.
-const WAITING_TOKENS: u64 = 760;
+/// Prompt tokens that a waiting request counts for.
+///
+/// It waits for memory, not for its turn to be read: with 45 drafts of 3 s each on an engine, one ends
+/// every 65 ms, in which the engine would read so many. Counted by its own 760 tokens, a full data
+/// centre was predicted to answer within 30 ms and took 3 s, and all entries sent there together.
+const WAITING_TOKENS: u64 = 13_000;
 /// Part of the expected answer that room is asked for: over its time a draft that grows holds half
 /// of it, and many drafts of all ages share an engine.
 const GROWTH_PART: u32 = 2;
 /// How much sooner the first event must be expected of a chain in another data centre. Its events
-/// take a millisecond longer; the rest keeps requests near while loads are told late.
-const AWAY_PENALTY: Duration = Duration::from_millis(40);
+/// take a millisecond longer; the rest keeps requests near while loads are told late, since all
+/// entries would else follow the same old figures to the same place.
+const AWAY_PENALTY: Duration = Duration::from_millis(120);
+/// Part of the time from first to last event that counts like the wait for the first: a slow stream
+/// holds memory that others wait for.
+const STREAM_PART: u32 = 8;
 /// Bytes a second in one megabit a second.
 const MEGABIT: f64 = 125_000.0;
 
@@ -288,7 +296,8 @@
             } else {
                 AWAY_PENALTY
             };
-            let cost = plan.first_token + away;
+            let stream = plan.finish.saturating_sub(plan.first_token);
+            let cost = plan.first_token + stream / STREAM_PART + away;
             if best.as_ref().is_none_or(|(other, _)| cost < *other) {
                 best = Some((cost, plan));
             }
--- a/crates/daemon/src/relay/routes.rs
+++ b/crates/daemon/src/relay/routes.rs
@@ -17,9 +17,12 @@
 /// as long.
 const RETRY_UNKNOWN: Duration = Duration::from_millis(500);
 
-/// Time without known routes for which requests wait: keepers that all started again have elected a
-/// leader and answered by then.
-const KNOWN_SOON: Duration = Duration::from_millis(1_800);
+/// Time without known routes within which they are likely to be known soon: keepers that all started
+/// again have elected a leader by then, also where the first one that was elected was too busy with
+/// its start to keep its followers.
+const KNOWN_SOON: Duration = Duration::from_secs(4);
+/// Longest wait of one request. Callers give up a request that nothing comes back on for 2 s.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_600);
 /// Time between two looks of a waiting request.
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -86,6 +89,7 @@
     /// # Errors
     /// As [`RouteFeed::current`].
     pub(super) async fn wait(&self, clock: &dyn TimeSource) -> Result<Arc<RouteTable>, Refused> {
+        let arrived = clock.now();
         loop {
             let refused = match self.current() {
                 Ok(table) => {
@@ -96,7 +100,8 @@
             };
             let now = clock.now();
             let since = self.unknown_from(now);
-            if now.since(since) >= KNOWN_SOON {
+            let is_over = now.since(arrived) >= LONGEST_WAIT;
+            if is_over || now.since(since) >= KNOWN_SOON {
                 return Err(refused);
             }
             sleep(LOOK_PERIOD).await;
