fix(relay): keep a silent chain while there is no other; pay the retry budget for sends only

Cause: drafts that waited for room paid a retry at each look, 25 times a second, so a host's budget was empty within half a second and running drafts whose chain fell silent were cut for want of a retry, though their answers still came. The budget was divided by sixteen hosts whatever their number.

Change: a chain is taken before its retry is paid; a silent chain is left only where another can go on; what engines declined is asked again after 200 ms; keepers tell entries how many share the budget.

--- a/crates/coordination/src/hosts.rs
+++ b/crates/coordination/src/hosts.rs
@@ -151,6 +151,12 @@
             .collect()
     }
 
+    /// Number of hosts that are no keepers: they take callers.
+    pub fn entries(&self) -> u32 {
+        let entries = self.entries.values().filter(|entry| !entry.reach.keeper);
+        u32::try_from(entries.count()).unwrap_or(u32::MAX)
+    }
+
     /// The host that is reached at `address`.
     pub fn find(&self, address: SocketAddr) -> Option<&HostName> {
         let mut entries = self.entries.iter();
--- a/crates/coordination/src/limits/bucket.rs
+++ b/crates/coordination/src/limits/bucket.rs
@@ -49,6 +49,12 @@
         Err(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
     }
 
+    /// Whether there is a token; takes none.
+    pub(crate) fn has_some(&mut self, now: MonotonicTime) -> bool {
+        self.refill(now);
+        self.level >= 1.0
+    }
+
     fn refill(&mut self, now: MonotonicTime) {
         let passed = now.since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
--- a/crates/coordination/src/retries/budget.rs
+++ b/crates/coordination/src/retries/budget.rs
@@ -47,6 +47,20 @@
         self.find(now, key).bucket.take(now).is_ok()
     }
 
+    /// Whether the budget allows a retry; takes none.
+    pub fn is_left(&mut self, now: MonotonicTime, key: &K) -> bool {
+        self.find(now, key).bucket.has_some(now)
+    }
+
+    /// Takes other settings into force; what is saved up stays, within the new burst.
+    pub fn configure(&mut self, now: MonotonicTime, settings: RetrySettings) {
+        self.settings = settings;
+        for budget in self.budgets.values_mut() {
+            let (floor, burst) = (settings.budget_floor, settings.budget_burst);
+            budget.bucket.configure(now, floor, burst);
+        }
+    }
+
     /// The settings in force.
     pub fn settings(&self) -> &RetrySettings {
         &self.settings
--- a/crates/coordination/tests/retries_failures.rs
+++ b/crates/coordination/tests/retries_failures.rs
@@ -232,3 +232,29 @@
         "{shares:?}"
     );
 }
+
+// Drafts that look for room many times a second must not pay for looking: running drafts that
+// broke were then cut for want of budget. And a host that learns that it shares the budget with
+// more others must not keep what it had saved up for fewer.
+#[test]
+fn looking_at_the_budget_costs_nothing_and_a_smaller_share_holds_at_once() {
+    let settings = RetrySettings {
+        budget_ratio: 0.0,
+        budget_floor: 0.1,
+        budget_burst: 4.0,
+        ..RetrySettings::default()
+    };
+    let customer = CustomerName::from("c");
+    let mut budgets = BudgetTable::new(settings);
+    for millis in 0..1_000 {
+        assert!(budgets.is_left(at(millis), &customer));
+    }
+    let smaller = RetrySettings {
+        budget_burst: 1.0,
+        ..settings
+    };
+    budgets.configure(at(1_000), smaller);
+    let taken = (0..4).filter(|_| budgets.take(at(1_000), &customer));
+    assert_eq!(taken.count(), 1);
+    assert!(!budgets.is_left(at(1_000), &customer));
+}
--- /dev/null
+++ b/crates/coordination/tests/streams_events.rs
@@ -0,0 +1,88 @@
+//! Event streams that pass through, cut anywhere, made by one engine after another.
+
+use pollendrift_coordination::streams::{EventFramer, EventId, EventProgress, EventVerdict};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn event(number: u64, end: &str) -> String {
+    let line = &end[..end.len() / 2];
+    format!("id: {number}{line}data: token {number}{end}")
+}
+
+// A caller gets each token once and in order, however the bytes were cut on their way. An event that
+// is passed on in part could not be finished by another engine.
+#[test]
+fn events_come_out_whole_however_the_bytes_are_cut() {
+    for seed in 0..200 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let end = if seed % 2 == 0 { "\n\n" } else { "\r\n\r\n" };
+        let events: Vec<String> = (1..=20).map(|number| event(number, end)).collect();
+        let whole = events.concat();
+        let mut rest = whole.as_bytes();
+        let mut framer = EventFramer::default();
+        let mut seen = Vec::new();
+        while !rest.is_empty() {
+            let taken = random.random_range(1..=rest.len().min(40));
+            let (part, left) = rest.split_at(taken);
+            rest = left;
+            framer.push(part);
+            while let Some(event) = framer.next_event().expect("short events") {
+                let text = String::from_utf8(event.bytes.to_vec()).expect("text");
+                seen.push((event.id.expect("numbered").0, text));
+            }
+        }
+        let expected: Vec<(u64, String)> = (1..).zip(events).collect();
+        assert_eq!(seen, expected, "seed {seed}");
+        assert!(!framer.has_rest(), "seed {seed}");
+    }
+}
+
+// The second engine of a draft repeats some events, skips some, or numbers none. Seen ones are left
+// out; a gap ends its part, since the caller would take what follows for the next token.
+#[test]
+fn a_caller_gets_each_number_once_and_in_order() {
+    let cases: [(&str, Option<u64>, &[Option<u64>]); 5] = [
+        ("from the start", None, &[Some(1), Some(2), Some(3)]),
+        ("goes on", Some(7), &[Some(8), Some(9)]),
+        (
+            "begins anew",
+            Some(2),
+            &[Some(1), Some(2), Some(3), Some(4)],
+        ),
+        ("skips one", Some(2), &[Some(3), Some(5), Some(4)]),
+        ("numbers lost", None, &[Some(1), None, Some(2)]),
+    ];
+    let mut lines = Vec::new();
+    for (case, held, numbers) in cases {
+        let mut progress = EventProgress::after(held.map(EventId));
+        let judged = numbers.iter().map(|number| {
+            let verdict = progress.take(number.map(EventId));
+            format!("{number:?} {verdict:?}")
+        });
+        let judged: Vec<String> = judged.collect();
+        lines.push(format!("{case}: {}", judged.join(", ")));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @"
+    from the start: Some(1) Deliver, Some(2) Deliver, Some(3) Deliver
+    goes on: Some(8) Deliver, Some(9) Deliver
+    begins anew: Some(1) Seen, Some(2) Seen, Some(3) Deliver, Some(4) Deliver
+    skips one: Some(3) Deliver, Some(5) Gap, Some(4) Deliver
+    numbers lost: Some(1) Deliver, None Gap, Some(2) Deliver
+    ");
+    let mut progress = EventProgress::after(None);
+    assert_eq!(progress.take(None), EventVerdict::Deliver);
+}
+
+// An engine that never ends an event must not fill the memory of the host.
+#[test]
+fn an_event_without_end_is_refused() {
+    let mut framer = EventFramer::default();
+    let error = loop {
+        framer.push(&[b'x'; 4_096]);
+        match framer.next_event() {
+            Ok(event) => assert_eq!(event, None),
+            Err(error) => break error,
+        }
+    };
+    insta::assert_snapshot!(error.to_string(), @"event of more than 262144 bytes");
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -410,7 +410,7 @@
     agreed: &Arc<dyn AgreedState>,
 ) -> Vec<JoinHandle<()>> {
     if !settings.is_keeper() {
-        return vec![tokio::spawn(run_chains(relay))];
+        return vec![tokio::spawn(run_chains(relay, node.hub().clone()))];
     }
     let placer = PlacerParts {
         host: settings.host.clone(),
--- a/crates/daemon/src/peers/discovery.rs
+++ b/crates/daemon/src/peers/discovery.rs
@@ -1,6 +1,7 @@
 //! Finding peers from a few seed addresses, and passing on who is there.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -35,6 +36,8 @@
     seeds: Vec<SocketAddr>,
     host: HostName,
     directory: Mutex<HostDirectory>,
+    /// Hosts that take callers, as a keeper told last; 0 before.
+    entries: AtomicU32,
     clock: Arc<dyn crate::clock::TimeSource>,
 }
 
@@ -57,6 +60,7 @@
             seeds: start.seeds,
             host: start.host,
             directory: Mutex::new(directory),
+            entries: AtomicU32::new(0),
             clock,
         }
     }
@@ -66,6 +70,11 @@
         self.reach
     }
 
+    /// Hosts that take callers, this one included; `None` before a keeper told of them.
+    pub fn entries(&self) -> Option<u32> {
+        Some(self.entries.load(Ordering::Relaxed)).filter(|entries| *entries > 0)
+    }
+
     /// Known keepers, this host included if it is one, by name.
     pub fn keepers(&self) -> Vec<HostName> {
         let mut keepers: Vec<HostName> = self.lock().keepers().cloned().collect();
@@ -96,8 +105,9 @@
     }
 
     /// A host told of others.
-    pub(super) fn take(&self, hub: &PeerHub, notes: &[HostNote]) {
+    pub(super) fn take(&self, hub: &PeerHub, notes: &[HostNote], entries: u32) {
         let now = self.clock.now();
+        self.entries.store(entries, Ordering::Relaxed);
         for note in notes {
             let news = self.lock().hear_of(now, note);
             self.apply(hub, news);
@@ -148,7 +158,13 @@
         if !self.reach.keeper {
             return;
         }
-        let frame = PeerFrame::Hosts(self.lock().notes(now));
+        let frame = {
+            let directory = self.lock();
+            PeerFrame::Hosts {
+                keepers: directory.notes(now),
+                entries: directory.entries(),
+            }
+        };
         for host in hub.hosts() {
             // Told again at the next tick.
             let _ = hub.send(&host, &frame);
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -235,8 +235,13 @@
     },
     /// Configurations.
     Configuration(ConfigurationFrame),
-    /// Keepers that the sender knows of.
-    Hosts(Vec<HostNote>),
+    /// Hosts that the sender, a keeper, knows of.
+    Hosts {
+        /// Keepers.
+        keepers: Vec<HostNote>,
+        /// Number of the others, which take callers.
+        entries: u32,
+    },
     /// Tokens that go to a caller of the sender.
     Stream(StreamNote),
     /// Leases of backend servers that changed or were renewed.
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -177,9 +177,9 @@
                 what: "frame of the handshake",
             });
         }
-        PeerFrame::Hosts(notes) => {
+        PeerFrame::Hosts { keepers, entries } => {
             if let Some(discovery) = hub.discovery() {
-                discovery.take(hub, &notes);
+                discovery.take(hub, &keepers, entries);
             }
         }
         frame => hub.shared.handler.handle(hub, &link.host, frame),
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -23,6 +23,7 @@
 use super::context::RelayContext;
 use super::request::RelayRequest;
 use crate::fleet::{BackendFleet, WorkerView};
+use crate::peers::PeerHub;
 
 /// Time between two looks at the fleet. A server that leaves is asked about right before each send
 /// as well, so this only bounds how soon a new one is used.
@@ -443,13 +444,17 @@
 }
 
 /// Keeps the chains current for as long as the process lives.
-pub(crate) async fn run_chains(context: Arc<RelayContext>) {
+pub(crate) async fn run_chains(context: Arc<RelayContext>, hub: PeerHub) {
     let mut ticks = interval(CHAIN_TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         let now = context.clock.now();
         context.loads().tick(now);
+        let entries = hub.discovery().and_then(|discovery| discovery.entries());
+        if let Some(entries) = entries {
+            context.share_budget(now, entries);
+        }
         let Ok(table) = context.routes.current() else {
             continue;
         };
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -1,5 +1,6 @@
 //! What every relayed request needs, passed in rather than global.
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -17,9 +18,8 @@
 use crate::lifecycle::{LifeStep, LifeWatch};
 use crate::settings::RelaySettings;
 
-/// Hosts that are taken to share the retry budget. A host does not know how many take requests;
-/// with more than these the bound is kept by what each of them leaves unused.
-const BUDGET_HOSTS: f64 = 16.0;
+/// Hosts that are taken to share the retry budget before a keeper tells how many there are.
+const BUDGET_HOSTS: u32 = 64;
 /// Part of the earned budget that is used, since windows of the bound slide over those used here.
 const BUDGET_PART: f64 = 0.8;
 
@@ -48,6 +48,9 @@
     chains: Mutex<ChainTable>,
     health: Mutex<ChainHealth>,
     budgets: Mutex<BudgetTable<ServiceName>>,
+    settings: RelaySettings,
+    /// Hosts that the retry budget is divided by.
+    sharing: AtomicU32,
 }
 
 impl std::fmt::Debug for RelayContext {
@@ -73,8 +76,13 @@
             loads: Mutex::new(ServerLoads::new(outliers())),
             chains: Mutex::new(ChainTable::new(parts.data_centre.clone(), parts.seed)),
             health: Mutex::new(ChainHealth::new(HealthSettings::default())),
-            budgets: Mutex::new(BudgetTable::new(budget_settings(&parts.settings))),
+            budgets: Mutex::new(BudgetTable::new(budget_settings(
+                &parts.settings,
+                BUDGET_HOSTS,
+            ))),
             data_centre: parts.data_centre,
+            settings: parts.settings,
+            sharing: AtomicU32::new(BUDGET_HOSTS),
         }
     }
 
@@ -116,6 +124,20 @@
         self.budgets().take(now, service)
     }
 
+    /// Whether the budget allows a retry at a service; takes none.
+    pub(super) fn is_retry_left(&self, now: MonotonicTime, service: &ServiceName) -> bool {
+        self.budgets().is_left(now, service)
+    }
+
+    /// Divides the retry budget by the hosts that take callers.
+    pub(super) fn share_budget(&self, now: MonotonicTime, hosts: u32) {
+        if self.sharing.swap(hosts, Ordering::Relaxed) != hosts {
+            let settings = budget_settings(&self.settings, hosts);
+            self.budgets().configure(now, settings);
+            log::info!(hosts = hosts; "retry budget shared");
+        }
+    }
+
     fn budgets(&self) -> MutexGuard<'_, BudgetTable<ServiceName>> {
         self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -129,8 +151,8 @@
     }
 }
 
-fn budget_settings(settings: &RelaySettings) -> RetrySettings {
-    let slack = settings.retry_slack as f64 * BUDGET_PART / BUDGET_HOSTS;
+fn budget_settings(settings: &RelaySettings, hosts: u32) -> RetrySettings {
+    let slack = settings.retry_slack as f64 * BUDGET_PART / f64::from(hosts.max(1));
     // Half of the slack may be saved up, the other half comes back within one window: a window of
     // the bound that holds both sees no more than the slack.
     RetrySettings {
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -40,15 +40,22 @@
 const PATIENCE_SHARE: f64 = 0.4;
 /// Events that wait for a caller that reads slowly.
 const EVENT_QUEUE: usize = 32;
+/// Time for which an engine that declined a draft is left out of its next chains.
+const DECLINED_PAUSE: Duration = Duration::from_millis(200);
+/// Time for which the engines of a chain that broke by no known fault are left out. Longer, there
+/// may be no other whole chain to go on.
+const BROKEN_PAUSE: Duration = Duration::from_millis(700);
+/// Longer than any draft.
+const FOR_GOOD: Duration = Duration::from_secs(3_600);
 /// Sends that engines declined before a request is given up; each named another engine at fault.
-const MAX_DECLINED: u32 = 4;
+const MAX_DECLINED: u32 = 6;
 
 /// A draft on its way: what was tried, and what came of it.
 pub(super) struct DraftRun {
     pub(super) context: Arc<RelayContext>,
     pub(super) request: RelayRequest,
-    /// Engines that failed it.
-    pub(super) excluded: Vec<ServerName>,
+    /// Engines that failed it, and until when each is left out.
+    excluded: Vec<LeftOut>,
     /// Sends that an engine may have begun to run.
     sends: u32,
     declined: u32,
@@ -56,6 +63,12 @@
     last: Option<FailedSend>,
 }
 
+/// An engine that is left out of a draft's next chains.
+struct LeftOut {
+    server: ServerName,
+    until: MonotonicTime,
+}
+
 /// A chain that answered.
 pub(super) struct RunningDraft {
     pub(super) answer: OpenAnswer,
@@ -112,11 +125,7 @@
             if self.request.left(now) < MIN_LEFT || self.is_over() {
                 return None;
             }
-            let is_repeat = self.sends + self.declined > 0;
-            if is_repeat && !self.context.take_retry(now, &self.request.service.name) {
-                return None;
-            }
-            let Some(chain) = self.take_chain(is_resume) else {
+            let Some(chain) = self.take_chain_in_budget(now, is_resume) else {
                 if now >= wait_until {
                     return None;
                 }
@@ -133,21 +142,68 @@
                         return Some(RunningDraft { answer, chain });
                     }
                     let culprit = chain.chain.first.clone();
-                    self.excluded.push(culprit.clone());
+                    self.leave_out([culprit.clone()], FOR_GOOD);
                     chain.failed(Some(&culprit));
                 }
                 Err(failed) => {
                     let culprits = blame(&chain.chain, &failed);
+                    // One that declined is full, or was a moment ago; there may be no other.
+                    let time = match failed.outcome {
+                        SendOutcome::Declined => DECLINED_PAUSE,
+                        _ => FOR_GOOD,
+                    };
                     chain.failed(culprits.first());
-                    self.excluded.extend(culprits);
+                    self.leave_out(culprits, time);
                     self.note(failed);
                 }
             }
         }
     }
 
-    fn take_chain(&self, is_resume: bool) -> Option<ChainGuard> {
+    /// A chain, and the retry that it costs if it is not the first.
+    ///
+    /// The budget pays for a send, not for looking: a draft that paid at each look for room emptied
+    /// the host's budget within half a second, and running streams were cut for want of it.
+    fn take_chain_in_budget(&self, now: MonotonicTime, is_resume: bool) -> Option<ChainGuard> {
+        let service = &self.request.service.name;
+        let is_repeat = self.sends + self.declined > 0;
+        if is_repeat && !self.context.is_retry_left(now, service) {
+            return None;
+        }
+        let chain = self.take_chain(now, is_resume, &[])?;
+        if is_repeat && !self.context.take_retry(now, service) {
+            chain.failed(None);
+            return None;
+        }
+        Some(chain)
+    }
+
+    /// Whether the draft could go on elsewhere if `suspects` were left.
+    ///
+    /// A silent chain is kept where it could not: its answer may still come, and giving it up would
+    /// end the caller's answer for certain.
+    pub(super) fn has_other(&self, suspects: &[ServerName]) -> bool {
         let now = self.context.clock.now();
+        let is_left = self.context.is_retry_left(now, &self.request.service.name);
+        if self.is_over() || self.declined + 1 >= MAX_DECLINED || !is_left {
+            return false;
+        }
+        let Some(chain) = self.take_chain(now, true, suspects) else {
+            return false;
+        };
+        chain.failed(None);
+        true
+    }
+
+    fn take_chain(
+        &self,
+        now: MonotonicTime,
+        is_resume: bool,
+        suspects: &[ServerName],
+    ) -> Option<ChainGuard> {
+        let excluded = self.excluded.iter().filter(|left_out| left_out.until > now);
+        let excluded = excluded.map(|left_out| &left_out.server);
+        let excluded: Vec<ServerName> = excluded.chain(suspects).cloned().collect();
         let fleet = &self.context.fleet;
         let may_take_work = |server: &ServerName| fleet.may_take(now, server);
         let health = self.context.health();
@@ -155,7 +211,7 @@
         let taken = self.context.chains().take(
             now,
             &self.request,
-            &self.excluded,
+            &excluded,
             is_resume,
             may_take_work,
             is_healthy,
@@ -193,13 +249,28 @@
         let sending = send(&self.context, hop.address, written, attempt, left);
         tokio::select! {
             answered = sending => answered,
-            suspects = self.watch(chain, now) => Err(self.silent(&suspects)),
+            suspects = self.watch_for_other(chain, now) => Err(self.silent(&suspects)),
+        }
+    }
+
+    /// As `watch`, once the draft could also go on elsewhere.
+    pub(super) async fn watch_for_other(
+        &self,
+        chain: &TakenChain,
+        since: MonotonicTime,
+    ) -> Vec<ServerName> {
+        loop {
+            let suspects = self.watch(chain, since).await;
+            if self.has_other(&suspects) {
+                return suspects;
+            }
+            sleep(ROOM_PERIOD).await;
         }
     }
 
     /// Resolves with the engines that are at fault, once a chain has been silent since `since` by
     /// some fault.
-    pub(super) async fn watch(&self, chain: &TakenChain, since: MonotonicTime) -> Vec<ServerName> {
+    async fn watch(&self, chain: &TakenChain, since: MonotonicTime) -> Vec<ServerName> {
         let pause = self.request.route.pause_target.unwrap_or(DEFAULT_PAUSE);
         let patience = pause.mul_f64(PATIENCE_SHARE);
         loop {
@@ -260,16 +331,27 @@
     /// them are left out of the next.
     pub(super) fn abandon(&mut self, chain: ChainGuard, suspects: Vec<ServerName>) {
         if suspects.is_empty() {
-            self.excluded.extend(chain.chain.servers().cloned());
+            let servers: Vec<ServerName> = chain.chain.servers().cloned().collect();
+            self.leave_out(servers, BROKEN_PAUSE);
         } else {
             // Engines that are gone don't count among those that it was sent to.
             self.sends = self.sends.saturating_sub(1);
             self.declined += 1;
-            self.excluded.extend(suspects);
+            self.leave_out(suspects, FOR_GOOD);
         }
         chain.failed(None);
     }
 
+    fn leave_out<S>(&mut self, servers: S, time: Duration)
+    where
+        S: IntoIterator<Item = ServerName>,
+    {
+        let until = self.context.clock.now().after(time);
+        let servers = servers.into_iter();
+        self.excluded
+            .extend(servers.map(|server| LeftOut { server, until }));
+    }
+
     fn may_repeat(&self) -> bool {
         self.request.route.kind.may_repeat() && self.sends < self.request.route.max_attempts
     }
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -122,7 +122,7 @@
         let left = run.request.left(run.context.clock.now());
         let frame = tokio::select! {
             frame = timeout(left, running.answer.body.frame()) => frame,
-            suspects = run.watch(&running.chain.chain, heard_at) => {
+            suspects = run.watch_for_other(&running.chain.chain, heard_at) => {
                 return ChainEnd::Silent(suspects);
             }
         };
