fix(registry): count voters, not every keeper ever heard of, before taking heartbeats

Cause: a keeper turned heartbeats away unless it reached more than half of all keepers it had heard of. After a keeper was lost and retired, the three of five voters that still reached each other reached three of six names: all refused, and 42 leases ended on every host at once; drafts were refused for four seconds.

--- a/crates/coordination/src/agreement/entry.rs
+++ b/crates/coordination/src/agreement/entry.rs
@@ -58,6 +58,17 @@
         self.voters.len() / 2 + 1
     }
 
+    /// Whether a quorum of the voters is among `reached` hosts.
+    ///
+    /// Voters that were retired do not count. Counting every keeper that was ever heard of, the
+    /// majority of five that had outlived a sixth took itself for cut off, turned all heartbeats
+    /// away, and the leases of all backend servers ended at once.
+    pub fn is_quorum(&self, reached: &BTreeSet<HostName>) -> bool {
+        let voters = self.voters.iter();
+        let reached = voters.filter(|voter| reached.contains(&voter.host)).count();
+        reached >= self.quorum()
+    }
+
     /// Whether the keeper is a voter or a learner.
     #[must_use]
     pub fn contains(&self, keeper: &KeeperId) -> bool {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -396,7 +396,7 @@
             dialect,
             fleet: Arc::clone(fleet),
             publisher,
-            hub: node.hub().clone(),
+            node: Arc::clone(node),
             clock: Arc::clone(clock),
         }),
     }
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -1,5 +1,6 @@
 //! Backend servers' announcements and operators' calls, in the platform's dialect.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +19,7 @@
 use super::publish::Publisher;
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
-use crate::peers::PeerHub;
+use crate::node::AgreedNode;
 
 /// Largest body of an announcement or a document.
 const MAX_BODY_BYTES: usize = 8 << 20;
@@ -33,7 +34,7 @@
     pub(crate) dialect: PlatformDialect,
     pub(crate) fleet: Arc<BackendFleet>,
     pub(crate) publisher: Publisher,
-    pub(crate) hub: PeerHub,
+    pub(crate) node: Arc<AgreedNode>,
     pub(crate) clock: Arc<dyn TimeSource>,
 }
 
@@ -111,27 +112,19 @@
         }
     }
 
-    /// Whether links lead to no more than half of the keepers, this one counted.
+    /// Whether links lead to no quorum of the keepers that vote, this one counted.
     ///
     /// What is announced here would reach nobody: servers would be taken for gone elsewhere, and one
     /// that leaves would go on getting work, though both were acknowledged.
     fn is_cut_off(&self) -> bool {
-        let Some(discovery) = self.hub.discovery() else {
+        let hub = self.node.hub();
+        let Some(status) = self.node.keeper_status() else {
             return false;
         };
-        let keepers = discovery.keepers();
-        let up: Vec<HostName> = self
-            .hub
-            .status()
-            .into_iter()
-            .filter(|peer| peer.up)
-            .map(|peer| peer.host)
-            .collect();
-        let reached = keepers
-            .iter()
-            .filter(|keeper| *keeper == self.hub.host() || up.contains(keeper))
-            .count();
-        reached * 2 <= keepers.len()
+        let peers = hub.status().into_iter().filter(|peer| peer.up);
+        let mut reached: BTreeSet<HostName> = peers.map(|peer| peer.host).collect();
+        reached.insert(hub.host().clone());
+        !status.membership.is_quorum(&reached)
     }
 
     /// A host that has just started may not know the server while others do; acknowledged here, its
