--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -175,6 +175,7 @@
                 fleet: Arc::clone(&fleet),
                 clock: Arc::clone(&clock),
                 life: life.watch(),
+                metrics: Arc::clone(&metrics),
                 seed,
             })
         });
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -10,6 +10,7 @@
 mod context;
 mod control;
 mod drafts;
+mod meter;
 mod placer;
 mod publish;
 mod request;
@@ -24,6 +25,7 @@
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
+use pollendrift_coordination::evidence::OutcomeKind;
 use pollendrift_coordination::routes::{RouteKind, TableError};
 use pollendrift_dialect::{CallerRequest, RefusalKind};
 use pollendrift_http::{
@@ -38,6 +40,7 @@
 pub(crate) use placer::{PlacerParts, run_placer};
 pub(crate) use publish::Publisher;
 
+use meter::RequestMeter;
 use request::{Refused, RelayRequest, refused};
 
 /// Time in which the body of a request must have come.
@@ -70,10 +73,16 @@
         let context = &self.context;
         let (head, body) = request.into_parts();
         let mut response = match context.dialect.callers.read(&head) {
-            Ok(call) => match serve(context, &call, head, body).await {
-                Ok(response) => response,
-                Err(refused) => context.refuse(&refused, Some(&call.attempt)),
-            },
+            Ok(call) => {
+                let meter = RequestMeter::start(context);
+                match serve(context, &call, head, body, &meter).await {
+                    Ok(response) => response,
+                    Err(refused) => {
+                        meter.refused(refused.0.kind);
+                        context.refuse(&refused, Some(&call.attempt))
+                    }
+                }
+            }
             Err(fault) => context.refuse(&refused(RefusalKind::Malformed, fault.reason), None),
         };
         if context.life.step() != LifeStep::Serving {
@@ -96,6 +105,7 @@
     call: &CallerRequest,
     head: Parts,
     body: Incoming,
+    meter: &RequestMeter,
 ) -> Result<Response<ResponseBody>, Refused> {
     let arrived = context.clock.now();
     if context.life.step() == LifeStep::Closed {
@@ -127,8 +137,12 @@
         deadline: arrived.after(call.patience.unwrap_or(route.timeout).min(route.timeout)),
     };
     match route.kind {
-        RouteKind::Stream { .. } => drafts::serve(context, request).await,
-        RouteKind::Idempotent | RouteKind::NonIdempotent => calls::serve(context, &request).await,
+        RouteKind::Stream { .. } => drafts::serve(context, request, meter).await,
+        RouteKind::Idempotent | RouteKind::NonIdempotent => {
+            let response = calls::serve(context, &request).await?;
+            meter.ended(OutcomeKind::Complete);
+            Ok(response)
+        }
     }
 }
 
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -54,6 +54,7 @@
         history.asked.push(worker.server.clone());
         log::info!(request = request.attempt.as_str(), route = &*request.route.name,
             server:% = worker.server, try = history.asked.len(); "sent");
+        context.metrics.request_sent();
         match send_once(context, request, &worker, now).await {
             Ok(response) if !is_worth_another(request, &history, &response) => {
                 let took = context.clock.now().since(request.arrived).as_millis();
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -17,6 +17,7 @@
 use crate::fleet::BackendFleet;
 use crate::lifecycle::{LifeStep, LifeWatch};
 use crate::settings::RelaySettings;
+use crate::telemetry::MetricRegistry;
 
 /// Hosts that are taken to share the retry budget before a keeper tells how many there are.
 const BUDGET_HOSTS: u32 = 64;
@@ -32,6 +33,7 @@
     pub(crate) fleet: Arc<BackendFleet>,
     pub(crate) clock: Arc<dyn TimeSource>,
     pub(crate) life: LifeWatch,
+    pub(crate) metrics: Arc<MetricRegistry>,
     pub(crate) seed: u64,
 }
 
@@ -44,6 +46,7 @@
     pub(super) pool: ConnectionPool,
     pub(super) clock: Arc<dyn TimeSource>,
     pub(super) life: LifeWatch,
+    pub(super) metrics: Arc<MetricRegistry>,
     loads: Mutex<ServerLoads>,
     chains: Mutex<ChainTable>,
     health: Mutex<ChainHealth>,
@@ -73,6 +76,7 @@
             pool: ConnectionPool::new(PoolSettings::default()),
             clock: parts.clock,
             life: parts.life,
+            metrics: parts.metrics,
             loads: Mutex::new(ServerLoads::new(outliers())),
             chains: Mutex::new(ChainTable::new(parts.data_centre.clone(), parts.seed)),
             health: Mutex::new(ChainHealth::new(HealthSettings::default())),
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -92,22 +92,22 @@
         let taken = match call {
             Ok(RegistryCall::Announce(note)) => {
                 let taken = self.fleet.announce_worker(now, &note);
-                taken.map(|_| ()).map_err(|error| error.to_string())
+                taken.map(|_| ()).map_err(|error| RegistryFault {
+                    reason: error.to_string(),
+                    elsewhere: false,
+                })
             }
             Ok(RegistryCall::Leave(server)) => self.leave(now, &server),
-            Err(fault) => Err(fault.reason),
+            Err(fault) => Err(fault),
         };
         match taken {
             Ok(()) => {
                 let ack = RegistryAck { announce_at: None };
                 self.dialect.registry.acknowledge(&ack)
             }
-            Err(reason) => {
-                log::warn!(reason = reason.as_str(); "announcement not taken");
-                let elsewhere = false;
-                self.dialect
-                    .registry
-                    .refuse(&RegistryFault { reason, elsewhere })
+            Err(fault) => {
+                log::warn!(reason = fault.reason.as_str(); "announcement not taken");
+                self.dialect.registry.refuse(&fault)
             }
         }
     }
@@ -128,13 +128,17 @@
     }
 
     /// A host that has just started may not know the server while others do; acknowledged here, its
-    /// leaving would be known to nobody, and work would go on to it. Refused, it asks another host.
-    fn leave(&self, now: MonotonicTime, server: &ServerName) -> Result<(), String> {
+    /// leaving would be known to nobody, and work would go on to it. It is sent to another host; told
+    /// that its words are wrong, it would ask no other.
+    fn leave(&self, now: MonotonicTime, server: &ServerName) -> Result<(), RegistryFault> {
         let is_known = self.fleet.leave_worker(now, server);
         if is_known || now.since(MonotonicTime::START) >= HEARING_TIME {
             return Ok(());
         }
-        Err(format!("this host does not know {server} yet"))
+        Err(RegistryFault {
+            reason: format!("this host does not know {server} yet"),
+            elsewhere: true,
+        })
     }
 }
 
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -6,6 +6,7 @@
 
 use http::Response;
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
+use pollendrift_coordination::evidence::OutcomeKind;
 use pollendrift_coordination::retries::SendOutcome;
 use pollendrift_coordination::streams::EventId;
 use pollendrift_dialect::RefusalKind;
@@ -15,6 +16,7 @@
 use super::answer::{FailedSend, OpenAnswer, passed_back, send};
 use super::chains::TakenChain;
 use super::context::RelayContext;
+use super::meter::RequestMeter;
 use super::request::{Refused, RelayRequest, SendTarget, refused};
 use super::stream::{StreamRun, run_stream};
 use super::survey::{EngineState, ask_engine};
@@ -54,6 +56,7 @@
 pub(super) struct DraftRun {
     pub(super) context: Arc<RelayContext>,
     pub(super) request: RelayRequest,
+    pub(super) meter: RequestMeter,
     /// Engines that failed it, and until when each is left out.
     excluded: Vec<LeftOut>,
     /// Sends that an engine may have begun to run.
@@ -79,12 +82,14 @@
 pub(super) async fn serve(
     context: &Arc<RelayContext>,
     request: RelayRequest,
+    meter: &RequestMeter,
 ) -> Result<Response<ResponseBody>, Refused> {
     context.earn_retry(request.arrived, &request.service.name);
     let resume_after = request.resume_after;
     let mut run = DraftRun {
         context: Arc::clone(context),
         request,
+        meter: meter.clone(),
         excluded: Vec::new(),
         sends: 0,
         declined: 0,
@@ -98,6 +103,7 @@
     };
     if !running.answer.parts.status.is_success() {
         let read = running.answer.read().await;
+        meter.ended(OutcomeKind::Complete);
         return read.map_err(|failed| refused(RefusalKind::UnknownOutcome, failed.reason));
     }
     let (sender, body) = channel_body(EVENT_QUEUE);
@@ -133,6 +139,7 @@
                 continue;
             };
             chain.log_sent(&self.request, now, self.sends + self.declined + 1);
+            self.context.metrics.request_sent();
             match self.send(&chain.chain, resume_after).await {
                 Ok(answer) => {
                     self.sends += 1;
@@ -311,12 +318,13 @@
     }
 
     /// Notes how the draft ended.
-    pub(super) fn log_end(&self, outcome: &str, last: Option<EventId>) {
+    pub(super) fn log_end(&self, outcome: OutcomeKind, last: Option<EventId>) {
+        self.meter.ended(outcome);
         let request = &self.request;
         let taken = self.context.clock.now().since(request.arrived);
         log::info!(request = request.attempt.as_str(), route = &*request.route.name,
             customer = request.customer.as_ref().map_or("", |customer| customer.as_str()),
-            outcome = outcome, last_event = last.map_or(0, |last| last.0),
+            outcome:% = outcome, last_event = last.map_or(0, |last| last.0),
             sends = self.sends, declined = self.declined, took_ms = millis(taken); "ended");
     }
 
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use pollendrift_coordination::base::ServerName;
+use pollendrift_coordination::evidence::OutcomeKind;
 use pollendrift_coordination::streams::{EventFramer, EventId, EventProgress, EventVerdict};
 use pollendrift_http::BodySender;
 use tokio::time::timeout;
@@ -58,11 +59,11 @@
                     .connection
                     .keep(&running.answer.parts.headers);
                 sender.finish().await;
-                run.log_end("whole", progress.last());
+                run.log_end(OutcomeKind::Complete, progress.last());
                 return;
             }
             ChainEnd::CallerGone => {
-                run.log_end("caller-gone", progress.last());
+                run.log_end(OutcomeKind::CallerGone, progress.last());
                 return;
             }
             ChainEnd::Broken(_) | ChainEnd::Silent(_) => {
@@ -72,11 +73,14 @@
                     after = after.map(|id| id.0); "chain broke");
                 let next = tokio::select! {
                     next = go_on(&mut run, running, suspects, after) => next,
-                    () = sender.closed() => return,
+                    () = sender.closed() => {
+                        run.log_end(OutcomeKind::CallerGone, after);
+                        return;
+                    }
                 };
                 let Some(next) = next else {
                     log::warn!(request = run.request.attempt.as_str(), reason = reason.as_str(); "stream cut");
-                    run.log_end("cut", after);
+                    run.log_end(OutcomeKind::Incomplete, after);
                     return;
                 };
                 running = next;
@@ -139,10 +143,14 @@
             continue;
         };
         framer.push(&data);
+        let had_begun = progress.has_begun();
         match deliver(&mut framer, progress) {
             Ok(events) if events.is_empty() => {}
             Ok(events) => {
-                heard_at = run.context.clock.now();
+                let now = run.context.clock.now();
+                let since_last = had_begun.then(|| now.since(heard_at));
+                run.meter.events_sent(now, since_last);
+                heard_at = now;
                 running.chain.heard(heard_at, is_first);
                 is_first = false;
                 if !sender.send(events).await {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -23,7 +23,9 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&error),
     };
-    match runtime.block_on(serve(path, loaded)) {
+    let ended = runtime.block_on(serve(path, loaded));
+    log::logger().flush();
+    match ended {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => fail(error.as_ref()),
--- a/crates/daemon/src/telemetry/lines.rs
+++ b/crates/daemon/src/telemetry/lines.rs
@@ -20,6 +20,9 @@
 
 /// Lines that wait for the writer: some seconds of an entry's usual lines.
 const QUEUE_LINES: usize = 1_024;
+/// Time for which a process that ends waits for its last lines: far more than a pipe that is read
+/// takes, and less than is left of the time that a planned stop has.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
 /// Longest line, in bytes; a longer one is cut.
 const MAX_LINE_BYTES: usize = 2_048;
 
@@ -102,10 +105,19 @@
     }
 }
 
+/// What waits for the thread that writes.
+#[derive(Debug)]
+enum QueuedItem {
+    /// A line with its end.
+    Line(String),
+    /// Somebody waits until all before it is written.
+    Mark(SyncSender<()>),
+}
+
 /// Appends lines to a queue that a thread of its own writes out.
 #[derive(Debug)]
 pub struct LineAppender {
-    lines: SyncSender<String>,
+    lines: SyncSender<QueuedItem>,
     budget: Mutex<LineBudget>,
     clock: SystemClock,
 }
@@ -131,7 +143,7 @@
     }
 
     fn push(&self, line: String) -> bool {
-        match self.lines.try_send(line) {
+        match self.lines.try_send(QueuedItem::Line(line)) {
             Ok(()) => true,
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
         }
@@ -157,16 +169,35 @@
         Ok(())
     }
 
-    fn flush(&self) {}
+    /// Waits until the lines of before are written, `FLUSH_TIME` at most.
+    ///
+    /// A process that ended without it lost its last lines, the one that says that it stopped among
+    /// them. The wait is bounded since whoever reads the output may have stopped reading.
+    fn flush(&self) {
+        let (mark, written) = sync_channel(1);
+        if self.lines.try_send(QueuedItem::Mark(mark)).is_ok() {
+            // Late or never: the output is blocked, and there is nobody to tell.
+            let _ = written.recv_timeout(FLUSH_TIME);
+        }
+    }
 }
 
-fn write_out<W>(waiting: &Receiver<String>, mut output: W)
+fn write_out<W>(waiting: &Receiver<QueuedItem>, mut output: W)
 where
     W: Write,
 {
-    while let Ok(line) = waiting.recv() {
+    while let Ok(item) = waiting.recv() {
+        let written = match item {
+            QueuedItem::Line(line) => output.write_all(line.as_bytes()),
+            QueuedItem::Mark(mark) => {
+                let written = output.flush();
+                // Whoever waited may have given up.
+                let _ = mark.send(());
+                written
+            }
+        };
         // Nobody reads any more; there is no one to tell.
-        if output.write_all(line.as_bytes()).is_err() {
+        if written.is_err() {
             return;
         }
     }
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
-use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider, UpDownCounter};
+use opentelemetry::{KeyValue, StringValue};
 use opentelemetry_sdk::error::OTelSdkError;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use pollendrift_coordination::base::Revision;
@@ -182,14 +182,22 @@
             .record(end.duration.as_secs_f64(), &attributes);
     }
 
+    /// A request was sent to a server, for the first time or again.
+    pub fn request_sent(&self) {
+        self.request_attempts.add(1, &[]);
+    }
+
     /// Requests that wait for admission.
     pub fn requests_queued(&self, count: u64) {
         self.requests_queued.record(count, &[]);
     }
 
     /// A request was refused; `kind` is one of the kinds of the problem documents.
-    pub fn request_refused(&self, told: OutcomeKind, kind: &'static str) {
-        let attributes = [outcome(told), KeyValue::new("kind", kind)];
+    pub fn request_refused<K>(&self, told: OutcomeKind, kind: K)
+    where
+        K: Into<StringValue>,
+    {
+        let attributes = [outcome(told), KeyValue::new("kind", kind.into())];
         self.request_refusals.add(1, &attributes);
     }
 
