--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -237,15 +237,12 @@
             servers
                 .push(listen(address, &settings.entry, Some(Arc::new(acceptor)), handler).await?);
         }
-        servers.push(
-            listen(
-                settings.listen.platform,
-                &settings.entry,
-                None,
-                Arc::new(platform),
-            )
-            .await?,
-        );
+        let platform = Arc::new(platform);
+        let faces = [Some(settings.listen.platform), settings.listen.metrics];
+        for address in faces.into_iter().flatten() {
+            let handler = Arc::clone(&platform) as Arc<dyn pollendrift_http::DynHandler>;
+            servers.push(listen(address, &settings.entry, None, handler).await?);
+        }
         let placement = PlacementParts {
             host: settings.host.clone(),
             settings: settings.placement.clone(),
--- a/crates/daemon/src/settings/listen.rs
+++ b/crates/daemon/src/settings/listen.rs
@@ -16,6 +16,8 @@
     pub operators: SocketAddr,
     /// Announcements of backend servers.
     pub backend_servers: SocketAddr,
+    /// What `platform` serves, once more, for a scraper that knows one port for all hosts.
+    pub metrics: Option<SocketAddr>,
     /// Liveness, readiness, metrics and dump.
     pub platform: SocketAddr,
     /// Other hosts of the system.
@@ -47,6 +49,12 @@
                 shares,
             }));
         }
+        let metrics = section.optional::<SocketAddr>("metrics", EXPECTED);
+        addresses.extend(metrics.map(|address| NamedAddress {
+            key: "metrics",
+            address,
+            shares: false,
+        }));
         report_overlaps(section, &addresses);
         let find = |key| {
             let named = addresses.iter().find(|named| named.key == key);
@@ -56,6 +64,7 @@
             callers: find("callers")?,
             operators: find("operators")?,
             backend_servers: find("backend_servers")?,
+            metrics: find("metrics"),
             platform: find("platform")?,
             peers: find("peers")?,
         })
