--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -159,9 +159,18 @@
         for note in &notes {
             match note.load {
                 Some(_) => {
-                    self.unanswered.remove(&note.server);
+                    let missed = self.unanswered.remove(&note.server).unwrap_or_default();
+                    if missed >= LOST_SURVEYS {
+                        log::info!(server:% = note.server, surveys = missed; "engine answers again");
+                    }
+                }
+                None => {
+                    let missed = self.unanswered.entry(note.server.clone()).or_default();
+                    *missed += 1;
+                    if *missed == LOST_SURVEYS {
+                        log::warn!(server:% = note.server, surveys = *missed; "engine taken for lost");
+                    }
                 }
-                None => *self.unanswered.entry(note.server.clone()).or_default() += 1,
             }
         }
         context.fleet.take_survey(context.clock.now(), notes);
