--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,5 +1,7 @@
 //! One running daemon: faces, tables and the systems that tick over them.
 
+mod sources;
+
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -29,18 +31,17 @@
 use crate::lifecycle::{LifeControl, LifeStep};
 use crate::node::{AgreedNode, NodeError, NodeParts};
 use crate::observe::{ObservedTables, observe};
-use crate::operators::{OperatorContext, OperatorHandler, keeper_state};
+use crate::operators::{OperatorContext, OperatorHandler};
 use crate::placement::{PlacementParts, run_placement};
-use crate::platform::{DumpSource, MetricSource, PlatformHandler};
-use crate::relay::{
-    ControlHandler, PlacerParts, Publisher, RelayContext, RelayFaces, RelayHandler, RelayParts,
-    run_chains, run_placer,
-};
+use crate::platform::{DumpSource, PlatformHandler};
+use crate::relay::{RelayContext, RelayParts, relay_faces, start_relay};
 use crate::resend::ResendDesk;
 use crate::settings::{DaemonSettings, DrainSettings, EntrySettings, RetrySettings};
 use crate::tasks::TaskGroup;
 use crate::telemetry::{EvidenceSink, MetricError, MetricRegistry, RecorderSlot};
 
+use sources::{DaemonMetrics, EvidenceDump, FleetDump, NodeDump, RoutingDumpSource};
+
 /// Time between two ticks of the systems.
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two looks at the key files.
@@ -375,51 +376,6 @@
         .map_err(|error| StartError::Listen { address, error })
 }
 
-fn relay_faces(
-    relay: &Arc<RelayContext>,
-    node: &Arc<AgreedNode>,
-    fleet: &Arc<BackendFleet>,
-    clock: &Arc<dyn TimeSource>,
-) -> RelayFaces {
-    let dialect = relay.dialect().clone();
-    let publisher = Publisher {
-        agreed: Arc::clone(node) as Arc<dyn AgreedState>,
-        client: node.client().clone(),
-        shared: node.shared().cloned(),
-        dialect: Arc::clone(&dialect.operators),
-    };
-    RelayFaces {
-        callers: Arc::new(RelayHandler::new(Arc::clone(relay))),
-        control: Arc::new(ControlHandler {
-            dialect,
-            fleet: Arc::clone(fleet),
-            publisher,
-            node: Arc::clone(node),
-            clock: Arc::clone(clock),
-        }),
-    }
-}
-
-/// Entries follow the chains; keepers place layers, whichever of them holds the right.
-fn start_relay(
-    settings: &DaemonSettings,
-    relay: Arc<RelayContext>,
-    node: &AgreedNode,
-    agreed: &Arc<dyn AgreedState>,
-) -> Vec<JoinHandle<()>> {
-    if !settings.is_keeper() {
-        return vec![tokio::spawn(run_chains(relay, node.hub().clone()))];
-    }
-    let placer = PlacerParts {
-        host: settings.host.clone(),
-        lease: settings.placement.lease,
-        context: relay,
-        agreed: Arc::clone(agreed),
-        hub: node.hub().clone(),
-    };
-    vec![tokio::spawn(run_placer(placer))]
-}
-
 async fn key_loop(access: Arc<AccessControl>) {
     let mut ticks = tokio::time::interval(KEY_TICK);
     loop {
@@ -481,76 +437,3 @@
 fn to_usize(number: u64) -> usize {
     usize::try_from(number).unwrap_or(usize::MAX)
 }
-
-struct FleetDump {
-    fleet: Arc<BackendFleet>,
-}
-
-impl DumpSource for FleetDump {
-    fn name(&self) -> &'static str {
-        "backend_servers"
-    }
-
-    fn dump(&self) -> serde_json::Value {
-        serde_json::to_value(self.fleet.dump()).unwrap_or_default()
-    }
-}
-
-struct EvidenceDump {
-    recorder: Arc<RecorderSlot>,
-}
-
-impl DumpSource for EvidenceDump {
-    fn name(&self) -> &'static str {
-        "evidence"
-    }
-
-    fn dump(&self) -> serde_json::Value {
-        self.recorder
-            .get()
-            .and_then(|recorder| serde_json::to_value(recorder.status()).ok())
-            .unwrap_or_default()
-    }
-}
-
-struct NodeDump {
-    node: Arc<AgreedNode>,
-}
-
-impl DumpSource for NodeDump {
-    fn name(&self) -> &'static str {
-        "keeper"
-    }
-
-    fn dump(&self) -> serde_json::Value {
-        self.node
-            .keeper_status()
-            .map(keeper_state)
-            .unwrap_or_default()
-    }
-}
-
-struct RoutingDumpSource {
-    fleet: Arc<BackendFleet>,
-    clock: Arc<dyn TimeSource>,
-}
-
-impl DumpSource for RoutingDumpSource {
-    fn name(&self) -> &'static str {
-        "routing"
-    }
-
-    fn dump(&self) -> serde_json::Value {
-        serde_json::to_value(self.fleet.dump_routing(self.clock.now())).unwrap_or_default()
-    }
-}
-
-struct DaemonMetrics {
-    metrics: Arc<MetricRegistry>,
-}
-
-impl MetricSource for DaemonMetrics {
-    fn metrics_text(&self) -> String {
-        self.metrics.text()
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/daemon/sources.rs
@@ -0,0 +1,83 @@
+//! What this process shows of itself: parts of the dump, and the metrics.
+
+use std::sync::Arc;
+
+use crate::clock::TimeSource;
+use crate::fleet::BackendFleet;
+use crate::node::AgreedNode;
+use crate::operators::keeper_state;
+use crate::platform::{DumpSource, MetricSource};
+use crate::telemetry::{MetricRegistry, RecorderSlot};
+
+pub(super) struct FleetDump {
+    pub(super) fleet: Arc<BackendFleet>,
+}
+
+impl DumpSource for FleetDump {
+    fn name(&self) -> &'static str {
+        "backend_servers"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        serde_json::to_value(self.fleet.dump()).unwrap_or_default()
+    }
+}
+
+pub(super) struct EvidenceDump {
+    pub(super) recorder: Arc<RecorderSlot>,
+}
+
+impl DumpSource for EvidenceDump {
+    fn name(&self) -> &'static str {
+        "evidence"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        self.recorder
+            .get()
+            .and_then(|recorder| serde_json::to_value(recorder.status()).ok())
+            .unwrap_or_default()
+    }
+}
+
+pub(super) struct NodeDump {
+    pub(super) node: Arc<AgreedNode>,
+}
+
+impl DumpSource for NodeDump {
+    fn name(&self) -> &'static str {
+        "keeper"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        self.node
+            .keeper_status()
+            .map(keeper_state)
+            .unwrap_or_default()
+    }
+}
+
+pub(super) struct RoutingDumpSource {
+    pub(super) fleet: Arc<BackendFleet>,
+    pub(super) clock: Arc<dyn TimeSource>,
+}
+
+impl DumpSource for RoutingDumpSource {
+    fn name(&self) -> &'static str {
+        "routing"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        serde_json::to_value(self.fleet.dump_routing(self.clock.now())).unwrap_or_default()
+    }
+}
+
+pub(super) struct DaemonMetrics {
+    pub(super) metrics: Arc<MetricRegistry>,
+}
+
+impl MetricSource for DaemonMetrics {
+    fn metrics_text(&self) -> String {
+        self.metrics.text()
+    }
+}
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -10,11 +10,13 @@
 mod context;
 mod control;
 mod drafts;
+mod guard;
 mod meter;
 mod placer;
 mod publish;
 mod request;
 mod routes;
+mod start;
 mod stream;
 mod survey;
 
@@ -34,12 +36,10 @@
 
 use crate::lifecycle::LifeStep;
 
-pub(crate) use chains::run_chains;
 pub(crate) use context::{RelayContext, RelayParts};
-pub(crate) use control::ControlHandler;
-pub(crate) use placer::{PlacerParts, run_placer};
-pub(crate) use publish::Publisher;
+pub(crate) use start::{relay_faces, start_relay};
 
+use control::ControlHandler;
 use meter::RequestMeter;
 use request::{Refused, RelayRequest, refused};
 
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -16,6 +16,7 @@
 use super::answer::{FailedSend, OpenAnswer, passed_back, send};
 use super::chains::TakenChain;
 use super::context::RelayContext;
+use super::guard::{ChainGuard, millis};
 use super::meter::RequestMeter;
 use super::request::{Refused, RelayRequest, SendTarget, refused};
 use super::stream::{StreamRun, run_stream};
@@ -383,10 +384,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Asks an engine whether it is alive, and notes its answer or that there is none.
 async fn ask_alive(context: Arc<RelayContext>, server: ServerName, address: Option<SocketAddr>) {
     let answer_time = context.health().answer_time();
@@ -412,61 +409,3 @@
     let named = failed.culprit.and_then(|address| chain.server_at(address));
     vec![named.unwrap_or(&chain.first).clone()]
 }
-
-/// A chain that counts as running until this is ended or dropped.
-pub(super) struct ChainGuard {
-    context: Arc<RelayContext>,
-    pub(super) chain: TakenChain,
-    ended: bool,
-}
-
-impl ChainGuard {
-    fn new(context: &Arc<RelayContext>, chain: TakenChain) -> Self {
-        context.health().started(chain.servers());
-        Self {
-            context: Arc::clone(context),
-            chain,
-            ended: false,
-        }
-    }
-
-    fn log_sent(&self, request: &RelayRequest, now: MonotonicTime, attempt: u32) {
-        let plan = &self.chain.plan;
-        let stages: Vec<String> = plan
-            .stages
-            .iter()
-            .map(|stage| format!("{}:{}", stage.server, stage.layers))
-            .collect();
-        log::info!(request = request.attempt.as_str(), route = &*request.route.name,
-            try = attempt, chain = stages.join(" ").as_str(),
-            predicted_ms = millis(plan.first_token), left_ms = millis(request.left(now)); "sent");
-    }
-
-    /// Events came; `is_first` if none had before.
-    pub(super) fn heard(&self, now: MonotonicTime, is_first: bool) {
-        self.context.health().heard(now, self.chain.servers());
-        if is_first {
-            self.context.chains().first_event(now, self.chain.flight);
-        }
-    }
-
-    /// It failed, by the fault of `culprit` where that is known.
-    pub(super) fn failed(mut self, culprit: Option<&ServerName>) {
-        self.ended = true;
-        let now = self.context.clock.now();
-        self.context
-            .chains()
-            .failed(now, self.chain.flight, culprit);
-    }
-}
-
-impl Drop for ChainGuard {
-    fn drop(&mut self) {
-        let now = self.context.clock.now();
-        self.context.health().ended(now, self.chain.servers());
-        if self.ended {
-            return;
-        }
-        self.context.chains().finished(now, self.chain.flight);
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/relay/guard.rs
@@ -0,0 +1,73 @@
+//! A chain in use: counted while it runs, and its end told to those who choose the next.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pollendrift_coordination::base::{MonotonicTime, ServerName};
+
+use super::chains::TakenChain;
+use super::context::RelayContext;
+use super::request::RelayRequest;
+
+/// A chain that counts as running until this is ended or dropped.
+pub(super) struct ChainGuard {
+    context: Arc<RelayContext>,
+    pub(super) chain: TakenChain,
+    ended: bool,
+}
+
+impl ChainGuard {
+    pub(super) fn new(context: &Arc<RelayContext>, chain: TakenChain) -> Self {
+        context.health().started(chain.servers());
+        Self {
+            context: Arc::clone(context),
+            chain,
+            ended: false,
+        }
+    }
+
+    /// Notes that the draft goes to it.
+    pub(super) fn log_sent(&self, request: &RelayRequest, now: MonotonicTime, attempt: u32) {
+        let plan = &self.chain.plan;
+        let stages: Vec<String> = plan
+            .stages
+            .iter()
+            .map(|stage| format!("{}:{}", stage.server, stage.layers))
+            .collect();
+        log::info!(request = request.attempt.as_str(), route = &*request.route.name,
+            try = attempt, chain = stages.join(" ").as_str(),
+            predicted_ms = millis(plan.first_token), left_ms = millis(request.left(now)); "sent");
+    }
+
+    /// Events came; `is_first` if none had before.
+    pub(super) fn heard(&self, now: MonotonicTime, is_first: bool) {
+        self.context.health().heard(now, self.chain.servers());
+        if is_first {
+            self.context.chains().first_event(now, self.chain.flight);
+        }
+    }
+
+    /// It failed, by the fault of `culprit` where that is known.
+    pub(super) fn failed(mut self, culprit: Option<&ServerName>) {
+        self.ended = true;
+        let now = self.context.clock.now();
+        self.context
+            .chains()
+            .failed(now, self.chain.flight, culprit);
+    }
+}
+
+impl Drop for ChainGuard {
+    fn drop(&mut self) {
+        let now = self.context.clock.now();
+        self.context.health().ended(now, self.chain.servers());
+        if self.ended {
+            return;
+        }
+        self.context.chains().finished(now, self.chain.flight);
+    }
+}
+
+pub(super) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/daemon/src/relay/start.rs
@@ -0,0 +1,63 @@
+//! How the relay is put together on a host.
+
+use std::sync::Arc;
+
+use tokio::task::JoinHandle;
+
+use super::chains::run_chains;
+use super::context::RelayContext;
+use super::control::ControlHandler;
+use super::placer::{PlacerParts, run_placer};
+use super::publish::Publisher;
+use super::{RelayFaces, RelayHandler};
+use crate::agreed::AgreedState;
+use crate::clock::TimeSource;
+use crate::fleet::BackendFleet;
+use crate::node::AgreedNode;
+use crate::settings::DaemonSettings;
+
+/// The handlers of all that speak the platform's dialect.
+pub(crate) fn relay_faces(
+    relay: &Arc<RelayContext>,
+    node: &Arc<AgreedNode>,
+    fleet: &Arc<BackendFleet>,
+    clock: &Arc<dyn TimeSource>,
+) -> RelayFaces {
+    let dialect = relay.dialect().clone();
+    let publisher = Publisher {
+        agreed: Arc::clone(node) as Arc<dyn AgreedState>,
+        client: node.client().clone(),
+        shared: node.shared().cloned(),
+        dialect: Arc::clone(&dialect.operators),
+    };
+    RelayFaces {
+        callers: Arc::new(RelayHandler::new(Arc::clone(relay))),
+        control: Arc::new(ControlHandler {
+            dialect,
+            fleet: Arc::clone(fleet),
+            publisher,
+            node: Arc::clone(node),
+            clock: Arc::clone(clock),
+        }),
+    }
+}
+
+/// Entries follow the chains; keepers place layers, whichever of them holds the right.
+pub(crate) fn start_relay(
+    settings: &DaemonSettings,
+    relay: Arc<RelayContext>,
+    node: &AgreedNode,
+    agreed: &Arc<dyn AgreedState>,
+) -> Vec<JoinHandle<()>> {
+    if !settings.is_keeper() {
+        return vec![tokio::spawn(run_chains(relay, node.hub().clone()))];
+    }
+    let placer = PlacerParts {
+        host: settings.host.clone(),
+        lease: settings.placement.lease,
+        context: relay,
+        agreed: Arc::clone(agreed),
+        hub: node.hub().clone(),
+    };
+    vec![tokio::spawn(run_placer(placer))]
+}
