--- a/crates/coordination/tests/agreement_faults/main.rs
+++ b/crates/coordination/tests/agreement_faults/main.rs
@@ -9,6 +9,7 @@
 mod disk;
 mod faults;
 mod host;
+mod lost_voters;
 mod recovery;
 
 use std::fmt::Write;
