fix(clocks): links and idle connections grow old while a machine is suspended

Cause: the silence of a link between hosts and the idle time of a pooled connection counted by the steady clock, which stands still during a suspension. A keeper that woke up took its peers for reached and would acknowledge heartbeats that nobody heard of; a filing could go out on a connection that its server had given up.

Change: both count by the boot clock; the pool is given its clock. Why the waits of keeper calls and of operators may stay steady is said there.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -31,7 +31,8 @@
     }
 }
 
-fn since_boot() -> Duration {
+/// Time since the machine booted, the time included for which it was suspended.
+pub(crate) fn since_boot() -> Duration {
     match clock_gettime(ClockId::CLOCK_BOOTTIME) {
         Ok(time) => Duration::from(time),
         // Every Linux since 2.6.39 has the clock, and the call has no other error.
--- a/crates/daemon/src/entry/draft.rs
+++ b/crates/daemon/src/entry/draft.rs
@@ -4,6 +4,7 @@
 //! the tokens after those that the caller already holds; the ledger decides what the caller may
 //! see. When a stage dies the next attempt goes on from the last confirmed token.
 
+mod attempt;
 mod caller_link;
 mod flight_guard;
 mod resume;
@@ -14,25 +15,21 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
-use pollendrift_border::{SequenceEvent, SequenceRequest, TokenEvent};
 use pollendrift_coordination::base::{
     AdapterName, AttemptNumber, CustomerName, ModelName, RequestId, ServerName, TokenPosition,
     VersionName,
 };
 use pollendrift_coordination::evidence::{BodyDigest, OutcomeKind};
-use pollendrift_coordination::ledger::{
-    FinalEvent, FinalVerdict, GeneratedToken, LedgerSettings, TokenLedger, TokenVerdict,
-};
+use pollendrift_coordination::ledger::{GeneratedToken, LedgerSettings, TokenLedger};
 use pollendrift_coordination::retries::{CallDeadline, CallKind, SendOutcome};
 use pollendrift_coordination::routing::RoutePriority;
 use pollendrift_coordination::streams::DraftDigest;
-use pollendrift_http::{ClientError, LineReader, ResponseBody, channel_body};
+use pollendrift_http::{ResponseBody, channel_body};
 use tokio::sync::oneshot;
 
 use caller_link::{CallerLink, FirstAnswer};
 use flight_guard::FlightGuard;
 pub(super) use resume::{ResumePoint, draft_digest, find_resume, last_position};
-use wire::{route_stage, token_result};
 
 use super::context::EntryContext;
 use super::record::{RequestEnding, RunningRequest};
@@ -345,183 +342,6 @@
             format!("{detail}; the answer ends after {held} tokens"),
         )
     }
-
-    async fn attempt(&mut self, route: &DraftRoute, flight: &mut FlightGuard) -> AttemptEnd {
-        let Some(head) = route.stages.first().map(|stage| stage.server.clone()) else {
-            return failed("planner".into(), "it chose an empty pipeline");
-        };
-        if let Err(reason) = self.begin(route) {
-            return AttemptEnd::Failed {
-                server: head,
-                reason,
-                started: false,
-            };
-        }
-        // Asked again after every wait: a paused process would else use a lease that is over.
-        let now = self.context.clock.now();
-        let fleet = &self.context.fleet;
-        let lapsed = route
-            .stages
-            .iter()
-            .find(|stage| !fleet.may_take_work(now, &stage.server));
-        if let Some(stage) = lapsed {
-            return AttemptEnd::Failed {
-                server: stage.server.clone(),
-                reason: "its lease ran out".to_owned(),
-                started: false,
-            };
-        }
-        match self.open(route).await {
-            Ok(reader) => self.relay(&head, reader, flight).await,
-            Err(error) => AttemptEnd::Failed {
-                server: head,
-                reason: error.to_string(),
-                // Only a connection that never opened proves that no layer ran.
-                started: !matches!(error, ClientError::NotSent { .. }),
-            },
-        }
-    }
-
-    fn begin(&mut self, route: &DraftRoute) -> Result<TokenPosition, String> {
-        let ledger = self.ledger.get_or_insert_with(|| {
-            TokenLedger::new(
-                self.job.id.clone(),
-                route.plan.model_layers,
-                route.plan.version.clone(),
-                self.context.drafts.ledger,
-            )
-        });
-        self.attempt = self.attempt.next();
-        ledger
-            .begin_attempt(self.attempt, route.plan.chain())
-            .map_err(|error| error.to_string())
-    }
-
-    async fn open(&mut self, route: &DraftRoute) -> Result<LineReader, ClientError> {
-        let address = route.stages.first().map_or("", |stage| &stage.address);
-        let body = self.sequence_request(route);
-        let call = self.context.client.post(address, SEQUENCE_PATH, &body);
-        let wait = self.context.drafts.first_event_timeout;
-        let answer = tokio::time::timeout(wait, call).await.unwrap_or_else(|_| {
-            Err(ClientError::NoAnswer {
-                reason: "no answer in time".to_owned(),
-            })
-        });
-        let response = answer?;
-        if response.status() != StatusCode::OK {
-            return Err(ClientError::BadAnswer {
-                reason: format!("status {}", response.status()),
-            });
-        }
-        Ok(LineReader::new(response))
-    }
-
-    fn sequence_request(&self, route: &DraftRoute) -> SequenceRequest {
-        let confirmed = self
-            .ledger
-            .as_ref()
-            .map_or(&[][..], TokenLedger::confirmed_prefix);
-        SequenceRequest {
-            request: self.job.id.to_string(),
-            attempt: self.attempt.0,
-            model: self.job.model.to_string(),
-            version: route.plan.version.to_string(),
-            adapter: self.job.adapter.as_ref().map(ToString::to_string),
-            priority: self
-                .job
-                .served
-                .selected
-                .settings
-                .priority
-                .map_or(0, i32::from),
-            prompt: self.job.prompt.clone(),
-            confirmed: confirmed.iter().map(|token| token.id).collect(),
-            max_tokens: self.job.max_tokens,
-            route: route.stages.iter().map(route_stage).collect(),
-        }
-    }
-
-    async fn relay(
-        &mut self,
-        head: &ServerName,
-        mut reader: LineReader,
-        flight: &mut FlightGuard,
-    ) -> AttemptEnd {
-        let mut wait = self.context.drafts.first_event_timeout;
-        loop {
-            let line = match tokio::time::timeout(wait, reader.next_line()).await {
-                Ok(Ok(Some(line))) => line,
-                Ok(Ok(None)) => {
-                    return failed(head.clone(), "the stream ended before its last event");
-                }
-                Ok(Err(error)) => {
-                    return AttemptEnd::Failed {
-                        server: head.clone(),
-                        reason: error.to_string(),
-                        started: true,
-                    };
-                }
-                Err(_) => return failed(head.clone(), "it fell silent"),
-            };
-            wait = self.context.drafts.stall_timeout;
-            let Ok(event) = serde_json::from_slice::<SequenceEvent>(&line) else {
-                return failed(head.clone(), "it sent an event that can't be read");
-            };
-            flight.note_first_token();
-            if let Some(end) = self.take_event(head, event).await {
-                return end;
-            }
-        }
-    }
-
-    async fn take_event(&mut self, head: &ServerName, event: SequenceEvent) -> Option<AttemptEnd> {
-        match event {
-            SequenceEvent::Token(event) => self.take_token(head, event).await,
-            SequenceEvent::Complete(event) => {
-                let last = FinalEvent {
-                    request: event.request.as_str().into(),
-                    attempt: AttemptNumber(event.attempt),
-                    count: event.count,
-                };
-                let ledger = self.ledger.as_mut()?;
-                match ledger.complete(&last) {
-                    FinalVerdict::Complete => Some(AttemptEnd::Complete {
-                        reason: event.finish_reason,
-                    }),
-                    FinalVerdict::Waiting { next } => Some(failed(
-                        head.clone(),
-                        &format!("it ended without token {next}"),
-                    )),
-                    FinalVerdict::Dropped(reason) => {
-                        Some(failed(head.clone(), &reason.to_string()))
-                    }
-                }
-            }
-            SequenceEvent::Failed(event) => Some(AttemptEnd::Failed {
-                server: event.server.as_str().into(),
-                reason: event.reason,
-                started: event.started || self.next_position() > TokenPosition(0),
-            }),
-        }
-    }
-
-    async fn take_token(&mut self, head: &ServerName, event: TokenEvent) -> Option<AttemptEnd> {
-        let ledger = self.ledger.as_mut()?;
-        match ledger.accept(token_result(event)) {
-            TokenVerdict::Release { tokens, .. } => {
-                self.job.record.first_byte().await;
-                self.job.record.tokens(tokens.len());
-                self.tell_stream(&tokens, None);
-                self.link.tokens(&tokens).await;
-                None
-            }
-            TokenVerdict::Held => None,
-            TokenVerdict::Dropped(reason) if reason.ends_attempt() => {
-                Some(failed(head.clone(), &reason.to_string()))
-            }
-            TokenVerdict::Dropped(_) => None,
-        }
-    }
 }
 
 /// Tokens of a text before any engine has counted them: words, with a third for punctuation.
@@ -530,14 +350,6 @@
     words.saturating_add(words / 3).max(1)
 }
 
-fn failed(server: ServerName, reason: &str) -> AttemptEnd {
-    AttemptEnd::Failed {
-        server,
-        reason: reason.to_owned(),
-        started: true,
-    }
-}
-
 /// Length and digest of the text that went to the caller.
 fn answer_digest(tokens: &[GeneratedToken]) -> BodyDigest {
     let text: String = tokens.iter().map(|token| token.text.as_ref()).collect();
--- a/crates/daemon/src/keeper/client.rs
+++ b/crates/daemon/src/keeper/client.rs
@@ -120,6 +120,10 @@
     }
 
     /// Asks the likely leader, then the others, until one answers or time is up.
+    ///
+    /// Waits count by the steady clock of the timers that bound them. Nothing is believed for longer
+    /// by it: an answer shows the state behind a quorum at or after the question, however late it
+    /// comes, and leases that rest on it count from before the question by the boot clock.
     async fn ask(
         &self,
         question: PeerQuestion,
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -6,7 +6,7 @@
 use pollendrift_coordination::base::HostName;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use tokio_tungstenite::accept_async_with_config;
 
 use super::error::{HelloRefusal, LinkError};
@@ -15,6 +15,7 @@
 use super::queue::FrameQueue;
 use super::socket::{FrameReceiver, FrameSender, in_time, socket_config, split_socket};
 use super::transport::{AcceptedStream, PeerAcceptor};
+use crate::clock::{SystemClock, TimeSource};
 
 /// Wait after a failed accept, such as with no file handles left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -143,18 +144,28 @@
 
 async fn serve_frames(hub: &PeerHub, link: &mut GreetedLink, replies: &FrameQueue) -> LinkError {
     let silence = hub.shared.settings.silence;
-    let mut heard_at = Instant::now();
+    // As for links that this process opened: a link does not get younger by a suspension.
+    let clock = SystemClock::default();
+    let mut heard_at = clock.now();
+    let mut checks = interval(hub.shared.settings.heartbeat);
+    checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let step = tokio::select! {
             () = replies.ready() => link.sender.send_queued(replies).await,
             frame = link.receiver.receive() => {
-                heard_at = Instant::now();
+                heard_at = clock.now();
                 match frame {
                     Ok(frame) => take_frame(hub, link, frame).await,
                     Err(error) => Err(error),
                 }
             }
-            () = sleep_until(heard_at + silence) => Err(LinkError::Silent),
+            _ = checks.tick() => {
+                if clock.now().since(heard_at) > silence {
+                    Err(LinkError::Silent)
+                } else {
+                    Ok(())
+                }
+            }
         };
         if let Err(error) = step {
             return error;
--- a/crates/daemon/src/peers/outbound.rs
+++ b/crates/daemon/src/peers/outbound.rs
@@ -12,6 +12,7 @@
 use super::frame::{HeartbeatNumber, PeerFrame, PeerHello};
 use super::hub::{PeerHub, PeerSlot};
 use super::socket::{FrameReceiver, FrameSender, in_time, socket_config, split_socket};
+use crate::clock::{SystemClock, TimeSource};
 
 /// Address in the websocket's handshake; peers ignore it.
 const HANDSHAKE_URL: &str = "ws://peer/";
@@ -118,7 +119,9 @@
 /// Sends what is queued, and heartbeats; returns why the link ended.
 ///
 /// A peer whose host lost power sends no reset: writes go on into the socket's buffer and look
-/// like a working link. Only echoes prove that somebody reads, so their lack ends the link.
+/// like a working link. Only echoes prove that somebody reads, so their lack ends the link. The
+/// silence counts by a clock that goes on while this machine is suspended: woken up, it would else
+/// take peers for reached that gave it up long ago, and acknowledge what nobody else hears of.
 async fn run_link(
     hub: &PeerHub,
     slot: &PeerSlot,
@@ -130,16 +133,17 @@
     heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut sent = HeartbeatNumber::default();
     let mut sent_at = Instant::now();
-    let mut heard_at = Instant::now();
+    let clock = SystemClock::default();
+    let mut heard_at = clock.now();
     loop {
         let step = tokio::select! {
             () = slot.queue.ready() => sender.send_queued(&slot.queue).await,
             frame = receiver.receive() => {
-                heard_at = Instant::now();
+                heard_at = clock.now();
                 frame.and_then(|frame| take_frame(hub, slot, frame, sent, sent_at))
             }
             _ = heartbeats.tick() => {
-                if heard_at.elapsed() > settings.silence {
+                if clock.now().since(heard_at) > settings.silence {
                     return LinkError::Silent;
                 }
                 sent = HeartbeatNumber(sent.0 + 1);
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -10,6 +10,7 @@
 mod context;
 mod control;
 mod drafts;
+mod figures;
 mod guard;
 mod meter;
 mod placer;
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -6,21 +6,20 @@
 use std::time::Duration;
 
 use pollendrift_coordination::base::{
-    DataCentreName, Incarnation, LayerRange, ModelName, MonotonicTime, SequenceNumber, ServerName,
+    DataCentreName, Incarnation, LayerRange, MonotonicTime, SequenceNumber, ServerName,
 };
 use pollendrift_coordination::leases::WorkerLayers;
-use pollendrift_coordination::retries::SlowStartSettings;
-use pollendrift_coordination::routes::{EngineSpec, RouteTable, ServiceSpec};
+use pollendrift_coordination::routes::RouteTable;
 use pollendrift_coordination::routing::{
-    ByteRate, EngineAnnouncement, EngineRecord, EngineRole, FleetPlanner, FlightKey, LinkFigures,
-    LoadFigures, LoadReport, NoRoute, NoRouteReason, RoutePlan, RoutePlanner, RoutePriority,
-    RouteQuery, RoutingSettings, SurveyedEngine, TokenCount, TokenRate, WorkloadMix,
-    is_whole_chain,
+    ByteRate, EngineRecord, FleetPlanner, FlightKey, LinkFigures, LoadFigures, LoadReport, NoRoute,
+    NoRouteReason, RoutePlan, RoutePlanner, RoutePriority, RouteQuery, RoutingSettings,
+    SurveyedEngine, TokenCount, is_whole_chain,
 };
 use pollendrift_dialect::StageHop;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::context::RelayContext;
+use super::figures::{MEGABIT, describe, pool_of, routing_settings, slowness_of};
 use super::request::RelayRequest;
 use crate::fleet::{BackendFleet, WorkerView};
 use crate::peers::PeerHub;
@@ -28,9 +27,6 @@
 /// Time between two looks at the fleet. A server that leaves is asked about right before each send
 /// as well, so this only bounds how soon a new one is used.
 const CHAIN_TICK: Duration = Duration::from_millis(100);
-/// Requests that write at the same time on a busy engine, for its rate: about what a data centre's
-/// share of the usual load keeps running.
-const BUSY_BATCH: f64 = 16.0;
 /// Age of what an engine tells of its load.
 const REPORT_LAG: Duration = Duration::from_millis(200);
 /// Prompt tokens that a waiting request counts for.
@@ -49,8 +45,6 @@
 /// Part of the time from first to last event that counts like the wait for the first: a slow stream
 /// holds memory that others wait for.
 const STREAM_PART: u32 = 8;
-/// Bytes a second in one megabit a second.
-const MEGABIT: f64 = 125_000.0;
 
 /// A chain that was taken, and counts as running until it is ended.
 #[derive(Clone, Debug)]
@@ -370,79 +364,6 @@
     }
 }
 
-/// How many times slower an engine is than its kind, in whole steps, so that the planner is not
-/// told anew at each survey.
-fn slowness_of(surveyed: Option<SurveyedEngine>) -> u32 {
-    let load = surveyed.and_then(|surveyed| surveyed.load);
-    let percent = load.map_or(100, |load| load.slowness);
-    (percent.saturating_add(50) / 100).max(1)
-}
-
-/// Engines of one service form one pool, whatever models they list.
-fn pool_of(service: &ServiceSpec) -> ModelName {
-    ModelName::from(service.name.as_str())
-}
-
-/// What the planner is told of an engine: its share of the layers at the pace of its kind.
-fn describe(
-    worker: &WorkerView,
-    layers: &WorkerLayers,
-    spec: &EngineSpec,
-    sequence: SequenceNumber,
-    slowness: u32,
-) -> Option<EngineAnnouncement> {
-    let kind = spec.kind(&worker.offer.kind)?;
-    let share = f64::from(layers.range.len()) / f64::from(spec.layers.max(1));
-    let slowness = f64::from(slowness);
-    let floor = spec.step.as_secs_f64() * kind.step_pace * share * slowness;
-    let each = spec.step_per_request.as_secs_f64()
-        + spec.step_per_context.as_secs_f64() * f64::from(spec.usual_prompt) / 1_000.0;
-    let busy_step = floor + each * BUSY_BATCH * kind.step_pace * share * slowness;
-    Some(EngineAnnouncement {
-        server: worker.server.clone(),
-        incarnation: worker.incarnation,
-        sequence,
-        kind: kind.name.as_ref().into(),
-        data_centre: worker.data_centre.clone(),
-        model: ModelName::from(worker.offer.service.as_str()),
-        version: layers.version.clone(),
-        model_layers: spec.layers,
-        layers: layers.range,
-        adapters: Vec::new(),
-        role: EngineRole::Both,
-        kv_capacity: TokenCount(spec.kv_tokens(kind, layers.range.len()).max(1)),
-        prefill_rate: rate(spec.read_per_second / kind.read_pace / share / slowness),
-        decode_rate: rate(BUSY_BATCH / busy_step),
-        step_floor: Duration::try_from_secs_f64(floor).ok()?,
-        link_rate: ByteRate((spec.link_mbps * MEGABIT) as u64),
-        activation_bytes: spec.activation_bytes as u32,
-        kv_bytes: (spec.kv_bytes * share) as u32,
-    })
-}
-
-fn rate(per_second: f64) -> TokenRate {
-    TokenRate((per_second as u32).max(1))
-}
-
-fn routing_settings() -> RoutingSettings {
-    RoutingSettings {
-        workload: WorkloadMix {
-            prompt_tokens: 760,
-            output_tokens: 172,
-            ..WorkloadMix::default()
-        },
-        // Engines put the newest request back where memory runs out after all.
-        kv_headroom_percent: 2,
-        urgent_reserve_percent: 4,
-        // Engines are as fast after a load as ever.
-        slow_start: SlowStartSettings {
-            window: Duration::ZERO,
-            first_percent: 100,
-        },
-        ..RoutingSettings::default()
-    }
-}
-
 /// Keeps the chains current for as long as the process lives.
 pub(crate) async fn run_chains(context: Arc<RelayContext>, hub: PeerHub) {
     let mut ticks = interval(CHAIN_TICK);
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -13,7 +13,7 @@
 use super::chains::ChainTable;
 use super::routes::RouteFeed;
 use crate::agreed::AgreedState;
-use crate::clock::TimeSource;
+use crate::clock::{TimeSource, since_boot};
 use crate::fleet::BackendFleet;
 use crate::lifecycle::{LifeStep, LifeWatch};
 use crate::settings::RelaySettings;
@@ -73,7 +73,7 @@
             routes: RouteFeed::new(Arc::clone(&parts.agreed), operators),
             dialect: parts.dialect,
             fleet: parts.fleet,
-            pool: ConnectionPool::new(PoolSettings::default()),
+            pool: ConnectionPool::new(PoolSettings::default(), since_boot),
             clock: parts.clock,
             life: parts.life,
             metrics: parts.metrics,
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -26,6 +26,7 @@
 use super::context::RelayContext;
 use super::survey::{SURVEY_PERIOD, survey};
 use crate::agreed::AgreedState;
+use crate::clock::since_boot;
 use crate::fleet::WorkerView;
 use crate::peers::PeerHub;
 use crate::placement::RightKeeper;
@@ -105,7 +106,7 @@
             right,
             pools: BTreeMap::new(),
             orders: BTreeMap::new(),
-            client: ConnectionPool::new(PoolSettings::default()),
+            client: ConnectionPool::new(PoolSettings::default(), since_boot),
             right_until: MonotonicTime::START,
             surveyed_at: MonotonicTime::START,
             unanswered: BTreeMap::new(),
--- a/crates/daemon/src/relay/publish.rs
+++ b/crates/daemon/src/relay/publish.rs
@@ -50,6 +50,9 @@
 
 impl Publisher {
     /// Puts a document in force, unless its version, or a higher one, is.
+    ///
+    /// Tries for a time by the steady clock: one that goes on late, after a suspension, finds what
+    /// is in force anew, and a change that rests on an older revision is refused.
     pub(super) async fn publish(&self, text: &[u8]) -> OperatorReply {
         let document = match self.dialect.read_document(text) {
             Ok(document) => document,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,7 +10,7 @@
     full_body, json_response, read_bounded, read_json, read_within, text_response,
 };
 pub use client::{ClientError, HttpClient, LineReader, PendingCall};
-pub use pool::{ConnectionPool, PoolSettings, PooledAnswer, PooledConnection};
+pub use pool::{ConnectionPool, PoolClock, PoolSettings, PooledAnswer, PooledConnection};
 pub use server::{
     AcceptedStream, BoxedStream, ByteStream, DynHandler, HandlerFuture, HttpHandler, HttpServer,
     ServerBounds, StreamAcceptor, StreamFuture,
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -18,7 +18,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use crate::client::ClientError;
 
@@ -53,14 +53,17 @@
     }
 }
 
+/// Reads a clock that never goes back: the time since some moment before the pool was made.
+pub type PoolClock = fn() -> Duration;
+
 type PoolSender = SendRequest<Full<Bytes>>;
 
 /// A connection that no request uses.
 struct IdleConnection {
     sender: PoolSender,
     task: AbortHandle,
-    /// When it must not be used any more.
-    until: Instant,
+    /// When it must not be used any more, by the pool's clock.
+    until: Duration,
 }
 
 #[derive(Default)]
@@ -74,6 +77,7 @@
 #[derive(Clone)]
 pub struct ConnectionPool {
     settings: PoolSettings,
+    clock: PoolClock,
     slots: Arc<Mutex<BTreeMap<SocketAddr, AddressSlot>>>,
 }
 
@@ -105,10 +109,15 @@
 }
 
 impl ConnectionPool {
-    /// A pool without connections.
-    pub fn new(settings: PoolSettings) -> Self {
+    /// A pool without connections, whose idle ones grow old by `clock`.
+    ///
+    /// The clock should go on while the machine is suspended. By one that stands still, connections
+    /// that their servers gave up long ago look fresh, and a request written on one may or may not
+    /// have run.
+    pub fn new(settings: PoolSettings, clock: PoolClock) -> Self {
         Self {
             settings,
+            clock,
             slots: Arc::default(),
         }
     }
@@ -172,7 +181,7 @@
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<IdleConnection> {
-        let now = Instant::now();
+        let now = (self.clock)();
         let mut slots = self.lock();
         let slot = slots.get_mut(&address)?;
         while let Some(idle) = slot.idle.pop() {
@@ -298,7 +307,7 @@
         let idle = IdleConnection {
             sender,
             task: self.task.clone(),
-            until: Instant::now() + idle,
+            until: (self.pool.clock)() + idle,
         };
         let mut slots = self.pool.lock();
         slots.entry(self.address).or_default().idle.push(idle);
