--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -366,7 +366,7 @@
     let start = DiscoveryStart {
         host: settings.host.clone(),
         reach: HostReach {
-            address: settings.listen.peers,
+            address: settings.discovery.announce.unwrap_or(settings.listen.peers),
             keeper: settings.is_keeper(),
         },
         seeds: settings.discovery.peer_addresses(),
--- a/crates/daemon/src/settings/discovery.rs
+++ b/crates/daemon/src/settings/discovery.rs
@@ -9,6 +9,9 @@
 pub struct DiscoverySettings {
     /// Addresses of hosts that were there first; empty where `peers` lists the hosts.
     pub seeds: Vec<SocketAddr>,
+    /// Address at which peers are told to reach this host, where it differs from the one that it
+    /// listens on: behind a proxy or a translated address.
+    pub announce: Option<SocketAddr>,
     /// Port on which all hosts listen for peers, in place of the ports of `seeds`.
     pub peer_port: Option<u16>,
 }
@@ -16,7 +19,9 @@
 impl DiscoverySettings {
     pub(super) fn read(section: &mut SectionReader<'_>) -> Self {
         let port = section.optional::<u16>("peer_port", "a port from 1 to 65535");
+        let announce = section.optional::<SocketAddr>("announce", "an IP address with a port");
         Self {
+            announce: announce.map(|announce| announce.value),
             seeds: section.addresses("seeds"),
             peer_port: port.map(|port| port.value),
         }
