fix(keeper): make no attempt that time will cut short at once

Cause: a test failed once beside other load (a group that two of three keepers must not found): its command ended as "may have been done: no answer in time". Traced: the client asks keepers in turn until its time is up, and the last question may go out a moment before; its cut makes the whole outcome unknown, though every keeper had said that it took nothing. It needs no load, only a last attempt shorter than an answer.

Change: no further attempt with less than 250 ms left.

--- a/crates/daemon/src/keeper/client.rs
+++ b/crates/daemon/src/keeper/client.rs
@@ -23,6 +23,12 @@
     pub pause: Duration,
 }
 
+/// Least time that must be left for another attempt: within it a busy host answers.
+///
+/// An attempt that was cut short a moment after it was sent ended a command as one that may have been
+/// done, though no keeper had taken it, and its caller could not come back with it.
+const LEAST_ATTEMPT: Duration = Duration::from_millis(250);
+
 impl Default for ClientSettings {
     fn default() -> Self {
         Self {
@@ -158,7 +164,7 @@
                 self.remember(None);
                 sleep(self.settings.pause).await;
             }
-            if Instant::now() >= deadline {
+            if Instant::now() + LEAST_ATTEMPT >= deadline {
                 return Err(
                     unknown.map_or_else(|| SubmitError::not_run(reason), SubmitError::unknown)
                 );
--- a/crates/daemon/tests/keeper_cluster/service.rs
+++ b/crates/daemon/tests/keeper_cluster/service.rs
@@ -1,10 +1,12 @@
 //! What hosts see while all goes to plan.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use pollendrift::keeper::{
     ClientSettings, KeeperClient, KeeperStatus, RetryPermission, SubmitError,
 };
+use pollendrift::peers::{PeerAnswer, PeerFrame, PeerHandler, PeerHub};
 use pollendrift_coordination::agreement::KeeperRole;
 use pollendrift_coordination::base::HostName;
 
@@ -92,6 +94,57 @@
     cluster.assert_lists(&["1", "2", "3"]).await;
 }
 
+/// A keeper that leads nothing, and says so a little later.
+struct SlowFollower;
+
+impl PeerHandler for SlowFollower {
+    fn handle(&self, hub: &PeerHub, from: &HostName, frame: PeerFrame) {
+        let PeerFrame::Call(call) = frame else { return };
+        let (hub, from) = (hub.clone(), from.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(15)).await;
+            let answer = PeerAnswer::NotLeader { leader: None };
+            // An answer that is lost is a timeout of the asker.
+            let _ = hub.answer(&from, call.number, answer);
+        });
+    }
+}
+
+/// The caller sees: "not run", since every keeper said that it leads nothing. The last attempt used
+/// to begin just before time was up, and its cut made the whole "unknown".
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn time_that_is_up_does_not_make_a_command_unknown() {
+    let cluster = Cluster::prepare(settings());
+    let mut followers = Vec::new();
+    for name in KEEPERS {
+        followers.push(cluster.dialer.link(name, Arc::new(SlowFollower)).await);
+    }
+    let own = cluster.dialer.link("d", Arc::new(NoFrames)).await;
+    let client = KeeperClient::new(
+        own.hub().clone(),
+        keepers().into(),
+        None,
+        ClientSettings {
+            patience: Duration::from_millis(700),
+            pause: Duration::from_millis(1),
+            ..ClientSettings::default()
+        },
+    );
+    for name in KEEPERS {
+        let mut link = own.hub().watch_link(&HostName::from(name)).expect("a peer");
+        within("a link", link.wait_for(|up| *up))
+            .await
+            .expect("it runs");
+    }
+    for _ in 0..6 {
+        let outcome = client.submit("1".into(), RetryPermission::Never).await;
+        assert!(
+            matches!(outcome, Err(SubmitError::NotRun { .. })),
+            "{outcome:?}"
+        );
+    }
+}
+
 /// The caller sees: "not run" until all keepers of the settings have met once; then it is accepted.
 /// Two of three could already be a majority, but the third may hold the log of a group that the
 /// two have never heard of, and a second group beside it would contradict the first.
