fix(keeper): a host whose keeper has stopped sends commands on

Cause: a test failed once beside other load: the first keeper that a host without a disk asked was just being ended, and answered "not run: keeper has stopped", which ended the command, though two others went on. Traced: the request is not queued once the keeper's runtime is gone, but its host's links live a moment longer; after a planned stop, seconds.

Change: it answers that it does not lead, and the next one is asked.

--- a/crates/daemon/src/keeper/port.rs
+++ b/crates/daemon/src/keeper/port.rs
@@ -163,11 +163,14 @@
     {
         let (sender, receiver) = oneshot::channel();
         if let Err(error) = self.requests.try_send(request(sender)) {
-            let reason = match error {
-                mpsc::error::TrySendError::Full(_) => "too many requests wait for the keeper",
-                mpsc::error::TrySendError::Closed(_) => "keeper has stopped",
+            return match error {
+                mpsc::error::TrySendError::Full(_) => LocalOutcome::Failed(SubmitError::not_run(
+                    "too many requests wait for the keeper",
+                )),
+                // Its host may live on for a while, and answer for a keeper that is gone. Said to be
+                // not run, the command would not be taken to the keepers that go on.
+                mpsc::error::TrySendError::Closed(_) => LocalOutcome::NotLeader(None),
             };
-            return LocalOutcome::Failed(SubmitError::not_run(reason));
         }
         receiver.await.unwrap_or_else(|_| {
             LocalOutcome::Failed(SubmitError::unknown("keeper ended before it answered"))
--- a/crates/daemon/tests/keeper_cluster/service.rs
+++ b/crates/daemon/tests/keeper_cluster/service.rs
@@ -94,6 +94,41 @@
     cluster.assert_lists(&["1", "2", "3"]).await;
 }
 
+/// The caller sees: its command is accepted, though the first host that it asks has stopped its keeper
+/// and still has its links. That host knows that it ran nothing, but another one can.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_whose_keeper_has_stopped_sends_callers_on() {
+    let mut cluster = Cluster::start(settings()).await;
+    let peers = cluster.dialer.link("d", Arc::new(NoFrames)).await;
+    let ask_first = KeeperClient::new(
+        peers.hub().clone(),
+        vec![HostName::from("b")].into(),
+        None,
+        ClientSettings {
+            patience: Duration::from_secs(1),
+            ..ClientSettings::default()
+        },
+    );
+    let stopped = cluster.running.remove("b").expect("it runs");
+    assert!(stopped.keeper.handle().stop());
+    within("a planned end", stopped.keeper.finish())
+        .await
+        .expect("no fault");
+    cluster.accept("a", "1").await;
+    let alone = ask_first.submit("2".into(), RetryPermission::Never).await;
+    let reason = "no keeper leads".to_owned();
+    assert_eq!(alone, Err(SubmitError::NotRun { reason }), "it sends on");
+    let client = KeeperClient::new(
+        peers.hub().clone(),
+        keepers().into(),
+        None,
+        ClientSettings::default(),
+    );
+    let submitting = client.submit("3".into(), RetryPermission::Never);
+    within("a submit", submitting).await.expect("accepted");
+    drop(stopped.peers);
+}
+
 /// A keeper that leads nothing, and says so a little later.
 struct SlowFollower;
 
