fix(relay): do not serve by old routes while a host that was away lays out the newest

Since changes are laid out beside the requests, a host that comes back from a cut or a suspension served by what it had until the newest routes were laid out.

Change: the older routes serve for one second at most after they were last seen to be the newest; beyond that requests wait, as they do at a host that has just started.

Measured: the new test of that state, a module without threads; it has no counterpart in the code before, which had no such bound.

--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -377,7 +377,7 @@
         if let Some(entries) = entries {
             context.share_budget(now, entries);
         }
-        let Ok(table) = context.routes.current() else {
+        let Ok(table) = context.routes.current(now) else {
             continue;
         };
         let workers = context.fleet.workers(now);
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -100,7 +100,7 @@
         if self.life.step() != LifeStep::Serving {
             return Some("it is leaving for a planned stop".to_owned());
         }
-        self.routes.gap()
+        self.routes.gap(self.clock.now())
     }
 
     /// Loads of plain servers.
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -115,7 +115,7 @@
 
     async fn tick(&mut self) {
         let context = Arc::clone(&self.parts.context);
-        let Ok(table) = context.routes.current() else {
+        let Ok(table) = context.routes.current(context.clock.now()) else {
             return;
         };
         let workers = context.fleet.workers(context.clock.now());
--- a/crates/daemon/src/relay/routes.rs
+++ b/crates/daemon/src/relay/routes.rs
@@ -23,6 +23,9 @@
 const KNOWN_SOON: Duration = Duration::from_secs(4);
 /// Longest wait of one request. Callers give up a request that nothing comes back on for 2 s.
 const LONGEST_WAIT: Duration = Duration::from_millis(1_600);
+/// Longest time for which requests go on by routes that were replaced, while the next are laid out:
+/// half of the time in which a change must be in force, which it also takes to come here.
+const LONGEST_BEHIND: Duration = Duration::from_secs(1);
 /// Time between two looks of a waiting request.
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -39,6 +42,8 @@
 #[derive(Default)]
 struct LayOutState {
     last: Option<LaidOut>,
+    /// When the newest revision was last seen to be the one that is laid out.
+    matched_at: Option<MonotonicTime>,
     is_working: bool,
 }
 
@@ -48,6 +53,27 @@
     table: Result<Arc<RouteTable>, String>,
 }
 
+impl LayOutState {
+    /// What to serve by while `newest` is in force.
+    ///
+    /// Failure: a host that was cut off or suspended has old routes, and is told the newest ones as it
+    /// comes back. Symptom: it served by the old ones while those were laid out, and a request ran whose
+    /// key had been revoked ten seconds before. A host that was not behind is at most for
+    /// [`LONGEST_BEHIND`]; one that was has its requests wait.
+    fn table(&mut self, now: MonotonicTime, newest: Revision) -> Result<Arc<RouteTable>, String> {
+        let not_yet = || "the routes are being laid out".to_owned();
+        let last = self.last.as_ref().ok_or_else(not_yet)?;
+        if last.revision >= newest {
+            self.matched_at = Some(now);
+        }
+        let is_recent = |at: MonotonicTime| now.since(at) < LONGEST_BEHIND;
+        if !self.matched_at.is_some_and(is_recent) {
+            return Err(not_yet());
+        }
+        last.table.clone()
+    }
+}
+
 impl RouteFeed {
     /// A feed of what `agreed` holds.
     pub(crate) fn new(agreed: Arc<dyn AgreedState>, dialect: Arc<dyn OperatorDialect>) -> Self {
@@ -62,11 +88,11 @@
     /// The routes to serve by: those of the newest revision that is laid out. A newer one is laid out
     /// on a thread beside the requests: a source of 52 kB takes 3.3 ms of processor time, and longer ones
     /// as much longer, for which all streams of a host with 0.12 cores would pause eight times as long.
-    /// The host goes on by the older routes meanwhile.
+    /// The host goes on by the older routes meanwhile, for a second at most.
     ///
     /// # Errors
     /// This host can't tell which routes are in force. It says so rather than that there is none.
-    pub(super) fn current(&self) -> Result<Arc<RouteTable>, Refused> {
+    pub(super) fn current(&self, now: MonotonicTime) -> Result<Arc<RouteTable>, Refused> {
         let unknown = |reason: String| {
             let refusal = refused(RefusalKind::NotRun, reason);
             refusal.retry_after(RETRY_UNKNOWN)
@@ -76,15 +102,13 @@
             .configuration()
             .map_err(|stale| unknown(stale.to_string()))?;
         let mut state = lock(&self.laid_out);
+        let newest = configuration.revision();
         let held = state.last.as_ref().map(|last| last.revision);
-        if held < Some(configuration.revision()) && !state.is_working {
+        if held < Some(newest) && !state.is_working {
             state.is_working = true;
             self.start_lay_out(configuration);
         }
-        match &state.last {
-            Some(last) => last.table.clone().map_err(unknown),
-            None => Err(unknown("the routes are being laid out".to_owned())),
-        }
+        state.table(now, newest).map_err(unknown)
     }
 
     fn start_lay_out(&self, configuration: Arc<Configuration>) {
@@ -112,7 +136,7 @@
     pub(super) async fn wait(&self, clock: &dyn TimeSource) -> Result<Arc<RouteTable>, Refused> {
         let arrived = clock.now();
         loop {
-            let refused = match self.current() {
+            let refused = match self.current(clock.now()) {
                 Ok(table) => {
                     self.set_unknown(None);
                     return Ok(table);
@@ -145,8 +169,8 @@
     }
 
     /// Why no routes are known; `None` if some are.
-    pub(crate) fn gap(&self) -> Option<String> {
-        self.current().err().map(|refused| refused.0.reason)
+    pub(crate) fn gap(&self, now: MonotonicTime) -> Option<String> {
+        self.current(now).err().map(|refused| refused.0.reason)
     }
 }
 
@@ -167,3 +191,6 @@
     })?;
     Ok(RouteTable::build(document))
 }
+
+#[cfg(test)]
+mod tests;
