--- a/crates/daemon/src/relay/routes.rs
+++ b/crates/daemon/src/relay/routes.rs
@@ -23,9 +23,9 @@
 const KNOWN_SOON: Duration = Duration::from_secs(4);
 /// Longest wait of one request. Callers give up a request that nothing comes back on for 2 s.
 const LONGEST_WAIT: Duration = Duration::from_millis(1_600);
-/// Longest time for which requests go on by routes that were replaced, while the next are laid out:
-/// half of the time in which a change must be in force, which it also takes to come here.
-const LONGEST_BEHIND: Duration = Duration::from_secs(1);
+/// Longest time without knowing the newest revision after which the routes that are laid out may be
+/// old: five looks of the chains, and half of the time in which a change must be in force.
+const LONGEST_GAP: Duration = Duration::from_secs(1);
 /// Time between two looks of a waiting request.
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -39,11 +39,12 @@
 }
 
 /// The last routes that were laid out, and the work at the next ones.
-#[derive(Default)]
 struct LayOutState {
     last: Option<LaidOut>,
-    /// When the newest revision was last seen to be the one that is laid out.
-    matched_at: Option<MonotonicTime>,
+    /// When the newest revision was last known here.
+    known_at: Option<MonotonicTime>,
+    /// Revision below which nothing is served any more.
+    must_reach: Revision,
     is_working: bool,
 }
 
@@ -54,23 +55,35 @@
 }
 
 impl LayOutState {
+    fn new() -> Self {
+        Self {
+            last: None,
+            known_at: None,
+            must_reach: Revision(0),
+            is_working: false,
+        }
+    }
+
     /// What to serve by while `newest` is in force.
     ///
     /// Failure: a host that was cut off or suspended has old routes, and is told the newest ones as it
     /// comes back. Symptom: it served by the old ones while those were laid out, and a request ran whose
-    /// key had been revoked ten seconds before. A host that was not behind is at most for
-    /// [`LONGEST_BEHIND`]; one that was has its requests wait.
+    /// key had been revoked ten seconds before. So a host that did not know the newest revision for
+    /// [`LONGEST_GAP`] lays out the one that it finds before it serves again. One revision is enough:
+    /// had it to reach each newer one as well, changes that come faster than they are laid out would
+    /// keep it from ever serving.
     fn table(&mut self, now: MonotonicTime, newest: Revision) -> Result<Arc<RouteTable>, String> {
-        let not_yet = || "the routes are being laid out".to_owned();
-        let last = self.last.as_ref().ok_or_else(not_yet)?;
-        if last.revision >= newest {
-            self.matched_at = Some(now);
+        let was_away = self.known_at.is_none_or(|at| now.since(at) >= LONGEST_GAP);
+        if was_away {
+            self.must_reach = newest;
         }
-        let is_recent = |at: MonotonicTime| now.since(at) < LONGEST_BEHIND;
-        if !self.matched_at.is_some_and(is_recent) {
-            return Err(not_yet());
+        self.known_at = Some(now);
+        let reached = self.last.as_ref();
+        let reached = reached.filter(|last| last.revision >= self.must_reach);
+        match reached {
+            Some(last) => last.table.clone(),
+            None => Err("the routes are being laid out".to_owned()),
         }
-        last.table.clone()
     }
 }
 
@@ -80,7 +93,7 @@
         Self {
             agreed,
             dialect,
-            laid_out: Arc::default(),
+            laid_out: Arc::new(Mutex::new(LayOutState::new())),
             unknown_since: Mutex::new(Some(MonotonicTime::START)),
         }
     }
@@ -88,7 +101,7 @@
     /// The routes to serve by: those of the newest revision that is laid out. A newer one is laid out
     /// on a thread beside the requests: a source of 52 kB takes 3.3 ms of processor time, and longer ones
     /// as much longer, for which all streams of a host with 0.12 cores would pause eight times as long.
-    /// The host goes on by the older routes meanwhile, for a second at most.
+    /// The host goes on by the older routes meanwhile.
     ///
     /// # Errors
     /// This host can't tell which routes are in force. It says so rather than that there is none.
--- a/crates/daemon/src/relay/routes/tests.rs
+++ b/crates/daemon/src/relay/routes/tests.rs
@@ -13,11 +13,13 @@
 }
 
 /// The caller sees: its request is served by the routes of a moment ago while newer ones are laid out,
-/// and waits where those are older. A host that was suspended for ten seconds is told of a revoked key
-/// as it wakes up; served by what it had, the key would still work.
+/// also where changes come faster than they are laid out; it waits where the routes may be older. A
+/// host that was suspended for ten seconds is told of a revoked key as it wakes up; served by what it
+/// had, the key would still work. Made to reach each newer revision, it would serve nobody for as long
+/// as changes come.
 #[test]
 fn a_host_that_was_away_does_not_serve_by_its_old_routes() {
-    let mut state = LayOutState::default();
+    let mut state = LayOutState::new();
     let mut seen = Vec::new();
     let mut look = |state: &mut LayOutState, millis: u64, newest: u64| {
         let now = MonotonicTime::from_millis(millis);
@@ -26,21 +28,25 @@
     };
     look(&mut state, 100, 1);
     state.last = Some(laid_out(1));
-    look(&mut state, 200, 1);
-    look(&mut state, 900, 2);
-    look(&mut state, 1_300, 2);
+    for (millis, newest) in [(200, 1), (900, 2), (1_500, 3), (2_100, 4)] {
+        look(&mut state, millis, newest);
+    }
     state.last = Some(laid_out(2));
-    look(&mut state, 1_400, 2);
-    look(&mut state, 11_400, 3);
-    state.last = Some(laid_out(3));
-    look(&mut state, 11_500, 3);
+    look(&mut state, 2_900, 5);
+    for (millis, newest) in [(12_900, 7), (13_100, 8)] {
+        look(&mut state, millis, newest);
+    }
+    state.last = Some(laid_out(7));
+    look(&mut state, 13_200, 9);
     insta::assert_snapshot!(seen.join("\n"), @r"
     100 ms, 1 in force: the routes are being laid out
     200 ms, 1 in force: routes 1
     900 ms, 2 in force: routes 1
-    1300 ms, 2 in force: the routes are being laid out
-    1400 ms, 2 in force: routes 2
-    11400 ms, 3 in force: the routes are being laid out
-    11500 ms, 3 in force: routes 3
+    1500 ms, 3 in force: routes 1
+    2100 ms, 4 in force: routes 1
+    2900 ms, 5 in force: routes 2
+    12900 ms, 7 in force: the routes are being laid out
+    13100 ms, 8 in force: the routes are being laid out
+    13200 ms, 9 in force: routes 7
     ");
 }
