--- a/crates/coordination/tests/configuration_change.rs
+++ b/crates/coordination/tests/configuration_change.rs
@@ -316,7 +316,7 @@
         let routes: Vec<String> = routes
             .iter()
             .map(|route| {
-                format!(r#"{{"name":"r-{route}","host":"a.example","pathPrefix":"/p{route}/"}}"#)
+                format!(r#"{{"name":"r-{route}","host":"a.example","prefix":"/p{route}/"}}"#)
             })
             .collect();
         let text = format!(r#"{{"version":{version},"routes":[{}]}}"#, routes.join(","));
