feat(placement): lay layers out by request memory, and close gaps by the engines beside them

Cause: layers were laid out by steps a second beside 88,000 tokens for every engine. Change: engines are dealt into rows of whole copies, the quickest first, at the number of kept tokens at which most drafts a second pass by Little's law, with second copies weighed in. A gap for which nobody can be spared is closed by the engines beside it; where they can't, all are laid out anew.

--- a/crates/coordination/src/placement/balance.rs
+++ b/crates/coordination/src/placement/balance.rs
@@ -31,9 +31,10 @@
     layers: u32,
     cuts: &[u32],
     engine: &PlacedEngine,
+    kept_tokens: u64,
 ) -> Option<RangeChoice> {
     let (slowest, _) = coverage.slowest();
-    let longest = engine.seen.max_layers.min(layers);
+    let longest = engine.most_layers(kept_tokens).min(layers);
     let mut best: Option<RangeChoice> = None;
     for first in starts(cuts, slowest, longest, layers) {
         for end in ends(cuts, first, longest, layers) {
--- a/crates/coordination/src/placement/coverage.rs
+++ b/crates/coordination/src/placement/coverage.rs
@@ -50,6 +50,18 @@
         u32::try_from(position).ok().map(|offset| from + offset)
     }
 
+    /// Layers from `missing` on that nobody holds, of a model of `layers`.
+    pub(crate) fn find_gap(&self, missing: u32, layers: u32) -> LayerRange {
+        let mut end = missing + 1;
+        while end < layers && self.first_missing(end) == Some(end) {
+            end += 1;
+        }
+        LayerRange {
+            first: missing,
+            end,
+        }
+    }
+
     /// Whether every layer of `layers` is held by more than one.
     pub(crate) fn is_redundant(&self, layers: LayerRange) -> bool {
         self.span(layers).all(|layer| self.holders[layer] > 1)
--- a/crates/coordination/src/placement/engine.rs
+++ b/crates/coordination/src/placement/engine.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
+use super::layout::{DraftLoad, EngineMemory};
 use crate::base::{LayerRange, ModelName, MonotonicTime, ServerName, VersionName};
 
 new_key_type! {
@@ -40,6 +41,8 @@
     pub max_layers: u32,
     /// Tokens a second that it would run through a single layer.
     pub layer_rate: u32,
+    /// Its memory, where placement is to weigh request memory.
+    pub memory: Option<EngineMemory>,
     /// Whether it refuses orders with an old fencing number.
     pub checks_fencing: bool,
     /// What it serves now.
@@ -57,6 +60,9 @@
     pub layers: u32,
     /// Share of the engines relative to other targets; at least 1.
     pub share: u32,
+    /// The usual draft, where engines tell their memory: layers are laid out by the drafts that
+    /// fit, and not by steps a second.
+    pub load: Option<DraftLoad>,
 }
 
 /// An engine in the placement table.
@@ -90,14 +96,25 @@
         self.ordered.is_some() || self.seen.loading.is_some()
     }
 
+    /// Most layers that leave `tokens` of request memory, where it tells its memory.
+    pub(crate) fn most_layers(&self, tokens: u64) -> u32 {
+        let most = self.seen.max_layers;
+        let by_memory = self.seen.memory.map(|memory| memory.most_layers(tokens));
+        by_memory.map_or(most, |layers| layers.min(most))
+    }
+
     /// Whether it may be ordered to load something else now.
     pub(crate) fn can_be_ordered(&self, now: MonotonicTime) -> bool {
         let is_left_out = self.left_out_until.is_some_and(|until| until > now);
         !self.is_loading() && !is_left_out && self.seen.max_layers > 0
     }
 
-    /// Tokens a second over a span of so many layers.
+    /// What the engine adds to each layer of `layers`: tokens of request memory where it tells its
+    /// memory, else tokens a second.
     pub(crate) fn rate_over(&self, layers: LayerRange) -> f64 {
+        if let Some(memory) = self.seen.memory {
+            return memory.tokens(layers.len()) as f64;
+        }
         f64::from(self.seen.layer_rate) / f64::from(layers.len().max(1))
     }
 }
--- a/crates/coordination/src/placement/restore.rs
+++ b/crates/coordination/src/placement/restore.rs
@@ -37,7 +37,7 @@
     let mut loads = Vec::new();
     let mut from = 0;
     while let Some(missing) = coverage.first_missing(from) {
-        let gap = find_gap(coverage, missing, layers);
+        let gap = coverage.find_gap(missing, layers);
         let fitting = spares
             .iter()
             .position(|spare| spare.max_layers >= gap.len());
@@ -65,15 +65,3 @@
     let free = spares.iter().skip(first).position(|spare| spare.is_free);
     free.map_or(first, |offset| first + offset)
 }
-
-/// Layers from `missing` on that nobody holds.
-fn find_gap(coverage: &LayerCoverage, missing: u32, layers: u32) -> LayerRange {
-    let mut end = missing + 1;
-    while end < layers && coverage.first_missing(end) == Some(end) {
-        end += 1;
-    }
-    LayerRange {
-        first: missing,
-        end,
-    }
-}
--- /dev/null
+++ b/crates/coordination/src/placement/roomy.rs
@@ -0,0 +1,161 @@
+//! Layers restored where engines tell their memory: the quickest way to a whole chain with room.
+
+use super::engine::{PlacedEngine, PlacedKey, PlacementTarget};
+use super::layout::{DraftLoad, LayoutEngine, lay_out};
+use super::order::{PlacementReport, PlacementWait};
+use super::restore::{PlannedLoad, SpareEngine, find_loads};
+use super::stretch::{StretchEngine, find_stretches};
+use super::table::{HeldRight, PlacementTable};
+use crate::base::{LayerRange, MonotonicTime};
+
+/// Part of the layout's request memory that an engine may be left with when it takes over layers of
+/// one that was lost. A chain with half the room serves; one with a layer missing does not.
+const REPAIR_PART: u64 = 2;
+
+impl PlacementTable {
+    /// Orders what makes a target whole again: loads on engines that can be spared; else layers more
+    /// on engines beside the gap; else a new layout of all engines, since a data centre without a
+    /// whole chain has nothing to lose by it.
+    pub(super) fn restore_by_room(
+        &mut self,
+        now: MonotonicTime,
+        held: HeldRight,
+        target: &PlacementTarget,
+        load: DraftLoad,
+        report: &mut PlacementReport,
+    ) {
+        let planned = self.cover(target, PlacedEngine::planned);
+        let is_empty = planned.slowest().1 <= 0.0 && self.hold_nothing(target);
+        if !is_empty {
+            let spares = self.find_roomy_spares(now, held, report);
+            let loads = find_loads(&planned, target.layers, &spares).ok();
+            let loads = loads.or_else(|| {
+                let engines = self.find_stretchable(now, target);
+                find_stretches(&planned, target.layers, &engines)
+            });
+            if let Some(loads) = loads {
+                self.order_loads(now, held, target, &loads, report);
+                return;
+            }
+        }
+        let engines = self.layout_engines(now, target);
+        let Some(layout) = lay_out(&engines, target.layers, load) else {
+            report.waits.push(PlacementWait::Blocked {
+                weights: target.weights.clone(),
+                layer: planned.first_missing(0).unwrap_or(0),
+            });
+            return;
+        };
+        self.kept_tokens = layout.kept_tokens;
+        self.laying = layout.ranges;
+        self.go_on_laying(now, held, report);
+    }
+
+    /// Orders what is left of a layout, as many loads as the store serves; false if nothing is left.
+    pub(super) fn go_on_laying(
+        &mut self,
+        now: MonotonicTime,
+        held: HeldRight,
+        report: &mut PlacementReport,
+    ) -> bool {
+        let is_lost = |key: &PlacedKey| {
+            let engine = self.engines.get(*key);
+            engine.is_none_or(|engine| !engine.is_loading() && !engine.can_be_ordered(now))
+        };
+        if self.laying.keys().any(is_lost) {
+            // Without it the rest of the layout would leave a gap.
+            self.laying.clear();
+        }
+        let Some(target) = self.targets.first().cloned() else {
+            return false;
+        };
+        let engines = &self.engines;
+        self.laying.retain(|key, range| {
+            let planned = engines.get(*key).and_then(PlacedEngine::planned);
+            planned.is_none_or(|planned| planned.layers != *range)
+        });
+        for (key, layers) in self.laying.clone() {
+            let can_be_ordered = |engine: &PlacedEngine| engine.can_be_ordered(now);
+            if self.engines.get(key).is_some_and(can_be_ordered) {
+                self.order(now, held, key, &target.weights, layers, report);
+            }
+        }
+        !self.laying.is_empty()
+    }
+
+    fn order_loads(
+        &mut self,
+        now: MonotonicTime,
+        held: HeldRight,
+        target: &PlacementTarget,
+        loads: &[PlannedLoad],
+        report: &mut PlacementReport,
+    ) {
+        for load in loads {
+            self.order(now, held, load.key, &target.weights, load.layers, report);
+        }
+    }
+
+    fn hold_nothing(&self, target: &PlacementTarget) -> bool {
+        let mut planned = self.engines.values().filter_map(PlacedEngine::planned);
+        planned.all(|held| held.weights != target.weights)
+    }
+
+    fn find_roomy_spares(
+        &self,
+        now: MonotonicTime,
+        held: HeldRight,
+        report: &mut PlacementReport,
+    ) -> Vec<SpareEngine> {
+        let kept = self.kept_tokens / REPAIR_PART;
+        let spares = self.find_spares(now, held, report).into_iter();
+        let limited = spares.filter_map(|spare| {
+            let max_layers = self.engines.get(spare.key)?.most_layers(kept);
+            Some(SpareEngine {
+                max_layers,
+                ..spare
+            })
+        });
+        limited.filter(|spare| spare.max_layers > 0).collect()
+    }
+
+    fn find_stretchable(&self, now: MonotonicTime, target: &PlacementTarget) -> Vec<StretchEngine> {
+        let kept = self.kept_tokens / REPAIR_PART;
+        let engines = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| engine.can_be_ordered(now));
+        let engines = engines.filter_map(|(key, engine)| {
+            let held = held_of(engine, target)?;
+            Some(StretchEngine {
+                key,
+                held,
+                spare_layers: engine.most_layers(kept).saturating_sub(held.len()),
+            })
+        });
+        engines.collect()
+    }
+
+    fn layout_engines(&self, now: MonotonicTime, target: &PlacementTarget) -> Vec<LayoutEngine> {
+        let engines = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| engine.is_loading() || engine.can_be_ordered(now));
+        let engines = engines.filter_map(|(key, engine): (PlacedKey, &PlacedEngine)| {
+            Some(LayoutEngine {
+                key,
+                memory: engine.seen.memory?,
+                max_layers: engine.seen.max_layers,
+                layer_rate: engine.seen.layer_rate,
+                held: held_of(engine, target),
+            })
+        });
+        engines.collect()
+    }
+}
+
+fn held_of(engine: &PlacedEngine, target: &PlacementTarget) -> Option<LayerRange> {
+    let planned = engine.planned();
+    let own = planned.filter(|held| held.weights == target.weights);
+    own.map(|held| held.layers)
+}
--- a/crates/coordination/tests/placement_failures.rs
+++ b/crates/coordination/tests/placement_failures.rs
@@ -35,6 +35,7 @@
         server: ServerName::from(name),
         max_layers,
         layer_rate: 1_000 * max_layers,
+        memory: None,
         checks_fencing: true,
         held,
         loading: None,
@@ -46,6 +47,7 @@
         weights: weights(version),
         layers: LAYERS,
         share: 1,
+        load: None,
     }
 }
 
--- /dev/null
+++ b/crates/coordination/tests/placement_layout.rs
@@ -0,0 +1,243 @@
+//! Layers laid out by request memory: from nothing, and after losses. The engines and drafts are made
+//! up: memory in bytes of a small scale, so that tokens can be worked out by hand.
+
+use std::time::Duration;
+
+use pollendrift_coordination::base::{FencingNumber, LayerRange, MonotonicTime, ServerName};
+use pollendrift_coordination::placement::{
+    DraftLoad, EngineMemory, EngineObservation, PlacementRight, PlacementSettings, PlacementTable,
+    PlacementTarget, WeightsId,
+};
+
+const LAYERS: u32 = 40;
+const LOAD: DraftLoad = DraftLoad {
+    prompt: 900,
+    answer: 200,
+    step_growth_ppm: 8_000,
+};
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+/// An engine of `memory` thousand bytes beside layers of 1,000 bytes; a token takes a hundredth of a
+/// byte a layer, so that 10 thousand bytes beside 10 layers hold 100,000 tokens.
+fn engine(name: &str, memory: u64, layer_rate: u32) -> EngineObservation {
+    let memory = EngineMemory {
+        total: memory * 1_000_000,
+        layer: 1_000_000,
+        token: 10,
+    };
+    EngineObservation {
+        server: ServerName::from(name),
+        max_layers: memory.most_layers(16_000).min(LAYERS),
+        layer_rate,
+        memory: Some(memory),
+        checks_fencing: true,
+        held: None,
+        loading: None,
+    }
+}
+
+fn kind(prefix: &str, count: u32, memory: u64, layer_rate: u32) -> Vec<EngineObservation> {
+    let name = |index| format!("{prefix}{index}");
+    (0..count)
+        .map(|index| engine(&name(index), memory, layer_rate))
+        .collect()
+}
+
+/// One data centre whose engines take every load in 300 ms.
+struct Centre {
+    table: PlacementTable,
+    engines: Vec<EngineObservation>,
+    now: u64,
+    loads: u32,
+}
+
+impl Centre {
+    fn new(engines: Vec<EngineObservation>) -> Self {
+        let settings = PlacementSettings {
+            settle: Duration::ZERO,
+            max_loads: 12,
+            ..PlacementSettings::default()
+        };
+        let mut table = PlacementTable::new(settings, at(0));
+        table.grant(
+            at(0),
+            PlacementRight {
+                fencing: FencingNumber(1),
+                until: at(1_000_000),
+            },
+        );
+        table.set_targets(vec![PlacementTarget {
+            weights: WeightsId {
+                model: "m".into(),
+                version: "v1".into(),
+            },
+            layers: LAYERS,
+            share: 1,
+            load: Some(LOAD),
+        }]);
+        let mut centre = Self {
+            table,
+            engines,
+            now: 0,
+            loads: 0,
+        };
+        centre.settle();
+        centre
+    }
+
+    /// Ticks until nothing is ordered any more; the time that it took, in milliseconds.
+    fn settle(&mut self) -> u64 {
+        let from = self.now;
+        for engine in &self.engines {
+            self.table.observe(engine.clone());
+        }
+        let mut quiet = 0;
+        while quiet < 2 && self.now < from + 60_000 {
+            quiet = if self.step() { 0 } else { quiet + 1 };
+        }
+        self.now - from
+    }
+
+    /// One tick, whose orders are carried out; whether there were any.
+    fn step(&mut self) -> bool {
+        self.now += 300;
+        let report = self.table.tick(at(self.now));
+        let has_orders = !report.orders.is_empty();
+        for order in report.orders {
+            self.loads += 1;
+            let mut engines = self.engines.iter_mut();
+            if let Some(engine) = engines.find(|engine| engine.server == order.server) {
+                engine.held = Some(order.load);
+                self.table.observe(engine.clone());
+            }
+        }
+        has_orders
+    }
+
+    fn lose(&mut self, name: &str) {
+        self.engines.retain(|engine| engine.server.as_str() != name);
+        self.table.remove(&ServerName::from(name));
+    }
+
+    fn ranges(&self) -> impl Iterator<Item = (&EngineObservation, LayerRange)> {
+        let held = |engine: &EngineObservation| engine.held.as_ref().map(|held| held.layers);
+        self.engines
+            .iter()
+            .filter_map(move |engine| Some((engine, held(engine)?)))
+    }
+
+    fn describe(&self) -> String {
+        let (narrowest, mean, fewest) = self.tokens();
+        let loads = self.loads;
+        format!("narrowest {narrowest}, mean {mean}, fewest holders {fewest}, loads {loads}")
+    }
+
+    /// Request memory of the narrowest and of the mean layer, in thousands of tokens, and the fewest
+    /// holders of a layer.
+    fn tokens(&self) -> (u64, u64, u32) {
+        let mut tokens = vec![0; LAYERS as usize];
+        let mut holders = vec![0; LAYERS as usize];
+        for (engine, range) in self.ranges() {
+            let memory = engine.memory.map_or(0, |memory| memory.tokens(range.len()));
+            for layer in range.first..range.end {
+                tokens[layer as usize] += memory / 1_000;
+                holders[layer as usize] += 1;
+            }
+        }
+        let mean = tokens.iter().sum::<u64>() / u64::from(LAYERS);
+        let narrowest = tokens.iter().min().copied().unwrap_or(0);
+        let fewest = holders.iter().min().copied().unwrap_or(0);
+        (narrowest, mean, fewest)
+    }
+}
+
+// Callers of a fleet that holds some layers three times are declined at those that few hold: laid
+// out by step rates, the narrowest layer had a third of the mean's request memory, and engines
+// beside it stood idle. From nothing, the narrowest must have half of the mean or more, whatever
+// the mix of kinds and however many engines there are.
+#[test]
+fn no_layer_is_a_waist() {
+    let mixed = |scale: u32| {
+        let mut engines = kind("large", scale, 40, 400);
+        engines.extend(kind("quick", 6 * scale, 8, 190));
+        engines.extend(kind("slow", 3 * scale, 12, 60));
+        engines
+    };
+    let cases = [
+        ("mixed", mixed(1)),
+        ("mixed, three times", mixed(3)),
+        ("mixed, ten times", mixed(10)),
+        ("one kind", kind("only", 9, 10, 100)),
+        ("one engine", kind("only", 1, 60, 100)),
+        ("hardly enough", kind("only", 6, 9, 100)),
+        ("too little", kind("only", 3, 8, 100)),
+    ];
+    let mut lines = Vec::new();
+    for (name, engines) in cases {
+        let centre = Centre::new(engines);
+        let (narrowest, mean, _) = centre.tokens();
+        assert!(narrowest * 2 >= mean, "{name} has a waist");
+        lines.push(format!("{name}: {}", centre.describe()));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    mixed: narrowest 100, mean 155, fewest holders 1, loads 10
+    mixed, three times: narrowest 400, mean 470, fewest holders 4, loads 30
+    mixed, ten times: narrowest 1500, mean 1570, fewest holders 15, loads 100
+    one kind: narrowest 100, mean 112, fewest holders 1, loads 9
+    one engine: narrowest 50, mean 50, fewest holders 1, loads 1
+    hardly enough: narrowest 28, mean 34, fewest holders 1, loads 6
+    too little: narrowest 0, mean 0, fewest holders 0, loads 0
+    ");
+}
+
+// Every layer is held once, and one engine dies. Nobody can be spared, so its data centre had no
+// whole chain until the engine came back, and each caller was sent away or to a far one. Engines
+// beside the gap take its layers over; where the gap is too wide for them, all are laid out anew.
+// After it, each layer must be held, and an engine that comes back must find a place.
+#[test]
+fn a_lost_engine_is_made_up_for_by_those_that_are_left() {
+    let mut engines = kind("large", 1, 40, 400);
+    engines.extend(kind("quick", 7, 8, 190));
+    let mut lines = Vec::new();
+    for lost in ["quick0", "quick3", "quick5", "large0"] {
+        let mut centre = Centre::new(engines.clone());
+        let before = centre.describe();
+        centre.lose(lost);
+        let took = centre.settle();
+        lines.push(format!(
+            "{lost}: {before}; then {} in {took} ms",
+            centre.describe()
+        ));
+        let back = engines.iter().find(|engine| engine.server.as_str() == lost);
+        centre.engines.extend(back.cloned());
+        centre.settle();
+        lines.push(format!("  back: {}", centre.describe()));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    quick0: narrowest 110, mean 139, fewest holders 1, loads 8; then narrowest 81, mean 119, fewest holders 1, loads 9 in 900 ms
+      back: narrowest 81, mean 131, fewest holders 1, loads 10
+    quick3: narrowest 110, mean 139, fewest holders 1, loads 8; then narrowest 60, mean 119, fewest holders 1, loads 10 in 900 ms
+      back: narrowest 60, mean 132, fewest holders 1, loads 11
+    quick5: narrowest 110, mean 139, fewest holders 1, loads 8; then narrowest 60, mean 119, fewest holders 1, loads 10 in 900 ms
+      back: narrowest 60, mean 132, fewest holders 1, loads 11
+    large0: narrowest 110, mean 139, fewest holders 1, loads 8; then narrowest 33, mean 39, fewest holders 1, loads 15 in 900 ms
+      back: narrowest 33, mean 64, fewest holders 1, loads 16
+    ");
+}
+
+// Engines of one data centre die one after the other, each while the layout that makes up for the last
+// is being loaded. No layout may be waited for that a dead engine was part of: what is left is laid
+// out anew, and every layer is held in the end.
+#[test]
+fn engines_that_die_one_after_the_other_are_made_up_for() {
+    let mut centre = Centre::new(kind("only", 12, 10, 100));
+    for lost in ["only0", "only5", "only6", "only7", "only11"] {
+        centre.lose(lost);
+        centre.step();
+    }
+    centre.settle();
+    insta::assert_snapshot!(centre.describe(), @"narrowest 42, mean 56, fewest holders 1, loads 15");
+}
--- a/crates/daemon/src/placement/wanted.rs
+++ b/crates/daemon/src/placement/wanted.rs
@@ -69,6 +69,7 @@
                     weights: weights.clone(),
                     layers: offer.model_layers,
                     share: 1,
+                    load: None,
                 });
             }
         }
@@ -118,6 +119,7 @@
             server: facts.name.clone(),
             max_layers,
             layer_rate: u32::try_from(rate).unwrap_or(u32::MAX),
+            memory: None,
             checks_fencing: engine.checks_fencing,
             held: Some(HeldWeights { weights, layers }),
             loading: None,
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -15,8 +15,8 @@
     ServiceName, VersionName,
 };
 use pollendrift_coordination::placement::{
-    EngineObservation, HeldWeights, LoadOrder, PlacementSettings, PlacementTable, PlacementTarget,
-    WeightsId,
+    DraftLoad, EngineMemory, EngineObservation, HeldWeights, LoadOrder, PlacementSettings,
+    PlacementTable, PlacementTarget, WeightsId,
 };
 use pollendrift_coordination::routes::{AcceleratorSpec, EngineSpec, RouteTable};
 use pollendrift_dialect::{OrderOutcome, PlaceOrder, ServerDialect};
@@ -40,12 +40,11 @@
 const LOST_SURVEYS: u32 = 2;
 /// Largest answer to an order or a question.
 const MAX_REPLY_BYTES: usize = 64 * 1024;
-/// Tokens of request memory that an engine keeps beside its layers.
-///
-/// In a data centre whose chain takes 20 ms a token, 24 drafts a second of 760 and 172 tokens keep 82
-/// at a time and 70,000 tokens; a quarter more is for bursts. With 38,000 the slowest data centre
-/// served 0.39 of its drafts' worth on a calm day.
-const KEPT_KV_TOKENS: u64 = 88_000;
+/// Usual drafts for which an engine must have request memory beside its layers, to be of use in a
+/// chain: with less it would decline most of what it is sent.
+const LEAST_DRAFTS: u64 = 16;
+/// Bytes in a megabyte, as operators publish them.
+const MEGABYTE: f64 = 1e6;
 /// Version under which published layers are placed; engines name none before they hold some.
 const PLACED_VERSION: &str = "published";
 
@@ -318,6 +317,7 @@
             weights: weights_of(service),
             layers: spec.layers,
             share: 1,
+            load: Some(usual_draft(spec)),
         }]);
         Self {
             table,
@@ -338,24 +338,45 @@
         weights: weights_of(&worker.offer.service),
         layers: layers.range,
     });
+    let memory = memory_of(spec, kind);
     EngineObservation {
         server: worker.server.clone(),
-        max_layers: most_layers(spec, kind),
+        max_layers: most_layers(spec, memory),
         layer_rate: layer_rate(spec, kind),
+        memory: Some(memory),
         checks_fencing: worker.checks_fencing,
         held,
         loading: None,
     }
 }
 
-/// Most layers that leave [`KEPT_KV_TOKENS`] of request memory.
-fn most_layers(spec: &EngineSpec, kind: &AcceleratorSpec) -> u32 {
-    let fits = (kind.memory_mb / spec.layer_mb.max(1.0)) as u32;
-    let mut layers = fits.min(spec.layers);
-    while layers > 1 && spec.kv_tokens(kind, layers) < KEPT_KV_TOKENS {
-        layers -= 1;
+/// Memory of an engine of a kind.
+fn memory_of(spec: &EngineSpec, kind: &AcceleratorSpec) -> EngineMemory {
+    let token = spec.kv_bytes / f64::from(spec.layers.max(1));
+    EngineMemory {
+        total: (kind.memory_mb * MEGABYTE) as u64,
+        layer: (spec.layer_mb * MEGABYTE).ceil() as u64,
+        token: (token.ceil() as u64).max(1),
     }
-    layers
+}
+
+/// What operators published of the usual draft.
+fn usual_draft(spec: &EngineSpec) -> DraftLoad {
+    let context = f64::from(spec.usual_prompt) + f64::from(spec.usual_answer) / 2.0;
+    let each = spec.step_per_request.as_secs_f64()
+        + spec.step_per_context.as_secs_f64() * context / 1_000.0;
+    let growth = each / spec.step.as_secs_f64().max(1e-9);
+    DraftLoad {
+        prompt: spec.usual_prompt,
+        answer: spec.usual_answer,
+        step_growth_ppm: (growth * 1e6) as u32,
+    }
+}
+
+/// Most layers that leave an engine request memory for [`LEAST_DRAFTS`].
+fn most_layers(spec: &EngineSpec, memory: EngineMemory) -> u32 {
+    let draft = u64::from(spec.usual_prompt) + u64::from(spec.usual_answer);
+    memory.most_layers(draft * LEAST_DRAFTS).min(spec.layers)
 }
 
 /// Steps a second over a single layer.
