--- a/crates/coordination/benches/routing.rs
+++ b/crates/coordination/benches/routing.rs
@@ -60,6 +60,7 @@
         model,
         version: None,
         adapter: None,
+        within: None,
         allowed: &PermitAll,
         excluded: &[],
         prompt_tokens: 512,
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -45,6 +45,6 @@
 pub use policy::PolicyKind;
 pub use prefix::{CacheChange, CacheEvent, CacheOutcome, PrefixDigest, PromptPrefix};
 pub use servers::{ServerCandidate, ServerLoads, ToldLoad};
-pub use settings::{RoutingSettings, WorkloadMix};
+pub use settings::{ChainScope, RoutingSettings, WorkloadMix};
 pub use survey::{EngineLoad, EngineNote, SurveyBoard, SurveyedEngine};
 pub use unit::{ByteRate, TokenCount, TokenRate};
--- a/crates/coordination/src/routing/ahead.rs
+++ b/crates/coordination/src/routing/ahead.rs
@@ -4,7 +4,7 @@
 //! layers, so their own times compare only together with what is left to do behind each.
 
 use super::fleet::FleetTable;
-use super::graph::{EngineGroup, LayerGraph, RoutePhase};
+use super::graph::{EngineGroup, GroupKey, LayerGraph, RoutePhase};
 use super::settings::RoutingSettings;
 use super::view::{StageTime, engine_time};
 
@@ -38,13 +38,15 @@
     let Some(boundary) = graph.boundaries.get(&layer) else {
         return StageTime::default();
     };
-    let Some(flows) = boundary.flows.get(&phase) else {
-        return StageTime::default();
+    let flow_into = |key: &GroupKey| {
+        let flow = boundary.flows.get(&(phase, *key));
+        flow.copied().unwrap_or(0.0)
     };
-    let total: f64 = flows.iter().sum();
+    let total: f64 = boundary.groups.iter().map(flow_into).sum();
     let mut mean = StageTime::default();
-    for (key, flow) in boundary.groups.iter().zip(flows) {
-        let Some(group) = graph.groups.get(*key).filter(|_| *flow > 0.0) else {
+    for key in &boundary.groups {
+        let flow = flow_into(key);
+        let Some(group) = graph.groups.get(*key).filter(|_| flow > 0.0) else {
             continue;
         };
         let own = mean_time(fleet, group, settings, layer);
--- a/crates/coordination/src/routing/bound.rs
+++ b/crates/coordination/src/routing/bound.rs
@@ -12,9 +12,9 @@
 use super::engine::EngineRole;
 use super::fleet::FleetTable;
 use super::flow::{EdgeIndex, FlowNetwork, NodeIndex, UNBOUNDED};
-use super::graph::{EngineGroup, GroupKey, LayerBoundary, LayerGraph, RoutePhase};
+use super::graph::{EngineGroup, FlowRow, GroupKey, LayerBoundary, LayerGraph, RoutePhase};
 use super::link::DataCentreIndex;
-use super::settings::WorkloadMix;
+use super::settings::{ChainScope, RoutingSettings, WorkloadMix};
 use crate::base::LayerRange;
 
 /// Where a request comes from before its first stage; every data centre is as near.
@@ -52,30 +52,68 @@
     hops: BTreeMap<(u32, DataCentreIndex, DataCentreIndex), EdgeIndex>,
 }
 
-/// Works out the bound and the flow weights of a graph's boundaries.
-pub(crate) fn refresh_flow(fleet: &FleetTable, graph: &mut LayerGraph, mix: &WorkloadMix) {
+/// Works out the flow weights of a graph's boundaries, where they changed.
+pub(crate) fn refresh_flow(fleet: &FleetTable, graph: &mut LayerGraph, settings: &RoutingSettings) {
+    let mix = &settings.workload;
+    match settings.chain_scope {
+        ChainScope::AcrossDataCentres => {
+            for boundary in graph.boundaries.values_mut() {
+                boundary.rows.clear();
+                boundary.flows.clear();
+            }
+            graph.flow = refresh_scope(fleet, graph, mix, None);
+        }
+        ChainScope::WithinDataCentre => {
+            for centre in std::mem::take(&mut graph.stale) {
+                clear_centre(graph, centre);
+                let flow = refresh_scope(fleet, graph, mix, Some(centre));
+                graph.centre_flows.insert(centre, flow);
+            }
+            graph.flow = graph.centre_flows.values().sum();
+        }
+    }
+    graph.stale.clear();
+}
+
+/// Forgets what was worked out for one data centre.
+fn clear_centre(graph: &mut LayerGraph, centre: DataCentreIndex) {
+    let groups = &graph.groups;
+    let is_other = |key: GroupKey| {
+        let group = groups.get(key);
+        group.is_some_and(|group| group.shape.data_centre != centre)
+    };
     for boundary in graph.boundaries.values_mut() {
-        boundary.rows.clear();
+        boundary.rows.retain(|(_, from), _| *from != centre);
+        boundary.flows.retain(|(_, key), _| is_other(*key));
     }
-    graph.flow = 0;
+}
+
+/// Flow of whole pipelines, within one data centre or over all; writes the weights that reach it.
+fn refresh_scope(
+    fleet: &FleetTable,
+    graph: &mut LayerGraph,
+    mix: &WorkloadMix,
+    only: Option<DataCentreIndex>,
+) -> u64 {
+    let mut flow = 0;
     for phase in RoutePhase::ALL {
         if phase != RoutePhase::Whole && !graph.has_split_roles {
             continue;
         }
-        let mut built = build_network(fleet, graph, phase, mix);
+        let mut built = build_network(fleet, graph, phase, mix, only);
         let total = built.network.max_flow(built.source, built.sink);
-        graph.flow = graph.flow.max(total);
+        flow = flow.max(total);
         balance(&mut built, graph, total);
         write_rows(&built, graph, phase);
     }
-    graph.is_stale = false;
+    flow
 }
 
 /// The bound of a graph. With split roles it is that of the whole pipelines or of the pairs of
 /// prefill and decode pipelines, whichever is higher.
 pub(crate) fn find_bound(fleet: &FleetTable, graph: &LayerGraph, mix: &WorkloadMix) -> FlowBound {
     let flow_of = |phase| {
-        let mut built = build_network(fleet, graph, phase, mix);
+        let mut built = build_network(fleet, graph, phase, mix, None);
         built.network.max_flow(built.source, built.sink) as f64 / MILLI
     };
     let whole = flow_of(RoutePhase::Whole);
@@ -95,6 +133,7 @@
     graph: &LayerGraph,
     phase: RoutePhase,
     mix: &WorkloadMix,
+    only: Option<DataCentreIndex>,
 ) -> GraphNetwork {
     let mut network = FlowNetwork::default();
     let source = network.add_node();
@@ -107,7 +146,7 @@
         entries: BTreeMap::new(),
         hops: BTreeMap::new(),
     };
-    let centres = find_centres(graph);
+    let centres = only.map_or_else(|| find_centres(graph), |centre| vec![centre]);
     let mut hubs_in = BTreeMap::new();
     let mut hubs_out = BTreeMap::new();
     for layer in graph.boundaries.keys() {
@@ -116,9 +155,11 @@
             hubs_out.insert((*layer, *centre), built.network.add_node());
         }
     }
-    add_hops(&mut built, fleet, graph, mix, &hubs_in, &hubs_out);
+    let entry = only.unwrap_or(ENTRY);
+    add_hops(&mut built, fleet, graph, mix, entry, &hubs_in, &hubs_out);
     for (key, group) in &graph.groups {
-        if !phase.fits(group.shape.role) {
+        let is_left_out = only.is_some_and(|centre| centre != group.shape.data_centre);
+        if is_left_out || !phase.fits(group.shape.role) {
             continue;
         }
         let entry = built.network.add_node();
@@ -146,6 +187,7 @@
     fleet: &FleetTable,
     graph: &LayerGraph,
     mix: &WorkloadMix,
+    entry: DataCentreIndex,
     hubs_in: &BTreeMap<(u32, DataCentreIndex), NodeIndex>,
     hubs_out: &BTreeMap<(u32, DataCentreIndex), NodeIndex>,
 ) {
@@ -153,7 +195,7 @@
     for ((layer, to), hub_in) in hubs_in {
         if *layer == 0 {
             let edge = built.network.add_edge(built.source, *hub_in, UNBOUNDED);
-            built.hops.insert((0, ENTRY, *to), edge);
+            built.hops.insert((0, entry, *to), edge);
             continue;
         }
         for ((_, from), hub_out) in hubs_out.iter().filter(|((other, _), _)| other == layer) {
@@ -267,18 +309,27 @@
         if boundary.rows.contains_key(&(phase, *from)) {
             continue;
         }
-        let weights = boundary
+        let weight = |key: &GroupKey| find_weight(built, groups.get(*key), *layer, *from, *key);
+        let own = boundary
             .groups
             .iter()
-            .map(|key| find_weight(built, groups.get(*key), *layer, *from, *key));
-        let row = sum_up(weights);
+            .filter(|key| built.groups.contains_key(*key));
+        let row = FlowRow {
+            groups: own.clone().copied().collect(),
+            ends: sum_up(own.map(weight)),
+        };
         boundary.rows.insert((phase, *from), row);
     }
     for (layer, boundary) in &mut graph.boundaries {
         let entry = |key| built.entries.get(&(*layer, key));
+        let own = boundary
+            .groups
+            .iter()
+            .filter(|key| built.groups.contains_key(*key));
         let flow = |key: &GroupKey| entry(*key).map_or(0, |edge| built.network.flow(*edge)) as f64;
-        let flows = boundary.groups.iter().map(flow).collect();
-        boundary.flows.insert(phase, flows);
+        let flows = own.map(|key| ((phase, *key), flow(key)));
+        let flows: Vec<((RoutePhase, GroupKey), f64)> = flows.collect();
+        boundary.flows.extend(flows);
         drop_empty_rows(boundary);
     }
 }
@@ -323,9 +374,7 @@
 
 /// A row without flow says nothing; without it the pick falls back to the number of members.
 fn drop_empty_rows(boundary: &mut LayerBoundary) {
-    boundary
-        .rows
-        .retain(|_, row| row.last().is_some_and(|total| *total > 0.0));
+    boundary.rows.retain(|_, row| row.total() > 0.0);
 }
 
 /// Largest rate at which all layers can be run, when each engine spreads its compute freely over
--- a/crates/coordination/src/routing/choice.rs
+++ b/crates/coordination/src/routing/choice.rs
@@ -44,6 +44,12 @@
     query: &RouteQuery<'_>,
 ) -> Result<RoutePlan, NoRoute> {
     let mut reasons = Vec::new();
+    let within = query.within.map(|name| tables.fleet.links.find(name));
+    if within == Some(None) {
+        let reasons = vec![NoRouteReason::NotServed];
+        return Err(NoRoute { reasons });
+    }
+    let within = within.flatten();
     let mut graphs: Vec<VersionGraph<'_>> = tables
         .fleet
         .graphs_of(query.model, query.adapter)
@@ -60,6 +66,7 @@
             graph_key,
             graph,
             query,
+            within,
             phase: RoutePhase::Whole,
             with_ejected: false,
         };
@@ -193,7 +200,7 @@
     policy: &mut dyn RoutePolicy,
     rng: &mut ChaCha8Rng,
 ) -> Option<Vec<EngineKey>> {
-    let mut point = start_point();
+    let mut point = start_point(context);
     let mut keys = Vec::new();
     while point.layer < context.graph.id.layers {
         let mut view = StageView {
@@ -219,7 +226,7 @@
 }
 
 fn finish_walk(context: &ChoiceContext<'_>, keys: &[EngineKey]) -> Walk {
-    let mut point = start_point();
+    let mut point = start_point(context);
     let mut time = StageTime::default();
     let mut stages = Vec::with_capacity(keys.len());
     let cached = find_cached(context, keys);
--- a/crates/coordination/src/routing/fleet.rs
+++ b/crates/coordination/src/routing/fleet.rs
@@ -136,9 +136,12 @@
 
     /// Sets the link between two data centres, both ways.
     pub fn set_link(&mut self, one: &DataCentreName, other: &DataCentreName, figures: LinkFigures) {
-        self.links.set(one, other, figures);
+        if !self.links.set(one, other, figures) {
+            return;
+        }
+        let ends = [self.links.intern(one), self.links.intern(other)];
         for graph in self.graphs.values_mut() {
-            graph.is_stale = true;
+            graph.stale.extend(ends);
         }
     }
 
--- a/crates/coordination/src/routing/graph.rs
+++ b/crates/coordination/src/routing/graph.rs
@@ -5,7 +5,7 @@
 //! more than is left to do is cut at the front. Groups keep the graph small however many engines
 //! there are.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
 use slotmap::{SlotMap, new_key_type};
@@ -76,6 +76,22 @@
     pub(crate) capacity: u64,
 }
 
+/// Flow from one data centre into the groups at a boundary. Groups that were removed since the flow was
+/// worked out may still be named.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FlowRow {
+    pub(crate) groups: Vec<GroupKey>,
+    /// Flow into each of `groups`, summed up; as long as `groups`.
+    pub(crate) ends: Vec<f64>,
+}
+
+impl FlowRow {
+    /// Flow into all groups.
+    pub(crate) fn total(&self) -> f64 {
+        self.ends.last().copied().unwrap_or(0.0)
+    }
+}
+
 /// A layer at which stages may begin.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LayerBoundary {
@@ -83,11 +99,10 @@
     pub(crate) groups: Vec<GroupKey>,
     /// Members of `groups` up to and with each; as long as `groups`.
     pub(crate) cumulative: Vec<u32>,
-    /// Flow weights of `groups` by phase and data centre of the stage before, summed up.
-    /// Empty, or each row as long as `groups`.
-    pub(crate) rows: BTreeMap<(RoutePhase, DataCentreIndex), Vec<f64>>,
-    /// Flow into each of `groups` by phase, from all data centres; as long as `groups`.
-    pub(crate) flows: BTreeMap<RoutePhase, Vec<f64>>,
+    /// Flow weights by phase and data centre of the stage before, as of the last tick.
+    pub(crate) rows: BTreeMap<(RoutePhase, DataCentreIndex), FlowRow>,
+    /// Flow into each group by phase, from all data centres, as of the last tick.
+    pub(crate) flows: BTreeMap<(RoutePhase, GroupKey), f64>,
     /// Mean time from here to the last layer by phase, as of the last tick.
     pub(crate) ahead: BTreeMap<RoutePhase, StageTime>,
 }
@@ -106,10 +121,12 @@
     pub(crate) groups: SlotMap<GroupKey, EngineGroup>,
     by_shape: BTreeMap<GroupShape, GroupKey>,
     pub(crate) boundaries: BTreeMap<u32, LayerBoundary>,
-    /// Whether members changed since the flow was last worked out.
-    pub(crate) is_stale: bool,
+    /// Data centres whose members changed since the flow was last worked out.
+    pub(crate) stale: BTreeSet<DataCentreIndex>,
     /// Flow of whole pipelines when it was last worked out, in thousandths of a token a second.
     pub(crate) flow: u64,
+    /// The same of those within one data centre, where they are worked out by themselves.
+    pub(crate) centre_flows: BTreeMap<DataCentreIndex, u64>,
     /// Whether any engine works on prompts only or on tokens only.
     pub(crate) has_split_roles: bool,
 }
@@ -121,15 +138,16 @@
             groups: SlotMap::with_key(),
             by_shape: BTreeMap::new(),
             boundaries: BTreeMap::new(),
-            is_stale: true,
+            stale: BTreeSet::new(),
             flow: 0,
+            centre_flows: BTreeMap::new(),
             has_split_roles: false,
         }
     }
 
     /// Adds an engine.
     pub(crate) fn insert(&mut self, key: EngineKey, shape: GroupShape, capacity: u64) {
-        self.is_stale = true;
+        self.stale.insert(shape.data_centre);
         let known = self.by_shape.get(&shape).copied();
         let Some(group) = known.and_then(|group| self.groups.get_mut(group)) else {
             self.insert_group(key, shape, capacity);
@@ -142,7 +160,7 @@
 
     /// Removes an engine at once, also from what is sampled.
     pub(crate) fn remove(&mut self, key: EngineKey, shape: &GroupShape, capacity: u64) {
-        self.is_stale = true;
+        self.stale.insert(shape.data_centre);
         let Some(group_key) = self.by_shape.get(shape).copied() else {
             return;
         };
@@ -216,19 +234,19 @@
         self.rebuild();
     }
 
-    /// Finds boundaries and their groups anew; flow weights follow with the next tick.
+    /// Finds boundaries and their groups anew; flow weights that changed follow with the next tick.
     fn rebuild(&mut self) {
         let mut starts: Vec<u32> = self.groups.values().map(|g| g.shape.layers.end).collect();
         starts.push(0);
         starts.sort_unstable();
         starts.dedup();
-        self.boundaries.clear();
+        let mut before = std::mem::take(&mut self.boundaries);
         for start in starts.into_iter().rev() {
             let groups = self.find_groups(start);
             if !groups.is_empty() {
                 let boundary = LayerBoundary {
                     groups,
-                    ..LayerBoundary::default()
+                    ..before.remove(&start).unwrap_or_default()
                 };
                 self.boundaries.insert(start, boundary);
             }
--- a/crates/coordination/src/routing/link.rs
+++ b/crates/coordination/src/routing/link.rs
@@ -54,17 +54,18 @@
         DataCentreIndex(index)
     }
 
-    /// Sets the link between two data centres, both ways.
+    /// Sets the link between two data centres, both ways; false if it was so before.
     pub(crate) fn set(
         &mut self,
         one: &DataCentreName,
         other: &DataCentreName,
         figures: LinkFigures,
-    ) {
+    ) -> bool {
         let one = self.intern(one);
         let other = self.intern(other);
-        self.links.insert((one, other), figures);
+        let before = self.links.insert((one, other), figures);
         self.links.insert((other, one), figures);
+        before != Some(figures)
     }
 
     pub(crate) fn get(&self, from: DataCentreIndex, to: DataCentreIndex) -> LinkFigures {
--- a/crates/coordination/src/routing/plan.rs
+++ b/crates/coordination/src/routing/plan.rs
@@ -8,7 +8,9 @@
 
 use super::fleet::{EngineKey, EngineRecord};
 use super::prefix::PromptPrefix;
-use crate::base::{AdapterName, LayerRange, ModelName, MonotonicTime, ServerName, VersionName};
+use crate::base::{
+    AdapterName, DataCentreName, LayerRange, ModelName, MonotonicTime, ServerName, VersionName,
+};
 use crate::ledger::ChainLink;
 
 /// Says which engines a request may use; a selector's verdict, which its owner caches by revision.
@@ -56,6 +58,8 @@
     pub version: Option<&'a VersionName>,
     /// Adapter that all engines must support.
     pub adapter: Option<&'a AdapterName>,
+    /// Data centre in which the whole route must lie; none if it may lie in several.
+    pub within: Option<&'a DataCentreName>,
     /// Engines that the request may use.
     pub allowed: &'a dyn EngineFilter,
     /// Engines that failed in earlier attempts.
--- a/crates/coordination/src/routing/planner.rs
+++ b/crates/coordination/src/routing/planner.rs
@@ -166,8 +166,8 @@
         };
         let empty = LayerGraph::new(slot.id.clone());
         let mut graph = std::mem::replace(slot, empty);
-        if graph.is_stale {
-            refresh_flow(&self.fleet, &mut graph, &self.settings.workload);
+        if !graph.stale.is_empty() {
+            refresh_flow(&self.fleet, &mut graph, &self.settings);
         }
         refresh_ahead(&self.fleet, &mut graph, &self.settings);
         if let Some(slot) = self.fleet.graphs.get_mut(key) {
--- a/crates/coordination/src/routing/search.rs
+++ b/crates/coordination/src/routing/search.rs
@@ -9,6 +9,7 @@
 use super::bound::ENTRY;
 use super::fleet::EngineKey;
 use super::plan::{NoRouteReason, RejectCounts, RejectReason};
+use super::settings::ChainScope;
 use super::view::{ChoiceContext, WalkPoint};
 
 /// Best way found to a layer.
@@ -31,10 +32,11 @@
 }
 
 /// Start of every walk.
-pub(crate) fn start_point() -> WalkPoint {
+pub(crate) fn start_point(context: &ChoiceContext<'_>) -> WalkPoint {
+    let alone = context.settings.chain_scope == ChainScope::WithinDataCentre;
     WalkPoint {
         layer: 0,
-        data_centre: ENTRY,
+        data_centre: context.within.filter(|_| alone).unwrap_or(ENTRY),
         link_rate: None,
     }
 }
@@ -43,7 +45,7 @@
 pub(crate) fn search(context: &ChoiceContext<'_>) -> SearchOutcome {
     let start = BestWay {
         seconds: 0.0,
-        point: start_point(),
+        point: start_point(context),
         stages: Vec::new(),
     };
     let mut ways = BTreeMap::from([(0, start)]);
--- a/crates/coordination/src/routing/settings.rs
+++ b/crates/coordination/src/routing/settings.rs
@@ -31,6 +31,20 @@
     }
 }
 
+/// Where the engines of one chain may lie, for the flow that routes are sampled by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ChainScope {
+    /// In any data centres that links join.
+    #[default]
+    AcrossDataCentres,
+    /// In one data centre, where there is a whole chain. The flow is worked out for each data centre by
+    /// itself, and again only for those that changed: of 102 engines in three it takes 2 ms of
+    /// processor time for one, in place of 24 ms for all at once, for which every stream of a host
+    /// with a tenth of a core would pause for a quarter of a second.
+    WithinDataCentre,
+}
+
 /// Settings of the route planner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
@@ -39,6 +53,8 @@
     pub policy: PolicyKind,
     /// Engines that are compared for each stage.
     pub candidates: u32,
+    /// Where the engines of one chain may lie.
+    pub chain_scope: ChainScope,
     /// How often the flow over the layer graph is worked out anew, at most.
     pub flow_interval: Duration,
     /// Mean request.
@@ -64,6 +80,7 @@
         Self {
             policy: PolicyKind::PredictedFinish,
             candidates: 3,
+            chain_scope: ChainScope::default(),
             flow_interval: Duration::from_secs(1),
             workload: WorkloadMix::default(),
             kv_headroom_percent: 5,
--- a/crates/coordination/src/routing/view.rs
+++ b/crates/coordination/src/routing/view.rs
@@ -4,7 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::fleet::{EngineKey, EngineRecord, FleetTable, GraphKey};
-use super::graph::{LayerBoundary, LayerGraph, RoutePhase};
+use super::graph::{GroupKey, LayerBoundary, LayerGraph, RoutePhase};
 use super::link::DataCentreIndex;
 use super::outliers::EngineOutliers;
 use super::plan::{RejectReason, RoutePriority, RouteQuery};
@@ -25,6 +25,8 @@
     pub(crate) graph_key: GraphKey,
     pub(crate) graph: &'a LayerGraph,
     pub(crate) query: &'a RouteQuery<'a>,
+    /// Data centre in which the whole route must lie.
+    pub(crate) within: Option<DataCentreIndex>,
     pub(crate) phase: RoutePhase,
     /// Whether ejected engines may be taken, because there is no pipeline without them.
     pub(crate) with_ejected: bool,
@@ -75,6 +77,12 @@
         if !self.phase.fits(engine.announcement.role) {
             return Err(RejectReason::Role);
         }
+        if self
+            .within
+            .is_some_and(|within| within != engine.data_centre)
+        {
+            return Err(RejectReason::NotPermitted);
+        }
         if self.query.excluded.contains(&engine.announcement.server) {
             return Err(RejectReason::Excluded);
         }
@@ -226,7 +234,16 @@
     }
 
     /// Any engine, each as likely.
+    ///
+    /// Of a route within one data centre, any group of it: most of the others are of no use.
     pub(crate) fn sample_uniform(&mut self) -> Option<EngineKey> {
+        if self.context.query.within.is_some() {
+            let row_key = (self.context.phase, self.point.data_centre);
+            if let Some(row) = self.boundary.rows.get(&row_key) {
+                let index = self.rng.random_range(0..row.groups.len().max(1));
+                return self.sample_member(*row.groups.get(index)?);
+            }
+        }
         let count = self.len();
         if count == 0 {
             return None;
@@ -241,11 +258,15 @@
         let Some(row) = self.boundary.rows.get(&row_key) else {
             return self.sample_uniform();
         };
-        let total = row.last().copied().filter(|total| *total > 0.0)?;
+        let total = Some(row.total()).filter(|total| *total > 0.0)?;
         let mark = self.rng.random_range(0.0..total);
-        let position = row.partition_point(|end| *end <= mark);
-        let group_key = *self.boundary.groups.get(position)?;
-        let group = self.context.graph.groups.get(group_key)?;
+        let position = row.ends.partition_point(|end| *end <= mark);
+        self.sample_member(*row.groups.get(position)?)
+    }
+
+    /// Any engine of a group, unless the group is gone.
+    fn sample_member(&mut self, group: GroupKey) -> Option<EngineKey> {
+        let group = self.context.graph.groups.get(group)?;
         if group.members.is_empty() {
             return None;
         }
--- a/crates/coordination/tests/routing_contract/support.rs
+++ b/crates/coordination/tests/routing_contract/support.rs
@@ -69,6 +69,7 @@
         model,
         version: None,
         adapter: None,
+        within: None,
         allowed: &PermitAll,
         excluded: &[],
         prompt_tokens: 100,
--- a/crates/coordination/tests/routing_cost.rs
+++ b/crates/coordination/tests/routing_cost.rs
@@ -64,6 +64,7 @@
                 model: &model,
                 version: None,
                 adapter: None,
+                within: None,
                 allowed: &filter,
                 excluded: &[],
                 prompt_tokens: 512,
--- a/crates/coordination/tests/routing_slow_start.rs
+++ b/crates/coordination/tests/routing_slow_start.rs
@@ -48,6 +48,7 @@
             model: &model,
             version: None,
             adapter: None,
+            within: None,
             allowed: &PermitAll,
             excluded: &[],
             prompt_tokens: 100,
--- a/crates/daemon/src/fleet/route.rs
+++ b/crates/daemon/src/fleet/route.rs
@@ -86,6 +86,7 @@
                 model: query.model,
                 version: query.version,
                 adapter: query.adapter,
+                within: None,
                 allowed: &allowed,
                 excluded: query.excluded,
                 prompt_tokens: query.prompt_tokens,
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -262,6 +262,7 @@
             model: &model,
             version: None,
             adapter: None,
+            within: None,
             allowed: &is_good,
             excluded,
             prompt_tokens: draft.map_or(0, |draft| draft.prompt_tokens),
@@ -277,11 +278,8 @@
         };
         let mut best: Option<(Duration, RoutePlan)> = None;
         for centre in self.centres.clone() {
-            let is_there = |engine: &EngineRecord| {
-                engine.announcement.data_centre == centre && is_good(engine)
-            };
             let query = RouteQuery {
-                allowed: &is_there,
+                within: Some(&centre),
                 ..query
             };
             let Ok(plan) = self.planner.choose(now, &query) else {
--- a/crates/daemon/src/relay/figures.rs
+++ b/crates/daemon/src/relay/figures.rs
@@ -7,8 +7,8 @@
 use pollendrift_coordination::retries::SlowStartSettings;
 use pollendrift_coordination::routes::{EngineSpec, ServiceSpec};
 use pollendrift_coordination::routing::{
-    ByteRate, EngineAnnouncement, EngineRole, RoutingSettings, SurveyedEngine, TokenCount,
-    TokenRate, WorkloadMix,
+    ByteRate, ChainScope, EngineAnnouncement, EngineRole, RoutingSettings, SurveyedEngine,
+    TokenCount, TokenRate, WorkloadMix,
 };
 
 use crate::fleet::WorkerView;
@@ -75,6 +75,7 @@
 
 pub(super) fn routing_settings() -> RoutingSettings {
     RoutingSettings {
+        chain_scope: ChainScope::WithinDataCentre,
         workload: WorkloadMix {
             prompt_tokens: 760,
             output_tokens: 172,
--- a/crates/standins/examples/policies/experiment.rs
+++ b/crates/standins/examples/policies/experiment.rs
@@ -285,6 +285,7 @@
             model: &model,
             version: None,
             adapter: None,
+            within: None,
             allowed: &PermitAll,
             excluded: lost.as_slice(),
             prompt_tokens: job.prompt + job.made,
