fix(keeper): apply a long log in slices, so that a new leader keeps its followers

Cause: after all keepers were killed, the first leader applied the whole log in one go as soon as it had committed; on hosts with 0.075 of a core it sent no heartbeat for longer than an election takes and stepped down. Change: what follows from committed entries waits in a backlog that is worked off 25 ms at a time; messages and the core have their turn in between. Without it the new test sees a second term.

--- a/crates/daemon/src/keeper/effects.rs
+++ b/crates/daemon/src/keeper/effects.rs
@@ -15,30 +15,18 @@
 use crate::peers::{PeerFrame, encode_agreement};
 
 /// Answer of the state machine to one entry.
-struct AppliedAnswer {
+pub(super) struct AppliedAnswer {
     index: LogIndex,
     answer: Result<Vec<u8>, MachineError>,
 }
 
 impl KeeperRuntime {
+    /// Does at once what does not wait for committed entries; the rest joins the backlog in its order.
     pub(super) fn perform(&mut self, effects: Vec<AgreementEffect>) -> Result<(), KeeperError> {
-        let mut answers = Vec::new();
         for effect in effects {
             match effect {
                 AgreementEffect::Send(envelope) => self.send(&envelope),
                 AgreementEffect::Persist(order) => self.persist(order)?,
-                AgreementEffect::Committed(entries) => self.apply(entries, &mut answers),
-                AgreementEffect::InstallSnapshot(snapshot) => self.install(&snapshot)?,
-                AgreementEffect::Proposal { token, outcome } => {
-                    self.settle_submit(token, outcome, &mut answers);
-                }
-                AgreementEffect::Read { token, outcome } => self.settle_read(token, outcome),
-                AgreementEffect::HandOver { token, outcome } => {
-                    self.settle_hand_over(token, outcome);
-                }
-                AgreementEffect::MembershipChange { token, outcome } => {
-                    self.settle_change(token, outcome);
-                }
                 AgreementEffect::RoleChanged(status) => {
                     log::info!(role:% = status.role, term:% = status.term; "keeper's role changed");
                     self.status.role = status.role;
@@ -52,17 +40,38 @@
                 AgreementEffect::RedundancyChanged(report) => {
                     self.status.redundancy = Some(Arc::new(report));
                 }
-                AgreementEffect::SnapshotWanted { .. } => {
-                    let snapshot = self.take_snapshot()?;
-                    self.follow_up.push(snapshot);
-                }
                 AgreementEffect::IdentityLost { index, .. } => {
                     return Err(KeeperError::OldDisk { index });
                 }
                 AgreementEffect::MessageDropped { from, reason } => {
                     log::debug!(keeper:% = from, reason:% = reason; "agreement message dropped");
                 }
+                AgreementEffect::Committed(entries) => {
+                    let each = entries.into_iter().map(|entry| vec![entry]);
+                    self.backlog.extend(each.map(AgreementEffect::Committed));
+                }
+                later => self.backlog.push_back(later),
+            }
+        }
+        Ok(())
+    }
+
+    /// Does what waits for the entries before it.
+    pub(super) fn follow(&mut self, effect: AgreementEffect) -> Result<(), KeeperError> {
+        match effect {
+            AgreementEffect::Committed(entries) => self.apply(entries),
+            AgreementEffect::InstallSnapshot(snapshot) => self.install(&snapshot)?,
+            AgreementEffect::Proposal { token, outcome } => self.settle_submit(token, outcome),
+            AgreementEffect::Read { token, outcome } => self.settle_read(token, outcome),
+            AgreementEffect::HandOver { token, outcome } => self.settle_hand_over(token, outcome),
+            AgreementEffect::MembershipChange { token, outcome } => {
+                self.settle_change(token, outcome);
+            }
+            AgreementEffect::SnapshotWanted { .. } => {
+                let snapshot = self.take_snapshot()?;
+                self.follow_up.push(snapshot);
             }
+            at_once => self.perform(vec![at_once])?,
         }
         Ok(())
     }
@@ -88,12 +97,12 @@
         })
     }
 
-    fn apply(&mut self, entries: Vec<LogEntry>, answers: &mut Vec<AppliedAnswer>) {
+    fn apply(&mut self, entries: Vec<LogEntry>) {
         for entry in entries {
             self.status.applied = entry.index;
             if let EntryPayload::Command(command) = &entry.payload {
                 let answer = self.machine.apply(entry.index, command);
-                answers.push(AppliedAnswer {
+                self.answers.push(AppliedAnswer {
                     index: entry.index,
                     answer,
                 });
@@ -109,17 +118,12 @@
         Ok(())
     }
 
-    fn settle_submit(
-        &mut self,
-        token: RequestToken,
-        outcome: ProposalOutcome,
-        answers: &mut Vec<AppliedAnswer>,
-    ) {
+    fn settle_submit(&mut self, token: RequestToken, outcome: ProposalOutcome) {
         let Some(sender) = self.open.submits.remove(&token) else {
             return;
         };
         let outcome = match outcome {
-            ProposalOutcome::Committed(index) => answer_at(index, answers),
+            ProposalOutcome::Committed(index) => answer_at(index, &mut self.answers),
             ProposalOutcome::NotAppended(reason) => refused(reason),
             ProposalOutcome::Unknown => LocalOutcome::Failed(lost_leadership()),
         };
--- a/crates/daemon/src/keeper/runtime.rs
+++ b/crates/daemon/src/keeper/runtime.rs
@@ -1,16 +1,19 @@
 //! The task of a keeper: gathers what happened, ticks the core and does what it says.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use pollendrift_coordination::agreement::{
-    AgreementEnvelope, AgreementInput, AgreementNode, HandOverOutcome, LogIndex, RequestToken,
-    StateMachine,
+    AgreementEffect, AgreementEnvelope, AgreementInput, AgreementNode, HandOverOutcome, LogIndex,
+    RequestToken, StateMachine,
 };
 use pollendrift_store::{CommitReport, CommitThread};
 use tokio::sync::mpsc;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
+use super::effects::AppliedAnswer;
 use super::error::{KeeperError, SubmitError};
 use super::port::{KeeperInbox, KeeperRequest, LocalOutcome, OutcomeSender};
 use super::status::KeeperStatus;
@@ -20,6 +23,10 @@
 /// Messages and requests that one tick takes at most, so that heartbeats are never far off.
 const TICK_INPUTS: usize = 512;
 
+/// Time after which applying committed entries makes way for messages: a few of these fit between two
+/// heartbeats.
+const APPLY_SLICE: Duration = Duration::from_millis(25);
+
 /// Requests whose outcome the core has not told yet.
 #[derive(Default)]
 pub(super) struct OpenRequests {
@@ -48,6 +55,10 @@
     pub(super) reports: mpsc::UnboundedReceiver<CommitReport>,
     pub(super) open: OpenRequests,
     pub(super) status: KeeperStatus,
+    /// What follows from committed entries, in its order; see [`KeeperRuntime::work_on`].
+    pub(super) backlog: VecDeque<AgreementEffect>,
+    /// Answers to entries of the backlog.
+    pub(super) answers: Vec<AppliedAnswer>,
     /// Inputs that effects of the last tick led to.
     pub(super) follow_up: Vec<AgreementInput>,
     /// The order that is being synced; the core gives out one at a time.
@@ -83,7 +94,13 @@
         let mut stopping = false;
         self.tick(Vec::new())?;
         while !(stopping && self.syncing.is_none()) {
-            let wake_up = self.wait().await;
+            let wake_up = if self.backlog.is_empty() {
+                self.wait().await
+            } else {
+                // Links and their messages have their turn between two slices.
+                yield_now().await;
+                self.try_next().unwrap_or(WakeUp::Deadline)
+            };
             let mut inputs = Vec::new();
             stopping |= self.take(wake_up, &mut inputs)?;
             while inputs.len() < TICK_INPUTS {
@@ -226,6 +243,7 @@
         loop {
             let effects = self.node.tick(self.clock.now(), inputs);
             self.perform(effects)?;
+            self.work_on()?;
             if self.follow_up.is_empty() {
                 break;
             }
@@ -235,6 +253,27 @@
         Ok(())
     }
 
+    /// Applies committed entries and tells their outcomes, for [`APPLY_SLICE`] at a time.
+    ///
+    /// Failure: a keeper that starts again applies its whole log once a leader has committed. Symptom:
+    /// on hosts with 0.075 of a core that took a second and more, in which a new leader sent no
+    /// heartbeat and read no answer; it stepped down after 0.7 s, up to five leaders one after the
+    /// other, and for 1.4 to 4 s after all keepers had been killed no host knew its routes. In slices,
+    /// the core ticks on between the entries, and each entry takes a few milliseconds.
+    fn work_on(&mut self) -> Result<(), KeeperError> {
+        let until = self.clock.now().after(APPLY_SLICE);
+        while let Some(effect) = self.backlog.pop_front() {
+            self.follow(effect)?;
+            if self.clock.now() >= until {
+                break;
+            }
+        }
+        if self.backlog.is_empty() {
+            self.answers.clear();
+        }
+        Ok(())
+    }
+
     fn publish(&mut self) {
         self.status.commit = self.node.commit_index();
         self.status.last = self.node.last_index();
--- a/crates/daemon/src/keeper/start.rs
+++ b/crates/daemon/src/keeper/start.rs
@@ -1,5 +1,6 @@
 //! Opens the data folder, finds the group and starts the task.
 
+use std::collections::VecDeque;
 use std::path::PathBuf;
 use std::sync::Arc;
 
@@ -255,6 +256,8 @@
         log_bytes_then: status.usage.log_bytes,
         snapshot_at: applied,
         status,
+        backlog: VecDeque::new(),
+        answers: Vec::new(),
         follow_up: Vec::new(),
         syncing: None,
         snapshot_log_bytes: start.settings.snapshot_log_bytes,
--- a/crates/daemon/tests/keeper_cluster/cluster.rs
+++ b/crates/daemon/tests/keeper_cluster/cluster.rs
@@ -32,6 +32,10 @@
 /// The keepers and one host without a disk.
 const HOSTS: [&str; 4] = ["a", "b", "c", "d"];
 
+/// Beginning of commands that take long to apply, and how long each takes.
+pub(crate) const SLOW: &str = "slow";
+const SLOW_WORK: Duration = Duration::from_millis(40);
+
 pub(crate) type SharedList = Arc<Mutex<Vec<String>>>;
 
 /// Keeps all commands in order; refuses what is no text.
@@ -45,6 +49,9 @@
             what: "command",
             reason: error.to_string(),
         })?;
+        if text.starts_with(SLOW) {
+            std::thread::sleep(SLOW_WORK);
+        }
         let mut list = self.list.lock().expect("no test panics with the list");
         list.push(text);
         Ok(list.len().to_string().into_bytes())
--- a/crates/daemon/tests/keeper_cluster/losses.rs
+++ b/crates/daemon/tests/keeper_cluster/losses.rs
@@ -4,7 +4,7 @@
 use pollendrift_coordination::agreement::KeeperRole;
 use pollendrift_store::StoreSettings;
 
-use crate::cluster::{Cluster, KEEPERS, others, settings};
+use crate::cluster::{Cluster, KEEPERS, SLOW, others, settings};
 
 /// The caller sees: after the leader's host dies, the next command is accepted by the others, and
 /// nothing that was accepted is lost, also on the dead host once it is back from its disk.
@@ -127,3 +127,32 @@
     );
     assert!(in_flight.is_err() || list.contains(&"in flight".to_owned()));
 }
+
+// Callers of all hosts are refused until keepers know what is in force. All keepers are killed and
+// start again, each with 40 commands in its log that take 40 ms to apply, four times as long as an
+// election. A leader that applied them in one go sent no heartbeat, stepped down and was followed by
+// the next; it must lead on while it applies them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_leader_leads_on_while_it_applies_a_long_log() {
+    let mut cluster = Cluster::start(settings()).await;
+    let commands: Vec<String> = (0..40).map(|index| format!("{SLOW} {index}")).collect();
+    let leader = cluster.leader().await;
+    for command in &commands {
+        cluster.accept(leader, command).await;
+    }
+    for name in KEEPERS {
+        cluster.kill(name).await;
+    }
+    for name in KEEPERS {
+        cluster.restart(name).await;
+    }
+    let first = cluster.leader().await;
+    let elected = cluster.wait_for(first, "a term", |_| true).await.term;
+    let expected: Vec<&str> = commands.iter().map(String::as_str).collect();
+    cluster.assert_lists(&expected).await;
+    let now = cluster.wait_for(first, "a term", |_| true).await;
+    assert_eq!(
+        (now.term, now.role.to_string().as_str()),
+        (elected, "leader")
+    );
+}
