feat(placement): put second copies where drafts pass slowest

Change: a layer's rate is the drafts a second that pass it by Little's law, with the pace of its engines in it.

--- a/crates/coordination/src/placement/balance.rs
+++ b/crates/coordination/src/placement/balance.rs
@@ -2,6 +2,7 @@
 
 use super::coverage::LayerCoverage;
 use super::engine::PlacedEngine;
+use super::layout::DraftLoad;
 use crate::base::LayerRange;
 
 /// A range for an engine, and the slowest rate that it would leave.
@@ -24,31 +25,51 @@
     }
 }
 
-/// Best range for `engine` beside what `coverage` holds. Ranges begin and end where others do, or
-/// at what fits in the engine, so that pipelines keep few cuts.
-pub(crate) fn find_range(
-    coverage: &LayerCoverage,
-    layers: u32,
-    cuts: &[u32],
-    engine: &PlacedEngine,
-    kept_tokens: u64,
-) -> Option<RangeChoice> {
-    let (slowest, _) = coverage.slowest();
-    let longest = engine.most_layers(kept_tokens).min(layers);
-    let mut best: Option<RangeChoice> = None;
-    for first in starts(cuts, slowest, longest, layers) {
-        for end in ends(cuts, first, longest, layers) {
-            let covers = first <= slowest && slowest < end;
-            let Some(range) = LayerRange::new(first, end).filter(|_| covers) else {
-                continue;
-            };
-            let choice = try_range(coverage, engine, range);
-            if best.is_none_or(|best| choice.is_better_than(&best)) {
-                best = Some(choice);
+/// What a range for one more engine is looked for beside.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RangeSearch<'a> {
+    pub(crate) coverage: &'a LayerCoverage,
+    /// Layers of the model.
+    pub(crate) layers: u32,
+    /// Layers at which ranges begin or end.
+    pub(crate) cuts: &'a [u32],
+    /// Request memory that the engine keeps, in tokens.
+    pub(crate) kept_tokens: u64,
+    /// The usual draft, where it is known.
+    pub(crate) load: Option<DraftLoad>,
+}
+
+impl RangeSearch<'_> {
+    /// Best range for `engine`. Ranges begin and end where others do, or at what fits in the engine,
+    /// so that pipelines keep few cuts.
+    pub(crate) fn find(&self, engine: &PlacedEngine) -> Option<RangeChoice> {
+        let (slowest, _) = self.coverage.slowest();
+        let longest = engine.most_layers(self.kept_tokens).min(self.layers);
+        let mut best: Option<RangeChoice> = None;
+        for first in starts(self.cuts, slowest, longest, self.layers) {
+            for end in ends(self.cuts, first, longest, self.layers) {
+                let covers = first <= slowest && slowest < end;
+                let Some(range) = LayerRange::new(first, end).filter(|_| covers) else {
+                    continue;
+                };
+                let choice = self.try_range(engine, range);
+                if best.is_none_or(|best| choice.is_better_than(&best)) {
+                    best = Some(choice);
+                }
             }
         }
+        best
+    }
+
+    fn try_range(&self, engine: &PlacedEngine, layers: LayerRange) -> RangeChoice {
+        let mut tried = self.coverage.clone();
+        tried.add(layers, engine.rate_over(layers, self.load));
+        RangeChoice {
+            layers,
+            slowest: tried.slowest().1,
+            count: tried.count_slowest(),
+        }
     }
-    best
 }
 
 fn starts(cuts: &[u32], slowest: u32, longest: u32, layers: u32) -> Vec<u32> {
@@ -69,13 +90,3 @@
     ends.dedup();
     ends
 }
-
-fn try_range(coverage: &LayerCoverage, engine: &PlacedEngine, layers: LayerRange) -> RangeChoice {
-    let mut tried = coverage.clone();
-    tried.add(layers, engine.rate_over(layers));
-    RangeChoice {
-        layers,
-        slowest: tried.slowest().1,
-        count: tried.count_slowest(),
-    }
-}
--- a/crates/coordination/src/placement/engine.rs
+++ b/crates/coordination/src/placement/engine.rs
@@ -109,12 +109,16 @@
         !self.is_loading() && !is_left_out && self.seen.max_layers > 0
     }
 
-    /// What the engine adds to each layer of `layers`: tokens of request memory where it tells its
-    /// memory, else tokens a second.
-    pub(crate) fn rate_over(&self, layers: LayerRange) -> f64 {
-        if let Some(memory) = self.seen.memory {
-            return memory.tokens(layers.len()) as f64;
+    /// What the engine adds to each layer of `layers`: drafts a second that would pass if it ran that
+    /// layer alone, where it tells its memory and the usual draft is known; else tokens a second.
+    ///
+    /// Second copies go where this is lowest. By memory alone they went beside the quickest engines,
+    /// where hardly a draft needed them, and 205 drafts ran over single copies of the slow layers.
+    pub(crate) fn rate_over(&self, layers: LayerRange, load: Option<DraftLoad>) -> f64 {
+        let layer_rate = f64::from(self.seen.layer_rate);
+        if let (Some(memory), Some(load)) = (self.seen.memory, load) {
+            return load.pass_rate(memory.tokens(layers.len()), 1.0 / layer_rate.max(1.0));
         }
-        f64::from(self.seen.layer_rate) / f64::from(layers.len().max(1))
+        layer_rate / f64::from(layers.len().max(1))
     }
 }
--- a/crates/coordination/src/placement/layout.rs
+++ b/crates/coordination/src/placement/layout.rs
@@ -67,6 +67,16 @@
     fn held_tokens(self) -> f64 {
         f64::from(self.prompt) + f64::from(self.answer) / 2.0
     }
+
+    /// Drafts a second that pass where `tokens` of request memory are held, by Little's law: those that
+    /// fit, over the time that each takes at `step` seconds a token. A step takes longer with each
+    /// draft that is written beside others.
+    pub(crate) fn pass_rate(self, tokens: u64, step: f64) -> f64 {
+        let drafts = tokens as f64 / self.held_tokens().max(1.0);
+        let growth = f64::from(self.step_growth_ppm) / 1e6;
+        let held = f64::from(self.answer.max(1)) * step * (1.0 + growth * drafts);
+        drafts / held.max(f64::MIN_POSITIVE)
+    }
 }
 
 /// An engine that is laid out.
@@ -176,20 +186,15 @@
     engine.memory.most_layers(tokens).min(engine.max_layers)
 }
 
-/// Drafts that fit into the narrowest engine of a row, over the time that each takes. A step takes
-/// longer with each draft that is written beside others.
+/// Drafts a second that pass the narrowest engine of a row, at the steps of all of its engines.
 fn row_rate(row: &LayoutRow<'_>, load: DraftLoad) -> f64 {
     let tokens = row
         .iter()
         .map(|(engine, range)| engine.memory.tokens(range.len()));
-    let drafts = tokens.min().unwrap_or(0) as f64 / load.held_tokens().max(1.0);
     let steps = row
         .iter()
         .map(|(engine, range)| f64::from(range.len()) / f64::from(engine.layer_rate.max(1)));
-    let step: f64 = steps.sum();
-    let growth = f64::from(load.step_growth_ppm) / 1e6;
-    let held = f64::from(load.answer.max(1)) * step * (1.0 + growth * drafts);
-    drafts / held.max(f64::MIN_POSITIVE)
+    load.pass_rate(tokens.min().unwrap_or(0), steps.sum())
 }
 
 /// Deals the ranges of each kind to those of its engines that hold most of them already.
--- a/crates/coordination/src/placement/spares.rs
+++ b/crates/coordination/src/placement/spares.rs
@@ -70,7 +70,7 @@
             let mut coverage = LayerCoverage::new(layers);
             for other in self.engines.values() {
                 if let Some(held) = serving(other).filter(|h| h.weights == held.weights) {
-                    coverage.add(held.layers, other.rate_over(held.layers));
+                    coverage.add(held.layers, other.rate_over(held.layers, None));
                 }
             }
             coverage
@@ -82,7 +82,7 @@
         if !coverage.is_whole() && is_target && !coverage.is_redundant(held.layers) {
             return false;
         }
-        coverage.remove(held.layers, engine.rate_over(held.layers));
+        coverage.remove(held.layers, engine.rate_over(held.layers, None));
         true
     }
 
--- a/crates/coordination/src/placement/table.rs
+++ b/crates/coordination/src/placement/table.rs
@@ -4,7 +4,7 @@
 
 use slotmap::SlotMap;
 
-use super::balance::find_range;
+use super::balance::RangeSearch;
 use super::coverage::LayerCoverage;
 use super::engine::{
     EngineObservation, HeldWeights, PendingLoad, PlacedEngine, PlacedKey, PlacementTarget,
@@ -198,9 +198,17 @@
         let cuts = self.find_cuts(&target);
         let spares = self.find_spares(now, held, report);
         let free = spares.iter().find(|spare| spare.is_free);
+        let may_move = free.is_none() && self.may_move(now);
+        let search = RangeSearch {
+            coverage: &coverage,
+            layers: target.layers,
+            cuts: &cuts,
+            kept_tokens: self.kept_tokens,
+            load: target.load,
+        };
         let choice = match free {
-            Some(spare) => self.weigh_free(&coverage, &target, &cuts, spare.key),
-            None if self.may_move(now) => self.weigh_moves(&coverage, &target, &cuts, &spares),
+            Some(spare) => self.weigh_free(search, spare.key),
+            None if may_move => self.weigh_moves(search, &target, &spares),
             None => None,
         };
         if let Some((key, layers)) = choice {
@@ -220,38 +228,37 @@
 
     fn weigh_free(
         &self,
-        coverage: &LayerCoverage,
-        target: &PlacementTarget,
-        cuts: &[u32],
+        search: RangeSearch<'_>,
         key: PlacedKey,
     ) -> Option<(PlacedKey, LayerRange)> {
-        let engine = self.engines.get(key)?;
-        let choice = find_range(coverage, target.layers, cuts, engine, self.kept_tokens)?;
+        let choice = search.find(self.engines.get(key)?)?;
         Some((key, choice.layers))
     }
 
     /// Best move of an engine in use, if it raises the slowest layer by the least gain or more.
     fn weigh_moves(
         &self,
-        coverage: &LayerCoverage,
+        search: RangeSearch<'_>,
         target: &PlacementTarget,
-        cuts: &[u32],
         spares: &[SpareEngine],
     ) -> Option<(PlacedKey, LayerRange)> {
         let gain = 1.0 + f64::from(self.settings.min_gain_percent) / 100.0;
-        let wanted = coverage.slowest().1 * gain;
+        let wanted = search.coverage.slowest().1 * gain;
         let mut best = None;
         for spare in spares.iter().take(MAX_MOVES) {
             let engine = self.engines.get(spare.key)?;
-            let mut without = coverage.clone();
+            let mut without = search.coverage.clone();
             if let Some(held) = engine
                 .planned()
                 .filter(|held| held.weights == target.weights)
             {
-                without.remove(held.layers, engine.rate_over(held.layers));
+                without.remove(held.layers, engine.rate_over(held.layers, search.load));
             }
-            let Some(choice) = find_range(&without, target.layers, cuts, engine, self.kept_tokens)
-            else {
+            let search = RangeSearch {
+                coverage: &without,
+                ..search
+            };
+            let Some(choice) = search.find(engine) else {
                 continue;
             };
             let is_better = best.is_none_or(|(_, other)| choice.is_better_than(&other));
@@ -286,17 +293,10 @@
     where
         F: Fn(&PlacedEngine) -> Option<&HeldWeights>,
     {
-        self.cover_weights(&target.weights, target.layers, select)
-    }
-
-    fn cover_weights<F>(&self, weights: &WeightsId, layers: u32, select: F) -> LayerCoverage
-    where
-        F: Fn(&PlacedEngine) -> Option<&HeldWeights>,
-    {
-        let mut coverage = LayerCoverage::new(layers);
+        let mut coverage = LayerCoverage::new(target.layers);
         for engine in self.engines.values() {
-            if let Some(held) = select(engine).filter(|held| held.weights == *weights) {
-                coverage.add(held.layers, engine.rate_over(held.layers));
+            if let Some(held) = select(engine).filter(|held| held.weights == target.weights) {
+                coverage.add(held.layers, engine.rate_over(held.layers, target.load));
             }
         }
         coverage
