fix(placement): a new layout cuts what runs on layers given up; an engine that declined is full for its host

(2) A draft that was declined told nobody: the next ones of the host went to the same full engine. Change: orders of a new layout cut that work; repairs are tried down to a quarter of the kept memory before one; a refused order is repeated after a second. A host takes an engine that declined for full until a later report or 250 ms, for all of its drafts.

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -18,6 +18,6 @@
 
 pub use engine::{EngineObservation, HeldWeights, PlacementTarget, WeightsId};
 pub use layout::{DraftLoad, EngineMemory};
-pub use order::{LoadOrder, PlacementReport, PlacementRight, PlacementWait};
+pub use order::{GivenUpWork, LoadOrder, PlacementReport, PlacementRight, PlacementWait};
 pub use settings::PlacementSettings;
 pub use table::PlacementTable;
--- a/crates/coordination/src/placement/order.rs
+++ b/crates/coordination/src/placement/order.rs
@@ -17,6 +17,26 @@
     pub until: MonotonicTime,
 }
 
+/// What becomes of requests that run on layers which an order takes away.
+#[derive(
+    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum GivenUpWork {
+    /// They are finished first; the load waits for them.
+    #[default]
+    #[display("finish")]
+    Finish,
+    /// They are cut, and go on elsewhere.
+    ///
+    /// Failure: many engines of one chain are ordered at once, and each finishes first what runs on it.
+    /// Symptom: a request waits for an engine that takes nothing new, and holds up the next one; a
+    /// data centre that was laid out anew stood still for 15 s, until the deadlines of its requests. It
+    /// had no whole chain in any case, so what is cut could not have gone on there.
+    #[display("cut")]
+    Cut,
+}
+
 /// Order to load weights in place of what an engine holds.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[display("{server} loads {load} (fencing {fencing})")]
@@ -29,6 +49,8 @@
     pub valid_until: MonotonicTime,
     /// What to load.
     pub load: HeldWeights,
+    /// What becomes of requests on layers that are given up for it.
+    pub given_up: GivenUpWork,
 }
 
 /// Why something was not ordered.
--- a/crates/coordination/src/placement/roomy.rs
+++ b/crates/coordination/src/placement/roomy.rs
@@ -5,12 +5,13 @@
 use super::order::{PlacementReport, PlacementWait};
 use super::restore::{PlannedLoad, SpareEngine, find_loads};
 use super::stretch::{StretchEngine, find_stretches};
-use super::table::{HeldRight, PlacementTable};
+use super::table::{HeldRight, PlacementTable, REFUSED_PAUSE};
 use crate::base::{LayerRange, MonotonicTime};
 
-/// Part of the layout's request memory that an engine may be left with when it takes over layers of
-/// one that was lost. A chain with half the room serves; one with a layer missing does not.
-const REPAIR_PART: u64 = 2;
+/// Parts of the layout's request memory that engines may be left with when they take over layers of
+/// one that was lost, tried in turn. A chain with a quarter of the room serves; one with a layer missing
+/// does not, and a new layout of all engines takes each of them out of use until what runs there ends.
+const REPAIR_PARTS: [u64; 2] = [2, 4];
 
 impl PlacementTable {
     /// Orders what makes a target whole again: loads on engines that can be spared; else layers more
@@ -27,15 +28,12 @@
         let planned = self.cover(target, PlacedEngine::planned);
         let is_empty = planned.slowest().1 <= 0.0 && self.hold_nothing(target);
         if !is_empty {
-            let spares = self.find_roomy_spares(now, held, report);
-            let loads = find_loads(&planned, target.layers, &spares).ok();
-            let loads = loads.or_else(|| {
-                let engines = self.find_stretchable(now, target);
-                find_stretches(&planned, target.layers, &engines)
-            });
-            if let Some(loads) = loads {
-                self.order_loads(now, held, target, &loads, report);
-                return;
+            for part in REPAIR_PARTS {
+                let kept = self.kept_tokens / part;
+                if let Some(loads) = self.find_repair(now, held, target, kept, report) {
+                    self.order_loads(now, held, target, &loads, report);
+                    return;
+                }
             }
         }
         let engines = self.layout_engines(now, target);
@@ -60,7 +58,8 @@
     ) -> bool {
         let is_lost = |key: &PlacedKey| {
             let engine = self.engines.get(*key);
-            engine.is_none_or(|engine| !engine.is_loading() && !engine.can_be_ordered(now))
+            let later = now.after(REFUSED_PAUSE);
+            engine.is_none_or(|engine| !engine.is_loading() && !engine.can_be_ordered(later))
         };
         if self.laying.keys().any(is_lost) {
             // Without it the rest of the layout would leave a gap.
@@ -83,6 +82,25 @@
         !self.laying.is_empty()
     }
 
+    /// Loads that close all gaps, on engines that can be spared or else beside the gaps, each of which
+    /// keeps `kept` tokens of request memory.
+    fn find_repair(
+        &self,
+        now: MonotonicTime,
+        held: HeldRight,
+        target: &PlacementTarget,
+        kept: u64,
+        report: &mut PlacementReport,
+    ) -> Option<Vec<PlannedLoad>> {
+        let planned = self.cover(target, PlacedEngine::planned);
+        let spares = self.find_roomy_spares(now, held, kept, report);
+        if let Ok(loads) = find_loads(&planned, target.layers, &spares) {
+            return Some(loads);
+        }
+        let engines = self.find_stretchable(now, target, kept);
+        find_stretches(&planned, target.layers, &engines)
+    }
+
     fn order_loads(
         &mut self,
         now: MonotonicTime,
@@ -105,9 +123,9 @@
         &self,
         now: MonotonicTime,
         held: HeldRight,
+        kept: u64,
         report: &mut PlacementReport,
     ) -> Vec<SpareEngine> {
-        let kept = self.kept_tokens / REPAIR_PART;
         let spares = self.find_spares(now, held, report).into_iter();
         let limited = spares.filter_map(|spare| {
             let max_layers = self.engines.get(spare.key)?.most_layers(kept);
@@ -119,8 +137,12 @@
         limited.filter(|spare| spare.max_layers > 0).collect()
     }
 
-    fn find_stretchable(&self, now: MonotonicTime, target: &PlacementTarget) -> Vec<StretchEngine> {
-        let kept = self.kept_tokens / REPAIR_PART;
+    fn find_stretchable(
+        &self,
+        now: MonotonicTime,
+        target: &PlacementTarget,
+        kept: u64,
+    ) -> Vec<StretchEngine> {
         let engines = self
             .engines
             .iter()
--- a/crates/coordination/src/placement/table.rs
+++ b/crates/coordination/src/placement/table.rs
@@ -1,6 +1,7 @@
 //! The placement table: observations and targets in, orders out.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use slotmap::SlotMap;
 
@@ -10,7 +11,7 @@
     EngineObservation, HeldWeights, PendingLoad, PlacedEngine, PlacedKey, PlacementTarget,
     WeightsId,
 };
-use super::order::{LoadOrder, PlacementReport, PlacementRight, PlacementWait};
+use super::order::{GivenUpWork, LoadOrder, PlacementReport, PlacementRight, PlacementWait};
 use super::restore::{SpareEngine, find_loads};
 use super::settings::PlacementSettings;
 use crate::base::{FencingNumber, LayerRange, MonotonicTime, ServerName};
@@ -18,6 +19,10 @@
 /// Engines in use that are weighed for one move.
 const MAX_MOVES: usize = 32;
 
+/// Time for which an engine that refused an order is left alone: it is busy with another one, which
+/// takes about as long.
+pub(super) const REFUSED_PAUSE: Duration = Duration::from_secs(1);
+
 /// A right in force, and since when.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct HeldRight {
@@ -108,6 +113,15 @@
         }
     }
 
+    /// An engine refused an order: it loads nothing, and is ordered again after a short while.
+    pub fn refused(&mut self, now: MonotonicTime, server: &ServerName) {
+        let key = self.by_name.get(server);
+        if let Some(engine) = key.and_then(|key| self.engines.get_mut(*key)) {
+            engine.ordered = None;
+            engine.left_out_until = Some(now.after(REFUSED_PAUSE));
+        }
+    }
+
     /// Decides what to order now.
     pub fn tick(&mut self, now: MonotonicTime) -> PlacementReport {
         let mut report = PlacementReport::default();
@@ -333,11 +347,17 @@
             load: load.clone(),
             at: now,
         });
+        let given_up = if self.laying.contains_key(&key) {
+            GivenUpWork::Cut
+        } else {
+            GivenUpWork::Finish
+        };
         report.orders.push(LoadOrder {
             server: engine.seen.server.clone(),
             fencing: held.right.fencing,
             valid_until: held.right.until,
             load,
+            given_up,
         });
     }
 }
--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -1,12 +1,18 @@
 //! Load of one engine: its lagging report plus what this entry has sent and seen end since.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::unit::TokenCount;
 use crate::base::{Incarnation, MonotonicTime, SequenceNumber, ServerName};
 
+/// Time for which an engine that declined for want of room is taken to be full, unless it tells
+/// otherwise before. A tenth of the time that a request of 200 tokens runs: about as much has ended by
+/// then as one host in ten may send.
+const FULL_TIME: Duration = Duration::from_millis(250);
+
 /// Most own events that are kept apart between two reports; older ones are merged.
 const MAX_EVENTS: usize = 512;
 
@@ -71,6 +77,8 @@
     since: LoadDelta,
     /// Sum of all own requests that have not ended; each field is at least 0.
     own: LoadDelta,
+    /// When it last declined a request for want of room.
+    declined_at: Option<MonotonicTime>,
 }
 
 impl LoadTracker {
@@ -81,6 +89,7 @@
             return false;
         }
         self.report_number = number;
+        self.declined_at = self.declined_at.filter(|at| *at >= report.taken);
         self.reported = report.figures;
         while let Some((at, delta)) = self.events.front().copied() {
             if at > report.taken {
@@ -101,6 +110,16 @@
         };
     }
 
+    /// The engine declined a request for want of room.
+    pub(crate) fn decline(&mut self, now: MonotonicTime) {
+        self.declined_at = Some(now);
+    }
+
+    /// Whether it declined a short while ago, and no later report has come.
+    pub(crate) fn is_full(&self, now: MonotonicTime) -> bool {
+        self.declined_at.is_some_and(|at| now.since(at) < FULL_TIME)
+    }
+
     /// Counts a change by an own request.
     pub(crate) fn apply(&mut self, now: MonotonicTime, delta: LoadDelta) {
         self.own.add(delta);
--- a/crates/coordination/src/routing/planner.rs
+++ b/crates/coordination/src/routing/planner.rs
@@ -68,6 +68,9 @@
     /// A started request failed, by the fault of `culprit` where that is known.
     fn failed(&mut self, now: MonotonicTime, flight: FlightKey, culprit: Option<&ServerName>);
 
+    /// An engine declined a request for want of room.
+    fn declined(&mut self, now: MonotonicTime, server: &ServerName);
+
     /// Throughput that the engines of a model, adapter and version allow.
     fn bound(
         &self,
@@ -274,6 +277,13 @@
         }
     }
 
+    fn declined(&mut self, now: MonotonicTime, server: &ServerName) {
+        let key = self.fleet.find(server);
+        if let Some(engine) = key.and_then(|key| self.fleet.engines.get_mut(key)) {
+            engine.load.decline(now);
+        }
+    }
+
     fn bound(
         &self,
         model: &ModelName,
--- a/crates/coordination/src/routing/view.rs
+++ b/crates/coordination/src/routing/view.rs
@@ -160,7 +160,16 @@
         seconds
     }
 
+    /// Whether an engine is expected to have room.
+    ///
+    /// Failure: an engine declines a request for want of room while its last report shows some. Symptom:
+    /// each request of this host went there and was declined in turn, up to six times each, until a
+    /// later report came; they used up the retries of the host. The first one that is declined is
+    /// enough to know it.
     fn has_room(&self, engine: &EngineRecord) -> bool {
+        if engine.load.is_full(self.now) {
+            return false;
+        }
         let capacity = engine.announcement.kv_capacity.0;
         let mut reserve = self.settings.kv_headroom_percent;
         if self.query.priority == RoutePriority::Normal {
--- a/crates/coordination/tests/placement_layout.rs
+++ b/crates/coordination/tests/placement_layout.rs
@@ -1,12 +1,13 @@
 //! Layers laid out by request memory: from nothing, and after losses. The engines and drafts are made
 //! up: memory in bytes of a small scale, so that tokens can be worked out by hand.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use pollendrift_coordination::base::{FencingNumber, LayerRange, MonotonicTime, ServerName};
 use pollendrift_coordination::placement::{
-    DraftLoad, EngineMemory, EngineObservation, PlacementRight, PlacementSettings, PlacementTable,
-    PlacementTarget, WeightsId,
+    DraftLoad, EngineMemory, EngineObservation, GivenUpWork, PlacementRight, PlacementSettings,
+    PlacementTable, PlacementTarget, WeightsId,
 };
 
 const LAYERS: u32 = 40;
@@ -241,3 +242,45 @@
     centre.settle();
     insta::assert_snapshot!(centre.describe(), @"narrowest 42, mean 56, fewest holders 1, loads 15");
 }
+
+// Drafts of a data centre stand still until their deadlines. A large engine dies, and all others are
+// laid out anew: each would finish first what runs on it, which waits for the next one. Orders of a new
+// layout cut it. An engine that refuses its order, being busy, is ordered again after a second, and the
+// layout is not given up for it.
+#[test]
+fn a_new_layout_cuts_the_work_on_layers_that_are_given_up() {
+    let mut engines = kind("large", 1, 40, 400);
+    engines.extend(kind("quick", 7, 8, 190));
+    let mut lines = Vec::new();
+    let lost = "large0";
+    for refuses in [false, true] {
+        let mut centre = Centre::new(engines.clone());
+        centre.lose(lost);
+        centre.now += 300;
+        let report = centre.table.tick(at(centre.now));
+        let given_up: BTreeSet<GivenUpWork> =
+            report.orders.iter().map(|order| order.given_up).collect();
+        let names: Vec<String> = given_up.iter().map(ToString::to_string).collect();
+        let orders = report.orders.len();
+        lines.push(format!(
+            "{lost}: {orders} orders, work on them: {}",
+            names.join(" ")
+        ));
+        if !refuses {
+            continue;
+        }
+        for order in &report.orders {
+            centre.table.refused(at(centre.now), &order.server);
+        }
+        for wait in [900, 1_000] {
+            let again = centre.table.tick(at(centre.now + wait)).orders.len();
+            lines.push(format!("  refused, {wait} ms later: {again} orders"));
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    large0: 7 orders, work on them: cut
+    large0: 7 orders, work on them: cut
+      refused, 900 ms later: 0 orders
+      refused, 1000 ms later: 7 orders
+    ");
+}
--- a/crates/coordination/tests/routing_contract/load.rs
+++ b/crates/coordination/tests/routing_contract/load.rs
@@ -1,7 +1,7 @@
 //! What is known of load and caches, late and with gaps, and what follows from it.
 
 use crate::support::{
-    LATER, changed, choose, choose_with, describe, engine, planner, planner_with,
+    LATER, changed, choose, choose_at, choose_with, describe, engine, planner, planner_with,
 };
 use pollendrift_coordination::base::{Incarnation, MonotonicTime, SequenceNumber, ServerName};
 use pollendrift_coordination::retries::SlowStartSettings;
@@ -186,3 +186,42 @@
         .count();
     assert!((20..300).contains(&to_new), "{to_new}");
 }
+
+// The callers of one host see their drafts declined by one engine, one after the other: its last report
+// shows room, and each draft finds out for itself. After the first that is declined the others go
+// elsewhere, until a report that was made later says how it is, or a quarter of a second has passed.
+#[test]
+fn an_engine_that_declined_is_full_until_it_says_otherwise() {
+    let after = |millis: u64| MonotonicTime::from_millis(60_000 + millis);
+    let report = |sequence, taken| LoadReport {
+        server: ServerName::from("a"),
+        incarnation: Incarnation(1),
+        sequence: SequenceNumber(sequence),
+        taken,
+        figures: LoadFigures::default(),
+    };
+    let cases = [
+        ("at once", 1, None),
+        ("told before", 20, Some(report(1, after(0)))),
+        ("told after", 20, Some(report(1, after(15)))),
+        ("249 ms later", 249 + 10, None),
+        ("250 ms later", 250 + 10, None),
+    ];
+    let mut lines = Vec::new();
+    for (name, millis, told) in cases {
+        let mut planner = planner(vec![engine("a", 0, 32)]);
+        planner.declined(after(10), &ServerName::from("a"));
+        if let Some(told) = told {
+            planner.report(&told);
+        }
+        let plan = choose_at(&mut planner, after(millis.max(10)));
+        lines.push(format!("{name}: {}", describe(plan)));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    at once: no route: no engine for layer 0 of version v1 could be taken: 1 without room
+    told before: no route: no engine for layer 0 of version v1 could be taken: 1 without room
+    told after: v1: a[0..32]
+    249 ms later: no route: no engine for layer 0 of version v1 could be taken: 1 without room
+    250 ms later: v1: a[0..32]
+    ");
+}
--- a/crates/coordination/tests/routing_contract/support.rs
+++ b/crates/coordination/tests/routing_contract/support.rs
@@ -93,6 +93,13 @@
     planner.choose(LATER, &query)
 }
 
+pub(crate) fn choose_at(
+    planner: &mut FleetPlanner,
+    now: MonotonicTime,
+) -> Result<RoutePlan, NoRoute> {
+    planner.choose(now, &query(&ModelName::from("m")))
+}
+
 pub(crate) fn choose(planner: &mut FleetPlanner) -> Result<RoutePlan, NoRoute> {
     choose_with(planner, |_| {})
 }
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -352,6 +352,11 @@
         self.planner.finished(now, flight);
     }
 
+    /// An engine declined a draft: it is full, whatever it last told.
+    pub(super) fn declined(&mut self, now: MonotonicTime, server: &ServerName) {
+        self.planner.declined(now, server);
+    }
+
     /// A chain failed, by the fault of `culprit` where that is known.
     pub(super) fn failed(
         &mut self,
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -171,6 +171,9 @@
                         _ => FOR_GOOD,
                     };
                     chain.failed(culprits.first());
+                    if failed.outcome == SendOutcome::Declined {
+                        self.note_full(&culprits);
+                    }
                     self.leave_out(culprits, time);
                     self.note(failed);
                 }
@@ -322,6 +325,14 @@
         }
     }
 
+    fn note_full(&self, engines: &[ServerName]) {
+        let now = self.context.clock.now();
+        let mut chains = self.context.chains();
+        engines
+            .iter()
+            .for_each(|engine| chains.declined(now, engine));
+    }
+
     fn note(&mut self, failed: FailedSend) {
         let proof = failed.outcome.proof();
         // An engine that is gone does not count among those that a request was sent to.
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -219,6 +219,7 @@
         };
         let place = PlaceOrder {
             layers: order.load.layers,
+            given_up: order.given_up,
             fencing: order.fencing,
             expected: Some(expected),
         };
@@ -241,9 +242,20 @@
         match outcome {
             OrderOutcome::Begun => self.set_count(worker, expected.next()),
             OrderOutcome::Holds => {}
-            _ => self.forget_count(worker),
+            _ => {
+                self.forget_count(worker);
+                self.note_refused(worker);
+            }
+        }
+        log::info!(server:% = worker.server, layers:% = place.layers, given_up:% = place.given_up, fencing:% = order.fencing, outcome:? = outcome; "engine ordered");
+    }
+
+    fn note_refused(&mut self, worker: &WorkerView) {
+        let now = self.parts.context.clock.now();
+        let key = (worker.offer.service.clone(), worker.data_centre.clone());
+        if let Some(pool) = self.pools.get_mut(&key) {
+            pool.table.refused(now, &worker.server);
         }
-        log::info!(server:% = worker.server, layers:% = place.layers, fencing:% = order.fencing, outcome:? = outcome; "engine ordered");
     }
 
     /// Orders that the engine has taken: none in a life that was seen from its start, else asked.
