fix(placement): the next host to order engines keeps as much request memory as the one before

Cause: the memory that a layout keeps was known to the host that made it only. Change: a host that laid nothing out works the memory out from the engines that are there. Result: test fails without the change (mean memory 96 in place of 120 thousand tokens), passes with it.

--- a/crates/coordination/src/placement/roomy.rs
+++ b/crates/coordination/src/placement/roomy.rs
@@ -49,6 +49,25 @@
         self.go_on_laying(now, held, report);
     }
 
+    /// Learns how much request memory engines are to keep, where this process has laid nothing out.
+    ///
+    /// Failure: a host takes the right over from the one that laid the engines out, and repairs a loss or
+    /// places a new engine. Symptom: it knew of no memory to keep and gave one engine 38 layers where
+    /// 30 leave it room; its data centre served half of what it did. Worked out from the engines that
+    /// are there, the memory is what a layout made here would keep.
+    pub(super) fn learn_kept_tokens(&mut self, now: MonotonicTime) {
+        let target = self.targets.first();
+        let Some((target, load)) = target.and_then(|target| Some((target, target.load?))) else {
+            return;
+        };
+        if self.kept_tokens > 0 || self.hold_nothing(target) {
+            return;
+        }
+        let engines = self.layout_engines(now, target);
+        let layout = lay_out(&engines, target.layers, load);
+        self.kept_tokens = layout.map_or(0, |layout| layout.kept_tokens);
+    }
+
     /// Orders what is left of a layout, as many loads as the store serves; false if nothing is left.
     pub(super) fn go_on_laying(
         &mut self,
--- a/crates/coordination/src/placement/table.rs
+++ b/crates/coordination/src/placement/table.rs
@@ -135,6 +135,7 @@
             report.waits.push(PlacementWait::Settling { until });
             return report;
         }
+        self.learn_kept_tokens(now);
         if self.go_on_laying(now, held, &mut report) {
             return report;
         }
--- a/crates/coordination/tests/placement_layout.rs
+++ b/crates/coordination/tests/placement_layout.rs
@@ -56,7 +56,7 @@
 }
 
 impl Centre {
-    fn new(engines: Vec<EngineObservation>) -> Self {
+    fn table() -> PlacementTable {
         let settings = PlacementSettings {
             settle: Duration::ZERO,
             max_loads: 12,
@@ -79,8 +79,12 @@
             share: 1,
             load: Some(LOAD),
         }]);
+        table
+    }
+
+    fn new(engines: Vec<EngineObservation>) -> Self {
         let mut centre = Self {
-            table,
+            table: Self::table(),
             engines,
             now: 0,
             loads: 0,
@@ -118,6 +122,11 @@
         has_orders
     }
 
+    /// Another host takes over: it knows what engines hold, and nothing of how it came about.
+    fn hand_over(&mut self) {
+        self.table = Self::table();
+    }
+
     fn lose(&mut self, name: &str) {
         self.engines.retain(|engine| engine.server.as_str() != name);
         self.table.remove(&ServerName::from(name));
@@ -284,3 +293,26 @@
       refused, 1000 ms later: 7 orders
     ");
 }
+
+// A data centre serves half of what it did after the host that orders engines was replaced. The next one
+// repairs a loss and places an engine that comes: it must leave each as much request memory as the one
+// before would have, though it laid nothing out itself.
+#[test]
+fn the_next_host_keeps_as_much_memory_as_the_one_before() {
+    let mut engines = kind("large", 1, 40, 400);
+    engines.extend(kind("quick", 7, 8, 190));
+    let mut lines = Vec::new();
+    for is_next in [false, true] {
+        let mut centre = Centre::new(engines.clone());
+        if is_next {
+            centre.hand_over();
+        }
+        centre.lose("quick3");
+        centre.settle();
+        centre.engines.push(engine("new", 40, 400));
+        centre.settle();
+        lines.push(centre.describe());
+    }
+    assert_eq!(lines[0], lines[1]);
+    insta::assert_snapshot!(lines[1], @"narrowest 60, mean 120, fewest holders 1, loads 9");
+}
