--- a/crates/coordination/src/routing/view.rs
+++ b/crates/coordination/src/routing/view.rs
@@ -28,7 +28,8 @@
     /// Data centre in which the whole route must lie.
     pub(crate) within: Option<DataCentreIndex>,
     pub(crate) phase: RoutePhase,
-    /// Whether ejected engines may be taken, because there is no pipeline without them.
+    /// Whether doubtful engines may be taken, because there is no pipeline without them: those that are
+    /// ejected, and those that declined a short while ago.
     pub(crate) with_ejected: bool,
 }
 
@@ -86,7 +87,7 @@
         if self.query.excluded.contains(&engine.announcement.server) {
             return Err(RejectReason::Excluded);
         }
-        if !self.with_ejected && self.outliers.is_ejected(self.now, key) {
+        if !self.with_ejected && self.is_doubtful(key, engine) {
             return Err(RejectReason::Ejected);
         }
         if !self.query.allowed.permits(engine) {
@@ -160,16 +161,19 @@
         seconds
     }
 
-    /// Whether an engine is expected to have room.
+    /// Whether an engine is left out while others can serve.
     ///
     /// Failure: an engine declines a request for want of room while its last report shows some. Symptom:
     /// each request of this host went there and was declined in turn, up to six times each, until a
     /// later report came; they used up the retries of the host. The first one that is declined is
-    /// enough to know it.
+    /// enough to know it. Where no other holds its layers it is asked all the same: room comes within
+    /// milliseconds there, and a request that waits for a quarter of a second is late.
+    fn is_doubtful(&self, key: EngineKey, engine: &EngineRecord) -> bool {
+        self.outliers.is_ejected(self.now, key) || engine.load.is_full(self.now)
+    }
+
+    /// Whether an engine is expected to have room.
     fn has_room(&self, engine: &EngineRecord) -> bool {
-        if engine.load.is_full(self.now) {
-            return false;
-        }
         let capacity = engine.announcement.kv_capacity.0;
         let mut reserve = self.settings.kv_headroom_percent;
         if self.query.priority == RoutePriority::Normal {
