style(placement): comments that say what the figures of a layout are

Cause: read as a newcomer, the test's engines had another size than their comment said, and two comments spoke of versions on the way. Change: comments only.

--- a/crates/coordination/src/placement/layout.rs
+++ b/crates/coordination/src/placement/layout.rs
@@ -7,7 +7,7 @@
 //! many layers as leave it a given number of tokens. A few layers each make roomy chains of many
 //! stages and leave nobody to spare; many make short quick ones with little room, and second copies
 //! beside them. Every number of tokens at which some engine would hold one layer more or less is
-//! tried, and the layout that passes most is taken, with the loss of any one engine weighed in.
+//! tried, and the layout that passes most is taken, with second copies weighed in.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -79,7 +79,7 @@
     }
 }
 
-/// An engine that is laid out.
+/// An engine that is to be laid out.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LayoutEngine {
     pub(crate) key: PlacedKey,
@@ -97,7 +97,8 @@
 pub(crate) struct LayerLayout {
     pub(crate) ranges: BTreeMap<PlacedKey, LayerRange>,
     pub(crate) kept_tokens: u64,
-    /// Drafts a second that pass, by an unnamed unit that all layouts of one fleet share.
+    /// Drafts a second that pass, less what is lost for want of second copies; by it layouts of the
+    /// same engines compare.
     value: f64,
 }
 
@@ -159,6 +160,7 @@
     Some(layout)
 }
 
+/// Engines that hold all layers together, with the range of each.
 type LayoutRow<'e> = Vec<(&'e LayoutEngine, LayerRange)>;
 
 /// A whole row off the front of `engines`, and the engines behind it.
--- a/crates/coordination/src/placement/roomy.rs
+++ b/crates/coordination/src/placement/roomy.rs
@@ -10,7 +10,7 @@
 
 /// Parts of the layout's request memory that engines may be left with when they take over layers of
 /// one that was lost, tried in turn. A chain with a quarter of the room serves; one with a layer missing
-/// does not, and a new layout of all engines takes each of them out of use until what runs there ends.
+/// does not, and a new layout of all engines cuts what runs on them.
 const REPAIR_PARTS: [u64; 2] = [2, 4];
 
 impl PlacementTable {
--- a/crates/coordination/tests/placement_layout.rs
+++ b/crates/coordination/tests/placement_layout.rs
@@ -1,5 +1,5 @@
 //! Layers laid out by request memory: from nothing, and after losses. The engines and drafts are made
-//! up: memory in bytes of a small scale, so that tokens can be worked out by hand.
+//! up, with round figures from which tokens can be worked out by hand.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -21,8 +21,8 @@
     MonotonicTime::from_millis(millis)
 }
 
-/// An engine of `memory` thousand bytes beside layers of 1,000 bytes; a token takes a hundredth of a
-/// byte a layer, so that 10 thousand bytes beside 10 layers hold 100,000 tokens.
+/// An engine of `memory` megabytes. A layer takes one, and a token ten bytes in each layer: an engine of
+/// ten that holds five layers has room for 100,000 tokens.
 fn engine(name: &str, memory: u64, layer_rate: u32) -> EngineObservation {
     let memory = EngineMemory {
         total: memory * 1_000_000,
