feat(keeper): tell how much of its log a start applied again, and the work of it

Cause: keepers that had all been killed had a leader after 0.8 s and answered nothing for 2.7 s more, at full load; no line said what they worked at. Change: a line `log replayed` with entries and work, and the same in the keeper's status.

--- a/crates/daemon/src/keeper/effects.rs
+++ b/crates/daemon/src/keeper/effects.rs
@@ -1,6 +1,7 @@
 //! Does what the agreement core says, in its order.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use pollendrift_coordination::agreement::{
     AgreementEffect, AgreementEnvelope, AgreementInput, EntryPayload, HandOverOutcome, LogEntry,
@@ -99,6 +100,7 @@
 
     fn apply(&mut self, entries: Vec<LogEntry>) {
         for entry in entries {
+            let began = self.clock.now();
             self.status.applied = entry.index;
             if let EntryPayload::Command(command) = &entry.payload {
                 let answer = self.machine.apply(entry.index, command);
@@ -107,9 +109,24 @@
                     answer,
                 });
             }
+            let work = self.clock.now().since(began);
+            self.count_replay(entry.index, work);
         }
     }
 
+    fn count_replay(&mut self, index: LogIndex, work: Duration) {
+        let Some(replay) = &mut self.replay else {
+            return;
+        };
+        let Some(report) = replay.count(index, work) else {
+            return;
+        };
+        let millis = u64::try_from(report.work.as_millis()).unwrap_or(u64::MAX);
+        log::info!(entries = report.entries, work_ms = millis; "log replayed");
+        self.status.replay = Some(report);
+        self.replay = None;
+    }
+
     fn install(&mut self, snapshot: &StoredSnapshot) -> Result<(), KeeperError> {
         self.machine.restore(&snapshot.bytes)?;
         self.status.applied = snapshot.mark.index;
--- a/crates/daemon/src/keeper/runtime.rs
+++ b/crates/daemon/src/keeper/runtime.rs
@@ -16,6 +16,7 @@
 use super::effects::AppliedAnswer;
 use super::error::{KeeperError, SubmitError};
 use super::port::{KeeperInbox, KeeperRequest, LocalOutcome, OutcomeSender};
+use super::replay::LogReplay;
 use super::status::KeeperStatus;
 use crate::clock::TimeSource;
 use crate::peers::PeerHub;
@@ -59,6 +60,8 @@
     pub(super) backlog: VecDeque<AgreementEffect>,
     /// Answers to entries of the backlog.
     pub(super) answers: Vec<AppliedAnswer>,
+    /// Entries of the start that are not applied yet; `None` once all are.
+    pub(super) replay: Option<LogReplay>,
     /// Inputs that effects of the last tick led to.
     pub(super) follow_up: Vec<AgreementInput>,
     /// The order that is being synced; the core gives out one at a time.
--- a/crates/daemon/src/keeper/start.rs
+++ b/crates/daemon/src/keeper/start.rs
@@ -21,6 +21,7 @@
 use super::join::keep_joining;
 use super::list::KeeperList;
 use super::port::{KeeperInbox, KeeperPort};
+use super::replay::LogReplay;
 use super::runtime::{KeeperRuntime, OpenRequests};
 use super::settings::KeeperSettings;
 use super::status::KeeperStatus;
@@ -237,6 +238,8 @@
         let _ = report_sender.send(report);
     })
     .map_err(KeeperError::Thread)?;
+    let last = restored.entries.last().map(|entry| entry.index);
+    let replay = LogReplay::new(applied, last.unwrap_or(applied));
     let node = AgreementNode::new(
         start.settings.agreement.clone(),
         keeper,
@@ -258,6 +261,7 @@
         status,
         backlog: VecDeque::new(),
         answers: Vec::new(),
+        replay,
         follow_up: Vec::new(),
         syncing: None,
         snapshot_log_bytes: start.settings.snapshot_log_bytes,
--- a/crates/daemon/src/keeper/status.rs
+++ b/crates/daemon/src/keeper/status.rs
@@ -7,6 +7,8 @@
 };
 use pollendrift_store::{StoreUsage, SyncMark, TornTail};
 
+use super::replay::ReplayReport;
+
 /// State of one keeper, for the dump, the status and those who wait for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeeperStatus {
@@ -34,6 +36,8 @@
     pub mark: SyncMark,
     /// Cut end of the log that was found at the start.
     pub torn_tail: Option<TornTail>,
+    /// What the start applied again; `None` until it has.
+    pub replay: Option<ReplayReport>,
     /// Why the keeper stopped; `None` while it runs.
     pub stopped: Option<Arc<str>>,
 }
@@ -53,6 +57,7 @@
             usage: StoreUsage::default(),
             mark: SyncMark::default(),
             torn_tail: None,
+            replay: None,
             stopped: None,
         }
     }
