fix(relay): deny a route or key only where no change can have been missed

Callers saw: 404 for a route 3.7 s after its change had been acknowledged, where changes are promised within 2 s. Cause: a host's refusals rested on the lease that bounds the use of revoked keys (4 s). A change that keepers had accepted and not yet told, before all of them were killed, was denied for the rest of it. Change: a host that holds no confirmation younger than relay.change_within (2 s) waits up to 1.6 s for one where it would say that a route or key is unknown, then answers 503 with Retry-After; it asks at least twice in that time. Why it holds: an answer of a keeper shows all that was accepted before the question; what came after it is younger than the confirmation. Known routes are served on through the lease, as before.

--- a/crates/coordination/src/following.rs
+++ b/crates/coordination/src/following.rs
@@ -197,6 +197,12 @@
         Ok(held)
     }
 
+    /// When the last question that was answered had been asked: every change accepted before it is
+    /// known here.
+    pub fn confirmed_at(&self) -> Option<MonotonicTime> {
+        self.confirmed_at
+    }
+
     /// Time for which the revision held may still be served.
     pub fn remaining(&self, now: MonotonicTime) -> Duration {
         let confirmed_at = self.confirmed_at.unwrap_or(MonotonicTime::START);
--- a/crates/daemon/src/agreed.rs
+++ b/crates/daemon/src/agreed.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use derive_more::{Display, Error};
-use pollendrift_coordination::base::Incarnation;
+use pollendrift_coordination::base::{Incarnation, MonotonicTime};
 use pollendrift_coordination::configuration::Configuration;
 use pollendrift_coordination::replicated::{CommandAnswer, ReplicatedCommand};
 
@@ -26,6 +26,9 @@
     /// Whether another host is known to serve by a newer configuration.
     fn is_behind(&self) -> bool;
 
+    /// Every change accepted before this time is known here; `None` before a keeper has answered.
+    fn confirmed_at(&self) -> Option<MonotonicTime>;
+
     /// Life of this process, once the keepers gave it one; nothing is claimed without it.
     fn life(&self) -> Option<Incarnation>;
 
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -151,6 +151,11 @@
         self.lock().follower.is_behind()
     }
 
+    /// Every change accepted before this time is known here; `None` before the first answer.
+    pub fn confirmed_at(&self) -> Option<MonotonicTime> {
+        self.lock().follower.confirmed_at()
+    }
+
     /// The revision held, and the time for which it may still be served.
     pub fn lease(&self) -> (Revision, Duration) {
         let now = self.clock.now();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,7 +7,7 @@
 
 use derive_more::{Display, Error, From};
 use pollendrift_coordination::agreement::AgreementSettings;
-use pollendrift_coordination::base::{HostName, Incarnation};
+use pollendrift_coordination::base::{HostName, Incarnation, MonotonicTime};
 use pollendrift_coordination::configuration::Configuration;
 use pollendrift_coordination::following::FollowSettings;
 use pollendrift_coordination::hosts::HostReach;
@@ -149,10 +149,11 @@
             ),
         };
         let lease = configuration_lease(settings);
+        let period = question_period(settings, lease);
         let follow = FollowSettings {
             lease,
-            period: lease / 4,
-            patience: lease / 8,
+            period,
+            patience: period / 2,
         };
         let feed = Arc::new(ConfigurationFeed::new(
             follow,
@@ -306,6 +307,10 @@
         self.feed.is_behind()
     }
 
+    fn confirmed_at(&self) -> Option<MonotonicTime> {
+        self.feed.confirmed_at()
+    }
+
     fn life(&self) -> Option<Incarnation> {
         *self.life.borrow()
     }
@@ -357,6 +362,15 @@
     settings.leases.configuration
 }
 
+/// Four questions in a lease leave three tries; two within the time of a change let a host that is
+/// told nothing know so in time.
+fn question_period(settings: &DaemonSettings, lease: Duration) -> Duration {
+    if settings.relay.enabled {
+        return (lease / 4).min(settings.relay.change_within / 2);
+    }
+    lease / 4
+}
+
 fn initial_keepers(settings: &DaemonSettings) -> Vec<HostName> {
     settings
         .initial_keepers()
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -115,7 +115,7 @@
         return Err(stopping.retry_after(RETRY_ELSEWHERE));
     }
     let mut table = context.routes.wait(context.clock.as_ref()).await?;
-    if find_route(&table, call).is_err() && context.routes.is_behind() {
+    if find_route(&table, call).is_err() && context.routes.may_be_old(context.clock.now()) {
         table = context.routes.catch_up(context.clock.as_ref()).await?;
     }
     let route = table.route(&call.host, &call.path).map_err(table_refusal)?;
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -69,8 +69,9 @@
     /// A context without requests.
     pub(crate) fn new(parts: RelayParts) -> Self {
         let operators = Arc::clone(&parts.dialect.operators);
+        let change_within = parts.settings.change_within;
         Self {
-            routes: RouteFeed::new(Arc::clone(&parts.agreed), operators),
+            routes: RouteFeed::new(Arc::clone(&parts.agreed), operators, change_within),
             dialect: parts.dialect,
             fleet: parts.fleet,
             pool: ConnectionPool::new(PoolSettings::default(), since_boot),
--- a/crates/daemon/src/relay/routes.rs
+++ b/crates/daemon/src/relay/routes.rs
@@ -34,6 +34,8 @@
     agreed: Arc<dyn AgreedState>,
     dialect: Arc<dyn OperatorDialect>,
     laid_out: Arc<Mutex<LayOutState>>,
+    /// Time after its acceptance in which a change is in force here.
+    change_within: Duration,
     /// Since when no routes are known; `None` while some are.
     unknown_since: Mutex<Option<MonotonicTime>>,
 }
@@ -89,10 +91,15 @@
 
 impl RouteFeed {
     /// A feed of what `agreed` holds.
-    pub(crate) fn new(agreed: Arc<dyn AgreedState>, dialect: Arc<dyn OperatorDialect>) -> Self {
+    pub(crate) fn new(
+        agreed: Arc<dyn AgreedState>,
+        dialect: Arc<dyn OperatorDialect>,
+        change_within: Duration,
+    ) -> Self {
         Self {
             agreed,
             dialect,
+            change_within,
             laid_out: Arc::new(Mutex::new(LayOutState::new())),
             unknown_since: Mutex::new(Some(MonotonicTime::START)),
         }
@@ -166,8 +173,19 @@
         }
     }
 
+    /// Whether a change may be in force by now that the routes served by do not show.
+    ///
+    /// Failure: keepers accept a change and are gone before this host asks again. Symptom: it denied
+    /// the new route for the rest of its lease, which is as long as a revoked key may be served, and
+    /// callers believe that for good. A change that was accepted after the last confirmation is
+    /// younger than that confirmation, so within `change_within` of it nothing can be missed.
+    pub(super) fn may_be_old(&self, now: MonotonicTime) -> bool {
+        let confirmed_at = self.agreed.confirmed_at();
+        self.is_behind() || confirmed_at.is_none_or(|at| now.since(at) >= self.change_within)
+    }
+
     /// Whether other routes than those served by are known to be in force.
-    pub(super) fn is_behind(&self) -> bool {
+    fn is_behind(&self) -> bool {
         if self.agreed.is_behind() {
             return true;
         }
@@ -177,7 +195,7 @@
         state.last.as_ref().map(|last| last.revision) < newest
     }
 
-    /// The routes to serve by, once they are the newest that this host has heard of.
+    /// The routes to serve by, once a keeper has confirmed that they are the newest.
     ///
     /// Failure: a change is accepted, and a caller uses its new route or key at a host that does not
     /// have it yet. Symptom: it was told that there is no such route, which it believes for good.
@@ -190,9 +208,9 @@
         clock: &dyn TimeSource,
     ) -> Result<Arc<RouteTable>, Refused> {
         let until = clock.now().after(LONGEST_WAIT);
-        while self.is_behind() {
+        while self.may_be_old(clock.now()) {
             if clock.now() >= until {
-                let reason = "newer routes are in force than this host has";
+                let reason = "newer routes may be in force than this host knows";
                 let refusal = refused(RefusalKind::NotRun, reason);
                 return Err(refusal.retry_after(RETRY_UNKNOWN));
             }
--- a/crates/daemon/src/settings/relay.rs
+++ b/crates/daemon/src/settings/relay.rs
@@ -10,6 +10,9 @@
 pub struct RelaySettings {
     /// Whether callers, operators and backend servers speak the platform's dialect.
     pub enabled: bool,
+    /// Time after the acknowledgement of a change by which it is in force: a host that may have missed
+    /// one for longer says of no route or key that it is unknown.
+    pub change_within: Duration,
     /// Time after the acknowledgement of a change by which no key that it took away is served.
     pub revoke_within: Duration,
     /// Retries that all hosts together may send, as a share of first sends.
@@ -26,6 +29,7 @@
     fn default() -> Self {
         Self {
             enabled: false,
+            change_within: Duration::from_secs(2),
             revoke_within: Duration::from_secs(5),
             retry_ratio: 0.2,
             retry_slack: 100,
@@ -41,6 +45,7 @@
         let times = Duration::from_millis(100)..=Duration::from_secs(600);
         Self {
             enabled: section.choice("enabled", default.enabled, &YES_OR_NO),
+            change_within: section.duration("change_within", default.change_within, times.clone()),
             revoke_within: section.duration("revoke_within", default.revoke_within, times.clone()),
             retry_ratio: section.fraction("retry_ratio", default.retry_ratio),
             retry_slack: section.count("retry_slack", default.retry_slack, 0..=1_000_000),
