fix(evidence): records that no caller waits for share a batch of a second

Cause: each host recorded each revision that it put in force, and 1 ms later that record was a command of its own to the keepers: hosts times changes, each synced, replicated, applied and replayed. Change: records that nobody waits for wait up to evidence.note_delay (1 s) for others; a request's record takes them along, and whoever waits for all that is recorded hastens them. Why it holds: a host sends at most one such command a second, whatever the number of changes; no answer waits for one. A host that dies loses the records of its last second in place of its last millisecond.

--- a/crates/coordination/src/evidence/buffer.rs
+++ b/crates/coordination/src/evidence/buffer.rs
@@ -24,8 +24,10 @@
     pub max_bytes: usize,
     /// Most records of one batch.
     pub max_batch_records: usize,
-    /// Longest time that a record waits for others.
+    /// Longest time that a record of a request waits for others.
     pub batch_delay: Duration,
+    /// Longest time that a record waits which no caller waits for.
+    pub note_delay: Duration,
     /// Time without an acknowledgement after which a batch is sent again.
     pub resend_delay: Duration,
     /// Keepers that must have stored a record before it counts as durable; all keepers where
@@ -40,6 +42,7 @@
             max_bytes: 8 << 20,
             max_batch_records: 256,
             batch_delay: Duration::from_millis(5),
+            note_delay: Duration::from_secs(1),
             resend_delay: Duration::from_millis(500),
             copies: 2,
         }
@@ -103,7 +106,8 @@
 #[derive(Clone, Debug)]
 struct WaitingLine {
     line: Arc<str>,
-    since: MonotonicTime,
+    /// When it is sent at the latest, with all before it.
+    due: MonotonicTime,
 }
 
 /// What is known of one keeper.
@@ -195,7 +199,7 @@
         if !self.may_accept() {
             return Err(self.full());
         }
-        let sequence = self.push(now, time, event)?;
+        let sequence = self.push(now.after(self.bounds.batch_delay), time, event)?;
         self.reserved += 1;
         Ok(sequence)
     }
@@ -211,7 +215,7 @@
         time: WallTime,
         event: EvidenceEvent,
     ) -> Result<SequenceNumber, BufferFull> {
-        let sequence = self.push(now, time, event)?;
+        let sequence = self.push(now.after(self.bounds.batch_delay), time, event)?;
         self.reserved = self.reserved.saturating_sub(1);
         Ok(sequence)
     }
@@ -234,10 +238,16 @@
             return Ok(None);
         }
         self.record_omitted(now, time)?;
-        self.push(now, time, event).map(Some)
+        let due = now.after(self.bounds.batch_delay);
+        self.push(due, time, event).map(Some)
     }
 
-    /// Records something that no caller causes.
+    /// Records something that no caller causes, and that waits for others for longer.
+    ///
+    /// Failure: each host records each revision that it puts in force, and each record was a command of
+    /// its own to the keepers. Symptom: a change cost them as many commands as there are hosts; of 430
+    /// entries between two snapshots 30 were changes. Nobody waits for these records, so the ones of a
+    /// second share a command, whatever the number of changes in it.
     ///
     /// # Errors
     ///
@@ -251,7 +261,14 @@
         if self.used() >= self.bounds.max_records.saturating_add(SPARE_RECORDS) {
             return Err(self.full());
         }
-        self.push(now, time, event)
+        self.push(now.after(self.bounds.note_delay), time, event)
+    }
+
+    /// Makes all that waits due at `now`, for someone who waits for it to be stored.
+    pub fn hasten(&mut self, now: MonotonicTime) {
+        for line in &mut self.lines {
+            line.due = line.due.min(now);
+        }
     }
 
     /// Last record that enough keepers have stored. The first byte of an answer waits for the
@@ -281,8 +298,9 @@
         let next = |progress: &KeeperProgress| match progress.in_flight {
             Some(sent) => Some(sent.at.after(self.bounds.resend_delay)),
             None => {
-                let first = self.waiting_after(progress.stored).next()?;
-                Some(first.since.after(self.bounds.batch_delay))
+                let waiting = self.waiting_after(progress.stored);
+                let batch = waiting.take(self.bounds.max_batch_records);
+                batch.map(|line| line.due).min()
             }
         };
         self.keepers.values().filter_map(next).min()
@@ -334,7 +352,7 @@
 
     fn push(
         &mut self,
-        now: MonotonicTime,
+        due: MonotonicTime,
         time: WallTime,
         event: EvidenceEvent,
     ) -> Result<SequenceNumber, BufferFull> {
@@ -343,7 +361,7 @@
         self.bytes += sealed.line.len();
         self.lines.push_back(WaitingLine {
             line: sealed.line,
-            since: now,
+            due,
         });
         Ok(self.head.sequence)
     }
@@ -362,7 +380,8 @@
         let Some(omitted) = self.omitted.take() else {
             return Ok(());
         };
-        self.push(now, time, EvidenceEvent::RefusalsOmitted(omitted))?;
+        let due = now.after(self.bounds.batch_delay);
+        self.push(due, time, EvidenceEvent::RefusalsOmitted(omitted))?;
         Ok(())
     }
 
@@ -384,9 +403,9 @@
             .waiting_after(from)
             .take(self.bounds.max_batch_records)
             .collect();
-        let oldest = waiting.first()?.since;
+        let due = waiting.iter().map(|line| line.due).min()?;
         let full = waiting.len() == self.bounds.max_batch_records;
-        if !full && now.since(oldest) < self.bounds.batch_delay {
+        if !full && now < due {
             return None;
         }
         let lines: Vec<_> = waiting.iter().map(|line| Arc::clone(&line.line)).collect();
--- a/crates/coordination/tests/evidence_buffer.rs
+++ b/crates/coordination/tests/evidence_buffer.rs
@@ -4,8 +4,9 @@
 
 use pollendrift_coordination::base::{HostName, MonotonicTime, SequenceNumber, WallTime};
 use pollendrift_coordination::evidence::{
-    BatchRefusal, BufferBounds, EvidenceBatch, EvidenceBuffer, HeadTable, KeeperBatch, OutcomeKind,
-    RetentionPolicy, SealedRecord, StoredSpan, spans_to_drop,
+    BatchRefusal, BufferBounds, EvidenceBatch, EvidenceBuffer, EvidenceEvent, HeadTable,
+    KeeperBatch, OutcomeKind, RetentionPolicy, RevisionInForce, SealedRecord, StoredSpan,
+    spans_to_drop,
 };
 
 mod evidence_support;
@@ -265,3 +266,44 @@
     a clock before every record: []
     ");
 }
+
+fn in_force(revision: u64) -> EvidenceEvent {
+    EvidenceEvent::RevisionInForce(RevisionInForce {
+        revision: revision.into(),
+    })
+}
+
+// Operators wait: at each of many changes in quick succession every host has a record of the revision
+// that it put in force, and keepers get one command from each host for each of them. Nobody waits for
+// these records; those of one second share a batch, unless a request's record goes at once, with all
+// before it, or someone waits for what is recorded.
+#[test]
+fn records_that_nobody_waits_for_share_a_batch() {
+    let mut buffer = buffer_of(100, &["k1"]);
+    let mut seen = Vec::new();
+    for now in (0..4_000).step_by(10) {
+        if now < 2_400 && now % 800 == 0 {
+            let event = in_force(now);
+            buffer.note(at(now), WALL, event).unwrap();
+        }
+        if now == 2_000 {
+            let event = refused("r1");
+            buffer.refuse(at(now), WALL, event).unwrap();
+        }
+        if now == 3_200 {
+            let event = in_force(now);
+            buffer.note(at(now), WALL, event).unwrap();
+            buffer.hasten(at(now));
+        }
+        for sent in buffer.due(at(now), WALL).unwrap() {
+            seen.push(format!("{now} ms: {}", show(std::slice::from_ref(&sent))));
+            let last = sent.batch.first.0 + sent.batch.lines.len() as u64 - 1;
+            buffer.stored(&keeper("k1"), &sent.batch.writer, SequenceNumber(last));
+        }
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    1000 ms: k1: 2 from 1
+    2010 ms: k1: 2 from 3
+    3200 ms: k1: 1 from 5
+    ");
+}
--- a/crates/daemon/src/settings/evidence.rs
+++ b/crates/daemon/src/settings/evidence.rs
@@ -14,8 +14,10 @@
     pub max_buffer_bytes: u64,
     /// Most records of one batch to the keepers.
     pub max_batch_records: u64,
-    /// Longest time that a record waits for others to share its batch.
+    /// Longest time that a record of a request waits for others to share its batch.
     pub batch_delay: Duration,
+    /// The same for records that no caller waits for, such as a revision put in force.
+    pub note_delay: Duration,
     /// Time without an acknowledgement after which a batch is sent again.
     pub resend_delay: Duration,
     /// Age after which keepers drop records.
@@ -31,6 +33,7 @@
             max_buffer_bytes: 8 << 20,
             max_batch_records: 256,
             batch_delay: Duration::from_millis(1),
+            note_delay: Duration::from_secs(1),
             resend_delay: Duration::from_millis(500),
             retain_age: Duration::from_secs(400 * 86_400),
             retain_bytes: 8 << 30,
@@ -63,6 +66,11 @@
                 default.batch_delay,
                 Duration::ZERO..=milli * 1_000,
             ),
+            note_delay: section.duration(
+                "note_delay",
+                default.note_delay,
+                Duration::ZERO..=milli * 60_000,
+            ),
             resend_delay: section.duration(
                 "resend_delay",
                 default.resend_delay,
--- a/crates/daemon/src/telemetry/recorder.rs
+++ b/crates/daemon/src/telemetry/recorder.rs
@@ -141,6 +141,8 @@
 
     /// Waits until everything that is recorded now is stored; for a planned stop.
     pub async fn settle(&self) {
+        self.buffer().hasten(self.clock.now());
+        self.recorded.notify_one();
         let last = self.status().head.sequence;
         self.stored(last).await;
     }
