fix(evidence): keep in the agreed state what keepers may still have to copy, once a second for each host

Operators saw: keepers that start again answer later the more changes there were, though they apply no more entries. A keeper that was away for longer than the log reaches back has a gap in its own files, as it had beyond 8 MiB.

--- a/crates/coordination/src/agreement/entry.rs
+++ b/crates/coordination/src/agreement/entry.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::base::{HostName, Incarnation, number_type};
+use crate::base::{HostName, Incarnation, number_type, shared_bytes};
 
 number_type!(
     /// Number of a leadership period; at most one leader exists in each.
@@ -130,29 +130,3 @@
     /// Membership in force at that entry.
     pub membership: Membership,
 }
-
-/// Shared bytes as one byte string instead of a list of numbers: half the size on wire and disk.
-pub(super) mod shared_bytes {
-    use std::sync::Arc;
-
-    use serde::{Deserializer, Serializer};
-    use serde_bytes::ByteBuf;
-
-    pub(in crate::agreement) fn serialize<S>(
-        bytes: &Arc<[u8]>,
-        serializer: S,
-    ) -> Result<S::Ok, S::Error>
-    where
-        S: Serializer,
-    {
-        serde_bytes::serialize(bytes.as_ref(), serializer)
-    }
-
-    pub(in crate::agreement) fn deserialize<'de, D>(deserializer: D) -> Result<Arc<[u8]>, D::Error>
-    where
-        D: Deserializer<'de>,
-    {
-        let buffer: ByteBuf = serde_bytes::deserialize(deserializer)?;
-        Ok(Arc::from(buffer.into_vec()))
-    }
-}
--- a/crates/coordination/src/agreement/message.rs
+++ b/crates/coordination/src/agreement/message.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::entry::{KeeperId, LogEntry, LogIndex, SnapshotMark, Term, shared_bytes};
-use crate::base::MonotonicTime;
+use super::entry::{KeeperId, LogEntry, LogIndex, SnapshotMark, Term};
+use crate::base::{MonotonicTime, shared_bytes};
 
 /// Number of a heartbeat round within one leader's term.
 #[derive(
--- a/crates/coordination/src/base.rs
+++ b/crates/coordination/src/base.rs
@@ -3,6 +3,7 @@
 mod finding;
 mod name;
 mod number;
+pub(crate) mod shared_bytes;
 mod time;
 
 pub use finding::{Finding, FindingList, Place, Severity};
--- a/crates/coordination/src/replicated/evidence_index.rs
+++ b/crates/coordination/src/replicated/evidence_index.rs
@@ -2,11 +2,13 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::base::{HostName, Incarnation, SequenceNumber};
+use super::clock::ReplicatedTime;
+use crate::base::{HostName, Incarnation, SequenceNumber, shared_bytes};
 
 /// Successive records of one writer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,6 +59,7 @@
     /// Number within that life.
     pub sequence: SequenceNumber,
     /// The record.
+    #[serde(with = "shared_bytes")]
     pub record: Arc<[u8]>,
 }
 
@@ -67,6 +70,15 @@
     pub records: usize,
     /// Most bytes of records.
     pub bytes: usize,
+    /// Longest time for which a record is kept.
+    #[serde(default = "longest_age")]
+    pub age: Duration,
+}
+
+/// Keepers copy records to their files within a fraction of a second, and a disk that stalls for
+/// longer than this is taken for lost.
+fn longest_age() -> Duration {
+    Duration::from_secs(30)
 }
 
 impl Default for EvidenceRetention {
@@ -74,6 +86,7 @@
         Self {
             records: 20_000,
             bytes: 8 * 1024 * 1024,
+            age: longest_age(),
         }
     }
 }
@@ -84,9 +97,23 @@
     next: SequenceNumber,
 }
 
+/// When records came, of those that are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct ArrivalMark {
+    /// Position after the last record that came with it.
+    before: EvidencePosition,
+    at: ReplicatedTime,
+}
+
 /// The latest records, and how far each writer has come.
 ///
-/// Invariants: positions rise by one; `bytes` is the sum of the records kept.
+/// Failure: records were kept by number and bytes alone, so that a group with little evidence kept all
+/// of it. Symptom: snapshots grew by 6 kB with each change, and so did the time in which a keeper that
+/// starts again answers nobody. Records that every keeper has had the time to copy to its files are of
+/// no use here.
+///
+/// Invariants: positions rise by one; `bytes` is the sum of the records kept; `arrivals` rise, and the
+/// last one is that of the last record, where it was recorded by this version.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvidenceIndex {
     retention: EvidenceRetention,
@@ -94,6 +121,8 @@
     recent: VecDeque<IndexedRecord>,
     next: EvidencePosition,
     bytes: usize,
+    #[serde(default)]
+    arrivals: VecDeque<ArrivalMark>,
 }
 
 impl EvidenceIndex {
@@ -105,8 +134,9 @@
         }
     }
 
-    /// Records what is new in a batch.
-    pub fn record(&mut self, batch: &EvidenceBatch) -> EvidenceAnswer {
+    /// Records what is new in a batch, and drops what is old.
+    pub fn record(&mut self, batch: &EvidenceBatch, now: ReplicatedTime) -> EvidenceAnswer {
+        self.expire(now);
         let known = self.writers.get(&batch.writer);
         let expected = match known {
             Some(writer) if writer.incarnation > batch.incarnation => {
@@ -125,6 +155,10 @@
             }
             sequence = sequence.next();
         }
+        self.arrivals.push_back(ArrivalMark {
+            before: self.next,
+            at: now,
+        });
         let next = sequence.max(expected);
         let writer = WriterState {
             incarnation: batch.incarnation,
@@ -153,6 +187,24 @@
         self.recent.iter().skip(skipped)
     }
 
+    fn expire(&mut self, now: ReplicatedTime) {
+        while let Some(oldest) = self.arrivals.front().copied() {
+            if now.since(oldest.at) <= self.retention.age {
+                return;
+            }
+            self.arrivals.pop_front();
+            while self.oldest_position() < oldest.before {
+                self.drop_oldest();
+            }
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some(oldest) = self.recent.pop_front() {
+            self.bytes -= oldest.record.len();
+        }
+    }
+
     fn push(&mut self, batch: &EvidenceBatch, sequence: SequenceNumber, record: Arc<[u8]>) {
         self.bytes += record.len();
         self.recent.push_back(IndexedRecord {
@@ -166,11 +218,8 @@
         let over = |index: &Self| {
             index.recent.len() > index.retention.records || index.bytes > index.retention.bytes
         };
-        while over(self) {
-            let Some(oldest) = self.recent.pop_front() else {
-                return;
-            };
-            self.bytes -= oldest.record.len();
+        while over(self) && !self.recent.is_empty() {
+            self.drop_oldest();
         }
     }
 }
--- a/crates/coordination/src/replicated/state.rs
+++ b/crates/coordination/src/replicated/state.rs
@@ -16,8 +16,8 @@
     ChangeAnswer, ChangeLog, ChangeRequest, ChangeRetention, Configuration,
 };
 
-/// Format of snapshots; a keeper refuses those of another format.
-const SNAPSHOT_FORMAT: u16 = 1;
+/// Format of snapshots that are written; a keeper refuses those of a later one.
+const SNAPSHOT_FORMAT: u16 = 2;
 
 /// Bounds of the tables. They are part of the state: the first keeper's are kept through snapshots.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -124,7 +124,7 @@
                 CommandAnswer::Settled(tables.claims.settle(settle, now))
             }
             ReplicatedCommand::RecordEvidence(batch) => {
-                CommandAnswer::Evidence(tables.evidence.record(batch))
+                CommandAnswer::Evidence(tables.evidence.record(batch, now))
             }
             ReplicatedCommand::GrantOrderRight(request) => {
                 CommandAnswer::OrderRight(tables.order_rights.grant(request, now))
@@ -185,11 +185,12 @@
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), MachineError> {
         let mut tables: ReplicatedTables = decode("snapshot", snapshot)?;
-        if tables.format != SNAPSHOT_FORMAT {
-            let reason = format!("format {}, not {SNAPSHOT_FORMAT}", tables.format);
+        if tables.format > SNAPSHOT_FORMAT {
+            let reason = format!("format {}, above {SNAPSHOT_FORMAT}", tables.format);
             let what = "snapshot";
             return Err(MachineError { what, reason });
         }
+        tables.format = SNAPSHOT_FORMAT;
         let configuration = tables.changes.build().map_err(|findings| MachineError {
             what: "snapshot",
             reason: findings.to_string(),
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -80,6 +80,8 @@
     follower: RevisionFollower,
     /// Content of the follower's revision; `None` before the first answer.
     held: Option<Arc<Configuration>>,
+    /// Revision in force that was put on record last.
+    recorded: Option<Revision>,
     /// A content was refused: the next question asks for the whole.
     ask_whole: bool,
     /// Bounded by the hosts of the settings: only peers can speak.
@@ -112,6 +114,7 @@
             state: Mutex::new(FeedState {
                 follower,
                 held: None,
+                recorded: None,
                 ask_whole: false,
                 peers: BTreeMap::new(),
             }),
@@ -246,6 +249,7 @@
             }
             if now.since(stated_at) >= STATEMENT_PERIOD {
                 self.state_revision();
+                self.record_revision(now);
                 stated_at = now;
             }
             let pause = self.lock().follower.next_deadline().since(self.clock.now());
@@ -312,10 +316,6 @@
         drop(copy);
         if verdict == AnswerVerdict::Advanced {
             log::info!(revision:% = fresh.revision; "configuration in force");
-            self.recorder
-                .note(EvidenceEvent::RevisionInForce(RevisionInForce {
-                    revision: fresh.revision,
-                }));
             self.state_revision();
         }
     }
@@ -353,6 +353,24 @@
         }
     }
 
+    /// Puts the revision in force on record, once. Of several within a [`STATEMENT_PERIOD`] that is the
+    /// last: each request's record names its own, and one of every host for every change would cost
+    /// keepers more than the changes do.
+    fn record_revision(&self, now: MonotonicTime) {
+        let revision = {
+            let mut state = self.lock();
+            let Ok(revision) = state.follower.current(now) else {
+                return;
+            };
+            if state.recorded.replace(revision) == Some(revision) {
+                return;
+            }
+            revision
+        };
+        let event = RevisionInForce { revision };
+        self.recorder.note(EvidenceEvent::RevisionInForce(event));
+    }
+
     /// Tells every peer what is served here: those that hold less ask at once, and operators see
     /// where a change is in force.
     fn state_revision(&self) {
