refactor(relay): watching of silent chains in a file of its own; fix(relay): a draft begins anew with engines that it ran on

Cause: a chain whose later engine was lost did not count, though its first engine was well and had run the draft. Change: once a draft has run on as many first engines as its route allows, its next chains begin with one of those; an engine that does not answer or has left does not count. Why it holds: what counts is the engine that the request was sent to; the others of a chain may change.

--- a/crates/coordination/src/retries.rs
+++ b/crates/coordination/src/retries.rs
@@ -5,6 +5,7 @@
 mod decision;
 mod outlier;
 mod proof;
+mod run_places;
 mod settings;
 mod slow_start;
 
@@ -13,5 +14,6 @@
 pub use decision::{FailedAttempt, RetryVerdict, StopReason, decide_retry};
 pub use outlier::{Ejection, OutlierTable};
 pub use proof::{CallKind, RunProof, SendOutcome};
+pub use run_places::RunPlaces;
 pub use settings::{OutlierSettings, RetrySettings, SlowStartSettings};
 pub use slow_start::slow_start_share;
--- a/crates/daemon/src/fleet/worker.rs
+++ b/crates/daemon/src/fleet/worker.rs
@@ -37,6 +37,12 @@
 }
 
 impl WorkerView {
+    /// Whether a chain of engines may begin with it.
+    pub fn holds_first_layer(&self) -> bool {
+        let layers = self.offer.layers.as_ref();
+        layers.is_some_and(|layers| layers.range.first == 0)
+    }
+
     /// The view of an announcement; `None` if it is none of a published service's server.
     pub(super) fn decode(announce: &ServerAnnounce) -> Option<Self> {
         Some(Self {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -21,6 +21,7 @@
 mod start;
 mod stream;
 mod survey;
+mod watching;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -1,14 +1,12 @@
 //! Drafts: a chain of engines, and its events to the caller as they come.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::Response;
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
 use pollendrift_coordination::evidence::OutcomeKind;
-use pollendrift_coordination::retries::SendOutcome;
-use pollendrift_coordination::routing::ChainVerdict;
+use pollendrift_coordination::retries::{RunPlaces, SendOutcome};
 use pollendrift_coordination::streams::EventId;
 use pollendrift_dialect::RefusalKind;
 use pollendrift_http::{ResponseBody, channel_body};
@@ -21,7 +19,6 @@
 use super::meter::RequestMeter;
 use super::request::{Refused, RelayRequest, SendTarget, refused};
 use super::stream::{StreamRun, run_stream};
-use super::survey::{EngineState, ask_engine};
 use crate::clock::millis;
 
 /// Time that must be left for a send to be of use.
@@ -33,21 +30,7 @@
 /// that sends nothing for two seconds, and the first event takes up to half a second.
 const FIRST_PATIENCE: Duration = Duration::from_millis(1_200);
 /// Time between two looks for room.
-const ROOM_PERIOD: Duration = Duration::from_millis(40);
-/// Time between two looks at a silent chain: a part of the pause that a caller may see.
-const WATCH_PERIOD: Duration = Duration::from_millis(25);
-/// Longest pause of full use, where a route names none.
-const DEFAULT_PAUSE: Duration = Duration::from_millis(200);
-/// Part of the longest pause that a stream may be silent without its engines being asked. The rest
-/// is for their answers and for the next chain, whose first event takes about 60 ms.
-const PATIENCE_SHARE: f64 = 0.4;
-/// Silence that needs no explanation, in usual times between events. Chains that are full send an
-/// event each 100 ms and more; asked about at a fixed 80 to 100 ms, their engines got 89,000
-/// questions for 14,000 requests.
-const USUAL_GAPS: f64 = 2.5;
-/// How much later than its time a question may be given up before this host is taken to be the late
-/// one: a few turns of its scheduler.
-const OWN_DELAY: Duration = Duration::from_millis(20);
+pub(super) const ROOM_PERIOD: Duration = Duration::from_millis(40);
 /// Events that wait for a caller that reads slowly.
 const EVENT_QUEUE: usize = 32;
 /// Time for which an engine that declined a draft is left out of its next chains.
@@ -70,6 +53,8 @@
     pub(super) meter: RequestMeter,
     /// Engines that failed it, and until when each is left out.
     excluded: Vec<LeftOut>,
+    /// First engines of the chains that may have run it.
+    places: RunPlaces,
     /// Sends that an engine may have begun to run.
     sends: u32,
     declined: u32,
@@ -102,6 +87,7 @@
         request,
         meter: meter.clone(),
         excluded: Vec::new(),
+        places: RunPlaces::default(),
         sends: 0,
         declined: 0,
         may_have_run: false,
@@ -153,6 +139,7 @@
             self.context.metrics.request_sent();
             match self.send(&chain.chain, resume_after).await {
                 Ok(answer) => {
+                    self.places.note(&chain.chain.first);
                     self.sends += 1;
                     self.may_have_run = true;
                     let is_error = answer.parts.status.is_server_error();
@@ -164,6 +151,9 @@
                     chain.failed(Some(&culprit));
                 }
                 Err(failed) => {
+                    if !failed.outcome.proof().is_not_run() {
+                        self.places.note(&chain.chain.first);
+                    }
                     let culprits = blame(&chain.chain, &failed);
                     log_failed_send(&self.request, &failed, &culprits);
                     // One that declined is full, or was a moment ago; there may be no other.
@@ -225,7 +215,8 @@
     ) -> Option<ChainGuard> {
         let excluded = self.excluded.iter().filter(|left_out| left_out.until > now);
         let excluded = excluded.map(|left_out| &left_out.server);
-        let excluded: Vec<ServerName> = excluded.chain(suspects).cloned().collect();
+        let spent = self.spent_places(now);
+        let excluded: Vec<ServerName> = excluded.chain(suspects).chain(&spent).cloned().collect();
         let fleet = &self.context.fleet;
         let may_take_work = |server: &ServerName| fleet.may_take(now, server);
         let health = self.context.health();
@@ -248,6 +239,24 @@
         }
     }
 
+    /// Engines that no chain of this draft may begin with any more.
+    fn spent_places(&self, now: MonotonicTime) -> Vec<ServerName> {
+        let most = self.request.route.max_attempts;
+        if !self.places.has_reached(most) {
+            return Vec::new();
+        }
+        let workers = self.context.fleet.workers(now);
+        let health = self.context.health();
+        let is_there = |server: &ServerName| workers.iter().any(|worker| worker.server == *server);
+        let is_lost = |server: &ServerName| health.is_suspected(now, server) || !is_there(server);
+        let Some(allowed) = self.places.allowed(most, is_lost) else {
+            return Vec::new();
+        };
+        let first = workers.iter().filter(|worker| worker.holds_first_layer());
+        let spent = first.filter(|worker| !allowed.contains(&&worker.server));
+        spent.map(|worker| worker.server.clone()).collect()
+    }
+
     async fn send(
         &self,
         chain: &TakenChain,
@@ -275,57 +284,6 @@
         }
     }
 
-    /// As `watch`, once the draft could also go on elsewhere.
-    pub(super) async fn watch_for_other(
-        &self,
-        chain: &TakenChain,
-        since: MonotonicTime,
-        usual: Duration,
-    ) -> ChainVerdict {
-        loop {
-            let verdict = self.watch(chain, since, usual).await;
-            if self.has_other(&verdict.suspects) {
-                return verdict;
-            }
-            sleep(ROOM_PERIOD).await;
-        }
-    }
-
-    /// Resolves with the engines that are at fault, once a chain has been silent since `since` by
-    /// some fault. `usual` is the time that its next event usually takes.
-    async fn watch(
-        &self,
-        chain: &TakenChain,
-        since: MonotonicTime,
-        usual: Duration,
-    ) -> ChainVerdict {
-        let pause = self.request.route.pause_target.unwrap_or(DEFAULT_PAUSE);
-        let patience = pause.mul_f64(PATIENCE_SHARE).max(usual.mul_f64(USUAL_GAPS));
-        loop {
-            sleep(WATCH_PERIOD).await;
-            let now = self.context.clock.now();
-            let judging = chain.servers();
-            let verdict = self.context.health().judge(now, since, patience, judging);
-            if !verdict.suspects.is_empty() {
-                return verdict;
-            }
-            for server in verdict.ask {
-                let address = chain.address_of(&server);
-                let context = Arc::clone(&self.context);
-                tokio::spawn(ask_alive(context, server, address));
-            }
-        }
-    }
-
-    fn silent(&self, suspects: &[ServerName]) -> FailedSend {
-        let names: Vec<&str> = suspects.iter().map(ServerName::as_str).collect();
-        let reason = format!("silent engines: {}", names.join(" "));
-        FailedSend {
-            suspects: suspects.to_vec(),
-            ..FailedSend::new(SendOutcome::TimedOut, reason)
-        }
-    }
-
     fn note_full(&self, engines: &[ServerName]) {
         let now = self.context.clock.now();
         let mut chains = self.context.chains();
@@ -434,32 +392,6 @@
     }
 }
 
-/// Asks an engine whether it is alive, and notes its answer or that there is none.
-async fn ask_alive(context: Arc<RelayContext>, server: ServerName, address: Option<SocketAddr>) {
-    let answer_time = context.health().answer_time();
-    let asked_at = context.clock.now();
-    let state = match address {
-        Some(address) => ask_engine(&context, &context.pool, address, answer_time).await,
-        None => EngineState::Silent,
-    };
-    let now = context.clock.now();
-    if matches!(state, EngineState::Silent) && now.since(asked_at) > answer_time + OWN_DELAY {
-        log::debug!(server:% = server; "question given up late; nothing is concluded from it");
-        return;
-    }
-    let mut health = context.health();
-    match state {
-        EngineState::Told(_) | EngineState::Unclear => health.heard(now, [&server]),
-        EngineState::Gone => health.gone(now, &server),
-        EngineState::Silent => health.unanswered(now, &server),
-    }
-    drop(health);
-    if matches!(state, EngineState::Gone | EngineState::Silent) {
-        let gone = matches!(state, EngineState::Gone);
-        log::warn!(server:% = server, gone = gone; "engine does not answer");
-    }
-}
-
 fn log_failed_send(request: &RelayRequest, failed: &FailedSend, culprits: &[ServerName]) {
     let engines: Vec<&str> = culprits.iter().map(ServerName::as_str).collect();
     log::info!(request = request.attempt.as_str(), engines = engines.join(" ").as_str(),
