--- a/crates/coordination/src/agreement/log.rs
+++ b/crates/coordination/src/agreement/log.rs
@@ -191,8 +191,8 @@
     /// Takes a snapshot of this log in, keeping `retained` entries behind it at most.
     ///
     /// Failure: entries were kept by number alone, and a peer that lacked one was sent them all.
-    /// Symptom: a keeper with an empty disk got every text that was ever published, 12 MB in 7 s, at
-    /// the full load of a leader that had to answer hosts meanwhile. Entries beyond the size of the
+    /// Symptom: a keeper with an empty disk got every text that was ever published, at the full load of
+    /// a leader that had to answer hosts meanwhile. Entries beyond the size of the
     /// snapshot take longer to send and to apply than the snapshot does. Those after the snapshot
     /// before stay: a peer that is just being sent that one would otherwise need this one next.
     pub(super) fn take_snapshot(&mut self, snapshot: StoredSnapshot, retained: u64) {
--- a/crates/coordination/src/configuration/text_edit.rs
+++ b/crates/coordination/src/configuration/text_edit.rs
@@ -1,9 +1,9 @@
 //! A text as pieces of an earlier one.
 //!
-//! Failure: a published source is one document, and each change of one of its 1,400 routes carried
-//! the whole to every host. Symptom: on a fleet of 77 hosts, 1.6 GB between data centres in half a
-//! minute with a storm of changes, and keepers of 98 MB; as edits 0.3 GB and 44 MB. Such a change is a
-//! few hundred bytes. Whoever applies an edit checks the digest of what comes out.
+//! Failure: a published source is one document, and each change of one of its routes carried the whole
+//! to every host. Symptom: links between data centres and keepers' memory full of copies that differ by
+//! a few hundred bytes each. An edit carries just these. Whoever applies one checks the digest of what
+//! comes out.
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/coordination/src/evidence/buffer.rs
+++ b/crates/coordination/src/evidence/buffer.rs
@@ -245,8 +245,8 @@
     /// Records something that no caller causes, and that waits for others for longer.
     ///
     /// Failure: each host records each revision that it puts in force, and each record was a command of
-    /// its own to the keepers. Symptom: a change cost them as many commands as there are hosts; of 430
-    /// entries between two snapshots 30 were changes. Nobody waits for these records, so the ones of a
+    /// its own to the keepers. Symptom: a change cost them as many commands as there are hosts, each of
+    /// them synced, applied, and applied again at a start. Nobody waits for these records, so the ones of a
     /// second share a command, whatever the number of changes in it.
     ///
     /// # Errors
--- a/crates/coordination/src/following.rs
+++ b/crates/coordination/src/following.rs
@@ -136,10 +136,10 @@
 
     /// A peer says that it holds `revision`: ask at once if that is news, and no question is open.
     ///
-    /// Failure: each of 93 peers tells of a change within a second, and a host asked the next keeper at
-    /// each of their words, for the whole content. Symptom: of 78 hosts half had a change within 0.9 s
-    /// after it was accepted, and one in ten 4.6 s or more. The questions themselves were not counted.
-    /// One open question is enough, and the next keeper is asked if its answer does not come in time.
+    /// Failure: each of many peers tells of a change within a second, and a host asked the next keeper
+    /// at each of their words, for the whole content. Symptom: some hosts had a change seconds after the
+    /// others. One open question is enough, and the next keeper is asked if its answer does not come in
+    /// time.
     pub fn hear(&mut self, now: MonotonicTime, revision: Revision) {
         self.heard = self.heard.max(Some(revision));
         if !self.is_behind() {
--- a/crates/coordination/src/placement/engine.rs
+++ b/crates/coordination/src/placement/engine.rs
@@ -113,7 +113,7 @@
     /// layer alone, where it tells its memory and the usual draft is known; else tokens a second.
     ///
     /// Second copies go where this is lowest. By memory alone they went beside the quickest engines,
-    /// where hardly a draft needed them, and 205 drafts ran over single copies of the slow layers.
+    /// where hardly a draft needed them, and most drafts ran over single copies of the slow layers.
     pub(crate) fn rate_over(&self, layers: LayerRange, load: Option<DraftLoad>) -> f64 {
         let layer_rate = f64::from(self.seen.layer_rate);
         if let (Some(memory), Some(load)) = (self.seen.memory, load) {
--- a/crates/coordination/src/placement/layout.rs
+++ b/crates/coordination/src/placement/layout.rs
@@ -19,10 +19,8 @@
 /// Part of what a layout passes that a second copy of all layers is worth.
 ///
 /// Of layers that are held once, any loss cuts every draft of the data centre and leaves it without a
-/// chain until the layers are held again, several seconds. Data centres of 11 to 15 engines with 1.3
-/// to 1.6 copies of all layers instead of 1.0 to 1.3 pass 4 to 20 in 100 less while all is well; on
-/// days with losses they served 0.52 to 0.65 of the worth where the others served 0.44 to 0.60, and
-/// a day with eight losses 0.35 in place of nothing.
+/// chain until the layers are held again, several seconds. More copies pass a little less while all
+/// is well, and serve on through a loss.
 const MISSING_PART: f64 = 0.5;
 
 /// Memory of an engine, in bytes.
--- a/crates/coordination/src/replicated/evidence_index.rs
+++ b/crates/coordination/src/replicated/evidence_index.rs
@@ -108,8 +108,8 @@
 /// The latest records, and how far each writer has come.
 ///
 /// Failure: records were kept by number and bytes alone, so that a group with little evidence kept all
-/// of it. Symptom: snapshots grew by 6 kB with each change, and so did the time in which a keeper that
-/// starts again answers nobody. Records that every keeper has had the time to copy to its files are of
+/// of it. Symptom: snapshots grew with each change, and so did the time in which a keeper that starts
+/// again answers nobody. Records that every keeper has had the time to copy to its files are of
 /// no use here.
 ///
 /// Invariants: positions rise by one; `bytes` is the sum of the records kept; `arrivals` rise, and the
--- a/crates/coordination/src/routing/health.rs
+++ b/crates/coordination/src/routing/health.rs
@@ -133,8 +133,8 @@
     /// Another host had an answer of an engine at `answered`.
     ///
     /// Failure: this host is short of processor time, and answers that came in time are read too
-    /// late. Symptom: within two seconds 77 such hosts suspected engines 4,550 times, for six seconds
-    /// each, and found no whole chain of engines that were all well. A later answer to another host
+    /// late. Symptom: within seconds such hosts suspected every engine, and found no whole chain of
+    /// engines that were all well. A later answer to another host
     /// clears a suspicion, but once only until this host hears the engine itself: where the path from
     /// here is what is broken, the engine stays left out.
     pub fn vouched(&mut self, server: &ServerName, answered: MonotonicTime) {
--- a/crates/coordination/src/routing/settings.rs
+++ b/crates/coordination/src/routing/settings.rs
@@ -39,9 +39,8 @@
     #[default]
     AcrossDataCentres,
     /// In one data centre, where there is a whole chain. The flow is worked out for each data centre by
-    /// itself, and again only for those that changed: of 102 engines in three it takes 2 ms of
-    /// processor time for one, in place of 24 ms for all at once, for which every stream of a host
-    /// with a tenth of a core would pause for a quarter of a second.
+    /// itself, and again only for those that changed. Worked out for all at once, every stream of a
+    /// host with a tenth of a core would pause for a quarter of a second.
     WithinDataCentre,
 }
 
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -268,10 +268,8 @@
         };
         match answer {
             Ok(fresh) => {
-                // A source of 52 kB takes 6 ms of processor time, and longer ones as much longer. Taken
-                // among the requests of a host with 0.12 cores, it was part of pauses of 140 to 290 ms
-                // in all its streams; beside them, 389 in place of 113 of 462 drafts were in time in
-                // the two seconds after a change.
+                // Reading a long source takes tens of milliseconds of a small host. Among its requests,
+                // that was a part of late pauses in all its streams at each change.
                 let feed = Arc::clone(&self);
                 let taking = move || feed.take_answer(question.asked_at, fresh);
                 if let Err(error) = tokio::task::spawn_blocking(taking).await {
--- a/crates/daemon/src/keeper/runtime.rs
+++ b/crates/daemon/src/keeper/runtime.rs
@@ -252,10 +252,10 @@
     /// Applies committed entries and tells their outcomes, for [`APPLY_SLICE`] at a time.
     ///
     /// Failure: a keeper that starts again applies its whole log once a leader has committed. Symptom:
-    /// on hosts with 0.075 of a core that took a second and more, in which a new leader sent no
-    /// heartbeat and read no answer; it stepped down after 0.7 s, up to five leaders one after the
-    /// other, and for 1.4 to 4 s after all keepers had been killed no host knew its routes. In slices,
-    /// the core ticks on between the entries, and each entry takes a few milliseconds.
+    /// on small hosts that took longer than an election, a new leader sent no heartbeat meanwhile and
+    /// stepped down, one after the other, and no host knew its routes. In slices, the core ticks on
+    /// between the entries, and each entry takes a few milliseconds; [`SnapshotSchedule`] bounds how
+    /// many there are.
     fn work_on(&mut self) -> Result<(), KeeperError> {
         let until = self.clock.now().after(APPLY_SLICE);
         while let Some(effect) = self.backlog.pop_front() {
--- a/crates/daemon/src/relay/routes.rs
+++ b/crates/daemon/src/relay/routes.rs
@@ -106,9 +106,8 @@
     }
 
     /// The routes to serve by: those of the newest revision that is laid out. A newer one is laid out
-    /// on a thread beside the requests: a source of 52 kB takes 3.3 ms of processor time, and longer ones
-    /// as much longer, for which all streams of a host with 0.12 cores would pause eight times as long.
-    /// The host goes on by the older routes meanwhile.
+    /// on a thread beside the requests, as all streams of a small host would pause for that time. The
+    /// host goes on by the older routes meanwhile.
     ///
     /// # Errors
     /// This host can't tell which routes are in force. It says so rather than that there is none.
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -106,8 +106,7 @@
 /// draft, or speaks first.
 ///
 /// Engines that look free may decline, and silent ones are often only late. Left before another had
-/// taken its draft, a chain that would have ended it was given up for nothing: beside a change of
-/// engines two and three drafts a day were cut so.
+/// taken its draft, a chain that would have ended it was given up for nothing.
 async fn hand_over(
     run: &mut DraftRun,
     running: &mut RunningDraft,
@@ -137,8 +136,7 @@
 /// Leaves a chain that can send nothing more; says why.
 ///
 /// Its connection is closed at once: what it holds of the other engines' memory is what the draft
-/// needs to go on. Kept until another had taken the draft, dead chains cost a full day 0.06 of the
-/// drafts served (six plays each).
+/// needs to go on.
 fn leave(
     run: &mut DraftRun,
     running: RunningDraft,
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -207,8 +207,8 @@
     B: Body<Data = Bytes>,
     B::Error: std::fmt::Display,
 {
-    // A length that is declared too large is refused before a byte is kept. Read up to the limit
-    // first, 400 such bodies at once took 280 MB of memory.
+    // A length that is declared too large is refused before a byte is kept: read up to the limit
+    // first, many such bodies at once would fill the memory.
     let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if declared > limit {
         return Err(ReadFailure::TooLarge { limit });
