--- a/crates/coordination/src/evidence/buffer.rs
+++ b/crates/coordination/src/evidence/buffer.rs
@@ -271,6 +271,15 @@
         }
     }
 
+    /// Lets no record wait for others any more, for a host that leaves.
+    ///
+    /// Failure: a planned stop began to send what waited only once all requests had ended. Symptom: it
+    /// ran out of its time where the keepers were slow to answer just then, and the records were lost.
+    pub fn stop_waiting(&mut self, now: MonotonicTime) {
+        self.bounds.note_delay = self.bounds.batch_delay;
+        self.hasten(now);
+    }
+
     /// Last record that enough keepers have stored. The first byte of an answer waits for the
     /// request's first record, the last event of an answer for its last one; nothing between.
     pub fn durable(&self) -> SequenceNumber {
--- a/crates/coordination/tests/evidence_buffer.rs
+++ b/crates/coordination/tests/evidence_buffer.rs
@@ -276,7 +276,7 @@
 // Operators wait: at each of many changes in quick succession every host has a record of the revision
 // that it put in force, and keepers get one command from each host for each of them. Nobody waits for
 // these records; those of one second share a batch, unless a request's record goes at once, with all
-// before it, or someone waits for what is recorded.
+// before it, or someone waits for what is recorded, or the host leaves.
 #[test]
 fn records_that_nobody_waits_for_share_a_batch() {
     let mut buffer = buffer_of(100, &["k1"]);
@@ -295,6 +295,13 @@
             buffer.note(at(now), WALL, event).unwrap();
             buffer.hasten(at(now));
         }
+        if now == 3_300 {
+            buffer.stop_waiting(at(now));
+        }
+        if now == 3_400 {
+            let event = in_force(now);
+            buffer.note(at(now), WALL, event).unwrap();
+        }
         for sent in buffer.due(at(now), WALL).unwrap() {
             seen.push(format!("{now} ms: {}", show(std::slice::from_ref(&sent))));
             let last = sent.batch.first.0 + sent.batch.lines.len() as u64 - 1;
@@ -305,5 +312,6 @@
     1000 ms: k1: 2 from 1
     2010 ms: k1: 2 from 3
     3200 ms: k1: 1 from 5
+    3410 ms: k1: 1 from 6
     ");
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -17,6 +17,7 @@
 use pollendrift_coordination::routing::RoutingSettings;
 use pollendrift_dialect::PlatformDialect;
 use pollendrift_http::{HttpClient, HttpServer, ServerBounds, StreamAcceptor};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::access::{AccessControl, AccessError, FaceAcceptor, FaceKind};
@@ -308,21 +309,29 @@
     /// finish, and closes. True if everything finished within the drain timeout.
     pub async fn drain(mut self) -> bool {
         self.life.advance(LifeStep::Leaving);
+        if let Some(recorder) = self.context.recorder.get() {
+            recorder.stop_waiting();
+        }
         tokio::time::sleep(self.drain.notice).await;
         self.life.advance(LifeStep::Closed);
         let servers = std::mem::take(&mut self.servers);
+        let step = watch::Sender::new("connections");
         let finished = async {
             for server in servers {
                 server.drain().await;
             }
+            step.send_replace("requests");
             self.context.tasks.finished().await;
+            step.send_replace("evidence");
             if let Some(recorder) = self.context.recorder.get() {
                 recorder.settle().await;
             }
         };
-        tokio::time::timeout(self.drain.timeout, finished)
-            .await
-            .is_ok()
+        let finished = tokio::time::timeout(self.drain.timeout, finished).await;
+        if finished.is_err() {
+            log::warn!(step = *step.borrow(); "planned stop runs out of time");
+        }
+        finished.is_ok()
     }
 }
 
--- a/crates/daemon/src/telemetry/recorder.rs
+++ b/crates/daemon/src/telemetry/recorder.rs
@@ -147,6 +147,12 @@
         self.stored(last).await;
     }
 
+    /// Sends records as they come from now on, for a host that leaves.
+    pub fn stop_waiting(&self) {
+        self.buffer().stop_waiting(self.clock.now());
+        self.recorded.notify_one();
+    }
+
     /// State for the dump and the metrics.
     pub fn status(&self) -> BufferStatus {
         self.buffer().status()
