style(daemon): the steps of a planned stop, one after the other under one deadline

Cause: a shared cell told which step was under way; a reader had to look why. Change: each step is awaited until the same deadline.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -17,8 +17,8 @@
 use pollendrift_coordination::routing::RoutingSettings;
 use pollendrift_dialect::PlatformDialect;
 use pollendrift_http::{HttpClient, HttpServer, ServerBounds, StreamAcceptor};
-use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout_at};
 
 use crate::access::{AccessControl, AccessError, FaceAcceptor, FaceKind};
 use crate::admission::{AdmissionGate, GateBounds};
@@ -314,25 +314,34 @@
         }
         tokio::time::sleep(self.drain.notice).await;
         self.life.advance(LifeStep::Closed);
+        let deadline = Instant::now() + self.drain.timeout;
         let servers = std::mem::take(&mut self.servers);
-        let step = watch::Sender::new("connections");
-        let finished = async {
+        let connections = async {
             for server in servers {
                 server.drain().await;
             }
-            step.send_replace("requests");
-            self.context.tasks.finished().await;
-            step.send_replace("evidence");
+        };
+        let evidence = async {
             if let Some(recorder) = self.context.recorder.get() {
                 recorder.settle().await;
             }
         };
-        let finished = tokio::time::timeout(self.drain.timeout, finished).await;
-        if finished.is_err() {
-            log::warn!(step = *step.borrow(); "planned stop runs out of time");
-        }
-        finished.is_ok()
+        in_time(deadline, "connections", connections).await
+            && in_time(deadline, "requests", self.context.tasks.finished()).await
+            && in_time(deadline, "evidence", evidence).await
+    }
+}
+
+/// Whether a step of a planned stop ends before the time for all of them is up.
+async fn in_time<F>(deadline: Instant, step: &str, work: F) -> bool
+where
+    F: Future<Output = ()>,
+{
+    let ended = timeout_at(deadline, work).await;
+    if ended.is_err() {
+        log::warn!(step = step; "planned stop runs out of time");
     }
+    ended.is_ok()
 }
 
 impl Drop for RouterDaemon {
--- a/crates/daemon/src/keeper/schedule.rs
+++ b/crates/daemon/src/keeper/schedule.rs
@@ -29,7 +29,7 @@
 /// Weighs the log since the last snapshot, however few entries it is.
 ///
 /// Failure: a keeper that starts again applies its log before it answers a read, and a change of a
-/// large configuration takes as long as a thousand small commands. Symptom: after all keepers had been
+/// large configuration takes as long as many small commands. Symptom: after all keepers had been
 /// killed no host knew which routes were in force for seconds, longer with each change that the group
 /// had ever accepted. The time that applying took says what a start will take on the same host,
 /// whatever the entries are, so a snapshot at that bound keeps the next start within it.
