--- a/crates/coordination/src/replicated/evidence_index.rs
+++ b/crates/coordination/src/replicated/evidence_index.rs
@@ -112,8 +112,8 @@
 /// again answers nobody. Records that every keeper has had the time to copy to its files are of
 /// no use here.
 ///
-/// Invariants: positions rise by one; `bytes` is the sum of the records kept; `arrivals` rise, and the
-/// last one is that of the last record, where it was recorded by this version.
+/// Invariants: positions rise by one; `bytes` is the sum of the records kept; `arrivals` rise, and there
+/// are no more of them than records.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvidenceIndex {
     retention: EvidenceRetention,
@@ -155,10 +155,7 @@
             }
             sequence = sequence.next();
         }
-        self.arrivals.push_back(ArrivalMark {
-            before: self.next,
-            at: now,
-        });
+        self.mark_arrival(now);
         let next = sequence.max(expected);
         let writer = WriterState {
             incarnation: batch.incarnation,
@@ -187,6 +184,26 @@
         self.recent.iter().skip(skipped)
     }
 
+    /// Marks what came now. Marks of records that are gone, and batches that brought nothing, leave none:
+    /// a writer that sends faster than records grow old would fill the state with marks.
+    fn mark_arrival(&mut self, now: ReplicatedTime) {
+        let oldest = self.oldest_position();
+        while self
+            .arrivals
+            .front()
+            .is_some_and(|mark| mark.before <= oldest)
+        {
+            self.arrivals.pop_front();
+        }
+        let marked = self.arrivals.back().map_or(oldest, |mark| mark.before);
+        if self.next > marked {
+            self.arrivals.push_back(ArrivalMark {
+                before: self.next,
+                at: now,
+            });
+        }
+    }
+
     fn expire(&mut self, now: ReplicatedTime) {
         while let Some(oldest) = self.arrivals.front().copied() {
             if now.since(oldest.at) <= self.retention.age {
--- a/crates/coordination/src/replicated/state.rs
+++ b/crates/coordination/src/replicated/state.rs
@@ -16,8 +16,10 @@
     ChangeAnswer, ChangeLog, ChangeRequest, ChangeRetention, Configuration,
 };
 
-/// Format of snapshots that are written; a keeper refuses those of a later one.
+/// Format of snapshots that are written.
 const SNAPSHOT_FORMAT: u16 = 2;
+/// Oldest format that is read; a keeper refuses those before it, and after the one that it writes.
+const OLDEST_FORMAT: u16 = 1;
 
 /// Bounds of the tables. They are part of the state: the first keeper's are kept through snapshots.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -185,8 +187,9 @@
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), MachineError> {
         let mut tables: ReplicatedTables = decode("snapshot", snapshot)?;
-        if tables.format > SNAPSHOT_FORMAT {
-            let reason = format!("format {}, above {SNAPSHOT_FORMAT}", tables.format);
+        if !(OLDEST_FORMAT..=SNAPSHOT_FORMAT).contains(&tables.format) {
+            let known = format!("{OLDEST_FORMAT} to {SNAPSHOT_FORMAT}");
+            let reason = format!("format {}, not {known}", tables.format);
             let what = "snapshot";
             return Err(MachineError { what, reason });
         }
--- a/crates/coordination/tests/replicated_state.rs
+++ b/crates/coordination/tests/replicated_state.rs
@@ -1,10 +1,10 @@
 //! The replicated state: snapshots, the agreed clock, evidence and order rights.
 #![allow(clippy::unwrap_used, reason = "a test that can not go on must stop")]
 
-use std::sync::Arc;
+mod replicated_support;
+
 use std::time::Duration;
 
-use ciborium::Value;
 use pollendrift_coordination::agreement::{LogIndex, StateMachine};
 use pollendrift_coordination::base::{
     ChangeId, Incarnation, MonotonicTime, Revision, SequenceNumber, WallTime,
@@ -15,24 +15,14 @@
 };
 use pollendrift_coordination::configuration::{ChangeAnswer, ChangeRequest};
 use pollendrift_coordination::replicated::{
-    CommandAnswer, CommandStamp, EvidenceAnswer, EvidenceBatch, EvidencePosition, GrantOrderRight,
-    OrderHolder, OrderRightAnswer, ProcessNonce, ReplicatedClock, ReplicatedCommand,
-    ReplicatedSettings, ReplicatedState, StampedCommand, StartHost,
+    CommandAnswer, CommandStamp, EvidenceAnswer, EvidencePosition, GrantOrderRight, OrderHolder,
+    OrderRightAnswer, ProcessNonce, ReplicatedClock, ReplicatedCommand, ReplicatedSettings,
+    ReplicatedState, StampedCommand, StartHost,
 };
 use proptest::prelude::{Strategy, any, prop_oneof, proptest};
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 
-fn stamped(seconds: u64, command: ReplicatedCommand) -> StampedCommand {
-    StampedCommand {
-        stamp: CommandStamp {
-            host: "k1".into(),
-            incarnation: Incarnation(1),
-            uptime: MonotonicTime::from_millis(seconds * 1_000),
-            wall: WallTime(seconds * 1_000),
-        },
-        command,
-    }
-}
+use replicated_support::{batch, stamped};
 
 fn change(id: &str, based_on: u64, weight: u32) -> ReplicatedCommand {
     let text = format!(
@@ -64,15 +54,6 @@
     }
 }
 
-fn batch(writer: u8, incarnation: u64, first: u64, count: u8) -> EvidenceBatch {
-    EvidenceBatch {
-        writer: format!("h{writer}").into(),
-        incarnation: Incarnation(incarnation),
-        first: SequenceNumber(first),
-        records: (0..count).map(|n| Arc::from(vec![writer, n])).collect(),
-    }
-}
-
 fn grant(holder: u8, lease: u64) -> ReplicatedCommand {
     ReplicatedCommand::GrantOrderRight(GrantOrderRight {
         server: "e1".into(),
@@ -423,75 +404,3 @@
         .collect();
     assert_eq!(given, [1, 1, 2, 2, 3]);
 }
-
-// Operators and callers wait for keepers that start again for as long as those read their snapshot.
-// Hosts record what they serve by, twenty of them each second, and keepers have copied it to their
-// files long before. Kept by number and bytes alone, all of a quiet day lay in each snapshot.
-#[test]
-fn a_snapshot_holds_the_evidence_of_the_last_moments() {
-    let mut state = ReplicatedState::new(ReplicatedSettings::default());
-    let mut seen = Vec::new();
-    for second in 0..=600 {
-        for writer in 0..20 {
-            let command = ReplicatedCommand::RecordEvidence(batch(writer, 1, second, 1));
-            state.apply_command(LogIndex(second + 1), &stamped(second, command));
-        }
-        if second % 200 == 60 {
-            let kept = state.evidence().since(EvidencePosition(0)).count();
-            let bytes = state.snapshot().expect("encodes").len();
-            seen.push(format!(
-                "{second} s: {kept} records, under 100 kB: {}",
-                bytes < 100_000
-            ));
-        }
-    }
-    insta::assert_snapshot!(seen.join("\n"), @r"
-    60 s: 620 records, under 100 kB: true
-    260 s: 620 records, under 100 kB: true
-    460 s: 620 records, under 100 kB: true
-    ");
-}
-
-// Operators see: a keeper of this version starts from the snapshot that the version before it left, in
-// which records were lists of numbers without a time of arrival, and drops them in time.
-#[test]
-fn a_snapshot_of_the_format_before_is_read() {
-    let mut state = ReplicatedState::new(ReplicatedSettings::default());
-    let command = ReplicatedCommand::RecordEvidence(batch(1, 1, 0, 3));
-    state.apply_command(LogIndex(1), &stamped(0, command));
-    let mut tables: Value = ciborium::from_reader(&state.snapshot().unwrap()[..]).unwrap();
-    *field(&mut tables, "format") = Value::from(1);
-    let evidence = field(&mut tables, "evidence");
-    for record in field(evidence, "recent").as_array_mut().unwrap() {
-        let bytes = field(record, "record");
-        let numbers = bytes
-            .as_bytes()
-            .unwrap()
-            .iter()
-            .map(|byte| Value::from(*byte));
-        *bytes = Value::Array(numbers.collect());
-    }
-    remove_field(evidence, "arrivals");
-    remove_field(field(evidence, "retention"), "age");
-    let mut old = Vec::new();
-    ciborium::into_writer(&tables, &mut old).unwrap();
-    let mut restored = ReplicatedState::default();
-    restored.restore(&old).unwrap();
-    assert_eq!(restored.evidence().since(EvidencePosition(0)).count(), 3);
-    for second in [1, 40] {
-        let command = ReplicatedCommand::RecordEvidence(batch(2, 1, 0, 0));
-        restored.apply_command(LogIndex(second + 1), &stamped(second, command));
-    }
-    assert_eq!(restored.evidence().since(EvidencePosition(0)).count(), 0);
-}
-
-fn field<'map>(map: &'map mut Value, name: &str) -> &'map mut Value {
-    let entries = map.as_map_mut().unwrap().iter_mut();
-    let mut found = entries.filter(|(key, _)| key.as_text() == Some(name));
-    &mut found.next().unwrap().1
-}
-
-fn remove_field(map: &mut Value, name: &str) {
-    let entries = map.as_map_mut().unwrap();
-    entries.retain(|(key, _)| key.as_text() != Some(name));
-}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -306,7 +306,8 @@
     }
 
     /// A planned stop: asks the balancer to move away, then refuses new work, lets what runs
-    /// finish, and closes. True if everything finished within the drain timeout.
+    /// finish, and closes. True if everything finished within the drain timeout, which counts by the
+    /// steady clock: no lease rests on it, and a host that was suspended cuts nobody off for that.
     pub async fn drain(mut self) -> bool {
         self.life.advance(LifeStep::Leaving);
         if let Some(recorder) = self.context.recorder.get() {
