feat(leases): heartbeats by number, told over keepers in scopes; hosts named for heartbeats

Change: LeaseBatch tells names once and from then on number and age, two or three bytes; scopes Own, Area, All say who is told what; ages add up on the way, so detours renew nothing. AssignmentTable names entries for heartbeats by rendezvous hashing and moves on from one that a server does not reach. Loads that were never told are no longer repeated each eighth heartbeat.

--- a/crates/coordination/src/hosts.rs
+++ b/crates/coordination/src/hosts.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::base::{DataCentreName, HostName, MonotonicTime};
+use crate::leases::HeartbeatHost;
 
 /// Where a host takes links, and what it is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,6 +22,9 @@
     pub keeper: bool,
     /// Where it stands; `None` where its settings don't say so.
     pub data_centre: Option<DataCentreName>,
+    /// Where it takes heartbeats of backend servers that keepers send there; `None` where it takes none.
+    #[serde(default)]
+    pub heartbeats: Option<SocketAddr>,
 }
 
 /// What one host tells another of a third.
@@ -153,6 +157,18 @@
             .collect()
     }
 
+    /// Hosts that take heartbeats for keepers: who, in which data centre, and where.
+    pub fn heartbeat_hosts(&self) -> Vec<HeartbeatHost> {
+        let hosts = self.entries.iter().filter_map(|(host, entry)| {
+            Some(HeartbeatHost {
+                host: host.clone(),
+                data_centre: entry.reach.data_centre.clone()?,
+                address: entry.reach.heartbeats?,
+            })
+        });
+        hosts.collect()
+    }
+
     /// Number of hosts that are no keepers: they take callers.
     pub fn entries(&self) -> u32 {
         let entries = self.entries.values().filter(|entry| !entry.reach.keeper);
@@ -172,6 +188,12 @@
         entry.is_some_and(|entry| entry.reach.data_centre.as_ref() == Some(data_centre))
     }
 
+    /// Whether a host is a known keeper.
+    pub fn is_keeper(&self, host: &HostName) -> bool {
+        let entry = self.entries.get(host);
+        entry.is_some_and(|entry| entry.reach.keeper)
+    }
+
     /// Known keepers, by name.
     pub fn keepers(&self) -> impl Iterator<Item = &HostName> {
         let keepers = self.entries.iter().filter(|(_, entry)| entry.reach.keeper);
--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -5,8 +5,11 @@
 //! (incarnation, sequence) alone and never by arrival. [`LeaseTable::tick`] acts when leases run
 //! out; [`LeaseTable::delta`] feeds the other entries.
 
+mod assignment;
+mod batch;
 mod delta;
 mod digest;
+mod heard;
 mod load;
 mod record;
 mod settings;
@@ -18,17 +21,21 @@
 
 use slotmap::{SlotMap, new_key_type};
 
+pub use assignment::{AssignmentSettings, AssignmentTable, HeartbeatHost};
+pub use batch::{BatchOutcome, LeaseBatch, LeaseScope, NamedLease};
 pub use delta::{DeltaCursor, FullLease, LeaseDelta, LeaseRenewal};
 pub use digest::ContentDigest;
+pub use heard::{HeardFault, HeardLease, HeardLeases, LeaseNumber};
 pub use load::AnnouncedLoad;
 pub use record::{HeardFrom, LeaseNews, MergeVerdict, ServerAnnounce, ServerLease, ServerState};
 pub use settings::BackendLeaseSettings;
 pub use subset::{SubsetHost, SubsetSettings, entries_of, works_with};
 pub use worker::{WorkerLayers, WorkerOffer};
 
+use batch::NumberMap;
 use record::Hearing;
 
-use crate::base::{MonotonicTime, ServerName};
+use crate::base::{HostName, Incarnation, MonotonicTime, ServerName};
 
 new_key_type! {
     /// Key of a backend server's lease.
@@ -38,27 +45,41 @@
 /// Leases of all backend servers that this host has heard of.
 ///
 /// Invariants: `by_name` holds each lease of `leases` once; `by_expiry` holds each lease once,
-/// under its present deadline; a version in `by_version` is never reused.
+/// under its present deadline; neither a version in `by_version` nor a lease's number is reused.
 #[derive(Debug)]
 pub struct LeaseTable {
     settings: BackendLeaseSettings,
+    /// Tells this table from that of an earlier process of the host.
+    table: Incarnation,
     leases: SlotMap<LeaseKey, ServerLease>,
     by_name: BTreeMap<ServerName, LeaseKey>,
     by_expiry: BTreeSet<(MonotonicTime, LeaseKey)>,
     by_version: BTreeMap<u64, LeaseKey>,
     version: u64,
+    /// Number of the lease that was added last.
+    last_number: LeaseNumber,
+    /// Numbers that other hosts gave to leases held here.
+    numbers: BTreeMap<HostName, NumberMap>,
 }
 
 impl LeaseTable {
     /// An empty table.
     pub fn new(settings: BackendLeaseSettings) -> Self {
+        Self::numbered(settings, Incarnation(0))
+    }
+
+    /// An empty table whose numbers are told from those of others of the host by `table`.
+    pub fn numbered(settings: BackendLeaseSettings, table: Incarnation) -> Self {
         Self {
             settings,
+            table,
             leases: SlotMap::with_key(),
             by_name: BTreeMap::new(),
             by_expiry: BTreeSet::new(),
             by_version: BTreeMap::new(),
             version: 0,
+            last_number: LeaseNumber::default(),
+            numbers: BTreeMap::new(),
         }
     }
 
@@ -100,6 +121,7 @@
             self.by_expiry.pop_first();
             news.extend(self.expire(now, key));
         }
+        self.forget_numbers(now);
         news
     }
 
@@ -111,6 +133,12 @@
         self.get(server).is_some_and(|lease| lease.is_serving(now))
     }
 
+    /// Whether `announce` brings nothing but a heartbeat of a server that may get new work.
+    pub fn is_renewal(&self, now: MonotonicTime, announce: &ServerAnnounce) -> bool {
+        let lease = self.get(&announce.server);
+        lease.is_some_and(|lease| lease.is_serving(now) && !lease.differs_from(announce))
+    }
+
     /// The lease of `server`.
     pub fn get(&self, server: &ServerName) -> Option<&ServerLease> {
         self.leases.get(*self.by_name.get(server)?)
@@ -143,12 +171,13 @@
             return MergeVerdict::Full;
         }
         let name = announce.server.clone();
-        let lease = ServerLease::new(announce, hearing);
+        self.last_number = LeaseNumber(self.last_number.0.saturating_add(1));
+        let lease = ServerLease::new(announce, hearing, self.last_number);
         let deadline = lease.deadline;
         let key = self.leases.insert(lease);
         self.by_name.insert(name, key);
         self.by_expiry.insert((deadline, key));
-        self.touch(key, true);
+        self.touch(key, true, true);
         MergeVerdict::Changed
     }
 
@@ -174,13 +203,51 @@
             return MergeVerdict::Left;
         }
         let changed = lease.differs_from(&announce);
+        self.renew(key, announce, hearing, changed)
+    }
+
+    /// The server of a lease was heard again, by a host that says no more than that.
+    fn hear_again(
+        &mut self,
+        now: MonotonicTime,
+        key: LeaseKey,
+        incarnation: Incarnation,
+        age: Duration,
+        from: HeardFrom,
+    ) -> Option<MergeVerdict> {
+        let lease = self.leases.get(key)?;
+        let heard_at = now.before(age);
+        let is_known = heard_at <= lease.heard_at;
+        if is_known || age >= self.settings.lease || lease.announce.incarnation != incarnation {
+            return None;
+        }
+        let hearing = Hearing {
+            heard_at,
+            deadline: now.after(self.settings.lease.saturating_sub(age)),
+            from,
+        };
+        let (announce, ended) = (lease.announce.clone(), lease.ended);
+        Some(self.renew(key, announce, hearing, ended))
+    }
+
+    fn renew(
+        &mut self,
+        key: LeaseKey,
+        announce: ServerAnnounce,
+        hearing: Hearing,
+        is_changed: bool,
+    ) -> MergeVerdict {
+        let Some(lease) = self.leases.get_mut(key) else {
+            return MergeVerdict::Stale;
+        };
         let old_deadline = lease.deadline;
+        let is_moved = lease.from != hearing.from;
         lease.renew(announce, hearing);
         let deadline = lease.deadline;
         self.by_expiry.remove(&(old_deadline, key));
         self.by_expiry.insert((deadline, key));
-        self.touch(key, changed);
-        if changed {
+        self.touch(key, is_changed, is_moved);
+        if is_changed {
             MergeVerdict::Changed
         } else {
             MergeVerdict::Renewed
@@ -209,14 +276,14 @@
         self.by_version.remove(&lease.version);
     }
 
-    fn touch(&mut self, key: LeaseKey, is_changed: bool) {
+    fn touch(&mut self, key: LeaseKey, is_changed: bool, is_moved: bool) {
         self.version += 1;
         let version = self.version;
         let Some(lease) = self.leases.get_mut(key) else {
             return;
         };
         self.by_version.remove(&lease.version);
-        lease.touch(version, is_changed);
+        lease.touch(version, is_changed, is_moved);
         self.by_version.insert(version, key);
     }
 }
--- a/crates/coordination/src/leases/delta.rs
+++ b/crates/coordination/src/leases/delta.rs
@@ -114,6 +114,14 @@
 }
 
 impl LeaseDelta {
+    /// Life of the server's process.
+    pub fn incarnation(&self) -> Incarnation {
+        match self {
+            Self::Full(full) => full.announce.incarnation,
+            Self::Renewal(renewal) => renewal.incarnation,
+        }
+    }
+
     /// The server.
     pub fn server(&self) -> &ServerName {
         match self {
@@ -167,13 +175,24 @@
         now: MonotonicTime,
         delta: LeaseDelta,
         transit: Duration,
+    ) -> MergeVerdict {
+        self.merge_delta_from(now, delta, transit, HeardFrom::Peer)
+    }
+
+    /// Takes a delta from another host, which is `from` as this one sees it.
+    pub(super) fn merge_delta_from(
+        &mut self,
+        now: MonotonicTime,
+        delta: LeaseDelta,
+        transit: Duration,
+        from: HeardFrom,
     ) -> MergeVerdict {
         match delta {
             LeaseDelta::Full(full) => {
                 let age = full.age.saturating_add(transit);
-                self.merge_heard(now, full.announce, age, HeardFrom::Peer)
+                self.merge_heard(now, full.announce, age, from)
             }
-            LeaseDelta::Renewal(renewal) => self.merge_renewal(now, renewal, transit),
+            LeaseDelta::Renewal(renewal) => self.merge_renewal(now, renewal, transit, from),
         }
     }
 
@@ -182,14 +201,25 @@
         now: MonotonicTime,
         renewal: LeaseRenewal,
         transit: Duration,
+        from: HeardFrom,
     ) -> MergeVerdict {
         let age = renewal.age.saturating_add(transit);
         if age >= self.settings.lease {
             return MergeVerdict::Stale;
         }
-        let Some(lease) = self.get(&renewal.server) else {
+        let Some(key) = self.by_name.get(&renewal.server).copied() else {
             return MergeVerdict::Unknown;
         };
+        let Some(lease) = self.leases.get(key) else {
+            return MergeVerdict::Unknown;
+        };
+        let held = (lease.announce.incarnation, lease.announce.sequence);
+        if held == (renewal.incarnation, renewal.sequence) && lease.digest == renewal.digest {
+            // The same announcement, of a server that was heard since: the numbers of heartbeats are
+            // not passed on.
+            let heard = self.hear_again(now, key, renewal.incarnation, age, from);
+            return heard.unwrap_or(MergeVerdict::Stale);
+        }
         if !lease.is_outranked_by(renewal.incarnation, renewal.sequence) {
             return MergeVerdict::Stale;
         }
@@ -205,7 +235,7 @@
             load: renewal.load.unwrap_or(held.load),
             ..held.clone()
         };
-        self.merge_heard(now, announce, age, HeardFrom::Peer)
+        self.merge_heard(now, announce, age, from)
     }
 }
 
@@ -214,19 +244,29 @@
         !self.ended && self.from == HeardFrom::Server
     }
 
-    fn full_delta(&self, now: MonotonicTime) -> LeaseDelta {
+    pub(super) fn full_delta(&self, now: MonotonicTime) -> LeaseDelta {
         LeaseDelta::Full(FullLease {
             announce: self.announce.clone(),
             age: now.since(self.heard_at),
         })
     }
 
-    fn delta_since(&self, now: MonotonicTime, cursor: DeltaCursor) -> LeaseDelta {
+    pub(super) fn delta_since(&self, now: MonotonicTime, cursor: DeltaCursor) -> LeaseDelta {
         if self.content_version > cursor.complete {
             return self.full_delta(now);
         }
-        let is_due = self.announce.sequence.0.is_multiple_of(LOAD_PERIOD);
-        let tells_load = is_due || self.load_version > cursor.complete;
+        self.renewal(now, self.tells_load(cursor))
+    }
+
+    /// Whether a receiver that was told up to `cursor` is to be told the load.
+    pub(super) fn tells_load(&self, cursor: DeltaCursor) -> bool {
+        // Only who hears the server itself knows the numbers of its heartbeats.
+        let is_heard = self.from == HeardFrom::Server && self.has_load;
+        let is_due = is_heard && self.announce.sequence.0.is_multiple_of(LOAD_PERIOD);
+        is_due || self.load_version > cursor.complete
+    }
+
+    pub(super) fn renewal(&self, now: MonotonicTime, tells_load: bool) -> LeaseDelta {
         LeaseDelta::Renewal(LeaseRenewal {
             server: self.announce.server.clone(),
             incarnation: self.announce.incarnation,
--- a/crates/coordination/src/leases/record.rs
+++ b/crates/coordination/src/leases/record.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{AnnouncedLoad, ContentDigest};
+use super::{AnnouncedLoad, ContentDigest, LeaseNumber};
 use crate::base::{DataCentreName, Incarnation, MonotonicTime, SequenceNumber, ServerName};
 
 /// Whether a server asks for work.
@@ -45,14 +45,18 @@
 /// Lease of one backend server on this host.
 ///
 /// Invariants: (incarnation, sequence) of `announce` never falls; `ended` is false only while the
-/// lease runs; `version` is unique in the table, and neither `content_version` nor `load_version`
-/// is above it; `digest` is that of `announce`; `told_load` is within a step of `announce.load`.
+/// lease runs; `version` is unique in the table, and none of `content_version`, `from_version` and
+/// `load_version` is above it; `digest` is that of `announce`; `told_load` is within a step of `announce.load`.
 #[derive(Clone, Debug, Serialize)]
 pub struct ServerLease {
+    /// Number by which other hosts are told of heartbeats.
+    pub number: LeaseNumber,
     /// Last announcement in (incarnation, sequence) order.
     pub announce: ServerAnnounce,
     /// When that announcement was heard by the entry that it went to, in this host's time.
     pub heard_at: MonotonicTime,
+    /// Since when the server is known here without a break, in this host's time.
+    pub since: MonotonicTime,
     /// End of the lease; once ended, the time at which the server is forgotten.
     pub deadline: MonotonicTime,
     /// Whom the announcement was heard from.
@@ -63,26 +67,34 @@
     pub version: u64,
     /// Version of the table when `digest` last changed.
     pub content_version: u64,
+    /// Version of the table when `from` last changed: who is told of the lease depends on it.
+    pub from_version: u64,
     /// Version of the table when `told_load` last changed.
     pub load_version: u64,
     /// Digest of the announcement's content.
     pub digest: ContentDigest,
     /// Load that peers are told.
     pub told_load: AnnouncedLoad,
+    /// Whether the server ever told a load.
+    pub has_load: bool,
 }
 
 impl ServerLease {
-    pub(super) fn new(announce: ServerAnnounce, hearing: Hearing) -> Self {
+    pub(super) fn new(announce: ServerAnnounce, hearing: Hearing, number: LeaseNumber) -> Self {
         Self {
+            number,
             heard_at: hearing.heard_at,
+            since: hearing.heard_at,
             deadline: hearing.deadline,
             from: hearing.from,
             ended: false,
             version: 0,
             content_version: 0,
+            from_version: 0,
             load_version: 0,
             digest: ContentDigest::of(&announce),
             told_load: announce.load,
+            has_load: announce.load != AnnouncedLoad::default(),
             announce,
         }
     }
@@ -112,8 +124,11 @@
     }
 
     /// Marks what peers must be told again, as of `version` of the table.
-    pub(super) fn touch(&mut self, version: u64, is_changed: bool) {
+    pub(super) fn touch(&mut self, version: u64, is_changed: bool, is_moved: bool) {
         self.version = version;
+        if is_moved {
+            self.from_version = version;
+        }
         if is_changed {
             self.digest = ContentDigest::of(&self.announce);
             self.content_version = version;
@@ -125,6 +140,10 @@
     }
 
     pub(super) fn renew(&mut self, announce: ServerAnnounce, hearing: Hearing) {
+        if self.ended || self.announce.incarnation != announce.incarnation {
+            self.since = hearing.heard_at;
+        }
+        self.has_load |= announce.load != AnnouncedLoad::default();
         self.announce = announce;
         self.heard_at = hearing.heard_at;
         self.from = hearing.from;
@@ -146,6 +165,8 @@
     Server,
     /// Another host, which heard the server itself.
     Peer,
+    /// A keeper, which passes on what it was told.
+    Keeper,
 }
 
 /// When an announcement was heard, and how long it holds.
--- a/crates/coordination/src/leases/subset.rs
+++ b/crates/coordination/src/leases/subset.rs
@@ -83,7 +83,8 @@
     entries.iter().any(|entry| entry.host == *host)
 }
 
-fn weight(server: &ServerName, host: &HostName) -> u64 {
+/// Weight of a pair in rendezvous hashing; the host with the highest has the server.
+pub(super) fn weight(server: &ServerName, host: &HostName) -> u64 {
     let mut hasher = Sha256::new();
     hasher.update((server.as_str().len() as u64).to_be_bytes());
     hasher.update(server.as_str().as_bytes());
--- a/crates/coordination/tests/hosts_found.rs
+++ b/crates/coordination/tests/hosts_found.rs
@@ -17,6 +17,7 @@
         address: SocketAddr::from(([10, 0, 0, 1], port)),
         keeper,
         data_centre: None,
+        heartbeats: None,
     }
 }
 
@@ -100,8 +101,8 @@
         lines.push(format!("{second} s, {told}: {news:?}"));
     }
     insta::assert_snapshot!(lines.join("\n"), @r#"
-    1 s, k at 10.0.0.1:1 aged 0ns: Some(Reach { host: HostName("k"), reach: HostReach { address: 10.0.0.1:1, keeper: true, data_centre: None } })
-    2 s, k at 10.0.0.1:2 aged 0ns: Some(Reach { host: HostName("k"), reach: HostReach { address: 10.0.0.1:2, keeper: true, data_centre: None } })
+    1 s, k at 10.0.0.1:1 aged 0ns: Some(Reach { host: HostName("k"), reach: HostReach { address: 10.0.0.1:1, keeper: true, data_centre: None, heartbeats: None } })
+    2 s, k at 10.0.0.1:2 aged 0ns: Some(Reach { host: HostName("k"), reach: HostReach { address: 10.0.0.1:2, keeper: true, data_centre: None, heartbeats: None } })
     3 s, k at 10.0.0.1:1 aged 2s: None
     4 s, k at 10.0.0.1:3 aged 2s: None
     5 s, own at 10.0.0.1:9 aged 0ns: None
--- a/crates/standins/benches/capacity.rs
+++ b/crates/standins/benches/capacity.rs
@@ -10,7 +10,8 @@
     AttemptNumber, Incarnation, LayerRange, SequenceNumber, TokenPosition,
 };
 use pollendrift_coordination::leases::{
-    AnnouncedLoad, BackendLeaseSettings, LeaseDelta, LeaseTable, ServerAnnounce, ServerState,
+    AnnouncedLoad, BackendLeaseSettings, LeaseBatch, LeaseScope, LeaseTable, ServerAnnounce,
+    ServerState,
 };
 use pollendrift_coordination::ledger::{
     ChainLink, GeneratedToken, LedgerSettings, TokenLedger, TokenResult, TokenText,
@@ -74,11 +75,11 @@
     group.finish();
 }
 
-fn renewals() -> Vec<LeaseDelta> {
+fn renewals() -> LeaseBatch {
     let mut table = LeaseTable::new(BackendLeaseSettings::default());
     let now = pollendrift_coordination::base::MonotonicTime::START;
     let mut cursor = Default::default();
-    let mut deltas = Vec::new();
+    let mut batch = table.batch(now, cursor, 1, LeaseScope::Own).0;
     for sequence in 1..=2 {
         for index in 0..RENEWALS {
             let announce = ServerAnnounce {
@@ -95,9 +96,11 @@
             table.merge(now.after(Duration::from_secs(sequence)), announce);
         }
         let limit = usize::try_from(RENEWALS).unwrap_or(usize::MAX);
-        (deltas, cursor) = table.delta(now.after(Duration::from_secs(2)), cursor, limit + 1);
+        let now = now.after(Duration::from_secs(2));
+        let (told, reached) = table.batch(now, cursor, limit + 1, LeaseScope::Own);
+        (batch, cursor) = (told, reached);
     }
-    deltas
+    batch
 }
 
 fn frames(criterion: &mut Criterion) {
--- a/crates/standins/examples/experiment/spreading.rs
+++ b/crates/standins/examples/experiment/spreading.rs
@@ -6,7 +6,8 @@
 use pollendrift::peers::{PeerFrame, decode_frame, encode_frame};
 use pollendrift_coordination::base::{HostName, MonotonicTime, ServerName};
 use pollendrift_coordination::leases::{
-    BackendLeaseSettings, DeltaCursor, LeaseDelta, SubsetHost, SubsetSettings, entries_of,
+    BackendLeaseSettings, DeltaCursor, HeardFrom, LeaseBatch, LeaseDelta, LeaseScope, NamedLease,
+    SubsetHost, SubsetSettings, entries_of,
 };
 use pollendrift_coordination::routing::RoutingSettings;
 
@@ -38,21 +39,21 @@
     fleet: &BackendFleet,
     now: MonotonicTime,
     mut cursor: DeltaCursor,
-) -> (Vec<Vec<LeaseDelta>>, DeltaCursor) {
+) -> (Vec<LeaseBatch>, DeltaCursor) {
     let mut frames = Vec::new();
     loop {
-        let (deltas, reached) = fleet.own_delta(now, cursor, FRAME_LEASES);
-        if deltas.is_empty() {
+        let (batch, reached) = fleet.batch(now, cursor, FRAME_LEASES, LeaseScope::Own);
+        if batch.is_empty() {
             return (frames, reached);
         }
         cursor = reached;
-        frames.push(deltas);
+        frames.push(batch);
     }
 }
 
-fn encoded_bytes(frames: &[Vec<LeaseDelta>]) -> usize {
-    let bytes = |deltas: &Vec<LeaseDelta>| {
-        let frame = PeerFrame::Leases(deltas.clone());
+fn encoded_bytes(frames: &[LeaseBatch]) -> usize {
+    let bytes = |batch: &LeaseBatch| {
+        let frame = PeerFrame::Leases(batch.clone());
         encode_frame(&frame, FRAME_BOUND).map_or(0, |bytes| bytes.len())
     };
     frames.iter().map(bytes).sum()
@@ -79,8 +80,8 @@
             bytes += encoded_bytes(&frames);
             loads += frames
                 .iter()
-                .flatten()
-                .filter(|delta| tells_load(delta))
+                .flat_map(|batch| &batch.named)
+                .filter(|named| tells_load(named))
                 .count();
             last = frames;
         }
@@ -92,8 +93,8 @@
     vec![full, renewed, told, encode]
 }
 
-fn tells_load(delta: &LeaseDelta) -> bool {
-    match delta {
+fn tells_load(named: &NamedLease) -> bool {
+    match &named.delta {
         LeaseDelta::Full(_) => true,
         LeaseDelta::Renewal(renewal) => renewal.load.is_some(),
     }
@@ -158,9 +159,9 @@
     vec![full, renewed]
 }
 
-fn encode_all(frames: &[Vec<LeaseDelta>]) -> Vec<Vec<u8>> {
-    let encode = |deltas: &Vec<LeaseDelta>| {
-        let frame = PeerFrame::Leases(deltas.clone());
+fn encode_all(frames: &[LeaseBatch]) -> Vec<Vec<u8>> {
+    let encode = |batch: &LeaseBatch| {
+        let frame = PeerFrame::Leases(batch.clone());
         match encode_frame(&frame, FRAME_BOUND) {
             Ok(bytes) => bytes.to_vec(),
             Err(error) => fail(&error.to_string()),
@@ -170,13 +171,12 @@
 }
 
 fn take_all(fleet: &BackendFleet, now: MonotonicTime, frames: &[Vec<u8>]) {
+    let sender = HostName::from("sender");
     for bytes in frames {
-        let Ok(PeerFrame::Leases(deltas)) = decode_frame(bytes) else {
+        let Ok(PeerFrame::Leases(batch)) = decode_frame(bytes) else {
             fail("an encoded frame can't be read");
         };
-        for delta in deltas {
-            fleet.merge_delta(now, delta, Duration::ZERO);
-        }
+        fleet.take_batch(now, (&sender, HeardFrom::Peer), batch, Duration::ZERO);
     }
 }
 
