perf(feed): one read barrier for all that wait, longer pauses while none leads

Cause: while no keeper leads, each host asked keepers every 20 ms for its life and each question for the configuration asked all keepers again and again: with 291 hosts thousands of questions a second, read from the code, not counted. Statements that repeat themselves come more seldom with more hosts.

--- a/crates/coordination/src/following.rs
+++ b/crates/coordination/src/following.rs
@@ -155,6 +155,11 @@
         })
     }
 
+    /// The keeper that is asked now.
+    pub fn followed(&self) -> Option<&HostName> {
+        self.keeper()
+    }
+
     /// The keeper whose turn it is.
     fn keeper(&self) -> Option<&HostName> {
         let turn = self.turn.checked_rem(self.near.len() + self.far.len())?;
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -3,6 +3,7 @@
 //! Every host follows in the same way, keepers included: an isolated keeper has the old state on
 //! its disk and must not serve it.
 
+mod barrier;
 mod copy;
 
 use std::collections::BTreeMap;
@@ -18,6 +19,7 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 
+use self::barrier::SharedBarrier;
 use self::copy::{ConfigurationCopy, CopyVerdict, OfferedContent, content_for};
 use crate::agreed::StaleConfiguration;
 use crate::clock::TimeSource;
@@ -28,8 +30,10 @@
 use crate::state::SharedState;
 use crate::telemetry::RecorderSlot;
 
-/// Time between two statements of the revision held, if it does not change.
+/// Least time between two statements of the revision held, if it does not change.
 const STATEMENT_PERIOD: Duration = Duration::from_secs(1);
+/// Time that each peer adds to it, beyond the least: every host states it to every peer.
+const STATEMENT_SHARE: Duration = Duration::from_millis(10);
 
 /// What a peer said that it serves.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -57,6 +61,7 @@
     recorder: Arc<RecorderSlot>,
     wake: Notify,
     patience: Duration,
+    barriers: SharedBarrier,
 }
 
 /// The content that was answered last. After a change all hosts ask from the same revision; without it
@@ -125,6 +130,7 @@
             recorder,
             wake: Notify::new(),
             patience: settings.period,
+            barriers: SharedBarrier::default(),
         }
     }
 
@@ -164,6 +170,11 @@
         (held, state.follower.remaining(now))
     }
 
+    /// The keeper that this host asks; `None` before it knows one.
+    pub(crate) fn followed(&self) -> Option<HostName> {
+        self.lock().follower.followed().cloned()
+    }
+
     /// Revisions that hosts serve, this one included.
     pub fn in_force(&self) -> Vec<PeerRevision> {
         let now = self.clock.now();
@@ -244,7 +255,7 @@
             if let Some(question) = question {
                 tokio::spawn(Arc::clone(&self).ask(question));
             }
-            if now.since(stated_at) >= STATEMENT_PERIOD {
+            if now.since(stated_at) >= self.statement_period() {
                 self.state_revision();
                 self.record_revision(now);
                 stated_at = now;
@@ -257,6 +268,11 @@
         }
     }
 
+    fn statement_period(&self) -> Duration {
+        let entries = self.hub.discovery().and_then(|found| found.entries());
+        STATEMENT_PERIOD.max(STATEMENT_SHARE * entries.unwrap_or(0))
+    }
+
     async fn ask(self: Arc<Self>, question: RevisionQuestion) {
         let answer = if question.keeper == *self.hub.host() {
             self.read_own().await
@@ -318,10 +334,11 @@
     /// State of this host's keeper, which holds all that was accepted before this call.
     async fn read_barrier(&self) -> Result<&SharedState, String> {
         let shared = self.shared.as_ref().ok_or("this host has no keeper")?;
-        self.client
-            .read_barrier()
-            .await
-            .map_err(|error| error.to_string())?;
+        let read = async || {
+            let index = self.client.read_barrier().await;
+            index.map(drop).map_err(|error| error.to_string())
+        };
+        self.barriers.pass(read).await?;
         Ok(shared)
     }
 
--- a/crates/daemon/src/keeper/client.rs
+++ b/crates/daemon/src/keeper/client.rs
@@ -19,8 +19,10 @@
     pub patience: Duration,
     /// Time for one attempt at one keeper.
     pub attempt: Duration,
-    /// Wait before the keepers are asked again while none leads.
+    /// First wait before the keepers are asked again while none leads; each further one is twice as long.
     pub pause: Duration,
+    /// Longest such wait.
+    pub longest_pause: Duration,
 }
 
 /// Least time that must be left for another attempt: within it a busy host answers.
@@ -35,6 +37,7 @@
             patience: Duration::from_secs(5),
             attempt: Duration::from_millis(1_500),
             pause: Duration::from_millis(20),
+            longest_pause: Duration::from_millis(200),
         }
     }
 }
@@ -139,6 +142,7 @@
         let mut unknown = None;
         let mut reason = "no keeper is known".to_owned();
         let mut next = self.first_choice();
+        let mut pause = self.settings.pause;
         let mut asked = 0;
         loop {
             let Some(host) = next.take().or_else(|| self.choice(asked)) else {
@@ -162,7 +166,9 @@
             }
             if next.is_none() {
                 self.remember(None);
-                sleep(self.settings.pause).await;
+                // Hundreds of hosts that ask at the same pace would keep keepers from electing a leader.
+                sleep(pause.mul_f64(rand::random_range(0.5..=1.0))).await;
+                pause = (pause * 2).min(self.settings.longest_pause);
             }
             if Instant::now() + LEAST_ATTEMPT >= deadline {
                 return Err(
