perf(peers): links cost a keeper the same however many hosts there are; peers found at once

Cause: two links a pair of host and keeper, each tried every 300 ms: about 4,000 frames a second on a keeper at 300 machines. After a restart of all, a first packet that met a seed without power was sent again a second later, and keepers told of each other at ticks of half a second. Change: heartbeats on links with an entry at one end are spaced by the number of entries; four dials at a time; waits between attempts grow with the fleet. Connections open within 250 ms or are tried anew; seeds are asked at 30 ms and up; a link that comes up is welcomed with the keepers.

--- a/crates/daemon/src/peers/backoff.rs
+++ b/crates/daemon/src/peers/backoff.rs
@@ -13,7 +13,6 @@
 /// spreads them. A seed for each pair of hosts keeps the spread the same at every run.
 pub(super) struct RetryBackoff {
     first: Duration,
-    most: Duration,
     next: Duration,
     random: ChaCha8Rng,
 }
@@ -22,16 +21,15 @@
     pub(super) fn new(settings: &LinkSettings, salt: u64) -> Self {
         Self {
             first: settings.retry_first,
-            most: settings.retry_most,
             next: settings.retry_first,
             random: ChaCha8Rng::seed_from_u64(settings.seed ^ salt),
         }
     }
 
-    /// Wait before the next attempt: between half and the whole of a bound that doubles.
-    pub(super) fn next_wait(&mut self) -> Duration {
+    /// Wait before the next attempt: between half and the whole of a bound that doubles up to `most`.
+    pub(super) fn next_wait(&mut self, most: Duration) -> Duration {
         let bound = self.next;
-        self.next = (bound * 2).min(self.most);
+        self.next = (bound * 2).min(most);
         bound.mul_f64(self.random.random_range(0.5..=1.0))
     }
 
@@ -47,10 +45,12 @@
 
     #[test]
     fn waits_double_up_to_the_bound_and_start_over() {
-        let mut backoff = RetryBackoff::new(&LinkSettings::default(), 7);
-        let mut waits: Vec<u128> = (0..8).map(|_| backoff.next_wait().as_millis()).collect();
+        let settings = LinkSettings::default();
+        let mut backoff = RetryBackoff::new(&settings, 7);
+        let mut next = || backoff.next_wait(settings.retry_most).as_millis();
+        let mut waits: Vec<u128> = (0..8).map(|_| next()).collect();
         backoff.reset();
-        waits.push(backoff.next_wait().as_millis());
+        waits.push(backoff.next_wait(settings.retry_most).as_millis());
         insta::assert_compact_json_snapshot!(waits, @"[11, 23, 68, 138, 256, 434, 541, 924, 13]");
     }
 }
--- a/crates/daemon/src/peers/discovery.rs
+++ b/crates/daemon/src/peers/discovery.rs
@@ -9,7 +9,9 @@
 use pollendrift_coordination::hosts::{
     DirectorySettings, HostDirectory, HostNews, HostNote, HostReach,
 };
-use tokio::time::{MissedTickBehavior, interval};
+use pollendrift_coordination::leases::HeartbeatHost;
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::frame::PeerFrame;
 use super::hub::{PeerAddress, PeerHub};
@@ -17,9 +19,12 @@
 
 /// Time between two looks at seeds that are not known yet, and between two tellings of keepers while
 /// those change: a new keeper is known to every host two tellings after it came.
-const DISCOVERY_TICK: Duration = Duration::from_millis(500);
+const DISCOVERY_TICK: Duration = Duration::from_millis(250);
+/// First wait before a seed that is not known is asked again; each further one is twice as long, up to a
+/// tick. Hosts of a fleet start within a moment of each other, and none waits for its seeds.
+const FIRST_SEED_WAIT: Duration = Duration::from_millis(30);
 /// Ticks between two tellings of the same keepers, as every keeper tells every host.
-const TICKS_UNCHANGED: u32 = 6;
+const TICKS_UNCHANGED: u32 = 12;
 
 /// What discovery starts from.
 #[derive(Clone, Debug)]
@@ -36,30 +41,30 @@
 #[derive(Debug, Default)]
 struct ToldHosts {
     keepers: Vec<(HostName, HostReach)>,
-    entries: u32,
+    /// Sorted.
     peers: Vec<HostName>,
     ticks: u32,
 }
 
 impl ToldHosts {
-    /// Whether peers are to be told now; what changed is told at once, and to whoever has just come.
-    fn is_due(&mut self, keepers: &[HostNote], entries: u32, peers: &[HostName]) -> bool {
+    /// Who of `peers` is to be told now: all if keepers changed, who has just come, and all once in a while.
+    fn due(&mut self, keepers: &[HostNote], peers: Vec<HostName>) -> Vec<HostName> {
         let known = keepers.iter().map(|note| (&note.host, &note.reach));
-        let is_same = entries == self.entries
-            && known.eq(self.keepers.iter().map(|(host, reach)| (host, reach)))
-            && peers == self.peers;
+        let is_same = known.eq(self.keepers.iter().map(|(host, reach)| (host, reach)));
         self.ticks += 1;
         if is_same && self.ticks < TICKS_UNCHANGED {
-            return false;
+            let is_new = |peer: &&HostName| self.peers.binary_search(peer).is_err();
+            let new = peers.iter().filter(is_new).cloned().collect();
+            self.peers = peers;
+            return new;
         }
         let keepers = keepers.iter();
         self.keepers = keepers
             .map(|note| (note.host.clone(), note.reach.clone()))
             .collect();
-        self.entries = entries;
-        self.peers = peers.to_vec();
+        self.peers = peers.clone();
         self.ticks = 0;
-        true
+        peers
     }
 }
 
@@ -118,6 +123,19 @@
         keepers
     }
 
+    /// Whether `host` is a known keeper.
+    pub fn is_keeper(&self, host: &HostName) -> bool {
+        if *host == self.host {
+            return self.reach.keeper;
+        }
+        self.lock().is_keeper(host)
+    }
+
+    /// Hosts that take heartbeats for keepers.
+    pub fn heartbeat_hosts(&self) -> Vec<HeartbeatHost> {
+        self.lock().heartbeat_hosts()
+    }
+
     /// Whether `host` stands in this host's data centre.
     pub fn is_near(&self, host: &HostName) -> bool {
         let own = self.reach.data_centre.as_ref();
@@ -155,26 +173,41 @@
 
     /// Looks for peers for as long as the process runs.
     pub(super) async fn run(self: Arc<Self>, hub: PeerHub) {
+        let mut seeds = JoinSet::new();
+        for seed in &self.seeds {
+            seeds.spawn(Arc::clone(&self).seek(hub.clone(), *seed));
+        }
         let mut ticks = interval(DISCOVERY_TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut told = ToldHosts::default();
         loop {
             ticks.tick().await;
-            for seed in self.unknown_seeds() {
-                tokio::spawn(Arc::clone(&self).ask_seed(hub.clone(), seed));
-            }
             self.tell(&hub, &mut told);
         }
     }
 
-    async fn ask_seed(self: Arc<Self>, hub: PeerHub, seed: SocketAddr) {
+    /// Asks who is at a seed address whenever no known host is.
+    async fn seek(self: Arc<Self>, hub: PeerHub, seed: SocketAddr) {
+        let mut wait = FIRST_SEED_WAIT;
+        loop {
+            if self.is_known(seed) {
+                wait = DISCOVERY_TICK;
+            } else {
+                self.ask_seed(&hub, seed).await;
+            }
+            sleep(wait).await;
+            wait = (wait * 2).min(DISCOVERY_TICK);
+        }
+    }
+
+    async fn ask_seed(&self, hub: &PeerHub, seed: SocketAddr) {
         // A certificate would have to name the host, which is what is asked; seeds are for networks
         // that are protected otherwise.
         let nameless = HostName::from("seed");
-        match ask_name(&hub, &nameless, seed).await {
+        match ask_name(hub, &nameless, seed).await {
             Ok(hello) => {
                 if let Some(reach) = hello.reach {
-                    self.greet(&hub, &hello.host, reach);
+                    self.greet(hub, &hello.host, reach);
                 }
             }
             Err(error) => log::debug!(seed:% = seed, error:% = error; "seed does not answer"),
@@ -202,10 +235,10 @@
             let directory = self.lock();
             (directory.notes(now), directory.entries())
         };
-        let peers = hub.up_hosts();
-        if told.is_due(&keepers, entries, &peers) {
+        let due = told.due(&keepers, hub.up_hosts());
+        if !due.is_empty() {
             // A frame that is lost is made up for by the next telling.
-            hub.send_to(&peers, &PeerFrame::Hosts { keepers, entries });
+            hub.send_to(&due, &PeerFrame::Hosts { keepers, entries });
         }
     }
 
@@ -224,12 +257,22 @@
         }
     }
 
-    fn unknown_seeds(&self) -> Vec<SocketAddr> {
-        let directory = self.lock();
-        let seeds = self.seeds.iter().copied();
-        seeds
-            .filter(|seed| self.host_at(&directory, *seed).is_none())
-            .collect()
+    /// Tells a host whose link has just come up which keepers there are, where this host is one. By the
+    /// next tick it would have waited for half a second, after each start of the whole system.
+    pub(super) fn welcome(&self, hub: &PeerHub, host: &HostName) {
+        if !self.reach.keeper {
+            return;
+        }
+        let (keepers, entries) = {
+            let directory = self.lock();
+            (directory.notes(self.clock.now()), directory.entries())
+        };
+        // It is told again with the next tick.
+        let _ = hub.send(host, &PeerFrame::Hosts { keepers, entries });
+    }
+
+    fn is_known(&self, seed: SocketAddr) -> bool {
+        self.host_at(&self.lock(), seed).is_some()
     }
 
     fn host_at(&self, directory: &HostDirectory, address: SocketAddr) -> Option<HostName> {
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -8,7 +8,7 @@
 use pollendrift_coordination::base::{HostName, Incarnation, RequestId, Revision, ServerName};
 use pollendrift_coordination::configuration::ConfigurationDelta;
 use pollendrift_coordination::hosts::{HostNote, HostReach};
-use pollendrift_coordination::leases::LeaseDelta;
+use pollendrift_coordination::leases::{LeaseBatch, LeaseNumber};
 use pollendrift_coordination::routing::EngineNote;
 use pollendrift_coordination::streams::StreamNote;
 use pollendrift_store::JoinedGroup;
@@ -20,7 +20,7 @@
 use super::packing::{pack, unpack};
 
 /// Version of the frames. Peers of another version are refused, never guessed at.
-pub const PEER_PROTOCOL: u32 = 4;
+pub const PEER_PROTOCOL: u32 = 5;
 
 /// Deepest nesting of a frame; the deepest that is sent has about ten levels.
 const FRAME_DEPTH: usize = 32;
@@ -246,7 +246,7 @@
     /// Tokens that go to a caller of the sender.
     Stream(StreamNote),
     /// Leases of backend servers that changed or were renewed.
-    Leases(Vec<LeaseDelta>),
+    Leases(LeaseBatch),
     /// What a survey of engines found.
     Survey {
         /// What it found.
@@ -256,6 +256,9 @@
     },
     /// Asks for full announcements of servers that the receiver renewed and the sender lacks.
     LeaseQuestion(Vec<ServerName>),
+    /// Asks for the names of leases that the receiver renewed by numbers which the sender lacks, in rising
+    /// order.
+    LeaseNumbers(Vec<LeaseNumber>),
 }
 
 impl PeerFrame {
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -44,6 +44,22 @@
     pub address: SocketAddr,
 }
 
+/// Heartbeats without an echo after which a link counts as broken.
+const SILENT_HEARTBEATS: u32 = 4;
+/// Heartbeats of a working link that an attempt to open one costs as much as.
+const WAITED_HEARTBEATS: u32 = 2;
+
+/// How often a link is tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct LinkPace {
+    /// Time between two heartbeats.
+    pub(super) heartbeat: Duration,
+    /// Silence after which the link counts as broken.
+    pub(super) silence: Duration,
+    /// Longest wait between two attempts to open it.
+    pub(super) longest_wait: Duration,
+}
+
 /// Receiver of frames. Its methods run on the link's task and must not block; what takes time is
 /// spawned.
 pub trait PeerHandler: Send + Sync {
@@ -159,6 +175,7 @@
     pub(super) dialer: Box<dyn PeerDialer>,
     pub(super) handler: Arc<dyn PeerHandler>,
     pub(super) handshakes: Semaphore,
+    pub(super) dials: Semaphore,
     slots: RwLock<BTreeMap<HostName, Arc<PeerSlot>>>,
     pub(super) calls: CallTable,
 }
@@ -188,6 +205,7 @@
         dialer,
         handler,
         handshakes: Semaphore::new(settings.handshakes),
+        dials: Semaphore::new(settings.dials),
         calls: CallTable::new(settings.open_calls),
         slots: RwLock::default(),
         settings,
@@ -285,6 +303,24 @@
         }
     }
 
+    /// How often the link to `host` is tried. Keepers depend on each other and try theirs often. All other
+    /// links together cost a keeper the same, however many there are.
+    pub(super) fn pace_of(&self, host: &HostName) -> LinkPace {
+        let settings = &self.shared.settings;
+        let is_between_keepers =
+            |discovery: &PeerDiscovery| discovery.own_reach().keeper && discovery.is_keeper(host);
+        let entries = match self.discovery() {
+            Some(discovery) if !is_between_keepers(discovery) => discovery.entries().unwrap_or(0),
+            _ => 0,
+        };
+        let heartbeat = settings.heartbeat.max(settings.heartbeat_share * entries);
+        LinkPace {
+            heartbeat,
+            silence: settings.silence.max(heartbeat * SILENT_HEARTBEATS),
+            longest_wait: settings.retry_most.max(heartbeat * WAITED_HEARTBEATS),
+        }
+    }
+
     /// Queues a frame; never waits.
     ///
     /// # Errors
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -143,7 +143,6 @@
 }
 
 async fn serve_frames(hub: &PeerHub, link: &mut GreetedLink, replies: &FrameQueue) -> LinkError {
-    let silence = hub.shared.settings.silence;
     // As for links that this process opened: a link does not get younger by a suspension.
     let clock = SystemClock::default();
     let mut heard_at = clock.now();
@@ -160,6 +159,8 @@
                 }
             }
             _ = checks.tick() => {
+                // The other end may have been told of more hosts, and so beat more slowly.
+                let silence = hub.pace_of(&link.host).silence * 2;
                 if clock.now().since(heard_at) > silence {
                     Err(LinkError::Silent)
                 } else {
--- a/crates/daemon/src/peers/outbound.rs
+++ b/crates/daemon/src/peers/outbound.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use pollendrift_coordination::base::HostName;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_tungstenite::client_async_with_config;
 
 use super::backoff::RetryBackoff;
@@ -26,6 +26,9 @@
             Ok((sender, receiver)) => {
                 backoff.reset();
                 slot.note_up();
+                if let Some(discovery) = hub.discovery() {
+                    discovery.welcome(&hub, host);
+                }
                 hub.shared.handler.link_changed(&hub, host, true);
                 let error = run_link(&hub, &slot, sender, receiver).await;
                 slot.note_down(error.to_string());
@@ -39,7 +42,7 @@
             }
         };
         log::debug!(peer:% = host, error:% = error; "link to a peer ended");
-        sleep(backoff.next_wait()).await;
+        sleep(backoff.next_wait(hub.pace_of(host).longest_wait)).await;
     }
 }
 
@@ -55,6 +58,7 @@
     hub: &PeerHub,
     slot: &PeerSlot,
 ) -> Result<(FrameSender, FrameReceiver), LinkError> {
+    let _permit = hub.shared.dials.acquire().await;
     let opening = connect(hub, slot);
     timeout(hub.shared.settings.handshake_timeout, opening)
         .await
@@ -86,6 +90,7 @@
     expected: &HostName,
     address: SocketAddr,
 ) -> Result<PeerHello, LinkError> {
+    let _permit = hub.shared.dials.acquire().await;
     let asking = exchange_hello(hub, expected, address);
     let (hello, _, _) = timeout(hub.shared.settings.handshake_timeout, asking)
         .await
@@ -128,9 +133,9 @@
     mut sender: FrameSender,
     mut receiver: FrameReceiver,
 ) -> LinkError {
-    let settings = &hub.shared.settings;
-    let mut heartbeats = interval(settings.heartbeat);
-    heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let host = &slot.peer.host;
+    let mut pace = hub.pace_of(host);
+    let mut next_heartbeat = Instant::now();
     let mut sent = HeartbeatNumber::default();
     let mut sent_at = Instant::now();
     let clock = SystemClock::default();
@@ -142,10 +147,12 @@
                 heard_at = clock.now();
                 frame.and_then(|frame| take_frame(hub, slot, frame, sent, sent_at))
             }
-            _ = heartbeats.tick() => {
-                if clock.now().since(heard_at) > settings.silence {
+            () = sleep_until(next_heartbeat) => {
+                if clock.now().since(heard_at) > pace.silence {
                     return LinkError::Silent;
                 }
+                pace = hub.pace_of(host);
+                next_heartbeat = Instant::now() + pace.heartbeat;
                 sent = HeartbeatNumber(sent.0 + 1);
                 sent_at = Instant::now();
                 sender.send(&PeerFrame::Heartbeat(sent)).await
--- a/crates/daemon/src/peers/settings.rs
+++ b/crates/daemon/src/peers/settings.rs
@@ -9,7 +9,10 @@
     pub handshake_timeout: Duration,
     /// Time between two heartbeats.
     pub heartbeat: Duration,
-    /// Silence after which a link counts as broken. Invariant: at least three heartbeats.
+    /// Time that each host which takes callers adds to the time between two heartbeats, on links with one of
+    /// them at an end.
+    pub heartbeat_share: Duration,
+    /// Least silence after which a link counts as broken. Invariant: at least three heartbeats.
     pub silence: Duration,
     /// First wait before a new attempt.
     pub retry_first: Duration,
@@ -27,6 +30,9 @@
     pub open_calls: usize,
     /// Accepted connections that have not said hello yet.
     pub handshakes: usize,
+    /// Links that this process opens at the same time. All hosts of a fleet start together, and a keeper
+    /// that takes all their links at once finishes none of them in time.
+    pub dials: usize,
     /// Seed of the jitter between attempts.
     pub seed: u64,
 }
@@ -36,6 +42,7 @@
         Self {
             handshake_timeout: Duration::from_secs(2),
             heartbeat: Duration::from_millis(300),
+            heartbeat_share: Duration::from_millis(4),
             silence: Duration::from_millis(1_200),
             retry_first: Duration::from_millis(20),
             retry_most: Duration::from_millis(1_000),
@@ -45,6 +52,7 @@
             queue_bytes: 8 * 1024 * 1024,
             open_calls: 16_384,
             handshakes: 64,
+            dials: 4,
             seed: 0,
         }
     }
--- a/crates/daemon/src/transport.rs
+++ b/crates/daemon/src/transport.rs
@@ -3,13 +3,19 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use pollendrift_coordination::base::HostName;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::access::{AccessControl, CertificateIdentity, FaceKind};
 use crate::peers::{AcceptedStream, BoxFuture, PeerAcceptor, PeerDialer, PeerStream};
 
+/// Time for a connection to open; the system takes it whatever its process does. A first packet that meets a
+/// host without power is lost, and is sent again only a second later: a new attempt is quicker.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Streams to and from peers, as access control decides.
 pub struct AccessTransport {
     access: Arc<AccessControl>,
@@ -39,7 +45,7 @@
         address: SocketAddr,
     ) -> BoxFuture<'scope, io::Result<Box<dyn PeerStream>>> {
         Box::pin(async move {
-            let stream = TcpStream::connect(address).await?;
+            let stream = connect(address).await?;
             stream.set_nodelay(true)?;
             let stream = self
                 .access
@@ -51,6 +57,14 @@
     }
 }
 
+/// Opens a connection, or fails after [`CONNECT_TIMEOUT`].
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    connecting
+        .await
+        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
 impl PeerAcceptor for AccessTransport {
     fn accept(&self, stream: TcpStream) -> BoxFuture<'_, io::Result<AcceptedStream>> {
         Box::pin(async move {
