feat(relay): entries take heartbeats, keepers share the survey; hosts that learn let callers wait

Cause: 2,500 heartbeats a second go to nine keepers of 0.075 of a core; one keeper asks all engines twice a second. After all processes are stopped, hosts that know no engine yet refused callers who had used their one retry. Change: a keeper names an entry of the server's data centre for its heartbeats; the entry takes what says nothing new and turns away the rest. Each keeper asks the engines of its own area, and only the one that orders engines takes one for lost, after a question of its own. What a node's parts are set to moved to node/parts.rs.

--- a/crates/coordination/src/agreement/node.rs
+++ b/crates/coordination/src/agreement/node.rs
@@ -118,7 +118,9 @@
             log,
             effects: Vec::new(),
         };
-        node.reset_election_timer();
+        // Nobody is known to lead. Where somebody does, those that hear of it refuse the pre-vote; where
+        // all keepers start together, a whole timeout would pass in which nothing is served.
+        node.reset_retry_timer();
         node
     }
 
--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -7,6 +7,7 @@
 mod bucket;
 mod customer;
 mod offer;
+mod patience;
 mod settings;
 
 pub use admission::AdmissionTable;
@@ -14,6 +15,7 @@
     AdmissionCapacity, AdmissionChange, AdmissionOffer, AdmissionVerdict, RefusalReason,
     RequestPriority, RequestRefusal, TicketKey,
 };
+pub use patience::PatienceSettings;
 pub use settings::{CustomerLimits, LimitSettings};
 
 pub(crate) use bucket::TokenBucket;
--- a/crates/coordination/src/routing/survey.rs
+++ b/crates/coordination/src/routing/survey.rs
@@ -1,8 +1,8 @@
 //! What one host learned by asking all engines, and tells the others.
 //!
-//! An entry knows the load that it makes itself; with many entries that is a small part. One host
-//! asks every engine for its state a few times a second and tells all entries, so that they choose by
-//! the same figures and engines are asked once, not once for each entry.
+//! An entry knows the load that it makes itself; with many entries that is a small part. Keepers share
+//! the engines out, ask each for its state a few times a second and tell all entries, so that they choose
+//! by the same figures and engines are asked once, not once for each entry.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -49,6 +49,8 @@
     pub load: Option<EngineLoad>,
     /// When it answered, or should have.
     pub taken: MonotonicTime,
+    /// Notes in a row without an answer.
+    pub missed: u32,
 }
 
 /// Notes of the latest surveys.
@@ -66,10 +68,16 @@
             if held.is_some_and(|held| held.taken >= taken) {
                 continue;
             }
+            let missed = match (note.load, held) {
+                (Some(_), _) => 0,
+                (None, Some(held)) if held.incarnation == note.incarnation => held.missed + 1,
+                (None, _) => 1,
+            };
             let surveyed = SurveyedEngine {
                 incarnation: note.incarnation,
                 load: note.load,
                 taken,
+                missed,
             };
             self.engines.insert(note.server, surveyed);
         }
--- a/crates/daemon/src/faces.rs
+++ b/crates/daemon/src/faces.rs
@@ -82,6 +82,9 @@
         if self.faces.callers {
             return Arc::clone(&relay.callers).handle(request, peer);
         }
+        if !self.faces.operators {
+            return Arc::clone(&relay.heartbeats).handle(request, peer);
+        }
         Arc::clone(&relay.control).handle(request, peer)
     }
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,11 +12,14 @@
 
 use derive_more::{Display, Error};
 use pollendrift_border::{Announcement, EngineOffer, ServerOffer};
-use pollendrift_coordination::base::{MonotonicTime, ServerName, ServiceName};
+use pollendrift_coordination::base::{
+    HostName, Incarnation, MonotonicTime, ServerName, ServiceName,
+};
 use pollendrift_coordination::configuration::ServerFacts;
 use pollendrift_coordination::leases::{
-    AnnouncedLoad, BackendLeaseSettings, DeltaCursor, LeaseDelta, LeaseNews, LeaseTable,
-    MergeVerdict, ServerAnnounce, ServerLease, ServerState,
+    AnnouncedLoad, BackendLeaseSettings, BatchOutcome, DeltaCursor, HeardFrom, LeaseBatch,
+    LeaseNews, LeaseNumber, LeaseScope, LeaseTable, MergeVerdict, NamedLease, ServerAnnounce,
+    ServerLease, ServerState,
 };
 use pollendrift_coordination::routing::{
     FleetPlanner, RoutePlanner, RoutingDump, RoutingSettings, SurveyBoard,
@@ -96,7 +99,7 @@
     /// An empty fleet.
     pub fn new(settings: BackendLeaseSettings, routing: RoutingSettings, seed: u64) -> Self {
         let inner = FleetState {
-            leases: LeaseTable::new(settings),
+            leases: LeaseTable::numbered(settings, Incarnation(seed)),
             views: BTreeMap::new(),
             workers: BTreeMap::new(),
             survey: SurveyBoard::default(),
@@ -125,29 +128,59 @@
         }
     }
 
-    /// Takes a delta from another host.
-    pub fn merge_delta(
+    /// Takes what another host told of leases.
+    pub fn take_batch(
         &self,
         now: MonotonicTime,
-        delta: LeaseDelta,
+        sender: (&HostName, HeardFrom),
+        batch: LeaseBatch,
         transit: Duration,
-    ) -> MergeVerdict {
-        self.lock().merge_delta(now, delta, transit)
+    ) -> BatchOutcome {
+        let mut state = self.lock();
+        let outcome = state.leases.take_batch(now, sender, batch, transit);
+        for (server, verdict) in &outcome.taken {
+            state.follow(now, server, *verdict);
+        }
+        outcome
     }
 
-    /// Leases that this host heard of itself after `cursor`, at most `limit`.
-    pub fn own_delta(
+    /// Leases of `scope` that changed or were renewed after `cursor`, at most `limit` by name.
+    pub fn batch(
         &self,
         now: MonotonicTime,
         cursor: DeltaCursor,
         limit: usize,
-    ) -> (Vec<LeaseDelta>, DeltaCursor) {
-        self.lock().leases.delta(now, cursor, limit)
+        scope: LeaseScope,
+    ) -> (LeaseBatch, DeltaCursor) {
+        self.lock().leases.batch(now, cursor, limit, scope)
     }
 
-    /// Full announcements of those of `servers` that this host heard of itself.
-    pub fn own_full(&self, now: MonotonicTime, servers: &[ServerName]) -> Vec<LeaseDelta> {
-        self.lock().leases.full(now, servers)
+    /// Servers that said since `version` of the lease table that they leave, and the present version.
+    pub(crate) fn left_since(&self, now: MonotonicTime, version: u64) -> (Vec<NamedLease>, u64) {
+        self.lock().leases.left_since(now, version)
+    }
+
+    /// Full announcements of those of `servers` that are held.
+    pub(crate) fn named_in_full(
+        &self,
+        now: MonotonicTime,
+        servers: &[ServerName],
+    ) -> Vec<NamedLease> {
+        self.lock().leases.named_in_full(now, servers)
+    }
+
+    /// Names of the leases with `numbers`, which rise.
+    pub(crate) fn named_by_number(
+        &self,
+        now: MonotonicTime,
+        numbers: &[LeaseNumber],
+    ) -> Vec<NamedLease> {
+        self.lock().leases.named_by_number(now, numbers)
+    }
+
+    /// Number of the lease table, which batches of it carry.
+    pub(crate) fn table_number(&self) -> Incarnation {
+        self.lock().leases.table_number()
     }
 
     /// Ends leases that ran out.
@@ -252,17 +285,6 @@
         self.follow(now, &server, verdict)
     }
 
-    fn merge_delta(
-        &mut self,
-        now: MonotonicTime,
-        delta: LeaseDelta,
-        transit: Duration,
-    ) -> MergeVerdict {
-        let server = delta.server().clone();
-        let verdict = self.leases.merge_delta(now, delta, transit);
-        self.follow(now, &server, verdict)
-    }
-
     /// Brings views and planner in line with a lease that was merged.
     fn follow(
         &mut self,
--- a/crates/daemon/src/fleet/worker.rs
+++ b/crates/daemon/src/fleet/worker.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use pollendrift_coordination::base::{
     DataCentreName, Incarnation, MonotonicTime, SequenceNumber, ServerName,
 };
 use pollendrift_coordination::leases::{
-    AnnouncedLoad, MergeVerdict, ServerAnnounce, ServerState, WorkerOffer,
+    AnnouncedLoad, LeaseScope, MergeVerdict, ServerAnnounce, ServerState, WorkerOffer,
 };
 use pollendrift_coordination::routing::{EngineNote, SurveyedEngine};
 use pollendrift_dialect::ServerNote;
@@ -66,27 +67,29 @@
         now: MonotonicTime,
         note: &ServerNote,
     ) -> Result<MergeVerdict, AnnounceError> {
-        let offer = serde_json::to_string(&note.offer).map_err(|error| {
-            let reason = error.to_string();
-            AnnounceError::Malformed { reason }
-        })?;
-        let announce = ServerAnnounce {
-            server: note.server.clone(),
-            incarnation: note.incarnation,
-            sequence: note.sequence,
-            address: note.address.to_string().into(),
-            data_centre: note.data_centre.clone(),
-            state: note.state,
-            checks_fencing: note.checks_fencing,
-            offer: offer.into(),
-            load: AnnouncedLoad::default(),
-        };
-        match self.lock().merge(now, announce) {
+        match self.lock().merge(now, encode_note(note)?) {
             MergeVerdict::Full => Err(AnnounceError::Full),
             verdict => Ok(verdict),
         }
     }
 
+    /// Takes a heartbeat that says nothing new; false where it says more, or the server is not known.
+    pub(crate) fn renew_worker(&self, now: MonotonicTime, note: &ServerNote) -> bool {
+        let Ok(announce) = encode_note(note) else {
+            return false;
+        };
+        let mut state = self.lock();
+        let is_heartbeat = state.leases.is_renewal(now, &announce);
+        is_heartbeat && state.merge(now, announce) == MergeVerdict::Renewed
+    }
+
+    /// Time for which this host has known a server without a break.
+    pub(crate) fn known_for(&self, now: MonotonicTime, server: &ServerName) -> Duration {
+        let state = self.lock();
+        let lease = state.leases.get(server);
+        lease.map_or(Duration::ZERO, |lease| now.since(lease.since))
+    }
+
     /// A server said that it has left; false if this host does not know it.
     pub fn leave_worker(&self, now: MonotonicTime, server: &ServerName) -> bool {
         let mut state = self.lock();
@@ -107,6 +110,17 @@
         self.lock().survey.take(now, notes);
     }
 
+    /// Servers of `workers` that this host heard of first, itself or by a host that follows it: it asks them
+    /// for their state.
+    pub(crate) fn in_area(&self, workers: &[Arc<WorkerView>]) -> Vec<Arc<WorkerView>> {
+        let state = self.lock();
+        let is_in_area = |worker: &&Arc<WorkerView>| {
+            let lease = state.leases.get(&worker.server);
+            lease.is_some_and(|lease| LeaseScope::Area.holds(lease.from))
+        };
+        workers.iter().filter(is_in_area).cloned().collect()
+    }
+
     /// What surveys found of an engine.
     pub(crate) fn surveyed(
         &self,
@@ -143,6 +157,24 @@
     }
 }
 
+fn encode_note(note: &ServerNote) -> Result<ServerAnnounce, AnnounceError> {
+    let offer = serde_json::to_string(&note.offer).map_err(|error| {
+        let reason = error.to_string();
+        AnnounceError::Malformed { reason }
+    })?;
+    Ok(ServerAnnounce {
+        server: note.server.clone(),
+        incarnation: note.incarnation,
+        sequence: note.sequence,
+        address: note.address.to_string().into(),
+        data_centre: note.data_centre.clone(),
+        state: note.state,
+        checks_fencing: note.checks_fencing,
+        offer: offer.into(),
+        load: AnnouncedLoad::default(),
+    })
+}
+
 impl FleetState {
     /// Whether a server is there and takes work: its lease runs, or it answers surveys.
     ///
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -45,14 +45,12 @@
         };
         match frame {
             PeerFrame::Configuration(frame) => targets.feed.take(from, frame),
-            PeerFrame::Leases(deltas) => targets.spreader.take(hub, from, deltas),
+            PeerFrame::Leases(batch) => targets.spreader.take(hub, from, batch),
             PeerFrame::LeaseQuestion(servers) => targets.spreader.answer(hub, from, &servers),
-            PeerFrame::Survey { notes, pass_on } => {
-                if pass_on {
-                    targets.spreader.pass_on(hub, from, &notes);
-                }
-                targets.spreader.take_survey(notes);
+            PeerFrame::LeaseNumbers(numbers) => {
+                targets.spreader.answer_numbers(hub, from, &numbers);
             }
+            PeerFrame::Survey { notes, pass_on } => targets.spreader.take_survey(notes, pass_on),
             PeerFrame::Stream(note) => targets.streams.take(note),
             PeerFrame::Call(call) => answer_call(targets, hub, from, call),
             _ => {}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,22 +1,26 @@
 //! This host's part in the agreed state: links, keeper, configuration feed and client.
 
+mod parts;
+
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
-use pollendrift_coordination::agreement::AgreementSettings;
-use pollendrift_coordination::base::{HostName, Incarnation, MonotonicTime};
+use pollendrift_coordination::base::{Incarnation, MonotonicTime};
 use pollendrift_coordination::configuration::Configuration;
 use pollendrift_coordination::following::FollowSettings;
-use pollendrift_coordination::hosts::HostReach;
 use pollendrift_coordination::replicated::{
-    CommandAnswer, ProcessNonce, ReplicatedCommand, ReplicatedSettings, StartHost,
+    CommandAnswer, ProcessNonce, ReplicatedCommand, StartHost,
 };
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use self::parts::{
+    client_settings, configuration_lease, connect_peers, initial_keepers, keeper_settings,
+    question_period, shared_state, start_discovery, transport,
+};
 use crate::access::AccessControl;
 use crate::agreed::{AgreedState, StaleConfiguration, SubmitFuture};
 use crate::clock::TimeSource;
@@ -25,27 +29,19 @@
 use crate::fleet::BackendFleet;
 use crate::frames::{DaemonFrames, FrameTargets};
 use crate::keeper::{
-    ClientSettings, KeeperClient, KeeperError, KeeperFrames, KeeperHandle, KeeperList,
-    KeeperSettings, KeeperStart, KeeperStatus, RetryPermission, RunningKeeper, SnapshotBounds,
-    SubmitError, keeper_queue, start_keeper,
+    KeeperClient, KeeperError, KeeperFrames, KeeperHandle, KeeperList, KeeperSettings, KeeperStart,
+    KeeperStatus, RetryPermission, RunningKeeper, SubmitError, keeper_queue, start_keeper,
 };
 use crate::operators::KeeperDesk;
-use crate::peers::{
-    DiscoveryStart, LinkSettings, PeerAddress, PeerDiscovery, PeerHandler, PeerHub, PeerNode,
-    PeerTasks, start_peers,
-};
+use crate::peers::{PeerHandler, PeerHub, PeerTasks};
 use crate::settings::DaemonSettings;
 use crate::spread::LeaseSpreader;
 use crate::state::SharedState;
 use crate::streams::StreamKeeper;
 use crate::telemetry::{JournalError, RecorderSlot};
-use crate::transport::AccessTransport;
 
 /// Pause between two tries to announce this process's life to the keepers.
 const START_PAUSE: Duration = Duration::from_millis(200);
-/// Silence after which a keeper that nobody replaced is taken out of the group. Restarts end within
-/// a few seconds; a partition that lasts longer costs two changes of membership when it heals.
-const LOST_VOTER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time that leadership may take to be handed over at a planned stop.
 const HAND_OVER_PATIENCE: Duration = Duration::from_secs(3);
 
@@ -170,6 +166,7 @@
             Arc::clone(&parts.fleet),
             Arc::clone(&parts.clock),
             keepers.clone(),
+            Arc::clone(&feed),
         ));
         let files = match (&shared, &settings.data_folder) {
             (Some(_), Some(folder)) => Some(EvidenceFiles::open(settings.host.clone(), folder)?),
@@ -369,120 +366,3 @@
         tokio::time::sleep(START_PAUSE).await;
     }
 }
-
-/// Lease on the configuration.
-///
-/// It counts from the question to a quorum. Whatever was revoked after that question is served for
-/// no longer than the lease, so a lease shorter than the bound on revoked keys keeps the bound on a
-/// host that is cut off. The rest is for requests that are under way when the lease ends.
-fn configuration_lease(settings: &DaemonSettings) -> Duration {
-    if settings.relay.enabled {
-        return settings.relay.revoke_within * 4 / 5;
-    }
-    settings.leases.configuration
-}
-
-/// Four questions in a lease leave three tries; two within the time of a change let a host that is
-/// told nothing know so in time.
-fn question_period(settings: &DaemonSettings, lease: Duration) -> Duration {
-    if settings.relay.enabled {
-        return (lease / 4).min(settings.relay.change_within / 2);
-    }
-    lease / 4
-}
-
-fn initial_keepers(settings: &DaemonSettings) -> Vec<HostName> {
-    settings
-        .initial_keepers()
-        .map(|peer| peer.name.clone())
-        .collect()
-}
-
-fn start_discovery(settings: &DaemonSettings, parts: &NodeParts) -> Option<Arc<PeerDiscovery>> {
-    if !settings.discovery.is_on() {
-        return None;
-    }
-    let start = DiscoveryStart {
-        host: settings.host.clone(),
-        reach: HostReach {
-            address: settings.discovery.announce.unwrap_or(settings.listen.peers),
-            keeper: settings.is_keeper(),
-            data_centre: Some(settings.data_centre.clone()),
-        },
-        seeds: settings.discovery.peer_addresses(),
-    };
-    Some(Arc::new(PeerDiscovery::new(
-        start,
-        Arc::clone(&parts.clock),
-    )))
-}
-
-fn connect_peers(
-    settings: &DaemonSettings,
-    parts: &NodeParts,
-    discovery: Option<Arc<PeerDiscovery>>,
-    handler: Arc<dyn PeerHandler>,
-) -> PeerTasks {
-    let node = PeerNode {
-        host: settings.host.clone(),
-        process: Incarnation(parts.nonce.0),
-        discovery,
-    };
-    let links = LinkSettings {
-        seed: parts.nonce.0,
-        ..LinkSettings::default()
-    };
-    let peers = settings
-        .peers
-        .iter()
-        .map(|peer| PeerAddress {
-            host: peer.name.clone(),
-            address: peer.address,
-        })
-        .collect();
-    let dialer = Box::new(transport(settings, parts));
-    start_peers(node, links, peers, dialer, handler)
-}
-
-fn shared_state(settings: &DaemonSettings, nonce: ProcessNonce) -> SharedState {
-    let replicated = ReplicatedSettings::default();
-    SharedState::new(replicated, settings.host.clone(), Incarnation(nonce.0))
-}
-
-fn keeper_settings(settings: &DaemonSettings, nonce: ProcessNonce) -> KeeperSettings {
-    let agreement = &settings.agreement;
-    KeeperSettings {
-        agreement: AgreementSettings {
-            heartbeat_interval: agreement.heartbeat,
-            election_timeout: agreement.election_timeout,
-            max_append_entries: usize::try_from(agreement.max_batch_entries).unwrap_or(usize::MAX),
-            snapshot_after_entries: settings.snapshots.every_entries,
-            lost_voter_timeout: settings.discovery.is_on().then_some(LOST_VOTER_TIMEOUT),
-            resend_timeout: agreement.election_timeout / 2,
-            ..AgreementSettings::default()
-        },
-        may_found: agreement.may_found,
-        snapshots: SnapshotBounds {
-            log_bytes: settings.snapshots.every_bytes,
-            replay_work: settings.snapshots.replay_within,
-        },
-        seed: nonce.0,
-        ..KeeperSettings::default()
-    }
-}
-
-fn client_settings(settings: &DaemonSettings) -> ClientSettings {
-    ClientSettings {
-        patience: settings.agreement.commit_timeout,
-        ..ClientSettings::default()
-    }
-}
-
-fn transport(settings: &DaemonSettings, parts: &NodeParts) -> AccessTransport {
-    let hosts = settings
-        .peers
-        .iter()
-        .map(|peer| peer.name.clone())
-        .collect();
-    AccessTransport::new(Arc::clone(&parts.access), hosts)
-}
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -12,6 +12,7 @@
 mod drafts;
 mod figures;
 mod guard;
+mod heartbeats;
 mod meter;
 mod passing;
 mod placer;
@@ -44,6 +45,7 @@
 pub(crate) use start::{relay_faces, start_relay};
 
 use control::ControlHandler;
+use heartbeats::HeartbeatHandler;
 use meter::RequestMeter;
 use request::{Refused, RelayRequest, refused};
 
@@ -59,6 +61,8 @@
     pub(crate) callers: Arc<RelayHandler>,
     /// Operators and backend servers.
     pub(crate) control: Arc<ControlHandler>,
+    /// Heartbeats of backend servers, at a host that is no keeper.
+    pub(crate) heartbeats: Arc<HeartbeatHandler>,
 }
 
 /// Serves callers.
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -8,10 +8,11 @@
 use pollendrift_coordination::routing::{ServerCandidate, ToldLoad};
 use pollendrift_dialect::RefusalKind;
 use pollendrift_http::ResponseBody;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::answer::{FailedSend, send};
 use super::context::RelayContext;
+use super::drafts::ROOM_PERIOD;
 use super::request::{Refused, RelayRequest, SendTarget, refused};
 use crate::fleet::WorkerView;
 
@@ -45,6 +46,10 @@
             return Err(conclude(&history));
         }
         let Some(worker) = choose(context, request, &history, now) else {
+            if history.asked.is_empty() && may_wait(context, request, now) {
+                sleep(ROOM_PERIOD).await;
+                continue;
+            }
             return Err(conclude(&history));
         };
         let is_repeat = !history.asked.is_empty();
@@ -79,6 +84,15 @@
     }
 }
 
+/// Whether a call for which no server is known waits for one: at a host that is still learning which there
+/// are, for as long as half of its time is left.
+fn may_wait(context: &RelayContext, request: &RelayRequest, now: MonotonicTime) -> bool {
+    let waited = now.since(request.arrived);
+    context.is_learning(now)
+        && now < context.wait_until(now, request.arrived)
+        && waited < request.left(now)
+}
+
 fn choose(
     context: &RelayContext,
     request: &RelayRequest,
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use pollendrift_coordination::base::{DataCentreName, MonotonicTime, ServiceName};
+use pollendrift_coordination::limits::PatienceSettings;
 use pollendrift_coordination::retries::{BudgetTable, OutlierSettings, RetrySettings};
 use pollendrift_coordination::routing::{ChainHealth, HealthSettings, ServerLoads};
 use pollendrift_dialect::PlatformDialect;
@@ -52,6 +53,7 @@
     health: Mutex<ChainHealth>,
     budgets: Mutex<BudgetTable<ServiceName>>,
     settings: RelaySettings,
+    patience: PatienceSettings,
     /// Hosts that the retry budget is divided by.
     sharing: AtomicU32,
 }
@@ -87,6 +89,7 @@
             ))),
             data_centre: parts.data_centre,
             settings: parts.settings,
+            patience: PatienceSettings::default(),
             sharing: AtomicU32::new(BUDGET_HOSTS),
         }
     }
@@ -119,6 +122,16 @@
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Until when a request that arrived at `arrived` waits for a server, as far as can be said at `now`.
+    pub(super) fn wait_until(&self, now: MonotonicTime, arrived: MonotonicTime) -> MonotonicTime {
+        self.patience.wait_until(now, MonotonicTime::START, arrived)
+    }
+
+    /// Whether this host may not know all servers yet.
+    pub(super) fn is_learning(&self, now: MonotonicTime) -> bool {
+        self.patience.is_learning(now, MonotonicTime::START)
+    }
+
     /// A first send to a service earns a part of a retry.
     pub(super) fn earn_retry(&self, now: MonotonicTime, service: &ServiceName) {
         self.budgets().called(now, service);
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -11,20 +11,22 @@
 use pollendrift_coordination::base::{HostName, MonotonicTime, ServerName};
 use pollendrift_dialect::{
     OperatorCall, OperatorReply, PlatformDialect, RegistryAck, RegistryCall, RegistryFault,
+    ServerNote,
 };
 use pollendrift_http::{
     HandlerFuture, HttpHandler, ResponseBody, full_body, read_bounded, read_within, text_response,
 };
 
+use super::heartbeats::HeartbeatDesk;
 use super::publish::Publisher;
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
 use crate::node::AgreedNode;
 
 /// Largest body of an announcement or a document.
-const MAX_BODY_BYTES: usize = 8 << 20;
+pub(super) const MAX_BODY_BYTES: usize = 8 << 20;
 /// Time in which a body must have come.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after the start in which servers that this host does not know may be known to others: a few
 /// heartbeats.
 const HEARING_TIME: Duration = Duration::from_secs(3);
@@ -35,6 +37,7 @@
     pub(crate) fleet: Arc<BackendFleet>,
     pub(crate) publisher: Publisher,
     pub(crate) node: Arc<AgreedNode>,
+    pub(super) heartbeats: HeartbeatDesk,
     pub(crate) clock: Arc<dyn TimeSource>,
 }
 
@@ -90,19 +93,13 @@
                 .refuse(&RegistryFault { reason, elsewhere });
         }
         let taken = match call {
-            Ok(RegistryCall::Announce(note)) => {
-                let taken = self.fleet.announce_worker(now, &note);
-                taken.map(|_| ()).map_err(|error| RegistryFault {
-                    reason: error.to_string(),
-                    elsewhere: false,
-                })
-            }
-            Ok(RegistryCall::Leave(server)) => self.leave(now, &server),
+            Ok(RegistryCall::Announce(note)) => self.announce(now, &note),
+            Ok(RegistryCall::Leave(server)) => self.leave(now, &server).map(|()| None),
             Err(fault) => Err(fault),
         };
         match taken {
-            Ok(()) => {
-                let ack = RegistryAck { announce_at: None };
+            Ok(announce_at) => {
+                let ack = RegistryAck { announce_at };
                 self.dialect.registry.acknowledge(&ack)
             }
             Err(fault) => {
@@ -112,6 +109,21 @@
         }
     }
 
+    /// Takes an announcement; returns where the server's heartbeats are to go.
+    fn announce(
+        &self,
+        now: MonotonicTime,
+        note: &ServerNote,
+    ) -> Result<Option<SocketAddr>, RegistryFault> {
+        let verdict = self.fleet.announce_worker(now, note);
+        let verdict = verdict.map_err(|error| RegistryFault {
+            reason: error.to_string(),
+            elsewhere: false,
+        })?;
+        let known_for = self.fleet.known_for(now, &note.server);
+        Ok(self.heartbeats.assign(now, note, verdict, known_for))
+    }
+
     /// Whether links lead to no quorum of the keepers that vote, this one counted.
     ///
     /// What is announced here would reach nobody: servers would be taken for gone elsewhere, and one
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -27,9 +27,6 @@
 /// Advice to a caller for whom no chain had room while it was waited for: about the time in which
 /// all drafts that run now have ended.
 const RETRY_FULL: Duration = Duration::from_millis(2_500);
-/// Time after its arrival for which a draft waits for a chain with room. Callers give a draft up
-/// that sends nothing for two seconds, and the first event takes up to half a second.
-const FIRST_PATIENCE: Duration = Duration::from_millis(1_200);
 /// Time between two looks for room.
 pub(super) const ROOM_PERIOD: Duration = Duration::from_millis(40);
 /// Events that wait for a caller that reads slowly.
@@ -96,7 +93,7 @@
         last: None,
         reroutes: RerouteState::default(),
     };
-    let wait_until = run.request.arrived.after(FIRST_PATIENCE);
+    let wait_until = context.wait_until(context.clock.now(), run.request.arrived);
     let running = match run.open(resume_after, wait_until).await {
         Some(running) => running,
         None => return Err(run.conclude()),
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -24,7 +24,7 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::context::RelayContext;
-use super::survey::{SURVEY_PERIOD, survey};
+use super::survey::{survey, survey_period};
 use crate::agreed::AgreedState;
 use crate::clock::since_boot;
 use crate::fleet::WorkerView;
@@ -36,9 +36,9 @@
 const PLACE_TICK: Duration = Duration::from_millis(200);
 /// Longest wait for an engine's answer to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Surveys in a row without an answer after which an engine is taken for lost. One may be lost on
+/// Questions in a row without an answer after which an engine is taken for lost. One may be lost on
 /// the way.
-const LOST_SURVEYS: u32 = 2;
+const LOST_QUESTIONS: u32 = 2;
 /// Largest answer to an order or a question.
 const MAX_REPLY_BYTES: usize = 64 * 1024;
 /// Usual drafts for which an engine must have request memory beside its layers, to be of use in a
@@ -82,7 +82,7 @@
     /// End of the right to order engines, on this host's clock.
     right_until: MonotonicTime,
     surveyed_at: MonotonicTime,
-    /// Surveys in a row that an engine left unanswered.
+    /// Questions of this host in a row that an engine left unanswered.
     unanswered: BTreeMap<ServerName, u32>,
 }
 
@@ -149,30 +149,44 @@
         }
     }
 
-    /// Asks the engines for their state, if this host holds the right to order them and it is time.
+    /// Asks engines for their state: those of this host's area when it is time, and where it holds the right
+    /// to order engines, those that another keeper had no answer of.
+    ///
+    /// A keeper that can't reach an engine is no proof that the engine is lost; its layers are placed
+    /// elsewhere only once the one that orders them had no answer either.
     async fn survey(&mut self, workers: &[Arc<WorkerView>]) {
         let context = Arc::clone(&self.parts.context);
         let now = context.clock.now();
-        if now >= self.right_until || now.since(self.surveyed_at) < SURVEY_PERIOD {
+        let area = context.fleet.in_area(workers);
+        let mut asked = Vec::new();
+        if now < self.right_until {
+            let mine: BTreeSet<&ServerName> = area.iter().map(|worker| &worker.server).collect();
+            let others = workers.iter().filter(|w| !mine.contains(&w.server));
+            asked.extend(others.filter(|w| self.is_doubtful(now, w)).cloned());
+        }
+        if now.since(self.surveyed_at) >= survey_period(area.len()) {
+            self.surveyed_at = now;
+            asked.extend(area);
+        }
+        if asked.is_empty() {
             return;
         }
-        self.surveyed_at = now;
-        let notes = survey(&context, &self.client, workers).await;
+        let notes = survey(&context, &self.client, &asked).await;
         let hub = &self.parts.hub;
         self.parts.spreader.spread_survey(hub, &notes);
         for note in &notes {
             match note.load {
                 Some(_) => {
                     let missed = self.unanswered.remove(&note.server).unwrap_or_default();
-                    if missed >= LOST_SURVEYS {
-                        log::info!(server:% = note.server, surveys = missed; "engine answers again");
+                    if missed >= LOST_QUESTIONS {
+                        log::info!(server:% = note.server, questions = missed; "engine answers again");
                     }
                 }
                 None => {
                     let missed = self.unanswered.entry(note.server.clone()).or_default();
                     *missed += 1;
-                    if *missed == LOST_SURVEYS {
-                        log::warn!(server:% = note.server, surveys = *missed; "engine taken for lost");
+                    if *missed == LOST_QUESTIONS {
+                        log::warn!(server:% = note.server, questions = *missed; "engine taken for lost");
                     }
                 }
             }
@@ -180,12 +194,18 @@
         context.fleet.take_survey(context.clock.now(), notes);
     }
 
+    /// Whether another keeper had no answer of an engine, or this host had none before.
+    fn is_doubtful(&self, now: MonotonicTime, worker: &WorkerView) -> bool {
+        let surveyed = self.parts.context.fleet.surveyed(now, worker);
+        surveyed.is_some_and(|surveyed| surveyed.missed > 0)
+    }
+
     /// Whether an engine that still has its lease is gone. Its layers are placed elsewhere at once:
     /// a crash sends nothing, and the lease runs on for seconds in which a data centre would have no
     /// whole chain.
     fn is_lost(&self, worker: &WorkerView) -> bool {
         let missed = self.unanswered.get(&worker.server);
-        missed.is_some_and(|missed| *missed >= LOST_SURVEYS)
+        missed.is_some_and(|missed| *missed >= LOST_QUESTIONS)
     }
 
     /// Takes what operators published and engines announced.
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -7,6 +7,7 @@
 use super::chains::run_chains;
 use super::context::RelayContext;
 use super::control::ControlHandler;
+use super::heartbeats::{HeartbeatDesk, HeartbeatHandler};
 use super::placer::{PlacerParts, run_placer};
 use super::publish::Publisher;
 use super::{RelayFaces, RelayHandler};
@@ -33,10 +34,17 @@
     RelayFaces {
         callers: Arc::new(RelayHandler::new(Arc::clone(relay))),
         control: Arc::new(ControlHandler {
-            dialect,
+            dialect: dialect.clone(),
             fleet: Arc::clone(fleet),
             publisher,
             node: Arc::clone(node),
+            heartbeats: HeartbeatDesk::new(Arc::clone(node)),
+            clock: Arc::clone(clock),
+        }),
+        heartbeats: Arc::new(HeartbeatHandler {
+            dialect,
+            fleet: Arc::clone(fleet),
+            node: Arc::clone(node),
             clock: Arc::clone(clock),
         }),
     }
--- a/crates/daemon/src/relay/survey.rs
+++ b/crates/daemon/src/relay/survey.rs
@@ -1,4 +1,4 @@
-//! Asks all engines for their state.
+//! Asks engines for their state.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,14 +14,23 @@
 use super::context::RelayContext;
 use crate::fleet::WorkerView;
 
-/// Time between two surveys. What an engine tells is some 200 ms old, so asking more often brings
+/// Least time between two surveys. What an engine tells is some 200 ms old, so asking more often brings
 /// little, and each question has its price.
-pub(super) const SURVEY_PERIOD: Duration = Duration::from_millis(500);
+const SURVEY_PERIOD: Duration = Duration::from_millis(500);
+/// Processor time that a question takes up at most: a host asks no more engines a second than it can
+/// beside its other work, however many there are.
+const QUESTION_TIME: Duration = Duration::from_millis(4);
 /// Time for an engine's answer.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Largest answer.
 const MAX_REPLY_BYTES: usize = 64 * 1024;
 
+/// Time between two surveys of `engines`.
+pub(super) fn survey_period(engines: usize) -> Duration {
+    let engines = u32::try_from(engines).unwrap_or(u32::MAX);
+    SURVEY_PERIOD.max(QUESTION_TIME.saturating_mul(engines))
+}
+
 /// One survey of `workers` that hold layers.
 pub(super) async fn survey(
     context: &Arc<RelayContext>,
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -1,33 +1,43 @@
-//! Spreads backend servers' leases between hosts: each host tells every peer what it heard itself.
+//! Spreads backend servers' leases and surveys of engines between hosts.
+//!
+//! Where the settings list the hosts, each tells every other what it heard itself. Where hosts find
+//! each other, an entry tells the keeper that it follows, a keeper tells the other keepers what it and
+//! its followers heard, and its followers all that it knows. Frames so grow with keepers and followers,
+//! not with pairs of hosts. That a server leaves, every keeper tells every host at once.
 //!
 //! News go out on every tick in which some were heard, renewals on every few. Hosts that were told as
 //! much get the same frame, encoded once. A peer is told again from the start when its link comes up,
-//! since what was queued for the broken link is lost. A peer that gets a renewal of content which it
-//! does not hold asks for the full announcement.
+//! since what was queued for the broken link is lost, and asks for what it turns out to lack.
+
+mod audience;
+mod surveys;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use pollendrift_coordination::base::{HostName, MonotonicTime, ServerName};
-use pollendrift_coordination::following::FollowerTable;
-use pollendrift_coordination::leases::{DeltaCursor, LeaseDelta, MergeVerdict};
+use pollendrift_coordination::leases::{
+    DeltaCursor, HeardLeases, LeaseBatch, LeaseDelta, LeaseNumber, LeaseScope, NamedLease,
+};
 use pollendrift_coordination::routing::EngineNote;
 
 use crate::clock::TimeSource;
+use crate::feed::ConfigurationFeed;
 use crate::fleet::BackendFleet;
 use crate::keeper::KeeperList;
 use crate::peers::{PeerFrame, PeerHub};
 
+use audience::LeaseAudience;
+use surveys::SurveyRelay;
+
 /// Time between two ticks; adds to the time in which a leave is known everywhere.
 pub const SPREAD_TICK: Duration = Duration::from_millis(200);
-/// Ticks between two tellings of what only renews leases: half of a usual heartbeat. Every keeper tells
-/// every host.
-const RENEWAL_TICKS: u32 = 3;
-/// Leases in one frame.
+/// Ticks between two tellings of what only renews leases: a third of a usual heartbeat, as renewals
+/// pass through three hosts.
+const RENEWAL_TICKS: u32 = 2;
+/// Leases in one frame by name.
 const FRAME_LEASES: usize = 256;
-/// Engines in one frame.
-const FRAME_ENGINES: usize = 128;
 /// Longest time that a frame is taken to have travelled; a link that is silent for longer breaks.
 ///
 /// Failure: a frame that waited in a stalled connection would renew the lease of a server that
@@ -39,96 +49,93 @@
 pub struct LeaseSpreader {
     fleet: Arc<BackendFleet>,
     clock: Arc<dyn TimeSource>,
-    keepers: KeeperList,
-    cursors: Mutex<BTreeMap<HostName, DeltaCursor>>,
-    followers: Mutex<FollowerTable>,
+    audience: LeaseAudience,
+    cursors: Mutex<BTreeMap<HostName, ToldHost>>,
+    /// Version of the lease table up to which every host was told of servers that leave.
+    left_told: Mutex<u64>,
+    surveys: SurveyRelay,
+}
+
+/// How far a host was told what it is to know.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct ToldHost {
+    scope: LeaseScope,
+    cursor: DeltaCursor,
 }
 
 impl LeaseSpreader {
     /// A spreader that has told nobody anything.
-    pub fn new(fleet: Arc<BackendFleet>, clock: Arc<dyn TimeSource>, keepers: KeeperList) -> Self {
+    pub fn new(
+        fleet: Arc<BackendFleet>,
+        clock: Arc<dyn TimeSource>,
+        keepers: KeeperList,
+        feed: Arc<ConfigurationFeed>,
+    ) -> Self {
         Self {
             fleet,
+            audience: LeaseAudience::new(keepers, feed),
             clock,
-            keepers,
             cursors: Mutex::default(),
-            followers: Mutex::default(),
+            left_told: Mutex::default(),
+            surveys: SurveyRelay::default(),
         }
     }
 
-    /// Takes what the peer `from` heard, and asks for what it takes to be known here and is not.
+    /// Takes what the peer `from` knows, and asks for what it takes to be known here and is not.
     ///
     /// A question or its answer that is lost is made up for by the next renewal.
-    pub fn take(&self, hub: &PeerHub, from: &HostName, deltas: Vec<LeaseDelta>) {
+    pub fn take(&self, hub: &PeerHub, from: &HostName, batch: LeaseBatch) {
         let now = self.clock.now();
-        let mut unknown = Vec::new();
-        for delta in deltas {
-            let server = delta.server().clone();
-            let verdict = self.fleet.merge_delta(now, delta, TRANSIT_ALLOWANCE);
-            if verdict == MergeVerdict::Unknown {
-                unknown.push(server);
-            }
+        let sender = (from, self.audience.kind_of(from));
+        let outcome = self.fleet.take_batch(now, sender, batch, TRANSIT_ALLOWANCE);
+        if let Some(fault) = outcome.fault {
+            log::warn!(host:% = from, reason:% = fault; "renewals not taken");
+        }
+        if !outcome.unknown.is_empty() {
+            let _ = hub.send(from, &PeerFrame::LeaseQuestion(outcome.unknown));
         }
-        if !unknown.is_empty() {
-            let _ = hub.send(from, &PeerFrame::LeaseQuestion(unknown));
+        if !outcome.unnamed.is_empty() {
+            let _ = hub.send(from, &PeerFrame::LeaseNumbers(outcome.unnamed));
         }
     }
 
     /// A host asked this keeper for the configuration: it follows this one.
     pub fn followed_by(&self, host: &HostName) {
-        self.followers().asked(self.clock.now(), host);
+        self.audience.followed_by(self.clock.now(), host);
     }
 
-    /// Tells all hosts what a survey of engines found: every keeper, and over each of them the hosts
-    /// that follow it.
+    /// Tells keepers what this one's survey of engines found; those that follow it hear it with the
+    /// next tick.
     pub fn spread_survey(&self, hub: &PeerHub, notes: &[EngineNote]) {
-        let mut keepers = self.keepers.hosts();
-        keepers.retain(|keeper| keeper != hub.host());
-        for notes in notes.chunks(FRAME_ENGINES) {
-            let frame = PeerFrame::Survey {
-                notes: notes.to_vec(),
-                pass_on: true,
-            };
-            hub.send_to(&keepers, &frame);
-            self.tell_followers(hub, &keepers, notes);
-        }
-    }
-
-    /// Passes on to the hosts that follow this one what the keeper `from` found.
-    pub fn pass_on(&self, hub: &PeerHub, from: &HostName, notes: &[EngineNote]) {
-        self.tell_followers(hub, std::slice::from_ref(from), notes);
+        let keepers = self.audience.other_keepers(hub);
+        self.surveys.tell_keepers(hub, &keepers, notes);
+        self.surveys.note(self.clock.now(), notes.to_vec());
     }
 
-    fn tell_followers(&self, hub: &PeerHub, told: &[HostName], notes: &[EngineNote]) {
-        let mut hosts = self.followers().hosts(self.clock.now());
-        hosts.retain(|host| !told.contains(host));
-        let frame = PeerFrame::Survey {
-            notes: notes.to_vec(),
-            pass_on: false,
-        };
-        // Who misses it is told again with the next survey.
-        hub.send_to(&hosts, &frame);
-    }
-
-    fn followers(&self) -> MutexGuard<'_, FollowerTable> {
-        self.followers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Takes what a survey of engines found.
-    pub fn take_survey(&self, notes: Vec<EngineNote>) {
-        self.fleet.take_survey(self.clock.now(), notes);
+    /// Takes what another keeper's survey found, and passes it on with the next tick.
+    pub fn take_survey(&self, notes: Vec<EngineNote>, pass_on: bool) {
+        let now = self.clock.now();
+        if pass_on {
+            self.surveys.note(now, notes.clone());
+        }
+        self.fleet.take_survey(now, notes);
     }
 
     /// Answers a peer's question for full announcements.
     pub fn answer(&self, hub: &PeerHub, from: &HostName, servers: &[ServerName]) {
         let now = self.clock.now();
         for servers in servers.chunks(FRAME_LEASES) {
-            let deltas = self.fleet.own_full(now, servers);
-            if !deltas.is_empty() {
-                let _ = hub.send(from, &PeerFrame::Leases(deltas));
-            }
+            let named = self.fleet.named_in_full(now, servers);
+            self.tell_named(hub, std::slice::from_ref(from), named);
+        }
+    }
+
+    /// Answers a peer's question for the names of leases that it was told by number.
+    pub fn answer_numbers(&self, hub: &PeerHub, from: &HostName, numbers: &[LeaseNumber]) {
+        let now = self.clock.now();
+        let named = self.fleet.named_by_number(now, numbers);
+        for named in named.chunks(FRAME_LEASES) {
+            self.tell_named(hub, std::slice::from_ref(from), named.to_vec());
         }
     }
 
@@ -149,24 +156,34 @@
     }
 
     fn tick(&self, hub: &PeerHub, now: MonotonicTime, has_renewals: bool) {
-        let mut groups: BTreeMap<(u64, u64), Vec<HostName>> = BTreeMap::new();
-        {
-            let cursors = self.lock();
-            for host in hub.hosts() {
-                let cursor = cursors.get(&host).copied().unwrap_or_default();
-                let group = groups.entry((cursor.complete, cursor.reached));
-                group.or_default().push(host);
-            }
+        let told = self.audience.hosts(hub, now);
+        for (told, hosts) in self.group(&told) {
+            self.tell(hub, now, told, &hosts, has_renewals);
         }
-        for ((complete, reached), hosts) in groups {
-            self.tell(
-                hub,
-                now,
-                DeltaCursor { complete, reached },
-                &hosts,
-                has_renewals,
-            );
+        let others = hub.hosts().into_iter();
+        let others: Vec<HostName> = others.filter(|host| !told.contains_key(host)).collect();
+        self.tell_left(hub, now, &others);
+        let followers = self.audience.followers(now);
+        self.surveys.tell_followers(hub, now, &followers);
+    }
+
+    /// Hosts that are to be told, grouped by what they were told so far. One that is to be told another
+    /// scope than before begins anew.
+    fn group(&self, hosts: &BTreeMap<HostName, LeaseScope>) -> Vec<(ToldHost, Vec<HostName>)> {
+        let mut cursors = self.lock();
+        cursors.retain(|host, told| hosts.get(host) == Some(&told.scope));
+        let mut groups: Vec<(ToldHost, Vec<HostName>)> = Vec::new();
+        for (host, scope) in hosts {
+            let told = cursors.get(host).copied().unwrap_or(ToldHost {
+                scope: *scope,
+                cursor: DeltaCursor::default(),
+            });
+            match groups.iter_mut().find(|(other, _)| *other == told) {
+                Some((_, group)) => group.push(host.clone()),
+                None => groups.push((told, vec![host.clone()])),
+            }
         }
+        groups
     }
 
     /// Tells `hosts`, which were all told as much, what they weren't told, in as many frames as it
@@ -175,32 +192,67 @@
         &self,
         hub: &PeerHub,
         now: MonotonicTime,
-        mut cursor: DeltaCursor,
+        mut told: ToldHost,
         hosts: &[HostName],
         has_renewals: bool,
     ) {
         let mut hosts = hosts.to_vec();
         loop {
-            let (deltas, reached) = self.fleet.own_delta(now, cursor, FRAME_LEASES);
-            let is_frame_full = deltas.len() >= FRAME_LEASES;
-            let is_news = |delta: &LeaseDelta| matches!(delta, LeaseDelta::Full(_));
-            if !deltas.is_empty() {
-                if !has_renewals && !is_frame_full && !deltas.iter().any(is_news) {
+            let (batch, reached) = self.fleet.batch(now, told.cursor, FRAME_LEASES, told.scope);
+            let is_frame_full = batch.named.len() >= FRAME_LEASES;
+            if !batch.is_empty() {
+                let is_news = |named: &NamedLease| matches!(named.delta, LeaseDelta::Full(_));
+                if !has_renewals && !is_frame_full && !batch.named.iter().any(is_news) {
                     return;
                 }
-                let told = hub.send_to(&hosts, &PeerFrame::Leases(deltas));
-                hosts = told.into_iter().cloned().collect();
+                let queued = hub.send_to(&hosts, &PeerFrame::Leases(batch));
+                hosts = queued.into_iter().cloned().collect();
             }
-            let mut cursors = self.lock();
-            cursors.extend(hosts.iter().map(|host| (host.clone(), reached)));
+            told.cursor = reached;
+            self.lock()
+                .extend(hosts.iter().map(|host| (host.clone(), told)));
             if !is_frame_full || hosts.is_empty() {
                 return;
             }
-            cursor = reached;
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<HostName, DeltaCursor>> {
+    /// Tells hosts that follow other keepers of servers that leave.
+    ///
+    /// Failure: the keeper that a host follows stands still for seconds, and the host hears no news until
+    /// it has turned to another one. Symptom: it sent work to a server whose leave had been acknowledged
+    /// long before. A leave is a frame of one lease, so every keeper tells it to everyone.
+    fn tell_left(&self, hub: &PeerHub, now: MonotonicTime, hosts: &[HostName]) {
+        if !self.audience.is_keeper() {
+            return;
+        }
+        let left = {
+            let mut told = self
+                .left_told
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            let (left, version) = self.fleet.left_since(now, *told);
+            *told = version;
+            left
+        };
+        for left in left.chunks(FRAME_LEASES) {
+            self.tell_named(hub, hosts, left.to_vec());
+        }
+    }
+
+    fn tell_named(&self, hub: &PeerHub, hosts: &[HostName], named: Vec<NamedLease>) {
+        if named.is_empty() || hosts.is_empty() {
+            return;
+        }
+        let batch = LeaseBatch {
+            table: self.fleet.table_number(),
+            named,
+            heard: HeardLeases::default(),
+        };
+        hub.send_to(hosts, &PeerFrame::Leases(batch));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<HostName, ToldHost>> {
         self.cursors.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
