--- a/crates/daemon/tests/keeper_cluster/service.rs
+++ b/crates/daemon/tests/keeper_cluster/service.rs
@@ -109,6 +109,15 @@
             ..ClientSettings::default()
         },
     );
+    let mut link = peers
+        .hub()
+        .watch_link(&HostName::from("b"))
+        .expect("a peer");
+    within("a link", link.wait_for(|up| *up))
+        .await
+        .expect("it runs");
+    // A founder that stops before the group is founded leaves the others waiting for it.
+    cluster.accept("b", "0").await;
     let stopped = cluster.running.remove("b").expect("it runs");
     assert!(stopped.keeper.handle().stop());
     within("a planned end", stopped.keeper.finish())
