feat(routing): data centres whose streams break their pauses lose their callers

First events came in time, so the choice by predicted finish went on sending there. Change: DegradedLinks counts the streams that a host began over each other data centre and those that broke a pause, fading by half in 3 s, and adds up to 4 s to the 120 ms by which the first event there must be sooner.

--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -9,6 +9,7 @@
 mod bound;
 mod capacity;
 mod choice;
+mod degraded;
 mod engine;
 mod fleet;
 mod flight;
@@ -31,6 +32,7 @@
 mod view;
 
 pub use bound::FlowBound;
+pub use degraded::{DegradedLinks, DegradedSettings};
 pub use engine::{AcceleratorKind, EngineAnnouncement, EngineRole, MAX_ADAPTERS};
 pub use fleet::{EngineKey, EngineRecord, FleetTable, UpsertOutcome};
 pub use flight::FlightKey;
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -17,9 +17,9 @@
 use pollendrift_coordination::leases::WorkerLayers;
 use pollendrift_coordination::routes::{RouteTable, SpecEdition, SpecEditions};
 use pollendrift_coordination::routing::{
-    ByteRate, EngineFilter, EngineRecord, FleetPlanner, FlightKey, LinkFigures, LoadFigures,
-    LoadReport, NoRoute, NoRouteReason, RoutePlan, RoutePlanner, RoutePriority, RouteQuery,
-    RoutingSettings, SurveyedEngine, TokenCount, is_whole_chain,
+    ByteRate, DegradedLinks, DegradedSettings, EngineFilter, EngineRecord, FleetPlanner, FlightKey,
+    LinkFigures, LoadFigures, LoadReport, NoRoute, NoRouteReason, RoutePlan, RoutePlanner,
+    RoutePriority, RouteQuery, RoutingSettings, SurveyedEngine, TokenCount, is_whole_chain,
 };
 use pollendrift_dialect::StageHop;
 
@@ -42,10 +42,6 @@
 /// Part of the expected answer that room is asked for: over its time a draft that grows holds half
 /// of it, and many drafts of all ages share an engine.
 const GROWTH_PART: u32 = 2;
-/// How much sooner the first event must be expected of a chain in another data centre. Its events
-/// take a millisecond longer; the rest keeps requests near while loads are told late, since all
-/// entries would else follow the same old figures to the same place.
-const AWAY_PENALTY: Duration = Duration::from_millis(120);
 /// Part of the time from first to last event that counts like the wait for the first: a slow stream
 /// holds memory that others wait for.
 const STREAM_PART: u32 = 8;
@@ -58,6 +54,8 @@
     pub(super) hops: Vec<StageHop>,
     /// Server of the first stage, which takes the request.
     pub(super) first: ServerName,
+    /// Data centre of all its engines, where that is another than this host's.
+    pub(super) away: Option<DataCentreName>,
 }
 
 impl TakenChain {
@@ -98,6 +96,8 @@
     planner: FleetPlanner,
     known: BTreeMap<ServerName, KnownEngine>,
     data_centre: DataCentreName,
+    /// How streams over other data centres fared.
+    links: DegradedLinks,
     /// Data centres with engines.
     centres: BTreeSet<DataCentreName>,
     /// Specifications that the planner's figures were made from.
@@ -112,6 +112,7 @@
             planner: FleetPlanner::new(routing_settings(), seed),
             known: BTreeMap::new(),
             data_centre,
+            links: DegradedLinks::new(DegradedSettings::default()),
             centres: BTreeSet::new(),
             editions: SpecEditions::default(),
             sequence: 0,
@@ -266,7 +267,7 @@
             },
             ..query_of(request, &model, &is_good)
         };
-        let mut best: Option<(Duration, RoutePlan)> = None;
+        let mut best: Option<(Duration, RoutePlan, Option<DataCentreName>)> = None;
         for centre in self.centres.clone() {
             let query = RouteQuery {
                 within: Some(&centre),
@@ -275,27 +276,33 @@
             let Ok(plan) = self.planner.choose(now, &query) else {
                 continue;
             };
-            let away = if centre == self.data_centre {
-                Duration::ZERO
-            } else {
-                AWAY_PENALTY
-            };
+            let away = (centre != self.data_centre).then_some(centre);
+            let penalty = away.as_ref().map(|centre| self.links.penalty(now, centre));
             let stream = plan.finish.saturating_sub(plan.first_token);
-            let cost = plan.first_token + stream / STREAM_PART + away;
-            if best.as_ref().is_none_or(|(other, _)| cost < *other) {
-                best = Some((cost, plan));
+            let cost = plan.first_token + stream / STREAM_PART + penalty.unwrap_or_default();
+            if best.as_ref().is_none_or(|(other, ..)| cost < *other) {
+                best = Some((cost, plan, away));
             }
         }
-        let plan = match best {
-            Some((_, plan)) => plan,
-            None => self.planner.choose(now, &query)?,
+        let (plan, away) = match best {
+            Some((_, plan, away)) => (plan, away),
+            None => (self.planner.choose(now, &query)?, None),
         };
         let layers = request
             .service
             .engine
             .as_ref()
             .map_or(0, |spec| spec.layers);
-        self.start(now, plan, layers)
+        let chain = self.start(now, plan, layers)?;
+        if let Some(centre) = &away {
+            self.links.started(now, centre);
+        }
+        Ok(TakenChain { away, ..chain })
+    }
+
+    /// A stream over a chain in another data centre broke its pauses.
+    pub(super) fn late(&mut self, now: MonotonicTime, centre: &DataCentreName) {
+        self.links.late(now, centre);
     }
 
     /// Counts a chain as running, once it is proved whole.
@@ -329,6 +336,7 @@
             flight,
             first,
             plan,
+            away: None,
         })
     }
 
--- a/crates/daemon/src/relay/guard.rs
+++ b/crates/daemon/src/relay/guard.rs
@@ -47,6 +47,13 @@
         }
     }
 
+    /// Its stream broke the pauses that its route allows, for the first time.
+    pub(super) fn late(&self, now: MonotonicTime) {
+        if let Some(centre) = &self.chain.away {
+            self.context.chains().late(now, centre);
+        }
+    }
+
     /// It failed, by the fault of `culprit` where that is known.
     pub(super) fn failed(mut self, culprit: Option<&ServerName>) {
         self.ended = true;
--- a/crates/daemon/src/relay/passing.rs
+++ b/crates/daemon/src/relay/passing.rs
@@ -40,6 +40,8 @@
     heard_at: MonotonicTime,
     /// Time between two events, smoothed; zero before the second one.
     usual_gap: Duration,
+    /// Whether a pause was longer than the route allows.
+    is_late: bool,
 }
 
 impl EventPass {
@@ -51,6 +53,7 @@
             is_first: true,
             heard_at: now,
             usual_gap: Duration::ZERO,
+            is_late: false,
         }
     }
 
@@ -127,6 +130,11 @@
         if !self.is_first {
             let gap = now.since(self.heard_at);
             self.usual_gap = self.usual_gap - self.usual_gap / GAP_SMOOTHING + gap / GAP_SMOOTHING;
+            let allowed = run.request.route.pause_target;
+            if !self.is_late && allowed.is_some_and(|allowed| gap > allowed) {
+                self.is_late = true;
+                running.chain.late(now);
+            }
         }
         self.heard_at = now;
         running.chain.heard(now, self.is_first);
