perf(leases): hosts that have just linked are told contents, those that turn to another keeper names

Cause: each host that begins to follow a keeper was told names and asked for the contents, which were then encoded for it alone; after a start of the whole system that is every host at once. Change: FirstTelling. A host whose link came up within 5 s is told contents, in frames that all such hosts share; one that was linked before and turns to this keeper is told names.

--- a/crates/coordination/src/leases/batch.rs
+++ b/crates/coordination/src/leases/batch.rs
@@ -41,6 +41,15 @@
     }
 }
 
+/// How a receiver is told of leases for the first time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FirstTelling {
+    /// With their contents: it holds none.
+    Contents,
+    /// By name: another host told it the contents, and it asks for what it lacks.
+    Names,
+}
+
 /// A lease by name, and its number from now on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NamedLease {
@@ -91,22 +100,20 @@
 
 impl LeaseTable {
     /// Leases of `scope` that changed or were renewed after `cursor`, at most `limit` by name, and the new
-    /// cursor.
-    ///
-    /// A receiver of [`LeaseScope::All`] that was told nothing yet is told names without contents: it was
-    /// mostly told those by the keeper that it followed before, and asks for what it lacks.
+    /// cursor. `first` counts for a receiver that was told nothing yet.
     pub fn batch(
         &self,
         now: MonotonicTime,
         cursor: DeltaCursor,
         limit: usize,
         scope: LeaseScope,
+        first: FirstTelling,
     ) -> (LeaseBatch, DeltaCursor) {
         let mut named = Vec::new();
         let mut heard = Vec::new();
         let mut reached = cursor.reached;
         let mut complete = cursor.complete;
-        let is_first = scope == LeaseScope::All && cursor.complete == 0;
+        let is_first = first == FirstTelling::Names && cursor.complete == 0;
         let mut leases = self.by_version.range(reached.saturating_add(1)..);
         loop {
             let Some((version, key)) = leases.next() else {
--- a/crates/coordination/tests/leases_spread.rs
+++ b/crates/coordination/tests/leases_spread.rs
@@ -9,8 +9,8 @@
 };
 use pollendrift_coordination::leases::{
     AnnouncedLoad, AssignmentSettings, AssignmentTable, BackendLeaseSettings, DeltaCursor,
-    HeardFrom, HeardLease, HeardLeases, HeartbeatHost, LeaseBatch, LeaseNumber, LeaseScope,
-    LeaseTable, MergeVerdict, ServerAnnounce, ServerState,
+    FirstTelling, HeardFrom, HeardLease, HeardLeases, HeartbeatHost, LeaseBatch, LeaseNumber,
+    LeaseScope, LeaseTable, MergeVerdict, ServerAnnounce, ServerState,
 };
 use proptest::prelude::{any, prop, proptest};
 
@@ -42,6 +42,8 @@
     name: HostName,
     table: LeaseTable,
     cursors: BTreeMap<HostName, DeltaCursor>,
+    /// How it tells hosts that it has not told anything.
+    first: FirstTelling,
 }
 
 impl LeaseHost {
@@ -54,15 +56,17 @@
             name: name.into(),
             table: LeaseTable::numbered(settings, Incarnation(7)),
             cursors: BTreeMap::new(),
+            first: FirstTelling::Contents,
         }
     }
 
     /// The batches that `to` has not been told.
     fn batches(&mut self, now: u64, to: &HostName, scope: LeaseScope) -> Vec<LeaseBatch> {
+        let first = self.first;
         let cursor = self.cursors.entry(to.clone()).or_default();
         let mut batches = Vec::new();
         loop {
-            let (batch, reached) = self.table.batch(at(now), *cursor, BATCH, scope);
+            let (batch, reached) = self.table.batch(at(now), *cursor, BATCH, scope, first);
             *cursor = reached;
             let is_full = batch.named.len() >= BATCH;
             batches.push(batch);
@@ -188,6 +192,7 @@
     const SERVERS: usize = 600;
     let mut first = LeaseHost::new("keeper-1");
     let mut second = LeaseHost::new("keeper-2");
+    second.first = FirstTelling::Names;
     let mut follower = LeaseHost::new("entry-1");
     let mut bytes = Vec::new();
     for beat in 0..8 {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -17,9 +17,9 @@
 };
 use pollendrift_coordination::configuration::ServerFacts;
 use pollendrift_coordination::leases::{
-    AnnouncedLoad, BackendLeaseSettings, BatchOutcome, DeltaCursor, HeardFrom, LeaseBatch,
-    LeaseNews, LeaseNumber, LeaseScope, LeaseTable, MergeVerdict, NamedLease, ServerAnnounce,
-    ServerLease, ServerState,
+    AnnouncedLoad, BackendLeaseSettings, BatchOutcome, DeltaCursor, FirstTelling, HeardFrom,
+    LeaseBatch, LeaseNews, LeaseNumber, LeaseScope, LeaseTable, MergeVerdict, NamedLease,
+    ServerAnnounce, ServerLease, ServerState,
 };
 use pollendrift_coordination::routing::{
     FleetPlanner, RoutePlanner, RoutingDump, RoutingSettings, SurveyBoard,
@@ -151,8 +151,9 @@
         cursor: DeltaCursor,
         limit: usize,
         scope: LeaseScope,
+        first: FirstTelling,
     ) -> (LeaseBatch, DeltaCursor) {
-        self.lock().leases.batch(now, cursor, limit, scope)
+        self.lock().leases.batch(now, cursor, limit, scope, first)
     }
 
     /// Servers that said since `version` of the lease table that they leave, and the present version.
--- a/crates/daemon/src/spread.rs
+++ b/crates/daemon/src/spread.rs
@@ -18,7 +18,8 @@
 
 use pollendrift_coordination::base::{HostName, MonotonicTime, ServerName};
 use pollendrift_coordination::leases::{
-    DeltaCursor, HeardLeases, LeaseBatch, LeaseDelta, LeaseNumber, LeaseScope, NamedLease,
+    DeltaCursor, FirstTelling, HeardLeases, LeaseBatch, LeaseDelta, LeaseNumber, LeaseScope,
+    NamedLease,
 };
 use pollendrift_coordination::routing::EngineNote;
 
@@ -36,6 +37,8 @@
 /// Ticks between two tellings of what only renews leases: a third of a usual heartbeat, as renewals
 /// pass through three hosts.
 const RENEWAL_TICKS: u32 = 2;
+/// Time after its link came up for which a host is taken to hold no leases.
+const NEW_LINK_TIME: Duration = Duration::from_secs(5);
 /// Leases in one frame by name.
 const FRAME_LEASES: usize = 256;
 /// Longest time that a frame is taken to have travelled; a link that is silent for longer breaks.
@@ -51,6 +54,8 @@
     clock: Arc<dyn TimeSource>,
     audience: LeaseAudience,
     cursors: Mutex<BTreeMap<HostName, ToldHost>>,
+    /// When the link to each host came up last.
+    linked: Mutex<BTreeMap<HostName, MonotonicTime>>,
     /// Version of the lease table up to which every host was told of servers that leave.
     left_told: Mutex<u64>,
     surveys: SurveyRelay,
@@ -60,6 +65,7 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 struct ToldHost {
     scope: LeaseScope,
+    first: FirstTelling,
     cursor: DeltaCursor,
 }
 
@@ -76,6 +82,7 @@
             audience: LeaseAudience::new(keepers, feed),
             clock,
             cursors: Mutex::default(),
+            linked: Mutex::default(),
             left_told: Mutex::default(),
             surveys: SurveyRelay::default(),
         }
@@ -142,6 +149,22 @@
     /// The link to `host` came up: it is told everything again.
     pub fn restart(&self, host: &HostName) {
         self.lock().remove(host);
+        let mut linked = self.linked.lock().unwrap_or_else(PoisonError::into_inner);
+        linked.insert(host.clone(), self.clock.now());
+    }
+
+    /// How `host` is told of leases for the first time: one that was linked long before it is to be told
+    /// turns to this keeper from another one.
+    fn first_telling(&self, now: MonotonicTime, host: &HostName) -> FirstTelling {
+        let linked = self.linked.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_new = linked
+            .get(host)
+            .is_none_or(|at| now.since(*at) < NEW_LINK_TIME);
+        if is_new {
+            FirstTelling::Contents
+        } else {
+            FirstTelling::Names
+        }
     }
 
     /// Spreads for as long as the host runs.
@@ -157,7 +180,7 @@
 
     fn tick(&self, hub: &PeerHub, now: MonotonicTime, has_renewals: bool) {
         let told = self.audience.hosts(hub, now);
-        for (told, hosts) in self.group(&told) {
+        for (told, hosts) in self.group(now, &told) {
             self.tell(hub, now, told, &hosts, has_renewals);
         }
         let others = hub.hosts().into_iter();
@@ -169,13 +192,18 @@
 
     /// Hosts that are to be told, grouped by what they were told so far. One that is to be told another
     /// scope than before begins anew.
-    fn group(&self, hosts: &BTreeMap<HostName, LeaseScope>) -> Vec<(ToldHost, Vec<HostName>)> {
+    fn group(
+        &self,
+        now: MonotonicTime,
+        hosts: &BTreeMap<HostName, LeaseScope>,
+    ) -> Vec<(ToldHost, Vec<HostName>)> {
         let mut cursors = self.lock();
         cursors.retain(|host, told| hosts.get(host) == Some(&told.scope));
         let mut groups: Vec<(ToldHost, Vec<HostName>)> = Vec::new();
         for (host, scope) in hosts {
-            let told = cursors.get(host).copied().unwrap_or(ToldHost {
+            let told = cursors.get(host).copied().unwrap_or_else(|| ToldHost {
                 scope: *scope,
+                first: self.first_telling(now, host),
                 cursor: DeltaCursor::default(),
             });
             match groups.iter_mut().find(|(other, _)| *other == told) {
@@ -198,7 +226,9 @@
     ) {
         let mut hosts = hosts.to_vec();
         loop {
-            let (batch, reached) = self.fleet.batch(now, told.cursor, FRAME_LEASES, told.scope);
+            let (batch, reached) =
+                self.fleet
+                    .batch(now, told.cursor, FRAME_LEASES, told.scope, told.first);
             let is_frame_full = batch.named.len() >= FRAME_LEASES;
             if !batch.is_empty() {
                 let is_news = |named: &NamedLease| matches!(named.delta, LeaseDelta::Full(_));
--- a/crates/standins/benches/capacity.rs
+++ b/crates/standins/benches/capacity.rs
@@ -10,8 +10,8 @@
     AttemptNumber, Incarnation, LayerRange, SequenceNumber, TokenPosition,
 };
 use pollendrift_coordination::leases::{
-    AnnouncedLoad, BackendLeaseSettings, LeaseBatch, LeaseScope, LeaseTable, ServerAnnounce,
-    ServerState,
+    AnnouncedLoad, BackendLeaseSettings, FirstTelling, LeaseBatch, LeaseScope, LeaseTable,
+    ServerAnnounce, ServerState,
 };
 use pollendrift_coordination::ledger::{
     ChainLink, GeneratedToken, LedgerSettings, TokenLedger, TokenResult, TokenText,
@@ -79,7 +79,9 @@
     let mut table = LeaseTable::new(BackendLeaseSettings::default());
     let now = pollendrift_coordination::base::MonotonicTime::START;
     let mut cursor = Default::default();
-    let mut batch = table.batch(now, cursor, 1, LeaseScope::Own).0;
+    let mut batch = table
+        .batch(now, cursor, 1, LeaseScope::Own, FirstTelling::Contents)
+        .0;
     for sequence in 1..=2 {
         for index in 0..RENEWALS {
             let announce = ServerAnnounce {
@@ -97,7 +99,13 @@
         }
         let limit = usize::try_from(RENEWALS).unwrap_or(usize::MAX);
         let now = now.after(Duration::from_secs(2));
-        let (told, reached) = table.batch(now, cursor, limit + 1, LeaseScope::Own);
+        let (told, reached) = table.batch(
+            now,
+            cursor,
+            limit + 1,
+            LeaseScope::Own,
+            FirstTelling::Contents,
+        );
         (batch, cursor) = (told, reached);
     }
     batch
--- a/crates/standins/examples/experiment/spreading.rs
+++ b/crates/standins/examples/experiment/spreading.rs
@@ -6,8 +6,8 @@
 use pollendrift::peers::{PeerFrame, decode_frame, encode_frame};
 use pollendrift_coordination::base::{HostName, MonotonicTime, ServerName};
 use pollendrift_coordination::leases::{
-    BackendLeaseSettings, DeltaCursor, HeardFrom, LeaseBatch, LeaseDelta, LeaseScope, NamedLease,
-    SubsetHost, SubsetSettings, entries_of,
+    BackendLeaseSettings, DeltaCursor, FirstTelling, HeardFrom, LeaseBatch, LeaseDelta, LeaseScope,
+    NamedLease, SubsetHost, SubsetSettings, entries_of,
 };
 use pollendrift_coordination::routing::RoutingSettings;
 
@@ -42,7 +42,13 @@
 ) -> (Vec<LeaseBatch>, DeltaCursor) {
     let mut frames = Vec::new();
     loop {
-        let (batch, reached) = fleet.batch(now, cursor, FRAME_LEASES, LeaseScope::Own);
+        let (batch, reached) = fleet.batch(
+            now,
+            cursor,
+            FRAME_LEASES,
+            LeaseScope::Own,
+            FirstTelling::Contents,
+        );
         if batch.is_empty() {
             return (frames, reached);
         }
