perf(peers): handshakes of entries wait for a busy keeper; what has come is read before silence is looked at

A host that was late itself took peers for silent whose echoes waited in its sockets. An entry asks one seed at a time, since one keeper tells of all. Tests of SharedBarrier: a storm of questions costs one read at a time, none older than its question.

--- a/crates/daemon/src/feed/barrier.rs
+++ b/crates/daemon/src/feed/barrier.rs
@@ -54,3 +54,6 @@
         outcome
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daemon/src/feed/barrier/tests.rs
@@ -0,0 +1,62 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use super::SharedBarrier;
+
+/// Time of one read.
+const READ_TIME: Duration = Duration::from_millis(100);
+
+// Guards against hundreds of hosts that keep keepers from electing a leader by their questions.
+#[tokio::test(start_paused = true)]
+async fn a_storm_of_questions_costs_one_read_at_a_time() {
+    let barrier = Arc::new(SharedBarrier::default());
+    let reads = Arc::new(AtomicU32::new(0));
+    let mut questions = JoinSet::new();
+    for question in 0..300_u64 {
+        let (barrier, reads) = (Arc::clone(&barrier), Arc::clone(&reads));
+        questions.spawn(async move {
+            sleep(Duration::from_millis(question)).await;
+            let read = async || {
+                reads.fetch_add(1, Ordering::Relaxed);
+                sleep(READ_TIME).await;
+                Ok(())
+            };
+            barrier.pass(read).await
+        });
+    }
+    let outcomes = questions.join_all().await;
+    assert!(outcomes.iter().all(Result::is_ok));
+    let reads = reads.load(Ordering::Relaxed);
+    assert!(reads <= 5, "{reads} reads in 300 ms of questions");
+}
+
+// Guards against an answer by a read that began before its question: it would lack a change in between.
+#[tokio::test(start_paused = true)]
+async fn a_question_is_answered_by_a_read_that_began_after_it() {
+    let barrier = Arc::new(SharedBarrier::default());
+    let accepted = Arc::new(AtomicU32::new(0));
+    let seen = Arc::new(AtomicU32::new(0));
+    let ask = |barrier: Arc<SharedBarrier>| {
+        let (accepted, seen) = (Arc::clone(&accepted), Arc::clone(&seen));
+        tokio::spawn(async move {
+            let read = async || {
+                let now = accepted.load(Ordering::Relaxed);
+                sleep(READ_TIME).await;
+                seen.store(now, Ordering::Relaxed);
+                Ok(())
+            };
+            barrier.pass(read).await
+        })
+    };
+    let first = ask(Arc::clone(&barrier));
+    sleep(READ_TIME / 2).await;
+    accepted.store(1, Ordering::Relaxed);
+    let second = ask(Arc::clone(&barrier));
+    assert!(matches!(first.await, Ok(Ok(()))));
+    assert!(matches!(second.await, Ok(Ok(()))));
+    assert_eq!(seen.load(Ordering::Relaxed), 1);
+}
--- a/crates/daemon/src/peers/discovery.rs
+++ b/crates/daemon/src/peers/discovery.rs
@@ -10,6 +10,7 @@
     DirectorySettings, HostDirectory, HostNews, HostNote, HostReach,
 };
 use pollendrift_coordination::leases::HeartbeatHost;
+use rand::seq::SliceRandom;
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -174,8 +175,12 @@
     /// Looks for peers for as long as the process runs.
     pub(super) async fn run(self: Arc<Self>, hub: PeerHub) {
         let mut seeds = JoinSet::new();
-        for seed in &self.seeds {
-            seeds.spawn(Arc::clone(&self).seek(hub.clone(), *seed));
+        if self.reach.keeper {
+            for seed in &self.seeds {
+                seeds.spawn(Arc::clone(&self).seek(hub.clone(), *seed));
+            }
+        } else {
+            seeds.spawn(Arc::clone(&self).seek_any(hub.clone()));
         }
         let mut ticks = interval(DISCOVERY_TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -200,6 +205,23 @@
         }
     }
 
+    /// Asks one seed address after the other while no keeper is known: one keeper tells of all. All hosts
+    /// of a fleet that asked every seed would keep those from founding the group.
+    async fn seek_any(self: Arc<Self>, hub: PeerHub) {
+        let mut seeds = self.seeds.clone();
+        seeds.shuffle(&mut rand::rng());
+        let mut wait = FIRST_SEED_WAIT;
+        for seed in seeds.iter().cycle() {
+            while self.knows_keeper() {
+                sleep(DISCOVERY_TICK).await;
+                wait = FIRST_SEED_WAIT;
+            }
+            self.ask_seed(&hub, *seed).await;
+            sleep(wait).await;
+            wait = (wait * 2).min(DISCOVERY_TICK);
+        }
+    }
+
     async fn ask_seed(&self, hub: &PeerHub, seed: SocketAddr) {
         // A certificate would have to name the host, which is what is asked; seeds are for networks
         // that are protected otherwise.
@@ -271,6 +293,10 @@
         let _ = hub.send(host, &PeerFrame::Hosts { keepers, entries });
     }
 
+    fn knows_keeper(&self) -> bool {
+        self.lock().keepers().next().is_some()
+    }
+
     fn is_known(&self, seed: SocketAddr) -> bool {
         self.host_at(&self.lock(), seed).is_some()
     }
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -58,6 +58,8 @@
     pub(super) silence: Duration,
     /// Longest wait between two attempts to open it.
     pub(super) longest_wait: Duration,
+    /// Time for opening it.
+    pub(super) handshake: Duration,
 }
 
 /// Receiver of frames. Its methods run on the link's task and must not block; what takes time is
@@ -309,15 +311,17 @@
         let settings = &self.shared.settings;
         let is_between_keepers =
             |discovery: &PeerDiscovery| discovery.own_reach().keeper && discovery.is_keeper(host);
-        let entries = match self.discovery() {
-            Some(discovery) if !is_between_keepers(discovery) => discovery.entries().unwrap_or(0),
-            _ => 0,
-        };
+        let far = self.discovery().filter(|found| !is_between_keepers(found));
+        let entries = far.and_then(|found| found.entries()).unwrap_or(0);
         let heartbeat = settings.heartbeat.max(settings.heartbeat_share * entries);
         LinkPace {
             heartbeat,
             silence: settings.silence.max(heartbeat * SILENT_HEARTBEATS),
             longest_wait: settings.retry_most.max(heartbeat * WAITED_HEARTBEATS),
+            handshake: match far {
+                Some(_) => settings.entry_handshake_timeout,
+                None => settings.handshake_timeout,
+            },
         }
     }
 
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -17,6 +17,8 @@
 use super::transport::{AcceptedStream, PeerAcceptor};
 use crate::clock::{SystemClock, TimeSource};
 
+/// Wait for handshakes to end, while as many are open as may be.
+const HANDSHAKE_PAUSE: Duration = Duration::from_millis(5);
 /// Wait after a failed accept, such as with no file handles left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -29,6 +31,11 @@
     let mut links = JoinSet::new();
     loop {
         while links.try_join_next().is_some() {}
+        if hub.shared.handshakes.available_permits() == 0 {
+            // The system keeps connections waiting; closed, they would be opened again at once.
+            sleep(HANDSHAKE_PAUSE).await;
+            continue;
+        }
         match listener.accept().await {
             Ok((stream, _)) => {
                 links.spawn(serve_tcp(hub.clone(), stream, acceptor.clone()));
@@ -150,6 +157,7 @@
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let step = tokio::select! {
+            biased;
             () = replies.ready() => link.sender.send_queued(replies).await,
             frame = link.receiver.receive() => {
                 heard_at = clock.now();
--- a/crates/daemon/src/peers/outbound.rs
+++ b/crates/daemon/src/peers/outbound.rs
@@ -60,7 +60,7 @@
 ) -> Result<(FrameSender, FrameReceiver), LinkError> {
     let _permit = hub.shared.dials.acquire().await;
     let opening = connect(hub, slot);
-    timeout(hub.shared.settings.handshake_timeout, opening)
+    timeout(hub.pace_of(&slot.peer.host).handshake, opening)
         .await
         .map_err(|_| LinkError::Timeout {
             step: "the handshake",
@@ -109,7 +109,8 @@
     let dialing = hub.shared.dialer.dial(expected, address);
     let stream = dialing.await.map_err(LinkError::Dial)?;
     let handshake = client_async_with_config(HANDSHAKE_URL, stream, Some(socket_config(settings)));
-    let (socket, _) = in_time("the handshake", settings.handshake_timeout, handshake).await?;
+    let patience = hub.pace_of(expected).handshake;
+    let (socket, _) = in_time("the handshake", patience, handshake).await?;
     let (mut sender, mut receiver) = split_socket(socket, settings);
     sender.send(&hub.hello()).await?;
     match receiver.receive().await? {
@@ -142,11 +143,14 @@
     let mut heard_at = clock.now();
     loop {
         let step = tokio::select! {
-            () = slot.queue.ready() => sender.send_queued(&slot.queue).await,
+            // What has come is taken before the silence is looked at: a host that was late itself would else
+            // take peers for silent whose echoes wait.
+            biased;
             frame = receiver.receive() => {
                 heard_at = clock.now();
                 frame.and_then(|frame| take_frame(hub, slot, frame, sent, sent_at))
             }
+            () = slot.queue.ready() => sender.send_queued(&slot.queue).await,
             () = sleep_until(next_heartbeat) => {
                 if clock.now().since(heard_at) > pace.silence {
                     return LinkError::Silent;
--- a/crates/daemon/src/peers/settings.rs
+++ b/crates/daemon/src/peers/settings.rs
@@ -7,6 +7,10 @@
 pub struct LinkSettings {
     /// Time for connecting, the handshake and the hello together.
     pub handshake_timeout: Duration,
+    /// The same on links with a host at an end that takes callers. After a start of the whole system a keeper
+    /// has those of hundreds of hosts to answer, one after the other; given up meanwhile and begun anew, none
+    /// of them would ever end.
+    pub entry_handshake_timeout: Duration,
     /// Time between two heartbeats.
     pub heartbeat: Duration,
     /// Time that each host which takes callers adds to the time between two heartbeats, on links with one of
@@ -41,6 +45,7 @@
     fn default() -> Self {
         Self {
             handshake_timeout: Duration::from_secs(2),
+            entry_handshake_timeout: Duration::from_secs(8),
             heartbeat: Duration::from_millis(300),
             heartbeat_share: Duration::from_millis(4),
             silence: Duration::from_millis(1_200),
