fix(keeper,leases): founders are asked all at once and with patience; servers that move are named once

Worked out from the counts, not traced: a founder waits a second for each other's answer, one after the other, which keepers that are busy with 291 hosts do not give in time; and heartbeats that go to another keeper each time named their server anew at every hop, 40 bytes each. Change: introductions are asked at the same time, for 3 s; a lease is named again only when it is first heard of in a way that another audience is told of.

--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -177,7 +177,7 @@
         let key = self.leases.insert(lease);
         self.by_name.insert(name, key);
         self.by_expiry.insert((deadline, key));
-        self.touch(key, true, true);
+        self.touch(key, true);
         MergeVerdict::Changed
     }
 
@@ -241,12 +241,11 @@
             return MergeVerdict::Stale;
         };
         let old_deadline = lease.deadline;
-        let is_moved = lease.from != hearing.from;
         lease.renew(announce, hearing);
         let deadline = lease.deadline;
         self.by_expiry.remove(&(old_deadline, key));
         self.by_expiry.insert((deadline, key));
-        self.touch(key, is_changed, is_moved);
+        self.touch(key, is_changed);
         if is_changed {
             MergeVerdict::Changed
         } else {
@@ -276,14 +275,14 @@
         self.by_version.remove(&lease.version);
     }
 
-    fn touch(&mut self, key: LeaseKey, is_changed: bool, is_moved: bool) {
+    fn touch(&mut self, key: LeaseKey, is_changed: bool) {
         self.version += 1;
         let version = self.version;
         let Some(lease) = self.leases.get_mut(key) else {
             return;
         };
         self.by_version.remove(&lease.version);
-        lease.touch(version, is_changed, is_moved);
+        lease.touch(version, is_changed);
         self.by_version.insert(version, key);
     }
 }
--- a/crates/coordination/src/leases/record.rs
+++ b/crates/coordination/src/leases/record.rs
@@ -1,5 +1,6 @@
 //! One backend server's announcement and lease.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -67,7 +68,10 @@
     pub version: u64,
     /// Version of the table when `digest` last changed.
     pub content_version: u64,
-    /// Version of the table when `from` last changed: who is told of the lease depends on it.
+    /// Ways in which the server was heard of so far.
+    pub heard_from: BTreeSet<HeardFrom>,
+    /// Version of the table when `heard_from` last grew: who was told of the lease depends on it. A server
+    /// whose heartbeats go now here, now there is not named anew each time.
     pub from_version: u64,
     /// Version of the table when `told_load` last changed.
     pub load_version: u64,
@@ -90,6 +94,7 @@
             ended: false,
             version: 0,
             content_version: 0,
+            heard_from: BTreeSet::from([hearing.from]),
             from_version: 0,
             load_version: 0,
             digest: ContentDigest::of(&announce),
@@ -124,9 +129,9 @@
     }
 
     /// Marks what peers must be told again, as of `version` of the table.
-    pub(super) fn touch(&mut self, version: u64, is_changed: bool, is_moved: bool) {
+    pub(super) fn touch(&mut self, version: u64, is_changed: bool) {
         self.version = version;
-        if is_moved {
+        if self.heard_from.insert(self.from) {
             self.from_version = version;
         }
         if is_changed {
@@ -158,7 +163,7 @@
 }
 
 /// Whom an announcement was heard from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum HeardFrom {
     /// The backend server itself.
--- a/crates/daemon/src/keeper/formation.rs
+++ b/crates/daemon/src/keeper/formation.rs
@@ -8,11 +8,13 @@
 //! keepers of the settings, or the hosts at the seed addresses; others can't hold a log before.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use pollendrift_coordination::agreement::{KeeperId, Membership};
 use pollendrift_coordination::base::HostName;
 use pollendrift_store::{GroupId, JoinedGroup, SegmentStore};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use super::error::KeeperError;
@@ -20,6 +22,10 @@
 use super::settings::KeeperSettings;
 use crate::peers::{KeeperIntroduction, PeerAnswer, PeerHub, PeerQuestion};
 
+/// Time for another keeper's answer. After the first start of a fleet it has hundreds of hosts to answer
+/// beside; asked anew each half second, no founder ever had all answers.
+const INTRODUCTION_PATIENCE: Duration = Duration::from_secs(3);
+
 /// What asking around has shown.
 enum Findings {
     /// A group exists.
@@ -102,10 +108,22 @@
     let mut unsettled = !own.keepers.contains(&own.keeper.host);
     let known = keepers.hosts().into_iter().chain(own.keepers.clone());
     let known: BTreeSet<HostName> = known.filter(|host| *host != own.keeper.host).collect();
-    for host in &known {
-        let question = PeerQuestion::Introduction(own.clone());
-        let answer = hub.call(host, question, 1, settings.join_pause * 5).await;
-        let is_founder = own.keepers.contains(host);
+    let patience = INTRODUCTION_PATIENCE.max(settings.join_pause * 5);
+    let mut asking = JoinSet::new();
+    for host in known {
+        let (hub, own) = (hub.clone(), own.clone());
+        asking.spawn(async move {
+            let question = PeerQuestion::Introduction(own);
+            let answer = hub.call(&host, question, 1, patience).await;
+            (host, answer)
+        });
+    }
+    while let Some(asked) = asking.join_next().await {
+        let Ok((host, answer)) = asked else {
+            unsettled = true;
+            continue;
+        };
+        let is_founder = own.keepers.contains(&host);
         let Ok(PeerAnswer::Introduced(answer)) = answer else {
             unsettled |= is_founder;
             continue;
