feat(relay): a stated request rate shows in logs and metrics

Change: the adapter decodes it into `StatedRate`; the relay records it by server, logs each change, and a gauge counts the servers that state one. Nothing is held back yet: no change of what is sent.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 //! completion or chat request to a model.
 
 pub mod agreement;
+pub mod backpressure;
 pub mod base;
 pub mod claims;
 pub mod configuration;
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,6 +12,7 @@
 
 use derive_more::{Display, Error};
 use pollendrift_border::{Announcement, EngineOffer, ServerOffer};
+use pollendrift_coordination::backpressure::RateTable;
 use pollendrift_coordination::base::{
     HostName, Incarnation, MonotonicTime, ServerName, ServiceName,
 };
@@ -79,6 +80,8 @@
 /// All backend servers known to this host.
 pub struct BackendFleet {
     inner: Mutex<FleetState>,
+    /// Request rates that servers of published services accept.
+    rates: Mutex<RateTable>,
 }
 
 struct FleetState {
@@ -109,6 +112,7 @@
         };
         Self {
             inner: Mutex::new(inner),
+            rates: Mutex::default(),
         }
     }
 
@@ -195,9 +199,25 @@
             state.handle_lease_event(event);
         }
         state.planner.tick(now);
+        drop(state);
+        self.remove_rates(&events);
         events
     }
 
+    /// Locks the request rates that servers accept.
+    pub(crate) fn rates(&self) -> MutexGuard<'_, RateTable> {
+        self.rates.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn remove_rates(&self, events: &[LeaseEvent]) {
+        let mut rates = self.rates();
+        for event in events {
+            if let LeaseEvent::Forgotten { server } = event {
+                rates.remove(server);
+            }
+        }
+    }
+
     /// Whether `server` may receive new work now; callers check again right before each send.
     pub fn may_take_work(&self, now: MonotonicTime, server: &ServerName) -> bool {
         self.lock().leases.may_take_work(now, server)
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -8,6 +8,7 @@
 //! server or chain of engines, decide whether to retry a failed send, and choose the response.
 
 mod answer;
+mod backpressure;
 mod calls;
 mod chains;
 mod context;
--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -87,6 +87,7 @@
 /// matched with the next request.
 pub(super) async fn send(
     context: &RelayContext,
+    server: &ServerName,
     address: SocketAddr,
     request: http::Request<Full<Bytes>>,
     attempt: &RequestId,
@@ -101,7 +102,7 @@
             return Err(FailedSend::new(SendOutcome::TimedOut, reason));
         }
     };
-    check_answer(context, answer, attempt).await
+    check_answer(context, server, answer, attempt).await
 }
 
 fn outcome_of(error: &ClientError) -> SendOutcome {
@@ -113,6 +114,7 @@
 
 async fn check_answer(
     context: &RelayContext,
+    server: &ServerName,
     answer: PooledAnswer,
     attempt: &RequestId,
 ) -> Result<OpenAnswer, FailedSend> {
@@ -123,6 +125,9 @@
         let reason = "the answer belongs to another request".to_owned();
         return Err(FailedSend::new(SendOutcome::ResetAfterSend, reason));
     }
+    if !head.wrong_server {
+        context.apply_statements(server, &head);
+    }
     if head.not_run || head.wrong_server {
         let failed = FailedSend {
             outcome: SendOutcome::Declined,
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -138,6 +138,7 @@
     let time_left = request.time_left(now);
     let answered = send(
         context,
+        &worker.server,
         worker.address,
         server_request,
         &request.attempt,
--- a/crates/daemon/src/relay/reroute.rs
+++ b/crates/daemon/src/relay/reroute.rs
@@ -64,7 +64,8 @@
         let written = self.request.write(since, dialect.as_ref(), target);
         let time_left = self.request.time_left(since);
         let attempt = self.request.attempt.clone();
-        let sending = send(&context, hop.address, written, &attempt, time_left);
+        let first = chain.chain.first.clone();
+        let sending = send(&context, &first, hop.address, written, &attempt, time_left);
         let mut sending = std::pin::pin!(sending);
         loop {
             let expected_gap = chain.chain.plan.first_token;
--- a/crates/daemon/src/telemetry/instruments.rs
+++ b/crates/daemon/src/telemetry/instruments.rs
@@ -47,6 +47,8 @@
         "Connections and requests without an accepted credential, by face and reason";
     BACKEND_SERVERS: Gauge "pollendrift.backend_server.count", "{backend_server}",
         "Backend servers with a lease at this host";
+    RATE_LIMITED_SERVERS: Gauge "pollendrift.backend_server.rate_limited.count", "{backend_server}",
+        "Backend servers that state a limit on their request rate, as known at this host";
     CLAIMS: Gauge "pollendrift.claim.count", "{claim}",
         "Claims on calls that may not be repeated, as known at this host";
     CONFIGURATION_LEASE: Gauge "pollendrift.configuration.lease.remaining", "s",
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -57,6 +57,7 @@
     provider: SdkMeterProvider,
     access_refusals: Counter<u64>,
     backend_servers: Gauge<u64>,
+    rate_limited_servers: Gauge<u64>,
     claims: Gauge<u64>,
     configuration_lease: Gauge<f64>,
     configuration_revision: Gauge<u64>,
@@ -94,6 +95,7 @@
             provider,
             access_refusals: counter(&meter, &instruments::ACCESS_REFUSALS),
             backend_servers: gauge(&meter, &instruments::BACKEND_SERVERS),
+            rate_limited_servers: gauge(&meter, &instruments::RATE_LIMITED_SERVERS),
             claims: gauge(&meter, &instruments::CLAIMS),
             configuration_lease: seconds_gauge(&meter, &instruments::CONFIGURATION_LEASE),
             configuration_revision: gauge(&meter, &instruments::CONFIGURATION_REVISION),
@@ -134,6 +136,11 @@
         self.backend_servers.record(count, &[]);
     }
 
+    /// Records the number of backend servers that state a limit on their request rate.
+    pub fn set_rate_limited_servers(&self, count: u64) {
+        self.rate_limited_servers.record(count, &[]);
+    }
+
     /// Records the number of known claims.
     pub fn set_claims(&self, count: u64) {
         self.claims.record(count, &[]);
--- a/crates/dialect/src/servers.rs
+++ b/crates/dialect/src/servers.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, request, response};
+use pollendrift_coordination::backpressure::StatedRate;
 use pollendrift_coordination::base::{
     CustomerName, FencingNumber, LayerRange, RequestId, SequenceNumber, ServerName,
 };
@@ -65,6 +66,8 @@
     pub culprit: Option<SocketAddr>,
     /// Load of the server, if the answer contains it.
     pub load: Option<ServerLoad>,
+    /// Rate of requests that the server accepts from all hosts together.
+    pub accepted_rate: StatedRate,
 }
 
 /// Order to replace the held layers of an engine with a range of layers.
