--- a/crates/daemon/tests/telemetry_pages.rs
+++ b/crates/daemon/tests/telemetry_pages.rs
@@ -118,6 +118,7 @@
     insta::assert_snapshot!(lines.collect::<Vec<_>>().join("\n"), @r#"
     pollendrift_access_refusals_total{face="callers",reason="token",otel_scope_name="pollendrift"} 1
     pollendrift_backend_server_count{otel_scope_name="pollendrift"} 43
+    pollendrift_backend_server_rate_limited_count{otel_scope_name="pollendrift"} 1
     pollendrift_claim_count{otel_scope_name="pollendrift"} 2
     pollendrift_configuration_lease_remaining_seconds{otel_scope_name="pollendrift"} 2
     pollendrift_configuration_revision{otel_scope_name="pollendrift"} 7
