fix(relay): hosts together keep to the request rate that a server states

What callers and servers saw: two engines in need stated 6.2 and 3.2 requests a second and got 101 and 53 in 4 s (42 and 24 allowed); their queues grew while other engines had room.

Cause: no host used the statement. Class: a limit on the sum of many hosts that no host knows alone, so that reading it is not enough: nine hosts that each keep to the whole rate send nine times as much.

Change: each host takes its share of the rate: the part that its demand is of all hosts' demand. Hosts report their demand to the keeper that they follow, keepers add it up. Hosts that are missing in the sum have their even part set aside for them, so that hosts that are cut off don't add to the rate. What the rate leaves no room for goes to other servers; if there are none, it is refused at once with the time until the share allows it, or waits if that is soon. First sends, repeats, resumed and moved streams take from the same share. Probes' answers can state a limit but not end it. Reports travel in the survey frame: an older process ignores the new part, where an unknown frame would break its link.

--- a/crates/coordination/src/backpressure.rs
+++ b/crates/coordination/src/backpressure.rs
@@ -1,10 +1,17 @@
 //! Backpressure: what backend servers state about their capacity in their answers.
 //!
 //! A server in need states the rate of requests that it accepts from all hosts together. The
-//! statement holds until an answer of the server no longer contains one.
+//! statement holds until an answer of the server no longer contains one. Hosts divide the rate
+//! among themselves by their demand, which they report to each other.
 
+mod demand;
 mod rate;
+mod rate_record;
+mod rate_report;
+mod rate_settings;
 mod rate_table;
 
 pub use rate::{RequestRate, StatedRate};
-pub use rate_table::{RateChange, RateTable};
+pub use rate_report::{RateBatch, RateReport, RateScope, ReportSender, StatementReport};
+pub use rate_settings::RateSettings;
+pub use rate_table::{RateChange, RateDump, RateTable, UsedUpRate};
--- a/crates/coordination/src/backpressure/rate.rs
+++ b/crates/coordination/src/backpressure/rate.rs
@@ -34,6 +34,17 @@
         is_rate.then_some(Self((rate * UNITS) as u64))
     }
 
+    /// Creates a rate from thousandths of a request per second.
+    pub const fn from_millis_per_second(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Returns the sum of two rates.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+
     /// Returns the requests per second.
     pub fn per_second(self) -> f64 {
         self.0 as f64 / UNITS
--- a/crates/coordination/src/limits/bucket.rs
+++ b/crates/coordination/src/limits/bucket.rs
@@ -25,6 +25,12 @@
         }
     }
 
+    /// Replaces the level, at most the burst.
+    pub(crate) fn with_level(mut self, level: f64) -> Self {
+        self.level = level.min(self.burst);
+        self
+    }
+
     /// Changes rate and burst; keeps the level, capped at the new burst.
     pub(crate) fn configure(&mut self, now: MonotonicTime, per_second: f64, burst: f64) {
         self.refill(now);
@@ -45,8 +51,14 @@
             self.level -= 1.0;
             return Ok(());
         }
-        let seconds = (1.0 - self.level) / self.per_second;
-        Err(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+        Err(self.time_until(now, 1.0))
+    }
+
+    /// Returns the time until the level reaches `tokens`, as if the burst did not limit it.
+    pub(crate) fn time_until(&mut self, now: MonotonicTime, tokens: f64) -> Duration {
+        self.refill(now);
+        let seconds = (tokens - self.level).max(0.0) / self.per_second;
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 
     /// Whether a token is available, without taking it.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -41,7 +41,9 @@
 use crate::tasks::TaskGroup;
 use crate::telemetry::{EvidenceSink, MetricError, MetricRegistry, RecorderSlot};
 
-use sources::{DaemonMetrics, EvidenceDump, FleetDump, NodeDump, RoutingDumpSource};
+use sources::{
+    DaemonMetrics, EvidenceDump, FleetDump, NodeDump, RateDumpSource, RoutingDumpSource,
+};
 
 /// Time between two ticks of the gate and the leases.
 const TICK: Duration = Duration::from_millis(100);
@@ -194,6 +196,10 @@
             Arc::new(FleetDump {
                 fleet: Arc::clone(&fleet),
             }),
+            Arc::new(RateDumpSource {
+                fleet: Arc::clone(&fleet),
+                clock: Arc::clone(&clock),
+            }),
             Arc::new(EvidenceDump {
                 recorder: Arc::clone(&recorder),
             }),
--- a/crates/daemon/src/daemon/sources.rs
+++ b/crates/daemon/src/daemon/sources.rs
@@ -23,6 +23,22 @@
     }
 }
 
+pub(super) struct RateDumpSource {
+    pub(super) fleet: Arc<BackendFleet>,
+    pub(super) clock: Arc<dyn TimeSource>,
+}
+
+impl DumpSource for RateDumpSource {
+    fn name(&self) -> &'static str {
+        "request_rates"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let rates = self.fleet.rates().dump(self.clock.now());
+        serde_json::to_value(rates).unwrap_or_default()
+    }
+}
+
 pub(super) struct EvidenceDump {
     pub(super) recorder: Arc<RecorderSlot>,
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,7 +12,7 @@
 
 use derive_more::{Display, Error};
 use pollendrift_border::{Announcement, EngineOffer, ServerOffer};
-use pollendrift_coordination::backpressure::RateTable;
+use pollendrift_coordination::backpressure::{RateSettings, RateTable};
 use pollendrift_coordination::base::{
     HostName, Incarnation, MonotonicTime, ServerName, ServiceName,
 };
@@ -112,7 +112,7 @@
         };
         Self {
             inner: Mutex::new(inner),
-            rates: Mutex::default(),
+            rates: Mutex::new(RateTable::new(RateSettings::default(), seed)),
         }
     }
 
@@ -200,7 +200,7 @@
         }
         state.planner.tick(now);
         drop(state);
-        self.remove_rates(&events);
+        self.tick_rates(now, &events);
         events
     }
 
@@ -209,8 +209,9 @@
         self.rates.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn remove_rates(&self, events: &[LeaseEvent]) {
+    fn tick_rates(&self, now: MonotonicTime, events: &[LeaseEvent]) {
         let mut rates = self.rates();
+        rates.tick(now);
         for event in events {
             if let LeaseEvent::Forgotten { server } = event {
                 rates.remove(server);
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -54,8 +54,15 @@
                     .broadcaster
                     .answer_number_question(hub, from, &numbers);
             }
-            PeerFrame::Survey { notes, pass_on } => {
-                targets.broadcaster.receive_survey(notes, pass_on)
+            PeerFrame::Survey {
+                notes,
+                pass_on,
+                rates,
+            } => {
+                targets.broadcaster.receive_survey(notes, pass_on);
+                if let Some(rates) = rates {
+                    targets.broadcaster.receive_rates(from, &rates);
+                }
             }
             PeerFrame::Stream(note) => targets.streams.receive_update(note),
             PeerFrame::Call(call) => answer_call(targets, hub, from, call),
--- a/crates/daemon/src/lease_broadcast.rs
+++ b/crates/daemon/src/lease_broadcast.rs
@@ -1,4 +1,5 @@
-//! Broadcasts backend servers' leases and surveys of engines between hosts.
+//! Broadcasts backend servers' leases, surveys of engines and the demand for rate-limited servers
+//! between hosts.
 //!
 //! With a fixed list of hosts in the settings, each host sends every other host the leases that it
 //! received itself. With discovery, a host without a keeper follows one keeper: it gets the
@@ -12,6 +13,7 @@
 //! everything again, since frames queued for the broken link are lost. A peer requests the leases
 //! that it turns out to lack.
 
+mod rates;
 mod recipients;
 mod surveys;
 
@@ -203,6 +205,9 @@
         self.send_leaves(hub, now, &other_hosts);
         let followers = self.recipients.followers(now);
         self.surveys.send_to_followers(hub, now, &followers);
+        if has_renewals {
+            self.send_rates(hub, now);
+        }
     }
 
     /// Groups recipients by sync state. A host whose scope changed starts again from the initial
--- a/crates/daemon/src/lease_broadcast/surveys.rs
+++ b/crates/daemon/src/lease_broadcast/surveys.rs
@@ -66,6 +66,11 @@
     }
     for results in results.chunks(FRAME_ENGINES) {
         let notes = results.to_vec();
-        hub.send_to(hosts, &PeerFrame::Survey { notes, pass_on });
+        let frame = PeerFrame::Survey {
+            notes,
+            pass_on,
+            rates: None,
+        };
+        hub.send_to(hosts, &frame);
     }
 }
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use pollendrift_coordination::agreement::{AgreementEnvelope, KeeperId};
+use pollendrift_coordination::backpressure::RateBatch;
 use pollendrift_coordination::base::{HostName, Incarnation, RequestId, Revision, ServerName};
 use pollendrift_coordination::configuration::ConfigurationDelta;
 use pollendrift_coordination::hosts::{HostGossip, HostReach};
@@ -256,6 +257,10 @@
         notes: Vec<SurveyResult>,
         /// Whether the receiver forwards the results to the hosts that follow it.
         pass_on: bool,
+        /// Demand for rate-limited servers. It is a part of this frame because an older process
+        /// ignores an unknown part, but breaks the link after an unknown frame.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        rates: Option<RateBatch>,
     },
     /// Requests full announcements of servers that the receiver renewed and the sender lacks.
     LeaseQuestion(Vec<ServerName>),
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use http::Response;
+use pollendrift_coordination::backpressure::UsedUpRate;
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
 use pollendrift_coordination::retries::{CallKind, RunProof, SendOutcome};
 use pollendrift_coordination::routing::{ReportedLoad, ServerCandidate};
@@ -12,6 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::answer::{FailedSend, send};
+use super::backpressure::{RateQueue, rate_refusal};
 use super::context::RelayContext;
 use super::drafts::CAPACITY_POLL_PERIOD;
 use super::request::{Refused, RelayRequest, SendTarget, refused};
@@ -23,6 +25,9 @@
 /// turn over a few times.
 const RETRY_NO_CAPACITY: std::time::Duration = std::time::Duration::from_millis(150);
 
+/// Divisor of a call's time: the fraction that it may wait for the limit of a server.
+const RATE_WAIT_DIVISOR: u32 = 3;
+
 /// Sends of one call so far, and their results.
 #[derive(Default)]
 struct CallHistory {
@@ -33,6 +38,8 @@
     /// Whether a server may have run the call.
     may_have_run: bool,
     last: Option<FailedSend>,
+    /// Limit that held the call back in the last choice of a server.
+    used_up_rate: Option<UsedUpRate>,
 }
 
 /// Serves one call: sends it to servers in turn until one answers or no further send is allowed.
@@ -41,14 +48,20 @@
     request: &RelayRequest,
 ) -> Result<Response<ResponseBody>, Refused> {
     let mut history = CallHistory::default();
+    let mut rate_queue = RateQueue::new(context);
     context.earn_retry_budget(request.arrived, &request.service.name);
     loop {
         let now = context.clock.now();
         if request.time_left(now) < MIN_TIME_LEFT {
             return Err(final_refusal(&history));
         }
-        let Some(worker) = choose(context, request, &history, now) else {
-            if history.tried_servers.is_empty() && may_wait_for_server(context, request, now) {
+        let Some(worker) = choose(context, request, &mut history, &mut rate_queue, now) else {
+            if let Some(wait) = rate_wait(request, &history, now) {
+                sleep(wait).await;
+                continue;
+            }
+            let is_held_back = history.used_up_rate.is_some() || !history.tried_servers.is_empty();
+            if !is_held_back && may_wait_for_server(context, request, now) {
                 sleep(CAPACITY_POLL_PERIOD).await;
                 continue;
             }
@@ -95,20 +108,68 @@
         && waited < request.time_left(now)
 }
 
+/// Time for which a call that limits held back waits for one of them; `None` if it must not wait.
+fn rate_wait(
+    request: &RelayRequest,
+    history: &CallHistory,
+    now: MonotonicTime,
+) -> Option<std::time::Duration> {
+    let used_up = history.used_up_rate.as_ref()?;
+    let total = request.deadline.since(request.arrived);
+    let is_in_time = now.since(request.arrived) + used_up.wait <= total / RATE_WAIT_DIVISOR;
+    (is_in_time && history.tried_servers.is_empty()).then_some(used_up.wait)
+}
+
+/// Chooses the least loaded server whose limit allows a request, and takes the request out of this
+/// host's share of it.
 fn choose(
     context: &RelayContext,
     request: &RelayRequest,
-    history: &CallHistory,
+    history: &mut CallHistory,
+    rate_queue: &mut RateQueue,
     now: MonotonicTime,
 ) -> Option<Arc<WorkerView>> {
+    let mut eligible = eligible_servers(context, request, history, now);
+    let mut rate_limited = Vec::new();
+    history.used_up_rate = None;
+    loop {
+        let Some(index) = choose_least_loaded(context, &eligible, now) else {
+            history.used_up_rate = rate_queue.join(now, &rate_limited);
+            return None;
+        };
+        let worker = eligible.swap_remove(index);
+        rate_queue.record_demand(now, &worker.server);
+        if context.take_rate(now, &worker.server) {
+            rate_queue.leave();
+            return Some(worker);
+        }
+        rate_limited.push(worker.server.clone());
+    }
+}
+
+fn eligible_servers(
+    context: &RelayContext,
+    request: &RelayRequest,
+    history: &CallHistory,
+    now: MonotonicTime,
+) -> Vec<Arc<WorkerView>> {
     let workers = context.fleet.workers(now);
     let service = &request.service.name;
-    let eligible: Vec<&Arc<WorkerView>> = workers
+    workers
         .iter()
         .filter(|worker| worker.offer.service == *service)
         .filter(|worker| !history.tried_servers.contains(&worker.server))
-        .collect();
-    let candidates: Vec<ServerCandidate> = eligible
+        .cloned()
+        .collect()
+}
+
+/// Index of the least loaded of `workers`.
+fn choose_least_loaded(
+    context: &RelayContext,
+    workers: &[Arc<WorkerView>],
+    now: MonotonicTime,
+) -> Option<usize> {
+    let candidates: Vec<ServerCandidate> = workers
         .iter()
         .map(|worker| ServerCandidate {
             server: worker.server.clone(),
@@ -118,8 +179,7 @@
         })
         .collect();
     let chosen = context.loads().choose(now, &candidates)?.server.clone();
-    let found = eligible.into_iter().find(|worker| worker.server == chosen);
-    found.cloned()
+    workers.iter().position(|worker| worker.server == chosen)
 }
 
 async fn send_once(
@@ -210,6 +270,9 @@
 /// Returns the refusal for the caller after the last send.
 fn final_refusal(history: &CallHistory) -> Refused {
     let Some(last) = &history.last else {
+        if let Some(used_up) = &history.used_up_rate {
+            return rate_refusal(used_up);
+        }
         return refused(RefusalKind::NotRun, "no server of the service takes work")
             .retry_after(RETRY_NO_CAPACITY);
     };
--- a/crates/daemon/src/relay/chains/refresh.rs
+++ b/crates/daemon/src/relay/chains/refresh.rs
@@ -24,6 +24,7 @@
             .and_then(|discovery| discovery.entry_count());
         if let Some(entries) = entries {
             context.set_budget_share(now, entries);
+            context.fleet.rates().set_hosts(entries);
         }
         let Ok(table) = context.routes.current(now) else {
             continue;
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::Response;
+use pollendrift_coordination::backpressure::UsedUpRate;
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
 use pollendrift_coordination::evidence::OutcomeKind;
 use pollendrift_coordination::retries::{SendOutcome, TriedServers};
@@ -13,6 +14,7 @@
 use tokio::time::sleep;
 
 use super::answer::{FailedSend, OpenAnswer, end_to_end_headers};
+use super::backpressure::{RateQueue, rate_refusal};
 use super::chains::ReservedChain;
 use super::context::RelayContext;
 use super::guard::ChainGuard;
@@ -62,6 +64,16 @@
     may_have_run: bool,
     last_failure: Option<FailedSend>,
     pub(super) reroutes: RerouteState,
+    rate_queue: RateQueue,
+    /// Limit that held the draft back in the last search for a chain.
+    used_up_rate: Option<UsedUpRate>,
+}
+
+/// Result of a search for a chain.
+struct ChainSearch {
+    chain: Option<ChainGuard>,
+    /// First engines that were passed over because this host's share of their limit is used up.
+    rate_limited: Vec<ServerName>,
 }
 
 /// An engine that is excluded from a draft's next chains.
@@ -98,6 +110,8 @@
         may_have_run: false,
         last_failure: None,
         reroutes: RerouteState::default(),
+        rate_queue: RateQueue::new(context),
+        used_up_rate: None,
     };
     let wait_until = context.queue_deadline(context.clock.now(), run.request.arrived);
     let running = match run.open(resume_after, wait_until).await {
@@ -134,13 +148,18 @@
             if self.request.time_left(now) < MIN_TIME_LEFT || self.is_final() {
                 return None;
             }
-            let Some(mut chain) = self.reserve_chain_in_budget(now, is_resume) else {
-                if now >= wait_until {
+            let search = self.reserve_chain_in_budget(now, is_resume);
+            let Some(mut chain) = search.chain else {
+                let may_wait = self.may_wait_for_rate(now, &search.rate_limited, wait_until);
+                if now >= wait_until || !may_wait {
+                    self.rate_queue.leave();
                     return None;
                 }
                 sleep(CAPACITY_POLL_PERIOD).await;
                 continue;
             };
+            self.rate_queue.record_demand(now, &chain.chain.first);
+            self.rate_queue.leave();
             chain.log_sent(&self.request, now, self.sends + self.declined + 1);
             self.context.metrics.record_attempt();
             match self.send(&mut chain, resume_after).await {
@@ -184,18 +203,59 @@
     /// Only a send spends a retry, a search for capacity doesn't: when each search spent one, a
     /// single draft used up the host's budget within half a second, and running streams that then
     /// needed a retry were aborted.
-    fn reserve_chain_in_budget(&self, now: MonotonicTime, is_resume: bool) -> Option<ChainGuard> {
+    fn reserve_chain_in_budget(&self, now: MonotonicTime, is_resume: bool) -> ChainSearch {
         let service = &self.request.service.name;
         let is_repeat = self.sends + self.declined > 0;
         if is_repeat && !self.context.has_retry_budget(now, service) {
-            return None;
-        }
-        let chain = self.reserve_chain(now, is_resume, &[])?;
-        if is_repeat && !self.context.spend_retry(now, service) {
-            chain.record_failed(None);
-            return None;
+            return ChainSearch {
+                chain: None,
+                rate_limited: Vec::new(),
+            };
         }
-        Some(chain)
+        let mut search = self.reserve_chain(now, is_resume, &[]);
+        search.chain = search.chain.and_then(|chain| {
+            let may_send = self.context.take_rate(now, &chain.chain.first)
+                && (!is_repeat || self.context.spend_retry(now, service));
+            if !may_send {
+                chain.record_failed(None);
+                return None;
+            }
+            Some(chain)
+        });
+        search
+    }
+
+    /// Whether the draft waits for a chain, after a search without one that passed over
+    /// `rate_limited` engines.
+    ///
+    /// A draft that only those engines can serve is refused at once if their limits don't allow it
+    /// before `wait_until`.
+    fn may_wait_for_rate(
+        &mut self,
+        now: MonotonicTime,
+        rate_limited: &[ServerName],
+        wait_until: MonotonicTime,
+    ) -> bool {
+        let is_first = !self.rate_queue.has_joined();
+        let used_up = self.rate_queue.join(now, rate_limited);
+        self.used_up_rate = used_up.filter(|_| !self.has_unlimited_engine(now, rate_limited));
+        let Some(used_up) = &self.used_up_rate else {
+            return true;
+        };
+        !is_first || now.after(used_up.wait) <= wait_until
+    }
+
+    /// Whether an engine that is not among `rate_limited` can receive the draft.
+    fn has_unlimited_engine(&self, now: MonotonicTime, rate_limited: &[ServerName]) -> bool {
+        let workers = self.context.fleet.workers(now);
+        let health = self.context.health();
+        let mut engines = workers.iter().filter(|worker| {
+            worker.holds_first_layer() && worker.offer.service == self.request.service.name
+        });
+        engines.any(|worker| {
+            let server = &worker.server;
+            !rate_limited.contains(server) && !health.is_suspected(now, server)
+        })
     }
 
     /// Whether the draft can continue on another chain without `suspects`.
@@ -210,27 +270,57 @@
         if self.is_final() || self.declined + 1 >= self.max_declined() || !has_budget {
             return false;
         }
-        let Some(chain) = self.reserve_chain(now, true, suspects) else {
+        let Some(chain) = self.reserve_chain(now, true, suspects).chain else {
             return false;
         };
         chain.record_failed(None);
         true
     }
 
+    /// Reserves the best chain whose first engine may get a request by its limit.
     fn reserve_chain(
         &self,
         now: MonotonicTime,
         is_resume: bool,
         suspects: &[ServerName],
-    ) -> Option<ChainGuard> {
+    ) -> ChainSearch {
         let excluded = self.excluded.iter().filter(|engine| engine.until > now);
         let excluded = excluded.map(|engine| &engine.server);
         let exhausted = self.exhausted_first_engines(now);
-        let excluded: Vec<ServerName> = excluded
+        let mut excluded: Vec<ServerName> = excluded
             .chain(suspects)
             .chain(&exhausted)
             .cloned()
             .collect();
+        let mut rate_limited = self.rate_queue.used_up_servers(now);
+        excluded.extend(rate_limited.iter().cloned());
+        loop {
+            let chain = self.reserve_without(now, is_resume, &excluded);
+            let Some(chain) = chain else {
+                return ChainSearch {
+                    chain: None,
+                    rate_limited,
+                };
+            };
+            let first = chain.chain.first.clone();
+            if self.context.has_rate(now, &first) {
+                return ChainSearch {
+                    chain: Some(chain),
+                    rate_limited,
+                };
+            }
+            chain.record_failed(None);
+            excluded.push(first.clone());
+            rate_limited.push(first);
+        }
+    }
+
+    fn reserve_without(
+        &self,
+        now: MonotonicTime,
+        is_resume: bool,
+        excluded: &[ServerName],
+    ) -> Option<ChainGuard> {
         let fleet = &self.context.fleet;
         let may_take_work = |server: &ServerName| fleet.worker_may_take_work(now, server);
         let health = self.context.health();
@@ -238,7 +328,7 @@
         let reserved = self.context.chains().reserve(
             now,
             &self.request,
-            &excluded,
+            excluded,
             is_resume,
             may_take_work,
             is_healthy,
@@ -363,6 +453,9 @@
     }
 
     fn refusal(&self) -> Refused {
+        if let Some(used_up) = self.used_up_rate.as_ref().filter(|_| !self.may_have_run) {
+            return rate_refusal(used_up);
+        }
         let reason = self.last_failure.as_ref().map_or_else(
             || "no chain of engines has room".to_owned(),
             |failed| failed.reason.clone(),
--- a/crates/daemon/src/relay/liveness.rs
+++ b/crates/daemon/src/relay/liveness.rs
@@ -103,7 +103,7 @@
     let answer_time = context.health().answer_time();
     let probed_at = context.clock.now();
     let state = match address {
-        Some(address) => probe_engine(&context, &context.pool, address, answer_time).await,
+        Some(address) => probe_engine(&context, &context.pool, &server, address, answer_time).await,
         None => EngineState::TimedOut,
     };
     let now = context.clock.now();
--- a/crates/daemon/src/relay/reroute.rs
+++ b/crates/daemon/src/relay/reroute.rs
@@ -177,6 +177,8 @@
         let exchange = async {
             let answer = self.context.pool.send(address, request).await.ok()?;
             let (parts, body) = answer.response.into_parts();
+            self.context
+                .apply_probe_statements(&chain.first, &dialect.read(&parts));
             let body = read_bounded(body, MAX_REPLY_BYTES).await.ok()?;
             answer.connection.return_to_pool(&parts.headers);
             Some(dialect.read_reroute(parts.status, &body))
--- a/crates/daemon/src/relay/survey.rs
+++ b/crates/daemon/src/relay/survey.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http_body_util::Full;
+use pollendrift_coordination::base::ServerName;
 use pollendrift_coordination::routing::{EngineLoad, SurveyResult};
 use pollendrift_dialect::EngineReport;
 use pollendrift_http::{ClientError, ConnectionPool, read_bounded};
@@ -56,7 +57,14 @@
     worker: Arc<WorkerView>,
 ) -> Option<SurveyResult> {
     let probed_at = context.clock.now();
-    let state = probe_engine(&context, &pool, worker.address, ANSWER_TIMEOUT).await;
+    let state = probe_engine(
+        &context,
+        &pool,
+        &worker.server,
+        worker.address,
+        ANSWER_TIMEOUT,
+    )
+    .await;
     let load = match state {
         EngineState::Reported(report) => Some(load_of(&worker, &report)),
         EngineState::Unreachable | EngineState::TimedOut => None,
@@ -83,10 +91,11 @@
     Unclear,
 }
 
-/// Probes the engine at `address` for its state and waits at most `answer_time`.
+/// Probes the engine `server` at `address` for its state and waits at most `answer_time`.
 pub(super) async fn probe_engine(
     context: &RelayContext,
     pool: &ConnectionPool,
+    server: &ServerName,
     address: SocketAddr,
     answer_time: Duration,
 ) -> EngineState {
@@ -99,6 +108,7 @@
             Err(_) => return EngineState::Unclear,
         };
         let (parts, body) = answer.response.into_parts();
+        context.apply_probe_statements(server, &dialect.read(&parts));
         let Ok(body) = read_bounded(body, MAX_REPLY_BYTES).await else {
             return EngineState::Unclear;
         };
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -15,6 +15,9 @@
     PeerQuestion, decode_frame, encode_frame,
 };
 use pollendrift_coordination::agreement::{KeeperId, Membership};
+use pollendrift_coordination::backpressure::{
+    RateBatch, RateReport, RateScope, RequestRate, StatementReport,
+};
 use pollendrift_coordination::base::{
     AttemptNumber, Incarnation, Revision, SequenceNumber, TokenPosition, WallTime,
 };
@@ -262,6 +265,22 @@
     calls.chain(answers().into_iter().map(answer)).collect()
 }
 
+fn rates() -> RateBatch {
+    let report = RateReport {
+        server: "e1".into(),
+        stated: Some(StatementReport {
+            limit: RequestRate::from_per_second(3.2),
+            age: Duration::from_millis(70),
+        }),
+        demand: RequestRate::from_per_second(1.5).expect("a rate"),
+        hosts: 2,
+    };
+    RateBatch {
+        scope: RateScope::Total,
+        reports: vec![report],
+    }
+}
+
 fn broadcast_frames() -> Vec<PeerFrame> {
     let revision = Revision(8);
     let engine = SurveyResult {
@@ -300,6 +319,12 @@
         PeerFrame::Survey {
             notes: vec![engine],
             pass_on: true,
+            rates: None,
+        },
+        PeerFrame::Survey {
+            notes: Vec::new(),
+            pass_on: false,
+            rates: Some(rates()),
         },
         PeerFrame::LeaseQuestion(vec!["e1".into()]),
         PeerFrame::LeaseNumbers(vec![LeaseNumber(300)]),
