feat(relay): a server's wish for a back-off shows in logs and metrics

Change: the adapter decodes the seconds, also with a fraction; the relay records the end of the back-off by server, logs it, and a gauge counts the servers with one. Nothing is held back yet: no change of what is sent.

--- a/crates/coordination/src/backpressure.rs
+++ b/crates/coordination/src/backpressure.rs
@@ -3,7 +3,10 @@
 //! A server in need states the rate of requests that it accepts from all hosts together. The
 //! statement holds until an answer of the server no longer contains one. Hosts divide the rate
 //! among themselves by their demand, which they report to each other.
+//!
+//! A server that turns a request away may ask the host that sent it to back off for a while.
 
+mod back_off;
 mod demand;
 mod rate;
 mod rate_record;
@@ -11,6 +14,7 @@
 mod rate_settings;
 mod rate_table;
 
+pub use back_off::BackOffTable;
 pub use rate::{RequestRate, StatedRate};
 pub use rate_report::{RateBatch, RateReport, RateScope, ReportSender, StatementReport};
 pub use rate_settings::RateSettings;
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,7 +12,7 @@
 
 use derive_more::{Display, Error};
 use pollendrift_border::{Announcement, EngineOffer, ServerOffer};
-use pollendrift_coordination::backpressure::{RateSettings, RateTable};
+use pollendrift_coordination::backpressure::{BackOffTable, RateSettings, RateTable};
 use pollendrift_coordination::base::{
     HostName, Incarnation, MonotonicTime, ServerName, ServiceName,
 };
@@ -82,6 +82,8 @@
     inner: Mutex<FleetState>,
     /// Request rates that servers of published services accept.
     rates: Mutex<RateTable>,
+    /// Back-offs that servers of published services asked this host for.
+    back_offs: Mutex<BackOffTable>,
 }
 
 struct FleetState {
@@ -113,6 +115,7 @@
         Self {
             inner: Mutex::new(inner),
             rates: Mutex::new(RateTable::new(RateSettings::default(), seed)),
+            back_offs: Mutex::default(),
         }
     }
 
@@ -200,7 +203,7 @@
         }
         state.planner.tick(now);
         drop(state);
-        self.tick_rates(now, &events);
+        self.tick_backpressure(now, &events);
         events
     }
 
@@ -209,12 +212,21 @@
         self.rates.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn tick_rates(&self, now: MonotonicTime, events: &[LeaseEvent]) {
-        let mut rates = self.rates();
+    /// Locks the back-offs that servers asked this host for.
+    pub(crate) fn back_offs(&self) -> MutexGuard<'_, BackOffTable> {
+        self.back_offs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn tick_backpressure(&self, now: MonotonicTime, events: &[LeaseEvent]) {
+        let (mut rates, mut back_offs) = (self.rates(), self.back_offs());
         rates.tick(now);
+        back_offs.tick(now);
         for event in events {
             if let LeaseEvent::Forgotten { server } = event {
                 rates.remove(server);
+                back_offs.remove(server);
             }
         }
     }
--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -36,8 +36,10 @@
 }
 
 fn update(sources: &GaugeSources, metrics: &MetricRegistry) {
-    let serving = sources.fleet.serving(sources.clock.now()).len();
+    let now = sources.clock.now();
+    let serving = sources.fleet.serving(now).len();
     metrics.set_backend_servers(count(serving));
+    metrics.set_backed_off_servers(count(sources.fleet.back_offs().count(now)));
     metrics.set_rate_limited_servers(count(sources.fleet.rates().limited_count()));
     let (revision, lease) = sources.node.feed().lease();
     metrics.set_configuration(revision, lease);
--- a/crates/daemon/src/relay/backpressure.rs
+++ b/crates/daemon/src/relay/backpressure.rs
@@ -10,6 +10,7 @@
 
 use super::context::RelayContext;
 use super::request::{Refused, refused};
+use crate::clock::millis;
 
 /// Least retry delay of a request that a limit held back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -30,6 +31,10 @@
         if let Some(change) = change {
             log_rate_change(server, change);
         }
+        if let Some(time) = head.back_off {
+            self.fleet.back_offs().start(now, server, time);
+            log::info!(server:% = server, back_off_ms = millis(time); "server asks this host to back off");
+        }
     }
 
     /// Applies the statements of `server` in the head of its answer to a probe or an order. Servers
--- a/crates/daemon/src/telemetry/instruments.rs
+++ b/crates/daemon/src/telemetry/instruments.rs
@@ -45,6 +45,8 @@
 instruments! {
     ACCESS_REFUSALS: Counter "pollendrift.access.refusals", "{connection}",
         "Connections and requests without an accepted credential, by face and reason";
+    BACKED_OFF_SERVERS: Gauge "pollendrift.backend_server.backed_off.count", "{backend_server}",
+        "Backend servers that asked this host to send nothing for a while";
     BACKEND_SERVERS: Gauge "pollendrift.backend_server.count", "{backend_server}",
         "Backend servers with a lease at this host";
     RATE_LIMITED_SERVERS: Gauge "pollendrift.backend_server.rate_limited.count", "{backend_server}",
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -57,6 +57,7 @@
     provider: SdkMeterProvider,
     access_refusals: Counter<u64>,
     backend_servers: Gauge<u64>,
+    backed_off_servers: Gauge<u64>,
     rate_limited_servers: Gauge<u64>,
     claims: Gauge<u64>,
     configuration_lease: Gauge<f64>,
@@ -95,6 +96,7 @@
             provider,
             access_refusals: counter(&meter, &instruments::ACCESS_REFUSALS),
             backend_servers: gauge(&meter, &instruments::BACKEND_SERVERS),
+            backed_off_servers: gauge(&meter, &instruments::BACKED_OFF_SERVERS),
             rate_limited_servers: gauge(&meter, &instruments::RATE_LIMITED_SERVERS),
             claims: gauge(&meter, &instruments::CLAIMS),
             configuration_lease: seconds_gauge(&meter, &instruments::CONFIGURATION_LEASE),
@@ -136,6 +138,11 @@
         self.backend_servers.record(count, &[]);
     }
 
+    /// Records the number of backend servers that asked this host to back off.
+    pub fn set_backed_off_servers(&self, count: u64) {
+        self.backed_off_servers.record(count, &[]);
+    }
+
     /// Records the number of backend servers that state a limit on their request rate.
     pub fn set_rate_limited_servers(&self, count: u64) {
         self.rate_limited_servers.record(count, &[]);
--- a/crates/daemon/tests/telemetry_pages.rs
+++ b/crates/daemon/tests/telemetry_pages.rs
@@ -31,6 +31,7 @@
         reason: "token",
     });
     metrics.set_backend_servers(43);
+    metrics.set_backed_off_servers(1);
     metrics.set_rate_limited_servers(1);
     metrics.set_claims(2);
     metrics.set_configuration(7.into(), Duration::from_secs(2));
@@ -117,6 +118,7 @@
     });
     insta::assert_snapshot!(lines.collect::<Vec<_>>().join("\n"), @r#"
     pollendrift_access_refusals_total{face="callers",reason="token",otel_scope_name="pollendrift"} 1
+    pollendrift_backend_server_backed_off_count{otel_scope_name="pollendrift"} 1
     pollendrift_backend_server_count{otel_scope_name="pollendrift"} 43
     pollendrift_backend_server_rate_limited_count{otel_scope_name="pollendrift"} 1
     pollendrift_claim_count{otel_scope_name="pollendrift"} 2
--- a/crates/dialect/src/servers.rs
+++ b/crates/dialect/src/servers.rs
@@ -68,6 +68,8 @@
     pub load: Option<ServerLoad>,
     /// Rate of requests that the server accepts from all hosts together.
     pub accepted_rate: StatedRate,
+    /// Time for which the server, which turned the request away, wants no requests from this host.
+    pub back_off: Option<Duration>,
 }
 
 /// Order to replace the held layers of an engine with a range of layers.
