fix(relay): a host sends nothing to a server that asked it to back off

What callers and servers saw: an engine turned requests away with 503 and asked for 3 s without any; one host sent it 20 more in that time. The drafts that were turned away held their callers for 1.2 s and were then refused.

Cause: the time that a server asks for was not decoded. A declined engine was left out for 200 ms by the draft and 250 ms by the host, and looked idle afterwards, since what it turned away no longer counted there: the sends rose while it refused. Class: the answer of an overloaded server is read as the end of a request instead of as a statement about the server.

Change: the end of the back-off is kept by server and host, and every path looks at it: chains (as any stage), calls, repeats, resumed and moved streams, reroute orders, liveness probes, surveys and load orders. It is per host: other hosts may have found the server with capacity. If all servers that could take a request are held back for longer than it may wait, it is refused at once with the time that is left.

--- a/crates/daemon/src/relay/backpressure.rs
+++ b/crates/daemon/src/relay/backpressure.rs
@@ -1,9 +1,10 @@
-//! Applies what servers state about their capacity in their answers, and lets requests wait for
-//! this host's share of a limit.
+//! Applies what servers state about their capacity in their answers, and holds requests back
+//! accordingly.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::Display;
 use pollendrift_coordination::backpressure::{RateChange, StatedRate, UsedUpRate};
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
 use pollendrift_dialect::{AnswerHead, RefusalKind};
@@ -12,10 +13,46 @@
 use super::request::{Refused, refused};
 use crate::clock::millis;
 
-/// Least retry delay of a request that a limit held back.
+/// Least retry delay of a request that was held back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Greatest retry delay of a request that a limit held back. The limit may end at any time.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+const MAX_RATE_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// Reason why a server gets no request from this host for a while.
+#[derive(Clone, Debug, Display)]
+pub(super) enum HeldBack {
+    /// This host's share of the server's limit is used up.
+    #[display("{_0}")]
+    Rate(UsedUpRate),
+    /// The server turned a request of this host away and asked it to back off.
+    #[display("{server} asked this host to back off, for {} ms more", remaining.as_millis())]
+    BackOff {
+        /// Name of the server.
+        server: ServerName,
+        /// Time until the end of the back-off.
+        remaining: Duration,
+    },
+}
+
+impl HeldBack {
+    /// Time until the server may get a request of this host.
+    pub(super) fn wait(&self) -> Duration {
+        match self {
+            Self::Rate(used_up) => used_up.wait,
+            Self::BackOff { remaining, .. } => *remaining,
+        }
+    }
+
+    /// Refusal of a request that no server may get before the end of this wait.
+    pub(super) fn refusal(&self) -> Refused {
+        let wait = match self {
+            Self::Rate(used_up) => used_up.wait.min(MAX_RATE_RETRY_AFTER),
+            Self::BackOff { remaining, .. } => *remaining,
+        };
+        let wait = wait.max(MIN_RETRY_AFTER);
+        refused(RefusalKind::NotRun, self.to_string()).retry_after(wait)
+    }
+}
 
 impl RelayContext {
     /// Applies the statements of `server` in the head of its answer to a request.
@@ -31,10 +68,7 @@
         if let Some(change) = change {
             log_rate_change(server, change);
         }
-        if let Some(time) = head.back_off {
-            self.fleet.back_offs().start(now, server, time);
-            log::info!(server:% = server, back_off_ms = millis(time); "server asks this host to back off");
-        }
+        self.apply_back_off(now, server, head);
     }
 
     /// Applies the statements of `server` in the head of its answer to a probe or an order. Servers
@@ -42,9 +76,53 @@
     pub(super) fn apply_probe_statements(&self, server: &ServerName, head: &AnswerHead) {
         if matches!(head.accepted_rate, StatedRate::Limited(_)) {
             self.apply_statements(server, head);
+        } else {
+            self.apply_back_off(self.clock.now(), server, head);
         }
     }
 
+    fn apply_back_off(&self, now: MonotonicTime, server: &ServerName, head: &AnswerHead) {
+        if let Some(time) = head.back_off {
+            self.fleet.back_offs().start(now, server, time);
+            log::info!(server:% = server, back_off_ms = millis(time); "server asks this host to back off");
+        }
+    }
+
+    /// Whether `server` may get new work of this host: its lease holds, and it has not asked this
+    /// host to back off.
+    pub(super) fn may_take_work(&self, now: MonotonicTime, server: &ServerName) -> bool {
+        self.fleet.worker_may_take_work(now, server) && !self.has_back_off(now, server)
+    }
+
+    /// Whether `server` wants neither requests nor probes nor orders of this host now.
+    pub(super) fn has_back_off(&self, now: MonotonicTime, server: &ServerName) -> bool {
+        self.fleet.back_offs().is_active(now, server)
+    }
+
+    /// Returns the shortest wait for one of `servers`; `None` if one of them is not held back, or if
+    /// there are none.
+    pub(super) fn shortest_hold<'a, S>(&self, now: MonotonicTime, servers: S) -> Option<HeldBack>
+    where
+        S: IntoIterator<Item = &'a ServerName>,
+    {
+        let holds = servers.into_iter().map(|server| self.hold_of(now, server));
+        let holds: Option<Vec<HeldBack>> = holds.collect();
+        holds?.into_iter().min_by_key(HeldBack::wait)
+    }
+
+    fn hold_of(&self, now: MonotonicTime, server: &ServerName) -> Option<HeldBack> {
+        let remaining = self.fleet.back_offs().remaining(now, server);
+        if let Some(remaining) = remaining {
+            let server = server.clone();
+            return Some(HeldBack::BackOff { server, remaining });
+        }
+        let mut rates = self.fleet.rates();
+        if rates.may_send(now, server) {
+            return None;
+        }
+        rates.used_up(now, server).map(HeldBack::Rate)
+    }
+
     /// Whether the limit of `server` allows this host to send a request to it now.
     pub(super) fn has_rate(&self, now: MonotonicTime, server: &ServerName) -> bool {
         self.fleet.rates().may_send(now, server)
@@ -84,24 +162,15 @@
         }
     }
 
-    /// Counts the request as waiting for `servers`, whose shares are used up, and returns the limit
-    /// with the shortest wait. `None` if none of them is limited any more.
-    pub(super) fn join(
-        &mut self,
-        now: MonotonicTime,
-        servers: &[ServerName],
-    ) -> Option<UsedUpRate> {
-        let mut used_up = Vec::new();
+    /// Counts the request as waiting for `servers`, whose shares are used up.
+    pub(super) fn join(&mut self, now: MonotonicTime, servers: &[ServerName]) {
         for server in servers {
             self.record_demand(now, server);
-            let mut rates = self.context.fleet.rates();
-            used_up.extend(rates.used_up(now, server));
             if !self.waiting.contains(server) {
                 self.waiting.push(server.clone());
-                rates.add_waiting(server);
+                self.context.fleet.rates().add_waiting(server);
             }
         }
-        used_up.into_iter().min_by_key(|used_up| used_up.wait)
     }
 
     /// Whether the request has waited for any server.
@@ -130,12 +199,6 @@
     }
 }
 
-/// Refusal of a request that no server may get because of `used_up`.
-pub(super) fn rate_refusal(used_up: &UsedUpRate) -> Refused {
-    let wait = used_up.wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-    refused(RefusalKind::NotRun, used_up.to_string()).retry_after(wait)
-}
-
 fn log_rate_change(server: &ServerName, change: RateChange) {
     match change {
         RateChange::Limited { rate, former } => {
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use http::Response;
-use pollendrift_coordination::backpressure::UsedUpRate;
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
 use pollendrift_coordination::retries::{CallKind, RunProof, SendOutcome};
 use pollendrift_coordination::routing::{ReportedLoad, ServerCandidate};
@@ -13,7 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::answer::{FailedSend, send};
-use super::backpressure::{RateQueue, rate_refusal};
+use super::backpressure::{HeldBack, RateQueue};
 use super::context::RelayContext;
 use super::drafts::CAPACITY_POLL_PERIOD;
 use super::request::{Refused, RelayRequest, SendTarget, refused};
@@ -25,8 +24,8 @@
 /// turn over a few times.
 const RETRY_NO_CAPACITY: std::time::Duration = std::time::Duration::from_millis(150);
 
-/// Divisor of a call's time: the fraction that it may wait for the limit of a server.
-const RATE_WAIT_DIVISOR: u32 = 3;
+/// Divisor of a call's time: the fraction that it may wait for servers that are held back.
+const HOLD_WAIT_DIVISOR: u32 = 3;
 
 /// Sends of one call so far, and their results.
 #[derive(Default)]
@@ -38,8 +37,6 @@
     /// Whether a server may have run the call.
     may_have_run: bool,
     last: Option<FailedSend>,
-    /// Limit that held the call back in the last choice of a server.
-    used_up_rate: Option<UsedUpRate>,
 }
 
 /// Serves one call: sends it to servers in turn until one answers or no further send is allowed.
@@ -53,23 +50,18 @@
     loop {
         let now = context.clock.now();
         if request.time_left(now) < MIN_TIME_LEFT {
-            return Err(final_refusal(&history));
+            return Err(final_refusal(context, request, &history));
         }
-        let Some(worker) = choose(context, request, &mut history, &mut rate_queue, now) else {
-            if let Some(wait) = rate_wait(request, &history, now) {
-                sleep(wait).await;
-                continue;
+        let Some(worker) = choose(context, request, &history, &mut rate_queue, now) else {
+            match wait_for_server(context, request, &history, now) {
+                Some(wait) => sleep(wait).await,
+                None => return Err(final_refusal(context, request, &history)),
             }
-            let is_held_back = history.used_up_rate.is_some() || !history.tried_servers.is_empty();
-            if !is_held_back && may_wait_for_server(context, request, now) {
-                sleep(CAPACITY_POLL_PERIOD).await;
-                continue;
-            }
-            return Err(final_refusal(&history));
+            continue;
         };
         let is_retry = !history.tried_servers.is_empty();
         if is_retry && !context.spend_retry(now, &request.service.name) {
-            return Err(final_refusal(&history));
+            return Err(final_refusal(context, request, &history));
         }
         history.tried_servers.push(worker.server.clone());
         log::info!(request = request.attempt.as_str(), route = &*request.route.name,
@@ -92,49 +84,72 @@
             Err(failed) => {
                 record_failure(&mut history, failed);
                 if !may_send_again(context, request, &history) {
-                    return Err(final_refusal(&history));
+                    return Err(final_refusal(context, request, &history));
                 }
             }
         }
     }
 }
 
+/// Time after which a call without a server looks for one again; `None` if it must not wait.
+fn wait_for_server(
+    context: &RelayContext,
+    request: &RelayRequest,
+    history: &CallHistory,
+    now: MonotonicTime,
+) -> Option<std::time::Duration> {
+    if !history.tried_servers.is_empty() {
+        return None;
+    }
+    if let Some(held_back) = find_hold(context, request, now) {
+        let total = request.deadline.since(request.arrived);
+        let waited = now.since(request.arrived);
+        let is_in_time = waited.saturating_add(held_back.wait()) <= total / HOLD_WAIT_DIVISOR;
+        return is_in_time.then(|| held_back.wait());
+    }
+    may_wait_for_discovery(context, request, now).then_some(CAPACITY_POLL_PERIOD)
+}
+
+/// Shortest wait for a server of the call's service; `None` if one is not held back.
+fn find_hold(
+    context: &RelayContext,
+    request: &RelayRequest,
+    now: MonotonicTime,
+) -> Option<HeldBack> {
+    let workers = context.fleet.workers(now);
+    let servers = workers
+        .iter()
+        .filter(|worker| worker.offer.service == request.service.name);
+    context.shortest_hold(now, servers.map(|worker| &worker.server))
+}
+
 /// Whether a call without a known server waits for one: only on a host that is still learning of
 /// servers, until half of the call's time has passed.
-fn may_wait_for_server(context: &RelayContext, request: &RelayRequest, now: MonotonicTime) -> bool {
+fn may_wait_for_discovery(
+    context: &RelayContext,
+    request: &RelayRequest,
+    now: MonotonicTime,
+) -> bool {
     let waited = now.since(request.arrived);
     context.is_learning(now)
         && now < context.queue_deadline(now, request.arrived)
         && waited < request.time_left(now)
 }
 
-/// Time for which a call that limits held back waits for one of them; `None` if it must not wait.
-fn rate_wait(
-    request: &RelayRequest,
-    history: &CallHistory,
-    now: MonotonicTime,
-) -> Option<std::time::Duration> {
-    let used_up = history.used_up_rate.as_ref()?;
-    let total = request.deadline.since(request.arrived);
-    let is_in_time = now.since(request.arrived) + used_up.wait <= total / RATE_WAIT_DIVISOR;
-    (is_in_time && history.tried_servers.is_empty()).then_some(used_up.wait)
-}
-
 /// Chooses the least loaded server whose limit allows a request, and takes the request out of this
 /// host's share of it.
 fn choose(
     context: &RelayContext,
     request: &RelayRequest,
-    history: &mut CallHistory,
+    history: &CallHistory,
     rate_queue: &mut RateQueue,
     now: MonotonicTime,
 ) -> Option<Arc<WorkerView>> {
     let mut eligible = eligible_servers(context, request, history, now);
     let mut rate_limited = Vec::new();
-    history.used_up_rate = None;
     loop {
         let Some(index) = choose_least_loaded(context, &eligible, now) else {
-            history.used_up_rate = rate_queue.join(now, &rate_limited);
+            rate_queue.join(now, &rate_limited);
             return None;
         };
         let worker = eligible.swap_remove(index);
@@ -159,6 +174,7 @@
         .iter()
         .filter(|worker| worker.offer.service == *service)
         .filter(|worker| !history.tried_servers.contains(&worker.server))
+        .filter(|worker| !context.has_back_off(now, &worker.server))
         .cloned()
         .collect()
 }
@@ -267,18 +283,24 @@
         && request.time_left(context.clock.now()) >= MIN_TIME_LEFT
 }
 
+/// Returns the refusal of a call that has not run, and that no server is free to take.
+fn no_capacity_refusal(history: &CallHistory) -> Refused {
+    let reason = history.last.as_ref().map_or_else(
+        || "no server of the service takes work".to_owned(),
+        |last| last.reason.clone(),
+    );
+    refused(RefusalKind::NotRun, reason).retry_after(RETRY_NO_CAPACITY)
+}
+
 /// Returns the refusal for the caller after the last send.
-fn final_refusal(history: &CallHistory) -> Refused {
-    let Some(last) = &history.last else {
-        if let Some(used_up) = &history.used_up_rate {
-            return rate_refusal(used_up);
-        }
-        return refused(RefusalKind::NotRun, "no server of the service takes work")
-            .retry_after(RETRY_NO_CAPACITY);
-    };
+fn final_refusal(context: &RelayContext, request: &RelayRequest, history: &CallHistory) -> Refused {
     if !history.may_have_run {
-        return refused(RefusalKind::NotRun, last.reason.clone()).retry_after(RETRY_NO_CAPACITY);
+        let held_back = find_hold(context, request, context.clock.now());
+        return held_back.map_or_else(|| no_capacity_refusal(history), |held| held.refusal());
     }
+    let Some(last) = &history.last else {
+        return refused(RefusalKind::UnknownOutcome, "the server sent no answer");
+    };
     let kind = match last.outcome {
         SendOutcome::TimedOut => RefusalKind::TimedOut,
         _ => RefusalKind::UnknownOutcome,
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use http::Response;
-use pollendrift_coordination::backpressure::UsedUpRate;
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
 use pollendrift_coordination::evidence::OutcomeKind;
 use pollendrift_coordination::retries::{SendOutcome, TriedServers};
@@ -14,7 +13,7 @@
 use tokio::time::sleep;
 
 use super::answer::{FailedSend, OpenAnswer, end_to_end_headers};
-use super::backpressure::{RateQueue, rate_refusal};
+use super::backpressure::{HeldBack, RateQueue};
 use super::chains::ReservedChain;
 use super::context::RelayContext;
 use super::guard::ChainGuard;
@@ -65,8 +64,8 @@
     last_failure: Option<FailedSend>,
     pub(super) reroutes: RerouteState,
     rate_queue: RateQueue,
-    /// Limit that held the draft back in the last search for a chain.
-    used_up_rate: Option<UsedUpRate>,
+    /// Reason why no engine could get the draft in the last search for a chain.
+    held_back: Option<HeldBack>,
 }
 
 /// Result of a search for a chain.
@@ -111,7 +110,7 @@
         last_failure: None,
         reroutes: RerouteState::default(),
         rate_queue: RateQueue::new(context),
-        used_up_rate: None,
+        held_back: None,
     };
     let wait_until = context.queue_deadline(context.clock.now(), run.request.arrived);
     let running = match run.open(resume_after, wait_until).await {
@@ -150,7 +149,7 @@
             }
             let search = self.reserve_chain_in_budget(now, is_resume);
             let Some(mut chain) = search.chain else {
-                let may_wait = self.may_wait_for_rate(now, &search.rate_limited, wait_until);
+                let may_wait = self.may_wait(now, &search.rate_limited, wait_until);
                 if now >= wait_until || !may_wait {
                     self.rate_queue.leave();
                     return None;
@@ -228,34 +227,36 @@
     /// Whether the draft waits for a chain, after a search without one that passed over
     /// `rate_limited` engines.
     ///
-    /// A draft that only those engines can serve is refused at once if their limits don't allow it
-    /// before `wait_until`.
-    fn may_wait_for_rate(
+    /// If all engines that could receive the draft are held back until after `wait_until`, it is
+    /// refused at once.
+    fn may_wait(
         &mut self,
         now: MonotonicTime,
         rate_limited: &[ServerName],
         wait_until: MonotonicTime,
     ) -> bool {
-        let is_first = !self.rate_queue.has_joined();
-        let used_up = self.rate_queue.join(now, rate_limited);
-        self.used_up_rate = used_up.filter(|_| !self.has_unlimited_engine(now, rate_limited));
-        let Some(used_up) = &self.used_up_rate else {
-            return true;
-        };
-        !is_first || now.after(used_up.wait) <= wait_until
+        let has_joined = self.rate_queue.has_joined();
+        self.held_back = self.find_hold(now);
+        self.rate_queue.join(now, rate_limited);
+        match &self.held_back {
+            // The wait counts drafts that joined later, so it only decides on the first search.
+            Some(HeldBack::Rate(_)) if has_joined => true,
+            Some(held_back) => now.after(held_back.wait()) <= wait_until,
+            None => true,
+        }
     }
 
-    /// Whether an engine that is not among `rate_limited` can receive the draft.
-    fn has_unlimited_engine(&self, now: MonotonicTime, rate_limited: &[ServerName]) -> bool {
+    /// Shortest wait for an engine that could receive the draft; `None` if one is not held back.
+    fn find_hold(&self, now: MonotonicTime) -> Option<HeldBack> {
         let workers = self.context.fleet.workers(now);
-        let health = self.context.health();
-        let mut engines = workers.iter().filter(|worker| {
-            worker.holds_first_layer() && worker.offer.service == self.request.service.name
+        let suspects = self.context.health().suspects(now);
+        let engines = workers.iter().filter(|worker| {
+            worker.holds_first_layer()
+                && worker.offer.service == self.request.service.name
+                && !suspects.contains(&worker.server)
         });
-        engines.any(|worker| {
-            let server = &worker.server;
-            !rate_limited.contains(server) && !health.is_suspected(now, server)
-        })
+        self.context
+            .shortest_hold(now, engines.map(|worker| &worker.server))
     }
 
     /// Whether the draft can continue on another chain without `suspects`.
@@ -321,8 +322,8 @@
         is_resume: bool,
         excluded: &[ServerName],
     ) -> Option<ChainGuard> {
-        let fleet = &self.context.fleet;
-        let may_take_work = |server: &ServerName| fleet.worker_may_take_work(now, server);
+        let context = &self.context;
+        let may_take_work = |server: &ServerName| context.may_take_work(now, server);
         let health = self.context.health();
         let is_healthy = |server: &ServerName| !health.is_suspected(now, server);
         let reserved = self.context.chains().reserve(
@@ -453,8 +454,8 @@
     }
 
     fn refusal(&self) -> Refused {
-        if let Some(used_up) = self.used_up_rate.as_ref().filter(|_| !self.may_have_run) {
-            return rate_refusal(used_up);
+        if let Some(held_back) = self.held_back.as_ref().filter(|_| !self.may_have_run) {
+            return held_back.refusal();
         }
         let reason = self.last_failure.as_ref().map_or_else(
             || "no chain of engines has room".to_owned(),
--- a/crates/daemon/src/relay/liveness.rs
+++ b/crates/daemon/src/relay/liveness.rs
@@ -118,6 +118,7 @@
         EngineState::Reported(_) | EngineState::Unclear => health.answered(now, &server),
         EngineState::Unreachable => health.mark_unreachable(now, &server),
         EngineState::TimedOut => health.unanswered(now, &server),
+        EngineState::NotProbed => {}
     }
     drop(health);
     if matches!(state, EngineState::Unreachable | EngineState::TimedOut) {
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -245,6 +245,11 @@
     }
 
     async fn send(&mut self, worker: &WorkerView, order: &LoadOrder) {
+        let context = &self.parts.context;
+        if context.has_back_off(context.clock.now(), &worker.server) {
+            log::info!(server:% = worker.server; "order not sent: the engine asked this host to back off");
+            return;
+        }
         let Some(expected) = self.accepted_orders(worker).await else {
             return;
         };
@@ -328,6 +333,10 @@
             let answer = self.client.send(worker.address, request).await;
             let answer = answer.map_err(|error| error.to_string())?;
             let (parts, body) = answer.response.into_parts();
+            let head = self.parts.context.dialect.servers.read(&parts);
+            self.parts
+                .context
+                .apply_probe_statements(&worker.server, &head);
             let body = read_bounded(body, MAX_REPLY_BYTES).await;
             let body = body.map_err(|error| error.to_string())?;
             answer.connection.return_to_pool(&parts.headers);
--- a/crates/daemon/src/relay/reroute.rs
+++ b/crates/daemon/src/relay/reroute.rs
@@ -90,7 +90,7 @@
         let now = self.context.clock.now();
         let is_paused = self.reroutes.pause_until.is_some_and(|until| now < until);
         let is_first_lost = lost.contains(&chain.first);
-        if is_paused || is_first_lost {
+        if is_paused || is_first_lost || self.context.has_back_off(now, &chain.first) {
             return false;
         }
         self.with_repair(now, lost, |repair| {
@@ -151,11 +151,10 @@
     where
         F: FnOnce(&ChainRepair<'_>) -> T,
     {
-        let fleet = &self.context.fleet;
+        let context = &self.context;
         let suspects = self.context.health().suspects(now);
-        let may_take = |server: &ServerName| {
-            fleet.worker_may_take_work(now, server) && !suspects.contains(server)
-        };
+        let may_take =
+            |server: &ServerName| context.may_take_work(now, server) && !suspects.contains(server);
         work(&ChainRepair {
             request: &self.request,
             lost,
--- a/crates/daemon/src/relay/survey.rs
+++ b/crates/daemon/src/relay/survey.rs
@@ -68,7 +68,7 @@
     let load = match state {
         EngineState::Reported(report) => Some(load_of(&worker, &report)),
         EngineState::Unreachable | EngineState::TimedOut => None,
-        EngineState::Unclear => return None,
+        EngineState::Unclear | EngineState::NotProbed => return None,
     };
     Some(SurveyResult {
         server: worker.server.clone(),
@@ -89,6 +89,8 @@
     /// The probe was sent, but the answer was lost or is invalid. Engines that occasionally lose
     /// answers are alive, and would otherwise be considered lost after each lost one.
     Unclear,
+    /// No probe was sent, because the engine asked this host to back off.
+    NotProbed,
 }
 
 /// Probes the engine `server` at `address` for its state and waits at most `answer_time`.
@@ -99,6 +101,9 @@
     address: SocketAddr,
     answer_time: Duration,
 ) -> EngineState {
+    if context.has_back_off(context.clock.now(), server) {
+        return EngineState::NotProbed;
+    }
     let dialect = &context.dialect.servers;
     let probe = dialect.write_report().map(Full::new);
     let exchange = async {
