fix(relay): a server that states that it leaves gets no new work

Cause: the statement in an engine's answers was not decoded; a host learned of a leave from the keepers alone, so that one that is cut off from them, or whose keepers had not heard of it yet, went on sending. Class: as with the back-off, an answer is read as the end of a request instead of as a statement about the server.

Change: the statement counts for the incarnation that the request was sent to. That host sends it nothing from then on, whatever its announcements say, and tells the other hosts in the way of any leave. Answers to probes, surveys and orders count too, so that keepers, which survey all engines, mostly know first.

--- a/crates/coordination/src/backpressure.rs
+++ b/crates/coordination/src/backpressure.rs
@@ -4,10 +4,12 @@
 //! statement holds until an answer of the server no longer contains one. Hosts divide the rate
 //! among themselves by their demand, which they report to each other.
 //!
-//! A server that turns a request away may ask the host that sent it to back off for a while.
+//! A server that turns a request away may ask the host that sent it to back off for a while. A server
+//! that leaves may state so in its answers before its announcements do.
 
 mod back_off;
 mod demand;
+mod leaving;
 mod rate;
 mod rate_record;
 mod rate_report;
@@ -15,6 +17,7 @@
 mod rate_table;
 
 pub use back_off::BackOffTable;
+pub use leaving::LeavingTable;
 pub use rate::{RequestRate, StatedRate};
 pub use rate_report::{RateBatch, RateReport, RateScope, ReportSender, StatementReport};
 pub use rate_settings::RateSettings;
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,7 +12,7 @@
 
 use derive_more::{Display, Error};
 use pollendrift_border::{Announcement, EngineOffer, ServerOffer};
-use pollendrift_coordination::backpressure::{BackOffTable, RateSettings, RateTable};
+use pollendrift_coordination::backpressure::{BackOffTable, LeavingTable, RateSettings, RateTable};
 use pollendrift_coordination::base::{
     HostName, Incarnation, MonotonicTime, ServerName, ServiceName,
 };
@@ -94,6 +94,8 @@
     workers: BTreeMap<ServerName, Arc<WorkerView>>,
     /// Survey results of the engines in `workers`.
     survey: SurveyTable,
+    /// Servers of `workers` that state in their answers that they leave.
+    leaving: LeavingTable,
     /// Servers of `views` that offer a plain service.
     services: ServiceIndex,
     /// Contains only the engines of `views` that may take work as of the last tick.
@@ -109,6 +111,7 @@
             views: BTreeMap::new(),
             workers: BTreeMap::new(),
             survey: SurveyTable::default(),
+            leaving: LeavingTable::default(),
             services: ServiceIndex::default(),
             planner: Box::new(FleetPlanner::new(routing, seed)),
         };
@@ -202,6 +205,7 @@
             state.handle_lease_event(event);
         }
         state.planner.tick(now);
+        state.leaving.tick(now);
         drop(state);
         self.tick_backpressure(now, &events);
         events
--- a/crates/daemon/src/fleet/worker.rs
+++ b/crates/daemon/src/fleet/worker.rs
@@ -110,6 +110,31 @@
         true
     }
 
+    /// Returns the incarnation of a known server.
+    pub(crate) fn worker_incarnation(&self, server: &ServerName) -> Option<Incarnation> {
+        let state = self.lock();
+        state.workers.get(server).map(|worker| worker.incarnation)
+    }
+
+    /// Records that this incarnation of a server states that it leaves; returns whether that is new.
+    ///
+    /// This host sends it no work from now on, even if it goes on announcing itself. Other hosts
+    /// learn of the leave as of any other.
+    pub(crate) fn record_leaving(
+        &self,
+        now: MonotonicTime,
+        server: &ServerName,
+        incarnation: Incarnation,
+    ) -> bool {
+        if !self.lock().leaving.record(now, server, incarnation) {
+            return false;
+        }
+        if self.worker_incarnation(server) == Some(incarnation) {
+            self.leave_worker(now, server);
+        }
+        true
+    }
+
     /// Merges the results of a survey of engines.
     pub(crate) fn merge_survey(&self, now: MonotonicTime, results: Vec<SurveyResult>) {
         self.lock().survey.merge(now, results);
@@ -191,6 +216,9 @@
         let Some(lease) = self.leases.get(&worker.server) else {
             return false;
         };
+        if self.leaving.is_leaving(&worker.server, worker.incarnation) {
+            return false;
+        }
         if lease.is_serving(now) {
             return true;
         }
--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -15,6 +15,7 @@
 };
 use tokio::time::timeout;
 
+use super::backpressure::SendReceiver;
 use super::context::RelayContext;
 
 /// Largest answer body that is buffered in memory, in bytes.
@@ -87,7 +88,7 @@
 /// matched with the next request.
 pub(super) async fn send(
     context: &RelayContext,
-    server: &ServerName,
+    receiver: &SendReceiver,
     address: SocketAddr,
     request: http::Request<Full<Bytes>>,
     attempt: &RequestId,
@@ -102,7 +103,7 @@
             return Err(FailedSend::new(SendOutcome::TimedOut, reason));
         }
     };
-    check_answer(context, server, answer, attempt).await
+    check_answer(context, receiver, answer, attempt).await
 }
 
 fn outcome_of(error: &ClientError) -> SendOutcome {
@@ -114,7 +115,7 @@
 
 async fn check_answer(
     context: &RelayContext,
-    server: &ServerName,
+    receiver: &SendReceiver,
     answer: PooledAnswer,
     attempt: &RequestId,
 ) -> Result<OpenAnswer, FailedSend> {
@@ -126,7 +127,7 @@
         return Err(FailedSend::new(SendOutcome::ResetAfterSend, reason));
     }
     if !head.wrong_server {
-        context.apply_statements(server, &head);
+        context.apply_statements(receiver, &head);
     }
     if head.not_run || head.wrong_server {
         let failed = FailedSend {
--- a/crates/daemon/src/relay/backpressure.rs
+++ b/crates/daemon/src/relay/backpressure.rs
@@ -6,7 +6,7 @@
 
 use derive_more::Display;
 use pollendrift_coordination::backpressure::{RateChange, StatedRate, UsedUpRate};
-use pollendrift_coordination::base::{MonotonicTime, ServerName};
+use pollendrift_coordination::base::{Incarnation, MonotonicTime, ServerName};
 use pollendrift_dialect::{AnswerHead, RefusalKind};
 
 use super::context::RelayContext;
@@ -54,9 +54,26 @@
     }
 }
 
+/// Receiver of a request: the incarnation of a server that its answer is about.
+#[derive(Clone, Debug)]
+pub(super) struct SendReceiver {
+    pub(super) server: ServerName,
+    /// `None` if this host does not know the server any more.
+    incarnation: Option<Incarnation>,
+}
+
 impl RelayContext {
-    /// Applies the statements of `server` in the head of its answer to a request.
-    pub(super) fn apply_statements(&self, server: &ServerName, head: &AnswerHead) {
+    /// Returns the receiver of a request that is sent to `server` now.
+    pub(super) fn receiver(&self, server: &ServerName) -> SendReceiver {
+        SendReceiver {
+            server: server.clone(),
+            incarnation: self.fleet.worker_incarnation(server),
+        }
+    }
+
+    /// Applies the statements of a server in the head of its answer to a request.
+    pub(super) fn apply_statements(&self, receiver: &SendReceiver, head: &AnswerHead) {
+        let server = &receiver.server;
         if head.accepted_rate == StatedRate::Invalid {
             log::warn!(server:% = server; "server states a request rate that can't be decoded; its last valid statement holds");
         }
@@ -68,24 +85,31 @@
         if let Some(change) = change {
             log_rate_change(server, change);
         }
-        self.apply_back_off(now, server, head);
+        self.apply_unavailability(now, receiver, head);
     }
 
-    /// Applies the statements of `server` in the head of its answer to a probe or an order. Servers
+    /// Applies the statements of a server in the head of its answer to a probe or an order. Servers
     /// may omit them there, so that a missing limit does not end one.
-    pub(super) fn apply_probe_statements(&self, server: &ServerName, head: &AnswerHead) {
+    pub(super) fn apply_probe_statements(&self, receiver: &SendReceiver, head: &AnswerHead) {
         if matches!(head.accepted_rate, StatedRate::Limited(_)) {
-            self.apply_statements(server, head);
+            self.apply_statements(receiver, head);
         } else {
-            self.apply_back_off(self.clock.now(), server, head);
+            self.apply_unavailability(self.clock.now(), receiver, head);
         }
     }
 
-    fn apply_back_off(&self, now: MonotonicTime, server: &ServerName, head: &AnswerHead) {
+    fn apply_unavailability(&self, now: MonotonicTime, receiver: &SendReceiver, head: &AnswerHead) {
+        let server = &receiver.server;
         if let Some(time) = head.back_off {
             self.fleet.back_offs().start(now, server, time);
             log::info!(server:% = server, back_off_ms = millis(time); "server asks this host to back off");
         }
+        let Some(incarnation) = receiver.incarnation.filter(|_| head.leaving) else {
+            return;
+        };
+        if self.fleet.record_leaving(now, server, incarnation) {
+            log::info!(server:% = server, incarnation:% = incarnation; "server states that it leaves");
+        }
     }
 
     /// Whether `server` may get new work of this host: its lease holds, and it has not asked this
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -214,7 +214,7 @@
     let time_left = request.time_left(now);
     let answered = send(
         context,
-        &worker.server,
+        &context.receiver(&worker.server),
         worker.address,
         server_request,
         &request.attempt,
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -328,15 +328,14 @@
         worker: &WorkerView,
         request: Request<Bytes>,
     ) -> Result<(http::StatusCode, Bytes), String> {
+        let receiver = self.parts.context.receiver(&worker.server);
         let exchange = async {
             let request = request.map(Full::new);
             let answer = self.client.send(worker.address, request).await;
             let answer = answer.map_err(|error| error.to_string())?;
             let (parts, body) = answer.response.into_parts();
             let head = self.parts.context.dialect.servers.read(&parts);
-            self.parts
-                .context
-                .apply_probe_statements(&worker.server, &head);
+            self.parts.context.apply_probe_statements(&receiver, &head);
             let body = read_bounded(body, MAX_REPLY_BYTES).await;
             let body = body.map_err(|error| error.to_string())?;
             answer.connection.return_to_pool(&parts.headers);
--- a/crates/daemon/src/relay/reroute.rs
+++ b/crates/daemon/src/relay/reroute.rs
@@ -64,7 +64,7 @@
         let written = self.request.write(since, dialect.as_ref(), target);
         let time_left = self.request.time_left(since);
         let attempt = self.request.attempt.clone();
-        let first = chain.chain.first.clone();
+        let first = context.receiver(&chain.chain.first);
         let sending = send(&context, &first, hop.address, written, &attempt, time_left);
         let mut sending = std::pin::pin!(sending);
         loop {
@@ -173,11 +173,12 @@
             stages: &chain.hops,
         };
         let request = dialect.write_reroute(&chain.first, order).map(Full::new);
+        let receiver = self.context.receiver(&chain.first);
         let exchange = async {
             let answer = self.context.pool.send(address, request).await.ok()?;
             let (parts, body) = answer.response.into_parts();
             self.context
-                .apply_probe_statements(&chain.first, &dialect.read(&parts));
+                .apply_probe_statements(&receiver, &dialect.read(&parts));
             let body = read_bounded(body, MAX_REPLY_BYTES).await.ok()?;
             answer.connection.return_to_pool(&parts.headers);
             Some(dialect.read_reroute(parts.status, &body))
--- a/crates/daemon/src/relay/survey.rs
+++ b/crates/daemon/src/relay/survey.rs
@@ -104,6 +104,7 @@
     if context.has_back_off(context.clock.now(), server) {
         return EngineState::NotProbed;
     }
+    let receiver = context.receiver(server);
     let dialect = &context.dialect.servers;
     let probe = dialect.write_report().map(Full::new);
     let exchange = async {
@@ -113,7 +114,7 @@
             Err(_) => return EngineState::Unclear,
         };
         let (parts, body) = answer.response.into_parts();
-        context.apply_probe_statements(server, &dialect.read(&parts));
+        context.apply_probe_statements(&receiver, &dialect.read(&parts));
         let Ok(body) = read_bounded(body, MAX_REPLY_BYTES).await else {
             return EngineState::Unclear;
         };
--- a/crates/dialect/src/servers.rs
+++ b/crates/dialect/src/servers.rs
@@ -70,6 +70,8 @@
     pub accepted_rate: StatedRate,
     /// Time for which the server, which turned the request away, wants no requests from this host.
     pub back_off: Option<Duration>,
+    /// Whether the server leaves and takes no new work.
+    pub leaving: bool,
 }
 
 /// Order to replace the held layers of an engine with a range of layers.
