perf(relay): a host on which nothing is held back does not search for it

Cause: each search of a waiting draft for a chain, 25 a second, went through the workers for servers that are held back, and each engine that the planner looked at took a lock more.

Change: both are skipped where no limit and no back-off is stored.

--- a/crates/coordination/src/backpressure/back_off.rs
+++ b/crates/coordination/src/backpressure/back_off.rs
@@ -39,6 +39,11 @@
         self.remaining(now, server).is_some()
     }
 
+    /// Whether no back-off is stored; ended ones are stored until the next tick.
+    pub fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
     /// Number of servers with a back-off.
     pub fn count(&self, now: MonotonicTime) -> usize {
         self.ends.values().filter(|end| **end > now).count()
--- a/crates/daemon/src/relay/backpressure.rs
+++ b/crates/daemon/src/relay/backpressure.rs
@@ -123,6 +123,12 @@
         self.fleet.back_offs().is_active(now, server)
     }
 
+    /// Whether any server may be held back. It spares a host without limits and back-offs the search
+    /// for them, which each waiting draft repeats many times a second.
+    pub(super) fn may_hold_back(&self) -> bool {
+        !self.fleet.back_offs().is_empty() || self.fleet.rates().limited_count() > 0
+    }
+
     /// Returns the shortest wait for one of `servers`; `None` if one of them is not held back, or if
     /// there are none.
     pub(super) fn shortest_hold<'a, S>(&self, now: MonotonicTime, servers: S) -> Option<HeldBack>
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -248,6 +248,9 @@
 
     /// Shortest wait for an engine that could receive the draft; `None` if one is not held back.
     fn find_hold(&self, now: MonotonicTime) -> Option<HeldBack> {
+        if !self.context.may_hold_back() {
+            return None;
+        }
         let workers = self.context.fleet.workers(now);
         let suspects = self.context.health().suspects(now);
         let engines = workers.iter().filter(|worker| {
@@ -323,7 +326,11 @@
         excluded: &[ServerName],
     ) -> Option<ChainGuard> {
         let context = &self.context;
-        let may_take_work = |server: &ServerName| context.may_take_work(now, server);
+        let has_back_offs = !context.fleet.back_offs().is_empty();
+        let may_take_work = |server: &ServerName| {
+            context.fleet.worker_may_take_work(now, server)
+                && !(has_back_offs && context.has_back_off(now, server))
+        };
         let health = self.context.health();
         let is_healthy = |server: &ServerName| !health.is_suspected(now, server);
         let reserved = self.context.chains().reserve(
