fix(streams): a caller gets a token once its copy is stored

Callers saw: after a crash of their entry, a stream that they went on with at another entry was refused as `not-resumable`, "its last tokens were lost with its entry", although nothing but the entry had failed.

Cause: the entry queued a token's copy for another host and sent the token to its caller at the same time. The queue of a link dies with its process, so a crash between the two left the caller ahead of every copy.

Change: released tokens wait for the confirmation of their copy, in a pipeline, so that each is delayed by one round trip between hosts. A lost copy (link broken, no answer, earlier tokens missing) moves the complete answer to another host, the waiting tokens follow. Receipts are an optional field of the update and an answer that only a process that asked receives, so hosts of the version before understand the frames; they confirm nothing and are avoided for 30 s after one pause.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -73,6 +73,16 @@
         }
     }
 
+    /// Version of the weights for the whole answer.
+    pub fn version(&self) -> &VersionName {
+        &self.version
+    }
+
+    /// Number of layers of the model.
+    pub fn model_layers(&self) -> u32 {
+        self.model_layers
+    }
+
     /// Starts an attempt on `route` and returns the first position that it must generate.
     ///
     /// # Errors
--- a/crates/coordination/src/streams.rs
+++ b/crates/coordination/src/streams.rs
@@ -1,13 +1,13 @@
 //! Resumable streams: copies of the answers that peers are sending to callers.
 //!
-//! The entry that sends an answer replicates each token to one other host before it sends the token
-//! to its caller. If the entry crashes, the caller reconnects to any entry with its request id and
-//! the last position that it received, and the answer continues from there without a missing or
-//! repeated token. The entry does not wait for the replication. If a token reached the caller but
-//! was lost on the way to this host, the stream can't be resumed, and a caller that tries gets an
-//! error.
+//! The entry that sends an answer replicates each token to one other host, and sends it to its
+//! caller once that host has confirmed the copy. If the entry crashes, the caller reconnects to any
+//! entry with its request id and the last position that it received, and the answer continues from
+//! there without a missing or repeated token. If a host that stores the copy fails, the entry
+//! replicates the complete answer to another one.
 
 mod events;
+mod holders;
 mod settings;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,6 +16,7 @@
 use sha2::{Digest, Sha256};
 
 pub use events::{EventFramer, EventId, EventProgress, EventTooLong, EventVerdict, StreamEvent};
+pub use holders::{HolderSettings, HolderTable};
 pub use settings::StreamSettings;
 
 use crate::base::{
@@ -26,6 +27,11 @@
 /// SHA-256 over all parameters of a draft; a resume must have the same digest.
 pub type DraftDigest = [u8; 32];
 
+/// Number under which an entry waits for the confirmation of an update, unique in its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ReceiptNumber(pub u64);
+
 /// New tokens of one answer, as the entry that sends the answer replicates them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamUpdate {
@@ -47,6 +53,10 @@
     pub tokens: Vec<GeneratedToken>,
     /// Reason why the answer ended, sent with its last tokens; `None` before.
     pub finish: Option<String>,
+    /// Number of the confirmation that the entry waits for. A host of an older version ignores it
+    /// and confirms nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub receipt: Option<ReceiptNumber>,
 }
 
 /// Stored copy of one answer.
@@ -100,9 +110,10 @@
         }
     }
 
-    /// Adds the tokens of an update to its stream. An update that leaves a gap removes the stream,
-    /// because a resume would give the caller an answer with missing tokens.
-    pub fn record(&mut self, now: MonotonicTime, update: StreamUpdate) {
+    /// Adds the tokens of an update to its stream; returns whether the table now contains all of
+    /// them. An update that leaves a gap removes the stream, because a resume would give the caller
+    /// an answer with missing tokens.
+    pub fn record(&mut self, now: MonotonicTime, update: StreamUpdate) -> bool {
         let mut stored = match self.remove(&update.request) {
             Some(stored)
                 if stored.record.digest == update.digest
@@ -118,8 +129,9 @@
         };
         let known = u32::try_from(stored.record.tokens.len()).unwrap_or(u32::MAX);
         if update.first.0 > known {
-            return;
+            return false;
         }
+        let request = update.request.clone();
         let new_tokens = update
             .tokens
             .into_iter()
@@ -133,6 +145,7 @@
         stored.updated_at = now;
         self.insert(update.request, stored);
         self.evict();
+        self.streams.contains_key(&request)
     }
 
     /// Returns the stored copy of the answer to `request`.
--- a/crates/coordination/src/streams/tests.rs
+++ b/crates/coordination/src/streams/tests.rs
@@ -1,4 +1,4 @@
-use super::{StreamSettings, StreamTable, StreamUpdate, rank_hosts};
+use super::{HolderSettings, HolderTable, StreamSettings, StreamTable, StreamUpdate, rank_hosts};
 use crate::base::{AttemptNumber, HostName, MonotonicTime, RequestId, TokenPosition};
 use crate::ledger::GeneratedToken;
 
@@ -17,6 +17,7 @@
         first: TokenPosition(first),
         tokens: (first..first + count).map(token).collect(),
         finish: None,
+        receipt: None,
     }
 }
 
@@ -125,3 +126,38 @@
         "{firsts:?}"
     );
 }
+
+// Guards against callers that wait again and again for a host that confirms no copy, and against a
+// copy on a host that can't be reached.
+#[test]
+fn a_host_that_confirms_no_copy_is_avoided_for_a_while() {
+    let mut table = HolderTable::new(HolderSettings::default());
+    let hosts: Vec<HostName> = ["a", "b", "c"].map(HostName::from).into();
+    let request = RequestId::from("request-1");
+    let ranked: Vec<HostName> = rank_hosts(&request, &hosts).into_iter().cloned().collect();
+    let chosen = |table: &mut HolderTable, millis, hosts: &[HostName]| {
+        table.choose(at(millis), &request, hosts).cloned()
+    };
+    assert_eq!(chosen(&mut table, 0, &hosts).as_ref(), ranked.first());
+    assert_eq!(chosen(&mut table, 0, &ranked[1..]).as_ref(), ranked.get(1));
+    table.record_unconfirmed(at(10), &ranked[0]);
+    assert_eq!(chosen(&mut table, 30_009, &hosts).as_ref(), ranked.get(1));
+    assert_eq!(chosen(&mut table, 30_010, &hosts).as_ref(), ranked.first());
+    for host in &ranked {
+        table.record_unconfirmed(at(40_000), host);
+    }
+    assert_eq!(chosen(&mut table, 40_001, &hosts), None);
+}
+
+// Guards against the confirmation of a copy that lacks tokens or was removed at once.
+#[test]
+fn only_a_stored_update_is_confirmed() {
+    let mut table = StreamTable::new(StreamSettings::default());
+    assert!(table.record(at(0), update(0, 2)));
+    assert!(!table.record(at(1), update(3, 1)));
+    let mut full = StreamTable::new(StreamSettings {
+        max_bytes: 1,
+        ..StreamSettings::default()
+    });
+    assert!(!full.record(at(0), update(0, 2)));
+}
--- a/crates/daemon/src/entry/draft.rs
+++ b/crates/daemon/src/entry/draft.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod caller_link;
+mod copies;
 mod flight_guard;
 mod progress;
 mod resume;
@@ -29,6 +30,7 @@
 use tokio::sync::oneshot;
 
 use caller_link::{CallerLink, FirstAnswer};
+use copies::CopyQueue;
 use flight_guard::FlightGuard;
 pub(super) use resume::{ResumePoint, draft_digest, find_resume, last_position};
 
@@ -122,7 +124,7 @@
         attempt,
         excluded: Vec::new(),
         attempts_since_progress: 0,
-        has_replicated: false,
+        copies: CopyQueue::default(),
         may_have_run: false,
         link: CallerLink {
             writer: writer.clone(),
@@ -169,8 +171,8 @@
     /// Many stages may fail during a long answer. Counted over the complete answer, the attempt
     /// limit ended drafts that lost a stage occasionally and made progress in between.
     attempts_since_progress: u32,
-    /// Whether the stream has been replicated to another host.
-    has_replicated: bool,
+    /// Released tokens that the caller gets once their copy is confirmed.
+    copies: CopyQueue,
     /// Whether any engine may have run a layer; a refusal is then `unknown` instead of `not-run`.
     may_have_run: bool,
     link: CallerLink,
@@ -240,7 +242,8 @@
             self.job.record.record_attempt(trace);
             match end {
                 AttemptEnd::Complete { reason } => {
-                    self.replicate_tokens(&[], Some(reason.clone()));
+                    // A resume without the finish reason generates it again, so nothing waits.
+                    drop(self.copy(&[], Some(reason.clone())));
                     return Ok(reason);
                 }
                 AttemptEnd::Failed {
--- a/crates/daemon/src/entry/draft/attempt.rs
+++ b/crates/daemon/src/entry/draft/attempt.rs
@@ -5,6 +5,7 @@
 use pollendrift_coordination::base::{AttemptNumber, ServerName, TokenPosition};
 use pollendrift_coordination::ledger::{FinalEvent, FinalVerdict, TokenLedger, TokenVerdict};
 use pollendrift_http::{ClientError, LineReader};
+use tokio::time::{Instant, timeout_at};
 
 use super::flight_guard::FlightGuard;
 use super::wire::{route_stage, token_result};
@@ -44,7 +45,11 @@
             };
         }
         match self.open(route).await {
-            Ok(reader) => self.relay(&head, reader, flight).await,
+            Ok(reader) => {
+                let end = self.relay(&head, reader, flight).await;
+                self.send_waiting().await;
+                end
+            }
             Err(error) => AttemptEnd::Failed {
                 server: head,
                 reason: error.to_string(),
@@ -119,9 +124,20 @@
         mut reader: LineReader,
         flight: &mut FlightGuard,
     ) -> AttemptEnd {
-        let mut wait = self.context.drafts.first_event_timeout;
+        let stall_timeout = self.context.drafts.stall_timeout;
+        let mut deadline = Instant::now() + self.context.drafts.first_event_timeout;
         loop {
-            let line = match tokio::time::timeout(wait, reader.next_line()).await {
+            let line = tokio::select! {
+                biased;
+                confirmed = self.copies.first_confirmed() => {
+                    self.handle_confirmation(confirmed).await;
+                    // A caller that reads slowly stops the engine as well.
+                    deadline = deadline.max(Instant::now() + stall_timeout);
+                    continue;
+                }
+                line = timeout_at(deadline, reader.next_line()) => line,
+            };
+            let line = match line {
                 Ok(Ok(Some(line))) => line,
                 Ok(Ok(None)) => {
                     return failed(head.clone(), "the stream ended before its last event");
@@ -135,7 +151,6 @@
                 }
                 Err(_) => return failed(head.clone(), "it fell silent"),
             };
-            wait = self.context.drafts.stall_timeout;
             let Ok(event) = serde_json::from_slice::<SequenceEvent>(&line) else {
                 return failed(head.clone(), "it sent an event that can't be read");
             };
@@ -143,6 +158,7 @@
             if let Some(end) = self.handle_event(head, event).await {
                 return end;
             }
+            deadline = Instant::now() + stall_timeout;
         }
     }
 
@@ -187,8 +203,7 @@
             TokenVerdict::Release { tokens, .. } => {
                 self.job.record.record_first_byte().await;
                 self.job.record.record_tokens(tokens.len());
-                self.replicate_tokens(&tokens, None);
-                self.link.send_tokens(&tokens).await;
+                self.release(tokens);
                 None
             }
             TokenVerdict::Held => None,
--- a/crates/daemon/src/entry/draft/progress.rs
+++ b/crates/daemon/src/entry/draft/progress.rs
@@ -1,11 +1,8 @@
-//! Progress of a running draft: stream updates to another host and attempt traces for evidence.
-//!
-//! The stream updates allow a caller to resume the draft at another entry.
+//! Progress of a running draft: the start of a resumed answer and attempt traces for evidence.
 
 use pollendrift_coordination::base::TokenPosition;
 use pollendrift_coordination::evidence::{AttemptTrace, TracedStage};
 use pollendrift_coordination::ledger::ReleasedToken;
-use pollendrift_coordination::streams::StreamUpdate;
 
 use super::{AttemptEnd, DraftRunner};
 use crate::fleet::{DraftRoute, PlannedStage};
@@ -30,43 +27,13 @@
             .collect();
         if !missing.is_empty() {
             self.job.record.record_first_byte().await;
-            self.link.send_tokens(&missing).await;
+            // The host that stored the answer until now may be this one.
+            self.release(missing);
+            self.send_waiting().await;
         }
         resume.finish
     }
 
-    /// Sends tokens to another host before they are sent to the caller; does not wait for receipt.
-    pub(super) fn replicate_tokens(&mut self, tokens: &[ReleasedToken], finish: Option<String>) {
-        let Some(ledger) = self.ledger.as_ref().filter(|_| self.job.stream) else {
-            return;
-        };
-        let Some(link) = ledger.route().last() else {
-            return;
-        };
-        // The first update contains the complete confirmed prefix, so that any host can store it:
-        // after a resume, another host than before stores the stream.
-        let is_first_update = !std::mem::replace(&mut self.has_replicated, true);
-        let (first, sent_tokens) = match tokens.first() {
-            _ if is_first_update => (TokenPosition(0), ledger.released_prefix().to_vec()),
-            Some(token) => (
-                token.position,
-                tokens.iter().map(|token| token.token.clone()).collect(),
-            ),
-            None => (ledger.next_position(), Vec::new()),
-        };
-        self.context.streams.replicate(StreamUpdate {
-            request: self.job.id.clone(),
-            customer: self.job.customer.clone(),
-            digest: self.job.digest,
-            version: link.version.clone(),
-            model_layers: link.layers.end,
-            attempt: self.attempt,
-            first,
-            tokens: sent_tokens,
-            finish,
-        });
-    }
-
     /// Builds the evidence record of one attempt that started at position `from`.
     pub(super) fn trace(
         &self,
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -64,7 +64,7 @@
                     targets.broadcaster.receive_rates(from, &rates);
                 }
             }
-            PeerFrame::Stream(note) => targets.streams.receive_update(note),
+            PeerFrame::Stream(update) => targets.streams.receive_update(from, update),
             PeerFrame::Call(call) => answer_call(targets, hub, from, call),
             _ => {}
         }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -21,7 +21,7 @@
 mod status;
 mod transport;
 
-pub use calls::{CallError, CallNumber};
+pub use calls::{CallError, CallNumber, PendingCall};
 pub use discovery::{DiscoveryStart, PeerDiscovery};
 pub use error::{HelloRefusal, LinkError};
 pub use frame::{
--- a/crates/daemon/src/peers/calls.rs
+++ b/crates/daemon/src/peers/calls.rs
@@ -1,7 +1,7 @@
 //! Table of the calls to peers that wait for an answer.
 
 use std::collections::BTreeMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use derive_more::{Display, Error};
 use pollendrift_coordination::base::HostName;
@@ -64,7 +64,7 @@
     }
 
     /// Adds a call to `host`; `None` if the maximum number of calls is pending.
-    pub(super) fn open(&self, host: &HostName) -> Option<PendingCall<'_>> {
+    pub(super) fn open(self: &Arc<Self>, host: &HostName) -> Option<PendingCall> {
         let (sender, receiver) = oneshot::channel();
         let mut state = self.lock();
         if state.pending.len() >= self.max_pending {
@@ -78,7 +78,7 @@
         };
         state.pending.insert(number, call);
         Some(PendingCall {
-            table: self,
+            table: Arc::clone(self),
             number,
             receiver,
         })
@@ -107,21 +107,25 @@
 }
 
 /// A call that waits for its answer; dropping it removes the call from the table.
-pub(super) struct PendingCall<'table> {
-    table: &'table CallTable,
+pub struct PendingCall {
+    table: Arc<CallTable>,
     pub(super) number: CallNumber,
     receiver: oneshot::Receiver<PeerAnswer>,
 }
 
-impl PendingCall<'_> {
-    pub(super) async fn wait(&mut self) -> Result<PeerAnswer, CallError> {
+impl PendingCall {
+    /// Waits for the answer. A cancelled wait loses nothing.
+    ///
+    /// # Errors
+    /// [`CallError::NoAnswer`] if the link to the host broke.
+    pub async fn wait(&mut self) -> Result<PeerAnswer, CallError> {
         (&mut self.receiver).await.map_err(|_| CallError::NoAnswer {
             reason: "link to the host broke".to_owned(),
         })
     }
 }
 
-impl Drop for PendingCall<'_> {
+impl Drop for PendingCall {
     fn drop(&mut self) {
         self.table.lock().pending.remove(&self.number);
     }
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -173,6 +173,8 @@
     Readable(u64),
     /// Encoded record of the request; `None` if this host has none.
     Request(Option<FrameBytes>),
+    /// The receiver has stored the update of a stream whose sender waits for its confirmation.
+    Stored,
     /// Introduction of the answering keeper.
     Introduced(KeeperIntroduction),
     /// This keeper doesn't lead and ran nothing; the requester may call another keeper.
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -12,7 +12,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::timeout;
 
-use super::calls::{CallError, CallNumber, CallTable};
+use super::calls::{CallError, CallNumber, CallTable, PendingCall};
 use super::discovery::PeerDiscovery;
 use super::frame::{
     PEER_PROTOCOL, PeerAnswer, PeerCall, PeerFrame, PeerHello, PeerQuestion, encode_frame,
@@ -183,7 +183,7 @@
     pub(super) handshakes: Semaphore,
     pub(super) dials: Semaphore,
     slots: RwLock<BTreeMap<HostName, Arc<PeerSlot>>>,
-    pub(super) calls: CallTable,
+    pub(super) calls: Arc<CallTable>,
 }
 
 /// Handle to all links of the process; clones are cheap.
@@ -212,7 +212,7 @@
         handler,
         handshakes: Semaphore::new(settings.max_handshakes),
         dials: Semaphore::new(settings.max_dials),
-        calls: CallTable::new(settings.max_pending_calls),
+        calls: Arc::new(CallTable::new(settings.max_pending_calls)),
         slots: RwLock::default(),
         settings,
     };
@@ -388,20 +388,14 @@
         hops: u8,
         answer_timeout: Duration,
     ) -> Result<PeerAnswer, CallError> {
-        let not_sent = |reason: String| CallError::NotSent { reason };
-        let mut pending = self
-            .shared
-            .calls
-            .open(host)
-            .ok_or_else(|| not_sent("too many calls wait already".to_owned()))?;
-        let call = PeerCall {
-            number: pending.number,
-            hops,
-            patience: answer_timeout,
-            question,
-        };
-        self.send(host, &PeerFrame::Call(call))
-            .map_err(|refusal| not_sent(refusal.to_string()))?;
+        let mut pending = self.send_numbered(host, |number| {
+            PeerFrame::Call(PeerCall {
+                number,
+                hops,
+                patience: answer_timeout,
+                question,
+            })
+        })?;
         let answer = timeout(answer_timeout, pending.wait()).await;
         answer.unwrap_or_else(|_| {
             Err(CallError::NoAnswer {
@@ -410,6 +404,22 @@
         })
     }
 
+    /// Queues a frame that the receiver answers like a call. `build` gets the number of the answer.
+    ///
+    /// # Errors
+    /// [`CallError::NotSent`]: the frame was not queued and is never sent.
+    pub fn send_numbered<F>(&self, host: &HostName, build: F) -> Result<PendingCall, CallError>
+    where
+        F: FnOnce(CallNumber) -> PeerFrame,
+    {
+        let not_sent = |reason: String| CallError::NotSent { reason };
+        let pending = self.shared.calls.open(host);
+        let pending = pending.ok_or_else(|| not_sent("too many calls wait already".to_owned()))?;
+        self.send(host, &build(pending.number))
+            .map_err(|refusal| not_sent(refusal.to_string()))?;
+        Ok(pending)
+    }
+
     /// Answers a call of `host` on the link that `host` opened: the call arrived on it, while the
     /// link to `host` may not be up yet. Uses the link to `host` if the other one fails. The
     /// requester of a lost answer times out.
--- a/crates/daemon/src/streams.rs
+++ b/crates/daemon/src/streams.rs
@@ -1,61 +1,151 @@
-//! Lets streams resume at another entry: replicates each token to one peer, and looks up streams of
-//! other entries.
+//! Lets streams resume at another entry: copies each token to one peer before its caller gets it,
+//! and looks up streams of other entries.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use pollendrift_coordination::base::{HostName, RequestId};
 use pollendrift_coordination::streams::{
-    StreamRecord, StreamSettings, StreamTable, StreamUpdate, rank_hosts,
+    HolderTable, ReceiptNumber, StreamRecord, StreamSettings, StreamTable, StreamUpdate, rank_hosts,
 };
+use tokio::time::{Instant, timeout_at};
 
 use crate::clock::TimeSource;
-use crate::peers::{PeerAnswer, PeerFrame, PeerHub, PeerQuestion};
+use crate::peers::{
+    CallError, CallNumber, PeerAnswer, PeerFrame, PeerHub, PeerQuestion, PendingCall,
+};
 
 /// Time limit for a peer's answer to a look-up of a stream.
 const LOOK_UP_TIMEOUT: Duration = Duration::from_millis(800);
-/// Number of hosts that may store a stream: the first in rank, or the second if the first is the
-/// stream's entry.
-const MAX_STORING_HOSTS: usize = 2;
+/// Time limit for the confirmation of a copy. A host that stores streams confirms within a round
+/// trip; a frozen one must not hold back the stream for longer than callers wait between tokens.
+const RECEIPT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Number of hosts that a look-up asks, in rank order: the stream's entry itself, a host that
+/// failed while it stored the stream, and the host after them.
+const MAX_STORING_HOSTS: usize = 3;
 
 /// Replicates the streams of this entry, and stores the streams that other entries replicate here.
 pub struct StreamStore {
     table: Mutex<StreamTable>,
+    holders: Mutex<HolderTable>,
     hub: PeerHub,
     clock: Arc<dyn TimeSource>,
 }
 
+/// A copy of released tokens that another host has not confirmed yet.
+pub struct CopyReceipt {
+    holder: HostName,
+    pending: PendingCall,
+    deadline: Instant,
+}
+
+impl CopyReceipt {
+    /// Waits until the host has confirmed the copy. A cancelled wait loses nothing.
+    ///
+    /// # Errors
+    /// The link broke, the host lacks earlier tokens, or it did not confirm in time.
+    pub async fn confirmed(&mut self) -> Result<(), CopyLoss> {
+        let loss = |is_silent, reason: String| CopyLoss {
+            holder: self.holder.clone(),
+            is_silent,
+            reason,
+        };
+        match timeout_at(self.deadline, self.pending.wait()).await {
+            Ok(Ok(PeerAnswer::Stored)) => Ok(()),
+            Ok(Ok(_)) => Err(loss(false, "earlier tokens are missing there".to_owned())),
+            Ok(Err(error)) => Err(loss(false, error.to_string())),
+            Err(_) => Err(loss(true, "no confirmation in time".to_owned())),
+        }
+    }
+}
+
+/// A copy that its host did not confirm.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CopyLoss {
+    /// Host that should have stored the copy.
+    pub holder: HostName,
+    /// Whether the host did not answer at all.
+    pub is_silent: bool,
+    /// Reason for the log.
+    pub reason: String,
+}
+
 impl StreamStore {
     /// Creates a store without streams.
     pub fn new(hub: PeerHub, clock: Arc<dyn TimeSource>) -> Self {
         Self {
             table: Mutex::new(StreamTable::new(StreamSettings::default())),
+            holders: Mutex::default(),
             hub,
             clock,
         }
     }
 
-    /// Sends tokens that are about to go to the caller to the host that stores the stream. Does not
-    /// wait for the host.
-    pub fn replicate(&self, update: StreamUpdate) {
-        let Some(holder) = self
-            .ranked(&update.request)
-            .into_iter()
-            .find(|host| host != self.hub.host())
-        else {
-            return;
+    /// Sends released tokens to `holder` and returns the receipt to wait for before the caller gets
+    /// them.
+    ///
+    /// # Errors
+    /// The update was not sent.
+    pub fn replicate(
+        &self,
+        holder: &HostName,
+        mut update: StreamUpdate,
+    ) -> Result<CopyReceipt, CopyLoss> {
+        let numbered = |number: CallNumber| {
+            update.receipt = Some(ReceiptNumber(number.0));
+            PeerFrame::Stream(update)
         };
-        // A lost update leaves a gap in the stored stream, which makes the stream unknown there
-        // rather than wrong.
-        let _ = self.hub.send(&holder, &PeerFrame::Stream(update));
+        let pending = self.hub.send_numbered(holder, numbered);
+        let pending = pending.map_err(|error: CallError| CopyLoss {
+            holder: holder.clone(),
+            is_silent: false,
+            reason: error.to_string(),
+        })?;
+        Ok(CopyReceipt {
+            holder: holder.clone(),
+            pending,
+            deadline: Instant::now() + RECEIPT_TIMEOUT,
+        })
+    }
+
+    /// Chooses the host that stores the stream of `request`; `None` if no host can.
+    pub fn choose_holder(&self, request: &RequestId) -> Option<HostName> {
+        let reachable = self.hub.up_hosts();
+        let mut holders = self.holders.lock().unwrap_or_else(PoisonError::into_inner);
+        let holder = holders.choose(self.clock.now(), request, &reachable);
+        holder.cloned()
+    }
+
+    /// Records a lost copy; a host that did not answer at all stores no new streams for a while.
+    pub fn record_loss(&self, loss: &CopyLoss) {
+        if loss.is_silent {
+            let mut holders = self.holders.lock().unwrap_or_else(PoisonError::into_inner);
+            holders.record_unconfirmed(self.clock.now(), &loss.holder);
+        }
     }
 
-    /// Records an update of another entry's stream.
-    pub fn receive_update(&self, update: StreamUpdate) {
+    /// Records an update of the stream of `from`, and confirms it if that host waits for it.
+    pub fn receive_update(&self, from: &HostName, update: StreamUpdate) {
+        let receipt = update.receipt;
         let now = self.clock.now();
-        let mut table = self.lock();
-        table.record(now, update);
-        table.tick(now);
+        let is_stored = {
+            let mut table = self.lock();
+            let is_stored = table.record(now, update);
+            table.tick(now);
+            is_stored
+        };
+        let Some(receipt) = receipt else {
+            return;
+        };
+        let answer = if is_stored {
+            PeerAnswer::Stored
+        } else {
+            PeerAnswer::NotRun {
+                reason: "earlier tokens of the stream are missing".to_owned(),
+            }
+        };
+        // The sender of an update without an answer copies the stream to another host.
+        let _ = self.hub.answer(from, CallNumber(receipt.0), answer);
     }
 
     /// Answers a peer's look-up with this host's encoded record of a stream, if it has one.
--- a/crates/daemon/tests/hosts/support.rs
+++ b/crates/daemon/tests/hosts/support.rs
@@ -33,6 +33,8 @@
     pub(crate) builder: HostBuilder,
     /// Text that is appended to the settings, by host index.
     extra_settings: Vec<String>,
+    /// Replacements in the list of peers, by host index.
+    replacements: Vec<Vec<(String, String)>>,
     folders: Vec<tempfile::TempDir>,
     hosts: Vec<Option<RouterDaemon>>,
     client: HttpClient,
@@ -80,6 +82,7 @@
         Self {
             builder: builder.with("drain: {notice: 0ms}\n"),
             extra_settings: vec![String::new(); hosts],
+            replacements: vec![Vec::new(); hosts],
             folders: (0..hosts).map(|_| tempfile::tempdir().unwrap()).collect(),
             hosts: (0..hosts).map(|_| None).collect(),
             client: HttpClient::new(1 << 22),
@@ -88,8 +91,11 @@
 
     /// Starts a host that is not running.
     pub(crate) async fn restart(&mut self, index: usize) {
-        let text =
+        let mut text =
             self.builder.settings(index, self.folders[index].path()) + &self.extra_settings[index];
+        for (old, new) in &self.replacements[index] {
+            text = text.replace(old, new);
+        }
         let settings = DaemonSettings::parse(&"test".into(), PathBuf::new(), &text);
         let settings = settings.unwrap().settings;
         // A crashed host releases its folder lock and its ports once its tasks have ended.
@@ -102,6 +108,11 @@
         self.extra_settings[index].push_str(more);
     }
 
+    /// Replaces text in the settings of a host that is not running yet.
+    pub(crate) fn replace_settings(&mut self, index: usize, old: &str, new: &str) {
+        self.replacements[index].push((old.to_owned(), new.to_owned()));
+    }
+
     /// Stops a host without a planned stop, as a crash does.
     pub(crate) fn crash(&mut self, index: usize) {
         self.hosts[index] = None;
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -32,7 +32,7 @@
 };
 use pollendrift_coordination::ledger::GeneratedToken;
 use pollendrift_coordination::routing::{EngineLoad, SurveyResult};
-use pollendrift_coordination::streams::{StreamRecord, StreamUpdate};
+use pollendrift_coordination::streams::{ReceiptNumber, StreamRecord, StreamUpdate};
 use pollendrift_store::{GroupId, JoinedGroup};
 use serde_json::json;
 
@@ -177,6 +177,7 @@
             text: "word".into(),
         }],
         finish: Some("length".to_owned()),
+        receipt: None,
     }
 }
 
@@ -214,6 +215,7 @@
         },
         PeerAnswer::NotRun { reason: reason() },
         PeerAnswer::Unknown { reason: reason() },
+        PeerAnswer::Stored,
     ]
 }
 
@@ -328,6 +330,10 @@
         },
         PeerFrame::LeaseQuestion(vec!["e1".into()]),
         PeerFrame::LeaseNumbers(vec![LeaseNumber(300)]),
+        PeerFrame::Stream(StreamUpdate {
+            receipt: Some(ReceiptNumber(9)),
+            ..stream()
+        }),
     ];
     let configurations = configurations.into_iter().map(PeerFrame::Configuration);
     configurations.chain(others).collect()
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod harness;
 pub mod load;
 pub mod service;
+pub mod slow_link;
 pub mod token;
