--- a/crates/coordination/src/leases/assignment.rs
+++ b/crates/coordination/src/leases/assignment.rs
@@ -5,14 +5,12 @@
 //! and a host that joins or leaves moves only its own servers. A server that returns to the keeper
 //! with an unchanged announcement could not reach its host; the keeper assigns the next one.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use super::subset::weight;
 use crate::base::{DataCentreName, HostName, MonotonicTime, ServerName};
 
 /// Time between two scans for servers that can be removed.
@@ -49,6 +47,27 @@
     pub address: SocketAddr,
 }
 
+/// Weight of a server and a host in rendezvous hashing; the host with the highest weight wins.
+///
+/// Keepers compute it for each host of a data centre with each announcement. It needs no
+/// resistance against chosen names: a server may announce to any keeper as often as it likes.
+fn weight(server: &ServerName, host: &HostName) -> u64 {
+    const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const FNV_PRIME: u64 = 0x0100_0000_01b3;
+    let bytes = server
+        .as_str()
+        .bytes()
+        .chain([0])
+        .chain(host.as_str().bytes());
+    let hash = bytes.fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    });
+    // FNV changes the high bits little for names that differ at their end.
+    let mixed = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    mixed ^ (mixed >> 33)
+}
+
 /// Assigns heartbeat hosts to servers and records the servers that returned to this keeper.
 #[derive(Clone, Debug)]
 pub struct AssignmentTable {
@@ -93,21 +112,19 @@
         hosts: &'hosts [HeartbeatHost],
     ) -> Option<&'hosts HeartbeatHost> {
         self.remove_expired(now);
-        let local = hosts.iter().filter(|host| host.data_centre == *data_centre);
-        let mut ranked: Vec<&HeartbeatHost> = local.collect();
-        ranked.sort_by_cached_key(|host| Reverse((weight(server, &host.host), host.host.clone())));
+        let best = |avoided: &[HostName]| {
+            let local = hosts.iter().filter(|host| host.data_centre == *data_centre);
+            let allowed = local.filter(|host| !avoided.contains(&host.host));
+            allowed.max_by_key(|host| (weight(server, &host.host), &host.host))
+        };
         if is_back {
-            self.record_return(now, server, ranked.first().map(|host| &host.host));
-        }
-        let returned = self.returned.get_mut(server);
-        let avoided = returned.as_ref().map(|returned| returned.avoided.clone());
-        let avoided = avoided.unwrap_or_default();
-        let assigned = ranked
-            .into_iter()
-            .find(|host| !avoided.contains(&host.host));
-        if let Some(returned) = returned {
-            returned.assigned = assigned.map(|host| host.host.clone());
+            self.record_return(now, server, best(&[]).map(|host| &host.host));
         }
+        let Some(returned) = self.returned.get_mut(server) else {
+            return best(&[]);
+        };
+        let assigned = best(&returned.avoided);
+        returned.assigned = assigned.map(|host| host.host.clone());
         assigned
     }
 
--- a/crates/coordination/src/leases/subset.rs
+++ b/crates/coordination/src/leases/subset.rs
@@ -87,7 +87,7 @@
 }
 
 /// Weight of a server and a host in rendezvous hashing; the host with the highest weight wins.
-pub(super) fn weight(server: &ServerName, host: &HostName) -> u64 {
+fn weight(server: &ServerName, host: &HostName) -> u64 {
     let mut hasher = Sha256::new();
     hasher.update((server.as_str().len() as u64).to_be_bytes());
     hasher.update(server.as_str().as_bytes());
