fix(relay): hosts that hear the keepers take heartbeats while these elect

Callers saw: after the start of a fleet of 3,000 servers nothing was ever served.

Cause: a host refused every heartbeat once no keeper had answered its question by a quorum for 2.2 s. All hosts do so at the same time when the keepers elect a leader or are busy, and every server then returns to the keepers, 2,400 calls a second that keep them busy for good.

Change: a host is cut off if no answer came and it hears no majority of the keepers it knows; any frame on a link counts. The refusal has a log line, which it lacked.

A host whose keepers are all gone refuses as before.

--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -22,7 +22,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-pub use assignment::{AssignmentSettings, AssignmentTable, HeartbeatHost};
+pub use assignment::{AssignmentSettings, AssignmentTable, HeartbeatHost, KeeperContact};
 pub use batch::{BatchOutcome, InitialSync, LeaseBatch, LeaseScope, NamedLease};
 pub use delta::{DeltaCursor, FullLease, LeaseDelta, LeaseRenewal};
 pub use digest::AnnouncementDigest;
--- a/crates/coordination/src/leases/assignment.rs
+++ b/crates/coordination/src/leases/assignment.rs
@@ -47,6 +47,37 @@
     pub address: SocketAddr,
 }
 
+/// Contact of a host to the keepers, by which it decides whether to accept heartbeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeeperContact {
+    /// Time since the latest quorum-checked answer of a keeper; `None` before the first.
+    pub confirmed_age: Option<Duration>,
+    /// Number of keepers that this host knows.
+    pub known_keepers: usize,
+    /// Number of those that sent it anything within [`KeeperContact::MAX_AGE`].
+    pub heard_keepers: usize,
+}
+
+impl KeeperContact {
+    /// Age after which an answer or a frame of a keeper proves no contact any more. It is half of
+    /// the shortest lease that a backend server gets, so that a refused server reaches another host
+    /// in time.
+    pub const MAX_AGE: Duration = Duration::from_millis(2_200);
+
+    /// Whether heartbeats sent to this host may reach no other host, so that the leases of running
+    /// servers would expire.
+    ///
+    /// An old answer alone is no sign of that. While the keepers elect a leader or are overloaded,
+    /// none of them answers, and if all hosts then sent their servers back, the keepers would get
+    /// the heartbeats of the whole fleet and could never recover. A host that hears a majority of
+    /// the keepers is not cut off.
+    pub fn is_cut_off(&self) -> bool {
+        let is_confirmed = self.confirmed_age.is_some_and(|age| age < Self::MAX_AGE);
+        let hears_majority = self.heard_keepers * 2 > self.known_keepers;
+        !is_confirmed && !hears_majority
+    }
+}
+
 /// Weight of a server and a host in rendezvous hashing; the host with the highest weight wins.
 ///
 /// Keepers compute it for each host of a data centre with each announcement. It needs no
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 use super::settings::LinkSettings;
 use super::status::PeerStatus;
 use super::transport::{PeerAcceptor, PeerDialer};
+use crate::clock::{SystemClock, TimeSource};
 
 /// Identity of this process.
 #[derive(Clone, Debug)]
@@ -84,6 +86,9 @@
     replies: Mutex<Option<Arc<FrameQueue>>>,
     statistics: Mutex<LinkStatistics>,
     up: watch::Sender<bool>,
+    /// Time of the last frame from the peer on any link, in microseconds of the hub's clock; 0
+    /// before the first one.
+    heard_at: AtomicU64,
     /// Task that maintains the outbound link.
     task: Mutex<Option<AbortHandle>>,
 }
@@ -102,6 +107,7 @@
             replies: Mutex::default(),
             statistics: Mutex::default(),
             up: watch::Sender::new(false),
+            heard_at: AtomicU64::new(0),
             task: Mutex::default(),
             peer,
         }
@@ -184,6 +190,8 @@
     pub(super) dials: Semaphore,
     slots: RwLock<BTreeMap<HostName, Arc<PeerSlot>>>,
     pub(super) calls: Arc<CallTable>,
+    /// Clock of the times at which peers were heard; it runs on while the machine is suspended.
+    clock: SystemClock,
 }
 
 /// Handle to all links of the process; clones are cheap.
@@ -214,6 +222,7 @@
         dials: Semaphore::new(settings.max_dials),
         calls: Arc::new(CallTable::new(settings.max_pending_calls)),
         slots: RwLock::default(),
+        clock: SystemClock::default(),
         settings,
     };
     let hub = PeerHub {
@@ -420,6 +429,24 @@
         Ok(pending)
     }
 
+    /// Peers that sent this process a frame within the last `max_age`, sorted by name.
+    #[must_use]
+    pub fn heard_within(&self, max_age: Duration) -> Vec<HostName> {
+        let oldest = self.shared.clock.now().before(max_age).as_micros();
+        let slots = self.slots();
+        let heard = slots.iter().filter(|(_, slot)| {
+            let heard_at = slot.heard_at.load(Ordering::Relaxed);
+            heard_at > 0 && heard_at >= oldest
+        });
+        heard.map(|(host, _)| host.clone()).collect()
+    }
+
+    /// Records that a frame of the peer of `slot` arrived.
+    pub(super) fn record_heard(&self, slot: &PeerSlot) {
+        let now = self.shared.clock.now().as_micros();
+        slot.heard_at.store(now, Ordering::Relaxed);
+    }
+
     /// Answers a call of `host` on the link that `host` opened: the call arrived on it, while the
     /// link to `host` may not be up yet. Uses the link to `host` if the other one fails. The
     /// requester of a lost answer times out.
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -11,7 +11,7 @@
 
 use super::error::{HelloRefusal, LinkError};
 use super::frame::{PEER_PROTOCOL, PeerFrame};
-use super::hub::PeerHub;
+use super::hub::{PeerHub, PeerSlot};
 use super::queue::FrameQueue;
 use super::socket::{FrameReceiver, FrameSender, socket_config, split_socket, with_timeout};
 use super::transport::{AcceptedStream, PeerAcceptor};
@@ -151,12 +151,17 @@
     };
     let replies = Arc::new(FrameQueue::new(&hub.shared.settings));
     slot.open_replies(&replies);
-    let error = serve_frames(hub, &mut link, &replies).await;
+    let error = serve_frames(hub, &slot, &mut link, &replies).await;
     slot.close_replies(&replies);
     error
 }
 
-async fn serve_frames(hub: &PeerHub, link: &mut AcceptedLink, replies: &FrameQueue) -> LinkError {
+async fn serve_frames(
+    hub: &PeerHub,
+    slot: &PeerSlot,
+    link: &mut AcceptedLink,
+    replies: &FrameQueue,
+) -> LinkError {
     // As on outbound links, this clock runs on while the machine is suspended.
     let clock = SystemClock::default();
     let mut last_received = clock.now();
@@ -169,7 +174,10 @@
             frame = link.receiver.receive() => {
                 last_received = clock.now();
                 match frame {
-                    Ok(frame) => receive_frame(hub, link, frame).await,
+                    Ok(frame) => {
+                        hub.record_heard(slot);
+                        receive_frame(hub, link, frame).await
+                    }
                     Err(error) => Err(error),
                 }
             }
--- a/crates/daemon/src/peers/outbound.rs
+++ b/crates/daemon/src/peers/outbound.rs
@@ -146,7 +146,10 @@
             biased;
             frame = receiver.receive() => {
                 last_received = clock.now();
-                frame.and_then(|frame| receive_frame(hub, slot, frame, sent, sent_at))
+                frame.and_then(|frame| {
+                    hub.record_heard(slot);
+                    receive_frame(hub, slot, frame, sent, sent_at)
+                })
             }
             () = slot.queue.ready() => sender.send_queued(&slot.queue).await,
             () = sleep_until(next_heartbeat) => {
--- a/crates/daemon/src/relay/heartbeats.rs
+++ b/crates/daemon/src/relay/heartbeats.rs
@@ -12,9 +12,9 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use pollendrift_coordination::base::MonotonicTime;
+use pollendrift_coordination::base::{HostName, MonotonicTime};
 use pollendrift_coordination::leases::{
-    AssignmentSettings, AssignmentTable, HeartbeatHost, MergeVerdict,
+    AssignmentSettings, AssignmentTable, HeartbeatHost, KeeperContact, MergeVerdict,
 };
 use pollendrift_dialect::{
     PlatformDialect, RegistryAck, RegistryCall, RegistryError, ServerAnnouncement,
@@ -28,10 +28,6 @@
 use crate::fleet::BackendFleet;
 use crate::node::ClusterNode;
 
-/// Time without a keeper's answer after which a host refuses heartbeats: two intervals of the
-/// questions to the keepers. Heartbeats to such a host reach no other host, so the leases of
-/// running servers would expire.
-const HEARTBEAT_MAX_AGE: Duration = Duration::from_millis(2_200);
 /// Least time for which this host knows a server before a heartbeat counts as a return from the
 /// assigned host: until then the assigned host may not know the server.
 const MIN_KNOWN_TIME: Duration = Duration::from_secs(5);
@@ -78,6 +74,11 @@
 
     fn handle_call(&self, call: Result<RegistryCall, RegistryError>) -> Response<Bytes> {
         let now = self.clock.now();
+        let server = match &call {
+            Ok(RegistryCall::Announce(announcement)) => announcement.server.clone(),
+            Ok(RegistryCall::Leave(server)) => server.clone(),
+            Err(error) => return self.dialect.registry.refuse(error),
+        };
         let outcome = match call {
             Ok(RegistryCall::Announce(_)) if self.is_cut_off(now) => {
                 Err("this host is cut off from the keepers")
@@ -87,24 +88,36 @@
             {
                 Ok(())
             }
-            Ok(_) => Err("keepers alone take what is new"),
-            Err(error) => return self.dialect.registry.refuse(&error),
+            _ => Err("keepers alone take what is new"),
         };
         match outcome {
             Ok(()) => {
                 let ack = RegistryAck { announce_at: None };
                 self.dialect.registry.acknowledge(&ack)
             }
-            Err(reason) => self.dialect.registry.refuse(&RegistryError {
-                reason: reason.to_owned(),
-                elsewhere: true,
-            }),
+            Err(reason) => {
+                log::info!(server:% = server, reason = reason; "heartbeat refused");
+                self.dialect.registry.refuse(&RegistryError {
+                    reason: reason.to_owned(),
+                    elsewhere: true,
+                })
+            }
         }
     }
 
     fn is_cut_off(&self, now: MonotonicTime) -> bool {
         let confirmed_at = self.node.feed().confirmed_at();
-        confirmed_at.is_none_or(|at| now.since(at) >= HEARTBEAT_MAX_AGE)
+        let hub = self.node.hub();
+        let heard = hub.heard_within(KeeperContact::MAX_AGE);
+        let discovery = hub.discovery();
+        let keepers = discovery.map_or_else(Vec::new, |discovery| discovery.keepers());
+        let is_heard = |keeper: &&HostName| heard.binary_search(keeper).is_ok();
+        let contact = KeeperContact {
+            confirmed_age: confirmed_at.map(|at| now.since(at)),
+            known_keepers: keepers.len(),
+            heard_keepers: keepers.iter().filter(is_heard).count(),
+        };
+        contact.is_cut_off()
     }
 }
 
