fix(http): announcements do not keep a keeper's other tasks waiting

Cause: a keeper accepted every connection at once and served them in turn on its one thread. With 240 announcements ready at a time, each step of the agreement (link in, keeper, link out) waited for all of them, 100 to 200 ms; six steps make a round, and an election ends after 700 ms.

Change: on an address for announcements, at most 8 connections are served until their first answer (250 ms at most, so that silent clients keep nobody out), and 64 wait to be accepted. What is beyond is dropped by the operating system at no cost, and its sender asks another host after a second, as it would after a late answer.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -49,6 +49,11 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two checks of the key files.
 const KEY_PERIOD: Duration = Duration::from_secs(10);
+/// Maximum number of new connections on an address for announcements.
+const MAX_NEW_ANNOUNCERS: usize = 8;
+/// Maximum number of connections that wait to be accepted on such an address. Announcements that
+/// wait longer than their senders, which then ask another host, must not take up the processor.
+const ANNOUNCER_BACKLOG: u32 = 64;
 /// Maximum size of a plain service's answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -250,14 +255,15 @@
                 FaceKind::Callers
             };
             let acceptor = FaceAcceptor::new(Arc::clone(&access), kind);
-            servers
-                .push(listen(address, &settings.entry, Some(Arc::new(acceptor)), handler).await?);
+            let limits = server_limits(&settings.entry, faces);
+            servers.push(listen(address, limits, Some(Arc::new(acceptor)), handler).await?);
         }
         let platform = Arc::new(platform);
         let faces = [Some(settings.listen.platform), settings.listen.metrics];
         for address in faces.into_iter().flatten() {
             let handler = Arc::clone(&platform) as Arc<dyn pollendrift_http::DynHandler>;
-            servers.push(listen(address, &settings.entry, None, handler).await?);
+            let limits = server_limits(&settings.entry, FaceSet::default());
+            servers.push(listen(address, limits, None, handler).await?);
         }
         let placement = PlacementParts {
             host: settings.host.clone(),
@@ -399,19 +405,36 @@
     addresses
 }
 
-async fn listen(
-    address: SocketAddr,
-    settings: &EntrySettings,
-    acceptor: Option<Arc<dyn StreamAcceptor>>,
-    handler: Arc<dyn pollendrift_http::DynHandler>,
-) -> Result<HttpServer, StartError> {
+/// Limits of the server of an address with `faces`.
+///
+/// Backend servers announce themselves all at once when a fleet starts, and on a new connection
+/// each time. Without a limit on new connections, the tasks of a keeper that exchange agreement
+/// messages wait for hundreds of announcements at each step, and no leader stays in office.
+fn server_limits(settings: &EntrySettings, faces: FaceSet) -> ServerLimits {
     let limits = ServerLimits {
         max_headers: to_usize(settings.max_header_count),
         max_head_bytes: to_usize(settings.max_header_bytes),
         head_timeout: settings.head_timeout,
         max_connections_per_address: to_usize(settings.max_connections_per_address),
         max_connections: to_usize(settings.max_connections),
+        ..ServerLimits::default()
     };
+    if !faces.backend_servers || faces.callers {
+        return limits;
+    }
+    ServerLimits {
+        max_new_connections: MAX_NEW_ANNOUNCERS,
+        backlog: ANNOUNCER_BACKLOG,
+        ..limits
+    }
+}
+
+async fn listen(
+    address: SocketAddr,
+    limits: ServerLimits,
+    acceptor: Option<Arc<dyn StreamAcceptor>>,
+    handler: Arc<dyn pollendrift_http::DynHandler>,
+) -> Result<HttpServer, StartError> {
     HttpServer::start(address, limits, acceptor, handler)
         .await
         .map_err(|error| StartError::Listen { address, error })
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod new_connections;
 mod pool;
 mod server;
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -15,11 +15,13 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::body::ResponseBody;
+use crate::new_connections::{NewConnection, NewConnections};
 
 /// Pause after a failed accept; without it, a full file table would cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -37,6 +39,13 @@
     pub max_connections_per_address: usize,
     /// Maximum number of open connections in total.
     pub max_connections: usize,
+    /// Maximum number of connections whose first request is not answered yet; further ones wait to
+    /// be accepted. It limits the work that other tasks of the process wait for, however many
+    /// clients connect at the same time.
+    pub max_new_connections: usize,
+    /// Maximum number of connections that wait to be accepted. The operating system drops further
+    /// ones, at no cost to this process.
+    pub backlog: u32,
 }
 
 impl Default for ServerLimits {
@@ -47,6 +56,8 @@
             head_timeout: Duration::from_secs(10),
             max_connections_per_address: 4_096,
             max_connections: 16_384,
+            max_new_connections: 16_384,
+            backlog: 1_024,
         }
     }
 }
@@ -159,7 +170,7 @@
         acceptor: Option<Arc<dyn StreamAcceptor>>,
         handler: Arc<dyn DynHandler>,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
+        let listener = listen(address, limits.backlog)?;
         let address = listener.local_addr()?;
         let (drain, draining) = watch::channel(false);
         let context = Arc::new(ServerContext {
@@ -216,13 +227,30 @@
     draining: watch::Receiver<bool>,
 }
 
+fn listen(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    // Without it, a restarted process could not bind its address while old connections linger.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(backlog)
+}
+
 async fn accept_loop(listener: TcpListener, context: Arc<ServerContext>) {
     let mut draining = context.draining.clone();
     let table = Arc::new(ConnectionTable::default());
+    let mut new_connections = NewConnections::new(context.limits.max_new_connections);
     let mut connections = JoinSet::new();
     loop {
+        let accept = async {
+            let slot = new_connections.free_slot().await;
+            (listener.accept().await, slot)
+        };
         tokio::select! {
-            accepted = listener.accept() => {
+            (accepted, slot) = accept => {
                 let Ok((stream, peer)) = accepted else {
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                     continue;
@@ -231,7 +259,9 @@
                     log::warn!(peer:% = peer; "connection refused: limit of open connections reached");
                     continue;
                 };
-                connections.spawn(serve_connection(stream, peer, Arc::clone(&context), guard));
+                let new = new_connections.open(Instant::now(), slot);
+                let connection = serve_connection(stream, peer, Arc::clone(&context), guard, new);
+                connections.spawn(connection);
             }
             Some(_) = connections.join_next(), if !connections.is_empty() => {}
             () = drain_requested(&mut draining) => break,
@@ -251,6 +281,7 @@
     peer: SocketAddr,
     context: Arc<ServerContext>,
     guard: ConnectionGuard,
+    new: NewConnection,
 ) {
     let _guard = guard;
     // Sends each token immediately: without this, small writes wait for an acknowledgement.
@@ -263,7 +294,12 @@
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().extend(extensions.clone());
         let response = Arc::clone(&handler).handle_dyn(request, peer);
-        async move { Ok::<Response<ResponseBody>, std::convert::Infallible>(response.await) }
+        let new = new.clone();
+        async move {
+            let response = response.await;
+            new.answered();
+            Ok::<Response<ResponseBody>, std::convert::Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
