fix(placement): the layout of a large fleet does not stop its keeper

Cause: the keeper with the order right matched engines to ranges by a search of all pairs for each engine, the cube of the engines of a kind.

Change: pairs that share layers are sorted once; engines that hold nothing take the ranges in order. The result is the same. A layout's value is computed without building its ranges. A host without the order right looks at the fleet every 500 ms instead of 200 ms, and an update of the pools allocates nothing for engines that are known.

--- a/crates/coordination/src/placement/layout.rs
+++ b/crates/coordination/src/placement/layout.rs
@@ -98,9 +98,6 @@
 pub(crate) struct LayerLayout {
     pub(crate) ranges: BTreeMap<PlacedKey, LayerRange>,
     pub(crate) reserved_tokens: u64,
-    /// Throughput in drafts per second, reduced for missing second copies. It ranks layouts of the
-    /// same engines.
-    value: f64,
 }
 
 /// Returns the layout with the highest value; `None` if the engines cannot hold all layers once.
@@ -123,46 +120,70 @@
         .iter()
         .flat_map(|engine| (1..=engine.max_layers).map(|count| engine.memory.tokens(count)))
         .collect();
-    let layouts = token_counts
+    let values = token_counts
         .into_iter()
-        .filter_map(|tokens| build_rows(&engines, layers, draft, tokens));
-    let best = layouts.max_by(|a, b| a.value.total_cmp(&b.value))?;
-    Some(keep_held(&engines, best))
+        .filter_map(|tokens| Some((tokens, value_rows(&engines, layers, draft, tokens)?)));
+    let (reserved_tokens, _) = values.max_by(|a, b| a.1.total_cmp(&b.1))?;
+    let rows = Rows {
+        remaining: &engines,
+        layers,
+        tokens: reserved_tokens,
+    };
+    let ranges = rows.flatten().map(|(engine, range)| (engine.key, range));
+    let layout = LayerLayout {
+        ranges: ranges.collect(),
+        reserved_tokens,
+    };
+    Some(keep_held(&engines, layout))
 }
 
-/// Builds rows of engines that each keep at least `tokens` of KV memory; `None` if there is no
-/// complete row.
-fn build_rows(
+/// Throughput in drafts per second, reduced for missing second copies, of rows of engines that each
+/// keep at least `tokens` of KV memory; `None` if there is no complete row. It ranks layouts of the
+/// same engines.
+fn value_rows(
     engines: &[LayoutEngine],
     layers: u32,
     draft: TypicalDraft,
     tokens: u64,
-) -> Option<LayerLayout> {
-    let mut layout = LayerLayout {
-        reserved_tokens: tokens,
-        ..LayerLayout::default()
+) -> Option<f64> {
+    let mut rows = Rows {
+        remaining: engines,
+        layers,
+        tokens,
     };
-    let mut remaining_engines = engines;
     let (mut throughput, mut row_count) = (0.0, 0.0);
-    while let Some((row, remaining)) = take_row(remaining_engines, layers, tokens) {
+    for row in rows.by_ref() {
         throughput += row_rate(&row, draft);
         row_count += 1.0;
-        layout
-            .ranges
-            .extend(row.iter().map(|(engine, range)| (engine.key, *range)));
-        remaining_engines = remaining;
     }
     if row_count == 0.0 {
         return None;
     }
-    let spare_layers: u32 = remaining_engines
+    let spare_layers: u32 = rows
+        .remaining
         .iter()
         .map(|engine| max_layers(engine, tokens))
         .sum();
     let copies = row_count + f64::from(spare_layers) / f64::from(layers.max(1));
     let missing_copy = (2.0 - copies).clamp(0.0, 1.0);
-    layout.value = throughput * (1.0 - MISSING_COPY_PENALTY * missing_copy);
-    Some(layout)
+    Some(throughput * (1.0 - MISSING_COPY_PENALTY * missing_copy))
+}
+
+/// Divides engines into complete rows; afterwards `remaining` contains those without a row.
+struct Rows<'e> {
+    remaining: &'e [LayoutEngine],
+    layers: u32,
+    tokens: u64,
+}
+
+impl<'e> Iterator for Rows<'e> {
+    type Item = LayoutRow<'e>;
+
+    fn next(&mut self) -> Option<LayoutRow<'e>> {
+        let (row, remaining) = take_row(self.remaining, self.layers, self.tokens)?;
+        self.remaining = remaining;
+        Some(row)
+    }
 }
 
 /// Engines that together hold all layers, with the range of each.
@@ -217,29 +238,52 @@
         kinds.entry(kind).or_default().push(engine);
     }
     let mut assigned = BTreeMap::new();
-    for mut members in kinds.into_values() {
+    for members in kinds.into_values() {
         let ranges = members
             .iter()
             .filter_map(|engine| layout.ranges.get(&engine.key));
-        let mut ranges: Vec<LayerRange> = ranges.copied().collect();
-        while let Some((member, range)) = find_closest(&members, &ranges) {
-            assigned.insert(members.remove(member).key, ranges.remove(range));
-        }
+        let ranges: Vec<LayerRange> = ranges.copied().collect();
+        assigned.extend(match_closest(&members, &ranges));
     }
     layout.ranges = assigned;
     layout
 }
 
-/// Returns the indices of the member and the range that share the most layers.
-fn find_closest(members: &[&LayoutEngine], ranges: &[LayerRange]) -> Option<(usize, usize)> {
-    let pairs = members.iter().enumerate().flat_map(|(member, engine)| {
-        let shared = |range: &LayerRange| engine.held.map_or(0, |held| shared_layers(held, *range));
-        let ranges = ranges.iter().enumerate();
-        ranges.map(move |(index, range)| (shared(range), member, index))
+/// Assigns each range to a member, in the order of the number of layers that the two share. Ties go
+/// to the first member and its first range.
+///
+/// A data centre may have a thousand engines of a kind, and a keeper that searched all pairs again
+/// for each of them would do nothing else for longer than an election takes. Only pairs that share
+/// layers are sorted; none do in a fleet that starts.
+fn match_closest(members: &[&LayoutEngine], ranges: &[LayerRange]) -> Vec<(PlacedKey, LayerRange)> {
+    let held = members.iter().enumerate();
+    let held = held.filter_map(|(member, engine)| Some((member, engine.held?)));
+    let mut pairs: Vec<(u32, usize, usize)> = held
+        .flat_map(|(member, held)| {
+            let shared = move |(index, range): (usize, &LayerRange)| {
+                (shared_layers(held, *range), member, index)
+            };
+            ranges.iter().enumerate().map(shared)
+        })
+        .filter(|(shared, _, _)| *shared > 0)
+        .collect();
+    pairs.sort_unstable_by_key(|(shared, member, index)| {
+        (std::cmp::Reverse(*shared), *member, *index)
+    });
+    let mut range_of: Vec<Option<usize>> = vec![None; members.len()];
+    let mut is_assigned = vec![false; ranges.len()];
+    for (_, member, index) in pairs {
+        if range_of[member].is_none() && !is_assigned[index] {
+            range_of[member] = Some(index);
+            is_assigned[index] = true;
+        }
+    }
+    let mut others = (0..ranges.len()).filter(|index| !is_assigned[*index]);
+    let assigned = members.iter().zip(range_of).filter_map(|(member, index)| {
+        let range = ranges.get(index.or_else(|| others.next())?)?;
+        Some((member.key, *range))
     });
-    let best =
-        pairs.max_by_key(|(shared, member, index)| (*shared, std::cmp::Reverse((*member, *index))));
-    best.map(|(_, member, index)| (member, index))
+    assigned.collect()
 }
 
 fn shared_layers(one: LayerRange, other: LayerRange) -> u32 {
--- a/crates/coordination/src/placement/memory.rs
+++ b/crates/coordination/src/placement/memory.rs
@@ -101,6 +101,9 @@
             if self.engines.get(key).is_some_and(can_be_ordered) {
                 self.order(now, right, key, &target.weights, layers, report);
             }
+            if report.waits.contains(&PlacementWait::StoreBusy) {
+                break;
+            }
         }
         !self.pending_layout.is_empty()
     }
--- a/crates/coordination/tests/placement_layout.rs
+++ b/crates/coordination/tests/placement_layout.rs
@@ -6,8 +6,8 @@
 
 use pollendrift_coordination::base::{FencingNumber, LayerRange, MonotonicTime, ServerName};
 use pollendrift_coordination::placement::{
-    EngineMemory, EngineObservation, PlacementRight, PlacementSettings, PlacementTable,
-    PlacementTarget, TypicalDraft, UnloadPolicy, WeightsId,
+    EngineMemory, EngineObservation, HeldWeights, PlacementRight, PlacementSettings,
+    PlacementTable, PlacementTarget, TypicalDraft, UnloadPolicy, WeightsId,
 };
 
 const LAYERS: u32 = 40;
@@ -321,3 +321,46 @@
     assert_eq!(lines[0], lines[1]);
     insta::assert_snapshot!(lines[1], @"min_tokens 60, mean 120, fewest copies 1, loads 9");
 }
+
+/// Time that a keeper may spend on one decision: its heartbeats to the other keepers wait for it.
+const DECISION_TIME: Duration = Duration::from_secs(2);
+
+// Guards against a keeper that leaves its group while it lays out a large fleet: the decision took
+// time by the cube of the engines, tens of seconds for three thousand. No leader stays in office
+// then, and every host refuses its callers.
+#[test]
+fn thousands_of_engines_are_laid_out_in_the_time_of_a_decision() {
+    let mut engines = kind("a", 300, 72, 4_000);
+    engines.extend(kind("b", 900, 43, 1_800));
+    engines.extend(kind("c", 1_800, 21, 600));
+    let mut table = Centre::table();
+    for engine in &engines {
+        table.observe(engine.clone());
+    }
+    let began = std::time::Instant::now();
+    let report = table.tick(at(1_000));
+    let first_layout = began.elapsed();
+    assert_eq!(report.orders.len(), 12);
+    // Engines that hold other ranges than they get are matched as well.
+    for (index, engine) in engines.iter_mut().enumerate() {
+        let first = u32::try_from(index % 30).expect("a layer");
+        engine.held = Some(HeldWeights {
+            weights: WeightsId {
+                model: "m".into(),
+                version: "v1".into(),
+            },
+            layers: LayerRange {
+                first,
+                end: first + 5,
+            },
+        });
+        table.observe(engine.clone());
+    }
+    let began = std::time::Instant::now();
+    table.tick(at(2_000));
+    let second_layout = began.elapsed();
+    assert!(
+        first_layout <= DECISION_TIME && second_layout <= DECISION_TIME,
+        "{first_layout:?}, {second_layout:?}"
+    );
+}
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -35,6 +35,9 @@
 
 /// Time between two ticks of the placer.
 const PLACEMENT_TICK: Duration = Duration::from_millis(200);
+/// Time between two looks at the fleet by a host without the order right. It only surveys the
+/// engines of its area, and needs pools that are roughly current when it gets the right.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest wait for an engine's answer to an order or a state query.
 const LOAD_ORDER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Consecutive unanswered probes after which an engine is considered lost. A single probe or its
@@ -82,6 +85,8 @@
     client: ConnectionPool,
     /// End of this host's order right, the permission to send orders to engines, on its own clock.
     right_until: MonotonicTime,
+    /// Time of the last update of the pools.
+    updated_at: MonotonicTime,
     surveyed_at: MonotonicTime,
     /// Consecutive probes by this host that each engine left unanswered.
     unanswered: BTreeMap<ServerName, u32>,
@@ -89,8 +94,13 @@
 
 struct EnginePool {
     table: PlacementTable,
-    /// Engines of the pool at the last update.
-    servers: BTreeSet<ServerName>,
+    weights: WeightsId,
+    /// Engines of the pool, with the number of the last update in which each was there.
+    servers: BTreeMap<ServerName, u64>,
+    /// Number of the last update.
+    update: u64,
+    /// Engines that were there in the last update.
+    present: usize,
 }
 
 /// Number of orders that an engine has accepted in its current incarnation.
@@ -111,6 +121,7 @@
             orders: BTreeMap::new(),
             client: ConnectionPool::new(PoolSettings::default(), since_boot),
             right_until: MonotonicTime::START,
+            updated_at: MonotonicTime::START,
             surveyed_at: MonotonicTime::START,
             unanswered: BTreeMap::new(),
         }
@@ -121,21 +132,26 @@
         let Ok(table) = context.routes.current(context.clock.now()) else {
             return;
         };
-        let workers = context.fleet.workers(context.clock.now());
-        self.survey(&workers).await;
-        let workers: Vec<Arc<WorkerView>> = workers
-            .into_iter()
-            .filter(|worker| !self.is_lost(worker))
-            .collect();
-        self.update_pools(&table, &workers);
         let right = self
             .right
             .renew_if_due(self.parts.agreed.as_ref(), context.clock.as_ref())
             .await;
-        let now = context.clock.now();
         if let Some(right) = right {
             self.right_until = right.until;
         }
+        let now = context.clock.now();
+        if now >= self.right_until && now.since(self.updated_at) < IDLE_INTERVAL {
+            return;
+        }
+        self.updated_at = now;
+        let workers = context.fleet.workers(now);
+        self.survey(&workers).await;
+        let workers: Vec<Arc<WorkerView>> = workers
+            .into_iter()
+            .filter(|worker| !self.is_lost(worker))
+            .collect();
+        self.update_pools(&table, &workers);
+        let now = context.clock.now();
         let mut orders = Vec::new();
         for pool in self.pools.values_mut() {
             if let Some(right) = right {
@@ -215,7 +231,9 @@
     /// Updates the pools from published services and announced engines.
     fn update_pools(&mut self, table: &RouteTable, workers: &[Arc<WorkerView>]) {
         let now = self.parts.context.clock.now();
-        let mut servers: BTreeMap<PoolKey, BTreeSet<ServerName>> = BTreeMap::new();
+        for pool in self.pools.values_mut() {
+            pool.begin_update();
+        }
         for worker in workers {
             let service = table.service_named(&worker.offer.service);
             let Some(spec) = service.and_then(|service| service.engine.as_ref()) else {
@@ -229,18 +247,10 @@
                 .pools
                 .entry(key.clone())
                 .or_insert_with(|| EnginePool::new(&key.0, spec, now));
-            pool.table.observe(observe(worker, spec, kind));
-            servers
-                .entry(key)
-                .or_default()
-                .insert(worker.server.clone());
+            pool.observe(worker, spec, kind);
         }
-        for (key, pool) in &mut self.pools {
-            let current = servers.remove(key).unwrap_or_default();
-            for removed in pool.servers.difference(&current) {
-                pool.table.remove(removed);
-            }
-            pool.servers = current;
+        for pool in self.pools.values_mut() {
+            pool.end_update();
         }
     }
 
@@ -366,16 +376,52 @@
 impl EnginePool {
     fn new(service: &ServiceName, spec: &EngineSpec, now: MonotonicTime) -> Self {
         let mut table = PlacementTable::new(placement_settings(spec), now);
+        let weights = weights_of(service);
         table.set_targets(vec![PlacementTarget {
-            weights: weights_of(service),
+            weights: weights.clone(),
             layers: spec.layers,
             share: 1,
             typical_draft: Some(typical_draft(spec)),
         }]);
         Self {
             table,
-            servers: BTreeSet::new(),
+            weights,
+            servers: BTreeMap::new(),
+            update: 0,
+            present: 0,
+        }
+    }
+
+    fn begin_update(&mut self) {
+        self.update += 1;
+        self.present = 0;
+    }
+
+    fn observe(&mut self, worker: &WorkerView, spec: &EngineSpec, kind: &AcceleratorSpec) {
+        self.table
+            .observe(observe(worker, &self.weights, spec, kind));
+        self.present += 1;
+        match self.servers.get_mut(&worker.server) {
+            Some(update) => *update = self.update,
+            None => {
+                self.servers.insert(worker.server.clone(), self.update);
+            }
+        }
+    }
+
+    /// Removes the engines that were not observed since [`EnginePool::begin_update`].
+    fn end_update(&mut self) {
+        if self.present == self.servers.len() {
+            return;
         }
+        let (table, current) = (&mut self.table, self.update);
+        self.servers.retain(|server, update| {
+            let is_present = *update == current;
+            if !is_present {
+                table.remove(server);
+            }
+            is_present
+        });
     }
 }
 
@@ -399,9 +445,14 @@
     }
 }
 
-fn observe(worker: &WorkerView, spec: &EngineSpec, kind: &AcceleratorSpec) -> EngineObservation {
+fn observe(
+    worker: &WorkerView,
+    weights: &WeightsId,
+    spec: &EngineSpec,
+    kind: &AcceleratorSpec,
+) -> EngineObservation {
     let held = worker.offer.layers.as_ref().map(|layers| HeldWeights {
-        weights: weights_of(&worker.offer.service),
+        weights: weights.clone(),
         layers: layers.range,
     });
     let memory = memory_of(spec, kind);
