fix(claims): an entry records a refusal before it takes the key again

Callers saw: a call was refused as not run, truly; the resend after the keepers had their quorum back was told that the key was in progress, though nothing ran (`quorum back: unknown, runs {}`).

Cause: the claim was appended by a leader that stepped down ("leadership ended before the command was committed") and committed later, when the quorum was back. The entry still owed the keepers the release of the key, and the resend's take came before it.

Change: a call waits, 5 s at most, until its entry has recorded the outcomes of its earlier calls with the same key. The wait begins before the caller has its refusal.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -181,6 +181,7 @@
             metrics: Arc::clone(&metrics),
             tasks: TaskGroup::default(),
             request_counter: AtomicU64::new(0),
+            settling: Arc::default(),
             ticket_counter: AtomicU64::new(0),
         });
         let relay = dialect.map(|dialect| {
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -5,6 +5,7 @@
 
 mod claimed;
 mod proxy;
+mod settling;
 
 use std::sync::Arc;
 
@@ -19,6 +20,8 @@
 use pollendrift_coordination::retries::{CallDeadline, CallKind};
 use pollendrift_http::{ClientError, ResponseBody, read_bounded, read_within};
 
+pub(crate) use settling::SettlingClaims;
+
 use super::SERVICE_PREFIX;
 use super::context::EntryContext;
 use super::record::{RequestArrival, RequestEnding, RunningRequest};
--- a/crates/daemon/src/entry/services/claimed.rs
+++ b/crates/daemon/src/entry/services/claimed.rs
@@ -105,9 +105,11 @@
 
 impl ClaimRunner {
     async fn run(mut self, take: TakeClaim) {
+        let scope = take.scope.clone();
         let (mut claimed, effects) = ClaimedCall::begin(take);
         let mut queue = VecDeque::from(effects);
         let mut attempts = 0;
+        let mut settling = None;
         while let Some(effect) = queue.pop_front() {
             let event = match effect {
                 CallEffect::Take(take) => Some(self.take(take).await),
@@ -126,10 +128,16 @@
                 }
             };
             queue.extend(event.into_iter().flat_map(|event| claimed.handle(event)));
+            let is_settle = |effect: &CallEffect| matches!(effect, CallEffect::Settle(_));
+            if settling.is_none() && queue.iter().any(is_settle) {
+                // Before the caller has its response and may resend the call.
+                settling = Some(self.call.context.settling.begin(&scope));
+            }
         }
     }
 
     async fn take(&self, take: TakeClaim) -> CallEvent {
+        self.call.context.settling.wait(&take.scope).await;
         match self
             .call
             .context
--- /dev/null
+++ b/crates/daemon/src/entry/services/settling.rs
@@ -0,0 +1,73 @@
+//! Claims of this entry whose outcome the keepers have not recorded yet.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use pollendrift_coordination::claims::ClaimScope;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Longest wait of a call for an earlier call with the same key, the time limit of one command.
+const MAX_SETTLING_WAIT: Duration = Duration::from_secs(5);
+
+/// Counts the calls of each key whose outcome is not recorded yet.
+///
+/// The keepers may commit a claim after its call was refused as not run, and record the refusal
+/// later. A resend between the two would find its own key in progress, although nothing runs.
+///
+/// Invariant: contains no key with a count of zero, so the number of running calls limits its size.
+#[derive(Debug, Default)]
+pub(crate) struct SettlingClaims {
+    counts: Mutex<BTreeMap<ClaimScope, watch::Sender<u32>>>,
+}
+
+/// A call whose outcome is not recorded yet; dropping it ends the wait of later calls.
+pub(super) struct SettlingClaim {
+    claims: Arc<SettlingClaims>,
+    scope: ClaimScope,
+}
+
+impl SettlingClaims {
+    /// Records that a call with the key of `scope` has an outcome to record.
+    pub(super) fn begin(self: &Arc<Self>, scope: &ClaimScope) -> SettlingClaim {
+        let mut counts = self.lock();
+        let count = counts
+            .entry(scope.clone())
+            .or_insert_with(|| watch::Sender::new(0));
+        count.send_modify(|count| *count += 1);
+        SettlingClaim {
+            claims: Arc::clone(self),
+            scope: scope.clone(),
+        }
+    }
+
+    /// Waits until the outcomes of earlier calls with the key of `scope` are recorded, for at most
+    /// [`MAX_SETTLING_WAIT`]. After that, the keepers decide with what they know.
+    pub(super) async fn wait(&self, scope: &ClaimScope) {
+        let Some(mut count) = self.lock().get(scope).map(watch::Sender::subscribe) else {
+            return;
+        };
+        let recorded = count.wait_for(|count| *count == 0);
+        if timeout(MAX_SETTLING_WAIT, recorded).await.is_err() {
+            log::warn!(claim:% = scope; "outcome of an earlier call not recorded in time");
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<ClaimScope, watch::Sender<u32>>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for SettlingClaim {
+    fn drop(&mut self) {
+        let mut counts = self.claims.lock();
+        let Some(count) = counts.get(&self.scope) else {
+            return;
+        };
+        count.send_modify(|count| *count -= 1);
+        if *count.borrow() == 0 {
+            counts.remove(&self.scope);
+        }
+    }
+}
--- a/crates/daemon/tests/hosts/claims.rs
+++ b/crates/daemon/tests/hosts/claims.rs
@@ -1,5 +1,6 @@
 //! Tests that calls with an idempotency key run at most once when resent through other entries.
 
+use pollendrift_coordination::base::Revision;
 use pollendrift_standins::harness::{CUSTOMER_TOKEN, loopback};
 use pollendrift_standins::load::{CallOutcome, ServiceCaller};
 use pollendrift_standins::service::PlainService;
@@ -113,9 +114,7 @@
         .await;
     seen.push(format!("entry 1: {}", outcome_kind(&outcome)));
     group.restart(3).await;
-    group
-        .wait_revision(3, pollendrift_coordination::base::Revision(1))
-        .await;
+    group.wait_revision(3, Revision(1)).await;
     let outcome = caller(&group, 2)
         .post("portal", "filings", "key-3", "a")
         .await;
@@ -149,12 +148,8 @@
         service.runs()
     )];
     group.restart(0).await;
-    group
-        .wait_revision(0, pollendrift_coordination::base::Revision(1))
-        .await;
-    group
-        .wait_revision(3, pollendrift_coordination::base::Revision(1))
-        .await;
+    group.wait_revision(0, Revision(1)).await;
+    group.wait_revision(3, Revision(1)).await;
     let outcome = caller(&group, 3)
         .post("portal", "filings", "key-4", "a")
         .await;
@@ -168,3 +163,43 @@
     quorum back: answered, runs {"key-4": 1}
     "#);
 }
+
+/// Posts one call for each of `keys` keys through host 3, all at the same time.
+fn post_all(group: &HostGroup, keys: usize) -> Vec<tokio::task::JoinHandle<&'static str>> {
+    let calls = (0..keys).map(|key| {
+        let caller = caller(group, 3);
+        async move {
+            let key = format!("key-{key}");
+            let outcome = caller.post("portal", "filings", &key, "a").await;
+            outcome_kind(&outcome)
+        }
+    });
+    calls.map(tokio::spawn).collect()
+}
+
+// Guards against a caller that is told that its call has not run, resends it, and finds its own key
+// in progress: the keepers commit the claim after the refusal, and record the refusal only later.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resend_after_a_refusal_runs_once_the_quorum_is_back() {
+    const KEYS: usize = 12;
+    let mut group = HostGroup::start(4, 3).await;
+    let service = start_portal(&group).await;
+    let leader = group.leader().await;
+    let others: Vec<usize> = (0..3).filter(|index| *index != leader).collect();
+    for index in &others {
+        group.crash(*index);
+    }
+    let mut seen = Vec::new();
+    for call in post_all(&group, KEYS) {
+        seen.push(call.await.unwrap());
+    }
+    assert_eq!(seen, ["not run"; KEYS]);
+    group.restart(others[0]).await;
+    group.wait_revision(3, Revision(1)).await;
+    let mut seen = Vec::new();
+    for call in post_all(&group, KEYS) {
+        seen.push(call.await.unwrap());
+    }
+    assert_eq!(seen, ["answered"; KEYS]);
+    assert_eq!(service.runs().into_values().collect::<Vec<_>>(), [1; KEYS]);
+}
--- a/crates/daemon/tests/hosts/support.rs
+++ b/crates/daemon/tests/hosts/support.rs
@@ -127,6 +127,18 @@
         self.hosts[index].as_ref().unwrap()
     }
 
+    /// Index of the keeper that leads.
+    pub(crate) async fn leader(&self) -> usize {
+        let leader = || {
+            let mut hosts = self.hosts.iter().flatten();
+            let status = hosts.find_map(|host| host.node().keeper_status());
+            let leader = status?.leader?.host;
+            (0..self.hosts.len()).find(|index| leader.as_str() == HostBuilder::name(*index))
+        };
+        wait_until(|| leader().is_some()).await;
+        leader().unwrap()
+    }
+
     /// `ip:port` of a host's entry.
     pub(crate) fn entry(&self, index: usize) -> String {
         self.builder.hosts()[index].entry.to_string()
