test(http): a task gets its turn between a few new connections, on any machine

A second test counts turns instead of time: two tasks that answer each other, 200 connections that are ready.

--- a/crates/http/tests/new_connections.rs
+++ b/crates/http/tests/new_connections.rs
@@ -12,6 +12,7 @@
 use pollendrift_http::{HandlerFuture, HttpHandler, HttpServer, ServerLimits, text_response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 
 const MAX_NEW: usize = 3;
@@ -36,6 +37,19 @@
     }
 }
 
+/// Handler that answers at once and counts the requests.
+#[derive(Default)]
+struct InstantHandler {
+    handled: AtomicUsize,
+}
+
+impl HttpHandler for InstantHandler {
+    fn handle(self: Arc<Self>, _: Request<Incoming>, _: SocketAddr) -> HandlerFuture {
+        self.handled.fetch_add(1, Ordering::SeqCst);
+        Box::pin(std::future::ready(text_response(StatusCode::OK, "done\n")))
+    }
+}
+
 async fn start(handler: &Arc<CountingHandler>) -> HttpServer {
     let limits = ServerLimits {
         max_new_connections: MAX_NEW,
@@ -86,6 +100,51 @@
     }
 }
 
+// Guards against another task of the process that waits for all new connections at each of its
+// turns: the steps of an election waited for hundreds of announcements, and no leader stayed.
+#[tokio::test]
+async fn other_tasks_get_their_turn_between_a_few_new_connections() {
+    const CLIENTS: usize = 200;
+    let handler = Arc::new(InstantHandler::default());
+    let limits = ServerLimits {
+        max_new_connections: MAX_NEW,
+        ..ServerLimits::default()
+    };
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = HttpServer::start(any, limits, None, handler.clone()).await;
+    let server = server.expect("a port");
+    // All requests are there before the server gets the thread.
+    let mut clients = Vec::new();
+    for _ in 0..CLIENTS {
+        let client = std::net::TcpStream::connect(server.address()).expect("a connection");
+        std::io::Write::write_all(&mut &client, b"GET / HTTP/1.1\r\nhost: one\r\n\r\n")
+            .expect("an open connection");
+        clients.push(client);
+    }
+    // Two tasks that answer each other, like those of an election.
+    let (to_answerer, mut questions) = mpsc::channel(1);
+    let (to_asker, mut answers) = mpsc::channel(1);
+    tokio::spawn(async move {
+        while questions.recv().await.is_some() {
+            to_asker.send(()).await.expect("the asker waits");
+        }
+    });
+    let asker = tokio::spawn(async move {
+        let mut between_turns = 0;
+        let mut handled = 0;
+        while handled < CLIENTS {
+            to_answerer.send(()).await.expect("the answerer runs");
+            answers.recv().await.expect("an answer");
+            let now = handler.handled.load(Ordering::SeqCst);
+            between_turns = between_turns.max(now - handled);
+            handled = now;
+        }
+        between_turns
+    });
+    let between_turns = asker.await.expect("all requests are handled");
+    assert!(between_turns <= MAX_NEW * 4, "{between_turns}");
+}
+
 // Guards against clients that connect, send nothing, and keep all others out.
 #[tokio::test]
 async fn silent_connections_do_not_keep_others_out() {
