--- a/crates/coordination/src/leases/assignment.rs
+++ b/crates/coordination/src/leases/assignment.rs
@@ -59,9 +59,8 @@
 }
 
 impl KeeperContact {
-    /// Age after which an answer or a frame of a keeper proves no contact any more. It is half of
-    /// the shortest lease that a backend server gets, so that a refused server reaches another host
-    /// in time.
+    /// Age after which an answer or a frame of a keeper proves no contact any more. A server that is
+    /// refused from then on still reaches another host before its lease ends.
     pub const MAX_AGE: Duration = Duration::from_millis(2_200);
 
     /// Whether heartbeats sent to this host may reach no other host, so that the leases of running
