feat(reachability): a host tells that it reaches no server of a service

Cause: the lines of a partitioned entry could not be told from those of an entry whose engines are dead, hang or are full: engine after engine is suspected, and drafts are refused for want of room. Change: a failed send or probe makes the host open a connection to two servers of the service, and to two more if neither opens. If none of four opens, the service counts as unreachable until one does. Two log lines and a gauge tell it; requests are handled as before. Connections to servers are opened behind a trait, so that tests can cut the links of one host.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ledger;
 pub mod limits;
 pub mod placement;
+pub mod reachability;
 pub mod replicated;
 pub mod retries;
 pub mod revision_follower;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -16,7 +16,9 @@
 use pollendrift_coordination::retries::RetrySettings as CoreRetrySettings;
 use pollendrift_coordination::routing::RoutingSettings;
 use pollendrift_dialect::PlatformDialect;
-use pollendrift_http::{HttpClient, HttpServer, ServerLimits, StreamAcceptor};
+use pollendrift_http::{
+    HttpClient, HttpServer, ServerDialer, ServerLimits, StreamAcceptor, TcpDialer,
+};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 
@@ -100,6 +102,9 @@
     pub sink: Option<Box<dyn EvidenceSink>>,
     /// Dialect of a platform, used if the settings enable the relay.
     pub dialect: Option<PlatformDialect>,
+    /// Opens the relay's connections to backend servers in place of plain TCP, so that tests can
+    /// cut the links of one host.
+    pub dialer: Option<Arc<dyn ServerDialer>>,
 }
 
 /// A running daemon; dropping it stops it at once, like a crash.
@@ -134,7 +139,11 @@
         warnings: Vec<String>,
         extras: DaemonExtras,
     ) -> Result<Self, StartError> {
-        let DaemonExtras { sink, dialect } = extras;
+        let DaemonExtras {
+            sink,
+            dialect,
+            dialer,
+        } = extras;
         let dialect = dialect.filter(|_| settings.relay.enabled);
         if settings.relay.enabled && dialect.is_none() {
             return Err(StartError::NoDialect);
@@ -194,6 +203,7 @@
                 clock: Arc::clone(&clock),
                 lifecycle: lifecycle.watch(),
                 metrics: Arc::clone(&metrics),
+                dialer: dialer.unwrap_or_else(|| Arc::new(TcpDialer)),
                 seed,
             })
         });
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -22,6 +22,7 @@
 mod meter;
 mod placer;
 mod publish;
+mod reachability;
 mod request;
 mod reroute;
 mod routes;
--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -97,8 +97,12 @@
     let sending = context.pool.send(address, request);
     let answer = match timeout(time_left, sending).await {
         Ok(Ok(answer)) => answer,
-        Ok(Err(error)) => return Err(FailedSend::new(outcome_of(&error), error.to_string())),
+        Ok(Err(error)) => {
+            context.suspect_service_of(&receiver.server);
+            return Err(FailedSend::new(outcome_of(&error), error.to_string()));
+        }
         Err(_) => {
+            context.suspect_service_of(&receiver.server);
             let reason = "no answer in time".to_owned();
             return Err(FailedSend::new(SendOutcome::TimedOut, reason));
         }
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -6,10 +6,12 @@
 
 use pollendrift_coordination::base::{DataCentreName, MonotonicTime, ServiceName};
 use pollendrift_coordination::limits::WaitSettings;
+use pollendrift_coordination::reachability::{ReachabilitySettings, ReachabilityTable};
 use pollendrift_coordination::retries::{BudgetTable, OutlierSettings, RetrySettings};
 use pollendrift_coordination::routing::{ChainHealth, HealthSettings, ServerLoads};
 use pollendrift_dialect::PlatformDialect;
-use pollendrift_http::{ConnectionPool, PoolSettings};
+use pollendrift_http::{ConnectionPool, PoolSettings, ServerDialer};
+use tokio::sync::Notify;
 
 use super::chains::ChainTable;
 use super::routes::RouteTableBuilder;
@@ -36,6 +38,8 @@
     pub(crate) clock: Arc<dyn TimeSource>,
     pub(crate) lifecycle: LifecycleWatch,
     pub(crate) metrics: Arc<MetricRegistry>,
+    /// Opens the connections to backend servers.
+    pub(crate) dialer: Arc<dyn ServerDialer>,
     pub(crate) seed: u64,
 }
 
@@ -53,6 +57,9 @@
     chains: Mutex<ChainTable>,
     health: Mutex<ChainHealth>,
     budgets: Mutex<BudgetTable<ServiceName>>,
+    reachability: Mutex<ReachabilityTable>,
+    /// Wakes the task that checks suspected services.
+    pub(super) service_suspected: Notify,
     settings: RelaySettings,
     wait_settings: WaitSettings,
     /// Number of hosts that the retry budget is divided by.
@@ -77,7 +84,7 @@
             routes: RouteTableBuilder::new(Arc::clone(&parts.agreed), operators, change_within),
             dialect: parts.dialect,
             fleet: parts.fleet,
-            pool: ConnectionPool::new(PoolSettings::default(), since_boot),
+            pool: ConnectionPool::with_dialer(PoolSettings::default(), since_boot, parts.dialer),
             clock: parts.clock,
             lifecycle: parts.lifecycle,
             metrics: parts.metrics,
@@ -88,6 +95,11 @@
                 &parts.settings,
                 DEFAULT_BUDGET_HOSTS,
             ))),
+            reachability: Mutex::new(ReachabilityTable::new(
+                ReachabilitySettings::default(),
+                parts.seed,
+            )),
+            service_suspected: Notify::new(),
             data_centre: parts.data_centre,
             settings: parts.settings,
             wait_settings: WaitSettings::default(),
@@ -123,6 +135,13 @@
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the table of services that this host reaches.
+    pub(super) fn reachability(&self) -> MutexGuard<'_, ReachabilityTable> {
+        self.reachability
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the time until which a request that arrived at `arrived` waits for a server, as
     /// known at `now`.
     pub(super) fn queue_deadline(
--- a/crates/daemon/src/relay/liveness.rs
+++ b/crates/daemon/src/relay/liveness.rs
@@ -122,6 +122,7 @@
     }
     drop(health);
     if matches!(state, EngineState::Unreachable | EngineState::TimedOut) {
+        context.suspect_service_of(&server);
         let is_unreachable = matches!(state, EngineState::Unreachable);
         log::warn!(server:% = server, gone = is_unreachable; "engine did not answer a liveness probe");
     }
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -10,6 +10,7 @@
 use super::heartbeats::{HeartbeatAssigner, HeartbeatHandler};
 use super::placer::{PlacerParts, run_placer};
 use super::publish::Publisher;
+use super::reachability::run_reachability;
 use super::{RelayFaces, RelayHandler};
 use crate::agreed::AgreedState;
 use crate::clock::TimeSource;
@@ -50,8 +51,8 @@
     }
 }
 
-/// Starts the relay's background task: on a host without a keeper, the task that updates the chain
-/// table; on a keeper, the placement of layers, which runs only on the keeper that holds the order
+/// Starts the relay's background tasks: on a host without a keeper, those that update the chain
+/// table and check whether services are reachable; on a keeper, the placement of layers, which runs only on the keeper that holds the order
 /// right.
 pub(crate) fn start_relay(
     settings: &DaemonSettings,
@@ -60,7 +61,10 @@
     agreed: &Arc<dyn AgreedState>,
 ) -> Vec<JoinHandle<()>> {
     if !settings.is_keeper() {
-        return vec![tokio::spawn(run_chains(relay, node.hub().clone()))];
+        return vec![
+            tokio::spawn(run_chains(Arc::clone(&relay), node.hub().clone())),
+            tokio::spawn(run_reachability(relay)),
+        ];
     }
     let placer = PlacerParts {
         host: settings.host.clone(),
--- a/crates/daemon/src/telemetry/instruments.rs
+++ b/crates/daemon/src/telemetry/instruments.rs
@@ -79,6 +79,8 @@
         "Requests that wait for admission";
     REQUEST_REFUSALS: Counter "pollendrift.request.refusals", "{request}",
         "Refused requests, by outcome and kind";
+    UNREACHABLE_SERVICES: Gauge "pollendrift.service.unreachable.count", "{service}",
+        "Services to whose servers this host can't open a connection";
     TOKENS: Counter "pollendrift.token.count", "{token}",
         "Tokens sent to callers";
     TOKEN_INTERVAL: Histogram "pollendrift.token.interval", "s",
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -73,6 +73,7 @@
     request_first_token: Histogram<f64>,
     requests_queued: Gauge<u64>,
     request_refusals: Counter<u64>,
+    unreachable_services: Gauge<u64>,
     tokens: Counter<u64>,
     token_interval: Histogram<f64>,
 }
@@ -112,6 +113,7 @@
             request_first_token: durations(&meter, &instruments::REQUEST_FIRST_TOKEN),
             requests_queued: gauge(&meter, &instruments::REQUESTS_QUEUED),
             request_refusals: counter(&meter, &instruments::REQUEST_REFUSALS),
+            unreachable_services: gauge(&meter, &instruments::UNREACHABLE_SERVICES),
             tokens: counter(&meter, &instruments::TOKENS),
             token_interval: durations(&meter, &instruments::TOKEN_INTERVAL),
         })
@@ -148,6 +150,11 @@
         self.rate_limited_servers.record(count, &[]);
     }
 
+    /// Records the number of services whose servers this host can't reach.
+    pub fn set_unreachable_services(&self, count: u64) {
+        self.unreachable_services.record(count, &[]);
+    }
+
     /// Records the number of known claims.
     pub fn set_claims(&self, count: u64) {
         self.claims.record(count, &[]);
--- a/crates/daemon/tests/outer_telemetry.rs
+++ b/crates/daemon/tests/outer_telemetry.rs
@@ -36,6 +36,7 @@
     metrics.set_backend_servers(43);
     metrics.set_backed_off_servers(1);
     metrics.set_rate_limited_servers(1);
+    metrics.set_unreachable_services(1);
     metrics.set_claims(2);
     metrics.set_configuration(7.into(), Duration::from_secs(2));
     metrics.add_connection("callers");
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod dialer;
 mod new_connections;
 mod pool;
 mod server;
@@ -11,6 +12,7 @@
     full_body, json_response, read_bounded, read_json, read_within, text_response,
 };
 pub use client::{ClientError, HttpClient, LineReader, UnreadResponse};
+pub use dialer::{DialFuture, ServerDialer, TcpDialer};
 pub use pool::{ConnectionPool, PoolClock, PoolSettings, PooledAnswer, PooledConnection};
 pub use server::{
     AcceptedStream, BoxedStream, ByteStream, DynHandler, HandlerFuture, HttpHandler, HttpServer,
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -16,12 +16,12 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use crate::client::ClientError;
+use crate::dialer::{ServerDialer, TcpDialer};
+use crate::server::BoxedStream;
 
 /// Limits and timeouts of a pool.
 #[derive(Clone, Debug, PartialEq)]
@@ -81,6 +81,7 @@
 pub struct ConnectionPool {
     settings: PoolSettings,
     clock: PoolClock,
+    dialer: Arc<dyn ServerDialer>,
     slots: Arc<Mutex<BTreeMap<SocketAddr, AddressSlot>>>,
 }
 
@@ -118,13 +119,29 @@
     /// connections that their servers closed long ago, and it is unknown whether a request sent on
     /// one has run.
     pub fn new(settings: PoolSettings, clock: PoolClock) -> Self {
+        Self::with_dialer(settings, clock, Arc::new(TcpDialer))
+    }
+
+    /// Creates a pool like [`ConnectionPool::new`] whose connections are opened by `dialer`.
+    pub fn with_dialer(
+        settings: PoolSettings,
+        clock: PoolClock,
+        dialer: Arc<dyn ServerDialer>,
+    ) -> Self {
         Self {
             settings,
             clock,
+            dialer,
             slots: Arc::default(),
         }
     }
 
+    /// Whether a new connection to `address` opens within `open_timeout`; closes it at once.
+    pub async fn can_open(&self, address: SocketAddr, open_timeout: Duration) -> bool {
+        let dialing = self.dialer.dial(address, self.settings.silence_timeout);
+        matches!(timeout(open_timeout, dialing).await, Ok(Ok(_)))
+    }
+
     /// Sends a request and waits for the head of the response. The request line contains the path
     /// and query of the URI; headers are sent unchanged.
     ///
@@ -220,12 +237,11 @@
 
     async fn open(&self, address: SocketAddr) -> Result<PooledConnection, ClientError> {
         let not_sent = |reason: String| ClientError::NotSent { reason };
-        let connecting = timeout(self.settings.connect_timeout, TcpStream::connect(address));
-        let stream = connecting
+        let dialing = self.dialer.dial(address, self.settings.silence_timeout);
+        let stream: BoxedStream = timeout(self.settings.connect_timeout, dialing)
             .await
             .map_err(|_| not_sent(format!("{address} did not answer in time")))?
             .map_err(|error| not_sent(format!("{address}: {error}")))?;
-        set_silence_timeout(&stream, self.settings.silence_timeout);
         let opening = Builder::new().handshake(TokioIo::new(stream));
         let (sender, connection) = opening
             .await
@@ -249,26 +265,6 @@
     }
 }
 
-/// Configures the operating system to close a connection whose peer acknowledges nothing.
-///
-/// A frozen host, a network partition or a dropped connection sends no reset. Without this, a
-/// request would wait until its deadline.
-fn set_silence_timeout(stream: &TcpStream, timeout: Duration) {
-    let socket = SockRef::from(stream);
-    let probe_delay = timeout / 3;
-    let keepalive = TcpKeepalive::new()
-        .with_time(probe_delay.max(Duration::from_secs(1)))
-        .with_interval(Duration::from_secs(1))
-        .with_retries(2);
-    let set = stream
-        .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(timeout)))
-        .and_then(|()| socket.set_tcp_keepalive(&keepalive));
-    if let Err(error) = set {
-        log::warn!(error:% = error; "setting the silence timeout of a connection failed");
-    }
-}
-
 enum SendError {
     /// No byte left this host; contains the request.
     NotSent(Box<Request<Full<Bytes>>>),
