--- a/crates/coordination/src/hosts.rs
+++ b/crates/coordination/src/hosts.rs
@@ -184,6 +184,19 @@
         u32::try_from(hosts.count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns the entries with their endpoints, sorted by name.
+    pub fn entries(&self) -> Vec<(HostName, HostReach)> {
+        let entries = self.hosts.iter().filter(|(_, known)| !known.reach.keeper);
+        entries
+            .map(|(host, known)| (host.clone(), known.reach.clone()))
+            .collect()
+    }
+
+    /// Returns the data centre of a host, if known.
+    pub fn data_centre_of(&self, host: &HostName) -> Option<&DataCentreName> {
+        self.hosts.get(host)?.reach.data_centre.as_ref()
+    }
+
     /// Returns the host whose peer address is `address`.
     pub fn find_by_address(&self, address: SocketAddr) -> Option<&HostName> {
         let mut hosts = self.hosts.iter();
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod claims;
 pub mod configuration;
 pub mod evidence;
+pub mod forwarding;
 pub mod hosts;
 pub mod leases;
 pub mod ledger;
--- a/crates/coordination/src/reachability.rs
+++ b/crates/coordination/src/reachability.rs
@@ -41,7 +41,7 @@
     fn default() -> Self {
         Self {
             failed_servers: 4,
-            open_timeout: Duration::from_millis(200),
+            open_timeout: Duration::from_millis(100),
             round_checks: 2,
             calm_period: Duration::from_millis(500),
             return_period: Duration::from_millis(250),
@@ -75,6 +75,8 @@
 struct ServiceRecord {
     /// Whether a send or a probe failed after the last connection that opened.
     is_suspected: bool,
+    /// Server that failed first since then.
+    first_suspect: Option<ServerName>,
     /// Servers to which no connection has opened since the last one that did. Invariant: empty if
     /// the service is not suspected.
     failed: Vec<ServerName>,
@@ -109,11 +111,43 @@
         &self.settings
     }
 
-    /// Records that a server of `service` did not answer a send or a probe, or could not be
-    /// connected to. Returns whether that makes a check due.
-    pub fn suspect(&mut self, service: &ServiceName) -> bool {
+    /// Records that `server` of `service` did not answer a send or a probe, or could not be connected
+    /// to. The failure of a second server makes a check due at once. Returns whether the service was
+    /// not suspected before, or a check has become due.
+    pub fn suspect(&mut self, service: &ServiceName, server: &ServerName) -> bool {
         let record = self.services.entry(service.clone()).or_default();
-        !std::mem::replace(&mut record.is_suspected, true)
+        if !std::mem::replace(&mut record.is_suspected, true) {
+            record.first_suspect = Some(server.clone());
+            return true;
+        }
+        let is_second = record
+            .first_suspect
+            .as_ref()
+            .is_some_and(|first| first != server);
+        if record.lost_at.is_some() || !is_second {
+            return false;
+        }
+        record.next_round_at.take().is_some()
+    }
+
+    /// Suspects `services` without a failure of their own, because another service is unreachable:
+    /// all links of this host may be cut.
+    pub fn suspect_all<S>(&mut self, services: S)
+    where
+        S: IntoIterator<Item = ServiceName>,
+    {
+        for service in services {
+            self.services.entry(service).or_default().is_suspected = true;
+        }
+    }
+
+    /// Whether the checks that decide about a suspected service are due or under way.
+    pub fn is_undecided(&self, now: MonotonicTime, service: &ServiceName) -> bool {
+        let Some(record) = self.services.get(service) else {
+            return false;
+        };
+        let is_due = record.next_round_at.is_none_or(|at| at <= now) || record.pending > 0;
+        record.is_suspected && record.lost_at.is_none() && is_due
     }
 
     /// Whether no server of `service` can be reached from this host.
@@ -122,6 +156,12 @@
         record.is_some_and(|record| record.lost_at.is_some())
     }
 
+    /// Time for which no server of `service` has been reachable; `None` if one is.
+    pub fn unreachable_for(&self, now: MonotonicTime, service: &ServiceName) -> Option<Duration> {
+        let lost_at = self.services.get(service)?.lost_at?;
+        Some(now.since(lost_at))
+    }
+
     /// Services that can't be reached, sorted by name.
     pub fn unreachable(&self) -> impl Iterator<Item = &ServiceName> {
         let lost = self.services.iter();
@@ -184,6 +224,7 @@
         record.pending = record.pending.saturating_sub(1);
         if has_opened {
             record.is_suspected = false;
+            record.first_suspect = None;
             record.failed.clear();
             record.next_round_at = Some(now.after(self.settings.calm_period));
             let lost_at = record.lost_at.take()?;
--- a/crates/coordination/src/retries/outlier.rs
+++ b/crates/coordination/src/retries/outlier.rs
@@ -125,6 +125,12 @@
         self.ejected.remove(&key);
     }
 
+    /// Removes the failures and ejections of all servers.
+    pub fn clear(&mut self) {
+        self.counts.clear();
+        self.ejected.clear();
+    }
+
     /// Ejections that are current, or expired and not yet removed by a tick.
     pub fn ejections(&self) -> impl Iterator<Item = (K, &Ejection<C>)> {
         self.ejected.iter().map(|(key, ejection)| (*key, ejection))
--- a/crates/coordination/src/retries/tried_servers.rs
+++ b/crates/coordination/src/retries/tried_servers.rs
@@ -20,6 +20,11 @@
         }
     }
 
+    /// Number of servers that the request was sent to, including those lost since.
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.servers.len()).unwrap_or(u32::MAX)
+    }
+
     /// Whether the request was sent to at least `limit` servers, including those lost since.
     pub fn has_reached(&self, limit: u32) -> bool {
         usize::try_from(limit).is_ok_and(|limit| self.servers.len() >= limit)
--- a/crates/coordination/src/routes/table.rs
+++ b/crates/coordination/src/routes/table.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error};
 
 use super::document::{
-    CallerBounds, CustomerKeys, Route, RouteDocument, ServiceSpec, SourceVersion,
+    CallerBounds, CustomerKeys, Route, RouteDocument, ServiceSpec, SourceVersion, WeightedService,
 };
 use crate::base::ServiceName;
 
@@ -118,6 +118,13 @@
         None
     }
 
+    /// Looks up a service that `route` sends requests to.
+    pub fn service_of_route(&self, route: &Route, name: &ServiceName) -> Option<&Arc<ServiceSpec>> {
+        let has_weight = |part: &&WeightedService| part.service == *name && part.weight > 0;
+        let part = route.split.iter().find(has_weight)?;
+        self.services.get(&part.service)
+    }
+
     /// Looks up a service by name.
     pub fn service_named(&self, name: &ServiceName) -> Option<&Arc<ServiceSpec>> {
         self.services.get(name)
--- a/crates/coordination/src/routing/health.rs
+++ b/crates/coordination/src/routing/health.rs
@@ -165,6 +165,16 @@
         engine.suspected_until = None;
     }
 
+    /// Ends all suspicions, because this host could reach no engine while they arose.
+    pub fn clear_suspicions(&mut self) {
+        for engine in self.engines.values_mut() {
+            engine.suspected_until = None;
+            engine.is_cleared_by_peer = false;
+            engine.is_unreachable = false;
+            engine.probe_blocked_until = None;
+        }
+    }
+
     /// Returns the engines to exclude from new pipelines.
     pub fn suspects(&self, now: MonotonicTime) -> Vec<ServerName> {
         let suspects = self
--- a/crates/coordination/src/routing/planner.rs
+++ b/crates/coordination/src/routing/planner.rs
@@ -154,6 +154,12 @@
         &self.fleet
     }
 
+    /// Ends all ejections and forgets the failures that led to them, because their cause was not the
+    /// engines.
+    pub fn clear_ejections(&mut self) {
+        self.outliers.clear();
+    }
+
     fn tables(&self) -> ChoiceTables<'_> {
         ChoiceTables {
             settings: &self.settings,
--- a/crates/coordination/src/routing/servers.rs
+++ b/crates/coordination/src/routing/servers.rs
@@ -150,6 +150,12 @@
         }
     }
 
+    /// Ends all ejections and forgets the failures that led to them, because their cause was not the
+    /// servers.
+    pub fn clear_ejections(&mut self) {
+        self.outliers.clear();
+    }
+
     /// Ends ejections whose time has expired.
     pub fn tick(&mut self, now: MonotonicTime) {
         self.outliers.tick(now);
--- a/crates/coordination/tests/reachability.rs
+++ b/crates/coordination/tests/reachability.rs
@@ -28,6 +28,10 @@
         }
     }
 
+    fn suspect(&mut self, server: usize) {
+        self.table.suspect(&self.service, &self.servers[server]);
+    }
+
     /// Runs rounds of checks for `time`; `opens` tells whether a connection opens.
     fn run(&mut self, time: Duration, opens: impl Fn(&ServerName) -> bool) -> Vec<String> {
         let end = self.now.after(time);
@@ -62,7 +66,7 @@
             let dead_servers = host.servers[..dead].to_vec();
             let mut changes = Vec::new();
             for _ in 0..10 {
-                host.table.suspect(&host.service);
+                host.suspect(0);
                 changes.extend(host.run(Duration::from_secs(1), |server| {
                     !dead_servers.contains(server)
                 }));
@@ -81,7 +85,7 @@
 fn the_loss_and_the_return_of_all_links_are_detected() {
     for servers in [1, 2, 3, 39, 216] {
         let mut host = Host::new(servers, 7);
-        host.table.suspect(&host.service);
+        host.suspect(0);
         let lost = host.run(Duration::from_millis(500), |_| false);
         assert_eq!(lost, [format!("lost, {}", servers.min(4))]);
         assert!(host.table.is_unreachable(&host.service));
@@ -98,22 +102,38 @@
     let mut host = Host::new(39, 3);
     host.run(Duration::from_secs(10), |_| true);
     assert_eq!(host.checks, 0);
-    host.table.suspect(&host.service);
+    host.suspect(0);
     host.run(Duration::from_secs(10), |_| false);
     assert!(host.checks <= 4 + 2 * 40, "{} checks in 10 s", host.checks);
     let mut host = Host::new(39, 3);
     for _ in 0..200 {
-        host.table.suspect(&host.service);
+        host.suspect(0);
         host.run(Duration::from_millis(50), |_| true);
     }
     assert!(host.checks <= 2 * 20, "{} checks in 10 s", host.checks);
 }
 
+/// Guards against requests that fail at server after server while no check is due, because one opened
+/// a connection just before the cut.
+#[test]
+fn the_failure_of_a_second_server_makes_a_check_due_at_once() {
+    let mut host = Host::new(39, 5);
+    host.suspect(0);
+    host.run(Duration::from_millis(50), |_| true);
+    host.suspect(0);
+    assert!(!host.table.is_undecided(host.now, &host.service));
+    host.suspect(1);
+    assert!(host.table.is_undecided(host.now, &host.service));
+    let lost = host.run(Duration::from_millis(200), |_| false);
+    assert_eq!(lost, ["lost, 4"]);
+    assert!(!host.table.is_undecided(host.now, &host.service));
+}
+
 /// Guards against a host that stays cut off from a service whose servers have all gone.
 #[test]
 fn a_service_without_servers_is_forgotten() {
     let mut host = Host::new(3, 3);
-    host.table.suspect(&host.service);
+    host.suspect(0);
     host.run(Duration::from_secs(1), |_| false);
     host.servers.clear();
     host.run(Duration::from_secs(1), |_| false);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
+use pollendrift_coordination::forwarding::{ForwardSettings, ForwardTable};
 use pollendrift_coordination::leases::BackendLeaseSettings;
 use pollendrift_coordination::limits::LimitSettings;
 use pollendrift_coordination::replicated::ProcessNonce;
@@ -31,13 +32,15 @@
 use crate::evidence::run_recorder;
 use crate::faces::FaceRouter;
 use crate::fleet::BackendFleet;
+use crate::forwarding::ForwardingState;
 use crate::gauges::{GaugeSources, run_gauges};
 use crate::lifecycle::{LifecycleControl, LifecycleStep};
 use crate::node::{ClusterNode, NodeError, NodeParts};
 use crate::operators::{OperatorContext, OperatorHandler};
+use crate::peers::ForwardHandler;
 use crate::placement::{PlacementParts, run_placement};
 use crate::platform::{DumpSource, PlatformHandler};
-use crate::relay::{RelayContext, RelayParts, relay_faces, start_relay};
+use crate::relay::{RelayContext, RelayParts, accept_forwarding, relay_faces, start_relay};
 use crate::resend::ResendPolicy;
 use crate::settings::{DaemonSettings, DrainSettings, EntrySettings, RetrySettings};
 use crate::tasks::TaskGroup;
@@ -116,6 +119,8 @@
     lifecycle: LifecycleControl,
     drain: DrainSettings,
     tasks: Vec<JoinHandle<()>>,
+    /// Serves requests that other hosts forward; the links to peers refer to it only weakly.
+    _forward_handler: Option<Arc<dyn ForwardHandler>>,
 }
 
 impl RouterDaemon {
@@ -159,8 +164,15 @@
         let seed = clock.wall().0;
         let fleet = Arc::new(BackendFleet::new(leases, RoutingSettings::default(), seed));
         let recorder = Arc::new(RecorderSlot::new(Arc::clone(&clock)));
+        let table = ForwardTable::new(
+            ForwardSettings::default(),
+            settings.data_centre.clone(),
+            seed,
+        );
+        let forwarding = Arc::new(ForwardingState::new(table, Arc::clone(&clock)));
         let parts = NodeParts {
             recorder: Arc::clone(&recorder),
+            forwarding: Arc::clone(&forwarding),
             access: Arc::clone(&access),
             fleet: Arc::clone(&fleet),
             clock: Arc::clone(&clock),
@@ -200,6 +212,8 @@
                 data_centre: settings.data_centre.clone(),
                 agreed: Arc::clone(&agreed),
                 fleet: Arc::clone(&fleet),
+                forwarding,
+                hub: node.hub().clone(),
                 clock: Arc::clone(&clock),
                 lifecycle: lifecycle.watch(),
                 metrics: Arc::clone(&metrics),
@@ -289,6 +303,7 @@
             recorder: Arc::clone(&recorder),
             clock: Arc::clone(&clock),
         };
+        let forward_handler = relay.as_ref().map(|relay| accept_forwarding(relay, &node));
         let relay_tasks = relay.map(|relay| start_relay(settings, relay, &node, &agreed));
         let mut tasks = vec![
             tokio::spawn(run_gauges(gauges, Arc::clone(&metrics))),
@@ -318,6 +333,7 @@
             lifecycle,
             drain: settings.drain.clone(),
             tasks,
+            _forward_handler: forward_handler,
         })
     }
 
@@ -366,8 +382,10 @@
                 recorder.flush().await;
             }
         };
+        let forwarded = self.node.hub().forwarded_finished();
         finish_by(deadline, "connections", connections).await
             && finish_by(deadline, "requests", self.context.tasks.finished()).await
+            && finish_by(deadline, "forwarded requests", forwarded).await
             && finish_by(deadline, "evidence", evidence).await
     }
 }
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -5,6 +5,7 @@
 use pollendrift_coordination::base::HostName;
 
 use crate::feed::ConfigurationFeed;
+use crate::forwarding::ForwardingState;
 use crate::lease_broadcast::LeaseBroadcaster;
 use crate::operators::KeeperQuestionHandler;
 use crate::peers::{PeerAnswer, PeerCall, PeerFrame, PeerHandler, PeerHub, PeerQuestion};
@@ -20,6 +21,8 @@
     pub streams: Arc<StreamStore>,
     /// Handler of leases and surveys.
     pub broadcaster: Arc<LeaseBroadcaster>,
+    /// Handler of notices about hosts that do not reach a service.
+    pub(crate) forwarding: Arc<ForwardingState>,
 }
 
 /// Passes frames to the parts of the daemon, after [`DaemonFrameHandler::connect`].
@@ -58,8 +61,12 @@
                 notes,
                 pass_on,
                 rates,
+                partition,
             } => {
                 targets.broadcaster.receive_survey(notes, pass_on);
+                if let Some(notice) = partition {
+                    targets.forwarding.receive_notice(hub, from, notice);
+                }
                 if let Some(rates) = rates {
                     targets.broadcaster.receive_rates(from, &rates);
                 }
--- a/crates/daemon/src/lease_broadcast/rates.rs
+++ b/crates/daemon/src/lease_broadcast/rates.rs
@@ -56,6 +56,7 @@
             notes: Vec::new(),
             pass_on: false,
             rates: Some(rates),
+            partition: None,
         };
         hub.send_to(hosts, &frame);
     }
--- a/crates/daemon/src/lease_broadcast/surveys.rs
+++ b/crates/daemon/src/lease_broadcast/surveys.rs
@@ -70,6 +70,7 @@
             notes,
             pass_on,
             rates: None,
+            partition: None,
         };
         hub.send_to(hosts, &frame);
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod faces;
 pub mod feed;
 pub mod fleet;
+pub(crate) mod forwarding;
 pub mod frames;
 pub mod gauges;
 pub mod keeper;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -27,6 +27,7 @@
 use crate::evidence::{EvidenceFiles, retention_policy};
 use crate::feed::{ConfigurationFeed, follow_own_keeper};
 use crate::fleet::BackendFleet;
+use crate::forwarding::ForwardingState;
 use crate::frames::{DaemonFrameHandler, FrameTargets};
 use crate::keeper::{
     KeeperClient, KeeperError, KeeperFrameHandler, KeeperHandle, KeeperList, KeeperSettings,
@@ -88,6 +89,8 @@
     pub access: Arc<AccessControl>,
     /// Backend servers known to this host.
     pub fleet: Arc<BackendFleet>,
+    /// Hosts that requests may be forwarded to.
+    pub(crate) forwarding: Arc<ForwardingState>,
     /// Evidence of this process.
     pub recorder: Arc<RecorderSlot>,
     /// Source of the current time.
@@ -187,6 +190,7 @@
             question_handler: Arc::clone(&question_handler),
             feed: Arc::clone(&feed),
             broadcaster: Arc::clone(&broadcaster),
+            forwarding: Arc::clone(&parts.forwarding),
         });
         let mut tasks = vec![
             tokio::spawn(Arc::clone(&feed).run()),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -11,6 +11,9 @@
 mod compression;
 mod discovery;
 mod error;
+mod forward_channel;
+mod forward_frame;
+mod forward_service;
 mod frame;
 mod hub;
 mod inbound;
@@ -24,10 +27,15 @@
 pub use calls::{CallError, CallNumber, PendingCall};
 pub use discovery::{DiscoveryStart, PeerDiscovery};
 pub use error::{HelloRefusal, LinkError};
+pub use forward_channel::{
+    ForwardChannel, ForwardError, ForwardedHistory, ForwardedPart, ForwardedRequest,
+};
+pub use forward_frame::{ForwardFrame, ForwardHeader, ForwardedHead};
+pub use forward_service::{ForwardHandler, ForwardedAnswer, ReceivedRequest};
 pub use frame::{
     ConfigurationContent, ConfigurationFrame, FrameBytes, FrameError, HeartbeatNumber,
-    KeeperIntroduction, PEER_PROTOCOL, PeerAnswer, PeerCall, PeerFrame, PeerHello, PeerQuestion,
-    decode_agreement, decode_frame, encode_agreement, encode_frame,
+    KeeperIntroduction, PEER_PROTOCOL, PartitionNotice, PeerAnswer, PeerCall, PeerFrame, PeerHello,
+    PeerQuestion, decode_agreement, decode_frame, encode_agreement, encode_frame,
 };
 pub use hub::{PeerAddress, PeerHandler, PeerHub, PeerNode, PeerTasks, start_peers};
 pub use inbound::serve_stream;
--- a/crates/daemon/src/peers/discovery.rs
+++ b/crates/daemon/src/peers/discovery.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use pollendrift_coordination::base::HostName;
+use pollendrift_coordination::base::{DataCentreName, HostName};
 use pollendrift_coordination::hosts::{
     DirectoryChange, DirectorySettings, HostDirectory, HostGossip, HostReach,
 };
@@ -147,6 +147,16 @@
         *host == self.host || own.is_some_and(|own| self.lock().is_in(host, own))
     }
 
+    /// Known hosts without a keeper, which accept callers, with their endpoints; sorted by name.
+    pub fn entries(&self) -> Vec<(HostName, HostReach)> {
+        self.lock().entries()
+    }
+
+    /// Data centre of a known host.
+    pub fn data_centre_of(&self, host: &HostName) -> Option<DataCentreName> {
+        self.lock().data_centre_of(host).cloned()
+    }
+
     /// Hosts at the seed addresses, sorted by name; `None` until all of them are known.
     pub fn seed_hosts(&self) -> Option<Vec<HostName>> {
         let directory = self.lock();
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -6,14 +6,17 @@
 use derive_more::{Display, Error};
 use pollendrift_coordination::agreement::{AgreementEnvelope, KeeperId};
 use pollendrift_coordination::backpressure::RateBatch;
-use pollendrift_coordination::base::{HostName, Incarnation, RequestId, Revision, ServerName};
+use pollendrift_coordination::base::{
+    HostName, Incarnation, RequestId, Revision, ServerName, ServiceName,
+};
 use pollendrift_coordination::configuration::ConfigurationDelta;
+use pollendrift_coordination::forwarding::ForwardHost;
 use pollendrift_coordination::hosts::{HostGossip, HostReach};
 use pollendrift_coordination::leases::{LeaseBatch, LeaseNumber};
 use pollendrift_coordination::routing::SurveyResult;
 use pollendrift_coordination::streams::StreamUpdate;
 use pollendrift_store::JoinedGroup;
-use serde::de::Visitor;
+use serde::de::{DeserializeOwned, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use super::calls::CallNumber;
@@ -218,11 +221,29 @@
     },
 }
 
+/// What hosts tell each other about hosts that reach no server of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PartitionNotice {
+    /// Services that the sender, which accepts callers, does not reach.
+    Unreachable {
+        /// Names of the services; empty once it reaches all.
+        services: Vec<ServiceName>,
+        /// Whether the receiver, a keeper, is to answer with the hosts that requests may be
+        /// forwarded to.
+        wants_hosts: bool,
+    },
+    /// Hosts that requests may be forwarded to.
+    Hosts(Vec<ForwardHost>),
+}
+
 /// One message between peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerFrame {
     /// Opens a link; each side sends one.
     Hello(PeerHello),
+    /// Opens a channel for forwarded requests instead of a link; answered with a hello. All later
+    /// frames are [`super::ForwardFrame`]s. An older process refuses it, which ends only the channel.
+    OpenForwarding(PeerHello),
     /// Refuses a hello; the link ends.
     Refusal(HelloRefusal),
     /// Requests an echo.
@@ -263,6 +284,9 @@
         /// ignores an unknown part, but breaks the link after an unknown frame.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         rates: Option<RateBatch>,
+        /// Hosts that reach no server of a service; a part of this frame like `rates`.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        partition: Option<PartitionNotice>,
     },
     /// Requests full announcements of servers that the receiver renewed and the sender lacks.
     LeaseQuestion(Vec<ServerName>),
@@ -309,31 +333,51 @@
 /// # Errors
 /// The frame is larger, or can't be encoded.
 pub fn encode_frame(frame: &PeerFrame, bound: usize) -> Result<Bytes, FrameError> {
+    encode_value(frame, bound, frame.is_worth_compressing())
+}
+
+/// Decodes a frame.
+///
+/// # Errors
+/// The bytes are no frame; untrusted bytes are safe.
+pub fn decode_frame(bytes: &[u8]) -> Result<PeerFrame, FrameError> {
+    decode_value(bytes)
+}
+
+/// Encodes one message of at most `bound` bytes, before compression.
+pub(super) fn encode_value<V>(
+    value: &V,
+    bound: usize,
+    is_worth_compressing: bool,
+) -> Result<Bytes, FrameError>
+where
+    V: Serialize,
+{
     let mut bytes = Vec::new();
-    ciborium::into_writer(frame, &mut bytes).map_err(|error| FrameError::Garbage {
+    ciborium::into_writer(value, &mut bytes).map_err(|error| FrameError::Garbage {
         reason: error.to_string(),
     })?;
     if bytes.len() > bound {
         let bytes = bytes.len();
         return Err(FrameError::TooLarge { bytes, bound });
     }
-    Ok(compress(&bytes, frame.is_worth_compressing()))
+    Ok(compress(&bytes, is_worth_compressing))
 }
 
-/// Decodes a frame.
-///
-/// # Errors
-/// The bytes are no frame; untrusted bytes are safe.
-pub fn decode_frame(bytes: &[u8]) -> Result<PeerFrame, FrameError> {
+/// Decodes one message; untrusted bytes are safe.
+pub(super) fn decode_value<V>(bytes: &[u8]) -> Result<V, FrameError>
+where
+    V: DeserializeOwned,
+{
     let garbage = |reason: String| FrameError::Garbage { reason };
     let decompressed = decompress(bytes)?;
     let mut rest = decompressed.as_ref();
-    let frame = ciborium::de::from_reader_with_recursion_limit(&mut rest, FRAME_DEPTH)
+    let value = ciborium::de::from_reader_with_recursion_limit(&mut rest, FRAME_DEPTH)
         .map_err(|error| garbage(error.to_string()))?;
     if !rest.is_empty() {
         return Err(garbage("trailing bytes after the frame".to_owned()));
     }
-    Ok(frame)
+    Ok(value)
 }
 
 /// Encodes a message between keepers, as the content of [`PeerFrame::Agreement`].
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, RwLockReadGuard, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 
 use super::calls::{CallError, CallNumber, CallTable, PendingCall};
 use super::discovery::PeerDiscovery;
+use super::forward_service::{ForwardHandler, RunningCount};
 use super::frame::{
     PEER_PROTOCOL, PeerAnswer, PeerCall, PeerFrame, PeerHello, PeerQuestion, encode_frame,
 };
@@ -190,6 +191,9 @@
     pub(super) dials: Semaphore,
     slots: RwLock<BTreeMap<HostName, Arc<PeerSlot>>>,
     pub(super) calls: Arc<CallTable>,
+    pub(super) forward_handler: OnceLock<Weak<dyn ForwardHandler>>,
+    /// Forwarded requests in progress at this host.
+    pub(super) forwarded: RunningCount,
     /// Clock of the times at which peers were heard; it runs on while the machine is suspended.
     clock: SystemClock,
 }
@@ -221,6 +225,8 @@
         handshakes: Semaphore::new(settings.max_handshakes),
         dials: Semaphore::new(settings.max_dials),
         calls: Arc::new(CallTable::new(settings.max_pending_calls)),
+        forward_handler: OnceLock::new(),
+        forwarded: RunningCount::new(0),
         slots: RwLock::default(),
         clock: SystemClock::default(),
         settings,
@@ -502,11 +508,45 @@
     }
 
     pub(super) fn hello(&self) -> PeerFrame {
-        PeerFrame::Hello(PeerHello {
+        PeerFrame::Hello(self.own_hello())
+    }
+
+    pub(super) fn own_hello(&self) -> PeerHello {
+        PeerHello {
             protocol: PEER_PROTOCOL,
             host: self.shared.node.host.clone(),
             process: self.shared.node.process,
             reach: self.discovery().map(|discovery| discovery.own_reach()),
-        })
+        }
+    }
+
+    /// Sets the handler of forwarded requests; only the first call has an effect. Without a handler,
+    /// or after its owner has dropped it, this host refuses channels for them.
+    pub fn accept_forwarding(&self, handler: &Arc<dyn ForwardHandler>) {
+        let _ = self.shared.forward_handler.set(Arc::downgrade(handler));
+    }
+
+    /// Handler of forwarded requests, if this host accepts them.
+    pub(super) fn forward_handler(&self) -> Option<Arc<dyn ForwardHandler>> {
+        self.shared.forward_handler.get()?.upgrade()
+    }
+
+    /// Number of forwarded requests in progress at this host.
+    #[must_use]
+    pub fn forwarded_count(&self) -> usize {
+        *self.shared.forwarded.borrow()
+    }
+
+    /// Waits until no forwarded request is in progress at this host.
+    pub async fn forwarded_finished(&self) {
+        let mut running = self.shared.forwarded.subscribe();
+        let _ = running.wait_for(|running| *running == 0).await;
+    }
+
+    /// Peers with a fixed address, sorted by name.
+    #[must_use]
+    pub fn peer_addresses(&self) -> Vec<PeerAddress> {
+        let slots = self.slots();
+        slots.values().map(|slot| slot.peer.clone()).collect()
     }
 }
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -10,6 +10,7 @@
 use tokio_tungstenite::accept_async_with_config;
 
 use super::error::{HelloRefusal, LinkError};
+use super::forward_service::serve_channel;
 use super::frame::{PEER_PROTOCOL, PeerFrame};
 use super::hub::{PeerHub, PeerSlot};
 use super::queue::FrameQueue;
@@ -80,6 +81,7 @@
     .await;
     drop(permit);
     match handshake {
+        Ok(Ok(link)) if link.is_forwarding => run_forwarding(hub, link).await,
         Ok(Ok(link)) => run_link(hub, link).await,
         Ok(Err(error)) => error,
         Err(_) => LinkError::Timeout { step: "handshake" },
@@ -89,6 +91,8 @@
 /// Accepted link, after the exchange of hellos.
 struct AcceptedLink {
     host: HostName,
+    /// Whether it is a channel for forwarded requests.
+    is_forwarding: bool,
     sender: FrameSender,
     receiver: FrameReceiver,
 }
@@ -107,6 +111,7 @@
             sender.send(&hub.hello()).await?;
             Ok(AcceptedLink {
                 host,
+                is_forwarding: matches!(first, PeerFrame::OpenForwarding(_)),
                 sender,
                 receiver,
             })
@@ -123,8 +128,10 @@
     first: &PeerFrame,
     proven: Option<HostName>,
 ) -> Result<HostName, HelloRefusal> {
-    let PeerFrame::Hello(hello) = first else {
-        return Err(HelloRefusal::NoHello);
+    let (hello, is_forwarding) = match first {
+        PeerFrame::Hello(hello) => (hello, false),
+        PeerFrame::OpenForwarding(hello) if hub.forward_handler().is_some() => (hello, true),
+        _ => return Err(HelloRefusal::NoHello),
     };
     if hello.protocol != PEER_PROTOCOL {
         return Err(HelloRefusal::Protocol {
@@ -133,10 +140,17 @@
         });
     }
     let host = hello.host.clone();
-    if let (Some(discovery), Some(reach)) = (hub.discovery(), hello.reach.clone()) {
-        discovery.record_hello(hub, &host, reach);
-    }
-    if hub.slot(&host).is_none() {
+    // A host that only forwards requests is no peer: hosts without a keeper have no links to each
+    // other.
+    let is_known = match (hub.discovery(), hello.reach.clone()) {
+        (Some(_), Some(_)) if is_forwarding => true,
+        (Some(discovery), Some(reach)) => {
+            discovery.record_hello(hub, &host, reach);
+            hub.slot(&host).is_some()
+        }
+        _ => hub.slot(&host).is_some(),
+    };
+    if !is_known {
         return Err(HelloRefusal::UnknownHost { host });
     }
     match proven {
@@ -145,6 +159,14 @@
     }
 }
 
+async fn run_forwarding(hub: &PeerHub, link: AcceptedLink) -> LinkError {
+    let Some(handler) = hub.forward_handler() else {
+        return LinkError::Closed;
+    };
+    let running = &hub.shared.forwarded;
+    serve_channel(&link.host, &handler, running, link.sender, link.receiver).await
+}
+
 async fn run_link(hub: &PeerHub, mut link: AcceptedLink) -> LinkError {
     let Some(slot) = hub.slot(&link.host) else {
         return LinkError::Closed;
@@ -208,7 +230,10 @@
         PeerFrame::Answer { number, answer } => {
             hub.shared.calls.complete(&link.host, number, answer);
         }
-        PeerFrame::Hello(_) | PeerFrame::Refusal(_) | PeerFrame::Echo(_) => {
+        PeerFrame::Hello(_)
+        | PeerFrame::OpenForwarding(_)
+        | PeerFrame::Refusal(_)
+        | PeerFrame::Echo(_) => {
             return Err(LinkError::Unexpected {
                 description: "handshake frame after the handshake",
             });
--- a/crates/daemon/src/peers/outbound.rs
+++ b/crates/daemon/src/peers/outbound.rs
@@ -70,7 +70,8 @@
     hub: &PeerHub,
     slot: &PeerSlot,
 ) -> Result<(FrameSender, FrameReceiver), LinkError> {
-    let (hello, sender, receiver) = exchange_hello(hub, &slot.peer.host, slot.peer.address).await?;
+    let exchange = exchange_hello(hub, &slot.peer.host, slot.peer.address, hub.hello());
+    let (hello, sender, receiver) = exchange.await?;
     if hello.host != slot.peer.host {
         return Err(LinkError::WrongHost {
             found: hello.host,
@@ -90,17 +91,19 @@
     address: SocketAddr,
 ) -> Result<PeerHello, LinkError> {
     let _permit = hub.shared.dials.acquire().await;
-    let exchange = exchange_hello(hub, expected, address);
+    let exchange = exchange_hello(hub, expected, address, hub.hello());
     let (hello, _, _) = timeout(hub.shared.settings.handshake_timeout, exchange)
         .await
         .map_err(|_| LinkError::Timeout { step: "handshake" })??;
     Ok(hello)
 }
 
-async fn exchange_hello(
+/// Connects to the host `expected` at `address`, sends `first` and returns the hello of the host.
+pub(super) async fn exchange_hello(
     hub: &PeerHub,
     expected: &HostName,
     address: SocketAddr,
+    first: PeerFrame,
 ) -> Result<(PeerHello, FrameSender, FrameReceiver), LinkError> {
     let settings = &hub.shared.settings;
     let connection = hub.shared.dialer.dial(expected, address);
@@ -109,7 +112,7 @@
     let handshake_timeout = hub.timing_of(expected).handshake;
     let (socket, _) = with_timeout("handshake", handshake_timeout, handshake).await?;
     let (mut sender, mut receiver) = split_socket(socket, settings);
-    sender.send(&hub.hello()).await?;
+    sender.send(&first).await?;
     match receiver.receive().await? {
         PeerFrame::Hello(hello) => Ok((hello, sender, receiver)),
         PeerFrame::Refusal(refusal) => Err(LinkError::Refused { refusal }),
--- a/crates/daemon/src/peers/socket.rs
+++ b/crates/daemon/src/peers/socket.rs
@@ -13,7 +13,8 @@
 use tokio_tungstenite::tungstenite::protocol::{Message, WebSocketConfig};
 
 use super::error::LinkError;
-use super::frame::{FrameError, PeerFrame, decode_frame, encode_frame};
+use super::forward_frame::ForwardFrame;
+use super::frame::{FrameError, PeerFrame, decode_frame, decode_value, encode_frame, encode_value};
 use super::queue::FrameQueue;
 use super::settings::LinkSettings;
 use super::transport::PeerStream;
@@ -68,6 +69,17 @@
         self.flush().await
     }
 
+    /// Sends one frame of a forwarding channel. Waits for as long as the peer reads nothing, since
+    /// the caller of a forwarded stream may be slow.
+    ///
+    /// # Errors
+    /// The frame is too large, or the websocket failed.
+    pub(super) async fn send_forward(&mut self, frame: &ForwardFrame) -> Result<(), LinkError> {
+        let bytes = encode_value(frame, self.max_frame_bytes, false).map_err(LinkError::Frame)?;
+        let write = self.sink.send(Message::Binary(bytes));
+        write.await.map_err(socket_error)
+    }
+
     /// Writes an encoded frame to the write buffer.
     async fn buffer_frame(&mut self, frame: Bytes) -> Result<(), LinkError> {
         let write = self.sink.feed(Message::Binary(frame));
@@ -89,12 +101,24 @@
 }
 
 impl FrameReceiver {
-    /// Waits for the next frame; skips control messages of the websocket.
+    /// Waits for the next frame.
     pub(super) async fn receive(&mut self) -> Result<PeerFrame, LinkError> {
+        let bytes = self.receive_bytes().await?;
+        decode_frame(&bytes).map_err(LinkError::Frame)
+    }
+
+    /// Waits for the next frame of a forwarding channel. A cancelled wait loses nothing.
+    pub(super) async fn receive_forward(&mut self) -> Result<ForwardFrame, LinkError> {
+        let bytes = self.receive_bytes().await?;
+        decode_value(&bytes).map_err(LinkError::Frame)
+    }
+
+    /// Waits for the next binary message; skips control messages of the websocket.
+    async fn receive_bytes(&mut self) -> Result<Bytes, LinkError> {
         loop {
             let message = self.stream.next().await.ok_or(LinkError::Closed)?;
             match message.map_err(socket_error)? {
-                Message::Binary(bytes) => return decode_frame(&bytes).map_err(LinkError::Frame),
+                Message::Binary(bytes) => return Ok(bytes),
                 Message::Close(_) => return Err(LinkError::Closed),
                 Message::Text(_) => {
                     return Err(LinkError::Unexpected {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -11,8 +11,10 @@
 mod backpressure;
 mod calls;
 mod chains;
+mod channels;
 mod context;
 mod control;
+mod draft_forward;
 mod drafts;
 mod engine_estimates;
 mod forwarding;
@@ -20,6 +22,8 @@
 mod heartbeats;
 mod liveness;
 mod meter;
+mod peer_forward;
+mod peer_requests;
 mod placer;
 mod publish;
 mod reachability;
@@ -34,9 +38,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
+use pollendrift_coordination::base::MonotonicTime;
 use pollendrift_coordination::evidence::OutcomeKind;
 use pollendrift_coordination::routes::{RouteKind, RouteTable, TableError};
 use pollendrift_dialect::{CallerRequest, RefusalKind};
@@ -47,12 +53,12 @@
 use crate::lifecycle::LifecycleStep;
 
 pub(crate) use context::{RelayContext, RelayParts};
-pub(crate) use start::{relay_faces, start_relay};
+pub(crate) use start::{accept_forwarding, relay_faces, start_relay};
 
 use control::ControlHandler;
 use heartbeats::HeartbeatHandler;
 use meter::RequestMeter;
-use request::{Refused, RelayRequest, refused};
+use request::{ForwardOrigin, Refused, RelayRequest, refused};
 
 /// Time limit for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -125,27 +131,73 @@
         let stopping = refused(RefusalKind::NotRun, "this host is stopping as planned");
         return Err(stopping.retry_after(RETRY_STOPPING));
     }
-    let mut table = context
-        .routes
-        .wait_for_table(context.clock.as_ref())
-        .await?;
-    if check_route(&table, call).is_err() && context.routes.may_be_stale(context.clock.now()) {
-        table = context.routes.catch_up(context.clock.as_ref()).await?;
+    let table = find_table(context, call).await?;
+    check_route(&table, call).map_err(table_refusal)?;
+    let limit = table.bounds().body_bytes;
+    let body = read_within(BODY_TIMEOUT, read_bounded(body, limit))
+        .await
+        .map_err(body_refusal)?;
+    let input = CallerInput {
+        head,
+        body,
+        origin: None,
+    };
+    serve_at(context, call, input, meter, arrived, &table).await
+}
+
+/// A request as its caller sent it, with its complete body.
+struct CallerInput {
+    head: Parts,
+    body: Bytes,
+    /// Set if another host forwarded the request.
+    origin: Option<ForwardOrigin>,
+}
+
+/// Serves a request whose body is complete.
+async fn serve_body(
+    context: &Arc<RelayContext>,
+    call: &CallerRequest,
+    input: CallerInput,
+    meter: &RequestMeter,
+) -> Result<Response<ResponseBody>, Refused> {
+    let arrived = context.clock.now();
+    let table = find_table(context, call).await?;
+    serve_at(context, call, input, meter, arrived, &table).await
+}
+
+/// Returns the routes in force, new enough to refuse the request if they lack its route or key.
+async fn find_table(
+    context: &RelayContext,
+    call: &CallerRequest,
+) -> Result<Arc<RouteTable>, Refused> {
+    let clock = context.clock.as_ref();
+    let table = context.routes.wait_for_table(clock).await?;
+    if check_route(&table, call).is_err() && context.routes.may_be_stale(clock.now()) {
+        return context.routes.catch_up(clock).await;
     }
+    Ok(table)
+}
+
+async fn serve_at(
+    context: &Arc<RelayContext>,
+    call: &CallerRequest,
+    input: CallerInput,
+    meter: &RequestMeter,
+    arrived: MonotonicTime,
+    table: &RouteTable,
+) -> Result<Response<ResponseBody>, Refused> {
     let route = table.route(&call.host, &call.path).map_err(table_refusal)?;
     let customer = table
         .customer(route, call.key.as_deref())
         .map_err(table_refusal)?;
-    let service = table
-        .service(route, rand::random())
+    let chosen = input.origin.as_ref().map(|origin| &origin.service);
+    let service = chosen
+        .and_then(|service| table.service_of_route(route, service))
+        .or_else(|| table.service(route, rand::random()))
         .ok_or_else(|| refused(RefusalKind::NotRun, "the route has no service"))?;
-    let limit = table.bounds().body_bytes;
-    let body = read_within(BODY_TIMEOUT, read_bounded(body, limit))
-        .await
-        .map_err(body_refusal)?;
     let request = RelayRequest {
-        head,
-        body,
+        head: input.head,
+        body: input.body,
         attempt: call.attempt.clone(),
         route: Arc::clone(route),
         service: Arc::clone(service),
@@ -154,6 +206,7 @@
         resume_after: call.resume_after,
         arrived,
         deadline: arrived.after(call.timeout.unwrap_or(route.timeout).min(route.timeout)),
+        origin: input.origin,
     };
     match route.kind {
         RouteKind::Stream { .. } => drafts::serve(context, request, meter).await,
--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -3,20 +3,21 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, Response, header, response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use pollendrift_coordination::base::{RequestId, ServerName};
 use pollendrift_coordination::retries::SendOutcome;
-use pollendrift_dialect::AnswerHead;
+use pollendrift_dialect::ServerLoad;
 use pollendrift_http::{
-    ClientError, PooledAnswer, PooledConnection, ReadFailure, ResponseBody, full_body, read_bounded,
+    ClientError, PooledAnswer, PooledConnection, ResponseBody, full_body, read_bounded,
 };
 use tokio::time::timeout;
 
 use super::backpressure::SendReceiver;
 use super::context::RelayContext;
+use super::peer_forward::HostBody;
 
 /// Largest answer body that is buffered in memory, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -32,6 +33,9 @@
     header::UPGRADE,
 ];
 
+/// Next part of an answer's body; `None` at its end.
+pub(super) type NextPart = Option<Result<Bytes, String>>;
+
 /// A send that gave no answer fit to forward to the caller.
 #[derive(Clone, Debug)]
 pub(super) struct FailedSend {
@@ -57,26 +61,70 @@
 /// An answer that the server itself sent to this request, with its body not read yet.
 pub(super) struct OpenAnswer {
     pub(super) parts: response::Parts,
-    pub(super) body: Incoming,
-    pub(super) connection: PooledConnection,
-    pub(super) head: AnswerHead,
+    pub(super) body: AnswerBody,
+    /// Load that the server reported; `None` if another host received the answer.
+    pub(super) load: Option<ServerLoad>,
+}
+
+/// Body of an answer, and the connection that delivers it. Dropping it ends the request.
+pub(super) enum AnswerBody {
+    /// The server sends it to this host.
+    Server {
+        body: Incoming,
+        connection: PooledConnection,
+    },
+    /// Another host forwards it.
+    Host(HostBody),
+}
+
+impl AnswerBody {
+    /// Receives the next part of the body; `None` at its end. A cancelled wait loses nothing.
+    pub(super) async fn next(&mut self) -> NextPart {
+        let body = match self {
+            Self::Server { body, .. } => body,
+            Self::Host(body) => return body.next().await,
+        };
+        loop {
+            match body.frame().await? {
+                Ok(frame) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Some(Ok(data));
+                    }
+                }
+                Err(error) => return Some(Err(error.to_string())),
+            }
+        }
+    }
 }
 
 impl OpenAnswer {
-    /// Reads the complete body and returns the connection to the pool.
+    /// Keeps the connection for another request; the body must have ended.
+    pub(super) fn finish(self) {
+        match self.body {
+            AnswerBody::Server { connection, .. } => {
+                connection.return_to_pool(&self.parts.headers);
+            }
+            AnswerBody::Host(body) => body.finish(),
+        }
+    }
+
+    /// Reads the complete body and keeps the connection.
     ///
     /// Fails if the body is incomplete or too large.
-    pub(super) async fn read(self) -> Result<Response<ResponseBody>, FailedSend> {
-        let bytes =
-            read_bounded(self.body, MAX_ANSWER_BYTES)
-                .await
-                .map_err(|failure: ReadFailure| {
-                    FailedSend::new(SendOutcome::IncompleteAnswer, failure.to_string())
-                })?;
-        self.connection.return_to_pool(&self.parts.headers);
-        let mut response = Response::new(full_body(bytes));
+    pub(super) async fn read(mut self) -> Result<Response<ResponseBody>, FailedSend> {
+        let incomplete = |reason| FailedSend::new(SendOutcome::IncompleteAnswer, reason);
+        let mut bytes = BytesMut::new();
+        while let Some(part) = self.body.next().await {
+            bytes.extend_from_slice(&part.map_err(incomplete)?);
+            if bytes.len() > MAX_ANSWER_BYTES {
+                let reason = format!("the answer has more than {MAX_ANSWER_BYTES} bytes");
+                return Err(incomplete(reason));
+            }
+        }
+        let mut response = Response::new(full_body(bytes.freeze()));
         *response.status_mut() = self.parts.status;
         *response.headers_mut() = end_to_end_headers(&self.parts.headers);
+        self.finish();
         Ok(response)
     }
 }
@@ -150,9 +198,11 @@
     }
     Ok(OpenAnswer {
         parts,
-        body,
-        connection: answer.connection,
-        head,
+        body: AnswerBody::Server {
+            body,
+            connection: answer.connection,
+        },
+        load: head.load,
     })
 }
 
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -15,6 +15,7 @@
 use super::backpressure::{HeldBack, RateQueue};
 use super::context::RelayContext;
 use super::drafts::CAPACITY_POLL_PERIOD;
+use super::peer_forward::{FailedForward, ForwardAttempts};
 use super::request::{Refused, RelayRequest, SendTarget, refused};
 use crate::fleet::WorkerView;
 
@@ -24,6 +25,10 @@
 /// turn over a few times.
 const RETRY_NO_CAPACITY: std::time::Duration = std::time::Duration::from_millis(150);
 
+/// Time without an answer after which this host checks whether it reaches the service, long before
+/// the connection attempts to its servers time out one after the other.
+const SUSPECT_AFTER: std::time::Duration = std::time::Duration::from_millis(250);
+
 /// Divisor of a call's time: the fraction that it may wait for servers that are held back.
 const HOLD_WAIT_DIVISOR: u32 = 3;
 
@@ -37,6 +42,8 @@
     /// Whether a server may have run the call.
     may_have_run: bool,
     last: Option<FailedSend>,
+    /// Hosts that the call was forwarded to.
+    forwards: ForwardAttempts,
 }
 
 /// Serves one call: sends it to servers in turn until one answers or no further send is allowed.
@@ -52,6 +59,19 @@
         if request.time_left(now) < MIN_TIME_LEFT {
             return Err(final_refusal(context, request, &history));
         }
+        if context.is_cut_off_from(request) {
+            context.await_hosts(request).await;
+            if !context.may_forward(now, request, &history.forwards) {
+                return Err(final_refusal(context, request, &history));
+            }
+            if let Some(response) = forward(context, request, &mut history, now).await {
+                return Ok(response);
+            }
+            if !may_send_again(context, request, &history) {
+                return Err(final_refusal(context, request, &history));
+            }
+            continue;
+        }
         let Some(worker) = choose(context, request, &history, &mut rate_queue, now) else {
             match wait_for_server(context, request, &history, now) {
                 Some(wait) => sleep(wait).await,
@@ -82,7 +102,11 @@
                 }
             }
             Err(failed) => {
+                let is_unreached = failed.outcome != SendOutcome::Declined;
                 record_failure(&mut history, failed);
+                if is_unreached {
+                    context.await_checks(&request.service.name).await;
+                }
                 if !may_send_again(context, request, &history) {
                     return Err(final_refusal(context, request, &history));
                 }
@@ -91,6 +115,41 @@
     }
 }
 
+/// Forwards the call to another host and reads the complete answer; `None` if there is none.
+async fn forward(
+    context: &Arc<RelayContext>,
+    request: &RelayRequest,
+    history: &mut CallHistory,
+    now: MonotonicTime,
+) -> Option<Response<ResponseBody>> {
+    let service = &request.service.name;
+    let sends = history.sends;
+    let forwarded = context.forwarded_history(now, service, sends, sends > 0);
+    context.metrics.record_attempt();
+    let forwarding = context.forward(request, &mut history.forwards, forwarded, None);
+    let time_left = request.time_left(now);
+    let answered = async {
+        let answer = forwarding.await?;
+        answer.read().await.map_err(FailedForward::Unknown)
+    };
+    let failed = match timeout(time_left, answered).await {
+        Ok(Ok(response)) => {
+            let took = context.clock.now().since(request.arrived).as_millis();
+            log::info!(request = request.attempt.as_str(), status = response.status().as_u16(),
+                took_ms = u64::try_from(took).unwrap_or(u64::MAX); "ended");
+            return Some(response);
+        }
+        Ok(Err(FailedForward::NotRun)) => return None,
+        Ok(Err(FailedForward::Unknown(failed))) => failed,
+        Err(_) => {
+            let reason = "no answer of another host in time".to_owned();
+            FailedSend::new(SendOutcome::TimedOut, reason)
+        }
+    };
+    record_failure(history, failed);
+    None
+}
+
 /// Time after which a call without a server looks for one again; `None` if it must not wait.
 fn wait_for_server(
     context: &RelayContext,
@@ -212,18 +271,26 @@
     let server_request = request.write(now, context.dialect.servers.as_ref(), target);
     let running = RunningCall::start(context, worker.server.clone(), now);
     let time_left = request.time_left(now);
-    let answered = send(
+    let receiver = context.receiver(&worker.server);
+    let sending = send(
         context,
-        &context.receiver(&worker.server),
+        &receiver,
         worker.address,
         server_request,
         &request.attempt,
         time_left,
-    )
-    .await;
+    );
+    let mut sending = std::pin::pin!(sending);
+    let answered = match timeout(SUSPECT_AFTER, &mut sending).await {
+        Ok(answered) => answered,
+        Err(_) => {
+            context.suspect_service_of(&worker.server);
+            sending.await
+        }
+    };
     let result = match answered {
         Ok(answer) => {
-            if let Some(load) = answer.head.load {
+            if let Some(load) = answer.load {
                 let reported_load = ReportedLoad {
                     running: load.running,
                     waiting: load.waiting,
@@ -253,7 +320,7 @@
     let attempts = history.sends + 1;
     response.status().is_server_error()
         && request.route.kind.may_repeat()
-        && attempts < request.route.max_attempts
+        && attempts < request.max_attempts()
 }
 
 fn record_failure(history: &mut CallHistory, failed: FailedSend) {
@@ -279,7 +346,7 @@
         RunProof::NotSent
     };
     kind.may_resend(proof)
-        && history.sends < request.route.max_attempts
+        && history.sends < request.max_attempts()
         && request.time_left(context.clock.now()) >= MIN_TIME_LEFT
 }
 
@@ -294,6 +361,9 @@
 
 /// Returns the refusal for the caller after the last send.
 fn final_refusal(context: &RelayContext, request: &RelayRequest, history: &CallHistory) -> Refused {
+    if !history.may_have_run && context.is_cut_off_from(request) {
+        return history.forwards.refusal();
+    }
     if !history.may_have_run {
         let held_back = find_hold(context, request, context.clock.now());
         return held_back.map_or_else(|| no_capacity_refusal(history), |held| held.refusal());
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -317,6 +317,11 @@
         })
     }
 
+    /// Ends all ejections of engines; see [`FleetPlanner::clear_ejections`].
+    pub(super) fn clear_ejections(&mut self) {
+        self.planner.clear_ejections();
+    }
+
     /// Records that a stream from `centre` paused for longer than its route allows.
     pub(super) fn record_late(&mut self, now: MonotonicTime, centre: &DataCentreName) {
         self.links.late(now, centre);
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -14,11 +14,14 @@
 use tokio::sync::Notify;
 
 use super::chains::ChainTable;
+use super::channels::ChannelPool;
 use super::routes::RouteTableBuilder;
 use crate::agreed::AgreedState;
 use crate::clock::{TimeSource, since_boot};
 use crate::fleet::BackendFleet;
+use crate::forwarding::ForwardingState;
 use crate::lifecycle::{LifecycleStep, LifecycleWatch};
+use crate::peers::PeerHub;
 use crate::settings::RelaySettings;
 use crate::telemetry::MetricRegistry;
 
@@ -35,6 +38,8 @@
     pub(crate) data_centre: DataCentreName,
     pub(crate) agreed: Arc<dyn AgreedState>,
     pub(crate) fleet: Arc<BackendFleet>,
+    pub(crate) forwarding: Arc<ForwardingState>,
+    pub(crate) hub: PeerHub,
     pub(crate) clock: Arc<dyn TimeSource>,
     pub(crate) lifecycle: LifecycleWatch,
     pub(crate) metrics: Arc<MetricRegistry>,
@@ -49,6 +54,9 @@
     pub(super) data_centre: DataCentreName,
     pub(super) routes: RouteTableBuilder,
     pub(super) fleet: Arc<BackendFleet>,
+    pub(super) forwarding: Arc<ForwardingState>,
+    /// Channels to hosts that requests are forwarded to.
+    pub(super) channels: ChannelPool,
     pub(super) pool: ConnectionPool,
     pub(super) clock: Arc<dyn TimeSource>,
     pub(super) lifecycle: LifecycleWatch,
@@ -60,6 +68,8 @@
     reachability: Mutex<ReachabilityTable>,
     /// Wakes the task that checks suspected services.
     pub(super) service_suspected: Notify,
+    /// Wakes requests that wait for the checks of their service.
+    pub(super) service_checked: Notify,
     settings: RelaySettings,
     wait_settings: WaitSettings,
     /// Number of hosts that the retry budget is divided by.
@@ -84,6 +94,8 @@
             routes: RouteTableBuilder::new(Arc::clone(&parts.agreed), operators, change_within),
             dialect: parts.dialect,
             fleet: parts.fleet,
+            forwarding: parts.forwarding,
+            channels: ChannelPool::new(parts.hub),
             pool: ConnectionPool::with_dialer(PoolSettings::default(), since_boot, parts.dialer),
             clock: parts.clock,
             lifecycle: parts.lifecycle,
@@ -100,6 +112,7 @@
                 parts.seed,
             )),
             service_suspected: Notify::new(),
+            service_checked: Notify::new(),
             data_centre: parts.data_centre,
             settings: parts.settings,
             wait_settings: WaitSettings::default(),
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -6,7 +6,7 @@
 use http::Response;
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
 use pollendrift_coordination::evidence::OutcomeKind;
-use pollendrift_coordination::retries::{SendOutcome, TriedServers};
+use pollendrift_coordination::retries::{RunProof, SendOutcome, TriedServers};
 use pollendrift_coordination::streams::EventId;
 use pollendrift_dialect::RefusalKind;
 use pollendrift_http::{ResponseBody, channel_body};
@@ -18,6 +18,7 @@
 use super::context::RelayContext;
 use super::guard::ChainGuard;
 use super::meter::RequestMeter;
+use super::peer_forward::ForwardAttempts;
 use super::request::{Refused, RelayRequest, refused};
 use super::reroute::RerouteState;
 use super::stream::{StreamRun, run_stream};
@@ -47,8 +48,8 @@
 /// ms.
 const MAX_DECLINED_RESUMED: u32 = 12;
 
-/// A draft in progress, with its sends so far and their results. [`AnsweredChain`] is the chain
-/// that then runs it.
+/// A draft in progress, with its sends so far and their results. [`AnsweredDraft`] is the
+/// answer to the last of them.
 pub(super) struct DraftRun {
     pub(super) context: Arc<RelayContext>,
     pub(super) request: RelayRequest,
@@ -56,16 +57,20 @@
     /// Engines that are excluded from the next chains.
     excluded: Vec<ExcludedEngine>,
     /// First engines of the chains that may have run the draft.
-    tried_servers: TriedServers,
+    pub(super) tried_servers: TriedServers,
     /// Sends whose request an engine may have started.
-    sends: u32,
+    pub(super) sends: u32,
     declined: u32,
-    may_have_run: bool,
+    /// Whether a server may have received the draft, run or not.
+    pub(super) has_arrived: bool,
+    pub(super) may_have_run: bool,
     last_failure: Option<FailedSend>,
     pub(super) reroutes: RerouteState,
     rate_queue: RateQueue,
     /// Reason why no engine could get the draft in the last search for a chain.
     held_back: Option<HeldBack>,
+    /// Hosts that the draft was forwarded to.
+    pub(super) forwards: ForwardAttempts,
 }
 
 /// Result of a search for a chain.
@@ -81,10 +86,20 @@
     until: MonotonicTime,
 }
 
-/// A chain that answered a draft, and its answer.
-pub(super) struct AnsweredChain {
+/// An answer to a draft.
+pub(super) struct AnsweredDraft {
     pub(super) answer: OpenAnswer,
-    pub(super) chain: ChainGuard,
+    /// Chain that runs the draft; `None` if another host sent it to a chain.
+    pub(super) chain: Option<ChainGuard>,
+}
+
+impl AnsweredDraft {
+    /// Ends the chain as failed, without a known culprit.
+    pub(super) fn record_failed(self) {
+        if let Some(chain) = self.chain {
+            chain.record_failed(None);
+        }
+    }
 }
 
 /// Sends a draft to a chain and returns the response to the caller. Events of a successful answer
@@ -106,11 +121,13 @@
         tried_servers: TriedServers::default(),
         sends: 0,
         declined: 0,
+        has_arrived: false,
         may_have_run: false,
         last_failure: None,
         reroutes: RerouteState::default(),
         rate_queue: RateQueue::new(context),
         held_back: None,
+        forwards: ForwardAttempts::default(),
     };
     let wait_until = context.queue_deadline(context.clock.now(), run.request.arrived);
     let running = match run.open(resume_after, wait_until).await {
@@ -140,13 +157,30 @@
         &mut self,
         resume_after: Option<EventId>,
         wait_until: MonotonicTime,
-    ) -> Option<AnsweredChain> {
+    ) -> Option<AnsweredDraft> {
         let is_resume = self.may_have_run;
         loop {
             let now = self.context.clock.now();
             if self.request.time_left(now) < MIN_TIME_LEFT || self.is_final() {
                 return None;
             }
+            if self.context.is_cut_off_from(&self.request) {
+                self.context.await_hosts(&self.request).await;
+                if let Some(answer) = self.forward(now, resume_after).await {
+                    return Some(AnsweredDraft {
+                        answer,
+                        chain: None,
+                    });
+                }
+                if self.may_forward(self.context.clock.now()) {
+                    continue;
+                }
+                if self.waits_for_return(wait_until) {
+                    sleep(CAPACITY_POLL_PERIOD).await;
+                    continue;
+                }
+                return None;
+            }
             let search = self.reserve_chain_in_budget(now, is_resume);
             let Some(mut chain) = search.chain else {
                 let may_wait = self.may_wait(now, &search.rate_limited, wait_until);
@@ -168,7 +202,8 @@
                     self.may_have_run = true;
                     let is_error = answer.parts.status.is_server_error();
                     if !is_error || !self.may_repeat() {
-                        return Some(AnsweredChain { answer, chain });
+                        let chain = Some(chain);
+                        return Some(AnsweredDraft { answer, chain });
                     }
                     let culprit = chain.chain.first.clone();
                     self.exclude([culprit.clone()], DRAFT_EXCLUSION);
@@ -191,7 +226,12 @@
                         self.record_declined(&culprits);
                     }
                     self.exclude(culprits, time);
+                    let is_unreached = failed.outcome != SendOutcome::Declined;
                     self.record_failure(failed);
+                    if is_unreached {
+                        let service = &self.request.service.name;
+                        self.context.await_checks(service).await;
+                    }
                 }
             }
         }
@@ -268,10 +308,14 @@
     /// the caller's answer is certainly incomplete.
     pub(super) fn has_alternative(&self, suspects: &[ServerName]) -> bool {
         let now = self.context.clock.now();
-        let has_budget = self
-            .context
-            .has_retry_budget(now, &self.request.service.name);
-        if self.is_final() || self.declined + 1 >= self.max_declined() || !has_budget {
+        if self.is_final() || self.declined + 1 >= self.max_declined() {
+            return false;
+        }
+        if self.context.is_cut_off_from(&self.request) {
+            return self.may_forward(now);
+        }
+        let service = &self.request.service.name;
+        if !self.context.has_retry_budget(now, service) {
             return false;
         }
         let Some(chain) = self.reserve_chain(now, true, suspects).chain else {
@@ -353,7 +397,7 @@
 
     /// Engines of the first layer that a chain of this draft must not start with any more.
     fn exhausted_first_engines(&self, now: MonotonicTime) -> Vec<ServerName> {
-        let max_attempts = self.request.route.max_attempts;
+        let max_attempts = self.request.max_attempts();
         if !self.tried_servers.has_reached(max_attempts) {
             return Vec::new();
         }
@@ -378,7 +422,7 @@
             .for_each(|engine| chains.record_declined(now, engine));
     }
 
-    fn record_failure(&mut self, failed: FailedSend) {
+    pub(super) fn record_failure(&mut self, failed: FailedSend) {
         let proof = failed.outcome.proof();
         // A send to an engine that is unreachable or silent does not count against `max_attempts`.
         if proof.is_not_run() || !failed.suspects.is_empty() {
@@ -386,6 +430,7 @@
         } else {
             self.sends += 1;
         }
+        self.has_arrived |= proof != RunProof::NotSent;
         self.may_have_run |= !proof.is_not_run();
         self.last_failure = Some(failed);
     }
@@ -407,7 +452,7 @@
     fn is_final(&self) -> bool {
         let may_send = !self.may_have_run || self.request.route.kind.may_repeat();
         !may_send
-            || self.sends >= self.request.route.max_attempts
+            || self.sends >= self.request.max_attempts()
             || self.declined >= self.max_declined()
     }
 
@@ -457,7 +502,7 @@
     }
 
     fn may_repeat(&self) -> bool {
-        self.request.route.kind.may_repeat() && self.sends < self.request.route.max_attempts
+        self.request.route.kind.may_repeat() && self.sends < self.request.max_attempts()
     }
 
     fn refusal(&self) -> Refused {
@@ -468,6 +513,9 @@
             || "no chain of engines has room".to_owned(),
             |failed| failed.reason.clone(),
         );
+        if !self.may_have_run && self.context.is_cut_off_from(&self.request) {
+            return self.forwards.refusal();
+        }
         if !self.may_have_run {
             return refused(RefusalKind::NotRun, reason).retry_after(RETRY_AFTER_NO_CAPACITY);
         }
--- a/crates/daemon/src/relay/forwarding.rs
+++ b/crates/daemon/src/relay/forwarding.rs
@@ -1,24 +1,20 @@
-//! Forwards the events of one chain to the caller.
+//! Forwards the events of one answer to the caller.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
 use pollendrift_coordination::base::MonotonicTime;
 use pollendrift_coordination::routing::ChainVerdict;
 use pollendrift_coordination::streams::{EventFramer, EventProgress, EventVerdict};
 use pollendrift_http::BodySender;
 use tokio::time::timeout;
 
-use super::drafts::{AnsweredChain, DraftRun};
+use super::answer::NextPart;
+use super::drafts::{AnsweredDraft, DraftRun};
 
 /// Events over which the usual gap is smoothed: half a second of a stream with 16 events a second.
 const GAP_SMOOTHING: u32 = 8;
 
-/// Next body frame of a chain; `None` at the end of the body.
-pub(super) type NextFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
-
 /// Reason why forwarding from one chain stopped.
 pub(super) enum ChainEnd {
     /// The stream is complete.
@@ -31,11 +27,11 @@
     Silent(ChainVerdict),
 }
 
-/// Forwards the events of one chain and measures the gaps between them.
+/// Forwards the events of one answer and measures the gaps between them.
 pub(super) struct EventForwarder {
     framer: EventFramer,
-    /// Frame that was received outside of [`EventForwarder::run`] and is forwarded first.
-    pending: Option<NextFrame>,
+    /// Part that was received outside of [`EventForwarder::run`] and is forwarded first.
+    pending: Option<NextPart>,
     /// Whether no event has arrived yet.
     is_first: bool,
     /// Time of the last event or, before the first, of the start.
@@ -59,9 +55,9 @@
         }
     }
 
-    /// Stores a frame that was received outside of [`EventForwarder::run`], to forward it next.
-    pub(super) fn put_back(&mut self, frame: NextFrame) {
-        self.pending = Some(frame);
+    /// Stores a part that was received outside of [`EventForwarder::run`], to forward it next.
+    pub(super) fn put_back(&mut self, part: NextPart) {
+        self.pending = Some(part);
     }
 
     /// Restarts the silence timer, after other engines replaced silent ones.
@@ -74,30 +70,27 @@
     pub(super) async fn run(
         &mut self,
         run: &DraftRun,
-        running: &mut AnsweredChain,
+        running: &mut AnsweredDraft,
         progress: &mut EventProgress,
         sender: &BodySender,
     ) -> ChainEnd {
         loop {
-            let frame = match self.pending.take() {
-                Some(frame) => frame,
+            let part = match self.pending.take() {
+                Some(part) => part,
                 None => match self.receive(run, running).await {
-                    Ok(frame) => frame,
+                    Ok(part) => part,
                     Err(end) => return end,
                 },
             };
-            let frame = match frame {
-                Some(Ok(frame)) => frame,
+            let data = match part {
+                Some(Ok(data)) => data,
                 None if self.framer.has_partial_event() => {
                     return ChainEnd::Broken(
                         "the chain ended its stream within an event".to_owned(),
                     );
                 }
                 None => return ChainEnd::Complete,
-                Some(Err(error)) => return ChainEnd::Broken(error.to_string()),
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
+                Some(Err(reason)) => return ChainEnd::Broken(reason),
             };
             self.framer.push(&data);
             match take_new_events(&mut self.framer, progress) {
@@ -116,20 +109,29 @@
     async fn receive(
         &self,
         run: &DraftRun,
-        running: &mut AnsweredChain,
-    ) -> Result<NextFrame, ChainEnd> {
+        running: &mut AnsweredDraft,
+    ) -> Result<NextPart, ChainEnd> {
         let time_left = run.request.time_left(run.context.clock.now());
-        tokio::select! {
-            frame = timeout(time_left, next_frame(&mut running.answer.body)) => {
-                frame.map_err(|_| ChainEnd::Broken("the deadline of the request has passed".to_owned()))
+        let chain = running.chain.as_ref();
+        let silence = async {
+            match chain {
+                Some(chain) => {
+                    let (since, gap) = (self.last_event_at, self.usual_gap);
+                    run.watch_for_silence(&chain.chain, since, gap).await
+                }
+                // The host that forwards the answer watches its chain.
+                None => std::future::pending().await,
             }
-            verdict = run.watch_for_silence(&running.chain.chain, self.last_event_at, self.usual_gap) => {
-                Err(ChainEnd::Silent(verdict))
+        };
+        tokio::select! {
+            part = timeout(time_left, running.answer.body.next()) => {
+                part.map_err(|_| ChainEnd::Broken("the deadline of the request has passed".to_owned()))
             }
+            verdict = silence => Err(ChainEnd::Silent(verdict)),
         }
     }
 
-    fn record_events(&mut self, run: &DraftRun, running: &AnsweredChain) {
+    fn record_events(&mut self, run: &DraftRun, running: &AnsweredDraft) {
         let now = run.context.clock.now();
         run.meter.record_events_sent(now);
         if !self.is_first {
@@ -138,20 +140,19 @@
             let allowed = run.request.route.pause_target;
             if !self.is_late && allowed.is_some_and(|allowed| gap > allowed) {
                 self.is_late = true;
-                running.chain.record_late(now);
+                if let Some(chain) = &running.chain {
+                    chain.record_late(now);
+                }
             }
         }
         self.last_event_at = now;
-        running.chain.record_events(now, self.is_first);
+        if let Some(chain) = &running.chain {
+            chain.record_events(now, self.is_first);
+        }
         self.is_first = false;
     }
 }
 
-/// Receives the next frame of a chain. Cancel-safe: no frame is lost if the future is dropped.
-pub(super) async fn next_frame(body: &mut Incoming) -> NextFrame {
-    body.frame().await
-}
-
 /// Returns the complete events that the caller has not received yet, in order.
 ///
 /// Fails on a malformed event and on a gap in the event ids.
--- a/crates/daemon/src/relay/liveness.rs
+++ b/crates/daemon/src/relay/liveness.rs
@@ -39,6 +39,8 @@
     ) -> ChainVerdict {
         loop {
             let verdict = self.watch(chain, since, expected_gap).await;
+            // If all links of this host are cut, other engines would be silent, too.
+            self.context.await_checks(&self.request.service.name).await;
             if self.can_reroute(chain, &verdict.suspects) || self.has_alternative(&verdict.suspects)
             {
                 return verdict;
--- a/crates/daemon/src/relay/meter.rs
+++ b/crates/daemon/src/relay/meter.rs
@@ -21,6 +21,9 @@
 struct MeterState {
     context: Arc<RelayContext>,
     arrived: MonotonicTime,
+    /// Whether the metrics of this host contain the request: not if another host forwarded it, whose
+    /// metrics do.
+    is_counted: bool,
     has_ended: AtomicBool,
     events: Mutex<EventTimes>,
 }
@@ -39,9 +42,20 @@
     /// Counts a request that arrives now as active.
     pub(super) fn start(context: &Arc<RelayContext>) -> Self {
         context.metrics.record_request_start();
+        Self::with_counting(context, true)
+    }
+
+    /// Starts a meter for a request that another host forwarded. It counts only as such.
+    pub(super) fn start_forwarded(context: &Arc<RelayContext>) -> Self {
+        context.metrics.record_peer_request();
+        Self::with_counting(context, false)
+    }
+
+    fn with_counting(context: &Arc<RelayContext>, is_counted: bool) -> Self {
         Self(Arc::new(MeterState {
             context: Arc::clone(context),
             arrived: context.clock.now(),
+            is_counted,
             has_ended: AtomicBool::new(false),
             events: Mutex::default(),
         }))
@@ -76,12 +90,16 @@
             Some(last_at) => {
                 let pause = now.since(last_at);
                 events.longest_pause = events.longest_pause.max(pause);
-                metrics.record_next_token(pause);
+                if self.0.is_counted {
+                    metrics.record_next_token(pause);
+                }
             }
             None => {
                 let first = now.since(self.0.arrived);
                 events.first = Some(first);
-                metrics.record_first_token(first);
+                if self.0.is_counted {
+                    metrics.record_first_token(first);
+                }
             }
         }
     }
@@ -98,7 +116,7 @@
     }
 
     fn end(&self, outcome: OutcomeKind) {
-        if self.has_ended.swap(true, Ordering::Relaxed) {
+        if self.has_ended.swap(true, Ordering::Relaxed) || !self.is_counted {
             return;
         }
         self.context.metrics.record_request_end(RequestEnd {
--- a/crates/daemon/src/relay/reachability.rs
+++ b/crates/daemon/src/relay/reachability.rs
@@ -1,22 +1,30 @@
 //! Checks whether this host reaches the servers of a service, after a send or a probe has failed.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use pollendrift_coordination::base::{MonotonicTime, ServerName, ServiceName};
 use pollendrift_coordination::reachability::ReachabilityChange;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::context::RelayContext;
 use crate::clock::millis;
 use crate::fleet::WorkerView;
+use crate::peers::PeerHub;
 
 /// Time between two looks for a due round of checks, while a service is suspected.
-const ROUND_TICK: Duration = Duration::from_millis(25);
+const ROUND_TICK: Duration = Duration::from_millis(5);
+/// Time between two reports to the keepers while a service is unreachable.
+const REPORT_PERIOD: Duration = Duration::from_secs(2);
+/// Longest wait of a request for the checks of its service: two rounds, and some delay.
+const MAX_CHECK_WAIT: Duration = Duration::from_millis(400);
 
-/// Checks suspected services until the process ends; waits without cost while there are none.
-pub(super) async fn run_reachability(context: Arc<RelayContext>) {
+/// Checks suspected services until the process ends; waits without cost while there are none. Tells
+/// the keepers which services this host does not reach.
+pub(super) async fn run_reachability(context: Arc<RelayContext>, hub: PeerHub) {
+    let mut reported_at: Option<MonotonicTime> = None;
     loop {
         let suspected = context.reachability().suspected();
         if suspected.is_empty() {
@@ -31,7 +39,19 @@
             }
         }
         // Rounds of other services go on after the longest check, which is bounded.
-        while checks.join_next().await.is_some() {}
+        let mut has_changed = false;
+        while let Some(changed) = checks.join_next().await {
+            has_changed |= changed.unwrap_or(false);
+        }
+        context.service_checked.notify_waiters();
+        let now = context.clock.now();
+        let lost: Vec<ServiceName> = context.reachability().unreachable().cloned().collect();
+        let is_due = reported_at.is_none_or(|at| now.since(at) >= REPORT_PERIOD);
+        if has_changed || (is_due && !lost.is_empty()) {
+            context.forwarding.report(&hub, &lost);
+            reported_at = Some(now);
+        }
+        context.channels.tick(now);
         sleep(ROUND_TICK).await;
     }
 }
@@ -50,7 +70,8 @@
     workers
 }
 
-async fn check(context: Arc<RelayContext>, service: ServiceName, worker: Arc<WorkerView>) {
+/// Checks a server, and returns whether the reachability of its service has changed.
+async fn check(context: Arc<RelayContext>, service: ServiceName, worker: Arc<WorkerView>) -> bool {
     let open_timeout = context.reachability().settings().open_timeout;
     let has_opened = context.pool.can_open(worker.address, open_timeout).await;
     let now = context.clock.now();
@@ -59,11 +80,16 @@
     let unreachable = table.unreachable().count();
     drop(table);
     let Some(change) = change else {
-        return;
+        return false;
     };
     log_change(&change);
     let unreachable = u64::try_from(unreachable).unwrap_or(u64::MAX);
     context.metrics.set_unreachable_services(unreachable);
+    match change {
+        ReachabilityChange::Lost { .. } => context.suspect_all_services(now),
+        ReachabilityChange::Restored { .. } => context.forget_failures(),
+    }
+    true
 }
 
 fn log_change(change: &ReachabilityChange) {
@@ -88,13 +114,49 @@
         let workers = self.fleet.workers(self.clock.now());
         let worker = workers.iter().find(|worker| worker.server == *server);
         if let Some(worker) = worker {
-            self.suspect_service(&worker.offer.service);
+            let service = &worker.offer.service;
+            if self.reachability().suspect(service, server) {
+                self.service_suspected.notify_one();
+            }
         }
     }
 
-    fn suspect_service(&self, service: &ServiceName) {
-        if self.reachability().suspect(service) {
-            self.service_suspected.notify_one();
+    /// Suspects all services, because one can't be reached: all links of this host may be cut.
+    fn suspect_all_services(&self, now: MonotonicTime) {
+        let workers = self.fleet.workers(now);
+        let services: BTreeSet<ServiceName> = workers
+            .iter()
+            .map(|worker| worker.offer.service.clone())
+            .collect();
+        self.reachability().suspect_all(services);
+    }
+
+    /// Forgets which servers failed while this host had no links: its requests may use them again.
+    /// Connections from before are closed, since they may hang.
+    fn forget_failures(&self) {
+        self.health().clear_suspicions();
+        self.loads().clear_ejections();
+        self.chains().clear_ejections();
+        self.pool.close_idle();
+        if self.reachability().unreachable().next().is_none() {
+            self.forwarding.table().clear();
         }
     }
+
+    /// Waits for the checks that decide whether this host reaches `service`, if there are any. They
+    /// take one round trip while its links are up.
+    pub(super) async fn await_checks(&self, service: &ServiceName) {
+        let decided = async {
+            loop {
+                let checked = self.service_checked.notified();
+                let now = self.clock.now();
+                if !self.reachability().is_undecided(now, service) {
+                    return;
+                }
+                checked.await;
+            }
+        };
+        // Bounds the wait if the checking task is delayed.
+        let _ = timeout(MAX_CHECK_WAIT, decided).await;
+    }
 }
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http_body_util::Full;
-use pollendrift_coordination::base::{CustomerName, MonotonicTime, RequestId, ServerName};
+use pollendrift_coordination::base::{
+    CustomerName, MonotonicTime, RequestId, ServerName, ServiceName,
+};
 use pollendrift_coordination::routes::{Route, ServiceSpec};
 use pollendrift_coordination::streams::EventId;
 use pollendrift_dialect::{
@@ -29,6 +31,17 @@
     /// Time by which the caller must have an answer: arrival plus the shorter of the caller's
     /// timeout and the route's.
     pub(super) deadline: MonotonicTime,
+    /// Set if another host forwarded the request.
+    pub(super) origin: Option<ForwardOrigin>,
+}
+
+/// What the host that forwarded a request has done with it.
+#[derive(Clone, Debug)]
+pub(super) struct ForwardOrigin {
+    /// Service that the host chose.
+    pub(super) service: ServiceName,
+    /// Servers that may have run the request already.
+    pub(super) tried_servers: u32,
 }
 
 /// Destination of one send of a request.
@@ -45,6 +58,15 @@
         self.deadline.since(now)
     }
 
+    /// Servers that may get the request from this host.
+    pub(super) fn max_attempts(&self) -> u32 {
+        let tried = self
+            .origin
+            .as_ref()
+            .map_or(0, |origin| origin.tried_servers);
+        self.route.max_attempts.saturating_sub(tried).max(1)
+    }
+
     /// Builds the HTTP request for the server of `target`.
     pub(super) fn write(
         &self,
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -8,6 +8,7 @@
 use super::context::RelayContext;
 use super::control::ControlHandler;
 use super::heartbeats::{HeartbeatAssigner, HeartbeatHandler};
+use super::peer_requests::PeerRequestHandler;
 use super::placer::{PlacerParts, run_placer};
 use super::publish::Publisher;
 use super::reachability::run_reachability;
@@ -16,6 +17,7 @@
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
 use crate::node::ClusterNode;
+use crate::peers::ForwardHandler;
 use crate::settings::DaemonSettings;
 
 /// Builds the HTTP handlers for the clients that speak the platform's dialect.
@@ -51,6 +53,19 @@
     }
 }
 
+/// Lets other hosts forward requests to this one, until the returned handler is dropped.
+pub(crate) fn accept_forwarding(
+    relay: &Arc<RelayContext>,
+    node: &ClusterNode,
+) -> Arc<dyn ForwardHandler> {
+    let handler: Arc<dyn ForwardHandler> = Arc::new(PeerRequestHandler {
+        context: Arc::clone(relay),
+        hub: node.hub().clone(),
+    });
+    node.hub().accept_forwarding(&handler);
+    handler
+}
+
 /// Starts the relay's background tasks: on a host without a keeper, those that update the chain
 /// table and check whether services are reachable; on a keeper, the placement of layers, which runs only on the keeper that holds the order
 /// right.
@@ -63,7 +78,7 @@
     if !settings.is_keeper() {
         return vec![
             tokio::spawn(run_chains(Arc::clone(&relay), node.hub().clone())),
-            tokio::spawn(run_reachability(relay)),
+            tokio::spawn(run_reachability(relay, node.hub().clone())),
         ];
     }
     let placer = PlacerParts {
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -5,20 +5,21 @@
 use pollendrift_coordination::streams::{EventId, EventProgress};
 use pollendrift_http::BodySender;
 
-use super::drafts::{AnsweredChain, DraftRun};
-use super::forwarding::{ChainEnd, EventForwarder, NextFrame, next_frame};
+use super::answer::NextPart;
+use super::drafts::{AnsweredDraft, DraftRun};
+use super::forwarding::{ChainEnd, EventForwarder};
 
 /// A draft whose events are being forwarded to the caller.
 pub(super) struct StreamRun {
     run: DraftRun,
-    running: AnsweredChain,
+    running: AnsweredDraft,
     progress: EventProgress,
 }
 
 impl StreamRun {
     pub(super) fn new(
         run: DraftRun,
-        running: AnsweredChain,
+        running: AnsweredDraft,
         resume_after: Option<EventId>,
     ) -> Self {
         Self {
@@ -48,10 +49,7 @@
             after.map_or(0, |last| u32::try_from(last.0).unwrap_or(u32::MAX));
         match end {
             ChainEnd::Complete => {
-                running
-                    .answer
-                    .connection
-                    .return_to_pool(&running.answer.parts.headers);
+                running.answer.finish();
                 sender.finish().await;
                 run.log_end(OutcomeKind::Complete, after);
                 return;
@@ -61,9 +59,10 @@
                 return;
             }
             ChainEnd::Silent(ref verdict)
-                if run.can_reroute(&running.chain.chain, &verdict.suspects) =>
+                if let Some(chain) = running.chain.as_mut()
+                    && run.can_reroute(&chain.chain, &verdict.suspects) =>
             {
-                let rerouting = run.reroute(&running.chain.chain, &verdict.suspects);
+                let rerouting = run.reroute(&chain.chain, &verdict.suspects);
                 let rerouted = tokio::select! {
                     rerouted = rerouting => rerouted,
                     () = sender.closed() => {
@@ -72,7 +71,7 @@
                     }
                 };
                 if let Some(rerouted) = rerouted {
-                    std::mem::replace(&mut running.chain, rerouted).record_failed(None);
+                    std::mem::replace(chain, rerouted).record_failed(None);
                     forwarder.restart_silence_timer(run.context.clock.now());
                 }
             }
@@ -86,12 +85,10 @@
                 };
                 match outcome {
                     MoveResult::Accepted(next) => {
-                        std::mem::replace(&mut running, *next)
-                            .chain
-                            .record_failed(None);
+                        std::mem::replace(&mut running, *next).record_failed();
                         forwarder = EventForwarder::new(run.context.clock.now());
                     }
-                    MoveResult::Resumed(frame) => forwarder.put_back(frame),
+                    MoveResult::Resumed(part) => forwarder.put_back(part),
                     MoveResult::NoAlternative => {}
                 }
             }
@@ -119,21 +116,21 @@
 /// Result of an attempt to move a draft from a silent chain to another.
 enum MoveResult {
     /// Another chain accepted the draft.
-    Accepted(Box<AnsweredChain>),
-    /// The silent chain sent a frame first.
-    Resumed(NextFrame),
+    Accepted(Box<AnsweredDraft>),
+    /// The silent chain sent a part of its answer first.
+    Resumed(NextPart),
     /// No other chain accepted the draft.
     NoAlternative,
 }
 
 /// Tries to move a draft from a silent chain to another. The silent chain is kept until another
-/// accepts the draft, or until the silent one sends a frame.
+/// accepts the draft, or until the silent one sends a part of its answer.
 ///
 /// Engines that seem to have capacity may decline, and silent ones are often only late. Releasing
 /// the silent chain first would lose drafts that it would still have finished.
 async fn move_draft(
     run: &mut DraftRun,
-    running: &mut AnsweredChain,
+    running: &mut AnsweredDraft,
     suspects: Vec<ServerName>,
     after: Option<EventId>,
 ) -> MoveResult {
@@ -143,9 +140,9 @@
     run.exclude_suspects(suspects);
     let next = tokio::select! {
         next = run.open(after, now) => next,
-        frame = next_frame(&mut running.answer.body) => {
+        part = running.answer.body.next() => {
             run.count_kept_chain();
-            return MoveResult::Resumed(frame);
+            return MoveResult::Resumed(part);
         }
     };
     match next.filter(|next| next.answer.parts.status.is_success()) {
@@ -163,22 +160,24 @@
 /// engines may be needed for the draft to continue.
 fn release_chain(
     run: &mut DraftRun,
-    running: AnsweredChain,
+    running: AnsweredDraft,
     end: ChainEnd,
     after: Option<EventId>,
 ) -> String {
-    let AnsweredChain { answer, chain } = running;
+    let AnsweredDraft { answer, chain } = running;
     drop(answer);
-    let reason = match end {
-        ChainEnd::Broken(reason) => {
-            run.abandon(chain);
+    let reason = match (end, chain) {
+        (ChainEnd::Broken(reason), chain) => {
+            if let Some(chain) = chain {
+                run.abandon(chain);
+            }
             reason
         }
-        ChainEnd::Silent(verdict) => {
+        (ChainEnd::Silent(verdict), Some(chain)) => {
             run.abandon_unreachable(chain, verdict.suspects);
             "engines of the chain are unreachable".to_owned()
         }
-        ChainEnd::Complete | ChainEnd::CallerGone => String::new(),
+        _ => String::new(),
     };
     log::info!(request = run.request.attempt.as_str(), reason = reason.as_str(),
         after = after.map(|id| id.0); "chain of the draft broke");
@@ -190,7 +189,7 @@
 ///
 /// Waits for capacity until the request's deadline: a caller that doesn't want to wait that long
 /// disconnects by itself, and closing its connection earlier has no benefit.
-async fn continue_elsewhere(run: &mut DraftRun, after: Option<EventId>) -> Option<AnsweredChain> {
+async fn continue_elsewhere(run: &mut DraftRun, after: Option<EventId>) -> Option<AnsweredDraft> {
     let now = run.context.clock.now();
     let wait_until = now.after(run.request.time_left(now));
     let next = run.open(after, wait_until).await?;
--- a/crates/daemon/src/telemetry/instruments.rs
+++ b/crates/daemon/src/telemetry/instruments.rs
@@ -75,6 +75,10 @@
         "Time from the arrival of a request to its end, by outcome";
     REQUEST_FIRST_TOKEN: Histogram "pollendrift.request.first_token.duration", "s",
         "Time from the arrival of a draft to its first token";
+    REQUESTS_FORWARDED: Counter "pollendrift.request.forwarded", "{request}",
+        "Requests forwarded to another host because no server is reached, by result";
+    PEER_REQUESTS: Counter "pollendrift.request.of_peers", "{request}",
+        "Requests that other hosts forwarded to this one and that it took";
     REQUESTS_QUEUED: Gauge "pollendrift.request.queued", "{request}",
         "Requests that wait for admission";
     REQUEST_REFUSALS: Counter "pollendrift.request.refusals", "{request}",
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -71,6 +71,8 @@
     request_attempts: Counter<u64>,
     request_duration: Histogram<f64>,
     request_first_token: Histogram<f64>,
+    requests_forwarded: Counter<u64>,
+    peer_requests: Counter<u64>,
     requests_queued: Gauge<u64>,
     request_refusals: Counter<u64>,
     unreachable_services: Gauge<u64>,
@@ -111,6 +113,8 @@
             request_attempts: counter(&meter, &instruments::REQUEST_ATTEMPTS),
             request_duration: durations(&meter, &instruments::REQUEST_DURATION),
             request_first_token: durations(&meter, &instruments::REQUEST_FIRST_TOKEN),
+            requests_forwarded: counter(&meter, &instruments::REQUESTS_FORWARDED),
+            peer_requests: counter(&meter, &instruments::PEER_REQUESTS),
             requests_queued: gauge(&meter, &instruments::REQUESTS_QUEUED),
             request_refusals: counter(&meter, &instruments::REQUEST_REFUSALS),
             unreachable_services: gauge(&meter, &instruments::UNREACHABLE_SERVICES),
@@ -208,6 +212,17 @@
         self.request_attempts.add(1, &[]);
     }
 
+    /// Counts a request that was forwarded to another host; `result` is how that ended.
+    pub fn record_forwarded(&self, result: &'static str) {
+        self.requests_forwarded
+            .add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts a request that another host forwarded to this one.
+    pub fn record_peer_request(&self) {
+        self.peer_requests.add(1, &[]);
+    }
+
     /// Records the number of requests that wait for admission.
     pub fn set_requests_queued(&self, count: u64) {
         self.requests_queued.record(count, &[]);
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -11,8 +11,8 @@
 use pollendrift::operators::{KeeperAnswer, KeeperQuestion};
 use pollendrift::peers::{
     CallNumber, ConfigurationContent, ConfigurationFrame, FrameBytes, HeartbeatNumber,
-    HelloRefusal, KeeperIntroduction, PEER_PROTOCOL, PeerAnswer, PeerCall, PeerFrame, PeerHello,
-    PeerQuestion, decode_frame, encode_frame,
+    HelloRefusal, KeeperIntroduction, PEER_PROTOCOL, PartitionNotice, PeerAnswer, PeerCall,
+    PeerFrame, PeerHello, PeerQuestion, decode_frame, encode_frame,
 };
 use pollendrift_coordination::agreement::{KeeperId, Membership};
 use pollendrift_coordination::backpressure::{
@@ -25,6 +25,7 @@
     ConfigurationDelta, ConfigurationDigest, DocumentChange, DocumentKey, LabelSubject,
 };
 use pollendrift_coordination::evidence::{EvidenceFilter, OutcomeKind};
+use pollendrift_coordination::forwarding::ForwardHost;
 use pollendrift_coordination::hosts::{HostGossip, HostReach};
 use pollendrift_coordination::leases::{
     AnnouncedLoad, FullLease, LeaseBatch, LeaseDelta, LeaseNumber, LeaseRenewal, NamedLease,
@@ -322,11 +323,13 @@
             notes: vec![engine],
             pass_on: true,
             rates: None,
+            partition: None,
         },
         PeerFrame::Survey {
             notes: Vec::new(),
             pass_on: false,
             rates: Some(rates()),
+            partition: None,
         },
         PeerFrame::LeaseQuestion(vec!["e1".into()]),
         PeerFrame::LeaseNumbers(vec![LeaseNumber(300)]),
@@ -334,11 +337,29 @@
             receipt: Some(ReceiptNumber(9)),
             ..stream()
         }),
+        partition_frame(PartitionNotice::Unreachable {
+            services: vec!["writers".into()],
+            wants_hosts: true,
+        }),
+        partition_frame(PartitionNotice::Hosts(vec![ForwardHost {
+            host: "h2".into(),
+            address: reach().address,
+            data_centre: Some("one".into()),
+        }])),
     ];
     let configurations = configurations.into_iter().map(PeerFrame::Configuration);
     configurations.chain(others).collect()
 }
 
+fn partition_frame(notice: PartitionNotice) -> PeerFrame {
+    PeerFrame::Survey {
+        notes: Vec::new(),
+        pass_on: false,
+        rates: None,
+        partition: Some(notice),
+    }
+}
+
 /// Encoded bytes of each frame, and their generic CBOR value.
 fn encodings(frames: &[PeerFrame]) -> String {
     let mut text = String::new();
--- a/crates/daemon/tests/outer_telemetry.rs
+++ b/crates/daemon/tests/outer_telemetry.rs
@@ -48,6 +48,8 @@
         attempts: 2,
         duration: Duration::from_millis(700),
     });
+    metrics.record_forwarded("answered");
+    metrics.record_peer_request();
     metrics.set_requests_queued(3);
     metrics.record_refusal(OutcomeKind::NotRun, "no-selector");
     metrics.record_first_token(Duration::from_millis(300));
--- a/crates/dialect/src/callers.rs
+++ b/crates/dialect/src/callers.rs
@@ -9,6 +9,7 @@
 use http::request::Parts;
 use pollendrift_coordination::base::{ModelName, RequestId};
 use pollendrift_coordination::streams::EventId;
+use serde::{Deserialize, Serialize};
 
 /// Properties of a caller's request that the router uses.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -51,7 +52,7 @@
 }
 
 /// Refusal that a caller receives instead of an answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayRefusal {
     /// Kind of refusal, which states whether the request may have run.
     pub kind: RefusalKind,
@@ -62,7 +63,7 @@
 }
 
 /// Outcome of a request that gets no answer from a backend server.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum RefusalKind {
     /// The request has not run and never will; a retry may succeed.
     #[display("not-run")]
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -177,6 +177,18 @@
         }
     }
 
+    /// Closes all connections that no request uses.
+    pub fn close_idle(&self) {
+        let mut slots = self.lock();
+        for slot in slots.values_mut() {
+            for idle in slot.idle.drain(..) {
+                idle.task.abort();
+                slot.open = slot.open.saturating_sub(1);
+            }
+        }
+        slots.retain(|_, slot| slot.open > 0);
+    }
+
     async fn acquire(&self, address: SocketAddr) -> Result<PooledConnection, ClientError> {
         if let Some(idle) = self.take_idle(address) {
             return Ok(PooledConnection {
