fix(http): a cancelled connection attempt does not count as open

What callers see: after 256 requests that ended while their connection to a server opened (a caller that leaves, a deadline, a probe of 80 ms), a host sends nothing to that address any more: 'has all its connections in use', until it restarts. Links that are cut for seconds bring this about. Cause: the count of open connections was taken before the attempt and given back only after it, not when the attempt was dropped. Fix: the count belongs to a guard until the connection is open.

--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -95,6 +95,38 @@
     reused: bool,
 }
 
+/// A connection that is being opened. It counts as open until dropped or kept, so that a cancelled
+/// attempt leaves no count behind.
+struct ReservedConnection<'pool> {
+    pool: &'pool ConnectionPool,
+    address: SocketAddr,
+    is_kept: bool,
+}
+
+impl<'pool> ReservedConnection<'pool> {
+    /// Reserves a connection; `None` if the address has all its connections in use.
+    fn new(pool: &'pool ConnectionPool, address: SocketAddr) -> Option<Self> {
+        pool.reserve(address).then_some(Self {
+            pool,
+            address,
+            is_kept: false,
+        })
+    }
+
+    /// Leaves the count to the opened connection.
+    fn keep(mut self) {
+        self.is_kept = true;
+    }
+}
+
+impl Drop for ReservedConnection<'_> {
+    fn drop(&mut self) {
+        if !self.is_kept {
+            self.pool.release(self.address);
+        }
+    }
+}
+
 /// A response whose body has not been read, and its connection.
 pub struct PooledAnswer {
     /// Response with its unread body.
@@ -199,18 +231,14 @@
                 reused: true,
             });
         }
-        if !self.reserve(address) {
+        let Some(reserved) = ReservedConnection::new(self, address) else {
             return Err(ClientError::NotSent {
                 reason: format!("{address} has all its connections in use"),
             });
-        }
-        match self.open(address).await {
-            Ok(connection) => Ok(connection),
-            Err(error) => {
-                self.release(address);
-                Err(error)
-            }
-        }
+        };
+        let connection = self.open(address).await?;
+        reserved.keep();
+        Ok(connection)
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<IdleConnection> {
--- a/crates/http/tests/pool_reuse.rs
+++ b/crates/http/tests/pool_reuse.rs
@@ -4,13 +4,15 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt, Full};
-use pollendrift_http::{ClientError, ConnectionPool, PoolSettings};
+use pollendrift_http::{
+    ClientError, ConnectionPool, DialFuture, PoolSettings, ServerDialer, TcpDialer,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -90,3 +92,39 @@
     let error = answer.err().expect("no server listens");
     assert!(matches!(error, ClientError::NotSent { .. }), "{error}");
 }
+
+/// Opens no connection at first, and plain ones once it is told to.
+struct HangingDialer {
+    opens: AtomicBool,
+}
+
+impl ServerDialer for HangingDialer {
+    fn dial(&self, address: SocketAddr, silence_timeout: Duration) -> DialFuture {
+        if self.opens.load(Ordering::SeqCst) {
+            return TcpDialer.dial(address, silence_timeout);
+        }
+        Box::pin(std::future::pending())
+    }
+}
+
+// Guards against an address that can't be used any more after requests were cancelled while their
+// connections opened, as they are at a host whose links are cut: each counted as open for ever.
+#[tokio::test]
+async fn cancelled_connection_attempts_do_not_count_as_open() {
+    let (address, _) = start_server().await;
+    let dialer = Arc::new(HangingDialer {
+        opens: AtomicBool::new(false),
+    });
+    let settings = PoolSettings {
+        max_per_address: 4,
+        ..PoolSettings::default()
+    };
+    let pool = ConnectionPool::with_dialer(settings, clock, Arc::clone(&dialer) as Arc<_>);
+    for _ in 0..10 {
+        let sending = pool.send(address, Request::new(Full::new(Bytes::new())));
+        let cancelled = tokio::time::timeout(Duration::from_millis(10), sending).await;
+        assert!(cancelled.is_err());
+    }
+    dialer.opens.store(true, Ordering::SeqCst);
+    call(&pool, address).await;
+}
