fix(relay): a call that was never connected is refused as not run

What callers see: a call at a host with silent links is refused with 504, as if it might have run, although no connection to a server opened; its caller must not repeat it. Cause: one timeout spanned the connection and the answer, and its end was taken for that of a sent request. Fix: the pool is given the deadline, and says whether it ended before the request was written.

--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -13,7 +13,7 @@
 use pollendrift_http::{
     ClientError, PooledAnswer, PooledConnection, ResponseBody, full_body, read_bounded,
 };
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::backpressure::SendReceiver;
 use super::context::RelayContext;
@@ -142,14 +142,15 @@
     attempt: &RequestId,
     time_left: Duration,
 ) -> Result<OpenAnswer, FailedSend> {
-    let sending = context.pool.send(address, request);
-    let answer = match timeout(time_left, sending).await {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(error)) => {
+    let deadline = Instant::now() + time_left;
+    let sending = context.pool.send_by(address, request, Some(deadline));
+    let answer = match sending.await {
+        Ok(Some(answer)) => answer,
+        Err(error) => {
             context.suspect_service_of(&receiver.server);
             return Err(FailedSend::new(outcome_of(&error), error.to_string()));
         }
-        Err(_) => {
+        Ok(None) => {
             context.suspect_service_of(&receiver.server);
             let reason = "no answer in time".to_owned();
             return Err(FailedSend::new(SendOutcome::TimedOut, reason));
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -6,6 +6,7 @@
 //! its connection would read a wrong response.
 
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -17,7 +18,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::client::ClientError;
 use crate::dialer::{ServerDialer, TcpDialer};
@@ -183,17 +184,44 @@
     pub async fn send(
         &self,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
     ) -> Result<PooledAnswer, ClientError> {
+        let answer = self.send_by(address, request, None).await?;
+        answer.ok_or_else(|| ClientError::NoAnswer {
+            reason: "no answer in time".to_owned(),
+        })
+    }
+
+    /// Sends a request like [`ConnectionPool::send`], and waits until `deadline` for the connection
+    /// and for the head of the response. Returns `None` if the request was sent and got no response
+    /// by then.
+    ///
+    /// # Errors
+    /// As [`ConnectionPool::send`]; [`ClientError::NotSent`] also if no connection opened by the
+    /// deadline.
+    pub async fn send_by(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        deadline: Option<Instant>,
+    ) -> Result<Option<PooledAnswer>, ClientError> {
         loop {
-            let mut connection = self.acquire(address).await?;
+            let Some(acquired) = until(deadline, self.acquire(address)).await else {
+                return Err(ClientError::NotSent {
+                    reason: format!("no connection to {address} opened before the deadline"),
+                });
+            };
+            let mut connection = acquired?;
             let reused = connection.reused;
-            match connection.send(request).await {
+            let Some(sent) = until(deadline, connection.send(request)).await else {
+                return Ok(None);
+            };
+            match sent {
                 Ok(response) => {
-                    return Ok(PooledAnswer {
+                    return Ok(Some(PooledAnswer {
                         response,
                         connection,
-                    });
+                    }));
                 }
                 // The server closed the idle connection before any byte was written, so a retry on
                 // another connection is safe.
@@ -305,6 +333,17 @@
     }
 }
 
+/// Result of `work`, or `None` if it takes longer than until `deadline`.
+async fn until<W>(deadline: Option<Instant>, work: W) -> Option<W::Output>
+where
+    W: Future,
+{
+    match deadline {
+        Some(deadline) => timeout_at(deadline, work).await.ok(),
+        None => Some(work.await),
+    }
+}
+
 enum SendError {
     /// No byte left this host; contains the request.
     NotSent(Box<Request<Full<Bytes>>>),
