perf(relay): a host without links wakes up only for due checks

While a service was suspected, the checking task woke up every 5 ms. It now waits for the next round, or for the failure of another server.

--- a/crates/coordination/src/reachability.rs
+++ b/crates/coordination/src/reachability.rs
@@ -178,6 +178,16 @@
             .collect()
     }
 
+    /// Time until the next round of checks of any service; `None` if no service is suspected.
+    pub fn next_round(&self, now: MonotonicTime) -> Option<Duration> {
+        let suspected = self.services.values().filter(|record| record.is_suspected);
+        let waits = suspected.map(|record| {
+            let at = record.next_round_at;
+            at.map_or(Duration::ZERO, |at| at.since(now))
+        });
+        waits.min()
+    }
+
     /// Begins a round of checks of `service`, if one is due, and returns the servers to connect to.
     /// `servers` are all servers of the service; without any, the service is forgotten.
     pub fn begin_round(
--- a/crates/daemon/src/relay/reachability.rs
+++ b/crates/daemon/src/relay/reachability.rs
@@ -14,8 +14,8 @@
 use crate::fleet::WorkerView;
 use crate::peers::PeerHub;
 
-/// Time between two looks for a due round of checks, while a service is suspected.
-const ROUND_TICK: Duration = Duration::from_millis(5);
+/// Pause after a round without a check.
+const EMPTY_ROUND_PAUSE: Duration = Duration::from_millis(25);
 /// Time between two reports to the keepers while a service is unreachable.
 const REPORT_PERIOD: Duration = Duration::from_secs(2);
 /// Longest wait of a request for the checks of its service: two rounds, and some delay.
@@ -26,23 +26,8 @@
 pub(super) async fn run_reachability(context: Arc<RelayContext>, hub: PeerHub) {
     let mut reported_at: Option<MonotonicTime> = None;
     loop {
-        let suspected = context.reachability().suspected();
-        if suspected.is_empty() {
-            context.service_suspected.notified().await;
-            continue;
-        }
-        let mut checks = JoinSet::new();
-        for service in suspected {
-            let now = context.clock.now();
-            for worker in begin_round(&context, now, &service) {
-                checks.spawn(check(Arc::clone(&context), service.clone(), worker));
-            }
-        }
-        // Rounds of other services go on after the longest check, which is bounded.
-        let mut has_changed = false;
-        while let Some(changed) = checks.join_next().await {
-            has_changed |= changed.unwrap_or(false);
-        }
+        await_round(&context).await;
+        let has_changed = run_round(&context).await;
         context.service_checked.notify_waiters();
         let now = context.clock.now();
         let lost: Vec<ServiceName> = context.reachability().unreachable().cloned().collect();
@@ -52,10 +37,48 @@
             reported_at = Some(now);
         }
         context.channels.tick(now);
-        sleep(ROUND_TICK).await;
     }
 }
 
+/// Waits until a round of checks may be due.
+async fn await_round(context: &RelayContext) {
+    loop {
+        let suspected = context.service_suspected.notified();
+        let next_round = context.reachability().next_round(context.clock.now());
+        match next_round {
+            Some(Duration::ZERO) => return,
+            // A check becomes due early if another server fails.
+            Some(wait) => {
+                let _ = timeout(wait, suspected).await;
+            }
+            None => suspected.await,
+        }
+    }
+}
+
+/// Runs the rounds of checks that are due, and returns whether the reachability of a service has
+/// changed.
+async fn run_round(context: &Arc<RelayContext>) -> bool {
+    let suspected = context.reachability().suspected();
+    let mut checks = JoinSet::new();
+    for service in suspected {
+        let now = context.clock.now();
+        for worker in begin_round(context, now, &service) {
+            checks.spawn(check(Arc::clone(context), service.clone(), worker));
+        }
+    }
+    if checks.is_empty() {
+        // A due service may lack servers that can be checked.
+        sleep(EMPTY_ROUND_PAUSE).await;
+    }
+    // Rounds of other services go on after the longest check, which is bounded.
+    let mut has_changed = false;
+    while let Some(changed) = checks.join_next().await {
+        has_changed |= changed.unwrap_or(false);
+    }
+    has_changed
+}
+
 /// Begins a round of checks of a service, if one is due, and returns the servers to check.
 fn begin_round(
     context: &RelayContext,
