--- a/crates/coordination/src/forwarding.rs
+++ b/crates/coordination/src/forwarding.rs
@@ -9,4 +9,4 @@
 mod table;
 
 pub use partitions::{PartitionSettings, PartitionTable};
-pub use table::{ForwardHost, ForwardSettings, ForwardTable};
+pub use table::{ForwardHost, ForwardHostDump, ForwardSettings, ForwardTable};
--- a/crates/coordination/src/forwarding/table.rs
+++ b/crates/coordination/src/forwarding/table.rs
@@ -48,6 +48,15 @@
     pub data_centre: Option<DataCentreName>,
 }
 
+/// State of a host in a [`ForwardTable`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ForwardHostDump {
+    /// Address and data centre of the host.
+    pub host: ForwardHost,
+    /// Requests under way to the host.
+    pub running: u32,
+}
+
 #[derive(Clone, Debug)]
 struct HostRecord {
     host: ForwardHost,
@@ -82,6 +91,17 @@
         }
     }
 
+    /// Hosts of the table with their running requests, sorted by name.
+    pub fn dump(&self) -> Vec<ForwardHostDump> {
+        let records = self.hosts.values();
+        records
+            .map(|record| ForwardHostDump {
+                host: record.host.clone(),
+                running: record.running,
+            })
+            .collect()
+    }
+
     /// Whether the hosts were listed since the last [`ForwardTable::clear`].
     pub fn has_list(&self) -> bool {
         self.has_list
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -47,7 +47,8 @@
 use crate::telemetry::{EvidenceSink, MetricError, MetricRegistry, RecorderSlot};
 
 use sources::{
-    DaemonMetrics, EvidenceDump, FleetDump, NodeDump, RateDumpSource, RoutingDumpSource,
+    DaemonMetrics, EvidenceDump, FleetDump, ForwardingDumpSource, NodeDump, RateDumpSource,
+    RoutingDumpSource,
 };
 
 /// Time between two ticks of the gate and the leases.
@@ -222,7 +223,7 @@
             })
         });
         let relay = relay.map(Arc::new);
-        let dump: Vec<Arc<dyn DumpSource>> = vec![
+        let mut dump: Vec<Arc<dyn DumpSource>> = vec![
             Arc::new(FleetDump {
                 fleet: Arc::clone(&fleet),
             }),
@@ -241,6 +242,11 @@
                 clock: Arc::clone(&clock),
             }),
         ];
+        if let Some(relay) = &relay {
+            dump.push(Arc::new(ForwardingDumpSource {
+                relay: Arc::clone(relay),
+            }));
+        }
         let operators = Arc::new(OperatorContext {
             entry: Arc::clone(&context),
             node: Arc::clone(&node),
--- a/crates/daemon/src/daemon/sources.rs
+++ b/crates/daemon/src/daemon/sources.rs
@@ -7,6 +7,7 @@
 use crate::node::ClusterNode;
 use crate::operators::keeper_state;
 use crate::platform::{DumpSource, MetricSource};
+use crate::relay::RelayContext;
 use crate::telemetry::{MetricRegistry, RecorderSlot};
 
 pub(super) struct FleetDump {
@@ -39,6 +40,20 @@
     }
 }
 
+pub(super) struct ForwardingDumpSource {
+    pub(super) relay: Arc<RelayContext>,
+}
+
+impl DumpSource for ForwardingDumpSource {
+    fn name(&self) -> &'static str {
+        "forwarding"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        serde_json::to_value(self.relay.dump_forwarding()).unwrap_or_default()
+    }
+}
+
 pub(super) struct EvidenceDump {
     pub(super) recorder: Arc<RecorderSlot>,
 }
--- a/crates/daemon/src/relay/draft_forward.rs
+++ b/crates/daemon/src/relay/draft_forward.rs
@@ -12,7 +12,7 @@
 impl DraftRun {
     /// Whether the draft may be forwarded to another host now.
     pub(super) fn may_forward(&self, now: MonotonicTime) -> bool {
-        let may_send = !self.tried_servers.has_reached(self.request.max_attempts());
+        let may_send = self.tried_count() < self.request.max_attempts();
         let context = &self.context;
         may_send && context.may_forward(now, &self.request, &self.forwards)
     }
@@ -27,7 +27,7 @@
             return None;
         }
         let service = &self.request.service.name;
-        let (tried, is_repeat) = (self.tried_servers.count(), self.is_repeat());
+        let (tried, is_repeat) = (self.tried_count(), self.is_repeat());
         let context = Arc::clone(&self.context);
         let history = context.forwarded_history(now, service, tried, is_repeat);
         context.metrics.record_attempt();
@@ -52,6 +52,11 @@
         self.may_have_run && self.context.clock.now() < wait_until
     }
 
+    /// Servers that may have run the draft, those of other hosts included.
+    fn tried_count(&self) -> u32 {
+        self.tried_servers.count() + self.forwards.runs()
+    }
+
     /// Whether the next send is a repeat: a server may have received the draft before.
     fn is_repeat(&self) -> bool {
         self.may_have_run || self.has_arrived
--- a/crates/daemon/src/relay/peer_forward.rs
+++ b/crates/daemon/src/relay/peer_forward.rs
@@ -7,9 +7,11 @@
 use bytes::Bytes;
 use http::response;
 use pollendrift_coordination::base::{HostName, MonotonicTime, ServiceName};
+use pollendrift_coordination::forwarding::ForwardHostDump;
 use pollendrift_coordination::retries::SendOutcome;
 use pollendrift_coordination::streams::EventId;
 use pollendrift_dialect::RefusalKind;
+use serde::Serialize;
 use tokio::time::timeout;
 
 use super::answer::{AnswerBody, FailedSend, OpenAnswer};
@@ -29,10 +31,21 @@
 /// reaches another host.
 const RETRY_UNREACHABLE: Duration = Duration::from_millis(500);
 
+/// What this host knows about forwarding, for the dump.
+#[derive(Debug, Serialize)]
+pub(crate) struct ForwardingDump {
+    /// Services that this host does not reach.
+    unreachable_services: Vec<ServiceName>,
+    /// Hosts that requests may be forwarded to.
+    hosts: Vec<ForwardHostDump>,
+}
+
 /// Hosts that one request was forwarded to, and the last refusal.
 #[derive(Default)]
 pub(super) struct ForwardAttempts {
     tried_hosts: Vec<HostName>,
+    /// Hosts among them at which a server may have run the request.
+    runs: u32,
     refusal: Option<Refused>,
 }
 
@@ -63,6 +76,11 @@
 }
 
 impl ForwardAttempts {
+    /// Servers that may have run the request for another host.
+    pub(super) fn runs(&self) -> u32 {
+        self.runs
+    }
+
     /// Refusal of a request that has not run, and that no host can send.
     pub(super) fn refusal(&self) -> Refused {
         let own = || {
@@ -74,6 +92,14 @@
 }
 
 impl RelayContext {
+    /// Returns what this host knows about forwarding.
+    pub(crate) fn dump_forwarding(&self) -> ForwardingDump {
+        ForwardingDump {
+            unreachable_services: self.reachability().unreachable().cloned().collect(),
+            hosts: self.forwarding.table().dump(),
+        }
+    }
+
     /// Whether this host can't send `request` itself: it reaches no server of the service.
     pub(super) fn is_cut_off_from(&self, request: &RelayRequest) -> bool {
         self.reachability().is_unreachable(&request.service.name)
@@ -170,10 +196,15 @@
         };
         match sent.await {
             Ok((parts, channel)) => {
+                attempts.runs += 1;
                 self.metrics.record_forwarded("answered");
                 Ok(answer_of(parts, HostBody { channel, guard }))
             }
-            Err(error) => Err(self.record_failed_forward(request, attempts, &guard.host, error)),
+            Err(error) => {
+                let failed = self.record_failed_forward(request, attempts, &guard.host, error);
+                attempts.runs += u32::from(matches!(failed, FailedForward::Unknown(_)));
+                Err(failed)
+            }
         }
     }
 
