perf(relay): a request waits for the first check that opens, not for the whole round

A round of checks with a dead server lasts until its timeout of 100 ms, and requests that failed elsewhere waited for it although another server had been reached.

--- a/crates/daemon/src/relay/reachability.rs
+++ b/crates/daemon/src/relay/reachability.rs
@@ -28,7 +28,6 @@
     loop {
         await_round(&context).await;
         let has_changed = run_round(&context).await;
-        context.service_checked.notify_waiters();
         let now = context.clock.now();
         let lost: Vec<ServiceName> = context.reachability().unreachable().cloned().collect();
         let is_due = reported_at.is_none_or(|at| now.since(at) >= REPORT_PERIOD);
@@ -102,6 +101,8 @@
     let change = table.record_check(now, &service, &worker.server, has_opened);
     let unreachable = table.unreachable().count();
     drop(table);
+    // Not only after the round: another check of it may take until its timeout.
+    context.service_checked.notify_waiters();
     let Some(change) = change else {
         return false;
     };
