style(daemon): the search for a chain, the state of a link and the listeners have files of their own

The code is moved as it was; what other files use of it is visible to its module. A forwarded request counts as an attempt at the host that sends it to a server, and no longer at the one that forwards it as well.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,8 +1,8 @@
 //! A running daemon: its faces, tables and periodic tasks.
 
+mod listeners;
 mod sources;
 
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,9 +17,7 @@
 use pollendrift_coordination::retries::RetrySettings as CoreRetrySettings;
 use pollendrift_coordination::routing::RoutingSettings;
 use pollendrift_dialect::PlatformDialect;
-use pollendrift_http::{
-    HttpClient, HttpServer, ServerDialer, ServerLimits, StreamAcceptor, TcpDialer,
-};
+use pollendrift_http::{HttpClient, HttpServer, ServerDialer, TcpDialer};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 
@@ -42,10 +40,13 @@
 use crate::platform::{DumpSource, PlatformHandler};
 use crate::relay::{RelayContext, RelayParts, accept_forwarding, relay_faces, start_relay};
 use crate::resend::ResendPolicy;
-use crate::settings::{DaemonSettings, DrainSettings, EntrySettings, RetrySettings};
+use crate::settings::{DaemonSettings, DrainSettings, RetrySettings};
 use crate::tasks::TaskGroup;
 use crate::telemetry::{EvidenceSink, MetricError, MetricRegistry, RecorderSlot};
 
+pub use listeners::FaceSet;
+
+use listeners::{listen, listen_addresses, server_limits};
 use sources::{
     DaemonMetrics, EvidenceDump, FleetDump, ForwardingDumpSource, NodeDump, RateDumpSource,
     RoutingDumpSource,
@@ -55,11 +56,6 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two checks of the key files.
 const KEY_PERIOD: Duration = Duration::from_secs(10);
-/// Maximum number of new connections on an address for announcements.
-const MAX_NEW_ANNOUNCERS: usize = 8;
-/// Maximum number of connections that wait to be accepted on such an address. Announcements that
-/// wait longer than their senders, which then ask another host, must not take up the processor.
-const ANNOUNCER_BACKLOG: u32 = 64;
 /// Maximum size of a plain service's answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -417,64 +413,6 @@
     }
 }
 
-/// Faces served at one address.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct FaceSet {
-    /// Requests of callers.
-    pub callers: bool,
-    /// Changes and queries of operators.
-    pub operators: bool,
-    /// Announcements of backend servers.
-    pub backend_servers: bool,
-}
-
-fn listen_addresses(settings: &DaemonSettings) -> BTreeMap<SocketAddr, FaceSet> {
-    let mut addresses: BTreeMap<SocketAddr, FaceSet> = BTreeMap::new();
-    let listen = &settings.listen;
-    addresses.entry(listen.callers).or_default().callers = true;
-    addresses.entry(listen.operators).or_default().operators = true;
-    addresses
-        .entry(listen.backend_servers)
-        .or_default()
-        .backend_servers = true;
-    addresses
-}
-
-/// Limits of the server of an address with `faces`.
-///
-/// Backend servers announce themselves all at once when a fleet starts, and on a new connection
-/// each time. Without a limit on new connections, the tasks of a keeper that exchange agreement
-/// messages wait for hundreds of announcements at each step, and no leader stays in office.
-fn server_limits(settings: &EntrySettings, faces: FaceSet) -> ServerLimits {
-    let limits = ServerLimits {
-        max_headers: to_usize(settings.max_header_count),
-        max_head_bytes: to_usize(settings.max_header_bytes),
-        head_timeout: settings.head_timeout,
-        max_connections_per_address: to_usize(settings.max_connections_per_address),
-        max_connections: to_usize(settings.max_connections),
-        ..ServerLimits::default()
-    };
-    if !faces.backend_servers || faces.callers {
-        return limits;
-    }
-    ServerLimits {
-        max_new_connections: MAX_NEW_ANNOUNCERS,
-        backlog: ANNOUNCER_BACKLOG,
-        ..limits
-    }
-}
-
-async fn listen(
-    address: SocketAddr,
-    limits: ServerLimits,
-    acceptor: Option<Arc<dyn StreamAcceptor>>,
-    handler: Arc<dyn pollendrift_http::DynHandler>,
-) -> Result<HttpServer, StartError> {
-    HttpServer::start(address, limits, acceptor, handler)
-        .await
-        .map_err(|error| StartError::Listen { address, error })
-}
-
 async fn key_loop(access: Arc<AccessControl>) {
     let mut ticks = tokio::time::interval(KEY_PERIOD);
     loop {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -20,6 +20,7 @@
 mod outbound;
 mod queue;
 mod settings;
+mod slot;
 mod socket;
 mod status;
 mod transport;
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -2,15 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, RwLockReadGuard, Weak};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock, PoisonError, RwLock, RwLockReadGuard, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
 use pollendrift_coordination::base::{HostName, Incarnation};
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use super::calls::{CallError, CallNumber, CallTable, PendingCall};
@@ -21,8 +21,9 @@
 };
 use super::inbound::accept_streams;
 use super::outbound::maintain_link;
-use super::queue::{FrameQueue, SendRefusal};
+use super::queue::SendRefusal;
 use super::settings::LinkSettings;
+use super::slot::PeerSlot;
 use super::status::PeerStatus;
 use super::transport::{PeerAcceptor, PeerDialer};
 use crate::clock::{SystemClock, TimeSource};
@@ -79,109 +80,6 @@
     }
 }
 
-/// State of the link to one peer.
-pub(super) struct PeerSlot {
-    pub(super) peer: PeerAddress,
-    pub(super) queue: FrameQueue,
-    /// Queue of answers to calls of the peer, for the link that the peer opened last.
-    replies: Mutex<Option<Arc<FrameQueue>>>,
-    statistics: Mutex<LinkStatistics>,
-    up: watch::Sender<bool>,
-    /// Time of the last frame from the peer on any link, in microseconds of the hub's clock; 0
-    /// before the first one.
-    heard_at: AtomicU64,
-    /// Task that maintains the outbound link.
-    task: Mutex<Option<AbortHandle>>,
-}
-
-#[derive(Default)]
-struct LinkStatistics {
-    links: u64,
-    last_error: String,
-    round_trip: Option<Duration>,
-}
-
-impl PeerSlot {
-    fn new(peer: PeerAddress, settings: &LinkSettings) -> Self {
-        Self {
-            queue: FrameQueue::new(settings),
-            replies: Mutex::default(),
-            statistics: Mutex::default(),
-            up: watch::Sender::new(false),
-            heard_at: AtomicU64::new(0),
-            task: Mutex::default(),
-            peer,
-        }
-    }
-
-    fn end(&self) {
-        let task = self.task.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(task) = task.as_ref() {
-            task.abort();
-        }
-        self.mark_down("the peer was removed".to_owned());
-    }
-
-    fn statistics(&self) -> MutexGuard<'_, LinkStatistics> {
-        self.statistics
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    pub(super) fn record_round_trip(&self, time: Duration) {
-        self.statistics().round_trip = Some(time);
-    }
-
-    pub(super) fn mark_up(&self) {
-        self.statistics().links += 1;
-        self.queue.set_link_up(true);
-        self.up.send_replace(true);
-    }
-
-    pub(super) fn mark_down(&self, error: String) {
-        self.statistics().last_error = error;
-        self.queue.set_link_up(false);
-        self.up.send_replace(false);
-    }
-
-    /// Sets the queue of answers for a link that the peer has just opened.
-    pub(super) fn open_replies(&self, queue: &Arc<FrameQueue>) {
-        queue.set_link_up(true);
-        *self.replies() = Some(queue.clone());
-    }
-
-    /// Closes the queue of answers for a link; removes it unless the peer has opened another link.
-    pub(super) fn close_replies(&self, queue: &Arc<FrameQueue>) {
-        queue.set_link_up(false);
-        let mut replies = self.replies();
-        if replies
-            .as_ref()
-            .is_some_and(|open| Arc::ptr_eq(open, queue))
-        {
-            *replies = None;
-        }
-    }
-
-    fn replies(&self) -> MutexGuard<'_, Option<Arc<FrameQueue>>> {
-        self.replies.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn status(&self) -> PeerStatus {
-        let usage = self.queue.usage();
-        let statistics = self.statistics();
-        PeerStatus {
-            host: self.peer.host.clone(),
-            address: self.peer.address,
-            up: *self.up.borrow(),
-            links: statistics.links,
-            last_error: statistics.last_error.clone(),
-            round_trip: statistics.round_trip,
-            queued: usage.frames,
-            dropped: usage.dropped,
-        }
-    }
-}
-
 pub(super) struct HubShared {
     pub(super) node: PeerNode,
     pub(super) settings: LinkSettings,
--- a/crates/daemon/src/peers/outbound.rs
+++ b/crates/daemon/src/peers/outbound.rs
@@ -10,7 +10,8 @@
 use super::backoff::RetryBackoff;
 use super::error::LinkError;
 use super::frame::{HeartbeatNumber, PeerFrame, PeerHello};
-use super::hub::{PeerHub, PeerSlot};
+use super::hub::PeerHub;
+use super::slot::PeerSlot;
 use super::socket::{FrameReceiver, FrameSender, socket_config, split_socket, with_timeout};
 use crate::clock::{SystemClock, TimeSource};
 
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -15,6 +15,7 @@
 mod context;
 mod control;
 mod draft_forward;
+mod draft_search;
 mod drafts;
 mod engine_estimates;
 mod forwarding;
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -125,7 +125,6 @@
     let service = &request.service.name;
     let sends = history.sends;
     let forwarded = context.forwarded_history(now, service, sends, sends > 0);
-    context.metrics.record_attempt();
     let forwarding = context.forward(request, &mut history.forwards, forwarded, None);
     let time_left = request.time_left(now);
     let answered = async {
--- a/crates/daemon/src/relay/draft_forward.rs
+++ b/crates/daemon/src/relay/draft_forward.rs
@@ -30,7 +30,6 @@
         let (tried, is_repeat) = (self.tried_count(), self.is_repeat());
         let context = Arc::clone(&self.context);
         let history = context.forwarded_history(now, service, tried, is_repeat);
-        context.metrics.record_attempt();
         let forwarding = context.forward(&self.request, &mut self.forwards, history, resume_after);
         match forwarding.await {
             Ok(answer) => {
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -55,35 +55,28 @@
     pub(super) request: RelayRequest,
     pub(super) meter: RequestMeter,
     /// Engines that are excluded from the next chains.
-    excluded: Vec<ExcludedEngine>,
+    pub(super) excluded: Vec<ExcludedEngine>,
     /// First engines of the chains that may have run the draft.
     pub(super) tried_servers: TriedServers,
     /// Sends whose request an engine may have started.
     pub(super) sends: u32,
-    declined: u32,
+    pub(super) declined: u32,
     /// Whether a server may have received the draft, run or not.
     pub(super) has_arrived: bool,
     pub(super) may_have_run: bool,
     last_failure: Option<FailedSend>,
     pub(super) reroutes: RerouteState,
-    rate_queue: RateQueue,
+    pub(super) rate_queue: RateQueue,
     /// Reason why no engine could get the draft in the last search for a chain.
-    held_back: Option<HeldBack>,
+    pub(super) held_back: Option<HeldBack>,
     /// Hosts that the draft was forwarded to.
     pub(super) forwards: ForwardAttempts,
 }
 
-/// Result of a search for a chain.
-struct ChainSearch {
-    chain: Option<ChainGuard>,
-    /// First engines that were passed over because this host's share of their limit is used up.
-    rate_limited: Vec<ServerName>,
-}
-
 /// An engine that is excluded from a draft's next chains.
-struct ExcludedEngine {
-    server: ServerName,
-    until: MonotonicTime,
+pub(super) struct ExcludedEngine {
+    pub(super) server: ServerName,
+    pub(super) until: MonotonicTime,
 }
 
 /// An answer to a draft.
@@ -237,183 +230,6 @@
         }
     }
 
-    /// Reserves a chain and, if the draft was sent before, spends one retry of the budget.
-    ///
-    /// Only a send spends a retry, a search for capacity doesn't: when each search spent one, a
-    /// single draft used up the host's budget within half a second, and running streams that then
-    /// needed a retry were aborted.
-    fn reserve_chain_in_budget(&self, now: MonotonicTime, is_resume: bool) -> ChainSearch {
-        let service = &self.request.service.name;
-        let is_repeat = self.sends + self.declined > 0;
-        if is_repeat && !self.context.has_retry_budget(now, service) {
-            return ChainSearch {
-                chain: None,
-                rate_limited: Vec::new(),
-            };
-        }
-        let mut search = self.reserve_chain(now, is_resume, &[]);
-        search.chain = search.chain.and_then(|chain| {
-            let may_send = self.context.take_rate(now, &chain.chain.first)
-                && (!is_repeat || self.context.spend_retry(now, service));
-            if !may_send {
-                chain.record_failed(None);
-                return None;
-            }
-            Some(chain)
-        });
-        search
-    }
-
-    /// Whether the draft waits for a chain, after a search without one that passed over
-    /// `rate_limited` engines.
-    ///
-    /// If all engines that could receive the draft are held back until after `wait_until`, it is
-    /// refused at once.
-    fn may_wait(
-        &mut self,
-        now: MonotonicTime,
-        rate_limited: &[ServerName],
-        wait_until: MonotonicTime,
-    ) -> bool {
-        let has_joined = self.rate_queue.has_joined();
-        self.held_back = self.find_hold(now);
-        self.rate_queue.join(now, rate_limited);
-        match &self.held_back {
-            // The wait counts drafts that joined later, so it only decides on the first search.
-            Some(HeldBack::Rate(_)) if has_joined => true,
-            Some(held_back) => now.after(held_back.wait()) <= wait_until,
-            None => true,
-        }
-    }
-
-    /// Shortest wait for an engine that could receive the draft; `None` if one is not held back.
-    fn find_hold(&self, now: MonotonicTime) -> Option<HeldBack> {
-        if !self.context.may_hold_back() {
-            return None;
-        }
-        let workers = self.context.fleet.workers(now);
-        let suspects = self.context.health().suspects(now);
-        let engines = workers.iter().filter(|worker| {
-            worker.holds_first_layer()
-                && worker.offer.service == self.request.service.name
-                && !suspects.contains(&worker.server)
-        });
-        self.context
-            .shortest_hold(now, engines.map(|worker| &worker.server))
-    }
-
-    /// Whether the draft can continue on another chain without `suspects`.
-    ///
-    /// If it can't, the draft stays on the silent chain: its events may still arrive, and without it
-    /// the caller's answer is certainly incomplete.
-    pub(super) fn has_alternative(&self, suspects: &[ServerName]) -> bool {
-        let now = self.context.clock.now();
-        if self.is_final() || self.declined + 1 >= self.max_declined() {
-            return false;
-        }
-        if self.context.is_cut_off_from(&self.request) {
-            return self.may_forward(now);
-        }
-        let service = &self.request.service.name;
-        if !self.context.has_retry_budget(now, service) {
-            return false;
-        }
-        let Some(chain) = self.reserve_chain(now, true, suspects).chain else {
-            return false;
-        };
-        chain.record_failed(None);
-        true
-    }
-
-    /// Reserves the best chain whose first engine may get a request by its limit.
-    fn reserve_chain(
-        &self,
-        now: MonotonicTime,
-        is_resume: bool,
-        suspects: &[ServerName],
-    ) -> ChainSearch {
-        let excluded = self.excluded.iter().filter(|engine| engine.until > now);
-        let excluded = excluded.map(|engine| &engine.server);
-        let exhausted = self.exhausted_first_engines(now);
-        let mut excluded: Vec<ServerName> = excluded
-            .chain(suspects)
-            .chain(&exhausted)
-            .cloned()
-            .collect();
-        let mut rate_limited = self.rate_queue.used_up_servers(now);
-        excluded.extend(rate_limited.iter().cloned());
-        loop {
-            let chain = self.reserve_without(now, is_resume, &excluded);
-            let Some(chain) = chain else {
-                return ChainSearch {
-                    chain: None,
-                    rate_limited,
-                };
-            };
-            let first = chain.chain.first.clone();
-            if self.context.has_rate(now, &first) {
-                return ChainSearch {
-                    chain: Some(chain),
-                    rate_limited,
-                };
-            }
-            chain.record_failed(None);
-            excluded.push(first.clone());
-            rate_limited.push(first);
-        }
-    }
-
-    fn reserve_without(
-        &self,
-        now: MonotonicTime,
-        is_resume: bool,
-        excluded: &[ServerName],
-    ) -> Option<ChainGuard> {
-        let context = &self.context;
-        let has_back_offs = !context.fleet.back_offs().is_empty();
-        let may_take_work = |server: &ServerName| {
-            context.fleet.worker_may_take_work(now, server)
-                && !(has_back_offs && context.has_back_off(now, server))
-        };
-        let health = self.context.health();
-        let is_healthy = |server: &ServerName| !health.is_suspected(now, server);
-        let reserved = self.context.chains().reserve(
-            now,
-            &self.request,
-            excluded,
-            is_resume,
-            may_take_work,
-            is_healthy,
-        );
-        drop(health);
-        match reserved {
-            Ok(chain) => Some(ChainGuard::new(&self.context, chain)),
-            Err(error) => {
-                log::debug!(request = self.request.attempt.as_str(), reasons:% = error; "no chain available for the draft");
-                None
-            }
-        }
-    }
-
-    /// Engines of the first layer that a chain of this draft must not start with any more.
-    fn exhausted_first_engines(&self, now: MonotonicTime) -> Vec<ServerName> {
-        let max_attempts = self.request.max_attempts();
-        if !self.tried_servers.has_reached(max_attempts) {
-            return Vec::new();
-        }
-        let workers = self.context.fleet.workers(now);
-        let health = self.context.health();
-        let is_known = |server: &ServerName| workers.iter().any(|worker| worker.server == *server);
-        let is_unavailable =
-            |server: &ServerName| health.is_suspected(now, server) || !is_known(server);
-        let Some(allowed) = self.tried_servers.allowed(max_attempts, is_unavailable) else {
-            return Vec::new();
-        };
-        let first = workers.iter().filter(|worker| worker.holds_first_layer());
-        let exhausted = first.filter(|worker| !allowed.contains(&&worker.server));
-        exhausted.map(|worker| worker.server.clone()).collect()
-    }
-
     fn record_declined(&self, engines: &[ServerName]) {
         let now = self.context.clock.now();
         let mut chains = self.context.chains();
@@ -449,14 +265,14 @@
     }
 
     /// Whether no further send is allowed: the draft must not run twice, or a limit is reached.
-    fn is_final(&self) -> bool {
+    pub(super) fn is_final(&self) -> bool {
         let may_send = !self.may_have_run || self.request.route.kind.may_repeat();
         !may_send
             || self.sends >= self.request.max_attempts()
             || self.declined >= self.max_declined()
     }
 
-    fn max_declined(&self) -> u32 {
+    pub(super) fn max_declined(&self) -> u32 {
         if self.may_have_run {
             return MAX_DECLINED_RESUMED;
         }
