fix(reachability): one server of many does not restore a service

What callers see: while an entry's links to all engines but one are cut, it takes them for restored each time that a check meets that one, and the next requests fail before they are forwarded. Cause: one connection that opened was enough. Fix: a connection must open in two rounds of checks in a row; the second one begins at once. Result: in virtual time with one of 39 reachable, at most 20 changes in 200 s, where one in twenty rounds would do; one of three restores it as before.

--- a/crates/coordination/src/reachability.rs
+++ b/crates/coordination/src/reachability.rs
@@ -3,7 +3,9 @@
 //! A host whose links to the servers are cut sees the same as after the loss of every server: sends
 //! and probes get no answer. Each request would find that out anew, server by server, and be refused
 //! late. A failed send or probe therefore makes the host open a connection to a few servers of the
-//! service. If none of them opens, the service is unreachable from this host until one does.
+//! service. If none of them opens, the service is unreachable from this host until one does in two
+//! rounds of checks in a row: a single server that is reached, such as one that has just started
+//! elsewhere, could not serve the host's requests.
 //!
 //! Only new connections count. The connections that a host has may live on while no further one
 //! opens, and then it can't send more requests than it has connections. The failure of one server, or
@@ -86,6 +88,15 @@
     known: usize,
     next_round_at: Option<MonotonicTime>,
     lost_at: Option<MonotonicTime>,
+    /// Whether a connection has opened in the running round, or in the one before.
+    has_opened: RoundResults,
+}
+
+/// Whether connections opened in the last rounds of checks of an unreachable service.
+#[derive(Clone, Copy, Debug, Default)]
+struct RoundResults {
+    current: bool,
+    previous: bool,
 }
 
 /// Services that this host can or can't reach.
@@ -216,6 +227,10 @@
         let mut chosen: Vec<&ServerName> = servers.iter().filter(is_eligible).collect();
         chosen.shuffle(&mut self.rng);
         chosen.truncate(self.settings.round_checks);
+        record.has_opened = RoundResults {
+            current: false,
+            previous: record.has_opened.current,
+        };
         record.pending = chosen.len();
         record.known = servers.len();
         record.next_round_at = is_lost.then(|| now.after(self.settings.return_period));
@@ -232,7 +247,14 @@
     ) -> Option<ReachabilityChange> {
         let record = self.services.get_mut(service)?;
         record.pending = record.pending.saturating_sub(1);
+        if has_opened && record.lost_at.is_some() && !record.has_opened.previous {
+            // The next round decides, and need not wait.
+            record.has_opened.current = true;
+            record.next_round_at = None;
+            return None;
+        }
         if has_opened {
+            record.has_opened = RoundResults::default();
             record.is_suspected = false;
             record.first_suspect = None;
             record.failed.clear();
--- a/crates/coordination/tests/reachability.rs
+++ b/crates/coordination/tests/reachability.rs
@@ -129,6 +129,35 @@
     assert!(!host.table.is_undecided(host.now, &host.service));
 }
 
+/// Guards against requests that go to servers which can't be reached, because one of many accepts a
+/// connection: a server that has just started outside of the cut.
+#[test]
+fn one_reachable_server_of_many_does_not_restore_the_service() {
+    let mut changes = 0;
+    for seed in 0..20 {
+        let mut host = Host::new(39, seed);
+        host.suspect(0);
+        host.run(Duration::from_secs(1), |_| false);
+        let sound = host.servers[5].clone();
+        changes += host
+            .run(Duration::from_secs(10), |server| *server == sound)
+            .len();
+    }
+    // Without the second round, one in twenty rounds would: 40 in each run.
+    assert!(changes <= 20, "{changes} changes in 20 runs");
+}
+
+/// Guards against a host that stays cut off although the only server that is left is reached.
+#[test]
+fn the_only_sound_server_of_a_few_restores_the_service() {
+    let mut host = Host::new(3, 1);
+    host.suspect(0);
+    host.run(Duration::from_secs(1), |_| false);
+    let sound = host.servers[2].clone();
+    let restored = host.run(Duration::from_secs(3), |server| *server == sound);
+    assert_eq!(restored.len(), 1, "{restored:?}");
+}
+
 /// Guards against a host that stays cut off from a service whose servers have all gone.
 #[test]
 fn a_service_without_servers_is_forgotten() {
