fix(relay): a refused probe does not prove that an engine is gone while links are cut

Where cuts only refuse new connections, running streams live on. A probe of a silent stream's engines was refused, the engine taken for gone, and the stream's own connection given up. The probe now waits for the checks that its failure has made due: if no server of the service can be reached, the engine counts as silent only. Found by reading, not in a record; no test of its own.

--- a/crates/daemon/src/relay/liveness.rs
+++ b/crates/daemon/src/relay/liveness.rs
@@ -115,17 +115,23 @@
         log::debug!(server:% = server; "probe result ignored: this host noticed the timeout late");
         return;
     }
+    if matches!(state, EngineState::Unreachable | EngineState::TimedOut) {
+        context.suspect_service_of(&server);
+    }
+    // A connection that is refused does not prove that the engine is gone if this host's new
+    // connections to all servers are: its streams may go on over older ones.
+    let is_gone =
+        matches!(state, EngineState::Unreachable) && !context.has_lost_service_of(&server).await;
+    let now = context.clock.now();
     let mut health = context.health();
     match state {
         EngineState::Reported(_) | EngineState::Unclear => health.answered(now, &server),
-        EngineState::Unreachable => health.mark_unreachable(now, &server),
-        EngineState::TimedOut => health.unanswered(now, &server),
+        EngineState::Unreachable if is_gone => health.mark_unreachable(now, &server),
+        EngineState::Unreachable | EngineState::TimedOut => health.unanswered(now, &server),
         EngineState::NotProbed => {}
     }
     drop(health);
     if matches!(state, EngineState::Unreachable | EngineState::TimedOut) {
-        context.suspect_service_of(&server);
-        let is_unreachable = matches!(state, EngineState::Unreachable);
-        log::warn!(server:% = server, gone = is_unreachable; "engine did not answer a liveness probe");
+        log::warn!(server:% = server, gone = is_gone; "engine did not answer a liveness probe");
     }
 }
--- a/crates/daemon/src/relay/reachability.rs
+++ b/crates/daemon/src/relay/reachability.rs
@@ -135,16 +135,29 @@
 impl RelayContext {
     /// Suspects that this host does not reach the service of `server`, which did not answer.
     pub(super) fn suspect_service_of(&self, server: &ServerName) {
-        let workers = self.fleet.workers(self.clock.now());
-        let worker = workers.iter().find(|worker| worker.server == *server);
-        if let Some(worker) = worker {
-            let service = &worker.offer.service;
-            if self.reachability().suspect(service, server) {
-                self.service_suspected.notify_one();
-            }
+        let Some(service) = self.service_of(server) else {
+            return;
+        };
+        if self.reachability().suspect(&service, server) {
+            self.service_suspected.notify_one();
         }
     }
 
+    /// Whether this host reaches no server of the service of `server`, after the checks under way.
+    pub(super) async fn has_lost_service_of(&self, server: &ServerName) -> bool {
+        let Some(service) = self.service_of(server) else {
+            return false;
+        };
+        self.await_checks(&service).await;
+        self.reachability().is_unreachable(&service)
+    }
+
+    fn service_of(&self, server: &ServerName) -> Option<ServiceName> {
+        let workers = self.fleet.workers(self.clock.now());
+        let worker = workers.iter().find(|worker| worker.server == *server)?;
+        Some(worker.offer.service.clone())
+    }
+
     /// Suspects all services, because one can't be reached: all links of this host may be cut.
     fn suspect_all_services(&self, now: MonotonicTime) {
         let workers = self.fleet.workers(now);
