fix(relay): a declined forwarded request is a repeat at the next host

A request that a server had declined for one host was forwarded to a second one as if no server had received it: a call that must not be repeated reached two servers, and a draft's second arrival was not taken out of the retry budget. Cause: the refusal of the other host did not say whether a server had the request. Fix: it does.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -31,7 +31,7 @@
 pub use forward_channel::{
     ForwardChannel, ForwardError, ForwardedHistory, ForwardedPart, ForwardedRequest,
 };
-pub use forward_frame::{ForwardFrame, ForwardHeader, ForwardedHead};
+pub use forward_frame::{ForwardFrame, ForwardHeader, ForwardRefusal, ForwardedHead};
 pub use forward_service::{ForwardHandler, ForwardedAnswer, ReceivedRequest};
 pub use frame::{
     ConfigurationContent, ConfigurationFrame, FrameBytes, FrameError, HeartbeatNumber,
--- a/crates/daemon/src/peers/forward_channel.rs
+++ b/crates/daemon/src/peers/forward_channel.rs
@@ -9,11 +9,12 @@
 use pollendrift_coordination::base::{HostName, MonotonicTime, RequestId, ServiceName};
 use pollendrift_coordination::forwarding::ForwardHost;
 use pollendrift_coordination::streams::EventId;
-use pollendrift_dialect::RelayRefusal;
 use tokio::time::timeout;
 
 use super::error::LinkError;
-use super::forward_frame::{ForwardFrame, ForwardedHead, decode_headers, encode_headers};
+use super::forward_frame::{
+    ForwardFrame, ForwardRefusal, ForwardedHead, decode_headers, encode_headers,
+};
 use super::frame::{FrameBytes, PeerFrame};
 use super::hub::PeerHub;
 use super::outbound::exchange_hello;
@@ -63,7 +64,7 @@
     /// The other host may have run the request.
     Lost(LinkError),
     /// The other host refused the request, or got no answer to it.
-    Refused(RelayRefusal),
+    Refused(ForwardRefusal),
 }
 
 /// Next part of an answer's body.
--- a/crates/daemon/src/peers/forward_frame.rs
+++ b/crates/daemon/src/peers/forward_frame.rs
@@ -40,6 +40,15 @@
     pub body_bytes: u64,
 }
 
+/// Refusal of a forwarded request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardRefusal {
+    /// Refusal as a caller would get it.
+    pub refusal: RelayRefusal,
+    /// Whether a server may have received the request, run or not. Its next send is a repeat then.
+    pub has_arrived: bool,
+}
+
 /// One message on a channel for forwarded requests. A channel carries one request at a time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ForwardFrame {
@@ -62,7 +71,7 @@
     /// The answer breaks off; its rest will not follow.
     Aborted,
     /// The request gets no answer of a backend server.
-    Refused(RelayRefusal),
+    Refused(ForwardRefusal),
     /// The request is still in progress; sent while there is nothing else to send.
     Alive,
 }
--- a/crates/daemon/src/peers/forward_service.rs
+++ b/crates/daemon/src/peers/forward_service.rs
@@ -8,13 +8,14 @@
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use pollendrift_coordination::base::HostName;
-use pollendrift_dialect::RelayRefusal;
 use pollendrift_http::ResponseBody;
 use tokio::sync::watch;
 use tokio::time::{Instant, interval_at, timeout};
 
 use super::error::LinkError;
-use super::forward_frame::{ForwardFrame, ForwardedHead, decode_headers, encode_headers};
+use super::forward_frame::{
+    ForwardFrame, ForwardRefusal, ForwardedHead, decode_headers, encode_headers,
+};
 use super::frame::FrameBytes;
 use super::socket::{FrameReceiver, FrameSender};
 use super::transport::BoxFuture;
@@ -42,7 +43,7 @@
 }
 
 /// Answer of a backend server to a forwarded request, or its refusal.
-pub type ForwardedAnswer = Result<Response<ResponseBody>, RelayRefusal>;
+pub type ForwardedAnswer = Result<Response<ResponseBody>, ForwardRefusal>;
 
 /// Serves requests that other hosts forward.
 pub trait ForwardHandler: Send + Sync {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -98,7 +98,7 @@
                 match serve(context, &call, head, body, &meter).await {
                     Ok(response) => response,
                     Err(refused) => {
-                        meter.record_refusal(refused.0.kind);
+                        meter.record_refusal(refused.refusal.kind);
                         context.refuse(&refused, Some(&call.attempt))
                     }
                 }
@@ -250,12 +250,12 @@
         attempt: Option<&pollendrift_coordination::base::RequestId>,
     ) -> Response<ResponseBody> {
         let id = attempt.map_or("", |attempt| attempt.as_str());
-        let retry_delay = refused.0.retry_after.unwrap_or_default().as_millis();
-        log::warn!(request = id, kind:% = refused.0.kind, reason = refused.0.reason.as_str(),
+        let retry_delay = refused.refusal.retry_after.unwrap_or_default().as_millis();
+        log::warn!(request = id, kind:% = refused.refusal.kind, reason = refused.refusal.reason.as_str(),
             retry_after_ms = u64::try_from(retry_delay).unwrap_or(u64::MAX); "refused");
         self.dialect
             .callers
-            .refuse(&refused.0, attempt)
+            .refuse(&refused.refusal, attempt)
             .map(full_body)
     }
 }
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -79,7 +79,7 @@
             }
             continue;
         };
-        let is_retry = !history.tried_servers.is_empty();
+        let is_retry = !history.tried_servers.is_empty() || history.sends > 0;
         if is_retry && !context.spend_retry(now, &request.service.name) {
             return Err(final_refusal(context, request, &history));
         }
@@ -138,7 +138,10 @@
                 took_ms = u64::try_from(took).unwrap_or(u64::MAX); "ended");
             return Some(response);
         }
-        Ok(Err(FailedForward::NotRun)) => return None,
+        Ok(Err(FailedForward::NotRun { has_arrived })) => {
+            history.sends += u32::from(has_arrived);
+            return None;
+        }
         Ok(Err(FailedForward::Unknown(failed))) => failed,
         Err(_) => {
             let reason = "no answer of another host in time".to_owned();
@@ -360,6 +363,10 @@
 
 /// Returns the refusal for the caller after the last send.
 fn final_refusal(context: &RelayContext, request: &RelayRequest, history: &CallHistory) -> Refused {
+    refusal_after(context, request, history).arrived(history.sends > 0)
+}
+
+fn refusal_after(context: &RelayContext, request: &RelayRequest, history: &CallHistory) -> Refused {
     if !history.may_have_run && context.is_cut_off_from(request) {
         return history.forwards.refusal();
     }
--- a/crates/daemon/src/relay/draft_forward.rs
+++ b/crates/daemon/src/relay/draft_forward.rs
@@ -37,7 +37,10 @@
                 self.may_have_run = true;
                 Some(answer)
             }
-            Err(FailedForward::NotRun) => None,
+            Err(FailedForward::NotRun { has_arrived }) => {
+                self.has_arrived |= has_arrived;
+                None
+            }
             Err(FailedForward::Unknown(failed)) => {
                 self.record_failure(failed);
                 None
--- a/crates/daemon/src/relay/draft_search.rs
+++ b/crates/daemon/src/relay/draft_search.rs
@@ -25,7 +25,7 @@
         is_resume: bool,
     ) -> ChainSearch {
         let service = &self.request.service.name;
-        let is_repeat = self.sends + self.declined > 0;
+        let is_repeat = self.sends + self.declined > 0 || self.has_arrived;
         if is_repeat && !self.context.has_retry_budget(now, service) {
             return ChainSearch {
                 chain: None,
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -125,7 +125,7 @@
     let wait_until = context.queue_deadline(context.clock.now(), run.request.arrived);
     let running = match run.open(resume_after, wait_until).await {
         Some(running) => running,
-        None => return Err(run.refusal()),
+        None => return Err(run.refusal().arrived(run.has_arrived)),
     };
     if !running.answer.parts.status.is_success() {
         let read = running.answer.read().await;
--- a/crates/daemon/src/relay/peer_forward.rs
+++ b/crates/daemon/src/relay/peer_forward.rs
@@ -19,7 +19,7 @@
 use super::request::{Refused, RelayRequest, refused};
 use crate::clock::millis;
 use crate::peers::{
-    ForwardChannel, ForwardError, ForwardedHistory, ForwardedPart, ForwardedRequest,
+    ForwardChannel, ForwardError, ForwardRefusal, ForwardedHistory, ForwardedPart, ForwardedRequest,
 };
 
 /// Hosts that one request is forwarded to at most. The second one is for a host that is full, leaves,
@@ -52,7 +52,10 @@
 /// Reason why a forwarded request has no answer.
 pub(super) enum FailedForward {
     /// The request has not run, and another host may be tried.
-    NotRun,
+    NotRun {
+        /// Whether a server has received and declined it.
+        has_arrived: bool,
+    },
     /// The request may have run.
     Unknown(FailedSend),
 }
@@ -170,7 +173,7 @@
             .table()
             .start(now, service, &attempts.tried_hosts);
         let Some(target) = chosen else {
-            return Err(FailedForward::NotRun);
+            return Err(FailedForward::NotRun { has_arrived: false });
         };
         attempts.tried_hosts.push(target.host.clone());
         let guard = ForwardGuard {
@@ -219,7 +222,7 @@
         let (result, reason) = match &error {
             ForwardError::NotSent(error) => ("not-sent", error.to_string()),
             ForwardError::Lost(error) => ("lost", error.to_string()),
-            ForwardError::Refused(refusal) => ("refused", refusal.reason.clone()),
+            ForwardError::Refused(refused) => ("refused", refused.refusal.reason.clone()),
         };
         self.metrics.record_forwarded(result);
         log::info!(request = request.attempt.as_str(), host:% = host, result = result,
@@ -229,13 +232,16 @@
         match error {
             ForwardError::NotSent(_) => {
                 table.record_failed(now, host);
-                FailedForward::NotRun
+                FailedForward::NotRun { has_arrived: false }
             }
             ForwardError::Lost(_) => {
                 table.record_failed(now, host);
                 failed(SendOutcome::ResetAfterSend)
             }
-            ForwardError::Refused(refusal) => match refusal.kind {
+            ForwardError::Refused(ForwardRefusal {
+                refusal,
+                has_arrived,
+            }) => match refusal.kind {
                 RefusalKind::TimedOut => failed(SendOutcome::TimedOut),
                 RefusalKind::UnknownOutcome => failed(SendOutcome::ResetAfterSend),
                 // This host has accepted the request. The other may know another configuration.
@@ -244,7 +250,7 @@
                     let kind = RefusalKind::NotRun;
                     let wait = refusal.retry_after.unwrap_or(RETRY_UNREACHABLE);
                     attempts.refusal = Some(refused(kind, refusal.reason).retry_after(wait));
-                    FailedForward::NotRun
+                    FailedForward::NotRun { has_arrived }
                 }
             },
         }
--- a/crates/daemon/src/relay/peer_requests.rs
+++ b/crates/daemon/src/relay/peer_requests.rs
@@ -13,7 +13,9 @@
 use super::request::{ForwardOrigin, Refused, refused};
 use super::{CallerInput, serve_body};
 use crate::lifecycle::LifecycleStep;
-use crate::peers::{BoxFuture, ForwardHandler, ForwardedAnswer, PeerHub, ReceivedRequest};
+use crate::peers::{
+    BoxFuture, ForwardHandler, ForwardRefusal, ForwardedAnswer, PeerHub, ReceivedRequest,
+};
 
 /// Maximum number of requests of other hosts in progress; further ones are refused at once, so that
 /// those hosts turn to others.
@@ -38,9 +40,12 @@
                 running = running; "forwarded request received");
             let served = serve(&context, request, running).await;
             served.map_err(|refused| {
-                log::warn!(request = id.as_str(), from:% = from, kind:% = refused.0.kind,
-                    reason = refused.0.reason.as_str(); "forwarded request refused");
-                refused.0
+                log::warn!(request = id.as_str(), from:% = from, kind:% = refused.refusal.kind,
+                    reason = refused.refusal.reason.as_str(); "forwarded request refused");
+                ForwardRefusal {
+                    refusal: refused.refusal,
+                    has_arrived: refused.has_arrived,
+                }
             })
         })
     }
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -92,12 +92,22 @@
 
 /// Refusal of a request that gets no answer from a backend server.
 #[derive(Clone, Debug)]
-pub(super) struct Refused(pub(super) RelayRefusal);
+pub(super) struct Refused {
+    pub(super) refusal: RelayRefusal,
+    /// Whether a server may have received the request, run or not.
+    pub(super) has_arrived: bool,
+}
 
 impl Refused {
     /// Adds the time after which another attempt may be served.
     pub(super) fn retry_after(mut self, wait: Duration) -> Self {
-        self.0.retry_after = Some(wait);
+        self.refusal.retry_after = Some(wait);
+        self
+    }
+
+    /// States whether a server may have received the request.
+    pub(super) fn arrived(mut self, has_arrived: bool) -> Self {
+        self.has_arrived = has_arrived;
         self
     }
 }
@@ -107,9 +117,12 @@
 where
     R: Into<String>,
 {
-    Refused(RelayRefusal {
-        kind,
-        reason: reason.into(),
-        retry_after: None,
-    })
+    Refused {
+        refusal: RelayRefusal {
+            kind,
+            reason: reason.into(),
+            retry_after: None,
+        },
+        has_arrived: false,
+    }
 }
--- a/crates/daemon/src/relay/routes.rs
+++ b/crates/daemon/src/relay/routes.rs
@@ -249,7 +249,9 @@
 
     /// Returns the reason why no routes are known; `None` if routes are known.
     pub(crate) fn unavailable_reason(&self, now: MonotonicTime) -> Option<String> {
-        self.current(now).err().map(|refused| refused.0.reason)
+        self.current(now)
+            .err()
+            .map(|refused| refused.refusal.reason)
     }
 }
 
