--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -94,7 +94,7 @@
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter(SCOPE);
-        Ok(Self {
+        let metrics = Self {
             registry,
             provider,
             access_refusals: counter(&meter, &instruments::ACCESS_REFUSALS),
@@ -120,7 +120,14 @@
             unreachable_services: gauge(&meter, &instruments::UNREACHABLE_SERVICES),
             tokens: counter(&meter, &instruments::TOKENS),
             token_interval: durations(&meter, &instruments::TOKEN_INTERVAL),
-        })
+        };
+        // Series of rare events exist from the start, so that an alert sees the first one.
+        metrics.set_unreachable_services(0);
+        metrics
+            .requests_forwarded
+            .add(0, &[forward_result("answered")]);
+        metrics.peer_requests.add(0, &[]);
+        Ok(metrics)
     }
 
     /// Returns all metrics in the Prometheus text format.
@@ -214,8 +221,7 @@
 
     /// Counts a request that was forwarded to another host; `result` is how that ended.
     pub fn record_forwarded(&self, result: &'static str) {
-        self.requests_forwarded
-            .add(1, &[KeyValue::new("result", result)]);
+        self.requests_forwarded.add(1, &[forward_result(result)]);
     }
 
     /// Counts a request that another host forwarded to this one.
@@ -260,6 +266,10 @@
     }
 }
 
+fn forward_result(result: &'static str) -> KeyValue {
+    KeyValue::new("result", result)
+}
+
 fn outcome(reported: OutcomeKind) -> KeyValue {
     let name = match reported {
         OutcomeKind::CallerGone => "caller-gone",
