test(telemetry): the pages and texts of metrics contain those of forwarding

Two counters and a gauge are new: the check of the number of counters goes from 4 to 6, and the page has its rows in order. The checks are as strict as before.

--- a/crates/daemon/tests/telemetry_pages.rs
+++ b/crates/daemon/tests/telemetry_pages.rs
@@ -46,6 +46,9 @@
         attempts: 2,
         duration: Duration::from_millis(700),
     });
+    metrics.record_forwarded("refused");
+    metrics.record_peer_request();
+    metrics.set_unreachable_services(1);
     metrics.set_requests_queued(3);
     metrics.record_refusal(OutcomeKind::NotRun, "no-selector");
     metrics.record_first_token(Duration::from_millis(300));
@@ -106,7 +109,7 @@
     let counters = INSTRUMENTS
         .iter()
         .filter(|spec| spec.kind == InstrumentKind::Counter);
-    assert_eq!(counters.count(), 4);
+    assert_eq!(counters.count(), 6);
 }
 
 // Guards against changed metric names or labels, which would break operators' dashboards.
@@ -133,8 +136,12 @@
     pollendrift_request_attempts_total{otel_scope_name="pollendrift"} 2
     pollendrift_request_duration_seconds_count{outcome="complete",otel_scope_name="pollendrift"} 1
     pollendrift_request_first_token_duration_seconds_count{otel_scope_name="pollendrift"} 1
+    pollendrift_request_forwarded_total{result="answered",otel_scope_name="pollendrift"} 0
+    pollendrift_request_forwarded_total{result="refused",otel_scope_name="pollendrift"} 1
+    pollendrift_request_of_peers_total{otel_scope_name="pollendrift"} 1
     pollendrift_request_queued{otel_scope_name="pollendrift"} 3
     pollendrift_request_refusals_total{kind="no-selector",outcome="not-run",otel_scope_name="pollendrift"} 1
+    pollendrift_service_unreachable_count{otel_scope_name="pollendrift"} 1
     pollendrift_token_count_total{otel_scope_name="pollendrift"} 2
     pollendrift_token_interval_seconds_count{otel_scope_name="pollendrift"} 1
     "#);
