fix(relay): a stream does not lose its attempts to connections that break with the links

What callers see: a stream is cut although other hosts could go on with it. Cause, traced by the log of a scratch copy of the test: the stream's connection breaks, the draft is sent on an idle connection to another engine that breaks a moment later, and that send counts as its second and last attempt; 1 ms after it the service is known to be unreachable. Fix: if the checks find the host cut off, such a send does not count against the attempts, as that to a silent engine does not. Engines that were tried from here limit the attempts of the other host, at least one.

--- a/crates/daemon/src/relay/draft_forward.rs
+++ b/crates/daemon/src/relay/draft_forward.rs
@@ -10,9 +10,10 @@
 use super::peer_forward::FailedForward;
 
 impl DraftRun {
-    /// Whether the draft may be forwarded to another host now.
+    /// Whether the draft may be forwarded to another host now. Engines that it was sent to from here
+    /// can't be reached any more, so they only limit the attempts of the other host.
     pub(super) fn may_forward(&self, now: MonotonicTime) -> bool {
-        let may_send = self.tried_count() < self.request.max_attempts();
+        let may_send = self.forwards.runs() < self.request.max_attempts();
         let context = &self.context;
         may_send && context.may_forward(now, &self.request, &self.forwards)
     }
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -220,11 +220,18 @@
                     }
                     self.exclude(culprits, time);
                     let is_unreached = failed.outcome != SendOutcome::Declined;
+                    let sends = self.sends;
                     self.record_failure(failed);
                     if is_unreached {
                         let service = &self.request.service.name;
                         self.context.await_checks(service).await;
                     }
+                    // A connection that breaks with all links of this host tells nothing about its
+                    // engine, so the send does not count against `max_attempts`.
+                    if self.context.is_cut_off_from(&self.request) && self.sends > sends {
+                        self.sends = sends;
+                        self.declined += 1;
+                    }
                 }
             }
         }
