feat(streams): log which copies a look-up found and which updates were not stored

A resume that is refused with "its last tokens were lost with its entry" left no line that tells a real loss from a look-up that ended at an old copy. The look-up now logs the answer of each host that it asked, with the tokens and the attempt of its copy, and a host logs an update that it did not store.

--- a/crates/daemon/src/streams.rs
+++ b/crates/daemon/src/streams.rs
@@ -128,12 +128,17 @@
     pub fn receive_update(&self, from: &HostName, update: StreamUpdate) {
         let receipt = update.receipt;
         let now = self.clock.now();
+        let request = update.request.clone();
+        let first = update.first;
         let is_stored = {
             let mut table = self.lock();
             let is_stored = table.record(now, update);
             table.tick(now);
             is_stored
         };
+        if !is_stored {
+            log::warn!(request:% = request, host:% = from, first:% = first; "update of a stream not stored");
+        }
         let Some(receipt) = receipt else {
             return;
         };
@@ -163,30 +168,36 @@
     ///
     /// Returns `None` if none of them has the stream or answers in time.
     pub async fn find(&self, request: &RequestId) -> Option<StreamRecord> {
+        let mut answers = Vec::new();
+        let mut found = None;
         for host in self.ranked(request).iter().take(MAX_STORING_HOSTS) {
-            let found = if host == self.hub.host() {
-                self.lock().look_up(request).cloned()
+            let answer = if host == self.hub.host() {
+                Ok(self.lock().look_up(request).cloned())
             } else {
                 self.look_up_at(host, request).await
             };
+            answers.push(format!("{host}: {}", describe_answer(&answer)));
+            found = answer.ok().flatten();
             if found.is_some() {
-                return found;
+                break;
             }
         }
-        None
+        let answers = answers.join("; ");
+        log::info!(request:% = request, answers:% = answers; "stream looked up");
+        found
     }
 
-    async fn look_up_at(&self, host: &HostName, request: &RequestId) -> Option<StreamRecord> {
+    async fn look_up_at(
+        &self,
+        host: &HostName,
+        request: &RequestId,
+    ) -> Result<Option<StreamRecord>, CallError> {
         let question = PeerQuestion::RequestLookUp(request.clone());
-        let answer = self
-            .hub
-            .call(host, question, 0, LOOK_UP_TIMEOUT)
-            .await
-            .ok()?;
+        let answer = self.hub.call(host, question, 0, LOOK_UP_TIMEOUT).await?;
         let PeerAnswer::Request(Some(bytes)) = answer else {
-            return None;
+            return Ok(None);
         };
-        ciborium::from_reader(bytes.0.as_ref()).ok()
+        Ok(ciborium::from_reader(bytes.0.as_ref()).ok())
     }
 
     fn ranked(&self, request: &RequestId) -> Vec<HostName> {
@@ -202,3 +213,14 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn describe_answer(answer: &Result<Option<StreamRecord>, CallError>) -> String {
+    match answer {
+        Ok(Some(record)) => {
+            let (tokens, attempt) = (record.tokens.len(), record.attempt);
+            format!("{tokens} tokens of attempt {attempt}")
+        }
+        Ok(None) => "no copy".to_owned(),
+        Err(error) => error.to_string(),
+    }
+}
