test(copies): six ways to a stream that is called lost, listed as known failures

A caller that holds tokens whose copy was confirmed is told that they are lost, without any processor shortage: one host that answers late and a crash of the entry after that is enough.

--- a/crates/daemon/tests/hosts/main.rs
+++ b/crates/daemon/tests/hosts/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod claims;
 mod configuration;
+mod copies;
 mod drafts;
 mod evidence;
 mod metrics;
--- a/crates/daemon/tests/hosts/resumes.rs
+++ b/crates/daemon/tests/hosts/resumes.rs
@@ -17,7 +17,7 @@
 const PROMPT: &str = "isolation list for boiler two";
 const TOKENS: u32 = 40;
 
-async fn engines(group: &HostGroup, shape: &ModelShape) -> Vec<EngineServer> {
+pub(crate) async fn engines(group: &HostGroup, shape: &ModelShape) -> Vec<EngineServer> {
     let mut engines = Vec::new();
     for (index, offer) in mixed_engines(shape, 4).into_iter().enumerate() {
         let settings = EngineSettings {
@@ -32,7 +32,7 @@
     engines
 }
 
-fn caller(group: &HostGroup, index: usize) -> DraftCaller {
+pub(crate) fn caller(group: &HostGroup, index: usize) -> DraftCaller {
     DraftCaller::new(&group.entry(index), CUSTOMER_TOKEN)
 }
 
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http::{Request, header};
+use http::{HeaderMap, Request, header};
 use http_body_util::Full;
 use pollendrift_border::{CompletionRequest, ProblemReport};
 use pollendrift_http::{ClientError, HttpClient, LineReader};
@@ -52,6 +52,8 @@
     pub complete: bool,
     /// The refusal or error event, if any.
     pub refusal: Option<ProblemReport>,
+    /// Time after which the refused request may be sent again, if the refusal states it.
+    pub retry_after: Option<Duration>,
 }
 
 impl DraftReply {
@@ -69,6 +71,7 @@
             .extend(rest.arrivals.into_iter().map(|arrival| offset + arrival));
         self.complete = rest.complete;
         self.refusal = rest.refusal;
+        self.retry_after = rest.retry_after;
     }
 
     /// Compares the reply with the expected tokens of the complete pipeline.
@@ -200,6 +203,7 @@
         let response = self.client.send(self.request(parameters)?).await?;
         let mut reply = DraftReply::default();
         if !response.status().is_success() {
+            reply.retry_after = retry_after(response.headers());
             let body = self.client.read(response).await?;
             reply.refusal =
                 Some(
@@ -240,6 +244,11 @@
     }
 }
 
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    value.parse().ok().map(Duration::from_secs)
+}
+
 async fn read_events<F>(
     mut lines: LineReader,
     reply: &mut DraftReply,
