fix(streams): a stream resumes from the longest copy that a host has

Callers held tokens whose copy was confirmed and were told 409 not-resumable, "its last tokens were lost with its entry". The tokens were not lost. A host that confirms late is replaced by the next one after 1 s, and keeps the copy that it has until then. The look-up asked hosts in rank order and ended at the first copy that it found. Evidence, by the line "stream looked up": host-1, late by 1.1 s, had 28 tokens, and no further host was asked, while the next one had the rest.

The look-up now asks the hosts at the same time and takes the longest copy of the last run. Runs are compared first, since engines sample and a longer copy of an earlier run would join two answers. Once a copy suffices, the others have 50 ms to name a later one, so a frozen host does not hold up the resume.

--- a/crates/coordination/src/streams.rs
+++ b/crates/coordination/src/streams.rs
@@ -8,6 +8,7 @@
 
 mod events;
 mod holders;
+mod search;
 mod settings;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,6 +18,7 @@
 
 pub use events::{EventFramer, EventId, EventProgress, EventTooLong, EventVerdict, StreamEvent};
 pub use holders::{HolderSettings, HolderTable};
+pub use search::{LookUpAnswer, ResumeQuery, ResumeVerdict, StreamSearch};
 pub use settings::StreamSettings;
 
 use crate::base::{
@@ -27,6 +29,23 @@
 /// SHA-256 over all parameters of a draft; a resume must have the same digest.
 pub type DraftDigest = [u8; 32];
 
+/// Difference between the attempt numbers of two runs of a stream. A resume begins a run.
+///
+/// It exceeds the attempts of one run, so engines, which drop attempts with lower numbers, drop what
+/// an earlier run still begins.
+const ATTEMPTS_PER_RUN: u32 = 1_000;
+
+/// Number before the first attempt of a run that resumes a stream whose copy has `attempt`.
+pub fn next_run(attempt: AttemptNumber) -> AttemptNumber {
+    AttemptNumber(attempt.0.saturating_add(ATTEMPTS_PER_RUN))
+}
+
+/// Number of the run to which an attempt belongs. Tokens of different runs may differ, because
+/// engines sample them.
+fn run_number(attempt: AttemptNumber) -> u32 {
+    attempt.0 / ATTEMPTS_PER_RUN
+}
+
 /// Number under which an entry waits for the confirmation of an update, unique in its process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -199,7 +218,7 @@
 /// Returns the hosts that may store a request's stream, the most likely first.
 ///
 /// With rendezvous hashing every host computes the same order. The entry replicates to the first
-/// host other than itself, so a later lookup finds the record on the first or the second host.
+/// host that it reaches other than itself, so a look-up asks the first hosts first.
 pub fn rank_hosts<'host, I>(request: &RequestId, hosts: I) -> Vec<&'host HostName>
 where
     I: IntoIterator<Item = &'host HostName>,
--- /dev/null
+++ b/crates/coordination/src/streams/search.rs
@@ -0,0 +1,135 @@
+//! Search for the copy from which a stream resumes.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use super::{DraftDigest, StreamRecord, run_number};
+use crate::base::{CustomerName, HostName, TokenPosition};
+
+/// Stream that a caller wants to resume.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumeQuery {
+    /// Customer that resumes the stream.
+    pub customer: CustomerName,
+    /// Digest of the requested draft.
+    pub digest: DraftDigest,
+    /// First position that the caller has not received.
+    pub from: TokenPosition,
+}
+
+/// Answer of one host to a look-up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LookUpAnswer {
+    /// The host has this copy.
+    Copy(StreamRecord),
+    /// The host has no copy.
+    NoCopy,
+}
+
+impl fmt::Display for LookUpAnswer {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Copy(record) => {
+                let (tokens, attempt) = (record.tokens.len(), record.attempt);
+                write!(formatter, "{tokens} tokens of attempt {attempt}")
+            }
+            Self::NoCopy => formatter.write_str("no copy"),
+        }
+    }
+}
+
+/// Result of a search.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ResumeVerdict {
+    /// The stream continues from this copy, which has all tokens that the caller received.
+    Resumable(StreamRecord),
+    /// The request id belongs to another draft or another customer.
+    OtherDraft,
+    /// The answer is complete and ends before the position.
+    BeyondEnd,
+    /// No host has tokens that the caller received.
+    Lost {
+        /// Number of tokens that are left.
+        stored: usize,
+    },
+    /// No host has a copy.
+    Unknown,
+}
+
+/// Answers of the hosts that a look-up asked.
+#[derive(Clone, Debug)]
+pub struct StreamSearch {
+    query: ResumeQuery,
+    answers: BTreeMap<HostName, LookUpAnswer>,
+}
+
+impl StreamSearch {
+    /// Creates a search without answers.
+    pub fn new(query: ResumeQuery) -> Self {
+        Self {
+            query,
+            answers: BTreeMap::new(),
+        }
+    }
+
+    /// Adds the answer of a host.
+    pub fn record(&mut self, host: HostName, answer: LookUpAnswer) {
+        self.answers.insert(host, answer);
+    }
+
+    /// Whether a copy has all tokens that the caller received.
+    pub fn is_resumable(&self) -> bool {
+        self.latest().is_some_and(|copy| self.covers(copy))
+    }
+
+    /// Decides whether and from which copy the stream continues.
+    pub fn verdict(&self) -> ResumeVerdict {
+        let Some(latest) = self.latest() else {
+            return if self.copies().next().is_some() {
+                ResumeVerdict::OtherDraft
+            } else {
+                ResumeVerdict::Unknown
+            };
+        };
+        if self.covers(latest) {
+            return ResumeVerdict::Resumable(latest.clone());
+        }
+        if latest.finish.is_some() {
+            return ResumeVerdict::BeyondEnd;
+        }
+        let stored = latest.tokens.len();
+        ResumeVerdict::Lost { stored }
+    }
+
+    /// The longest copy of the last run. A host that was late or cut off may have an older copy, and
+    /// an earlier run may have generated other tokens than the caller received.
+    fn latest(&self) -> Option<&StreamRecord> {
+        let query = &self.query;
+        let matching = self
+            .copies()
+            .filter(|copy| copy.customer == query.customer && copy.digest == query.digest);
+        matching.max_by_key(|copy| (run_number(copy.attempt), copy.tokens.len()))
+    }
+
+    fn copies(&self) -> impl Iterator<Item = &StreamRecord> {
+        self.answers.values().filter_map(|answer| match answer {
+            LookUpAnswer::Copy(record) => Some(record),
+            LookUpAnswer::NoCopy => None,
+        })
+    }
+
+    fn covers(&self, copy: &StreamRecord) -> bool {
+        let from = usize::try_from(self.query.from.0);
+        from.is_ok_and(|from| from <= copy.tokens.len())
+    }
+}
+
+impl fmt::Display for StreamSearch {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, (host, answer)) in self.answers.iter().enumerate() {
+            let separator = if index > 0 { "; " } else { "" };
+            write!(formatter, "{separator}{host}: {answer}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/streams_search.rs
@@ -0,0 +1,105 @@
+//! Tests of the choice among the copies of a stream.
+#![allow(clippy::unwrap_used, reason = "a helper that fails is a failed test")]
+
+use pollendrift_coordination::base::{AttemptNumber, TokenPosition};
+use pollendrift_coordination::ledger::GeneratedToken;
+use pollendrift_coordination::streams::{
+    LookUpAnswer, ResumeQuery, ResumeVerdict, StreamRecord, StreamSearch,
+};
+
+fn copy(attempt: u32, tokens: u64) -> StreamRecord {
+    let token = |id| GeneratedToken {
+        id,
+        text: id.to_string().into(),
+    };
+    StreamRecord {
+        customer: "federation".into(),
+        digest: [7; 32],
+        version: "v1".into(),
+        model_layers: 8,
+        attempt: AttemptNumber(attempt),
+        tokens: (0..tokens).map(token).collect(),
+        finish: None,
+    }
+}
+
+fn found(attempt: u32, tokens: u64) -> LookUpAnswer {
+    LookUpAnswer::Copy(copy(attempt, tokens))
+}
+
+/// Verdict about a caller that continues at position `from`.
+fn verdict(from: u32, answers: Vec<LookUpAnswer>) -> String {
+    let mut search = StreamSearch::new(ResumeQuery {
+        customer: "federation".into(),
+        digest: [7; 32],
+        from: TokenPosition(from),
+    });
+    for (index, answer) in answers.into_iter().enumerate() {
+        search.record(format!("host-{index}").into(), answer);
+    }
+    assert_eq!(
+        search.is_resumable(),
+        matches!(search.verdict(), ResumeVerdict::Resumable(_))
+    );
+    match search.verdict() {
+        ResumeVerdict::Resumable(record) => {
+            let (tokens, attempt) = (record.tokens.len(), record.attempt);
+            format!("resumable with {tokens} tokens of attempt {attempt}")
+        }
+        other => format!("{other:?}"),
+    }
+}
+
+// Guards against a resume from an older copy than another host has, and against one that joins the
+// tokens of two runs.
+#[test]
+fn the_longest_copy_of_the_last_run_is_chosen() {
+    let mut complete = copy(1, 40);
+    complete.finish = Some("stop".to_owned());
+    let mut foreign = copy(1, 40);
+    foreign.digest = [8; 32];
+    let foreign = LookUpAnswer::Copy(foreign);
+    let cases = [
+        ("no host", 9, vec![]),
+        ("no copy", 9, vec![LookUpAnswer::NoCopy]),
+        ("one copy", 9, vec![LookUpAnswer::NoCopy, found(1, 12)]),
+        ("exactly as long", 12, vec![found(1, 12)]),
+        ("short first", 39, vec![found(1, 28), found(1, 56)]),
+        ("short last", 39, vec![found(1, 56), found(1, 28)]),
+        ("later attempt", 39, vec![found(1, 28), found(3, 56)]),
+        (
+            "longer earlier run",
+            39,
+            vec![found(2, 60), found(1002, 45)],
+        ),
+        (
+            "later run too short",
+            50,
+            vec![found(2, 60), found(1002, 45)],
+        ),
+        ("all too short", 39, vec![found(1, 28), found(1, 12)]),
+        ("beyond its end", 60, vec![LookUpAnswer::Copy(complete)]),
+        (
+            "other draft",
+            9,
+            vec![foreign.clone(), LookUpAnswer::NoCopy],
+        ),
+        ("other draft elsewhere", 9, vec![foreign, found(1, 12)]),
+    ];
+    let seen = cases.map(|(name, from, answers)| format!("{name}: {}", verdict(from, answers)));
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    no host: Unknown
+    no copy: Unknown
+    one copy: resumable with 12 tokens of attempt 1
+    exactly as long: resumable with 12 tokens of attempt 1
+    short first: resumable with 56 tokens of attempt 1
+    short last: resumable with 56 tokens of attempt 1
+    later attempt: resumable with 56 tokens of attempt 3
+    longer earlier run: resumable with 45 tokens of attempt 1002
+    later run too short: Lost { stored: 45 }
+    all too short: Lost { stored: 28 }
+    beyond its end: BeyondEnd
+    other draft: OtherDraft
+    other draft elsewhere: resumable with 12 tokens of attempt 1
+    ");
+}
--- a/crates/daemon/src/entry/completions.rs
+++ b/crates/daemon/src/entry/completions.rs
@@ -8,6 +8,7 @@
 use pollendrift_coordination::base::{AdapterName, CustomerName, TokenPosition};
 use pollendrift_coordination::configuration::{RequestFacts, RequestTarget, SelectorTarget};
 use pollendrift_coordination::evidence::BodyDigest;
+use pollendrift_coordination::streams::ResumeQuery;
 use pollendrift_http::{ResponseBody, read_json, read_within};
 use serde::de::DeserializeOwned;
 
@@ -163,7 +164,14 @@
         max_tokens,
     );
     let resume = match draft.last {
-        Some(last) => Some(find_resume(context, &arrival.id, &caller, digest, last).await?),
+        Some(last) => {
+            let query = ResumeQuery {
+                customer: caller.clone(),
+                digest,
+                from: last.next(),
+            };
+            Some(find_resume(context, &arrival.id, query).await?)
+        }
         None => None,
     };
     let body = BodyDigest::of(draft.prompt.as_bytes());
--- a/crates/daemon/src/entry/draft/resume.rs
+++ b/crates/daemon/src/entry/draft/resume.rs
@@ -1,11 +1,11 @@
 //! Resumption of a draft's stream after its entry or the connection to the caller failed.
 
 use http::{HeaderMap, StatusCode};
-use pollendrift_coordination::base::{
-    AttemptNumber, CustomerName, RequestId, TokenPosition, VersionName,
-};
+use pollendrift_coordination::base::{AttemptNumber, RequestId, TokenPosition, VersionName};
 use pollendrift_coordination::ledger::GeneratedToken;
-use pollendrift_coordination::streams::{DraftDigest, StreamRecord};
+use pollendrift_coordination::streams::{
+    DraftDigest, ResumeQuery, ResumeVerdict, StreamRecord, next_run,
+};
 use sha2::{Digest, Sha256};
 
 use crate::entry::EntryContext;
@@ -13,12 +13,6 @@
 
 /// Header with the position of the last event that the caller received.
 const LAST_EVENT_HEADER: &str = "last-event-id";
-/// Added to the last known attempt number.
-///
-/// The result exceeds every attempt number that the entry that served the stream before may still
-/// use; engines drop attempts with lower numbers.
-const ATTEMPT_STEP: u32 = 1_000;
-
 /// State from which an answer continues.
 #[derive(Clone, Debug)]
 pub(crate) struct ResumePoint {
@@ -68,28 +62,25 @@
     hasher.finalize().into()
 }
 
-/// Finds the state from which the stream of `request` continues after position `last`.
+/// Finds the state from which the stream of `request` continues.
 ///
 /// # Errors
-/// Refuses the request if no host stores the stream for the same customer and draft, or if the
-/// stored stream ends before `last`.
+/// Refuses the request if no host that may store the stream has all tokens up to the position.
 pub(crate) async fn find_resume(
     context: &EntryContext,
     request: &RequestId,
-    customer: &CustomerName,
-    digest: DraftDigest,
-    last: TokenPosition,
+    query: ResumeQuery,
 ) -> Result<ResumePoint, Refusal> {
-    let record = context.streams.find(request).await;
-    let matching = record.filter(|record| record.customer == *customer && record.digest == digest);
-    let Some(record) = matching else {
-        return Err(not_resumable("no host knows this stream of this draft"));
-    };
-    let from = last.next();
-    if usize::try_from(from.0).unwrap_or(usize::MAX) > record.tokens.len() {
-        return Err(not_resumable("its last tokens were lost with its entry"));
+    let from = query.from;
+    match context.streams.find(request, query).await {
+        ResumeVerdict::Resumable(record) => Ok(resume_point(record, from)),
+        ResumeVerdict::OtherDraft => Err(not_resumable("its request id belongs to another draft")),
+        ResumeVerdict::BeyondEnd => Err(not_resumable("its answer ends before that position")),
+        ResumeVerdict::Lost { stored } => Err(not_resumable(&format!(
+            "its last tokens were lost with its entry, {stored} are left"
+        ))),
+        ResumeVerdict::Unknown => Err(not_resumable("no host knows this stream of this draft")),
     }
-    Ok(resume_point(record, from))
 }
 
 fn resume_point(record: StreamRecord, from: TokenPosition) -> ResumePoint {
@@ -97,7 +88,7 @@
         from,
         version: record.version,
         model_layers: record.model_layers,
-        attempt: AttemptNumber(record.attempt.0.saturating_add(ATTEMPT_STEP)),
+        attempt: next_run(record.attempt),
         finish: record.finish,
         tokens: record.tokens,
     }
--- a/crates/daemon/src/streams.rs
+++ b/crates/daemon/src/streams.rs
@@ -4,9 +4,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use pollendrift_coordination::base::{HostName, RequestId};
 use pollendrift_coordination::streams::{
-    HolderTable, ReceiptNumber, StreamRecord, StreamSettings, StreamTable, StreamUpdate, rank_hosts,
+    HolderTable, LookUpAnswer, ReceiptNumber, ResumeQuery, ResumeVerdict, StreamSearch,
+    StreamSettings, StreamTable, StreamUpdate, rank_hosts,
 };
 use tokio::time::{Instant, timeout_at};
 
@@ -17,6 +20,8 @@
 
 /// Time limit for a peer's answer to a look-up of a stream.
 const LOOK_UP_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for which a look-up waits for later copies after it has found one that suffices.
+const LATER_COPY_WAIT: Duration = Duration::from_millis(50);
 /// Time limit for the confirmation of a copy. A host that stores streams confirms within a round
 /// trip; a frozen one must not hold back the stream for longer than callers wait between tokens.
 const RECEIPT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -164,40 +169,54 @@
         PeerAnswer::Request(encoded)
     }
 
-    /// Looks up a stream in rank order at the hosts that may store it, which may include this host.
-    ///
-    /// Returns `None` if none of them has the stream or answers in time.
-    pub async fn find(&self, request: &RequestId) -> Option<StreamRecord> {
-        let mut answers = Vec::new();
-        let mut found = None;
-        for host in self.ranked(request).iter().take(MAX_STORING_HOSTS) {
-            let answer = if host == self.hub.host() {
-                Ok(self.lock().look_up(request).cloned())
-            } else {
-                self.look_up_at(host, request).await
-            };
-            answers.push(format!("{host}: {}", describe_answer(&answer)));
-            found = answer.ok().flatten();
-            if found.is_some() {
-                break;
+    /// Looks up the stream of `request` at the hosts that may store it, which may include this host.
+    pub async fn find(&self, request: &RequestId, query: ResumeQuery) -> ResumeVerdict {
+        let mut search = StreamSearch::new(query);
+        let ranked = self.ranked(request);
+        let (likely, _) = ranked.split_at(ranked.len().min(MAX_STORING_HOSTS));
+        self.ask(likely, request, &mut search).await;
+        let verdict = search.verdict();
+        log::info!(request:% = request, answers:% = search; "stream looked up");
+        verdict
+    }
+
+    /// Asks `hosts` at the same time. Once a copy suffices, the others have [`LATER_COPY_WAIT`] to
+    /// name a later one.
+    async fn ask(&self, hosts: &[HostName], request: &RequestId, search: &mut StreamSearch) {
+        let questions = hosts.iter().map(|host| async move {
+            let answer = self.look_up_at(host, request).await;
+            (host, answer)
+        });
+        let mut questions: FuturesUnordered<_> = questions.collect();
+        let mut end = Instant::now() + LOOK_UP_TIMEOUT;
+        while let Ok(Some((host, answer))) = timeout_at(end, questions.next()).await {
+            search.record(host.clone(), answer);
+            if search.is_resumable() {
+                end = end.min(Instant::now() + LATER_COPY_WAIT);
             }
         }
-        let answers = answers.join("; ");
-        log::info!(request:% = request, answers:% = answers; "stream looked up");
-        found
     }
 
-    async fn look_up_at(
-        &self,
-        host: &HostName,
-        request: &RequestId,
-    ) -> Result<Option<StreamRecord>, CallError> {
+    async fn look_up_at(&self, host: &HostName, request: &RequestId) -> LookUpAnswer {
+        if host == self.hub.host() {
+            let record = self.lock().look_up(request).cloned();
+            return record.map_or(LookUpAnswer::NoCopy, LookUpAnswer::Copy);
+        }
         let question = PeerQuestion::RequestLookUp(request.clone());
-        let answer = self.hub.call(host, question, 0, LOOK_UP_TIMEOUT).await?;
-        let PeerAnswer::Request(Some(bytes)) = answer else {
-            return Ok(None);
-        };
-        Ok(ciborium::from_reader(bytes.0.as_ref()).ok())
+        match self.hub.call(host, question, 0, LOOK_UP_TIMEOUT).await {
+            Ok(PeerAnswer::Request(Some(bytes))) => match ciborium::from_reader(bytes.0.as_ref()) {
+                Ok(record) => LookUpAnswer::Copy(record),
+                Err(error) => {
+                    log::warn!(request:% = request, host:% = host, error:% = error; "copy of a stream can't be decoded");
+                    LookUpAnswer::NoCopy
+                }
+            },
+            Ok(_) => LookUpAnswer::NoCopy,
+            Err(error) => {
+                log::info!(request:% = request, host:% = host, reason:% = error; "host did not answer the look-up of a stream");
+                LookUpAnswer::NoCopy
+            }
+        }
     }
 
     fn ranked(&self, request: &RequestId) -> Vec<HostName> {
@@ -213,14 +232,3 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn describe_answer(answer: &Result<Option<StreamRecord>, CallError>) -> String {
-    match answer {
-        Ok(Some(record)) => {
-            let (tokens, attempt) = (record.tokens.len(), record.attempt);
-            format!("{tokens} tokens of attempt {attempt}")
-        }
-        Ok(None) => "no copy".to_owned(),
-        Err(error) => error.to_string(),
-    }
-}
