fix(streams): a look-up asks every host before a stream counts as lost

Callers were told 409 "no host knows this stream" although a host had its copy. The look-up asked the first three hosts in rank. An entry passes over any number of hosts that failed or did not confirm a copy, so the copy may be further down: with the entry and two more hosts of the first three gone, nobody who had it was asked.

The look-up asks eight likely hosts at the same time, and all others if none of those has a copy that suffices.

A second test has the copy behind nine failed hosts of thirteen.

--- a/crates/daemon/src/streams.rs
+++ b/crates/daemon/src/streams.rs
@@ -25,9 +25,9 @@
 /// Time limit for the confirmation of a copy. A host that stores streams confirms within a round
 /// trip; a frozen one must not hold back the stream for longer than callers wait between tokens.
 const RECEIPT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Number of hosts that a look-up asks, in rank order: the stream's entry itself, a host that
-/// failed while it stored the stream, and the host after them.
-const MAX_STORING_HOSTS: usize = 3;
+/// Number of hosts that a look-up asks first, in rank order. The copy is further down only if most
+/// of them failed while the stream ran.
+const LIKELY_HOSTS: usize = 8;
 
 /// Replicates the streams of this entry, and stores the streams that other entries replicate here.
 pub struct StreamStore {
@@ -169,12 +169,15 @@
         PeerAnswer::Request(encoded)
     }
 
-    /// Looks up the stream of `request` at the hosts that may store it, which may include this host.
+    /// Looks up the stream of `request` at all hosts, the most likely ones first.
     pub async fn find(&self, request: &RequestId, query: ResumeQuery) -> ResumeVerdict {
         let mut search = StreamSearch::new(query);
         let ranked = self.ranked(request);
-        let (likely, _) = ranked.split_at(ranked.len().min(MAX_STORING_HOSTS));
+        let (likely, others) = ranked.split_at(ranked.len().min(LIKELY_HOSTS));
         self.ask(likely, request, &mut search).await;
+        if !search.is_resumable() {
+            self.ask(others, request, &mut search).await;
+        }
         let verdict = search.verdict();
         log::info!(request:% = request, answers:% = search; "stream looked up");
         verdict
--- a/crates/daemon/tests/hosts/copies.rs
+++ b/crates/daemon/tests/hosts/copies.rs
@@ -228,6 +228,22 @@
     assert_eq!(draft.result(&answer), "whole");
 }
 
+// Guards against a look-up that asks only the likely hosts and misses a copy behind them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_resumes_from_the_last_hosts_in_rank() {
+    let (mut group, _links, _engines) = group_with_links(13, 12, &[]).await;
+    let draft = Draft::with_ranking(13, 40, |ranked| ranked[..9].iter().all(|host| *host >= 3));
+    for host in 3..12 {
+        group.crash(host);
+    }
+    let mut stream = draft.start(&group, 12);
+    stream.wait_tokens(9).await;
+    group.crash(12);
+    let mut answer = stream.reply().await;
+    draft.resume(&group, 0, &mut answer).await;
+    assert_eq!(draft.result(&answer), "whole");
+}
+
 // Guards against a stream that stays without copies after the links to its holders broke three
 // times, so that a later crash of its entry loses it.
 #[tokio::test(flavor = "multi_thread")]
