fix(streams): a stream is not called lost while a host that may have it is silent

Callers were told 409 not-resumable, and began anew, while the host with their copy was late, frozen or cut off from the entry that they came back to.

A host without an answer now counts as gone only if it has refused the last connection, so that no process listens there, or if nothing was heard of it for the retention of copies (60 s). Any other may have the copy: the caller gets 503 copy-unreachable with Retry-After, and resumes when the host answers. A copy of another draft and a complete answer that ends before the position stay definite, whoever is silent.

--- a/crates/coordination/src/streams/search.rs
+++ b/crates/coordination/src/streams/search.rs
@@ -24,6 +24,16 @@
     Copy(StreamRecord),
     /// The host has no copy.
     NoCopy,
+    /// The host did not answer and has no copy: its process ended, or the retention is over.
+    Gone {
+        /// Reason for the log.
+        reason: String,
+    },
+    /// The host did not answer and may have a copy.
+    Unreachable {
+        /// Reason for the log.
+        reason: String,
+    },
 }
 
 impl fmt::Display for LookUpAnswer {
@@ -34,6 +44,8 @@
                 write!(formatter, "{tokens} tokens of attempt {attempt}")
             }
             Self::NoCopy => formatter.write_str("no copy"),
+            Self::Gone { reason } => write!(formatter, "gone, {reason}"),
+            Self::Unreachable { reason } => write!(formatter, "not reachable, {reason}"),
         }
     }
 }
@@ -47,6 +59,11 @@
     OtherDraft,
     /// The answer is complete and ends before the position.
     BeyondEnd,
+    /// Hosts that may have a copy with all tokens that the caller received did not answer.
+    Unreachable {
+        /// These hosts, sorted by name.
+        hosts: Vec<HostName>,
+    },
     /// No host has tokens that the caller received.
     Lost {
         /// Number of tokens that are left.
@@ -56,6 +73,19 @@
     Unknown,
 }
 
+impl fmt::Display for ResumeVerdict {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Resumable(_) => "resumable",
+            Self::OtherDraft => "other draft",
+            Self::BeyondEnd => "beyond the end",
+            Self::Unreachable { .. } => "not reachable",
+            Self::Lost { .. } => "lost",
+            Self::Unknown => "unknown",
+        })
+    }
+}
+
 /// Answers of the hosts that a look-up asked.
 #[derive(Clone, Debug)]
 pub struct StreamSearch {
@@ -84,21 +114,19 @@
 
     /// Decides whether and from which copy the stream continues.
     pub fn verdict(&self) -> ResumeVerdict {
-        let Some(latest) = self.latest() else {
-            return if self.copies().next().is_some() {
-                ResumeVerdict::OtherDraft
-            } else {
-                ResumeVerdict::Unknown
-            };
-        };
-        if self.covers(latest) {
-            return ResumeVerdict::Resumable(latest.clone());
-        }
-        if latest.finish.is_some() {
-            return ResumeVerdict::BeyondEnd;
+        match self.latest() {
+            Some(latest) if self.covers(latest) => ResumeVerdict::Resumable(latest.clone()),
+            Some(latest) if latest.finish.is_some() => ResumeVerdict::BeyondEnd,
+            None if self.copies().next().is_some() => ResumeVerdict::OtherDraft,
+            _ if !self.unreachable().is_empty() => {
+                let hosts = self.unreachable();
+                ResumeVerdict::Unreachable { hosts }
+            }
+            Some(latest) => ResumeVerdict::Lost {
+                stored: latest.tokens.len(),
+            },
+            None => ResumeVerdict::Unknown,
         }
-        let stored = latest.tokens.len();
-        ResumeVerdict::Lost { stored }
     }
 
     /// The longest copy of the last run. A host that was late or cut off may have an older copy, and
@@ -114,10 +142,18 @@
     fn copies(&self) -> impl Iterator<Item = &StreamRecord> {
         self.answers.values().filter_map(|answer| match answer {
             LookUpAnswer::Copy(record) => Some(record),
-            LookUpAnswer::NoCopy => None,
+            _ => None,
         })
     }
 
+    fn unreachable(&self) -> Vec<HostName> {
+        let is_unreachable =
+            |answer: &LookUpAnswer| matches!(answer, LookUpAnswer::Unreachable { .. });
+        let answers = self.answers.iter();
+        let unreachable = answers.filter(|(_, answer)| is_unreachable(answer));
+        unreachable.map(|(host, _)| host.clone()).collect()
+    }
+
     fn covers(&self, copy: &StreamRecord) -> bool {
         let from = usize::try_from(self.query.from.0);
         from.is_ok_and(|from| from <= copy.tokens.len())
--- a/crates/coordination/tests/streams_search.rs
+++ b/crates/coordination/tests/streams_search.rs
@@ -27,6 +27,18 @@
     LookUpAnswer::Copy(copy(attempt, tokens))
 }
 
+fn silent() -> LookUpAnswer {
+    LookUpAnswer::Unreachable {
+        reason: "no answer in time".to_owned(),
+    }
+}
+
+fn gone() -> LookUpAnswer {
+    LookUpAnswer::Gone {
+        reason: "connection refused".to_owned(),
+    }
+}
+
 /// Verdict about a caller that continues at position `from`.
 fn verdict(from: u32, answers: Vec<LookUpAnswer>) -> String {
     let mut search = StreamSearch::new(ResumeQuery {
@@ -50,8 +62,8 @@
     }
 }
 
-// Guards against a resume from an older copy than another host has, and against one that joins the
-// tokens of two runs.
+// Guards against a resume from an older copy than another host has, against one that joins the
+// tokens of two runs, and against a stream that counts as lost while a host with a copy is silent.
 #[test]
 fn the_longest_copy_of_the_last_run_is_chosen() {
     let mut complete = copy(1, 40);
@@ -62,6 +74,19 @@
     let cases = [
         ("no host", 9, vec![]),
         ("no copy", 9, vec![LookUpAnswer::NoCopy]),
+        ("not reachable", 9, vec![silent(), LookUpAnswer::NoCopy]),
+        ("gone", 9, vec![gone(), LookUpAnswer::NoCopy]),
+        (
+            "too short, another not reachable",
+            39,
+            vec![found(1, 28), silent()],
+        ),
+        ("too short, another gone", 39, vec![found(1, 28), gone()]),
+        (
+            "long enough, another not reachable",
+            9,
+            vec![found(1, 28), silent()],
+        ),
         ("one copy", 9, vec![LookUpAnswer::NoCopy, found(1, 12)]),
         ("exactly as long", 12, vec![found(1, 12)]),
         ("short first", 39, vec![found(1, 28), found(1, 56)]),
@@ -78,7 +103,21 @@
             vec![found(2, 60), found(1002, 45)],
         ),
         ("all too short", 39, vec![found(1, 28), found(1, 12)]),
-        ("beyond its end", 60, vec![LookUpAnswer::Copy(complete)]),
+        (
+            "beyond its end",
+            60,
+            vec![LookUpAnswer::Copy(complete.clone())],
+        ),
+        (
+            "beyond its end, another not reachable",
+            60,
+            vec![LookUpAnswer::Copy(complete.clone()), silent()],
+        ),
+        (
+            "other draft, another not reachable",
+            9,
+            vec![foreign.clone(), silent()],
+        ),
         (
             "other draft",
             9,
@@ -87,9 +126,14 @@
         ("other draft elsewhere", 9, vec![foreign, found(1, 12)]),
     ];
     let seen = cases.map(|(name, from, answers)| format!("{name}: {}", verdict(from, answers)));
-    insta::assert_snapshot!(seen.join("\n"), @r"
+    insta::assert_snapshot!(seen.join("\n"), @r#"
     no host: Unknown
     no copy: Unknown
+    not reachable: Unreachable { hosts: [HostName("host-0")] }
+    gone: Unknown
+    too short, another not reachable: Unreachable { hosts: [HostName("host-1")] }
+    too short, another gone: Lost { stored: 28 }
+    long enough, another not reachable: resumable with 28 tokens of attempt 1
     one copy: resumable with 12 tokens of attempt 1
     exactly as long: resumable with 12 tokens of attempt 1
     short first: resumable with 56 tokens of attempt 1
@@ -99,7 +143,9 @@
     later run too short: Lost { stored: 45 }
     all too short: Lost { stored: 28 }
     beyond its end: BeyondEnd
+    beyond its end, another not reachable: BeyondEnd
+    other draft, another not reachable: OtherDraft
     other draft: OtherDraft
     other draft elsewhere: resumable with 12 tokens of attempt 1
-    ");
+    "#);
 }
--- a/crates/daemon/src/entry/draft/resume.rs
+++ b/crates/daemon/src/entry/draft/resume.rs
@@ -1,7 +1,9 @@
 //! Resumption of a draft's stream after its entry or the connection to the caller failed.
 
 use http::{HeaderMap, StatusCode};
-use pollendrift_coordination::base::{AttemptNumber, RequestId, TokenPosition, VersionName};
+use pollendrift_coordination::base::{
+    AttemptNumber, HostName, RequestId, TokenPosition, VersionName,
+};
 use pollendrift_coordination::ledger::GeneratedToken;
 use pollendrift_coordination::streams::{
     DraftDigest, ResumeQuery, ResumeVerdict, StreamRecord, next_run,
@@ -9,7 +11,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::entry::EntryContext;
-use crate::entry::refusal::Refusal;
+use crate::entry::refusal::{Refusal, SHORT_RETRY_AFTER};
 
 /// Header with the position of the last event that the caller received.
 const LAST_EVENT_HEADER: &str = "last-event-id";
@@ -76,6 +78,7 @@
         ResumeVerdict::Resumable(record) => Ok(resume_point(record, from)),
         ResumeVerdict::OtherDraft => Err(not_resumable("its request id belongs to another draft")),
         ResumeVerdict::BeyondEnd => Err(not_resumable("its answer ends before that position")),
+        ResumeVerdict::Unreachable { hosts } => Err(copy_unreachable(&hosts)),
         ResumeVerdict::Lost { stored } => Err(not_resumable(&format!(
             "its last tokens were lost with its entry, {stored} are left"
         ))),
@@ -94,6 +97,22 @@
     }
 }
 
+/// Hosts that may have the copy do not answer now; the caller tries again.
+fn copy_unreachable(hosts: &[HostName]) -> Refusal {
+    let names: Vec<&str> = hosts.iter().map(HostName::as_str).collect();
+    let detail = format!(
+        "no answer from {}, which may have the stream; send the same request again",
+        names.join(", ")
+    );
+    Refusal::unknown(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "copy-unreachable",
+        "The stream can't go on now",
+        detail,
+    )
+    .retry_after(SHORT_RETRY_AFTER)
+}
+
 fn not_resumable(reason: &str) -> Refusal {
     let detail = format!("{reason}; send the draft without `last-event-id` to begin anew");
     Refusal::unknown(
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -12,7 +12,7 @@
 use super::context::REQUEST_ID_HEADER;
 
 /// `Retry-After` of refusals for conditions that may end soon.
-const SHORT_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const SHORT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A refusal that is not yet bound to a request id.
 ///
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use pollendrift_coordination::base::{HostName, Incarnation};
+use pollendrift_coordination::base::{HostName, Incarnation, MonotonicTime};
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
@@ -345,6 +345,19 @@
         heard.map(|(host, _)| host.clone()).collect()
     }
 
+    /// Whether what the process of `host` kept in memory at most `memory` ago may still be there.
+    ///
+    /// It is gone if the host has refused the last connection, since nothing listens there any more,
+    /// and if this process has heard nothing of it during `memory`.
+    #[must_use]
+    pub fn may_remember(&self, host: &HostName, memory: Duration) -> bool {
+        let Some(slot) = self.slot(host) else {
+            return false;
+        };
+        let heard_at = MonotonicTime::from_micros(slot.heard_at.load(Ordering::Relaxed));
+        !slot.refuses_connections() && self.shared.clock.now().since(heard_at) < memory
+    }
+
     /// Records that a frame of the peer of `slot` arrived.
     pub(super) fn record_heard(&self, slot: &PeerSlot) {
         let now = self.shared.clock.now().as_micros();
--- a/crates/daemon/src/peers/outbound.rs
+++ b/crates/daemon/src/peers/outbound.rs
@@ -38,7 +38,7 @@
                 error
             }
             Err(error) => {
-                slot.mark_down(error.to_string());
+                slot.record_failed_attempt(&error);
                 error
             }
         };
--- a/crates/daemon/src/peers/slot.rs
+++ b/crates/daemon/src/peers/slot.rs
@@ -1,5 +1,6 @@
 //! State of the link to one peer.
 
+use std::io::ErrorKind;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
+use super::error::LinkError;
 use super::hub::PeerAddress;
 use super::queue::FrameQueue;
 use super::settings::LinkSettings;
@@ -31,6 +33,8 @@
 struct LinkStatistics {
     links: u64,
     last_error: String,
+    /// Whether the last attempt to connect was refused, so that no process listens at the address.
+    refuses_connections: bool,
     round_trip: Option<Duration>,
 }
 
@@ -66,7 +70,10 @@
     }
 
     pub(super) fn mark_up(&self) {
-        self.statistics().links += 1;
+        let mut statistics = self.statistics();
+        statistics.links += 1;
+        statistics.refuses_connections = false;
+        drop(statistics);
         self.queue.set_link_up(true);
         self.up.send_replace(true);
     }
@@ -77,6 +84,19 @@
         self.up.send_replace(false);
     }
 
+    /// Records a failed attempt to open the link.
+    pub(super) fn record_failed_attempt(&self, error: &LinkError) {
+        self.mark_down(error.to_string());
+        self.statistics().refuses_connections = match error {
+            LinkError::Dial(error) => error.kind() == ErrorKind::ConnectionRefused,
+            _ => false,
+        };
+    }
+
+    pub(super) fn refuses_connections(&self) -> bool {
+        self.statistics().refuses_connections
+    }
+
     /// Sets the queue of answers for a link that the peer has just opened.
     pub(super) fn open_replies(&self, queue: &Arc<FrameQueue>) {
         queue.set_link_up(true);
--- a/crates/daemon/src/streams.rs
+++ b/crates/daemon/src/streams.rs
@@ -33,6 +33,8 @@
 pub struct StreamStore {
     table: Mutex<StreamTable>,
     holders: Mutex<HolderTable>,
+    /// Time for which hosts keep a copy after its last update.
+    retention: Duration,
     hub: PeerHub,
     clock: Arc<dyn TimeSource>,
 }
@@ -78,9 +80,11 @@
 impl StreamStore {
     /// Creates a store without streams.
     pub fn new(hub: PeerHub, clock: Arc<dyn TimeSource>) -> Self {
+        let settings = StreamSettings::default();
         Self {
-            table: Mutex::new(StreamTable::new(StreamSettings::default())),
+            table: Mutex::new(StreamTable::new(settings)),
             holders: Mutex::default(),
+            retention: settings.retention,
             hub,
             clock,
         }
@@ -179,7 +183,7 @@
             self.ask(others, request, &mut search).await;
         }
         let verdict = search.verdict();
-        log::info!(request:% = request, answers:% = search; "stream looked up");
+        log::info!(request:% = request, verdict:% = verdict, answers:% = search; "stream looked up");
         verdict
     }
 
@@ -191,12 +195,15 @@
             (host, answer)
         });
         let mut questions: FuturesUnordered<_> = questions.collect();
-        let mut end = Instant::now() + LOOK_UP_TIMEOUT;
+        while !search.is_resumable() {
+            let Some((host, answer)) = questions.next().await else {
+                return;
+            };
+            search.record(host.clone(), answer);
+        }
+        let end = Instant::now() + LATER_COPY_WAIT;
         while let Ok(Some((host, answer))) = timeout_at(end, questions.next()).await {
             search.record(host.clone(), answer);
-            if search.is_resumable() {
-                end = end.min(Instant::now() + LATER_COPY_WAIT);
-            }
         }
     }
 
@@ -216,8 +223,12 @@
             },
             Ok(_) => LookUpAnswer::NoCopy,
             Err(error) => {
-                log::info!(request:% = request, host:% = host, reason:% = error; "host did not answer the look-up of a stream");
-                LookUpAnswer::NoCopy
+                let reason = error.to_string();
+                if self.hub.may_remember(host, self.retention) {
+                    LookUpAnswer::Unreachable { reason }
+                } else {
+                    LookUpAnswer::Gone { reason }
+                }
             }
         }
     }
