fix(streams): an update behind a gap leaves the confirmed tokens in place

A host that received an update behind a gap removed the whole copy, with the tokens that it had confirmed and that the caller held. A crash of the entry before it had copied the answer to another host lost them: 409 not-resumable. A gap arises when a link drops queued updates and the next one is sent over the new link.

The host now refuses the update and keeps the copy up to the gap, which has no missing token. Its sender still copies the complete answer to another host.

a_stream_with_a_gap_is_removed demanded the removal. Its reason, no resumed answer with a missing token, is kept by the stricter test a_stream_has_every_token_up_to_a_gap: the same five cases, with "one lost" now "0 1" in place of "unknown", and two more with updates behind the gap; two of its seven cases fail on the code before (table test, no network).

--- a/crates/coordination/src/streams.rs
+++ b/crates/coordination/src/streams.rs
@@ -106,6 +106,12 @@
     bytes: usize,
 }
 
+impl StoredStream {
+    fn is_same_draft(&self, update: &StreamUpdate) -> bool {
+        self.record.digest == update.digest && self.record.customer == update.customer
+    }
+}
+
 /// Stored copies of answers that peers are sending, by request id.
 ///
 /// Invariants: `by_age` contains each stream once, under the time of its last update; `bytes` is
@@ -130,43 +136,45 @@
     }
 
     /// Adds the tokens of an update to its stream; returns whether the table now contains all of
-    /// them. An update that leaves a gap removes the stream, because a resume would give the caller
-    /// an answer with missing tokens.
+    /// them.
+    ///
+    /// An update that leaves a gap changes nothing, because a caller may hold the tokens that were
+    /// confirmed before it.
     pub fn record(&mut self, now: MonotonicTime, update: StreamUpdate) -> bool {
-        let mut stored = match self.remove(&update.request) {
-            Some(stored)
-                if stored.record.digest == update.digest
-                    && stored.record.customer == update.customer =>
-            {
-                stored
-            }
+        let request = update.request.clone();
+        let known = self.known_tokens(&update);
+        if to_usize(update.first.0) > known {
+            return false;
+        }
+        let mut stored = match self.remove(&request) {
+            Some(stored) if stored.is_same_draft(&update) => stored,
             _ => StoredStream {
                 record: empty_record(&update),
                 updated_at: now,
                 bytes: record_overhead(&update),
             },
         };
-        let known = u32::try_from(stored.record.tokens.len()).unwrap_or(u32::MAX);
-        if update.first.0 > known {
-            return false;
-        }
-        let request = update.request.clone();
-        let new_tokens = update
-            .tokens
-            .into_iter()
-            .skip(to_usize(known - update.first.0));
-        for token in new_tokens {
+        let new_tokens = update.tokens.into_iter();
+        for token in new_tokens.skip(known - to_usize(update.first.0)) {
             stored.bytes += token_bytes(&token);
             stored.record.tokens.push(token);
         }
         stored.record.attempt = stored.record.attempt.max(update.attempt);
         stored.record.finish = stored.record.finish.or(update.finish);
         stored.updated_at = now;
-        self.insert(update.request, stored);
+        self.insert(request.clone(), stored);
         self.evict();
         self.streams.contains_key(&request)
     }
 
+    /// Number of tokens that the table has of the draft of `update`.
+    fn known_tokens(&self, update: &StreamUpdate) -> usize {
+        match self.streams.get(&update.request) {
+            Some(stored) if stored.is_same_draft(update) => stored.record.tokens.len(),
+            _ => 0,
+        }
+    }
+
     /// Returns the stored copy of the answer to `request`.
     pub fn look_up(&self, request: &RequestId) -> Option<&StreamRecord> {
         self.streams.get(request).map(|stored| &stored.record)
--- a/crates/coordination/src/streams/tests.rs
+++ b/crates/coordination/src/streams/tests.rs
@@ -37,16 +37,18 @@
     }
 }
 
-// Guards against a resumed answer that misses or repeats a token. Updates can arrive late or twice,
-// overlap, or get lost on a broken link, so a gap removes the stream, and a resume then fails with
-// an error.
+// Guards against a resumed answer that misses or repeats a token, and against the loss of confirmed
+// tokens. Updates can arrive late or twice, overlap, or get lost on a broken link. An update behind a
+// gap is not stored, and what was stored before stays.
 #[test]
-fn a_stream_with_a_gap_is_removed() {
-    let cases: [(&str, &[(u32, u32)]); 5] = [
+fn a_stream_has_every_token_up_to_a_gap() {
+    let cases: [(&str, &[(u32, u32)]); 7] = [
         ("in order", &[(0, 2), (2, 2)]),
         ("twice", &[(0, 2), (0, 2), (2, 1)]),
         ("overlapping", &[(0, 3), (1, 4)]),
         ("one lost", &[(0, 2), (3, 1)]),
+        ("one lost, then more", &[(0, 2), (3, 1), (4, 1)]),
+        ("one lost, then all", &[(0, 2), (3, 1), (0, 4)]),
         ("begun elsewhere", &[(2, 1)]),
     ];
     let mut seen = Vec::new();
@@ -61,7 +63,9 @@
     in order: 0 1 2 3
     twice: 0 1 2
     overlapping: 0 1 2 3 4
-    one lost: unknown
+    one lost: 0 1
+    one lost, then more: 0 1
+    one lost, then all: 0 1 2 3
     begun elsewhere: unknown
     ");
 }
