fix(streams): a copy has the tokens of one run only

A resumed answer could join the tokens of two runs, which engines sample differently. A caller that loses its connection resumes elsewhere while the first entry still sends. Both copy to the same host, which skipped the positions that it had and appended the rest, whoever sent it. The same with a new draft under the id of an earlier one, as the refusal told callers to send it: the host confirmed the new tokens and kept the old ones.

A host now stores which entry and which run a copy belongs to. A later run replaces it with its first, complete update, an earlier one is refused, and the first copy of a new answer says that it replaces what is there. The refusal tells callers to begin anew with a new id, since a copy of the earlier answer may be on other hosts as well.

Found by reading, while the cause of the lost tokens was looked for; it has not been seen with a caller. a_copy_has_the_tokens_of_one_run holds the eight cases.

--- a/crates/coordination/src/streams.rs
+++ b/crates/coordination/src/streams.rs
@@ -11,7 +11,9 @@
 mod search;
 mod settings;
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Not;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -72,6 +74,10 @@
     pub tokens: Vec<GeneratedToken>,
     /// Reason why the answer ended, sent with its last tokens; `None` before.
     pub finish: Option<String>,
+    /// Whether this is the first copy of a new answer, which replaces the copy of an earlier answer
+    /// with the same request id.
+    #[serde(default, skip_serializing_if = "Not::not")]
+    pub replaces: bool,
     /// Number of the confirmation that the entry waits for. A host of an older version ignores it
     /// and confirms nothing.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -102,13 +108,45 @@
 #[derive(Clone, Debug)]
 struct StoredStream {
     record: StreamRecord,
+    /// Entry that sends the answer; updates of others belong to another run of the stream.
+    entry: HostName,
     updated_at: MonotonicTime,
     bytes: usize,
 }
 
+/// What an update does to the stored copy of its request.
+enum Placement {
+    /// It begins a copy, in place of the stored one.
+    Start,
+    /// It continues the stored copy, which has this number of tokens.
+    Append { known: usize },
+    /// It belongs to an earlier run.
+    Refuse,
+}
+
 impl StoredStream {
-    fn is_same_draft(&self, update: &StreamUpdate) -> bool {
-        self.record.digest == update.digest && self.record.customer == update.customer
+    fn empty(now: MonotonicTime, entry: &HostName, update: &StreamUpdate) -> Self {
+        Self {
+            record: empty_record(update),
+            entry: entry.clone(),
+            updated_at: now,
+            bytes: record_overhead(update),
+        }
+    }
+
+    fn place(&self, entry: &HostName, update: &StreamUpdate) -> Placement {
+        let record = &self.record;
+        let is_same_draft = record.digest == update.digest && record.customer == update.customer;
+        if update.replaces || !is_same_draft {
+            return Placement::Start;
+        }
+        match run_number(update.attempt).cmp(&run_number(record.attempt)) {
+            Ordering::Greater => Placement::Start,
+            Ordering::Equal if self.entry == *entry => Placement::Append {
+                known: record.tokens.len(),
+            },
+            Ordering::Equal | Ordering::Less => Placement::Refuse,
+        }
     }
 }
 
@@ -135,27 +173,27 @@
         }
     }
 
-    /// Adds the tokens of an update to its stream; returns whether the table now contains all of
+    /// Adds the tokens of an update that `entry` sent; returns whether the table now contains all of
     /// them.
     ///
     /// An update that leaves a gap changes nothing, because a caller may hold the tokens that were
-    /// confirmed before it.
-    pub fn record(&mut self, now: MonotonicTime, update: StreamUpdate) -> bool {
+    /// confirmed before it. Neither does one of an earlier run: its entry does not know yet that the
+    /// caller has resumed the stream elsewhere, and its tokens may differ.
+    pub fn record(&mut self, now: MonotonicTime, entry: &HostName, update: StreamUpdate) -> bool {
         let request = update.request.clone();
-        let known = self.known_tokens(&update);
-        if to_usize(update.first.0) > known {
+        let stored = self.streams.get(&request);
+        let known = match stored.map_or(Placement::Start, |stored| stored.place(entry, &update)) {
+            Placement::Refuse => return false,
+            Placement::Start => 0,
+            Placement::Append { known } => known,
+        };
+        let first = to_usize(update.first.0);
+        if first > known {
             return false;
         }
-        let mut stored = match self.remove(&request) {
-            Some(stored) if stored.is_same_draft(&update) => stored,
-            _ => StoredStream {
-                record: empty_record(&update),
-                updated_at: now,
-                bytes: record_overhead(&update),
-            },
-        };
-        let new_tokens = update.tokens.into_iter();
-        for token in new_tokens.skip(known - to_usize(update.first.0)) {
+        let earlier = self.remove(&request).filter(|_| known > 0);
+        let mut stored = earlier.unwrap_or_else(|| StoredStream::empty(now, entry, &update));
+        for token in update.tokens.into_iter().skip(known - first) {
             stored.bytes += token_bytes(&token);
             stored.record.tokens.push(token);
         }
@@ -167,14 +205,6 @@
         self.streams.contains_key(&request)
     }
 
-    /// Number of tokens that the table has of the draft of `update`.
-    fn known_tokens(&self, update: &StreamUpdate) -> usize {
-        match self.streams.get(&update.request) {
-            Some(stored) if stored.is_same_draft(update) => stored.record.tokens.len(),
-            _ => 0,
-        }
-    }
-
     /// Returns the stored copy of the answer to `request`.
     pub fn look_up(&self, request: &RequestId) -> Option<&StreamRecord> {
         self.streams.get(request).map(|stored| &stored.record)
--- a/crates/coordination/src/streams/tests.rs
+++ b/crates/coordination/src/streams/tests.rs
@@ -17,10 +17,15 @@
         first: TokenPosition(first),
         tokens: (first..first + count).map(token).collect(),
         finish: None,
+        replaces: false,
         receipt: None,
     }
 }
 
+fn entry() -> HostName {
+    "entry-1".into()
+}
+
 fn at(millis: u64) -> MonotonicTime {
     MonotonicTime::from_millis(millis)
 }
@@ -55,7 +60,7 @@
     for (name, updates) in cases {
         let mut table = StreamTable::new(StreamSettings::default());
         for (first, count) in updates {
-            table.record(at(1), update(*first, *count));
+            table.record(at(1), &entry(), update(*first, *count));
         }
         seen.push(format!("{name}: {}", stored_tokens(&table)));
     }
@@ -75,7 +80,7 @@
 #[test]
 fn streams_are_removed_by_age_and_by_bytes() {
     let mut table = StreamTable::new(StreamSettings::default());
-    table.record(at(0), update(0, 2));
+    table.record(at(0), &entry(), update(0, 2));
     table.tick(at(59_999));
     assert_eq!(table.len(), 1);
     table.tick(at(60_000));
@@ -87,7 +92,7 @@
     for number in 0..50 {
         let mut update = update(0, 2);
         update.request = number.to_string().into();
-        small.record(at(number), update);
+        small.record(at(number), &entry(), update);
     }
     assert!(
         small.len() * size_of::<super::StoredStream>() <= 2_000,
@@ -102,10 +107,10 @@
 #[test]
 fn an_update_of_another_request_replaces_the_stream() {
     let mut table = StreamTable::new(StreamSettings::default());
-    table.record(at(0), update(0, 3));
+    table.record(at(0), &entry(), update(0, 3));
     let mut other = update(0, 1);
     other.customer = "someone-else".into();
-    table.record(at(1), other);
+    table.record(at(1), &entry(), other);
     assert_eq!(stored_tokens(&table), "0");
 }
 
@@ -157,11 +162,87 @@
 #[test]
 fn only_a_stored_update_is_confirmed() {
     let mut table = StreamTable::new(StreamSettings::default());
-    assert!(table.record(at(0), update(0, 2)));
-    assert!(!table.record(at(1), update(3, 1)));
+    assert!(table.record(at(0), &entry(), update(0, 2)));
+    assert!(!table.record(at(1), &entry(), update(3, 1)));
     let mut full = StreamTable::new(StreamSettings {
         max_bytes: 1,
         ..StreamSettings::default()
     });
-    assert!(!full.record(at(0), update(0, 2)));
+    assert!(!full.record(at(0), &entry(), update(0, 2)));
+}
+
+/// Entry, attempt, first position, number of tokens, and whether it replaces an earlier answer.
+type RunUpdate = (&'static str, u32, u32, u32, bool);
+
+// Guards against a copy that joins the tokens of two runs. A caller resumes a stream at another entry
+// while the first one still sends, or sends a new draft with the id of an earlier one.
+#[test]
+fn a_copy_has_the_tokens_of_one_run() {
+    let old = |first, count| ("entry-1", 1, first, count, false);
+    let resumed = |first, count| ("entry-2", 1_002, first, count, false);
+    let anew = |first, count| ("entry-3", 1, first, count, true);
+    let cases: [(&str, &[RunUpdate]); 8] = [
+        (
+            "resumed elsewhere",
+            &[old(0, 3), resumed(0, 3), resumed(3, 2)],
+        ),
+        (
+            "first entry goes on",
+            &[old(0, 3), resumed(0, 3), old(3, 2), resumed(3, 2)],
+        ),
+        (
+            "first entry copies again",
+            &[resumed(0, 3), old(0, 5), resumed(3, 2)],
+        ),
+        (
+            "first entry was ahead",
+            &[old(0, 5), resumed(0, 3), resumed(3, 1)],
+        ),
+        ("resumed, complete copy lost", &[old(0, 3), resumed(3, 2)]),
+        (
+            "resumed twice at once",
+            &[
+                resumed(0, 3),
+                ("entry-4", 1_002, 0, 4, false),
+                resumed(3, 1),
+            ],
+        ),
+        (
+            "new draft",
+            &[old(0, 4), anew(0, 2), ("entry-3", 1, 2, 1, false)],
+        ),
+        (
+            "new draft after a resume",
+            &[resumed(0, 4), anew(0, 2), resumed(4, 1)],
+        ),
+    ];
+    let mut seen = Vec::new();
+    for (name, updates) in cases {
+        let mut table = StreamTable::new(StreamSettings::default());
+        let mut stored = Vec::new();
+        for (from, attempt, first, count, replaces) in updates {
+            let mut update = update(*first, *count);
+            update.attempt = AttemptNumber(*attempt);
+            update.replaces = *replaces;
+            for token in &mut update.tokens {
+                // Tokens that tell which entry sent them: its number before the position.
+                token.id += from.trim_start_matches("entry-").parse::<u64>().unwrap() * 10;
+            }
+            stored.push(table.record(at(1), &HostName::from(*from), update));
+        }
+        seen.push(format!(
+            "{name}: {}, stored {stored:?}",
+            stored_tokens(&table)
+        ));
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    resumed elsewhere: 20 21 22 23 24, stored [true, true, true]
+    first entry goes on: 20 21 22 23 24, stored [true, true, false, true]
+    first entry copies again: 20 21 22 23 24, stored [true, false, true]
+    first entry was ahead: 20 21 22 23, stored [true, true, true]
+    resumed, complete copy lost: 10 11 12, stored [true, false]
+    resumed twice at once: 20 21 22 23, stored [true, false, true]
+    new draft: 30 31 32, stored [true, true, true]
+    new draft after a resume: 30 31, stored [true, true, false]
+    ");
 }
--- a/crates/coordination/tests/outer_encodings/hosts.rs
+++ b/crates/coordination/tests/outer_encodings/hosts.rs
@@ -164,6 +164,7 @@
         first: TokenPosition(5),
         tokens: tokens(),
         finish: Some("stop".to_owned()),
+        replaces: false,
         receipt: None,
     };
     let record = StreamRecord {
--- a/crates/daemon/src/entry/draft.rs
+++ b/crates/daemon/src/entry/draft.rs
@@ -124,7 +124,7 @@
         attempt,
         excluded: Vec::new(),
         attempts_since_progress: 0,
-        copies: CopyQueue::default(),
+        copies: CopyQueue::new(job.resume.is_none()),
         may_have_run: false,
         link: CallerLink {
             writer: writer.clone(),
--- a/crates/daemon/src/entry/draft/copies.rs
+++ b/crates/daemon/src/entry/draft/copies.rs
@@ -24,16 +24,27 @@
 }
 
 /// Tokens of one stream that wait for the confirmation of their copy, in order.
-#[derive(Default)]
 pub(super) struct CopyQueue {
     /// Host that has every token up to the last update; `None` before the first one and after a
     /// loss, when the next update contains the complete answer.
     holder: Option<HostName>,
+    /// Whether no host has confirmed a copy of this answer yet, and the answer is not a resumed one.
+    is_new: bool,
     waiting: VecDeque<WaitingTokens>,
     losses: u32,
 }
 
 impl CopyQueue {
+    /// Creates a queue without tokens; `is_new` unless the answer is a resumed one.
+    pub(super) fn new(is_new: bool) -> Self {
+        Self {
+            holder: None,
+            is_new,
+            waiting: VecDeque::new(),
+            losses: 0,
+        }
+    }
+
     /// Waits until the first waiting tokens may go to the caller; never returns while none wait.
     pub(super) async fn first_confirmed(&mut self) -> Result<(), CopyLoss> {
         match self.waiting.front_mut() {
@@ -71,6 +82,7 @@
     pub(super) async fn handle_confirmation(&mut self, confirmed: Result<(), CopyLoss>) {
         match confirmed {
             Ok(()) => {
+                self.copies.is_new = false;
                 let tokens = self.copies.pop_first();
                 self.link.send_tokens(&tokens).await;
             }
@@ -154,6 +166,7 @@
             first,
             tokens,
             finish,
+            replaces: self.copies.is_new && first == TokenPosition(0),
             receipt: None,
         })
     }
--- a/crates/daemon/src/entry/draft/resume.rs
+++ b/crates/daemon/src/entry/draft/resume.rs
@@ -114,7 +114,9 @@
 }
 
 fn not_resumable(reason: &str) -> Refusal {
-    let detail = format!("{reason}; send the draft without `last-event-id` to begin anew");
+    let detail = format!(
+        "{reason}; send the draft without `last-event-id` and with a new `x-request-id` to begin anew"
+    );
     Refusal::unknown(
         StatusCode::CONFLICT,
         "not-resumable",
--- a/crates/daemon/src/streams.rs
+++ b/crates/daemon/src/streams.rs
@@ -59,7 +59,8 @@
         };
         match timeout_at(self.deadline, self.pending.wait()).await {
             Ok(Ok(PeerAnswer::Stored)) => Ok(()),
-            Ok(Ok(_)) => Err(loss(false, "earlier tokens are missing there".to_owned())),
+            Ok(Ok(PeerAnswer::NotRun { reason })) => Err(loss(false, reason)),
+            Ok(Ok(_)) => Err(loss(false, "unexpected answer".to_owned())),
             Ok(Err(error)) => Err(loss(false, error.to_string())),
             Err(_) => Err(loss(true, "no confirmation in time".to_owned())),
         }
@@ -141,7 +142,7 @@
         let first = update.first;
         let is_stored = {
             let mut table = self.lock();
-            let is_stored = table.record(now, update);
+            let is_stored = table.record(now, from, update);
             table.tick(now);
             is_stored
         };
@@ -155,7 +156,8 @@
             PeerAnswer::Stored
         } else {
             PeerAnswer::NotRun {
-                reason: "earlier tokens of the stream are missing".to_owned(),
+                reason: "earlier tokens are missing, or the stream was resumed elsewhere"
+                    .to_owned(),
             }
         };
         // The sender of an update without an answer copies the stream to another host.
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -178,6 +178,7 @@
             text: "word".into(),
         }],
         finish: Some("length".to_owned()),
+        replaces: false,
         receipt: None,
     }
 }
