fix(drafts): a quiet stream is copied again when the link to its copy breaks

Callers were told 409 "no host knows this stream" after the host with their copy had stopped and, later, their entry had crashed. The entry noticed a lost copy only when it sent the next token, so a stream that pauses between two tokens (a slow engine, a queue) had no copy until then. It holds for a planned stop of the host with the copy as well.

The entry now watches the link to that host while no token waits, and copies the complete answer to another host as soon as the link breaks, also if it is up again by then: the process behind it may be a new one.

--- a/crates/daemon/src/entry/draft/copies.rs
+++ b/crates/daemon/src/entry/draft/copies.rs
@@ -11,7 +11,7 @@
 use pollendrift_coordination::streams::StreamUpdate;
 
 use super::DraftRunner;
-use crate::streams::{CopyLoss, CopyReceipt};
+use crate::streams::{CopyLoss, CopyReceipt, LinkWatch};
 
 /// Lost copies of one stream after which its tokens no longer wait. A stream that can't be resumed
 /// is better than one that stops again and again.
@@ -23,11 +23,17 @@
     receipt: Option<CopyReceipt>,
 }
 
+/// Host that stores the stream.
+struct CopyHolder {
+    host: HostName,
+    link: LinkWatch,
+}
+
 /// Tokens of one stream that wait for the confirmation of their copy, in order.
 pub(super) struct CopyQueue {
     /// Host that has every token up to the last update; `None` before the first one and after a
     /// loss, when the next update contains the complete answer.
-    holder: Option<HostName>,
+    holder: Option<CopyHolder>,
     /// Whether no host has confirmed a copy of this answer yet, and the answer is not a resumed one.
     is_new: bool,
     waiting: VecDeque<WaitingTokens>,
@@ -45,14 +51,24 @@
         }
     }
 
-    /// Waits until the first waiting tokens may go to the caller; never returns while none wait.
+    /// Waits until the first waiting tokens may go to the caller. While none wait, returns only if
+    /// the link to the host with the copy breaks: that host may have stopped, and the next token,
+    /// which would copy the answer again, may come after a crash of this process.
     pub(super) async fn first_confirmed(&mut self) -> Result<(), CopyLoss> {
-        match self.waiting.front_mut() {
-            Some(first) => match &mut first.receipt {
+        match (self.waiting.front_mut(), &mut self.holder) {
+            (Some(first), _) => match &mut first.receipt {
                 Some(receipt) => receipt.confirmed().await,
                 None => Ok(()),
             },
-            None => std::future::pending().await,
+            (None, Some(holder)) => {
+                holder.link.broken().await;
+                Err(CopyLoss {
+                    holder: holder.host.clone(),
+                    is_silent: false,
+                    reason: "the link to the host broke".to_owned(),
+                })
+            }
+            (None, None) => std::future::pending().await,
         }
     }
 
@@ -113,17 +129,14 @@
         finish: Option<String>,
     ) -> Option<CopyReceipt> {
         while self.job.stream && self.copies.losses < MAX_COPY_LOSSES {
-            let known_holder = self.copies.holder.clone();
-            let Some(holder) = known_holder
-                .clone()
-                .or_else(|| self.context.streams.choose_holder(&self.job.id))
-            else {
+            let known_holder = self.copies.holder.take();
+            let tokens = known_holder.is_some().then_some(tokens);
+            let Some(holder) = known_holder.or_else(|| self.choose_holder()) else {
                 log::debug!(request:% = self.job.id; "no host can store the stream; it can't be resumed");
                 return None;
             };
-            let tokens = known_holder.is_some().then_some(tokens);
             let update = self.stream_update(tokens, finish.clone())?;
-            match self.context.streams.replicate(&holder, update) {
+            match self.context.streams.replicate(&holder.host, update) {
                 Ok(receipt) => {
                     self.copies.holder = Some(holder);
                     return Some(receipt);
@@ -134,6 +147,13 @@
         None
     }
 
+    fn choose_holder(&self) -> Option<CopyHolder> {
+        let streams = &self.context.streams;
+        let host = streams.choose_holder(&self.job.id)?;
+        let link = streams.watch_link(&host)?;
+        Some(CopyHolder { host, link })
+    }
+
     fn record_loss(&mut self, loss: &CopyLoss) {
         log::warn!(request:% = self.job.id, host:% = loss.holder, reason:% = loss.reason; "copy of a stream lost");
         self.context.streams.record_loss(loss);
--- a/crates/daemon/src/streams.rs
+++ b/crates/daemon/src/streams.rs
@@ -11,6 +11,7 @@
     HolderTable, LookUpAnswer, ReceiptNumber, ResumeQuery, ResumeVerdict, StreamSearch,
     StreamSettings, StreamTable, StreamUpdate, rank_hosts,
 };
+use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::TimeSource;
@@ -67,6 +68,18 @@
     }
 }
 
+/// Watches the link to a host since the time at which the watch was created.
+pub struct LinkWatch(watch::Receiver<bool>);
+
+impl LinkWatch {
+    /// Waits until the link has broken, even if it is up again by now. A cancelled wait loses
+    /// nothing.
+    pub async fn broken(&mut self) {
+        // The sender is dropped with the peer, which ends the link as well.
+        let _ = self.0.changed().await;
+    }
+}
+
 /// A copy that its host did not confirm.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CopyLoss {
@@ -126,6 +139,13 @@
         holder.cloned()
     }
 
+    /// Watches the link to `host`; `None` if it is down.
+    pub fn watch_link(&self, host: &HostName) -> Option<LinkWatch> {
+        let mut link = self.hub.watch_link(host)?;
+        let is_up = *link.borrow_and_update();
+        is_up.then_some(LinkWatch(link))
+    }
+
     /// Records a lost copy; a host that did not answer at all stores no new streams for a while.
     pub fn record_loss(&self, loss: &CopyLoss) {
         if loss.is_silent {
