fix(drafts): a stream is copied again after its copies were lost several times

A stream whose copy was lost three times went on without copies to its end, and so did every stream of an entry whose reachable hosts were all avoided (30 s after one late confirmation each). Neither the caller nor the operator knew, and a crash of the entry seconds or minutes later lost the tokens: 409 "its last tokens were lost with its entry". Three short breaks of a link are enough. A host whose queue was full was chosen again at once, which used up the three losses in one step.

Copies now never stop. A host that lost the copy is passed over until another one confirms. After three late copies in a row tokens no longer wait, as before, and copies go on beside them; the first confirmation makes the tokens wait again. With every host avoided, the first in rank gets the copy without a wait, and its confirmation ends its avoidance.

--- a/crates/coordination/src/streams/holders.rs
+++ b/crates/coordination/src/streams/holders.rs
@@ -58,6 +58,11 @@
         confirming.next()
     }
 
+    /// Records that `host` confirmed a copy, so it is no longer avoided.
+    pub fn record_confirmed(&mut self, host: &HostName) {
+        self.unconfirmed.remove(host);
+    }
+
     /// Records that `host` did not confirm a copy in time.
     pub fn record_unconfirmed(&mut self, now: MonotonicTime, host: &HostName) {
         self.unconfirmed.insert(host.clone(), now);
--- a/crates/daemon/src/entry/draft/attempt.rs
+++ b/crates/daemon/src/entry/draft/attempt.rs
@@ -129,8 +129,8 @@
         loop {
             let line = tokio::select! {
                 biased;
-                confirmed = self.copies.first_confirmed() => {
-                    self.handle_confirmation(confirmed).await;
+                event = self.copies.next_event() => {
+                    self.handle_copy_event(event).await;
                     // A caller that reads slowly stops the engine as well.
                     deadline = deadline.max(Instant::now() + stall_timeout);
                     continue;
--- a/crates/daemon/src/entry/draft/copies.rs
+++ b/crates/daemon/src/entry/draft/copies.rs
@@ -13,31 +13,50 @@
 use super::DraftRunner;
 use crate::streams::{CopyLoss, CopyReceipt, LinkWatch};
 
-/// Lost copies of one stream after which its tokens no longer wait. A stream that can't be resumed
-/// is better than one that stops again and again.
-const MAX_COPY_LOSSES: u32 = 3;
-
-/// Released tokens and the receipt of the update that contains them; `None` if they have no copy.
-struct WaitingTokens {
-    tokens: Vec<ReleasedToken>,
-    receipt: Option<CopyReceipt>,
-}
+/// Copies in a row that no host confirmed in time after which tokens no longer wait. Each costs the
+/// caller a pause, and a stream that can't be resumed for a while is better than one that stops again
+/// and again.
+const MAX_SILENT_LOSSES: u32 = 3;
 
 /// Host that stores the stream.
 struct CopyHolder {
     host: HostName,
     link: LinkWatch,
+    /// Whether it is expected to confirm in time; false for a host that recently did not.
+    is_trusted: bool,
 }
 
-/// Tokens of one stream that wait for the confirmation of their copy, in order.
+/// Released tokens and the receipt of the update that contains them.
+struct WaitingTokens {
+    tokens: Vec<ReleasedToken>,
+    receipt: CopyReceipt,
+}
+
+/// Next step of a [`CopyQueue`].
+pub(super) enum CopyEvent {
+    /// Tokens go to the caller without a confirmed copy.
+    Unconfirmed,
+    /// The first waiting update was confirmed.
+    Confirmed,
+    /// The copy was lost.
+    Lost(CopyLoss),
+}
+
+/// Tokens of one stream on their way to the caller, in order.
+///
+/// Invariant: if `unconfirmed` has tokens, none are in `waiting`.
 pub(super) struct CopyQueue {
     /// Host that has every token up to the last update; `None` before the first one and after a
     /// loss, when the next update contains the complete answer.
     holder: Option<CopyHolder>,
+    /// Hosts that lost a copy since the last confirmation. They are not chosen again until another
+    /// host confirms a copy, or until all have failed.
+    failed: Vec<HostName>,
     /// Whether no host has confirmed a copy of this answer yet, and the answer is not a resumed one.
     is_new: bool,
     waiting: VecDeque<WaitingTokens>,
-    losses: u32,
+    unconfirmed: Vec<ReleasedToken>,
+    silent_losses: u32,
 }
 
 impl CopyQueue {
@@ -45,43 +64,81 @@
     pub(super) fn new(is_new: bool) -> Self {
         Self {
             holder: None,
+            failed: Vec::new(),
             is_new,
             waiting: VecDeque::new(),
-            losses: 0,
+            unconfirmed: Vec::new(),
+            silent_losses: 0,
         }
     }
 
-    /// Waits until the first waiting tokens may go to the caller. While none wait, returns only if
-    /// the link to the host with the copy breaks: that host may have stopped, and the next token,
-    /// which would copy the answer again, may come after a crash of this process.
-    pub(super) async fn first_confirmed(&mut self) -> Result<(), CopyLoss> {
-        match (self.waiting.front_mut(), &mut self.holder) {
-            (Some(first), _) => match &mut first.receipt {
-                Some(receipt) => receipt.confirmed().await,
-                None => Ok(()),
-            },
-            (None, Some(holder)) => {
-                holder.link.broken().await;
-                Err(CopyLoss {
-                    holder: holder.host.clone(),
-                    is_silent: false,
-                    reason: "the link to the host broke".to_owned(),
-                })
-            }
-            (None, None) => std::future::pending().await,
+    /// Waits for the next step. While no update waits, returns only if the link to the host with the
+    /// copy breaks: that host may have stopped, and the next token, which would copy the answer
+    /// again, may come after a crash of this process.
+    pub(super) async fn next_event(&mut self) -> CopyEvent {
+        if !self.unconfirmed.is_empty() {
+            return CopyEvent::Unconfirmed;
+        }
+        if let Some(first) = self.waiting.front_mut() {
+            return match first.receipt.confirmed().await {
+                Ok(()) => CopyEvent::Confirmed,
+                Err(loss) => CopyEvent::Lost(loss),
+            };
         }
+        let Some(holder) = &mut self.holder else {
+            return std::future::pending().await;
+        };
+        holder.link.broken().await;
+        CopyEvent::Lost(CopyLoss {
+            holder: holder.host.clone(),
+            is_silent: false,
+            reason: "the link to the host broke".to_owned(),
+        })
+    }
+
+    fn has_tokens(&self) -> bool {
+        let mut waiting = self.waiting.iter();
+        !self.unconfirmed.is_empty() || waiting.any(|waiting| !waiting.tokens.is_empty())
     }
 
-    fn push(&mut self, tokens: Vec<ReleasedToken>, receipt: Option<CopyReceipt>) {
-        self.waiting.push_back(WaitingTokens { tokens, receipt });
+    /// Whether tokens wait for the confirmation of their copy.
+    fn is_waiting_for_copies(&self) -> bool {
+        let holder = self.holder.as_ref();
+        holder.is_some_and(|holder| holder.is_trusted) && self.silent_losses < MAX_SILENT_LOSSES
     }
 
-    fn pop_first(&mut self) -> Vec<ReleasedToken> {
+    /// Adds tokens with the receipt of the update that contains them; `None` if no host could take
+    /// the update.
+    fn push(&mut self, mut tokens: Vec<ReleasedToken>, receipt: Option<CopyReceipt>) {
+        if receipt.is_none() || !self.is_waiting_for_copies() {
+            for waiting in &mut self.waiting {
+                self.unconfirmed.append(&mut waiting.tokens);
+            }
+            self.unconfirmed.append(&mut tokens);
+        }
+        if let Some(receipt) = receipt {
+            self.waiting.push_back(WaitingTokens { tokens, receipt });
+        }
+    }
+
+    fn record_confirmation(&mut self) -> Vec<ReleasedToken> {
+        self.is_new = false;
+        self.silent_losses = 0;
+        self.failed.clear();
+        if let Some(holder) = &mut self.holder {
+            holder.is_trusted = true;
+        }
         let first = self.waiting.pop_front();
         first.map(|waiting| waiting.tokens).unwrap_or_default()
     }
 
-    fn take_all(&mut self) -> Vec<ReleasedToken> {
+    fn record_loss(&mut self, loss: &CopyLoss) {
+        self.holder = None;
+        self.failed.push(loss.holder.clone());
+        self.silent_losses += u32::from(loss.is_silent);
+    }
+
+    fn take_waiting(&mut self) -> Vec<ReleasedToken> {
         let waiting = std::mem::take(&mut self.waiting).into_iter();
         waiting.flat_map(|waiting| waiting.tokens).collect()
     }
@@ -94,17 +151,21 @@
         self.copies.push(tokens, receipt);
     }
 
-    /// Sends the caller the tokens whose copy was confirmed, or copies the answer to another host.
-    pub(super) async fn handle_confirmation(&mut self, confirmed: Result<(), CopyLoss>) {
-        match confirmed {
-            Ok(()) => {
-                self.copies.is_new = false;
-                let tokens = self.copies.pop_first();
+    /// Sends the caller the tokens that no longer wait, or copies the answer to another host.
+    pub(super) async fn handle_copy_event(&mut self, event: CopyEvent) {
+        match event {
+            CopyEvent::Unconfirmed => {
+                let tokens = std::mem::take(&mut self.copies.unconfirmed);
+                self.link.send_tokens(&tokens).await;
+            }
+            CopyEvent::Confirmed => {
+                self.record_confirmation();
+                let tokens = self.copies.record_confirmation();
                 self.link.send_tokens(&tokens).await;
             }
-            Err(loss) => {
+            CopyEvent::Lost(loss) => {
                 self.record_loss(&loss);
-                let tokens = self.copies.take_all();
+                let tokens = self.copies.take_waiting();
                 let receipt = self.copy(&[], None);
                 self.copies.push(tokens, receipt);
             }
@@ -113,9 +174,9 @@
 
     /// Waits until the caller has been sent every released token.
     pub(super) async fn send_waiting(&mut self) {
-        while !self.copies.waiting.is_empty() {
-            let confirmed = self.copies.first_confirmed().await;
-            self.handle_confirmation(confirmed).await;
+        while self.copies.has_tokens() {
+            let event = self.copies.next_event().await;
+            self.handle_copy_event(event).await;
         }
     }
 
@@ -128,11 +189,15 @@
         tokens: &[ReleasedToken],
         finish: Option<String>,
     ) -> Option<CopyReceipt> {
-        while self.job.stream && self.copies.losses < MAX_COPY_LOSSES {
+        if !self.job.stream {
+            return None;
+        }
+        loop {
             let known_holder = self.copies.holder.take();
             let tokens = known_holder.is_some().then_some(tokens);
             let Some(holder) = known_holder.or_else(|| self.choose_holder()) else {
-                log::debug!(request:% = self.job.id; "no host can store the stream; it can't be resumed");
+                // Each host has failed since the last confirmation, or none is reachable.
+                self.copies.failed.clear();
                 return None;
             };
             let update = self.stream_update(tokens, finish.clone())?;
@@ -144,21 +209,30 @@
                 Err(loss) => self.record_loss(&loss),
             }
         }
-        None
     }
 
     fn choose_holder(&self) -> Option<CopyHolder> {
         let streams = &self.context.streams;
-        let host = streams.choose_holder(&self.job.id)?;
-        let link = streams.watch_link(&host)?;
-        Some(CopyHolder { host, link })
+        let choice = streams.choose_holder(&self.job.id, &self.copies.failed)?;
+        let link = streams.watch_link(&choice.host)?;
+        Some(CopyHolder {
+            host: choice.host,
+            link,
+            is_trusted: choice.is_trusted,
+        })
+    }
+
+    fn record_confirmation(&self) {
+        let holder = self.copies.holder.as_ref();
+        if let Some(holder) = holder.filter(|holder| !holder.is_trusted) {
+            self.context.streams.record_confirmation(&holder.host);
+        }
     }
 
     fn record_loss(&mut self, loss: &CopyLoss) {
         log::warn!(request:% = self.job.id, host:% = loss.holder, reason:% = loss.reason; "copy of a stream lost");
         self.context.streams.record_loss(loss);
-        self.copies.holder = None;
-        self.copies.losses += 1;
+        self.copies.record_loss(loss);
     }
 
     /// Builds an update with `tokens`, or with the complete answer if `None`.
--- a/crates/daemon/src/streams.rs
+++ b/crates/daemon/src/streams.rs
@@ -68,6 +68,15 @@
     }
 }
 
+/// Host that is to store a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HolderChoice {
+    /// The host.
+    pub host: HostName,
+    /// Whether it is expected to confirm in time; false for a host that recently did not.
+    pub is_trusted: bool,
+}
+
 /// Watches the link to a host since the time at which the watch was created.
 pub struct LinkWatch(watch::Receiver<bool>);
 
@@ -131,12 +140,19 @@
         })
     }
 
-    /// Chooses the host that stores the stream of `request`; `None` if no host can.
-    pub fn choose_holder(&self, request: &RequestId) -> Option<HostName> {
-        let reachable = self.hub.up_hosts();
+    /// Chooses the host that stores the stream of `request`, other than `failed`. A host that recently
+    /// did not confirm a copy is chosen if there is no other. `None` if no host is reachable.
+    pub fn choose_holder(&self, request: &RequestId, failed: &[HostName]) -> Option<HolderChoice> {
+        let mut reachable = self.hub.up_hosts();
+        reachable.retain(|host| !failed.contains(host));
         let mut holders = self.holders.lock().unwrap_or_else(PoisonError::into_inner);
-        let holder = holders.choose(self.clock.now(), request, &reachable);
-        holder.cloned()
+        let trusted = holders.choose(self.clock.now(), request, &reachable);
+        let is_trusted = trusted.is_some();
+        let host = trusted.or_else(|| rank_hosts(request, &reachable).into_iter().next())?;
+        Some(HolderChoice {
+            host: host.clone(),
+            is_trusted,
+        })
     }
 
     /// Watches the link to `host`; `None` if it is down.
@@ -154,6 +170,12 @@
         }
     }
 
+    /// Records that a host confirms copies again.
+    pub fn record_confirmation(&self, host: &HostName) {
+        let mut holders = self.holders.lock().unwrap_or_else(PoisonError::into_inner);
+        holders.record_confirmed(host);
+    }
+
     /// Records an update of the stream of `from`, and confirms it if that host waits for it.
     pub fn receive_update(&self, from: &HostName, update: StreamUpdate) {
         let receipt = update.receipt;
