feat(telemetry): metrics of frames to peers by kind, and of copies of streams

Operators could not see which frames load a keeper's links, how often copies of streams are lost, what became of resumes, nor how many tokens went to callers without a copy. Five counters say so, each with a row on the page of metrics, and a line names a stream whose tokens go out without a confirmed copy, once until the next confirmation.

--- a/crates/coordination/src/agreement/message.rs
+++ b/crates/coordination/src/agreement/message.rs
@@ -67,6 +67,22 @@
 }
 
 impl AgreementMessage {
+    /// Name of the kind, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::VoteRequest(_) => "agreement-vote-request",
+            Self::VoteReply(_) => "agreement-vote-reply",
+            Self::Append(_) => "agreement-append",
+            Self::AppendReply(_) => "agreement-append-reply",
+            Self::Heartbeat(_) => "agreement-heartbeat",
+            Self::HeartbeatReply(_) => "agreement-heartbeat-reply",
+            Self::SnapshotChunk(_) => "agreement-snapshot",
+            Self::SnapshotReply(_) => "agreement-snapshot-reply",
+            Self::TimeoutNow(_) => "agreement-timeout-now",
+            Self::IdentityRejected(_) => "agreement-identity-rejected",
+        }
+    }
+
     /// Term of the message; `None` if it has none.
     pub fn term(&self) -> Option<Term> {
         match self {
--- a/crates/coordination/src/streams/search.rs
+++ b/crates/coordination/src/streams/search.rs
@@ -73,16 +73,17 @@
     Unknown,
 }
 
-impl fmt::Display for ResumeVerdict {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
+impl ResumeVerdict {
+    /// Name of the verdict, for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
             Self::Resumable(_) => "resumable",
-            Self::OtherDraft => "other draft",
-            Self::BeyondEnd => "beyond the end",
-            Self::Unreachable { .. } => "not reachable",
+            Self::OtherDraft => "other-draft",
+            Self::BeyondEnd => "beyond-end",
+            Self::Unreachable { .. } => "unreachable",
             Self::Lost { .. } => "lost",
             Self::Unknown => "unknown",
-        })
+        }
     }
 }
 
--- a/crates/daemon/src/entry/draft/copies.rs
+++ b/crates/daemon/src/entry/draft/copies.rs
@@ -56,6 +56,8 @@
     is_new: bool,
     waiting: VecDeque<WaitingTokens>,
     unconfirmed: Vec<ReleasedToken>,
+    /// Whether tokens went to the caller without a copy since the last confirmation.
+    is_exposed: bool,
     silent_losses: u32,
 }
 
@@ -68,6 +70,7 @@
             is_new,
             waiting: VecDeque::new(),
             unconfirmed: Vec::new(),
+            is_exposed: false,
             silent_losses: 0,
         }
     }
@@ -123,6 +126,7 @@
 
     fn record_confirmation(&mut self) -> Vec<ReleasedToken> {
         self.is_new = false;
+        self.is_exposed = false;
         self.silent_losses = 0;
         self.failed.clear();
         if let Some(holder) = &mut self.holder {
@@ -156,6 +160,7 @@
         match event {
             CopyEvent::Unconfirmed => {
                 let tokens = std::mem::take(&mut self.copies.unconfirmed);
+                self.record_unconfirmed(&tokens);
                 self.link.send_tokens(&tokens).await;
             }
             CopyEvent::Confirmed => {
@@ -229,7 +234,20 @@
         }
     }
 
+    /// Counts tokens without a confirmed copy, and logs the first of them since a confirmation.
+    fn record_unconfirmed(&mut self, tokens: &[ReleasedToken]) {
+        if !self.job.stream {
+            return;
+        }
+        self.context.metrics.record_unconfirmed_tokens(tokens.len());
+        if !std::mem::replace(&mut self.copies.is_exposed, true) {
+            let first = tokens.first().map_or(0, |token| token.position.0);
+            log::info!(request:% = self.job.id, first = first; "tokens sent without a confirmed copy");
+        }
+    }
+
     fn record_loss(&mut self, loss: &CopyLoss) {
+        self.context.metrics.record_copy_loss();
         log::warn!(request:% = self.job.id, host:% = loss.holder, reason:% = loss.reason; "copy of a stream lost");
         self.context.streams.record_loss(loss);
         self.copies.record_loss(loss);
--- a/crates/daemon/src/entry/draft/resume.rs
+++ b/crates/daemon/src/entry/draft/resume.rs
@@ -74,7 +74,9 @@
     query: ResumeQuery,
 ) -> Result<ResumePoint, Refusal> {
     let from = query.from;
-    match context.streams.find(request, query).await {
+    let verdict = context.streams.find(request, query).await;
+    context.metrics.record_resume(verdict.name());
+    match verdict {
         ResumeVerdict::Resumable(record) => Ok(resume_point(record, from)),
         ResumeVerdict::OtherDraft => Err(not_resumable("its request id belongs to another draft")),
         ResumeVerdict::BeyondEnd => Err(not_resumable("its answer ends before that position")),
--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -1,5 +1,6 @@
 //! Updates the gauges of the metrics from the tables of the daemon.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
 use crate::node::ClusterNode;
+use crate::peers::FrameCount;
 use crate::telemetry::{MetricRegistry, RecorderSlot};
 
 /// Time between two updates of the gauges.
@@ -29,9 +31,11 @@
 pub async fn run_gauges(sources: GaugeSources, metrics: Arc<MetricRegistry>) {
     let mut ticks = tokio::time::interval(PERIOD);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut counted = BTreeMap::new();
     loop {
         ticks.tick().await;
         update(&sources, &metrics);
+        count_frames(&sources, &metrics, &mut counted);
     }
 }
 
@@ -53,6 +57,22 @@
     }
 }
 
+/// Adds the frames since the last call, which `counted` has, to the counters.
+fn count_frames(
+    sources: &GaugeSources,
+    metrics: &MetricRegistry,
+    counted: &mut BTreeMap<&'static str, FrameCount>,
+) {
+    for (kind, sent) in sources.node.hub().sent_frames() {
+        let before = counted.insert(kind, sent).unwrap_or_default();
+        let added = FrameCount {
+            frames: sent.frames - before.frames,
+            bytes: sent.bytes - before.bytes,
+        };
+        metrics.add_peer_frames(kind, added);
+    }
+}
+
 fn count(number: usize) -> u64 {
     u64::try_from(number).unwrap_or(u64::MAX)
 }
--- a/crates/daemon/src/keeper/effects.rs
+++ b/crates/daemon/src/keeper/effects.rs
@@ -86,7 +86,10 @@
         match encode_agreement(envelope) {
             Ok(bytes) => {
                 let frame = PeerFrame::Agreement(bytes);
-                if let Err(refusal) = self.hub.send(&envelope.to.host, &frame) {
+                if let Err(refusal) =
+                    self.hub
+                        .send_as(envelope.message.kind(), &envelope.to.host, &frame)
+                {
                     log::trace!(peer:% = envelope.to, refusal:% = refusal; "message not sent");
                 }
             }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -23,6 +23,7 @@
 mod slot;
 mod socket;
 mod status;
+mod traffic;
 mod transport;
 
 pub use calls::{CallError, CallNumber, PendingCall};
@@ -43,6 +44,7 @@
 pub use queue::SendRefusal;
 pub use settings::LinkSettings;
 pub use status::PeerStatus;
+pub use traffic::FrameCount;
 pub use transport::{
     AcceptedStream, BoxFuture, PeerAcceptor, PeerDialer, PeerStream, PlainTransport,
 };
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -25,6 +25,7 @@
 use super::settings::LinkSettings;
 use super::slot::PeerSlot;
 use super::status::PeerStatus;
+use super::traffic::{FrameCount, FrameTraffic, frame_kind};
 use super::transport::{PeerAcceptor, PeerDialer};
 use crate::clock::{SystemClock, TimeSource};
 
@@ -89,6 +90,7 @@
     pub(super) dials: Semaphore,
     slots: RwLock<BTreeMap<HostName, Arc<PeerSlot>>>,
     pub(super) calls: Arc<CallTable>,
+    traffic: FrameTraffic,
     pub(super) forward_handler: OnceLock<Weak<dyn ForwardHandler>>,
     /// Forwarded requests in progress at this host.
     pub(super) forwarded: RunningCount,
@@ -123,6 +125,7 @@
         handshakes: Semaphore::new(settings.max_handshakes),
         dials: Semaphore::new(settings.max_dials),
         calls: Arc::new(CallTable::new(settings.max_pending_calls)),
+        traffic: FrameTraffic::default(),
         forward_handler: OnceLock::new(),
         forwarded: RunningCount::new(0),
         slots: RwLock::default(),
@@ -252,8 +255,22 @@
     /// # Errors
     /// The frame was not queued and is never sent.
     pub fn send(&self, host: &HostName, frame: &PeerFrame) -> Result<(), SendRefusal> {
+        self.send_as(frame_kind(frame), host, frame)
+    }
+
+    /// Queues a frame for `host` and counts it as `kind`; never waits.
+    ///
+    /// # Errors
+    /// The frame was not queued and is never sent.
+    pub fn send_as(
+        &self,
+        kind: &'static str,
+        host: &HostName,
+        frame: &PeerFrame,
+    ) -> Result<(), SendRefusal> {
         let slot = self.slot(host).ok_or(SendRefusal::UnknownHost)?;
         let bytes = self.encode(frame)?;
+        self.shared.traffic.record(kind, bytes.len(), 1);
         if frame.is_retransmitted() {
             return slot.queue.push_retransmitted(bytes);
         }
@@ -278,7 +295,16 @@
             let slot = self.slot(host);
             slot.is_some_and(|slot| slot.queue.push(bytes.clone()).is_ok())
         };
-        hosts.iter().filter(is_queued).collect()
+        let queued: Vec<_> = hosts.iter().filter(is_queued).collect();
+        let traffic = &self.shared.traffic;
+        traffic.record(frame_kind(frame), bytes.len(), queued.len());
+        queued
+    }
+
+    /// Frames that this process queued for its peers so far, by kind.
+    #[must_use]
+    pub fn sent_frames(&self) -> BTreeMap<&'static str, FrameCount> {
+        self.shared.traffic.counts()
     }
 
     /// Peers whose outbound link is up, sorted by name.
@@ -379,6 +405,8 @@
         let frame = PeerFrame::Answer { number, answer };
         let slot = self.slot(host).ok_or(SendRefusal::UnknownHost)?;
         let bytes = self.encode(&frame)?;
+        let traffic = &self.shared.traffic;
+        traffic.record(frame_kind(&frame), bytes.len(), 1);
         let replies = slot.replies().clone();
         if let Some(replies) = replies
             && replies.push(bytes.clone()).is_ok()
--- a/crates/daemon/src/streams.rs
+++ b/crates/daemon/src/streams.rs
@@ -227,7 +227,7 @@
             self.ask(others, request, &mut search).await;
         }
         let verdict = search.verdict();
-        log::info!(request:% = request, verdict:% = verdict, answers:% = search; "stream looked up");
+        log::info!(request:% = request, verdict = verdict.name(), answers:% = search; "stream looked up");
         verdict
     }
 
--- a/crates/daemon/src/telemetry/instruments.rs
+++ b/crates/daemon/src/telemetry/instruments.rs
@@ -67,6 +67,10 @@
         "Bytes of evidence that wait for the keepers";
     KEEPER_LEADER: Gauge "pollendrift.keeper.leader", "{leader}",
         "1 while this host leads the agreement group, else 0";
+    PEER_FRAMES: Counter "pollendrift.peer.sent.count", "{frame}",
+        "Frames queued for peers, by kind";
+    PEER_BYTES: Counter "pollendrift.peer.sent.size", "By",
+        "Bytes of the frames queued for peers, by kind";
     REQUESTS_ACTIVE: UpDownCounter "pollendrift.request.active", "{request}",
         "Requests that have begun and not ended";
     REQUEST_ATTEMPTS: Counter "pollendrift.request.attempts", "{attempt}",
@@ -85,8 +89,14 @@
         "Refused requests, by outcome and kind";
     UNREACHABLE_SERVICES: Gauge "pollendrift.service.unreachable.count", "{service}",
         "Services to whose servers this host can't open a connection";
+    STREAM_COPY_LOSSES: Counter "pollendrift.stream.copy_losses", "{copy}",
+        "Copies of streams that the host storing them did not confirm or lost";
+    STREAM_RESUMES: Counter "pollendrift.stream.resumes", "{request}",
+        "Requests to resume a stream, by what the look-up found";
     TOKENS: Counter "pollendrift.token.count", "{token}",
         "Tokens sent to callers";
     TOKEN_INTERVAL: Histogram "pollendrift.token.interval", "s",
         "Time between two tokens of one draft";
+    TOKENS_UNCONFIRMED: Counter "pollendrift.token.unconfirmed", "{token}",
+        "Tokens sent to callers of streams before another host confirmed their copy";
 }
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -16,6 +16,7 @@
 use prometheus::{Registry, TextEncoder};
 
 use super::instruments::{self, InstrumentSpec};
+use crate::peers::FrameCount;
 
 const SCOPE: &str = "pollendrift";
 
@@ -67,6 +68,8 @@
     evidence_waiting_bytes: Gauge<u64>,
     evidence_waiting: Gauge<u64>,
     keeper_leader: Gauge<u64>,
+    peer_frames: Counter<u64>,
+    peer_bytes: Counter<u64>,
     requests_active: UpDownCounter<i64>,
     request_attempts: Counter<u64>,
     request_duration: Histogram<f64>,
@@ -76,8 +79,11 @@
     requests_queued: Gauge<u64>,
     request_refusals: Counter<u64>,
     unreachable_services: Gauge<u64>,
+    stream_copy_losses: Counter<u64>,
+    stream_resumes: Counter<u64>,
     tokens: Counter<u64>,
     token_interval: Histogram<f64>,
+    tokens_unconfirmed: Counter<u64>,
 }
 
 impl MetricRegistry {
@@ -109,6 +115,8 @@
             evidence_waiting_bytes: gauge(&meter, &instruments::EVIDENCE_WAITING_BYTES),
             evidence_waiting: gauge(&meter, &instruments::EVIDENCE_WAITING),
             keeper_leader: gauge(&meter, &instruments::KEEPER_LEADER),
+            peer_frames: counter(&meter, &instruments::PEER_FRAMES),
+            peer_bytes: counter(&meter, &instruments::PEER_BYTES),
             requests_active: up_down(&meter, &instruments::REQUESTS_ACTIVE),
             request_attempts: counter(&meter, &instruments::REQUEST_ATTEMPTS),
             request_duration: durations(&meter, &instruments::REQUEST_DURATION),
@@ -118,8 +126,11 @@
             requests_queued: gauge(&meter, &instruments::REQUESTS_QUEUED),
             request_refusals: counter(&meter, &instruments::REQUEST_REFUSALS),
             unreachable_services: gauge(&meter, &instruments::UNREACHABLE_SERVICES),
+            stream_copy_losses: counter(&meter, &instruments::STREAM_COPY_LOSSES),
+            stream_resumes: counter(&meter, &instruments::STREAM_RESUMES),
             tokens: counter(&meter, &instruments::TOKENS),
             token_interval: durations(&meter, &instruments::TOKEN_INTERVAL),
+            tokens_unconfirmed: counter(&meter, &instruments::TOKENS_UNCONFIRMED),
         };
         // Series of rare events exist from the start, so that an alert sees the first one.
         metrics.set_unreachable_services(0);
@@ -127,6 +138,8 @@
             .requests_forwarded
             .add(0, &[forward_result("answered")]);
         metrics.peer_requests.add(0, &[]);
+        metrics.stream_copy_losses.add(0, &[]);
+        metrics.tokens_unconfirmed.add(0, &[]);
         Ok(metrics)
     }
 
@@ -243,6 +256,29 @@
         self.request_refusals.add(1, &attributes);
     }
 
+    /// Counts frames queued for peers; `kind` is one of the fixed names of kinds.
+    pub fn add_peer_frames(&self, kind: &'static str, added: FrameCount) {
+        let attributes = [KeyValue::new("kind", kind)];
+        self.peer_frames.add(added.frames, &attributes);
+        self.peer_bytes.add(added.bytes, &attributes);
+    }
+
+    /// Counts a copy of a stream that was lost.
+    pub fn record_copy_loss(&self) {
+        self.stream_copy_losses.add(1, &[]);
+    }
+
+    /// Counts a request to resume a stream; `verdict` is what the look-up found.
+    pub fn record_resume(&self, verdict: &'static str) {
+        self.stream_resumes
+            .add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+
+    /// Counts tokens sent to a caller before another host confirmed their copy.
+    pub fn record_unconfirmed_tokens(&self, count: usize) {
+        self.tokens_unconfirmed.add(size(count), &[]);
+    }
+
     /// Records the first token of a draft, sent `since_arrival` after the request arrived.
     pub fn record_first_token(&self, since_arrival: Duration) {
         self.tokens.add(1, &[]);
--- a/crates/daemon/tests/outer_telemetry.rs
+++ b/crates/daemon/tests/outer_telemetry.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use log::{Level, Record};
+use pollendrift::peers::FrameCount;
 use pollendrift::telemetry::{
     EvidenceJournal, INSTRUMENTS, MetricRegistry, RefusedConnection, RequestEnd, format_line,
     log_field,
@@ -50,6 +51,14 @@
     });
     metrics.record_forwarded("answered");
     metrics.record_peer_request();
+    let frames = FrameCount {
+        frames: 2,
+        bytes: 300,
+    };
+    metrics.add_peer_frames("leases", frames);
+    metrics.record_copy_loss();
+    metrics.record_resume("lost");
+    metrics.record_unconfirmed_tokens(3);
     metrics.set_requests_queued(3);
     metrics.record_refusal(OutcomeKind::NotRun, "no-selector");
     metrics.record_first_token(Duration::from_millis(300));
--- a/crates/daemon/tests/telemetry_pages.rs
+++ b/crates/daemon/tests/telemetry_pages.rs
@@ -7,6 +7,7 @@
 use log::{Level, LevelFilter, Log, Record};
 use log4rs::append::file::FileAppender;
 use log4rs::encode::json::JsonEncoder;
+use pollendrift::peers::FrameCount;
 use pollendrift::settings::LogSettings;
 use pollendrift::telemetry::{
     INSTRUMENTS, InstrumentKind, MetricRegistry, RefusedConnection, RequestEnd, log_config,
@@ -48,6 +49,14 @@
     });
     metrics.record_forwarded("refused");
     metrics.record_peer_request();
+    let frames = FrameCount {
+        frames: 2,
+        bytes: 300,
+    };
+    metrics.add_peer_frames("leases", frames);
+    metrics.record_copy_loss();
+    metrics.record_resume("lost");
+    metrics.record_unconfirmed_tokens(3);
     metrics.set_unreachable_services(1);
     metrics.set_requests_queued(3);
     metrics.record_refusal(OutcomeKind::NotRun, "no-selector");
@@ -109,7 +118,7 @@
     let counters = INSTRUMENTS
         .iter()
         .filter(|spec| spec.kind == InstrumentKind::Counter);
-    assert_eq!(counters.count(), 6);
+    assert_eq!(counters.count(), 11);
 }
 
 // Guards against changed metric names or labels, which would break operators' dashboards.
@@ -132,6 +141,8 @@
     pollendrift_evidence_waiting_count{otel_scope_name="pollendrift"} 0
     pollendrift_evidence_waiting_size_bytes{otel_scope_name="pollendrift"} 0
     pollendrift_keeper_leader{otel_scope_name="pollendrift"} 1
+    pollendrift_peer_sent_count_total{kind="leases",otel_scope_name="pollendrift"} 2
+    pollendrift_peer_sent_size_bytes_total{kind="leases",otel_scope_name="pollendrift"} 300
     pollendrift_request_active{otel_scope_name="pollendrift"} 0
     pollendrift_request_attempts_total{otel_scope_name="pollendrift"} 2
     pollendrift_request_duration_seconds_count{outcome="complete",otel_scope_name="pollendrift"} 1
@@ -142,8 +153,11 @@
     pollendrift_request_queued{otel_scope_name="pollendrift"} 3
     pollendrift_request_refusals_total{kind="no-selector",outcome="not-run",otel_scope_name="pollendrift"} 1
     pollendrift_service_unreachable_count{otel_scope_name="pollendrift"} 1
+    pollendrift_stream_copy_losses_total{otel_scope_name="pollendrift"} 1
+    pollendrift_stream_resumes_total{verdict="lost",otel_scope_name="pollendrift"} 1
     pollendrift_token_count_total{otel_scope_name="pollendrift"} 2
     pollendrift_token_interval_seconds_count{otel_scope_name="pollendrift"} 1
+    pollendrift_token_unconfirmed_total{otel_scope_name="pollendrift"} 3
     "#);
 }
 
