--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -270,11 +270,14 @@
     ) -> Result<(), SendRefusal> {
         let slot = self.slot(host).ok_or(SendRefusal::UnknownHost)?;
         let bytes = self.encode(frame)?;
-        self.shared.traffic.record(kind, bytes.len(), 1);
+        let size = bytes.len();
         if frame.is_retransmitted() {
-            return slot.queue.push_retransmitted(bytes);
+            slot.queue.push_retransmitted(bytes)?;
+        } else {
+            slot.queue.push(bytes)?;
         }
-        slot.queue.push(bytes)
+        self.shared.traffic.record(kind, size, 1);
+        Ok(())
     }
 
     /// Encodes a frame once and queues it for each of `hosts`; returns the hosts whose queue
@@ -405,15 +408,15 @@
         let frame = PeerFrame::Answer { number, answer };
         let slot = self.slot(host).ok_or(SendRefusal::UnknownHost)?;
         let bytes = self.encode(&frame)?;
-        let traffic = &self.shared.traffic;
-        traffic.record(frame_kind(&frame), bytes.len(), 1);
+        let size = bytes.len();
         let replies = slot.replies().clone();
-        if let Some(replies) = replies
-            && replies.push(bytes.clone()).is_ok()
-        {
-            return Ok(());
+        let is_sent = replies.is_some_and(|replies| replies.push(bytes.clone()).is_ok());
+        if !is_sent {
+            slot.queue.push(bytes)?;
         }
-        slot.queue.push(bytes)
+        let traffic = &self.shared.traffic;
+        traffic.record(frame_kind(&frame), size, 1);
+        Ok(())
     }
 
     /// Returns a receiver of whether the outbound link to `host` is up; `None` if it is no peer.
