--- a/crates/daemon/tests/keeper_cluster/cluster.rs
+++ b/crates/daemon/tests/keeper_cluster/cluster.rs
@@ -148,6 +148,8 @@
     pub(crate) folders: BTreeMap<&'static str, TempDir>,
     pub(crate) running: BTreeMap<&'static str, Host>,
     pub(crate) settings: KeeperSettings,
+    /// Settings of the clients of the keepers' hosts.
+    pub(crate) client: ClientSettings,
     pub(crate) clock: Arc<dyn TimeSource>,
     /// Fault injection for the disks of the hosts; initially no disk fails.
     pub(crate) faults: DiskFaults,
@@ -206,6 +208,7 @@
             folders: KEEPERS.map(|name| (name, folder())).into(),
             running: BTreeMap::new(),
             settings,
+            client: ClientSettings::default(),
             clock: Arc::new(SystemClock::default()),
             faults: DiskFaults::default(),
         }
@@ -223,7 +226,7 @@
         let start = KeeperStart {
             folder: self.folders[name].path().to_owned(),
             settings: self.settings.clone(),
-            client: ClientSettings::default(),
+            client: self.client.clone(),
             keepers: keepers().into(),
             hub: peers.hub().clone(),
             port,
