fix(drafts): a confirmation counts for the host that sent it

An update that the host before had taken may be confirmed after another host was chosen. The confirmation ended the avoidance of the new host, which had confirmed nothing. Found by reading the change; no caller saw it.

--- a/crates/daemon/src/entry/draft/copies.rs
+++ b/crates/daemon/src/entry/draft/copies.rs
@@ -124,16 +124,20 @@
         }
     }
 
-    fn record_confirmation(&mut self) -> Vec<ReleasedToken> {
+    /// Removes the first update, which its host confirmed, and returns its tokens with that host.
+    fn take_confirmed(&mut self) -> Option<(Vec<ReleasedToken>, HostName)> {
+        let confirmed = self.waiting.pop_front()?;
+        let host = confirmed.receipt.holder().clone();
         self.is_new = false;
         self.is_exposed = false;
         self.silent_losses = 0;
         self.failed.clear();
-        if let Some(holder) = &mut self.holder {
+        // An update sent to the host before may be confirmed after the choice of another one.
+        let current = self.holder.as_mut().filter(|holder| holder.host == host);
+        if let Some(holder) = current {
             holder.is_trusted = true;
         }
-        let first = self.waiting.pop_front();
-        first.map(|waiting| waiting.tokens).unwrap_or_default()
+        Some((confirmed.tokens, host))
     }
 
     fn record_loss(&mut self, loss: &CopyLoss) {
@@ -164,8 +168,13 @@
                 self.link.send_tokens(&tokens).await;
             }
             CopyEvent::Confirmed => {
-                self.record_confirmation();
-                let tokens = self.copies.record_confirmation();
+                let was_exposed = self.copies.is_exposed;
+                let Some((tokens, host)) = self.copies.take_confirmed() else {
+                    return;
+                };
+                if was_exposed {
+                    self.context.streams.record_confirmation(&host);
+                }
                 self.link.send_tokens(&tokens).await;
             }
             CopyEvent::Lost(loss) => {
@@ -227,13 +236,6 @@
         })
     }
 
-    fn record_confirmation(&self) {
-        let holder = self.copies.holder.as_ref();
-        if let Some(holder) = holder.filter(|holder| !holder.is_trusted) {
-            self.context.streams.record_confirmation(&holder.host);
-        }
-    }
-
     /// Counts tokens without a confirmed copy, and logs the first of them since a confirmation.
     fn record_unconfirmed(&mut self, tokens: &[ReleasedToken]) {
         if !self.job.stream {
--- a/crates/daemon/src/streams.rs
+++ b/crates/daemon/src/streams.rs
@@ -48,6 +48,11 @@
 }
 
 impl CopyReceipt {
+    /// Host that is to confirm the copy.
+    pub fn holder(&self) -> &HostName {
+        &self.holder
+    }
+
     /// Waits until the host has confirmed the copy. A cancelled wait loses nothing.
     ///
     /// # Errors
