fix(streams): the line of a look-up and its refusal are bounded

With hundreds of hosts the line listed each of them, and the refusal each host that did not answer. The line has copies first, then at most sixteen hosts in all, and the number of hosts without a copy; the refusal names one host and the number of the others.

--- a/crates/coordination/src/streams/search.rs
+++ b/crates/coordination/src/streams/search.rs
@@ -6,6 +6,9 @@
 use super::{DraftDigest, StreamRecord, run_number};
 use crate::base::{CustomerName, HostName, TokenPosition};
 
+/// Maximum number of answers in the text of a search, which is one line of a log.
+const MAX_LISTED_ANSWERS: usize = 16;
+
 /// Stream that a caller wants to resume.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResumeQuery {
@@ -162,11 +165,23 @@
 }
 
 impl fmt::Display for StreamSearch {
+    /// Lists the copies, then the hosts without an answer, and counts the hosts without a copy.
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, (host, answer)) in self.answers.iter().enumerate() {
-            let separator = if index > 0 { "; " } else { "" };
-            write!(formatter, "{separator}{host}: {answer}")?;
+        let has_copy = |answer: &LookUpAnswer| matches!(answer, LookUpAnswer::Copy(_));
+        let (with_copy, others): (Vec<_>, Vec<_>) = self
+            .answers
+            .iter()
+            .partition(|(_, answer)| has_copy(answer));
+        let (empty, unanswered): (Vec<_>, Vec<_>) = others
+            .into_iter()
+            .partition(|(_, answer)| **answer == LookUpAnswer::NoCopy);
+        let listed = [with_copy, unanswered].concat();
+        for (host, answer) in listed.iter().take(MAX_LISTED_ANSWERS) {
+            write!(formatter, "{host}: {answer}; ")?;
+        }
+        if listed.len() > MAX_LISTED_ANSWERS {
+            write!(formatter, "{} more; ", listed.len() - MAX_LISTED_ANSWERS)?;
         }
-        Ok(())
+        write!(formatter, "no copy at {}", empty.len())
     }
 }
--- a/crates/coordination/tests/streams_search.rs
+++ b/crates/coordination/tests/streams_search.rs
@@ -149,3 +149,27 @@
     other draft elsewhere: resumable with 12 tokens of attempt 1
     "#);
 }
+
+// Guards against a log line that grows with the number of hosts, and against one that hides the
+// host with the copy among those without.
+#[test]
+fn the_text_of_a_search_lists_a_bounded_number_of_hosts() {
+    let mut search = StreamSearch::new(ResumeQuery {
+        customer: "federation".into(),
+        digest: [7; 32],
+        from: TokenPosition(9),
+    });
+    for index in 0..300 {
+        let answer = match index {
+            8 => gone(),
+            299 => found(2, 28),
+            250.. => silent(),
+            _ => LookUpAnswer::NoCopy,
+        };
+        search.record(format!("host-{index:03}").into(), answer);
+    }
+    let text = search.to_string();
+    let ends = [text.get(..90), text.get(text.len() - 80..)].map(Option::unwrap);
+    insta::assert_snapshot!(ends.join(" ... "), @"host-299: 28 tokens of attempt 2; host-008: gone, connection refused; host-250: not reacha ... wer in time; host-263: not reachable, no answer in time; 35 more; no copy at 249");
+    assert!(text.len() < 1_000, "{}", text.len());
+}
--- a/crates/daemon/src/entry/draft/resume.rs
+++ b/crates/daemon/src/entry/draft/resume.rs
@@ -101,10 +101,11 @@
 
 /// Hosts that may have the copy do not answer now; the caller tries again.
 fn copy_unreachable(hosts: &[HostName]) -> Refusal {
-    let names: Vec<&str> = hosts.iter().map(HostName::as_str).collect();
+    let first = hosts.first().map_or("any host", HostName::as_str);
+    let others = hosts.len().saturating_sub(1);
     let detail = format!(
-        "no answer from {}, which may have the stream; send the same request again",
-        names.join(", ")
+        "no answer from {first} and {others} others, which may have the stream; send the same \
+         request again"
     );
     Refusal::unknown(
         StatusCode::SERVICE_UNAVAILABLE,
