--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -138,7 +138,9 @@
             .requests_forwarded
             .add(0, &[forward_result("answered")]);
         metrics.peer_requests.add(0, &[]);
+        metrics.add_peer_frames("leases", FrameCount::default());
         metrics.stream_copy_losses.add(0, &[]);
+        metrics.stream_resumes.add(0, &[resume_verdict("lost")]);
         metrics.tokens_unconfirmed.add(0, &[]);
         Ok(metrics)
     }
@@ -270,8 +272,7 @@
 
     /// Counts a request to resume a stream; `verdict` is what the look-up found.
     pub fn record_resume(&self, verdict: &'static str) {
-        self.stream_resumes
-            .add(1, &[KeyValue::new("verdict", verdict)]);
+        self.stream_resumes.add(1, &[resume_verdict(verdict)]);
     }
 
     /// Counts tokens sent to a caller before another host confirmed their copy.
@@ -306,6 +307,10 @@
     KeyValue::new("result", result)
 }
 
+fn resume_verdict(verdict: &'static str) -> KeyValue {
+    KeyValue::new("verdict", verdict)
+}
+
 fn outcome(reported: OutcomeKind) -> KeyValue {
     let name = match reported {
         OutcomeKind::CallerGone => "caller-gone",
