--- a/crates/daemon/src/keeper/client.rs
+++ b/crates/daemon/src/keeper/client.rs
@@ -3,14 +3,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use pollendrift_coordination::agreement::{KeeperId, LogIndex, Term};
+use pollendrift_coordination::agreement::LogIndex;
 use pollendrift_coordination::base::HostName;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::error::SubmitError;
 use super::list::KeeperList;
 use super::port::{KeeperPort, KeeperRequest, LocalOutcome};
-use super::status::KeeperStatus;
 use crate::peers::{CallError, PeerAnswer, PeerHub, PeerQuestion};
 
 /// Timeouts and back-off of a [`KeeperClient`].
@@ -154,7 +153,6 @@
                 return Err(SubmitError::not_run(reason));
             };
             attempts += 1;
-            let known = self.local.as_ref().map(|local| leadership(&local.status()));
             match self.attempt(&host, question.clone(), deadline).await {
                 Attempt::Answered(answer) => return self.conclude(host, answer, unknown),
                 Attempt::TryAnother {
@@ -174,8 +172,7 @@
                 self.set_leader(None);
                 // Without jitter, hundreds of hosts that retry in step would keep the keepers from
                 // electing a leader.
-                let pause = backoff.mul_f64(rand::random_range(0.5..=1.0));
-                next = timeout(pause, self.next_leader(known)).await.ok();
+                sleep(backoff.mul_f64(rand::random_range(0.5..=1.0))).await;
                 backoff = (backoff * 2).min(self.settings.max_backoff);
             }
             if Instant::now() + MIN_ATTEMPT_TIME >= deadline {
@@ -249,25 +246,6 @@
         leader.or_else(|| Some(self.hub.host().clone()))
     }
 
-    /// Waits until the keeper of this host knows another leader than the `known` one; never returns
-    /// without a keeper.
-    ///
-    /// Questions that are repeated every few milliseconds until a leader answers take the processor
-    /// that the keepers need to elect it.
-    async fn next_leader(&self, known: Option<Leadership>) -> HostName {
-        let (Some(local), Some(known)) = (&self.local, known) else {
-            return std::future::pending().await;
-        };
-        let is_new = |status: &KeeperStatus| status.leader.is_some() && leadership(status) != known;
-        let mut status = local.watch_status();
-        let found = status.wait_for(is_new).await;
-        match found.ok().and_then(|status| status.leader.clone()) {
-            Some(leader) => leader.host,
-            // The keeper has stopped.
-            None => std::future::pending().await,
-        }
-    }
-
     /// Keepers in round-robin order; the first one depends on the host's name, so that hosts start
     /// at different keepers.
     fn keeper_in_turn(&self, attempts: usize) -> Option<HostName> {
@@ -283,13 +261,6 @@
     }
 }
 
-/// Term and its leader, as a keeper knows them.
-type Leadership = (Term, Option<KeeperId>);
-
-fn leadership(status: &KeeperStatus) -> Leadership {
-    (status.term, status.leader.clone())
-}
-
 async fn attempt_local(local: &KeeperPort, question: PeerQuestion) -> Attempt {
     match question {
         PeerQuestion::Submit(command) => {
--- a/crates/daemon/src/node/parts.rs
+++ b/crates/daemon/src/node/parts.rs
@@ -23,6 +23,9 @@
 /// take a few seconds; a longer partition costs two changes of membership: the removal and the
 /// return of the keeper.
 const LOST_VOTER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum back-off of a keeper before it looks for the leader again; short, since a keeper learns
+/// of a new leader itself.
+const KEEPER_MAX_BACKOFF: Duration = Duration::from_millis(40);
 
 /// Duration of the lease on the configuration.
 ///
@@ -140,9 +143,15 @@
 }
 
 pub(super) fn client_settings(settings: &DaemonSettings) -> ClientSettings {
+    let default = ClientSettings::default();
     ClientSettings {
         request_timeout: settings.agreement.commit_timeout,
-        ..ClientSettings::default()
+        max_backoff: if settings.is_keeper() {
+            KEEPER_MAX_BACKOFF
+        } else {
+            default.max_backoff
+        },
+        ..default
     }
 }
 
