feat(relay): log lines name the shared parts of prompts, and engines that broke off a draft

Cause: three hypotheses of the incident could not be told apart: no line said what the drafts on a crashed engine have in common, or that it had crashed. Change: the dialect reads the shared parts of a prompt; the line 'sent' has them. A draft whose chain broke before its first event checks whether the first engine accepts connections, and logs it with the parts. Measured: none; the lines are used with the failing tests.

--- a/crates/coordination/src/base/name.rs
+++ b/crates/coordination/src/base/name.rs
@@ -63,6 +63,10 @@
     /// Name of an operator, as stated in its credential.
     OperatorName
 );
+name_type!(
+    /// Name of a part of prompts; two requests with the same part share its content.
+    PartName
+);
 name_type!(
     /// Id of one caller's request, unique across all hosts.
     RequestId
--- a/crates/coordination/src/leases/assignment.rs
+++ b/crates/coordination/src/leases/assignment.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::base::{DataCentreName, HostName, MonotonicTime, ServerName};
+use crate::base::{DataCentreName, HostName, MonotonicTime, ServerName, hash_names};
 
 /// Time between two scans for servers that can be removed.
 const SCAN_PERIOD: Duration = Duration::from_secs(1);
@@ -82,20 +82,7 @@
 /// Keepers compute it for each host of a data centre with each announcement. It needs no
 /// resistance against chosen names: a server may announce to any keeper as often as it likes.
 fn weight(server: &ServerName, host: &HostName) -> u64 {
-    const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const FNV_PRIME: u64 = 0x0100_0000_01b3;
-    let bytes = server
-        .as_str()
-        .bytes()
-        .chain([0])
-        .chain(host.as_str().bytes());
-    let hash = bytes.fold(FNV_OFFSET, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
-    });
-    // FNV changes the high bits little for names that differ at their end.
-    let mixed = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    let mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    mixed ^ (mixed >> 33)
+    hash_names(server.as_str(), host.as_str())
 }
 
 /// Assigns heartbeat hosts to servers and records the servers that returned to this keeper.
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -14,6 +14,7 @@
 mod channels;
 mod context;
 mod control;
+mod crashes;
 mod draft_forward;
 mod draft_search;
 mod drafts;
@@ -204,6 +205,7 @@
         service: Arc::clone(service),
         customer: customer.map(|customer| customer.name.clone()),
         draft: call.draft.clone(),
+        shared_parts: Arc::clone(&call.shared_parts),
         resume_after: call.resume_after,
         arrived,
         deadline: arrived.after(call.timeout.unwrap_or(route.timeout).min(route.timeout)),
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -208,6 +208,9 @@
                     }
                     let culprits = culprits_of(&chain.chain, &failed);
                     log_failed_send(&self.request, &failed, &culprits);
+                    if failed.outcome == SendOutcome::ResetAfterSend {
+                        self.check_broken_engine(&chain.chain).await;
+                    }
                     // An engine that declined is full, or was a moment ago. It is excluded only for a
                     // short time, since there may be no other engine with its layers.
                     let time = match failed.outcome {
--- a/crates/daemon/src/relay/forwarding.rs
+++ b/crates/daemon/src/relay/forwarding.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Whether an event has arrived.
+    pub(super) fn has_events(&self) -> bool {
+        !self.is_first
+    }
+
     /// Stores a part that was received outside of [`EventForwarder::run`], to forward it next.
     pub(super) fn put_back(&mut self, part: NextPart) {
         self.pending = Some(part);
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -7,7 +7,7 @@
 use http::request::Parts;
 use http_body_util::Full;
 use pollendrift_coordination::base::{
-    CustomerName, MonotonicTime, RequestId, ServerName, ServiceName,
+    CustomerName, MonotonicTime, PartName, RequestId, ServerName, ServiceName,
 };
 use pollendrift_coordination::routes::{Route, ServiceSpec};
 use pollendrift_coordination::streams::EventId;
@@ -25,6 +25,8 @@
     pub(super) service: Arc<ServiceSpec>,
     pub(super) customer: Option<CustomerName>,
     pub(super) draft: Option<DraftSize>,
+    /// Parts of the prompt that other requests may share.
+    pub(super) shared_parts: Arc<[PartName]>,
     /// Last event of an earlier answer that the caller received.
     pub(super) resume_after: Option<EventId>,
     pub(super) arrived: MonotonicTime,
@@ -58,6 +60,12 @@
         self.deadline.since(now)
     }
 
+    /// Names of the shared parts, for log lines.
+    pub(super) fn part_names(&self) -> String {
+        let names: Vec<&str> = self.shared_parts.iter().map(PartName::as_str).collect();
+        names.join(" ")
+    }
+
     /// Servers that may get the request from this host.
     pub(super) fn max_attempts(&self) -> u32 {
         let tried = self
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -93,6 +93,9 @@
                 }
             }
             ChainEnd::Broken(_) | ChainEnd::Silent(_) => {
+                if let Some(chain) = running.chain.as_ref().filter(|_| !forwarder.has_events()) {
+                    run.check_broken_engine(&chain.chain).await;
+                }
                 let reason = release_chain(&mut run, running, end, after);
                 let next = tokio::select! {
                     next = continue_elsewhere(&mut run, after) => next,
--- a/crates/dialect/src/callers.rs
+++ b/crates/dialect/src/callers.rs
@@ -7,7 +7,7 @@
 use derive_more::{Display, Error};
 use http::Response;
 use http::request::Parts;
-use pollendrift_coordination::base::{ModelName, RequestId};
+use pollendrift_coordination::base::{ModelName, PartName, RequestId};
 use pollendrift_coordination::streams::EventId;
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +26,9 @@
     pub timeout: Option<Duration>,
     /// Size of a draft; `None` for a call of a plain service.
     pub draft: Option<DraftSize>,
+    /// Parts of the prompt that other requests may share, in order; empty if none is known. The last
+    /// part of a prompt belongs to its request alone and is left out.
+    pub shared_parts: Arc<[PartName]>,
     /// Last event that the caller received of an earlier response.
     pub resume_after: Option<EventId>,
 }
