--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ledger;
 pub mod limits;
 pub mod placement;
+pub mod quarantine;
 pub mod reachability;
 pub mod replicated;
 pub mod retries;
--- /dev/null
+++ b/crates/coordination/src/quarantine.rs
@@ -0,0 +1,29 @@
+//! Quarantine of prompt parts that crash engines.
+//!
+//! Some part of a prompt may crash each engine that begins to answer it. Its request would crash one
+//! engine after the other by retries, by resumption, and by its caller at other hosts, and with each
+//! engine all other requests on it are lost.
+//!
+//! After a crash, the parts of all requests that were on the engine and had no answer yet are
+//! suspects, unless requests with the same part are answered. Requests with a suspected part are held
+//! back: refused at once, as not run. After a while one of them is sent as a test, over all hosts one
+//! at a time. An answer ends the suspicion, another crash holds the part back for longer. Hosts share
+//! crashes, answers and tests, so that each decides by what all of them have seen.
+//!
+//! An engine that crashes for another reason makes parts suspects that only its requests have had.
+//! The next answer to one of them clears it, at the latest that of its test.
+
+mod crashes;
+mod interface;
+mod notice;
+mod proofs;
+mod sends;
+mod settings;
+mod table;
+
+pub use interface::{Admission, CrashId, HeldRequest, PartKey, PartVerdict, QuarantineEvent};
+pub use notice::{CrashNote, NoticeAudience, PartNote, QuarantineNotice};
+pub use proofs::PartDigest;
+pub use sends::SendKey;
+pub use settings::QuarantineSettings;
+pub use table::{QuarantineDump, QuarantineTable, SuspectDump};
--- /dev/null
+++ b/crates/coordination/src/quarantine/notice.rs
@@ -0,0 +1,87 @@
+//! What hosts tell each other about crashes, answers and tests.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::interface::{CrashId, PartKey};
+use super::proofs::PartDigest;
+use crate::base::{PartName, ServiceName, VersionName};
+
+/// A crash, as a host or several together have seen it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNote {
+    /// Engine that crashed.
+    pub id: CrashId,
+    /// Service of the engine.
+    pub service: ServiceName,
+    /// Version of its model; `None` if it held no layers.
+    pub version: Option<VersionName>,
+    /// Time since the crash was noticed.
+    pub age: Duration,
+    /// Parts of requests that were on the engine and had no answer.
+    pub suspects: Vec<PartName>,
+}
+
+/// An answer to a part, or the begin of its test.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartNote {
+    /// The part.
+    pub key: PartKey,
+    /// Time since the answer or the begin of the test.
+    pub age: Duration,
+}
+
+/// Changes since the last notice to the same hosts. Applying a notice twice, or several in another
+/// order, has the same result.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineNotice {
+    /// Crashes with new suspects.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashNote>,
+    /// Suspected parts that were answered.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cleared: Vec<PartNote>,
+    /// Suspected parts whose test has begun.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tested: Vec<PartNote>,
+    /// Parts that were answered for the first time in a while.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub proven: Vec<PartDigest>,
+}
+
+impl QuarantineNotice {
+    /// Whether the notice contains nothing.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+            && self.cleared.is_empty()
+            && self.tested.is_empty()
+            && self.proven.is_empty()
+    }
+}
+
+/// Hosts that a notice is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoticeAudience {
+    /// Hosts that forward it: the other keepers or, on a host without a keeper, the keepers.
+    Keepers,
+    /// Hosts that follow this keeper.
+    Followers,
+}
+
+/// Changes that one audience has not been told of.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PendingChanges {
+    pub(super) crashes: BTreeSet<CrashId>,
+    pub(super) cleared: BTreeSet<PartKey>,
+    pub(super) tested: BTreeSet<PartKey>,
+    pub(super) proven: BTreeSet<PartDigest>,
+}
+
+impl PendingChanges {
+    /// Whether a change waits that other hosts must learn of at once. Proofs can wait.
+    pub(super) fn is_urgent(&self) -> bool {
+        !self.crashes.is_empty() || !self.cleared.is_empty() || !self.tested.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/quarantine/settings.rs
@@ -0,0 +1,57 @@
+//! Settings of the quarantine.
+
+use std::time::Duration;
+
+/// Settings of a [`super::QuarantineTable`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantineSettings {
+    /// Time after the first event of an answer from which its parts are proven sound. An engine that
+    /// a part crashes may still send a few events.
+    pub proof_time: Duration,
+    /// Time for which an answer proves the parts of its request.
+    pub proof_memory: Duration,
+    /// Crashes within this time count as one round: many engines may crash for one reason, and hosts
+    /// notice it one after the other.
+    pub round_gap: Duration,
+    /// Time for which requests with a part are held back after its last crash, by the number of its
+    /// rounds. After more rounds they are held back until the crashes are forgotten.
+    pub holds: [Duration; 3],
+    /// Time after which a single round is forgotten.
+    pub suspicion: Duration,
+    /// Time after which a crash is forgotten.
+    pub retention: Duration,
+    /// Longest time for which the result of a test is awaited.
+    pub test_timeout: Duration,
+    /// Additional time for which a request with several suspected parts is held back, so that they
+    /// are tested one by one if possible.
+    pub ambiguous_wait: Duration,
+    /// Hosts begin a test at different times, spread over this time for each host, so that two of
+    /// them rarely begin one before they know of each other's.
+    pub test_spread: Duration,
+    /// Maximum number of stored crashes.
+    pub max_crashes: usize,
+    /// Maximum number of suspected parts of one crash.
+    pub max_suspects: usize,
+}
+
+impl Default for QuarantineSettings {
+    fn default() -> Self {
+        Self {
+            proof_time: Duration::from_millis(250),
+            proof_memory: Duration::from_secs(300),
+            round_gap: Duration::from_secs(2),
+            holds: [
+                Duration::from_secs(5),
+                Duration::from_secs(30),
+                Duration::from_secs(300),
+            ],
+            suspicion: Duration::from_secs(600),
+            retention: Duration::from_secs(86_400),
+            test_timeout: Duration::from_secs(3),
+            ambiguous_wait: Duration::from_secs(2),
+            test_spread: Duration::from_millis(100),
+            max_crashes: 64,
+            max_suspects: 16,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/quarantine/table.rs
@@ -0,0 +1,622 @@
+//! Decides which requests are held back, by what this host and others have seen.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::crashes::{Blame, CrashRecord, CrashTable};
+use super::interface::{Admission, CrashId, HeldRequest, PartKey, PartVerdict, QuarantineEvent};
+use super::notice::{CrashNote, NoticeAudience, PartNote, PendingChanges, QuarantineNotice};
+use super::proofs::{PartDigest, ProofCache};
+use super::sends::{EngineSend, SendKey, SendTable};
+use super::settings::QuarantineSettings;
+use crate::base::{MonotonicTime, PartName, ServerName, ServiceName, VersionName, hash_names};
+
+/// Maximum number of proven parts that wait for the next notice, and that one notice contains.
+const MAX_PENDING_PROOFS: usize = 512;
+
+/// What one host knows of prompt parts that crash engines.
+///
+/// All times in it are later than those of its callers by the retention of crashes, so that the age
+/// of a crash can be longer than this process runs.
+#[derive(Clone, Debug)]
+pub struct QuarantineTable {
+    settings: QuarantineSettings,
+    /// Name of this host, from which the times of its tests are derived.
+    host: Arc<str>,
+    /// Number of hosts that send requests to engines.
+    hosts: u32,
+    sends: SendTable,
+    proofs: ProofCache,
+    crashes: CrashTable,
+    /// Begin of the last test of each suspected part, at any host.
+    tests: BTreeMap<PartKey, MonotonicTime>,
+    for_keepers: PendingChanges,
+    for_followers: PendingChanges,
+}
+
+/// A suspected part in the dump.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct SuspectDump {
+    /// Service and name of the part.
+    pub part: PartKey,
+    /// Crashes that it is suspected of.
+    pub crashes: u32,
+    /// Rounds of crashes.
+    pub rounds: u32,
+    /// Engines that crashed, the last one last.
+    pub engines: Vec<ServerName>,
+    /// Time after which a request with it may be sent as a test.
+    pub held_for: Duration,
+}
+
+/// State of the quarantine in the dump.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct QuarantineDump {
+    /// Suspected parts.
+    pub suspects: Vec<SuspectDump>,
+}
+
+impl QuarantineTable {
+    /// Creates a table for `host` that has seen no crash.
+    pub fn new(settings: QuarantineSettings, host: &str) -> Self {
+        Self {
+            settings,
+            host: host.into(),
+            hosts: 1,
+            sends: SendTable::default(),
+            proofs: ProofCache::default(),
+            crashes: CrashTable::default(),
+            tests: BTreeMap::new(),
+            for_keepers: PendingChanges::default(),
+            for_followers: PendingChanges::default(),
+        }
+    }
+
+    /// Sets the number of hosts that send requests to engines.
+    pub fn set_hosts(&mut self, hosts: u32) {
+        self.hosts = hosts.max(1);
+    }
+
+    /// Returns the first of `parts` that no host is known to have got an answer to lately.
+    pub fn unproven_part(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        parts: &[PartName],
+    ) -> Option<PartDigest> {
+        let now = self.internal(now);
+        let digests = parts.iter().map(|part| PartDigest::of(service, part));
+        let memory = self.settings.proof_memory;
+        let mut unproven = digests.filter(|part| self.proofs.last(now, *part, memory).is_none());
+        unproven.next()
+    }
+
+    /// Decides whether a request with `parts` may be sent to engines now. `test` is the begin of the
+    /// test that this request is, if it has been admitted as one.
+    pub fn admit(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        parts: &[PartName],
+        test: Option<MonotonicTime>,
+    ) -> Admission {
+        if let Some(held) = self.held(now, service, parts, test) {
+            return Admission::Hold(held);
+        }
+        let (caller_now, now) = (now, self.internal(now));
+        let suspects = self.suspects(now, service, parts);
+        if suspects.is_empty() {
+            return Admission::Send;
+        }
+        if let Some(began_at) =
+            test.filter(|began_at| self.is_valid_test(now, *began_at, &suspects))
+        {
+            return Admission::Test(began_at);
+        }
+        for (key, _) in suspects {
+            self.queue(&NoticeSource::Own, |changes| {
+                changes.tested.insert(key.clone());
+            });
+            self.tests.insert(key, now);
+        }
+        Admission::Test(caller_now)
+    }
+
+    /// Returns the reason why a request with `parts` must not be sent to engines now, without
+    /// beginning a test.
+    pub fn held(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        parts: &[PartName],
+        test: Option<MonotonicTime>,
+    ) -> Option<HeldRequest> {
+        if self.crashes.is_empty() {
+            return None;
+        }
+        let now = self.internal(now);
+        let suspects = self.suspects(now, service, parts);
+        if test.is_some_and(|began_at| self.is_valid_test(now, began_at, &suspects)) {
+            return None;
+        }
+        let is_single = suspects.len() == 1;
+        let waits = suspects.iter().map(|(key, blame)| {
+            let wait = self.wait_of(now, key, *blame, is_single);
+            (wait, key, blame)
+        });
+        let (wait, key, blame) = waits.max_by_key(|(wait, ..)| *wait)?;
+        (!wait.is_zero()).then(|| HeldRequest {
+            part: key.clone(),
+            crashes: blame.crashes,
+            wait,
+        })
+    }
+
+    /// Ends a test of this host without a result: its request was not sent, or its caller left.
+    pub fn cancel_test(
+        &mut self,
+        service: &ServiceName,
+        parts: &[PartName],
+        began_at: MonotonicTime,
+    ) {
+        let began_at = self.internal(began_at);
+        for part in parts {
+            let key = key_of(service, part);
+            if self.tests.get(&key) == Some(&began_at) {
+                self.tests.remove(&key);
+            }
+        }
+    }
+
+    /// Records that a request was sent to `engines`.
+    pub fn record_sent(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        parts: &Arc<[PartName]>,
+        engines: Vec<ServerName>,
+    ) -> SendKey {
+        let now = self.internal(now);
+        self.sends.begin(now, service, parts, engines)
+    }
+
+    /// Whether a request is on engines and its parts are not proven by its answer.
+    pub fn is_unproven(&self, send: SendKey) -> bool {
+        self.sends.contains(send)
+    }
+
+    /// Records an event of the answer to a request; returns what that changes.
+    pub fn record_event(&mut self, now: MonotonicTime, send: SendKey) -> Vec<QuarantineEvent> {
+        let now = self.internal(now);
+        let proof_time = self.settings.proof_time;
+        let proven = self.sends.record_event(now, send, proof_time);
+        proven.map_or_else(Vec::new, |send| self.record_proven(now, &send))
+    }
+
+    /// Records the end of a request on its engines; `is_complete` if its whole answer came.
+    pub fn record_ended(
+        &mut self,
+        now: MonotonicTime,
+        send: SendKey,
+        is_complete: bool,
+    ) -> Vec<QuarantineEvent> {
+        let now = self.internal(now);
+        let answered = self.sends.end(send).filter(|_| is_complete);
+        answered.map_or_else(Vec::new, |send| self.record_proven(now, &send))
+    }
+
+    /// Records that an engine of `service` crashed, with all requests of this host on it; returns what
+    /// that changes.
+    pub fn record_crash(
+        &mut self,
+        now: MonotonicTime,
+        id: &CrashId,
+        service: &ServiceName,
+        version: Option<VersionName>,
+    ) -> Vec<QuarantineEvent> {
+        let now = self.internal(now);
+        let parts = self.sends.parts_on(service, &id.server);
+        let suspects = self.select_suspects(now, service, parts);
+        let crash = CrashRecord {
+            service: service.clone(),
+            version,
+            at: now,
+            suspects,
+        };
+        self.add_crash(now, id, crash, &NoticeSource::Own)
+    }
+
+    /// Removes the crashes on versions of a service's model that no engine holds any more. `held` are
+    /// the versions that engines hold; while it is empty, nothing is known of them.
+    pub fn retain_versions(&mut self, service: &ServiceName, held: &BTreeSet<VersionName>) {
+        if !held.is_empty() && !self.crashes.is_empty() {
+            self.crashes.retain_versions(service, held);
+        }
+    }
+
+    /// Removes what is too old.
+    pub fn tick(&mut self, now: MonotonicTime) {
+        if self.crashes.is_empty() {
+            return;
+        }
+        let now = self.internal(now);
+        self.crashes.forget(now, &self.settings);
+        let parts = self.crashes.parts();
+        self.tests.retain(|key, _| parts.contains(key));
+    }
+
+    /// Applies a notice of a keeper, or of a host without one; returns what it changes.
+    pub fn merge(
+        &mut self,
+        now: MonotonicTime,
+        notice: QuarantineNotice,
+        is_from_keeper: bool,
+    ) -> Vec<QuarantineEvent> {
+        let now = self.internal(now);
+        let source = if is_from_keeper {
+            NoticeSource::Keeper
+        } else {
+            NoticeSource::Entry
+        };
+        for proven in notice.proven {
+            self.add_proof(now, proven, &source);
+        }
+        let mut events = Vec::new();
+        for note in notice.crashes {
+            let crash = CrashRecord {
+                service: note.service,
+                version: note.version,
+                at: now.before(note.age),
+                suspects: note.suspects.into_iter().collect(),
+            };
+            events.extend(self.add_crash(now, &note.id, crash, &source));
+        }
+        for note in notice.cleared {
+            let at = now.before(note.age);
+            events.extend(self.clear(now, &note.key, at, &source));
+        }
+        for note in notice.tested {
+            let began_at = now.before(note.age);
+            let known = self.tests.get(&note.key);
+            if known.is_none_or(|known| began_at.since(*known) > self.settings.test_spread) {
+                self.tests.insert(note.key.clone(), began_at);
+                self.queue(&source, |changes| {
+                    changes.tested.insert(note.key.clone());
+                });
+            }
+        }
+        events
+    }
+
+    /// Whether hosts wait for a change that they must learn of at once.
+    pub fn has_urgent_changes(&self) -> bool {
+        self.for_keepers.is_urgent() || self.for_followers.is_urgent()
+    }
+
+    /// Returns the changes since the last call for the same audience.
+    pub fn take_changes(
+        &mut self,
+        now: MonotonicTime,
+        audience: NoticeAudience,
+    ) -> QuarantineNotice {
+        let now = self.internal(now);
+        let changes = std::mem::take(match audience {
+            NoticeAudience::Keepers => &mut self.for_keepers,
+            NoticeAudience::Followers => &mut self.for_followers,
+        });
+        self.notice_of(now, changes)
+    }
+
+    /// Returns everything that concerns suspected parts, for hosts that may have missed a change.
+    pub fn full_notice(&self, now: MonotonicTime) -> QuarantineNotice {
+        if self.crashes.is_empty() {
+            return QuarantineNotice::default();
+        }
+        let now = self.internal(now);
+        let mut changes = PendingChanges::default();
+        let crashes = self.crashes.records().map(|(id, _)| id.clone());
+        changes.crashes = crashes.collect();
+        changes.cleared = self
+            .crashes
+            .clearances()
+            .map(|(key, _)| key.clone())
+            .collect();
+        self.notice_of(now, changes)
+    }
+
+    /// Number of suspected parts.
+    pub fn suspect_count(&self, now: MonotonicTime) -> usize {
+        let now = self.internal(now);
+        let parts = self.crashes.parts();
+        let blames = parts.iter().map(|key| self.blame(now, key));
+        blames.flatten().count()
+    }
+
+    /// Returns the state for the dump.
+    pub fn dump(&self, now: MonotonicTime) -> QuarantineDump {
+        let now = self.internal(now);
+        let parts = self.crashes.parts().into_iter();
+        let suspects = parts.filter_map(|part| {
+            let blame = self.blame(now, &part)?;
+            Some(SuspectDump {
+                crashes: blame.crashes,
+                rounds: blame.rounds,
+                engines: self.engines_under(&part),
+                held_for: self.wait_of(now, &part, blame, true),
+                part,
+            })
+        });
+        QuarantineDump {
+            suspects: suspects.collect(),
+        }
+    }
+
+    /// Engines that crashed under a part, the last one last.
+    pub fn engines_under(&self, part: &PartKey) -> Vec<ServerName> {
+        let records = self.crashes.records().filter(|(_, record)| {
+            record.service == part.service && record.suspects.contains(&part.part)
+        });
+        let mut engines: Vec<_> = records
+            .map(|(id, record)| (record.at, id.server.clone()))
+            .collect();
+        engines.sort();
+        engines.into_iter().map(|(_, server)| server).collect()
+    }
+
+    fn internal(&self, now: MonotonicTime) -> MonotonicTime {
+        now.after(self.settings.retention)
+    }
+
+    fn blame(&self, now: MonotonicTime, key: &PartKey) -> Option<Blame> {
+        self.crashes.blame(now, &self.settings, key)
+    }
+
+    fn suspects(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        parts: &[PartName],
+    ) -> Vec<(PartKey, Blame)> {
+        let keys = parts.iter().map(|part| key_of(service, part));
+        let suspects = keys.filter_map(|key| {
+            let blame = self.blame(now, &key)?;
+            Some((key, blame))
+        });
+        suspects.collect()
+    }
+
+    /// Whether a test that began at `began_at`, in the time of the caller, has no result yet.
+    fn is_valid_test(
+        &self,
+        now: MonotonicTime,
+        began_at: MonotonicTime,
+        suspects: &[(PartKey, Blame)],
+    ) -> bool {
+        let began_at = self.internal(began_at);
+        let has_crashed = suspects.iter().any(|(_, blame)| blame.last_at >= began_at);
+        !has_crashed && now.since(began_at) < self.settings.test_timeout
+    }
+
+    /// Time for which a request must wait for a suspected part; `is_single` if it has no other one.
+    fn wait_of(
+        &self,
+        now: MonotonicTime,
+        key: &PartKey,
+        blame: Blame,
+        is_single: bool,
+    ) -> Duration {
+        let settings = &self.settings;
+        let mut due = self.due_at(key, blame);
+        if !is_single {
+            due = due.after(settings.ambiguous_wait);
+        }
+        let tested_until = self.tests.get(key).and_then(|began_at| {
+            let is_open = *began_at > blame.last_at;
+            is_open.then(|| began_at.after(settings.test_timeout))
+        });
+        let due = tested_until.map_or(due, |until| due.max(until));
+        due.since(now)
+    }
+
+    /// Time from which this host may test a part.
+    fn due_at(&self, key: &PartKey, blame: Blame) -> MonotonicTime {
+        let settings = &self.settings;
+        let [first, ..] = settings.holds;
+        // Requests without the other suspects of the crashes soon tell which of them it is.
+        let hold = if blame.is_sole_suspect {
+            let index = usize::try_from(blame.rounds).unwrap_or(usize::MAX);
+            let hold = settings.holds.get(index.saturating_sub(1)).copied();
+            hold.unwrap_or(settings.retention)
+        } else {
+            first
+        };
+        let spread = settings.test_spread.saturating_mul(self.hosts);
+        let spread = u64::try_from(spread.as_micros()).unwrap_or(u64::MAX).max(1);
+        let offset = hash_names(&self.host, &format!("{key} {}", blame.crashes)) % spread;
+        blame
+            .last_at
+            .after(hold)
+            .after(Duration::from_micros(offset))
+    }
+
+    /// Selects the suspects of a crash out of the parts on the engine: those without a known answer
+    /// first, the latest ones first.
+    fn select_suspects(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        parts: Vec<PartName>,
+    ) -> BTreeSet<PartName> {
+        let memory = self.settings.proof_memory;
+        let is_proven = |part: &PartName| {
+            let digest = PartDigest::of(service, part);
+            self.proofs.last(now, digest, memory).is_some()
+        };
+        let (proven, unproven): (Vec<_>, Vec<_>) = parts.into_iter().partition(is_proven);
+        let mut suspects = BTreeSet::new();
+        for part in unproven.into_iter().chain(proven) {
+            if suspects.len() >= self.settings.max_suspects {
+                break;
+            }
+            suspects.insert(part);
+        }
+        suspects
+    }
+
+    fn add_crash(
+        &mut self,
+        now: MonotonicTime,
+        id: &CrashId,
+        crash: CrashRecord,
+        source: &NoticeSource,
+    ) -> Vec<QuarantineEvent> {
+        let service = crash.service.clone();
+        let added = self.crashes.add(&self.settings, id, crash);
+        if added.is_empty() {
+            return Vec::new();
+        }
+        self.queue(source, |changes| {
+            changes.crashes.insert(id.clone());
+        });
+        let mut events = Vec::new();
+        for part in added {
+            let key = PartKey {
+                service: service.clone(),
+                part,
+            };
+            if self.has_answer_since_last_round(now, id, &key) {
+                events.extend(self.clear(now, &key, now, &NoticeSource::Own));
+            } else if let Some(blame) = self.blame(now, &key) {
+                events.push(QuarantineEvent {
+                    part: key,
+                    verdict: PartVerdict::Suspected {
+                        crashes: blame.crashes,
+                        rounds: blame.rounds,
+                    },
+                });
+            }
+        }
+        events
+    }
+
+    /// Whether a part was answered after its last crash before this one: a part that was sound just
+    /// now is not the reason of one crash, but may have changed if it is on a second one.
+    fn has_answer_since_last_round(&self, now: MonotonicTime, id: &CrashId, key: &PartKey) -> bool {
+        let Some(crashed_at) = self.crashes.get(id).map(|record| record.at) else {
+            return false;
+        };
+        let digest = PartDigest::of(&key.service, &key.part);
+        let answered_at = self.proofs.last(now, digest, self.settings.proof_memory);
+        let last_crash = self.crashes.last_before(&self.settings, key, crashed_at);
+        answered_at.is_some_and(|answered| last_crash.is_none_or(|last| answered > last))
+    }
+
+    fn record_proven(&mut self, now: MonotonicTime, send: &EngineSend) -> Vec<QuarantineEvent> {
+        let mut events = Vec::new();
+        for part in send.parts.iter() {
+            let digest = PartDigest::of(&send.service, part);
+            self.add_proof(now, digest, &NoticeSource::Own);
+            let key = key_of(&send.service, part);
+            if !self.crashes.is_empty() && self.blame(now, &key).is_some() {
+                events.extend(self.clear(now, &key, now, &NoticeSource::Own));
+            }
+        }
+        events
+    }
+
+    fn add_proof(&mut self, now: MonotonicTime, part: PartDigest, source: &NoticeSource) {
+        let last = self.proofs.record(now, part);
+        let is_news = last.is_none_or(|last| now.since(last) > self.settings.proof_memory / 2);
+        if is_news {
+            self.queue(source, |changes| {
+                if changes.proven.len() < MAX_PENDING_PROOFS {
+                    changes.proven.insert(part);
+                }
+            });
+        }
+    }
+
+    /// Records an answer to a part at `at`.
+    fn clear(
+        &mut self,
+        now: MonotonicTime,
+        key: &PartKey,
+        at: MonotonicTime,
+        source: &NoticeSource,
+    ) -> Option<QuarantineEvent> {
+        let was_suspected = self.blame(now, key).is_some();
+        if !self.crashes.clear(key, at) {
+            return None;
+        }
+        self.queue(source, |changes| {
+            changes.cleared.insert(key.clone());
+        });
+        let is_cleared = was_suspected && self.blame(now, key).is_none();
+        is_cleared.then(|| QuarantineEvent {
+            part: key.clone(),
+            verdict: PartVerdict::Sound,
+        })
+    }
+
+    /// Queues a change for the hosts that the source of the change has not told itself.
+    fn queue<F>(&mut self, source: &NoticeSource, mut change: F)
+    where
+        F: FnMut(&mut PendingChanges),
+    {
+        change(&mut self.for_followers);
+        if !matches!(source, NoticeSource::Keeper) {
+            change(&mut self.for_keepers);
+        }
+    }
+
+    fn notice_of(&self, now: MonotonicTime, changes: PendingChanges) -> QuarantineNotice {
+        let crashes = changes.crashes.iter().filter_map(|id| {
+            let record = self.crashes.get(id)?;
+            Some(CrashNote {
+                id: id.clone(),
+                service: record.service.clone(),
+                version: record.version.clone(),
+                age: now.since(record.at),
+                suspects: record.suspects.iter().cloned().collect(),
+            })
+        });
+        let note = |key: PartKey, at: MonotonicTime| PartNote {
+            key,
+            age: now.since(at),
+        };
+        let cleared = changes.cleared.into_iter().filter_map(|key| {
+            let at = self.crashes.cleared_at(&key)?;
+            Some(note(key, at))
+        });
+        let tested = changes.tested.into_iter().filter_map(|key| {
+            let at = self.tests.get(&key).copied()?;
+            Some(note(key, at))
+        });
+        QuarantineNotice {
+            crashes: crashes.collect(),
+            cleared: cleared.collect(),
+            tested: tested.collect(),
+            proven: changes.proven.into_iter().collect(),
+        }
+    }
+}
+
+/// Origin of a change.
+enum NoticeSource {
+    /// This host.
+    Own,
+    /// A host without a keeper.
+    Entry,
+    /// A keeper, which tells the other keepers itself.
+    Keeper,
+}
+
+fn key_of(service: &ServiceName, part: &PartName) -> PartKey {
+    PartKey {
+        service: service.clone(),
+        part: part.clone(),
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -38,6 +38,7 @@
 use crate::peers::ForwardHandler;
 use crate::placement::{PlacementParts, run_placement};
 use crate::platform::{DumpSource, PlatformHandler};
+use crate::quarantine::QuarantineState;
 use crate::relay::{RelayContext, RelayParts, accept_forwarding, relay_faces, start_relay};
 use crate::resend::ResendPolicy;
 use crate::settings::{DaemonSettings, DrainSettings, RetrySettings};
@@ -48,8 +49,8 @@
 
 use listeners::{listen, listen_addresses, server_limits};
 use sources::{
-    DaemonMetrics, EvidenceDump, FleetDump, ForwardingDumpSource, NodeDump, RateDumpSource,
-    RoutingDumpSource,
+    DaemonMetrics, EvidenceDump, FleetDump, ForwardingDumpSource, NodeDump, QuarantineDumpSource,
+    RateDumpSource, RoutingDumpSource,
 };
 
 /// Time between two ticks of the gate and the leases.
@@ -167,7 +168,13 @@
             seed,
         );
         let forwarding = Arc::new(ForwardingState::new(table, Arc::clone(&clock)));
+        let quarantine = Arc::new(QuarantineState::new(
+            &settings.host,
+            Arc::clone(&clock),
+            Arc::clone(&metrics),
+        ));
         let parts = NodeParts {
+            quarantine: Arc::clone(&quarantine),
             recorder: Arc::clone(&recorder),
             forwarding: Arc::clone(&forwarding),
             access: Arc::clone(&access),
@@ -210,6 +217,7 @@
                 agreed: Arc::clone(&agreed),
                 fleet: Arc::clone(&fleet),
                 forwarding,
+                quarantine: Arc::clone(&quarantine),
                 hub: node.hub().clone(),
                 clock: Arc::clone(&clock),
                 lifecycle: lifecycle.watch(),
@@ -242,6 +250,7 @@
             dump.push(Arc::new(ForwardingDumpSource {
                 relay: Arc::clone(relay),
             }));
+            dump.push(Arc::new(QuarantineDumpSource { quarantine }));
         }
         let operators = Arc::new(OperatorContext {
             entry: Arc::clone(&context),
--- a/crates/daemon/src/daemon/sources.rs
+++ b/crates/daemon/src/daemon/sources.rs
@@ -7,6 +7,7 @@
 use crate::node::ClusterNode;
 use crate::operators::keeper_state;
 use crate::platform::{DumpSource, MetricSource};
+use crate::quarantine::QuarantineState;
 use crate::relay::RelayContext;
 use crate::telemetry::{MetricRegistry, RecorderSlot};
 
@@ -54,6 +55,20 @@
     }
 }
 
+pub(super) struct QuarantineDumpSource {
+    pub(super) quarantine: Arc<QuarantineState>,
+}
+
+impl DumpSource for QuarantineDumpSource {
+    fn name(&self) -> &'static str {
+        "quarantine"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        serde_json::to_value(self.quarantine.dump()).unwrap_or_default()
+    }
+}
+
 pub(super) struct EvidenceDump {
     pub(super) recorder: Arc<RecorderSlot>,
 }
--- a/crates/daemon/src/fleet/worker.rs
+++ b/crates/daemon/src/fleet/worker.rs
@@ -110,6 +110,11 @@
         true
     }
 
+    /// Returns a known server of a published service, whether it may receive new work or not.
+    pub(crate) fn worker(&self, server: &ServerName) -> Option<Arc<WorkerView>> {
+        self.lock().workers.get(server).cloned()
+    }
+
     /// Returns the incarnation of a known server.
     pub(crate) fn worker_incarnation(&self, server: &ServerName) -> Option<Incarnation> {
         let state = self.lock();
--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -137,6 +137,7 @@
         pass_on: false,
         rates: None,
         partition: Some(notice),
+        quarantine: None,
     }
 }
 
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -62,11 +62,15 @@
                 pass_on,
                 rates,
                 partition,
+                quarantine,
             } => {
                 targets.broadcaster.receive_survey(notes, pass_on);
                 if let Some(notice) = partition {
                     targets.forwarding.receive_notice(hub, from, notice);
                 }
+                if let Some(notice) = quarantine {
+                    targets.broadcaster.receive_quarantine(from, notice);
+                }
                 if let Some(rates) = rates {
                     targets.broadcaster.receive_rates(from, &rates);
                 }
--- a/crates/daemon/src/lease_broadcast.rs
+++ b/crates/daemon/src/lease_broadcast.rs
@@ -1,5 +1,5 @@
-//! Broadcasts backend servers' leases, surveys of engines and the demand for rate-limited servers
-//! between hosts.
+//! Broadcasts backend servers' leases, surveys of engines, the demand for rate-limited servers and the
+//! quarantine of prompt parts between hosts.
 //!
 //! With a fixed list of hosts in the settings, each host sends every other host the leases that it
 //! received itself. With discovery, a host without a keeper follows one keeper: it gets the
@@ -13,6 +13,7 @@
 //! everything again, since frames queued for the broken link are lost. A peer requests the leases
 //! that it turns out to lack.
 
+mod quarantine;
 mod rates;
 mod recipients;
 mod surveys;
@@ -33,7 +34,9 @@
 use crate::fleet::BackendFleet;
 use crate::keeper::KeeperList;
 use crate::peers::{PeerFrame, PeerHub};
+use crate::quarantine::QuarantineState;
 
+use quarantine::FULL_NOTICE_TICKS;
 use recipients::LeaseRecipients;
 use surveys::SurveyRelay;
 
@@ -64,6 +67,7 @@
     /// Version of the lease table up to which the leaves of servers were sent to every host.
     leaves_sent: Mutex<u64>,
     surveys: SurveyRelay,
+    quarantine: Arc<QuarantineState>,
 }
 
 /// Leases that a host is to receive, and how far they were sent to it.
@@ -76,8 +80,9 @@
 
 impl LeaseBroadcaster {
     /// Creates a broadcaster that has sent nothing to any host.
-    pub fn new(
+    pub(crate) fn new(
         fleet: Arc<BackendFleet>,
+        quarantine: Arc<QuarantineState>,
         clock: Arc<dyn TimeSource>,
         keepers: KeeperList,
         feed: Arc<ConfigurationFeed>,
@@ -90,6 +95,7 @@
             linked_at: Mutex::default(),
             leaves_sent: Mutex::default(),
             surveys: SurveyRelay::default(),
+            quarantine,
         }
     }
 
@@ -182,14 +188,25 @@
         }
     }
 
-    /// Sends leases and surveys on each tick, for as long as the host runs.
+    /// Sends leases, surveys and notices of the quarantine, for as long as the host runs.
     pub async fn run(self: Arc<Self>, hub: PeerHub) {
+        tokio::join!(self.run_ticks(&hub), self.run_quarantine(&hub));
+    }
+
+    async fn run_ticks(&self, hub: &PeerHub) {
         let mut ticks = tokio::time::interval(BROADCAST_TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         for tick in 0_u32.. {
             ticks.tick().await;
             let has_renewals = tick % RENEWAL_TICKS == 0;
-            self.tick(&hub, self.clock.now(), has_renewals);
+            let now = self.clock.now();
+            self.tick(hub, now, has_renewals);
+            if has_renewals {
+                self.send_quarantine_changes(hub, now);
+            }
+            if tick % FULL_NOTICE_TICKS == 0 {
+                self.send_whole_quarantine(hub, now);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/daemon/src/lease_broadcast/quarantine.rs
@@ -0,0 +1,95 @@
+//! Tells other hosts which prompt parts crash engines.
+//!
+//! A host without a keeper tells the keeper that it follows and two others, as one of them may have
+//! failed. Keepers tell each other and their followers. Urgent changes are sent at once; all that is
+//! known of suspected parts is sent again periodically, for hosts that have missed a change.
+
+use std::time::Duration;
+
+use pollendrift_coordination::base::{HostName, MonotonicTime};
+use pollendrift_coordination::leases::LeaseSource;
+use pollendrift_coordination::quarantine::{NoticeAudience, QuarantineNotice};
+use rand::seq::IteratorRandom;
+use tokio::time::sleep;
+
+use super::LeaseBroadcaster;
+use crate::peers::{PeerFrame, PeerHub};
+
+/// Least time between two notices of urgent changes. A crash is noticed for many requests at once.
+const NOTICE_GAP: Duration = Duration::from_millis(15);
+/// Ticks between two notices with all that is known of suspected parts.
+pub(super) const FULL_NOTICE_TICKS: u32 = 10;
+/// Keepers beside the followed one that a host tells.
+const FURTHER_KEEPERS: usize = 2;
+
+impl LeaseBroadcaster {
+    /// Applies a notice of the peer `from`.
+    pub(crate) fn receive_quarantine(&self, from: &HostName, notice: QuarantineNotice) {
+        let is_from_keeper = self.recipients.kind_of(from) == LeaseSource::Keeper;
+        self.quarantine.merge(notice, is_from_keeper);
+    }
+
+    /// Sends urgent changes at once, for as long as the host runs.
+    pub(super) async fn run_quarantine(&self, hub: &PeerHub) {
+        loop {
+            self.quarantine.changed().await;
+            self.send_quarantine_changes(hub, self.clock.now());
+            sleep(NOTICE_GAP).await;
+        }
+    }
+
+    /// Sends the changes since the last notice.
+    pub(super) fn send_quarantine_changes(&self, hub: &PeerHub, now: MonotonicTime) {
+        let for_keepers = self.quarantine.take_changes(NoticeAudience::Keepers);
+        let for_followers = self.quarantine.take_changes(NoticeAudience::Followers);
+        if !for_keepers.is_empty() {
+            send_notice(hub, &self.told_keepers(hub, now), for_keepers);
+        }
+        if self.recipients.is_keeper() && !for_followers.is_empty() {
+            send_notice(hub, &self.recipients.followers(now), for_followers);
+        }
+    }
+
+    /// Sends all that is known of suspected parts.
+    pub(super) fn send_whole_quarantine(&self, hub: &PeerHub, now: MonotonicTime) {
+        let notice = self.quarantine.full_notice();
+        if notice.is_empty() {
+            return;
+        }
+        let mut hosts = self.told_keepers(hub, now);
+        if self.recipients.is_keeper() {
+            hosts.extend(self.recipients.followers(now));
+        }
+        send_notice(hub, &hosts, notice);
+    }
+
+    /// Keepers that this host tells; with a fixed list of peers, all hosts.
+    fn told_keepers(&self, hub: &PeerHub, now: MonotonicTime) -> Vec<HostName> {
+        let Some(discovery) = hub.discovery() else {
+            return hub.hosts();
+        };
+        if self.recipients.is_keeper() {
+            return self.recipients.other_keepers(hub);
+        }
+        let mut keepers: Vec<HostName> = self.recipients.hosts(hub, now).into_keys().collect();
+        let others = hub.up_hosts().into_iter();
+        let others = others.filter(|host| discovery.is_keeper(host) && !keepers.contains(host));
+        let further = others.sample(&mut rand::rng(), FURTHER_KEEPERS);
+        keepers.extend(further);
+        keepers
+    }
+}
+
+fn send_notice(hub: &PeerHub, hosts: &[HostName], notice: QuarantineNotice) {
+    if hosts.is_empty() {
+        return;
+    }
+    let frame = PeerFrame::Survey {
+        notes: Vec::new(),
+        pass_on: false,
+        rates: None,
+        partition: None,
+        quarantine: Some(notice),
+    };
+    hub.send_to(hosts, &frame);
+}
--- a/crates/daemon/src/lease_broadcast/rates.rs
+++ b/crates/daemon/src/lease_broadcast/rates.rs
@@ -57,6 +57,7 @@
             pass_on: false,
             rates: Some(rates),
             partition: None,
+            quarantine: None,
         };
         hub.send_to(hosts, &frame);
     }
--- a/crates/daemon/src/lease_broadcast/surveys.rs
+++ b/crates/daemon/src/lease_broadcast/surveys.rs
@@ -71,6 +71,7 @@
             pass_on,
             rates: None,
             partition: None,
+            quarantine: None,
         };
         hub.send_to(hosts, &frame);
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peers;
 pub(crate) mod placement;
 pub mod platform;
+pub(crate) mod quarantine;
 pub(crate) mod relay;
 pub mod resend;
 pub mod settings;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -37,6 +37,7 @@
 use crate::lease_broadcast::LeaseBroadcaster;
 use crate::operators::KeeperQuestionHandler;
 use crate::peers::{PeerHandler, PeerHub, PeerTasks};
+use crate::quarantine::QuarantineState;
 use crate::settings::DaemonSettings;
 use crate::state::SharedState;
 use crate::streams::StreamStore;
@@ -91,6 +92,8 @@
     pub fleet: Arc<BackendFleet>,
     /// Hosts that requests may be forwarded to.
     pub(crate) forwarding: Arc<ForwardingState>,
+    /// Prompt parts that crash engines.
+    pub(crate) quarantine: Arc<QuarantineState>,
     /// Evidence of this process.
     pub recorder: Arc<RecorderSlot>,
     /// Source of the current time.
@@ -168,6 +171,7 @@
         ));
         let broadcaster = Arc::new(LeaseBroadcaster::new(
             Arc::clone(&parts.fleet),
+            Arc::clone(&parts.quarantine),
             Arc::clone(&parts.clock),
             keepers.clone(),
             Arc::clone(&feed),
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -13,6 +13,7 @@
 use pollendrift_coordination::forwarding::ForwardHost;
 use pollendrift_coordination::hosts::{HostGossip, HostReach};
 use pollendrift_coordination::leases::{LeaseBatch, LeaseNumber};
+use pollendrift_coordination::quarantine::QuarantineNotice;
 use pollendrift_coordination::routing::SurveyResult;
 use pollendrift_coordination::streams::StreamUpdate;
 use pollendrift_store::JoinedGroup;
@@ -287,6 +288,9 @@
         /// Hosts that reach no server of a service; a part of this frame like `rates`.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         partition: Option<PartitionNotice>,
+        /// Prompt parts that crash engines; a part of this frame like `rates`.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        quarantine: Option<QuarantineNotice>,
     },
     /// Requests full announcements of servers that the receiver renewed and the sender lacks.
     LeaseQuestion(Vec<ServerName>),
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -15,6 +15,7 @@
     DataCentreName, Incarnation, LayerRange, ModelName, MonotonicTime, SequenceNumber, ServerName,
 };
 use pollendrift_coordination::leases::BackendLayers;
+use pollendrift_coordination::quarantine::PartDigest;
 use pollendrift_coordination::routes::{RouteTable, SpecGeneration, SpecGenerations};
 use pollendrift_coordination::routing::{
     ByteRate, DegradedLinks, DegradedSettings, EngineFilter, EngineRecord, FleetPlanner, FlightKey,
@@ -51,6 +52,11 @@
 /// for.
 const STREAM_TIME_DIVISOR: u32 = 8;
 
+/// Penalty of all data centres but one for a draft with a part that no engine is known to have
+/// answered. If the part crashes engines, the drafts with it that are sent before the first crash is
+/// known crash those of one data centre, and not of all.
+const UNPROVEN_PENALTY: Duration = Duration::from_millis(250);
+
 /// A chain that the planner counts as running until it is recorded as finished or failed.
 #[derive(Clone, Debug)]
 pub(super) struct ReservedChain {
@@ -85,6 +91,18 @@
     }
 }
 
+/// What a chain is searched for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ChainQuery<'query> {
+    pub(super) request: &'query RelayRequest,
+    /// Engines that the chain must not contain.
+    pub(super) excluded: &'query [ServerName],
+    /// Whether the caller has received a part of the answer.
+    pub(super) is_resume: bool,
+    /// A part of the prompt that no engine is known to have answered.
+    pub(super) unproven: Option<PartDigest>,
+}
+
 /// State of an engine as last announced to the planner.
 #[derive(Clone, Debug, PartialEq)]
 struct KnownEngine {
@@ -244,7 +262,8 @@
 
     /// Reserves a chain for a request: the one with the lowest predicted cost among the best chains
     /// of each data centre. Other data centres get a penalty, so this host's own is preferred
-    /// unless another is much faster.
+    /// unless another is much faster. Drafts with the same `unproven` part prefer the same data centre
+    /// at all hosts.
     ///
     /// A chain that crosses data centres sends 20 to 30 MB of activations per request over a shared
     /// link that carries about 40 such requests a second, whereas a caller's request and events are
@@ -253,9 +272,7 @@
     pub(super) fn reserve<F, H>(
         &mut self,
         now: MonotonicTime,
-        request: &RelayRequest,
-        excluded: &[ServerName],
-        is_resume: bool,
+        wanted: &ChainQuery<'_>,
         may_take_work: F,
         is_healthy: H,
     ) -> Result<ReservedChain, NoRoute>
@@ -263,6 +280,9 @@
         F: Fn(&ServerName) -> bool,
         H: Fn(&ServerName) -> bool,
     {
+        let ChainQuery {
+            request, excluded, ..
+        } = *wanted;
         let is_eligible = |engine: &EngineRecord| {
             let server = &engine.announcement.server;
             may_take_work(server) && is_healthy(server)
@@ -271,15 +291,18 @@
         let query = RouteQuery {
             excluded,
             // The caller of a broken stream has received part of the answer, which would be lost.
-            priority: if is_resume {
+            priority: if wanted.is_resume {
                 RoutePriority::Urgent
             } else {
                 RoutePriority::Normal
             },
             ..query_of(request, &model, &is_eligible)
         };
+        let preferred = wanted
+            .unproven
+            .and_then(|part| part.choose(self.centres.len()));
         let mut best: Option<(Duration, RoutePlan, Option<DataCentreName>)> = None;
-        for centre in self.centres.clone() {
+        for (index, centre) in self.centres.clone().into_iter().enumerate() {
             let query = RouteQuery {
                 within: Some(&centre),
                 ..query
@@ -288,9 +311,14 @@
                 continue;
             };
             let remote_data_centre = (centre != self.data_centre).then_some(centre);
-            let penalty = remote_data_centre
+            let distance = remote_data_centre
                 .as_ref()
                 .map(|centre| self.links.penalty(now, centre));
+            let penalty = match preferred {
+                Some(preferred) if preferred == index => None,
+                Some(_) => Some(distance.unwrap_or_default() + UNPROVEN_PENALTY),
+                None => distance,
+            };
             let stream = plan.finish.saturating_sub(plan.first_token);
             let cost =
                 plan.first_token + stream / STREAM_TIME_DIVISOR + penalty.unwrap_or_default();
--- a/crates/daemon/src/relay/chains/refresh.rs
+++ b/crates/daemon/src/relay/chains/refresh.rs
@@ -30,6 +30,7 @@
             continue;
         };
         let workers = context.fleet.workers(now);
+        context.tick_quarantine(entries, &workers);
         context
             .chains()
             .sync_engines(now, &table, &workers, &context.fleet);
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -22,6 +22,7 @@
 use crate::forwarding::ForwardingState;
 use crate::lifecycle::{LifecycleStep, LifecycleWatch};
 use crate::peers::PeerHub;
+use crate::quarantine::QuarantineState;
 use crate::settings::RelaySettings;
 use crate::telemetry::MetricRegistry;
 
@@ -39,6 +40,7 @@
     pub(crate) agreed: Arc<dyn AgreedState>,
     pub(crate) fleet: Arc<BackendFleet>,
     pub(crate) forwarding: Arc<ForwardingState>,
+    pub(crate) quarantine: Arc<QuarantineState>,
     pub(crate) hub: PeerHub,
     pub(crate) clock: Arc<dyn TimeSource>,
     pub(crate) lifecycle: LifecycleWatch,
@@ -55,6 +57,7 @@
     pub(super) routes: RouteTableBuilder,
     pub(super) fleet: Arc<BackendFleet>,
     pub(super) forwarding: Arc<ForwardingState>,
+    pub(super) quarantine: Arc<QuarantineState>,
     /// Channels to hosts that requests are forwarded to.
     pub(super) channels: ChannelPool,
     pub(super) pool: ConnectionPool,
@@ -95,6 +98,7 @@
             dialect: parts.dialect,
             fleet: parts.fleet,
             forwarding: parts.forwarding,
+            quarantine: parts.quarantine,
             channels: ChannelPool::new(parts.hub),
             pool: ConnectionPool::with_dialer(PoolSettings::default(), since_boot, parts.dialer),
             clock: parts.clock,
--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -1,33 +1,171 @@
-//! Finds out whether an engine that broke off a draft has crashed.
+//! Holds back drafts under whose prompt parts engines crash, and finds out which engines have crashed.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
+use pollendrift_coordination::base::{MonotonicTime, ServerName, ServiceName, VersionName};
+use pollendrift_coordination::quarantine::{Admission, CrashId, HeldRequest};
+use pollendrift_dialect::RefusalKind;
+
 use super::chains::ReservedChain;
 use super::context::RelayContext;
 use super::drafts::DraftRun;
+use super::guard::ChainGuard;
+use super::request::{Refused, refused};
+use crate::fleet::WorkerView;
 
 /// Time within which an engine that runs accepts a connection. Nothing listens at the address of a
 /// crashed one, which is known after a round trip.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for which a draft waits after its engine refused the connection, if no answer to a part of its
+/// prompt is known. Other hosts tell of a crash under that part within it.
+pub(super) const NOTICE_WAIT: Duration = Duration::from_millis(60);
+
+/// State of a draft in the quarantine.
+#[derive(Debug, Default)]
+pub(super) struct QuarantineHold {
+    /// Begin of the test of suspected parts that the draft is.
+    test: Option<MonotonicTime>,
+    /// Reason why it was held back last.
+    held: Option<HeldRequest>,
+}
+
+impl QuarantineHold {
+    /// Refusal of a draft that was held back and has not run.
+    pub(super) fn refusal(&self) -> Option<Refused> {
+        let held = self.held.as_ref()?;
+        Some(refused(RefusalKind::NotRun, held.to_string()).retry_after(held.wait))
+    }
+
+    /// Reason why the draft was held back.
+    pub(super) fn reason(&self) -> Option<String> {
+        self.held.as_ref().map(HeldRequest::to_string)
+    }
+}
 
 impl DraftRun {
-    /// Checks the first engine of `chain`, which broke off the draft before its first event, and logs
-    /// what the draft has in common with others.
-    pub(super) async fn check_broken_engine(&self, chain: &ReservedChain) {
-        let is_gone = self.context.has_crashed(chain).await;
-        log::info!(request = self.request.attempt.as_str(), server:% = chain.first, gone = is_gone,
-            parts = self.request.part_names().as_str(); "engine broke off a draft without an event");
+    /// Whether the draft may be sent to engines now. A draft that has crashed one is otherwise carried
+    /// to the next by retries, resumption and reroutes, and crashes it as well.
+    pub(super) fn is_admitted(&mut self) -> bool {
+        let request = &self.request;
+        let (service, parts) = (&request.service.name, &request.shared_parts);
+        let quarantine = &self.context.quarantine;
+        match quarantine.admit(service, parts, self.quarantine.test) {
+            Admission::Send => self.quarantine = QuarantineHold::default(),
+            Admission::Test(began_at) => self.quarantine.test = Some(began_at),
+            Admission::Hold(held) => {
+                self.quarantine = QuarantineHold {
+                    test: None,
+                    held: Some(held),
+                };
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Whether the draft must not go on at other engines now.
+    pub(super) fn is_held(&self) -> bool {
+        let request = &self.request;
+        let (service, parts) = (&request.service.name, &request.shared_parts);
+        let quarantine = &self.context.quarantine;
+        let held = quarantine.held(service, parts, self.quarantine.test);
+        held.is_some()
+    }
+
+    /// Ends the test that the draft is, if it was sent to no engine that answered.
+    pub(super) fn cancel_test(&mut self) {
+        if let Some(began_at) = self.quarantine.test.take() {
+            let request = &self.request;
+            let (service, parts) = (&request.service.name, &request.shared_parts);
+            let quarantine = &self.context.quarantine;
+            quarantine.cancel_test(service, parts, began_at);
+        }
+    }
+
+    /// Records the engines that the draft is sent to.
+    pub(super) fn track(&self, chain: &mut ChainGuard) {
+        if self.request.shared_parts.is_empty() {
+            return;
+        }
+        let engines = chain.chain.servers().cloned().collect();
+        let (service, parts) = (&self.request.service.name, &self.request.shared_parts);
+        let send = self.context.quarantine.record_sent(service, parts, engines);
+        chain.track(send);
+    }
+
+    /// Checks the first engine of a chain that broke, and records it as crashed if it is gone. A draft
+    /// whose answer has proven its parts does not check it.
+    pub(super) async fn check_broken_engine(&self, chain: &ChainGuard) {
+        if !chain.is_unproven() {
+            return;
+        }
+        let is_gone = self.context.check_crash(&chain.chain).await;
+        log::info!(request = self.request.attempt.as_str(), server:% = chain.chain.first, gone = is_gone,
+            parts = self.request.part_names().as_str(); "engine broke off a draft that it had just begun");
+    }
+
+    /// Whether no answer to a part of the prompt is known.
+    pub(super) fn has_unproven_part(&self) -> bool {
+        let (service, parts) = (&self.request.service.name, &self.request.shared_parts);
+        let quarantine = &self.context.quarantine;
+        quarantine.unproven_part(service, parts).is_some()
     }
 }
 
 impl RelayContext {
-    /// Whether the first engine of `chain`, whose connection broke, accepts no further one while this
-    /// host reaches others.
-    pub(super) async fn has_crashed(&self, chain: &ReservedChain) -> bool {
+    /// Records that the first engine of `chain`, whose connection broke, has crashed, if it accepts no
+    /// further connection while this host reaches other engines. Returns whether it has.
+    async fn check_crash(&self, chain: &ReservedChain) -> bool {
         let Some(hop) = chain.hops.first() else {
             return false;
         };
-        let is_open = self.pool.can_open(hop.address, OPEN_TIMEOUT).await;
-        !is_open && !self.has_lost_service_of(&chain.first).await
+        let worker = self.fleet.worker(&chain.first);
+        if self.pool.can_open(hop.address, OPEN_TIMEOUT).await {
+            return false;
+        }
+        if self.has_lost_service_of(&chain.first).await {
+            return false;
+        }
+        if let Some(worker) = worker {
+            self.record_crash(&worker);
+        }
+        true
+    }
+
+    /// Records that an engine crashed, for the requests of this host that were on it.
+    pub(super) fn record_crash(&self, worker: &WorkerView) {
+        let id = CrashId {
+            server: worker.server.clone(),
+            incarnation: worker.incarnation,
+        };
+        let layers = worker.offer.layers.as_ref();
+        let version = layers.map(|layers| layers.version.clone());
+        let service = &worker.offer.service;
+        self.quarantine.record_crash(&id, service, version);
+    }
+
+    /// Records that nothing listens at the address of an engine any more.
+    pub(super) fn record_gone(&self, server: &ServerName) {
+        if let Some(worker) = self.fleet.worker(server) {
+            self.record_crash(&worker);
+        }
+    }
+
+    /// Updates the quarantine: removes what is too old, and crashes on versions of models that are no
+    /// longer held.
+    pub(super) fn tick_quarantine(&self, entries: Option<u32>, workers: &[Arc<WorkerView>]) {
+        self.quarantine.tick(entries);
+        let mut held: BTreeMap<&ServiceName, BTreeSet<VersionName>> = BTreeMap::new();
+        for worker in workers {
+            if let Some(layers) = &worker.offer.layers {
+                let versions = held.entry(&worker.offer.service).or_default();
+                versions.insert(layers.version.clone());
+            }
+        }
+        for (service, versions) in held {
+            self.quarantine.retain_versions(service, &versions);
+        }
     }
 }
--- a/crates/daemon/src/relay/draft_search.rs
+++ b/crates/daemon/src/relay/draft_search.rs
@@ -3,6 +3,7 @@
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
 
 use super::backpressure::HeldBack;
+use super::chains::ChainQuery;
 use super::drafts::DraftRun;
 use super::guard::ChainGuard;
 
@@ -89,7 +90,7 @@
     /// the caller's answer is certainly incomplete.
     pub(super) fn has_alternative(&self, suspects: &[ServerName]) -> bool {
         let now = self.context.clock.now();
-        if self.is_final() || self.declined + 1 >= self.max_declined() {
+        if self.is_final() || self.declined + 1 >= self.max_declined() || self.is_held() {
             return false;
         }
         if self.context.is_cut_off_from(&self.request) {
@@ -158,14 +159,17 @@
         };
         let health = self.context.health();
         let is_healthy = |server: &ServerName| !health.is_suspected(now, server);
-        let reserved = self.context.chains().reserve(
-            now,
-            &self.request,
+        let (service, parts) = (&self.request.service.name, &self.request.shared_parts);
+        let wanted = ChainQuery {
+            request: &self.request,
             excluded,
             is_resume,
-            may_take_work,
-            is_healthy,
-        );
+            unproven: self.context.quarantine.unproven_part(service, parts),
+        };
+        let reserved = self
+            .context
+            .chains()
+            .reserve(now, &wanted, may_take_work, is_healthy);
         drop(health);
         match reserved {
             Ok(chain) => Some(ChainGuard::new(&self.context, chain)),
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -16,6 +16,7 @@
 use super::backpressure::{HeldBack, RateQueue};
 use super::chains::ReservedChain;
 use super::context::RelayContext;
+use super::crashes::{NOTICE_WAIT, QuarantineHold};
 use super::guard::ChainGuard;
 use super::meter::RequestMeter;
 use super::peer_forward::ForwardAttempts;
@@ -71,6 +72,7 @@
     pub(super) held_back: Option<HeldBack>,
     /// Hosts that the draft was forwarded to.
     pub(super) forwards: ForwardAttempts,
+    pub(super) quarantine: QuarantineHold,
 }
 
 /// An engine that is excluded from a draft's next chains.
@@ -121,6 +123,7 @@
         rate_queue: RateQueue::new(context),
         held_back: None,
         forwards: ForwardAttempts::default(),
+        quarantine: QuarantineHold::default(),
     };
     let wait_until = context.queue_deadline(context.clock.now(), run.request.arrived);
     let running = match run.open(resume_after, wait_until).await {
@@ -150,6 +153,18 @@
         &mut self,
         resume_after: Option<EventId>,
         wait_until: MonotonicTime,
+    ) -> Option<AnsweredDraft> {
+        let answered = self.open_admitted(resume_after, wait_until).await;
+        if answered.is_none() {
+            self.cancel_test();
+        }
+        answered
+    }
+
+    async fn open_admitted(
+        &mut self,
+        resume_after: Option<EventId>,
+        wait_until: MonotonicTime,
     ) -> Option<AnsweredDraft> {
         let is_resume = self.may_have_run;
         loop {
@@ -157,6 +172,10 @@
             if self.request.time_left(now) < MIN_TIME_LEFT || self.is_final() {
                 return None;
             }
+            if !self.is_admitted() {
+                self.rate_queue.leave();
+                return None;
+            }
             if self.context.is_cut_off_from(&self.request) {
                 self.context.await_hosts(&self.request).await;
                 if let Some(answer) = self.forward(now, resume_after).await {
@@ -188,6 +207,7 @@
             self.rate_queue.leave();
             chain.log_sent(&self.request, now, self.sends + self.declined + 1);
             self.context.metrics.record_attempt();
+            self.track(&mut chain);
             match self.send(&mut chain, resume_after).await {
                 Ok(answer) => {
                     self.tried_servers.record(&chain.chain.first);
@@ -208,8 +228,12 @@
                     }
                     let culprits = culprits_of(&chain.chain, &failed);
                     log_failed_send(&self.request, &failed, &culprits);
-                    if failed.outcome == SendOutcome::ResetAfterSend {
-                        self.check_broken_engine(&chain.chain).await;
+                    match failed.outcome {
+                        SendOutcome::ResetAfterSend => self.check_broken_engine(&chain).await,
+                        SendOutcome::NotConnected if self.has_unproven_part() => {
+                            sleep(NOTICE_WAIT).await;
+                        }
+                        _ => {}
                     }
                     // An engine that declined is full, or was a moment ago. It is excluded only for a
                     // short time, since there may be no other engine with its layers.
@@ -335,10 +359,12 @@
         if let Some(held_back) = self.held_back.as_ref().filter(|_| !self.may_have_run) {
             return held_back.refusal();
         }
-        let reason = self.last_failure.as_ref().map_or_else(
-            || "no chain of engines has room".to_owned(),
-            |failed| failed.reason.clone(),
-        );
+        if let Some(refusal) = self.quarantine.refusal().filter(|_| !self.may_have_run) {
+            return refusal;
+        }
+        let reason = self.quarantine.reason();
+        let reason = reason.or_else(|| self.last_failure.as_ref().map(|last| last.reason.clone()));
+        let reason = reason.unwrap_or_else(|| "no chain of engines has room".to_owned());
         if !self.may_have_run && self.context.is_cut_off_from(&self.request) {
             return self.forwards.refusal();
         }
--- a/crates/daemon/src/relay/forwarding.rs
+++ b/crates/daemon/src/relay/forwarding.rs
@@ -55,11 +55,6 @@
         }
     }
 
-    /// Whether an event has arrived.
-    pub(super) fn has_events(&self) -> bool {
-        !self.is_first
-    }
-
     /// Stores a part that was received outside of [`EventForwarder::run`], to forward it next.
     pub(super) fn put_back(&mut self, part: NextPart) {
         self.pending = Some(part);
@@ -136,7 +131,7 @@
         }
     }
 
-    fn record_events(&mut self, run: &DraftRun, running: &AnsweredDraft) {
+    fn record_events(&mut self, run: &DraftRun, running: &mut AnsweredDraft) {
         let now = run.context.clock.now();
         run.meter.record_events_sent(now);
         if !self.is_first {
@@ -151,7 +146,7 @@
             }
         }
         self.last_event_at = now;
-        if let Some(chain) = &running.chain {
+        if let Some(chain) = &mut running.chain {
             chain.record_events(now, self.is_first);
         }
         self.is_first = false;
--- a/crates/daemon/src/relay/guard.rs
+++ b/crates/daemon/src/relay/guard.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
+use pollendrift_coordination::quarantine::SendKey;
 
 use super::chains::ReservedChain;
 use super::context::RelayContext;
 use super::request::RelayRequest;
+
 use crate::clock::millis;
 
 /// A chain that counts as running until the guard is dropped or consumed by [`ChainGuard::failed`].
@@ -15,6 +17,8 @@
     context: Arc<RelayContext>,
     pub(super) chain: ReservedChain,
     has_failed: bool,
+    /// The draft in the quarantine, until its answer proves its parts.
+    send: Option<SendKey>,
 }
 
 impl ChainGuard {
@@ -24,9 +28,20 @@
             context: Arc::clone(context),
             chain,
             has_failed: false,
+            send: None,
         }
     }
 
+    /// Sets the draft that runs on the chain.
+    pub(super) fn track(&mut self, send: SendKey) {
+        self.send = Some(send);
+    }
+
+    /// Whether a draft runs on the chain, and no answer has proven its parts yet.
+    pub(super) fn is_unproven(&self) -> bool {
+        self.send.is_some()
+    }
+
     /// Logs that the draft is sent to the chain.
     pub(super) fn log_sent(&self, request: &RelayRequest, now: MonotonicTime, attempt: u32) {
         let plan = &self.chain.plan;
@@ -41,7 +56,9 @@
     }
 
     /// Records received events; `is_first` if they are the first of the chain.
-    pub(super) fn record_events(&self, now: MonotonicTime, is_first: bool) {
+    pub(super) fn record_events(&mut self, now: MonotonicTime, is_first: bool) {
+        let quarantine = &self.context.quarantine;
+        self.send = self.send.filter(|send| !quarantine.record_event(*send));
         self.context.health().mark_alive(now, self.chain.servers());
         if is_first {
             self.context
@@ -58,6 +75,13 @@
         }
     }
 
+    /// Records that the whole answer came.
+    pub(super) fn record_complete(&mut self) {
+        if let Some(send) = self.send.take() {
+            self.context.quarantine.record_ended(send, true);
+        }
+    }
+
     /// Ends the chain as failed; `culprit` is the engine at fault, if known.
     pub(super) fn record_failed(mut self, culprit: Option<&ServerName>) {
         self.has_failed = true;
@@ -70,6 +94,9 @@
 
 impl Drop for ChainGuard {
     fn drop(&mut self) {
+        if let Some(send) = self.send {
+            self.context.quarantine.record_ended(send, false);
+        }
         let now = self.context.clock.now();
         self.context.health().ended(now, self.chain.servers());
         if self.has_failed {
--- a/crates/daemon/src/relay/liveness.rs
+++ b/crates/daemon/src/relay/liveness.rs
@@ -131,6 +131,9 @@
         EngineState::NotProbed => {}
     }
     drop(health);
+    if is_gone {
+        context.record_gone(&server);
+    }
     if matches!(state, EngineState::Unreachable | EngineState::TimedOut) {
         log::warn!(server:% = server, gone = is_gone; "engine did not answer a liveness probe");
     }
--- a/crates/daemon/src/relay/reroute.rs
+++ b/crates/daemon/src/relay/reroute.rs
@@ -90,7 +90,8 @@
         let now = self.context.clock.now();
         let is_paused = self.reroutes.pause_until.is_some_and(|until| now < until);
         let is_first_lost = lost.contains(&chain.first);
-        if is_paused || is_first_lost || self.context.has_back_off(now, &chain.first) {
+        let is_held = is_paused || self.is_held();
+        if is_held || is_first_lost || self.context.has_back_off(now, &chain.first) {
             return false;
         }
         self.with_repair(now, lost, |repair| {
@@ -122,12 +123,15 @@
             let Ok(next) = repaired else {
                 break;
             };
-            let next = ChainGuard::new(&self.context, next);
+            let mut next = ChainGuard::new(&self.context, next);
             let outcome = self.order(&next.chain).await;
             log::info!(request = self.request.attempt.as_str(), outcome = describe_outcome(outcome.as_ref()).as_str(),
                 lost = join_names(&lost).as_str(), after = self.reroutes.events_written; "first engine answered a reroute order");
             match outcome {
-                Some(RerouteOutcome::Accepted) => return Some(next),
+                Some(RerouteOutcome::Accepted) => {
+                    self.track(&mut next);
+                    return Some(next);
+                }
                 Some(RerouteOutcome::NoCapacity { culprit }) => {
                     let unusable = unusable_stages(chain, &next.chain, culprit);
                     next.record_failed(None);
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -49,6 +49,9 @@
             after.map_or(0, |last| u32::try_from(last.0).unwrap_or(u32::MAX));
         match end {
             ChainEnd::Complete => {
+                if let Some(chain) = &mut running.chain {
+                    chain.record_complete();
+                }
                 running.answer.finish();
                 sender.finish().await;
                 run.log_end(OutcomeKind::Complete, after);
@@ -93,8 +96,8 @@
                 }
             }
             ChainEnd::Broken(_) | ChainEnd::Silent(_) => {
-                if let Some(chain) = running.chain.as_ref().filter(|_| !forwarder.has_events()) {
-                    run.check_broken_engine(&chain.chain).await;
+                if let Some(chain) = &running.chain {
+                    run.check_broken_engine(chain).await;
                 }
                 let reason = release_chain(&mut run, running, end, after);
                 let next = tokio::select! {
--- a/crates/daemon/src/telemetry/instruments.rs
+++ b/crates/daemon/src/telemetry/instruments.rs
@@ -71,6 +71,10 @@
         "Frames queued for peers, by kind";
     PEER_BYTES: Counter "pollendrift.peer.sent.size", "By",
         "Bytes of the frames queued for peers, by kind";
+    SUSPECTED_PARTS: Gauge "pollendrift.quarantine.suspected.count", "{part}",
+        "Prompt parts whose requests are held back because engines crashed under them";
+    PART_VERDICTS: Counter "pollendrift.quarantine.verdicts", "{part}",
+        "Prompt parts that became suspected of crashes of engines, or were cleared, by verdict";
     REQUESTS_ACTIVE: UpDownCounter "pollendrift.request.active", "{request}",
         "Requests that have begun and not ended";
     REQUEST_ATTEMPTS: Counter "pollendrift.request.attempts", "{attempt}",
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -74,6 +74,8 @@
     request_attempts: Counter<u64>,
     request_duration: Histogram<f64>,
     request_first_token: Histogram<f64>,
+    part_verdicts: Counter<u64>,
+    suspected_parts: Gauge<u64>,
     requests_forwarded: Counter<u64>,
     peer_requests: Counter<u64>,
     requests_queued: Gauge<u64>,
@@ -121,6 +123,8 @@
             request_attempts: counter(&meter, &instruments::REQUEST_ATTEMPTS),
             request_duration: durations(&meter, &instruments::REQUEST_DURATION),
             request_first_token: durations(&meter, &instruments::REQUEST_FIRST_TOKEN),
+            part_verdicts: counter(&meter, &instruments::PART_VERDICTS),
+            suspected_parts: gauge(&meter, &instruments::SUSPECTED_PARTS),
             requests_forwarded: counter(&meter, &instruments::REQUESTS_FORWARDED),
             peer_requests: counter(&meter, &instruments::PEER_REQUESTS),
             requests_queued: gauge(&meter, &instruments::REQUESTS_QUEUED),
@@ -134,6 +138,8 @@
         };
         // Series of rare events exist from the start, so that an alert sees the first one.
         metrics.set_unreachable_services(0);
+        metrics.set_suspected_parts(0);
+        metrics.part_verdicts.add(0, &[part_verdict("suspected")]);
         metrics
             .requests_forwarded
             .add(0, &[forward_result("answered")]);
@@ -234,6 +240,16 @@
         self.request_attempts.add(1, &[]);
     }
 
+    /// Counts a prompt part whose verdict changed.
+    pub fn record_part_verdict(&self, verdict: &'static str) {
+        self.part_verdicts.add(1, &[part_verdict(verdict)]);
+    }
+
+    /// Records the number of suspected prompt parts.
+    pub fn set_suspected_parts(&self, count: u64) {
+        self.suspected_parts.record(count, &[]);
+    }
+
     /// Counts a request that was forwarded to another host; `result` is how that ended.
     pub fn record_forwarded(&self, result: &'static str) {
         self.requests_forwarded.add(1, &[forward_result(result)]);
@@ -307,6 +323,10 @@
     KeyValue::new("result", result)
 }
 
+fn part_verdict(verdict: &'static str) -> KeyValue {
+    KeyValue::new("verdict", verdict)
+}
+
 fn resume_verdict(verdict: &'static str) -> KeyValue {
     KeyValue::new("verdict", verdict)
 }
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -32,6 +32,9 @@
     NumberedRenewal, PackedRenewals, ServerAnnounce, ServerState,
 };
 use pollendrift_coordination::ledger::GeneratedToken;
+use pollendrift_coordination::quarantine::{
+    CrashId, CrashNote, PartDigest, PartKey, PartNote, QuarantineNotice,
+};
 use pollendrift_coordination::routing::{EngineLoad, SurveyResult};
 use pollendrift_coordination::streams::{ReceiptNumber, StreamRecord, StreamUpdate};
 use pollendrift_store::{GroupId, JoinedGroup};
@@ -285,6 +288,31 @@
     }
 }
 
+fn quarantine() -> QuarantineNotice {
+    let note = PartNote {
+        key: PartKey {
+            service: "writers".into(),
+            part: "5c1e".into(),
+        },
+        age: Duration::from_millis(20),
+    };
+    QuarantineNotice {
+        crashes: vec![CrashNote {
+            id: CrashId {
+                server: "e1".into(),
+                incarnation: Incarnation(2),
+            },
+            service: "writers".into(),
+            version: Some("3".into()),
+            age: Duration::from_millis(90),
+            suspects: vec!["5c1e".into()],
+        }],
+        cleared: vec![note.clone()],
+        tested: vec![note],
+        proven: vec![PartDigest::of(&"writers".into(), &"5c1e".into())],
+    }
+}
+
 fn broadcast_frames() -> Vec<PeerFrame> {
     let revision = Revision(8);
     let engine = SurveyResult {
@@ -325,12 +353,14 @@
             pass_on: true,
             rates: None,
             partition: None,
+            quarantine: None,
         },
         PeerFrame::Survey {
             notes: Vec::new(),
             pass_on: false,
             rates: Some(rates()),
             partition: None,
+            quarantine: None,
         },
         PeerFrame::LeaseQuestion(vec!["e1".into()]),
         PeerFrame::LeaseNumbers(vec![LeaseNumber(300)]),
@@ -347,6 +377,13 @@
             address: reach().address,
             data_centre: Some("one".into()),
         }])),
+        PeerFrame::Survey {
+            notes: Vec::new(),
+            pass_on: false,
+            rates: None,
+            partition: None,
+            quarantine: Some(quarantine()),
+        },
     ];
     let configurations = configurations.into_iter().map(PeerFrame::Configuration);
     configurations.chain(others).collect()
@@ -358,6 +395,7 @@
         pass_on: false,
         rates: None,
         partition: Some(notice),
+        quarantine: None,
     }
 }
 
