fix(quarantine): the engines of one chain count as one crash of its draft

Cause: a draft on nine engines that lose power together was blamed for nine crashes, found by a table test. Change: each send makes its parts suspects once. A part under which five sends crashed engines in more than one round is not tested any more, so that at most one test follows the fifth crash.

--- a/crates/coordination/src/quarantine/sends.rs
+++ b/crates/coordination/src/quarantine/sends.rs
@@ -21,6 +21,9 @@
     sent_at: MonotonicTime,
     /// Time of the first event of the answer.
     began_at: Option<MonotonicTime>,
+    /// Whether its parts are suspects of a crash. Other engines of its chain that crash for the same
+    /// reason do not make them suspects of several crashes.
+    is_blamed: bool,
 }
 
 /// Requests of this host that are on engines, until they are proven or end.
@@ -43,6 +46,7 @@
             engines,
             sent_at: now,
             began_at: None,
+            is_blamed: false,
         })
     }
 
@@ -72,15 +76,23 @@
         self.sends.contains_key(key)
     }
 
-    /// Parts of the requests of `service` on `server`, those of the latest requests first.
-    pub(super) fn parts_on(&self, service: &ServiceName, server: &ServerName) -> Vec<PartName> {
-        let on_server =
-            |send: &&EngineSend| send.service == *service && send.engines.contains(server);
-        let mut sends: Vec<&EngineSend> = self.sends.values().filter(on_server).collect();
+    /// Returns the parts of the requests of `service` on `server`, those of the latest requests first,
+    /// once for each request.
+    pub(super) fn take_parts_on(
+        &mut self,
+        service: &ServiceName,
+        server: &ServerName,
+    ) -> Vec<PartName> {
+        let on_server = |send: &&mut EngineSend| {
+            !send.is_blamed && send.service == *service && send.engines.contains(server)
+        };
+        let mut sends: Vec<&mut EngineSend> = self.sends.values_mut().filter(on_server).collect();
         sends.sort_by_key(|send| std::cmp::Reverse(send.sent_at));
-        let parts = sends
-            .into_iter()
-            .flat_map(|send| send.parts.iter().cloned());
-        parts.collect()
+        let mut parts = Vec::new();
+        for send in sends {
+            send.is_blamed = true;
+            parts.extend(send.parts.iter().cloned());
+        }
+        parts
     }
 }
--- a/crates/coordination/src/quarantine/settings.rs
+++ b/crates/coordination/src/quarantine/settings.rs
@@ -16,6 +16,8 @@
     /// Time for which requests with a part are held back after its last crash, by the number of its
     /// rounds. After more rounds they are held back until the crashes are forgotten.
     pub holds: [Duration; 3],
+    /// Crashes after which a part with more than one round is not tested any more.
+    pub untested_crashes: u32,
     /// Time after which a single round is forgotten.
     pub suspicion: Duration,
     /// Time after which a crash is forgotten.
@@ -45,6 +47,7 @@
                 Duration::from_secs(30),
                 Duration::from_secs(300),
             ],
+            untested_crashes: 5,
             suspicion: Duration::from_secs(600),
             retention: Duration::from_secs(86_400),
             test_timeout: Duration::from_secs(3),
--- a/crates/coordination/src/quarantine/table.rs
+++ b/crates/coordination/src/quarantine/table.rs
@@ -218,7 +218,7 @@
         version: Option<VersionName>,
     ) -> Vec<QuarantineEvent> {
         let now = self.internal(now);
-        let parts = self.sends.parts_on(service, &id.server);
+        let parts = self.sends.take_parts_on(service, &id.server);
         let suspects = self.select_suspects(now, service, parts);
         let crash = CrashRecord {
             service: service.clone(),
@@ -429,7 +429,8 @@
         let hold = if blame.is_sole_suspect {
             let index = usize::try_from(blame.rounds).unwrap_or(usize::MAX);
             let hold = settings.holds.get(index.saturating_sub(1)).copied();
-            hold.unwrap_or(settings.retention)
+            let is_certain = blame.rounds > 1 && blame.crashes >= settings.untested_crashes;
+            hold.filter(|_| !is_certain).unwrap_or(settings.retention)
         } else {
             first
         };
