fix(http): a crowded host closes connections that it has no time for unread

Cause: nothing bounds what a host accepts by the processor time that it has. Change: coordination::limits::ConnectionShedder. While no new connection gets the processor within 10 ms for 250 ms, a rising share is closed unread, so that the next try meets another host; the share falls as soon as some get it. Only for callers of hosts that discover each other.

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -9,6 +9,7 @@
 mod customer;
 mod offer;
 mod settings;
+mod shedding;
 mod wait;
 
 pub use admission::AdmissionTable;
@@ -17,6 +18,7 @@
     RequestPriority, RequestRefusal, TicketKey,
 };
 pub use settings::{CustomerLimits, LimitSettings};
+pub use shedding::{ConnectionShedder, ShedSettings};
 pub use wait::WaitSettings;
 
 pub(crate) use bucket::TokenBucket;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,6 +1,7 @@
 //! A running daemon: its faces, tables and periodic tasks.
 
 mod listeners;
+mod overload;
 mod sources;
 
 use std::io;
@@ -17,7 +18,7 @@
 use pollendrift_coordination::retries::RetrySettings as CoreRetrySettings;
 use pollendrift_coordination::routing::RoutingSettings;
 use pollendrift_dialect::PlatformDialect;
-use pollendrift_http::{HttpClient, HttpServer, ServerDialer, TcpDialer};
+use pollendrift_http::{HttpClient, HttpServer, ServerDialer, StreamAcceptor, TcpDialer};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 
@@ -48,6 +49,7 @@
 pub use listeners::FaceSet;
 
 use listeners::{listen, listen_addresses, server_limits};
+use overload::OverloadGate;
 use sources::{
     DaemonMetrics, EvidenceDump, FleetDump, ForwardingDumpSource, NodeDump, QuarantineDumpSource,
     RateDumpSource, RoutingDumpSource,
@@ -292,14 +294,18 @@
             };
             let acceptor = FaceAcceptor::new(Arc::clone(&access), kind);
             let limits = server_limits(&settings.entry, faces);
-            servers.push(listen(address, limits, Some(Arc::new(acceptor)), handler).await?);
+            // Another host serves the clients that a host turns away.
+            let sheds = faces.callers && settings.relay.enabled && settings.discovery.is_on();
+            let gate = sheds.then(|| OverloadGate::start(&clock, &metrics));
+            let acceptor = Some(Arc::new(acceptor) as Arc<dyn StreamAcceptor>);
+            servers.push(listen(address, limits, acceptor, gate, handler).await?);
         }
         let platform = Arc::new(platform);
         let faces = [Some(settings.listen.platform), settings.listen.metrics];
         for address in faces.into_iter().flatten() {
             let handler = Arc::clone(&platform) as Arc<dyn pollendrift_http::DynHandler>;
             let limits = server_limits(&settings.entry, FaceSet::default());
-            servers.push(listen(address, limits, None, handler).await?);
+            servers.push(listen(address, limits, None, None, handler).await?);
         }
         let placement = PlacementParts {
             host: settings.host.clone(),
--- a/crates/daemon/src/daemon/listeners.rs
+++ b/crates/daemon/src/daemon/listeners.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use pollendrift_http::{DynHandler, HttpServer, ServerLimits, StreamAcceptor};
+use pollendrift_http::{ConnectionGate, DynHandler, HttpServer, ServerLimits, StreamAcceptor};
 
 use super::{StartError, to_usize};
 use crate::settings::{DaemonSettings, EntrySettings};
@@ -65,9 +65,10 @@
     address: SocketAddr,
     limits: ServerLimits,
     acceptor: Option<Arc<dyn StreamAcceptor>>,
+    gate: Option<Arc<dyn ConnectionGate>>,
     handler: Arc<dyn DynHandler>,
 ) -> Result<HttpServer, StartError> {
-    HttpServer::start(address, limits, acceptor, handler)
+    HttpServer::start_gated(address, limits, acceptor, gate, handler)
         .await
         .map_err(|error| StartError::Listen { address, error })
 }
--- a/crates/daemon/src/telemetry/instruments.rs
+++ b/crates/daemon/src/telemetry/instruments.rs
@@ -59,6 +59,8 @@
         "Revision in force at this host";
     CONNECTIONS: UpDownCounter "pollendrift.connection.count", "{connection}",
         "Open connections, by face";
+    CONNECTIONS_SHED: Counter "pollendrift.connection.shed", "{connection}",
+        "Connections of callers that were closed unread because this host is overloaded";
     EVIDENCE_DURABLE: Gauge "pollendrift.evidence.durable", "{record}",
         "Last evidence record that enough keepers have stored";
     EVIDENCE_WAITING: Gauge "pollendrift.evidence.waiting.count", "{record}",
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -64,6 +64,7 @@
     configuration_lease: Gauge<f64>,
     configuration_revision: Gauge<u64>,
     connections: UpDownCounter<i64>,
+    connections_shed: Counter<u64>,
     evidence_durable: Gauge<u64>,
     evidence_waiting_bytes: Gauge<u64>,
     evidence_waiting: Gauge<u64>,
@@ -113,6 +114,7 @@
             configuration_lease: seconds_gauge(&meter, &instruments::CONFIGURATION_LEASE),
             configuration_revision: gauge(&meter, &instruments::CONFIGURATION_REVISION),
             connections: up_down(&meter, &instruments::CONNECTIONS),
+            connections_shed: counter(&meter, &instruments::CONNECTIONS_SHED),
             evidence_durable: gauge(&meter, &instruments::EVIDENCE_DURABLE),
             evidence_waiting_bytes: gauge(&meter, &instruments::EVIDENCE_WAITING_BYTES),
             evidence_waiting: gauge(&meter, &instruments::EVIDENCE_WAITING),
@@ -137,6 +139,7 @@
             tokens_unconfirmed: counter(&meter, &instruments::TOKENS_UNCONFIRMED),
         };
         // Series of rare events exist from the start, so that an alert sees the first one.
+        metrics.connections_shed.add(0, &[]);
         metrics.set_unreachable_services(0);
         metrics.set_suspected_parts(0);
         metrics.part_verdicts.add(0, &[part_verdict("suspected")]);
@@ -240,6 +243,11 @@
         self.request_attempts.add(1, &[]);
     }
 
+    /// Counts a connection that was closed unread.
+    pub fn record_shed_connection(&self) {
+        self.connections_shed.add(1, &[]);
+    }
+
     /// Counts a prompt part whose verdict changed.
     pub fn record_part_verdict(&self, verdict: &'static str) {
         self.part_verdicts.add(1, &[part_verdict(verdict)]);
--- a/crates/daemon/tests/telemetry_pages.rs
+++ b/crates/daemon/tests/telemetry_pages.rs
@@ -47,6 +47,7 @@
         attempts: 2,
         duration: Duration::from_millis(700),
     });
+    metrics.record_shed_connection();
     metrics.record_forwarded("refused");
     metrics.record_part_verdict("suspected");
     metrics.set_suspected_parts(1);
@@ -120,7 +121,7 @@
     let counters = INSTRUMENTS
         .iter()
         .filter(|spec| spec.kind == InstrumentKind::Counter);
-    assert_eq!(counters.count(), 12);
+    assert_eq!(counters.count(), 13);
 }
 
 // Guards against changed metric names or labels, which would break operators' dashboards.
@@ -139,6 +140,7 @@
     pollendrift_configuration_lease_remaining_seconds{otel_scope_name="pollendrift"} 2
     pollendrift_configuration_revision{otel_scope_name="pollendrift"} 7
     pollendrift_connection_count{face="callers",otel_scope_name="pollendrift"} 1
+    pollendrift_connection_shed_total{otel_scope_name="pollendrift"} 1
     pollendrift_evidence_durable{otel_scope_name="pollendrift"} 0
     pollendrift_evidence_waiting_count{otel_scope_name="pollendrift"} 0
     pollendrift_evidence_waiting_size_bytes{otel_scope_name="pollendrift"} 0
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,6 +15,6 @@
 pub use dialer::{DialFuture, ServerDialer, TcpDialer};
 pub use pool::{ConnectionPool, PoolClock, PoolSettings, PooledAnswer, PooledConnection};
 pub use server::{
-    AcceptedStream, BoxedStream, ByteStream, DynHandler, HandlerFuture, HttpHandler, HttpServer,
-    ServerLimits, StreamAcceptor, StreamFuture,
+    AcceptedStream, BoxedStream, ByteStream, ConnectionGate, DynHandler, HandlerFuture,
+    HttpHandler, HttpServer, ServerLimits, StreamAcceptor, StreamFuture,
 };
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -98,6 +98,17 @@
     fn accept(&self, stream: TcpStream) -> StreamFuture;
 }
 
+/// Decides which accepted connections are served. Its methods run on the task that accepts
+/// connections, or on that of a connection, and must not block.
+pub trait ConnectionGate: Send + Sync {
+    /// Whether to serve a connection that has just been accepted; otherwise it is closed unread.
+    fn may_serve(&self) -> bool;
+
+    /// Records how long a connection waited: an accepted one until its task ran, or one that is about
+    /// to be accepted, at most, in the queue of the operating system.
+    fn record_wait(&self, wait: Duration);
+}
+
 /// Number of open connections from each address.
 ///
 /// Invariant: contains no address with a count of zero, so the number of open connections limits
@@ -169,6 +180,20 @@
         limits: ServerLimits,
         acceptor: Option<Arc<dyn StreamAcceptor>>,
         handler: Arc<dyn DynHandler>,
+    ) -> io::Result<Self> {
+        Self::start_gated(address, limits, acceptor, None, handler).await
+    }
+
+    /// Starts a server that serves the connections which `gate` lets in; all without one.
+    ///
+    /// # Errors
+    /// Fails if the address can't be bound.
+    pub async fn start_gated(
+        address: SocketAddr,
+        limits: ServerLimits,
+        acceptor: Option<Arc<dyn StreamAcceptor>>,
+        gate: Option<Arc<dyn ConnectionGate>>,
+        handler: Arc<dyn DynHandler>,
     ) -> io::Result<Self> {
         let listener = listen(address, limits.backlog)?;
         let address = listener.local_addr()?;
@@ -176,6 +201,7 @@
         let context = Arc::new(ServerContext {
             limits,
             acceptor,
+            gate,
             handler,
             draining,
         });
@@ -223,6 +249,7 @@
 struct ServerContext {
     limits: ServerLimits,
     acceptor: Option<Arc<dyn StreamAcceptor>>,
+    gate: Option<Arc<dyn ConnectionGate>>,
     handler: Arc<dyn DynHandler>,
     draining: watch::Receiver<bool>,
 }
@@ -244,10 +271,12 @@
     let table = Arc::new(ConnectionTable::default());
     let mut new_connections = NewConnections::new(context.limits.max_new_connections);
     let mut connections = JoinSet::new();
+    // Time since which connections have waited to be accepted, without a break.
+    let mut waiting_since = Instant::now();
     loop {
         let accept = async {
             let slot = new_connections.free_slot().await;
-            (listener.accept().await, slot)
+            (accept_next(&listener, &mut waiting_since).await, slot)
         };
         tokio::select! {
             (accepted, slot) = accept => {
@@ -255,13 +284,26 @@
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                     continue;
                 };
+                if let Some(gate) = &context.gate {
+                    gate.record_wait(waiting_since.elapsed());
+                    if !gate.may_serve() {
+                        continue;
+                    }
+                }
                 let Some(guard) = table.open(peer.ip(), &context.limits) else {
                     log::warn!(peer:% = peer; "connection refused: limit of open connections reached");
                     continue;
                 };
-                let new = new_connections.open(Instant::now(), slot);
+                let accepted_at = Instant::now();
+                let new = new_connections.open(accepted_at, slot);
                 let connection = serve_connection(stream, peer, Arc::clone(&context), guard, new);
-                connections.spawn(connection);
+                let gate = context.gate.clone();
+                connections.spawn(async move {
+                    if let Some(gate) = gate {
+                        gate.record_wait(accepted_at.elapsed());
+                    }
+                    connection.await;
+                });
             }
             Some(_) = connections.join_next(), if !connections.is_empty() => {}
             () = drain_requested(&mut draining) => break,
@@ -271,6 +313,21 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Accepts the next connection. Sets `waiting_since` to now if none waits.
+async fn accept_next(
+    listener: &TcpListener,
+    waiting_since: &mut Instant,
+) -> io::Result<(TcpStream, SocketAddr)> {
+    std::future::poll_fn(|context| {
+        let polled = listener.poll_accept(context);
+        if polled.is_pending() {
+            *waiting_since = Instant::now();
+        }
+        polled
+    })
+    .await
+}
+
 async fn drain_requested(draining: &mut watch::Receiver<bool>) {
     // An error means that the server was dropped, which also closes its connections.
     let _ = draining.wait_for(|draining| *draining).await;
