perf(quarantine): proofs go to the followed keeper once a second

Cause: read, not measured: 191 hosts would tell three keepers each of new proofs every 400 ms after their start. Change: changes that are not urgent go to the followed keeper alone, once a second. The line about a test has the id of its request.

--- a/crates/daemon/src/lease_broadcast.rs
+++ b/crates/daemon/src/lease_broadcast.rs
@@ -36,7 +36,7 @@
 use crate::peers::{PeerFrame, PeerHub};
 use crate::quarantine::QuarantineState;
 
-use quarantine::FULL_NOTICE_TICKS;
+use quarantine::{CHANGE_TICKS, FULL_NOTICE_TICKS};
 use recipients::LeaseRecipients;
 use surveys::SurveyRelay;
 
@@ -201,8 +201,8 @@
             let has_renewals = tick % RENEWAL_TICKS == 0;
             let now = self.clock.now();
             self.tick(hub, now, has_renewals);
-            if has_renewals {
-                self.send_quarantine_changes(hub, now);
+            if tick % CHANGE_TICKS == 0 {
+                self.send_quarantine_changes(hub, now, 0);
             }
             if tick % FULL_NOTICE_TICKS == 0 {
                 self.send_whole_quarantine(hub, now);
--- a/crates/daemon/src/lease_broadcast/quarantine.rs
+++ b/crates/daemon/src/lease_broadcast/quarantine.rs
@@ -1,8 +1,8 @@
 //! Tells other hosts which prompt parts crash engines.
 //!
-//! A host without a keeper tells the keeper that it follows and two others, as one of them may have
-//! failed. Keepers tell each other and their followers. Urgent changes are sent at once; all that is
-//! known of suspected parts is sent again periodically, for hosts that have missed a change.
+//! A host without a keeper tells the keeper that it follows. Keepers tell each other and their
+//! followers. Urgent changes are sent at once, and to two further keepers, as one may have failed. All
+//! that is known of suspected parts is sent again periodically, for hosts that have missed a change.
 
 use std::time::Duration;
 
@@ -17,9 +17,11 @@
 
 /// Least time between two notices of urgent changes. A crash is noticed for many requests at once.
 const NOTICE_GAP: Duration = Duration::from_millis(15);
+/// Ticks between two notices of changes that are not urgent.
+pub(super) const CHANGE_TICKS: u32 = 5;
 /// Ticks between two notices with all that is known of suspected parts.
 pub(super) const FULL_NOTICE_TICKS: u32 = 10;
-/// Keepers beside the followed one that a host tells.
+/// Keepers beside the followed one that a host tells of urgent changes.
 const FURTHER_KEEPERS: usize = 2;
 
 impl LeaseBroadcaster {
@@ -33,17 +35,22 @@
     pub(super) async fn run_quarantine(&self, hub: &PeerHub) {
         loop {
             self.quarantine.changed().await;
-            self.send_quarantine_changes(hub, self.clock.now());
+            self.send_quarantine_changes(hub, self.clock.now(), FURTHER_KEEPERS);
             sleep(NOTICE_GAP).await;
         }
     }
 
-    /// Sends the changes since the last notice.
-    pub(super) fn send_quarantine_changes(&self, hub: &PeerHub, now: MonotonicTime) {
+    /// Sends the changes since the last notice, to `further` keepers beside the followed one.
+    pub(super) fn send_quarantine_changes(
+        &self,
+        hub: &PeerHub,
+        now: MonotonicTime,
+        further: usize,
+    ) {
         let for_keepers = self.quarantine.take_changes(NoticeAudience::Keepers);
         let for_followers = self.quarantine.take_changes(NoticeAudience::Followers);
         if !for_keepers.is_empty() {
-            send_notice(hub, &self.told_keepers(hub, now), for_keepers);
+            send_notice(hub, &self.told_keepers(hub, now, further), for_keepers);
         }
         if self.recipients.is_keeper() && !for_followers.is_empty() {
             send_notice(hub, &self.recipients.followers(now), for_followers);
@@ -56,7 +63,7 @@
         if notice.is_empty() {
             return;
         }
-        let mut hosts = self.told_keepers(hub, now);
+        let mut hosts = self.told_keepers(hub, now, 0);
         if self.recipients.is_keeper() {
             hosts.extend(self.recipients.followers(now));
         }
@@ -64,7 +71,7 @@
     }
 
     /// Keepers that this host tells; with a fixed list of peers, all hosts.
-    fn told_keepers(&self, hub: &PeerHub, now: MonotonicTime) -> Vec<HostName> {
+    fn told_keepers(&self, hub: &PeerHub, now: MonotonicTime, further: usize) -> Vec<HostName> {
         let Some(discovery) = hub.discovery() else {
             return hub.hosts();
         };
@@ -73,9 +80,11 @@
         }
         let mut keepers: Vec<HostName> = self.recipients.hosts(hub, now).into_keys().collect();
         let others = hub.up_hosts().into_iter();
-        let others = others.filter(|host| discovery.is_keeper(host) && !keepers.contains(host));
-        let further = others.sample(&mut rand::rng(), FURTHER_KEEPERS);
-        keepers.extend(further);
+        let others: Vec<HostName> = others
+            .filter(|host| discovery.is_keeper(host) && !keepers.contains(host))
+            .collect();
+        let others = others.into_iter();
+        keepers.extend(others.sample(&mut rand::rng(), further));
         keepers
     }
 }
--- a/crates/daemon/src/quarantine.rs
+++ b/crates/daemon/src/quarantine.rs
@@ -53,13 +53,7 @@
             return Admission::Send;
         }
         let now = self.clock.now();
-        let admission = self.update(|table| (table.admit(now, service, parts, test), Vec::new()));
-        if let Admission::Test(began_at) = admission
-            && test != Some(began_at)
-        {
-            log::info!(service:% = service, parts = join(parts).as_str(); "request admitted as the test of suspected prompt parts");
-        }
-        admission
+        self.update(|table| (table.admit(now, service, parts, test), Vec::new()))
     }
 
     /// Returns the reason why a request must not be sent to further engines now.
@@ -215,8 +209,3 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn join(parts: &[PartName]) -> String {
-    let names: Vec<&str> = parts.iter().map(PartName::as_str).collect();
-    names.join(" ")
-}
--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -53,7 +53,11 @@
         let quarantine = &self.context.quarantine;
         match quarantine.admit(service, parts, self.quarantine.test) {
             Admission::Send => self.quarantine = QuarantineHold::default(),
-            Admission::Test(began_at) => self.quarantine.test = Some(began_at),
+            Admission::Test(began_at) if self.quarantine.test == Some(began_at) => {}
+            Admission::Test(began_at) => {
+                log::info!(request = request.attempt.as_str(), parts = request.part_names().as_str(); "admitted as the test of suspected prompt parts");
+                self.quarantine.test = Some(began_at);
+            }
             Admission::Hold(held) => {
                 self.quarantine = QuarantineHold {
                     test: None,
