fix(quarantine): unproven parts are kept together only while they are rare

Cause: hosts that have just started know no answer, so that every draft preferred one data centre by the hash of its part, wherever there was room. Change: only while a quarter of the latest drafts or fewer have such a part.

--- a/crates/coordination/src/quarantine/settings.rs
+++ b/crates/coordination/src/quarantine/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Settings of a [`super::QuarantineTable`].
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct QuarantineSettings {
     /// Time after the first event of an answer from which its parts are proven sound. An engine that
     /// a part crashes may still send a few events.
@@ -30,6 +30,11 @@
     /// Hosts begin a test at different times, spread over this time for each host, so that two of
     /// them rarely begin one before they know of each other's.
     pub test_spread: Duration,
+    /// Greatest share of a host's requests with an unproven part at which such requests are kept
+    /// together. Above it, as after a start, nearly all requests would be, wherever there is room.
+    pub max_unproven_share: f64,
+    /// Requests over which that share is smoothed.
+    pub share_smoothing: f64,
     /// Maximum number of stored crashes.
     pub max_crashes: usize,
     /// Maximum number of suspected parts of one crash.
@@ -53,6 +58,8 @@
             test_timeout: Duration::from_secs(3),
             ambiguous_wait: Duration::from_secs(2),
             test_spread: Duration::from_millis(100),
+            max_unproven_share: 0.25,
+            share_smoothing: 32.0,
             max_crashes: 64,
             max_suspects: 16,
         }
--- a/crates/coordination/src/quarantine/table.rs
+++ b/crates/coordination/src/quarantine/table.rs
@@ -30,6 +30,8 @@
     hosts: u32,
     sends: SendTable,
     proofs: ProofCache,
+    /// Share of the latest requests that had an unproven part, smoothed.
+    unproven_share: f64,
     crashes: CrashTable,
     /// Begin of the last test of each suspected part, at any host.
     tests: BTreeMap<PartKey, MonotonicTime>,
@@ -68,6 +70,7 @@
             hosts: 1,
             sends: SendTable::default(),
             proofs: ProofCache::default(),
+            unproven_share: 1.0,
             crashes: CrashTable::default(),
             tests: BTreeMap::new(),
             for_keepers: PendingChanges::default(),
@@ -94,6 +97,19 @@
         unproven.next()
     }
 
+    /// Returns the first unproven part of a request that is to be kept together with others of the same
+    /// part; `None` while most requests have one.
+    pub fn rare_unproven_part(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        parts: &[PartName],
+    ) -> Option<PartDigest> {
+        let is_rare = self.unproven_share <= self.settings.max_unproven_share;
+        let unproven = self.unproven_part(now, service, parts);
+        unproven.filter(|_| is_rare)
+    }
+
     /// Decides whether a request with `parts` may be sent to engines now. `test` is the begin of the
     /// test that this request is, if it has been admitted as one.
     pub fn admit(
@@ -179,6 +195,9 @@
         parts: &Arc<[PartName]>,
         engines: Vec<ServerName>,
     ) -> SendKey {
+        let is_unproven = self.unproven_part(now, service, parts).is_some();
+        let observed = if is_unproven { 1.0 } else { 0.0 };
+        self.unproven_share += (observed - self.unproven_share) / self.settings.share_smoothing;
         let now = self.internal(now);
         self.sends.begin(now, service, parts, engines)
     }
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -232,6 +232,29 @@
     assert!(!fleet.is_held(0, &["new"]));
 }
 
+/// Guards against a host that sends all requests by their parts rather than where there is room, as
+/// after a start, when no answer is known.
+#[test]
+fn only_rare_unproven_parts_are_kept_together() {
+    let mut fleet = Fleet::new(1, &[]);
+    let service = fleet.service.clone();
+    let rare = |fleet: &Fleet, part: &str| {
+        let parts = parts(&[part]);
+        let rare = fleet.hosts[0].rare_unproven_part(fleet.now, &service, &parts);
+        rare.is_some()
+    };
+    assert!(!rare(&fleet, "new"), "all are unproven after a start");
+    for number in 0..100 {
+        fleet.send(0, &[&format!("common-{}", number % 5)]);
+    }
+    assert!(rare(&fleet, "new"));
+    assert!(!rare(&fleet, "common-1"), "it is proven");
+    for number in 0..100 {
+        fleet.send(0, &[&format!("other-{number}")]);
+    }
+    assert!(!rare(&fleet, "new"), "most are unproven");
+}
+
 /// Guards against a wrong verdict that does not heal: whatever number of engines crashed under a part,
 /// a new version of the model ends it, and so does an answer.
 #[test]
--- a/crates/daemon/src/quarantine.rs
+++ b/crates/daemon/src/quarantine.rs
@@ -77,8 +77,15 @@
         self.table().cancel_test(service, parts, began_at);
     }
 
-    /// Returns the first part that no host is known to have got an answer to lately.
-    pub(crate) fn unproven_part(
+    /// Whether no host is known to have got an answer to one of `parts` lately.
+    pub(crate) fn has_unproven_part(&self, service: &ServiceName, parts: &[PartName]) -> bool {
+        let now = self.clock.now();
+        !parts.is_empty() && self.table().unproven_part(now, service, parts).is_some()
+    }
+
+    /// Returns the first unproven part of a request that is to be kept together with others of the same
+    /// part.
+    pub(crate) fn rare_unproven_part(
         &self,
         service: &ServiceName,
         parts: &[PartName],
@@ -86,7 +93,8 @@
         if parts.is_empty() {
             return None;
         }
-        self.table().unproven_part(self.clock.now(), service, parts)
+        let now = self.clock.now();
+        self.table().rare_unproven_part(now, service, parts)
     }
 
     /// Records that a request was sent to `engines`.
--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -114,7 +114,7 @@
     pub(super) fn has_unproven_part(&self) -> bool {
         let (service, parts) = (&self.request.service.name, &self.request.shared_parts);
         let quarantine = &self.context.quarantine;
-        quarantine.unproven_part(service, parts).is_some()
+        quarantine.has_unproven_part(service, parts)
     }
 }
 
--- a/crates/daemon/src/relay/draft_search.rs
+++ b/crates/daemon/src/relay/draft_search.rs
@@ -164,7 +164,7 @@
             request: &self.request,
             excluded,
             is_resume,
-            unproven: self.context.quarantine.unproven_part(service, parts),
+            unproven: self.context.quarantine.rare_unproven_part(service, parts),
         };
         let reserved = self
             .context
