--- a/crates/coordination/src/quarantine/table.rs
+++ b/crates/coordination/src/quarantine/table.rs
@@ -1,14 +1,19 @@
 //! Decides which requests are held back, by what this host and others have seen.
 
+mod dump;
+mod exchange;
+
+pub use dump::{QuarantineDump, SuspectDump};
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Serialize;
+use exchange::NoticeSource;
 
 use super::crashes::{Blame, CrashRecord, CrashTable};
 use super::interface::{Admission, CrashId, HeldRequest, PartKey, PartVerdict, QuarantineEvent};
-use super::notice::{CrashNote, NoticeAudience, PartNote, PendingChanges, QuarantineNotice};
+use super::notice::PendingChanges;
 use super::proofs::{PartDigest, ProofCache};
 use super::sends::{EngineSend, SendKey, SendTable};
 use super::settings::QuarantineSettings;
@@ -39,28 +44,6 @@
     for_followers: PendingChanges,
 }
 
-/// A suspected part in the dump.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct SuspectDump {
-    /// Service and name of the part.
-    pub part: PartKey,
-    /// Crashes that it is suspected of.
-    pub crashes: u32,
-    /// Rounds of crashes.
-    pub rounds: u32,
-    /// Engines that crashed, the last one last.
-    pub engines: Vec<ServerName>,
-    /// Time after which a request with it may be sent as a test.
-    pub held_for: Duration,
-}
-
-/// State of the quarantine in the dump.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct QuarantineDump {
-    /// Suspected parts.
-    pub suspects: Vec<SuspectDump>,
-}
-
 impl QuarantineTable {
     /// Creates a table for `host` that has seen no crash.
     pub fn new(settings: QuarantineSettings, host: &str) -> Self {
@@ -267,124 +250,6 @@
         self.tests.retain(|key, _| parts.contains(key));
     }
 
-    /// Applies a notice of a keeper, or of a host without one; returns what it changes.
-    pub fn merge(
-        &mut self,
-        now: MonotonicTime,
-        notice: QuarantineNotice,
-        is_from_keeper: bool,
-    ) -> Vec<QuarantineEvent> {
-        let now = self.internal(now);
-        let source = if is_from_keeper {
-            NoticeSource::Keeper
-        } else {
-            NoticeSource::Entry
-        };
-        for proven in notice.proven {
-            self.add_proof(now, proven, &source);
-        }
-        let mut events = Vec::new();
-        for note in notice.crashes {
-            let crash = CrashRecord {
-                service: note.service,
-                version: note.version,
-                at: now.before(note.age),
-                suspects: note.suspects.into_iter().collect(),
-            };
-            events.extend(self.add_crash(now, &note.id, crash, &source));
-        }
-        for note in notice.cleared {
-            let at = now.before(note.age);
-            events.extend(self.clear(now, &note.key, at, &source));
-        }
-        for note in notice.tested {
-            let began_at = now.before(note.age);
-            let known = self.tests.get(&note.key);
-            if known.is_none_or(|known| began_at.since(*known) > self.settings.test_spread) {
-                self.tests.insert(note.key.clone(), began_at);
-                self.queue(&source, |changes| {
-                    changes.tested.insert(note.key.clone());
-                });
-            }
-        }
-        events
-    }
-
-    /// Whether hosts wait for a change that they must learn of at once.
-    pub fn has_urgent_changes(&self) -> bool {
-        self.for_keepers.is_urgent() || self.for_followers.is_urgent()
-    }
-
-    /// Returns the changes since the last call for the same audience.
-    pub fn take_changes(
-        &mut self,
-        now: MonotonicTime,
-        audience: NoticeAudience,
-    ) -> QuarantineNotice {
-        let now = self.internal(now);
-        let changes = std::mem::take(match audience {
-            NoticeAudience::Keepers => &mut self.for_keepers,
-            NoticeAudience::Followers => &mut self.for_followers,
-        });
-        self.notice_of(now, changes)
-    }
-
-    /// Returns everything that concerns suspected parts, for hosts that may have missed a change.
-    pub fn full_notice(&self, now: MonotonicTime) -> QuarantineNotice {
-        if self.crashes.is_empty() {
-            return QuarantineNotice::default();
-        }
-        let now = self.internal(now);
-        let mut changes = PendingChanges::default();
-        let crashes = self.crashes.records().map(|(id, _)| id.clone());
-        changes.crashes = crashes.collect();
-        changes.cleared = self
-            .crashes
-            .clearances()
-            .map(|(key, _)| key.clone())
-            .collect();
-        self.notice_of(now, changes)
-    }
-
-    /// Number of suspected parts.
-    pub fn suspect_count(&self, now: MonotonicTime) -> usize {
-        let now = self.internal(now);
-        let parts = self.crashes.parts();
-        let blames = parts.iter().map(|key| self.blame(now, key));
-        blames.flatten().count()
-    }
-
-    /// Returns the state for the dump.
-    pub fn dump(&self, now: MonotonicTime) -> QuarantineDump {
-        let now = self.internal(now);
-        let parts = self.crashes.parts().into_iter();
-        let suspects = parts.filter_map(|part| {
-            let blame = self.blame(now, &part)?;
-            Some(SuspectDump {
-                crashes: blame.crashes,
-                rounds: blame.rounds,
-                engines: self.engines_under(&part),
-                held_for: self.wait_of(now, &part, blame, true),
-                part,
-            })
-        });
-        QuarantineDump {
-            suspects: suspects.collect(),
-        }
-    }
-
-    /// Engines that crashed under a part, the last one last.
-    pub fn engines_under(&self, part: &PartKey) -> Vec<ServerName> {
-        let records = self.crashes.records().filter(|(_, record)| {
-            record.service == part.service && record.suspects.contains(&part.part)
-        });
-        let mut engines: Vec<_> = records
-            .map(|(id, record)| (record.at, id.server.clone()))
-            .collect();
-        engines.sort();
-        engines.into_iter().map(|(_, server)| server).collect()
-    }
-
     fn internal(&self, now: MonotonicTime) -> MonotonicTime {
         now.after(self.settings.retention)
     }
@@ -580,58 +445,6 @@
             verdict: PartVerdict::Sound,
         })
     }
-
-    /// Queues a change for the hosts that the source of the change has not told itself.
-    fn queue<F>(&mut self, source: &NoticeSource, mut change: F)
-    where
-        F: FnMut(&mut PendingChanges),
-    {
-        change(&mut self.for_followers);
-        if !matches!(source, NoticeSource::Keeper) {
-            change(&mut self.for_keepers);
-        }
-    }
-
-    fn notice_of(&self, now: MonotonicTime, changes: PendingChanges) -> QuarantineNotice {
-        let crashes = changes.crashes.iter().filter_map(|id| {
-            let record = self.crashes.get(id)?;
-            Some(CrashNote {
-                id: id.clone(),
-                service: record.service.clone(),
-                version: record.version.clone(),
-                age: now.since(record.at),
-                suspects: record.suspects.iter().cloned().collect(),
-            })
-        });
-        let note = |key: PartKey, at: MonotonicTime| PartNote {
-            key,
-            age: now.since(at),
-        };
-        let cleared = changes.cleared.into_iter().filter_map(|key| {
-            let at = self.crashes.cleared_at(&key)?;
-            Some(note(key, at))
-        });
-        let tested = changes.tested.into_iter().filter_map(|key| {
-            let at = self.tests.get(&key).copied()?;
-            Some(note(key, at))
-        });
-        QuarantineNotice {
-            crashes: crashes.collect(),
-            cleared: cleared.collect(),
-            tested: tested.collect(),
-            proven: changes.proven.into_iter().collect(),
-        }
-    }
-}
-
-/// Origin of a change.
-enum NoticeSource {
-    /// This host.
-    Own,
-    /// A host without a keeper.
-    Entry,
-    /// A keeper, which tells the other keepers itself.
-    Keeper,
 }
 
 fn key_of(service: &ServiceName, part: &PartName) -> PartKey {
