fix(quarantine): two parts that always come together are not tested without end

Seen: by reading; a table test has two parts that come in the same drafts alone. Cause: a part that was never the only suspect is tested every 5 s, so that sound parts beside a crashing one are cleared soon; drafts with both were, too. Change: only drafts without the other suspects are tested so often; those with several wait by the number of rounds.

--- a/crates/coordination/src/quarantine/notice.rs
+++ b/crates/coordination/src/quarantine/notice.rs
@@ -80,7 +80,7 @@
 }
 
 impl PendingChanges {
-    /// Whether a change waits that other hosts must learn of at once. Proofs can wait.
+    /// Whether a change must be sent at once. Proofs can wait.
     pub(super) fn is_urgent(&self) -> bool {
         !self.crashes.is_empty() || !self.cleared.is_empty() || !self.tested.is_empty()
     }
--- a/crates/coordination/src/quarantine/table.rs
+++ b/crates/coordination/src/quarantine/table.rs
@@ -38,7 +38,7 @@
     /// Share of the latest requests that had an unproven part, smoothed.
     unproven_share: f64,
     crashes: CrashTable,
-    /// Begin of the last test of each suspected part, at any host.
+    /// Time at which the last test of each suspected part began, at any host.
     tests: BTreeMap<PartKey, MonotonicTime>,
     for_keepers: PendingChanges,
     for_followers: PendingChanges,
@@ -293,7 +293,7 @@
         is_single: bool,
     ) -> Duration {
         let settings = &self.settings;
-        let mut due = self.due_at(key, blame);
+        let mut due = self.due_at(key, blame, is_single);
         if !is_single {
             due = due.after(settings.ambiguous_wait);
         }
@@ -305,12 +305,13 @@
         due.since(now)
     }
 
-    /// Time from which this host may test a part.
-    fn due_at(&self, key: &PartKey, blame: Blame) -> MonotonicTime {
+    /// Time from which this host may test a part, by a request that has no other suspect if `is_single`.
+    fn due_at(&self, key: &PartKey, blame: Blame, is_single: bool) -> MonotonicTime {
         let settings = &self.settings;
         let [first, ..] = settings.holds;
-        // Requests without the other suspects of the crashes soon tell which of them it is.
-        let hold = if blame.is_sole_suspect {
+        // A request without the other suspects of the crashes tells which of them it is.
+        let is_ambiguous = is_single && !blame.is_sole_suspect;
+        let hold = if !is_ambiguous {
             let index = usize::try_from(blame.rounds).unwrap_or(usize::MAX);
             let hold = settings.holds.get(index.saturating_sub(1)).copied();
             let is_certain = blame.rounds > 1 && blame.crashes >= settings.untested_crashes;
--- a/crates/coordination/src/quarantine/table/exchange.rs
+++ b/crates/coordination/src/quarantine/table/exchange.rs
@@ -62,7 +62,7 @@
         events
     }
 
-    /// Whether hosts wait for a change that they must learn of at once.
+    /// Whether a change must be sent to other hosts at once.
     pub fn has_urgent_changes(&self) -> bool {
         self.for_keepers.is_urgent() || self.for_followers.is_urgent()
     }
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -174,6 +174,24 @@
     assert!(fleet.is_held(0, &["bad"]));
 }
 
+/// Guards against tests without end of two parts that always come together, so that neither is ever
+/// the only suspect of a crash.
+#[test]
+fn few_engines_crash_on_two_parts_that_always_come_together() {
+    let mut fleet = Fleet::new(3, &["bad"]);
+    let mut crashes = 0;
+    for second in 0..3_600_usize {
+        fleet.wait(Duration::from_millis(900));
+        crashes += usize::from(fleet.send(second % 3, &["only-here", "bad"]));
+    }
+    assert!(crashes <= KNOWN_CRASHES, "{crashes} engines crashed");
+    assert!(
+        fleet.send(0, &["only-here"]),
+        "a draft without the other tells"
+    );
+    assert!(!fleet.is_held(0, &["only-here"]));
+}
+
 /// Guards against common parts that become suspects when engines crash for other reasons: one that was
 /// answered at any host lately does not, by the first crash.
 #[test]
--- a/crates/daemon/src/quarantine.rs
+++ b/crates/daemon/src/quarantine.rs
@@ -159,7 +159,7 @@
         self.update(|table| ((), table.merge(now, notice, is_from_keeper)));
     }
 
-    /// Resolves when other hosts must learn of a change at once.
+    /// Resolves when a change must be sent to other hosts at once.
     pub(crate) async fn changed(&self) {
         self.changed.notified().await;
     }
