feat(limits): measured capacity of a pool, and the part of it that one host may use

Cause: hosts do not know how much KV memory the engines of a service have in all, so engines decide what is refused. Change: the planner measures the memory at the narrowest layer of each data centre; HostCapacity turns it into the capacity of this host's admission table; requests say that their caller comes back, and capacities have a reserve for urgent requests; route tables rank the priorities that drafts of a service state.

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -7,15 +7,17 @@
 mod admission;
 mod bucket;
 mod customer;
+mod host_capacity;
 mod offer;
 mod settings;
 mod shedding;
 mod wait;
 
 pub use admission::AdmissionTable;
+pub use host_capacity::{CapacityInputs, HostCapacity, HostCapacitySettings};
 pub use offer::{
     AdmissionCapacity, AdmissionChange, AdmissionRefusal, AdmissionRequest, AdmissionVerdict,
-    RequestPriority, RequestRefusal, TicketKey,
+    PriorityReserve, RequestPriority, RequestRefusal, TicketKey,
 };
 pub use settings::{CustomerLimits, LimitSettings};
 pub use shedding::{ConnectionShedder, ShedSettings};
--- a/crates/coordination/src/limits/admission.rs
+++ b/crates/coordination/src/limits/admission.rs
@@ -127,7 +127,7 @@
             let wait = self.settings.max_retry_after;
             return refuse(AdmissionRefusal::TooManyCustomers, Some(wait));
         };
-        if offer.tokens > self.capacity.kv_tokens {
+        if offer.tokens > self.capacity.max_request_tokens {
             return refuse(AdmissionRefusal::TooLarge, None);
         }
         let wait = self.predict_wait(key, &offer);
--- a/crates/coordination/src/limits/offer.rs
+++ b/crates/coordination/src/limits/offer.rs
@@ -49,6 +49,17 @@
     pub run_time: Duration,
     /// Time by which it must end.
     pub deadline: Option<MonotonicTime>,
+    /// Whether its caller was refused before and comes back.
+    pub is_return: bool,
+}
+
+/// KV memory that requests of lower priorities leave free for more urgent ones, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct PriorityReserve {
+    /// Memory that a request of normal priority leaves free.
+    pub normal: u64,
+    /// Memory that a request of batch priority leaves free.
+    pub batch: u64,
 }
 
 /// Limits on the requests that an entry runs concurrently.
@@ -56,8 +67,12 @@
 pub struct AdmissionCapacity {
     /// Running requests.
     pub max_in_flight: u32,
-    /// KV cache of complete pipelines, in tokens.
+    /// KV cache of complete pipelines that running requests may hold, in tokens.
     pub kv_tokens: u64,
+    /// KV cache of the largest possible request, in tokens; a larger one is refused for good.
+    pub max_request_tokens: u64,
+    /// Part of `kv_tokens` that requests of lower priorities leave free.
+    pub reserve: PriorityReserve,
 }
 
 /// Decision about an offer.
--- a/crates/coordination/src/routes.rs
+++ b/crates/coordination/src/routes.rs
@@ -5,6 +5,7 @@
 
 mod document;
 mod generations;
+mod priorities;
 mod table;
 
 pub use document::{
@@ -12,4 +13,5 @@
     ServiceSpec, SourceVersion, WeightedService,
 };
 pub use generations::{SpecGeneration, SpecGenerations};
+pub use priorities::PriorityRanks;
 pub use table::{RouteTable, TableError};
--- a/crates/coordination/src/routes/table.rs
+++ b/crates/coordination/src/routes/table.rs
@@ -1,6 +1,6 @@
 //! A route document, indexed for lookups.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use derive_more::{Display, Error};
@@ -8,6 +8,7 @@
 use super::document::{
     CallerBounds, CustomerKeys, Route, RouteDocument, ServiceSpec, SourceVersion, WeightedService,
 };
+use super::priorities::{PriorityRanks, rank_priorities};
 use crate::base::ServiceName;
 
 /// Reason why a request has no route or customer.
@@ -34,11 +35,14 @@
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, Arc<ServiceSpec>>,
     customers: Option<HashMap<Arc<str>, Arc<CustomerKeys>>>,
+    /// Services whose drafts have different priorities.
+    priorities: BTreeMap<ServiceName, PriorityRanks>,
 }
 
 impl RouteTable {
     /// Indexes a checked document.
     pub fn build(document: RouteDocument) -> Self {
+        let priorities = rank_priorities(&document);
         let mut routes: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in document.routes {
             let host = Arc::clone(&route.host);
@@ -56,6 +60,7 @@
                 .map(|service| (service.name.clone(), Arc::new(service)))
                 .collect(),
             customers: document.customers.map(index_by_key),
+            priorities,
         }
     }
 
@@ -130,6 +135,16 @@
         self.services.get(name)
     }
 
+    /// Ranks of the priorities of a service's drafts; `None` if all of them have the same.
+    pub fn priority_ranks(&self, service: &ServiceName) -> Option<&PriorityRanks> {
+        self.priorities.get(service)
+    }
+
+    /// Services whose drafts have different priorities.
+    pub fn prioritized_services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.priorities.keys()
+    }
+
     /// All services, in no particular order.
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceSpec>> {
         self.services.values()
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -23,6 +23,7 @@
 mod plan;
 mod planner;
 mod policy;
+mod pool_capacity;
 mod prefix;
 mod remaining;
 mod repair;
@@ -48,6 +49,7 @@
 };
 pub use planner::{EngineDump, FleetPlanner, RoutePlanner, RoutingDump};
 pub use policy::PolicyKind;
+pub use pool_capacity::{PoolCapacity, PoolSettings};
 pub use prefix::{CacheChange, CacheEvent, CacheOutcome, PrefixDigest, PromptPrefix};
 pub use servers::{ReportedLoad, ServerCandidate, ServerLoads};
 pub use settings::{ChainScope, RoutingSettings, WorkloadMix};
--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -76,6 +76,8 @@
 pub(crate) struct LoadTracker {
     reported: LoadValues,
     report_number: (Incarnation, SequenceNumber),
+    /// When the engine measured the reported load.
+    reported_at: Option<MonotonicTime>,
     /// Own events since the report was measured, oldest first.
     events: VecDeque<(MonotonicTime, LoadDelta)>,
     /// Sum of `events`.
@@ -95,6 +97,7 @@
             return false;
         }
         self.report_number = number;
+        self.reported_at = Some(report.measured_at);
         self.declined_at = self.declined_at.filter(|at| *at >= report.measured_at);
         self.reported = report.figures;
         while let Some((at, delta)) = self.events.front().copied() {
@@ -117,6 +120,16 @@
         };
     }
 
+    /// When the engine measured its last reported load; `None` before the first report.
+    pub(crate) fn reported_at(&self) -> Option<MonotonicTime> {
+        self.reported_at
+    }
+
+    /// KV cache in use according to the last report, in tokens.
+    pub(crate) fn reported_kv(&self) -> u64 {
+        self.reported.kv.0
+    }
+
     /// Records that the engine declined a request for lack of capacity.
     pub(crate) fn decline(&mut self, now: MonotonicTime) {
         self.declined_at = Some(now);
--- a/crates/coordination/src/routing/planner.rs
+++ b/crates/coordination/src/routing/planner.rs
@@ -15,6 +15,7 @@
 use super::outliers::{EngineOutliers, PeerClass};
 use super::plan::{NoRoute, RoutePlan, RouteQuery};
 use super::policy::RoutePolicy;
+use super::pool_capacity::{PoolCapacity, PoolSettings};
 use super::prefix::{CacheEvent, CacheOutcome, PrefixIndex};
 use super::remaining::refresh_remaining_times;
 use super::settings::RoutingSettings;
@@ -154,6 +155,16 @@
         &self.fleet
     }
 
+    /// Measures the KV memory of the engines of `model`; `None` if none of them reported recently.
+    pub fn pool_capacity(
+        &self,
+        now: MonotonicTime,
+        model: &ModelName,
+        settings: &PoolSettings,
+    ) -> Option<PoolCapacity> {
+        PoolCapacity::measure(now, &self.fleet, model, settings)
+    }
+
     /// Ends all ejections and forgets the failures that led to them, because their cause was not the
     /// engines.
     pub fn clear_ejections(&mut self) {
--- a/crates/coordination/tests/limits_fairness.rs
+++ b/crates/coordination/tests/limits_fairness.rs
@@ -6,7 +6,7 @@
 use pollendrift_coordination::base::{CustomerName, MonotonicTime, RequestId};
 use pollendrift_coordination::limits::{
     AdmissionCapacity, AdmissionChange, AdmissionRefusal, AdmissionRequest, AdmissionTable,
-    AdmissionVerdict, CustomerLimits, LimitSettings, RequestPriority, TicketKey,
+    AdmissionVerdict, CustomerLimits, LimitSettings, PriorityReserve, RequestPriority, TicketKey,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -25,6 +25,7 @@
         tokens: 100,
         run_time: RUN,
         deadline: None,
+        is_return: false,
     }
 }
 
@@ -32,6 +33,8 @@
     let capacity = AdmissionCapacity {
         max_in_flight,
         kv_tokens,
+        max_request_tokens: kv_tokens,
+        reserve: PriorityReserve::default(),
     };
     AdmissionTable::new(LimitSettings::default(), capacity)
 }
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -9,7 +9,8 @@
 use pollendrift_coordination::configuration::LabelSettings;
 use pollendrift_coordination::limits::{
     AdmissionCapacity, AdmissionChange, AdmissionRefusal, AdmissionRequest, AdmissionTable,
-    AdmissionVerdict, CustomerLimits, LimitSettings, RequestPriority, RequestRefusal, TicketKey,
+    AdmissionVerdict, CustomerLimits, LimitSettings, PriorityReserve, RequestPriority,
+    RequestRefusal, TicketKey,
 };
 use serde::Serialize;
 use tokio::sync::oneshot;
@@ -98,6 +99,8 @@
         let capacity = AdmissionCapacity {
             max_in_flight: limits.max_running,
             kv_tokens: u64::MAX,
+            max_request_tokens: u64::MAX,
+            reserve: PriorityReserve::default(),
         };
         let state = GateState {
             table: AdmissionTable::new(settings, capacity),
@@ -185,6 +188,7 @@
                 tokens: request.tokens,
                 run_time,
                 deadline: request.deadline,
+                is_return: false,
             },
         );
         match verdict {
