feat(relay): drafts of services with differing priorities are admitted by priority

Change: the relay offers such drafts to an admission table whose capacity is this host's share of the engines' free KV memory; those that can't be in time are refused with a booked time to come back; engines get the priority.

--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -37,6 +37,24 @@
     pub deadline: Option<MonotonicTime>,
 }
 
+/// A request for admission whose limits and priority are known.
+#[derive(Clone, Debug)]
+pub(crate) struct GateOffer<'request> {
+    /// Customer that sent the request.
+    pub(crate) customer: &'request CustomerName,
+    /// Limits of the customer at this entry.
+    pub(crate) limits: CustomerLimits,
+    pub(crate) priority: RequestPriority,
+    /// KV cache of the request, in tokens.
+    pub(crate) tokens: u64,
+    /// Predicted time from the start to the end that `deadline` is about; `None` for the mean time
+    /// of requests with as many tokens.
+    pub(crate) run_time: Option<Duration>,
+    pub(crate) deadline: Option<MonotonicTime>,
+    /// Whether the caller was refused before and comes back.
+    pub(crate) is_return: bool,
+}
+
 /// Limits of one entry's gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GateLimits {
@@ -125,8 +143,29 @@
         self: &Arc<Self>,
         request: GateRequest<'_>,
     ) -> Result<AdmissionTicket, RequestRefusal> {
-        let tokens = request.tokens;
-        let ticket = match self.offer(request) {
+        let limits = self.limits(request.settings);
+        self.admit_offer(GateOffer {
+            customer: request.customer,
+            limits,
+            priority: priority(request.settings.priority),
+            tokens: request.tokens,
+            run_time: None,
+            deadline: request.deadline,
+            is_return: false,
+        })
+        .await
+    }
+
+    /// Admits a request, after a wait in the queue if there is no capacity for it.
+    ///
+    /// # Errors
+    /// The request is refused as soon as that is decided; it did not run.
+    pub(crate) async fn admit_offer(
+        self: &Arc<Self>,
+        offer: GateOffer<'_>,
+    ) -> Result<AdmissionTicket, RequestRefusal> {
+        let tokens = offer.tokens;
+        let ticket = match self.offer(offer) {
             OfferResult::Admitted(ticket) => ticket,
             OfferResult::Refused(refusal) => return Err(refusal),
             OfferResult::Queued {
@@ -159,6 +198,19 @@
         self.lock().apply_changes(now);
     }
 
+    /// Sets the capacity for later admissions, and admits queued requests that it allows.
+    pub(crate) fn set_capacity(&self, capacity: AdmissionCapacity) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.table.set_capacity(capacity);
+        state.apply_changes(now);
+    }
+
+    /// KV cache of the running requests, in tokens.
+    pub(crate) fn in_flight_tokens(&self) -> u64 {
+        self.lock().table.in_flight_tokens()
+    }
+
     /// Returns the current numbers of running and queued requests.
     pub fn status(&self) -> GateStatus {
         let state = self.lock();
@@ -168,27 +220,29 @@
         }
     }
 
-    fn offer(&self, request: GateRequest<'_>) -> OfferResult<'_> {
+    fn offer(&self, request: GateOffer<'_>) -> OfferResult<'_> {
         let now = self.clock.now();
         let number = self.offer_count.fetch_add(1, Ordering::Relaxed);
         // The caller's request id is not unique: two requests may share it.
         let offer_id = RequestId::from(number.to_string());
-        let limits = self.limits(request.settings);
         let mut state = self.lock();
-        state.table.set_limits(now, request.customer, limits);
-        let run_time = state
-            .token_time
-            .saturating_mul(u32::try_from(request.tokens).unwrap_or(u32::MAX));
+        state
+            .table
+            .set_limits(now, request.customer, request.limits);
+        let run_time = request.run_time.unwrap_or_else(|| {
+            let tokens = u32::try_from(request.tokens).unwrap_or(u32::MAX);
+            state.token_time.saturating_mul(tokens)
+        });
         let verdict = state.table.offer(
             now,
             AdmissionRequest {
                 request: offer_id.clone(),
                 customer: request.customer.clone(),
-                priority: priority(request.settings.priority),
+                priority: request.priority,
                 tokens: request.tokens,
                 run_time,
                 deadline: request.deadline,
-                is_return: false,
+                is_return: request.is_return,
             },
         );
         match verdict {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -7,6 +7,7 @@
 //! This module and `coordination` make the decisions: they select the route, the customer and the
 //! server or chain of engines, decide whether to retry a failed send, and choose the response.
 
+mod admission;
 mod answer;
 mod backpressure;
 mod calls;
@@ -203,6 +204,7 @@
         attempt: call.attempt.clone(),
         route: Arc::clone(route),
         service: Arc::clone(service),
+        priority: context.priority_of(table, route, service, customer),
         customer: customer.map(|customer| customer.name.clone()),
         draft: call.draft.clone(),
         shared_parts: Arc::clone(&call.shared_parts),
--- /dev/null
+++ b/crates/daemon/src/relay/admission.rs
@@ -0,0 +1,358 @@
+//! Admits drafts of services whose drafts have different priorities.
+//!
+//! Each host admits as many drafts as its share of the engines' free KV memory allows, the most
+//! urgent ones first, and refuses those that can't be in time. Engines then have room for what they
+//! receive.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use pollendrift_coordination::base::{CustomerName, MonotonicTime, ServiceName};
+use pollendrift_coordination::limits::{
+    CapacityInputs, CustomerLimits, HostCapacity, HostCapacitySettings, LimitSettings,
+    RequestPriority, RequestRefusal, ReturnRequest, ReturnSchedule, ReturnSettings,
+};
+use pollendrift_coordination::routes::RouteTable;
+use pollendrift_coordination::routing::{PoolCapacity, PoolSettings};
+use pollendrift_dialect::RefusalKind;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::context::RelayContext;
+use super::request::{Refused, RelayRequest, refused};
+use crate::admission::{AdmissionGate, AdmissionTicket, GateLimits, GateOffer, GateStatus};
+use crate::clock::{TimeSource, millis};
+use crate::settings::AdmissionMode;
+
+/// Time between two checks for waiting drafts that can no longer be in time.
+const QUEUE_TICK: Duration = Duration::from_millis(50);
+/// Share of the capacity that is kept for callers that come back after a refusal.
+const RETURN_FRACTION: f64 = 0.15;
+/// Mean time that a draft runs, until drafts have ended.
+const INITIAL_RUN_TIME: Duration = Duration::from_secs(2);
+/// Time from the send of a draft to its first event, until events have come.
+const INITIAL_FIRST_EVENT: Duration = Duration::from_millis(100);
+/// One observation has the weight `1 / MEAN_WEIGHT` in a mean time.
+const MEAN_WEIGHT: u32 = 16;
+
+/// Admission of drafts, by service.
+pub(super) struct DraftAdmission {
+    mode: AdmissionMode,
+    clock: Arc<dyn TimeSource>,
+    seed: u64,
+    pools: Mutex<BTreeMap<ServiceName, Arc<DraftPool>>>,
+}
+
+/// Admission to the engines of one service.
+struct DraftPool {
+    gate: Arc<AdmissionGate>,
+    state: Mutex<PoolState>,
+}
+
+struct PoolState {
+    capacity: HostCapacity,
+    returns: ReturnSchedule,
+    /// Mean time from the admission of a draft to its end.
+    run_time: Duration,
+    /// Mean time from the admission of a draft to its first event.
+    first_event: Duration,
+}
+
+/// An admitted draft; dropping it frees its part of the capacity.
+pub(super) struct DraftTicket {
+    pool: Arc<DraftPool>,
+    _ticket: AdmissionTicket,
+    clock: Arc<dyn TimeSource>,
+    admitted_at: MonotonicTime,
+}
+
+impl RelayContext {
+    /// Admits a draft, after a wait if there is no capacity for it. `None` if the drafts of its
+    /// service all have the same priority, or if another host has admitted it.
+    ///
+    /// # Errors
+    /// Refuses the draft as soon as it can't be in time; it did not run.
+    pub(super) async fn admit(
+        &self,
+        request: &RelayRequest,
+    ) -> Result<Option<DraftTicket>, Refused> {
+        let Some(priority) = request.priority else {
+            return Ok(None);
+        };
+        // A host that reaches no engine passes the draft to another host.
+        if request.origin.is_some() || self.is_cut_off_from(request) {
+            return Ok(None);
+        }
+        let Some(pool) = self.admission.pool(&request.service.name) else {
+            return Ok(None);
+        };
+        let tokens = request.kv_tokens();
+        let now = self.clock.now();
+        self.fleet
+            .demand()
+            .record(now, &request.service.name, tokens);
+        let is_return = request.is_return();
+        let first_event = pool.state().first_event;
+        let anonymous = CustomerName::from("");
+        let customer = request.customer.as_ref().unwrap_or(&anonymous);
+        let admitted = pool
+            .gate
+            .admit_offer(GateOffer {
+                customer,
+                limits: CustomerLimits::default(),
+                priority,
+                tokens,
+                run_time: Some(first_event),
+                deadline: Some(self.latest_first_event(now, request, is_return)),
+                is_return,
+            })
+            .await;
+        let decided_at = self.clock.now();
+        match admitted {
+            Ok(ticket) => {
+                pool.log_admitted(request, priority, decided_at);
+                Ok(Some(DraftTicket {
+                    pool,
+                    _ticket: ticket,
+                    clock: Arc::clone(&self.clock),
+                    admitted_at: decided_at,
+                }))
+            }
+            Err(refusal) => Err(pool.refuse(request, priority, decided_at, &refusal)),
+        }
+    }
+
+    /// Time until which the first event of a draft is in time, or, for a draft that is late already,
+    /// until which its caller waits for it.
+    fn latest_first_event(
+        &self,
+        now: MonotonicTime,
+        request: &RelayRequest,
+        is_return: bool,
+    ) -> MonotonicTime {
+        if is_return || request.resume_after.is_some() {
+            return self.queue_deadline(now, request.arrived);
+        }
+        request.arrived.after(request.route.target)
+    }
+
+    /// Time after which the caller of a draft that found no engine with room comes back.
+    pub(super) fn return_time(&self, request: &RelayRequest) -> Option<Duration> {
+        let pool = self.admission.pool(&request.service.name)?;
+        let priority = request.priority?;
+        Some(pool.book_return(request, priority, self.clock.now()))
+    }
+
+    /// Updates the capacity of all services whose drafts have different priorities.
+    pub(super) fn tick_admission(&self, now: MonotonicTime, table: &RouteTable) {
+        if self.admission.mode == AdmissionMode::Off {
+            return;
+        }
+        self.admission.retain(table);
+        for service in table.prioritized_services() {
+            let pool = self.admission.pool_or_new(service);
+            let measured = self
+                .chains()
+                .pool_capacity(now, service, &PoolSettings::default());
+            let share = self.fleet.demand().share(now, service);
+            pool.update(now, measured, share);
+        }
+    }
+}
+
+/// Refuses waiting drafts that can no longer be in time, until the process ends.
+pub(super) async fn run_admission(context: Arc<RelayContext>) {
+    let mut ticks = interval(QUEUE_TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        for pool in context.admission.all() {
+            if pool.gate.status().queued > 0 {
+                pool.gate.tick();
+            }
+        }
+    }
+}
+
+impl DraftAdmission {
+    pub(super) fn new(mode: AdmissionMode, clock: Arc<dyn TimeSource>, seed: u64) -> Self {
+        Self {
+            mode,
+            clock,
+            seed,
+            pools: Mutex::default(),
+        }
+    }
+
+    /// Whether drafts are admitted by priority where priorities differ.
+    pub(super) fn is_enabled(&self) -> bool {
+        self.mode == AdmissionMode::ByPriority
+    }
+
+    /// State of each service, for the dump.
+    pub(super) fn dump(&self) -> BTreeMap<ServiceName, PoolDump> {
+        let pools = self.lock();
+        let dump = pools
+            .iter()
+            .map(|(name, pool)| (name.clone(), pool.dump(self.clock.now())));
+        dump.collect()
+    }
+
+    fn pool(&self, service: &ServiceName) -> Option<Arc<DraftPool>> {
+        self.lock().get(service).cloned()
+    }
+
+    fn all(&self) -> Vec<Arc<DraftPool>> {
+        self.lock().values().cloned().collect()
+    }
+
+    /// Drops services that no longer have different priorities.
+    fn retain(&self, table: &RouteTable) {
+        self.lock()
+            .retain(|service, _| table.priority_ranks(service).is_some());
+    }
+
+    fn pool_or_new(&self, service: &ServiceName) -> Arc<DraftPool> {
+        let mut pools = self.lock();
+        let pool = pools.entry(service.clone()).or_insert_with(|| {
+            log::info!(service:% = service; "drafts are admitted by priority");
+            Arc::new(DraftPool::new(Arc::clone(&self.clock), self.seed))
+        });
+        Arc::clone(pool)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<ServiceName, Arc<DraftPool>>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// State of the admission to one service in a dump.
+#[derive(Clone, Debug, serde::Serialize)]
+pub(super) struct PoolDump {
+    /// Running and waiting drafts.
+    requests: GateStatus,
+    /// KV memory of the running drafts, in tokens.
+    held_tokens: u64,
+    /// Figures of the last measurement.
+    inputs: Option<CapacityInputs>,
+    /// Mean time to the first event, in milliseconds.
+    first_event_ms: u64,
+    /// Callers that were told when to come back and have not reached that time.
+    promised_returns: u32,
+}
+
+impl DraftPool {
+    fn new(clock: Arc<dyn TimeSource>, seed: u64) -> Self {
+        let limits = GateLimits {
+            max_running: u32::MAX,
+            max_wait: Duration::MAX,
+            entries: 1,
+        };
+        let settings = LimitSettings {
+            floor_percent: 30,
+            ..LimitSettings::default()
+        };
+        Self {
+            gate: Arc::new(AdmissionGate::new(settings, limits, clock)),
+            state: Mutex::new(PoolState {
+                capacity: HostCapacity::new(HostCapacitySettings::default(), seed),
+                returns: ReturnSchedule::new(ReturnSettings::default(), seed),
+                run_time: INITIAL_RUN_TIME,
+                first_event: INITIAL_FIRST_EVENT,
+            }),
+        }
+    }
+
+    fn update(&self, now: MonotonicTime, measured: Option<PoolCapacity>, share: f64) {
+        let held = self.gate.in_flight_tokens();
+        let capacity = {
+            let mut state = self.state();
+            let capacity = state.capacity.update(now, held, measured, share);
+            if let Some(inputs) = state.capacity.inputs() {
+                let served = share * inputs.total as f64 / state.run_time.as_secs_f64().max(0.1);
+                state.returns.set_rate(now, served * RETURN_FRACTION);
+            }
+            capacity
+        };
+        self.gate.set_capacity(capacity);
+    }
+
+    fn refuse(
+        &self,
+        request: &RelayRequest,
+        priority: RequestPriority,
+        now: MonotonicTime,
+        refusal: &RequestRefusal,
+    ) -> Refused {
+        let wait = self.book_return(request, priority, now);
+        let inputs = self.state().capacity.inputs().unwrap_or_default();
+        log::info!(request = request.attempt.as_str(), priority:? = priority, reason:% = refusal.reason,
+            is_return = request.is_return(), waited_ms = millis(now.since(request.arrived)),
+            held_tokens = self.gate.in_flight_tokens(), free_tokens = inputs.free, share = inputs.share,
+            report_age_ms = millis(now.since(inputs.measured_at)); "not admitted");
+        let reason = format!("the engines of the service have no room: {}", refusal.reason);
+        refused(RefusalKind::NotRun, reason).retry_after(wait)
+    }
+
+    /// Chooses the time after which the caller of a refused draft comes back.
+    fn book_return(
+        &self,
+        request: &RelayRequest,
+        priority: RequestPriority,
+        now: MonotonicTime,
+    ) -> Duration {
+        let booking = ReturnRequest {
+            priority,
+            tokens: request.kv_tokens(),
+            time_left: request.time_left(now),
+        };
+        self.state().returns.book(now, &booking)
+    }
+
+    fn log_admitted(&self, request: &RelayRequest, priority: RequestPriority, now: MonotonicTime) {
+        self.state().capacity.record_draft(request.kv_tokens());
+        let waited = now.since(request.arrived);
+        if waited < QUEUE_TICK {
+            return;
+        }
+        let inputs = self.state().capacity.inputs().unwrap_or_default();
+        log::info!(request = request.attempt.as_str(), priority:? = priority, waited_ms = millis(waited),
+            held_tokens = self.gate.in_flight_tokens(), free_tokens = inputs.free, share = inputs.share,
+            report_age_ms = millis(now.since(inputs.measured_at)); "admitted after a wait");
+    }
+
+    fn dump(&self, now: MonotonicTime) -> PoolDump {
+        let state = self.state();
+        PoolDump {
+            requests: self.gate.status(),
+            held_tokens: self.gate.in_flight_tokens(),
+            inputs: state.capacity.inputs(),
+            first_event_ms: millis(state.first_event),
+            promised_returns: state.returns.promised(now).count,
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl DraftTicket {
+    /// Records that the first event of the draft arrived.
+    pub(super) fn record_first_event(&self, now: MonotonicTime) {
+        let mut state = self.pool.state();
+        state.first_event = mean(state.first_event, now.since(self.admitted_at));
+    }
+}
+
+impl Drop for DraftTicket {
+    fn drop(&mut self) {
+        let run_time = self.clock.now().since(self.admitted_at);
+        let mut state = self.pool.state();
+        state.run_time = mean(state.run_time, run_time);
+    }
+}
+
+fn mean(mean: Duration, observed: Duration) -> Duration {
+    mean - mean / MEAN_WEIGHT + observed / MEAN_WEIGHT
+}
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -12,14 +12,14 @@
 use std::time::Duration;
 
 use pollendrift_coordination::base::{
-    DataCentreName, Incarnation, LayerRange, ModelName, MonotonicTime, SequenceNumber, ServerName,
+    DataCentreName, Incarnation, LayerRange, ModelName, MonotonicTime, SequenceNumber, ServerName, ServiceName,
 };
 use pollendrift_coordination::leases::BackendLayers;
 use pollendrift_coordination::quarantine::PartDigest;
 use pollendrift_coordination::routes::{RouteTable, SpecGeneration, SpecGenerations};
 use pollendrift_coordination::routing::{
     ByteRate, DegradedLinks, DegradedSettings, EngineFilter, EngineRecord, FleetPlanner, FlightKey,
-    LinkProperties, LoadReport, LoadValues, NoRoute, NoRouteReason, RoutePlan, RoutePlanner,
+    LinkProperties, LoadReport, LoadValues, NoRoute, NoRouteReason, PoolCapacity, PoolSettings, RoutePlan, RoutePlanner,
     RoutePriority, RouteQuery, RoutingSettings, SurveyedEngine, TokenCount, is_complete_chain,
 };
 use pollendrift_dialect::StageHop;
@@ -44,9 +44,6 @@
 /// an actual prompt, a full data centre was predicted to answer within 30 ms but took 3 s, and all
 /// entries sent their requests to this full data centre at the same time.
 const WAITING_TOKENS: u64 = 13_000;
-/// Divisor of the expected answer tokens for which KV memory is requested. Averaged over its run, a
-/// draft holds half of its answer, and an engine runs many drafts of different progress.
-const GROWTH_DIVISOR: u32 = 2;
 /// Predicted cost = time to the first event + (time from the first to the last event) / this
 /// divisor. The stream's time counts because a slow stream holds memory that other requests wait
 /// for.
@@ -345,6 +342,17 @@
         })
     }
 
+    /// Measures the KV memory of the engines of `service`.
+    pub(super) fn pool_capacity(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        settings: &PoolSettings,
+    ) -> Option<PoolCapacity> {
+        let model = ModelName::from(service.as_str());
+        self.planner.pool_capacity(now, &model, settings)
+    }
+
     /// Ends all ejections of engines; see [`FleetPlanner::clear_ejections`].
     pub(super) fn clear_ejections(&mut self) {
         self.planner.clear_ejections();
@@ -425,9 +433,6 @@
     allowed: &'query dyn EngineFilter,
 ) -> RouteQuery<'query> {
     let draft = request.draft.as_ref();
-    let expected = draft.map_or(1, |draft| {
-        draft.expected_tokens.unwrap_or(draft.answer_tokens)
-    });
     RouteQuery {
         model,
         version: None,
@@ -436,7 +441,7 @@
         allowed,
         excluded: &[],
         prompt_tokens: draft.map_or(0, |draft| draft.prompt_tokens),
-        expected_tokens: (expected / GROWTH_DIVISOR).max(1),
+        expected_tokens: request.expected_tokens(),
         prefixes: &[],
         deadline: None,
         priority: RoutePriority::Normal,
--- a/crates/daemon/src/relay/chains/refresh.rs
+++ b/crates/daemon/src/relay/chains/refresh.rs
@@ -34,6 +34,7 @@
         context
             .chains()
             .sync_engines(now, &table, &workers, &context.fleet);
+        context.tick_admission(now, &table);
         clear_suspects(&context, now, &workers);
     }
 }
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use pollendrift_coordination::base::{DataCentreName, MonotonicTime, ServiceName};
-use pollendrift_coordination::limits::WaitSettings;
+use pollendrift_coordination::limits::{RequestPriority, WaitSettings};
 use pollendrift_coordination::reachability::{ReachabilitySettings, ReachabilityTable};
 use pollendrift_coordination::retries::{BudgetTable, OutlierSettings, RetrySettings};
+use pollendrift_coordination::routes::{CustomerKeys, Route, RouteTable, ServiceSpec};
 use pollendrift_coordination::routing::{ChainHealth, HealthSettings, ServerLoads};
 use pollendrift_dialect::PlatformDialect;
 use pollendrift_http::{ConnectionPool, PoolSettings, ServerDialer};
 use tokio::sync::Notify;
 
+use super::admission::DraftAdmission;
 use super::chains::ChainTable;
 use super::channels::ChannelPool;
 use super::routes::RouteTableBuilder;
@@ -66,6 +68,8 @@
     pub(super) metrics: Arc<MetricRegistry>,
     loads: Mutex<ServerLoads>,
     chains: Mutex<ChainTable>,
+    /// Admission of drafts of services whose drafts have different priorities.
+    pub(super) admission: DraftAdmission,
     health: Mutex<ChainHealth>,
     budgets: Mutex<BudgetTable<ServiceName>>,
     reachability: Mutex<ReachabilityTable>,
@@ -101,6 +105,11 @@
             quarantine: parts.quarantine,
             channels: ChannelPool::new(parts.hub),
             pool: ConnectionPool::with_dialer(PoolSettings::default(), since_boot, parts.dialer),
+            admission: DraftAdmission::new(
+                parts.settings.admission,
+                Arc::clone(&parts.clock),
+                parts.seed,
+            ),
             clock: parts.clock,
             lifecycle: parts.lifecycle,
             metrics: parts.metrics,
@@ -159,6 +168,21 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Priority of a request among those of its service; `None` if all of them have the same, or if
+    /// priorities are switched off.
+    pub(super) fn priority_of(
+        &self,
+        table: &RouteTable,
+        route: &Route,
+        service: &ServiceSpec,
+        customer: Option<&Arc<CustomerKeys>>,
+    ) -> Option<RequestPriority> {
+        let ranks = table.priority_ranks(&service.name)?;
+        let own = customer.and_then(|customer| customer.priority);
+        let rank = ranks.rank(own.unwrap_or(route.priority));
+        self.admission.is_enabled().then_some(rank)
+    }
+
     /// Returns the time until which a request that arrived at `arrived` waits for a server, as
     /// known at `now`.
     pub(super) fn queue_deadline(
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -12,6 +12,7 @@
 use pollendrift_http::{ResponseBody, channel_body};
 use tokio::time::sleep;
 
+use super::admission::DraftTicket;
 use super::answer::{FailedSend, OpenAnswer, end_to_end_headers};
 use super::backpressure::{HeldBack, RateQueue};
 use super::chains::ReservedChain;
@@ -73,6 +74,8 @@
     /// Hosts that the draft was forwarded to.
     pub(super) forwards: ForwardAttempts,
     pub(super) quarantine: QuarantineHold,
+    /// Part of the capacity that the draft holds, if its service admits drafts by priority.
+    pub(super) ticket: Option<DraftTicket>,
 }
 
 /// An engine that is excluded from a draft's next chains.
@@ -106,6 +109,7 @@
     request: RelayRequest,
     meter: &RequestMeter,
 ) -> Result<Response<ResponseBody>, Refused> {
+    let ticket = context.admit(&request).await?;
     context.earn_retry_budget(request.arrived, &request.service.name);
     let resume_after = request.resume_after;
     let mut run = DraftRun {
@@ -124,6 +128,7 @@
         held_back: None,
         forwards: ForwardAttempts::default(),
         quarantine: QuarantineHold::default(),
+        ticket,
     };
     let wait_until = context.queue_deadline(context.clock.now(), run.request.arrived);
     let running = match run.open(resume_after, wait_until).await {
@@ -369,7 +374,9 @@
             return self.forwards.refusal();
         }
         if !self.may_have_run {
-            return refused(RefusalKind::NotRun, reason).retry_after(RETRY_AFTER_NO_CAPACITY);
+            let wait = self.context.return_time(&self.request);
+            let wait = wait.unwrap_or(RETRY_AFTER_NO_CAPACITY);
+            return refused(RefusalKind::NotRun, reason).retry_after(wait);
         }
         let is_late =
             self.last_failure.as_ref().map(|failed| failed.outcome) == Some(SendOutcome::TimedOut);
--- a/crates/daemon/src/relay/forwarding.rs
+++ b/crates/daemon/src/relay/forwarding.rs
@@ -146,6 +146,9 @@
             }
         }
         self.last_event_at = now;
+        if let Some(ticket) = run.ticket.as_ref().filter(|_| self.is_first) {
+            ticket.record_first_event(now);
+        }
         if let Some(chain) = &mut running.chain {
             chain.record_events(now, self.is_first);
         }
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -9,12 +9,23 @@
 use pollendrift_coordination::base::{
     CustomerName, MonotonicTime, PartName, RequestId, ServerName, ServiceName,
 };
+use pollendrift_coordination::limits::RequestPriority;
 use pollendrift_coordination::routes::{Route, ServiceSpec};
 use pollendrift_coordination::streams::EventId;
 use pollendrift_dialect::{
     DraftSize, RefusalKind, RelayRefusal, ServerDialect, ServerRequest, StageHop,
 };
 
+/// Divisor of the expected answer tokens for which KV memory is requested.
+const GROWTH_DIVISOR: u32 = 2;
+/// Least time between the refusal of a request and its return.
+pub(super) const MIN_RETURN_WAIT: Duration = Duration::from_millis(600);
+/// Priorities of requests at engines, which admit lower numbers first.
+const RESUMED_PRIORITY: u8 = 0;
+const URGENT_PRIORITY: u8 = 2;
+const NORMAL_PRIORITY: u8 = 5;
+const BATCH_PRIORITY: u8 = 8;
+
 /// A request for which the route, the service and the customer are known.
 #[derive(Debug)]
 pub(super) struct RelayRequest {
@@ -24,6 +35,8 @@
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<ServiceSpec>,
     pub(super) customer: Option<CustomerName>,
+    /// Priority among the drafts of the service; `None` if all of them have the same.
+    pub(super) priority: Option<RequestPriority>,
     pub(super) draft: Option<DraftSize>,
     /// Parts of the prompt that other requests may share.
     pub(super) shared_parts: Arc<[PartName]>,
@@ -60,6 +73,28 @@
         self.deadline.since(now)
     }
 
+    /// Tokens of the answer for which KV memory is needed. Averaged over its run, a draft holds half
+    /// of its answer, and an engine runs many drafts of different progress.
+    pub(super) fn expected_tokens(&self) -> u32 {
+        let draft = self.draft.as_ref();
+        let expected = draft.map_or(1, |draft| {
+            draft.expected_tokens.unwrap_or(draft.answer_tokens)
+        });
+        (expected / GROWTH_DIVISOR).max(1)
+    }
+
+    /// KV memory that the draft holds on each engine, in tokens, averaged over its run.
+    pub(super) fn kv_tokens(&self) -> u64 {
+        let prompt = self.draft.as_ref().map_or(0, |draft| draft.prompt_tokens);
+        u64::from(prompt) + u64::from(self.expected_tokens())
+    }
+
+    /// Whether the caller was refused before and comes back: it has less time than its route gives.
+    pub(super) fn is_return(&self) -> bool {
+        let time = self.deadline.since(self.arrived);
+        time.saturating_add(MIN_RETURN_WAIT) <= self.route.timeout
+    }
+
     /// Names of the shared parts, for log lines.
     pub(super) fn part_names(&self) -> String {
         let names: Vec<&str> = self.shared_parts.iter().map(PartName::as_str).collect();
@@ -87,6 +122,12 @@
             server: target.server,
             customer: self.customer.as_ref(),
             time_left: self.time_left(now),
+            priority: self.priority.map(|priority| match priority {
+                _ if target.resume_after.is_some() => RESUMED_PRIORITY,
+                RequestPriority::Urgent => URGENT_PRIORITY,
+                RequestPriority::Normal => NORMAL_PRIORITY,
+                RequestPriority::Batch => BATCH_PRIORITY,
+            }),
             stages: target.stages,
             resume_after: target.resume_after,
         };
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -4,6 +4,7 @@
 
 use tokio::task::JoinHandle;
 
+use super::admission::run_admission;
 use super::chains::run_chains;
 use super::context::RelayContext;
 use super::control::ControlHandler;
@@ -78,6 +79,7 @@
     if !settings.is_keeper() {
         return vec![
             tokio::spawn(run_chains(Arc::clone(&relay), node.hub().clone())),
+            tokio::spawn(run_admission(Arc::clone(&relay))),
             tokio::spawn(run_reachability(relay, node.hub().clone())),
         ];
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -46,7 +46,7 @@
     PeerSettings,
 };
 pub use placement::PlacementSettings;
-pub use relay::RelaySettings;
+pub use relay::{AdmissionMode, RelaySettings};
 pub use retries::RetrySettings;
 pub use snapshots::SnapshotSettings;
 pub use tls::{KeyFiles, PlainText, TlsSettings};
--- a/crates/daemon/src/settings/relay.rs
+++ b/crates/daemon/src/settings/relay.rs
@@ -5,6 +5,22 @@
 use super::parties::BOOLEAN_CHOICES;
 use super::reader::SectionReader;
 
+/// How drafts of a service whose drafts have different priorities are admitted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AdmissionMode {
+    /// In the order of their priorities, within this host's share of the engines' memory.
+    #[default]
+    ByPriority,
+    /// Like the drafts of other services: all are sent to engines at once.
+    Off,
+}
+
+/// Names of the admission modes in the settings.
+const ADMISSION_MODES: [(&str, AdmissionMode); 2] = [
+    ("by-priority", AdmissionMode::ByPriority),
+    ("off", AdmissionMode::Off),
+];
+
 /// Switch, timeouts and retry budget of the relay.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RelaySettings {
@@ -25,6 +41,8 @@
     /// Time without output of a stage of a pipeline after which the backend server of that
     /// stage aborts the request.
     pub stall: Duration,
+    /// Admission of drafts of services whose drafts have different priorities.
+    pub admission: AdmissionMode,
 }
 
 impl Default for RelaySettings {
@@ -37,6 +55,7 @@
             retry_slack: 100,
             retry_window: Duration::from_secs(10),
             stall: Duration::from_secs(2),
+            admission: AdmissionMode::default(),
         }
     }
 }
@@ -53,6 +72,7 @@
             retry_slack: section.upper_bound("retry_slack", default.retry_slack, 0..=1_000_000),
             retry_window: section.duration("retry_window", default.retry_window, times.clone()),
             stall: section.duration("stall", default.stall, times),
+            admission: section.choice("admission", default.admission, &ADMISSION_MODES),
         }
     }
 }
--- a/crates/dialect/src/servers.rs
+++ b/crates/dialect/src/servers.rs
@@ -32,6 +32,8 @@
     pub customer: Option<&'request CustomerName>,
     /// Time until the deadline of the request.
     pub time_left: Duration,
+    /// Priority at the server, from 0, the first, to 9; `None` for the server's default.
+    pub priority: Option<u8>,
     /// Stages of the pipeline, starting with the receiver; empty if one server runs all layers.
     pub stages: &'request [StageHop],
     /// Event after which a stream resumes.
