feat(demand): shares of services by demand, on the division that rate limits use

Cause: all hosts see the same free capacity of a service, and nothing says which part of it one host may use. Change: DemandTable holds the demand for each service; the division by demand moves from RateRecord to SharedDemand, on which both are built; reports travel in the survey frame, with the rates.

--- a/crates/coordination/src/backpressure.rs
+++ b/crates/coordination/src/backpressure.rs
@@ -8,7 +8,6 @@
 //! that leaves may state so in its answers before its announcements do.
 
 mod back_off;
-mod demand;
 mod leaving;
 mod rate;
 mod rate_record;
@@ -19,6 +18,8 @@
 pub use back_off::BackOffTable;
 pub use leaving::LeavingTable;
 pub use rate::{RequestRate, StatedRate};
-pub use rate_report::{RateBatch, RateReport, RateScope, ReportSender, StatementReport};
+pub use rate_report::{RateBatch, RateReport, RateScope, StatementReport};
 pub use rate_settings::RateSettings;
 pub use rate_table::{RateChange, RateDump, RateTable, UsedUpRate};
+
+pub use crate::demand::ReportSender;
--- a/crates/coordination/src/backpressure/rate.rs
+++ b/crates/coordination/src/backpressure/rate.rs
@@ -39,10 +39,9 @@
         Self(millis)
     }
 
-    /// Returns the sum of two rates.
-    #[must_use]
-    pub const fn plus(self, other: Self) -> Self {
-        Self(self.0.saturating_add(other.0))
+    /// Returns the thousandths of a request per second.
+    pub const fn millis_per_second(self) -> u64 {
+        self.0
     }
 
     /// Returns the requests per second.
--- a/crates/coordination/src/backpressure/rate_record.rs
+++ b/crates/coordination/src/backpressure/rate_record.rs
@@ -5,11 +5,11 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use super::demand::DemandMeter;
 use super::rate::RequestRate;
-use super::rate_report::{RateReport, RateScope, ReportSender, StatementReport};
+use super::rate_report::{RateReport, RateScope, StatementReport};
 use super::rate_settings::RateSettings;
 use crate::base::{HostName, MonotonicTime, ServerName};
+use crate::demand::{DemandSum, ReportSender, ReportedHosts, SharedDemand};
 use crate::limits::TokenBucket;
 
 /// Statement of a server in one of its answers.
@@ -28,49 +28,13 @@
     }
 }
 
-/// Report of another host.
-#[derive(Clone, Copy, Debug)]
-struct StoredReport {
-    sender: ReportSender,
-    scope: RateScope,
-    stated: Option<RateStatement>,
-    demand: RequestRate,
-    hosts: u32,
-    received_at: MonotonicTime,
-}
-
-/// Demand of several hosts, and their number.
-#[derive(Clone, Copy, Debug, Default)]
-struct DemandSum {
-    demand: RequestRate,
-    hosts: u32,
-}
-
-impl DemandSum {
-    fn plus(self, demand: RequestRate, hosts: u32) -> Self {
-        Self {
-            demand: self.demand.plus(demand),
-            hosts: self.hosts.saturating_add(hosts),
-        }
-    }
-}
-
-/// Hosts whose demand a report to another host contains.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ReportedHosts {
-    /// This host, which serves callers.
-    This,
-    /// The hosts that report to this keeper.
-    Followers,
-    /// All hosts that this keeper knows of.
-    All,
-}
+/// Demand of one request, in the unit of reports: thousandths of a request.
+const REQUEST_DEMAND: f64 = 1e3;
 
 /// Limit of one server.
 ///
 /// Invariant: the shares of all hosts add up to at most the limit once their reported demands have
-/// reached each other. A host that is in no sum takes an even part of the limit, and hosts in a sum
-/// divide only the even parts of the hosts in it.
+/// reached each other; see [`SharedDemand`].
 #[derive(Debug)]
 pub(super) struct RateRecord {
     pub(super) server: ServerName,
@@ -78,11 +42,10 @@
     own: Option<RateStatement>,
     /// Newest statement that another host reported.
     reported: Option<RateStatement>,
-    /// Last report of each sender.
-    reports: BTreeMap<HostName, StoredReport>,
-    demand: DemandMeter,
-    /// Demand of this host as last reported to others.
-    sent_demand: RequestRate,
+    /// Statement in the last report of each sender, for as long as the report counts.
+    reported_by: BTreeMap<HostName, RateStatement>,
+    /// Demand in thousandths of a request.
+    demand: SharedDemand,
     /// Requests of this host that wait for a part of its share.
     pub(super) waiting: u32,
     bucket: Option<TokenBucket>,
@@ -94,9 +57,8 @@
             server,
             own: None,
             reported: None,
-            reports: BTreeMap::new(),
-            demand: DemandMeter::default(),
-            sent_demand: RequestRate::default(),
+            reported_by: BTreeMap::new(),
+            demand: SharedDemand::default(),
             waiting: 0,
             bucket: None,
         }
@@ -129,25 +91,27 @@
             at: now.before(stated.age),
         });
         self.reported = RateStatement::newer(self.reported, stated);
-        let stored = StoredReport {
-            sender,
-            scope,
-            stated,
-            demand: report.demand,
+        match stated {
+            Some(stated) => self.reported_by.insert(from.clone(), stated),
+            None => self.reported_by.remove(from),
+        };
+        let sum = DemandSum {
+            demand: report.demand.millis_per_second() as f64,
             hosts: report.hosts,
-            received_at: now,
         };
-        self.reports.insert(from.clone(), stored);
+        self.demand.apply(now, from, sender, scope, sum);
     }
 
     pub(super) fn record_demand(&mut self, now: MonotonicTime, settings: &RateSettings) {
-        self.demand.record(now, settings.demand_window);
+        self.demand.record(now, &settings.share(), REQUEST_DEMAND);
     }
 
     /// Drops expired reports.
     pub(super) fn expire_reports(&mut self, now: MonotonicTime, settings: &RateSettings) {
-        self.reports
-            .retain(|_, report| now.since(report.received_at) < settings.report_lifetime);
+        self.demand.expire(now, &settings.share());
+        let demand = &self.demand;
+        self.reported_by
+            .retain(|host, _| demand.has_report_of(host));
     }
 
     /// Returns the report to other hosts about the demand of `hosts`.
@@ -158,30 +122,20 @@
         hosts: ReportedHosts,
     ) -> RateReport {
         self.expire_reports(now, settings);
-        let is_included = |report: &&StoredReport| match hosts {
-            ReportedHosts::This => false,
-            ReportedHosts::Followers => report.sender == ReportSender::Entry,
-            ReportedHosts::All => true,
-        };
-        let parts = self.reports.values().filter(is_included);
-        let parts = parts.filter(|report| report.scope == RateScope::Part);
-        let mut stated = self.own;
-        let mut sum = DemandSum::default();
-        for part in parts {
-            stated = RateStatement::newer(stated, part.stated);
-            sum = sum.plus(part.demand, part.hosts);
-        }
-        if hosts == ReportedHosts::This {
-            self.sent_demand = self.demand.rate(now, settings.demand_window);
-            sum = sum.plus(self.sent_demand, 1);
-        }
+        let sum = self.demand.report(now, &settings.share(), hosts);
+        let reporters = self.demand.reporters(hosts);
+        let reported = reporters.filter_map(|host| self.reported_by.get(host).copied());
+        let stated = reported.fold(self.own, |newest, stated| {
+            RateStatement::newer(newest, Some(stated))
+        });
         RateReport {
             server: self.server.clone(),
             stated: stated.map(|stated| StatementReport {
                 limit: stated.limit,
                 age: now.since(stated.at),
             }),
-            demand: sum.demand,
+            // The conversion to an integer saturates.
+            demand: RequestRate::from_millis_per_second(sum.demand as u64),
             hosts: sum.hosts,
         }
     }
@@ -195,19 +149,7 @@
         hosts: u32,
     ) -> Option<f64> {
         let rate = self.allowed_rate(now, settings)?;
-        let hosts = f64::from(hosts.max(1));
-        let sum = self.known_demand(now, settings);
-        let known_hosts = f64::from(sum.hosts.max(1)).min(hosts);
-        let own = self.sent_demand.per_second();
-        let total = sum.demand.per_second().max(own);
-        let proportion = if total > 0.0 {
-            own / total
-        } else {
-            known_hosts.recip()
-        };
-        let even = settings.even_fraction / known_hosts;
-        let divided = rate * known_hosts / hosts;
-        Some(divided * (even + (1.0 - settings.even_fraction) * proportion))
+        Some(rate * self.demand.fraction(now, &settings.share(), hosts))
     }
 
     /// Returns the bucket that is refilled at this host's share, if the server is limited.
@@ -246,23 +188,6 @@
         Some(allowed.per_second())
     }
 
-    /// Demand of all hosts that this host knows of, itself included.
-    fn known_demand(&self, now: MonotonicTime, settings: &RateSettings) -> DemandSum {
-        let fresh = self
-            .reports
-            .values()
-            .filter(|report| now.since(report.received_at) < settings.report_lifetime);
-        let totals = fresh
-            .clone()
-            .filter(|report| report.scope == RateScope::Total);
-        if let Some(total) = totals.max_by_key(|report| report.received_at) {
-            return DemandSum::default().plus(total.demand, total.hosts);
-        }
-        let parts = fresh.filter(|report| report.scope == RateScope::Part);
-        let own = DemandSum::default().plus(self.sent_demand, 1);
-        parts.fold(own, |sum, part| sum.plus(part.demand, part.hosts))
-    }
-
     fn newest_statement(&self) -> Option<RateStatement> {
         RateStatement::newer(self.own, self.reported)
     }
--- a/crates/coordination/src/backpressure/rate_report.rs
+++ b/crates/coordination/src/backpressure/rate_report.rs
@@ -6,6 +6,7 @@
 
 use super::rate::RequestRate;
 use crate::base::ServerName;
+pub use crate::demand::ReportScope as RateScope;
 
 /// Statement of a server, as reported by the host that received it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,15 +31,6 @@
     pub hosts: u32,
 }
 
-/// Hosts that a batch of reports is about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RateScope {
-    /// The sender, or the hosts that follow it.
-    Part,
-    /// All hosts that the sender, a keeper, knows of; includes the receiver.
-    Total,
-}
-
 /// Batch of reports.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RateBatch {
@@ -47,12 +39,3 @@
     /// Reports, at most one per server.
     pub reports: Vec<RateReport>,
 }
-
-/// Role of the sender of a batch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReportSender {
-    /// A keeper, which reports for the hosts that follow it.
-    Keeper,
-    /// A host that serves callers.
-    Entry,
-}
--- a/crates/coordination/src/backpressure/rate_settings.rs
+++ b/crates/coordination/src/backpressure/rate_settings.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::rate::RequestRate;
+use crate::demand::ShareSettings;
 
 /// Division of the rates that servers accept.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -44,3 +45,14 @@
         }
     }
 }
+
+impl RateSettings {
+    /// Returns the settings of the division by demand.
+    pub(super) fn share(&self) -> ShareSettings {
+        ShareSettings {
+            demand_window: self.demand_window,
+            even_fraction: self.even_fraction,
+            report_lifetime: self.report_lifetime,
+        }
+    }
+}
--- a/crates/coordination/src/backpressure/rate_table.rs
+++ b/crates/coordination/src/backpressure/rate_table.rs
@@ -10,10 +10,11 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::rate::{RequestRate, StatedRate};
-use super::rate_record::{RateRecord, RateStatement, ReportedHosts};
-use super::rate_report::{RateBatch, RateReport, RateScope, ReportSender};
+use super::rate_record::{RateRecord, RateStatement};
+use super::rate_report::{RateBatch, RateReport, RateScope};
 use super::rate_settings::RateSettings;
 use crate::base::{HostName, MonotonicTime, ServerName};
+use crate::demand::{ReportSender, ReportedHosts};
 
 new_key_type! {
     /// Key of a server's record.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod base;
 pub mod claims;
 pub mod configuration;
+pub mod demand;
 pub mod evidence;
 pub mod forwarding;
 pub mod hosts;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -51,8 +51,8 @@
 use listeners::{listen, listen_addresses, server_limits};
 use overload::OverloadGate;
 use sources::{
-    DaemonMetrics, EvidenceDump, FleetDump, ForwardingDumpSource, NodeDump, QuarantineDumpSource,
-    RateDumpSource, RoutingDumpSource,
+    DaemonMetrics, DemandDumpSource, EvidenceDump, FleetDump, ForwardingDumpSource, NodeDump,
+    QuarantineDumpSource, RateDumpSource, RoutingDumpSource,
 };
 
 /// Time between two ticks of the gate and the leases.
@@ -233,6 +233,10 @@
             Arc::new(FleetDump {
                 fleet: Arc::clone(&fleet),
             }),
+            Arc::new(DemandDumpSource {
+                fleet: Arc::clone(&fleet),
+                clock: Arc::clone(&clock),
+            }),
             Arc::new(RateDumpSource {
                 fleet: Arc::clone(&fleet),
                 clock: Arc::clone(&clock),
--- a/crates/daemon/src/daemon/sources.rs
+++ b/crates/daemon/src/daemon/sources.rs
@@ -41,6 +41,22 @@
     }
 }
 
+pub(super) struct DemandDumpSource {
+    pub(super) fleet: Arc<BackendFleet>,
+    pub(super) clock: Arc<dyn TimeSource>,
+}
+
+impl DumpSource for DemandDumpSource {
+    fn name(&self) -> &'static str {
+        "demand_shares"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let demand = self.fleet.demand().dump(self.clock.now());
+        serde_json::to_value(demand).unwrap_or_default()
+    }
+}
+
 pub(super) struct ForwardingDumpSource {
     pub(super) relay: Arc<RelayContext>,
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -17,6 +17,7 @@
     HostName, Incarnation, MonotonicTime, ServerName, ServiceName,
 };
 use pollendrift_coordination::configuration::ServerFacts;
+use pollendrift_coordination::demand::{DemandSettings, DemandTable};
 use pollendrift_coordination::leases::{
     AnnouncedLoad, BackendLeaseSettings, BatchOutcome, DeltaCursor, InitialSync, LeaseBatch,
     LeaseEvent, LeaseNumber, LeaseScope, LeaseSource, LeaseTable, MergeVerdict, NamedLease,
@@ -84,6 +85,8 @@
     rates: Mutex<RateTable>,
     /// Back-offs that servers of published services asked this host for.
     back_offs: Mutex<BackOffTable>,
+    /// Demand for services.
+    demand: Mutex<DemandTable>,
 }
 
 struct FleetState {
@@ -119,6 +122,7 @@
             inner: Mutex::new(inner),
             rates: Mutex::new(RateTable::new(RateSettings::default(), seed)),
             back_offs: Mutex::default(),
+            demand: Mutex::new(DemandTable::new(DemandSettings::default())),
         }
     }
 
@@ -208,6 +212,7 @@
         state.leaving.tick(now);
         drop(state);
         self.tick_backpressure(now, &events);
+        self.demand().tick(now);
         events
     }
 
@@ -223,6 +228,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the demand for services.
+    pub(crate) fn demand(&self) -> MutexGuard<'_, DemandTable> {
+        self.demand.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn tick_backpressure(&self, now: MonotonicTime, events: &[LeaseEvent]) {
         let (mut rates, mut back_offs) = (self.rates(), self.back_offs());
         rates.tick(now);
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -63,6 +63,7 @@
                 rates,
                 partition,
                 quarantine,
+                demand,
             } => {
                 targets.broadcaster.receive_survey(notes, pass_on);
                 if let Some(notice) = partition {
@@ -74,6 +75,9 @@
                 if let Some(rates) = rates {
                     targets.broadcaster.receive_rates(from, &rates);
                 }
+                if let Some(demand) = demand {
+                    targets.broadcaster.receive_demand(from, &demand);
+                }
             }
             PeerFrame::Stream(update) => targets.streams.receive_update(from, update),
             PeerFrame::Call(call) => answer_call(targets, hub, from, call),
--- a/crates/daemon/src/lease_broadcast.rs
+++ b/crates/daemon/src/lease_broadcast.rs
@@ -1,5 +1,5 @@
-//! Broadcasts backend servers' leases, surveys of engines, the demand for rate-limited servers and the
-//! quarantine of prompt parts between hosts.
+//! Broadcasts backend servers' leases, surveys of engines, the demand for rate-limited servers and for
+//! services, and the quarantine of prompt parts between hosts.
 //!
 //! With a fixed list of hosts in the settings, each host sends every other host the leases that it
 //! received itself. With discovery, a host without a keeper follows one keeper: it gets the
@@ -13,8 +13,8 @@
 //! everything again, since frames queued for the broken link are lost. A peer requests the leases
 //! that it turns out to lack.
 
+mod demand;
 mod quarantine;
-mod rates;
 mod recipients;
 mod surveys;
 
@@ -223,7 +223,7 @@
         let followers = self.recipients.followers(now);
         self.surveys.send_to_followers(hub, now, &followers);
         if has_renewals {
-            self.send_rates(hub, now);
+            self.send_demand(hub, now);
         }
     }
 
--- a/crates/daemon/src/lease_broadcast/quarantine.rs
+++ b/crates/daemon/src/lease_broadcast/quarantine.rs
@@ -99,6 +99,7 @@
         rates: None,
         partition: None,
         quarantine: Some(notice),
+        demand: None,
     };
     hub.send_to(hosts, &frame);
 }
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -10,6 +10,7 @@
     HostName, Incarnation, RequestId, Revision, ServerName, ServiceName,
 };
 use pollendrift_coordination::configuration::ConfigurationDelta;
+use pollendrift_coordination::demand::DemandBatch;
 use pollendrift_coordination::forwarding::ForwardHost;
 use pollendrift_coordination::hosts::{HostGossip, HostReach};
 use pollendrift_coordination::leases::{LeaseBatch, LeaseNumber};
@@ -238,7 +239,7 @@
 }
 
 /// One message between peers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerFrame {
     /// Opens a link; each side sends one.
     Hello(PeerHello),
@@ -291,6 +292,9 @@
         /// Prompt parts that crash engines; a part of this frame like `rates`.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         quarantine: Option<QuarantineNotice>,
+        /// Demand for services; a part of this frame like `rates`.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        demand: Option<DemandBatch>,
     },
     /// Requests full announcements of servers that the receiver renewed and the sender lacks.
     LeaseQuestion(Vec<ServerName>),
--- a/crates/daemon/src/relay/chains/refresh.rs
+++ b/crates/daemon/src/relay/chains/refresh.rs
@@ -26,6 +26,9 @@
             context.set_budget_share(now, entries);
             context.fleet.rates().set_hosts(entries);
         }
+        if let Some(hosts) = entries.or_else(|| listed_hosts(&hub)) {
+            context.fleet.demand().set_hosts(hosts);
+        }
         let Ok(table) = context.routes.current(now) else {
             continue;
         };
@@ -38,6 +41,13 @@
     }
 }
 
+/// Number of the hosts in the settings, this one included; `None` if hosts discover each other.
+fn listed_hosts(hub: &PeerHub) -> Option<u32> {
+    let is_listed = hub.discovery().is_none();
+    let hosts = u32::try_from(hub.hosts().len()).unwrap_or(u32::MAX);
+    is_listed.then(|| hosts.saturating_add(1))
+}
+
 /// Clears the suspicion of engines that answered the latest survey after this host missed their
 /// answer to a probe.
 fn clear_suspects(context: &RelayContext, now: MonotonicTime, workers: &[Arc<WorkerView>]) {
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -354,6 +354,7 @@
             rates: None,
             partition: None,
             quarantine: None,
+            demand: None,
         },
         PeerFrame::Survey {
             notes: Vec::new(),
@@ -361,6 +362,7 @@
             rates: Some(rates()),
             partition: None,
             quarantine: None,
+            demand: None,
         },
         PeerFrame::LeaseQuestion(vec!["e1".into()]),
         PeerFrame::LeaseNumbers(vec![LeaseNumber(300)]),
@@ -383,6 +385,7 @@
             rates: None,
             partition: None,
             quarantine: Some(quarantine()),
+            demand: None,
         },
     ];
     let configurations = configurations.into_iter().map(PeerFrame::Configuration);
@@ -396,6 +399,7 @@
         rates: None,
         partition: Some(notice),
         quarantine: None,
+        demand: None,
     }
 }
 
