feat(limits): reserve by priority, floor by credit, and returning requests in the admission table

Cause: the admission table knows neither how much memory less urgent requests must leave free nor that a caller comes back, and its predicted wait ignores more urgent requests that wait. Change: the table admits by priority with a reserve, with a minimum rate for the priorities below urgent, and with returning requests before others of their customer and priority. The prediction counts the tokens that must be freed first and all more urgent requests.

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -6,7 +6,9 @@
 
 mod admission;
 mod bucket;
+mod counts;
 mod customer;
+mod floor;
 mod host_capacity;
 mod offer;
 mod settings;
@@ -14,6 +16,7 @@
 mod wait;
 
 pub use admission::AdmissionTable;
+pub use counts::{AdmissionCounts, CustomerCounts, PriorityCounts};
 pub use host_capacity::{CapacityInputs, HostCapacity, HostCapacitySettings};
 pub use offer::{
     AdmissionCapacity, AdmissionChange, AdmissionRefusal, AdmissionRequest, AdmissionVerdict,
--- a/crates/coordination/src/limits/customer.rs
+++ b/crates/coordination/src/limits/customer.rs
@@ -5,6 +5,7 @@
 use slotmap::new_key_type;
 
 use super::bucket::TokenBucket;
+use super::counts::CustomerCounts;
 use super::offer::{RequestPriority, TicketKey};
 use super::settings::CustomerLimits;
 use crate::base::{CustomerName, MonotonicTime};
@@ -21,6 +22,32 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ServiceTag(u128);
 
+/// Waiting requests of one priority; those of returning callers run first.
+#[derive(Clone, Debug, Default)]
+struct PriorityQueue {
+    /// Requests of returning callers, in order of arrival.
+    returns: VecDeque<TicketKey>,
+    /// Other requests, in order of arrival.
+    first_time: VecDeque<TicketKey>,
+    /// Tokens of `returns`.
+    return_tokens: u64,
+    /// Tokens of `first_time`.
+    first_time_tokens: u64,
+}
+
+impl PriorityQueue {
+    fn len(&self) -> usize {
+        self.returns.len() + self.first_time.len()
+    }
+
+    fn part(&mut self, is_return: bool) -> (&mut VecDeque<TicketKey>, &mut u64) {
+        if is_return {
+            return (&mut self.returns, &mut self.return_tokens);
+        }
+        (&mut self.first_time, &mut self.first_time_tokens)
+    }
+}
+
 /// A customer with current or recent requests.
 #[derive(Clone, Debug)]
 pub(crate) struct CustomerRecord {
@@ -29,12 +56,15 @@
     /// Never decreases.
     pub(crate) tag: ServiceTag,
     pub(crate) in_flight: u32,
-    pub(crate) queued_tokens: u64,
+    /// Requests admitted since the customer is remembered.
+    pub(crate) admitted: u64,
+    /// Requests refused since then.
+    pub(crate) refused: u64,
     /// Whether the admission table lists the customer as ready and counts its weight.
     pub(crate) is_ready: bool,
     bucket: Option<TokenBucket>,
-    /// Waiting requests by priority, in order of arrival.
-    queues: [VecDeque<TicketKey>; 3],
+    /// Waiting requests by priority.
+    queues: [PriorityQueue; 3],
 }
 
 impl CustomerRecord {
@@ -44,7 +74,8 @@
             limits,
             tag: ServiceTag::default(),
             in_flight: 0,
-            queued_tokens: 0,
+            admitted: 0,
+            refused: 0,
             is_ready: false,
             bucket: make_bucket(now, &limits),
             queues: Default::default(),
@@ -74,30 +105,71 @@
     }
 
     pub(crate) fn queued(&self) -> usize {
-        self.queues.iter().map(VecDeque::len).sum()
+        self.queues.iter().map(PriorityQueue::len).sum()
     }
 
     pub(crate) fn is_idle(&self) -> bool {
         self.in_flight == 0 && self.queued() == 0
     }
 
-    pub(crate) fn queue(&self, priority: RequestPriority) -> &VecDeque<TicketKey> {
-        &self.queues[priority as usize]
+    pub(crate) fn counts(&self) -> CustomerCounts {
+        CustomerCounts {
+            customer: self.name.clone(),
+            in_flight: self.in_flight,
+            waiting: u32::try_from(self.queued()).unwrap_or(u32::MAX),
+            admitted: self.admitted,
+            refused: self.refused,
+        }
+    }
+
+    pub(crate) fn has_waiting(&self, priority: RequestPriority) -> bool {
+        self.queues[priority as usize].len() > 0
     }
 
-    pub(crate) fn push(&mut self, priority: RequestPriority, ticket: TicketKey, tokens: u64) {
-        self.queues[priority as usize].push_back(ticket);
-        self.queued_tokens += tokens;
+    /// Returns the request of `priority` that runs next.
+    pub(crate) fn first(&self, priority: RequestPriority) -> Option<TicketKey> {
+        let first_time = self.queues[priority as usize].first_time.front();
+        self.first_return(priority).or(first_time.copied())
+    }
+
+    /// Returns the request of `priority` that runs next among those of returning callers.
+    pub(crate) fn first_return(&self, priority: RequestPriority) -> Option<TicketKey> {
+        self.queues[priority as usize].returns.front().copied()
+    }
+
+    /// Tokens of the requests of `priority` that run before a further one.
+    pub(crate) fn tokens_ahead(&self, priority: RequestPriority, is_return: bool) -> u64 {
+        let queue = &self.queues[priority as usize];
+        let first_time = if is_return {
+            0
+        } else {
+            queue.first_time_tokens
+        };
+        queue.return_tokens + first_time
+    }
+
+    pub(crate) fn push(
+        &mut self,
+        priority: RequestPriority,
+        is_return: bool,
+        ticket: TicketKey,
+        tokens: u64,
+    ) {
+        let (queue, queued_tokens) = self.queues[priority as usize].part(is_return);
+        queue.push_back(ticket);
+        *queued_tokens += tokens;
     }
 
     pub(crate) fn remove_ticket(
         &mut self,
         priority: RequestPriority,
+        is_return: bool,
         ticket: TicketKey,
         tokens: u64,
     ) {
-        self.queues[priority as usize].retain(|queued| *queued != ticket);
-        self.queued_tokens = self.queued_tokens.saturating_sub(tokens);
+        let (queue, queued_tokens) = self.queues[priority as usize].part(is_return);
+        queue.retain(|queued| *queued != ticket);
+        *queued_tokens = queued_tokens.saturating_sub(tokens);
     }
 
     /// Advances the tag by the cost of a request that starts.
--- a/crates/coordination/src/limits/settings.rs
+++ b/crates/coordination/src/limits/settings.rs
@@ -44,8 +44,12 @@
     pub max_customers: u32,
     /// Limit of waiting requests of all customers.
     pub max_queued: u32,
-    /// Every n-th admission goes to the lowest waiting priority, so that it does not starve.
+    /// Every n-th admission goes to the lowest waiting priority, so that it does not starve. Without
+    /// effect if there is a `floor_percent`.
     pub low_priority_every: u32,
+    /// Admissions that a priority below urgent gets at least, in percent of its offered requests;
+    /// 0 for none.
+    pub floor_percent: u32,
     /// Maximum of the advised time until a retry.
     pub max_retry_after: Duration,
 }
@@ -57,6 +61,7 @@
             max_customers: 4_096,
             max_queued: 4_096,
             low_priority_every: 16,
+            floor_percent: 0,
             max_retry_after: Duration::from_secs(30),
         }
     }
