feat(limits): schedule of the times at which refused callers come back

Cause: every refusal tells the same time, so that refused callers come back together. Change: ReturnSchedule books the next free slot of the capacity that a host keeps for returning callers, with parts by priority; unused slots go to other priorities once their own priority can no longer book them. Nothing uses it yet.

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -11,6 +11,7 @@
 mod floor;
 mod host_capacity;
 mod offer;
+mod return_schedule;
 mod settings;
 mod shedding;
 mod wait;
@@ -22,6 +23,7 @@
     AdmissionCapacity, AdmissionChange, AdmissionRefusal, AdmissionRequest, AdmissionVerdict,
     PriorityReserve, RequestPriority, RequestRefusal, TicketKey,
 };
+pub use return_schedule::{PromisedReturns, ReturnRequest, ReturnSchedule, ReturnSettings};
 pub use settings::{CustomerLimits, LimitSettings};
 pub use shedding::{ConnectionShedder, ShedSettings};
 pub use wait::WaitSettings;
