--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -6,19 +6,24 @@
 
 mod admission;
 mod bucket;
+mod counts;
 mod customer;
+mod floor;
 mod host_capacity;
 mod offer;
+mod return_schedule;
 mod settings;
 mod shedding;
 mod wait;
 
 pub use admission::AdmissionTable;
+pub use counts::{AdmissionCounts, CustomerCounts, PriorityCounts};
 pub use host_capacity::{CapacityInputs, HostCapacity, HostCapacitySettings};
 pub use offer::{
     AdmissionCapacity, AdmissionChange, AdmissionRefusal, AdmissionRequest, AdmissionVerdict,
     PriorityReserve, RequestPriority, RequestRefusal, TicketKey,
 };
+pub use return_schedule::{PromisedReturns, ReturnRequest, ReturnSchedule, ReturnSettings};
 pub use settings::{CustomerLimits, LimitSettings};
 pub use shedding::{ConnectionShedder, ShedSettings};
 pub use wait::WaitSettings;
