feat(routing): a host fills only its share of an engine's free memory

All hosts see the same load reports, up to 0.7 s old, and each of them fills all the free memory that a report shows. RouteQuery states the demand share of the host. With a share, an engine is eligible only if the draft and the memory that this host added there since the report fit the share of the free memory. The allotment is rounded at random to whole drafts, with one rounding for all engines that the planner draws every 200 ms. Without a share, routes are chosen as before.

The text of a refusal names engines beyond the share of the host.

--- a/crates/coordination/benches/routing.rs
+++ b/crates/coordination/benches/routing.rs
@@ -68,6 +68,7 @@
         prefixes: &[],
         deadline: None,
         priority: RoutePriority::Normal,
+        share: None,
     }
 }
 
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -7,6 +7,7 @@
 //! maximum flow over the layer graph each tick, and picks the engine of each stage from a few
 //! samples, so that the cost of a decision does not grow with the fleet.
 
+mod allotment;
 mod bound;
 mod capacity;
 mod choice;
--- a/crates/coordination/src/routing/choice.rs
+++ b/crates/coordination/src/routing/choice.rs
@@ -3,6 +3,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
+use super::allotment::Allotment;
 use super::fleet::{EngineKey, FleetTable, GraphKey};
 use super::graph::{LayerGraph, RoutePhase};
 use super::link::DataCentreIndex;
@@ -24,6 +25,8 @@
     pub(crate) fleet: &'a FleetTable,
     pub(crate) prefixes: &'a PrefixIndex,
     pub(crate) outliers: &'a EngineOutliers,
+    /// Part of a draft that is added to each allotment.
+    pub(crate) rounding: f64,
 }
 
 impl<'a> ChoiceTables<'a> {
@@ -44,6 +47,9 @@
             graph_key,
             graph,
             query,
+            allotment: query
+                .share
+                .and_then(|share| Allotment::new(share, self.rounding)),
             within,
             phase: RoutePhase::Combined,
             with_ejected: false,
--- a/crates/coordination/src/routing/load.rs
+++ b/crates/coordination/src/routing/load.rs
@@ -170,6 +170,17 @@
         }
     }
 
+    /// KV memory that own requests took since the last report, minus what ended ones freed, in
+    /// tokens.
+    pub(crate) fn own_kv_since_report(&self) -> i64 {
+        self.own_since_report.kv
+    }
+
+    /// KV memory of own requests that have not ended, in tokens.
+    pub(crate) fn own_kv(&self) -> i64 {
+        self.own.kv
+    }
+
     /// Number of own requests that have not ended.
     pub(crate) fn own_sequences(&self) -> u64 {
         count(self.own.sequences)
--- a/crates/coordination/src/routing/plan.rs
+++ b/crates/coordination/src/routing/plan.rs
@@ -75,6 +75,9 @@
     pub deadline: Option<MonotonicTime>,
     /// Priority when KV memory is scarce.
     pub priority: RoutePriority,
+    /// Share of this host in the demand of all hosts, from 0 to 1. It limits the KV memory of each
+    /// engine that this host may add between two reports of the engine. `None` sets no limit.
+    pub share: Option<f64>,
 }
 
 /// A stage of a route: an engine and the layers that it runs.
@@ -160,6 +163,8 @@
     Ejected,
     /// The engine's KV cache has too little free memory.
     KvFull,
+    /// This host has used up its share of the memory that the engine's last report shows as free.
+    ShareUsed,
 }
 
 /// Number of engines rejected for a stage, by reason.
@@ -175,6 +180,8 @@
     pub ejected: u32,
     /// Engines with too little free KV memory.
     pub kv_full: u32,
+    /// Engines of whose free KV memory this host has used up its share.
+    pub share_used: u32,
 }
 
 impl fmt::Display for RejectCounts {
@@ -185,6 +192,7 @@
             (self.excluded, "failed before"),
             (self.ejected, "ejected"),
             (self.kv_full, "without room"),
+            (self.share_used, "beyond this host's share"),
         ];
         let mut separator = "";
         for (count, text) in parts.iter().filter(|(count, _)| *count > 0) {
@@ -203,6 +211,7 @@
             RejectReason::Excluded => &mut self.excluded,
             RejectReason::Ejected => &mut self.ejected,
             RejectReason::KvFull => &mut self.kv_full,
+            RejectReason::ShareUsed => &mut self.share_used,
         };
         *count = count.saturating_add(1);
     }
@@ -251,10 +260,10 @@
 
 impl NoRoute {
     /// Returns whether a route may exist once running requests end: whether an engine was rejected
-    /// for lack of free KV memory.
+    /// for lack of free KV memory, or because this host has used up its share of it.
     pub fn is_transient(&self) -> bool {
         self.reasons.iter().any(|reason| match reason {
-            NoRouteReason::Rejected { counts, .. } => counts.kv_full > 0,
+            NoRouteReason::Rejected { counts, .. } => counts.kv_full > 0 || counts.share_used > 0,
             NoRouteReason::NotServed
             | NoRouteReason::LayerMissing { .. }
             | NoRouteReason::DeadlineMissed { .. } => false,
--- a/crates/coordination/src/routing/planner.rs
+++ b/crates/coordination/src/routing/planner.rs
@@ -4,6 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
+use super::allotment::AllotmentRounding;
 use super::bound::{FlowBound, find_bound, refresh_flow};
 use super::choice::{ChoiceTables, choose_route, repair_in_tables};
 use super::engine::EngineAnnouncement;
@@ -48,7 +49,8 @@
     /// Sets the figures of the link between two data centres, for both directions.
     fn set_link(&mut self, one: &DataCentreName, other: &DataCentreName, figures: LinkProperties);
 
-    /// Ends expired ejections and refreshes the flow weights if the flow interval has passed.
+    /// Ends expired ejections, draws the rounding of allotments, and refreshes the flow weights if
+    /// the flow interval has passed.
     fn tick(&mut self, now: MonotonicTime);
 
     /// Chooses a route for `query`.
@@ -132,6 +134,7 @@
     flights: FlightTable,
     policy: Box<dyn RoutePolicy>,
     rng: ChaCha8Rng,
+    rounding: AllotmentRounding,
     last_refresh: Option<MonotonicTime>,
 }
 
@@ -146,6 +149,7 @@
             flights: FlightTable::default(),
             policy: settings.policy.build(settings.candidates),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            rounding: AllotmentRounding::new(seed),
             last_refresh: None,
         }
     }
@@ -177,6 +181,7 @@
             fleet: &self.fleet,
             prefixes: &self.prefixes,
             outliers: &self.outliers,
+            rounding: self.rounding.offset(),
         }
     }
 
@@ -283,6 +288,7 @@
 
     fn tick(&mut self, now: MonotonicTime) {
         self.end_ejections(now);
+        self.rounding.tick(now);
         self.refresh_graphs(now);
     }
 
@@ -292,6 +298,7 @@
             fleet: &self.fleet,
             prefixes: &self.prefixes,
             outliers: &self.outliers,
+            rounding: self.rounding.offset(),
         };
         choose_route(now, tables, self.policy.as_mut(), &mut self.rng, query)
     }
--- a/crates/coordination/src/routing/view.rs
+++ b/crates/coordination/src/routing/view.rs
@@ -3,6 +3,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
+use super::allotment::Allotment;
 use super::fleet::{EngineKey, EngineRecord, FleetTable, GraphKey};
 use super::graph::{GroupKey, LayerBoundary, LayerGraph, RoutePhase};
 use super::link::DataCentreIndex;
@@ -25,6 +26,8 @@
     pub(crate) graph_key: GraphKey,
     pub(crate) graph: &'a LayerGraph,
     pub(crate) query: &'a RouteQuery<'a>,
+    /// Memory that this host may add to each engine; `None` if the query states no share.
+    pub(crate) allotment: Option<Allotment>,
     /// Data centre that must contain the entire route.
     pub(crate) within: Option<DataCentreIndex>,
     pub(crate) phase: RoutePhase,
@@ -96,9 +99,13 @@
         if !self.query.allowed.permits(engine) {
             return Err(RejectReason::NotPermitted);
         }
-        if !self.has_kv_capacity(engine) {
+        let usable = self.usable_kv(engine);
+        if !self.has_kv_capacity(engine, usable) {
             return Err(RejectReason::KvFull);
         }
+        if !self.fits_allotment(engine, usable) {
+            return Err(RejectReason::ShareUsed);
+        }
         Ok(())
     }
 
@@ -178,18 +185,29 @@
         self.outliers.is_ejected(self.now, key) || engine.load.is_full(self.now)
     }
 
-    /// Whether the engine's estimated free KV memory is sufficient for the request, after the
-    /// reserves.
-    fn has_kv_capacity(&self, engine: &EngineRecord) -> bool {
+    /// KV memory of the engine that this request may use, in tokens: all of it without the reserves.
+    fn usable_kv(&self, engine: &EngineRecord) -> u64 {
         let capacity = engine.announcement.kv_capacity.0;
         let mut reserve = self.settings.kv_headroom_percent;
         if self.query.priority == RoutePriority::Normal {
             reserve += self.settings.urgent_reserve_percent;
         }
-        let usable = capacity.saturating_mul(u64::from(100_u32.saturating_sub(reserve))) / 100;
+        capacity.saturating_mul(u64::from(100_u32.saturating_sub(reserve))) / 100
+    }
+
+    /// Whether the engine's estimated free part of its `usable` KV memory is sufficient for the
+    /// request.
+    fn has_kv_capacity(&self, engine: &EngineRecord, usable: u64) -> bool {
         engine.load.estimate().kv.0.saturating_add(self.kv_tokens()) <= usable
     }
 
+    /// Whether the request fits this host's share of the engine's free memory.
+    fn fits_allotment(&self, engine: &EngineRecord, usable: u64) -> bool {
+        let tokens = self.kv_tokens();
+        self.allotment
+            .is_none_or(|allotment| allotment.fits(self.now, &engine.load, usable, tokens))
+    }
+
     /// KV cache that the request occupies on each engine, in tokens.
     pub(crate) fn kv_tokens(&self) -> u64 {
         let expected = match self.phase {
--- a/crates/coordination/tests/outer_encodings/texts.rs
+++ b/crates/coordination/tests/outer_encodings/texts.rs
@@ -104,6 +104,7 @@
         excluded: 3,
         ejected: 4,
         kv_full: 5,
+        share_used: 6,
     };
     let version = || "v1".into();
     let reasons = vec![
--- a/crates/coordination/tests/routing_contract/support.rs
+++ b/crates/coordination/tests/routing_contract/support.rs
@@ -77,6 +77,7 @@
         prefixes: &[],
         deadline: None,
         priority: RoutePriority::Normal,
+        share: None,
     }
 }
 
--- a/crates/coordination/tests/routing_cost.rs
+++ b/crates/coordination/tests/routing_cost.rs
@@ -73,6 +73,7 @@
                 prefixes: &[],
                 deadline: None,
                 priority: RoutePriority::Normal,
+                share: None,
             },
         );
         if let Ok(plan) = plan {
--- a/crates/coordination/tests/routing_repair.rs
+++ b/crates/coordination/tests/routing_repair.rs
@@ -57,6 +57,7 @@
         prefixes: &[],
         deadline: None,
         priority: RoutePriority::Normal,
+        share: None,
     }
 }
 
--- a/crates/coordination/tests/routing_scope.rs
+++ b/crates/coordination/tests/routing_scope.rs
@@ -49,6 +49,7 @@
         prefixes: &[],
         deadline: None,
         priority: RoutePriority::Normal,
+        share: None,
     };
     planner.choose(NOW, &query).ok()
 }
--- a/crates/coordination/tests/routing_slow_start.rs
+++ b/crates/coordination/tests/routing_slow_start.rs
@@ -56,6 +56,7 @@
             prefixes: &[],
             deadline: Some(now.after(Duration::from_secs(2))),
             priority: RoutePriority::Normal,
+            share: None,
         };
         predicted.push(planner.choose(now, &query).map(|plan| plan.finish));
     }
--- a/crates/daemon/src/fleet/route.rs
+++ b/crates/daemon/src/fleet/route.rs
@@ -95,6 +95,7 @@
                 prefixes: &[],
                 deadline: query.deadline,
                 priority: query.priority,
+                share: None,
             },
         )?;
         let stages = plan.stages.iter().filter_map(|stage| {
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -440,5 +440,6 @@
         prefixes: &[],
         deadline: None,
         priority: RoutePriority::Normal,
+        share: None,
     }
 }
--- a/crates/standins/examples/policies/experiment.rs
+++ b/crates/standins/examples/policies/experiment.rs
@@ -296,6 +296,7 @@
             prefixes: &prefixes,
             deadline: None,
             priority: RoutePriority::Normal,
+            share: None,
         };
         let planner = &mut self.planners[entry];
         let Ok(plan) = planner.choose(time, &query) else {
