feat(limits): customers' priorities go before routes', and free memory is handed out four times

Cause: customers state priorities that replaced the routes', so that routes' priorities had no effect; 14 percent of the KV memory stayed unused while batch drafts were refused. Change: pairs of customer's and route's priority are ranked; the free memory counts four times, with reserves of 12 and 24 percent of a host's share.

--- a/crates/coordination/src/limits/host_capacity.rs
+++ b/crates/coordination/src/limits/host_capacity.rs
@@ -18,6 +18,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct HostCapacitySettings {
+    /// Times that free memory is handed out: until the next reports, most hosts receive fewer drafts
+    /// than their share of it allows.
+    pub free_factor: u32,
     /// Part of the pool that requests of normal priority leave free, in percent.
     pub normal_reserve_percent: u32,
     /// Part of the pool that requests of batch priority leave free, in percent.
@@ -34,8 +37,9 @@
 impl Default for HostCapacitySettings {
     fn default() -> Self {
         Self {
-            normal_reserve_percent: 4,
-            batch_reserve_percent: 10,
+            free_factor: 4,
+            normal_reserve_percent: 12,
+            batch_reserve_percent: 24,
             usual_tokens: 900,
             measurement_lifetime: Duration::from_secs(2),
             discovery_time: Duration::from_secs(5),
@@ -124,7 +128,8 @@
         // Drafts that started since are not in the measurement, so the share of the free memory is
         // added to what the own drafts held at that time.
         let held_then = self.held_at(inputs.measured_at) as f64;
-        let free = inputs.share * inputs.free as f64;
+        let factor = if inputs.free > 0 { self.settings.free_factor } else { 1 };
+        let free = inputs.share * inputs.free as f64 * f64::from(factor);
         // A share of less than one draft allows one with that probability.
         let rounding = self.random.random_range(0.0..1.0) * self.usual_tokens;
         let tokens = (held_then + free + rounding).max(0.0);
--- a/crates/coordination/src/routes/priorities.rs
+++ b/crates/coordination/src/routes/priorities.rs
@@ -1,4 +1,4 @@
-//! Ranks the priorities that routes and customers state for the drafts of one service.
+//! Ranks the priorities that customers and routes state for the drafts of one service.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -8,7 +8,7 @@
 
 /// Returns the ranks of each service whose drafts have at least two different priorities.
 pub(super) fn rank_priorities(document: &RouteDocument) -> BTreeMap<ServiceName, PriorityRanks> {
-    let mut stated: BTreeMap<&ServiceName, BTreeSet<u8>> = BTreeMap::new();
+    let mut stated: BTreeMap<&ServiceName, BTreeSet<StatedPriority>> = BTreeMap::new();
     let customers = document.customers.as_deref();
     for route in &document.routes {
         if !matches!(route.kind, RouteKind::Stream { .. }) {
@@ -21,41 +21,65 @@
     }
     let differing = stated.into_iter().filter(|(_, stated)| stated.len() > 1);
     differing
-        .map(|(service, stated)| (service.clone(), PriorityRanks { stated }))
+        .map(|(service, stated)| (service.clone(), PriorityRanks::new(stated)))
         .collect()
 }
 
-/// Priorities that requests to `route` can have: a customer's own, or else the route's.
-fn priorities_of(route: &Route, customers: Option<&[CustomerKeys]>) -> BTreeSet<u8> {
+/// Priorities that requests to `route` can have.
+fn priorities_of(route: &Route, customers: Option<&[CustomerKeys]>) -> BTreeSet<StatedPriority> {
+    let anonymous = StatedPriority::new(None, route);
     let Some(customers) = customers else {
-        return BTreeSet::from([route.priority]);
+        return BTreeSet::from([anonymous]);
     };
-    let public = route.public.then_some(route.priority);
     let customers = customers.iter();
-    let own = customers.map(|customer| customer.priority.unwrap_or(route.priority));
-    own.chain(public).collect()
+    let own = customers.map(|customer| StatedPriority::new(Some(customer), route));
+    own.chain(route.public.then_some(anonymous)).collect()
 }
 
-/// Priorities of the drafts of one service, in the order of their urgency.
+/// Priority of a request as stated by its customer and its route; the lowest is the most urgent.
 ///
-/// Invariant: contains at least two priorities.
+/// Requests are ordered by their customers first, and those of one customer by their routes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct StatedPriority {
+    /// Priority of the customer; that of the route if the customer states none.
+    customer: u8,
+    route: u8,
+}
+
+impl StatedPriority {
+    fn new(customer: Option<&CustomerKeys>, route: &Route) -> Self {
+        let own = customer.and_then(|customer| customer.priority);
+        Self {
+            customer: own.unwrap_or(route.priority),
+            route: route.priority,
+        }
+    }
+}
+
+/// Ranks of the priorities that the drafts of one service can have.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PriorityRanks {
-    stated: BTreeSet<u8>,
+    ranks: BTreeMap<StatedPriority, RequestPriority>,
 }
 
 impl PriorityRanks {
-    /// Returns the rank of a stated priority: the most urgent one is urgent, the least urgent one is
-    /// batch, and those between are normal.
-    pub fn rank(&self, priority: u8) -> RequestPriority {
-        let first = self.stated.first().copied().unwrap_or_default();
-        let last = self.stated.last().copied().unwrap_or(u8::MAX);
-        if priority <= first {
-            return RequestPriority::Urgent;
-        }
-        if priority >= last {
-            return RequestPriority::Batch;
+    /// Divides the priorities evenly among the ranks, in their order.
+    fn new(stated: BTreeSet<StatedPriority>) -> Self {
+        let last = stated.len().saturating_sub(1).max(1);
+        let rank = |index: usize| match (4 * index).div_ceil(last) {
+            0 | 1 => RequestPriority::Urgent,
+            2 | 3 => RequestPriority::Normal,
+            _ => RequestPriority::Batch,
+        };
+        let stated = stated.into_iter().enumerate();
+        Self {
+            ranks: stated.map(|(index, stated)| (stated, rank(index))).collect(),
         }
-        RequestPriority::Normal
+    }
+
+    /// Returns the rank of a request of `customer` to `route`.
+    pub fn rank(&self, customer: Option<&CustomerKeys>, route: &Route) -> RequestPriority {
+        let stated = StatedPriority::new(customer, route);
+        self.ranks.get(&stated).copied().unwrap_or_default()
     }
 }
--- a/crates/coordination/src/routing/pool_capacity.rs
+++ b/crates/coordination/src/routing/pool_capacity.rs
@@ -26,7 +26,7 @@
 impl Default for PoolSettings {
     fn default() -> Self {
         Self {
-            fill_percent: 88,
+            fill_percent: 94,
             report_lifetime: Duration::from_millis(1_800),
         }
     }
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -96,6 +96,8 @@
     pub(super) excluded: &'query [ServerName],
     /// Whether the caller has received a part of the answer.
     pub(super) is_resume: bool,
+    /// Share of this host in the demand of all hosts; `None` if it does not limit the choice.
+    pub(super) share: Option<f64>,
     /// A part of the prompt that no engine is known to have answered.
     pub(super) unproven: Option<PartDigest>,
 }
@@ -293,6 +295,7 @@
             } else {
                 RoutePriority::Normal
             },
+            share: wanted.share,
             ..query_of(request, &model, &is_eligible)
         };
         let preferred = wanted
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -178,8 +178,7 @@
         customer: Option<&Arc<CustomerKeys>>,
     ) -> Option<RequestPriority> {
         let ranks = table.priority_ranks(&service.name)?;
-        let own = customer.and_then(|customer| customer.priority);
-        let rank = ranks.rank(own.unwrap_or(route.priority));
+        let rank = ranks.rank(customer.map(Arc::as_ref), route);
         self.admission.is_enabled().then_some(rank)
     }
 
--- a/crates/daemon/src/relay/draft_search.rs
+++ b/crates/daemon/src/relay/draft_search.rs
@@ -164,6 +164,7 @@
             request: &self.request,
             excluded,
             is_resume,
+            share: self.demand_share(now, is_resume),
             unproven: self.context.quarantine.rare_unproven_part(service, parts),
         };
         let reserved = self
@@ -180,6 +181,16 @@
         }
     }
 
+    /// Share of this host in the demand for the service, which limits the engines' memory that it may
+    /// fill. A stream whose caller has received a part of the answer may use all of it.
+    fn demand_share(&self, now: MonotonicTime, is_resume: bool) -> Option<f64> {
+        if is_resume || self.request.priority.is_none() {
+            return None;
+        }
+        let service = &self.request.service.name;
+        Some(self.context.fleet.demand().share(now, service))
+    }
+
     /// Engines of the first layer that a chain of this draft must not start with any more.
     fn exhausted_first_engines(&self, now: MonotonicTime) -> Vec<ServerName> {
         let max_attempts = self.request.max_attempts();
