feat(demand): withdraw the reports of a host from a keeper that it no longer follows

Cause: while keepers have no leader, hosts follow another keeper every 0.7 s, and each counted at three keepers until its reports expired; hosts used 0.45 of a capacity. Change: a host withdraws its reports about services and rate-limited servers from the former keeper.

--- a/crates/coordination/src/backpressure/rate_table.rs
+++ b/crates/coordination/src/backpressure/rate_table.rs
@@ -157,6 +157,21 @@
         self.report(now, ReportedHosts::All, RateScope::Total)
     }
 
+    /// Returns reports that replace those of this host at a keeper that it no longer follows. Without
+    /// them the host would count twice until its last report expires.
+    pub fn withdrawal(&self) -> RateBatch {
+        let reports = self.by_name.keys().map(|server| RateReport {
+            server: server.clone(),
+            stated: None,
+            demand: RequestRate::default(),
+            hosts: 0,
+        });
+        RateBatch {
+            scope: RateScope::Part,
+            reports: reports.collect(),
+        }
+    }
+
     /// Records that this host wants to send a request to `server`, whether it may or not.
     pub fn record_demand(&mut self, now: MonotonicTime, server: &ServerName) {
         let settings = self.settings;
--- a/crates/coordination/src/demand/report.rs
+++ b/crates/coordination/src/demand/report.rs
@@ -38,8 +38,10 @@
     pub service: ServiceName,
     /// KV tokens per second of the drafts that arrived at the reported hosts, whether they were
     /// sent or not; a whole number.
+    #[serde(rename = "tokens")]
     pub tokens_per_second: f64,
-    /// Number of the reported hosts that serve callers.
+    /// Number of the reported hosts that serve callers; 0, without demand, if the sender withdraws
+    /// its last report.
     pub hosts: u32,
 }
 
@@ -63,8 +65,11 @@
                 "{tokens} tokens per second, not 0 to {MAX_TOKENS_PER_SECOND}"
             ));
         }
-        if !(1..=MAX_HOSTS).contains(&self.hosts) {
-            return Err(format!("{} hosts, not 1 to {MAX_HOSTS}", self.hosts));
+        if self.hosts > MAX_HOSTS {
+            return Err(format!("{} hosts, not 0 to {MAX_HOSTS}", self.hosts));
+        }
+        if self.hosts == 0 && tokens > 0.0 {
+            return Err(format!("{tokens} tokens per second of no host"));
         }
         let name_bytes = self.service.as_str().len();
         if name_bytes > MAX_NAME_BYTES {
--- a/crates/coordination/src/demand/table.rs
+++ b/crates/coordination/src/demand/table.rs
@@ -147,6 +147,20 @@
         self.report(now, ReportedHosts::All, ReportScope::Total)
     }
 
+    /// Returns reports that replace those of this host at a keeper that it no longer follows.
+    ///
+    /// While keepers have no leader, hosts follow another keeper every 0.7 s. Without a withdrawal
+    /// each would count three times, and hosts would use 0.45 of the capacity.
+    pub fn withdrawal(&self) -> DemandBatch {
+        let services = self.by_name.keys();
+        let reports =
+            services.map(|service| DemandReport::new(service.clone(), DemandSum::default()));
+        DemandBatch {
+            scope: ReportScope::Part,
+            reports: reports.collect(),
+        }
+    }
+
     /// Drops expired reports and services without demand.
     pub fn tick(&mut self, now: MonotonicTime) {
         let settings = self.settings;
--- a/crates/daemon/src/lease_broadcast.rs
+++ b/crates/daemon/src/lease_broadcast.rs
@@ -66,6 +66,8 @@
     linked_at: Mutex<BTreeMap<HostName, MonotonicTime>>,
     /// Version of the lease table up to which the leaves of servers were sent to every host.
     leaves_sent: Mutex<u64>,
+    /// Hosts that got the last reports of this host's demand.
+    reported_to: Mutex<Vec<HostName>>,
     surveys: SurveyRelay,
     quarantine: Arc<QuarantineState>,
 }
@@ -94,6 +96,7 @@
             cursors: Mutex::default(),
             linked_at: Mutex::default(),
             leaves_sent: Mutex::default(),
+            reported_to: Mutex::default(),
             surveys: SurveyRelay::default(),
             quarantine,
         }
--- a/crates/daemon/src/lease_broadcast/demand.rs
+++ b/crates/daemon/src/lease_broadcast/demand.rs
@@ -4,6 +4,8 @@
 //! their followers to each other, and the sum of all hosts to their followers. Hosts with a fixed
 //! list of peers report to all of them.
 
+use std::sync::PoisonError;
+
 use pollendrift_coordination::backpressure::RateBatch;
 use pollendrift_coordination::base::{HostName, MonotonicTime};
 use pollendrift_coordination::demand::{DemandBatch, ReportSender};
@@ -40,6 +42,7 @@
             let rates = self.fleet.rates().report_own(now);
             let demand = self.fleet.demand().report_own(now);
             let hosts: Vec<HostName> = self.recipients.hosts(hub, now).into_keys().collect();
+            self.withdraw_reports(hub, &hosts);
             return send_reports(hub, &hosts, rates, demand);
         }
         let (rates_of_followers, all_rates) = {
@@ -56,6 +59,24 @@
         send_reports(hub, &followers, all_rates, all_demand);
     }
 
+    /// Withdraws the reports of this host from hosts that got the last ones and don't get the next
+    /// ones. If a withdrawal is lost, the reports expire.
+    fn withdraw_reports(&self, hub: &PeerHub, hosts: &[HostName]) {
+        let mut reported_to = self
+            .reported_to
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let mut former = std::mem::replace(&mut *reported_to, hosts.to_vec());
+        drop(reported_to);
+        former.retain(|host| !hosts.contains(host));
+        if former.is_empty() {
+            return;
+        }
+        let rates = self.fleet.rates().withdrawal();
+        let demand = self.fleet.demand().withdrawal();
+        send_reports(hub, &former, rates, demand);
+    }
+
     fn sender_of(&self, host: &HostName) -> ReportSender {
         match self.recipients.kind_of(host) {
             LeaseSource::Keeper => ReportSender::Keeper,
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -24,6 +24,7 @@
 use pollendrift_coordination::configuration::{
     ConfigurationDelta, ConfigurationDigest, DocumentChange, DocumentKey, LabelSubject,
 };
+use pollendrift_coordination::demand::{DemandBatch, DemandReport, ReportScope};
 use pollendrift_coordination::evidence::{EvidenceFilter, OutcomeKind};
 use pollendrift_coordination::forwarding::ForwardHost;
 use pollendrift_coordination::hosts::{HostGossip, HostReach};
@@ -387,11 +388,30 @@
             quarantine: Some(quarantine()),
             demand: None,
         },
+        PeerFrame::Survey {
+            notes: Vec::new(),
+            pass_on: false,
+            rates: None,
+            partition: None,
+            quarantine: None,
+            demand: Some(demand()),
+        },
     ];
     let configurations = configurations.into_iter().map(PeerFrame::Configuration);
     configurations.chain(others).collect()
 }
 
+fn demand() -> DemandBatch {
+    DemandBatch {
+        scope: ReportScope::Total,
+        reports: vec![DemandReport {
+            service: "writers".into(),
+            tokens_per_second: 261_000.0,
+            hosts: 63,
+        }],
+    }
+}
+
 fn partition_frame(notice: PartitionNotice) -> PeerFrame {
     PeerFrame::Survey {
         notes: Vec::new(),
