test(demand): no function of the standard library newer than the supported compiler

Cause: clippy refused VecDeque::pop_front_if, which is newer than 1.90. Change: a partition point instead.

--- a/crates/coordination/tests/demand_shares.rs
+++ b/crates/coordination/tests/demand_shares.rs
@@ -185,8 +185,8 @@
     }
 
     fn deliver(&mut self) {
-        let is_due = |frame: &mut Frame| frame.due <= self.step;
-        while let Some(frame) = self.frames.pop_front_if(is_due) {
+        let due = self.frames.partition_point(|frame| frame.due <= self.step);
+        for frame in self.frames.drain(..due).collect::<Vec<_>>() {
             let sender = match frame.from {
                 0..HOSTS => ReportSender::Entry,
                 _ => ReportSender::Keeper,
