test(demand): a host answers its peer's reports of demand with its own

Cause: no test covered how reports are sent and applied between hosts. Change: a peer of the test reports demand to a running host, with an invalid report beside it.

--- a/crates/daemon/tests/hosts/main.rs
+++ b/crates/daemon/tests/hosts/main.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod configuration;
 mod copies;
+mod demand;
 mod drafts;
 mod evidence;
 mod metrics;
--- a/crates/daemon/tests/hosts/support.rs
+++ b/crates/daemon/tests/hosts/support.rs
@@ -201,9 +201,8 @@
             .enumerate()
             .filter(|(_, host)| host.is_some())
         {
-            let platform = self.builder.hosts()[index].platform;
             let polling = async {
-                while self.dumped_servers(&platform.to_string()).await != count {
+                while self.dumped_servers(index).await != count {
                     tokio::time::sleep(POLL_INTERVAL).await;
                 }
             };
@@ -211,14 +210,20 @@
         }
     }
 
-    async fn dumped_servers(&self, platform: &str) -> usize {
+    async fn dumped_servers(&self, index: usize) -> usize {
+        let dump = self.dump(index).await;
+        dump["backend_servers"].as_array().unwrap().len()
+    }
+
+    /// Returns the dump of a running host.
+    pub(crate) async fn dump(&self, index: usize) -> serde_json::Value {
+        let platform = self.builder.hosts()[index].platform;
         let request = http::Request::get(format!("http://{platform}/dump"))
             .body(Default::default())
             .unwrap();
         let response = self.client.send(request).await.unwrap();
         let body = self.client.read(response).await.unwrap();
-        let dump: serde_json::Value = serde_json::from_slice(&body).unwrap();
-        dump["backend_servers"].as_array().unwrap().len()
+        serde_json::from_slice(&body).unwrap()
     }
 }
 
