--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -2,7 +2,7 @@
 //!
 //! Customers share an entry's capacity by weight, each customer's requests run in order of
 //! priority, and queues are bounded. A request that cannot meet its deadline is refused at once
-//! instead of waiting in vain.
+//! instead of waiting in vain, and is told when its caller may come back.
 
 mod admission;
 mod bucket;
