perf(routing): lanes of engines round their allotments apart from one another

With one rounding for all engines of a host, either all of them or none allow another draft once each allows less than one. Engines whose layer ranges follow one another now form a lane, and the lanes of a data centre add evenly spaced constants to the drawn number: with three lanes that each allow a third of a draft, one lane is available at any time.

--- a/crates/coordination/src/routing/choice.rs
+++ b/crates/coordination/src/routing/choice.rs
@@ -3,7 +3,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use super::allotment::Allotment;
+use super::allotment::{Allotment, AllotmentRounding};
 use super::fleet::{EngineKey, FleetTable, GraphKey};
 use super::graph::{LayerGraph, RoutePhase};
 use super::link::DataCentreIndex;
@@ -25,8 +25,7 @@
     pub(crate) fleet: &'a FleetTable,
     pub(crate) prefixes: &'a PrefixIndex,
     pub(crate) outliers: &'a EngineOutliers,
-    /// Part of a draft that is added to each allotment.
-    pub(crate) rounding: f64,
+    pub(crate) rounding: &'a AllotmentRounding,
 }
 
 impl<'a> ChoiceTables<'a> {
--- a/crates/coordination/src/routing/fleet.rs
+++ b/crates/coordination/src/routing/fleet.rs
@@ -32,6 +32,8 @@
     pub(crate) load: LoadTracker,
     /// Unchanged unless `RoutingSettings::time_correction` is set.
     pub(crate) correction: TimeCorrection,
+    /// Constant of the engine's lane that is added to the rounding of allotments, in `0.0..1.0`.
+    pub(crate) rounding: f64,
 }
 
 impl EngineRecord {
@@ -206,6 +208,7 @@
             joined: now,
             load: LoadTracker::default(),
             correction: TimeCorrection::default(),
+            rounding: 0.0,
         };
         let key = self.engines.insert(record);
         self.by_name.insert(server, key);
--- a/crates/coordination/src/routing/planner.rs
+++ b/crates/coordination/src/routing/planner.rs
@@ -4,7 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
-use super::allotment::AllotmentRounding;
+use super::allotment::{AllotmentRounding, assign_lanes};
 use super::bound::{FlowBound, find_bound, refresh_flow};
 use super::choice::{ChoiceTables, choose_route, repair_in_tables};
 use super::engine::EngineAnnouncement;
@@ -181,7 +181,7 @@
             fleet: &self.fleet,
             prefixes: &self.prefixes,
             outliers: &self.outliers,
-            rounding: self.rounding.offset(),
+            rounding: &self.rounding,
         }
     }
 
@@ -215,6 +215,7 @@
         let empty = LayerGraph::new(slot.id.clone());
         let mut graph = std::mem::replace(slot, empty);
         if !graph.stale.is_empty() {
+            assign_lanes(&mut self.fleet, &graph);
             refresh_flow(&self.fleet, &mut graph, &self.settings);
         }
         refresh_remaining_times(&self.fleet, &mut graph, &self.settings);
@@ -303,7 +304,7 @@
             fleet: &self.fleet,
             prefixes: &self.prefixes,
             outliers: &self.outliers,
-            rounding: self.rounding.offset(),
+            rounding: &self.rounding,
         };
         choose_route(now, tables, self.policy.as_mut(), &mut self.rng, query)
     }
--- a/crates/coordination/src/routing/view.rs
+++ b/crates/coordination/src/routing/view.rs
@@ -205,7 +205,7 @@
     fn fits_allotment(&self, engine: &EngineRecord, usable: u64) -> bool {
         let tokens = self.kv_tokens();
         self.allotment
-            .is_none_or(|allotment| allotment.fits(self.now, &engine.load, usable, tokens))
+            .is_none_or(|allotment| allotment.fits(self.now, engine, usable, tokens))
     }
 
     /// KV cache that the request occupies on each engine, in tokens.
