feat(routing): first engines with an idle connection are preferred, off by default

In steady state each host opens 1.05 connections a request: its requests are spread over about 13 first engines, so that connections are closed as idle before they are used again. RouteQuery names the engines to which the host has an idle connection. Up to four of them are compared beside the samples, and count as finishing earlier by RoutingSettings::connected_advantage (default 0).

--- a/crates/coordination/benches/routing.rs
+++ b/crates/coordination/benches/routing.rs
@@ -5,7 +5,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use pollendrift_coordination::base::{
-    Incarnation, LayerRange, ModelName, MonotonicTime, SequenceNumber,
+    Incarnation, LayerRange, ModelName, MonotonicTime, SequenceNumber, ServerName,
 };
 use pollendrift_coordination::routing::{
     ByteRate, EngineAnnouncement, EngineRecord, EngineRole, FleetPlanner, LoadReport, LoadValues,
@@ -46,7 +46,11 @@
 }
 
 fn planner(size: u32) -> FleetPlanner {
-    let mut planner = FleetPlanner::new(RoutingSettings::default(), 7);
+    planner_with(RoutingSettings::default(), size)
+}
+
+fn planner_with(settings: RoutingSettings, size: u32) -> FleetPlanner {
+    let mut planner = FleetPlanner::new(settings, 7);
     for index in 0..size {
         let outcome = planner.announce(MonotonicTime::START, engine(index));
         assert!(outcome.is_ok());
@@ -70,6 +74,7 @@
         priority: RoutePriority::Normal,
         share: None,
         continues_answer: false,
+        connected: &[],
     }
 }
 
@@ -85,6 +90,30 @@
     group.finish();
 }
 
+/// Measures a decision with a demand share, corrected times and preferred connections.
+fn bench_full_decision(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("routing_full_decision");
+    let model = ModelName::from("m");
+    let settings = RoutingSettings {
+        time_correction: true,
+        connected_advantage: Duration::from_millis(20),
+        ..RoutingSettings::default()
+    };
+    let connected = ["engine-0", "engine-1", "engine-16"].map(ServerName::from);
+    for size in SIZES {
+        let mut planner = planner_with(settings, size);
+        let query = RouteQuery {
+            share: Some(0.1),
+            connected: &connected,
+            ..query(&model)
+        };
+        group.bench_function(BenchmarkId::from_parameter(size), |bencher| {
+            bencher.iter(|| black_box(planner.choose(LATER, &query)));
+        });
+    }
+    group.finish();
+}
+
 fn bench_feedback(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("routing_feedback");
     let model = ModelName::from("m");
@@ -171,6 +200,7 @@
 criterion_group!(
     benches,
     bench_decision,
+    bench_full_decision,
     bench_feedback,
     bench_heartbeat,
     bench_refusal,
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -11,6 +11,7 @@
 mod bound;
 mod capacity;
 mod choice;
+mod connected;
 mod correction;
 mod degraded;
 mod engine;
--- a/crates/coordination/src/routing/plan.rs
+++ b/crates/coordination/src/routing/plan.rs
@@ -81,6 +81,9 @@
     /// Whether the request continues an answer of which the caller has received a part. The time to
     /// its first event is then not compared with the prediction.
     pub continues_answer: bool,
+    /// Engines to which this host has an idle connection, the most recently used first. Ignored
+    /// unless `RoutingSettings::connected_advantage` is set.
+    pub connected: &'a [ServerName],
 }
 
 /// A stage of a route: an engine and the layers that it runs.
--- a/crates/coordination/src/routing/settings.rs
+++ b/crates/coordination/src/routing/settings.rs
@@ -73,6 +73,9 @@
     pub max_prefixes: u32,
     /// Ejection of engines that fail repeatedly.
     pub outlier: OutlierSettings,
+    /// Time by which a first engine with an idle connection may be predicted to finish later than
+    /// others and is still preferred; zero gives no preference.
+    pub connected_advantage: Duration,
     /// Whether predicted times of engines are corrected by observed times to the first token.
     pub time_correction: bool,
     /// Slow start of new and rejoined engines.
@@ -96,6 +99,7 @@
             local_latency: Duration::from_micros(50),
             max_prefixes: 4_096,
             outlier: OutlierSettings::default(),
+            connected_advantage: Duration::ZERO,
             time_correction: false,
             slow_start: SlowStartSettings::default(),
         }
--- a/crates/coordination/tests/routing_contract/support.rs
+++ b/crates/coordination/tests/routing_contract/support.rs
@@ -79,6 +79,7 @@
         priority: RoutePriority::Normal,
         share: None,
         continues_answer: false,
+        connected: &[],
     }
 }
 
--- a/crates/coordination/tests/routing_correction.rs
+++ b/crates/coordination/tests/routing_correction.rs
@@ -148,6 +148,7 @@
         priority: RoutePriority::Normal,
         share: None,
         continues_answer,
+        connected: &[],
     };
     planner.choose(now, &query).unwrap()
 }
--- a/crates/coordination/tests/routing_cost.rs
+++ b/crates/coordination/tests/routing_cost.rs
@@ -75,6 +75,7 @@
                 priority: RoutePriority::Normal,
                 share: None,
                 continues_answer: false,
+                connected: &[],
             },
         );
         if let Ok(plan) = plan {
--- a/crates/coordination/tests/routing_hosts/mod.rs
+++ b/crates/coordination/tests/routing_hosts/mod.rs
@@ -34,6 +34,8 @@
     pub(crate) drafts_per_second: u64,
     /// Time from the measurement of a report until hosts have it.
     pub(crate) report_lag_ms: u64,
+    /// Time after which a host closes an idle connection to an engine.
+    pub(crate) keep_alive_ms: u64,
     /// Time from which no engine reports.
     pub(crate) reports_end_ms: u64,
 }
@@ -46,6 +48,7 @@
             has_shares: true,
             drafts_per_second: 200,
             report_lag_ms: 300,
+            keep_alive_ms: 2_000,
             reports_end_ms: u64::MAX,
         }
     }
@@ -58,6 +61,8 @@
     pub(crate) routed: u32,
     /// Attempts that found none.
     pub(crate) refused: u32,
+    /// Connections that hosts opened to the first engines of drafts.
+    pub(crate) opened: u32,
     /// Stages that began on an engine without memory for the draft.
     pub(crate) beyond: u32,
     /// Observed and predicted seconds to the first event, by draft.
@@ -96,6 +101,8 @@
     now_ms: u64,
     events: BTreeMap<u64, Vec<Event>>,
     reports: VecDeque<(u64, Vec<LoadReport>)>,
+    /// Idle connections of each host: engines and the times of their last use, oldest first.
+    idle: Vec<Vec<(ServerName, u64)>>,
     random: ChaCha8Rng,
     counts: Counts,
 }
@@ -127,6 +134,7 @@
             now_ms: 60_000,
             events: BTreeMap::new(),
             reports: VecDeque::new(),
+            idle: vec![Vec::new(); scenario.hosts],
             random: ChaCha8Rng::seed_from_u64(seed),
             counts: Counts::default(),
         }
@@ -225,6 +233,9 @@
                 engines,
             } => {
                 self.planners[host].finished(now, flight);
+                if let Some(first) = engines.first() {
+                    self.idle[host].push((first.clone(), self.now_ms));
+                }
                 for server in engines {
                     if let Some(engine) = self.engines.get_mut(&server) {
                         engine.kv -= DRAFT_TOKENS;
@@ -237,6 +248,10 @@
     fn arrive(&mut self, now: MonotonicTime, host: usize, attempt: u32) {
         let model = ModelName::from("m");
         let centre = DataCentreName::from("a");
+        let keep_alive_ms = self.scenario.keep_alive_ms;
+        self.idle[host].retain(|(_, used)| self.now_ms - used < keep_alive_ms);
+        let idle = self.idle[host].iter().rev();
+        let connected: Vec<ServerName> = idle.map(|(server, _)| server.clone()).collect();
         let query = RouteQuery {
             model: &model,
             version: None,
@@ -254,6 +269,7 @@
                 .has_shares
                 .then(|| 1.0 / self.scenario.hosts as f64),
             continues_answer: false,
+            connected: &connected,
         };
         let Ok(plan) = self.planners[host].choose(now, &query) else {
             self.counts.refused += 1;
@@ -283,6 +299,11 @@
             engines.push(stage.server.clone());
         }
         if let Some(first) = engines.first() {
+            let idle = &mut self.idle[host];
+            match idle.iter().rposition(|(server, _)| server == first) {
+                Some(index) => drop(idle.remove(index)),
+                None => self.counts.opened += 1,
+            }
             *self.counts.firsts.entry(first.clone()).or_default() += 1;
         }
         let predicted = plan.first_token.as_secs_f64();
--- a/crates/coordination/tests/routing_repair.rs
+++ b/crates/coordination/tests/routing_repair.rs
@@ -59,6 +59,7 @@
         priority: RoutePriority::Normal,
         share: None,
         continues_answer: false,
+        connected: &[],
     }
 }
 
--- a/crates/coordination/tests/routing_scope.rs
+++ b/crates/coordination/tests/routing_scope.rs
@@ -51,6 +51,7 @@
         priority: RoutePriority::Normal,
         share: None,
         continues_answer: false,
+        connected: &[],
     };
     planner.choose(NOW, &query).ok()
 }
--- a/crates/coordination/tests/routing_slow_start.rs
+++ b/crates/coordination/tests/routing_slow_start.rs
@@ -58,6 +58,7 @@
             priority: RoutePriority::Normal,
             share: None,
             continues_answer: false,
+            connected: &[],
         };
         predicted.push(planner.choose(now, &query).map(|plan| plan.finish));
     }
--- a/crates/daemon/src/fleet/route.rs
+++ b/crates/daemon/src/fleet/route.rs
@@ -97,6 +97,7 @@
                 priority: query.priority,
                 share: None,
                 continues_answer: false,
+                connected: &[],
             },
         )?;
         let stages = plan.stages.iter().filter_map(|stage| {
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -443,5 +443,6 @@
         priority: RoutePriority::Normal,
         share: None,
         continues_answer: false,
+        connected: &[],
     }
 }
--- a/crates/standins/examples/policies/experiment.rs
+++ b/crates/standins/examples/policies/experiment.rs
@@ -298,6 +298,7 @@
             priority: RoutePriority::Normal,
             share: None,
             continues_answer: false,
+            connected: &[],
         };
         let planner = &mut self.planners[entry];
         let Ok(plan) = planner.choose(time, &query) else {
