--- a/crates/coordination/tests/routing_contract/support.rs
+++ b/crates/coordination/tests/routing_contract/support.rs
@@ -78,6 +78,8 @@
         deadline: None,
         priority: RoutePriority::Normal,
         share: None,
+        continues_answer: false,
+        connected: &[],
     }
 }
 
--- a/crates/coordination/tests/routing_scope.rs
+++ b/crates/coordination/tests/routing_scope.rs
@@ -50,6 +50,8 @@
         deadline: None,
         priority: RoutePriority::Normal,
         share: None,
+        continues_answer: false,
+        connected: &[],
     };
     planner.choose(NOW, &query).ok()
 }
--- a/crates/daemon/src/fleet/route.rs
+++ b/crates/daemon/src/fleet/route.rs
@@ -96,6 +96,8 @@
                 deadline: query.deadline,
                 priority: query.priority,
                 share: None,
+                continues_answer: false,
+                connected: &[],
             },
         )?;
         let stages = plan.stages.iter().filter_map(|stage| {
--- a/crates/daemon/src/relay/admission.rs
+++ b/crates/daemon/src/relay/admission.rs
@@ -26,8 +26,8 @@
 
 /// Time between two checks for waiting drafts that can no longer be in time.
 const QUEUE_TICK: Duration = Duration::from_millis(50);
-/// Share of the capacity that is kept for callers that come back after a refusal.
-const RETURN_FRACTION: f64 = 0.15;
+/// Share of the capacity that is kept for callers that come back after a refusal, in percent.
+const RETURN_PERCENT: u32 = 6;
 /// Mean time that a draft runs, until drafts have ended.
 const INITIAL_RUN_TIME: Duration = Duration::from_secs(2);
 /// Time from the send of a draft to its first event, until events have come.
@@ -250,6 +250,8 @@
         };
         let settings = LimitSettings {
             floor_percent: 30,
+            return_percent: RETURN_PERCENT,
+            usual_demand_percent: 200,
             ..LimitSettings::default()
         };
         Self {
@@ -270,7 +272,8 @@
             let capacity = state.capacity.update(now, held, measured, share);
             if let Some(inputs) = state.capacity.inputs() {
                 let served = share * inputs.total as f64 / state.run_time.as_secs_f64().max(0.1);
-                state.returns.set_rate(now, served * RETURN_FRACTION);
+                let kept = f64::from(RETURN_PERCENT) / 100.0;
+                state.returns.set_rate(now, served * kept);
             }
             capacity
         };
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -296,6 +296,7 @@
                 RoutePriority::Normal
             },
             share: wanted.share,
+            continues_answer: wanted.is_resume,
             ..query_of(request, &model, &is_eligible)
         };
         let preferred = wanted
@@ -449,5 +450,7 @@
         deadline: None,
         priority: RoutePriority::Normal,
         share: None,
+        continues_answer: false,
+        connected: &[],
     }
 }
