--- a/crates/daemon/src/relay/draft_search.rs
+++ b/crates/daemon/src/relay/draft_search.rs
@@ -7,6 +7,10 @@
 use super::drafts::DraftRun;
 use super::guard::ChainGuard;
 
+/// Times that this host's share of an engine's free memory may be filled between two reports: most
+/// hosts choose other engines.
+const SHARE_FACTOR: f64 = 2.0;
+
 /// Result of a search for a chain.
 pub(super) struct ChainSearch {
     pub(super) chain: Option<ChainGuard>,
@@ -188,7 +192,7 @@
             return None;
         }
         let service = &self.request.service.name;
-        Some(self.context.fleet.demand().share(now, service))
+        Some(self.context.fleet.demand().share(now, service) * SHARE_FACTOR)
     }
 
     /// Engines of the first layer that a chain of this draft must not start with any more.
