--- a/crates/coordination/src/routing/allotment.rs
+++ b/crates/coordination/src/routing/allotment.rs
@@ -74,7 +74,7 @@
     fixed_offset: f64,
 }
 
-/// Sets the rounding constants of the engines of a graph.
+/// Sets the rounding constants of the engines of a graph in the data centres that changed.
 ///
 /// Engines whose layer ranges follow one another form a lane. The constants of the lanes of a data
 /// centre are evenly spaced: if each engine allows a third of a draft and there are three lanes, one
@@ -86,6 +86,9 @@
     let mut engines: Vec<(DataCentreIndex, LayerRange, ServerName, EngineKey)> = keys
         .filter_map(|key| {
             let engine = fleet.get(key)?;
+            if !graph.stale.contains(&engine.data_centre) {
+                return None;
+            }
             let announced = &engine.announcement;
             let server = announced.server.clone();
             Some((engine.data_centre, announced.layers, server, key))
