feat(relay): corrected times and idle connections in the choice, and the dump of admission

Cause: predicted times are wrong under load, and each request opens a connection. Change: both settings of the planner are on where drafts have differing priorities; the dump has a part `admission`.

--- a/crates/coordination/src/limits/host_capacity.rs
+++ b/crates/coordination/src/limits/host_capacity.rs
@@ -128,7 +128,11 @@
         // Drafts that started since are not in the measurement, so the share of the free memory is
         // added to what the own drafts held at that time.
         let held_then = self.held_at(inputs.measured_at) as f64;
-        let factor = if inputs.free > 0 { self.settings.free_factor } else { 1 };
+        let factor = if inputs.free > 0 {
+            self.settings.free_factor
+        } else {
+            1
+        };
         let free = inputs.share * inputs.free as f64 * f64::from(factor);
         // A share of less than one draft allows one with that probability.
         let rounding = self.random.random_range(0.0..1.0) * self.usual_tokens;
--- a/crates/coordination/src/routes/priorities.rs
+++ b/crates/coordination/src/routes/priorities.rs
@@ -73,7 +73,9 @@
         };
         let stated = stated.into_iter().enumerate();
         Self {
-            ranks: stated.map(|(index, stated)| (stated, rank(index))).collect(),
+            ranks: stated
+                .map(|(index, stated)| (stated, rank(index)))
+                .collect(),
         }
     }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -51,8 +51,8 @@
 use listeners::{listen, listen_addresses, server_limits};
 use overload::OverloadGate;
 use sources::{
-    DaemonMetrics, DemandDumpSource, EvidenceDump, FleetDump, ForwardingDumpSource, NodeDump,
-    QuarantineDumpSource, RateDumpSource, RoutingDumpSource,
+    AdmissionDumpSource, DaemonMetrics, DemandDumpSource, EvidenceDump, FleetDump,
+    ForwardingDumpSource, NodeDump, QuarantineDumpSource, RateDumpSource, RoutingDumpSource,
 };
 
 /// Time between two ticks of the gate and the leases.
@@ -253,6 +253,9 @@
             }),
         ];
         if let Some(relay) = &relay {
+            dump.push(Arc::new(AdmissionDumpSource {
+                relay: Arc::clone(relay),
+            }));
             dump.push(Arc::new(ForwardingDumpSource {
                 relay: Arc::clone(relay),
             }));
--- a/crates/daemon/src/daemon/sources.rs
+++ b/crates/daemon/src/daemon/sources.rs
@@ -57,6 +57,20 @@
     }
 }
 
+pub(super) struct AdmissionDumpSource {
+    pub(super) relay: Arc<RelayContext>,
+}
+
+impl DumpSource for AdmissionDumpSource {
+    fn name(&self) -> &'static str {
+        "admission"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        self.relay.dump_admission()
+    }
+}
+
 pub(super) struct ForwardingDumpSource {
     pub(super) relay: Arc<RelayContext>,
 }
--- a/crates/daemon/src/relay/admission.rs
+++ b/crates/daemon/src/relay/admission.rs
@@ -293,7 +293,10 @@
             is_return = request.is_return(), waited_ms = millis(now.since(request.arrived)),
             held_tokens = self.gate.in_flight_tokens(), free_tokens = inputs.free, share = inputs.share,
             report_age_ms = millis(now.since(inputs.measured_at)); "not admitted");
-        let reason = format!("the engines of the service have no room: {}", refusal.reason);
+        let reason = format!(
+            "the engines of the service have no room: {}",
+            refusal.reason
+        );
         refused(RefusalKind::NotRun, reason).retry_after(wait)
     }
 
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -25,7 +25,7 @@
 use crate::lifecycle::{LifecycleStep, LifecycleWatch};
 use crate::peers::PeerHub;
 use crate::quarantine::QuarantineState;
-use crate::settings::RelaySettings;
+use crate::settings::{AdmissionMode, RelaySettings};
 use crate::telemetry::MetricRegistry;
 
 /// Number of hosts that share the retry budget until a keeper reports the actual number.
@@ -114,7 +114,11 @@
             lifecycle: parts.lifecycle,
             metrics: parts.metrics,
             loads: Mutex::new(ServerLoads::new(outlier_settings())),
-            chains: Mutex::new(ChainTable::new(parts.data_centre.clone(), parts.seed)),
+            chains: Mutex::new(ChainTable::new(
+                parts.data_centre.clone(),
+                parts.seed,
+                parts.settings.admission == AdmissionMode::ByPriority,
+            )),
             health: Mutex::new(ChainHealth::new(HealthSettings::default())),
             budgets: Mutex::new(BudgetTable::new(budget_settings(
                 &parts.settings,
@@ -133,6 +137,11 @@
         }
     }
 
+    /// State of the admission of drafts, for the dump.
+    pub(crate) fn dump_admission(&self) -> serde_json::Value {
+        serde_json::to_value(self.admission.dump()).unwrap_or_default()
+    }
+
     /// Returns the adapter of the platform's dialect.
     pub(crate) fn dialect(&self) -> &PlatformDialect {
         &self.dialect
