fix(claims): a response is sent after its outcome is recorded

Cause: an entry responded first and recorded the outcome of the call after that. A resend through another entry that reached the keepers first was told that the answered call is in progress.

Change: ClaimedCall responds after the first attempt to record the outcome (3 s at most). The end of the request is recorded as evidence at the same time. A take or an outcome that the keepers did not confirm is logged with the reason.

--- a/crates/coordination/src/claims/call.rs
+++ b/crates/coordination/src/claims/call.rs
@@ -26,7 +26,7 @@
     AnswerLost,
     /// The keepers recorded the outcome, or rejected it permanently.
     SettleAnswered,
-    /// The keepers did not confirm the outcome in time.
+    /// The keepers did not confirm the outcome in time; they may still record it later.
     SettleUnanswered,
 }
 
@@ -96,8 +96,8 @@
 
 /// State machine of one arrival at its entry.
 ///
-/// Invariant: [`CallEffect::Send`] is returned at most once, and only after the keepers answered
-/// the take with [`TakeAnswer::Taken`].
+/// Invariants: [`CallEffect::Send`] is returned at most once, and only after the keepers answered
+/// the take with [`TakeAnswer::Taken`]. [`CallEffect::Respond`] is returned exactly once.
 #[derive(Clone, Debug)]
 pub struct ClaimedCall {
     take: TakeClaim,
@@ -108,7 +108,11 @@
 enum CallStep {
     Taking,
     Sending,
-    Settling(SettleClaim),
+    /// `response` is returned once the keepers recorded the outcome, or after one attempt at it.
+    Settling {
+        settle: SettleClaim,
+        response: Option<CallerResponse>,
+    },
     Ended,
 }
 
@@ -138,11 +142,9 @@
     /// Handles an event and returns the effects to carry out. An event that does not apply to the
     /// current step, such as a late duplicate of an answer, has no effect.
     pub fn handle(&mut self, event: CallEvent) -> Vec<CallEffect> {
-        match (&self.step, event) {
+        match (&mut self.step, event) {
             (CallStep::Taking, CallEvent::TakeAnswered(answer)) => self.handle_take_answer(answer),
-            (CallStep::Taking, CallEvent::TakeUnanswered) => {
-                self.not_run(NotRunReason::KeepersUnreachable)
-            }
+            (CallStep::Taking, CallEvent::TakeUnanswered) => self.give_up_take(),
             (CallStep::Sending, CallEvent::ConnectionRefused) => {
                 self.not_run(NotRunReason::ConnectionRefused)
             }
@@ -157,12 +159,15 @@
                 let request = self.take.request.clone();
                 self.settle(ClaimOutcome::Unknown, CallerResponse::Unknown { request })
             }
-            (CallStep::Settling(settle), CallEvent::SettleUnanswered) => {
-                vec![CallEffect::Settle(settle.clone())]
+            (CallStep::Settling { settle, response }, CallEvent::SettleUnanswered) => {
+                let settle = CallEffect::Settle(settle.clone());
+                let response = response.take().map(CallEffect::Respond);
+                response.into_iter().chain([settle]).collect()
             }
-            (CallStep::Settling(_), CallEvent::SettleAnswered) => {
+            (CallStep::Settling { response, .. }, CallEvent::SettleAnswered) => {
+                let response = response.take().map(CallEffect::Respond);
                 self.step = CallStep::Ended;
-                Vec::new()
+                response.into_iter().collect()
             }
             _ => Vec::new(),
         }
@@ -187,18 +192,40 @@
         vec![CallEffect::Respond(response)]
     }
 
+    /// Responds at once and releases the key: the caller has already waited for the keepers.
+    fn give_up_take(&mut self) -> Vec<CallEffect> {
+        let response = CallerResponse::NotRun(NotRunReason::KeepersUnreachable);
+        let settle = self.settle_command(ClaimOutcome::NotRun);
+        self.step = CallStep::Settling {
+            settle: settle.clone(),
+            response: None,
+        };
+        vec![CallEffect::Respond(response), CallEffect::Settle(settle)]
+    }
+
     /// Releases the key, so that a call that did not run does not block the caller's retry.
     fn not_run(&mut self, reason: NotRunReason) -> Vec<CallEffect> {
         self.settle(ClaimOutcome::NotRun, CallerResponse::NotRun(reason))
     }
 
+    /// Records the outcome, and responds after the first attempt at it.
+    ///
+    /// A caller that got the response first could resend its key through another entry before the
+    /// keepers had the outcome, and was told that its finished call is in progress.
     fn settle(&mut self, outcome: ClaimOutcome, response: CallerResponse) -> Vec<CallEffect> {
-        let settle = SettleClaim {
+        let settle = self.settle_command(outcome);
+        self.step = CallStep::Settling {
+            settle: settle.clone(),
+            response: Some(response),
+        };
+        vec![CallEffect::Settle(settle)]
+    }
+
+    fn settle_command(&self, outcome: ClaimOutcome) -> SettleClaim {
+        SettleClaim {
             scope: self.take.scope.clone(),
             ticket: self.take.ticket.clone(),
             outcome,
-        };
-        self.step = CallStep::Settling(settle.clone());
-        vec![CallEffect::Respond(response), CallEffect::Settle(settle)]
+        }
     }
 }
--- a/crates/daemon/src/entry/services/claimed.rs
+++ b/crates/daemon/src/entry/services/claimed.rs
@@ -18,12 +18,18 @@
 use pollendrift_http::{ClientError, ResponseBody};
 use sha2::{Digest, Sha256};
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
 
 use super::ServiceCall;
 use super::proxy::{self, BufferedAnswer};
 use crate::entry::record::{RequestEnding, RunningRequest};
 use crate::entry::refusal::Refusal;
 
+/// Longest wait of a response for the record of its outcome, as long as for the evidence of its
+/// request. A resend during an outage may find the key in progress, but no caller waits for the end
+/// of the outage.
+const SETTLE_RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay between two attempts to settle a claim while no keeper answers.
 const SETTLE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum attempts to settle a claim. After them the claim stays in progress until this process's
@@ -73,6 +79,7 @@
     let runner = ClaimRunner {
         call,
         record: Some(record),
+        recording: None,
         answer: None,
         reply: Some(reply),
     };
@@ -97,8 +104,10 @@
 
 struct ClaimRunner {
     call: ServiceCall,
-    /// `None` once the response has been recorded and sent to the caller.
+    /// `None` once the end of the request is being recorded.
     record: Option<RunningRequest>,
+    /// Task that records the end of the request.
+    recording: Option<JoinHandle<()>>,
     answer: Option<BufferedAnswer>,
     reply: Option<oneshot::Sender<Result<BufferedAnswer, Refusal>>>,
 }
@@ -116,6 +125,9 @@
                 CallEffect::Send => Some(self.send().await),
                 CallEffect::Settle(settle) if attempts < MAX_SETTLE_ATTEMPTS => {
                     attempts += 1;
+                    if attempts > 1 {
+                        sleep(SETTLE_RETRY_DELAY).await;
+                    }
                     Some(self.settle(settle).await)
                 }
                 CallEffect::Settle(settle) => {
@@ -138,15 +150,19 @@
 
     async fn take(&self, take: TakeClaim) -> CallEvent {
         self.call.context.settling.wait(&take.scope).await;
-        match self
+        let scope = take.scope.clone();
+        let submitted = self
             .call
             .context
             .agreed
-            .submit(ReplicatedCommand::TakeClaim(take))
-            .await
-        {
+            .submit(ReplicatedCommand::TakeClaim(take));
+        match submitted.await {
             Ok(CommandAnswer::Taken(answer)) => CallEvent::TakeAnswered(answer),
-            _ => CallEvent::TakeUnanswered,
+            Ok(_) => CallEvent::TakeUnanswered,
+            Err(error) => {
+                log::warn!(claim:% = scope, error:% = error; "claim not taken");
+                CallEvent::TakeUnanswered
+            }
         }
     }
 
@@ -164,6 +180,9 @@
             match result {
                 Ok(answer) => {
                     let stored = stored_answer(&answer);
+                    // At the same time as the outcome, so that the caller waits for the longer of
+                    // the two commits only.
+                    self.record_end(answer.ending());
                     self.answer = Some(answer);
                     return CallEvent::Answered(stored);
                 }
@@ -183,18 +202,27 @@
     }
 
     async fn settle(&self, settle: SettleClaim) -> CallEvent {
-        match self
-            .call
-            .context
-            .agreed
-            .submit(ReplicatedCommand::SettleClaim(settle))
-            .await
-        {
-            Ok(CommandAnswer::Settled(_)) => CallEvent::SettleAnswered,
-            _ => {
-                tokio::time::sleep(SETTLE_RETRY_DELAY).await;
-                CallEvent::SettleUnanswered
+        let scope = settle.scope.clone();
+        let command = ReplicatedCommand::SettleClaim(settle);
+        let submitted = self.call.context.agreed.submit(command);
+        let answer = match &self.reply {
+            Some(_) => timeout(SETTLE_RESPONSE_TIMEOUT, submitted).await.ok(),
+            None => Some(submitted.await),
+        };
+        match answer {
+            Some(Ok(CommandAnswer::Settled(_))) => return CallEvent::SettleAnswered,
+            Some(Err(error)) => {
+                log::warn!(claim:% = scope, error:% = error; "outcome of a call not recorded yet");
             }
+            Some(Ok(_)) | None => {}
+        }
+        CallEvent::SettleUnanswered
+    }
+
+    /// Starts to record the end of the request, unless that has already begun.
+    fn record_end(&mut self, ending: RequestEnding) {
+        if let Some(record) = self.record.take() {
+            self.recording = Some(tokio::spawn(record.finish(ending)));
         }
     }
 
@@ -204,12 +232,14 @@
             answer: self.answer.take(),
         }
         .into_answer();
-        if let Some(record) = self.record.take() {
-            let ending = match &result {
-                Ok(answer) => answer.ending(),
-                Err(refusal) => RequestEnding::of_refusal(refusal, false),
-            };
-            record.finish(ending).await;
+        self.record_end(match &result {
+            Ok(answer) => answer.ending(),
+            Err(refusal) => RequestEnding::of_refusal(refusal, false),
+        });
+        if let Some(recording) = self.recording.take()
+            && let Err(error) = recording.await
+        {
+            log::error!(request:% = self.call.id, error:% = error; "end of a call not recorded");
         }
         if let Some(reply) = self.reply.take() {
             // A caller that disconnected receives the stored outcome when it resends its key.
