fix(claims): a resend whose claim is known is not refused as not run

Cause: without an answer of the keepers, an entry refused a resend as not run, whatever earlier arrivals of the key had done.

Change: TakeUnanswered carries the claim that the entry knows, from its own calls or from the copy of its keeper, and the caller is told the state of that claim. Temporary refusals before the claim, such as without a confirmed configuration, say unknown and name the earlier request. The records of the claim table move to a file of their own.

--- a/crates/coordination/src/claims.rs
+++ b/crates/coordination/src/claims.rs
@@ -6,13 +6,14 @@
 
 mod call;
 mod claim;
+mod record;
 mod settings;
 mod table;
 
 pub use call::{CallEffect, CallEvent, CallerResponse, ClaimedCall, NotRunReason};
 pub use claim::{
-    AnswerBody, AnswerHeader, ClaimOutcome, ClaimScope, ClaimState, ClaimTicket, RequestDigest,
-    SettleAnswer, SettleClaim, StoredAnswer, TakeAnswer, TakeClaim,
+    AnswerBody, AnswerHeader, ClaimOutcome, ClaimScope, ClaimState, ClaimTicket, KnownClaim,
+    RequestDigest, SettleAnswer, SettleClaim, StoredAnswer, TakeAnswer, TakeClaim,
 };
 pub use settings::ClaimSettings;
 pub use table::{ClaimCounts, ClaimTable};
--- a/crates/coordination/src/claims/call.rs
+++ b/crates/coordination/src/claims/call.rs
@@ -3,8 +3,8 @@
 use derive_more::Display;
 
 use super::claim::{
-    ClaimOutcome, ClaimScope, ClaimState, ClaimTicket, SettleClaim, StoredAnswer, TakeAnswer,
-    TakeClaim,
+    ClaimOutcome, ClaimScope, ClaimState, ClaimTicket, KnownClaim, SettleClaim, StoredAnswer,
+    TakeAnswer, TakeClaim,
 };
 use crate::base::RequestId;
 
@@ -13,8 +13,9 @@
 pub enum CallEvent {
     /// The keepers answered the take.
     TakeAnswered(TakeAnswer),
-    /// The keepers did not answer the take in time; they may still apply it later.
-    TakeUnanswered,
+    /// The keepers did not answer the take in time; they may still apply it later. Contains the
+    /// claim of the key that the entry knows without them, if any.
+    TakeUnanswered(Option<KnownClaim>),
     /// The connection was refused before a byte was sent.
     ConnectionRefused,
     /// The backend server reported that it did not start the call. `SendOutcome::Declined` of
@@ -144,7 +145,7 @@
     pub fn handle(&mut self, event: CallEvent) -> Vec<CallEffect> {
         match (&mut self.step, event) {
             (CallStep::Taking, CallEvent::TakeAnswered(answer)) => self.handle_take_answer(answer),
-            (CallStep::Taking, CallEvent::TakeUnanswered) => self.give_up_take(),
+            (CallStep::Taking, CallEvent::TakeUnanswered(known)) => self.give_up_take(known),
             (CallStep::Sending, CallEvent::ConnectionRefused) => {
                 self.not_run(NotRunReason::ConnectionRefused)
             }
@@ -179,11 +180,7 @@
                 self.step = CallStep::Sending;
                 return vec![CallEffect::Send];
             }
-            TakeAnswer::AlreadyTaken { request, state } => match state {
-                ClaimState::InProgress => CallerResponse::InProgress { request },
-                ClaimState::Unknown => CallerResponse::Unknown { request },
-                ClaimState::Finished(answer) => CallerResponse::StoredAnswer { request, answer },
-            },
+            TakeAnswer::AlreadyTaken { request, state } => response_of_claim(request, state),
             TakeAnswer::BodyDiffers { request } => CallerResponse::BodyDiffers { request },
             TakeAnswer::Full => CallerResponse::NotRun(NotRunReason::ClaimsFull),
             TakeAnswer::TicketSpent => CallerResponse::NotRun(NotRunReason::EntryReplaced),
@@ -193,8 +190,18 @@
     }
 
     /// Responds at once and releases the key: the caller has already waited for the keepers.
-    fn give_up_take(&mut self) -> Vec<CallEffect> {
-        let response = CallerResponse::NotRun(NotRunReason::KeepersUnreachable);
+    ///
+    /// If the entry knows that an earlier arrival claimed the key, the response is the state of that
+    /// claim. This arrival did not run, but a caller that is told so of a resend may conclude that
+    /// its call did not run, and send it again under another key.
+    fn give_up_take(&mut self, known: Option<KnownClaim>) -> Vec<CallEffect> {
+        let is_earlier = |known: &KnownClaim| {
+            known.ticket != self.take.ticket && known.digest == self.take.digest
+        };
+        let response = match known.filter(is_earlier) {
+            Some(known) => response_of_claim(known.request, known.state),
+            None => CallerResponse::NotRun(NotRunReason::KeepersUnreachable),
+        };
         let settle = self.settle_command(ClaimOutcome::NotRun);
         self.step = CallStep::Settling {
             settle: settle.clone(),
@@ -229,3 +236,12 @@
         }
     }
 }
+
+/// Response to an arrival whose key an earlier arrival, `request`, has claimed.
+fn response_of_claim(request: RequestId, state: ClaimState) -> CallerResponse {
+    match state {
+        ClaimState::InProgress => CallerResponse::InProgress { request },
+        ClaimState::Unknown => CallerResponse::Unknown { request },
+        ClaimState::Finished(answer) => CallerResponse::StoredAnswer { request, answer },
+    }
+}
--- a/crates/coordination/src/claims/claim.rs
+++ b/crates/coordination/src/claims/claim.rs
@@ -153,6 +153,22 @@
     Unknown,
 }
 
+/// A claim as one process knows it, from its own calls or from its copy of the claim table.
+///
+/// The keepers agreed on it at some time. They may have recorded its outcome, or released its key,
+/// since then.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownClaim {
+    /// Arrival that holds or held the claim.
+    pub ticket: ClaimTicket,
+    /// Digest of its call.
+    pub digest: RequestDigest,
+    /// Request of that arrival.
+    pub request: RequestId,
+    /// Last known state.
+    pub state: ClaimState,
+}
+
 /// Answer to [`TakeClaim`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TakeAnswer {
--- a/crates/coordination/src/claims/table.rs
+++ b/crates/coordination/src/claims/table.rs
@@ -5,42 +5,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::claim::{
-    ClaimOutcome, ClaimScope, ClaimState, ClaimTicket, RequestDigest, SettleAnswer, SettleClaim,
-    StoredAnswer, TakeAnswer, TakeClaim,
+    ClaimOutcome, ClaimScope, ClaimState, ClaimTicket, KnownClaim, SettleAnswer, SettleClaim,
+    TakeAnswer, TakeClaim,
 };
+use super::record::{ClaimRecord, RecordState, existing_answer, record_spent};
 use super::settings::ClaimSettings;
 use crate::base::{CustomerName, HostName, Incarnation, RequestId};
 use crate::replicated::ReplicatedTime;
 
-/// Limit of released tickets recorded per key.
-const MAX_SPENT_TICKETS: usize = 16;
-
-/// Claim state of one key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct ClaimRecord {
-    ticket: ClaimTicket,
-    state: RecordState,
-    /// Tickets that released the key, at most [`MAX_SPENT_TICKETS`], newest last. Takes with these
-    /// tickets are refused.
-    ///
-    /// An entry that gives up on an unanswered take reports `not-run` to its caller. Without this
-    /// list, a delayed take would then claim the key although no entry sends the call.
-    spent: Vec<ClaimTicket>,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-enum RecordState {
-    /// A call claimed the key.
-    Claimed {
-        digest: RequestDigest,
-        request: RequestId,
-        state: ClaimState,
-        settled_at: Option<ReplicatedTime>,
-    },
-    /// The ticket released the key; the record is kept for its spent tickets.
-    Released { at: ReplicatedTime },
-}
-
 /// Number of claims by state, and the bytes of stored answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimCounts {
@@ -179,6 +151,27 @@
         }
     }
 
+    /// Returns what this copy of the table states about a key; `None` if it is not claimed. A later
+    /// copy may state more, but an outcome stays, see [`ClaimTable::settle`].
+    pub fn known(&self, scope: &ClaimScope) -> Option<KnownClaim> {
+        let record = self.records.get(scope)?;
+        let RecordState::Claimed {
+            digest,
+            request,
+            state,
+            ..
+        } = &record.state
+        else {
+            return None;
+        };
+        Some(KnownClaim {
+            ticket: record.ticket.clone(),
+            digest: *digest,
+            request: request.clone(),
+            state: state.clone(),
+        })
+    }
+
     /// Number of records in any state, including released keys.
     pub fn record_count(&self) -> usize {
         self.records.len()
@@ -345,58 +338,3 @@
         record.spent
     }
 }
-
-impl RecordState {
-    fn expires_from(&self) -> Option<ReplicatedTime> {
-        match self {
-            Self::Claimed { settled_at, .. } => *settled_at,
-            Self::Released { at } => Some(*at),
-        }
-    }
-
-    fn stored_bytes(&self) -> usize {
-        match self {
-            Self::Claimed {
-                state: ClaimState::Finished(answer),
-                ..
-            } => StoredAnswer::stored_bytes(answer),
-            _ => 0,
-        }
-    }
-}
-
-fn record_spent(spent: &mut Vec<ClaimTicket>, ticket: &ClaimTicket) {
-    if spent.contains(ticket) {
-        return;
-    }
-    spent.push(ticket.clone());
-    let surplus = spent.len().saturating_sub(MAX_SPENT_TICKETS);
-    spent.drain(..surplus);
-}
-
-/// Returns the answer of an existing record to a take; `None` if the key is free.
-fn existing_answer(record: &ClaimRecord, take: &TakeClaim) -> Option<TakeAnswer> {
-    if record.spent.contains(&take.ticket) {
-        return Some(TakeAnswer::TicketSpent);
-    }
-    let RecordState::Claimed {
-        digest,
-        request,
-        state,
-        ..
-    } = &record.state
-    else {
-        return None;
-    };
-    if *digest != take.digest {
-        let request = request.clone();
-        return Some(TakeAnswer::BodyDiffers { request });
-    }
-    if record.ticket == take.ticket && *state == ClaimState::InProgress {
-        return Some(TakeAnswer::Taken);
-    }
-    Some(TakeAnswer::AlreadyTaken {
-        request: request.clone(),
-        state: state.clone(),
-    })
-}
--- a/crates/coordination/tests/claims_at_most_once.rs
+++ b/crates/coordination/tests/claims_at_most_once.rs
@@ -7,7 +7,8 @@
 use pollendrift_coordination::base::{HostName, Incarnation, SequenceNumber};
 use pollendrift_coordination::claims::{
     AnswerBody, CallEffect, CallEvent, CallerResponse, ClaimScope, ClaimSettings, ClaimState,
-    ClaimTable, ClaimTicket, ClaimedCall, RequestDigest, SettleClaim, StoredAnswer, TakeClaim,
+    ClaimTable, ClaimTicket, ClaimedCall, KnownClaim, RequestDigest, SettleClaim, StoredAnswer,
+    TakeClaim,
 };
 use pollendrift_coordination::replicated::ReplicatedTime;
 use proptest::prelude::{Strategy, prop_oneof, proptest};
@@ -63,6 +64,9 @@
 /// In-memory simulation of three entries, the keepers and one service.
 struct Simulation {
     table: ClaimTable,
+    /// Older copy of the table, which entries read while no keeper answers; `None` if their copy is
+    /// up to date.
+    copy: Option<ClaimTable>,
     incarnations: [u64; 3],
     arrivals: Vec<Arrival>,
     late: Vec<LateCommand>,
@@ -77,6 +81,7 @@
     fn new() -> Self {
         Self {
             table: ClaimTable::new(ClaimSettings::default()),
+            copy: None,
             incarnations: [1; 3],
             arrivals: Vec::new(),
             late: Vec::new(),
@@ -123,6 +128,7 @@
         let Some(effect) = arrival.effects.pop_front() else {
             return;
         };
+        let arrival_scope = arrival.scope.clone();
         let event = match effect {
             CallEffect::Respond(response) => {
                 assert!(
@@ -134,7 +140,7 @@
             CallEffect::Send => self.send(number, result),
             CallEffect::Take(take) => match self.commit(LateCommand::Take(take.clone()), result) {
                 true => CallEvent::TakeAnswered(self.table.take(&take, NOW)),
-                false => CallEvent::TakeUnanswered,
+                false => CallEvent::TakeUnanswered(self.known(&arrival_scope)),
             },
             CallEffect::Settle(settle) => match self.commit(LateCommand::Settle(settle), result) {
                 true => CallEvent::SettleAnswered,
@@ -158,6 +164,11 @@
         }
     }
 
+    /// Returns the claim of a key that entries know without an answer of the keepers.
+    fn known(&self, scope: &ClaimScope) -> Option<KnownClaim> {
+        self.copy.as_ref().unwrap_or(&self.table).known(scope)
+    }
+
     fn send(&mut self, number: usize, result: StepResult) -> CallEvent {
         let arrival = &mut self.arrivals[number];
         let answer = StoredAnswer {
@@ -459,6 +470,49 @@
     "#);
 }
 
+// Guards against a resend that is refused as not run although its call ran or may run: its entry
+// gets no answer of the keepers, but knows the claim of the first arrival. The caller would send the
+// call again under another key. Columns: steps of the first arrival, and the responses to a resend
+// without an answer of the keepers, to one with another body, and to a later one with an answer.
+#[test]
+fn a_resend_without_keepers_gets_the_known_state_of_its_key() {
+    use StepResult::{Delayed, Lost, Succeeds};
+    let cases: [(&str, &[StepResult]); 5] = [
+        ("take lost", &[Lost]),
+        ("taken", &[Succeeds]),
+        ("not sent, released", &[Succeeds, Delayed, Succeeds]),
+        ("answer lost", &[Succeeds, Lost, Succeeds]),
+        ("finished", &[Succeeds, Succeeds, Succeeds]),
+    ];
+    let mut report = String::new();
+    for (name, results) in cases {
+        let mut simulation = Simulation::new();
+        let first = simulation.arrive(0, 0, 0);
+        for result in results {
+            simulation.step(first, *result);
+        }
+        let resends = [(0, Lost), (1, Lost), (0, Succeeds)].map(|(body, taken)| {
+            let resend = simulation.arrive(1, 0, body);
+            simulation.step(resend, taken);
+            simulation.run_to_end(resend);
+            resend
+        });
+        simulation.run_to_end(first);
+        simulation.check();
+        simulation.check_no_orphaned_claims();
+        let responses =
+            resends.map(|number| describe(simulation.arrivals[number].response.as_ref()));
+        let _ = writeln!(report, "{name} | {}", responses.join(" | "));
+    }
+    insta::assert_snapshot!(report, @r#"
+    take lost | not run: the claim could not be taken in time | not run: the claim could not be taken in time | the answer
+    taken | in progress | not run: the claim could not be taken in time | in progress
+    not sent, released | not run: the claim could not be taken in time | not run: the claim could not be taken in time | the answer
+    answer lost | unknown | not run: the claim could not be taken in time | unknown
+    finished | the stored answer | not run: the claim could not be taken in time | the stored answer
+    "#);
+}
+
 // Guards against a late take that claims a released key although no entry sends the call. Two
 // arrivals of one key at one entry fail: the backend server refuses the connection of the first,
 // the second gives up on its take, and that take is applied last. If the release of a key that
@@ -491,6 +545,7 @@
     DeclareEnded { entry: usize },
     ApplyLate { index: usize },
     RestartKeepers,
+    CopyTable,
 }
 
 fn any_action() -> impl Strategy<Value = Action> {
@@ -511,6 +566,13 @@
     ]
 }
 
+fn any_action_with_old_copies() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        20 => any_action(),
+        1 => proptest::strategy::Just(Action::CopyTable),
+    ]
+}
+
 fn simulate(actions: Vec<Action>) -> Simulation {
     let mut simulation = Simulation::new();
     for action in actions {
@@ -531,6 +593,7 @@
                 }
             }
             Action::RestartKeepers => simulation.restart_keepers(),
+            Action::CopyTable => simulation.copy = Some(simulation.table.clone()),
         }
         simulation.check();
     }
@@ -562,4 +625,19 @@
         simulation.check();
         simulation.check_no_orphaned_claims();
     }
+
+    // Guards against the same where entries without an answer of the keepers respond from old
+    // copies of the claim table.
+    #[test]
+    fn no_interleaving_with_old_copies_runs_a_call_twice(
+        actions in proptest::collection::vec(any_action_with_old_copies(), 1..150),
+    ) {
+        let mut simulation = simulate(actions);
+        for number in 0..simulation.arrivals.len() {
+            simulation.run_to_end(number);
+        }
+        simulation.apply_late();
+        simulation.check();
+        simulation.check_no_orphaned_claims();
+    }
 }
--- a/crates/daemon/src/agreed.rs
+++ b/crates/daemon/src/agreed.rs
@@ -6,6 +6,7 @@
 
 use derive_more::{Display, Error};
 use pollendrift_coordination::base::{Incarnation, MonotonicTime};
+use pollendrift_coordination::claims::{ClaimScope, KnownClaim};
 use pollendrift_coordination::configuration::Configuration;
 use pollendrift_coordination::replicated::{CommandAnswer, ReplicatedCommand};
 
@@ -33,6 +34,10 @@
     /// Incarnation of this process; `None` until the keepers have assigned one. Claims require it.
     fn incarnation(&self) -> Option<Incarnation>;
 
+    /// Claim of a key in the copy of this host's keeper, without a question to the other keepers. The
+    /// copy may be older than the agreed state; `None` also on a host without a keeper.
+    fn known_claim(&self, scope: &ClaimScope) -> Option<KnownClaim>;
+
     /// Submits a command to the agreement group. Commands are idempotent by their ids, so a command
     /// whose answer was lost is sent again until its timeout.
     ///
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -179,6 +179,27 @@
         )
     }
 
+    /// Adds that `request` claimed the key earlier. This arrival did not run, but the call of the key
+    /// may have run.
+    pub(crate) fn with_earlier_arrival(mut self, request: &RequestId) -> Self {
+        self.outcome = ProblemReportOutcome::Unknown;
+        self.detail = format!(
+            "{}; request {request} took this key before and may have run, so send the call again \
+             under the same key only",
+            self.detail
+        );
+        self
+    }
+
+    /// Whether the same request may be accepted later.
+    pub(crate) fn is_temporary(&self) -> bool {
+        [
+            StatusCode::SERVICE_UNAVAILABLE,
+            StatusCode::TOO_MANY_REQUESTS,
+        ]
+        .contains(&self.status)
+    }
+
     /// The key belongs to a different call.
     pub(crate) fn key_reused(request: &RequestId) -> Self {
         let detail = format!("this key stands for another call, request {request}; take a new key");
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -15,6 +15,7 @@
 use pollendrift_coordination::base::{
     AttemptNumber, ClaimKey, CustomerName, RequestId, ServiceName, TokenPosition,
 };
+use pollendrift_coordination::claims::{ClaimScope, KnownClaim};
 use pollendrift_coordination::configuration::RequestFacts;
 use pollendrift_coordination::evidence::{AttemptTrace, BodyDigest, TracedStage};
 use pollendrift_coordination::retries::{CallDeadline, CallKind};
@@ -61,10 +62,52 @@
     let Some(customer) = arrival.customer.clone() else {
         return Err(Refusal::unauthorized("the request names no customer"));
     };
+    let key = call_key(&request)?;
+    let scope = key.as_deref().map(|key| ClaimScope {
+        customer: customer.clone(),
+        service: service.clone(),
+        key: key.into(),
+    });
+    let result = admit(context, arrival, request, customer, service, key).await;
+    result.map_err(|refusal| match scope {
+        Some(scope) => with_known_claim(context, &scope, refusal),
+        None => refusal,
+    })
+}
+
+/// Adds to a temporary refusal that an earlier arrival claimed the key, if this host knows of one.
+///
+/// A resend that is told `not-run` without this, for example while its host can't confirm its
+/// configuration, reads as if the call of its key had not run.
+fn with_known_claim(context: &EntryContext, scope: &ClaimScope, refusal: Refusal) -> Refusal {
+    // The outcome of a recorded refusal is in the evidence already. It comes from the claim itself.
+    if refusal.recorded || !refusal.is_temporary() {
+        return refusal;
+    }
+    match known_claim(context, scope) {
+        Some(claim) => refusal.with_earlier_arrival(&claim.request),
+        None => refusal,
+    }
+}
+
+/// Claim of a key that this host knows without a question to the keepers.
+fn known_claim(context: &EntryContext, scope: &ClaimScope) -> Option<KnownClaim> {
+    let own = context.settling.known(scope);
+    own.or_else(|| context.agreed.known_claim(scope))
+}
+
+/// Selects, admits and runs a call.
+async fn admit(
+    context: &Arc<EntryContext>,
+    arrival: &RequestArrival,
+    request: Request<Incoming>,
+    customer: CustomerName,
+    service: ServiceName,
+    key: Option<String>,
+) -> Result<Response<ResponseBody>, Refusal> {
     let mut facts = RequestFacts::call(customer.clone(), service.clone());
     facts.path = request.uri().path().into();
     let served = select(context, &facts)?;
-    let key = call_key(&request)?;
     let (head, body) = request.into_parts();
     // The complete body is read before anything is sent: a call that is aborted here did not run.
     let read = read_bounded(body, context.max_body_bytes);
--- a/crates/daemon/src/entry/services/claimed.rs
+++ b/crates/daemon/src/entry/services/claimed.rs
@@ -11,8 +11,8 @@
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
 use pollendrift_coordination::base::SequenceNumber;
 use pollendrift_coordination::claims::{
-    AnswerBody, AnswerHeader, CallEffect, CallEvent, CallerResponse, ClaimScope, ClaimTicket,
-    ClaimedCall, RequestDigest, SettleClaim, StoredAnswer, TakeClaim,
+    AnswerBody, AnswerHeader, CallEffect, CallEvent, CallerResponse, ClaimScope, ClaimState,
+    ClaimTicket, ClaimedCall, KnownClaim, RequestDigest, SettleClaim, StoredAnswer, TakeClaim,
 };
 use pollendrift_coordination::replicated::{CommandAnswer, ReplicatedCommand};
 use pollendrift_http::{ClientError, ResponseBody};
@@ -21,8 +21,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use super::ServiceCall;
 use super::proxy::{self, BufferedAnswer};
+use super::settling::HeldClaim;
+use super::{ServiceCall, known_claim};
 use crate::entry::record::{RequestEnding, RunningRequest};
 use crate::entry::refusal::Refusal;
 
@@ -80,6 +81,7 @@
         call,
         record: Some(record),
         recording: None,
+        held: None,
         answer: None,
         reply: Some(reply),
     };
@@ -108,6 +110,8 @@
     record: Option<RunningRequest>,
     /// Task that records the end of the request.
     recording: Option<JoinHandle<()>>,
+    /// The claim, from the take until the keepers have recorded its outcome.
+    held: Option<HeldClaim>,
     answer: Option<BufferedAnswer>,
     reply: Option<oneshot::Sender<Result<BufferedAnswer, Refusal>>>,
 }
@@ -115,6 +119,12 @@
 impl ClaimRunner {
     async fn run(mut self, take: TakeClaim) {
         let scope = take.scope.clone();
+        let claim = KnownClaim {
+            ticket: take.ticket.clone(),
+            digest: take.digest,
+            request: take.request.clone(),
+            state: ClaimState::InProgress,
+        };
         let (mut claimed, effects) = ClaimedCall::begin(take);
         let mut queue = VecDeque::from(effects);
         let mut attempts = 0;
@@ -122,7 +132,11 @@
         while let Some(effect) = queue.pop_front() {
             let event = match effect {
                 CallEffect::Take(take) => Some(self.take(take).await),
-                CallEffect::Send => Some(self.send().await),
+                CallEffect::Send => {
+                    let settling = &self.call.context.settling;
+                    self.held = Some(settling.hold(&scope, claim.clone()));
+                    Some(self.send().await)
+                }
                 CallEffect::Settle(settle) if attempts < MAX_SETTLE_ATTEMPTS => {
                     attempts += 1;
                     if attempts > 1 {
@@ -139,6 +153,9 @@
                     None
                 }
             };
+            if let Some(event) = &event {
+                self.update_held(event);
+            }
             queue.extend(event.into_iter().flat_map(|event| claimed.handle(event)));
             let is_settle = |effect: &CallEffect| matches!(effect, CallEffect::Settle(_));
             if settling.is_none() && queue.iter().any(is_settle) {
@@ -148,6 +165,22 @@
         }
     }
 
+    /// Updates what later arrivals at this entry are told while no keeper answers them.
+    fn update_held(&mut self, event: &CallEvent) {
+        let state = match event {
+            CallEvent::Answered(answer) => ClaimState::Finished(answer.clone()),
+            CallEvent::AnswerLost => ClaimState::Unknown,
+            CallEvent::ConnectionRefused => {
+                self.held = None;
+                return;
+            }
+            _ => return,
+        };
+        if let Some(held) = &self.held {
+            held.set_state(state);
+        }
+    }
+
     async fn take(&self, take: TakeClaim) -> CallEvent {
         self.call.context.settling.wait(&take.scope).await;
         let scope = take.scope.clone();
@@ -157,13 +190,11 @@
             .agreed
             .submit(ReplicatedCommand::TakeClaim(take));
         match submitted.await {
-            Ok(CommandAnswer::Taken(answer)) => CallEvent::TakeAnswered(answer),
-            Ok(_) => CallEvent::TakeUnanswered,
-            Err(error) => {
-                log::warn!(claim:% = scope, error:% = error; "claim not taken");
-                CallEvent::TakeUnanswered
-            }
+            Ok(CommandAnswer::Taken(answer)) => return CallEvent::TakeAnswered(answer),
+            Ok(_) => {}
+            Err(error) => log::warn!(claim:% = scope, error:% = error; "claim not taken"),
         }
+        CallEvent::TakeUnanswered(known_claim(&self.call.context, &scope))
     }
 
     async fn send(&mut self) -> CallEvent {
--- a/crates/daemon/src/entry/services/settling.rs
+++ b/crates/daemon/src/entry/services/settling.rs
@@ -1,10 +1,10 @@
-//! Claims of this entry whose outcome the keepers have not recorded yet.
+//! Claims that calls of this entry hold until the keepers have recorded their outcome.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use pollendrift_coordination::claims::ClaimScope;
+use pollendrift_coordination::claims::{ClaimScope, ClaimState, ClaimTicket, KnownClaim};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -20,6 +20,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct SettlingClaims {
     counts: Mutex<BTreeMap<ClaimScope, watch::Sender<u32>>>,
+    /// Claims from the take until the keepers have recorded the outcome, at most one for each
+    /// running call.
+    held: Mutex<BTreeMap<ClaimScope, KnownClaim>>,
+}
+
+/// A claim that a call of this entry holds; dropping it ends its record.
+pub(super) struct HeldClaim {
+    claims: Arc<SettlingClaims>,
+    scope: ClaimScope,
+    ticket: ClaimTicket,
 }
 
 /// A call whose outcome is not recorded yet; dropping it ends the wait of later calls.
@@ -54,6 +64,26 @@
         }
     }
 
+    /// Records that a call of this entry holds the claim of `scope`.
+    pub(super) fn hold(self: &Arc<Self>, scope: &ClaimScope, claim: KnownClaim) -> HeldClaim {
+        let ticket = claim.ticket.clone();
+        self.held().insert(scope.clone(), claim);
+        HeldClaim {
+            claims: Arc::clone(self),
+            scope: scope.clone(),
+            ticket,
+        }
+    }
+
+    /// Claim that a call of this entry holds, in the state that its outcome will record.
+    pub(super) fn known(&self, scope: &ClaimScope) -> Option<KnownClaim> {
+        self.held().get(scope).cloned()
+    }
+
+    fn held(&self) -> MutexGuard<'_, BTreeMap<ClaimScope, KnownClaim>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<ClaimScope, watch::Sender<u32>>> {
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -71,3 +101,25 @@
         }
     }
 }
+
+impl HeldClaim {
+    /// Sets the state of the claim once its outcome is known.
+    pub(super) fn set_state(&self, state: ClaimState) {
+        let mut held = self.claims.held();
+        let own = held.get_mut(&self.scope);
+        if let Some(claim) = own.filter(|claim| claim.ticket == self.ticket) {
+            claim.state = state;
+        }
+    }
+}
+
+impl Drop for HeldClaim {
+    fn drop(&mut self) {
+        let mut held = self.claims.held();
+        // After a release, a later call of this entry may hold the claim.
+        let is_own = |claim: &KnownClaim| claim.ticket == self.ticket;
+        if held.get(&self.scope).is_some_and(is_own) {
+            held.remove(&self.scope);
+        }
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -9,6 +9,7 @@
 
 use derive_more::{Display, Error, From};
 use pollendrift_coordination::base::{Incarnation, MonotonicTime};
+use pollendrift_coordination::claims::{ClaimScope, KnownClaim};
 use pollendrift_coordination::configuration::Configuration;
 use pollendrift_coordination::replicated::{
     CommandAnswer, ProcessNonce, ReplicatedCommand, StartHost,
@@ -346,6 +347,11 @@
         *self.incarnation.borrow()
     }
 
+    fn known_claim(&self, scope: &ClaimScope) -> Option<KnownClaim> {
+        let shared = self.shared.as_ref()?;
+        shared.read(|state| state.claims().known(scope))
+    }
+
     fn submit(&self, command: ReplicatedCommand) -> SubmitFuture<'_> {
         Box::pin(submit(&self.client, command))
     }
--- a/crates/daemon/tests/hosts/claims.rs
+++ b/crates/daemon/tests/hosts/claims.rs
@@ -5,7 +5,7 @@
 use pollendrift_standins::load::{CallOutcome, ServiceCaller};
 use pollendrift_standins::service::PlainService;
 
-use crate::support::HostGroup;
+use crate::support::{HostGroup, wait_until};
 
 async fn start_portal(group: &HostGroup) -> PlainService {
     let mut service = PlainService::start("portal-1", "portal", loopback())
@@ -102,7 +102,7 @@
     service.set_delay(std::time::Duration::from_secs(3_600));
     let first = caller(&group, 3);
     let sent = tokio::spawn(async move { first.post("portal", "filings", "key-3", "a").await });
-    crate::support::wait_until(|| service.runs().contains_key("key-3")).await;
+    wait_until(|| service.runs().contains_key("key-3")).await;
     group.crash(3);
     let mut seen = vec![format!(
         "entry 3 dies: {}",
@@ -164,6 +164,40 @@
     "#);
 }
 
+// Guards against a resend that is refused as not run while its call runs: the keepers' quorum is lost
+// after the claim, so no claim can be taken. The caller would send the call again under another key.
+// The entry of the first call and each host with a keeper know the claim without the quorum.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resend_without_a_keeper_quorum_is_not_refused_as_not_run() {
+    let mut group = HostGroup::start(4, 3).await;
+    let service = start_portal(&group).await;
+    service.hold_answers(true);
+    let first = caller(&group, 3);
+    let sent = tokio::spawn(async move { first.post("portal", "filings", "key-5", "a").await });
+    wait_until(|| service.runs().contains_key("key-5")).await;
+    let copy = group.host(2).node().shared().unwrap().clone();
+    wait_until(|| copy.read(|state| state.claims().counts().in_progress == 1)).await;
+    group.crash(0);
+    group.crash(1);
+    let mut seen = Vec::new();
+    for entry in [2, 3] {
+        let outcome = caller(&group, entry)
+            .post("portal", "filings", "key-5", "a")
+            .await;
+        seen.push(format!("entry {entry}: {}", outcome_kind(&outcome)));
+    }
+    service.hold_answers(false);
+    let outcome = sent.await.unwrap();
+    seen.push(format!("first call: {}", outcome_kind(&outcome)));
+    seen.push(format!("runs: {:?}", service.runs()));
+    insta::assert_snapshot!(seen.join("\n"), @r#"
+    entry 2: unknown
+    entry 3: unknown
+    first call: answered
+    runs: {"key-5": 1}
+    "#);
+}
+
 /// Posts one call for each of `keys` keys through host 3, all at the same time.
 fn post_all(group: &HostGroup, keys: usize) -> Vec<tokio::task::JoinHandle<&'static str>> {
     let calls = (0..keys).map(|key| {
