fix(claims): a call with another body is no resend of the known claim

The claim that it knew was compared by key only.

Change: if a claim of the key is known, the body is read first, and only a refusal of a call with the same digest says that an earlier arrival may have run.

--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -31,6 +31,7 @@
 use crate::fleet::ServerView;
 use crate::resend::{ResendQuery, send_outcome};
 
+use claimed::call_digest;
 use proxy::BufferedAnswer;
 
 /// Header that contains the idempotency key of a call; a resend contains the same key.
@@ -63,78 +64,114 @@
         return Err(Refusal::unauthorized("the request names no customer"));
     };
     let key = call_key(&request)?;
-    let scope = key.as_deref().map(|key| ClaimScope {
-        customer: customer.clone(),
-        service: service.clone(),
-        key: key.into(),
+    let mut facts = RequestFacts::call(customer.clone(), service.clone());
+    facts.path = request.uri().path().into();
+    let known = key.as_deref().and_then(|key| {
+        let scope = ClaimScope {
+            customer: customer.clone(),
+            service: service.clone(),
+            key: key.into(),
+        };
+        known_claim(context, &scope)
     });
-    let result = admit(context, arrival, request, customer, service, key).await;
-    result.map_err(|refusal| match scope {
-        Some(scope) => with_known_claim(context, &scope, refusal),
-        None => refusal,
+    let (head, body) = request.into_parts();
+    let Some(known) = known else {
+        let served = select(context, &facts)?;
+        let body = read_body(context, body).await?;
+        let received = ReceivedCall {
+            customer,
+            service,
+            key,
+            head,
+            body,
+        };
+        return received.admit(context, arrival, served).await;
+    };
+    // Only the body tells whether this is a resend of the known call, so it is read first.
+    let body = read_body(context, body).await?;
+    let is_resend = known.digest == call_digest(&head, &body);
+    let received = ReceivedCall {
+        customer,
+        service,
+        key,
+        head,
+        body,
+    };
+    let result = match select(context, &facts) {
+        Ok(served) => received.admit(context, arrival, served).await,
+        Err(refusal) => Err(refusal),
+    };
+    result.map_err(|refusal| {
+        if is_resend {
+            with_earlier_arrival(refusal, &known)
+        } else {
+            refusal
+        }
     })
 }
 
-/// Adds to a temporary refusal that an earlier arrival claimed the key, if this host knows of one.
-///
-/// A resend that is told `not-run` without this, for example while its host can't confirm its
-/// configuration, reads as if the call of its key had not run.
-fn with_known_claim(context: &EntryContext, scope: &ClaimScope, refusal: Refusal) -> Refusal {
-    // The outcome of a recorded refusal is in the evidence already. It comes from the claim itself.
-    if refusal.recorded || !refusal.is_temporary() {
-        return refusal;
-    }
-    match known_claim(context, scope) {
-        Some(claim) => refusal.with_earlier_arrival(&claim.request),
-        None => refusal,
+/// A call with its whole body, before it is admitted.
+struct ReceivedCall {
+    customer: CustomerName,
+    service: ServiceName,
+    key: Option<String>,
+    head: request::Parts,
+    body: Bytes,
+}
+
+impl ReceivedCall {
+    async fn admit(
+        self,
+        context: &Arc<EntryContext>,
+        arrival: &RequestArrival,
+        served: ServedRequest,
+    ) -> Result<Response<ResponseBody>, Refusal> {
+        let claim = self.key.as_deref().map(ClaimKey::from);
+        let digest = BodyDigest::of(&self.body);
+        let deadline = served.deadline(context, arrival.arrived);
+        let ticket = served.admit(context, &self.customer, 0, deadline).await?;
+        let record = RunningRequest::begin(context, arrival, claim, digest, &served, ticket)?;
+        let call = ServiceCall {
+            context: Arc::clone(context),
+            id: arrival.id.clone(),
+            customer: self.customer,
+            service: self.service,
+            head: self.head,
+            body: self.body,
+            served,
+            deadline,
+        };
+        match self.key {
+            Some(key) if !call.is_idempotent() => claimed::run(call, record, key).await,
+            _ => call.run(record).await,
+        }
     }
 }
 
+/// Reads the complete body, before anything is sent: a call that is aborted here did not run.
+async fn read_body(context: &EntryContext, body: Incoming) -> Result<Bytes, Refusal> {
+    let read = read_bounded(body, context.max_body_bytes);
+    read_within(context.body_timeout, read)
+        .await
+        .map_err(|failure| Refusal::bad_body(&failure))
+}
+
 /// Claim of a key that this host knows without a question to the keepers.
 fn known_claim(context: &EntryContext, scope: &ClaimScope) -> Option<KnownClaim> {
     let own = context.settling.known(scope);
     own.or_else(|| context.agreed.known_claim(scope))
 }
 
-/// Selects, admits and runs a call.
-async fn admit(
-    context: &Arc<EntryContext>,
-    arrival: &RequestArrival,
-    request: Request<Incoming>,
-    customer: CustomerName,
-    service: ServiceName,
-    key: Option<String>,
-) -> Result<Response<ResponseBody>, Refusal> {
-    let mut facts = RequestFacts::call(customer.clone(), service.clone());
-    facts.path = request.uri().path().into();
-    let served = select(context, &facts)?;
-    let (head, body) = request.into_parts();
-    // The complete body is read before anything is sent: a call that is aborted here did not run.
-    let read = read_bounded(body, context.max_body_bytes);
-    let body = read_within(context.body_timeout, read)
-        .await
-        .map_err(|failure| Refusal::bad_body(&failure))?;
-    let claim = key.as_deref().map(ClaimKey::from);
-    let digest = BodyDigest::of(&body);
-    let deadline = served.deadline(context, arrival.arrived);
-    let ticket = served.admit(context, &customer, 0, deadline).await?;
-    let record = RunningRequest::begin(context, arrival, claim, digest, &served, ticket)?;
-    let context = Arc::clone(context);
-    let id = arrival.id.clone();
-    let call = ServiceCall {
-        context,
-        id,
-        customer,
-        service,
-        head,
-        body,
-        served,
-        deadline,
-    };
-    match key {
-        Some(key) if !call.is_idempotent() => claimed::run(call, record, key).await,
-        _ => call.run(record).await,
+/// Adds to a temporary refusal of a resend that an earlier arrival claimed its key.
+///
+/// A resend that is told `not-run` without this, for example while its host can't confirm its
+/// configuration, reads as if the call of its key had not run.
+fn with_earlier_arrival(refusal: Refusal, known: &KnownClaim) -> Refusal {
+    // The outcome of a recorded refusal is in the evidence already. It comes from the claim itself.
+    if refusal.recorded || !refusal.is_temporary() {
+        return refusal;
     }
+    refusal.with_earlier_arrival(&known.request)
 }
 
 impl ServiceCall {
--- a/crates/daemon/src/entry/services/claimed.rs
+++ b/crates/daemon/src/entry/services/claimed.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use http::{HeaderName, HeaderValue, Response, StatusCode, header, request};
 use pollendrift_coordination::base::SequenceNumber;
 use pollendrift_coordination::claims::{
     AnswerBody, AnswerHeader, CallEffect, CallEvent, CallerResponse, ClaimScope, ClaimState,
@@ -70,7 +70,7 @@
     };
     let take = TakeClaim {
         scope,
-        digest: call_digest(&call),
+        digest: call_digest(&call.head, &call.body),
         request: call.id.clone(),
         ticket,
     };
@@ -331,18 +331,10 @@
 }
 
 /// Digest of the method, the target and the body, which together identify the call.
-fn call_digest(call: &ServiceCall) -> RequestDigest {
-    let target = call
-        .head
-        .uri
-        .path_and_query()
-        .map_or("", |path| path.as_str());
+pub(super) fn call_digest(head: &request::Parts, body: &[u8]) -> RequestDigest {
+    let target = head.uri.path_and_query().map_or("", |path| path.as_str());
     let mut hasher = Sha256::new();
-    for part in [
-        call.head.method.as_str().as_bytes(),
-        target.as_bytes(),
-        &call.body,
-    ] {
+    for part in [head.method.as_str().as_bytes(), target.as_bytes(), body] {
         let length = u64::try_from(part.len()).unwrap_or(u64::MAX);
         hasher.update(length.to_be_bytes());
         hasher.update(part);
--- a/crates/daemon/tests/hosts/claims.rs
+++ b/crates/daemon/tests/hosts/claims.rs
@@ -166,7 +166,8 @@
 
 // Guards against a resend that is refused as not run while its call runs: the keepers' quorum is lost
 // after the claim, so no claim can be taken. The caller would send the call again under another key.
-// The entry of the first call and each host with a keeper know the claim without the quorum.
+// The entry of the first call and each host with a keeper know the claim without the quorum. A call
+// with another body is not the claimed one, and has not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_resend_without_a_keeper_quorum_is_not_refused_as_not_run() {
     let mut group = HostGroup::start(4, 3).await;
@@ -180,19 +181,24 @@
     group.crash(0);
     group.crash(1);
     let mut seen = Vec::new();
-    for entry in [2, 3] {
+    for (entry, body) in [(2, "a"), (3, "a"), (2, "other"), (3, "other")] {
         let outcome = caller(&group, entry)
-            .post("portal", "filings", "key-5", "a")
+            .post("portal", "filings", "key-5", body)
             .await;
-        seen.push(format!("entry {entry}: {}", outcome_kind(&outcome)));
+        seen.push(format!(
+            "entry {entry}, body {body}: {}",
+            outcome_kind(&outcome)
+        ));
     }
     service.hold_answers(false);
     let outcome = sent.await.unwrap();
     seen.push(format!("first call: {}", outcome_kind(&outcome)));
     seen.push(format!("runs: {:?}", service.runs()));
     insta::assert_snapshot!(seen.join("\n"), @r#"
-    entry 2: unknown
-    entry 3: unknown
+    entry 2, body a: unknown
+    entry 3, body a: unknown
+    entry 2, body other: not run
+    entry 3, body other: not run
     first call: answered
     runs: {"key-5": 1}
     "#);
