fix(claims): a resend does not overtake the release of its refused call

Cause: a call waits for the outcomes of earlier calls with its key, but after 5 s it took its claim anyway. While the keepers had no leader for longer, the take and the release waited for the same leader, and a take that was first found its own refused call in progress.

Change: the wait is 10 s, the time that the wait and the take had together. A call whose wait ends without the record takes no claim.

--- a/crates/daemon/src/entry/services/claimed.rs
+++ b/crates/daemon/src/entry/services/claimed.rs
@@ -182,8 +182,11 @@
     }
 
     async fn take(&self, take: TakeClaim) -> CallEvent {
-        self.call.context.settling.wait(&take.scope).await;
         let scope = take.scope.clone();
+        if !self.call.context.settling.wait(&scope).await {
+            log::warn!(claim:% = scope; "claim not taken: outcome of an earlier call not recorded");
+            return CallEvent::TakeUnanswered(known_claim(&self.call.context, &scope));
+        }
         let submitted = self
             .call
             .context
--- a/crates/daemon/src/entry/services/settling.rs
+++ b/crates/daemon/src/entry/services/settling.rs
@@ -8,8 +8,10 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-/// Longest wait of a call for an earlier call with the same key, the time limit of one command.
-const MAX_SETTLING_WAIT: Duration = Duration::from_secs(5);
+/// Longest wait of a call for an earlier call with the same key: two commands at their time limit.
+/// After the time of one, the command of the earlier call was often still repeated, and a take that
+/// overtook it found its own refused key in progress.
+const MAX_SETTLING_WAIT: Duration = Duration::from_secs(10);
 
 /// Counts the calls of each key whose outcome is not recorded yet.
 ///
@@ -53,15 +55,13 @@
     }
 
     /// Waits until the outcomes of earlier calls with the key of `scope` are recorded, for at most
-    /// [`MAX_SETTLING_WAIT`]. After that, the keepers decide with what they know.
-    pub(super) async fn wait(&self, scope: &ClaimScope) {
+    /// [`MAX_SETTLING_WAIT`]; returns whether they are.
+    pub(super) async fn wait(&self, scope: &ClaimScope) -> bool {
         let Some(mut count) = self.lock().get(scope).map(watch::Sender::subscribe) else {
-            return;
+            return true;
         };
         let recorded = count.wait_for(|count| *count == 0);
-        if timeout(MAX_SETTLING_WAIT, recorded).await.is_err() {
-            log::warn!(claim:% = scope; "outcome of an earlier call not recorded in time");
-        }
+        timeout(MAX_SETTLING_WAIT, recorded).await.is_ok()
     }
 
     /// Records that a call of this entry holds the claim of `scope`.
