test(claims): a failed test prints what each caller was told

The tests compare the kinds of outcomes only, so a failure did not tell a refusal without a confirmed configuration from one without a claim.

Also: the response that waits for the record of its outcome moves out of CallStep, whose variants differed too much in size for clippy.

--- a/crates/coordination/src/claims/call.rs
+++ b/crates/coordination/src/claims/call.rs
@@ -103,17 +103,15 @@
 pub struct ClaimedCall {
     take: TakeClaim,
     step: CallStep,
+    /// Response to return once the keepers recorded the outcome, or after one attempt at it.
+    response: Option<CallerResponse>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum CallStep {
     Taking,
     Sending,
-    /// `response` is returned once the keepers recorded the outcome, or after one attempt at it.
-    Settling {
-        settle: SettleClaim,
-        response: Option<CallerResponse>,
-    },
+    Settling(SettleClaim),
     Ended,
 }
 
@@ -122,7 +120,12 @@
     pub fn begin(take: TakeClaim) -> (Self, Vec<CallEffect>) {
         let effects = vec![CallEffect::Take(take.clone())];
         let step = CallStep::Taking;
-        (Self { take, step }, effects)
+        let call = Self {
+            take,
+            step,
+            response: None,
+        };
+        (call, effects)
     }
 
     /// Scope within which the key is unique.
@@ -143,7 +146,7 @@
     /// Handles an event and returns the effects to carry out. An event that does not apply to the
     /// current step, such as a late duplicate of an answer, has no effect.
     pub fn handle(&mut self, event: CallEvent) -> Vec<CallEffect> {
-        match (&mut self.step, event) {
+        match (&self.step, event) {
             (CallStep::Taking, CallEvent::TakeAnswered(answer)) => self.handle_take_answer(answer),
             (CallStep::Taking, CallEvent::TakeUnanswered(known)) => self.give_up_take(known),
             (CallStep::Sending, CallEvent::ConnectionRefused) => {
@@ -160,13 +163,13 @@
                 let request = self.take.request.clone();
                 self.settle(ClaimOutcome::Unknown, CallerResponse::Unknown { request })
             }
-            (CallStep::Settling { settle, response }, CallEvent::SettleUnanswered) => {
+            (CallStep::Settling(settle), CallEvent::SettleUnanswered) => {
                 let settle = CallEffect::Settle(settle.clone());
-                let response = response.take().map(CallEffect::Respond);
+                let response = self.response.take().map(CallEffect::Respond);
                 response.into_iter().chain([settle]).collect()
             }
-            (CallStep::Settling { response, .. }, CallEvent::SettleAnswered) => {
-                let response = response.take().map(CallEffect::Respond);
+            (CallStep::Settling(_), CallEvent::SettleAnswered) => {
+                let response = self.response.take().map(CallEffect::Respond);
                 self.step = CallStep::Ended;
                 response.into_iter().collect()
             }
@@ -203,10 +206,7 @@
             None => CallerResponse::NotRun(NotRunReason::KeepersUnreachable),
         };
         let settle = self.settle_command(ClaimOutcome::NotRun);
-        self.step = CallStep::Settling {
-            settle: settle.clone(),
-            response: None,
-        };
+        self.step = CallStep::Settling(settle.clone());
         vec![CallEffect::Respond(response), CallEffect::Settle(settle)]
     }
 
@@ -221,10 +221,8 @@
     /// keepers had the outcome, and was told that its finished call is in progress.
     fn settle(&mut self, outcome: ClaimOutcome, response: CallerResponse) -> Vec<CallEffect> {
         let settle = self.settle_command(outcome);
-        self.step = CallStep::Settling {
-            settle: settle.clone(),
-            response: Some(response),
-        };
+        self.step = CallStep::Settling(settle.clone());
+        self.response = Some(response);
         vec![CallEffect::Settle(settle)]
     }
 
--- a/crates/daemon/tests/hosts/claims.rs
+++ b/crates/daemon/tests/hosts/claims.rs
@@ -20,8 +20,9 @@
     ServiceCaller::new(&group.entry(index), CUSTOMER_TOKEN)
 }
 
-/// Kind of a call's outcome, without the details that differ between runs.
+/// Kind of a call's outcome, without the details that differ between runs. A failed test prints them.
 fn outcome_kind(outcome: &CallOutcome) -> &'static str {
+    println!("{outcome:?}");
     match outcome {
         CallOutcome::Answered(_) => "answered",
         CallOutcome::NotRun(_) | CallOutcome::NotSent(_) => "not run",
