--- a/crates/coordination/src/claims/call.rs
+++ b/crates/coordination/src/claims/call.rs
@@ -3,8 +3,8 @@
 use derive_more::Display;
 
 use super::claim::{
-    ClaimOutcome, ClaimScope, ClaimState, ClaimTicket, SettleClaim, StoredAnswer, TakeAnswer,
-    TakeClaim,
+    ClaimOutcome, ClaimScope, ClaimState, ClaimTicket, KnownClaim, SettleClaim, StoredAnswer,
+    TakeAnswer, TakeClaim,
 };
 use crate::base::RequestId;
 
@@ -13,8 +13,9 @@
 pub enum CallEvent {
     /// The keepers answered the take.
     TakeAnswered(TakeAnswer),
-    /// The keepers did not answer the take in time; they may still apply it later.
-    TakeUnanswered,
+    /// The keepers did not answer the take in time; they may still apply it later. Contains the
+    /// claim of the key that the entry knows without them, if any.
+    TakeUnanswered(Option<KnownClaim>),
     /// The connection was refused before a byte was sent.
     ConnectionRefused,
     /// The backend server reported that it did not start the call. `SendOutcome::Declined` of
@@ -26,7 +27,7 @@
     AnswerLost,
     /// The keepers recorded the outcome, or rejected it permanently.
     SettleAnswered,
-    /// The keepers did not confirm the outcome in time.
+    /// The keepers did not confirm the outcome in time; they may still record it later.
     SettleUnanswered,
 }
 
@@ -96,12 +97,14 @@
 
 /// State machine of one arrival at its entry.
 ///
-/// Invariant: [`CallEffect::Send`] is returned at most once, and only after the keepers answered
-/// the take with [`TakeAnswer::Taken`].
+/// Invariants: [`CallEffect::Send`] is returned at most once, and only after the keepers answered
+/// the take with [`TakeAnswer::Taken`]. [`CallEffect::Respond`] is returned exactly once.
 #[derive(Clone, Debug)]
 pub struct ClaimedCall {
     take: TakeClaim,
     step: CallStep,
+    /// Response to return once the keepers recorded the outcome, or after one attempt at it.
+    response: Option<CallerResponse>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -117,7 +120,12 @@
     pub fn begin(take: TakeClaim) -> (Self, Vec<CallEffect>) {
         let effects = vec![CallEffect::Take(take.clone())];
         let step = CallStep::Taking;
-        (Self { take, step }, effects)
+        let call = Self {
+            take,
+            step,
+            response: None,
+        };
+        (call, effects)
     }
 
     /// Scope within which the key is unique.
@@ -140,9 +148,7 @@
     pub fn handle(&mut self, event: CallEvent) -> Vec<CallEffect> {
         match (&self.step, event) {
             (CallStep::Taking, CallEvent::TakeAnswered(answer)) => self.handle_take_answer(answer),
-            (CallStep::Taking, CallEvent::TakeUnanswered) => {
-                self.not_run(NotRunReason::KeepersUnreachable)
-            }
+            (CallStep::Taking, CallEvent::TakeUnanswered(known)) => self.give_up_take(known),
             (CallStep::Sending, CallEvent::ConnectionRefused) => {
                 self.not_run(NotRunReason::ConnectionRefused)
             }
@@ -158,11 +164,14 @@
                 self.settle(ClaimOutcome::Unknown, CallerResponse::Unknown { request })
             }
             (CallStep::Settling(settle), CallEvent::SettleUnanswered) => {
-                vec![CallEffect::Settle(settle.clone())]
+                let settle = CallEffect::Settle(settle.clone());
+                let response = self.response.take().map(CallEffect::Respond);
+                response.into_iter().chain([settle]).collect()
             }
             (CallStep::Settling(_), CallEvent::SettleAnswered) => {
+                let response = self.response.take().map(CallEffect::Respond);
                 self.step = CallStep::Ended;
-                Vec::new()
+                response.into_iter().collect()
             }
             _ => Vec::new(),
         }
@@ -174,11 +183,7 @@
                 self.step = CallStep::Sending;
                 return vec![CallEffect::Send];
             }
-            TakeAnswer::AlreadyTaken { request, state } => match state {
-                ClaimState::InProgress => CallerResponse::InProgress { request },
-                ClaimState::Unknown => CallerResponse::Unknown { request },
-                ClaimState::Finished(answer) => CallerResponse::StoredAnswer { request, answer },
-            },
+            TakeAnswer::AlreadyTaken { request, state } => response_of_claim(request, state),
             TakeAnswer::BodyDiffers { request } => CallerResponse::BodyDiffers { request },
             TakeAnswer::Full => CallerResponse::NotRun(NotRunReason::ClaimsFull),
             TakeAnswer::TicketSpent => CallerResponse::NotRun(NotRunReason::EntryReplaced),
@@ -187,18 +192,54 @@
         vec![CallEffect::Respond(response)]
     }
 
+    /// Responds at once and releases the key: the caller has already waited for the keepers.
+    ///
+    /// If the entry knows that an earlier arrival claimed the key, the response is the state of that
+    /// claim. This arrival did not run, but a caller that is told so of a resend may conclude that
+    /// its call did not run, and send it again under another key.
+    fn give_up_take(&mut self, known: Option<KnownClaim>) -> Vec<CallEffect> {
+        let is_earlier = |known: &KnownClaim| {
+            known.ticket != self.take.ticket && known.digest == self.take.digest
+        };
+        let response = match known.filter(is_earlier) {
+            Some(known) => response_of_claim(known.request, known.state),
+            None => CallerResponse::NotRun(NotRunReason::KeepersUnreachable),
+        };
+        let settle = self.settle_command(ClaimOutcome::NotRun);
+        self.step = CallStep::Settling(settle.clone());
+        vec![CallEffect::Respond(response), CallEffect::Settle(settle)]
+    }
+
     /// Releases the key, so that a call that did not run does not block the caller's retry.
     fn not_run(&mut self, reason: NotRunReason) -> Vec<CallEffect> {
         self.settle(ClaimOutcome::NotRun, CallerResponse::NotRun(reason))
     }
 
+    /// Records the outcome, and responds after the first attempt at it.
+    ///
+    /// A caller that got the response first could resend its key through another entry before the
+    /// keepers had the outcome, and was told that its finished call is in progress.
     fn settle(&mut self, outcome: ClaimOutcome, response: CallerResponse) -> Vec<CallEffect> {
-        let settle = SettleClaim {
+        let settle = self.settle_command(outcome);
+        self.step = CallStep::Settling(settle.clone());
+        self.response = Some(response);
+        vec![CallEffect::Settle(settle)]
+    }
+
+    fn settle_command(&self, outcome: ClaimOutcome) -> SettleClaim {
+        SettleClaim {
             scope: self.take.scope.clone(),
             ticket: self.take.ticket.clone(),
             outcome,
-        };
-        self.step = CallStep::Settling(settle.clone());
-        vec![CallEffect::Respond(response), CallEffect::Settle(settle)]
+        }
+    }
+}
+
+/// Response to an arrival whose key an earlier arrival, `request`, has claimed.
+fn response_of_claim(request: RequestId, state: ClaimState) -> CallerResponse {
+    match state {
+        ClaimState::InProgress => CallerResponse::InProgress { request },
+        ClaimState::Unknown => CallerResponse::Unknown { request },
+        ClaimState::Finished(answer) => CallerResponse::StoredAnswer { request, answer },
     }
 }
--- a/crates/daemon/src/entry/services/claimed.rs
+++ b/crates/daemon/src/entry/services/claimed.rs
@@ -8,22 +8,29 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use http::{HeaderName, HeaderValue, Response, StatusCode, header, request};
 use pollendrift_coordination::base::SequenceNumber;
 use pollendrift_coordination::claims::{
-    AnswerBody, AnswerHeader, CallEffect, CallEvent, CallerResponse, ClaimScope, ClaimTicket,
-    ClaimedCall, RequestDigest, SettleClaim, StoredAnswer, TakeClaim,
+    AnswerBody, AnswerHeader, CallEffect, CallEvent, CallerResponse, ClaimScope, ClaimState,
+    ClaimTicket, ClaimedCall, KnownClaim, RequestDigest, SettleClaim, StoredAnswer, TakeClaim,
 };
 use pollendrift_coordination::replicated::{CommandAnswer, ReplicatedCommand};
 use pollendrift_http::{ClientError, ResponseBody};
 use sha2::{Digest, Sha256};
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
 
-use super::ServiceCall;
 use super::proxy::{self, BufferedAnswer};
+use super::settling::HeldClaim;
+use super::{ServiceCall, known_claim};
 use crate::entry::record::{RequestEnding, RunningRequest};
 use crate::entry::refusal::Refusal;
 
+/// Longest wait of a response for the record of its outcome, as long as for the evidence of its
+/// request. A resend during an outage may find the key in progress, but no caller waits for the end
+/// of the outage.
+const SETTLE_RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay between two attempts to settle a claim while no keeper answers.
 const SETTLE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum attempts to settle a claim. After them the claim stays in progress until this process's
@@ -63,7 +70,7 @@
     };
     let take = TakeClaim {
         scope,
-        digest: call_digest(&call),
+        digest: call_digest(&call.head, &call.body),
         request: call.id.clone(),
         ticket,
     };
@@ -73,6 +80,8 @@
     let runner = ClaimRunner {
         call,
         record: Some(record),
+        recording: None,
+        held: None,
         answer: None,
         reply: Some(reply),
     };
@@ -97,8 +106,12 @@
 
 struct ClaimRunner {
     call: ServiceCall,
-    /// `None` once the response has been recorded and sent to the caller.
+    /// `None` once the end of the request is being recorded.
     record: Option<RunningRequest>,
+    /// Task that records the end of the request.
+    recording: Option<JoinHandle<()>>,
+    /// The claim, from the take until the keepers have recorded its outcome.
+    held: Option<HeldClaim>,
     answer: Option<BufferedAnswer>,
     reply: Option<oneshot::Sender<Result<BufferedAnswer, Refusal>>>,
 }
@@ -106,6 +119,12 @@
 impl ClaimRunner {
     async fn run(mut self, take: TakeClaim) {
         let scope = take.scope.clone();
+        let claim = KnownClaim {
+            ticket: take.ticket.clone(),
+            digest: take.digest,
+            request: take.request.clone(),
+            state: ClaimState::InProgress,
+        };
         let (mut claimed, effects) = ClaimedCall::begin(take);
         let mut queue = VecDeque::from(effects);
         let mut attempts = 0;
@@ -113,9 +132,16 @@
         while let Some(effect) = queue.pop_front() {
             let event = match effect {
                 CallEffect::Take(take) => Some(self.take(take).await),
-                CallEffect::Send => Some(self.send().await),
+                CallEffect::Send => {
+                    let settling = &self.call.context.settling;
+                    self.held = Some(settling.hold(&scope, claim.clone()));
+                    Some(self.send().await)
+                }
                 CallEffect::Settle(settle) if attempts < MAX_SETTLE_ATTEMPTS => {
                     attempts += 1;
+                    if attempts > 1 {
+                        sleep(SETTLE_RETRY_DELAY).await;
+                    }
                     Some(self.settle(settle).await)
                 }
                 CallEffect::Settle(settle) => {
@@ -127,6 +153,9 @@
                     None
                 }
             };
+            if let Some(event) = &event {
+                self.update_held(event);
+            }
             queue.extend(event.into_iter().flat_map(|event| claimed.handle(event)));
             let is_settle = |effect: &CallEffect| matches!(effect, CallEffect::Settle(_));
             if settling.is_none() && queue.iter().any(is_settle) {
@@ -136,18 +165,39 @@
         }
     }
 
+    /// Updates what later arrivals at this entry are told while no keeper answers them.
+    fn update_held(&mut self, event: &CallEvent) {
+        let state = match event {
+            CallEvent::Answered(answer) => ClaimState::Finished(answer.clone()),
+            CallEvent::AnswerLost => ClaimState::Unknown,
+            CallEvent::ConnectionRefused => {
+                self.held = None;
+                return;
+            }
+            _ => return,
+        };
+        if let Some(held) = &self.held {
+            held.set_state(state);
+        }
+    }
+
     async fn take(&self, take: TakeClaim) -> CallEvent {
-        self.call.context.settling.wait(&take.scope).await;
-        match self
+        let scope = take.scope.clone();
+        if !self.call.context.settling.wait(&scope).await {
+            log::warn!(claim:% = scope; "claim not taken: outcome of an earlier call not recorded");
+            return CallEvent::TakeUnanswered(known_claim(&self.call.context, &scope));
+        }
+        let submitted = self
             .call
             .context
             .agreed
-            .submit(ReplicatedCommand::TakeClaim(take))
-            .await
-        {
-            Ok(CommandAnswer::Taken(answer)) => CallEvent::TakeAnswered(answer),
-            _ => CallEvent::TakeUnanswered,
+            .submit(ReplicatedCommand::TakeClaim(take));
+        match submitted.await {
+            Ok(CommandAnswer::Taken(answer)) => return CallEvent::TakeAnswered(answer),
+            Ok(_) => {}
+            Err(error) => log::warn!(claim:% = scope, error:% = error; "claim not taken"),
         }
+        CallEvent::TakeUnanswered(known_claim(&self.call.context, &scope))
     }
 
     async fn send(&mut self) -> CallEvent {
@@ -164,6 +214,9 @@
             match result {
                 Ok(answer) => {
                     let stored = stored_answer(&answer);
+                    // At the same time as the outcome, so that the caller waits for the longer of
+                    // the two commits only.
+                    self.record_end(answer.ending());
                     self.answer = Some(answer);
                     return CallEvent::Answered(stored);
                 }
@@ -183,18 +236,27 @@
     }
 
     async fn settle(&self, settle: SettleClaim) -> CallEvent {
-        match self
-            .call
-            .context
-            .agreed
-            .submit(ReplicatedCommand::SettleClaim(settle))
-            .await
-        {
-            Ok(CommandAnswer::Settled(_)) => CallEvent::SettleAnswered,
-            _ => {
-                tokio::time::sleep(SETTLE_RETRY_DELAY).await;
-                CallEvent::SettleUnanswered
+        let scope = settle.scope.clone();
+        let command = ReplicatedCommand::SettleClaim(settle);
+        let submitted = self.call.context.agreed.submit(command);
+        let answer = match &self.reply {
+            Some(_) => timeout(SETTLE_RESPONSE_TIMEOUT, submitted).await.ok(),
+            None => Some(submitted.await),
+        };
+        match answer {
+            Some(Ok(CommandAnswer::Settled(_))) => return CallEvent::SettleAnswered,
+            Some(Err(error)) => {
+                log::warn!(claim:% = scope, error:% = error; "outcome of a call not recorded yet");
             }
+            Some(Ok(_)) | None => {}
+        }
+        CallEvent::SettleUnanswered
+    }
+
+    /// Starts to record the end of the request, unless that has already begun.
+    fn record_end(&mut self, ending: RequestEnding) {
+        if let Some(record) = self.record.take() {
+            self.recording = Some(tokio::spawn(record.finish(ending)));
         }
     }
 
@@ -204,12 +266,14 @@
             answer: self.answer.take(),
         }
         .into_answer();
-        if let Some(record) = self.record.take() {
-            let ending = match &result {
-                Ok(answer) => answer.ending(),
-                Err(refusal) => RequestEnding::of_refusal(refusal, false),
-            };
-            record.finish(ending).await;
+        self.record_end(match &result {
+            Ok(answer) => answer.ending(),
+            Err(refusal) => RequestEnding::of_refusal(refusal, false),
+        });
+        if let Some(recording) = self.recording.take()
+            && let Err(error) = recording.await
+        {
+            log::error!(request:% = self.call.id, error:% = error; "end of a call not recorded");
         }
         if let Some(reply) = self.reply.take() {
             // A caller that disconnected receives the stored outcome when it resends its key.
@@ -270,18 +334,10 @@
 }
 
 /// Digest of the method, the target and the body, which together identify the call.
-fn call_digest(call: &ServiceCall) -> RequestDigest {
-    let target = call
-        .head
-        .uri
-        .path_and_query()
-        .map_or("", |path| path.as_str());
+pub(super) fn call_digest(head: &request::Parts, body: &[u8]) -> RequestDigest {
+    let target = head.uri.path_and_query().map_or("", |path| path.as_str());
     let mut hasher = Sha256::new();
-    for part in [
-        call.head.method.as_str().as_bytes(),
-        target.as_bytes(),
-        &call.body,
-    ] {
+    for part in [head.method.as_str().as_bytes(), target.as_bytes(), body] {
         let length = u64::try_from(part.len()).unwrap_or(u64::MAX);
         hasher.update(length.to_be_bytes());
         hasher.update(part);
