fix(quarantine): only whole answers prove prompt parts

Cause: an answer counted as proof of its parts 250 ms after its first event. A part that crashes engines later was cleared by each of its own drafts before the crash, and never held back.

Change: a whole answer is the proof. Crashes under drafts that were sent before a crash was known are one round. Each notice carries whole answers and the times of the sends as optional fields.

--- a/crates/coordination/src/quarantine/crashes.rs
+++ b/crates/coordination/src/quarantine/crashes.rs
@@ -19,18 +19,27 @@
     pub(super) version: Option<VersionName>,
     /// Time at which the first host noticed it.
     pub(super) at: MonotonicTime,
+    /// Suspected parts, with the time at which the latest draft with the part on the engine was sent.
     /// Not empty.
-    pub(super) suspects: BTreeSet<PartName>,
+    pub(super) suspects: BTreeMap<PartName, MonotonicTime>,
 }
 
 /// Crashes that a part is suspected of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Blame {
     pub(super) crashes: u32,
+    /// Times at which requests with the part were sent and crashed engines, knowing of the crashes
+    /// before. What was on engines at the first crash is one round, whenever it crashes its engine.
     pub(super) rounds: u32,
+    pub(super) first_at: MonotonicTime,
     pub(super) last_at: MonotonicTime,
+    /// Longest time between the first and the last crash of one round.
+    pub(super) round_span: Duration,
     /// Whether the part is the only one that is still suspected of one of the crashes.
     pub(super) is_sole_suspect: bool,
+    /// Whether it was the only one soon after one of the crashes. A sound part can become the only one
+    /// later, as answers to the others end before one to it does.
+    pub(super) was_sole_suspect: bool,
 }
 
 /// Crashes, and the last answers to the parts that were suspected of one.
@@ -38,6 +47,8 @@
 pub(super) struct CrashTable {
     records: BTreeMap<CrashId, CrashRecord>,
     cleared: BTreeMap<PartKey, MonotonicTime>,
+    /// Time of the latest crash ever added.
+    latest_at: MonotonicTime,
 }
 
 impl CrashTable {
@@ -53,6 +64,11 @@
         self.records.get(id)
     }
 
+    /// Whether all crashes were before `at`.
+    pub(super) fn are_before(&self, at: MonotonicTime) -> bool {
+        self.records.is_empty() || self.latest_at < at
+    }
+
     pub(super) fn cleared_at(&self, key: &PartKey) -> Option<MonotonicTime> {
         self.cleared.get(key).copied()
     }
@@ -65,7 +81,7 @@
     pub(super) fn parts(&self) -> BTreeSet<PartKey> {
         let records = self.records.values();
         let parts = records.flat_map(|record| {
-            record.suspects.iter().map(|part| PartKey {
+            record.suspects.keys().map(|part| PartKey {
                 service: record.service.clone(),
                 part: part.clone(),
             })
@@ -87,14 +103,17 @@
             .records
             .entry(id.clone())
             .or_insert_with(|| CrashRecord {
-                suspects: BTreeSet::new(),
+                suspects: BTreeMap::new(),
                 ..crash.clone()
             });
         record.at = record.at.min(crash.at);
+        self.latest_at = self.latest_at.max(record.at);
         let mut added = Vec::new();
-        for part in crash.suspects {
-            if record.suspects.len() < settings.max_suspects && record.suspects.insert(part.clone())
-            {
+        for (part, sent_at) in crash.suspects {
+            if let Some(known) = record.suspects.get_mut(&part) {
+                *known = sent_at.max(*known);
+            } else if record.suspects.len() < settings.max_suspects {
+                record.suspects.insert(part.clone(), sent_at);
                 added.push(part);
             }
         }
@@ -118,39 +137,51 @@
         settings: &QuarantineSettings,
         key: &PartKey,
     ) -> Option<Blame> {
-        let counted = |record: &&CrashRecord| {
-            record.service == key.service
-                && record.suspects.contains(&key.part)
-                && !self.is_cleared(key, record.at)
-        };
-        let mut counted: Vec<&CrashRecord> = self.records.values().filter(counted).collect();
-        counted.sort_by_key(|record| record.at);
-        let (mut round_at, last_at) = (counted.first()?.at, counted.last()?.at);
-        let mut rounds = 1;
-        for record in &counted {
-            if record.at.since(round_at) > settings.round_gap {
+        let counted = self.records.values().filter_map(|record| {
+            let sent_at = record.suspects.get(&key.part)?;
+            let is_counted = record.service == key.service && !self.is_cleared(key, record.at);
+            is_counted.then_some((record, *sent_at))
+        });
+        let mut counted: Vec<(&CrashRecord, MonotonicTime)> = counted.collect();
+        counted.sort_by_key(|(record, _)| record.at);
+        let (first_at, last_at) = (counted.first()?.0.at, counted.last()?.0.at);
+        let (mut round_at, mut rounds, mut round_span) = (first_at, 1, Duration::ZERO);
+        for (record, sent_at) in &counted {
+            if sent_at.since(round_at) > settings.round_gap {
                 rounds += 1;
                 round_at = record.at;
             }
+            round_span = round_span.max(record.at.since(round_at));
         }
         if rounds == 1 && now.since(last_at) >= settings.suspicion {
             return None;
         }
-        let is_sole_suspect = counted.iter().any(|record| {
-            let mut others = record.suspects.iter().filter(|part| **part != key.part);
-            others.all(|part| {
-                let other = PartKey {
-                    service: key.service.clone(),
-                    part: part.clone(),
-                };
-                self.is_cleared(&other, record.at)
+        let service = &key.service;
+        let is_sole_until = |until: Option<Duration>| {
+            counted.iter().any(|(record, _)| {
+                let until = until.map(|time| record.at.after(time));
+                let mut others = record.suspects.keys().filter(|part| **part != key.part);
+                others.all(|part| {
+                    let other = PartKey {
+                        service: service.clone(),
+                        part: part.clone(),
+                    };
+                    let cleared_at = self.cleared_at(&other);
+                    self.is_cleared(&other, record.at)
+                        && until.is_none_or(|until| cleared_at.is_some_and(|at| at <= until))
+                })
             })
-        });
+        };
+        let is_sole_suspect = is_sole_until(None);
+        let was_sole_suspect = is_sole_suspect && is_sole_until(Some(settings.round_gap));
         Some(Blame {
             crashes: u32::try_from(counted.len()).unwrap_or(u32::MAX),
             rounds,
+            first_at,
             last_at,
+            round_span,
             is_sole_suspect,
+            was_sole_suspect,
         })
     }
 
@@ -165,7 +196,7 @@
         let before = at.before(settings.round_gap);
         let records = self.records.values().filter(|record| {
             record.service == key.service
-                && record.suspects.contains(&key.part)
+                && record.suspects.contains_key(&key.part)
                 && record.at < before
         });
         records.map(|record| record.at).max()
@@ -197,7 +228,7 @@
     fn evict(&mut self, settings: &QuarantineSettings) {
         while self.records.len() > settings.max_crashes {
             let is_explained = |record: &CrashRecord| {
-                record.suspects.iter().all(|part| {
+                record.suspects.keys().all(|part| {
                     let key = PartKey {
                         service: record.service.clone(),
                         part: part.clone(),
--- a/crates/coordination/src/quarantine/sends.rs
+++ b/crates/coordination/src/quarantine/sends.rs
@@ -1,4 +1,4 @@
-//! Requests that are on engines and whose parts are not proven yet.
+//! Requests that are on engines.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,15 +18,17 @@
     pub(super) service: ServiceName,
     pub(super) parts: Arc<[PartName]>,
     engines: Vec<ServerName>,
-    sent_at: MonotonicTime,
+    pub(super) sent_at: MonotonicTime,
     /// Time of the first event of the answer.
     began_at: Option<MonotonicTime>,
+    /// Whether the answer has lasted for a while.
+    has_lasted: bool,
     /// Whether its parts are suspects of a crash. Other engines of its chain that crash for the same
     /// reason do not make them suspects of several crashes.
-    is_blamed: bool,
+    pub(super) is_blamed: bool,
 }
 
-/// Requests of this host that are on engines, until they are proven or end.
+/// Requests of this host that are on engines, until they end.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SendTable {
     sends: SlotMap<SendKey, EngineSend>,
@@ -46,24 +48,26 @@
             engines,
             sent_at: now,
             began_at: None,
+            has_lasted: false,
             is_blamed: false,
         })
     }
 
-    /// Records an event of an answer. Returns the request if that proves its parts; it is no longer in
-    /// the table then.
+    /// Records an event of an answer. Returns the request if the answer has lasted for `time` with this
+    /// event, and had not before.
     pub(super) fn record_event(
         &mut self,
         now: MonotonicTime,
         key: SendKey,
-        proof_time: Duration,
-    ) -> Option<EngineSend> {
+        time: Duration,
+    ) -> Option<&EngineSend> {
         let send = self.sends.get_mut(key)?;
         let began_at = *send.began_at.get_or_insert(now);
-        if now.since(began_at) < proof_time {
+        if send.has_lasted || now.since(began_at) < time {
             return None;
         }
-        self.sends.remove(key)
+        send.has_lasted = true;
+        Some(send)
     }
 
     /// Removes a request; returns it if its answer had begun.
@@ -72,17 +76,17 @@
         send.began_at.is_some().then_some(send)
     }
 
-    pub(super) fn contains(&self, key: SendKey) -> bool {
-        self.sends.contains_key(key)
+    pub(super) fn get(&self, key: SendKey) -> Option<&EngineSend> {
+        self.sends.get(key)
     }
 
-    /// Returns the parts of the requests of `service` on `server`, those of the latest requests first,
-    /// once for each request.
+    /// Returns the parts of the requests of `service` on `server` with the time of the send, those of
+    /// the latest requests first, once for each request.
     pub(super) fn take_parts_on(
         &mut self,
         service: &ServiceName,
         server: &ServerName,
-    ) -> Vec<PartName> {
+    ) -> Vec<(PartName, MonotonicTime)> {
         let on_server = |send: &&mut EngineSend| {
             !send.is_blamed && send.service == *service && send.engines.contains(server)
         };
@@ -91,7 +95,8 @@
         let mut parts = Vec::new();
         for send in sends {
             send.is_blamed = true;
-            parts.extend(send.parts.iter().cloned());
+            let sent_at = send.sent_at;
+            parts.extend(send.parts.iter().map(|part| (part.clone(), sent_at)));
         }
         parts
     }
--- a/crates/coordination/src/quarantine/table/exchange.rs
+++ b/crates/coordination/src/quarantine/table/exchange.rs
@@ -32,16 +32,22 @@
         } else {
             NoticeSource::Entry
         };
-        for proven in notice.proven {
-            self.add_proof(now, proven, &source);
+        for part in notice.proven {
+            self.record_begun(now, part, &source);
+        }
+        for part in notice.complete {
+            self.record_complete(now, part, &source);
         }
         let mut events = Vec::new();
         for note in notice.crashes {
+            let at = now.before(note.age);
+            let sent = note.sent.iter().map(|age| now.before(*age).min(at));
+            let sent = sent.chain(std::iter::repeat(at));
             let crash = CrashRecord {
                 service: note.service,
                 version: note.version,
-                at: now.before(note.age),
-                suspects: note.suspects.into_iter().collect(),
+                at,
+                suspects: note.suspects.into_iter().zip(sent).collect(),
             };
             events.extend(self.add_crash(now, &note.id, crash, &source));
         }
@@ -117,7 +123,8 @@
                 service: record.service.clone(),
                 version: record.version.clone(),
                 age: now.since(record.at),
-                suspects: record.suspects.iter().cloned().collect(),
+                suspects: record.suspects.keys().cloned().collect(),
+                sent: record.suspects.values().map(|at| now.since(*at)).collect(),
             })
         });
         let note = |key: PartKey, at: MonotonicTime| PartNote {
@@ -137,6 +144,7 @@
             cleared: cleared.collect(),
             tested: tested.collect(),
             proven: changes.proven.into_iter().collect(),
+            complete: changes.complete.into_iter().collect(),
         }
     }
 }
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -306,10 +306,12 @@
             version: Some("3".into()),
             age: Duration::from_millis(90),
             suspects: vec!["5c1e".into()],
+            sent: Vec::new(),
         }],
         cleared: vec![note.clone()],
         tested: vec![note],
         proven: vec![PartDigest::of(&"writers".into(), &"5c1e".into())],
+        complete: Vec::new(),
     }
 }
 
