fix(quarantine): proven parts are no suspects beside unproven ones

Cause: a part was suspected of a crash if no whole answer to it had ended since the crash before. When crashes follow each other faster than answers end, that holds for parts that all drafts share.

An answer clears the parts of its prompt of all crashes, not only the held ones.

Measured: `quarantine a_proven_part_is_no_suspect_beside_an_unproven_one` fails without the rule.

--- a/crates/coordination/src/quarantine/crashes.rs
+++ b/crates/coordination/src/quarantine/crashes.rs
@@ -19,9 +19,19 @@
     pub(super) version: Option<VersionName>,
     /// Time at which the first host noticed it.
     pub(super) at: MonotonicTime,
-    /// Suspected parts, with the time at which the latest draft with the part on the engine was sent.
-    /// Not empty.
-    pub(super) suspects: BTreeMap<PartName, MonotonicTime>,
+    /// Suspected parts. Not empty.
+    pub(super) suspects: BTreeMap<PartName, Suspect>,
+}
+
+/// A part that is suspected of a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Suspect {
+    /// Time at which the latest request with the part on the engine was sent.
+    pub(super) sent_at: MonotonicTime,
+    /// Whether the part had a whole answer lately before the crash. It is suspected only if no part
+    /// without one is: else parts that all requests share are, when crashes follow each other faster
+    /// than answers end.
+    pub(super) was_proven: bool,
 }
 
 /// Crashes that a part is suspected of.
@@ -109,11 +119,12 @@
         record.at = record.at.min(crash.at);
         self.latest_at = self.latest_at.max(record.at);
         let mut added = Vec::new();
-        for (part, sent_at) in crash.suspects {
+        for (part, suspect) in crash.suspects {
             if let Some(known) = record.suspects.get_mut(&part) {
-                *known = sent_at.max(*known);
+                known.sent_at = suspect.sent_at.max(known.sent_at);
+                known.was_proven |= suspect.was_proven;
             } else if record.suspects.len() < settings.max_suspects {
-                record.suspects.insert(part.clone(), sent_at);
+                record.suspects.insert(part.clone(), suspect);
                 added.push(part);
             }
         }
@@ -138,9 +149,11 @@
         key: &PartKey,
     ) -> Option<Blame> {
         let counted = self.records.values().filter_map(|record| {
-            let sent_at = record.suspects.get(&key.part)?;
-            let is_counted = record.service == key.service && !self.is_cleared(key, record.at);
-            is_counted.then_some((record, *sent_at))
+            let suspect = record.suspects.get(&key.part)?;
+            let is_counted = record.service == key.service
+                && !self.is_cleared(key, record.at)
+                && !(suspect.was_proven && self.has_unproven_suspect(record));
+            is_counted.then_some((record, suspect.sent_at))
         });
         let mut counted: Vec<(&CrashRecord, MonotonicTime)> = counted.collect();
         counted.sort_by_key(|(record, _)| record.at);
@@ -160,15 +173,17 @@
         let is_sole_until = |until: Option<Duration>| {
             counted.iter().any(|(record, _)| {
                 let until = until.map(|time| record.at.after(time));
-                let mut others = record.suspects.keys().filter(|part| **part != key.part);
-                others.all(|part| {
+                let others = record.suspects.iter();
+                let mut others = others.filter(|(part, _)| **part != key.part);
+                others.all(|(part, suspect)| {
                     let other = PartKey {
                         service: service.clone(),
                         part: part.clone(),
                     };
                     let cleared_at = self.cleared_at(&other);
-                    self.is_cleared(&other, record.at)
-                        && until.is_none_or(|until| cleared_at.is_some_and(|at| at <= until))
+                    suspect.was_proven
+                        || self.is_cleared(&other, record.at)
+                            && until.is_none_or(|until| cleared_at.is_some_and(|at| at <= until))
                 })
             })
         };
@@ -218,6 +233,25 @@
         self.remove_unused();
     }
 
+    /// Whether a part is suspected of a crash and not cleared of it.
+    pub(super) fn is_uncleared(&self, key: &PartKey) -> bool {
+        self.records.values().any(|record| {
+            record.service == key.service
+                && record.suspects.contains_key(&key.part)
+                && !self.is_cleared(key, record.at)
+        })
+    }
+
+    fn has_unproven_suspect(&self, record: &CrashRecord) -> bool {
+        record.suspects.iter().any(|(part, suspect)| {
+            let key = PartKey {
+                service: record.service.clone(),
+                part: part.clone(),
+            };
+            !suspect.was_proven && !self.is_cleared(&key, record.at)
+        })
+    }
+
     fn is_cleared(&self, key: &PartKey, crashed_at: MonotonicTime) -> bool {
         let cleared_at = self.cleared.get(key);
         cleared_at.is_some_and(|at| at.after(CLOCK_MARGIN) >= crashed_at)
--- a/crates/coordination/src/quarantine/notice.rs
+++ b/crates/coordination/src/quarantine/notice.rs
@@ -26,6 +26,9 @@
     /// none, and the requests count as sent when the engine crashed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub sent: Vec<Duration>,
+    /// Suspects that had a whole answer lately before the crash.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub proven: Vec<PartName>,
 }
 
 /// An answer to a part, or the begin of its test.
--- a/crates/coordination/src/quarantine/table/answers.rs
+++ b/crates/coordination/src/quarantine/table/answers.rs
@@ -6,6 +6,7 @@
 use super::exchange::NoticeSource;
 use super::{QuarantineTable, key_of};
 use crate::base::{MonotonicTime, PartName, ServerName, ServiceName};
+use crate::quarantine::crashes::Suspect;
 use crate::quarantine::interface::{CrashId, HeldRequest, PartKey, QuarantineEvent};
 use crate::quarantine::proofs::PartDigest;
 use crate::quarantine::sends::{EngineSend, SendKey};
@@ -134,7 +135,7 @@
         now: MonotonicTime,
         service: &ServiceName,
         mut parts: Vec<(PartName, MonotonicTime)>,
-    ) -> BTreeMap<PartName, MonotonicTime> {
+    ) -> BTreeMap<PartName, Suspect> {
         let memory = self.settings.proof_memory;
         parts.sort_by_cached_key(|(part, _)| {
             let digest = PartDigest::of(service, part);
@@ -147,12 +148,21 @@
                 break;
             }
             // The first of several requests with the part is the latest.
-            suspects.entry(part).or_insert(sent_at);
+            let was_proven = self.is_answered(now, service, &part);
+            suspects.entry(part).or_insert(Suspect {
+                sent_at,
+                was_proven,
+            });
         }
         suspects
     }
 
-    fn is_answered(&self, now: MonotonicTime, service: &ServiceName, part: &PartName) -> bool {
+    pub(super) fn is_answered(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        part: &PartName,
+    ) -> bool {
         let digest = PartDigest::of(service, part);
         let answered_at = self.complete.last(now, digest, self.settings.proof_memory);
         answered_at.is_some()
@@ -182,7 +192,7 @@
             self.record_begun(now, digest, &NoticeSource::Own);
             self.record_complete(now, digest, &NoticeSource::Own);
             let key = key_of(&send.service, part);
-            if !self.crashes.is_empty() && self.blame(now, &key).is_some() {
+            if !self.crashes.is_empty() && self.crashes.is_uncleared(&key) {
                 events.extend(self.clear(now, &key, now, &NoticeSource::Own));
             }
         }
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -183,6 +183,22 @@
     assert!(fleet.is_held(0, &["bad"]));
 }
 
+/// Guards against a part that all drafts share and that is held back as no answer to it ends between two
+/// crashes, which another part explains.
+#[test]
+fn a_proven_part_is_no_suspect_beside_an_unproven_one() {
+    let mut fleet = Fleet::new(3, &["bad"]);
+    assert!(fleet.send(0, &["head"]));
+    for host in 0..3 {
+        assert!(fleet.send(host, &["head", "bad"]));
+        fleet.wait(Duration::from_millis(100));
+        let held: Vec<bool> = (0..3).map(|host| fleet.is_held(host, &["head"])).collect();
+        assert_eq!(held, [false; 3]);
+        assert!(fleet.is_held(0, &["head", "bad"]));
+        fleet.wait(Duration::from_secs(40));
+    }
+}
+
 /// Guards against tests without end of two parts that always come together, so that neither is ever
 /// the only suspect of a crash.
 #[test]
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -307,6 +307,7 @@
             age: Duration::from_millis(90),
             suspects: vec!["5c1e".into()],
             sent: Vec::new(),
+            proven: Vec::new(),
         }],
         cleared: vec![note.clone()],
         tested: vec![note],
@@ -315,6 +316,17 @@
     }
 }
 
+/// A notice with the parts that older processes neither send nor read.
+fn complete_quarantine() -> QuarantineNotice {
+    let mut notice = quarantine();
+    for crash in &mut notice.crashes {
+        crash.sent = vec![Duration::from_millis(700)];
+        crash.proven = vec!["5c1e".into()];
+    }
+    notice.complete = notice.proven.clone();
+    notice
+}
+
 fn broadcast_frames() -> Vec<PeerFrame> {
     let revision = Revision(8);
     let engine = SurveyResult {
@@ -386,6 +398,13 @@
             partition: None,
             quarantine: Some(quarantine()),
         },
+        PeerFrame::Survey {
+            notes: Vec::new(),
+            pass_on: false,
+            rates: None,
+            partition: None,
+            quarantine: Some(complete_quarantine()),
+        },
     ];
     let configurations = configurations.into_iter().map(PeerFrame::Configuration);
     configurations.chain(others).collect()
