fix(quarantine): tests of two parts do not coincide

Cause: parts that crashed engines at one moment were due for their tests at one moment, 5 s later. Two engines crashed together, and no chain was left for about 1.4 s.

Change: a test begins 1.5 s after that of another part. Only one recent test keeps others waiting, and for 8 s after the crash at most, so that many sound parts do not wait for each other.

--- a/crates/coordination/src/quarantine/settings.rs
+++ b/crates/coordination/src/quarantine/settings.rs
@@ -36,6 +36,8 @@
     /// Additional time for which a request with several suspected parts is held back, so that they
     /// are tested one by one if possible.
     pub ambiguous_wait: Duration,
+    /// Time between the tests of two parts: until a crashed engine's layers are loaded elsewhere.
+    pub test_gap: Duration,
     /// Hosts begin a test at different times, spread over this time for each host, so that two of
     /// them rarely begin one before they know of each other's.
     pub test_spread: Duration,
@@ -71,6 +73,7 @@
             long_test_timeout: Duration::from_secs(20),
             cut_gap: Duration::from_millis(500),
             ambiguous_wait: Duration::from_secs(2),
+            test_gap: Duration::from_millis(1_500),
             test_spread: Duration::from_millis(100),
             max_test_spread: Duration::from_secs(2),
             max_unproven_share: 0.25,
--- a/crates/coordination/src/quarantine/table.rs
+++ b/crates/coordination/src/quarantine/table.rs
@@ -244,9 +244,33 @@
             is_open.then(|| began_at.after(self.test_timeout(blame)))
         });
         let due = tested_until.map_or(due, |until| due.max(until));
+        let due = self
+            .other_test_until(now, key, blame)
+            .map_or(due, |until| due.max(until));
         due.since(now)
     }
 
+    /// Time until which another part's test keeps that of this one waiting. Tests that crash engines
+    /// at the same moment leave no chain. Sound parts must not wait for each other after many engines have
+    /// died: only one recent test keeps others waiting, and only for a while after the first hold.
+    fn other_test_until(
+        &self,
+        now: MonotonicTime,
+        key: &PartKey,
+        blame: Blame,
+    ) -> Option<MonotonicTime> {
+        let gap = self.settings.test_gap;
+        let recent = self.tests.iter().filter(|(other, began_at)| {
+            *other != key && other.service == key.service && now.since(**began_at) < gap * 2
+        });
+        let recent = recent.filter(|(other, _)| self.blame(now, other).is_some());
+        let recent: Vec<MonotonicTime> = recent.map(|(_, began_at)| *began_at).collect();
+        let last = recent.iter().max()?;
+        let [first, ..] = self.settings.holds;
+        let latest = blame.last_at.after(first + gap * 2);
+        (recent.len() < 2).then(|| last.after(gap).min(latest))
+    }
+
     /// Time for which the result of a test is awaited.
     fn test_timeout(&self, blame: Blame) -> Duration {
         let settings = &self.settings;
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -199,6 +199,20 @@
     }
 }
 
+/// Guards against two parts that crashed engines at one moment and whose tests crash two more at one
+/// moment, which leaves no chain.
+#[test]
+fn tests_of_two_parts_do_not_coincide() {
+    let mut fleet = Fleet::new(1, &["bad", "worse"]);
+    assert!(fleet.send(0, &["bad"]));
+    assert!(fleet.send(0, &["worse"]));
+    fleet.wait(Duration::from_secs(7));
+    assert!(fleet.send(0, &["bad"]));
+    assert!(fleet.is_held(0, &["worse"]));
+    fleet.wait(Duration::from_millis(1_500));
+    assert!(fleet.send(0, &["worse"]));
+}
+
 /// Guards against tests without end of two parts that always come together, so that neither is ever
 /// the only suspect of a crash.
 #[test]
