--- a/crates/coordination/src/routing/planner.rs
+++ b/crates/coordination/src/routing/planner.rs
@@ -1,7 +1,5 @@
 //! Route planner: the [`RoutePlanner`] trait and its implementation over the announced fleet.
 
-use std::time::Duration;
-
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -161,13 +159,6 @@
         &self.fleet
     }
 
-    /// Sets whether predicted times are corrected by observed ones, and by how much the predicted
-    /// time of a connected first engine counts as shorter.
-    pub fn set_feedback(&mut self, time_correction: bool, connected_advantage: Duration) {
-        self.settings.time_correction = time_correction;
-        self.settings.connected_advantage = connected_advantage;
-    }
-
     /// Measures the KV memory of the engines of `model`; `None` if none of them reported recently.
     pub fn pool_capacity(
         &self,
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -51,9 +51,6 @@
 /// for.
 const STREAM_TIME_DIVISOR: u32 = 8;
 
-/// Time by which a first engine with an idle connection may be slower and is still preferred: about
-/// a tenth of the usual time to the first event.
-const CONNECTED_ADVANTAGE: Duration = Duration::from_millis(10);
 /// Penalty of all data centres but one for a draft with a part that no engine is known to have
 /// answered. If the part crashes engines, the drafts with it that are sent before the first crash is
 /// known crash those of one data centre, and not of all.
@@ -103,8 +100,6 @@
     pub(super) is_resume: bool,
     /// Share of this host in the demand of all hosts; `None` if it does not limit the choice.
     pub(super) share: Option<f64>,
-    /// Addresses to which this host has an idle connection.
-    pub(super) idle: &'query [SocketAddr],
     /// A part of the prompt that no engine is known to have answered.
     pub(super) unproven: Option<PartDigest>,
 }
@@ -133,13 +128,11 @@
     /// Generations of the service specifications that the planner uses.
     generations: SpecGenerations,
     sequence: u64,
-    /// Whether the choice learns from observed times where drafts have different priorities.
-    follows_priorities: bool,
 }
 
 impl ChainTable {
     /// Creates a table without engines for a host in `data_centre`; `seed` seeds the planner.
-    pub(super) fn new(data_centre: DataCentreName, seed: u64, follows_priorities: bool) -> Self {
+    pub(super) fn new(data_centre: DataCentreName, seed: u64) -> Self {
         Self {
             planner: FleetPlanner::new(routing_settings(), seed),
             known: BTreeMap::new(),
@@ -148,7 +141,6 @@
             centres: BTreeSet::new(),
             generations: SpecGenerations::default(),
             sequence: 0,
-            follows_priorities,
         }
     }
 
@@ -297,7 +289,6 @@
             may_take_work(server) && is_healthy(server)
         };
         let model = pool_name(&request.service);
-        let connected = self.connected_first_engines(wanted.idle);
         let query = RouteQuery {
             excluded,
             // The caller of a broken stream has received part of the answer, which would be lost.
@@ -307,7 +298,6 @@
                 RoutePriority::Normal
             },
             share: wanted.share,
-            connected: &connected,
             continues_answer: wanted.is_resume,
             ..query_of(request, &model, &is_eligible)
         };
@@ -358,17 +348,6 @@
         })
     }
 
-    /// Engines of the first layer to which a connection is idle.
-    fn connected_first_engines(&self, idle: &[SocketAddr]) -> Vec<ServerName> {
-        if idle.is_empty() {
-            return Vec::new();
-        }
-        let is_connected =
-            |known: &KnownEngine| known.layers.range.first == 0 && idle.contains(&known.address);
-        let engines = self.known.iter().filter(|(_, known)| is_connected(known));
-        engines.map(|(server, _)| server.clone()).collect()
-    }
-
     /// Measures the KV memory of the engines of `service`.
     pub(super) fn pool_capacity(
         &self,
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -25,7 +25,7 @@
 use crate::lifecycle::{LifecycleStep, LifecycleWatch};
 use crate::peers::PeerHub;
 use crate::quarantine::QuarantineState;
-use crate::settings::{AdmissionMode, RelaySettings};
+use crate::settings::RelaySettings;
 use crate::telemetry::MetricRegistry;
 
 /// Number of hosts that share the retry budget until a keeper reports the actual number.
@@ -114,11 +114,7 @@
             lifecycle: parts.lifecycle,
             metrics: parts.metrics,
             loads: Mutex::new(ServerLoads::new(outlier_settings())),
-            chains: Mutex::new(ChainTable::new(
-                parts.data_centre.clone(),
-                parts.seed,
-                parts.settings.admission == AdmissionMode::ByPriority,
-            )),
+            chains: Mutex::new(ChainTable::new(parts.data_centre.clone(), parts.seed)),
             health: Mutex::new(ChainHealth::new(HealthSettings::default())),
             budgets: Mutex::new(BudgetTable::new(budget_settings(
                 &parts.settings,
--- a/crates/daemon/src/relay/draft_search.rs
+++ b/crates/daemon/src/relay/draft_search.rs
@@ -164,17 +164,11 @@
         let health = self.context.health();
         let is_healthy = |server: &ServerName| !health.is_suspected(now, server);
         let (service, parts) = (&self.request.service.name, &self.request.shared_parts);
-        let idle = if self.request.priority.is_some() {
-            context.pool.idle_addresses()
-        } else {
-            Vec::new()
-        };
         let wanted = ChainQuery {
             request: &self.request,
             excluded,
             is_resume,
             share: self.demand_share(now, is_resume),
-            idle: &idle,
             unproven: self.context.quarantine.rare_unproven_part(service, parts),
         };
         let reserved = self
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -249,17 +249,6 @@
         slots.retain(|_, slot| slot.open > 0);
     }
 
-    /// Addresses to which a connection is idle and may be reused.
-    pub fn idle_addresses(&self) -> Vec<SocketAddr> {
-        let now = (self.clock)();
-        let slots = self.lock();
-        let is_reusable = |idle: &IdleConnection| idle.reusable_until > now;
-        let idle = slots
-            .iter()
-            .filter(|(_, slot)| slot.idle.iter().any(is_reusable));
-        idle.map(|(address, _)| *address).collect()
-    }
-
     async fn acquire(&self, address: SocketAddr) -> Result<PooledConnection, ClientError> {
         if let Some(idle) = self.take_idle(address) {
             return Ok(PooledConnection {
