--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -414,6 +414,7 @@
             notes: Vec::new(),
             pass_on: false,
             rates: None,
+            demand: None,
             partition: None,
             quarantine: Some(complete_quarantine()),
         },
