--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -2,21 +2,31 @@
 //!
 //! Customers share an entry's capacity by weight, each customer's requests run in order of
 //! priority, and queues are bounded. A request that cannot meet its deadline is refused at once
-//! instead of waiting in vain.
+//! instead of waiting in vain, and is told when its caller may come back.
 
 mod admission;
 mod bucket;
+mod counts;
+mod credit;
 mod customer;
+mod decaying_sum;
+mod host_capacity;
 mod offer;
+mod rank;
+mod return_schedule;
 mod settings;
 mod shedding;
+mod usual_demand;
 mod wait;
 
 pub use admission::AdmissionTable;
+pub use counts::{AdmissionCounts, CustomerCounts, PriorityCounts};
+pub use host_capacity::{CapacityInputs, HostCapacity, HostCapacitySettings};
 pub use offer::{
     AdmissionCapacity, AdmissionChange, AdmissionRefusal, AdmissionRequest, AdmissionVerdict,
-    RequestPriority, RequestRefusal, TicketKey,
+    PriorityReserve, RequestPriority, RequestRefusal, TicketKey,
 };
+pub use return_schedule::{PromisedReturns, ReturnRequest, ReturnSchedule, ReturnSettings};
 pub use settings::{CustomerLimits, LimitSettings};
 pub use shedding::{ConnectionShedder, ShedSettings};
 pub use wait::WaitSettings;
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -7,9 +7,12 @@
 //! maximum flow over the layer graph each tick, and picks the engine of each stage from a few
 //! samples, so that the cost of a decision does not grow with the fleet.
 
+mod allotment;
 mod bound;
 mod capacity;
 mod choice;
+mod connected;
+mod correction;
 mod degraded;
 mod engine;
 mod fleet;
@@ -23,6 +26,7 @@
 mod plan;
 mod planner;
 mod policy;
+mod pool_capacity;
 mod prefix;
 mod remaining;
 mod repair;
@@ -48,6 +52,7 @@
 };
 pub use planner::{EngineDump, FleetPlanner, RoutePlanner, RoutingDump};
 pub use policy::PolicyKind;
+pub use pool_capacity::{PoolCapacity, PoolSettings};
 pub use prefix::{CacheChange, CacheEvent, CacheOutcome, PrefixDigest, PromptPrefix};
 pub use servers::{ReportedLoad, ServerCandidate, ServerLoads};
 pub use settings::{ChainScope, RoutingSettings, WorkloadMix};
--- a/crates/coordination/src/routing/planner.rs
+++ b/crates/coordination/src/routing/planner.rs
@@ -4,6 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
+use super::allotment::{AllotmentRounding, assign_lanes};
 use super::bound::{FlowBound, find_bound, refresh_flow};
 use super::choice::{ChoiceTables, choose_route, repair_in_tables};
 use super::engine::EngineAnnouncement;
@@ -15,6 +16,7 @@
 use super::outliers::{EngineOutliers, PeerClass};
 use super::plan::{NoRoute, RoutePlan, RouteQuery};
 use super::policy::RoutePolicy;
+use super::pool_capacity::{PoolCapacity, PoolSettings};
 use super::prefix::{CacheEvent, CacheOutcome, PrefixIndex};
 use super::remaining::refresh_remaining_times;
 use super::settings::RoutingSettings;
@@ -47,7 +49,8 @@
     /// Sets the figures of the link between two data centres, for both directions.
     fn set_link(&mut self, one: &DataCentreName, other: &DataCentreName, figures: LinkProperties);
 
-    /// Ends expired ejections and refreshes the flow weights if the flow interval has passed.
+    /// Ends expired ejections, draws the rounding of allotments, and refreshes the flow weights if
+    /// the flow interval has passed.
     fn tick(&mut self, now: MonotonicTime);
 
     /// Chooses a route for `query`.
@@ -131,6 +134,7 @@
     flights: FlightTable,
     policy: Box<dyn RoutePolicy>,
     rng: ChaCha8Rng,
+    rounding: AllotmentRounding,
     last_refresh: Option<MonotonicTime>,
 }
 
@@ -145,6 +149,7 @@
             flights: FlightTable::default(),
             policy: settings.policy.build(settings.candidates),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            rounding: AllotmentRounding::new(seed),
             last_refresh: None,
         }
     }
@@ -154,6 +159,16 @@
         &self.fleet
     }
 
+    /// Measures the KV memory of the engines of `model`; `None` if none of them reported recently.
+    pub fn pool_capacity(
+        &self,
+        now: MonotonicTime,
+        model: &ModelName,
+        settings: &PoolSettings,
+    ) -> Option<PoolCapacity> {
+        PoolCapacity::measure(now, &self.fleet, model, settings)
+    }
+
     /// Ends all ejections and forgets the failures that led to them, because their cause was not the
     /// engines.
     pub fn clear_ejections(&mut self) {
@@ -166,6 +181,7 @@
             fleet: &self.fleet,
             prefixes: &self.prefixes,
             outliers: &self.outliers,
+            rounding: &self.rounding,
         }
     }
 
@@ -199,6 +215,7 @@
         let empty = LayerGraph::new(slot.id.clone());
         let mut graph = std::mem::replace(slot, empty);
         if !graph.stale.is_empty() {
+            assign_lanes(&mut self.fleet, &graph);
             refresh_flow(&self.fleet, &mut graph, &self.settings);
         }
         refresh_remaining_times(&self.fleet, &mut graph, &self.settings);
@@ -272,6 +289,12 @@
 
     fn tick(&mut self, now: MonotonicTime) {
         self.end_ejections(now);
+        self.rounding.tick(now);
+        if self.settings.time_correction {
+            for engine in self.fleet.engines.values_mut() {
+                engine.correction.tick(now);
+            }
+        }
         self.refresh_graphs(now);
     }
 
@@ -281,6 +304,7 @@
             fleet: &self.fleet,
             prefixes: &self.prefixes,
             outliers: &self.outliers,
+            rounding: &self.rounding,
         };
         choose_route(now, tables, self.policy.as_mut(), &mut self.rng, query)
     }
@@ -295,7 +319,8 @@
     }
 
     fn started(&mut self, now: MonotonicTime, plan: &RoutePlan) -> FlightKey {
-        self.flights.start(now, &mut self.fleet, plan)
+        let is_observed = self.settings.time_correction;
+        self.flights.start(now, &mut self.fleet, plan, is_observed)
     }
 
     fn first_token(&mut self, now: MonotonicTime, flight: FlightKey) {
--- a/crates/coordination/tests/routing_contract/support.rs
+++ b/crates/coordination/tests/routing_contract/support.rs
@@ -77,6 +77,9 @@
         prefixes: &[],
         deadline: None,
         priority: RoutePriority::Normal,
+        share: None,
+        continues_answer: false,
+        connected: &[],
     }
 }
 
--- a/crates/coordination/tests/routing_cost.rs
+++ b/crates/coordination/tests/routing_cost.rs
@@ -73,6 +73,9 @@
                 prefixes: &[],
                 deadline: None,
                 priority: RoutePriority::Normal,
+                share: None,
+                continues_answer: false,
+                connected: &[],
             },
         );
         if let Ok(plan) = plan {
--- a/crates/coordination/tests/routing_repair.rs
+++ b/crates/coordination/tests/routing_repair.rs
@@ -57,6 +57,9 @@
         prefixes: &[],
         deadline: None,
         priority: RoutePriority::Normal,
+        share: None,
+        continues_answer: false,
+        connected: &[],
     }
 }
 
--- a/crates/coordination/tests/routing_scope.rs
+++ b/crates/coordination/tests/routing_scope.rs
@@ -49,6 +49,9 @@
         prefixes: &[],
         deadline: None,
         priority: RoutePriority::Normal,
+        share: None,
+        continues_answer: false,
+        connected: &[],
     };
     planner.choose(NOW, &query).ok()
 }
--- a/crates/daemon/src/fleet/route.rs
+++ b/crates/daemon/src/fleet/route.rs
@@ -95,6 +95,9 @@
                 prefixes: &[],
                 deadline: query.deadline,
                 priority: query.priority,
+                share: None,
+                continues_answer: false,
+                connected: &[],
             },
         )?;
         let stages = plan.stages.iter().filter_map(|stage| {
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -24,6 +24,7 @@
 use pollendrift_coordination::configuration::{
     ConfigurationDelta, ConfigurationDigest, DocumentChange, DocumentKey, LabelSubject,
 };
+use pollendrift_coordination::demand::{DemandBatch, DemandReport, ReportScope};
 use pollendrift_coordination::evidence::{EvidenceFilter, OutcomeKind};
 use pollendrift_coordination::forwarding::ForwardHost;
 use pollendrift_coordination::hosts::{HostGossip, HostReach};
@@ -306,13 +307,27 @@
             version: Some("3".into()),
             age: Duration::from_millis(90),
             suspects: vec!["5c1e".into()],
+            sent: Vec::new(),
+            proven: Vec::new(),
         }],
         cleared: vec![note.clone()],
         tested: vec![note],
         proven: vec![PartDigest::of(&"writers".into(), &"5c1e".into())],
+        complete: Vec::new(),
     }
 }
 
+/// A notice with the parts that older processes neither send nor read.
+fn complete_quarantine() -> QuarantineNotice {
+    let mut notice = quarantine();
+    for crash in &mut notice.crashes {
+        crash.sent = vec![Duration::from_millis(700)];
+        crash.proven = vec!["5c1e".into()];
+    }
+    notice.complete = notice.proven.clone();
+    notice
+}
+
 fn broadcast_frames() -> Vec<PeerFrame> {
     let revision = Revision(8);
     let engine = SurveyResult {
@@ -354,6 +369,7 @@
             rates: None,
             partition: None,
             quarantine: None,
+            demand: None,
         },
         PeerFrame::Survey {
             notes: Vec::new(),
@@ -361,6 +377,7 @@
             rates: Some(rates()),
             partition: None,
             quarantine: None,
+            demand: None,
         },
         PeerFrame::LeaseQuestion(vec!["e1".into()]),
         PeerFrame::LeaseNumbers(vec![LeaseNumber(300)]),
@@ -383,12 +400,40 @@
             rates: None,
             partition: None,
             quarantine: Some(quarantine()),
+            demand: None,
+        },
+        PeerFrame::Survey {
+            notes: Vec::new(),
+            pass_on: false,
+            rates: None,
+            partition: None,
+            quarantine: None,
+            demand: Some(demand()),
+        },
+        PeerFrame::Survey {
+            notes: Vec::new(),
+            pass_on: false,
+            rates: None,
+            demand: None,
+            partition: None,
+            quarantine: Some(complete_quarantine()),
         },
     ];
     let configurations = configurations.into_iter().map(PeerFrame::Configuration);
     configurations.chain(others).collect()
 }
 
+fn demand() -> DemandBatch {
+    DemandBatch {
+        scope: ReportScope::Total,
+        reports: vec![DemandReport {
+            service: "writers".into(),
+            tokens_per_second: 261_000.0,
+            hosts: 63,
+        }],
+    }
+}
+
 fn partition_frame(notice: PartitionNotice) -> PeerFrame {
     PeerFrame::Survey {
         notes: Vec::new(),
@@ -396,6 +441,7 @@
         rates: None,
         partition: Some(notice),
         quarantine: None,
+        demand: None,
     }
 }
 
--- a/crates/standins/examples/policies/experiment.rs
+++ b/crates/standins/examples/policies/experiment.rs
@@ -296,6 +296,9 @@
             prefixes: &prefixes,
             deadline: None,
             priority: RoutePriority::Normal,
+            share: None,
+            continues_answer: false,
+            connected: &[],
         };
         let planner = &mut self.planners[entry];
         let Ok(plan) = planner.choose(time, &query) else {
