fix(relay): drafts are not refused while engines' reports are incomplete, and waiting ones are told

Cause, found by a review: without a report for one layer the pool counted as empty and drafts were refused as too large for good; late first events made all further drafts seem late; waiting drafts hung when priorities were unpublished; drafts that an offer admitted were told at the next end of another one; resumed streams were offered; 256 running drafts were the limit of callers without a customer. Change: incomplete reports are no measurement, the predicted time is at most half of the target, waiting drafts are told at each offer, resumed streams pass.

--- a/crates/coordination/src/limits/host_capacity.rs
+++ b/crates/coordination/src/limits/host_capacity.rs
@@ -74,6 +74,8 @@
 
 /// Samples of the own drafts: more than two seconds of them at five a second.
 const MAX_SAMPLES: usize = 16;
+/// Usual drafts that a host without recent reports runs in addition to those that it had.
+const UNREPORTED_DRAFTS: u64 = 4;
 /// Weight of one draft in the mean tokens of a draft.
 const TOKENS_GAIN: f64 = 0.05;
 
@@ -89,7 +91,7 @@
         }
     }
 
-    /// Records the tokens of a draft that arrived.
+    /// Records the tokens of an admitted draft.
     pub fn record_draft(&mut self, tokens: u64) {
         self.usual_tokens += TOKENS_GAIN * (tokens as f64 - self.usual_tokens);
     }
@@ -123,7 +125,7 @@
             return self.without_measurement(now, held);
         };
         if now.since(inputs.measured_at) >= self.settings.measurement_lifetime {
-            return limited(held + self.settings.usual_tokens, inputs.total);
+            return self.without_reports(self.held_at(inputs.measured_at));
         }
         // Drafts that started since are not in the measurement, so the share of the free memory is
         // added to what the own drafts held at that time.
@@ -146,16 +148,22 @@
                 normal: reserve(self.settings.normal_reserve_percent),
                 batch: reserve(self.settings.batch_reserve_percent),
             },
-            ..limited(tokens as u64, inputs.total)
+            ..limited(tokens as u64)
         }
     }
 
     /// Capacity of a host that has never seen a report of an engine.
     fn without_measurement(&self, now: MonotonicTime, held: u64) -> AdmissionCapacity {
         if now.since(MonotonicTime::START) < self.settings.discovery_time {
-            return limited(u64::MAX, u64::MAX);
+            return limited(u64::MAX);
         }
-        limited(held + self.settings.usual_tokens, u64::MAX)
+        self.without_reports(held)
+    }
+
+    /// Capacity without recent reports: what the own drafts held, and some more drafts, so that a
+    /// large one fits where nothing runs.
+    fn without_reports(&self, held: u64) -> AdmissionCapacity {
+        limited(held + UNREPORTED_DRAFTS * self.settings.usual_tokens)
     }
 
     fn record_held(&mut self, now: MonotonicTime, held: u64) {
@@ -173,11 +181,13 @@
     }
 }
 
-fn limited(kv_tokens: u64, max_request_tokens: u64) -> AdmissionCapacity {
+/// Capacity of this many tokens. The memory of the pool changes, so that no draft is too large for
+/// good.
+fn limited(kv_tokens: u64) -> AdmissionCapacity {
     AdmissionCapacity {
         max_in_flight: u32::MAX,
         kv_tokens,
-        max_request_tokens,
+        max_request_tokens: u64::MAX,
         reserve: PriorityReserve::default(),
     }
 }
--- a/crates/coordination/src/routes/document.rs
+++ b/crates/coordination/src/routes/document.rs
@@ -60,7 +60,8 @@
     pub kind: RouteKind,
     /// Maximum time that a caller waits.
     pub timeout: Duration,
-    /// Target time of an answer. Nothing enforces it; `timeout` is the limit.
+    /// Target time of an answer. A draft that can't meet it is refused
+    /// where drafts are admitted by priority; `timeout` is the limit.
     pub target: Duration,
     /// Target for the longest pause within a stream; a stream with a longer one counts as
     /// late, and a share of this target is the time without events after which a chain is diagnosed.
--- a/crates/coordination/src/routing/pool_capacity.rs
+++ b/crates/coordination/src/routing/pool_capacity.rs
@@ -44,7 +44,7 @@
 }
 
 impl PoolCapacity {
-    /// Measures the engines of `model` that reported recently; `None` if none did.
+    /// Measures the engines of `model` that reported recently; `None` if they do not hold all layers.
     ///
     /// Counts data centres apart, since chains stay within one. If none of them holds all layers,
     /// counts all engines together.
@@ -72,7 +72,7 @@
         let narrowest = centres.values().map(LayerMemory::narrowest);
         let sum = narrowest.fold(NarrowestLayer::default(), NarrowestLayer::plus);
         let sum = if sum.total > 0 { sum } else { all.narrowest() };
-        Some(Self {
+        (sum.total > 0).then(|| Self {
             total: u64::try_from(sum.total).unwrap_or_default(),
             free: sum.free,
             measured_at,
@@ -113,7 +113,11 @@
 impl LayerMemory {
     fn add(&mut self, engine: &EngineRecord, settings: &PoolSettings) {
         let announced = &engine.announcement;
-        let usable = announced.kv_capacity.0 * u64::from(settings.fill_percent) / 100;
+        let usable = announced
+            .kv_capacity
+            .0
+            .saturating_mul(u64::from(settings.fill_percent))
+            / 100;
         let total = i64::try_from(usable).unwrap_or(i64::MAX / 2);
         let held = i64::try_from(engine.load.reported_kv()).unwrap_or(i64::MAX / 2);
         let memory = NarrowestLayer {
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -245,7 +245,7 @@
                 is_return: request.is_return,
             },
         );
-        match verdict {
+        let result = match verdict {
             AdmissionVerdict::Admit(ticket) => OfferResult::Admitted(ticket),
             AdmissionVerdict::Refuse(refusal) => OfferResult::Refused(refusal),
             AdmissionVerdict::Queue { ticket, wait } if wait > self.max_wait => {
@@ -266,7 +266,10 @@
                 };
                 OfferResult::Queued { waiting, answer }
             }
-        }
+        };
+        // An offer can admit requests that waited.
+        state.apply_changes(now);
+        result
     }
 
     /// Computes this entry's limits for a customer.
@@ -365,6 +368,7 @@
         let mut state = self.gate.lock();
         state.waiting.remove(&self.request);
         state.table.finish(now, ticket);
+        state.apply_changes(now);
     }
 }
 
--- a/crates/daemon/src/relay/admission.rs
+++ b/crates/daemon/src/relay/admission.rs
@@ -10,8 +10,9 @@
 
 use pollendrift_coordination::base::{CustomerName, MonotonicTime, ServiceName};
 use pollendrift_coordination::limits::{
-    CapacityInputs, CustomerLimits, HostCapacity, HostCapacitySettings, LimitSettings,
-    RequestPriority, RequestRefusal, ReturnRequest, ReturnSchedule, ReturnSettings,
+    AdmissionCapacity, CapacityInputs, CustomerLimits, HostCapacity, HostCapacitySettings,
+    LimitSettings, PriorityReserve, RequestPriority, RequestRefusal, ReturnRequest, ReturnSchedule,
+    ReturnSettings,
 };
 use pollendrift_coordination::routes::RouteTable;
 use pollendrift_coordination::routing::{PoolCapacity, PoolSettings};
@@ -38,6 +39,17 @@
 /// One observation has the weight `1 / MEAN_WEIGHT` in a mean time.
 const MEAN_WEIGHT: u32 = 16;
 
+/// Capacity of a service that no longer admits by priority.
+const UNLIMITED: AdmissionCapacity = AdmissionCapacity {
+    max_in_flight: u32::MAX,
+    kv_tokens: u64::MAX,
+    max_request_tokens: u64::MAX,
+    reserve: PriorityReserve {
+        normal: 0,
+        batch: 0,
+    },
+};
+
 /// Admission of drafts, by service.
 pub(super) struct DraftAdmission {
     mode: AdmissionMode,
@@ -70,8 +82,9 @@
 }
 
 impl RelayContext {
-    /// Admits a draft, after a wait if there is no capacity for it. `None` if the drafts of its
-    /// service all have the same priority, or if another host has admitted it.
+    /// Admits a draft, after a wait if there is no capacity for it. `None` if the draft is not
+    /// limited: the drafts of its service all have the same priority, another host forwarded it, or
+    /// its caller resumes a stream.
     ///
     /// # Errors
     /// Refuses the draft as soon as it can't be in time; it did not run.
@@ -83,7 +96,8 @@
             return Ok(None);
         };
         // A host that reaches no engine passes the draft to another host.
-        if request.origin.is_some() || self.is_cut_off_from(request) {
+        let is_unlimited = request.origin.is_some() || request.resume_after.is_some();
+        if is_unlimited || self.is_cut_off_from(request) {
             return Ok(None);
         }
         let Some(pool) = self.admission.pool(&request.service.name) else {
@@ -95,14 +109,18 @@
             .demand()
             .record(now, &request.service.name, tokens);
         let is_return = request.is_return();
-        let first_event = pool.state().first_event;
+        // Late first events must not make all further drafts of a route seem late.
+        let first_event = pool.state().first_event.min(request.route.target / 2);
         let anonymous = CustomerName::from("");
         let customer = request.customer.as_ref().unwrap_or(&anonymous);
         let admitted = pool
             .gate
             .admit_offer(GateOffer {
                 customer,
-                limits: CustomerLimits::default(),
+                limits: CustomerLimits {
+                    max_in_flight: u32::MAX,
+                    ..CustomerLimits::default()
+                },
                 priority,
                 tokens,
                 run_time: Some(first_event),
@@ -133,7 +151,7 @@
         request: &RelayRequest,
         is_return: bool,
     ) -> MonotonicTime {
-        if is_return || request.resume_after.is_some() {
+        if is_return {
             return self.queue_deadline(now, request.arrived);
         }
         request.arrived.after(request.route.target)
@@ -170,9 +188,7 @@
     loop {
         ticks.tick().await;
         for pool in context.admission.all() {
-            if pool.gate.status().queued > 0 {
-                pool.gate.tick();
-            }
+            pool.gate.tick();
         }
     }
 }
@@ -209,10 +225,15 @@
         self.lock().values().cloned().collect()
     }
 
-    /// Drops services that no longer have different priorities.
+    /// Drops services that no longer have different priorities, and admits their waiting drafts.
     fn retain(&self, table: &RouteTable) {
-        self.lock()
-            .retain(|service, _| table.priority_ranks(service).is_some());
+        self.lock().retain(|service, pool| {
+            let is_kept = table.priority_ranks(service).is_some();
+            if !is_kept {
+                pool.gate.set_capacity(UNLIMITED);
+            }
+            is_kept
+        });
     }
 
     fn pool_or_new(&self, service: &ServiceName) -> Arc<DraftPool> {
