--- a/crates/coordination/tests/limits_support/mod.rs
+++ b/crates/coordination/tests/limits_support/mod.rs
@@ -30,7 +30,7 @@
 /// Callers that come back with precedence, in percent of the admissions.
 const RETURN_PERCENT: u32 = 6;
 /// A host may fill its share of the free memory this many times: few hosts have a burst at once.
-const FREE_MULTIPLE: i64 = 6;
+const FREE_FACTOR: u32 = 6;
 
 /// One attempt of a caller; times in ms.
 #[derive(Clone, Copy, Debug, Default)]
@@ -154,6 +154,7 @@
         ..LimitSettings::default()
     };
     let reserves = HostCapacitySettings {
+        free_factor: FREE_FACTOR,
         normal_reserve_percent: 16,
         batch_reserve_percent: 32,
         ..HostCapacitySettings::default()
@@ -181,7 +182,7 @@
     let free = USABLE as i64 - *held as i64;
     PoolCapacity {
         total: USABLE,
-        free: free.max(free * FREE_MULTIPLE),
+        free,
         measured_at: MonotonicTime::from_millis(*time),
     }
 }
