--- a/crates/coordination/src/quarantine/crashes.rs
+++ b/crates/coordination/src/quarantine/crashes.rs
@@ -19,37 +19,18 @@
     pub(super) version: Option<VersionName>,
     /// Time at which the first host noticed it.
     pub(super) at: MonotonicTime,
-    /// Suspected parts. Not empty.
-    pub(super) suspects: BTreeMap<PartName, Suspect>,
-}
-
-/// A part that is suspected of a crash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Suspect {
-    /// Time at which the latest request with the part on the engine was sent.
-    pub(super) sent_at: MonotonicTime,
-    /// Whether the part had a whole answer lately before the crash. It is suspected only if no part
-    /// without one is: else parts that all requests share are, when crashes follow each other faster
-    /// than answers end.
-    pub(super) was_proven: bool,
+    /// Not empty.
+    pub(super) suspects: BTreeSet<PartName>,
 }
 
 /// Crashes that a part is suspected of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Blame {
     pub(super) crashes: u32,
-    /// Times at which requests with the part were sent and crashed engines, knowing of the crashes
-    /// before. What was on engines at the first crash is one round, whenever it crashes its engine.
     pub(super) rounds: u32,
-    pub(super) first_at: MonotonicTime,
     pub(super) last_at: MonotonicTime,
-    /// Longest time between the first and the last crash of one round.
-    pub(super) round_span: Duration,
     /// Whether the part is the only one that is still suspected of one of the crashes.
     pub(super) is_sole_suspect: bool,
-    /// Whether it was the only one soon after one of the crashes. A sound part can become the only one
-    /// later, as answers to the others end before one to it does.
-    pub(super) was_sole_suspect: bool,
 }
 
 /// Crashes, and the last answers to the parts that were suspected of one.
@@ -57,8 +38,6 @@
 pub(super) struct CrashTable {
     records: BTreeMap<CrashId, CrashRecord>,
     cleared: BTreeMap<PartKey, MonotonicTime>,
-    /// Time of the latest crash ever added.
-    latest_at: MonotonicTime,
 }
 
 impl CrashTable {
@@ -74,11 +53,6 @@
         self.records.get(id)
     }
 
-    /// Whether all crashes were before `at`.
-    pub(super) fn are_before(&self, at: MonotonicTime) -> bool {
-        self.records.is_empty() || self.latest_at < at
-    }
-
     pub(super) fn cleared_at(&self, key: &PartKey) -> Option<MonotonicTime> {
         self.cleared.get(key).copied()
     }
@@ -91,7 +65,7 @@
     pub(super) fn parts(&self) -> BTreeSet<PartKey> {
         let records = self.records.values();
         let parts = records.flat_map(|record| {
-            record.suspects.keys().map(|part| PartKey {
+            record.suspects.iter().map(|part| PartKey {
                 service: record.service.clone(),
                 part: part.clone(),
             })
@@ -113,18 +87,14 @@
             .records
             .entry(id.clone())
             .or_insert_with(|| CrashRecord {
-                suspects: BTreeMap::new(),
+                suspects: BTreeSet::new(),
                 ..crash.clone()
             });
         record.at = record.at.min(crash.at);
-        self.latest_at = self.latest_at.max(record.at);
         let mut added = Vec::new();
-        for (part, suspect) in crash.suspects {
-            if let Some(known) = record.suspects.get_mut(&part) {
-                known.sent_at = suspect.sent_at.max(known.sent_at);
-                known.was_proven |= suspect.was_proven;
-            } else if record.suspects.len() < settings.max_suspects {
-                record.suspects.insert(part.clone(), suspect);
+        for part in crash.suspects {
+            if record.suspects.len() < settings.max_suspects && record.suspects.insert(part.clone())
+            {
                 added.push(part);
             }
         }
@@ -148,55 +118,39 @@
         settings: &QuarantineSettings,
         key: &PartKey,
     ) -> Option<Blame> {
-        let counted = self.records.values().filter_map(|record| {
-            let suspect = record.suspects.get(&key.part)?;
-            let is_counted = record.service == key.service
+        let counted = |record: &&CrashRecord| {
+            record.service == key.service
+                && record.suspects.contains(&key.part)
                 && !self.is_cleared(key, record.at)
-                && !(suspect.was_proven && self.has_unproven_suspect(record));
-            is_counted.then_some((record, suspect.sent_at))
-        });
-        let mut counted: Vec<(&CrashRecord, MonotonicTime)> = counted.collect();
-        counted.sort_by_key(|(record, _)| record.at);
-        let (first_at, last_at) = (counted.first()?.0.at, counted.last()?.0.at);
-        let (mut round_at, mut rounds, mut round_span) = (first_at, 1, Duration::ZERO);
-        for (record, sent_at) in &counted {
-            if sent_at.since(round_at) > settings.round_gap {
+        };
+        let mut counted: Vec<&CrashRecord> = self.records.values().filter(counted).collect();
+        counted.sort_by_key(|record| record.at);
+        let (mut round_at, last_at) = (counted.first()?.at, counted.last()?.at);
+        let mut rounds = 1;
+        for record in &counted {
+            if record.at.since(round_at) > settings.round_gap {
                 rounds += 1;
                 round_at = record.at;
             }
-            round_span = round_span.max(record.at.since(round_at));
         }
         if rounds == 1 && now.since(last_at) >= settings.suspicion {
             return None;
         }
-        let service = &key.service;
-        let is_sole_until = |until: Option<Duration>| {
-            counted.iter().any(|(record, _)| {
-                let until = until.map(|time| record.at.after(time));
-                let others = record.suspects.iter();
-                let mut others = others.filter(|(part, _)| **part != key.part);
-                others.all(|(part, suspect)| {
-                    let other = PartKey {
-                        service: service.clone(),
-                        part: part.clone(),
-                    };
-                    let cleared_at = self.cleared_at(&other);
-                    suspect.was_proven
-                        || self.is_cleared(&other, record.at)
-                            && until.is_none_or(|until| cleared_at.is_some_and(|at| at <= until))
-                })
+        let is_sole_suspect = counted.iter().any(|record| {
+            let mut others = record.suspects.iter().filter(|part| **part != key.part);
+            others.all(|part| {
+                let other = PartKey {
+                    service: key.service.clone(),
+                    part: part.clone(),
+                };
+                self.is_cleared(&other, record.at)
             })
-        };
-        let is_sole_suspect = is_sole_until(None);
-        let was_sole_suspect = is_sole_suspect && is_sole_until(Some(settings.round_gap));
+        });
         Some(Blame {
             crashes: u32::try_from(counted.len()).unwrap_or(u32::MAX),
             rounds,
-            first_at,
             last_at,
-            round_span,
             is_sole_suspect,
-            was_sole_suspect,
         })
     }
 
@@ -211,7 +165,7 @@
         let before = at.before(settings.round_gap);
         let records = self.records.values().filter(|record| {
             record.service == key.service
-                && record.suspects.contains_key(&key.part)
+                && record.suspects.contains(&key.part)
                 && record.at < before
         });
         records.map(|record| record.at).max()
@@ -233,25 +187,6 @@
         self.remove_unused();
     }
 
-    /// Whether a part is suspected of a crash and not cleared of it.
-    pub(super) fn is_uncleared(&self, key: &PartKey) -> bool {
-        self.records.values().any(|record| {
-            record.service == key.service
-                && record.suspects.contains_key(&key.part)
-                && !self.is_cleared(key, record.at)
-        })
-    }
-
-    fn has_unproven_suspect(&self, record: &CrashRecord) -> bool {
-        record.suspects.iter().any(|(part, suspect)| {
-            let key = PartKey {
-                service: record.service.clone(),
-                part: part.clone(),
-            };
-            !suspect.was_proven && !self.is_cleared(&key, record.at)
-        })
-    }
-
     fn is_cleared(&self, key: &PartKey, crashed_at: MonotonicTime) -> bool {
         let cleared_at = self.cleared.get(key);
         cleared_at.is_some_and(|at| at.after(CLOCK_MARGIN) >= crashed_at)
@@ -262,7 +197,7 @@
     fn evict(&mut self, settings: &QuarantineSettings) {
         while self.records.len() > settings.max_crashes {
             let is_explained = |record: &CrashRecord| {
-                record.suspects.keys().all(|part| {
+                record.suspects.iter().all(|part| {
                     let key = PartKey {
                         service: record.service.clone(),
                         part: part.clone(),
--- a/crates/coordination/src/quarantine/notice.rs
+++ b/crates/coordination/src/quarantine/notice.rs
@@ -22,13 +22,6 @@
     pub age: Duration,
     /// Parts of requests that were on the engine and had no answer.
     pub suspects: Vec<PartName>,
-    /// Time since the latest request with each suspect was sent to the engine. An older process sends
-    /// none, and the requests count as sent when the engine crashed.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub sent: Vec<Duration>,
-    /// Suspects that had a whole answer lately before the crash.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub proven: Vec<PartName>,
 }
 
 /// An answer to a part, or the begin of its test.
@@ -53,12 +46,9 @@
     /// Suspected parts whose test has begun.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub tested: Vec<PartNote>,
-    /// Parts that an engine began to answer for the first time in a while, without a crash soon after.
+    /// Parts that were answered for the first time in a while.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub proven: Vec<PartDigest>,
-    /// Parts that were answered completely for the first time in a while.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub complete: Vec<PartDigest>,
 }
 
 impl QuarantineNotice {
@@ -68,7 +58,6 @@
             && self.cleared.is_empty()
             && self.tested.is_empty()
             && self.proven.is_empty()
-            && self.complete.is_empty()
     }
 }
 
@@ -88,7 +77,6 @@
     pub(super) cleared: BTreeSet<PartKey>,
     pub(super) tested: BTreeSet<PartKey>,
     pub(super) proven: BTreeSet<PartDigest>,
-    pub(super) complete: BTreeSet<PartDigest>,
 }
 
 impl PendingChanges {
--- a/crates/coordination/src/quarantine/sends.rs
+++ b/crates/coordination/src/quarantine/sends.rs
@@ -1,4 +1,4 @@
-//! Requests that are on engines.
+//! Requests that are on engines and whose parts are not proven yet.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,17 +18,15 @@
     pub(super) service: ServiceName,
     pub(super) parts: Arc<[PartName]>,
     engines: Vec<ServerName>,
-    pub(super) sent_at: MonotonicTime,
+    sent_at: MonotonicTime,
     /// Time of the first event of the answer.
     began_at: Option<MonotonicTime>,
-    /// Whether the answer has lasted for a while.
-    has_lasted: bool,
     /// Whether its parts are suspects of a crash. Other engines of its chain that crash for the same
     /// reason do not make them suspects of several crashes.
-    pub(super) is_blamed: bool,
+    is_blamed: bool,
 }
 
-/// Requests of this host that are on engines, until they end.
+/// Requests of this host that are on engines, until they are proven or end.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SendTable {
     sends: SlotMap<SendKey, EngineSend>,
@@ -48,26 +46,24 @@
             engines,
             sent_at: now,
             began_at: None,
-            has_lasted: false,
             is_blamed: false,
         })
     }
 
-    /// Records an event of an answer. Returns the request if the answer has lasted for `time` with this
-    /// event, and had not before.
+    /// Records an event of an answer. Returns the request if that proves its parts; it is no longer in
+    /// the table then.
     pub(super) fn record_event(
         &mut self,
         now: MonotonicTime,
         key: SendKey,
-        time: Duration,
-    ) -> Option<&EngineSend> {
+        proof_time: Duration,
+    ) -> Option<EngineSend> {
         let send = self.sends.get_mut(key)?;
         let began_at = *send.began_at.get_or_insert(now);
-        if send.has_lasted || now.since(began_at) < time {
+        if now.since(began_at) < proof_time {
             return None;
         }
-        send.has_lasted = true;
-        Some(send)
+        self.sends.remove(key)
     }
 
     /// Removes a request; returns it if its answer had begun.
@@ -76,17 +72,17 @@
         send.began_at.is_some().then_some(send)
     }
 
-    pub(super) fn get(&self, key: SendKey) -> Option<&EngineSend> {
-        self.sends.get(key)
+    pub(super) fn contains(&self, key: SendKey) -> bool {
+        self.sends.contains_key(key)
     }
 
-    /// Returns the parts of the requests of `service` on `server` with the time of the send, those of
-    /// the latest requests first, once for each request.
+    /// Returns the parts of the requests of `service` on `server`, those of the latest requests first,
+    /// once for each request.
     pub(super) fn take_parts_on(
         &mut self,
         service: &ServiceName,
         server: &ServerName,
-    ) -> Vec<(PartName, MonotonicTime)> {
+    ) -> Vec<PartName> {
         let on_server = |send: &&mut EngineSend| {
             !send.is_blamed && send.service == *service && send.engines.contains(server)
         };
@@ -95,8 +91,7 @@
         let mut parts = Vec::new();
         for send in sends {
             send.is_blamed = true;
-            let sent_at = send.sent_at;
-            parts.extend(send.parts.iter().map(|part| (part.clone(), sent_at)));
+            parts.extend(send.parts.iter().cloned());
         }
         parts
     }
--- a/crates/coordination/src/quarantine/table.rs
+++ b/crates/coordination/src/quarantine/table.rs
@@ -1,6 +1,5 @@
 //! Decides which requests are held back, by what this host and others have seen.
 
-mod answers;
 mod dump;
 mod exchange;
 
@@ -15,10 +14,13 @@
 use super::crashes::{Blame, CrashRecord, CrashTable};
 use super::interface::{Admission, CrashId, HeldRequest, PartKey, PartVerdict, QuarantineEvent};
 use super::notice::PendingChanges;
-use super::proofs::ProofCache;
-use super::sends::SendTable;
+use super::proofs::{PartDigest, ProofCache};
+use super::sends::{EngineSend, SendKey, SendTable};
 use super::settings::QuarantineSettings;
-use crate::base::{MonotonicTime, PartName, ServiceName, VersionName, hash_names};
+use crate::base::{MonotonicTime, PartName, ServerName, ServiceName, VersionName, hash_names};
+
+/// Maximum number of proven parts that wait for the next notice, and that one notice contains.
+const MAX_PENDING_PROOFS: usize = 512;
 
 /// What one host knows of prompt parts that crash engines.
 ///
@@ -32,10 +34,7 @@
     /// Number of hosts that send requests to engines.
     hosts: u32,
     sends: SendTable,
-    /// Parts that engines began to answer without a crash soon after.
-    begun: ProofCache,
-    /// Parts that were answered completely.
-    complete: ProofCache,
+    proofs: ProofCache,
     /// Share of the latest requests that had an unproven part, smoothed.
     unproven_share: f64,
     crashes: CrashTable,
@@ -53,8 +52,7 @@
             host: host.into(),
             hosts: 1,
             sends: SendTable::default(),
-            begun: ProofCache::default(),
-            complete: ProofCache::default(),
+            proofs: ProofCache::default(),
             unproven_share: 1.0,
             crashes: CrashTable::default(),
             tests: BTreeMap::new(),
@@ -68,6 +66,33 @@
         self.hosts = hosts.max(1);
     }
 
+    /// Returns the first of `parts` that no host is known to have got an answer to lately.
+    pub fn unproven_part(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        parts: &[PartName],
+    ) -> Option<PartDigest> {
+        let now = self.internal(now);
+        let digests = parts.iter().map(|part| PartDigest::of(service, part));
+        let memory = self.settings.proof_memory;
+        let mut unproven = digests.filter(|part| self.proofs.last(now, *part, memory).is_none());
+        unproven.next()
+    }
+
+    /// Returns the first unproven part of a request that is to be kept together with others of the same
+    /// part; `None` while most requests have one.
+    pub fn rare_unproven_part(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        parts: &[PartName],
+    ) -> Option<PartDigest> {
+        let is_rare = self.unproven_share <= self.settings.max_unproven_share;
+        let unproven = self.unproven_part(now, service, parts);
+        unproven.filter(|_| is_rare)
+    }
+
     /// Decides whether a request with `parts` may be sent to engines now. `test` is the begin of the
     /// test that this request is, if it has been admitted as one.
     pub fn admit(
@@ -90,12 +115,6 @@
         {
             return Admission::Test(began_at);
         }
-        // Under answers that last longer, others do not wait for the result of a test that no engine
-        // has crashed under so far.
-        let mut lasting = suspects.iter();
-        if lasting.all(|(key, blame)| self.has_lasting_test(now, key, *blame)) {
-            return Admission::Send;
-        }
         for (key, _) in suspects {
             self.queue(&NoticeSource::Own, |changes| {
                 changes.tested.insert(key.clone());
@@ -151,6 +170,46 @@
         }
     }
 
+    /// Records that a request was sent to `engines`.
+    pub fn record_sent(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        parts: &Arc<[PartName]>,
+        engines: Vec<ServerName>,
+    ) -> SendKey {
+        let is_unproven = self.unproven_part(now, service, parts).is_some();
+        let observed = if is_unproven { 1.0 } else { 0.0 };
+        self.unproven_share += (observed - self.unproven_share) / self.settings.share_smoothing;
+        let now = self.internal(now);
+        self.sends.begin(now, service, parts, engines)
+    }
+
+    /// Whether a request is on engines and its parts are not proven by its answer.
+    pub fn is_unproven(&self, send: SendKey) -> bool {
+        self.sends.contains(send)
+    }
+
+    /// Records an event of the answer to a request; returns what that changes.
+    pub fn record_event(&mut self, now: MonotonicTime, send: SendKey) -> Vec<QuarantineEvent> {
+        let now = self.internal(now);
+        let proof_time = self.settings.proof_time;
+        let proven = self.sends.record_event(now, send, proof_time);
+        proven.map_or_else(Vec::new, |send| self.record_proven(now, &send))
+    }
+
+    /// Records the end of a request on its engines; `is_complete` if its whole answer came.
+    pub fn record_ended(
+        &mut self,
+        now: MonotonicTime,
+        send: SendKey,
+        is_complete: bool,
+    ) -> Vec<QuarantineEvent> {
+        let now = self.internal(now);
+        let answered = self.sends.end(send).filter(|_| is_complete);
+        answered.map_or_else(Vec::new, |send| self.record_proven(now, &send))
+    }
+
     /// Records that an engine of `service` crashed, with all requests of this host on it; returns what
     /// that changes.
     pub fn record_crash(
@@ -221,9 +280,8 @@
         suspects: &[(PartKey, Blame)],
     ) -> bool {
         let began_at = self.internal(began_at);
-        let age = now.since(began_at);
-        let mut suspects = suspects.iter();
-        suspects.all(|(_, blame)| blame.last_at < began_at && age < self.test_timeout(*blame))
+        let has_crashed = suspects.iter().any(|(_, blame)| blame.last_at >= began_at);
+        !has_crashed && now.since(began_at) < self.settings.test_timeout
     }
 
     /// Time for which a request must wait for a suspected part; `is_single` if it has no other one.
@@ -241,58 +299,12 @@
         }
         let tested_until = self.tests.get(key).and_then(|began_at| {
             let is_open = *began_at > blame.last_at;
-            is_open.then(|| began_at.after(self.test_timeout(blame)))
+            is_open.then(|| began_at.after(settings.test_timeout))
         });
         let due = tested_until.map_or(due, |until| due.max(until));
-        let due = self
-            .other_test_until(now, key, blame)
-            .map_or(due, |until| due.max(until));
         due.since(now)
     }
 
-    /// Time until which another part's test keeps that of this one waiting. Tests that crash engines
-    /// at the same moment leave no chain. Sound parts must not wait for each other after many engines have
-    /// died: only one recent test keeps others waiting, and only for a while after the first hold.
-    fn other_test_until(
-        &self,
-        now: MonotonicTime,
-        key: &PartKey,
-        blame: Blame,
-    ) -> Option<MonotonicTime> {
-        let gap = self.settings.test_gap;
-        let recent = self.tests.iter().filter(|(other, began_at)| {
-            *other != key && other.service == key.service && now.since(**began_at) < gap * 2
-        });
-        let recent = recent.filter(|(other, _)| self.blame(now, other).is_some());
-        let recent: Vec<MonotonicTime> = recent.map(|(_, began_at)| *began_at).collect();
-        let last = recent.iter().max()?;
-        let [first, ..] = self.settings.holds;
-        let latest = blame.last_at.after(first + gap * 2);
-        (recent.len() < 2).then(|| last.after(gap).min(latest))
-    }
-
-    /// Time for which the result of a test is awaited.
-    fn test_timeout(&self, blame: Blame) -> Duration {
-        let settings = &self.settings;
-        if blame.rounds == 1 && !self.is_separate(blame) {
-            return settings.test_timeout;
-        }
-        settings.long_test_timeout
-    }
-
-    /// Whether the part is the only suspect of crashes that no common reason in the engines explains.
-    fn is_separate(&self, blame: Blame) -> bool {
-        blame.was_sole_suspect && blame.round_span >= self.settings.cut_gap
-    }
-
-    /// Whether a test of a part with one round has lasted for as long as its result is awaited.
-    fn has_lasting_test(&self, now: MonotonicTime, key: &PartKey, blame: Blame) -> bool {
-        let began_at = self.tests.get(key).copied();
-        let began_at = began_at.filter(|began_at| *began_at > blame.last_at);
-        blame.rounds == 1
-            && began_at.is_some_and(|began_at| now.since(began_at) >= self.test_timeout(blame))
-    }
-
     /// Time from which this host may test a part, by a request that has no other suspect if `is_single`.
     fn due_at(&self, key: &PartKey, blame: Blame, is_single: bool) -> MonotonicTime {
         let settings = &self.settings;
@@ -302,14 +314,12 @@
         let hold = if !is_ambiguous {
             let index = usize::try_from(blame.rounds).unwrap_or(usize::MAX);
             let hold = settings.holds.get(index.saturating_sub(1)).copied();
-            let is_certain = blame.crashes >= settings.untested_crashes
-                && (blame.rounds > 2 || blame.rounds > 1 && self.is_separate(blame));
+            let is_certain = blame.rounds > 1 && blame.crashes >= settings.untested_crashes;
             hold.filter(|_| !is_certain).unwrap_or(settings.retention)
         } else {
             first
         };
         let spread = settings.test_spread.saturating_mul(self.hosts);
-        let spread = spread.min(settings.max_test_spread);
         let spread = u64::try_from(spread.as_micros()).unwrap_or(u64::MAX).max(1);
         let offset = hash_names(&self.host, &format!("{key} {}", blame.crashes)) % spread;
         blame
@@ -318,6 +328,30 @@
             .after(Duration::from_micros(offset))
     }
 
+    /// Selects the suspects of a crash out of the parts on the engine: those without a known answer
+    /// first, the latest ones first.
+    fn select_suspects(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceName,
+        parts: Vec<PartName>,
+    ) -> BTreeSet<PartName> {
+        let memory = self.settings.proof_memory;
+        let is_proven = |part: &PartName| {
+            let digest = PartDigest::of(service, part);
+            self.proofs.last(now, digest, memory).is_some()
+        };
+        let (proven, unproven): (Vec<_>, Vec<_>) = parts.into_iter().partition(is_proven);
+        let mut suspects = BTreeSet::new();
+        for part in unproven.into_iter().chain(proven) {
+            if suspects.len() >= self.settings.max_suspects {
+                break;
+            }
+            suspects.insert(part);
+        }
+        suspects
+    }
+
     fn add_crash(
         &mut self,
         now: MonotonicTime,
@@ -354,6 +388,43 @@
         events
     }
 
+    /// Whether a part was answered after its last crash before this one: a part that was sound just
+    /// now is not the reason of one crash, but may have changed if it is on a second one.
+    fn has_answer_since_last_round(&self, now: MonotonicTime, id: &CrashId, key: &PartKey) -> bool {
+        let Some(crashed_at) = self.crashes.get(id).map(|record| record.at) else {
+            return false;
+        };
+        let digest = PartDigest::of(&key.service, &key.part);
+        let answered_at = self.proofs.last(now, digest, self.settings.proof_memory);
+        let last_crash = self.crashes.last_before(&self.settings, key, crashed_at);
+        answered_at.is_some_and(|answered| last_crash.is_none_or(|last| answered > last))
+    }
+
+    fn record_proven(&mut self, now: MonotonicTime, send: &EngineSend) -> Vec<QuarantineEvent> {
+        let mut events = Vec::new();
+        for part in send.parts.iter() {
+            let digest = PartDigest::of(&send.service, part);
+            self.add_proof(now, digest, &NoticeSource::Own);
+            let key = key_of(&send.service, part);
+            if !self.crashes.is_empty() && self.blame(now, &key).is_some() {
+                events.extend(self.clear(now, &key, now, &NoticeSource::Own));
+            }
+        }
+        events
+    }
+
+    fn add_proof(&mut self, now: MonotonicTime, part: PartDigest, source: &NoticeSource) {
+        let last = self.proofs.record(now, part);
+        let is_news = last.is_none_or(|last| now.since(last) > self.settings.proof_memory / 2);
+        if is_news {
+            self.queue(source, |changes| {
+                if changes.proven.len() < MAX_PENDING_PROOFS {
+                    changes.proven.insert(part);
+                }
+            });
+        }
+    }
+
     /// Records an answer to a part at `at`.
     fn clear(
         &mut self,
--- a/crates/coordination/src/quarantine/table/dump.rs
+++ b/crates/coordination/src/quarantine/table/dump.rs
@@ -61,7 +61,7 @@
     /// Engines that crashed under a part, the last one last.
     pub fn engines_under(&self, part: &PartKey) -> Vec<ServerName> {
         let records = self.crashes.records().filter(|(_, record)| {
-            record.service == part.service && record.suspects.contains_key(&part.part)
+            record.service == part.service && record.suspects.contains(&part.part)
         });
         let mut engines: Vec<_> = records
             .map(|(id, record)| (record.at, id.server.clone()))
--- a/crates/coordination/src/quarantine/table/exchange.rs
+++ b/crates/coordination/src/quarantine/table/exchange.rs
@@ -2,7 +2,7 @@
 
 use super::QuarantineTable;
 use crate::base::MonotonicTime;
-use crate::quarantine::crashes::{CrashRecord, Suspect};
+use crate::quarantine::crashes::CrashRecord;
 use crate::quarantine::interface::{PartKey, QuarantineEvent};
 use crate::quarantine::notice::{
     CrashNote, NoticeAudience, PartNote, PendingChanges, QuarantineNotice,
@@ -32,31 +32,16 @@
         } else {
             NoticeSource::Entry
         };
-        for part in notice.proven {
-            self.record_begun(now, part, &source);
-        }
-        for part in notice.complete {
-            self.record_complete(now, part, &source);
+        for proven in notice.proven {
+            self.add_proof(now, proven, &source);
         }
         let mut events = Vec::new();
         for note in notice.crashes {
-            let at = now.before(note.age);
-            let sent = note.sent.iter().map(|age| now.before(*age).min(at));
-            let sent = sent.chain(std::iter::repeat(at));
-            let suspects = note.suspects.into_iter().zip(sent).map(|(part, sent_at)| {
-                let is_answered = self.is_answered(now, &note.service, &part);
-                let was_proven = is_answered || note.proven.contains(&part);
-                let suspect = Suspect {
-                    sent_at,
-                    was_proven,
-                };
-                (part, suspect)
-            });
             let crash = CrashRecord {
-                suspects: suspects.collect(),
                 service: note.service,
                 version: note.version,
-                at,
+                at: now.before(note.age),
+                suspects: note.suspects.into_iter().collect(),
             };
             events.extend(self.add_crash(now, &note.id, crash, &source));
         }
@@ -127,18 +112,12 @@
     fn notice_of(&self, now: MonotonicTime, changes: PendingChanges) -> QuarantineNotice {
         let crashes = changes.crashes.iter().filter_map(|id| {
             let record = self.crashes.get(id)?;
-            let suspects = record.suspects.values();
-            let ages = suspects.map(|suspect| now.since(suspect.sent_at));
-            let suspects = record.suspects.iter();
-            let proven = suspects.filter(|(_, suspect)| suspect.was_proven);
             Some(CrashNote {
                 id: id.clone(),
                 service: record.service.clone(),
                 version: record.version.clone(),
                 age: now.since(record.at),
-                suspects: record.suspects.keys().cloned().collect(),
-                sent: ages.collect(),
-                proven: proven.map(|(part, _)| part.clone()).collect(),
+                suspects: record.suspects.iter().cloned().collect(),
             })
         });
         let note = |key: PartKey, at: MonotonicTime| PartNote {
@@ -158,7 +137,6 @@
             cleared: cleared.collect(),
             tested: tested.collect(),
             proven: changes.proven.into_iter().collect(),
-            complete: changes.complete.into_iter().collect(),
         }
     }
 }
--- a/crates/daemon/src/quarantine.rs
+++ b/crates/daemon/src/quarantine.rs
@@ -77,10 +77,10 @@
         self.table().cancel_test(service, parts, began_at);
     }
 
-    /// Whether no host is known to have got a whole answer to one of `parts` lately.
-    pub(crate) fn has_unanswered_part(&self, service: &ServiceName, parts: &[PartName]) -> bool {
+    /// Whether no host is known to have got an answer to one of `parts` lately.
+    pub(crate) fn has_unproven_part(&self, service: &ServiceName, parts: &[PartName]) -> bool {
         let now = self.clock.now();
-        !parts.is_empty() && self.table().has_unanswered_part(now, service, parts)
+        !parts.is_empty() && self.table().unproven_part(now, service, parts).is_some()
     }
 
     /// Returns the first unproven part of a request that is to be kept together with others of the same
@@ -108,18 +108,14 @@
         self.table().record_sent(now, service, parts, engines)
     }
 
-    /// Records an event of the answer to a request. Returns the reason why the answer must be cut, if
-    /// there is one.
-    pub(crate) fn record_event(&self, send: SendKey) -> Option<HeldRequest> {
+    /// Records an event of the answer to a request. Returns whether the request is proven, so that
+    /// later events need not be recorded.
+    pub(crate) fn record_event(&self, send: SendKey) -> bool {
         let now = self.clock.now();
-        let mut table = self.table();
-        table.record_event(now, send);
-        table.cut(now, send)
-    }
-
-    /// Whether the engine of a request is known to have crashed, or the request has ended.
-    pub(crate) fn is_blamed(&self, send: SendKey) -> bool {
-        self.table().is_blamed(send)
+        self.update(|table| {
+            let events = table.record_event(now, send);
+            (!table.is_unproven(send), events)
+        })
     }
 
     /// Records the end of a request on its engines; `is_complete` if its whole answer came.
--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -18,8 +18,8 @@
 /// Time within which an engine that runs accepts a connection. Nothing listens at the address of a
 /// crashed one, which is known after a round trip.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which a draft waits after its engine refused the connection, if no whole answer to a part of
-/// its prompt is known. Other hosts tell of a crash under that part within it.
+/// Time for which a draft waits after its engine refused the connection, if no answer to a part of its
+/// prompt is known. Other hosts tell of a crash under that part within it.
 pub(super) const NOTICE_WAIT: Duration = Duration::from_millis(60);
 
 /// State of a draft in the quarantine.
@@ -99,22 +99,22 @@
         chain.track(send);
     }
 
-    /// Checks the first engine of a chain that broke, and records it as crashed if it is gone. The
-    /// other drafts that broke with the engine need not check it then.
+    /// Checks the first engine of a chain that broke, and records it as crashed if it is gone. A draft
+    /// whose answer has proven its parts does not check it.
     pub(super) async fn check_broken_engine(&self, chain: &ChainGuard) {
-        if !chain.may_have_crashed() {
+        if !chain.is_unproven() {
             return;
         }
         let is_gone = self.context.check_crash(&chain.chain).await;
         log::info!(request = self.request.attempt.as_str(), server:% = chain.chain.first, gone = is_gone,
-            parts = self.request.part_names().as_str(); "engine broke off a draft");
+            parts = self.request.part_names().as_str(); "engine broke off a draft that it had just begun");
     }
 
-    /// Whether no whole answer to a part of the prompt is known.
-    pub(super) fn has_unanswered_part(&self) -> bool {
+    /// Whether no answer to a part of the prompt is known.
+    pub(super) fn has_unproven_part(&self) -> bool {
         let (service, parts) = (&self.request.service.name, &self.request.shared_parts);
         let quarantine = &self.context.quarantine;
-        quarantine.has_unanswered_part(service, parts)
+        quarantine.has_unproven_part(service, parts)
     }
 }
 
--- a/crates/daemon/src/relay/guard.rs
+++ b/crates/daemon/src/relay/guard.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
-use pollendrift_coordination::quarantine::{HeldRequest, SendKey};
+use pollendrift_coordination::quarantine::SendKey;
 
 use super::chains::ReservedChain;
 use super::context::RelayContext;
@@ -17,7 +17,7 @@
     context: Arc<RelayContext>,
     pub(super) chain: ReservedChain,
     has_failed: bool,
-    /// The draft in the quarantine, until its answer is complete.
+    /// The draft in the quarantine, until its answer proves its parts.
     send: Option<SendKey>,
 }
 
@@ -37,10 +37,9 @@
         self.send = Some(send);
     }
 
-    /// Whether a draft with shared parts runs on the chain, no engine of which is known to have crashed.
-    pub(super) fn may_have_crashed(&self) -> bool {
-        let quarantine = &self.context.quarantine;
-        self.send.is_some_and(|send| !quarantine.is_blamed(send))
+    /// Whether a draft runs on the chain, and no answer has proven its parts yet.
+    pub(super) fn is_unproven(&self) -> bool {
+        self.send.is_some()
     }
 
     /// Logs that the draft is sent to the chain.
@@ -56,18 +55,16 @@
             predicted_ms = millis(plan.first_token), left_ms = millis(request.time_left(now)); "sent");
     }
 
-    /// Records received events; `is_first` if they are the first of the chain. Returns the reason why
-    /// the answer must be cut, if there is one.
-    pub(super) fn record_events(&self, now: MonotonicTime, is_first: bool) -> Option<HeldRequest> {
+    /// Records received events; `is_first` if they are the first of the chain.
+    pub(super) fn record_events(&mut self, now: MonotonicTime, is_first: bool) {
         let quarantine = &self.context.quarantine;
-        let held = self.send.and_then(|send| quarantine.record_event(send));
+        self.send = self.send.filter(|send| !quarantine.record_event(*send));
         self.context.health().mark_alive(now, self.chain.servers());
         if is_first {
             self.context
                 .chains()
                 .record_first_event(now, self.chain.flight);
         }
-        held
     }
 
     /// Records that the stream's first gap beyond the route's pause target occurred. Counts only
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -95,9 +95,8 @@
                     MoveResult::NoAlternative => {}
                 }
             }
-            ChainEnd::Broken(_) | ChainEnd::Silent(_) | ChainEnd::Held(_) => {
-                let is_cut = matches!(end, ChainEnd::Held(_));
-                if let Some(chain) = running.chain.as_ref().filter(|_| !is_cut) {
+            ChainEnd::Broken(_) | ChainEnd::Silent(_) => {
+                if let Some(chain) = &running.chain {
                     run.check_broken_engine(chain).await;
                 }
                 let reason = release_chain(&mut run, running, end, after);
@@ -180,12 +179,6 @@
             }
             reason
         }
-        (ChainEnd::Held(held), chain) => {
-            if let Some(chain) = chain {
-                chain.record_failed(None);
-            }
-            held.to_string()
-        }
         (ChainEnd::Silent(verdict), Some(chain)) => {
             run.abandon_unreachable(chain, verdict.suspects);
             "engines of the chain are unreachable".to_owned()
