fix(relay): admission of returns, forwarded drafts and unsent drafts

Cause: a caller with a short timeout of its own was taken for one that comes back, with each request. A draft that a cut-off host forwarded was admitted by no host. Drafts that were admitted but still looked for an engine were added to what the host held at the time of the reports, which raised its capacity.

The host that sends a forwarded draft admits it. Only drafts on engines count as held (`SentDraft`, held by the chain's guard).

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -17,6 +17,7 @@
 mod settings;
 mod shedding;
 mod usual_demand;
+mod usual_timeout;
 mod wait;
 
 pub use admission::AdmissionTable;
@@ -29,6 +30,7 @@
 pub use return_schedule::{PromisedReturns, ReturnRequest, ReturnSchedule, ReturnSettings};
 pub use settings::{CustomerLimits, LimitSettings};
 pub use shedding::{ConnectionShedder, ShedSettings};
+pub use usual_timeout::{TimeoutSettings, UsualTimeouts};
 pub use wait::WaitSettings;
 
 pub(crate) use bucket::TokenBucket;
--- a/crates/daemon/src/relay/admission.rs
+++ b/crates/daemon/src/relay/admission.rs
@@ -5,6 +5,7 @@
 //! receive.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use pollendrift_coordination::limits::{
     AdmissionCapacity, CapacityInputs, CustomerLimits, HostCapacity, HostCapacitySettings,
     LimitSettings, PriorityReserve, RequestPriority, RequestRefusal, ReturnRequest, ReturnSchedule,
-    ReturnSettings,
+    ReturnSettings, TimeoutSettings, UsualTimeouts,
 };
 use pollendrift_coordination::routes::RouteTable;
 use pollendrift_coordination::routing::{PoolCapacity, PoolSettings};
@@ -55,12 +56,16 @@
     mode: AdmissionMode,
     clock: Arc<dyn TimeSource>,
     seed: u64,
+    timeouts: Mutex<UsualTimeouts>,
     pools: Mutex<BTreeMap<ServiceName, Arc<DraftPool>>>,
 }
 
 /// Admission to the engines of one service.
 struct DraftPool {
     gate: Arc<AdmissionGate>,
+    /// KV memory of the admitted drafts that are on engines, in tokens. Reports of engines do not
+    /// have the other admitted drafts, which still look for engines.
+    sent_tokens: AtomicU64,
     state: Mutex<PoolState>,
 }
 
@@ -77,14 +82,21 @@
 pub(super) struct DraftTicket {
     pool: Arc<DraftPool>,
     _ticket: AdmissionTicket,
+    tokens: u64,
     clock: Arc<dyn TimeSource>,
     admitted_at: MonotonicTime,
 }
 
+/// An admitted draft on engines; dropping it ends that.
+pub(super) struct SentDraft {
+    pool: Arc<DraftPool>,
+    tokens: u64,
+}
+
 impl RelayContext {
     /// Admits a draft, after a wait if there is no capacity for it. `None` if the draft is not
-    /// limited: the drafts of its service all have the same priority, another host forwarded it, or
-    /// its caller resumes a stream.
+    /// limited: the drafts of its service all have the same priority, or its caller resumes a
+    /// stream.
     ///
     /// # Errors
     /// Refuses the draft as soon as it can't be in time; it did not run.
@@ -95,9 +107,8 @@
         let Some(priority) = request.priority else {
             return Ok(None);
         };
-        // A host that reaches no engine passes the draft to another host.
-        let is_unlimited = request.origin.is_some() || request.resume_after.is_some();
-        if is_unlimited || self.is_cut_off_from(request) {
+        // A host that reaches no engine forwards the draft to another host, which admits it.
+        if request.resume_after.is_some() || self.is_cut_off_from(request) {
             return Ok(None);
         }
         let Some(pool) = self.admission.pool(&request.service.name) else {
@@ -108,11 +119,11 @@
         self.fleet
             .demand()
             .record(now, &request.service.name, tokens);
-        let is_return = request.is_return();
-        // Late first events must not make all further drafts of a route seem late.
-        let first_event = pool.state().first_event.min(request.route.target / 2);
         let anonymous = CustomerName::from("");
         let customer = request.customer.as_ref().unwrap_or(&anonymous);
+        let is_return = self.admission.is_return(now, customer, request);
+        // Late first events must not make all further drafts of a route seem late.
+        let first_event = pool.state().first_event.min(request.route.target / 2);
         let admitted = pool
             .gate
             .admit_offer(GateOffer {
@@ -135,11 +146,12 @@
                 Ok(Some(DraftTicket {
                     pool,
                     _ticket: ticket,
+                    tokens,
                     clock: Arc::clone(&self.clock),
                     admitted_at: decided_at,
                 }))
             }
-            Err(refusal) => Err(pool.refuse(request, priority, decided_at, &refusal)),
+            Err(refusal) => Err(pool.refuse(request, priority, is_return, decided_at, &refusal)),
         }
     }
 
@@ -199,6 +211,7 @@
             mode,
             clock,
             seed,
+            timeouts: Mutex::new(UsualTimeouts::new(TimeoutSettings::default())),
             pools: Mutex::default(),
         }
     }
@@ -217,6 +230,20 @@
         dump.collect()
     }
 
+    /// Whether the caller of a draft was refused before and comes back. A host that forwarded the
+    /// draft has used up some of its time.
+    fn is_return(
+        &self,
+        now: MonotonicTime,
+        customer: &CustomerName,
+        request: &RelayRequest,
+    ) -> bool {
+        let (route, timeout) = (&request.route, request.timeout());
+        let mut timeouts = self.timeouts.lock().unwrap_or_else(PoisonError::into_inner);
+        request.origin.is_none()
+            && timeouts.record(now, customer, &route.name, timeout, route.timeout)
+    }
+
     fn pool(&self, service: &ServiceName) -> Option<Arc<DraftPool>> {
         self.lock().get(service).cloned()
     }
@@ -280,6 +307,7 @@
         };
         Self {
             gate: Arc::new(AdmissionGate::new(settings, limits, clock)),
+            sent_tokens: AtomicU64::new(0),
             state: Mutex::new(PoolState {
                 capacity: HostCapacity::new(HostCapacitySettings::default(), seed),
                 returns: ReturnSchedule::new(ReturnSettings::default(), seed),
@@ -290,7 +318,7 @@
     }
 
     fn update(&self, now: MonotonicTime, measured: Option<PoolCapacity>, share: f64) {
-        let held = self.gate.in_flight_tokens();
+        let held = self.sent_tokens.load(Ordering::Relaxed);
         let capacity = {
             let mut state = self.state();
             let capacity = state.capacity.update(now, held, measured, share);
@@ -308,13 +336,14 @@
         &self,
         request: &RelayRequest,
         priority: RequestPriority,
+        is_return: bool,
         now: MonotonicTime,
         refusal: &RequestRefusal,
     ) -> Refused {
         let wait = self.book_return(request, priority, now);
         let inputs = self.state().capacity.inputs().unwrap_or_default();
         log::info!(request = request.attempt.as_str(), priority:? = priority, reason:% = refusal.reason,
-            is_return = request.is_return(), waited_ms = millis(now.since(request.arrived)),
+            is_return = is_return, waited_ms = millis(now.since(request.arrived)),
             held_tokens = self.gate.in_flight_tokens(), free_tokens = inputs.free, share = inputs.share,
             report_age_ms = millis(now.since(inputs.measured_at)); "not admitted");
         let reason = format!(
@@ -368,6 +397,11 @@
 }
 
 impl DraftTicket {
+    /// Counts the draft as on engines until the result is dropped.
+    pub(super) fn record_sent(&self) -> SentDraft {
+        SentDraft::new(&self.pool, self.tokens)
+    }
+
     /// Records that the first event of the draft arrived.
     pub(super) fn record_first_event(&self, now: MonotonicTime) {
         let mut state = self.pool.state();
@@ -383,6 +417,89 @@
     }
 }
 
+impl SentDraft {
+    fn new(pool: &Arc<DraftPool>, tokens: u64) -> Self {
+        let pool = Arc::clone(pool);
+        pool.sent_tokens.fetch_add(tokens, Ordering::Relaxed);
+        Self { pool, tokens }
+    }
+}
+
+impl Drop for SentDraft {
+    fn drop(&mut self) {
+        let sent = &self.pool.sent_tokens;
+        sent.fetch_sub(self.tokens, Ordering::Relaxed);
+    }
+}
+
 fn mean(mean: Duration, observed: Duration) -> Duration {
     mean - mean / MEAN_WEIGHT + observed / MEAN_WEIGHT
 }
+
+#[cfg(test)]
+mod tests {
+    use std::sync::Arc;
+    use std::time::Duration;
+
+    use pollendrift_coordination::base::CustomerName;
+    use pollendrift_coordination::limits::{CustomerLimits, RequestPriority};
+    use pollendrift_coordination::routing::PoolCapacity;
+
+    use tokio::time::timeout;
+
+    use super::{DraftPool, GateOffer, SentDraft, TimeSource};
+    use crate::clock::SystemClock;
+
+    const DRAFT_TOKENS: u64 = 5_000;
+    /// Free memory of the engines: a host of all demand may hold four times as much in addition to
+    /// what it held at the time of the report.
+    const FREE_TOKENS: i64 = 4_000;
+    /// Time after which a draft counts as not admitted.
+    const MAX_WAIT: Duration = Duration::from_millis(20);
+
+    fn offer(customer: &CustomerName) -> GateOffer<'_> {
+        GateOffer {
+            customer,
+            limits: CustomerLimits {
+                max_in_flight: u32::MAX,
+                ..CustomerLimits::default()
+            },
+            priority: RequestPriority::Urgent,
+            tokens: DRAFT_TOKENS,
+            run_time: None,
+            deadline: None,
+            is_return: false,
+        }
+    }
+
+    // Guards against a capacity that grows with drafts that still look for an engine: reports of
+    // engines do not have them, and their memory would count as free twice.
+    #[tokio::test]
+    async fn only_drafts_on_engines_are_added_to_the_free_memory() {
+        let clock = Arc::new(SystemClock::default());
+        let pool = Arc::new(DraftPool::new(Arc::clone(&clock) as Arc<dyn TimeSource>, 1));
+        let customer = CustomerName::from("customer");
+        let mut tickets = Vec::new();
+        for _ in 0..3 {
+            let admitted = pool.gate.admit_offer(offer(&customer)).await;
+            tickets.push(admitted.expect("a capacity without limit"));
+        }
+        let mut admitted_after = Vec::new();
+        let mut sent = Vec::new();
+        for _ in 0..2 {
+            let now = clock.now();
+            let measured = PoolCapacity {
+                total: 100_000,
+                free: FREE_TOKENS,
+                measured_at: now,
+            };
+            pool.update(now, Some(measured), 1.0);
+            let next = timeout(MAX_WAIT, pool.gate.admit_offer(offer(&customer))).await;
+            admitted_after.push(next.is_ok());
+            for _ in 0..3 {
+                sent.push(SentDraft::new(&pool, DRAFT_TOKENS));
+            }
+        }
+        assert_eq!(admitted_after, [false, true]);
+    }
+}
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -213,6 +213,7 @@
             chain.log_sent(&self.request, now, self.sends + self.declined + 1);
             self.context.metrics.record_attempt();
             self.track(&mut chain);
+            self.record_sent(&mut chain);
             match self.send(&mut chain, resume_after).await {
                 Ok(answer) => {
                     self.tried_servers.record(&chain.chain.first);
@@ -269,6 +270,13 @@
         }
     }
 
+    /// Counts an admitted draft as on the engines of `chain`.
+    pub(super) fn record_sent(&self, chain: &mut ChainGuard) {
+        if let Some(ticket) = &self.ticket {
+            chain.hold_sent(ticket.record_sent());
+        }
+    }
+
     fn record_declined(&self, engines: &[ServerName]) {
         let now = self.context.clock.now();
         let mut chains = self.context.chains();
--- a/crates/daemon/src/relay/guard.rs
+++ b/crates/daemon/src/relay/guard.rs
@@ -6,6 +6,7 @@
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
 use pollendrift_coordination::quarantine::SendKey;
 
+use super::admission::SentDraft;
 use super::chains::ReservedChain;
 use super::context::RelayContext;
 use super::request::RelayRequest;
@@ -19,6 +20,8 @@
     has_failed: bool,
     /// The draft in the quarantine, until its answer proves its parts.
     send: Option<SendKey>,
+    /// The draft among those that admission counts as on engines.
+    sent: Option<SentDraft>,
 }
 
 impl ChainGuard {
@@ -29,6 +32,7 @@
             chain,
             has_failed: false,
             send: None,
+            sent: None,
         }
     }
 
@@ -37,6 +41,11 @@
         self.send = Some(send);
     }
 
+    /// Sets the admitted draft that runs on the chain.
+    pub(super) fn hold_sent(&mut self, sent: SentDraft) {
+        self.sent = Some(sent);
+    }
+
     /// Whether a draft runs on the chain, and no answer has proven its parts yet.
     pub(super) fn is_unproven(&self) -> bool {
         self.send.is_some()
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -18,8 +18,6 @@
 
 /// Divisor of the expected answer tokens for which KV memory is requested.
 const GROWTH_DIVISOR: u32 = 2;
-/// Least time between the refusal of a request and its return.
-pub(super) const MIN_RETURN_WAIT: Duration = Duration::from_millis(600);
 /// Priorities of requests at engines, which admit lower numbers first.
 const RESUMED_PRIORITY: u8 = 0;
 const URGENT_PRIORITY: u8 = 2;
@@ -89,10 +87,9 @@
         u64::from(prompt) + u64::from(self.expected_tokens())
     }
 
-    /// Whether the caller was refused before and comes back: it has less time than its route gives.
-    pub(super) fn is_return(&self) -> bool {
-        let time = self.deadline.since(self.arrived);
-        time.saturating_add(MIN_RETURN_WAIT) <= self.route.timeout
+    /// Time that the caller waits in total, from the arrival of the request.
+    pub(super) fn timeout(&self) -> Duration {
+        self.deadline.since(self.arrived)
     }
 
     /// Names of the shared parts, for log lines.
--- a/crates/daemon/src/relay/reroute.rs
+++ b/crates/daemon/src/relay/reroute.rs
@@ -130,6 +130,7 @@
             match outcome {
                 Some(RerouteOutcome::Accepted) => {
                     self.track(&mut next);
+                    self.record_sent(&mut next);
                     return Some(next);
                 }
                 Some(RerouteOutcome::NoCapacity { culprit }) => {
