fix(limits): figures that a review of admission found wrong

Cause: a host without reports raised its capacity with each draft that it admitted. Drafts that never ran shortened the mean run time, and with it promised too many returns. A caller that was refused again booked another slot, and used up the credit of returns. Engines of the prefill role counted as memory for drafts, and reports of impossible use overflowed their sum. A draft could wait past its caller's time.

Change: what the drafts held at the time of the reports is kept with the measurement. The relay's settings are `LimitSettings::for_drafts`, which the tests use too: before, they tested others.

--- a/crates/coordination/src/limits/admission.rs
+++ b/crates/coordination/src/limits/admission.rs
@@ -154,24 +154,30 @@
 
     /// Removes a running or waiting request that ended or whose caller disconnected.
     pub fn finish(&mut self, now: MonotonicTime, ticket: TicketKey) {
-        let Some(record) = self.tickets.get(ticket) else {
-            return;
-        };
+        if let Some((started, tokens)) = self.release(ticket) {
+            self.rate.count(now, tokens, now.since(started));
+        }
+    }
+
+    /// Removes a request that was admitted and did not run, so that its time tells nothing about the
+    /// capacity. Returns the start and the tokens of a running request.
+    pub fn release(&mut self, ticket: TicketKey) -> Option<(MonotonicTime, u64)> {
+        let record = self.tickets.get(ticket)?;
         let Some(started) = record.started else {
             self.dequeue(ticket);
             self.tickets.remove(ticket);
-            return;
+            return None;
         };
         let (key, tokens) = (record.customer, record.offer.tokens);
         self.tickets.remove(ticket);
         self.in_flight = self.in_flight.saturating_sub(1);
         self.in_flight_tokens = self.in_flight_tokens.saturating_sub(tokens);
-        self.rate.count(now, tokens, now.since(started));
         self.remove_ready(key);
         if let Some(customer) = self.customers.get_mut(key) {
             customer.in_flight = customer.in_flight.saturating_sub(1);
         }
         self.insert_ready(key);
+        Some((started, tokens))
     }
 
     /// Number of running requests.
@@ -225,6 +231,9 @@
         self.offered[place.rank as usize].record(now, DEMAND_WINDOW, offer.tokens);
         let wait = self.predict_wait(now, key, offer.tokens, place);
         if let Some(refusal) = self.find_refusal(now, key, &offer, place, wait) {
+            if place.is_return {
+                self.return_credit.give_back();
+            }
             return AdmissionVerdict::Refuse(refusal);
         }
         if let Err(wait) = self.take_rate(now, key) {
--- a/crates/coordination/src/limits/admission/order.rs
+++ b/crates/coordination/src/limits/admission/order.rs
@@ -5,9 +5,8 @@
 use crate::limits::offer::TicketKey;
 use crate::limits::rank::{AdmissionRank, QueuePlace};
 
-/// Reserve of surplus requests, in reserves of batch requests. With twice that reserve, returning
-/// callers kept the part of drafts in time at 0.90 three seconds after an overload, with four times
-/// at 0.94 (1.6 times the usual load, 63 hosts).
+/// Reserve of surplus requests, in reserves of batch requests. With a smaller reserve, returning
+/// callers are admitted in place of new requests after an overload.
 const SURPLUS_RESERVES: u64 = 4;
 
 impl AdmissionTable {
--- a/crates/coordination/src/limits/credit.rs
+++ b/crates/coordination/src/limits/credit.rs
@@ -84,6 +84,11 @@
         self.saved = (self.saved + self.part.unwrap_or_default()).min(MAX_CREDIT);
     }
 
+    /// Returns the credit of a returning caller that was refused.
+    pub(super) fn give_back(&mut self) {
+        self.saved = (self.saved + 1.0).min(MAX_CREDIT);
+    }
+
     /// Uses up the credit of one returning caller; `false` if there is none.
     pub(super) fn take(&mut self) -> bool {
         if self.part.is_none() {
--- a/crates/coordination/src/limits/host_capacity.rs
+++ b/crates/coordination/src/limits/host_capacity.rs
@@ -18,12 +18,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct HostCapacitySettings {
-    /// Times that free memory is handed out: until the next reports, most hosts receive fewer drafts
-    /// than their share of it allows.
+    /// Factor by which a host may exceed its share of the free memory. Until the next reports, most
+    /// hosts receive fewer drafts than their share allows.
     pub free_factor: u32,
-    /// Part of the pool that requests of normal priority leave free, in percent.
+    /// Reserve for requests of urgent priority, in percent of the pool. Each host subtracts its share of
+    /// it from its capacity, which has `free_factor` in it.
     pub normal_reserve_percent: u32,
-    /// Part of the pool that requests of batch priority leave free, in percent.
+    /// The same for requests of urgent and normal priority.
     pub batch_reserve_percent: u32,
     /// KV memory of a usual draft, in tokens, until drafts were seen.
     pub usual_tokens: u64,
@@ -37,7 +38,7 @@
 impl Default for HostCapacitySettings {
     fn default() -> Self {
         Self {
-            free_factor: 4,
+            free_factor: 6,
             normal_reserve_percent: 12,
             batch_reserve_percent: 24,
             usual_tokens: 900,
@@ -56,6 +57,8 @@
     pub free: i64,
     /// Share of this host in the demand of all hosts.
     pub share: f64,
+    /// Tokens that the own drafts held when the engines measured the memory.
+    pub held: u64,
     /// Time at which the engines measured the memory.
     pub measured_at: MonotonicTime,
 }
@@ -69,6 +72,8 @@
     /// Mean tokens of a draft.
     usual_tokens: f64,
     inputs: Option<CapacityInputs>,
+    /// Tokens that the own drafts held when the discovery time ended without a measurement.
+    held_undiscovered: Option<u64>,
     random: ChaCha8Rng,
 }
 
@@ -87,6 +92,7 @@
             held: VecDeque::new(),
             usual_tokens: settings.usual_tokens as f64,
             inputs: None,
+            held_undiscovered: None,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -118,6 +124,7 @@
                 total: pool.total,
                 free: pool.free,
                 share,
+                held: self.held_at(pool.measured_at),
                 measured_at: pool.measured_at,
             });
         }
@@ -125,11 +132,10 @@
             return self.without_measurement(now, held);
         };
         if now.since(inputs.measured_at) >= self.settings.measurement_lifetime {
-            return self.without_reports(self.held_at(inputs.measured_at));
+            return self.without_reports(inputs.held);
         }
         // Drafts that started since are not in the measurement, so the share of the free memory is
         // added to what the own drafts held at that time.
-        let held_then = self.held_at(inputs.measured_at) as f64;
         let factor = if inputs.free > 0 {
             self.settings.free_factor
         } else {
@@ -138,7 +144,7 @@
         let free = inputs.share * inputs.free as f64 * f64::from(factor);
         // A share of less than one draft allows one with that probability.
         let rounding = self.random.random_range(0.0..1.0) * self.usual_tokens;
-        let tokens = (held_then + free + rounding).max(0.0);
+        let tokens = (inputs.held as f64 + free + rounding).max(0.0);
         let reserve = |percent: u32| {
             let pool = inputs.total as f64 * f64::from(percent) / 100.0;
             (inputs.share * pool) as u64
@@ -153,10 +159,12 @@
     }
 
     /// Capacity of a host that has never seen a report of an engine.
-    fn without_measurement(&self, now: MonotonicTime, held: u64) -> AdmissionCapacity {
+    fn without_measurement(&mut self, now: MonotonicTime, held: u64) -> AdmissionCapacity {
         if now.since(MonotonicTime::START) < self.settings.discovery_time {
             return limited(u64::MAX);
         }
+        // What it admits later must not raise its capacity again.
+        let held = *self.held_undiscovered.get_or_insert(held);
         self.without_reports(held)
     }
 
--- a/crates/coordination/src/limits/return_schedule.rs
+++ b/crates/coordination/src/limits/return_schedule.rs
@@ -102,6 +102,10 @@
         self.pass_slots(now);
         let is_valid = tokens_per_second.is_finite() && tokens_per_second > 0.0;
         self.rate = if is_valid { tokens_per_second } else { 0.0 };
+        if !is_valid {
+            // Without a rate, bookings would never pass.
+            self.booked = [0.0; 3];
+        }
     }
 
     /// Returns the time after which a refused caller comes back, and books its slot.
@@ -110,8 +114,7 @@
     /// what is allowed.
     pub fn book(&mut self, now: MonotonicTime, request: &ReturnRequest) -> Duration {
         self.pass_slots(now);
-        let max = request.time_left.saturating_mul(self.settings.max_percent) / 100;
-        let min = self.settings.min_wait.min(max);
+        let (min, max) = self.limits(request);
         let index = request.priority as usize;
         let own_rate = self.rate * RATE_SIXTHS[index] / 6.0;
         let delay = Duration::try_from_secs_f64(self.booked[index] / own_rate);
@@ -122,12 +125,29 @@
                 self.booked[index] += request.tokens as f64;
                 self.add_jitter(slot).min(max)
             }
-            None => self.random.random_range((min + max) / 2..=max),
+            None => self.draw_late(min, max),
         };
         self.promise(now.after(wait), request.tokens);
         wait
     }
 
+    /// Returns a time for a caller that came back and was refused again. It books no slot: callers
+    /// come back once, and a slot that nobody uses is lost to another one.
+    pub fn without_slot(&mut self, request: &ReturnRequest) -> Duration {
+        let (min, max) = self.limits(request);
+        self.draw_late(min, max)
+    }
+
+    /// Least and greatest time for a caller.
+    fn limits(&self, request: &ReturnRequest) -> (Duration, Duration) {
+        let max = request.time_left.saturating_mul(self.settings.max_percent) / 100;
+        (self.settings.min_wait.min(max), max)
+    }
+
+    fn draw_late(&mut self, min: Duration, max: Duration) -> Duration {
+        self.random.random_range((min + max) / 2..=max)
+    }
+
     /// Returns the callers whose times have not passed.
     pub fn promised(&self, now: MonotonicTime) -> PromisedReturns {
         let current = period_of(now);
--- a/crates/coordination/src/limits/settings.rs
+++ b/crates/coordination/src/limits/settings.rs
@@ -74,3 +74,26 @@
         }
     }
 }
+
+impl LimitSettings {
+    /// Settings for the drafts of one host to a pool of engines that all hosts share.
+    pub fn for_drafts() -> Self {
+        Self {
+            // Memory of the pool is the only limit of a customer.
+            default_limits: CustomerLimits {
+                max_in_flight: u32::MAX,
+                ..CustomerLimits::default()
+            },
+            floor_percent: 30,
+            return_percent: 8,
+            // Demand that moves between data centres triples at one host.
+            usual_demand_percent: 300,
+            ..Self::default()
+        }
+    }
+
+    /// Part of the capacity that is kept for returning callers, in `0.0..=1.0`.
+    pub fn return_part(&self) -> f64 {
+        f64::from(self.return_percent.min(100)) / 100.0
+    }
+}
--- a/crates/coordination/src/routing/pool_capacity.rs
+++ b/crates/coordination/src/routing/pool_capacity.rs
@@ -8,10 +8,14 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::engine::EngineRole;
 use super::fleet::{EngineRecord, FleetTable};
 use super::link::DataCentreIndex;
 use crate::base::{LayerRange, ModelName, MonotonicTime};
 
+/// Greatest memory of one engine that counts, in tokens.
+const MAX_TOKENS: i64 = 1 << 40;
+
 /// Settings of [`PoolCapacity::measure`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
@@ -57,6 +61,7 @@
         let reporting = |engine: &&EngineRecord| {
             let reported_at = engine.load.reported_at();
             engine.announcement.model == *model
+                && engine.announcement.role != EngineRole::Prefill
                 && reported_at.is_some_and(|at| now.since(at) < settings.report_lifetime)
         };
         let engines = fleet.iter().map(|(_, engine)| engine);
@@ -87,6 +92,11 @@
     Some(MonotonicTime::from_micros(mean))
 }
 
+/// Limits a figure of one engine, so that the sum over a fleet fits an `i64` whatever engines report.
+fn bounded(tokens: u64) -> i64 {
+    i64::try_from(tokens).map_or(MAX_TOKENS, |tokens| tokens.min(MAX_TOKENS))
+}
+
 /// Memory at one layer, in tokens.
 #[derive(Clone, Copy, Debug, Default)]
 struct NarrowestLayer {
@@ -118,8 +128,8 @@
             .0
             .saturating_mul(u64::from(settings.fill_percent))
             / 100;
-        let total = i64::try_from(usable).unwrap_or(i64::MAX / 2);
-        let held = i64::try_from(engine.load.reported_kv()).unwrap_or(i64::MAX / 2);
+        let total = bounded(usable);
+        let held = bounded(engine.load.reported_kv());
         let memory = NarrowestLayer {
             total,
             free: total - held,
--- a/crates/coordination/tests/limits_order.rs
+++ b/crates/coordination/tests/limits_order.rs
@@ -251,3 +251,26 @@
         .for_each(|ticket| table.finish(at(400_000), ticket));
     assert_eq!((table.in_flight(), table.in_flight_tokens()), (0, 0));
 }
+
+// Guards against refusals of new customers for the life of a process, once it has seen as many as its
+// table holds.
+#[test]
+fn customers_without_requests_make_room_for_new_ones() {
+    let settings = LimitSettings {
+        max_customers: 2,
+        ..LimitSettings::for_drafts()
+    };
+    let mut table = AdmissionTable::new(settings, capacity(1_000));
+    for name in ["a", "b", "c"] {
+        let customer = CustomerName::from(name);
+        table.set_limits(at(0), &customer, settings.default_limits);
+        let request = AdmissionRequest {
+            customer,
+            ..request(name, Urgent, false)
+        };
+        match table.offer(at(0), request) {
+            AdmissionVerdict::Admit(ticket) => table.finish(at(0), ticket),
+            verdict => panic!("{name}: {verdict:?}"),
+        }
+    }
+}
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -101,6 +101,8 @@
     ticket: TicketKey,
     tokens: u64,
     started: MonotonicTime,
+    /// Whether the request ended before it ran.
+    is_unused: bool,
 }
 
 /// A queued request; dropping it, as when its caller disconnects, removes it from the queue.
@@ -189,6 +191,7 @@
             ticket,
             tokens,
             started: self.clock.now(),
+            is_unused: false,
         })
     }
 
@@ -294,11 +297,15 @@
         }
     }
 
-    fn finish(&self, ticket: TicketKey, tokens: u64, started: MonotonicTime) {
+    fn finish(&self, ended: &AdmissionTicket) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.table.finish(now, ticket);
-        state.observe(tokens, now.since(started));
+        if ended.is_unused {
+            state.table.release(ended.ticket);
+        } else {
+            state.table.finish(now, ended.ticket);
+            state.observe(ended.tokens, now.since(ended.started));
+        }
         state.apply_changes(now);
     }
 
@@ -353,9 +360,17 @@
     }
 }
 
+impl AdmissionTicket {
+    /// Records that the request ended before it ran, so that its time tells nothing about the time
+    /// that requests run.
+    pub(crate) fn set_unused(&mut self) {
+        self.is_unused = true;
+    }
+}
+
 impl Drop for AdmissionTicket {
     fn drop(&mut self) {
-        self.gate.finish(self.ticket, self.tokens, self.started);
+        self.gate.finish(self);
     }
 }
 
--- a/crates/daemon/src/relay/admission.rs
+++ b/crates/daemon/src/relay/admission.rs
@@ -5,14 +5,14 @@
 //! receive.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use pollendrift_coordination::base::{CustomerName, MonotonicTime, ServiceName};
 use pollendrift_coordination::limits::{
-    AdmissionCapacity, CapacityInputs, CustomerLimits, HostCapacity, HostCapacitySettings,
-    LimitSettings, PriorityReserve, RequestPriority, RequestRefusal, ReturnRequest, ReturnSchedule,
+    AdmissionCapacity, CapacityInputs, HostCapacity, HostCapacitySettings, LimitSettings,
+    PriorityReserve, RequestPriority, RequestRefusal, ReturnRequest, ReturnSchedule,
     ReturnSettings, TimeoutSettings, UsualTimeouts,
 };
 use pollendrift_coordination::routes::RouteTable;
@@ -28,11 +28,6 @@
 
 /// Time between two checks for waiting drafts that can no longer be in time.
 const QUEUE_TICK: Duration = Duration::from_millis(50);
-/// Share of the capacity that is kept for callers that come back after a refusal, in percent.
-const RETURN_PERCENT: u32 = 6;
-/// Demand of a customer that keeps its priority, in percent of its usual demand. Demand that moves
-/// between data centres triples at one host.
-const USUAL_DEMAND_PERCENT: u32 = 500;
 /// Mean time that a draft runs, until drafts have ended.
 const INITIAL_RUN_TIME: Duration = Duration::from_secs(2);
 /// Time from the send of a draft to its first event, until events have come.
@@ -81,8 +76,11 @@
 /// An admitted draft; dropping it frees its part of the capacity.
 pub(super) struct DraftTicket {
     pool: Arc<DraftPool>,
-    _ticket: AdmissionTicket,
+    ticket: AdmissionTicket,
     tokens: u64,
+    is_return: bool,
+    /// Whether an engine has begun to answer the draft.
+    has_run: AtomicBool,
     clock: Arc<dyn TimeSource>,
     admitted_at: MonotonicTime,
 }
@@ -128,10 +126,7 @@
             .gate
             .admit_offer(GateOffer {
                 customer,
-                limits: CustomerLimits {
-                    max_in_flight: u32::MAX,
-                    ..CustomerLimits::default()
-                },
+                limits: LimitSettings::for_drafts().default_limits,
                 priority,
                 tokens,
                 run_time: Some(first_event),
@@ -145,8 +140,10 @@
                 pool.log_admitted(request, priority, decided_at);
                 Ok(Some(DraftTicket {
                     pool,
-                    _ticket: ticket,
+                    ticket,
                     tokens,
+                    is_return,
+                    has_run: AtomicBool::new(false),
                     clock: Arc::clone(&self.clock),
                     admitted_at: decided_at,
                 }))
@@ -163,17 +160,24 @@
         request: &RelayRequest,
         is_return: bool,
     ) -> MonotonicTime {
-        if is_return {
-            return self.queue_deadline(now, request.arrived);
-        }
-        request.arrived.after(request.route.target)
+        let latest = if is_return {
+            self.queue_deadline(now, request.arrived)
+        } else {
+            request.arrived.after(request.route.target)
+        };
+        latest.min(request.deadline)
     }
 
     /// Time after which the caller of a draft that found no engine with room comes back.
-    pub(super) fn return_time(&self, request: &RelayRequest) -> Option<Duration> {
+    pub(super) fn return_time(
+        &self,
+        request: &RelayRequest,
+        ticket: Option<&DraftTicket>,
+    ) -> Option<Duration> {
         let pool = self.admission.pool(&request.service.name)?;
         let priority = request.priority?;
-        Some(pool.book_return(request, priority, self.clock.now()))
+        let is_return = ticket.is_some_and(|ticket| ticket.is_return);
+        Some(pool.choose_return(request, priority, is_return, self.clock.now()))
     }
 
     /// Updates the capacity of all services whose drafts have different priorities.
@@ -299,12 +303,7 @@
             max_wait: Duration::MAX,
             entries: 1,
         };
-        let settings = LimitSettings {
-            floor_percent: 30,
-            return_percent: RETURN_PERCENT,
-            usual_demand_percent: USUAL_DEMAND_PERCENT,
-            ..LimitSettings::default()
-        };
+        let settings = LimitSettings::for_drafts();
         Self {
             gate: Arc::new(AdmissionGate::new(settings, limits, clock)),
             sent_tokens: AtomicU64::new(0),
@@ -324,7 +323,7 @@
             let capacity = state.capacity.update(now, held, measured, share);
             if let Some(inputs) = state.capacity.inputs() {
                 let served = share * inputs.total as f64 / state.run_time.as_secs_f64().max(0.1);
-                let kept = f64::from(RETURN_PERCENT) / 100.0;
+                let kept = LimitSettings::for_drafts().return_part();
                 state.returns.set_rate(now, served * kept);
             }
             capacity
@@ -340,7 +339,7 @@
         now: MonotonicTime,
         refusal: &RequestRefusal,
     ) -> Refused {
-        let wait = self.book_return(request, priority, now);
+        let wait = self.choose_return(request, priority, is_return, now);
         let inputs = self.state().capacity.inputs().unwrap_or_default();
         log::info!(request = request.attempt.as_str(), priority:? = priority, reason:% = refusal.reason,
             is_return = is_return, waited_ms = millis(now.since(request.arrived)),
@@ -354,10 +353,11 @@
     }
 
     /// Chooses the time after which the caller of a refused draft comes back.
-    fn book_return(
+    fn choose_return(
         &self,
         request: &RelayRequest,
         priority: RequestPriority,
+        is_return: bool,
         now: MonotonicTime,
     ) -> Duration {
         let booking = ReturnRequest {
@@ -365,7 +365,11 @@
             tokens: request.kv_tokens(),
             time_left: request.time_left(now),
         };
-        self.state().returns.book(now, &booking)
+        let returns = &mut self.state().returns;
+        if is_return {
+            return returns.without_slot(&booking);
+        }
+        returns.book(now, &booking)
     }
 
     fn log_admitted(&self, request: &RelayRequest, priority: RequestPriority, now: MonotonicTime) {
@@ -404,6 +408,7 @@
 
     /// Records that the first event of the draft arrived.
     pub(super) fn record_first_event(&self, now: MonotonicTime) {
+        self.has_run.store(true, Ordering::Relaxed);
         let mut state = self.pool.state();
         state.first_event = mean(state.first_event, now.since(self.admitted_at));
     }
@@ -411,6 +416,10 @@
 
 impl Drop for DraftTicket {
     fn drop(&mut self) {
+        if !self.has_run.load(Ordering::Relaxed) {
+            self.ticket.set_unused();
+            return;
+        }
         let run_time = self.clock.now().since(self.admitted_at);
         let mut state = self.pool.state();
         state.run_time = mean(state.run_time, run_time);
@@ -442,7 +451,7 @@
     use std::time::Duration;
 
     use pollendrift_coordination::base::CustomerName;
-    use pollendrift_coordination::limits::{CustomerLimits, RequestPriority};
+    use pollendrift_coordination::limits::{LimitSettings, RequestPriority};
     use pollendrift_coordination::routing::PoolCapacity;
 
     use tokio::time::timeout;
@@ -451,19 +460,16 @@
     use crate::clock::SystemClock;
 
     const DRAFT_TOKENS: u64 = 5_000;
-    /// Free memory of the engines: a host of all demand may hold four times as much in addition to
-    /// what it held at the time of the report.
-    const FREE_TOKENS: i64 = 4_000;
+    /// Free memory of the engines. A host of all demand may hold `free_factor` times as much, which is
+    /// less than the memory of four drafts, in addition to what it held at the time of the report.
+    const FREE_TOKENS: i64 = 3_000;
     /// Time after which a draft counts as not admitted.
     const MAX_WAIT: Duration = Duration::from_millis(20);
 
     fn offer(customer: &CustomerName) -> GateOffer<'_> {
         GateOffer {
             customer,
-            limits: CustomerLimits {
-                max_in_flight: u32::MAX,
-                ..CustomerLimits::default()
-            },
+            limits: LimitSettings::for_drafts().default_limits,
             priority: RequestPriority::Urgent,
             tokens: DRAFT_TOKENS,
             run_time: None,
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -382,7 +382,8 @@
             return self.forwards.refusal();
         }
         if !self.may_have_run {
-            let wait = self.context.return_time(&self.request);
+            let ticket = self.ticket.as_ref();
+            let wait = self.context.return_time(&self.request, ticket);
             let wait = wait.unwrap_or(RETRY_AFTER_NO_CAPACITY);
             return refused(RefusalKind::NotRun, reason).retry_after(wait);
         }
