fix(standins): addresses that no other process returns

Cause: free_addresses checked a port and released it. The first ports of processes with consecutive ids are 97 apart, but claims:: and resumes::a_ take 105 ports, so neighbouring copies chose the same ones. Change: a process holds a UDP socket on the number of each port it returns; another process that finds the number taken chooses the next one. Result: the new test fails when the UDP socket is bound elsewhere.

--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -1,8 +1,9 @@
 //! Builders for tests and examples: settings of a host and free loopback ports.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, PoisonError};
 
 /// Bearer token of the customer in the settings of [`HostBuilder`].
 pub const CUSTOMER_TOKEN: &str = "customer-token";
@@ -22,11 +23,17 @@
 const PROCESS_STRIDE: u32 = 97;
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+/// UDP sockets on the ports that this process has reserved; they stay open until it ends.
+static RESERVED: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
 
-/// Loopback addresses whose ports were free when checked; each is returned once per process.
+/// Loopback addresses whose ports were free when checked. Each is returned once per process, and to
+/// no other process as long as this one runs.
 ///
 /// A restarted host needs its old ports. From the system's range for outgoing connections, another
 /// connection could occupy one of them meanwhile, and the start would wait until it is closed.
+/// Another process could also occupy the port of a host that has crashed or has not started yet, so
+/// each port is reserved by a UDP socket on the same number, which only one process can bind and
+/// which leaves the TCP port free.
 ///
 /// # Errors
 /// No port is free.
@@ -37,7 +44,7 @@
             break;
         }
         let address = SocketAddr::from(([127, 0, 0, 1], next_port()));
-        if std::net::TcpListener::bind(address).is_ok() {
+        if reserve(address) {
             addresses.push(address);
         }
     }
@@ -47,6 +54,19 @@
     Ok(addresses)
 }
 
+/// Reserves a free port for this process; false if it is in use or reserved by any process.
+fn reserve(address: SocketAddr) -> bool {
+    let Ok(reservation) = UdpSocket::bind(address) else {
+        return false;
+    };
+    if TcpListener::bind(address).is_err() {
+        return false;
+    }
+    let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
+    reserved.push(reservation);
+    true
+}
+
 fn next_port() -> u16 {
     let size = PORTS.end - PORTS.start;
     let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
@@ -190,3 +210,27 @@
         .copied()
         .unwrap_or("dc-a")
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against hosts of two test programs that share an address: while a host is stopped, its
+    // TCP port looks free to the other program, which then runs a host in place of the stopped one.
+    #[test]
+    fn ports_that_another_process_has_reserved_are_not_returned() {
+        let first = free_addresses(1).unwrap()[0];
+        let following = (1..4).map(|distance| (first.ip(), first.port() + distance).into());
+        let of_other_process: Vec<SocketAddr> = following.collect();
+        let _reservations: Vec<_> = of_other_process.iter().map(UdpSocket::bind).collect();
+        let addresses = free_addresses(4).unwrap();
+        assert!(
+            !of_other_process.iter().any(|port| addresses.contains(port)),
+            "{addresses:?}"
+        );
+        for address in addresses {
+            assert!(UdpSocket::bind(address).is_err(), "{address} not reserved");
+            assert!(TcpListener::bind(address).is_ok(), "{address} in use");
+        }
+    }
+}
