test(hosts): a wait that times out says what it waited for

Cause: all waits of the tests ended in the same line of the support code, so a wait of 30 s did not show which condition was awaited. Change: the message names the line of the caller, or the condition and the state of each host and keeper; a host that does not start names its last error. The time limits and conditions are the same.

--- a/crates/daemon/tests/hosts/support.rs
+++ b/crates/daemon/tests/hosts/support.rs
@@ -1,6 +1,7 @@
 //! Test support: several hosts in one process.
 
 use std::future::Future;
+use std::panic::Location;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -99,8 +100,10 @@
         let settings = DaemonSettings::parse(&"test".into(), PathBuf::new(), &text);
         let settings = settings.unwrap().settings;
         // A crashed host releases its folder lock and its ports once its tasks have ended.
-        self.hosts[index] =
-            Some(retry_until_ok(|| RouterDaemon::start(&settings, Vec::new())).await);
+        let started = retry_until_ok(|| RouterDaemon::start(&settings, Vec::new())).await;
+        let error = started.as_ref().err();
+        assert!(error.is_none(), "host {index} did not start: {error:?}");
+        self.hosts[index] = started.ok();
     }
 
     /// Appends to the settings of a host that is not running yet.
@@ -135,7 +138,7 @@
             let leader = status?.leader?.host;
             (0..self.hosts.len()).find(|index| leader.as_str() == HostBuilder::name(*index))
         };
-        wait_until(|| leader().is_some()).await;
+        self.wait_for("a leader", || leader().is_some()).await;
         leader().unwrap()
     }
 
@@ -177,13 +180,57 @@
                 }
             }
         };
-        tokio::time::timeout(TIMEOUT, resend).await.unwrap()
+        let ended = tokio::time::timeout(TIMEOUT, resend).await;
+        assert!(ended.is_ok(), "change {id} timed out; {}", self.states());
+        ended.ok().flatten()
+    }
+
+    /// Waits until `condition` returns true. A time-out names `awaited` and the state of each host.
+    async fn wait_for<F>(&self, awaited: &str, condition: F)
+    where
+        F: Fn() -> bool,
+    {
+        let polling = async {
+            while !condition() {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let ended = tokio::time::timeout(TIMEOUT, polling).await;
+        assert!(
+            ended.is_ok(),
+            "time-out of the wait for {awaited}; {}",
+            self.states()
+        );
+    }
+
+    /// State of each host and its keeper, for the message of a failed wait.
+    fn states(&self) -> String {
+        let state = |(index, host): (usize, &Option<RouterDaemon>)| {
+            let Some(host) = host else {
+                return format!("host {index}: stopped");
+            };
+            let node = host.node();
+            let revision = node.configuration().map(|current| current.revision());
+            let keeper = node.keeper_status().map(|status| {
+                (
+                    status.role,
+                    status.term,
+                    status.leader,
+                    status.commit,
+                    status.stopped,
+                )
+            });
+            let reason = host.unready_reason();
+            format!("host {index}: {revision:?}, not ready: {reason:?}, keeper: {keeper:?}")
+        };
+        let states: Vec<String> = self.hosts.iter().enumerate().map(state).collect();
+        states.join("; ")
     }
 
     /// Waits until a host is ready and serves `revision`.
     pub(crate) async fn wait_revision(&self, index: usize, revision: Revision) {
         let host = self.host(index);
-        wait_until(|| {
+        self.wait_for(&format!("{revision:?} at host {index}"), || {
             let current = host
                 .node()
                 .configuration()
@@ -206,7 +253,12 @@
                     tokio::time::sleep(POLL_INTERVAL).await;
                 }
             };
-            tokio::time::timeout(TIMEOUT, polling).await.unwrap();
+            let ended = tokio::time::timeout(TIMEOUT, polling).await;
+            assert!(
+                ended.is_ok(),
+                "time-out of the wait for {count} servers at host {index}; {}",
+                self.states()
+            );
         }
     }
 
@@ -227,31 +279,41 @@
     }
 }
 
-/// Waits until `condition` returns true.
-pub(crate) async fn wait_until<F>(condition: F)
+/// Waits until `condition` returns true. A time-out names the line of the caller.
+#[track_caller]
+pub(crate) fn wait_until<F>(condition: F) -> impl Future<Output = ()>
 where
     F: Fn() -> bool,
 {
-    let polling = async {
-        while !condition() {
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-    };
-    tokio::time::timeout(TIMEOUT, polling).await.unwrap();
+    let caller = Location::caller();
+    async move {
+        let polling = async {
+            while !condition() {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let ended = tokio::time::timeout(TIMEOUT, polling).await;
+        assert!(ended.is_ok(), "time-out of the wait at {caller}");
+    }
 }
 
-async fn retry_until_ok<F, R, T, E>(attempt: F) -> T
+/// Repeats `attempt` until it succeeds, or returns its last error at the time-out.
+async fn retry_until_ok<F, R, T, E>(attempt: F) -> Result<T, Option<E>>
 where
     F: Fn() -> R,
     R: Future<Output = Result<T, E>>,
 {
+    let mut last = None;
     let polling = async {
         loop {
-            if let Ok(value) = attempt().await {
-                return value;
+            match attempt().await {
+                Ok(value) => return value,
+                Err(error) => last = Some(error),
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     };
-    tokio::time::timeout(TIMEOUT, polling).await.unwrap()
+    tokio::time::timeout(TIMEOUT, polling)
+        .await
+        .map_err(|_| last)
 }
