fix(daemon): a dropped daemon stops while requests still refer to it

Cause: dropping a daemon stopped its keeper and links only with the last reference to its node. The HTTP servers, their connections and running requests hold such references and end when the runtime polls them, which takes long on a busy machine; a request that starts after the tasks were aborted holds one until it ends. Until then the keeper votes and the host keeps its ports. Change: dropping the daemon stops keeper, links and tasks itself, and a task group starts nothing after its abort.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -428,6 +428,7 @@
 
 impl Drop for RouterDaemon {
     fn drop(&mut self) {
+        self.node.abort();
         self.context.tasks.abort();
         for task in &self.tasks {
             task.abort();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -4,7 +4,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
@@ -80,7 +80,9 @@
     question_handler: Arc<KeeperQuestionHandler>,
     streams: Arc<StreamStore>,
     broadcaster: Arc<LeaseBroadcaster>,
-    peers: PeerTasks,
+    hub: PeerHub,
+    /// `None` after [`ClusterNode::abort`].
+    peers: Mutex<Option<PeerTasks>>,
     tasks: Vec<JoinHandle<()>>,
     incarnation: tokio::sync::watch::Receiver<Option<Incarnation>>,
 }
@@ -233,7 +235,8 @@
             question_handler,
             streams,
             broadcaster,
-            peers,
+            hub,
+            peers: Mutex::new(Some(peers)),
             tasks,
             incarnation,
         })
@@ -282,7 +285,7 @@
 
     /// Links to the peers.
     pub fn hub(&self) -> &PeerHub {
-        self.peers.hub()
+        &self.hub
     }
 
     /// Client of the keepers.
@@ -304,29 +307,32 @@
     /// # Errors
     /// The store failed at the last sync.
     pub async fn stop(&self) -> Result<(), KeeperError> {
-        let keeper = self
-            .keeper
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take();
-        let Some(keeper) = keeper else {
+        let Some(keeper) = lock(&self.keeper).take() else {
             return Ok(());
         };
         keeper.handle().stop();
         keeper.finish().await
     }
 
+    /// Stops the keeper, the links and all tasks at once, like a crash. Running requests may still
+    /// refer to this node and would otherwise keep its keeper voting until they end.
+    pub(crate) fn abort(&self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        drop(lock(&self.keeper).take());
+        drop(lock(&self.peers).take());
+    }
+
     fn keeper_handle(&self) -> Option<KeeperHandle> {
-        let keeper = self.keeper.lock().unwrap_or_else(PoisonError::into_inner);
+        let keeper = lock(&self.keeper);
         keeper.as_ref().map(|keeper| keeper.handle().clone())
     }
 }
 
 impl Drop for ClusterNode {
     fn drop(&mut self) {
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.abort();
     }
 }
 
@@ -357,6 +363,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 async fn submit(
     client: &KeeperClient,
     command: ReplicatedCommand,
--- a/crates/daemon/src/tasks.rs
+++ b/crates/daemon/src/tasks.rs
@@ -6,31 +6,48 @@
 use tokio::task::JoinSet;
 
 /// Tasks of one daemon; dropping the group aborts them at once.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TaskGroup {
-    tasks: Mutex<JoinSet<()>>,
+    /// `None` after [`TaskGroup::abort`].
+    tasks: Mutex<Option<JoinSet<()>>>,
+}
+
+impl Default for TaskGroup {
+    fn default() -> Self {
+        Self {
+            tasks: Mutex::new(Some(JoinSet::new())),
+        }
+    }
 }
 
 impl TaskGroup {
-    /// Starts `task` and removes finished tasks from the group.
+    /// Starts `task` and removes finished tasks from the group. Drops `task` after
+    /// [`TaskGroup::abort`].
     pub fn spawn<F>(&self, task: F)
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        let mut tasks = self.lock();
+        let mut group = self.lock();
+        let Some(tasks) = group.as_mut() else {
+            return;
+        };
         while tasks.try_join_next().is_some() {}
         tasks.spawn(task);
     }
 
-    /// Aborts all tasks at once.
+    /// Aborts all tasks at once and starts no further ones.
+    ///
+    /// Connections end a little later than the daemon that owns them. A request that one of them
+    /// starts meanwhile would refer to the daemon's parts and keep them, and itself, running.
     pub fn abort(&self) {
-        self.lock().abort_all();
+        let tasks = self.lock().take();
+        drop(tasks);
     }
 
     /// Waits until all tasks have finished, including those started meanwhile.
     pub async fn finished(&self) {
         loop {
-            let mut tasks = std::mem::take(&mut *self.lock());
+            let mut tasks = self.lock().as_mut().map(std::mem::take).unwrap_or_default();
             if tasks.is_empty() {
                 return;
             }
@@ -38,7 +55,26 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, JoinSet<()>> {
+    fn lock(&self) -> MutexGuard<'_, Option<JoinSet<()>>> {
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against a request that starts while its daemon is dropped, and then runs on.
+    #[tokio::test]
+    async fn a_task_started_after_the_abort_is_dropped() {
+        let group = TaskGroup::default();
+        group.abort();
+        let (sender, receiver) = tokio::sync::oneshot::channel::<()>();
+        group.spawn(async move {
+            std::future::pending::<()>().await;
+            drop(sender);
+        });
+        assert!(receiver.await.is_err());
+        group.finished().await;
+    }
+}
--- a/crates/daemon/tests/hosts/stops.rs
+++ b/crates/daemon/tests/hosts/stops.rs
@@ -1,5 +1,8 @@
 //! Tests that planned stops do not interrupt running requests.
 
+use std::sync::Arc;
+
+use pollendrift_coordination::base::Revision;
 use pollendrift_standins::harness::{CUSTOMER_TOKEN, loopback};
 use pollendrift_standins::load::{CallOutcome, ServiceCaller};
 use pollendrift_standins::service::PlainService;
@@ -43,3 +46,16 @@
         @"running call answered true, late call refused true, runs of it 0, all finished true"
     );
 }
+
+// Guards against a crashed keeper that votes and holds its port and folder while a request that is
+// still running refers to its node. Calls would then be claimed without a quorum of live keepers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashed_host_stops_although_a_request_refers_to_its_node() {
+    let mut group = HostGroup::start(4, 3).await;
+    let node = Arc::clone(group.host(0).node());
+    group.crash(0);
+    assert_eq!(node.keeper_status(), None);
+    group.restart(0).await;
+    group.wait_revision(0, Revision(1)).await;
+    drop(node);
+}
