test(hosts): a host that is still running is not started again

Cause: resumes::a_stream_resumes_at_another_entry_when_its_entry_crashes stops its host at the ninth token. If the draft is refused before, the host runs on, and its second start waited 30 s for the host's own ports. Change: the support code fails at once and says that the host is running.

--- a/crates/daemon/tests/hosts/support.rs
+++ b/crates/daemon/tests/hosts/support.rs
@@ -92,6 +92,8 @@
 
     /// Starts a host that is not running.
     pub(crate) async fn restart(&mut self, index: usize) {
+        let is_running = self.hosts[index].is_some();
+        assert!(!is_running, "host {index} is still running");
         let mut text =
             self.builder.settings(index, self.folders[index].path()) + &self.extra_settings[index];
         for (old, new) in &self.replacements[index] {
