feat(quarantine): a second tier for crashes late in answers

Cause: an answer that lasted 250 ms clears its parts, so that a part which crashes engines later was never held back.

Change: the first tier is unchanged. The second suspects a part only if answers that were sent after its first crash crash engines again and none came whole in between: two rounds, one of them with a crash that came alone, or three; a part that was answered before needs one more. Five crashes make it certain: its answers are cut, and tests must come whole. Otherwise the hold ends 9 s after the last crash. Notices carry broken and whole answers as optional fields.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -10,11 +10,16 @@
 //! at a time. An answer ends the suspicion, another crash holds the part back for longer. Hosts share
 //! crashes, answers and tests, so that each decides by what all of them have seen.
 //!
+//! A crash late in an answer is no evidence by itself, as few parts have a whole answer at any time. Parts
+//! are suspected of such crashes if answers that were sent after the first one crash engines again and
+//! none came whole in between.
+//!
 //! An engine that crashes for another reason makes parts suspects that only its requests have had.
 //! The next answer to one of them clears it, at the latest that of its test.
 
 mod crashes;
 mod interface;
+mod late;
 mod notice;
 mod proofs;
 mod sends;
@@ -22,7 +27,7 @@
 mod table;
 
 pub use interface::{Admission, CrashId, HeldRequest, PartKey, PartVerdict, QuarantineEvent};
-pub use notice::{CrashNote, NoticeAudience, PartNote, QuarantineNotice};
+pub use notice::{BrokenNote, CrashNote, NoticeAudience, PartNote, QuarantineNotice};
 pub use proofs::PartDigest;
 pub use sends::SendKey;
 pub use settings::QuarantineSettings;
--- a/crates/coordination/src/quarantine/crashes.rs
+++ b/crates/coordination/src/quarantine/crashes.rs
@@ -9,7 +9,7 @@
 
 /// Time by which a crash may be placed after an answer that was given later. Hosts place both by the
 /// age that a notice states, which leaves out its time under way.
-const CLOCK_MARGIN: Duration = Duration::from_millis(500);
+pub(super) const CLOCK_MARGIN: Duration = Duration::from_millis(500);
 
 /// A crash of an engine.
 #[derive(Clone, Debug)]
--- a/crates/coordination/src/quarantine/notice.rs
+++ b/crates/coordination/src/quarantine/notice.rs
@@ -22,6 +22,29 @@
     pub age: Duration,
     /// Parts of requests that were on the engine and had no answer.
     pub suspects: Vec<PartName>,
+    /// Parts of requests that were on the engine and whose answers had begun.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub broken: Vec<BrokenNote>,
+}
+
+/// Answers to a part that an engine ran when it crashed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BrokenNote {
+    /// The part.
+    pub part: PartName,
+    /// Time since the latest of the requests was sent.
+    pub sent: Duration,
+    /// Whether a whole answer to the part was known.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub answered: bool,
+}
+
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde calls it with a reference"
+)]
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// An answer to a part, or the begin of its test.
@@ -49,6 +72,12 @@
     /// Parts that were answered for the first time in a while.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub proven: Vec<PartDigest>,
+    /// Parts with a whole answer after a late crash under them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub whole: Vec<PartNote>,
+    /// Parts with the first whole answer in a while.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub answered: Vec<PartDigest>,
 }
 
 impl QuarantineNotice {
@@ -58,6 +87,8 @@
             && self.cleared.is_empty()
             && self.tested.is_empty()
             && self.proven.is_empty()
+            && self.whole.is_empty()
+            && self.answered.is_empty()
     }
 }
 
@@ -77,11 +108,16 @@
     pub(super) cleared: BTreeSet<PartKey>,
     pub(super) tested: BTreeSet<PartKey>,
     pub(super) proven: BTreeSet<PartDigest>,
+    pub(super) whole: BTreeSet<PartKey>,
+    pub(super) answered: BTreeSet<PartDigest>,
 }
 
 impl PendingChanges {
     /// Whether a change must be sent at once. Proofs can wait.
     pub(super) fn is_urgent(&self) -> bool {
-        !self.crashes.is_empty() || !self.cleared.is_empty() || !self.tested.is_empty()
+        !self.crashes.is_empty()
+            || !self.cleared.is_empty()
+            || !self.tested.is_empty()
+            || !self.whole.is_empty()
     }
 }
--- a/crates/coordination/src/quarantine/settings.rs
+++ b/crates/coordination/src/quarantine/settings.rs
@@ -24,6 +24,24 @@
     pub retention: Duration,
     /// Longest time for which the result of a test is awaited.
     pub test_timeout: Duration,
+    /// Time after its last late crash from which a part with few of them is no longer held back. A rare
+    /// part may have no test until then, and a test may last as long as an answer.
+    pub late_release: Duration,
+    /// Least time between two rounds of late crashes. Engines that crash for one reason are noticed
+    /// one after the other, with answers that were sent in between.
+    pub late_round_gap: Duration,
+    /// Crashes of engines within this time may have a common reason other than a part.
+    pub common_reason_time: Duration,
+    /// Longest time for which the whole answer to a test is awaited under a part that is certain to
+    /// crash engines late: that of the longest answer for which callers wait.
+    pub late_test_timeout: Duration,
+    /// Time for each host over which tests of late crashes are spread. An engine crashes long after a
+    /// test began, so that a second one costs another engine.
+    pub late_test_spread: Duration,
+    /// Longest time over which they are spread.
+    pub max_late_spread: Duration,
+    /// Maximum number of parts of one crash whose answers are recorded.
+    pub max_late_suspects: usize,
     /// Additional time for which a request with several suspected parts is held back, so that they
     /// are tested one by one if possible.
     pub ambiguous_wait: Duration,
@@ -56,6 +74,13 @@
             suspicion: Duration::from_secs(600),
             retention: Duration::from_secs(86_400),
             test_timeout: Duration::from_secs(3),
+            late_release: Duration::from_secs(9),
+            late_round_gap: Duration::from_millis(250),
+            common_reason_time: Duration::from_millis(500),
+            late_test_timeout: Duration::from_secs(20),
+            late_test_spread: Duration::from_millis(300),
+            max_late_spread: Duration::from_secs(3),
+            max_late_suspects: 64,
             ambiguous_wait: Duration::from_secs(2),
             test_spread: Duration::from_millis(100),
             max_unproven_share: 0.25,
--- a/crates/coordination/src/quarantine/table/dump.rs
+++ b/crates/coordination/src/quarantine/table/dump.rs
@@ -1,10 +1,11 @@
 //! State of the quarantine for the dump, logs and metrics.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde::Serialize;
 
-use super::QuarantineTable;
+use super::{QuarantineTable, Suspicion};
 use crate::base::{MonotonicTime, ServerName};
 use crate::quarantine::interface::PartKey;
 
@@ -34,24 +35,23 @@
     /// Number of suspected parts.
     pub fn suspect_count(&self, now: MonotonicTime) -> usize {
         let now = self.internal(now);
-        let parts = self.crashes.parts();
-        let blames = parts.iter().map(|key| self.blame(now, key));
-        blames.flatten().count()
+        self.suspicions(now).len()
     }
 
     /// Returns the state for the dump.
     pub fn dump(&self, now: MonotonicTime) -> QuarantineDump {
         let now = self.internal(now);
-        let parts = self.crashes.parts().into_iter();
-        let suspects = parts.filter_map(|part| {
-            let blame = self.blame(now, &part)?;
-            Some(SuspectDump {
-                crashes: blame.crashes,
-                rounds: blame.rounds,
-                engines: self.engines_under(&part),
-                held_for: self.wait_of(now, &part, blame, true),
-                part,
-            })
+        let suspects = self.suspicions(now).into_iter().map(|suspicion| {
+            let early = suspicion.early.map(|blame| (blame.crashes, blame.rounds));
+            let late = suspicion.late.map(|blame| (blame.crashes, blame.rounds));
+            let (crashes, rounds) = early.max(late).unwrap_or_default();
+            SuspectDump {
+                crashes,
+                rounds,
+                engines: self.engines_under(&suspicion.key),
+                held_for: self.longest_wait(now, &suspicion, true),
+                part: suspicion.key,
+            }
         });
         QuarantineDump {
             suspects: suspects.collect(),
@@ -60,13 +60,25 @@
 
     /// Engines that crashed under a part, the last one last.
     pub fn engines_under(&self, part: &PartKey) -> Vec<ServerName> {
-        let records = self.crashes.records().filter(|(_, record)| {
+        let early = self.crashes.records().filter(|(_, record)| {
             record.service == part.service && record.suspects.contains(&part.part)
         });
-        let mut engines: Vec<_> = records
-            .map(|(id, record)| (record.at, id.server.clone()))
-            .collect();
-        engines.sort();
+        let early = early.map(|(id, record)| (record.at, id.server.clone()));
+        let late = self.late.records().filter(|(_, record)| {
+            record.service == part.service && record.parts.contains_key(&part.part)
+        });
+        let late = late.map(|(id, record)| (record.at, id.server.clone()));
+        let engines: BTreeSet<_> = early.chain(late).collect();
         engines.into_iter().map(|(_, server)| server).collect()
     }
+
+    fn suspicions(&self, now: MonotonicTime) -> Vec<Suspicion> {
+        let mut keys = self.crashes.parts();
+        keys.extend(self.late.suspects().cloned());
+        let suspicions = keys.into_iter().filter_map(|key| {
+            let mut of_key = self.suspects(now, &key.service, std::slice::from_ref(&key.part));
+            of_key.pop()
+        });
+        suspicions.collect()
+    }
 }
--- a/crates/coordination/src/quarantine/table/exchange.rs
+++ b/crates/coordination/src/quarantine/table/exchange.rs
@@ -3,9 +3,10 @@
 use super::QuarantineTable;
 use crate::base::MonotonicTime;
 use crate::quarantine::crashes::CrashRecord;
-use crate::quarantine::interface::{PartKey, QuarantineEvent};
+use crate::quarantine::interface::{CrashId, PartKey, QuarantineEvent};
+use crate::quarantine::late::{BrokenAnswers, LateCrash};
 use crate::quarantine::notice::{
-    CrashNote, NoticeAudience, PartNote, PendingChanges, QuarantineNotice,
+    BrokenNote, CrashNote, NoticeAudience, PartNote, PendingChanges, QuarantineNotice,
 };
 
 /// Origin of a change.
@@ -35,8 +36,12 @@
         for proven in notice.proven {
             self.add_proof(now, proven, &source);
         }
+        for answered in notice.answered {
+            self.add_whole(now, answered, &source);
+        }
         let mut events = Vec::new();
         for note in notice.crashes {
+            let late = self.late_crash_of(now, &note);
             let crash = CrashRecord {
                 service: note.service,
                 version: note.version,
@@ -44,6 +49,11 @@
                 suspects: note.suspects.into_iter().collect(),
             };
             events.extend(self.add_crash(now, &note.id, crash, &source));
+            events.extend(self.add_late_crash(&note.id, late, &source));
+        }
+        for note in notice.whole {
+            let at = now.before(note.age);
+            events.extend(self.clear_late(&note.key, at, &source));
         }
         for note in notice.cleared {
             let at = now.before(note.age);
@@ -83,13 +93,16 @@
 
     /// Returns everything that concerns suspected parts, for hosts that may have missed a change.
     pub fn full_notice(&self, now: MonotonicTime) -> QuarantineNotice {
-        if self.crashes.is_empty() {
+        if self.crashes.is_empty() && self.late.is_empty() {
             return QuarantineNotice::default();
         }
         let now = self.internal(now);
         let mut changes = PendingChanges::default();
         let crashes = self.crashes.records().map(|(id, _)| id.clone());
         changes.crashes = crashes.collect();
+        let late = self.late.records().map(|(id, _)| id.clone());
+        changes.crashes.extend(late);
+        changes.whole = self.late.whole_answers().cloned().collect();
         changes.cleared = self
             .crashes
             .clearances()
@@ -109,17 +122,60 @@
         }
     }
 
-    fn notice_of(&self, now: MonotonicTime, changes: PendingChanges) -> QuarantineNotice {
-        let crashes = changes.crashes.iter().filter_map(|id| {
-            let record = self.crashes.get(id)?;
-            Some(CrashNote {
+    fn late_crash_of(&self, now: MonotonicTime, note: &CrashNote) -> LateCrash {
+        let at = now.before(note.age);
+        let parts = note.broken.iter().map(|broken| {
+            let was_answered = self.was_answered(now, &note.service, &broken.part);
+            let answers = BrokenAnswers {
+                sent_at: now.before(broken.sent).min(at),
+                was_answered: broken.answered || was_answered,
+            };
+            (broken.part.clone(), answers)
+        });
+        LateCrash {
+            service: note.service.clone(),
+            version: note.version.clone(),
+            at,
+            parts: parts.collect(),
+        }
+    }
+
+    fn crash_note(&self, now: MonotonicTime, id: &CrashId) -> Option<CrashNote> {
+        let (early, late) = (self.crashes.get(id), self.late.get(id));
+        let mut note = match (early, late) {
+            (Some(early), _) => CrashNote {
                 id: id.clone(),
-                service: record.service.clone(),
-                version: record.version.clone(),
-                age: now.since(record.at),
-                suspects: record.suspects.iter().cloned().collect(),
-            })
+                service: early.service.clone(),
+                version: early.version.clone(),
+                age: now.since(early.at),
+                suspects: early.suspects.iter().cloned().collect(),
+                broken: Vec::new(),
+            },
+            (None, late) => {
+                let late = late?;
+                CrashNote {
+                    id: id.clone(),
+                    service: late.service.clone(),
+                    version: late.version.clone(),
+                    age: now.since(late.at),
+                    suspects: Vec::new(),
+                    broken: Vec::new(),
+                }
+            }
+        };
+        let broken = late.into_iter().flat_map(|late| &late.parts);
+        let broken = broken.map(|(part, answers)| BrokenNote {
+            part: part.clone(),
+            sent: now.since(answers.sent_at),
+            answered: answers.was_answered,
         });
+        note.broken.extend(broken);
+        Some(note)
+    }
+
+    fn notice_of(&self, now: MonotonicTime, changes: PendingChanges) -> QuarantineNotice {
+        let crashes = changes.crashes.iter();
+        let crashes = crashes.filter_map(|id| self.crash_note(now, id));
         let note = |key: PartKey, at: MonotonicTime| PartNote {
             key,
             age: now.since(at),
@@ -132,7 +188,13 @@
             let at = self.tests.get(&key).copied()?;
             Some(note(key, at))
         });
+        let whole = changes.whole.into_iter().filter_map(|key| {
+            let at = self.late.whole_at(&key)?;
+            Some(note(key, at))
+        });
         QuarantineNotice {
+            whole: whole.collect(),
+            answered: changes.answered.into_iter().collect(),
             crashes: crashes.collect(),
             cleared: cleared.collect(),
             tested: tested.collect(),
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -1,5 +1,12 @@
 //! Tests of the quarantine of prompt parts that crash engines, in virtual time.
 
+#[path = "quarantine/fleet.rs"]
+mod fleet;
+#[path = "quarantine/late.rs"]
+mod late;
+#[path = "quarantine/sound.rs"]
+mod sound;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/daemon/src/quarantine.rs
+++ b/crates/daemon/src/quarantine.rs
@@ -2,6 +2,7 @@
 //! other hosts.
 
 use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use pollendrift_coordination::base::{
@@ -19,6 +20,8 @@
 /// Decides which requests are held back because engines crash under a part of their prompts.
 pub(crate) struct QuarantineState {
     table: Mutex<QuarantineTable>,
+    /// Whether parts are suspected of late crashes. Read at each event of each answer, without the lock.
+    has_late_suspects: AtomicBool,
     /// Wakes the task that tells other hosts of urgent changes.
     changed: Notify,
     clock: Arc<dyn TimeSource>,
@@ -35,6 +38,7 @@
         let table = QuarantineTable::new(QuarantineSettings::default(), host.as_str());
         Self {
             table: Mutex::new(table),
+            has_late_suspects: AtomicBool::new(false),
             changed: Notify::new(),
             clock,
             metrics,
@@ -118,6 +122,19 @@
         })
     }
 
+    /// Returns the reason why the answer to a request must be cut, if there is one.
+    pub(crate) fn cut(&self, send: SendKey) -> Option<HeldRequest> {
+        if !self.has_late_suspects.load(Ordering::Relaxed) {
+            return None;
+        }
+        self.table().cut(self.clock.now(), send)
+    }
+
+    /// Whether the engine of a request is known to have crashed, or the request has ended.
+    pub(crate) fn is_blamed(&self, send: SendKey) -> bool {
+        self.table().is_blamed(send)
+    }
+
     /// Records the end of a request on its engines; `is_complete` if its whole answer came.
     pub(crate) fn record_ended(&self, send: SendKey, is_complete: bool) {
         let now = self.clock.now();
@@ -143,6 +160,8 @@
             table.set_hosts(hosts);
         }
         table.tick(now);
+        self.has_late_suspects
+            .store(table.has_late_suspects(), Ordering::Relaxed);
         let suspects = u64::try_from(table.suspect_count(now)).unwrap_or(u64::MAX);
         drop(table);
         self.metrics.set_suspected_parts(suspects);
@@ -186,6 +205,8 @@
         let mut table = self.table();
         let (result, events) = change(&mut table);
         let is_urgent = table.has_urgent_changes();
+        self.has_late_suspects
+            .store(table.has_late_suspects(), Ordering::Relaxed);
         for event in &events {
             self.log_event(event, &table.engines_under(&event.part));
         }
--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -99,15 +99,15 @@
         chain.track(send);
     }
 
-    /// Checks the first engine of a chain that broke, and records it as crashed if it is gone. A draft
-    /// whose answer has proven its parts does not check it.
+    /// Checks the first engine of a chain that broke, and records it as crashed if it is gone. The
+    /// other drafts that broke with the engine need not check it then.
     pub(super) async fn check_broken_engine(&self, chain: &ChainGuard) {
-        if !chain.is_unproven() {
+        if !chain.may_have_crashed() {
             return;
         }
         let is_gone = self.context.check_crash(&chain.chain).await;
         log::info!(request = self.request.attempt.as_str(), server:% = chain.chain.first, gone = is_gone,
-            parts = self.request.part_names().as_str(); "engine broke off a draft that it had just begun");
+            parts = self.request.part_names().as_str(); "engine broke off a draft");
     }
 
     /// Whether no answer to a part of the prompt is known.
--- a/crates/daemon/src/relay/forwarding.rs
+++ b/crates/daemon/src/relay/forwarding.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use pollendrift_coordination::base::MonotonicTime;
+use pollendrift_coordination::quarantine::HeldRequest;
 use pollendrift_coordination::routing::ChainVerdict;
 use pollendrift_coordination::streams::{EventFramer, EventProgress, EventVerdict};
 use pollendrift_http::BodySender;
@@ -25,6 +26,8 @@
     Broken(String),
     /// Engines of the chain do not answer.
     Silent(ChainVerdict),
+    /// The answer was cut before its engine crashes under it.
+    Held(HeldRequest),
 }
 
 /// Forwards the events of one answer and measures the gaps between them.
@@ -96,10 +99,13 @@
             match take_new_events(&mut self.framer, progress) {
                 Ok(events) if events.is_empty() => {}
                 Ok(events) => {
-                    self.record_events(run, running);
+                    let held = self.record_events(run, running);
                     if !sender.send(events).await {
                         return ChainEnd::CallerGone;
                     }
+                    if let Some(held) = held {
+                        return ChainEnd::Held(held);
+                    }
                 }
                 Err(reason) => return ChainEnd::Broken(reason),
             }
@@ -131,7 +137,12 @@
         }
     }
 
-    fn record_events(&mut self, run: &DraftRun, running: &mut AnsweredDraft) {
+    /// Returns the reason why the answer must be cut, if there is one.
+    fn record_events(
+        &mut self,
+        run: &DraftRun,
+        running: &mut AnsweredDraft,
+    ) -> Option<HeldRequest> {
         let now = run.context.clock.now();
         run.meter.record_events_sent(now);
         if !self.is_first {
@@ -149,10 +160,10 @@
         if let Some(ticket) = run.ticket.as_ref().filter(|_| self.is_first) {
             ticket.record_first_event(now);
         }
-        if let Some(chain) = &mut running.chain {
-            chain.record_events(now, self.is_first);
-        }
+        let chain = running.chain.as_mut();
+        let held = chain.and_then(|chain| chain.record_events(now, self.is_first));
         self.is_first = false;
+        held
     }
 }
 
--- a/crates/daemon/src/relay/guard.rs
+++ b/crates/daemon/src/relay/guard.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
-use pollendrift_coordination::quarantine::SendKey;
+use pollendrift_coordination::quarantine::{HeldRequest, SendKey};
 
 use super::chains::ReservedChain;
 use super::context::RelayContext;
@@ -17,8 +17,10 @@
     context: Arc<RelayContext>,
     pub(super) chain: ReservedChain,
     has_failed: bool,
-    /// The draft in the quarantine, until its answer proves its parts.
+    /// The draft in the quarantine, until its answer is complete.
     send: Option<SendKey>,
+    /// Whether its answer has proven its parts, so that later events need not be recorded.
+    is_proven: bool,
 }
 
 impl ChainGuard {
@@ -29,6 +31,7 @@
             chain,
             has_failed: false,
             send: None,
+            is_proven: false,
         }
     }
 
@@ -37,9 +40,10 @@
         self.send = Some(send);
     }
 
-    /// Whether a draft runs on the chain, and no answer has proven its parts yet.
-    pub(super) fn is_unproven(&self) -> bool {
-        self.send.is_some()
+    /// Whether a draft with shared parts runs on the chain, no engine of which is known to have crashed.
+    pub(super) fn may_have_crashed(&self) -> bool {
+        let quarantine = &self.context.quarantine;
+        self.send.is_some_and(|send| !quarantine.is_blamed(send))
     }
 
     /// Logs that the draft is sent to the chain.
@@ -55,16 +59,25 @@
             predicted_ms = millis(plan.first_token), left_ms = millis(request.time_left(now)); "sent");
     }
 
-    /// Records received events; `is_first` if they are the first of the chain.
-    pub(super) fn record_events(&mut self, now: MonotonicTime, is_first: bool) {
+    /// Records received events; `is_first` if they are the first of the chain. Returns the reason why
+    /// the answer must be cut, if there is one.
+    pub(super) fn record_events(
+        &mut self,
+        now: MonotonicTime,
+        is_first: bool,
+    ) -> Option<HeldRequest> {
         let quarantine = &self.context.quarantine;
-        self.send = self.send.filter(|send| !quarantine.record_event(*send));
+        if let Some(send) = self.send.filter(|_| !self.is_proven) {
+            self.is_proven = quarantine.record_event(send);
+        }
+        let held = self.send.and_then(|send| quarantine.cut(send));
         self.context.health().mark_alive(now, self.chain.servers());
         if is_first {
             self.context
                 .chains()
                 .record_first_event(now, self.chain.flight);
         }
+        held
     }
 
     /// Records that the stream's first gap beyond the route's pause target occurred. Counts only
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -95,8 +95,9 @@
                     MoveResult::NoAlternative => {}
                 }
             }
-            ChainEnd::Broken(_) | ChainEnd::Silent(_) => {
-                if let Some(chain) = &running.chain {
+            ChainEnd::Broken(_) | ChainEnd::Silent(_) | ChainEnd::Held(_) => {
+                let is_cut = matches!(end, ChainEnd::Held(_));
+                if let Some(chain) = running.chain.as_ref().filter(|_| !is_cut) {
                     run.check_broken_engine(chain).await;
                 }
                 let reason = release_chain(&mut run, running, end, after);
@@ -179,6 +180,12 @@
             }
             reason
         }
+        (ChainEnd::Held(held), chain) => {
+            if let Some(chain) = chain {
+                chain.record_failed(None);
+            }
+            held.to_string()
+        }
         (ChainEnd::Silent(verdict), Some(chain)) => {
             run.abandon_unreachable(chain, verdict.suspects);
             "engines of the chain are unreachable".to_owned()
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -34,7 +34,7 @@
 };
 use pollendrift_coordination::ledger::GeneratedToken;
 use pollendrift_coordination::quarantine::{
-    CrashId, CrashNote, PartDigest, PartKey, PartNote, QuarantineNotice,
+    BrokenNote, CrashId, CrashNote, PartDigest, PartKey, PartNote, QuarantineNotice,
 };
 use pollendrift_coordination::routing::{EngineLoad, SurveyResult};
 use pollendrift_coordination::streams::{ReceiptNumber, StreamRecord, StreamUpdate};
@@ -307,13 +307,31 @@
             version: Some("3".into()),
             age: Duration::from_millis(90),
             suspects: vec!["5c1e".into()],
+            broken: Vec::new(),
         }],
         cleared: vec![note.clone()],
         tested: vec![note],
         proven: vec![PartDigest::of(&"writers".into(), &"5c1e".into())],
+        whole: Vec::new(),
+        answered: Vec::new(),
     }
 }
 
+/// A notice with the parts that older processes neither send nor read.
+fn late_quarantine() -> QuarantineNotice {
+    let mut notice = quarantine();
+    for crash in &mut notice.crashes {
+        crash.broken = vec![BrokenNote {
+            part: "5c1e".into(),
+            sent: Duration::from_millis(700),
+            answered: true,
+        }];
+    }
+    notice.whole = notice.cleared.clone();
+    notice.answered = notice.proven.clone();
+    notice
+}
+
 fn broadcast_frames() -> Vec<PeerFrame> {
     let revision = Revision(8);
     let engine = SurveyResult {
@@ -396,6 +414,14 @@
             quarantine: None,
             demand: Some(demand()),
         },
+        PeerFrame::Survey {
+            notes: Vec::new(),
+            pass_on: false,
+            rates: None,
+            demand: None,
+            partition: None,
+            quarantine: Some(late_quarantine()),
+        },
     ];
     let configurations = configurations.into_iter().map(PeerFrame::Configuration);
     configurations.chain(others).collect()
