fix(quarantine): many broken answers make a late suspect certain

Two parts crash engines less than 500 ms apart, so that their rounds counted as a common failure; their tests came 5 s after two crashes and each cost one more outage.

Change: rounds weigh 3 alone, 2 within 500 ms of engines without the part, 1 at the moment of others. Two rounds with 4, or three, make a suspect. Tests of late suspects are 1.5 s apart and spread over 300 ms for each host. Its checks are unchanged.

--- a/crates/coordination/src/quarantine/late.rs
+++ b/crates/coordination/src/quarantine/late.rs
@@ -8,6 +8,7 @@
 mod blame;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 pub(super) use blame::LateBlame;
 
@@ -16,10 +17,12 @@
 use crate::base::{MonotonicTime, PartName, ServiceName, VersionName};
 
 /// Answers to one part that an engine ran when it crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct BrokenAnswers {
     /// Time at which the latest of their requests was sent.
     pub(super) sent_at: MonotonicTime,
+    /// Number of answers of each host.
+    pub(super) counts: BTreeMap<Arc<str>, u32>,
     /// Whether a whole answer to the part was known when the engine crashed.
     pub(super) was_answered: bool,
 }
@@ -124,6 +127,10 @@
                 // The ages in notices vary by their time under way, which is no news.
                 known.sent_at = known.sent_at.max(broken.sent_at);
                 known.was_answered |= broken.was_answered;
+                for (host, count) in broken.counts {
+                    let counted = known.counts.entry(host).or_default();
+                    *counted = count.max(*counted);
+                }
             } else if record.parts.len() < settings.max_late_suspects {
                 record.parts.insert(part, broken);
                 has_changed = true;
--- a/crates/coordination/src/quarantine/late/blame.rs
+++ b/crates/coordination/src/quarantine/late/blame.rs
@@ -11,13 +11,22 @@
 
 /// Time between crashes of engines that lose power together, as hosts notice them.
 const SAME_MOMENT: Duration = Duration::from_millis(100);
-/// Weight of a round with a crash that came alone. One failure that stops several engines at a time has
-/// the same effect as a part on them, so other rounds have the weight 1.
-const ALONE_WEIGHT: u32 = 2;
-/// Rounds, and their weight, from which a part without a known whole answer is suspected.
-const UNANSWERED_BOUND: (u32, u32) = (2, 3);
-/// The same for a part that was answered before, which may have begun to crash engines.
-const ANSWERED_BOUND: (u32, u32) = (3, 5);
+/// Weight of a round with a crash that came alone.
+const ALONE_WEIGHT: u32 = 3;
+/// Weight of a round whose crashes came soon after others. One failure that stops several engines may
+/// have the same effect as a part on them.
+const CLOSE_WEIGHT: u32 = 2;
+/// Weight of a round whose crashes came at the moment of others, as after a loss of power.
+const JOINT_WEIGHT: u32 = 1;
+/// Weight of all rounds from which a part without a known whole answer is suspected. Two rounds at the
+/// moments of other crashes are not enough: these also hit parts that all drafts share, if no answer
+/// ends between two losses of power.
+const UNANSWERED_WEIGHT: u32 = 4;
+/// Rounds from which such a part is suspected whatever their weight.
+const UNANSWERED_ROUNDS: u32 = 3;
+/// Weight of all rounds from which a part that was answered before is suspected: it may have begun to
+/// crash engines.
+const ANSWERED_WEIGHT: u32 = 7;
 
 /// What a part is suspected of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,12 +37,19 @@
     pub(in crate::quarantine) last_at: MonotonicTime,
     /// Crashes under tests of the part.
     pub(in crate::quarantine) failed_tests: usize,
+    /// Answers that broke with the engines.
+    pub(in crate::quarantine) broken: u32,
 }
 
 impl LateBlame {
     /// Whether the part is held back until a whole answer to it.
     pub(in crate::quarantine) fn is_certain(&self, settings: &QuarantineSettings) -> bool {
-        self.crashes >= settings.untested_crashes
+        self.crashes >= settings.untested_crashes || self.is_frequent(settings)
+    }
+
+    /// Whether many answers broke and none came whole. Its test would only cost another engine.
+    pub(in crate::quarantine) fn is_frequent(&self, settings: &QuarantineSettings) -> bool {
+        self.broken >= settings.frequent_answers
     }
 }
 
@@ -44,17 +60,16 @@
     rounds: u32,
     weight: u32,
     failed_tests: usize,
+    broken: u32,
     was_answered: bool,
 }
 
 impl CrashSeries<'_> {
     fn is_suspicious(&self) -> bool {
-        let (rounds, weight) = if self.was_answered {
-            ANSWERED_BOUND
-        } else {
-            UNANSWERED_BOUND
-        };
-        self.rounds >= rounds && self.weight >= weight
+        if self.was_answered {
+            return self.weight >= ANSWERED_WEIGHT;
+        }
+        self.rounds >= UNANSWERED_ROUNDS || self.weight >= UNANSWERED_WEIGHT
     }
 
     fn rank(&self) -> (u32, usize) {
@@ -102,6 +117,7 @@
                 rounds: of_key.rounds,
                 last_at: of_key.crashes.last()?.at,
                 failed_tests: of_key.failed_tests,
+                broken: of_key.broken,
             };
             Some((key.clone(), blame))
         });
@@ -119,25 +135,24 @@
         let mut last_at = crashes.first()?.at;
         let mut round_at = last_at;
         // Weight of each round.
-        let mut rounds = vec![1];
-        let (mut failed_tests, mut was_answered) = (0, false);
+        let mut rounds = vec![JOINT_WEIGHT];
+        let (mut failed_tests, mut broken_count, mut was_answered) = (0, 0_u32, false);
         for crash in &crashes {
             let Some(broken) = crash.parts.get(&key.part) else {
                 continue;
             };
             was_answered |= broken.was_answered;
+            broken_count = broken_count.saturating_add(broken.counts.values().sum());
             let is_after = broken.sent_at > round_at;
             if is_after && crash.at.since(round_at) >= settings.late_round_gap {
-                rounds.push(1);
+                rounds.push(JOINT_WEIGHT);
                 round_at = crash.at;
             }
             let [hold, ..] = settings.holds;
             failed_tests += usize::from(broken.sent_at.since(last_at) >= hold);
             last_at = crash.at;
-            if self.is_alone(settings, key, crash, round_at)
-                && let Some(weight) = rounds.last_mut()
-            {
-                *weight = ALONE_WEIGHT;
+            if let Some(weight) = rounds.last_mut() {
+                *weight = (*weight).max(self.weight_of(settings, key, crash, round_at));
             }
         }
         Some(CrashSeries {
@@ -145,32 +160,35 @@
             weight: rounds.iter().sum(),
             crashes,
             failed_tests,
+            broken: broken_count,
             was_answered,
         })
     }
 
-    /// Whether a crash under a part has no common reason with others: no engine without the part crashed
-    /// at about the same time, and none with the part in its round at the same moment.
-    fn is_alone(
+    /// Weight of a crash under a part, by the crashes at about the same time of engines without the
+    /// part, and of those with it in the same round.
+    fn weight_of(
         &self,
         settings: &QuarantineSettings,
         key: &PartKey,
         crash: &LateCrash,
         round_at: MonotonicTime,
-    ) -> bool {
-        let is_within = |other: &LateCrash, time: Duration| {
-            other.at.since(crash.at) < time && crash.at.since(other.at) < time
-        };
+    ) -> u32 {
+        let mut weight = ALONE_WEIGHT;
         let others = self.records.values();
-        let mut others = others.filter(|other| !std::ptr::eq(*other, crash));
-        !others.any(|other| {
+        for other in others.filter(|other| !std::ptr::eq(*other, crash)) {
+            let apart = other.at.since(crash.at).max(crash.at.since(other.at));
             let has_part = other.service == key.service && other.parts.contains_key(&key.part);
-            if has_part {
-                other.at >= round_at && is_within(other, SAME_MOMENT)
-            } else {
-                is_within(other, settings.common_reason_time)
+            if has_part && other.at < round_at {
+                continue;
             }
-        })
+            if apart < SAME_MOMENT {
+                weight = JOINT_WEIGHT;
+            } else if !has_part && apart < settings.common_reason_time {
+                weight = weight.min(CLOSE_WEIGHT);
+            }
+        }
+        weight
     }
 
     pub(super) fn is_cleared(&self, key: &PartKey, crashed_at: MonotonicTime) -> bool {
--- a/crates/coordination/src/quarantine/notice.rs
+++ b/crates/coordination/src/quarantine/notice.rs
@@ -1,6 +1,7 @@
 //! What hosts tell each other about crashes, answers and tests.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -34,6 +35,9 @@
     pub part: PartName,
     /// Time since the latest of the requests was sent.
     pub sent: Duration,
+    /// Number of the answers of each host.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub counts: BTreeMap<Arc<str>, u32>,
     /// Whether a whole answer to the part was known.
     #[serde(default, skip_serializing_if = "is_false")]
     pub answered: bool,
--- a/crates/coordination/src/quarantine/settings.rs
+++ b/crates/coordination/src/quarantine/settings.rs
@@ -32,6 +32,12 @@
     pub late_round_gap: Duration,
     /// Crashes of engines within this time may have a common reason other than a part.
     pub common_reason_time: Duration,
+    /// Broken answers without a whole one from which a suspected part is not tested before the second of
+    /// `holds`. A rare sound part has one or two on engines that crash.
+    pub frequent_answers: u32,
+    /// Time between the tests of two parts that are suspected of late crashes: until a crashed engine's
+    /// layers are loaded elsewhere.
+    pub late_test_gap: Duration,
     /// Longest time for which the whole answer to a test is awaited under a part that is certain to
     /// crash engines late: that of the longest answer for which callers wait.
     pub late_test_timeout: Duration,
@@ -77,6 +83,8 @@
             late_release: Duration::from_secs(9),
             late_round_gap: Duration::from_millis(250),
             common_reason_time: Duration::from_millis(500),
+            frequent_answers: 8,
+            late_test_gap: Duration::from_millis(1_500),
             late_test_timeout: Duration::from_secs(20),
             late_test_spread: Duration::from_millis(300),
             max_late_spread: Duration::from_secs(3),
--- a/crates/coordination/src/quarantine/table/answers.rs
+++ b/crates/coordination/src/quarantine/table/answers.rs
@@ -145,10 +145,13 @@
             }
             let was_answered = self.was_answered(now, service, &part);
             // The first of several requests with the part is the latest.
-            broken.entry(part).or_insert(BrokenAnswers {
+            let answers = broken.entry(part).or_insert(BrokenAnswers {
                 sent_at,
+                counts: BTreeMap::new(),
                 was_answered,
             });
+            let host = Arc::clone(&self.host);
+            *answers.counts.entry(host).or_default() += 1;
         }
         broken
     }
--- a/crates/coordination/src/quarantine/table/exchange.rs
+++ b/crates/coordination/src/quarantine/table/exchange.rs
@@ -128,6 +128,7 @@
             let was_answered = self.was_answered(now, &note.service, &broken.part);
             let answers = BrokenAnswers {
                 sent_at: now.before(broken.sent).min(at),
+                counts: broken.counts.clone(),
                 was_answered: broken.answered || was_answered,
             };
             (broken.part.clone(), answers)
@@ -167,6 +168,7 @@
         let broken = broken.map(|(part, answers)| BrokenNote {
             part: part.clone(),
             sent: now.since(answers.sent_at),
+            counts: answers.counts.clone(),
             answered: answers.was_answered,
         });
         note.broken.extend(broken);
--- a/crates/coordination/src/quarantine/table/waits.rs
+++ b/crates/coordination/src/quarantine/table/waits.rs
@@ -72,7 +72,8 @@
         let is_certain = blame.is_certain(settings);
         let [first, ..] = settings.holds;
         let hold = if is_certain {
-            let hold = settings.holds.get(blame.failed_tests).copied();
+            let index = blame.failed_tests + usize::from(blame.is_frequent(settings));
+            let hold = settings.holds.get(index).copied();
             hold.unwrap_or(settings.retention)
         } else {
             first
@@ -83,6 +84,9 @@
         if let Some(began_at) = self.open_test(key, blame) {
             due = due.max(began_at.after(self.late_test_timeout(blame)));
         }
+        let others = self.tests.iter().filter(|(other, _)| *other != key);
+        let last_test = others.map(|(_, began_at)| *began_at).max();
+        due = due.max(last_test.map_or(due, |began_at| began_at.after(settings.late_test_gap)));
         if !is_certain {
             due = due.min(blame.last_at.after(settings.late_release));
         }
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -101,7 +101,8 @@
         }
     }
 
-    /// Whether a draft with `names` is sent at `host`. It is answered, or its engine crashes.
+    /// Whether a draft with `names` is sent at `host`. It is answered completely, or its engine crashes:
+    /// the next draft may be on the same engine, and an answer that still ran would break with it.
     fn send(&mut self, host: usize, names: &[&str]) -> bool {
         let parts = parts(names);
         let service = self.service.clone();
@@ -121,7 +122,9 @@
         } else {
             self.crashes -= 1;
             table.record_event(self.now, send);
-            table.record_event(self.now.after(Duration::from_millis(300)), send);
+            let ended_at = self.now.after(Duration::from_millis(300));
+            table.record_event(ended_at, send);
+            table.record_ended(ended_at, send, true);
         }
         true
     }
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::expect_used, reason = "a helper that fails is a failed test")]
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -324,6 +325,7 @@
         crash.broken = vec![BrokenNote {
             part: "5c1e".into(),
             sent: Duration::from_millis(700),
+            counts: BTreeMap::from([("h1".into(), 3)]),
             answered: true,
         }];
     }
