--- a/crates/coordination/src/quarantine/late.rs
+++ b/crates/coordination/src/quarantine/late.rs
@@ -91,6 +91,12 @@
         !self.blames.is_empty()
     }
 
+    /// Whether a part is certain to crash engines, so that running answers to it are cut.
+    pub(super) fn has_certain(&self, settings: &QuarantineSettings) -> bool {
+        let mut blames = self.blames.values();
+        blames.any(|blame| blame.is_certain(settings))
+    }
+
     pub(super) fn suspects(&self) -> impl Iterator<Item = &PartKey> {
         self.blames.keys()
     }
@@ -194,18 +200,18 @@
         }
     }
 
-    /// Removes crashes that are older than the retention, and those whose parts are not suspected and
-    /// that are too old to become evidence.
+    /// Removes crashes that are older than the retention, and earlier those under no certain part.
     pub(super) fn forget(&mut self, now: MonotonicTime, settings: &QuarantineSettings) {
         let count = self.records.len();
         let blames = &self.blames;
         self.records.retain(|_, record| {
             let age = now.since(record.at);
-            let is_suspected = || {
-                let mut keys = record.parts.keys().map(|part| record.key_of(part));
-                keys.any(|key| blames.contains_key(&key))
+            let is_certain = || {
+                let keys = record.parts.keys().map(|part| record.key_of(part));
+                let mut blames = keys.filter_map(|key| blames.get(&key));
+                blames.any(|blame| blame.is_certain(settings))
             };
-            age < settings.suspicion || age < settings.retention && is_suspected()
+            age < settings.suspicion || age < settings.retention && is_certain()
         });
         if self.records.len() != count {
             self.remove_unused();
--- a/crates/coordination/src/quarantine/table/answers.rs
+++ b/crates/coordination/src/quarantine/table/answers.rs
@@ -78,9 +78,9 @@
         })
     }
 
-    /// Whether parts are suspected of late crashes, so that answers may have to be cut.
-    pub fn has_late_suspects(&self) -> bool {
-        self.late.has_suspects()
+    /// Whether a part is certain to crash engines late, so that answers may have to be cut.
+    pub fn has_cuts(&self) -> bool {
+        self.late.has_certain(&self.settings)
     }
 
     /// Returns the reason why the answer to a request must be cut, although it has crashed no engine
--- a/crates/coordination/tests/quarantine/late.rs
+++ b/crates/coordination/tests/quarantine/late.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use pollendrift_coordination::base::{MonotonicTime, PartName};
+use pollendrift_coordination::base::{
+    Incarnation, MonotonicTime, PartName, ServerName, ServiceName,
+};
+use pollendrift_coordination::quarantine::{CrashId, QuarantineSettings, QuarantineTable};
 
 use super::fleet::{DraftRecord, LateFleet};
 use super::{KNOWN_CRASHES, MAX_LATE_CRASHES};
@@ -146,3 +149,124 @@
     }
     insta::assert_debug_snapshot!(results);
 }
+
+/// Guards against a part that was answered completely, crashes engines late since, and is taken for sound
+/// by its old answers for ever.
+#[test]
+fn few_engines_crash_on_a_part_that_was_answered_before() {
+    let answer_time = Duration::from_millis(900);
+    let mut fleet = LateFleet::new(HOSTS, ENGINES, &[], answer_time..=answer_time, 0);
+    let parts = |number| mixed_parts(8, &["turned"], number);
+    fleet.run(SOUND_TIME, 48, parts, |_| {});
+    let turned = PartName::from("turned");
+    fleet.crashes.insert(turned.clone(), Vec::new());
+    fleet.run(CRASH_TIME, 48, parts, |_| {});
+    let late = late_arrivals(&fleet, &turned);
+    assert!(late <= MAX_LATE_CRASHES, "{late} late drafts");
+    assert!(fleet.held_parts().contains(&turned));
+}
+
+/// One host, whose drafts crash engines one by one.
+struct Crasher {
+    table: QuarantineTable,
+    service: ServiceName,
+    now: MonotonicTime,
+    crashes: u64,
+}
+
+impl Crasher {
+    fn new() -> Self {
+        Self {
+            table: QuarantineTable::new(QuarantineSettings::default(), "h-0"),
+            service: "writers".into(),
+            now: MonotonicTime::from_millis(1_000),
+            crashes: 0,
+        }
+    }
+
+    /// Sends a draft with each of `parts` to one engine, which crashes late in the answers.
+    fn crash(&mut self, parts: &[String]) {
+        self.crashes += 1;
+        self.now = self.now.after(Duration::from_millis(50));
+        let engine = ServerName::from(format!("e-{}", self.crashes));
+        for part in parts {
+            let parts = [PartName::from(part.as_str())].into();
+            let send =
+                self.table
+                    .record_sent(self.now, &self.service, &parts, vec![engine.clone()]);
+            self.table.record_event(self.now, send);
+            // The answer has lasted long enough for the first tier.
+            let lasted_at = self.now.after(Duration::from_millis(300));
+            self.table.record_event(lasted_at, send);
+        }
+        self.now = self.now.after(Duration::from_millis(700));
+        let id = CrashId {
+            server: engine,
+            incarnation: Incarnation(1),
+        };
+        let version = Some("1".into());
+        self.table
+            .record_crash(self.now, &id, &self.service, version);
+    }
+
+    fn is_held(&self, part: &str) -> bool {
+        is_held(&self.table, self.now, part)
+    }
+}
+
+fn is_held(table: &QuarantineTable, now: MonotonicTime, part: &str) -> bool {
+    let held = table.held(now, &"writers".into(), &[PartName::from(part)], None);
+    held.is_some()
+}
+
+/// Guards against a wrong verdict that a whole answer does not end, at the host that got it and at one that
+/// learned of the crashes by a notice.
+#[test]
+fn a_whole_answer_clears_a_part_of_late_crashes() {
+    let mut crasher = Crasher::new();
+    crasher.crash(&["bad".to_owned()]);
+    assert!(!crasher.is_held("bad"), "one crash is no evidence");
+    let service = crasher.service.clone();
+    let (now, engines) = (crasher.now, vec!["e-0".into()]);
+    let parts = [PartName::from("bad")].into();
+    let running = crasher.table.record_sent(now, &service, &parts, engines);
+    crasher.table.record_event(now, running);
+    crasher.crash(&["bad".to_owned()]);
+    assert!(crasher.is_held("bad"));
+    let mut other = QuarantineTable::new(QuarantineSettings::default(), "h-1");
+    let notice = crasher.table.full_notice(crasher.now);
+    other.merge(crasher.now, notice.clone(), true);
+    assert!(is_held(&other, crasher.now, "bad"));
+    assert!(other.merge(crasher.now, notice, true).is_empty());
+    crasher.table.record_ended(crasher.now, running, true);
+    assert!(!crasher.is_held("bad"));
+    other.merge(crasher.now, crasher.table.full_notice(crasher.now), true);
+    assert!(!is_held(&other, crasher.now, "bad"));
+}
+
+/// Guards against a part that is the companion of one that crashes engines and is held back with it.
+#[test]
+fn a_part_beside_one_with_more_rounds_is_no_late_suspect() {
+    let mut crasher = Crasher::new();
+    let both = ["bad".to_owned(), "beside".to_owned()];
+    crasher.crash(&["bad".to_owned()]);
+    crasher.crash(&both);
+    crasher.crash(&both);
+    assert!(crasher.is_held("bad"));
+    assert!(!crasher.is_held("beside"));
+}
+
+/// Guards against memory that grows with late crashes: their number, and that of parts, is bounded.
+#[test]
+fn late_crashes_and_their_parts_are_bounded() {
+    let mut crasher = Crasher::new();
+    for crash in 0..200 {
+        let parts: Vec<String> = (0..100).map(|part| format!("p-{crash}-{part}")).collect();
+        crasher.crash(&parts);
+    }
+    let settings = QuarantineSettings::default();
+    let notice = crasher.table.full_notice(crasher.now);
+    assert!(notice.crashes.len() <= 2 * settings.max_crashes);
+    let most = notice.crashes.iter().map(|crash| crash.broken.len()).max();
+    assert_eq!(most, Some(settings.max_late_suspects));
+}
--- a/crates/daemon/src/quarantine.rs
+++ b/crates/daemon/src/quarantine.rs
@@ -20,8 +20,8 @@
 /// Decides which requests are held back because engines crash under a part of their prompts.
 pub(crate) struct QuarantineState {
     table: Mutex<QuarantineTable>,
-    /// Whether parts are suspected of late crashes. Read at each event of each answer, without the lock.
-    has_late_suspects: AtomicBool,
+    /// Whether answers may have to be cut. Read at each event of each answer, without the lock.
+    has_cuts: AtomicBool,
     /// Wakes the task that tells other hosts of urgent changes.
     changed: Notify,
     clock: Arc<dyn TimeSource>,
@@ -38,7 +38,7 @@
         let table = QuarantineTable::new(QuarantineSettings::default(), host.as_str());
         Self {
             table: Mutex::new(table),
-            has_late_suspects: AtomicBool::new(false),
+            has_cuts: AtomicBool::new(false),
             changed: Notify::new(),
             clock,
             metrics,
@@ -124,7 +124,7 @@
 
     /// Returns the reason why the answer to a request must be cut, if there is one.
     pub(crate) fn cut(&self, send: SendKey) -> Option<HeldRequest> {
-        if !self.has_late_suspects.load(Ordering::Relaxed) {
+        if !self.has_cuts.load(Ordering::Relaxed) {
             return None;
         }
         self.table().cut(self.clock.now(), send)
@@ -160,8 +160,7 @@
             table.set_hosts(hosts);
         }
         table.tick(now);
-        self.has_late_suspects
-            .store(table.has_late_suspects(), Ordering::Relaxed);
+        self.has_cuts.store(table.has_cuts(), Ordering::Relaxed);
         let suspects = u64::try_from(table.suspect_count(now)).unwrap_or(u64::MAX);
         drop(table);
         self.metrics.set_suspected_parts(suspects);
@@ -205,8 +204,7 @@
         let mut table = self.table();
         let (result, events) = change(&mut table);
         let is_urgent = table.has_urgent_changes();
-        self.has_late_suspects
-            .store(table.has_late_suspects(), Ordering::Relaxed);
+        self.has_cuts.store(table.has_cuts(), Ordering::Relaxed);
         for event in &events {
             self.log_event(event, &table.engines_under(&event.part));
         }
