fix(quarantine): parts beside two crashing ones, and answers under several suspects

Change: a part with a known whole answer is suspected only of crashes that no part without one explains, if that was on two crashes or more. Answers are cut only if no other suspect was on all of the same engines.

--- a/crates/coordination/src/quarantine/late/blame.rs
+++ b/crates/coordination/src/quarantine/late/blame.rs
@@ -39,6 +39,9 @@
     pub(in crate::quarantine) failed_tests: usize,
     /// Answers that broke with the engines.
     pub(in crate::quarantine) broken: u32,
+    /// Whether no other suspect was on all of the same engines. Otherwise the answers that run tell
+    /// which of them it is.
+    pub(in crate::quarantine) is_sole: bool,
 }
 
 impl LateBlame {
@@ -78,8 +81,11 @@
 }
 
 impl LateTable {
-    /// Returns the suspected parts. A part is not suspected if another one with more rounds was on each
-    /// of its engines.
+    /// Returns the suspected parts.
+    ///
+    /// A part without a known whole answer explains its crashes if there are several, and an answered
+    /// part is suspected of the others only. A part is not suspected either if another one with more
+    /// rounds was on each of its engines.
     pub(super) fn derive_blames(
         &self,
         settings: &QuarantineSettings,
@@ -93,43 +99,66 @@
         }
         let several = counts.into_iter().filter(|(_, crashes)| *crashes > 1);
         let series = several.filter_map(|(key, _)| {
-            let series = self.series_of(settings, &key)?;
-            series.is_suspicious().then_some((key, series))
+            let series = self.series_of(settings, &key, |_| true)?;
+            Some((key, series))
         });
-        let series: BTreeMap<PartKey, CrashSeries<'_>> = series.collect();
-        let is_explained = |key: &PartKey, of_key: &CrashSeries<'_>| {
-            of_key.crashes.iter().all(|crash| {
-                let mut others = crash.parts.keys().filter(|part| **part != key.part);
-                others.any(|part| {
-                    let other = crash.key_of(part);
-                    let rank = series.get(&other).map(CrashSeries::rank);
-                    rank.is_some_and(|rank| rank > of_key.rank())
-                        && !self.is_cleared(&other, crash.at)
-                })
-            })
+        let (answered, unanswered): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            series.partition(|(_, series)| series.was_answered);
+        let is_unexplained = |crash: &LateCrash| {
+            let mut keys = crash.parts.keys().map(|part| crash.key_of(part));
+            !keys.any(|key| unanswered.contains_key(&key) && !self.is_cleared(&key, crash.at))
         };
-        let suspected = series
-            .iter()
-            .filter(|(key, of_key)| !is_explained(key, of_key));
-        let blames = suspected.filter_map(|(key, of_key)| {
+        let answered = answered.into_keys().filter_map(|key| {
+            let series = self.series_of(settings, &key, is_unexplained)?;
+            Some((key, series))
+        });
+        let answered: Vec<(PartKey, CrashSeries<'_>)> = answered.collect();
+        let series = unanswered.into_iter().chain(answered);
+        let series = series.filter(|(_, series)| series.is_suspicious());
+        let series: BTreeMap<PartKey, CrashSeries<'_>> = series.collect();
+        let blames = series.iter().filter_map(|(key, of_key)| {
+            let is_explained = of_key.crashes.iter().all(|crash| {
+                let mut others = series
+                    .iter()
+                    .filter(|(_, other)| other.rank() > of_key.rank());
+                others.any(|(other, _)| self.is_on(other, crash))
+            });
+            let mut others = series.iter().filter(|(other, _)| *other != key);
+            let is_sole = !others.any(|(other, _)| {
+                let mut crashes = of_key.crashes.iter();
+                crashes.all(|crash| self.is_on(other, crash))
+            });
             let blame = LateBlame {
                 crashes: u32::try_from(of_key.crashes.len()).unwrap_or(u32::MAX),
                 rounds: of_key.rounds,
                 last_at: of_key.crashes.last()?.at,
                 failed_tests: of_key.failed_tests,
                 broken: of_key.broken,
+                is_sole,
             };
-            Some((key.clone(), blame))
+            (!is_explained).then(|| (key.clone(), blame))
         });
         blames.collect()
     }
 
-    fn series_of(&self, settings: &QuarantineSettings, key: &PartKey) -> Option<CrashSeries<'_>> {
-        let of_part = |crash: &&LateCrash| {
-            crash.service == key.service
-                && crash.parts.contains_key(&key.part)
-                && !self.is_cleared(key, crash.at)
-        };
+    /// Whether a part was on the engine of a crash, and is not cleared of it.
+    fn is_on(&self, key: &PartKey, crash: &LateCrash) -> bool {
+        crash.service == key.service
+            && crash.parts.contains_key(&key.part)
+            && !self.is_cleared(key, crash.at)
+    }
+
+    /// Returns the crashes under a part that `is_counted` selects; `None` if there are none.
+    fn series_of<F>(
+        &self,
+        settings: &QuarantineSettings,
+        key: &PartKey,
+        is_counted: F,
+    ) -> Option<CrashSeries<'_>>
+    where
+        F: Fn(&LateCrash) -> bool,
+    {
+        let of_part = |crash: &&LateCrash| self.is_on(key, crash) && is_counted(crash);
         let mut crashes: Vec<&LateCrash> = self.records.values().filter(of_part).collect();
         crashes.sort_by_key(|crash| crash.at);
         let mut last_at = crashes.first()?.at;
--- a/crates/coordination/src/quarantine/table/answers.rs
+++ b/crates/coordination/src/quarantine/table/answers.rs
@@ -94,7 +94,8 @@
         let keys = send.parts.iter().map(|part| key_of(&send.service, part));
         let mut blames = keys.filter_map(|key| {
             let blame = self.late.blame(now, &self.settings, &key)?;
-            let is_cut = blame.is_certain(&self.settings) && blame.last_at >= send.sent_at;
+            let is_cut = blame.is_certain(&self.settings) && blame.is_sole;
+            let is_cut = is_cut && blame.last_at >= send.sent_at;
             is_cut.then_some((key, blame))
         });
         let (part, blame) = blames.next()?;
--- a/crates/coordination/tests/quarantine/late.rs
+++ b/crates/coordination/tests/quarantine/late.rs
@@ -256,6 +256,26 @@
     assert!(!crasher.is_held("beside"));
 }
 
+/// Guards against a part of sound drafts that is held back as two crashing parts come with it, so that it
+/// is in more rounds than either.
+#[test]
+fn an_answered_part_beside_two_crashing_ones_is_no_late_suspect() {
+    let mut crasher = Crasher::new();
+    let parts = [PartName::from("shared")].into();
+    let service = crasher.service.clone();
+    let (now, engines) = (crasher.now, vec!["e-0".into()]);
+    let send = crasher.table.record_sent(now, &service, &parts, engines);
+    crasher.table.record_event(now, send);
+    crasher.table.record_ended(now, send, true);
+    crasher.now = crasher.now.after(Duration::from_secs(2));
+    for bad in ["bad", "worse", "worse", "bad"] {
+        crasher.crash(&[bad.to_owned(), "shared".to_owned()]);
+        assert!(!crasher.is_held("shared"));
+    }
+    assert!(crasher.is_held("bad"));
+    assert!(crasher.is_held("worse"));
+}
+
 /// Guards against memory that grows with late crashes: their number, and that of parts, is bounded.
 #[test]
 fn late_crashes_and_their_parts_are_bounded() {
