--- a/crates/coordination/src/limits/host_capacity.rs
+++ b/crates/coordination/src/limits/host_capacity.rs
@@ -38,7 +38,7 @@
 impl Default for HostCapacitySettings {
     fn default() -> Self {
         Self {
-            free_factor: 6,
+            free_factor: 5,
             normal_reserve_percent: 12,
             batch_reserve_percent: 24,
             usual_tokens: 900,
--- a/crates/coordination/src/limits/settings.rs
+++ b/crates/coordination/src/limits/settings.rs
@@ -86,8 +86,8 @@
             },
             floor_percent: 30,
             return_percent: 8,
-            // Demand that moves between data centres triples at one host.
-            usual_demand_percent: 300,
+            // Demand that moves between data centres triples at one host, and at some hosts more.
+            usual_demand_percent: 500,
             ..Self::default()
         }
     }
--- a/crates/daemon/src/relay/admission.rs
+++ b/crates/daemon/src/relay/admission.rs
@@ -462,7 +462,7 @@
     const DRAFT_TOKENS: u64 = 5_000;
     /// Free memory of the engines. A host of all demand may hold `free_factor` times as much, which is
     /// less than the memory of four drafts, in addition to what it held at the time of the report.
-    const FREE_TOKENS: i64 = 3_000;
+    const FREE_TOKENS: i64 = 3_500;
     /// Time after which a draft counts as not admitted.
     const MAX_WAIT: Duration = Duration::from_millis(20);
 
