feat(telemetry): admission of drafts by service and priority

Cause: hosts admit drafts by priority, and no metric showed whom they admit, hold back or refuse. Change: three counters (admitted, admitted after a wait, refused) and five gauges (waiting, demand share, promised returns, capacity, held tokens), labelled with the service and, where it applies, the priority. The table counts admissions after a wait; the gauges' task adds the differences every second, also those of a pool that was replaced. The number of counters in telemetry_pages rises from 13 to 16 with them.

--- a/crates/coordination/src/limits/admission.rs
+++ b/crates/coordination/src/limits/admission.rs
@@ -146,6 +146,9 @@
         for ticket in std::mem::take(&mut self.admitted) {
             if let Some(record) = self.tickets.get(ticket) {
                 let request = record.offer.request.clone();
+                self.counts
+                    .of_mut(record.offer.priority)
+                    .admitted_after_wait += 1;
                 changes.push(AdmissionChange::Admitted { ticket, request });
             }
         }
@@ -174,6 +177,11 @@
         self.insert_ready(key);
     }
 
+    /// Capacity as last set.
+    pub fn capacity(&self) -> AdmissionCapacity {
+        self.capacity
+    }
+
     /// Number of running requests.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
--- a/crates/coordination/src/limits/counts.rs
+++ b/crates/coordination/src/limits/counts.rs
@@ -10,12 +10,26 @@
 pub struct PriorityCounts {
     /// Requests admitted since the table was created.
     pub admitted: u64,
+    /// Those of the admitted requests that had waited in a queue.
+    pub admitted_after_wait: u64,
     /// Requests that wait now.
     pub waiting: u32,
     /// Requests refused since the table was created, at once or after a wait.
     pub refused: u64,
 }
 
+impl PriorityCounts {
+    fn since(&self, earlier: &Self) -> Self {
+        let after_wait = self.admitted_after_wait;
+        Self {
+            admitted: self.admitted.saturating_sub(earlier.admitted),
+            admitted_after_wait: after_wait.saturating_sub(earlier.admitted_after_wait),
+            waiting: self.waiting,
+            refused: self.refused.saturating_sub(earlier.refused),
+        }
+    }
+}
+
 /// Counts of all requests of a table, by priority.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct AdmissionCounts {
@@ -37,6 +51,15 @@
         }
     }
 
+    /// Returns the requests admitted and refused since `earlier`, and those that wait now.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            urgent: self.urgent.since(&earlier.urgent),
+            normal: self.normal.since(&earlier.normal),
+            batch: self.batch.since(&earlier.batch),
+        }
+    }
+
     pub(super) fn of_mut(&mut self, priority: RequestPriority) -> &mut PriorityCounts {
         match priority {
             RequestPriority::Urgent => &mut self.urgent,
--- a/crates/coordination/tests/limits_order.rs
+++ b/crates/coordination/tests/limits_order.rs
@@ -198,6 +198,13 @@
     ");
 }
 
+fn admitted_in(changes: &[AdmissionChange]) -> u64 {
+    let admitted = changes
+        .iter()
+        .filter(|change| matches!(change, AdmissionChange::Admitted { .. }));
+    admitted.count() as u64
+}
+
 // Guards against requests that are lost or counted twice between queues, ready sets and counts:
 // random offers, ends, limits and capacities, and at last enough capacity for all.
 #[test]
@@ -210,7 +217,7 @@
     };
     let mut random = ChaCha8Rng::seed_from_u64(5);
     let mut table = AdmissionTable::new(settings, capacity(1_000));
-    let (mut open, mut withdrawn) = (Vec::new(), 0);
+    let (mut open, mut withdrawn, mut late) = (Vec::new(), 0, 0);
     for step in 0..20_000_u64 {
         let now = at(step * 20);
         let customer = CustomerName::from(random.random_range(0..5).to_string());
@@ -235,18 +242,22 @@
         };
         table.set_limits(now, &customer, limits);
         table.set_capacity(capacity(random.random_range(0..3_000)));
-        table.tick(now);
+        late += admitted_in(&table.tick(now));
     }
     table.set_capacity(capacity(1_000_000));
     for customer in 0..5 {
         let name = CustomerName::from(customer.to_string());
         table.set_limits(at(400_000), &name, CustomerLimits::default());
     }
-    table.tick(at(400_000));
+    late += admitted_in(&table.tick(at(400_000)));
     assert_eq!(table.queued(), 0);
     let counts = RequestPriority::DESCENDING.map(|priority| table.counts().of(priority));
     let decided: u64 = counts.iter().map(|c| c.admitted + c.refused).sum();
     assert_eq!(decided + withdrawn, 20_000);
+    assert_eq!(
+        counts.iter().map(|c| c.admitted_after_wait).sum::<u64>(),
+        late
+    );
     open.into_iter()
         .for_each(|ticket| table.finish(at(400_000), ticket));
     assert_eq!((table.in_flight(), table.in_flight_tokens()), (0, 0));
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -1,5 +1,7 @@
 //! Admission at this entry: admits, queues or refuses each request.
 
+mod inspection;
+
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -324,6 +324,7 @@
         let gauges = GaugeSources {
             fleet: Arc::clone(&fleet),
             node: Arc::clone(&node),
+            relay: relay.clone(),
             recorder: Arc::clone(&recorder),
             clock: Arc::clone(&clock),
         };
--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -10,6 +10,7 @@
 use crate::fleet::BackendFleet;
 use crate::node::ClusterNode;
 use crate::peers::FrameCount;
+use crate::relay::{ExportedAdmission, RelayContext};
 use crate::telemetry::{MetricRegistry, RecorderSlot};
 
 /// Time between two updates of the gauges.
@@ -21,6 +22,8 @@
     pub fleet: Arc<BackendFleet>,
     /// Configuration, claims and the keeper.
     pub node: Arc<ClusterNode>,
+    /// Admission of drafts; `None` if the relay is disabled.
+    pub(crate) relay: Option<Arc<RelayContext>>,
     /// Buffered evidence.
     pub recorder: Arc<RecorderSlot>,
     /// Source of the current time.
@@ -32,10 +35,14 @@
     let mut ticks = tokio::time::interval(PERIOD);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut counted = BTreeMap::new();
+    let mut exported = ExportedAdmission::default();
     loop {
         ticks.tick().await;
         update(&sources, &metrics);
         count_frames(&sources, &metrics, &mut counted);
+        if let Some(relay) = &sources.relay {
+            relay.export_admission(sources.clock.now(), &mut exported);
+        }
     }
 }
 
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -55,6 +55,7 @@
 
 use crate::lifecycle::LifecycleStep;
 
+pub(crate) use admission::ExportedAdmission;
 pub(crate) use context::{RelayContext, RelayParts};
 pub(crate) use start::{accept_forwarding, relay_faces, start_relay};
 
--- a/crates/daemon/src/relay/admission.rs
+++ b/crates/daemon/src/relay/admission.rs
@@ -4,6 +4,8 @@
 //! urgent ones first, and refuses those that can't be in time. Engines then have room for what they
 //! receive.
 
+mod gauges;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -19,6 +21,8 @@
 use pollendrift_dialect::RefusalKind;
 use tokio::time::{MissedTickBehavior, interval};
 
+pub(crate) use gauges::ExportedAdmission;
+
 use super::context::RelayContext;
 use super::request::{Refused, RelayRequest, refused};
 use crate::admission::{AdmissionGate, AdmissionTicket, GateLimits, GateOffer, GateStatus};
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! Evidence, logs and metrics of a running daemon.
 
+mod admission_metrics;
 mod instruments;
 mod journal;
 mod lines;
@@ -8,6 +9,7 @@
 mod recorder;
 mod slot;
 
+pub use admission_metrics::{AdmissionLevels, AdmissionMetrics};
 pub use instruments::{INSTRUMENTS, InstrumentKind, InstrumentSpec};
 pub use journal::{EvidenceJournal, JournalError, RetentionPlan};
 pub use lines::{LineAppender, LineBudget, LineSettings, format_line};
--- a/crates/daemon/src/telemetry/instruments.rs
+++ b/crates/daemon/src/telemetry/instruments.rs
@@ -45,6 +45,22 @@
 instruments! {
     ACCESS_REFUSALS: Counter "pollendrift.access.refusals", "{connection}",
         "Connections and requests without an accepted credential, by face and reason";
+    DRAFTS_ADMITTED: Counter "pollendrift.admission.admitted", "{request}",
+        "Drafts admitted, at once or after a wait, by service and priority";
+    ADMISSION_CAPACITY: Gauge "pollendrift.admission.capacity", "{token}",
+        "KV memory of engines that the admitted drafts of this host may hold, by service";
+    ADMISSION_HELD: Gauge "pollendrift.admission.held", "{token}",
+        "KV memory that the admitted drafts of this host hold, by service";
+    PROMISED_RETURNS: Gauge "pollendrift.admission.promised_returns.count", "{caller}",
+        "Refused callers whose time to come back has not passed, by service";
+    DRAFTS_REFUSED: Counter "pollendrift.admission.refusals", "{request}",
+        "Drafts not admitted, by service and priority";
+    DEMAND_SHARE: Gauge "pollendrift.admission.share", "1",
+        "Fraction of the free KV memory of engines that this host may use, by service";
+    DRAFTS_ADMITTED_LATE: Counter "pollendrift.admission.waited", "{request}",
+        "Drafts admitted after a wait, by service and priority";
+    DRAFTS_WAITING: Gauge "pollendrift.admission.waiting.count", "{request}",
+        "Drafts that wait for admission, by service and priority";
     BACKED_OFF_SERVERS: Gauge "pollendrift.backend_server.backed_off.count", "{backend_server}",
         "Backend servers that asked this host to send nothing for a while";
     BACKEND_SERVERS: Gauge "pollendrift.backend_server.count", "{backend_server}",
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -15,6 +15,7 @@
 use pollendrift_coordination::evidence::{BufferStatus, OutcomeKind};
 use prometheus::{Registry, TextEncoder};
 
+use super::admission_metrics::AdmissionMetrics;
 use super::instruments::{self, InstrumentSpec};
 use crate::peers::FrameCount;
 
@@ -57,6 +58,7 @@
     registry: Registry,
     provider: SdkMeterProvider,
     access_refusals: Counter<u64>,
+    admission: AdmissionMetrics,
     backend_servers: Gauge<u64>,
     backed_off_servers: Gauge<u64>,
     rate_limited_servers: Gauge<u64>,
@@ -107,11 +109,12 @@
             registry,
             provider,
             access_refusals: counter(&meter, &instruments::ACCESS_REFUSALS),
+            admission: AdmissionMetrics::new(&meter),
             backend_servers: gauge(&meter, &instruments::BACKEND_SERVERS),
             backed_off_servers: gauge(&meter, &instruments::BACKED_OFF_SERVERS),
             rate_limited_servers: gauge(&meter, &instruments::RATE_LIMITED_SERVERS),
             claims: gauge(&meter, &instruments::CLAIMS),
-            configuration_lease: seconds_gauge(&meter, &instruments::CONFIGURATION_LEASE),
+            configuration_lease: float_gauge(&meter, &instruments::CONFIGURATION_LEASE),
             configuration_revision: gauge(&meter, &instruments::CONFIGURATION_REVISION),
             connections: up_down(&meter, &instruments::CONNECTIONS),
             connections_shed: counter(&meter, &instruments::CONNECTIONS_SHED),
@@ -161,6 +164,11 @@
             .unwrap_or_else(|error| format!("# {error}\n"))
     }
 
+    /// Instruments of the admission of drafts by priority.
+    pub fn admission(&self) -> &AdmissionMetrics {
+        &self.admission
+    }
+
     /// Counts a connection or request without an accepted credential.
     pub fn record_access_refusal(&self, refused: RefusedConnection) {
         let attributes = [
@@ -354,17 +362,17 @@
     u64::try_from(value).unwrap_or(u64::MAX)
 }
 
-fn counter(meter: &Meter, spec: &InstrumentSpec) -> Counter<u64> {
+pub(super) fn counter(meter: &Meter, spec: &InstrumentSpec) -> Counter<u64> {
     let builder = meter.u64_counter(spec.name).with_unit(spec.unit);
     builder.with_description(spec.description).build()
 }
 
-fn gauge(meter: &Meter, spec: &InstrumentSpec) -> Gauge<u64> {
+pub(super) fn gauge(meter: &Meter, spec: &InstrumentSpec) -> Gauge<u64> {
     let builder = meter.u64_gauge(spec.name).with_unit(spec.unit);
     builder.with_description(spec.description).build()
 }
 
-fn seconds_gauge(meter: &Meter, spec: &InstrumentSpec) -> Gauge<f64> {
+pub(super) fn float_gauge(meter: &Meter, spec: &InstrumentSpec) -> Gauge<f64> {
     let builder = meter.f64_gauge(spec.name).with_unit(spec.unit);
     builder.with_description(spec.description).build()
 }
--- a/crates/daemon/tests/outer_telemetry.rs
+++ b/crates/daemon/tests/outer_telemetry.rs
@@ -9,14 +9,15 @@
 use log::{Level, Record};
 use pollendrift::peers::FrameCount;
 use pollendrift::telemetry::{
-    EvidenceJournal, INSTRUMENTS, MetricRegistry, RefusedConnection, RequestEnd, format_line,
-    log_field,
+    AdmissionLevels, EvidenceJournal, INSTRUMENTS, MetricRegistry, RefusedConnection, RequestEnd,
+    format_line, log_field,
 };
 use pollendrift_coordination::base::{Incarnation, SequenceNumber, WallTime};
 use pollendrift_coordination::evidence::{
     BufferSettings, ChainHead, ChainWriter, EvidenceBuffer, EvidenceDigest, EvidenceEvent,
     OutcomeKind, RevisionInForce, SealedRecord,
 };
+use pollendrift_coordination::limits::{AdmissionCounts, PriorityCounts};
 use pollendrift_coordination::replicated::{EvidencePosition, IndexedRecord};
 
 fn writer() -> ChainWriter {
@@ -34,6 +35,25 @@
         face: "callers",
         reason: "token",
     });
+    let urgent = PriorityCounts {
+        admitted: 5,
+        admitted_after_wait: 2,
+        waiting: 1,
+        refused: 3,
+    };
+    let counts = AdmissionCounts {
+        urgent,
+        ..AdmissionCounts::default()
+    };
+    let levels = AdmissionLevels {
+        capacity: Some(9_000),
+        held_tokens: 4_500,
+        share: 0.25,
+        promised_returns: 2,
+    };
+    metrics
+        .admission()
+        .record(&"writers".into(), &counts, &levels);
     metrics.set_backend_servers(43);
     metrics.set_backed_off_servers(1);
     metrics.set_rate_limited_servers(1);
--- a/crates/daemon/tests/telemetry_pages.rs
+++ b/crates/daemon/tests/telemetry_pages.rs
@@ -10,12 +10,13 @@
 use pollendrift::peers::FrameCount;
 use pollendrift::settings::LogSettings;
 use pollendrift::telemetry::{
-    INSTRUMENTS, InstrumentKind, MetricRegistry, RefusedConnection, RequestEnd, log_config,
-    log_field,
+    AdmissionLevels, INSTRUMENTS, InstrumentKind, MetricRegistry, RefusedConnection, RequestEnd,
+    log_config, log_field,
 };
 use pollendrift_coordination::evidence::{
     BufferSettings, ChainWriter, EvidenceBuffer, OutcomeKind,
 };
+use pollendrift_coordination::limits::{AdmissionCounts, PriorityCounts};
 
 const PAGE: &str = include_str!("../../../docs/operators/metrics.md");
 
@@ -31,6 +32,25 @@
         face: "callers",
         reason: "token",
     });
+    let urgent = PriorityCounts {
+        admitted: 5,
+        admitted_after_wait: 2,
+        waiting: 1,
+        refused: 3,
+    };
+    let counts = AdmissionCounts {
+        urgent,
+        ..AdmissionCounts::default()
+    };
+    let levels = AdmissionLevels {
+        capacity: Some(9_000),
+        held_tokens: 4_500,
+        share: 0.25,
+        promised_returns: 2,
+    };
+    metrics
+        .admission()
+        .record(&"writers".into(), &counts, &levels);
     metrics.set_backend_servers(43);
     metrics.set_backed_off_servers(1);
     metrics.set_rate_limited_servers(1);
@@ -121,7 +141,7 @@
     let counters = INSTRUMENTS
         .iter()
         .filter(|spec| spec.kind == InstrumentKind::Counter);
-    assert_eq!(counters.count(), 13);
+    assert_eq!(counters.count(), 16);
 }
 
 // Guards against changed metric names or labels, which would break operators' dashboards.
@@ -133,6 +153,30 @@
     });
     insta::assert_snapshot!(lines.collect::<Vec<_>>().join("\n"), @r#"
     pollendrift_access_refusals_total{face="callers",reason="token",otel_scope_name="pollendrift"} 1
+    pollendrift_admission_admitted_total{otel_scope_name="pollendrift"} 0
+    pollendrift_admission_admitted_total{priority="batch",service="writers",otel_scope_name="pollendrift"} 0
+    pollendrift_admission_admitted_total{priority="normal",service="writers",otel_scope_name="pollendrift"} 0
+    pollendrift_admission_admitted_total{priority="urgent",service="writers",otel_scope_name="pollendrift"} 5
+    pollendrift_admission_capacity{otel_scope_name="pollendrift"} 0
+    pollendrift_admission_capacity{service="writers",otel_scope_name="pollendrift"} 9000
+    pollendrift_admission_held{otel_scope_name="pollendrift"} 0
+    pollendrift_admission_held{service="writers",otel_scope_name="pollendrift"} 4500
+    pollendrift_admission_promised_returns_count{otel_scope_name="pollendrift"} 0
+    pollendrift_admission_promised_returns_count{service="writers",otel_scope_name="pollendrift"} 2
+    pollendrift_admission_refusals_total{otel_scope_name="pollendrift"} 0
+    pollendrift_admission_refusals_total{priority="batch",service="writers",otel_scope_name="pollendrift"} 0
+    pollendrift_admission_refusals_total{priority="normal",service="writers",otel_scope_name="pollendrift"} 0
+    pollendrift_admission_refusals_total{priority="urgent",service="writers",otel_scope_name="pollendrift"} 3
+    pollendrift_admission_share_ratio{otel_scope_name="pollendrift"} 0
+    pollendrift_admission_share_ratio{service="writers",otel_scope_name="pollendrift"} 0.25
+    pollendrift_admission_waited_total{otel_scope_name="pollendrift"} 0
+    pollendrift_admission_waited_total{priority="batch",service="writers",otel_scope_name="pollendrift"} 0
+    pollendrift_admission_waited_total{priority="normal",service="writers",otel_scope_name="pollendrift"} 0
+    pollendrift_admission_waited_total{priority="urgent",service="writers",otel_scope_name="pollendrift"} 2
+    pollendrift_admission_waiting_count{otel_scope_name="pollendrift"} 0
+    pollendrift_admission_waiting_count{priority="batch",service="writers",otel_scope_name="pollendrift"} 0
+    pollendrift_admission_waiting_count{priority="normal",service="writers",otel_scope_name="pollendrift"} 0
+    pollendrift_admission_waiting_count{priority="urgent",service="writers",otel_scope_name="pollendrift"} 1
     pollendrift_backend_server_backed_off_count{otel_scope_name="pollendrift"} 1
     pollendrift_backend_server_count{otel_scope_name="pollendrift"} 43
     pollendrift_backend_server_rate_limited_count{otel_scope_name="pollendrift"} 1
