feat(operators): the decision about a refused draft by its id

Cause: a refusal for lack of capacity could only be found in the logs of the host that refused, and the log line lacked the customer and the capacity. GET /operator/v1/refusals/{id} asks all hosts over the peers' links, through a keeper where only keepers know all hosts; `pollenctl refusal ID` shows the answers and names the hosts that are not reached. Hosts that relay answered no operators' questions at all; they now answer GET requests of operators with a credential, on an address that does not serve callers. The dump of the admission moves to a file of its own.

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -13,6 +13,7 @@
 mod host_capacity;
 mod offer;
 mod rank;
+mod refusal_log;
 mod return_schedule;
 mod settings;
 mod shedding;
@@ -26,6 +27,10 @@
     AdmissionCapacity, AdmissionChange, AdmissionRefusal, AdmissionRequest, AdmissionVerdict,
     PriorityReserve, RequestPriority, RequestRefusal, TicketKey,
 };
+pub use refusal_log::{
+    CapacityRefusal, HostRefusals, RefusalAnswer, RefusalInputs, RefusalLog, RefusalLogSettings,
+    RefusalRecord, RefusalView,
+};
 pub use return_schedule::{PromisedReturns, ReturnRequest, ReturnSchedule, ReturnSettings};
 pub use settings::{CustomerLimits, LimitSettings};
 pub use shedding::{ConnectionShedder, ShedSettings};
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -212,7 +212,7 @@
             ticket_counter: AtomicU64::new(0),
         });
         let relay = dialect.map(|dialect| {
-            RelayContext::new(RelayParts {
+            Arc::new(RelayContext::new(RelayParts {
                 dialect,
                 settings: settings.relay.clone(),
                 data_centre: settings.data_centre.clone(),
@@ -220,15 +220,15 @@
                 fleet: Arc::clone(&fleet),
                 forwarding,
                 quarantine: Arc::clone(&quarantine),
+                refusals: Arc::clone(node.refusals()),
                 hub: node.hub().clone(),
                 clock: Arc::clone(&clock),
                 lifecycle: lifecycle.watch(),
                 metrics: Arc::clone(&metrics),
                 dialer: dialer.unwrap_or_else(|| Arc::new(TcpDialer)),
                 seed,
-            })
+            }))
         });
-        let relay = relay.map(Arc::new);
         let mut dump: Vec<Arc<dyn DumpSource>> = vec![
             Arc::new(FleetDump {
                 fleet: Arc::clone(&fleet),
--- a/crates/daemon/src/faces.rs
+++ b/crates/daemon/src/faces.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use http::{Request, StatusCode};
+use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use pollendrift_http::{HandlerFuture, HttpHandler, text_response};
 
@@ -27,7 +27,8 @@
     pub operators: Arc<OperatorHandler>,
     /// Handler of the backend servers' face.
     pub announcements: Arc<AnnouncementHandler>,
-    /// Handlers for the dialect of a platform; if set, they replace all other handlers.
+    /// Handlers for the dialect of a platform; if set, they replace all other handlers, except for
+    /// the questions of operators on an address that does not serve callers.
     pub relay: Option<RelayFaces>,
 }
 
@@ -84,6 +85,12 @@
         if self.faces.callers {
             return Arc::clone(&relay.callers).handle(request, peer);
         }
+        // Reading only: the configuration is what the operators of the platform publish.
+        let is_question =
+            request.method() == Method::GET && request.uri().path().starts_with(OPERATOR_PREFIX);
+        if is_question && self.faces.operators {
+            return Arc::clone(&self.router.operators).handle(request, peer);
+        }
         if !self.faces.operators {
             return Arc::clone(&relay.heartbeats).handle(request, peer);
         }
--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -40,6 +40,7 @@
         ticks.tick().await;
         update(&sources, &metrics);
         count_frames(&sources, &metrics, &mut counted);
+        sources.node.refusals().expire(sources.clock.now());
         if let Some(relay) = &sources.relay {
             relay.export_admission(sources.clock.now(), &mut exported);
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,6 +26,7 @@
 pub(crate) mod placement;
 pub mod platform;
 pub(crate) mod quarantine;
+pub mod refusals;
 pub(crate) mod relay;
 pub mod resend;
 pub mod settings;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -39,6 +39,7 @@
 use crate::operators::KeeperQuestionHandler;
 use crate::peers::{PeerHandler, PeerHub, PeerTasks};
 use crate::quarantine::QuarantineState;
+use crate::refusals::RefusalStore;
 use crate::settings::DaemonSettings;
 use crate::state::SharedState;
 use crate::streams::StreamStore;
@@ -187,6 +188,7 @@
             client.clone(),
             shared.clone(),
             files.clone(),
+            Arc::default(),
             Arc::clone(&parts.clock),
         ));
         let streams = Arc::new(StreamStore::new(hub.clone(), Arc::clone(&parts.clock)));
@@ -280,6 +282,11 @@
         &self.question_handler
     }
 
+    /// Last refusals of drafts for lack of capacity at this host.
+    pub fn refusals(&self) -> &Arc<RefusalStore> {
+        self.question_handler.refusals()
+    }
+
     /// Links to the peers.
     pub fn hub(&self) -> &PeerHub {
         self.peers.hub()
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -8,6 +8,7 @@
 mod problem;
 mod query;
 mod questions;
+mod refusals;
 mod status;
 
 use std::net::SocketAddr;
--- a/crates/daemon/src/operators/questions.rs
+++ b/crates/daemon/src/operators/questions.rs
@@ -5,12 +5,13 @@
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use pollendrift_coordination::base::{HostName, Revision, WallTime};
+use pollendrift_coordination::base::{HostName, RequestId, Revision, WallTime};
 use pollendrift_coordination::configuration::{
     ConfigurationView, DaemonRevision, ExplainBody, ExplainView, ExplainedServer, HistoryView,
     InForceView,
 };
 use pollendrift_coordination::evidence::{EvidenceFilter, EvidenceRecord};
+use pollendrift_coordination::limits::RefusalAnswer;
 use pollendrift_http::{ResponseBody, full_body, json_response, read_json, read_within};
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +23,7 @@
 use crate::evidence::EvidenceFiles;
 use crate::keeper::{KeeperClient, KeeperList};
 use crate::peers::{PeerAnswer, PeerHub, PeerQuestion};
+use crate::refusals::RefusalStore;
 use crate::state::SharedState;
 
 /// Maximum size of the body of an explain request in bytes.
@@ -34,10 +36,12 @@
 const MAX_RECORDS: usize = 1_000;
 /// Timeout of a question to one keeper.
 const KEEPER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Path of the refusals of a request, before its id.
+const REFUSALS_PREFIX: &str = "refusals/";
 const JSON: &str = "application/json";
 const JSON_LINES: &str = "application/jsonl";
 
-/// A question that only a keeper can answer.
+/// A question that one host asks another one for an operator; most are for keepers only.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum KeeperQuestion {
     /// A revision of the configuration.
@@ -66,6 +70,16 @@
     },
     /// All evidence of one keeper.
     EvidenceExport,
+    /// Refusals of a request for lack of capacity at all hosts that the asked one knows.
+    Refusals {
+        /// Identity of the request.
+        request: RequestId,
+    },
+    /// The same at the asked host only, which needs no keeper.
+    OwnRefusals {
+        /// Identity of the request.
+        request: RequestId,
+    },
 }
 
 /// HTTP response of a keeper, which the requesting host forwards to the operator.
@@ -107,6 +121,11 @@
             },
             "evidence" => Self::evidence(query),
             "evidence/export" => Ok(Self::EvidenceExport),
+            path if path.starts_with(REFUSALS_PREFIX) => Ok(Self::Refusals {
+                request: percent_decode(&path[REFUSALS_PREFIX.len()..])
+                    .as_str()
+                    .into(),
+            }),
             path => match path.strip_prefix("evidence/requests/") {
                 Some(id) => Ok(Self::Evidence {
                     filter: Box::new(EvidenceFilter {
@@ -193,12 +212,13 @@
 /// Answers [`KeeperQuestion`]s: on a host with a keeper itself, on other hosts by sending them to a
 /// keeper.
 pub struct KeeperQuestionHandler {
-    hub: PeerHub,
+    pub(super) hub: PeerHub,
     keepers: KeeperList,
     client: KeeperClient,
-    shared: Option<SharedState>,
+    pub(super) shared: Option<SharedState>,
     files: Option<EvidenceFiles>,
-    clock: Arc<dyn TimeSource>,
+    pub(super) refusals: Arc<RefusalStore>,
+    pub(super) clock: Arc<dyn TimeSource>,
 }
 
 impl KeeperQuestionHandler {
@@ -209,6 +229,7 @@
         client: KeeperClient,
         shared: Option<SharedState>,
         files: Option<EvidenceFiles>,
+        refusals: Arc<RefusalStore>,
         clock: Arc<dyn TimeSource>,
     ) -> Self {
         Self {
@@ -217,6 +238,7 @@
             client,
             shared,
             files,
+            refusals,
             clock,
         }
     }
@@ -227,13 +249,24 @@
         &self,
         question: KeeperQuestion,
     ) -> Result<KeeperAnswer, OperatorProblem> {
+        if let KeeperQuestion::Refusals { request } = &question {
+            return Ok(KeeperAnswer::json(&self.find_refusals(request).await));
+        }
         if self.shared.is_some() {
             return self
                 .answer(question)
                 .await
                 .map_err(OperatorProblem::unavailable);
         }
-        let bytes = serde_json::to_vec(&question)
+        self.ask_keepers(&question).await
+    }
+
+    /// Sends a question to the keepers in order, until one answers.
+    pub(super) async fn ask_keepers(
+        &self,
+        question: &KeeperQuestion,
+    ) -> Result<KeeperAnswer, OperatorProblem> {
+        let bytes = serde_json::to_vec(question)
             .map_err(|error| OperatorProblem::bad_query(error.to_string()))?;
         let mut reason = "no keeper is known".to_owned();
         for keeper in self.keepers.hosts() {
@@ -270,8 +303,20 @@
         }
     }
 
-    /// Answers a question from the state and the files of the keeper on this host.
+    /// Answers a question from the state and the files of the keeper on this host, or from the
+    /// refusals of this host.
     async fn answer(&self, question: KeeperQuestion) -> Result<KeeperAnswer, String> {
+        match &question {
+            KeeperQuestion::Refusals { request } => {
+                let hosts = self.ask_hosts(request).await;
+                let is_complete = true;
+                return Ok(KeeperAnswer::json(&RefusalAnswer { hosts, is_complete }));
+            }
+            KeeperQuestion::OwnRefusals { request } => {
+                return Ok(KeeperAnswer::json(&self.own_refusals(request)));
+            }
+            _ => {}
+        }
         let shared = self.shared.as_ref().ok_or("this host has no keeper")?;
         match question {
             KeeperQuestion::Evidence { filter, limit } => {
@@ -356,8 +401,11 @@
             KeeperQuestion::InForceAt { time } => {
                 KeeperAnswer::json(&InForceView::at(changes, *time))
             }
-            KeeperQuestion::Evidence { .. } | KeeperQuestion::EvidenceExport => {
-                let detail = "evidence is read from files".to_owned();
+            KeeperQuestion::Evidence { .. }
+            | KeeperQuestion::EvidenceExport
+            | KeeperQuestion::Refusals { .. }
+            | KeeperQuestion::OwnRefusals { .. } => {
+                let detail = "the replicated state does not have it".to_owned();
                 KeeperAnswer::problem(&OperatorProblem::unavailable(detail))
             }
         }
--- a/crates/daemon/src/relay/admission.rs
+++ b/crates/daemon/src/relay/admission.rs
@@ -4,7 +4,9 @@
 //! urgent ones first, and refuses those that can't be in time. Engines then have room for what they
 //! receive.
 
+mod dump;
 mod gauges;
+mod refusals;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,7 +14,7 @@
 
 use pollendrift_coordination::base::{CustomerName, MonotonicTime, ServiceName};
 use pollendrift_coordination::limits::{
-    AdmissionCapacity, CapacityInputs, CustomerLimits, HostCapacity, HostCapacitySettings,
+    AdmissionCapacity, CapacityRefusal, CustomerLimits, HostCapacity, HostCapacitySettings,
     LimitSettings, PriorityReserve, RequestPriority, RequestRefusal, ReturnRequest, ReturnSchedule,
     ReturnSettings,
 };
@@ -25,8 +27,9 @@
 
 use super::context::RelayContext;
 use super::request::{Refused, RelayRequest, refused};
-use crate::admission::{AdmissionGate, AdmissionTicket, GateLimits, GateOffer, GateStatus};
-use crate::clock::{TimeSource, millis};
+use crate::admission::{AdmissionGate, AdmissionTicket, GateLimits, GateOffer};
+use crate::clock::TimeSource;
+use crate::refusals::RefusalStore;
 use crate::settings::AdmissionMode;
 
 /// Time between two checks for waiting drafts that can no longer be in time.
@@ -57,6 +60,7 @@
 /// Admission of drafts, by service.
 pub(super) struct DraftAdmission {
     mode: AdmissionMode,
+    refusals: Arc<RefusalStore>,
     clock: Arc<dyn TimeSource>,
     seed: u64,
     pools: Mutex<BTreeMap<ServiceName, Arc<DraftPool>>>,
@@ -66,6 +70,7 @@
 struct DraftPool {
     gate: Arc<AdmissionGate>,
     state: Mutex<PoolState>,
+    refusals: Arc<RefusalStore>,
 }
 
 struct PoolState {
@@ -165,7 +170,10 @@
     pub(super) fn return_time(&self, request: &RelayRequest) -> Option<Duration> {
         let pool = self.admission.pool(&request.service.name)?;
         let priority = request.priority?;
-        Some(pool.book_return(request, priority, self.clock.now()))
+        let now = self.clock.now();
+        let wait = pool.book_return(request, priority, now);
+        pool.record_refusal(request, priority, now, CapacityRefusal::NoServer, wait);
+        Some(wait)
     }
 
     /// Updates the capacity of all services whose drafts have different priorities.
@@ -198,9 +206,15 @@
 }
 
 impl DraftAdmission {
-    pub(super) fn new(mode: AdmissionMode, clock: Arc<dyn TimeSource>, seed: u64) -> Self {
+    pub(super) fn new(
+        mode: AdmissionMode,
+        refusals: Arc<RefusalStore>,
+        clock: Arc<dyn TimeSource>,
+        seed: u64,
+    ) -> Self {
         Self {
             mode,
+            refusals,
             clock,
             seed,
             pools: Mutex::default(),
@@ -212,15 +226,6 @@
         self.mode == AdmissionMode::ByPriority
     }
 
-    /// State of each service, for the dump.
-    pub(super) fn dump(&self) -> BTreeMap<ServiceName, PoolDump> {
-        let pools = self.lock();
-        let dump = pools
-            .iter()
-            .map(|(name, pool)| (name.clone(), pool.dump(self.clock.now())));
-        dump.collect()
-    }
-
     fn pool(&self, service: &ServiceName) -> Option<Arc<DraftPool>> {
         self.lock().get(service).cloned()
     }
@@ -244,7 +249,11 @@
         let mut pools = self.lock();
         let pool = pools.entry(service.clone()).or_insert_with(|| {
             log::info!(service:% = service; "drafts are admitted by priority");
-            Arc::new(DraftPool::new(Arc::clone(&self.clock), self.seed))
+            Arc::new(DraftPool::new(
+                Arc::clone(&self.refusals),
+                Arc::clone(&self.clock),
+                self.seed,
+            ))
         });
         Arc::clone(pool)
     }
@@ -254,23 +263,8 @@
     }
 }
 
-/// State of the admission to one service in a dump.
-#[derive(Clone, Debug, serde::Serialize)]
-pub(super) struct PoolDump {
-    /// Running and waiting drafts.
-    requests: GateStatus,
-    /// KV memory of the running drafts, in tokens.
-    held_tokens: u64,
-    /// Figures of the last measurement.
-    inputs: Option<CapacityInputs>,
-    /// Mean time to the first event, in milliseconds.
-    first_event_ms: u64,
-    /// Callers that were told when to come back and have not reached that time.
-    promised_returns: u32,
-}
-
 impl DraftPool {
-    fn new(clock: Arc<dyn TimeSource>, seed: u64) -> Self {
+    fn new(refusals: Arc<RefusalStore>, clock: Arc<dyn TimeSource>, seed: u64) -> Self {
         let limits = GateLimits {
             max_running: u32::MAX,
             max_wait: Duration::MAX,
@@ -290,6 +284,7 @@
                 run_time: INITIAL_RUN_TIME,
                 first_event: INITIAL_FIRST_EVENT,
             }),
+            refusals,
         }
     }
 
@@ -316,11 +311,8 @@
         refusal: &RequestRefusal,
     ) -> Refused {
         let wait = self.book_return(request, priority, now);
-        let inputs = self.state().capacity.inputs().unwrap_or_default();
-        log::info!(request = request.attempt.as_str(), priority:? = priority, reason:% = refusal.reason,
-            is_return = request.is_return(), waited_ms = millis(now.since(request.arrived)),
-            held_tokens = self.gate.in_flight_tokens(), free_tokens = inputs.free, share = inputs.share,
-            report_age_ms = millis(now.since(inputs.measured_at)); "not admitted");
+        let cause = CapacityRefusal::NotAdmitted(refusal.reason);
+        self.record_refusal(request, priority, now, cause, wait);
         let reason = format!(
             "the engines of the service have no room: {}",
             refusal.reason
@@ -349,21 +341,7 @@
         if waited < QUEUE_TICK {
             return;
         }
-        let inputs = self.state().capacity.inputs().unwrap_or_default();
-        log::info!(request = request.attempt.as_str(), priority:? = priority, waited_ms = millis(waited),
-            held_tokens = self.gate.in_flight_tokens(), free_tokens = inputs.free, share = inputs.share,
-            report_age_ms = millis(now.since(inputs.measured_at)); "admitted after a wait");
-    }
-
-    fn dump(&self, now: MonotonicTime) -> PoolDump {
-        let state = self.state();
-        PoolDump {
-            requests: self.gate.status(),
-            held_tokens: self.gate.in_flight_tokens(),
-            inputs: state.capacity.inputs(),
-            first_event_ms: millis(state.first_event),
-            promised_returns: state.returns.promised(now).count,
-        }
+        self.log_late_admission(request, priority, now);
     }
 
     fn state(&self) -> MutexGuard<'_, PoolState> {
--- a/crates/daemon/src/relay/admission/gauges.rs
+++ b/crates/daemon/src/relay/admission/gauges.rs
@@ -107,7 +107,7 @@
     use crate::telemetry::MetricRegistry;
 
     fn pool(clock: &Arc<dyn TimeSource>) -> Arc<DraftPool> {
-        let pool = DraftPool::new(Arc::clone(clock), 1);
+        let pool = DraftPool::new(Arc::default(), Arc::clone(clock), 1);
         pool.gate.set_capacity(AdmissionCapacity {
             kv_tokens: 100,
             ..UNLIMITED
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -25,6 +25,7 @@
 use crate::lifecycle::{LifecycleStep, LifecycleWatch};
 use crate::peers::PeerHub;
 use crate::quarantine::QuarantineState;
+use crate::refusals::RefusalStore;
 use crate::settings::RelaySettings;
 use crate::telemetry::MetricRegistry;
 
@@ -43,6 +44,7 @@
     pub(crate) fleet: Arc<BackendFleet>,
     pub(crate) forwarding: Arc<ForwardingState>,
     pub(crate) quarantine: Arc<QuarantineState>,
+    pub(crate) refusals: Arc<RefusalStore>,
     pub(crate) hub: PeerHub,
     pub(crate) clock: Arc<dyn TimeSource>,
     pub(crate) lifecycle: LifecycleWatch,
@@ -107,6 +109,7 @@
             pool: ConnectionPool::with_dialer(PoolSettings::default(), since_boot, parts.dialer),
             admission: DraftAdmission::new(
                 parts.settings.admission,
+                parts.refusals,
                 Arc::clone(&parts.clock),
                 parts.seed,
             ),
--- a/crates/pollenctl/src/command.rs
+++ b/crates/pollenctl/src/command.rs
@@ -139,6 +139,13 @@
         #[bpaf(argument("TIME"), optional)]
         at: Option<String>,
     },
+    /// Show why a draft was refused for lack of capacity, from the last refusals of all hosts
+    #[bpaf(command)]
+    Refusal {
+        /// Id of the draft, as its caller stated it
+        #[bpaf(positional("ID"))]
+        request: String,
+    },
     /// Make one HTML page with plots of an exported file, without any daemon
     #[bpaf(command)]
     Report {
--- a/crates/pollenctl/src/evidence.rs
+++ b/crates/pollenctl/src/evidence.rs
@@ -12,6 +12,7 @@
 use crate::command::EvidenceCommand;
 use crate::failure::ToolFailure;
 use crate::run::ToolOutput;
+use crate::text::percent_encode;
 use crate::wall_clock::parse_time;
 
 const EVIDENCE_PATH: &str = "/operator/v1/evidence";
@@ -175,15 +176,3 @@
         &self.text
     }
 }
-
-/// Percent-encodes every byte that is not unreserved in a URI (RFC 3986).
-fn percent_encode(text: &str) -> String {
-    text.bytes().fold(String::new(), |mut escaped, byte| {
-        if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b'~') {
-            escaped.push(char::from(byte));
-        } else {
-            let _ = write!(escaped, "%{byte:02X}");
-        }
-        escaped
-    })
-}
--- a/crates/pollenctl/src/lib.rs
+++ b/crates/pollenctl/src/lib.rs
@@ -15,6 +15,7 @@
 mod get;
 mod history;
 mod in_force;
+mod refusal;
 mod report;
 mod retry;
 mod run;
--- a/crates/pollenctl/src/run.rs
+++ b/crates/pollenctl/src/run.rs
@@ -6,7 +6,7 @@
 use crate::command::{CommandLine, ToolCommand};
 use crate::failure::ToolFailure;
 use crate::retry::RetrySettings;
-use crate::{apply, check, diff, evidence, explain, get, history, in_force, report};
+use crate::{apply, check, diff, evidence, explain, get, history, in_force, refusal, report};
 
 /// Output streams of a command.
 pub(crate) struct ToolOutput<'a> {
@@ -78,6 +78,7 @@
             history::history(&open()?, *before, *limit, output).await
         }
         ToolCommand::InForce { at } => in_force::in_force(&open()?, at.as_deref(), output).await,
+        ToolCommand::Refusal { request } => refusal::refusal(&open()?, request, output).await,
         ToolCommand::Report { export, file } => report::report(export, file, output),
         ToolCommand::Status => get::show(&open()?, "/operator/v1/status", output).await,
     }
--- a/crates/pollenctl/src/text.rs
+++ b/crates/pollenctl/src/text.rs
@@ -1,8 +1,10 @@
 //! Configuration files and their first line, which contains the base revision.
 
+use std::fmt::Write as _;
 use std::path::Path;
 
 use pollendrift_coordination::configuration::{MAX_TEXT_BYTES, ParsedConfiguration};
+use pollendrift_coordination::limits::RequestPriority;
 
 use crate::failure::ToolFailure;
 
@@ -48,3 +50,24 @@
     let first = text.lines().next()?;
     first.strip_prefix(REVISION_PREFIX)?.trim().parse().ok()
 }
+
+/// Percent-encodes every byte that is not unreserved in a URI (RFC 3986).
+pub(crate) fn percent_encode(text: &str) -> String {
+    text.bytes().fold(String::new(), |mut escaped, byte| {
+        if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b'~') {
+            escaped.push(char::from(byte));
+        } else {
+            let _ = write!(escaped, "%{byte:02X}");
+        }
+        escaped
+    })
+}
+
+/// Name of a priority, as in the metrics.
+pub(crate) fn priority_name(priority: RequestPriority) -> &'static str {
+    match priority {
+        RequestPriority::Urgent => "urgent",
+        RequestPriority::Normal => "normal",
+        RequestPriority::Batch => "batch",
+    }
+}
--- a/crates/pollenctl/tests/commands/main.rs
+++ b/crates/pollenctl/tests/commands/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a test may panic on a failed step")]
 
 mod apply;
+mod refusals;
 mod secure;
 mod support;
 mod views;
--- a/crates/pollenctl/tests/outer_help.rs
+++ b/crates/pollenctl/tests/outer_help.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write as _;
 use std::process::Command;
 
-const COMMANDS: [&[&str]; 16] = [
+const COMMANDS: [&[&str]; 17] = [
     &[],
     &["apply"],
     &["check"],
@@ -20,6 +20,7 @@
     &["get"],
     &["history"],
     &["in-force"],
+    &["refusal"],
     &["report"],
     &["status"],
 ];
--- a/crates/pollenctl/tests/outer_requests.rs
+++ b/crates/pollenctl/tests/outer_requests.rs
@@ -89,7 +89,7 @@
     );
     let export = std::env::temp_dir().join(format!("pollenctl-outer-{}", std::process::id()));
     let export = export.to_str().expect("a path in Unicode");
-    let commands: [&[&str]; 12] = [
+    let commands: [&[&str]; 13] = [
         &["apply", "--change-id", "c1", file.path()],
         &["diff", file.path()],
         &["dump"],
@@ -130,6 +130,7 @@
         &["get", "--revision", "6"],
         &["history", "--before", "9", "--limit", "4"],
         &["in-force", "--at", "5"],
+        &["refusal", "d/1"],
         &["status"],
     ];
     let mut text = String::new();
