feat(pollenctl): the admission state of a host

Cause: the dump had the numbers of running and waiting drafts only, and an operator had to read it as JSON. Change: the dump's part `admission` gets the capacity, the age of the reports, the drafts by priority and the 16 customers with the most refusals; `pollenctl admission` prints them and the demand share, a table for each service.

--- a/crates/coordination/src/limits/admission.rs
+++ b/crates/coordination/src/limits/admission.rs
@@ -4,6 +4,7 @@
 mod prediction;
 mod queue;
 mod rate;
+mod refused_customers;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/crates/coordination/src/limits/counts.rs
+++ b/crates/coordination/src/limits/counts.rs
@@ -1,12 +1,12 @@
 //! Counts of an admission table, for the dump and the metrics.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::offer::RequestPriority;
 use crate::base::CustomerName;
 
 /// Counts of the requests of one priority.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PriorityCounts {
     /// Requests admitted since the table was created.
     pub admitted: u64,
@@ -31,7 +31,7 @@
 }
 
 /// Counts of all requests of a table, by priority.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdmissionCounts {
     /// Counts of urgent requests.
     pub urgent: PriorityCounts,
@@ -70,7 +70,7 @@
 }
 
 /// Requests of one customer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CustomerCounts {
     /// Name of the customer.
     pub customer: CustomerName,
--- a/crates/coordination/tests/limits_order.rs
+++ b/crates/coordination/tests/limits_order.rs
@@ -198,6 +198,24 @@
     ");
 }
 
+// Guards against a list for operators that is not bounded, or that lacks the customers with the most
+// refusals.
+#[test]
+fn the_customers_with_the_most_refusals_are_listed() {
+    let mut table = table(1_000, 0);
+    for customer in 0..20_u64 {
+        for number in 0..customer {
+            let mut large = request(&format!("{customer}-{number}"), Urgent, false);
+            large.tokens = u64::MAX;
+            large.customer = format!("c{customer}").as_str().into();
+            table.offer(at(0), large);
+        }
+    }
+    let listed = table.most_refused(16);
+    let listed = listed.iter().map(|counts| counts.refused);
+    assert!(listed.eq((4..20).rev()));
+}
+
 fn admitted_in(changes: &[AdmissionChange]) -> u64 {
     let admitted = changes
         .iter()
--- a/crates/daemon/src/admission/inspection.rs
+++ b/crates/daemon/src/admission/inspection.rs
@@ -1,6 +1,6 @@
 //! State of a gate, for the dump and the metrics.
 
-use pollendrift_coordination::limits::{AdmissionCapacity, AdmissionCounts};
+use pollendrift_coordination::limits::{AdmissionCapacity, AdmissionCounts, CustomerCounts};
 
 use super::AdmissionGate;
 
@@ -23,6 +23,11 @@
 }
 
 impl AdmissionGate {
+    /// Returns the customers with the most refusals, at most `limit` of them.
+    pub(crate) fn most_refused(&self, limit: usize) -> Vec<CustomerCounts> {
+        self.lock().table.most_refused(limit)
+    }
+
     /// Returns the current state.
     pub(crate) fn inspect(&self) -> GateInspection {
         let state = self.lock();
--- a/crates/daemon/src/relay/admission/dump.rs
+++ b/crates/daemon/src/relay/admission/dump.rs
@@ -3,26 +3,37 @@
 use std::collections::BTreeMap;
 
 use pollendrift_coordination::base::{MonotonicTime, ServiceName};
-use pollendrift_coordination::limits::CapacityInputs;
+use pollendrift_coordination::limits::{AdmissionCounts, CapacityInputs, CustomerCounts};
 use serde::Serialize;
 
 use super::{DraftAdmission, DraftPool};
 use crate::admission::GateStatus;
 use crate::clock::millis;
 
+/// Customers in the list of those with the most refusals.
+const MAX_CUSTOMERS: usize = 16;
+
 /// State of the admission to one service in a dump.
 #[derive(Clone, Debug, Serialize)]
 pub(in crate::relay) struct PoolDump {
     /// Running and waiting drafts.
     requests: GateStatus,
+    /// KV memory that running drafts may hold, in tokens; `None` if it is not limited.
+    capacity_tokens: Option<u64>,
     /// KV memory of the running drafts, in tokens.
     held_tokens: u64,
     /// Figures of the last measurement.
     inputs: Option<CapacityInputs>,
+    /// Age of that measurement, in milliseconds.
+    report_age_ms: Option<u64>,
     /// Mean time to the first event, in milliseconds.
     first_event_ms: u64,
     /// Callers that were told when to come back and have not reached that time.
     promised_returns: u32,
+    /// Drafts by priority.
+    counts: AdmissionCounts,
+    /// Customers with the most refusals.
+    most_refused: Vec<CustomerCounts>,
 }
 
 impl DraftAdmission {
@@ -38,13 +49,19 @@
 
 impl DraftPool {
     fn dump(&self, now: MonotonicTime) -> PoolDump {
+        let inspection = self.gate.inspect();
         let state = self.state();
+        let inputs = state.capacity.inputs();
         PoolDump {
             requests: self.gate.status(),
-            held_tokens: self.gate.in_flight_tokens(),
-            inputs: state.capacity.inputs(),
+            capacity_tokens: inspection.limited_tokens(),
+            held_tokens: inspection.held_tokens,
+            inputs,
+            report_age_ms: inputs.map(|inputs| millis(now.since(inputs.measured_at))),
             first_event_ms: millis(state.first_event),
             promised_returns: state.returns.promised(now).count,
+            counts: inspection.counts,
+            most_refused: self.gate.most_refused(MAX_CUSTOMERS),
         }
     }
 }
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -486,6 +486,12 @@
             limit: 6,
         },
         KeeperQuestion::EvidenceExport,
+        KeeperQuestion::Refusals {
+            request: "r1".into(),
+        },
+        KeeperQuestion::OwnRefusals {
+            request: "r1".into(),
+        },
     ]
 }
 
--- a/crates/pollenctl/src/command.rs
+++ b/crates/pollenctl/src/command.rs
@@ -56,6 +56,14 @@
 /// What to do.
 #[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
 pub enum ToolCommand {
+    /// Show the admission of drafts by priority at one host: capacity, share, and who is refused
+    #[bpaf(command)]
+    Admission {
+        /// Address of the host's platform face, as HOST:PORT, which takes no token; without it, the
+        /// first daemon of --servers that answers is asked
+        #[bpaf(argument::<String>("ADDRESS"), parse(|text| text.parse()), optional)]
+        platform: Option<ServerAddress>,
+    },
     /// Put a configuration in force; a lost answer is resent under the same change id
     #[bpaf(command)]
     Apply {
--- a/crates/pollenctl/src/lib.rs
+++ b/crates/pollenctl/src/lib.rs
@@ -4,6 +4,7 @@
 //! them.
 
 mod address;
+mod admission;
 mod apply;
 mod check;
 mod client;
--- a/crates/pollenctl/src/run.rs
+++ b/crates/pollenctl/src/run.rs
@@ -3,10 +3,12 @@
 use std::io::Write;
 
 use crate::client::OperatorClient;
-use crate::command::{CommandLine, ToolCommand};
+use crate::command::{CommandLine, ConnectionOptions, ToolCommand};
 use crate::failure::ToolFailure;
 use crate::retry::RetrySettings;
-use crate::{apply, check, diff, evidence, explain, get, history, in_force, refusal, report};
+use crate::{
+    admission, apply, check, diff, evidence, explain, get, history, in_force, refusal, report,
+};
 
 /// Output streams of a command.
 pub(crate) struct ToolOutput<'a> {
@@ -61,6 +63,21 @@
 ) -> Result<(), ToolFailure> {
     let open = || OperatorClient::open(&line.connection_options, retry);
     match &line.tool_command {
+        ToolCommand::Admission { platform: None } => {
+            admission::admission(&open()?, "/operator/v1/dump", output).await
+        }
+        ToolCommand::Admission {
+            platform: Some(address),
+        } => {
+            // The platform face takes no credentials, so it gets none.
+            let options = ConnectionOptions {
+                servers: vec![address.clone()],
+                token_file: None,
+                ..line.connection_options.clone()
+            };
+            let client = OperatorClient::open(&options, retry)?;
+            admission::admission(&client, "/dump", output).await
+        }
         ToolCommand::Apply {
             change_id,
             based_on,
--- a/crates/pollenctl/src/text.rs
+++ b/crates/pollenctl/src/text.rs
@@ -71,3 +71,21 @@
         RequestPriority::Batch => "batch",
     }
 }
+
+/// Formats rows as indented lines: the first column to the left, the others to the right.
+pub(crate) fn align_columns<const COLUMNS: usize>(rows: &[[String; COLUMNS]]) -> String {
+    let width = |column: usize| rows.iter().map(|row| row[column].chars().count()).max();
+    let mut text = String::new();
+    for row in rows {
+        text.push(' ');
+        for (column, cell) in row.iter().enumerate() {
+            let width = width(column).unwrap_or(0);
+            let _ = match column {
+                0 => write!(text, " {cell:<width$}"),
+                _ => write!(text, "  {cell:>width$}"),
+            };
+        }
+        text.push('\n');
+    }
+    text
+}
--- a/crates/pollenctl/tests/outer_help.rs
+++ b/crates/pollenctl/tests/outer_help.rs
@@ -5,8 +5,9 @@
 use std::fmt::Write as _;
 use std::process::Command;
 
-const COMMANDS: [&[&str]; 17] = [
+const COMMANDS: [&[&str]; 18] = [
     &[],
+    &["admission"],
     &["apply"],
     &["check"],
     &["diff"],
--- a/crates/pollenctl/tests/outer_requests.rs
+++ b/crates/pollenctl/tests/outer_requests.rs
@@ -89,7 +89,8 @@
     );
     let export = std::env::temp_dir().join(format!("pollenctl-outer-{}", std::process::id()));
     let export = export.to_str().expect("a path in Unicode");
-    let commands: [&[&str]; 13] = [
+    let commands: [&[&str]; 14] = [
+        &["admission"],
         &["apply", "--change-id", "c1", file.path()],
         &["diff", file.path()],
         &["dump"],
