fix(limits): a customer's limit of 0 refuses its requests

A label limit/requests-per-second of 0 became a rate of 0, which the table takes as no limit; with limit/in-flight of 0 requests waited for their deadline. Change: with one of the labels at 0 the customer has neither slots nor a queue, so its requests are refused at once (`queue full`).

--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -1,5 +1,6 @@
 //! Admission at this entry: admits, queues or refuses each request.
 
+mod customer_limits;
 mod inspection;
 
 use std::collections::HashMap;
@@ -274,28 +275,6 @@
         result
     }
 
-    /// Computes this entry's limits for a customer.
-    ///
-    /// Labels limit a customer at all entries together; each entry enforces an equal share.
-    fn limits(&self, settings: &LabelSettings) -> CustomerLimits {
-        let share = |total: Option<u64>, default: u32| match total {
-            Some(total) => u32::try_from(total)
-                .unwrap_or(u32::MAX)
-                .div_ceil(self.entries),
-            None => default,
-        };
-        CustomerLimits {
-            weight: settings.weight.unwrap_or(self.defaults.weight).max(1),
-            max_in_flight: share(settings.in_flight, self.defaults.max_in_flight),
-            max_queued: share(settings.queue, self.defaults.max_queued),
-            requests_per_second: share(
-                settings.requests_per_second,
-                self.defaults.requests_per_second,
-            ),
-            burst: self.defaults.burst,
-        }
-    }
-
     fn finish(&self, ticket: TicketKey, tokens: u64, started: MonotonicTime) {
         let now = self.clock.now();
         let mut state = self.lock();
