--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -18,6 +18,7 @@
 mod settings;
 mod shedding;
 mod usual_demand;
+mod usual_timeout;
 mod wait;
 
 pub use admission::AdmissionTable;
@@ -34,6 +35,7 @@
 pub use return_schedule::{PromisedReturns, ReturnRequest, ReturnSchedule, ReturnSettings};
 pub use settings::{CustomerLimits, LimitSettings};
 pub use shedding::{ConnectionShedder, ShedSettings};
+pub use usual_timeout::{TimeoutSettings, UsualTimeouts};
 pub use wait::WaitSettings;
 
 pub(crate) use bucket::TokenBucket;
--- a/crates/coordination/src/limits/refusal_log.rs
+++ b/crates/coordination/src/limits/refusal_log.rs
@@ -34,13 +34,28 @@
 #[serde(rename_all = "kebab-case")]
 pub enum CapacityRefusal {
     /// The request was not admitted.
-    #[display("{_0}")]
-    NotAdmitted(AdmissionRefusal),
+    #[display("{reason}")]
+    NotAdmitted {
+        /// Why.
+        reason: AdmissionRefusal,
+        /// Whether its caller was refused before and came back.
+        is_return: bool,
+    },
     /// The request was admitted, and then no server took it.
     #[display("admitted, but no engine took it")]
     NoServer,
 }
 
+impl CapacityRefusal {
+    /// Whether the caller was refused before and came back; `None` if the request was admitted.
+    pub fn is_return(self) -> Option<bool> {
+        match self {
+            Self::NotAdmitted { is_return, .. } => Some(is_return),
+            Self::NoServer => None,
+        }
+    }
+}
+
 /// A refusal for lack of capacity, with the figures that it was decided by.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct RefusalRecord {
@@ -52,8 +67,6 @@
     pub customer: Option<CustomerName>,
     /// Its priority.
     pub priority: RequestPriority,
-    /// Whether its caller was refused before and came back.
-    pub is_return: bool,
     /// KV memory that the request needs, in tokens.
     pub tokens: u64,
     /// Why it was refused.
@@ -84,8 +97,8 @@
     pub customer: Option<CustomerName>,
     /// Its priority.
     pub priority: RequestPriority,
-    /// Whether its caller was refused before and came back.
-    pub is_return: bool,
+    /// Whether its caller was refused before and came back; `None` if the request was admitted.
+    pub is_return: Option<bool>,
     /// KV memory that the request needs, in tokens.
     pub tokens: u64,
     /// Why it was refused.
@@ -196,7 +209,7 @@
             service: self.service.clone(),
             customer: self.customer.clone(),
             priority: self.priority,
-            is_return: self.is_return,
+            is_return: self.reason.is_return(),
             tokens: self.tokens,
             reason: self.reason.to_string(),
             refused_ms_ago: millis(now.since(self.refused_at)),
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -209,11 +209,6 @@
         state.apply_changes(now);
     }
 
-    /// KV cache of the running requests, in tokens.
-    pub(crate) fn in_flight_tokens(&self) -> u64 {
-        self.lock().table.in_flight_tokens()
-    }
-
     /// Returns the current numbers of running and queued requests.
     pub fn status(&self) -> GateStatus {
         let state = self.lock();
--- a/crates/daemon/src/relay/admission/refusals.rs
+++ b/crates/daemon/src/relay/admission/refusals.rs
@@ -25,7 +25,6 @@
             service: request.service.name.clone(),
             customer: request.customer.clone(),
             priority,
-            is_return: request.is_return(),
             tokens: request.kv_tokens(),
             reason,
             refused_at: now,
@@ -36,7 +35,7 @@
             inputs: self.state().capacity.inputs(),
         };
         // The other refusals are in the log as `refused` only, like those of calls.
-        if matches!(reason, CapacityRefusal::NotAdmitted(_)) {
+        if matches!(reason, CapacityRefusal::NotAdmitted { .. }) {
             log_refusal(&record);
         }
         self.refusals.record(record);
@@ -61,7 +60,7 @@
 fn log_refusal(record: &RefusalRecord) {
     let inputs = record.inputs.unwrap_or_default();
     log::info!(request = record.request.as_str(), customer = name_of(record.customer.as_ref()),
-        priority:? = record.priority, reason:% = record.reason, is_return = record.is_return,
+        priority:? = record.priority, reason:% = record.reason, is_return = record.reason.is_return(),
         waited_ms = millis(record.waited),
         capacity_tokens = record.capacity_tokens, held_tokens = record.held_tokens,
         free_tokens = inputs.free, share = inputs.share,
--- a/crates/pollenctl/src/refusal.rs
+++ b/crates/pollenctl/src/refusal.rs
@@ -47,10 +47,10 @@
 fn write_refusal(text: &mut String, host: &HostName, refusal: &RefusalView) {
     let customer = refusal.customer.as_ref();
     let customer = customer.map_or_else(|| "unknown".to_owned(), ToString::to_string);
-    let caller = if refusal.is_return {
-        "a returning caller"
-    } else {
-        "a new caller"
+    let caller = match refusal.is_return {
+        Some(true) => ", a returning caller",
+        Some(false) => ", a new caller",
+        None => "",
     };
     let capacity = refusal.capacity_tokens.map_or_else(
         || "without a limit".to_owned(),
@@ -58,8 +58,8 @@
     );
     let _ = writeln!(
         text,
-        "{host}: refused {} ms ago: {}\n  service {}, customer {customer}, priority {}, {} tokens, \
-         {caller}\n  refused {} ms after its arrival, told to come back after {} ms\n  admitted \
+        "{host}: refused {} ms ago: {}\n  service {}, customer {customer}, priority {}, {} \
+         tokens{caller}\n  refused {} ms after its arrival, told to come back after {} ms\n  admitted \
          drafts of the host held {} tokens {capacity}",
         refusal.refused_ms_ago,
         refusal.reason,
