--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -212,7 +212,7 @@
             ticket_counter: AtomicU64::new(0),
         });
         let relay = dialect.map(|dialect| {
-            RelayContext::new(RelayParts {
+            Arc::new(RelayContext::new(RelayParts {
                 dialect,
                 settings: settings.relay.clone(),
                 data_centre: settings.data_centre.clone(),
@@ -220,15 +220,15 @@
                 fleet: Arc::clone(&fleet),
                 forwarding,
                 quarantine: Arc::clone(&quarantine),
+                refusals: Arc::clone(node.refusals()),
                 hub: node.hub().clone(),
                 clock: Arc::clone(&clock),
                 lifecycle: lifecycle.watch(),
                 metrics: Arc::clone(&metrics),
                 dialer: dialer.unwrap_or_else(|| Arc::new(TcpDialer)),
                 seed,
-            })
+            }))
         });
-        let relay = relay.map(Arc::new);
         let mut dump: Vec<Arc<dyn DumpSource>> = vec![
             Arc::new(FleetDump {
                 fleet: Arc::clone(&fleet),
@@ -324,6 +324,7 @@
         let gauges = GaugeSources {
             fleet: Arc::clone(&fleet),
             node: Arc::clone(&node),
+            relay: relay.clone(),
             recorder: Arc::clone(&recorder),
             clock: Arc::clone(&clock),
         };
--- a/crates/pollenctl/src/lib.rs
+++ b/crates/pollenctl/src/lib.rs
@@ -4,6 +4,7 @@
 //! them.
 
 mod address;
+mod admission;
 mod apply;
 mod check;
 mod client;
@@ -15,6 +16,7 @@
 mod get;
 mod history;
 mod in_force;
+mod refusal;
 mod report;
 mod retry;
 mod run;
--- a/crates/pollenctl/tests/outer_help.rs
+++ b/crates/pollenctl/tests/outer_help.rs
@@ -5,8 +5,9 @@
 use std::fmt::Write as _;
 use std::process::Command;
 
-const COMMANDS: [&[&str]; 16] = [
+const COMMANDS: [&[&str]; 18] = [
     &[],
+    &["admission"],
     &["apply"],
     &["check"],
     &["diff"],
@@ -20,6 +21,7 @@
     &["get"],
     &["history"],
     &["in-force"],
+    &["refusal"],
     &["report"],
     &["status"],
 ];
