--- a/crates/coordination/src/limits/admission.rs
+++ b/crates/coordination/src/limits/admission.rs
@@ -4,6 +4,7 @@
 mod prediction;
 mod queue;
 mod rate;
+mod refused_customers;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -146,6 +147,9 @@
         for ticket in std::mem::take(&mut self.admitted) {
             if let Some(record) = self.tickets.get(ticket) {
                 let request = record.offer.request.clone();
+                self.counts
+                    .of_mut(record.offer.priority)
+                    .admitted_after_wait += 1;
                 changes.push(AdmissionChange::Admitted { ticket, request });
             }
         }
@@ -180,6 +184,11 @@
         Some((started, tokens))
     }
 
+    /// Capacity as last set.
+    pub fn capacity(&self) -> AdmissionCapacity {
+        self.capacity
+    }
+
     /// Number of running requests.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -1,5 +1,8 @@
 //! Admission at this entry: admits, queues or refuses each request.
 
+mod customer_limits;
+mod inspection;
+
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -209,11 +212,6 @@
         state.apply_changes(now);
     }
 
-    /// KV cache of the running requests, in tokens.
-    pub(crate) fn in_flight_tokens(&self) -> u64 {
-        self.lock().table.in_flight_tokens()
-    }
-
     /// Returns the current numbers of running and queued requests.
     pub fn status(&self) -> GateStatus {
         let state = self.lock();
@@ -275,28 +273,6 @@
         result
     }
 
-    /// Computes this entry's limits for a customer.
-    ///
-    /// Labels limit a customer at all entries together; each entry enforces an equal share.
-    fn limits(&self, settings: &LabelSettings) -> CustomerLimits {
-        let share = |total: Option<u64>, default: u32| match total {
-            Some(total) => u32::try_from(total)
-                .unwrap_or(u32::MAX)
-                .div_ceil(self.entries),
-            None => default,
-        };
-        CustomerLimits {
-            weight: settings.weight.unwrap_or(self.defaults.weight).max(1),
-            max_in_flight: share(settings.in_flight, self.defaults.max_in_flight),
-            max_queued: share(settings.queue, self.defaults.max_queued),
-            requests_per_second: share(
-                settings.requests_per_second,
-                self.defaults.requests_per_second,
-            ),
-            burst: self.defaults.burst,
-        }
-    }
-
     fn finish(&self, ended: &AdmissionTicket) {
         let now = self.clock.now();
         let mut state = self.lock();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -4,7 +4,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
@@ -39,6 +39,7 @@
 use crate::operators::KeeperQuestionHandler;
 use crate::peers::{PeerHandler, PeerHub, PeerTasks};
 use crate::quarantine::QuarantineState;
+use crate::refusals::RefusalStore;
 use crate::settings::DaemonSettings;
 use crate::state::SharedState;
 use crate::streams::StreamStore;
@@ -80,7 +81,9 @@
     question_handler: Arc<KeeperQuestionHandler>,
     streams: Arc<StreamStore>,
     broadcaster: Arc<LeaseBroadcaster>,
-    peers: PeerTasks,
+    hub: PeerHub,
+    /// `None` after [`ClusterNode::abort`].
+    peers: Mutex<Option<PeerTasks>>,
     tasks: Vec<JoinHandle<()>>,
     incarnation: tokio::sync::watch::Receiver<Option<Incarnation>>,
 }
@@ -187,6 +190,7 @@
             client.clone(),
             shared.clone(),
             files.clone(),
+            Arc::default(),
             Arc::clone(&parts.clock),
         ));
         let streams = Arc::new(StreamStore::new(hub.clone(), Arc::clone(&parts.clock)));
@@ -233,7 +237,8 @@
             question_handler,
             streams,
             broadcaster,
-            peers,
+            hub,
+            peers: Mutex::new(Some(peers)),
             tasks,
             incarnation,
         })
@@ -280,9 +285,14 @@
         &self.question_handler
     }
 
+    /// Last refusals of drafts for lack of capacity at this host.
+    pub fn refusals(&self) -> &Arc<RefusalStore> {
+        self.question_handler.refusals()
+    }
+
     /// Links to the peers.
     pub fn hub(&self) -> &PeerHub {
-        self.peers.hub()
+        &self.hub
     }
 
     /// Client of the keepers.
@@ -304,29 +314,32 @@
     /// # Errors
     /// The store failed at the last sync.
     pub async fn stop(&self) -> Result<(), KeeperError> {
-        let keeper = self
-            .keeper
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take();
-        let Some(keeper) = keeper else {
+        let Some(keeper) = lock(&self.keeper).take() else {
             return Ok(());
         };
         keeper.handle().stop();
         keeper.finish().await
     }
 
+    /// Stops the keeper, the links and all tasks at once, like a crash. Running requests may still
+    /// refer to this node and would otherwise keep its keeper voting until they end.
+    pub(crate) fn abort(&self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        drop(lock(&self.keeper).take());
+        drop(lock(&self.peers).take());
+    }
+
     fn keeper_handle(&self) -> Option<KeeperHandle> {
-        let keeper = self.keeper.lock().unwrap_or_else(PoisonError::into_inner);
+        let keeper = lock(&self.keeper);
         keeper.as_ref().map(|keeper| keeper.handle().clone())
     }
 }
 
 impl Drop for ClusterNode {
     fn drop(&mut self) {
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.abort();
     }
 }
 
@@ -357,6 +370,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 async fn submit(
     client: &KeeperClient,
     command: ReplicatedCommand,
--- a/crates/daemon/src/relay/admission.rs
+++ b/crates/daemon/src/relay/admission.rs
@@ -4,6 +4,10 @@
 //! urgent ones first, and refuses those that can't be in time. Engines then have room for what they
 //! receive.
 
+mod dump;
+mod gauges;
+mod refusals;
+
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,7 +15,7 @@
 
 use pollendrift_coordination::base::{CustomerName, MonotonicTime, ServiceName};
 use pollendrift_coordination::limits::{
-    AdmissionCapacity, CapacityInputs, HostCapacity, HostCapacitySettings, LimitSettings,
+    AdmissionCapacity, CapacityRefusal, HostCapacity, HostCapacitySettings, LimitSettings,
     PriorityReserve, RequestPriority, RequestRefusal, ReturnRequest, ReturnSchedule,
     ReturnSettings, TimeoutSettings, UsualTimeouts,
 };
@@ -20,10 +24,13 @@
 use pollendrift_dialect::RefusalKind;
 use tokio::time::{MissedTickBehavior, interval};
 
+pub(crate) use gauges::ExportedAdmission;
+
 use super::context::RelayContext;
 use super::request::{Refused, RelayRequest, refused};
-use crate::admission::{AdmissionGate, AdmissionTicket, GateLimits, GateOffer, GateStatus};
-use crate::clock::{TimeSource, millis};
+use crate::admission::{AdmissionGate, AdmissionTicket, GateLimits, GateOffer};
+use crate::clock::TimeSource;
+use crate::refusals::RefusalStore;
 use crate::settings::AdmissionMode;
 
 /// Time between two checks for waiting drafts that can no longer be in time.
@@ -49,6 +56,7 @@
 /// Admission of drafts, by service.
 pub(super) struct DraftAdmission {
     mode: AdmissionMode,
+    refusals: Arc<RefusalStore>,
     clock: Arc<dyn TimeSource>,
     seed: u64,
     timeouts: Mutex<UsualTimeouts>,
@@ -62,6 +70,7 @@
     /// have the other admitted drafts, which still look for engines.
     sent_tokens: AtomicU64,
     state: Mutex<PoolState>,
+    refusals: Arc<RefusalStore>,
 }
 
 struct PoolState {
@@ -177,7 +186,10 @@
         let pool = self.admission.pool(&request.service.name)?;
         let priority = request.priority?;
         let is_return = ticket.is_some_and(|ticket| ticket.is_return);
-        Some(pool.choose_return(request, priority, is_return, self.clock.now()))
+        let now = self.clock.now();
+        let wait = pool.choose_return(request, priority, is_return, now);
+        pool.record_refusal(request, priority, now, CapacityRefusal::NoServer, wait);
+        Some(wait)
     }
 
     /// Updates the capacity of all services whose drafts have different priorities.
@@ -210,9 +222,15 @@
 }
 
 impl DraftAdmission {
-    pub(super) fn new(mode: AdmissionMode, clock: Arc<dyn TimeSource>, seed: u64) -> Self {
+    pub(super) fn new(
+        mode: AdmissionMode,
+        refusals: Arc<RefusalStore>,
+        clock: Arc<dyn TimeSource>,
+        seed: u64,
+    ) -> Self {
         Self {
             mode,
+            refusals,
             clock,
             seed,
             timeouts: Mutex::new(UsualTimeouts::new(TimeoutSettings::default())),
@@ -225,15 +243,6 @@
         self.mode == AdmissionMode::ByPriority
     }
 
-    /// State of each service, for the dump.
-    pub(super) fn dump(&self) -> BTreeMap<ServiceName, PoolDump> {
-        let pools = self.lock();
-        let dump = pools
-            .iter()
-            .map(|(name, pool)| (name.clone(), pool.dump(self.clock.now())));
-        dump.collect()
-    }
-
     /// Whether the caller of a draft was refused before and comes back. A host that forwarded the
     /// draft has used up some of its time.
     fn is_return(
@@ -271,7 +280,11 @@
         let mut pools = self.lock();
         let pool = pools.entry(service.clone()).or_insert_with(|| {
             log::info!(service:% = service; "drafts are admitted by priority");
-            Arc::new(DraftPool::new(Arc::clone(&self.clock), self.seed))
+            Arc::new(DraftPool::new(
+                Arc::clone(&self.refusals),
+                Arc::clone(&self.clock),
+                self.seed,
+            ))
         });
         Arc::clone(pool)
     }
@@ -281,23 +294,8 @@
     }
 }
 
-/// State of the admission to one service in a dump.
-#[derive(Clone, Debug, serde::Serialize)]
-pub(super) struct PoolDump {
-    /// Running and waiting drafts.
-    requests: GateStatus,
-    /// KV memory of the running drafts, in tokens.
-    held_tokens: u64,
-    /// Figures of the last measurement.
-    inputs: Option<CapacityInputs>,
-    /// Mean time to the first event, in milliseconds.
-    first_event_ms: u64,
-    /// Callers that were told when to come back and have not reached that time.
-    promised_returns: u32,
-}
-
 impl DraftPool {
-    fn new(clock: Arc<dyn TimeSource>, seed: u64) -> Self {
+    fn new(refusals: Arc<RefusalStore>, clock: Arc<dyn TimeSource>, seed: u64) -> Self {
         let limits = GateLimits {
             max_running: u32::MAX,
             max_wait: Duration::MAX,
@@ -313,6 +311,7 @@
                 run_time: INITIAL_RUN_TIME,
                 first_event: INITIAL_FIRST_EVENT,
             }),
+            refusals,
         }
     }
 
@@ -340,11 +339,11 @@
         refusal: &RequestRefusal,
     ) -> Refused {
         let wait = self.choose_return(request, priority, is_return, now);
-        let inputs = self.state().capacity.inputs().unwrap_or_default();
-        log::info!(request = request.attempt.as_str(), priority:? = priority, reason:% = refusal.reason,
-            is_return = is_return, waited_ms = millis(now.since(request.arrived)),
-            held_tokens = self.gate.in_flight_tokens(), free_tokens = inputs.free, share = inputs.share,
-            report_age_ms = millis(now.since(inputs.measured_at)); "not admitted");
+        let cause = CapacityRefusal::NotAdmitted {
+            reason: refusal.reason,
+            is_return,
+        };
+        self.record_refusal(request, priority, now, cause, wait);
         let reason = format!(
             "the engines of the service have no room: {}",
             refusal.reason
@@ -378,21 +377,7 @@
         if waited < QUEUE_TICK {
             return;
         }
-        let inputs = self.state().capacity.inputs().unwrap_or_default();
-        log::info!(request = request.attempt.as_str(), priority:? = priority, waited_ms = millis(waited),
-            held_tokens = self.gate.in_flight_tokens(), free_tokens = inputs.free, share = inputs.share,
-            report_age_ms = millis(now.since(inputs.measured_at)); "admitted after a wait");
-    }
-
-    fn dump(&self, now: MonotonicTime) -> PoolDump {
-        let state = self.state();
-        PoolDump {
-            requests: self.gate.status(),
-            held_tokens: self.gate.in_flight_tokens(),
-            inputs: state.capacity.inputs(),
-            first_event_ms: millis(state.first_event),
-            promised_returns: state.returns.promised(now).count,
-        }
+        self.log_late_admission(request, priority, now);
     }
 
     fn state(&self) -> MutexGuard<'_, PoolState> {
@@ -462,7 +447,7 @@
     const DRAFT_TOKENS: u64 = 5_000;
     /// Free memory of the engines. A host of all demand may hold `free_factor` times as much, which is
     /// less than the memory of four drafts, in addition to what it held at the time of the report.
-    const FREE_TOKENS: i64 = 3_000;
+    const FREE_TOKENS: i64 = 3_500;
     /// Time after which a draft counts as not admitted.
     const MAX_WAIT: Duration = Duration::from_millis(20);
 
@@ -483,7 +468,11 @@
     #[tokio::test]
     async fn only_drafts_on_engines_are_added_to_the_free_memory() {
         let clock = Arc::new(SystemClock::default());
-        let pool = Arc::new(DraftPool::new(Arc::clone(&clock) as Arc<dyn TimeSource>, 1));
+        let pool = Arc::new(DraftPool::new(
+            Arc::default(),
+            Arc::clone(&clock) as Arc<dyn TimeSource>,
+            1,
+        ));
         let customer = CustomerName::from("customer");
         let mut tickets = Vec::new();
         for _ in 0..3 {
