fix(forwarding): a refusal by priority does not exclude a host

Cause: a host whose links are cut sends a service's requests to no host for 500 ms after that host has refused one. Since the other host admits forwarded drafts by priority, one refused batch draft made it refuse urgent ones unasked, with the reason that no host takes them.

Change: refusals of services whose drafts have different priorities do not count.

--- a/crates/daemon/src/relay/peer_forward.rs
+++ b/crates/daemon/src/relay/peer_forward.rs
@@ -246,7 +246,10 @@
                 RefusalKind::UnknownOutcome => failed(SendOutcome::ResetAfterSend),
                 // This host has accepted the request. The other may know another configuration.
                 _ => {
-                    table.record_refused(now, host, &request.service.name);
+                    // A host that admits by priority may refuse this request and admit the next.
+                    if request.priority.is_none() {
+                        table.record_refused(now, host, &request.service.name);
+                    }
                     let kind = RefusalKind::NotRun;
                     let wait = refusal.retry_after.unwrap_or(RETRY_UNREACHABLE);
                     attempts.refusal = Some(refused(kind, refusal.reason).retry_after(wait));
