fix(quarantine): counts of other hosts act, and few crashes cut no answers

Cause: broken answers that another host counted under a known crash changed no verdict and were not passed on. Two crashes with eight broken answers made a part certain: a new part in all drafts was cut and held for 30 s if two engines died before its first answer had ended. Change: such counts are changes. Only crashes under a part that was certain count as its tests. Broken answers make a part certain from the third round on.

--- a/crates/coordination/src/quarantine/late.rs
+++ b/crates/coordination/src/quarantine/late.rs
@@ -130,11 +130,13 @@
         let mut has_changed = is_new;
         for (part, broken) in crash.parts {
             if let Some(known) = record.parts.get_mut(&part) {
-                // The ages in notices vary by their time under way, which is no news.
+                // Ages in notices vary by their transit time: a changed time alone is not passed on.
                 known.sent_at = known.sent_at.max(broken.sent_at);
+                has_changed |= broken.was_answered && !known.was_answered;
                 known.was_answered |= broken.was_answered;
                 for (host, count) in broken.counts {
                     let counted = known.counts.entry(host).or_default();
+                    has_changed |= count > *counted;
                     *counted = count.max(*counted);
                 }
             } else if record.parts.len() < settings.max_late_suspects {
--- a/crates/coordination/src/quarantine/late/blame.rs
+++ b/crates/coordination/src/quarantine/late/blame.rs
@@ -28,6 +28,9 @@
 /// crash engines.
 const ANSWERED_WEIGHT: u32 = 7;
 
+/// Rounds up to which a part is not certain by the number of its broken answers.
+const FREQUENT_ROUNDS: u32 = 2;
+
 /// What a part is suspected of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::quarantine) struct LateBlame {
@@ -50,9 +53,11 @@
         self.crashes >= settings.untested_crashes || self.is_frequent(settings)
     }
 
-    /// Whether many answers broke and none came whole. Its test would only cost another engine.
+    /// Whether many answers broke and none came whole. Its test would only cost another engine. Two
+    /// crashes are not enough: they can hit a sound part that is in all drafts before its first answer
+    /// has ended.
     pub(in crate::quarantine) fn is_frequent(&self, settings: &QuarantineSettings) -> bool {
-        self.broken >= settings.frequent_answers
+        self.rounds > FREQUENT_ROUNDS && self.broken >= settings.frequent_answers
     }
 }
 
@@ -166,11 +171,13 @@
         // Weight of each round.
         let mut rounds = vec![JOINT_WEIGHT];
         let (mut failed_tests, mut broken_count, mut was_answered) = (0, 0_u32, false);
-        for crash in &crashes {
+        for (index, crash) in crashes.iter().enumerate() {
             let Some(broken) = crash.parts.get(&key.part) else {
                 continue;
             };
             was_answered |= broken.was_answered;
+            let was_certain = index >= settings.untested_crashes as usize
+                || broken_count >= settings.frequent_answers;
             broken_count = broken_count.saturating_add(broken.counts.values().sum());
             let is_after = broken.sent_at > round_at;
             if is_after && crash.at.since(round_at) >= settings.late_round_gap {
@@ -178,7 +185,9 @@
                 round_at = crash.at;
             }
             let [hold, ..] = settings.holds;
-            failed_tests += usize::from(broken.sent_at.since(last_at) >= hold);
+            // Other crashes at this distance are no tests: the part was not held for longer then.
+            let is_test = was_certain && broken.sent_at.since(last_at) >= hold;
+            failed_tests += usize::from(is_test);
             last_at = crash.at;
             if let Some(weight) = rounds.last_mut() {
                 *weight = (*weight).max(self.weight_of(settings, key, crash, round_at));
