--- a/crates/coordination/src/limits/return_schedule.rs
+++ b/crates/coordination/src/limits/return_schedule.rs
@@ -125,7 +125,7 @@
                 self.booked[index] += request.tokens as f64;
                 self.add_jitter(slot).min(max)
             }
-            None => self.draw_late(min, max),
+            None => self.random_late_wait(min, max),
         };
         self.promise(now.after(wait), request.tokens);
         wait
@@ -135,7 +135,7 @@
     /// come back once, and a slot that nobody uses is lost to another one.
     pub fn without_slot(&mut self, request: &ReturnRequest) -> Duration {
         let (min, max) = self.limits(request);
-        self.draw_late(min, max)
+        self.random_late_wait(min, max)
     }
 
     /// Least and greatest time for a caller.
@@ -144,7 +144,7 @@
         (self.settings.min_wait.min(max), max)
     }
 
-    fn draw_late(&mut self, min: Duration, max: Duration) -> Duration {
+    fn random_late_wait(&mut self, min: Duration, max: Duration) -> Duration {
         self.random.random_range((min + max) / 2..=max)
     }
 
--- a/crates/daemon/src/relay/admission.rs
+++ b/crates/daemon/src/relay/admission.rs
@@ -66,8 +66,8 @@
 /// Admission to the engines of one service.
 struct DraftPool {
     gate: Arc<AdmissionGate>,
-    /// KV memory of the admitted drafts that are on engines, in tokens. Reports of engines do not
-    /// have the other admitted drafts, which still look for engines.
+    /// KV memory of the admitted drafts that are on engines, in tokens. Engines' reports do not include
+    /// admitted drafts that have not been sent yet.
     sent_tokens: AtomicU64,
     state: Mutex<PoolState>,
     refusals: Arc<RefusalStore>,
@@ -94,7 +94,7 @@
     admitted_at: MonotonicTime,
 }
 
-/// An admitted draft on engines; dropping it ends that.
+/// An admitted draft on engines; dropping it subtracts its tokens from the sent ones.
 pub(super) struct SentDraft {
     pool: Arc<DraftPool>,
     tokens: u64,
@@ -188,7 +188,10 @@
         let is_return = ticket.is_some_and(|ticket| ticket.is_return);
         let now = self.clock.now();
         let wait = pool.choose_return(request, priority, is_return, now);
-        pool.record_refusal(request, priority, now, CapacityRefusal::NoServer, wait);
+        // A draft without a ticket was not subject to admission.
+        if ticket.is_some() {
+            pool.record_refusal(request, priority, now, CapacityRefusal::NoServer, wait);
+        }
         Some(wait)
     }
 
--- a/crates/daemon/src/relay/admission/refusals.rs
+++ b/crates/daemon/src/relay/admission/refusals.rs
@@ -48,23 +48,25 @@
         now: MonotonicTime,
     ) {
         let inspection = self.gate.inspect();
-        let inputs = self.state().capacity.inputs().unwrap_or_default();
+        let inputs = self.state().capacity.inputs();
         log::info!(request = request.attempt.as_str(), customer = name_of(request.customer.as_ref()),
             priority:? = priority, waited_ms = millis(now.since(request.arrived)),
             capacity_tokens = inspection.limited_tokens(), held_tokens = inspection.held_tokens,
-            free_tokens = inputs.free, share = inputs.share,
-            report_age_ms = millis(now.since(inputs.measured_at)); "admitted after a wait");
+            free_tokens = inputs.map(|inputs| inputs.free), share = inputs.map(|inputs| inputs.share),
+            report_age_ms = inputs.map(|inputs| millis(now.since(inputs.measured_at)));
+            "admitted after a wait");
     }
 }
 
 fn log_refusal(record: &RefusalRecord) {
-    let inputs = record.inputs.unwrap_or_default();
+    let inputs = record.inputs;
     log::info!(request = record.request.as_str(), customer = name_of(record.customer.as_ref()),
         priority:? = record.priority, reason:% = record.reason, is_return = record.reason.is_return(),
         waited_ms = millis(record.waited),
         capacity_tokens = record.capacity_tokens, held_tokens = record.held_tokens,
-        free_tokens = inputs.free, share = inputs.share,
-        report_age_ms = millis(record.refused_at.since(inputs.measured_at)); "not admitted");
+        free_tokens = inputs.map(|inputs| inputs.free), share = inputs.map(|inputs| inputs.share),
+        report_age_ms = inputs.map(|inputs| millis(record.refused_at.since(inputs.measured_at)));
+        "not admitted");
 }
 
 /// Name for a log line; empty if keys are not checked.
--- a/crates/daemon/src/tasks.rs
+++ b/crates/daemon/src/tasks.rs
@@ -62,6 +62,8 @@
 
 #[cfg(test)]
 mod tests {
+    use std::time::Duration;
+
     use super::*;
 
     // Guards against a request that starts while its daemon is dropped, and then runs on.
@@ -74,7 +76,8 @@
             std::future::pending::<()>().await;
             drop(sender);
         });
-        assert!(receiver.await.is_err());
+        let ended = tokio::time::timeout(Duration::from_secs(1), receiver).await;
+        assert!(matches!(ended, Ok(Err(_))), "the task still runs");
         group.finished().await;
     }
 }
