fix(quarantine): a stream goes on while its broken engine is checked

Callers wait for the next event. For the others the check runs beside, and the draft counts as on the engine until its end.

--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -1,14 +1,16 @@
 //! Holds back drafts under whose prompt parts engines crash, and finds out which engines have crashed.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use pollendrift_coordination::base::{MonotonicTime, ServerName, ServiceName, VersionName};
-use pollendrift_coordination::quarantine::{Admission, CrashId, HeldRequest};
+use pollendrift_coordination::base::{
+    MonotonicTime, RequestId, ServerName, ServiceName, VersionName,
+};
+use pollendrift_coordination::quarantine::{Admission, CrashId, HeldRequest, SendKey};
 use pollendrift_dialect::RefusalKind;
 
-use super::chains::ReservedChain;
 use super::context::RelayContext;
 use super::drafts::DraftRun;
 use super::guard::ChainGuard;
@@ -101,13 +103,27 @@
 
     /// Checks the first engine of a chain that broke, and records it as crashed if it is gone. The
     /// other drafts that broke with the engine need not check it then.
-    pub(super) async fn check_broken_engine(&self, chain: &ChainGuard) {
+    ///
+    /// A draft whose answer has proven its parts goes on meanwhile: an engine that is silent costs the
+    /// whole timeout, and the caller waits for the next event.
+    pub(super) async fn check_broken_engine(&self, chain: &mut ChainGuard) {
         if !chain.may_have_crashed() {
             return;
         }
-        let is_gone = self.context.check_crash(&chain.chain).await;
-        log::info!(request = self.request.attempt.as_str(), server:% = chain.chain.first, gone = is_gone,
-            parts = self.request.part_names().as_str(); "engine broke off a draft");
+        let Some(hop) = chain.chain.hops.first() else {
+            return;
+        };
+        let check = BrokenEngineCheck {
+            context: Arc::clone(&self.context),
+            request: self.request.attempt.clone(),
+            server: chain.chain.first.clone(),
+            address: hop.address,
+        };
+        if let Some(send) = chain.take_proven() {
+            tokio::spawn(check.run_for(send));
+            return;
+        }
+        check.run().await;
     }
 
     /// Whether no answer to a part of the prompt is known.
@@ -118,18 +134,37 @@
     }
 }
 
+/// A check of an engine whose connection broke during a draft.
+struct BrokenEngineCheck {
+    context: Arc<RelayContext>,
+    request: RequestId,
+    server: ServerName,
+    address: SocketAddr,
+}
+
+impl BrokenEngineCheck {
+    async fn run(&self) {
+        let is_gone = self.context.check_crash(&self.server, self.address).await;
+        log::info!(request = self.request.as_str(), server:% = self.server, gone = is_gone;
+            "connection to the engine broke during a draft");
+    }
+
+    /// Counts the draft as on the engine until the check has ended.
+    async fn run_for(self, send: SendKey) {
+        self.run().await;
+        self.context.quarantine.record_ended(send, false);
+    }
+}
+
 impl RelayContext {
-    /// Records that the first engine of `chain`, whose connection broke, has crashed, if it accepts no
-    /// further connection while this host reaches other engines. Returns whether it has.
-    async fn check_crash(&self, chain: &ReservedChain) -> bool {
-        let Some(hop) = chain.hops.first() else {
-            return false;
-        };
-        let worker = self.fleet.worker(&chain.first);
-        if self.pool.can_open(hop.address, OPEN_TIMEOUT).await {
+    /// Records that an engine, whose connection broke, has crashed, if it accepts no further connection
+    /// while this host reaches other engines. Returns whether it has.
+    async fn check_crash(&self, server: &ServerName, address: SocketAddr) -> bool {
+        let worker = self.fleet.worker(server);
+        if self.pool.can_open(address, OPEN_TIMEOUT).await {
             return false;
         }
-        if self.has_lost_service_of(&chain.first).await {
+        if self.has_lost_service_of(server).await {
             return false;
         }
         if let Some(worker) = worker {
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -235,7 +235,7 @@
                     let culprits = culprits_of(&chain.chain, &failed);
                     log_failed_send(&self.request, &failed, &culprits);
                     match failed.outcome {
-                        SendOutcome::ResetAfterSend => self.check_broken_engine(&chain).await,
+                        SendOutcome::ResetAfterSend => self.check_broken_engine(&mut chain).await,
                         SendOutcome::NotConnected if self.has_unproven_part() => {
                             sleep(NOTICE_WAIT).await;
                         }
--- a/crates/daemon/src/relay/guard.rs
+++ b/crates/daemon/src/relay/guard.rs
@@ -49,6 +49,14 @@
         self.sent = Some(sent);
     }
 
+    /// Takes the draft out of the guard if its answer has proven its parts.
+    pub(super) fn take_proven(&mut self) -> Option<SendKey> {
+        if !self.is_proven {
+            return None;
+        }
+        self.send.take()
+    }
+
     /// Whether a draft with shared parts runs on the chain, no engine of which is known to have crashed.
     pub(super) fn may_have_crashed(&self) -> bool {
         let quarantine = &self.context.quarantine;
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -97,7 +97,7 @@
             }
             ChainEnd::Broken(_) | ChainEnd::Silent(_) | ChainEnd::Held(_) => {
                 let is_cut = matches!(end, ChainEnd::Held(_));
-                if let Some(chain) = running.chain.as_ref().filter(|_| !is_cut) {
+                if let Some(chain) = running.chain.as_mut().filter(|_| !is_cut) {
                     run.check_broken_engine(chain).await;
                 }
                 let reason = release_chain(&mut run, running, end, after);
