--- a/crates/daemon/src/relay/admission.rs
+++ b/crates/daemon/src/relay/admission.rs
@@ -7,6 +7,7 @@
 mod dump;
 mod gauges;
 mod refusals;
+mod ticket;
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -25,10 +26,11 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 pub(crate) use gauges::ExportedAdmission;
+pub(super) use ticket::{DraftTicket, SentDraft};
 
 use super::context::RelayContext;
 use super::request::{Refused, RelayRequest, refused};
-use crate::admission::{AdmissionGate, AdmissionTicket, GateLimits, GateOffer};
+use crate::admission::{AdmissionGate, GateLimits, GateOffer};
 use crate::clock::TimeSource;
 use crate::refusals::RefusalStore;
 use crate::settings::AdmissionMode;
@@ -82,24 +84,6 @@
     first_event: Duration,
 }
 
-/// An admitted draft; dropping it frees its part of the capacity.
-pub(super) struct DraftTicket {
-    pool: Arc<DraftPool>,
-    ticket: AdmissionTicket,
-    tokens: u64,
-    is_return: bool,
-    /// Whether an engine has begun to answer the draft.
-    has_run: AtomicBool,
-    clock: Arc<dyn TimeSource>,
-    admitted_at: MonotonicTime,
-}
-
-/// An admitted draft on engines; dropping it subtracts its tokens from the sent ones.
-pub(super) struct SentDraft {
-    pool: Arc<DraftPool>,
-    tokens: u64,
-}
-
 impl RelayContext {
     /// Admits a draft, after a wait if there is no capacity for it. `None` if the draft is not
     /// limited: the drafts of its service all have the same priority, or its caller resumes a
@@ -146,7 +130,7 @@
         let decided_at = self.clock.now();
         match admitted {
             Ok(ticket) => {
-                pool.log_admitted(request, priority, decided_at);
+                pool.record_admitted(request, priority, decided_at);
                 Ok(Some(DraftTicket {
                     pool,
                     ticket,
@@ -374,7 +358,12 @@
         returns.book(now, &booking)
     }
 
-    fn log_admitted(&self, request: &RelayRequest, priority: RequestPriority, now: MonotonicTime) {
+    fn record_admitted(
+        &self,
+        request: &RelayRequest,
+        priority: RequestPriority,
+        now: MonotonicTime,
+    ) {
         self.state().capacity.record_draft(request.kv_tokens());
         let waited = now.since(request.arrived);
         if waited < QUEUE_TICK {
@@ -388,116 +377,6 @@
     }
 }
 
-impl DraftTicket {
-    /// Counts the draft as on engines until the result is dropped.
-    pub(super) fn record_sent(&self) -> SentDraft {
-        SentDraft::new(&self.pool, self.tokens)
-    }
-
-    /// Records that the first event of the draft arrived.
-    pub(super) fn record_first_event(&self, now: MonotonicTime) {
-        self.has_run.store(true, Ordering::Relaxed);
-        let mut state = self.pool.state();
-        state.first_event = mean(state.first_event, now.since(self.admitted_at));
-    }
-}
-
-impl Drop for DraftTicket {
-    fn drop(&mut self) {
-        if !self.has_run.load(Ordering::Relaxed) {
-            self.ticket.set_unused();
-            return;
-        }
-        let run_time = self.clock.now().since(self.admitted_at);
-        let mut state = self.pool.state();
-        state.run_time = mean(state.run_time, run_time);
-    }
-}
-
-impl SentDraft {
-    fn new(pool: &Arc<DraftPool>, tokens: u64) -> Self {
-        let pool = Arc::clone(pool);
-        pool.sent_tokens.fetch_add(tokens, Ordering::Relaxed);
-        Self { pool, tokens }
-    }
-}
-
-impl Drop for SentDraft {
-    fn drop(&mut self) {
-        let sent = &self.pool.sent_tokens;
-        sent.fetch_sub(self.tokens, Ordering::Relaxed);
-    }
-}
-
 fn mean(mean: Duration, observed: Duration) -> Duration {
     mean - mean / MEAN_WEIGHT + observed / MEAN_WEIGHT
 }
-
-#[cfg(test)]
-mod tests {
-    use std::sync::Arc;
-    use std::time::Duration;
-
-    use pollendrift_coordination::base::CustomerName;
-    use pollendrift_coordination::limits::{LimitSettings, RequestPriority};
-    use pollendrift_coordination::routing::PoolCapacity;
-
-    use tokio::time::timeout;
-
-    use super::{DraftPool, GateOffer, SentDraft, TimeSource};
-    use crate::clock::SystemClock;
-
-    const DRAFT_TOKENS: u64 = 5_000;
-    /// Free memory of the engines. A host of all demand may hold `free_factor` times as much, which is
-    /// less than the memory of four drafts, in addition to what it held at the time of the report.
-    const FREE_TOKENS: i64 = 3_500;
-    /// Time after which a draft counts as not admitted.
-    const MAX_WAIT: Duration = Duration::from_millis(20);
-
-    fn offer(customer: &CustomerName) -> GateOffer<'_> {
-        GateOffer {
-            customer,
-            limits: LimitSettings::for_drafts().default_limits,
-            priority: RequestPriority::Urgent,
-            tokens: DRAFT_TOKENS,
-            run_time: None,
-            deadline: None,
-            is_return: false,
-        }
-    }
-
-    // Guards against a capacity that grows with drafts that still look for an engine: reports of
-    // engines do not have them, and their memory would count as free twice.
-    #[tokio::test]
-    async fn only_drafts_on_engines_are_added_to_the_free_memory() {
-        let clock = Arc::new(SystemClock::default());
-        let pool = Arc::new(DraftPool::new(
-            Arc::default(),
-            Arc::clone(&clock) as Arc<dyn TimeSource>,
-            1,
-        ));
-        let customer = CustomerName::from("customer");
-        let mut tickets = Vec::new();
-        for _ in 0..3 {
-            let admitted = pool.gate.admit_offer(offer(&customer)).await;
-            tickets.push(admitted.expect("a capacity without limit"));
-        }
-        let mut admitted_after = Vec::new();
-        let mut sent = Vec::new();
-        for _ in 0..2 {
-            let now = clock.now();
-            let measured = PoolCapacity {
-                total: 100_000,
-                free: FREE_TOKENS,
-                measured_at: now,
-            };
-            pool.update(now, Some(measured), 1.0);
-            let next = timeout(MAX_WAIT, pool.gate.admit_offer(offer(&customer))).await;
-            admitted_after.push(next.is_ok());
-            for _ in 0..3 {
-                sent.push(SentDraft::new(&pool, DRAFT_TOKENS));
-            }
-        }
-        assert_eq!(admitted_after, [false, true]);
-    }
-}
