--- a/crates/coordination/src/limits/host_capacity.rs
+++ b/crates/coordination/src/limits/host_capacity.rs
@@ -22,7 +22,7 @@
     /// hosts receive fewer drafts than their share allows.
     pub free_factor: u32,
     /// Reserve for requests of urgent priority, in percent of the pool. Each host subtracts its share of
-    /// it from its capacity, which has `free_factor` in it.
+    /// it from its capacity, which includes `free_factor`.
     pub normal_reserve_percent: u32,
     /// The same for requests of urgent and normal priority.
     pub batch_reserve_percent: u32,
--- a/crates/coordination/src/limits/refusal_log.rs
+++ b/crates/coordination/src/limits/refusal_log.rs
@@ -138,7 +138,7 @@
     pub host: HostName,
     /// Its refusals of the request, oldest first.
     pub refusals: Vec<RefusalView>,
-    /// Why it is not known what the host knows; `None` if it answered.
+    /// Why the host gave no answer; `None` if it answered.
     pub failure: Option<String>,
 }
 
--- a/crates/coordination/src/quarantine/late.rs
+++ b/crates/coordination/src/quarantine/late.rs
@@ -35,7 +35,7 @@
     pub(super) version: Option<VersionName>,
     /// Time at which the first host noticed it.
     pub(super) at: MonotonicTime,
-    /// Empty if the engine ran no answer. Such crashes tell whether others came alone.
+    /// Empty if the engine ran no answer. Such crashes reduce the weight of others at about the same time.
     pub(super) parts: BTreeMap<PartName, BrokenAnswers>,
 }
 
