--- a/crates/coordination/src/quarantine/late/blame.rs
+++ b/crates/coordination/src/quarantine/late/blame.rs
@@ -171,13 +171,11 @@
         // Weight of each round.
         let mut rounds = vec![JOINT_WEIGHT];
         let (mut failed_tests, mut broken_count, mut was_answered) = (0, 0_u32, false);
-        for (index, crash) in crashes.iter().enumerate() {
+        for crash in &crashes {
             let Some(broken) = crash.parts.get(&key.part) else {
                 continue;
             };
             was_answered |= broken.was_answered;
-            let was_certain = index >= settings.untested_crashes as usize
-                || broken_count >= settings.frequent_answers;
             broken_count = broken_count.saturating_add(broken.counts.values().sum());
             let is_after = broken.sent_at > round_at;
             if is_after && crash.at.since(round_at) >= settings.late_round_gap {
@@ -185,9 +183,7 @@
                 round_at = crash.at;
             }
             let [hold, ..] = settings.holds;
-            // Other crashes at this distance are no tests: the part was not held for longer then.
-            let is_test = was_certain && broken.sent_at.since(last_at) >= hold;
-            failed_tests += usize::from(is_test);
+            failed_tests += usize::from(broken.sent_at.since(last_at) >= hold);
             last_at = crash.at;
             if let Some(weight) = rounds.last_mut() {
                 *weight = (*weight).max(self.weight_of(settings, key, crash, round_at));
