fix(quarantine): a broken stream waits 30 ms for the check of its engine

Change: it waits 30 ms at most; a crashed engine refuses connections within a round trip, and only a silent one would cost 100 ms.

--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -10,6 +10,7 @@
 };
 use pollendrift_coordination::quarantine::{Admission, CrashId, HeldRequest, SendKey};
 use pollendrift_dialect::RefusalKind;
+use tokio::time::timeout;
 
 use super::context::RelayContext;
 use super::drafts::DraftRun;
@@ -20,6 +21,9 @@
 /// Time within which an engine that runs accepts a connection. Nothing listens at the address of a
 /// crashed one, which is known after a round trip.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(100);
+/// Part of that time for which a draft waits whose answer has proven its parts. A crashed engine is known
+/// by then, so that the draft is not sent to another one that it crashes too.
+const PROVEN_CHECK_WAIT: Duration = Duration::from_millis(30);
 /// Time for which a draft waits after its engine refused the connection, if no answer to a part of its
 /// prompt is known. Other hosts tell of a crash under that part within it.
 pub(super) const NOTICE_WAIT: Duration = Duration::from_millis(60);
@@ -104,8 +108,8 @@
     /// Checks the first engine of a chain that broke, and records it as crashed if it is gone. The
     /// other drafts that broke with the engine need not check it then.
     ///
-    /// A draft whose answer has proven its parts goes on meanwhile: an engine that is silent costs the
-    /// whole timeout, and the caller waits for the next event.
+    /// A draft whose answer has proven its parts soon goes on: an engine that is silent costs the whole
+    /// timeout, and the caller waits for the next event.
     pub(super) async fn check_broken_engine(&self, chain: &mut ChainGuard) {
         if !chain.may_have_crashed() {
             return;
@@ -120,7 +124,8 @@
             address: hop.address,
         };
         if let Some(send) = chain.take_proven() {
-            tokio::spawn(check.run_for(send));
+            // If the wait ends first, the check goes on.
+            let _ = timeout(PROVEN_CHECK_WAIT, tokio::spawn(check.run_for(send))).await;
             return;
         }
         check.run().await;
