feat(relay): the content of a request in the lines of its sends

Cause: the lines 'sent' had the attempt id, which differs from attempt to attempt, so that nobody could tell from the logs how often one request was sent over its attempts and hosts. Change: a digest of customer, method, target, model, all parts of the prompt and body, the same at every host, in these lines. Measured: cargo check of the workspace; no logic reads it yet.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ledger;
 pub mod limits;
 pub mod placement;
+pub mod poison;
 pub mod quarantine;
 pub mod reachability;
 pub mod replicated;
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -45,8 +45,9 @@
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
-use pollendrift_coordination::base::MonotonicTime;
+use pollendrift_coordination::base::{CustomerName, MonotonicTime};
 use pollendrift_coordination::evidence::OutcomeKind;
+use pollendrift_coordination::poison::{ContentDigest, RequestContent};
 use pollendrift_coordination::routes::{RouteKind, RouteTable, TableError};
 use pollendrift_dialect::{CallerRequest, RefusalKind};
 use pollendrift_http::{
@@ -199,10 +200,12 @@
         .and_then(|service| table.service_of_route(route, service))
         .or_else(|| table.service(route, rand::random()))
         .ok_or_else(|| refused(RefusalKind::NotRun, "the route has no service"))?;
+    let content = digest_of(call, &input, customer.map(|customer| &customer.name));
     let request = RelayRequest {
         head: input.head,
         body: input.body,
         attempt: call.attempt.clone(),
+        content,
         route: Arc::clone(route),
         service: Arc::clone(service),
         priority: context.priority_of(table, route, service, customer),
@@ -224,6 +227,22 @@
     }
 }
 
+/// Digest of what the attempts at one request have in common.
+fn digest_of(
+    call: &CallerRequest,
+    input: &CallerInput,
+    customer: Option<&CustomerName>,
+) -> ContentDigest {
+    let query = input.head.uri.query().unwrap_or_default();
+    ContentDigest::of(&RequestContent {
+        customer: customer.map_or("", CustomerName::as_str),
+        method: input.head.method.as_str(),
+        target: &format!("{}{}?{query}", call.host, call.path),
+        prompt: &call.prompt,
+        body: &input.body,
+    })
+}
+
 /// Returns an error if the route does not exist or does not accept the request's key.
 fn check_route(table: &RouteTable, call: &CallerRequest) -> Result<(), TableError> {
     let route = table.route(&call.host, &call.path)?;
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -85,7 +85,7 @@
         }
         history.tried_servers.push(worker.server.clone());
         log::info!(request = request.attempt.as_str(), route = &*request.route.name,
-            server:% = worker.server, try = history.tried_servers.len(); "sent");
+            content:% = request.content, server:% = worker.server, try = history.tried_servers.len(); "sent");
         context.metrics.record_attempt();
         match send_once(context, request, &worker, now).await {
             Ok(response) if !should_retry_response(request, &history, &response) => {
--- a/crates/daemon/src/relay/guard.rs
+++ b/crates/daemon/src/relay/guard.rs
@@ -72,7 +72,7 @@
             .map(|stage| format!("{}:{}", stage.server, stage.layers))
             .collect();
         log::info!(request = request.attempt.as_str(), route = &*request.route.name,
-            try = attempt, parts = request.part_names().as_str(), chain = stages.join(" ").as_str(),
+            content:% = request.content, try = attempt, parts = request.part_names().as_str(), chain = stages.join(" ").as_str(),
             predicted_ms = millis(plan.first_token), left_ms = millis(request.time_left(now)); "sent");
     }
 
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -10,6 +10,7 @@
     CustomerName, MonotonicTime, PartName, RequestId, ServerName, ServiceName,
 };
 use pollendrift_coordination::limits::RequestPriority;
+use pollendrift_coordination::poison::ContentDigest;
 use pollendrift_coordination::routes::{Route, ServiceSpec};
 use pollendrift_coordination::streams::EventId;
 use pollendrift_dialect::{
@@ -30,6 +31,8 @@
     pub(super) head: Parts,
     pub(super) body: Bytes,
     pub(super) attempt: RequestId,
+    /// Identity that all attempts of the caller share.
+    pub(super) content: ContentDigest,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<ServiceSpec>,
     pub(super) customer: Option<CustomerName>,
--- a/crates/dialect/src/callers.rs
+++ b/crates/dialect/src/callers.rs
@@ -29,6 +29,9 @@
     /// Parts of the prompt that other requests may share, in order; empty if none is known. The last
     /// part of a prompt belongs to its request alone and is left out.
     pub shared_parts: Arc<[PartName]>,
+    /// Model and all parts of the prompt as the caller sent them, the same in each attempt at a request;
+    /// empty for a call of a plain service.
+    pub prompt: Arc<str>,
     /// Last event that the caller received of an earlier response.
     pub resume_after: Option<EventId>,
 }
