feat(poison): a table of requests under which servers end

Cause: nothing counted the servers that ended under one request over its attempts, resumptions, reroutes and hosts. Change: requests are known by their content; hosts record which of them a server had when it ended, tell each other, and decide before a send: as many at once as servers may still end, none after three ends, unless most servers that ended beside them had not the request. Whole answers clear, silent servers that answer in time are withdrawn, all of it is bounded.

--- /dev/null
+++ b/crates/coordination/src/poison/evidence.rs
@@ -0,0 +1,110 @@
+//! Decides from the ends of servers whether a request caused them.
+
+use std::collections::BTreeMap;
+
+use super::digest::ContentDigest;
+use super::interface::SendNumber;
+use super::losses::{LossRecord, LossTable};
+use super::settings::PoisonSettings;
+use crate::base::MonotonicTime;
+
+/// Ends of servers under one request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Evidence {
+    /// Sends under which servers ended. A send all of whose servers ended, and no others beside them,
+    /// counts once for each server.
+    pub(super) ends: u32,
+    /// The same, with each send counted once.
+    pub(super) sends: u32,
+    /// Servers that ended under it.
+    pub(super) servers: u32,
+    /// Servers that ended at the same time, did not have it, and had no request that is stopped.
+    pub(super) others: u32,
+}
+
+impl Evidence {
+    /// Collects the ends of servers under a request since its last whole answer, at `cleared_at`;
+    /// `None` if there are none. `stopped` tells which requests are stopped.
+    pub(super) fn collect<F>(
+        losses: &LossTable,
+        settings: &PoisonSettings,
+        digest: ContentDigest,
+        cleared_at: Option<MonotonicTime>,
+        stopped: F,
+    ) -> Option<Self>
+    where
+        F: Fn(ContentDigest) -> bool,
+    {
+        let is_own = |record: &LossRecord| {
+            record.has(digest) && cleared_at.is_none_or(|cleared_at| record.at > cleared_at)
+        };
+        let own: Vec<&LossRecord> = losses
+            .records()
+            .map(|(_, record)| record)
+            .filter(|record| is_own(record))
+            .collect();
+        if own.is_empty() {
+            return None;
+        }
+        let is_beside = |record: &LossRecord, own: &LossRecord| {
+            let apart = record.at.since(own.at).max(own.at.since(record.at));
+            apart <= settings.common_reason_time && record.service == own.service
+        };
+        let others: Vec<&LossRecord> = losses
+            .records()
+            .map(|(_, record)| record)
+            .filter(|record| !record.has(digest))
+            .filter(|record| !record.requests.keys().any(|(other, _)| stopped(*other)))
+            .filter(|record| own.iter().any(|own| is_beside(record, own)))
+            .collect();
+        let mut sends: BTreeMap<SendNumber, SendLosses<'_>> = BTreeMap::new();
+        for record in &own {
+            for (send, servers) in record.sends(digest) {
+                let of_send = sends.entry(send).or_default();
+                of_send.servers = servers;
+                of_send.lost.push(record);
+            }
+        }
+        let ends = sends.values().map(|send| {
+            let has_others = send
+                .lost
+                .iter()
+                .any(|own| others.iter().any(|other| is_beside(other, own)));
+            if send.is_complete() && !has_others {
+                count(send.lost.len())
+            } else {
+                1
+            }
+        });
+        let servers = count(own.len());
+        Some(Self {
+            ends: ends.sum::<u32>().min(servers),
+            sends: count(sends.len()).min(servers),
+            servers,
+            others: count(others.len()),
+        })
+    }
+
+    /// Whether the request must not be sent any more.
+    pub(super) fn is_conclusive(&self, settings: &PoisonSettings) -> bool {
+        let is_likely = self.ends >= settings.max_ends && self.servers > self.others;
+        is_likely || self.sends >= settings.max_excused_ends
+    }
+}
+
+/// Servers of one send that ended.
+#[derive(Default)]
+struct SendLosses<'losses> {
+    servers: u16,
+    lost: Vec<&'losses LossRecord>,
+}
+
+impl SendLosses<'_> {
+    fn is_complete(&self) -> bool {
+        self.lost.len() >= usize::from(self.servers)
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/coordination/src/poison/losses.rs
@@ -0,0 +1,169 @@
+//! Ends of servers, and the requests that they had.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::digest::ContentDigest;
+use super::interface::{LossKind, SendNumber};
+use super::notice::LostRequest;
+use super::settings::PoisonSettings;
+use crate::base::{MonotonicTime, ServiceName};
+use crate::quarantine::CrashId;
+
+/// The end of a server.
+#[derive(Clone, Debug)]
+pub(super) struct LossRecord {
+    pub(super) service: ServiceName,
+    /// Time at which the first host noticed it.
+    pub(super) at: MonotonicTime,
+    pub(super) kind: LossKind,
+    /// Requests on the server, with the number of servers that each send was to.
+    pub(super) requests: BTreeMap<(ContentDigest, SendNumber), u16>,
+}
+
+impl LossRecord {
+    /// Sends by which the server had a request.
+    pub(super) fn sends(
+        &self,
+        digest: ContentDigest,
+    ) -> impl Iterator<Item = (SendNumber, u16)> + '_ {
+        let range = (digest, SendNumber(0))..=(digest, SendNumber(u64::MAX));
+        let sends = self.requests.range(range);
+        sends.map(|((_, send), servers)| (*send, *servers))
+    }
+
+    pub(super) fn has(&self, digest: ContentDigest) -> bool {
+        self.sends(digest).next().is_some()
+    }
+
+    pub(super) fn lost_requests(&self) -> impl Iterator<Item = LostRequest> + '_ {
+        self.requests
+            .iter()
+            .map(|((digest, send), servers)| LostRequest {
+                digest: *digest,
+                send: *send,
+                servers: *servers,
+            })
+    }
+}
+
+/// Ends of servers, and silent servers that have answered again.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LossTable {
+    records: BTreeMap<CrashId, LossRecord>,
+    withdrawn: BTreeMap<CrashId, MonotonicTime>,
+}
+
+/// What an added loss changes.
+#[derive(Debug, Default)]
+pub(super) struct LossChange {
+    /// Whether anything has changed.
+    pub(super) is_new: bool,
+    /// Requests that were not known to be on the server.
+    pub(super) added: Vec<ContentDigest>,
+}
+
+impl LossTable {
+    pub(super) fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    pub(super) fn get(&self, id: &CrashId) -> Option<&LossRecord> {
+        self.records.get(id)
+    }
+
+    pub(super) fn records(&self) -> impl Iterator<Item = (&CrashId, &LossRecord)> {
+        self.records.iter()
+    }
+
+    pub(super) fn withdrawn_at(&self, id: &CrashId) -> Option<MonotonicTime> {
+        self.withdrawn.get(id).copied()
+    }
+
+    /// Adds a loss, or requests to a known one.
+    pub(super) fn add(
+        &mut self,
+        settings: &PoisonSettings,
+        id: &CrashId,
+        loss: LossRecord,
+    ) -> LossChange {
+        let is_withdrawn = self.withdrawn.contains_key(id);
+        if loss.kind == LossKind::Silent && is_withdrawn {
+            return LossChange::default();
+        }
+        let mut change = LossChange {
+            is_new: !self.records.contains_key(id),
+            ..LossChange::default()
+        };
+        let record = self
+            .records
+            .entry(id.clone())
+            .or_insert_with(|| LossRecord {
+                requests: BTreeMap::new(),
+                ..loss.clone()
+            });
+        record.at = record.at.min(loss.at);
+        change.is_new |= record.kind < loss.kind;
+        record.kind = record.kind.max(loss.kind);
+        for (request, servers) in loss.requests {
+            let has_room = record.requests.len() < settings.max_requests;
+            if has_room && record.requests.insert(request, servers).is_none() {
+                change.is_new = true;
+                change.added.push(request.0);
+            }
+        }
+        change.added.dedup();
+        self.evict(settings);
+        change
+    }
+
+    /// Removes a loss if its server was only silent and answered soon after; returns whether it did.
+    pub(super) fn withdraw(
+        &mut self,
+        settings: &PoisonSettings,
+        id: &CrashId,
+        answered_at: MonotonicTime,
+    ) -> Option<LossRecord> {
+        let record = self.records.get(id)?;
+        let is_in_time =
+            answered_at > record.at && answered_at.since(record.at) <= settings.silence_grace;
+        if record.kind != LossKind::Silent || !is_in_time {
+            return None;
+        }
+        self.withdrawn.insert(id.clone(), answered_at);
+        self.records.remove(id)
+    }
+
+    /// Removes what is too old.
+    pub(super) fn forget(&mut self, now: MonotonicTime, settings: &PoisonSettings) {
+        self.records
+            .retain(|_, record| now.since(record.at) < settings.memory);
+        self.withdrawn
+            .retain(|_, at| now.since(*at) < settings.notice_time * 10);
+    }
+
+    /// Keeps the number of losses within its limit. Those without a request that was on another server
+    /// which ended go first, then the oldest.
+    fn evict(&mut self, settings: &PoisonSettings) {
+        if self.records.len() <= settings.max_losses {
+            return;
+        }
+        let mut counts: BTreeMap<ContentDigest, u32> = BTreeMap::new();
+        for digest in self.records.values().flat_map(digests_of) {
+            *counts.entry(digest).or_default() += 1;
+        }
+        let is_linked = |record: &LossRecord| {
+            let mut digests = record.requests.keys();
+            digests.any(|(digest, _)| counts.get(digest).is_some_and(|count| *count > 1))
+        };
+        let rank = |record: &LossRecord| (is_linked(record), record.at);
+        let first = self.records.iter().min_by_key(|(_, record)| rank(record));
+        if let Some(id) = first.map(|(id, _)| id.clone()) {
+            self.records.remove(&id);
+        }
+    }
+}
+
+/// Requests on a lost server, each once.
+pub(super) fn digests_of(record: &LossRecord) -> BTreeSet<ContentDigest> {
+    record.requests.keys().map(|(digest, _)| *digest).collect()
+}
--- /dev/null
+++ b/crates/coordination/src/poison/settings.rs
@@ -0,0 +1,59 @@
+//! Settings of the table of requests that end their servers.
+
+use std::time::Duration;
+
+/// Settings of a [`super::PoisonTable`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct PoisonSettings {
+    /// Sends of one request under which servers may end.
+    pub max_ends: u32,
+    /// Such sends after which a request is stopped even if most servers that ended beside it did not
+    /// have it.
+    pub max_excused_ends: u32,
+    /// Servers that end within this time may have a common reason other than a request.
+    pub common_reason_time: Duration,
+    /// Time after the end of a send during which the end of its server still counts as under it: hosts
+    /// notice the end of a server one after the other.
+    pub notice_time: Duration,
+    /// Time within which a silent server that answers again has not ended.
+    pub silence_grace: Duration,
+    /// Time within which two sends at different hosts may begin without knowing of each other.
+    pub trial_settle: Duration,
+    /// Longest time for which the send of another host counts as under way.
+    pub trial_timeout: Duration,
+    /// Time after which the end of a server is forgotten.
+    pub memory: Duration,
+    /// Time for which a request stays stopped.
+    pub stop_time: Duration,
+    /// Age up to which the end of a server is told again to hosts that may have missed it.
+    pub repeat_time: Duration,
+    /// Maximum number of stored ends of servers.
+    pub max_losses: usize,
+    /// Maximum number of requests stored for the end of one server.
+    pub max_requests: usize,
+    /// Maximum number of stopped requests, and of answered ones that are remembered.
+    pub max_stopped: usize,
+    /// Maximum number of sends of other hosts that count as under way.
+    pub max_trials: usize,
+}
+
+impl Default for PoisonSettings {
+    fn default() -> Self {
+        Self {
+            max_ends: 3,
+            max_excused_ends: 5,
+            common_reason_time: Duration::from_millis(1_500),
+            notice_time: Duration::from_secs(1),
+            silence_grace: Duration::from_millis(1_500),
+            trial_settle: Duration::from_millis(100),
+            trial_timeout: Duration::from_secs(25),
+            memory: Duration::from_secs(600),
+            stop_time: Duration::from_secs(3_600),
+            repeat_time: Duration::from_secs(6),
+            max_losses: 128,
+            max_requests: 128,
+            max_stopped: 1_024,
+            max_trials: 1_024,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/poison/table.rs
@@ -0,0 +1,403 @@
+//! Decides which requests may be sent, by what this host and others have seen.
+
+use std::collections::BTreeMap;
+
+use super::digest::ContentDigest;
+use super::evidence::Evidence;
+use super::exchange::NoticeSource;
+use super::interface::{
+    LossKind, PoisonEvent, PoisonVerdict, RunNumber, SendEnd, SendNumber, StoppedRequest,
+};
+use super::losses::{LossRecord, LossTable, digests_of};
+use super::notice::PendingChanges;
+use super::sends::{SendTable, TrackedKey};
+use super::settings::PoisonSettings;
+use crate::base::{MonotonicTime, ServiceName};
+use crate::quarantine::CrashId;
+
+/// What one host knows of requests under which servers end.
+///
+/// All times in it are later than those of its callers by the longest time for which something is
+/// remembered, so that the age of an event can be longer than this process runs.
+#[derive(Clone, Debug)]
+pub struct PoisonTable {
+    pub(super) settings: PoisonSettings,
+    /// Number of the next send; starts at a number that no other process of the system is near.
+    next_send: u64,
+    next_run: u64,
+    pub(super) sends: SendTable,
+    pub(super) losses: LossTable,
+    has_new_losses: bool,
+    /// Requests that are not sent any more, and the time of that decision.
+    pub(super) stopped: BTreeMap<ContentDigest, MonotonicTime>,
+    /// Requests under which servers had ended, and the time of their last whole answer.
+    pub(super) cleared: BTreeMap<ContentDigest, MonotonicTime>,
+    pub(super) for_keepers: PendingChanges,
+    pub(super) for_followers: PendingChanges,
+}
+
+impl PoisonTable {
+    /// Creates a table of a process that has seen no server end. `seed` differs from that of every
+    /// other process.
+    pub fn new(settings: PoisonSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            next_send: seed,
+            next_run: 0,
+            sends: SendTable::default(),
+            losses: LossTable::default(),
+            has_new_losses: false,
+            stopped: BTreeMap::new(),
+            cleared: BTreeMap::new(),
+            for_keepers: PendingChanges::default(),
+            for_followers: PendingChanges::default(),
+        }
+    }
+
+    /// Returns the number of a new attempt of a caller.
+    pub fn begin_run(&mut self) -> RunNumber {
+        self.next_run += 1;
+        RunNumber(self.next_run)
+    }
+
+    /// Decides whether a request may be sent to servers now, in the attempt `run`.
+    pub fn verdict(
+        &self,
+        now: MonotonicTime,
+        digest: ContentDigest,
+        run: RunNumber,
+    ) -> PoisonVerdict {
+        if self.losses.is_empty() && self.stopped.is_empty() {
+            return PoisonVerdict::Send;
+        }
+        if let Some(stopped) = self.stop_reason(now, digest) {
+            return PoisonVerdict::Stop(stopped);
+        }
+        let Some(evidence) = self.evidence(digest) else {
+            return PoisonVerdict::Send;
+        };
+        let under_way = u32::try_from(self.sends.under_way(digest, run).count());
+        let at_risk = evidence.ends.saturating_add(under_way.unwrap_or(u32::MAX));
+        if at_risk >= self.settings.max_ends.max(evidence.ends + 1) {
+            return PoisonVerdict::Wait;
+        }
+        PoisonVerdict::Trial
+    }
+
+    /// Returns the reason why a request must not be sent any more, if there is one.
+    pub fn stop_reason(&self, now: MonotonicTime, digest: ContentDigest) -> Option<StoppedRequest> {
+        let now = self.internal(now);
+        let stopped_at = self.stopped.get(&digest)?;
+        let wait = self
+            .settings
+            .stop_time
+            .saturating_sub(now.since(*stopped_at));
+        let evidence = self.evidence(digest);
+        let ends = evidence.map_or(self.settings.max_ends, |evidence| evidence.ends);
+        (!wait.is_zero()).then_some(StoppedRequest { ends, wait })
+    }
+
+    /// Records that a request is about to be sent to `servers`. If servers have ended under it, other
+    /// hosts are told of the send.
+    pub fn begin_send(
+        &mut self,
+        now: MonotonicTime,
+        digest: ContentDigest,
+        run: RunNumber,
+        servers: Vec<CrashId>,
+    ) -> TrackedKey {
+        let now = self.internal(now);
+        let number = SendNumber(self.next_send);
+        self.next_send = self.next_send.wrapping_add(1);
+        let key = self.sends.begin(now, number, run, digest, servers);
+        if !self.losses.is_empty() && self.evidence(digest).is_some() {
+            self.tell_sends(digest);
+        }
+        key
+    }
+
+    /// Whether a send that other hosts have been told of may go on, after it has waited for their
+    /// sends: of those that began at the same time, the ones with the lowest numbers.
+    pub fn has_turn(&self, key: TrackedKey) -> bool {
+        let Some(send) = self.sends.get(key) else {
+            return false;
+        };
+        if self.stopped.contains_key(&send.digest) {
+            return false;
+        }
+        let Some(evidence) = self.evidence(send.digest) else {
+            return true;
+        };
+        let is_before = |(number, began_at): &(SendNumber, MonotonicTime)| {
+            let settle = self.settings.trial_settle;
+            let apart = send.began_at.since(*began_at);
+            let is_same_time = apart.max(began_at.since(send.began_at)) <= settle;
+            if is_same_time {
+                *number < send.number
+            } else {
+                *began_at < send.began_at
+            }
+        };
+        let others = self.sends.under_way(send.digest, send.run);
+        let before = u32::try_from(others.filter(is_before).count()).unwrap_or(u32::MAX);
+        let limit = self.settings.max_ends.max(evidence.ends + 1);
+        evidence.ends.saturating_add(before) < limit
+    }
+
+    /// Whether other hosts are told of a send.
+    pub fn is_trial(&self, key: TrackedKey) -> bool {
+        self.sends.get(key).is_some_and(|send| send.is_told)
+    }
+
+    /// Records the end of a send; returns what that changes.
+    pub fn end_send(
+        &mut self,
+        now: MonotonicTime,
+        key: TrackedKey,
+        end: SendEnd,
+    ) -> Vec<PoisonEvent> {
+        let now = self.internal(now);
+        let Some(send) = self.sends.end(now, key, end) else {
+            return Vec::new();
+        };
+        if send.is_told {
+            // Other hosts tell this one of it again, perhaps after its end.
+            self.sends.end_trial(now, send.number, &self.settings);
+            self.queue(&NoticeSource::Own, |changes| {
+                changes.trials.remove(&send.number);
+                changes.ended.insert(send.number);
+            });
+        }
+        if end != SendEnd::Answered {
+            return Vec::new();
+        }
+        let is_known = self.stopped.contains_key(&send.digest)
+            || (!self.losses.is_empty() && self.evidence(send.digest).is_some());
+        if !is_known {
+            return Vec::new();
+        }
+        self.clear(send.digest, now, &NoticeSource::Own)
+    }
+
+    /// Records that a server of `service` ended, with all requests of this host on it; returns what that
+    /// changes.
+    pub fn record_loss(
+        &mut self,
+        now: MonotonicTime,
+        id: &CrashId,
+        service: &ServiceName,
+        kind: LossKind,
+    ) -> Vec<PoisonEvent> {
+        let now = self.internal(now);
+        let loss = LossRecord {
+            service: service.clone(),
+            at: now,
+            kind,
+            requests: BTreeMap::new(),
+        };
+        self.add_loss(id, loss, &NoticeSource::Own)
+    }
+
+    /// Whether the end of a server is known.
+    pub fn is_lost(&self, id: &CrashId) -> bool {
+        self.losses.get(id).is_some()
+    }
+
+    /// Whether a host found a moment ago that nothing listens at the address of a server any more.
+    pub fn is_just_gone(&self, now: MonotonicTime, id: &CrashId) -> bool {
+        let now = self.internal(now);
+        let record = self.losses.get(id);
+        record.is_some_and(|record| {
+            record.kind == LossKind::Gone && now.since(record.at) <= self.settings.notice_time * 2
+        })
+    }
+
+    /// Whether ends of servers have become known since the last call.
+    pub fn take_new_losses(&mut self) -> bool {
+        std::mem::take(&mut self.has_new_losses)
+    }
+
+    /// Records that a server answered: if it was only silent, it has not ended.
+    pub fn record_answer(&mut self, now: MonotonicTime, id: &CrashId) {
+        let now = self.internal(now);
+        self.withdraw(id, now, &NoticeSource::Own);
+    }
+
+    /// Servers that are silent and may still answer in time.
+    pub fn silent_servers(&self, now: MonotonicTime) -> Vec<(CrashId, MonotonicTime)> {
+        let now = self.internal(now);
+        let silent = self.losses.records().filter(|(_, record)| {
+            record.kind == LossKind::Silent
+                && now.since(record.at) <= self.settings.silence_grace * 2
+        });
+        let silent = silent.map(|(id, record)| (id.clone(), self.external(record.at)));
+        silent.collect()
+    }
+
+    /// Removes what is too old.
+    pub fn tick(&mut self, now: MonotonicTime) {
+        let now = self.internal(now);
+        self.sends.forget(now, &self.settings);
+        self.losses.forget(now, &self.settings);
+        let (stop_time, memory) = (self.settings.stop_time, self.settings.memory);
+        self.stopped.retain(|_, at| now.since(*at) < stop_time);
+        self.cleared.retain(|_, at| now.since(*at) < memory);
+    }
+
+    pub(super) fn internal(&self, now: MonotonicTime) -> MonotonicTime {
+        now.after(self.settings.stop_time)
+    }
+
+    fn external(&self, at: MonotonicTime) -> MonotonicTime {
+        at.before(self.settings.stop_time)
+    }
+
+    pub(super) fn evidence(&self, digest: ContentDigest) -> Option<Evidence> {
+        let cleared_at = self.cleared.get(&digest).copied();
+        let is_stopped = |digest| self.stopped.contains_key(&digest);
+        Evidence::collect(&self.losses, &self.settings, digest, cleared_at, is_stopped)
+    }
+
+    /// Adds the end of a server as another host told it, or this one saw it, with the requests that this
+    /// host knows to have been on it.
+    pub(super) fn add_loss(
+        &mut self,
+        id: &CrashId,
+        mut loss: LossRecord,
+        source: &NoticeSource,
+    ) -> Vec<PoisonEvent> {
+        let known = self.losses.get(id);
+        let at = known.map_or(loss.at, |known| known.at.min(loss.at));
+        let told = loss.requests.len();
+        for request in self.sends.requests_on(id, at, &self.settings) {
+            let key = (request.digest, request.send);
+            loss.requests.entry(key).or_insert(request.servers);
+        }
+        let has_own = loss.requests.len() > told;
+        let was_known = self.losses.get(id).is_some();
+        let change = self.losses.add(&self.settings, id, loss);
+        self.has_new_losses |= !was_known && change.is_new;
+        if !change.is_new {
+            return Vec::new();
+        }
+        let source = if has_own { &NoticeSource::Own } else { source };
+        self.queue(source, |changes| {
+            changes.losses.insert(id.clone());
+        });
+        let mut events = Vec::new();
+        for digest in change.added {
+            self.tell_sends(digest);
+            events.extend(self.assess(id, digest));
+        }
+        events
+    }
+
+    /// Decides on a request after a server ended under it.
+    fn assess(&mut self, id: &CrashId, digest: ContentDigest) -> Vec<PoisonEvent> {
+        let Some(evidence) = self.evidence(digest) else {
+            return Vec::new();
+        };
+        let mut events = vec![PoisonEvent::Lost {
+            digest,
+            server: id.server.clone(),
+            ends: evidence.ends,
+            others: evidence.others,
+        }];
+        let Some(at) = self.losses.get(id).map(|record| record.at) else {
+            return events;
+        };
+        if evidence.is_conclusive(&self.settings) && !self.stopped.contains_key(&digest) {
+            self.stop(digest, at, &NoticeSource::Own);
+            events.push(PoisonEvent::Stopped {
+                digest,
+                ends: evidence.ends,
+            });
+        }
+        events
+    }
+
+    /// Stops a request; returns whether that is new.
+    pub(super) fn stop(
+        &mut self,
+        digest: ContentDigest,
+        at: MonotonicTime,
+        source: &NoticeSource,
+    ) -> bool {
+        let is_answered = self
+            .cleared
+            .get(&digest)
+            .is_some_and(|cleared| *cleared >= at);
+        if is_answered || self.stopped.contains_key(&digest) {
+            return false;
+        }
+        self.stopped.insert(digest, at);
+        self.queue(source, |changes| {
+            changes.stopped.insert(digest);
+        });
+        while self.stopped.len() > self.settings.max_stopped {
+            let oldest = self.stopped.iter().min_by_key(|(_, at)| **at);
+            let Some(oldest) = oldest.map(|(digest, _)| *digest) else {
+                break;
+            };
+            self.stopped.remove(&oldest);
+        }
+        true
+    }
+
+    /// Records a whole answer to a request at `at`.
+    pub(super) fn clear(
+        &mut self,
+        digest: ContentDigest,
+        at: MonotonicTime,
+        source: &NoticeSource,
+    ) -> Vec<PoisonEvent> {
+        let known = self.cleared.get(&digest);
+        let is_full = self.cleared.len() >= self.settings.max_stopped && known.is_none();
+        if is_full || known.is_some_and(|known| *known >= at) {
+            return Vec::new();
+        }
+        self.cleared.insert(digest, at);
+        if self
+            .stopped
+            .get(&digest)
+            .is_some_and(|stopped| *stopped <= at)
+        {
+            self.stopped.remove(&digest);
+        }
+        self.queue(source, |changes| {
+            changes.cleared.insert(digest);
+        });
+        vec![PoisonEvent::Cleared { digest }]
+    }
+
+    /// Removes the loss of a server that was only silent.
+    pub(super) fn withdraw(
+        &mut self,
+        id: &CrashId,
+        answered_at: MonotonicTime,
+        source: &NoticeSource,
+    ) {
+        let withdrawn = self.losses.withdraw(&self.settings, id, answered_at);
+        let Some(record) = withdrawn else {
+            return;
+        };
+        for digest in digests_of(&record) {
+            let evidence = self.evidence(digest);
+            let is_conclusive = evidence.is_some_and(|found| found.is_conclusive(&self.settings));
+            if !is_conclusive {
+                self.stopped.remove(&digest);
+            }
+        }
+        self.queue(source, |changes| {
+            changes.losses.remove(id);
+            changes.withdrawn.insert(id.clone());
+        });
+    }
+
+    fn tell_sends(&mut self, digest: ContentDigest) {
+        let untold = self.sends.mark_told(digest);
+        self.queue(&NoticeSource::Own, |changes| {
+            changes.trials.extend(untold.iter().copied());
+        });
+    }
+}
