--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -39,6 +39,7 @@
 use crate::peers::ForwardHandler;
 use crate::placement::{PlacementParts, run_placement};
 use crate::platform::{DumpSource, PlatformHandler};
+use crate::poison::PoisonState;
 use crate::quarantine::QuarantineState;
 use crate::relay::{RelayContext, RelayParts, accept_forwarding, relay_faces, start_relay};
 use crate::resend::ResendPolicy;
@@ -52,7 +53,8 @@
 use overload::OverloadGate;
 use sources::{
     AdmissionDumpSource, DaemonMetrics, DemandDumpSource, EvidenceDump, FleetDump,
-    ForwardingDumpSource, NodeDump, QuarantineDumpSource, RateDumpSource, RoutingDumpSource,
+    ForwardingDumpSource, NodeDump, PoisonDumpSource, QuarantineDumpSource, RateDumpSource,
+    RoutingDumpSource,
 };
 
 /// Time between two ticks of the gate and the leases.
@@ -175,8 +177,10 @@
             Arc::clone(&clock),
             Arc::clone(&metrics),
         ));
+        let poison = Arc::new(PoisonState::new(Arc::clone(&clock), Arc::clone(&metrics)));
         let parts = NodeParts {
             quarantine: Arc::clone(&quarantine),
+            poison: Arc::clone(&poison),
             recorder: Arc::clone(&recorder),
             forwarding: Arc::clone(&forwarding),
             access: Arc::clone(&access),
@@ -197,6 +201,7 @@
             clock: Arc::clone(&clock),
             access: Arc::clone(&access),
             fleet: Arc::clone(&fleet),
+            poison: Arc::clone(&poison),
             agreed: Arc::clone(&agreed),
             client: HttpClient::new(MAX_ANSWER_BYTES),
             drafts: DraftSettings::default(),
@@ -220,6 +225,7 @@
                 fleet: Arc::clone(&fleet),
                 forwarding,
                 quarantine: Arc::clone(&quarantine),
+                poison: Arc::clone(&poison),
                 refusals: Arc::clone(node.refusals()),
                 hub: node.hub().clone(),
                 clock: Arc::clone(&clock),
@@ -252,6 +258,7 @@
                 clock: Arc::clone(&clock),
             }),
         ];
+        dump.push(Arc::new(PoisonDumpSource { poison }));
         if let Some(relay) = &relay {
             dump.push(Arc::new(AdmissionDumpSource {
                 relay: Arc::clone(relay),
--- a/crates/daemon/src/daemon/sources.rs
+++ b/crates/daemon/src/daemon/sources.rs
@@ -7,6 +7,7 @@
 use crate::node::ClusterNode;
 use crate::operators::keeper_state;
 use crate::platform::{DumpSource, MetricSource};
+use crate::poison::PoisonState;
 use crate::quarantine::QuarantineState;
 use crate::relay::RelayContext;
 use crate::telemetry::{MetricRegistry, RecorderSlot};
@@ -99,6 +100,20 @@
     }
 }
 
+pub(super) struct PoisonDumpSource {
+    pub(super) poison: Arc<PoisonState>,
+}
+
+impl DumpSource for PoisonDumpSource {
+    fn name(&self) -> &'static str {
+        "poison"
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        serde_json::to_value(self.poison.dump()).unwrap_or_default()
+    }
+}
+
 pub(super) struct EvidenceDump {
     pub(super) recorder: Arc<RecorderSlot>,
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -6,6 +6,7 @@
 mod completions;
 mod context;
 mod draft;
+mod ends;
 mod record;
 mod refusal;
 mod selection;
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -17,6 +17,7 @@
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
 use crate::lifecycle::{LifecycleStep, LifecycleWatch};
+use crate::poison::PoisonState;
 use crate::resend::ResendPolicy;
 use crate::streams::StreamStore;
 use crate::tasks::TaskGroup;
@@ -44,6 +45,8 @@
     pub access: Arc<AccessControl>,
     /// Backend servers, with their leases and routes.
     pub fleet: Arc<BackendFleet>,
+    /// Requests under which servers end.
+    pub(crate) poison: Arc<PoisonState>,
     /// Replicated state of all hosts.
     pub agreed: Arc<dyn AgreedState>,
     /// HTTP client for backend servers.
--- a/crates/daemon/src/entry/draft.rs
+++ b/crates/daemon/src/entry/draft.rs
@@ -18,11 +18,12 @@
 
 use http::{Response, StatusCode};
 use pollendrift_coordination::base::{
-    AdapterName, AttemptNumber, CustomerName, ModelName, RequestId, ServerName, TokenPosition,
-    VersionName,
+    AdapterName, AttemptNumber, CustomerName, ModelName, RequestId, ServerName, ServiceName,
+    TokenPosition, VersionName,
 };
 use pollendrift_coordination::evidence::{BodyDigest, OutcomeKind};
 use pollendrift_coordination::ledger::{GeneratedToken, LedgerSettings, TokenLedger};
+use pollendrift_coordination::poison::{RequestContent, SendEnd};
 use pollendrift_coordination::retries::{CallDeadline, CallKind, SendOutcome};
 use pollendrift_coordination::routing::RoutePriority;
 use pollendrift_coordination::streams::DraftDigest;
@@ -35,12 +36,14 @@
 pub(super) use resume::{ResumePoint, draft_digest, find_resume, last_position};
 
 use super::context::EntryContext;
+use super::ends::{send_gate, withheld_refusal};
 use super::record::{RequestEnding, RunningRequest};
 use super::refusal::Refusal;
 use super::selection::ServedRequest;
 use super::stream::{ReplyFormat, ReplyWriter};
 use crate::admission::MIN_URGENT_PRIORITY;
 use crate::fleet::{DraftQuery, DraftRoute};
+use crate::poison::{SendGate, TrackedSend};
 use crate::resend::ResendQuery;
 
 /// Path to which sequence requests are posted on the first stage of a pipeline.
@@ -118,8 +121,10 @@
         .resume
         .as_ref()
         .map_or(AttemptNumber(0), |resume| resume.attempt);
+    let gate = draft_gate(context, &job);
     let runner = DraftRunner {
         context: Arc::clone(context),
+        gate,
         ledger,
         attempt,
         excluded: Vec::new(),
@@ -159,9 +164,23 @@
     )
 }
 
+/// Gate of the sends of a draft, which its caller may repeat or resume at any entry.
+fn draft_gate(context: &Arc<EntryContext>, job: &DraftJob) -> SendGate {
+    let content = RequestContent {
+        customer: job.customer.as_str(),
+        method: "draft",
+        target: job.model.as_str(),
+        prompt: &job.prompt,
+        body: &job.digest,
+    };
+    send_gate(context, &content)
+}
+
 struct DraftRunner {
     context: Arc<EntryContext>,
     job: DraftJob,
+    /// Decides whether the draft may be sent, by the servers that ended under it.
+    gate: SendGate,
     /// Created with the first route, which fixes the model version of the complete answer.
     ledger: Option<TokenLedger>,
     attempt: AttemptNumber,
@@ -234,8 +253,16 @@
             return Ok(finish);
         }
         loop {
+            if !self.gate.admit().await {
+                return Err(withheld_refusal(&self.gate, self.may_have_run));
+            }
             let route = self.plan_route(&failure)?;
             let mut flight = FlightGuard::new(&self.context, route.flight);
+            let sent = self.begin_send(&route);
+            if !sent.await_turn().await {
+                sent.end(SendEnd::NotTaken);
+                continue;
+            }
             let from = self.next_position();
             let end = self.run_attempt(&route, &mut flight).await;
             let trace = self.trace(&route, from, &end);
@@ -244,6 +271,7 @@
                 AttemptEnd::Complete { reason } => {
                     // A resume without the finish reason generates it again, so nothing waits.
                     drop(self.copy(&[], Some(reason.clone())));
+                    sent.end(SendEnd::Answered);
                     return Ok(reason);
                 }
                 AttemptEnd::Failed {
@@ -254,6 +282,13 @@
                     self.may_have_run |= started;
                     log::warn!(request:% = self.job.id, server:% = server, reason:% = reason; "attempt failed");
                     flight.fail(&server);
+                    if started {
+                        drop(sent);
+                        let service = ServiceName::from(self.job.model.as_str());
+                        self.context.check_server(&server, &service).await;
+                    } else {
+                        sent.end(SendEnd::NotTaken);
+                    }
                     failure = format!("{server}: {reason}");
                     self.excluded.push(server);
                 }
@@ -330,6 +365,13 @@
         }
     }
 
+    /// Records that the draft is about to be sent to the engines of `route`.
+    fn begin_send(&self, route: &DraftRoute) -> TrackedSend {
+        let servers = route.stages.iter();
+        let servers = servers.filter_map(|stage| self.context.loss_id(&stage.server));
+        self.gate.begin(servers.collect())
+    }
+
     fn next_position(&self) -> TokenPosition {
         self.ledger
             .as_ref()
--- a/crates/daemon/src/entry/services.rs
+++ b/crates/daemon/src/entry/services.rs
@@ -18,6 +18,7 @@
 use pollendrift_coordination::claims::{ClaimScope, KnownClaim};
 use pollendrift_coordination::configuration::RequestFacts;
 use pollendrift_coordination::evidence::{AttemptTrace, BodyDigest, TracedStage};
+use pollendrift_coordination::poison::{RequestContent, SendEnd};
 use pollendrift_coordination::retries::{CallDeadline, CallKind};
 use pollendrift_http::{ClientError, ResponseBody, read_bounded, read_within};
 
@@ -25,10 +26,12 @@
 
 use super::SERVICE_PREFIX;
 use super::context::EntryContext;
+use super::ends::{send_gate, withheld_refusal};
 use super::record::{RequestArrival, RequestEnding, RunningRequest};
 use super::refusal::Refusal;
 use super::selection::{ServedRequest, select};
 use crate::fleet::ServerView;
+use crate::poison::SendGate;
 use crate::resend::{ResendQuery, send_outcome};
 
 use claimed::call_digest;
@@ -196,8 +199,14 @@
     async fn run_attempts(&self, record: &mut RunningRequest) -> Result<BufferedAnswer, Refusal> {
         let mut refusal = self.no_server_refusal();
         let mut lost = None;
+        let mut gate = self.gate();
         for (index, server) in self.servers().iter().enumerate() {
-            let result = self.send(server).await;
+            if !gate.admit().await {
+                refusal = withheld_refusal(&gate, lost.is_some());
+                lost = None;
+                break;
+            }
+            let result = self.send_tracked(&gate, server).await;
             record.record_attempt(self.trace(index, server, &result));
             let error = match result {
                 Ok(answer) => return Ok(answer),
@@ -277,6 +286,45 @@
         servers
     }
 
+    /// Gate of the sends of this call, which its caller may repeat at any entry.
+    fn gate(&self) -> SendGate {
+        let target = self.head.uri.path_and_query();
+        let content = RequestContent {
+            customer: self.customer.as_str(),
+            method: self.head.method.as_str(),
+            target: target.map_or("", |target| target.as_str()),
+            prompt: "",
+            body: &self.body,
+        };
+        send_gate(&self.context, &content)
+    }
+
+    /// Sends the call to one server, and finds out whether the server ended under it.
+    async fn send_tracked(
+        &self,
+        gate: &SendGate,
+        server: &ServerView,
+    ) -> Result<BufferedAnswer, ClientError> {
+        let name = &server.facts.name;
+        let sent = gate.begin(self.context.loss_id(name).into_iter().collect());
+        if !sent.await_turn().await {
+            sent.end(SendEnd::NotTaken);
+            return Err(ClientError::NotSent {
+                reason: "other hosts send the same call now".to_owned(),
+            });
+        }
+        let result = self.send(server).await;
+        match &result {
+            Ok(_) => sent.end(SendEnd::Answered),
+            Err(ClientError::NotSent { .. }) => sent.end(SendEnd::NotTaken),
+            Err(_) => {
+                drop(sent);
+                self.context.check_server(name, &self.service).await;
+            }
+        }
+        result
+    }
+
     /// Sends the call to one server if its lease is still valid.
     async fn send(&self, server: &ServerView) -> Result<BufferedAnswer, ClientError> {
         // Checked immediately before the send: leases may expire while earlier servers are tried.
--- a/crates/daemon/src/entry/services/claimed.rs
+++ b/crates/daemon/src/entry/services/claimed.rs
@@ -24,6 +24,7 @@
 use super::proxy::{self, BufferedAnswer};
 use super::settling::HeldClaim;
 use super::{ServiceCall, known_claim};
+use crate::entry::ends::withheld_refusal;
 use crate::entry::record::{RequestEnding, RunningRequest};
 use crate::entry::refusal::Refusal;
 
@@ -83,6 +84,7 @@
         recording: None,
         held: None,
         answer: None,
+        withheld: None,
         reply: Some(reply),
     };
     context.tasks.spawn(runner.run(take));
@@ -113,6 +115,8 @@
     /// The claim, from the take until the keepers have recorded its outcome.
     held: Option<HeldClaim>,
     answer: Option<BufferedAnswer>,
+    /// Refusal of a call that no server got because servers had ended under it.
+    withheld: Option<Refusal>,
     reply: Option<oneshot::Sender<Result<BufferedAnswer, Refusal>>>,
 }
 
@@ -205,8 +209,13 @@
             // If this entry crashes after the send, the evidence must contain the call's start.
             record.wait_until_stored().await;
         }
+        let mut gate = self.call.gate();
         for (index, server) in self.call.servers().into_iter().enumerate() {
-            let result = self.call.send(&server).await;
+            if !gate.admit().await {
+                self.withheld = Some(withheld_refusal(&gate, false));
+                break;
+            }
+            let result = self.call.send_tracked(&gate, &server).await;
             let trace = self.call.trace(index, &server, &result);
             if let Some(record) = &mut self.record {
                 record.record_attempt(trace);
@@ -261,11 +270,12 @@
     }
 
     async fn respond(&mut self, response: CallerResponse) {
-        let result = ClaimReply {
+        let reply = ClaimReply {
             response,
             answer: self.answer.take(),
-        }
-        .into_answer();
+        };
+        let result = reply.into_answer();
+        let result = result.map_err(|refusal| self.withheld.take().unwrap_or(refusal));
         self.record_end(match &result {
             Ok(answer) => answer.ending(),
             Err(refusal) => RequestEnding::of_refusal(refusal, false),
--- a/crates/daemon/src/fleet/worker.rs
+++ b/crates/daemon/src/fleet/worker.rs
@@ -140,6 +140,17 @@
         true
     }
 
+    /// Whether a server has stated that it leaves.
+    pub(crate) fn is_leaving(&self, server: &ServerName) -> bool {
+        let state = self.lock();
+        let lease = state.leases.get(server);
+        lease.is_some_and(|lease| {
+            let announce = &lease.announce;
+            announce.state == ServerState::Leaving
+                || state.leaving.is_leaving(server, announce.incarnation)
+        })
+    }
+
     /// Merges the results of a survey of engines.
     pub(crate) fn merge_survey(&self, now: MonotonicTime, results: Vec<SurveyResult>) {
         self.lock().survey.merge(now, results);
--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -138,6 +138,7 @@
         rates: None,
         partition: Some(notice),
         quarantine: None,
+        poison: None,
         demand: None,
     }
 }
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -63,6 +63,7 @@
                 rates,
                 partition,
                 quarantine,
+                poison,
                 demand,
             } => {
                 targets.broadcaster.receive_survey(notes, pass_on);
@@ -72,6 +73,9 @@
                 if let Some(notice) = quarantine {
                     targets.broadcaster.receive_quarantine(from, notice);
                 }
+                if let Some(notice) = poison {
+                    targets.broadcaster.receive_poison(from, *notice);
+                }
                 if let Some(rates) = rates {
                     targets.broadcaster.receive_rates(from, &rates);
                 }
--- a/crates/daemon/src/lease_broadcast.rs
+++ b/crates/daemon/src/lease_broadcast.rs
@@ -34,6 +34,7 @@
 use crate::fleet::BackendFleet;
 use crate::keeper::KeeperList;
 use crate::peers::{PeerFrame, PeerHub};
+use crate::poison::PoisonState;
 use crate::quarantine::QuarantineState;
 
 use quarantine::{CHANGE_TICKS, FULL_NOTICE_TICKS};
@@ -70,6 +71,7 @@
     reported_to: Mutex<Vec<HostName>>,
     surveys: SurveyRelay,
     quarantine: Arc<QuarantineState>,
+    poison: Arc<PoisonState>,
 }
 
 /// Leases that a host is to receive, and how far they were sent to it.
@@ -85,6 +87,7 @@
     pub(crate) fn new(
         fleet: Arc<BackendFleet>,
         quarantine: Arc<QuarantineState>,
+        poison: Arc<PoisonState>,
         clock: Arc<dyn TimeSource>,
         keepers: KeeperList,
         feed: Arc<ConfigurationFeed>,
@@ -99,6 +102,7 @@
             reported_to: Mutex::default(),
             surveys: SurveyRelay::default(),
             quarantine,
+            poison,
         }
     }
 
@@ -205,6 +209,7 @@
             let now = self.clock.now();
             self.tick(hub, now, has_renewals);
             if tick % CHANGE_TICKS == 0 {
+                self.poison.tick();
                 self.send_quarantine_changes(hub, now, 0);
             }
             if tick % FULL_NOTICE_TICKS == 0 {
--- a/crates/daemon/src/lease_broadcast/demand.rs
+++ b/crates/daemon/src/lease_broadcast/demand.rs
@@ -116,6 +116,7 @@
         rates,
         partition: None,
         quarantine: None,
+        poison: None,
         demand,
     }
 }
--- a/crates/daemon/src/lease_broadcast/quarantine.rs
+++ b/crates/daemon/src/lease_broadcast/quarantine.rs
@@ -1,4 +1,4 @@
-//! Tells other hosts which prompt parts crash engines.
+//! Tells other hosts which prompt parts crash engines, and which requests end servers.
 //!
 //! A host without a keeper tells the keeper that it follows. Keepers tell each other and their
 //! followers. Urgent changes are sent at once, and to two further keepers, as one may have failed. All
@@ -8,6 +8,7 @@
 
 use pollendrift_coordination::base::{HostName, MonotonicTime};
 use pollendrift_coordination::leases::LeaseSource;
+use pollendrift_coordination::poison::PoisonNotice;
 use pollendrift_coordination::quarantine::{NoticeAudience, QuarantineNotice};
 use rand::seq::IteratorRandom;
 use tokio::time::sleep;
@@ -31,10 +32,19 @@
         self.quarantine.merge(notice, is_from_keeper);
     }
 
+    /// Applies a notice of the peer `from` on requests under which servers end.
+    pub(crate) fn receive_poison(&self, from: &HostName, notice: PoisonNotice) {
+        let is_from_keeper = self.recipients.kind_of(from) == LeaseSource::Keeper;
+        self.poison.merge(notice, is_from_keeper);
+    }
+
     /// Sends urgent changes at once, for as long as the host runs.
     pub(super) async fn run_quarantine(&self, hub: &PeerHub) {
         loop {
-            self.quarantine.changed().await;
+            tokio::select! {
+                () = self.quarantine.changed() => {}
+                () = self.poison.changed() => {}
+            }
             self.send_quarantine_changes(hub, self.clock.now(), FURTHER_KEEPERS);
             sleep(NOTICE_GAP).await;
         }
@@ -47,27 +57,37 @@
         now: MonotonicTime,
         further: usize,
     ) {
-        let for_keepers = self.quarantine.take_changes(NoticeAudience::Keepers);
-        let for_followers = self.quarantine.take_changes(NoticeAudience::Followers);
+        let for_keepers = self.take_notices(NoticeAudience::Keepers);
+        let for_followers = self.take_notices(NoticeAudience::Followers);
         if !for_keepers.is_empty() {
-            send_notice(hub, &self.told_keepers(hub, now, further), for_keepers);
+            send_notices(hub, &self.told_keepers(hub, now, further), for_keepers);
         }
         if self.recipients.is_keeper() && !for_followers.is_empty() {
-            send_notice(hub, &self.recipients.followers(now), for_followers);
+            send_notices(hub, &self.recipients.followers(now), for_followers);
+        }
+    }
+
+    fn take_notices(&self, audience: NoticeAudience) -> HostNotices {
+        HostNotices {
+            quarantine: self.quarantine.take_changes(audience),
+            poison: self.poison.take_changes(audience),
         }
     }
 
-    /// Sends all that is known of suspected parts.
+    /// Sends all that is known of suspected parts and requests.
     pub(super) fn send_whole_quarantine(&self, hub: &PeerHub, now: MonotonicTime) {
-        let notice = self.quarantine.full_notice();
-        if notice.is_empty() {
+        let notices = HostNotices {
+            quarantine: self.quarantine.full_notice(),
+            poison: self.poison.full_notice(),
+        };
+        if notices.is_empty() {
             return;
         }
         let mut hosts = self.told_keepers(hub, now, 0);
         if self.recipients.is_keeper() {
             hosts.extend(self.recipients.followers(now));
         }
-        send_notice(hub, &hosts, notice);
+        send_notices(hub, &hosts, notices);
     }
 
     /// Keepers that this host tells; with a fixed list of peers, all hosts.
@@ -89,16 +109,30 @@
     }
 }
 
-fn send_notice(hub: &PeerHub, hosts: &[HostName], notice: QuarantineNotice) {
+/// Notices for the same hosts, which go into one frame.
+struct HostNotices {
+    quarantine: QuarantineNotice,
+    poison: PoisonNotice,
+}
+
+impl HostNotices {
+    fn is_empty(&self) -> bool {
+        self.quarantine.is_empty() && self.poison.is_empty()
+    }
+}
+
+fn send_notices(hub: &PeerHub, hosts: &[HostName], notices: HostNotices) {
     if hosts.is_empty() {
         return;
     }
+    let HostNotices { quarantine, poison } = notices;
     let frame = PeerFrame::Survey {
         notes: Vec::new(),
         pass_on: false,
         rates: None,
         partition: None,
-        quarantine: Some(notice),
+        quarantine: Some(quarantine).filter(|notice| !notice.is_empty()),
+        poison: Some(Box::new(poison)).filter(|notice| !notice.is_empty()),
         demand: None,
     };
     hub.send_to(hosts, &frame);
--- a/crates/daemon/src/lease_broadcast/surveys.rs
+++ b/crates/daemon/src/lease_broadcast/surveys.rs
@@ -72,6 +72,7 @@
             rates: None,
             partition: None,
             quarantine: None,
+            poison: None,
             demand: None,
         };
         hub.send_to(hosts, &frame);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peers;
 pub(crate) mod placement;
 pub mod platform;
+pub(crate) mod poison;
 pub(crate) mod quarantine;
 pub mod refusals;
 pub(crate) mod relay;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -38,6 +38,7 @@
 use crate::lease_broadcast::LeaseBroadcaster;
 use crate::operators::KeeperQuestionHandler;
 use crate::peers::{PeerHandler, PeerHub, PeerTasks};
+use crate::poison::PoisonState;
 use crate::quarantine::QuarantineState;
 use crate::refusals::RefusalStore;
 use crate::settings::DaemonSettings;
@@ -98,6 +99,8 @@
     pub(crate) forwarding: Arc<ForwardingState>,
     /// Prompt parts that crash engines.
     pub(crate) quarantine: Arc<QuarantineState>,
+    /// Requests under which servers end.
+    pub(crate) poison: Arc<PoisonState>,
     /// Evidence of this process.
     pub recorder: Arc<RecorderSlot>,
     /// Source of the current time.
@@ -176,6 +179,7 @@
         let broadcaster = Arc::new(LeaseBroadcaster::new(
             Arc::clone(&parts.fleet),
             Arc::clone(&parts.quarantine),
+            Arc::clone(&parts.poison),
             Arc::clone(&parts.clock),
             keepers.clone(),
             Arc::clone(&feed),
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -14,6 +14,7 @@
 use pollendrift_coordination::forwarding::ForwardHost;
 use pollendrift_coordination::hosts::{HostGossip, HostReach};
 use pollendrift_coordination::leases::{LeaseBatch, LeaseNumber};
+use pollendrift_coordination::poison::PoisonNotice;
 use pollendrift_coordination::quarantine::QuarantineNotice;
 use pollendrift_coordination::routing::SurveyResult;
 use pollendrift_coordination::streams::StreamUpdate;
@@ -292,6 +293,9 @@
         /// Prompt parts that crash engines; a part of this frame like `rates`.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         quarantine: Option<QuarantineNotice>,
+        /// Requests under which servers end; a part of this frame like `rates`.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        poison: Option<Box<PoisonNotice>>,
         /// Demand for services; a part of this frame like `rates`.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         demand: Option<DemandBatch>,
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -5,6 +5,7 @@
 
 use http::Response;
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
+use pollendrift_coordination::poison::SendEnd;
 use pollendrift_coordination::retries::{CallKind, RunProof, SendOutcome};
 use pollendrift_coordination::routing::{ReportedLoad, ServerCandidate};
 use pollendrift_dialect::RefusalKind;
@@ -18,6 +19,7 @@
 use super::peer_forward::{FailedForward, ForwardAttempts};
 use super::request::{Refused, RelayRequest, SendTarget, refused};
 use crate::fleet::WorkerView;
+use crate::poison::SendGate;
 
 /// Least remaining time in which to start a send: enough for the round trip and the server's work.
 const MIN_TIME_LEFT: std::time::Duration = std::time::Duration::from_millis(15);
@@ -53,12 +55,16 @@
 ) -> Result<Response<ResponseBody>, Refused> {
     let mut history = CallHistory::default();
     let mut rate_queue = RateQueue::new(context);
+    let mut gate = SendGate::new(&context.poison, request.content);
     context.earn_retry_budget(request.arrived, &request.service.name);
     loop {
         let now = context.clock.now();
         if request.time_left(now) < MIN_TIME_LEFT {
             return Err(final_refusal(context, request, &history));
         }
+        if !gate.admit().await {
+            return Err(withheld_refusal(&gate, &history));
+        }
         if context.is_cut_off_from(request) {
             context.await_hosts(request).await;
             if !context.may_forward(now, request, &history.forwards) {
@@ -79,6 +85,11 @@
             }
             continue;
         };
+        let sent = gate.begin(context.loss_id(&worker.server).into_iter().collect());
+        if !sent.await_turn().await {
+            sent.end(SendEnd::NotTaken);
+            continue;
+        }
         let is_retry = !history.tried_servers.is_empty() || history.sends > 0;
         if is_retry && !context.spend_retry(now, &request.service.name) {
             return Err(final_refusal(context, request, &history));
@@ -87,7 +98,12 @@
         log::info!(request = request.attempt.as_str(), route = &*request.route.name,
             content:% = request.content, server:% = worker.server, try = history.tried_servers.len(); "sent");
         context.metrics.record_attempt();
-        match send_once(context, request, &worker, now).await {
+        let result = send_once(context, request, &worker, now).await;
+        sent.end(send_end_of(&result));
+        if let Err(failed) = &result {
+            check_server(context, &worker, failed.outcome).await;
+        }
+        match result {
             Ok(response) if !should_retry_response(request, &history, &response) => {
                 let took = context.clock.now().since(request.arrived).as_millis();
                 log::info!(request = request.attempt.as_str(), status = response.status().as_u16(),
@@ -115,6 +131,48 @@
     }
 }
 
+/// How a send ended for the server that it was to.
+fn send_end_of(result: &Result<Response<ResponseBody>, FailedSend>) -> SendEnd {
+    match result {
+        Ok(_) => SendEnd::Answered,
+        Err(failed) if failed.outcome.proof().is_not_run() => SendEnd::NotTaken,
+        Err(_) => SendEnd::Broken,
+    }
+}
+
+/// Finds out whether a server ended under a call that broke. Of a call that timed out, the caller does not
+/// wait for it.
+async fn check_server(context: &Arc<RelayContext>, worker: &Arc<WorkerView>, outcome: SendOutcome) {
+    let id = context.loss_id(&worker.server);
+    if outcome.proof().is_not_run() || id.is_none_or(|id| context.poison.is_lost(&id)) {
+        return;
+    }
+    let (checking, worker) = (Arc::clone(context), Arc::clone(worker));
+    let check = tokio::spawn(async move {
+        checking.check_crash(&worker.server, worker.address).await;
+    });
+    if outcome != SendOutcome::TimedOut {
+        // The task does not panic, and is not cancelled.
+        let _ = check.await;
+    }
+}
+
+/// Refusal of a call that is not sent because servers ended under it.
+fn withheld_refusal(gate: &SendGate, history: &CallHistory) -> Refused {
+    let kind = if history.may_have_run {
+        RefusalKind::UnknownOutcome
+    } else {
+        RefusalKind::NotRun
+    };
+    let (reason, wait) = gate.withheld().map_or_else(
+        || (String::new(), RETRY_NO_CAPACITY),
+        |withheld| (withheld.to_string(), withheld.wait()),
+    );
+    refused(kind, reason)
+        .retry_after(wait)
+        .arrived(history.sends > 0)
+}
+
 /// Forwards the call to another host and reads the complete answer; `None` if there is none.
 async fn forward(
     context: &Arc<RelayContext>,
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -348,6 +348,26 @@
         })
     }
 
+    /// Whether an engine of `chain` is the only one that holds some of its layers, among those that are
+    /// `usable`.
+    pub(super) fn has_sole_holder<F>(&self, chain: &ReservedChain, usable: F) -> bool
+    where
+        F: Fn(&ServerName) -> bool,
+    {
+        let version = chain.servers().find_map(|server| self.known.get(server));
+        let Some(version) = version.map(|known| &known.layers.version) else {
+            return false;
+        };
+        chain.plan.stages.iter().any(|stage| {
+            let others = self.known.iter().filter(|(other, known)| {
+                **other != stage.server && known.layers.version == *version && usable(other)
+            });
+            let mut ranges: Vec<LayerRange> = others.map(|(_, known)| known.layers.range).collect();
+            ranges.sort_by_key(|range| range.first);
+            !covers(&ranges, stage.layers)
+        })
+    }
+
     /// Measures the KV memory of the engines of `service`.
     pub(super) fn pool_capacity(
         &self,
@@ -431,6 +451,17 @@
     }
 }
 
+/// Whether `ranges`, sorted by their first layers, contain all of `layers`.
+fn covers(ranges: &[LayerRange], layers: LayerRange) -> bool {
+    let mut next = layers.first;
+    for range in ranges {
+        if range.first <= next {
+            next = next.max(range.end);
+        }
+    }
+    next >= layers.end
+}
+
 /// Route query of a request, with normal priority and without excluded engines. `model` must be the
 /// pool name of the request's service.
 fn query_of<'query>(
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -17,6 +17,7 @@
 use super::admission::DraftAdmission;
 use super::chains::ChainTable;
 use super::channels::ChannelPool;
+use super::crashes::EngineChecks;
 use super::routes::RouteTableBuilder;
 use crate::agreed::AgreedState;
 use crate::clock::{TimeSource, since_boot};
@@ -24,6 +25,7 @@
 use crate::forwarding::ForwardingState;
 use crate::lifecycle::{LifecycleStep, LifecycleWatch};
 use crate::peers::PeerHub;
+use crate::poison::PoisonState;
 use crate::quarantine::QuarantineState;
 use crate::refusals::RefusalStore;
 use crate::settings::RelaySettings;
@@ -44,6 +46,7 @@
     pub(crate) fleet: Arc<BackendFleet>,
     pub(crate) forwarding: Arc<ForwardingState>,
     pub(crate) quarantine: Arc<QuarantineState>,
+    pub(crate) poison: Arc<PoisonState>,
     pub(crate) refusals: Arc<RefusalStore>,
     pub(crate) hub: PeerHub,
     pub(crate) clock: Arc<dyn TimeSource>,
@@ -62,6 +65,9 @@
     pub(super) fleet: Arc<BackendFleet>,
     pub(super) forwarding: Arc<ForwardingState>,
     pub(super) quarantine: Arc<QuarantineState>,
+    pub(super) poison: Arc<PoisonState>,
+    /// Latest checks of engines whose chains broke.
+    pub(super) engine_checks: Mutex<EngineChecks>,
     /// Channels to hosts that requests are forwarded to.
     pub(super) channels: ChannelPool,
     pub(super) pool: ConnectionPool,
@@ -105,6 +111,8 @@
             fleet: parts.fleet,
             forwarding: parts.forwarding,
             quarantine: parts.quarantine,
+            poison: parts.poison,
+            engine_checks: Mutex::default(),
             channels: ChannelPool::new(parts.hub),
             pool: ConnectionPool::with_dialer(PoolSettings::default(), since_boot, parts.dialer),
             admission: DraftAdmission::new(
--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -1,23 +1,28 @@
-//! Holds back drafts under whose prompt parts engines crash, and finds out which engines have crashed.
+//! Holds back drafts under whose prompt parts engines crash, and finds out which servers have ended.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use pollendrift_coordination::base::{
     MonotonicTime, RequestId, ServerName, ServiceName, VersionName,
 };
+use pollendrift_coordination::poison::LossKind;
 use pollendrift_coordination::quarantine::{Admission, CrashId, HeldRequest, SendKey};
 use pollendrift_dialect::RefusalKind;
 use tokio::time::timeout;
 
+use super::chains::ReservedChain;
 use super::context::RelayContext;
 use super::drafts::DraftRun;
 use super::guard::ChainGuard;
 use super::request::{Refused, refused};
 use crate::fleet::WorkerView;
+use crate::poison::TrackedSend;
 
+/// Least time between two checks of a later engine of chains that broke.
+const STAGE_CHECK_PERIOD: Duration = Duration::from_millis(500);
 /// Time within which an engine that runs accepts a connection. Nothing listens at the address of a
 /// crashed one, which is known after a round trip.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(100);
@@ -28,6 +33,25 @@
 /// prompt is known. Other hosts tell of a crash under that part within it.
 pub(super) const NOTICE_WAIT: Duration = Duration::from_millis(60);
 
+/// Times of the latest checks of later engines of chains that broke.
+#[derive(Debug, Default)]
+pub(super) struct EngineChecks {
+    checked_at: BTreeMap<ServerName, MonotonicTime>,
+}
+
+impl EngineChecks {
+    /// Whether to check an engine now. Hundreds of streams may break with their first engine.
+    fn begin(&mut self, now: MonotonicTime, server: &ServerName) -> bool {
+        self.checked_at
+            .retain(|_, at| now.since(*at) < STAGE_CHECK_PERIOD);
+        if self.checked_at.contains_key(server) {
+            return false;
+        }
+        self.checked_at.insert(server.clone(), now);
+        true
+    }
+}
+
 /// State of a draft in the quarantine.
 #[derive(Debug, Default)]
 pub(super) struct QuarantineHold {
@@ -81,7 +105,15 @@
         let (service, parts) = (&request.service.name, &request.shared_parts);
         let quarantine = &self.context.quarantine;
         let held = quarantine.held(service, parts, self.quarantine.test);
-        held.is_some()
+        held.is_some() || self.gate.is_closed()
+    }
+
+    /// Records that the draft is about to be sent to the engines of `chain`.
+    pub(super) fn begin_send(&self, chain: &ReservedChain) -> TrackedSend {
+        let servers = chain
+            .servers()
+            .filter_map(|server| self.context.loss_id(server));
+        self.gate.begin(servers.collect())
     }
 
     /// Ends the test that the draft is, if it was sent to no engine that answered.
@@ -111,17 +143,30 @@
     /// A draft whose answer has proven its parts soon goes on: an engine that is silent costs the whole
     /// timeout, and the caller waits for the next event.
     pub(super) async fn check_broken_engine(&self, chain: &mut ChainGuard) {
-        if !chain.may_have_crashed() {
+        let id = self.context.loss_id(&chain.chain.first);
+        let is_known = id.is_none_or(|id| self.context.poison.is_lost(&id));
+        if is_known && !chain.may_have_crashed() {
             return;
         }
         let Some(hop) = chain.chain.hops.first() else {
             return;
         };
+        let mut later = chain
+            .chain
+            .plan
+            .stages
+            .iter()
+            .zip(&chain.chain.hops)
+            .skip(1);
+        let later = later
+            .by_ref()
+            .map(|(stage, hop)| (stage.server.clone(), hop.address));
         let check = BrokenEngineCheck {
             context: Arc::clone(&self.context),
             request: self.request.attempt.clone(),
             server: chain.chain.first.clone(),
             address: hop.address,
+            later: later.collect(),
         };
         if let Some(send) = chain.take_proven() {
             // If the wait ends first, the check goes on.
@@ -145,15 +190,37 @@
     request: RequestId,
     server: ServerName,
     address: SocketAddr,
+    /// The other engines of the chain.
+    later: Vec<(ServerName, SocketAddr)>,
 }
 
 impl BrokenEngineCheck {
     async fn run(&self) {
         let is_gone = self.context.check_crash(&self.server, self.address).await;
+        if is_gone {
+            self.check_later();
+        }
         log::info!(request = self.request.as_str(), server:% = self.server, gone = is_gone;
             "connection to the engine broke during a draft");
     }
 
+    /// Checks the other engines, which may have ended for the same reason.
+    fn check_later(&self) {
+        for (server, address) in self.later.clone() {
+            let context = Arc::clone(&self.context);
+            let id = context.loss_id(&server);
+            let is_known = id.is_none_or(|id| context.poison.is_lost(&id));
+            let now = context.clock.now();
+            let checks = &context.engine_checks;
+            let mut checks = checks.lock().unwrap_or_else(PoisonError::into_inner);
+            let is_due = !is_known && checks.begin(now, &server);
+            drop(checks);
+            if is_due {
+                tokio::spawn(async move { context.check_crash(&server, address).await });
+            }
+        }
+    }
+
     /// Counts the draft as on the engine until the check has ended.
     async fn run_for(self, send: SendKey) {
         self.run().await;
@@ -162,24 +229,57 @@
 }
 
 impl RelayContext {
-    /// Records that an engine, whose connection broke, has crashed, if it accepts no further connection
-    /// while this host reaches other engines. Returns whether it has.
-    async fn check_crash(&self, server: &ServerName, address: SocketAddr) -> bool {
+    /// Records that a server, whose connection broke, has ended, if it accepts no further connection
+    /// while this host reaches other servers. Returns whether it has.
+    pub(super) async fn check_crash(&self, server: &ServerName, address: SocketAddr) -> bool {
         let worker = self.fleet.worker(server);
+        let began_at = self.clock.now();
         if self.pool.can_open(address, OPEN_TIMEOUT).await {
             return false;
         }
+        // A machine without power, or behind a cut link, refuses nothing.
+        let kind = if self.clock.now().since(began_at) >= OPEN_TIMEOUT {
+            LossKind::Silent
+        } else {
+            LossKind::Gone
+        };
         if self.has_lost_service_of(server).await {
             return false;
         }
         if let Some(worker) = worker {
-            self.record_crash(&worker);
+            self.record_crash(&worker, kind);
         }
         true
     }
 
+    /// Identity of the running incarnation of a server; `None` if the server is not known.
+    pub(super) fn loss_id(&self, server: &ServerName) -> Option<CrashId> {
+        let incarnation = self.fleet.worker_incarnation(server)?;
+        Some(CrashId {
+            server: server.clone(),
+            incarnation,
+        })
+    }
+
+    /// Records the end of a server, unless it had stated that it leaves.
+    pub(super) fn record_loss(&self, server: &ServerName, kind: LossKind) {
+        let Some(worker) = self.fleet.worker(server) else {
+            return;
+        };
+        let Some(id) = self.loss_id(server) else {
+            return;
+        };
+        if !self.fleet.is_leaving(server) {
+            self.poison.record_loss(&id, &worker.offer.service, kind);
+        }
+    }
+
     /// Records that an engine crashed, for the requests of this host that were on it.
-    pub(super) fn record_crash(&self, worker: &WorkerView) {
+    fn record_crash(&self, worker: &WorkerView, kind: LossKind) {
+        self.record_loss(&worker.server, kind);
+        if worker.offer.layers.is_none() {
+            return;
+        }
         let id = CrashId {
             server: worker.server.clone(),
             incarnation: worker.incarnation,
@@ -193,7 +293,23 @@
     /// Records that nothing listens at the address of an engine any more.
     pub(super) fn record_gone(&self, server: &ServerName) {
         if let Some(worker) = self.fleet.worker(server) {
-            self.record_crash(&worker);
+            self.record_crash(&worker, LossKind::Gone);
+        }
+    }
+
+    /// Records which silent servers have answered a keeper's probe.
+    pub(super) fn clear_silent_servers(&self) {
+        let now = self.clock.now();
+        for (id, silent_since) in self.poison.silent_servers() {
+            let worker = self.fleet.worker(&id.server);
+            let worker = worker.filter(|worker| worker.incarnation == id.incarnation);
+            let surveyed = worker.and_then(|worker| self.fleet.surveyed(now, &worker));
+            let has_answered = surveyed.is_some_and(|surveyed| {
+                surveyed.load.is_some() && surveyed.measured_at > silent_since
+            });
+            if has_answered {
+                self.poison.record_answer(&id);
+            }
         }
     }
 
--- a/crates/daemon/src/relay/draft_search.rs
+++ b/crates/daemon/src/relay/draft_search.rs
@@ -175,8 +175,23 @@
             .context
             .chains()
             .reserve(now, &wanted, may_take_work, is_healthy);
+        let is_usable = |server: &ServerName| {
+            let worker = context.fleet.worker(server);
+            let id = context.loss_id(server);
+            worker.is_some_and(|worker| worker.offer.service == *service)
+                && id.is_some_and(|id| !context.poison.is_lost(&id))
+                && may_take_work(server)
+                && is_healthy(server)
+        };
+        let is_spared = reserved.as_ref().is_ok_and(|chain| {
+            self.must_spare_sole_holders(now) && context.chains().has_sole_holder(chain, is_usable)
+        });
         drop(health);
         match reserved {
+            Ok(chain) if is_spared => {
+                drop(ChainGuard::new(&self.context, chain));
+                None
+            }
             Ok(chain) => Some(ChainGuard::new(&self.context, chain)),
             Err(error) => {
                 log::debug!(request = self.request.attempt.as_str(), reasons:% = error; "no chain available for the draft");
@@ -185,6 +200,12 @@
         }
     }
 
+    /// Whether engines that alone hold some layers must not get the draft, because an engine has ended
+    /// under it. If another ends, no chain is left for anybody.
+    fn must_spare_sole_holders(&self, now: MonotonicTime) -> bool {
+        self.spare_until.is_some_and(|until| now < until) && self.gate.has_ends()
+    }
+
     /// Share of this host in the demand for the service, which limits the engines' memory that it may
     /// fill. A stream whose caller has received a part of the answer may use all of it.
     fn demand_share(&self, now: MonotonicTime, is_resume: bool) -> Option<f64> {
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -25,6 +25,7 @@
 use super::reroute::RerouteState;
 use super::stream::{StreamRun, run_stream};
 use crate::clock::millis;
+use crate::poison::SendGate;
 
 /// Least time before the request's deadline for which a draft is still sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(50);
@@ -42,6 +43,11 @@
 const BROKEN_EXCLUSION: Duration = Duration::from_millis(700);
 /// Exclusion for the rest of a draft: longer than any draft takes.
 const DRAFT_EXCLUSION: Duration = Duration::from_secs(3_600);
+/// Time after which a draft that an engine declined may have been on the other engines of its chain.
+const MIN_DECLINED_RUN: Duration = Duration::from_millis(150);
+/// Longest time for which a draft under which an engine has ended spares engines that alone hold some
+/// layers. Callers of streams leave after two seconds without an event.
+const SPARE_TIME: Duration = Duration::from_millis(1_500);
 /// Declined sends after which a request fails. Each of them excludes another engine: the one that
 /// the answer names, else the first of the chain.
 const MAX_DECLINED: u32 = 6;
@@ -74,6 +80,10 @@
     /// Hosts that the draft was forwarded to.
     pub(super) forwards: ForwardAttempts,
     pub(super) quarantine: QuarantineHold,
+    /// Time until which the draft waits for a chain of engines none of which alone holds some layers.
+    pub(super) spare_until: Option<MonotonicTime>,
+    /// Decides whether the request may be sent, by the servers that ended under it.
+    pub(super) gate: SendGate,
     /// Part of the capacity that the draft holds, if its service admits drafts by priority.
     pub(super) ticket: Option<DraftTicket>,
 }
@@ -113,6 +123,8 @@
     context.earn_retry_budget(request.arrived, &request.service.name);
     let resume_after = request.resume_after;
     let mut run = DraftRun {
+        gate: SendGate::new(&context.poison, request.content),
+        spare_until: None,
         context: Arc::clone(context),
         request,
         meter: meter.clone(),
@@ -172,12 +184,13 @@
         wait_until: MonotonicTime,
     ) -> Option<AnsweredDraft> {
         let is_resume = self.may_have_run;
+        self.spare_until = Some(self.context.clock.now().after(SPARE_TIME));
         loop {
             let now = self.context.clock.now();
             if self.request.time_left(now) < MIN_TIME_LEFT || self.is_final() {
                 return None;
             }
-            if !self.is_admitted() {
+            if !self.gate.admit().await || !self.is_admitted() {
                 self.rate_queue.leave();
                 return None;
             }
@@ -210,6 +223,11 @@
             };
             self.rate_queue.record_demand(now, &chain.chain.first);
             self.rate_queue.leave();
+            chain.hold_tracked(self.begin_send(&chain.chain));
+            if !chain.await_turn().await {
+                chain.record_not_taken();
+                continue;
+            }
             chain.log_sent(&self.request, now, self.sends + self.declined + 1);
             self.context.metrics.record_attempt();
             self.track(&mut chain);
@@ -233,6 +251,10 @@
                         self.tried_servers.record(&chain.chain.first);
                     }
                     let culprits = culprits_of(&chain.chain, &failed);
+                    let took = self.context.clock.now().since(now);
+                    if failed.outcome.proof().is_not_run() && took < MIN_DECLINED_RUN {
+                        chain.record_not_taken();
+                    }
                     log_failed_send(&self.request, &failed, &culprits);
                     match failed.outcome {
                         SendOutcome::ResetAfterSend => self.check_broken_engine(&mut chain).await,
@@ -255,6 +277,7 @@
                     let is_unreached = failed.outcome != SendOutcome::Declined;
                     let sends = self.sends;
                     self.record_failure(failed);
+                    self.spare_until = Some(self.context.clock.now().after(SPARE_TIME));
                     if is_unreached {
                         let service = &self.request.service.name;
                         self.context.await_checks(service).await;
@@ -372,6 +395,14 @@
         if let Some(held_back) = self.held_back.as_ref().filter(|_| !self.may_have_run) {
             return held_back.refusal();
         }
+        if let Some(withheld) = self.gate.withheld() {
+            let kind = if self.may_have_run {
+                RefusalKind::UnknownOutcome
+            } else {
+                RefusalKind::NotRun
+            };
+            return refused(kind, withheld.to_string()).retry_after(withheld.wait());
+        }
         if let Some(refusal) = self.quarantine.refusal().filter(|_| !self.may_have_run) {
             return refusal;
         }
--- a/crates/daemon/src/relay/guard.rs
+++ b/crates/daemon/src/relay/guard.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
+use pollendrift_coordination::poison::SendEnd;
 use pollendrift_coordination::quarantine::{HeldRequest, SendKey};
 
 use super::admission::SentDraft;
@@ -12,6 +13,7 @@
 use super::request::RelayRequest;
 
 use crate::clock::millis;
+use crate::poison::TrackedSend;
 
 /// A chain that counts as running until the guard is dropped or consumed by [`ChainGuard::failed`].
 pub(super) struct ChainGuard {
@@ -20,6 +22,8 @@
     has_failed: bool,
     /// The draft in the quarantine, until its answer is complete.
     send: Option<SendKey>,
+    /// The draft among the requests on servers, until its answer is complete.
+    tracked: Option<TrackedSend>,
     /// The draft among those that admission counts as on engines.
     sent: Option<SentDraft>,
     /// Whether its answer has proven its parts, so that later events need not be recorded.
@@ -34,6 +38,7 @@
             chain,
             has_failed: false,
             send: None,
+            tracked: None,
             sent: None,
             is_proven: false,
         }
@@ -44,6 +49,26 @@
         self.send = Some(send);
     }
 
+    /// Sets the request that is sent to the chain.
+    pub(super) fn hold_tracked(&mut self, tracked: TrackedSend) {
+        self.tracked = Some(tracked);
+    }
+
+    /// Waits for the sends of the same request by other hosts; returns false if they come first.
+    pub(super) async fn await_turn(&self) -> bool {
+        match &self.tracked {
+            Some(tracked) => tracked.await_turn().await,
+            None => true,
+        }
+    }
+
+    /// Records that no engine of the chain took the request.
+    pub(super) fn record_not_taken(&mut self) {
+        if let Some(tracked) = self.tracked.take() {
+            tracked.end(SendEnd::NotTaken);
+        }
+    }
+
     /// Sets the admitted draft that runs on the chain.
     pub(super) fn hold_sent(&mut self, sent: SentDraft) {
         self.sent = Some(sent);
@@ -110,6 +135,9 @@
         if let Some(send) = self.send.take() {
             self.context.quarantine.record_ended(send, true);
         }
+        if let Some(tracked) = self.tracked.take() {
+            tracked.end(SendEnd::Answered);
+        }
     }
 
     /// Ends the chain as failed; `culprit` is the engine at fault, if known.
--- a/crates/daemon/src/relay/liveness.rs
+++ b/crates/daemon/src/relay/liveness.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use pollendrift_coordination::base::{MonotonicTime, ServerName};
+use pollendrift_coordination::poison::LossKind;
 use pollendrift_coordination::retries::SendOutcome;
 use pollendrift_coordination::routing::ChainVerdict;
 use tokio::time::sleep;
@@ -30,7 +31,8 @@
 const MAX_SILENT_GAPS: f64 = 2.5;
 
 impl DraftRun {
-    /// Resolves like `watch`, but only once the draft can also continue on other engines.
+    /// Resolves like `watch`, but only once the draft can also continue on other engines, or must not be
+    /// sent any more.
     pub(super) async fn watch_for_silence(
         &self,
         chain: &ReservedChain,
@@ -41,8 +43,13 @@
             let verdict = self.watch(chain, since, expected_gap).await;
             // If all links of this host are cut, other engines would be silent, too.
             self.context.await_checks(&self.request.service.name).await;
-            if self.can_reroute(chain, &verdict.suspects) || self.has_alternative(&verdict.suspects)
-            {
+            if !self.context.is_cut_off_from(&self.request) {
+                let suspects = verdict.suspects.iter();
+                suspects.for_each(|server| self.context.record_loss(server, LossKind::Silent));
+            }
+            let may_continue = self.can_reroute(chain, &verdict.suspects)
+                || self.has_alternative(&verdict.suspects);
+            if may_continue || self.gate.is_stopped() {
                 return verdict;
             }
             sleep(CAPACITY_POLL_PERIOD).await;
--- a/crates/daemon/src/relay/reroute.rs
+++ b/crates/daemon/src/relay/reroute.rs
@@ -74,7 +74,7 @@
                 verdict = self.watch_for_silence(&chain.chain, since, expected_gap) => verdict,
             };
             let Some(rerouted) = self.reroute(&chain.chain, &verdict.suspects).await else {
-                if self.has_alternative(&verdict.suspects) {
+                if self.has_alternative(&verdict.suspects) || self.gate.is_stopped() {
                     return Err(self.silence_failure(&verdict.suspects));
                 }
                 continue;
@@ -129,6 +129,7 @@
                 lost = join_names(&lost).as_str(), after = self.reroutes.events_written; "first engine answered a reroute order");
             match outcome {
                 Some(RerouteOutcome::Accepted) => {
+                    next.hold_tracked(self.begin_send(&next.chain));
                     self.track(&mut next);
                     self.record_sent(&mut next);
                     return Some(next);
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -78,7 +78,7 @@
                     forwarder.restart_silence_timer(run.context.clock.now());
                 }
             }
-            ChainEnd::Silent(verdict) if !verdict.is_dead => {
+            ChainEnd::Silent(verdict) if !verdict.is_dead && !run.gate.is_stopped() => {
                 let outcome = tokio::select! {
                     outcome = move_draft(&mut run, &mut running, verdict.suspects, after) => outcome,
                     () = sender.closed() => {
--- a/crates/daemon/src/telemetry/instruments.rs
+++ b/crates/daemon/src/telemetry/instruments.rs
@@ -89,6 +89,10 @@
         "Frames queued for peers, by kind";
     PEER_BYTES: Counter "pollendrift.peer.sent.size", "By",
         "Bytes of the frames queued for peers, by kind";
+    WITHHELD_REQUESTS: Counter "pollendrift.poison.refusals", "{request}",
+        "Requests not sent to servers because servers ended under them";
+    STOPPED_REQUESTS: Gauge "pollendrift.poison.stopped.count", "{request}",
+        "Requests that are not sent any more because servers ended under them";
     SUSPECTED_PARTS: Gauge "pollendrift.quarantine.suspected.count", "{part}",
         "Prompt parts whose requests are held back because engines crashed under them";
     PART_VERDICTS: Counter "pollendrift.quarantine.verdicts", "{part}",
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -77,6 +77,8 @@
     request_attempts: Counter<u64>,
     request_duration: Histogram<f64>,
     request_first_token: Histogram<f64>,
+    withheld_requests: Counter<u64>,
+    stopped_requests: Gauge<u64>,
     part_verdicts: Counter<u64>,
     suspected_parts: Gauge<u64>,
     requests_forwarded: Counter<u64>,
@@ -128,6 +130,8 @@
             request_attempts: counter(&meter, &instruments::REQUEST_ATTEMPTS),
             request_duration: durations(&meter, &instruments::REQUEST_DURATION),
             request_first_token: durations(&meter, &instruments::REQUEST_FIRST_TOKEN),
+            withheld_requests: counter(&meter, &instruments::WITHHELD_REQUESTS),
+            stopped_requests: gauge(&meter, &instruments::STOPPED_REQUESTS),
             part_verdicts: counter(&meter, &instruments::PART_VERDICTS),
             suspected_parts: gauge(&meter, &instruments::SUSPECTED_PARTS),
             requests_forwarded: counter(&meter, &instruments::REQUESTS_FORWARDED),
@@ -144,6 +148,8 @@
         // Series of rare events exist from the start, so that an alert sees the first one.
         metrics.connections_shed.add(0, &[]);
         metrics.set_unreachable_services(0);
+        metrics.withheld_requests.add(0, &[]);
+        metrics.set_stopped_requests(0);
         metrics.set_suspected_parts(0);
         metrics.part_verdicts.add(0, &[part_verdict("suspected")]);
         metrics
@@ -256,6 +262,16 @@
         self.connections_shed.add(1, &[]);
     }
 
+    /// Counts a request that was not sent because servers ended under it.
+    pub fn record_withheld_request(&self) {
+        self.withheld_requests.add(1, &[]);
+    }
+
+    /// Records the number of requests that are not sent any more.
+    pub fn set_stopped_requests(&self, count: u64) {
+        self.stopped_requests.record(count, &[]);
+    }
+
     /// Counts a prompt part whose verdict changed.
     pub fn record_part_verdict(&self, verdict: &'static str) {
         self.part_verdicts.add(1, &[part_verdict(verdict)]);
--- a/crates/daemon/tests/hosts/demand.rs
+++ b/crates/daemon/tests/hosts/demand.rs
@@ -49,6 +49,7 @@
         rates: None,
         partition: None,
         quarantine: None,
+        poison: None,
         demand: Some(DemandBatch {
             scope: ReportScope::Part,
             reports: vec![report],
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -34,6 +34,10 @@
     NumberedRenewal, PackedRenewals, ServerAnnounce, ServerState,
 };
 use pollendrift_coordination::ledger::GeneratedToken;
+use pollendrift_coordination::poison::{
+    ContentDigest, DigestNote, LossNote, LostRequest, PoisonNotice, RequestContent, SendNumber,
+    TrialNote, WithdrawnNote,
+};
 use pollendrift_coordination::quarantine::{
     BrokenNote, CrashId, CrashNote, PartDigest, PartKey, PartNote, QuarantineNotice,
 };
@@ -334,6 +338,44 @@
     notice
 }
 
+fn poison() -> PoisonNotice {
+    let id = CrashId {
+        server: "e1".into(),
+        incarnation: Incarnation(2),
+    };
+    let digest = ContentDigest::of(&RequestContent::default());
+    let note = DigestNote {
+        digest,
+        age: Duration::from_millis(20),
+    };
+    PoisonNotice {
+        losses: vec![LossNote {
+            id: id.clone(),
+            service: "writers".into(),
+            age: Duration::from_millis(90),
+            silent: true,
+            requests: vec![LostRequest {
+                digest,
+                send: SendNumber(7),
+                servers: 3,
+            }],
+        }],
+        withdrawn: vec![WithdrawnNote {
+            id: id.clone(),
+            age: Duration::from_millis(30),
+        }],
+        trials: vec![TrialNote {
+            send: SendNumber(8),
+            digest,
+            servers: vec![id],
+            age: Duration::from_millis(40),
+        }],
+        ended: vec![SendNumber(7)],
+        cleared: vec![note],
+        stopped: vec![note],
+    }
+}
+
 fn broadcast_frames() -> Vec<PeerFrame> {
     let revision = Revision(8);
     let engine = SurveyResult {
@@ -375,6 +417,7 @@
             rates: None,
             partition: None,
             quarantine: None,
+            poison: None,
             demand: None,
         },
         PeerFrame::Survey {
@@ -383,6 +426,7 @@
             rates: Some(rates()),
             partition: None,
             quarantine: None,
+            poison: None,
             demand: None,
         },
         PeerFrame::LeaseQuestion(vec!["e1".into()]),
@@ -406,6 +450,7 @@
             rates: None,
             partition: None,
             quarantine: Some(quarantine()),
+            poison: None,
             demand: None,
         },
         PeerFrame::Survey {
@@ -414,6 +459,7 @@
             rates: None,
             partition: None,
             quarantine: None,
+            poison: None,
             demand: Some(demand()),
         },
         PeerFrame::Survey {
@@ -423,6 +469,7 @@
             demand: None,
             partition: None,
             quarantine: Some(late_quarantine()),
+            poison: Some(Box::new(poison())),
         },
     ];
     let configurations = configurations.into_iter().map(PeerFrame::Configuration);
@@ -447,6 +494,7 @@
         rates: None,
         partition: Some(notice),
         quarantine: None,
+        poison: None,
         demand: None,
     }
 }
--- a/crates/daemon/tests/telemetry_pages.rs
+++ b/crates/daemon/tests/telemetry_pages.rs
@@ -59,6 +59,8 @@
     });
     metrics.record_shed_connection();
     metrics.record_forwarded("refused");
+    metrics.record_withheld_request();
+    metrics.set_stopped_requests(1);
     metrics.record_part_verdict("suspected");
     metrics.set_suspected_parts(1);
     metrics.record_peer_request();
@@ -131,7 +133,7 @@
     let counters = INSTRUMENTS
         .iter()
         .filter(|spec| spec.kind == InstrumentKind::Counter);
-    assert_eq!(counters.count(), 16);
+    assert_eq!(counters.count(), 17);
 }
 
 // Guards against changed metric names or labels, which would break operators' dashboards.
@@ -180,6 +182,8 @@
     pollendrift_keeper_leader{otel_scope_name="pollendrift"} 1
     pollendrift_peer_sent_count_total{kind="leases",otel_scope_name="pollendrift"} 2
     pollendrift_peer_sent_size_bytes_total{kind="leases",otel_scope_name="pollendrift"} 300
+    pollendrift_poison_refusals_total{otel_scope_name="pollendrift"} 1
+    pollendrift_poison_stopped_count{otel_scope_name="pollendrift"} 1
     pollendrift_quarantine_suspected_count{otel_scope_name="pollendrift"} 1
     pollendrift_quarantine_verdicts_total{verdict="suspected",otel_scope_name="pollendrift"} 1
     pollendrift_request_active{otel_scope_name="pollendrift"} 0
