fix(poison): smaller notices, and less work for repeated reports of one loss

Cause: each stream of an engine that ended was announced with the names of all engines of its next chain, and each look at a silent chain recorded its engines again. Change: names only for requests that have ended servers by two sends; known ends are not recorded again; the periodic notice finds repeated requests in one pass.

--- a/crates/coordination/src/poison/exchange.rs
+++ b/crates/coordination/src/poison/exchange.rs
@@ -101,19 +101,19 @@
     /// and the ends of servers that are recent or under a request that was on another one.
     pub fn full_notice(&self, now: MonotonicTime) -> PoisonNotice {
         let now = self.internal(now);
+        let repeated = self.losses.repeated_requests();
         let is_needed = |record: &LossRecord| {
             let mut digests = record.requests.keys();
             now.since(record.at) <= self.settings.repeat_time
-                || digests.any(|(digest, _)| {
-                    let evidence = self.evidence(*digest);
-                    evidence.is_some_and(|evidence| evidence.sends > 1)
-                })
+                || digests.any(|(digest, _)| repeated.contains(digest))
         };
         let losses = self.losses.records();
         let losses = losses.filter(|(_, record)| is_needed(record));
+        let trials = self.sends.told();
+        let trials = trials.filter(|(_, digest)| repeated.contains(digest));
         let changes = PendingChanges {
             losses: losses.map(|(id, _)| id.clone()).collect(),
-            trials: self.sends.told().collect(),
+            trials: trials.map(|(send, _)| send).collect(),
             cleared: self.cleared.keys().copied().collect(),
             stopped: self.stopped.keys().copied().collect(),
             ..PendingChanges::default()
@@ -151,10 +151,17 @@
         });
         let trials = changes.trials.into_iter().filter_map(|send| {
             let trial = self.sends.find(send)?;
+            // The streams of an engine that ended are many, and most have ended no other.
+            let evidence = self.evidence(trial.digest);
+            let names_servers = evidence.is_some_and(|evidence| evidence.sends > 1);
             Some(TrialNote {
                 send,
                 digest: trial.digest,
-                servers: trial.servers,
+                servers: if names_servers {
+                    trial.servers
+                } else {
+                    Vec::new()
+                },
                 age: now.since(trial.began_at),
             })
         });
--- a/crates/coordination/src/poison/losses.rs
+++ b/crates/coordination/src/poison/losses.rs
@@ -133,6 +133,17 @@
         self.records.remove(id)
     }
 
+    /// Requests that were on more than one server that ended.
+    pub(super) fn repeated_requests(&self) -> BTreeSet<ContentDigest> {
+        let (mut seen, mut repeated) = (BTreeSet::new(), BTreeSet::new());
+        for digest in self.records.values().flat_map(digests_of) {
+            if !seen.insert(digest) {
+                repeated.insert(digest);
+            }
+        }
+        repeated
+    }
+
     /// Removes what is too old.
     pub(super) fn forget(&mut self, now: MonotonicTime, settings: &PoisonSettings) {
         self.records
@@ -147,13 +158,10 @@
         if self.records.len() <= settings.max_losses {
             return;
         }
-        let mut counts: BTreeMap<ContentDigest, u32> = BTreeMap::new();
-        for digest in self.records.values().flat_map(digests_of) {
-            *counts.entry(digest).or_default() += 1;
-        }
+        let repeated = self.repeated_requests();
         let is_linked = |record: &LossRecord| {
             let mut digests = record.requests.keys();
-            digests.any(|(digest, _)| counts.get(digest).is_some_and(|count| *count > 1))
+            digests.any(|(digest, _)| repeated.contains(digest))
         };
         let rank = |record: &LossRecord| (is_linked(record), record.at);
         let first = self.records.iter().min_by_key(|(_, record)| rank(record));
--- a/crates/coordination/src/poison/notice.rs
+++ b/crates/coordination/src/poison/notice.rs
@@ -54,7 +54,8 @@
     pub send: SendNumber,
     /// The request.
     pub digest: ContentDigest,
-    /// Servers that have it.
+    /// Servers that have it; empty if only one of its sends has ended servers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub servers: Vec<CrashId>,
     /// Time since the send.
     pub age: Duration,
--- a/crates/coordination/src/poison/sends.rs
+++ b/crates/coordination/src/poison/sends.rs
@@ -169,12 +169,13 @@
         })
     }
 
-    /// Numbers of the sends that other hosts must know of.
-    pub(super) fn told(&self) -> impl Iterator<Item = SendNumber> {
+    /// Sends that other hosts know of, with their requests.
+    pub(super) fn told(&self) -> impl Iterator<Item = (SendNumber, ContentDigest)> {
         let own = self.own.values();
         let own = own.filter(|send| send.is_told && send.is_running());
-        own.map(|send| send.number)
-            .chain(self.trials.keys().copied())
+        let trials = self.trials.iter();
+        own.map(|send| (send.number, send.digest))
+            .chain(trials.map(|(number, trial)| (*number, trial.digest)))
     }
 
     /// Adds a send of another host; returns whether it is new.
--- a/crates/coordination/src/poison/table.rs
+++ b/crates/coordination/src/poison/table.rs
@@ -198,6 +198,12 @@
         self.add_loss(id, loss, &NoticeSource::Own)
     }
 
+    /// Whether the end of a server is known by a notice of this kind, or a surer one.
+    pub fn is_known(&self, id: &CrashId, kind: LossKind) -> bool {
+        let record = self.losses.get(id);
+        record.is_some_and(|record| record.kind >= kind)
+    }
+
     /// Whether the end of a server is known.
     pub fn is_lost(&self, id: &CrashId) -> bool {
         self.losses.get(id).is_some()
--- a/crates/daemon/src/poison.rs
+++ b/crates/daemon/src/poison.rs
@@ -87,8 +87,11 @@
     /// Records that a server of `service` ended, with all requests of this host on it.
     pub(crate) fn record_loss(&self, id: &CrashId, service: &ServiceName, kind: LossKind) {
         let now = self.clock.now();
-        let is_known = self.is_lost(id);
-        if !is_known {
+        // Each stream of a silent engine finds it silent again and again.
+        if self.table().is_known(id, kind) {
+            return;
+        }
+        if !self.is_lost(id) {
             log::info!(server:% = id.server, service:% = service, kind:% = kind; "backend server ended");
         }
         self.update(|table| ((), table.record_loss(now, id, service, kind)));
