--- a/crates/daemon/tests/hosts/main.rs
+++ b/crates/daemon/tests/hosts/main.rs
@@ -7,6 +7,7 @@
 mod copies;
 mod demand;
 mod drafts;
+mod ends;
 mod evidence;
 mod metrics;
 mod placement;
