fix(poison): a server that answers has not ended, whoever was cut off from it

Cause: a host whose connections to a running server were refused recorded its end for ten minutes, and a later end of the same process would not have counted; a keeper that is cut off recorded all engines of its area as silent; a retry without budget left its server marked as having had the call. Change: an answer to a keeper's probe after the loss was noticed takes it back; only the keeper that places layers records engines that miss its probes; a call that was not sent is not tracked.

--- a/crates/coordination/src/poison/losses.rs
+++ b/crates/coordination/src/poison/losses.rs
@@ -116,7 +116,8 @@
         change
     }
 
-    /// Removes a loss if its server was only silent and answered soon after; returns whether it did.
+    /// Removes a loss if its server answered after it was noticed, a silent one soon after; returns the
+    /// removed loss.
     pub(super) fn withdraw(
         &mut self,
         settings: &PoisonSettings,
@@ -124,9 +125,8 @@
         answered_at: MonotonicTime,
     ) -> Option<LossRecord> {
         let record = self.records.get(id)?;
-        let is_in_time =
-            answered_at > record.at && answered_at.since(record.at) <= settings.silence_grace;
-        if record.kind != LossKind::Silent || !is_in_time {
+        let is_soon = answered_at.since(record.at) <= settings.silence_grace;
+        if answered_at <= record.at || (record.kind == LossKind::Silent && !is_soon) {
             return None;
         }
         self.withdrawn.insert(id.clone(), answered_at);
--- a/crates/coordination/src/poison/settings.rs
+++ b/crates/coordination/src/poison/settings.rs
@@ -17,6 +17,8 @@
     pub notice_time: Duration,
     /// Time within which a silent server that answers again has not ended.
     pub silence_grace: Duration,
+    /// Time for which answers of a server that seems to have ended are looked for.
+    pub doubt_time: Duration,
     /// Time within which two sends at different hosts may begin without knowing of each other.
     pub trial_settle: Duration,
     /// Longest time for which the send of another host counts as under way.
@@ -45,6 +47,7 @@
             common_reason_time: Duration::from_millis(1_500),
             notice_time: Duration::from_secs(1),
             silence_grace: Duration::from_millis(1_500),
+            doubt_time: Duration::from_secs(10),
             trial_settle: Duration::from_millis(100),
             trial_timeout: Duration::from_secs(25),
             memory: Duration::from_secs(600),
--- a/crates/coordination/src/poison/table.rs
+++ b/crates/coordination/src/poison/table.rs
@@ -223,21 +223,21 @@
         std::mem::take(&mut self.has_new_losses)
     }
 
-    /// Records that a server answered: if it was only silent, it has not ended.
+    /// Records that a server answered after its end was noticed: unless it was silent for long, it has not
+    /// ended.
     pub fn record_answer(&mut self, now: MonotonicTime, id: &CrashId) {
         let now = self.internal(now);
         self.withdraw(id, now, &NoticeSource::Own);
     }
 
-    /// Servers that are silent and may still answer in time.
-    pub fn silent_servers(&self, now: MonotonicTime) -> Vec<(CrashId, MonotonicTime)> {
+    /// Servers that ended lately, with the time at which that was noticed. If one answers after that, it
+    /// has not ended: a host may have been cut off from it.
+    pub fn recent_losses(&self, now: MonotonicTime) -> Vec<(CrashId, MonotonicTime)> {
         let now = self.internal(now);
-        let silent = self.losses.records().filter(|(_, record)| {
-            record.kind == LossKind::Silent
-                && now.since(record.at) <= self.settings.silence_grace * 2
-        });
-        let silent = silent.map(|(id, record)| (id.clone(), self.external(record.at)));
-        silent.collect()
+        let losses = self.losses.records();
+        let recent = losses.filter(|(_, record)| now.since(record.at) <= self.settings.doubt_time);
+        let recent = recent.map(|(id, record)| (id.clone(), self.external(record.at)));
+        recent.collect()
     }
 
     /// Removes what is too old.
--- a/crates/coordination/tests/poison.rs
+++ b/crates/coordination/tests/poison.rs
@@ -332,6 +332,19 @@
     assert_eq!(seen, ["wait", "stop", "stop"]);
 }
 
+/// Guards against ends of servers that one host was only cut off from, and against a later end of such a
+/// server that is not seen.
+#[test]
+fn a_server_that_a_host_was_cut_off_from_has_not_ended() {
+    let mut host = TestHost::new(1);
+    let digest = request("sound");
+    host.lose_under(0, digest, &["a", "x"], &["a"]);
+    host.table.record_answer(at(4_000), &server("a"));
+    let verdict = host.verdict(4_100, digest);
+    host.lose_under(5_000, digest, &["a", "x"], &["a"]);
+    assert_eq!((verdict, host.verdict(5_100, digest)), ("send", "trial"));
+}
+
 /// Guards against an end that counts for requests which the server no longer had.
 #[test]
 fn only_requests_on_the_server_count() {
--- a/crates/daemon/src/poison.rs
+++ b/crates/daemon/src/poison.rs
@@ -106,9 +106,9 @@
         });
     }
 
-    /// Servers that are silent and may still answer in time, with the time of their silence.
-    pub(crate) fn silent_servers(&self) -> Vec<(CrashId, MonotonicTime)> {
-        self.table().silent_servers(self.clock.now())
+    /// Servers that ended lately, with the time at which that was noticed.
+    pub(crate) fn recent_losses(&self) -> Vec<(CrashId, MonotonicTime)> {
+        self.table().recent_losses(self.clock.now())
     }
 
     /// Removes what is too old.
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -92,6 +92,7 @@
         }
         let is_retry = !history.tried_servers.is_empty() || history.sends > 0;
         if is_retry && !context.spend_retry(now, &request.service.name) {
+            sent.end(SendEnd::NotTaken);
             return Err(final_refusal(context, request, &history));
         }
         history.tried_servers.push(worker.server.clone());
--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -297,16 +297,15 @@
         }
     }
 
-    /// Records which silent servers have answered a keeper's probe.
-    pub(super) fn clear_silent_servers(&self) {
+    /// Records which servers that seemed to have ended have answered a keeper's probe.
+    pub(super) fn withdraw_losses(&self) {
         let now = self.clock.now();
-        for (id, silent_since) in self.poison.silent_servers() {
+        for (id, lost_at) in self.poison.recent_losses() {
             let worker = self.fleet.worker(&id.server);
             let worker = worker.filter(|worker| worker.incarnation == id.incarnation);
             let surveyed = worker.and_then(|worker| self.fleet.surveyed(now, &worker));
-            let has_answered = surveyed.is_some_and(|surveyed| {
-                surveyed.load.is_some() && surveyed.measured_at > silent_since
-            });
+            let has_answered = surveyed
+                .is_some_and(|surveyed| surveyed.load.is_some() && surveyed.measured_at > lost_at);
             if has_answered {
                 self.poison.record_answer(&id);
             }
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -225,7 +225,9 @@
                     };
                     if before < LOST_PROBES && *missed >= LOST_PROBES {
                         log::warn!(server:% = result.server, questions = *missed; "engine considered lost: consecutive probes without an answer");
-                        context.record_loss(&result.server, LossKind::Silent);
+                        if now < self.right_until {
+                            context.record_loss(&result.server, LossKind::Silent);
+                        }
                     }
                 }
             }
