fix(relay): a draft whose engine ended early spares sole holders for longer

Change: 3 s instead of 1.5 s if the send had lasted less than 250 ms; such a caller has little or nothing yet.

--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -48,6 +48,11 @@
 /// Longest time for which a draft under which an engine has ended spares engines that alone hold some
 /// layers. Callers of streams leave after two seconds without an event.
 const SPARE_TIME: Duration = Duration::from_millis(1_500);
+/// Time of a send within which the end of its engine is more likely to be due to the draft.
+const EARLY_END: Duration = Duration::from_millis(250);
+/// The same as [`SPARE_TIME`] after an early end, until other engines have loaded the lost layers. The
+/// caller has received little or nothing by then.
+const EARLY_SPARE_TIME: Duration = Duration::from_secs(3);
 /// Declined sends after which a request fails. Each of them excludes another engine: the one that
 /// the answer names, else the first of the chain.
 const MAX_DECLINED: u32 = 6;
@@ -82,6 +87,8 @@
     pub(super) quarantine: QuarantineHold,
     /// Time until which the draft waits for a chain of engines none of which alone holds some layers.
     pub(super) spare_until: Option<MonotonicTime>,
+    /// Time of the last send to a chain.
+    sent_at: Option<MonotonicTime>,
     /// Decides whether the request may be sent, by the servers that ended under it.
     pub(super) gate: SendGate,
     /// Part of the capacity that the draft holds, if its service admits drafts by priority.
@@ -125,6 +132,7 @@
     let mut run = DraftRun {
         gate: SendGate::new(&context.poison, request.content),
         spare_until: None,
+        sent_at: None,
         context: Arc::clone(context),
         request,
         meter: meter.clone(),
@@ -184,7 +192,7 @@
         wait_until: MonotonicTime,
     ) -> Option<AnsweredDraft> {
         let is_resume = self.may_have_run;
-        self.spare_until = Some(self.context.clock.now().after(SPARE_TIME));
+        self.spare_sole_holders();
         loop {
             let now = self.context.clock.now();
             if self.request.time_left(now) < MIN_TIME_LEFT || self.is_final() {
@@ -232,6 +240,7 @@
             self.context.metrics.record_attempt();
             self.track(&mut chain);
             self.record_sent(&mut chain);
+            self.sent_at = Some(self.context.clock.now());
             match self.send(&mut chain, resume_after).await {
                 Ok(answer) => {
                     self.tried_servers.record(&chain.chain.first);
@@ -277,7 +286,7 @@
                     let is_unreached = failed.outcome != SendOutcome::Declined;
                     let sends = self.sends;
                     self.record_failure(failed);
-                    self.spare_until = Some(self.context.clock.now().after(SPARE_TIME));
+                    self.spare_sole_holders();
                     if is_unreached {
                         let service = &self.request.service.name;
                         self.context.await_checks(service).await;
@@ -293,6 +302,18 @@
         }
     }
 
+    /// Spares engines that alone hold some layers from now on, after a send that ended.
+    fn spare_sole_holders(&mut self) {
+        let now = self.context.clock.now();
+        let is_early = self.sent_at.is_some_and(|at| now.since(at) < EARLY_END);
+        let time = if is_early {
+            EARLY_SPARE_TIME
+        } else {
+            SPARE_TIME
+        };
+        self.spare_until = Some(now.after(time));
+    }
+
     /// Counts an admitted draft as on the engines of `chain`.
     pub(super) fn record_sent(&self, chain: &mut ChainGuard) {
         if let Some(ticket) = &self.ticket {
