fix(poison): an answer at the address of a server that is gone does not revive it

Callers saw: after a host was killed, or with another host sending, one request took four to six engines along. Cause: took an end back when a keeper's probe was answered after it; a restarted process at the same address answers too. And since other hosts did not learn which servers had a request under which one had ended, so that the next end was lost with its host. Change: only silent servers are taken back, soon after; a running server that a host had recorded as gone may end again; sends of few requests name their servers.

--- a/crates/coordination/src/poison/exchange.rs
+++ b/crates/coordination/src/poison/exchange.rs
@@ -149,11 +149,12 @@
             let age = now.since(self.losses.withdrawn_at(&id)?);
             Some(WithdrawnNote { id, age })
         });
+        let has_many_trials = changes.trials.len() > self.settings.max_named_trials;
         let trials = changes.trials.into_iter().filter_map(|send| {
             let trial = self.sends.find(send)?;
-            // The streams of an engine that ended are many, and most have ended no other.
             let evidence = self.evidence(trial.digest);
-            let names_servers = evidence.is_some_and(|evidence| evidence.sends > 1);
+            let is_repeated = evidence.is_some_and(|evidence| evidence.sends > 1);
+            let names_servers = is_repeated || !has_many_trials;
             Some(TrialNote {
                 send,
                 digest: trial.digest,
--- a/crates/coordination/src/poison/losses.rs
+++ b/crates/coordination/src/poison/losses.rs
@@ -116,8 +116,8 @@
         change
     }
 
-    /// Removes a loss if its server answered after it was noticed, a silent one soon after; returns the
-    /// removed loss.
+    /// Removes a loss if its server was only silent and answered soon after; returns the removed loss.
+    /// Of a server that was gone, an answer proves nothing: another process has its address.
     pub(super) fn withdraw(
         &mut self,
         settings: &PoisonSettings,
@@ -126,7 +126,7 @@
     ) -> Option<LossRecord> {
         let record = self.records.get(id)?;
         let is_soon = answered_at.since(record.at) <= settings.silence_grace;
-        if answered_at <= record.at || (record.kind == LossKind::Silent && !is_soon) {
+        if record.kind != LossKind::Silent || answered_at <= record.at || !is_soon {
             return None;
         }
         self.withdrawn.insert(id.clone(), answered_at);
--- a/crates/coordination/src/poison/notice.rs
+++ b/crates/coordination/src/poison/notice.rs
@@ -54,7 +54,7 @@
     pub send: SendNumber,
     /// The request.
     pub digest: ContentDigest,
-    /// Servers that have it; empty if only one of its sends has ended servers.
+    /// Servers that have it; may be empty if many requests were on a server that ended.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub servers: Vec<CrashId>,
     /// Time since the send.
--- a/crates/coordination/src/poison/settings.rs
+++ b/crates/coordination/src/poison/settings.rs
@@ -17,8 +17,6 @@
     pub notice_time: Duration,
     /// Time within which a silent server that answers again has not ended.
     pub silence_grace: Duration,
-    /// Time for which answers of a server that seems to have ended are looked for.
-    pub doubt_time: Duration,
     /// Time within which two sends at different hosts may begin without knowing of each other.
     pub trial_settle: Duration,
     /// Longest time for which the send of another host counts as under way.
@@ -35,6 +33,8 @@
     pub max_requests: usize,
     /// Maximum number of stopped requests, and of answered ones that are remembered.
     pub max_stopped: usize,
+    /// Maximum number of sends in one notice that names the servers of all of them.
+    pub max_named_trials: usize,
     /// Maximum number of sends of other hosts that count as under way.
     pub max_trials: usize,
 }
@@ -47,7 +47,6 @@
             common_reason_time: Duration::from_millis(1_500),
             notice_time: Duration::from_secs(1),
             silence_grace: Duration::from_millis(1_500),
-            doubt_time: Duration::from_secs(10),
             trial_settle: Duration::from_millis(100),
             trial_timeout: Duration::from_secs(25),
             memory: Duration::from_secs(600),
@@ -56,6 +55,7 @@
             max_losses: 128,
             max_requests: 128,
             max_stopped: 1_024,
+            max_named_trials: 64,
             max_trials: 1_024,
         }
     }
--- a/crates/coordination/src/poison/table.rs
+++ b/crates/coordination/src/poison/table.rs
@@ -198,10 +198,11 @@
         self.add_loss(id, loss, &NoticeSource::Own)
     }
 
-    /// Whether the end of a server is known by a notice of this kind, or a surer one.
-    pub fn is_known(&self, id: &CrashId, kind: LossKind) -> bool {
-        let record = self.losses.get(id);
-        record.is_some_and(|record| record.kind >= kind)
+    /// Whether the end of a server has just been recorded, as of this kind or a surer one.
+    pub fn is_just_known(&self, now: MonotonicTime, id: &CrashId, kind: LossKind) -> bool {
+        let now = self.internal(now);
+        let record = self.losses.get(id).filter(|record| record.kind >= kind);
+        record.is_some_and(|record| now.since(record.at) <= self.settings.notice_time)
     }
 
     /// Whether the end of a server is known.
@@ -223,21 +224,21 @@
         std::mem::take(&mut self.has_new_losses)
     }
 
-    /// Records that a server answered after its end was noticed: unless it was silent for long, it has not
-    /// ended.
+    /// Records that a server answered: if it was only silent, it has not ended.
     pub fn record_answer(&mut self, now: MonotonicTime, id: &CrashId) {
         let now = self.internal(now);
         self.withdraw(id, now, &NoticeSource::Own);
     }
 
-    /// Servers that ended lately, with the time at which that was noticed. If one answers after that, it
-    /// has not ended: a host may have been cut off from it.
-    pub fn recent_losses(&self, now: MonotonicTime) -> Vec<(CrashId, MonotonicTime)> {
+    /// Servers that are silent and may still answer in time.
+    pub fn silent_servers(&self, now: MonotonicTime) -> Vec<(CrashId, MonotonicTime)> {
         let now = self.internal(now);
-        let losses = self.losses.records();
-        let recent = losses.filter(|(_, record)| now.since(record.at) <= self.settings.doubt_time);
-        let recent = recent.map(|(id, record)| (id.clone(), self.external(record.at)));
-        recent.collect()
+        let silent = self.losses.records().filter(|(_, record)| {
+            record.kind == LossKind::Silent
+                && now.since(record.at) <= self.settings.silence_grace * 2
+        });
+        let silent = silent.map(|(id, record)| (id.clone(), self.external(record.at)));
+        silent.collect()
     }
 
     /// Removes what is too old.
@@ -272,12 +273,14 @@
         mut loss: LossRecord,
         source: &NoticeSource,
     ) -> Vec<PoisonEvent> {
-        let known = self.losses.get(id);
-        let at = known.map_or(loss.at, |known| known.at.min(loss.at));
+        // A host that was cut off from a running server may have recorded its end before.
+        let times = [Some(loss.at), self.losses.get(id).map(|known| known.at)];
         let told = loss.requests.len();
-        for request in self.sends.requests_on(id, at, &self.settings) {
-            let key = (request.digest, request.send);
-            loss.requests.entry(key).or_insert(request.servers);
+        for at in times.into_iter().flatten() {
+            for request in self.sends.requests_on(id, at, &self.settings) {
+                let key = (request.digest, request.send);
+                loss.requests.entry(key).or_insert(request.servers);
+            }
         }
         let has_own = loss.requests.len() > told;
         let was_known = self.losses.get(id).is_some();
--- a/crates/coordination/tests/poison.rs
+++ b/crates/coordination/tests/poison.rs
@@ -332,17 +332,25 @@
     assert_eq!(seen, ["wait", "stop", "stop"]);
 }
 
-/// Guards against ends of servers that one host was only cut off from, and against a later end of such a
-/// server that is not seen.
+/// Guards against an end that is taken back because the next process at the address of the server answers.
 #[test]
-fn a_server_that_a_host_was_cut_off_from_has_not_ended() {
+fn an_answer_at_the_address_of_a_server_that_is_gone_proves_nothing() {
     let mut host = TestHost::new(1);
-    let digest = request("sound");
+    let digest = request("bad");
     host.lose_under(0, digest, &["a", "x"], &["a"]);
-    host.table.record_answer(at(4_000), &server("a"));
-    let verdict = host.verdict(4_100, digest);
-    host.lose_under(5_000, digest, &["a", "x"], &["a"]);
-    assert_eq!((verdict, host.verdict(5_100, digest)), ("send", "trial"));
+    host.table.record_answer(at(1_000), &server("a"));
+    assert_eq!(host.verdict(1_100, digest), "trial");
+}
+
+/// Guards against the end of a server that is not counted because a host that was cut off from it had
+/// recorded it before.
+#[test]
+fn a_server_may_end_after_a_host_was_cut_off_from_it() {
+    let mut host = TestHost::new(1);
+    let digest = request("bad");
+    host.lose(0, "a");
+    host.lose_under(60_000, digest, &["a", "x"], &["a"]);
+    assert_eq!(host.verdict(60_100, digest), "trial");
 }
 
 /// Guards against an end that counts for requests which the server no longer had.
--- a/crates/daemon/src/poison.rs
+++ b/crates/daemon/src/poison.rs
@@ -88,7 +88,7 @@
     pub(crate) fn record_loss(&self, id: &CrashId, service: &ServiceName, kind: LossKind) {
         let now = self.clock.now();
         // Each stream of a silent engine finds it silent again and again.
-        if self.table().is_known(id, kind) {
+        if self.table().is_just_known(now, id, kind) {
             return;
         }
         if !self.is_lost(id) {
@@ -106,9 +106,9 @@
         });
     }
 
-    /// Servers that ended lately, with the time at which that was noticed.
-    pub(crate) fn recent_losses(&self) -> Vec<(CrashId, MonotonicTime)> {
-        self.table().recent_losses(self.clock.now())
+    /// Servers that are silent and may still answer in time, with the time of their silence.
+    pub(crate) fn silent_servers(&self) -> Vec<(CrashId, MonotonicTime)> {
+        self.table().silent_servers(self.clock.now())
     }
 
     /// Removes what is too old.
--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -297,15 +297,16 @@
         }
     }
 
-    /// Records which servers that seemed to have ended have answered a keeper's probe.
-    pub(super) fn withdraw_losses(&self) {
+    /// Records which silent servers have answered a keeper's probe.
+    pub(super) fn clear_silent_servers(&self) {
         let now = self.clock.now();
-        for (id, lost_at) in self.poison.recent_losses() {
+        for (id, silent_since) in self.poison.silent_servers() {
             let worker = self.fleet.worker(&id.server);
             let worker = worker.filter(|worker| worker.incarnation == id.incarnation);
             let surveyed = worker.and_then(|worker| self.fleet.surveyed(now, &worker));
-            let has_answered = surveyed
-                .is_some_and(|surveyed| surveyed.load.is_some() && surveyed.measured_at > lost_at);
+            let has_answered = surveyed.is_some_and(|surveyed| {
+                surveyed.load.is_some() && surveyed.measured_at > silent_since
+            });
             if has_answered {
                 self.poison.record_answer(&id);
             }
