refactor(relay): one refusal for withheld requests, later stages of a chain by name

Cause: drafts and calls built the refusal of a request under which servers ended each for itself, and the check of a broken chain zipped stages and addresses in place.

--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -17,7 +17,7 @@
 use super::context::RelayContext;
 use super::drafts::CAPACITY_POLL_PERIOD;
 use super::peer_forward::{FailedForward, ForwardAttempts};
-use super::request::{Refused, RelayRequest, SendTarget, refused};
+use super::request::{Refused, RelayRequest, SendTarget, refused, withheld};
 use crate::fleet::WorkerView;
 use crate::poison::SendGate;
 
@@ -63,7 +63,11 @@
             return Err(final_refusal(context, request, &history));
         }
         if !gate.admit().await {
-            return Err(withheld_refusal(&gate, &history));
+            let refusal = gate.withheld().map_or_else(
+                || final_refusal(context, request, &history),
+                |request| withheld(request, history.may_have_run),
+            );
+            return Err(refusal.arrived(history.sends > 0));
         }
         if context.is_cut_off_from(request) {
             context.await_hosts(request).await;
@@ -158,22 +162,6 @@
     }
 }
 
-/// Refusal of a call that is not sent because servers ended under it.
-fn withheld_refusal(gate: &SendGate, history: &CallHistory) -> Refused {
-    let kind = if history.may_have_run {
-        RefusalKind::UnknownOutcome
-    } else {
-        RefusalKind::NotRun
-    };
-    let (reason, wait) = gate.withheld().map_or_else(
-        || (String::new(), RETRY_NO_CAPACITY),
-        |withheld| (withheld.to_string(), withheld.wait()),
-    );
-    refused(kind, reason)
-        .retry_after(wait)
-        .arrived(history.sends > 0)
-}
-
 /// Forwards the call to another host and reads the complete answer; `None` if there is none.
 async fn forward(
     context: &Arc<RelayContext>,
--- a/crates/daemon/src/relay/chains.rs
+++ b/crates/daemon/src/relay/chains.rs
@@ -82,6 +82,13 @@
         found.map(|(_, hop)| hop.address)
     }
 
+    /// Engines after the first one, with their addresses.
+    pub(super) fn later_stages(&self) -> impl Iterator<Item = (ServerName, SocketAddr)> {
+        let stages = self.plan.stages.iter().zip(&self.hops);
+        let stages = stages.map(|(stage, hop)| (stage.server.clone(), hop.address));
+        stages.skip(1)
+    }
+
     /// Server of the first stage at `address`.
     pub(super) fn server_at(&self, address: SocketAddr) -> Option<&ServerName> {
         let stages = self.plan.stages.iter().zip(&self.hops);
--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -151,22 +151,12 @@
         let Some(hop) = chain.chain.hops.first() else {
             return;
         };
-        let mut later = chain
-            .chain
-            .plan
-            .stages
-            .iter()
-            .zip(&chain.chain.hops)
-            .skip(1);
-        let later = later
-            .by_ref()
-            .map(|(stage, hop)| (stage.server.clone(), hop.address));
         let check = BrokenEngineCheck {
             context: Arc::clone(&self.context),
             request: self.request.attempt.clone(),
             server: chain.chain.first.clone(),
             address: hop.address,
-            later: later.collect(),
+            later: chain.chain.later_stages().collect(),
         };
         if let Some(send) = chain.take_proven() {
             // If the wait ends first, the check goes on.
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -21,7 +21,7 @@
 use super::guard::ChainGuard;
 use super::meter::RequestMeter;
 use super::peer_forward::ForwardAttempts;
-use super::request::{Refused, RelayRequest, refused};
+use super::request::{Refused, RelayRequest, refused, withheld};
 use super::reroute::RerouteState;
 use super::stream::{StreamRun, run_stream};
 use crate::clock::millis;
@@ -416,13 +416,8 @@
         if let Some(held_back) = self.held_back.as_ref().filter(|_| !self.may_have_run) {
             return held_back.refusal();
         }
-        if let Some(withheld) = self.gate.withheld() {
-            let kind = if self.may_have_run {
-                RefusalKind::UnknownOutcome
-            } else {
-                RefusalKind::NotRun
-            };
-            return refused(kind, withheld.to_string()).retry_after(withheld.wait());
+        if let Some(request) = self.gate.withheld() {
+            return withheld(request, self.may_have_run);
         }
         if let Some(refusal) = self.quarantine.refusal().filter(|_| !self.may_have_run) {
             return refusal;
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -17,6 +17,8 @@
     DraftSize, RefusalKind, RelayRefusal, ServerDialect, ServerRequest, StageHop,
 };
 
+use crate::poison::WithheldRequest;
+
 /// Divisor of the expected answer tokens for which KV memory is requested.
 const GROWTH_DIVISOR: u32 = 2;
 /// Priorities of requests at engines, which admit lower numbers first.
@@ -161,6 +163,16 @@
     }
 }
 
+/// Creates the refusal of a request that is not sent because servers ended under it.
+pub(super) fn withheld(request: &WithheldRequest, may_have_run: bool) -> Refused {
+    let kind = if may_have_run {
+        RefusalKind::UnknownOutcome
+    } else {
+        RefusalKind::NotRun
+    };
+    refused(kind, request.to_string()).retry_after(request.wait())
+}
+
 /// Creates a refusal without a retry delay.
 pub(super) fn refused<R>(kind: RefusalKind, reason: R) -> Refused
 where
