refactor(quarantine): one origin of changes for both tables of notices

Cause: the quarantine and the table of poison requests each had the same enum. Change: NoticeSource stands once, beside the notices; no logic. Measured: cargo check of the package with its tests.

--- a/crates/coordination/src/poison/exchange.rs
+++ b/crates/coordination/src/poison/exchange.rs
@@ -7,17 +7,7 @@
 use super::sends::RemoteTrial;
 use super::table::PoisonTable;
 use crate::base::MonotonicTime;
-use crate::quarantine::{CrashId, NoticeAudience};
-
-/// Origin of a change.
-pub(super) enum NoticeSource {
-    /// This host.
-    Own,
-    /// A host without a keeper.
-    Entry,
-    /// A keeper, which tells the other keepers itself.
-    Keeper,
-}
+use crate::quarantine::{CrashId, NoticeAudience, NoticeSource};
 
 impl PoisonTable {
     /// Applies a notice of a keeper, or of a host without one; returns what it changes.
@@ -28,11 +18,7 @@
         is_from_keeper: bool,
     ) -> Vec<PoisonEvent> {
         let now = self.internal(now);
-        let source = if is_from_keeper {
-            NoticeSource::Keeper
-        } else {
-            NoticeSource::Entry
-        };
+        let source = NoticeSource::of_peer(is_from_keeper);
         let mut events = Vec::new();
         for note in notice.cleared {
             events.extend(self.clear(note.digest, now.before(note.age), &source));
--- a/crates/coordination/src/poison/table.rs
+++ b/crates/coordination/src/poison/table.rs
@@ -4,7 +4,6 @@
 
 use super::digest::ContentDigest;
 use super::evidence::Evidence;
-use super::exchange::NoticeSource;
 use super::interface::{
     LossKind, PoisonEvent, PoisonVerdict, RunNumber, SendEnd, SendNumber, StoppedRequest,
 };
@@ -13,7 +12,7 @@
 use super::sends::{SendTable, TrackedKey};
 use super::settings::PoisonSettings;
 use crate::base::{MonotonicTime, ServiceName};
-use crate::quarantine::CrashId;
+use crate::quarantine::{CrashId, NoticeSource};
 
 /// What one host knows of requests under which servers end.
 ///
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -27,6 +27,7 @@
 mod table;
 
 pub use interface::{Admission, CrashId, HeldRequest, PartKey, PartVerdict, QuarantineEvent};
+pub(crate) use notice::NoticeSource;
 pub use notice::{BrokenNote, CrashNote, NoticeAudience, PartNote, QuarantineNotice};
 pub use proofs::PartDigest;
 pub use sends::SendKey;
--- a/crates/coordination/src/quarantine/notice.rs
+++ b/crates/coordination/src/quarantine/notice.rs
@@ -96,6 +96,24 @@
     }
 }
 
+/// Origin of a change, which decides whom this host tells of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoticeSource {
+    /// This host.
+    Own,
+    /// A host without a keeper.
+    Entry,
+    /// A keeper, which tells the other keepers itself.
+    Keeper,
+}
+
+impl NoticeSource {
+    /// Origin of what another host tells.
+    pub(crate) fn of_peer(is_keeper: bool) -> Self {
+        if is_keeper { Self::Keeper } else { Self::Entry }
+    }
+}
+
 /// Hosts that a notice is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoticeAudience {
--- a/crates/coordination/src/quarantine/table.rs
+++ b/crates/coordination/src/quarantine/table.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use exchange::NoticeSource;
+use super::notice::NoticeSource;
 
 use super::crashes::{Blame, CrashRecord, CrashTable};
 use super::interface::{Admission, CrashId, HeldRequest, PartKey, PartVerdict, QuarantineEvent};
--- a/crates/coordination/src/quarantine/table/answers.rs
+++ b/crates/coordination/src/quarantine/table/answers.rs
@@ -3,11 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::exchange::NoticeSource;
 use super::{QuarantineTable, key_of};
 use crate::base::{MonotonicTime, PartName, ServerName, ServiceName};
 use crate::quarantine::interface::{CrashId, HeldRequest, PartKey, PartVerdict, QuarantineEvent};
 use crate::quarantine::late::BrokenAnswers;
+use crate::quarantine::notice::NoticeSource;
 use crate::quarantine::proofs::PartDigest;
 use crate::quarantine::sends::SendKey;
 
--- a/crates/coordination/src/quarantine/table/exchange.rs
+++ b/crates/coordination/src/quarantine/table/exchange.rs
@@ -6,19 +6,9 @@
 use crate::quarantine::interface::{CrashId, PartKey, QuarantineEvent};
 use crate::quarantine::late::{BrokenAnswers, LateCrash};
 use crate::quarantine::notice::{
-    BrokenNote, CrashNote, NoticeAudience, PartNote, PendingChanges, QuarantineNotice,
+    BrokenNote, CrashNote, NoticeAudience, NoticeSource, PartNote, PendingChanges, QuarantineNotice,
 };
 
-/// Origin of a change.
-pub(super) enum NoticeSource {
-    /// This host.
-    Own,
-    /// A host without a keeper.
-    Entry,
-    /// A keeper, which tells the other keepers itself.
-    Keeper,
-}
-
 impl QuarantineTable {
     /// Applies a notice of a keeper, or of a host without one; returns what it changes.
     pub fn merge(
@@ -28,11 +18,7 @@
         is_from_keeper: bool,
     ) -> Vec<QuarantineEvent> {
         let now = self.internal(now);
-        let source = if is_from_keeper {
-            NoticeSource::Keeper
-        } else {
-            NoticeSource::Entry
-        };
+        let source = NoticeSource::of_peer(is_from_keeper);
         for proven in notice.proven {
             self.add_proof(now, proven, &source);
         }
