fix(poison): notices only of what other hosts must know

Cause, by reading: each stream on an engine that ended was announced when it went on, ended and completed, each host's part of a loss was told with all parts known before, and the ends of six seconds every 2 s: keepers on 0.075 of a core forward all of it. Change: a loss is told with its new requests only; sends, answers and repetitions only of requests that were on two servers that ended. A caller learns of the end of its attempt 20 ms after that notice.

--- a/crates/coordination/src/poison/exchange.rs
+++ b/crates/coordination/src/poison/exchange.rs
@@ -1,7 +1,10 @@
 //! Exchange with other hosts.
 
+use std::collections::BTreeSet;
+
 use super::LossKind;
-use super::interface::PoisonEvent;
+use super::digest::ContentDigest;
+use super::interface::{PoisonEvent, SendNumber};
 use super::losses::LossRecord;
 use super::notice::{DigestNote, LossNote, PendingChanges, PoisonNotice, TrialNote, WithdrawnNote};
 use super::sends::RemoteTrial;
@@ -83,24 +86,23 @@
         self.notice_of(now, changes)
     }
 
-    /// Returns what hosts that restarted or missed a change need: stopped requests, sends under way,
-    /// and the ends of servers that are recent or under a request that was on another one.
+    /// Returns what hosts that restarted or missed a change need: stopped requests, those that were on
+    /// several servers that ended, and their sends.
     pub fn full_notice(&self, now: MonotonicTime) -> PoisonNotice {
         let now = self.internal(now);
         let repeated = self.losses.repeated_requests();
-        let is_needed = |record: &LossRecord| {
-            let mut digests = record.requests.keys();
-            now.since(record.at) <= self.settings.repeat_time
-                || digests.any(|(digest, _)| repeated.contains(digest))
-        };
-        let losses = self.losses.records();
-        let losses = losses.filter(|(_, record)| is_needed(record));
+        let losses = self.losses.records().filter_map(|(id, record)| {
+            let requests = record.requests.keys().copied();
+            let requests: BTreeSet<_> = requests
+                .filter(|(digest, _)| repeated.contains(digest))
+                .collect();
+            (!requests.is_empty()).then(|| (id.clone(), requests))
+        });
         let trials = self.sends.told();
         let trials = trials.filter(|(_, digest)| repeated.contains(digest));
         let changes = PendingChanges {
-            losses: losses.map(|(id, _)| id.clone()).collect(),
+            losses: losses.collect(),
             trials: trials.map(|(send, _)| send).collect(),
-            cleared: self.cleared.keys().copied().collect(),
             stopped: self.stopped.keys().copied().collect(),
             ..PendingChanges::default()
         };
@@ -118,14 +120,19 @@
         }
     }
 
-    fn loss_note(&self, now: MonotonicTime, id: &CrashId) -> Option<LossNote> {
+    fn loss_note(
+        &self,
+        now: MonotonicTime,
+        id: &CrashId,
+        requests: &BTreeSet<(ContentDigest, SendNumber)>,
+    ) -> Option<LossNote> {
         let record = self.losses.get(id)?;
         Some(LossNote {
             id: id.clone(),
             service: record.service.clone(),
             age: now.since(record.at),
             silent: record.kind == LossKind::Silent,
-            requests: record.lost_requests().collect(),
+            requests: record.lost_requests(requests).collect(),
         })
     }
 
@@ -135,20 +142,12 @@
             let age = now.since(self.losses.withdrawn_at(&id)?);
             Some(WithdrawnNote { id, age })
         });
-        let has_many_trials = changes.trials.len() > self.settings.max_named_trials;
         let trials = changes.trials.into_iter().filter_map(|send| {
             let trial = self.sends.find(send)?;
-            let evidence = self.evidence(trial.digest);
-            let is_repeated = evidence.is_some_and(|evidence| evidence.sends > 1);
-            let names_servers = is_repeated || !has_many_trials;
             Some(TrialNote {
                 send,
                 digest: trial.digest,
-                servers: if names_servers {
-                    trial.servers
-                } else {
-                    Vec::new()
-                },
+                servers: trial.servers,
                 age: now.since(trial.began_at),
             })
         });
@@ -161,7 +160,9 @@
             Some(DigestNote { digest, age })
         });
         PoisonNotice {
-            losses: losses.filter_map(|id| self.loss_note(now, id)).collect(),
+            losses: losses
+                .filter_map(|(id, requests)| self.loss_note(now, id, requests))
+                .collect(),
             withdrawn: withdrawn.collect(),
             trials: trials.collect(),
             ended: changes.ended.into_iter().collect(),
--- a/crates/coordination/src/poison/losses.rs
+++ b/crates/coordination/src/poison/losses.rs
@@ -35,14 +35,20 @@
         self.sends(digest).next().is_some()
     }
 
-    pub(super) fn lost_requests(&self) -> impl Iterator<Item = LostRequest> + '_ {
-        self.requests
-            .iter()
-            .map(|((digest, send), servers)| LostRequest {
-                digest: *digest,
-                send: *send,
-                servers: *servers,
+    /// Those of `requests` that the server had.
+    pub(super) fn lost_requests<'record>(
+        &'record self,
+        requests: &'record BTreeSet<(ContentDigest, SendNumber)>,
+    ) -> impl Iterator<Item = LostRequest> + 'record {
+        requests.iter().filter_map(|request| {
+            let servers = *self.requests.get(request)?;
+            let (digest, send) = *request;
+            Some(LostRequest {
+                digest,
+                send,
+                servers,
             })
+        })
     }
 }
 
@@ -59,7 +65,7 @@
     /// Whether anything has changed.
     pub(super) is_new: bool,
     /// Requests that were not known to be on the server.
-    pub(super) added: Vec<ContentDigest>,
+    pub(super) added: BTreeSet<(ContentDigest, SendNumber)>,
 }
 
 impl LossTable {
@@ -108,10 +114,9 @@
             let has_room = record.requests.len() < settings.max_requests;
             if has_room && record.requests.insert(request, servers).is_none() {
                 change.is_new = true;
-                change.added.push(request.0);
+                change.added.insert(request);
             }
         }
-        change.added.dedup();
         self.evict(settings);
         change
     }
--- a/crates/coordination/src/poison/notice.rs
+++ b/crates/coordination/src/poison/notice.rs
@@ -1,6 +1,6 @@
 //! What hosts tell each other about requests under which servers end.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -54,8 +54,7 @@
     pub send: SendNumber,
     /// The request.
     pub digest: ContentDigest,
-    /// Servers that have it; may be empty if many requests were on a server that ended.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    /// Servers that have it.
     pub servers: Vec<CrashId>,
     /// Time since the send.
     pub age: Duration,
@@ -109,7 +108,8 @@
 /// Changes that one audience has not been told of.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PendingChanges {
-    pub(super) losses: BTreeSet<CrashId>,
+    /// Ends of servers, with the requests on them that are new.
+    pub(super) losses: BTreeMap<CrashId, BTreeSet<(ContentDigest, SendNumber)>>,
     pub(super) withdrawn: BTreeSet<CrashId>,
     pub(super) trials: BTreeSet<SendNumber>,
     pub(super) ended: BTreeSet<SendNumber>,
--- a/crates/coordination/src/poison/settings.rs
+++ b/crates/coordination/src/poison/settings.rs
@@ -25,16 +25,12 @@
     pub memory: Duration,
     /// Time for which a request stays stopped.
     pub stop_time: Duration,
-    /// Age up to which the end of a server is told again to hosts that may have missed it.
-    pub repeat_time: Duration,
     /// Maximum number of stored ends of servers.
     pub max_losses: usize,
     /// Maximum number of requests stored for the end of one server.
     pub max_requests: usize,
     /// Maximum number of stopped requests, and of answered ones that are remembered.
     pub max_stopped: usize,
-    /// Maximum number of sends in one notice that names the servers of all of them.
-    pub max_named_trials: usize,
     /// Maximum number of sends of other hosts that count as under way.
     pub max_trials: usize,
 }
@@ -51,11 +47,9 @@
             trial_timeout: Duration::from_secs(25),
             memory: Duration::from_secs(600),
             stop_time: Duration::from_secs(3_600),
-            repeat_time: Duration::from_secs(6),
             max_losses: 128,
             max_requests: 128,
             max_stopped: 1_024,
-            max_named_trials: 64,
             max_trials: 1_024,
         }
     }
--- a/crates/coordination/src/poison/table.rs
+++ b/crates/coordination/src/poison/table.rs
@@ -1,6 +1,6 @@
 //! Decides which requests may be sent, by what this host and others have seen.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::digest::ContentDigest;
 use super::evidence::Evidence;
@@ -109,7 +109,7 @@
         let number = SendNumber(self.next_send);
         self.next_send = self.next_send.wrapping_add(1);
         let key = self.sends.begin(now, number, run, digest, servers);
-        if !self.losses.is_empty() && self.evidence(digest).is_some() {
+        if !self.losses.is_empty() && self.is_repeated(digest) {
             self.tell_sends(digest);
         }
         key
@@ -264,6 +264,13 @@
         Evidence::collect(&self.losses, &self.settings, digest, cleared_at, is_stopped)
     }
 
+    /// Whether servers have ended by two sends of a request. One such send is no sign of anything: each
+    /// server that ends has requests.
+    pub(super) fn is_repeated(&self, digest: ContentDigest) -> bool {
+        let evidence = self.evidence(digest);
+        evidence.is_some_and(|evidence| evidence.sends > 1)
+    }
+
     /// Adds the end of a server as another host told it, or this one saw it, with the requests that this
     /// host knows to have been on it.
     pub(super) fn add_loss(
@@ -290,11 +297,16 @@
         }
         let source = if has_own { &NoticeSource::Own } else { source };
         self.queue(source, |changes| {
-            changes.losses.insert(id.clone());
+            let queued = changes.losses.entry(id.clone()).or_default();
+            queued.extend(change.added.iter().copied());
         });
         let mut events = Vec::new();
-        for digest in change.added {
-            self.tell_sends(digest);
+        let digests: BTreeSet<ContentDigest> =
+            change.added.iter().map(|(digest, _)| *digest).collect();
+        for digest in digests {
+            if self.is_repeated(digest) {
+                self.tell_sends(digest);
+            }
             events.extend(self.assess(id, digest));
         }
         events
@@ -364,6 +376,7 @@
         if is_full || known.is_some_and(|known| *known >= at) {
             return Vec::new();
         }
+        let is_told = self.stopped.contains_key(&digest) || self.is_repeated(digest);
         self.cleared.insert(digest, at);
         if self
             .stopped
@@ -372,9 +385,11 @@
         {
             self.stopped.remove(&digest);
         }
-        self.queue(source, |changes| {
-            changes.cleared.insert(digest);
-        });
+        if is_told {
+            self.queue(source, |changes| {
+                changes.cleared.insert(digest);
+            });
+        }
         vec![PoisonEvent::Cleared { digest }]
     }
 
--- a/crates/daemon/src/poison.rs
+++ b/crates/daemon/src/poison.rs
@@ -19,6 +19,8 @@
 /// Time for which a request under which a server has ended waits before it is sent again. Other hosts tell
 /// of their sends of it, and of further servers that ended, within it.
 const NOTICE_WAIT: Duration = Duration::from_millis(40);
+/// Time within which a notice leaves this host.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
 /// Longest time for which a request waits for the result of its sends by other hosts.
 const MAX_TRIAL_WAIT: Duration = Duration::from_millis(500);
 /// Retry delay for a caller whose request is being sent by other hosts.
@@ -232,6 +234,14 @@
         }
     }
 
+    /// Waits until other hosts have been told of servers that ended under the request. Its caller may come
+    /// back at another host at once, and this one may be gone.
+    pub(crate) async fn flush(&self) {
+        if self.has_ends() {
+            sleep(FLUSH_TIME).await;
+        }
+    }
+
     /// Reason why the request was not sent the last time that it was to be.
     pub(crate) fn withheld(&self) -> Option<&WithheldRequest> {
         self.withheld.as_ref()
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -182,6 +182,7 @@
         let answered = self.open_admitted(resume_after, wait_until).await;
         if answered.is_none() {
             self.cancel_test();
+            self.gate.flush().await;
         }
         answered
     }
