perf(poison): most requests ask a set, not each loss

Cause, by reading: each look for a chain, 25 a second for a draft that waits, went through all known ends of servers; after a mass failure there are up to 128. Change: the table keeps the set of requests that a server had when it ended.

--- a/crates/coordination/src/poison/losses.rs
+++ b/crates/coordination/src/poison/losses.rs
@@ -56,6 +56,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct LossTable {
     records: BTreeMap<CrashId, LossRecord>,
+    /// Requests in `records`. Most requests are in none, and each send asks.
+    mentioned: BTreeSet<ContentDigest>,
     withdrawn: BTreeMap<CrashId, MonotonicTime>,
 }
 
@@ -73,6 +75,11 @@
         self.records.is_empty()
     }
 
+    /// Whether a server had the request when it ended.
+    pub(super) fn mentions(&self, digest: ContentDigest) -> bool {
+        self.mentioned.contains(&digest)
+    }
+
     pub(super) fn get(&self, id: &CrashId) -> Option<&LossRecord> {
         self.records.get(id)
     }
@@ -115,6 +122,7 @@
             if has_room && record.requests.insert(request, servers).is_none() {
                 change.is_new = true;
                 change.added.insert(request);
+                self.mentioned.insert(request.0);
             }
         }
         self.evict(settings);
@@ -135,7 +143,9 @@
             return None;
         }
         self.withdrawn.insert(id.clone(), answered_at);
-        self.records.remove(id)
+        let removed = self.records.remove(id);
+        self.update_mentioned();
+        removed
     }
 
     /// Requests that were on more than one server that ended.
@@ -151,8 +161,12 @@
 
     /// Removes what is too old.
     pub(super) fn forget(&mut self, now: MonotonicTime, settings: &PoisonSettings) {
+        let former = self.records.len();
         self.records
             .retain(|_, record| now.since(record.at) < settings.memory);
+        if self.records.len() < former {
+            self.update_mentioned();
+        }
         self.withdrawn
             .retain(|_, at| now.since(*at) < settings.notice_time * 10);
     }
@@ -172,8 +186,13 @@
         let first = self.records.iter().min_by_key(|(_, record)| rank(record));
         if let Some(id) = first.map(|(id, _)| id.clone()) {
             self.records.remove(&id);
+            self.update_mentioned();
         }
     }
+
+    fn update_mentioned(&mut self) {
+        self.mentioned = self.records.values().flat_map(digests_of).collect();
+    }
 }
 
 /// Requests on a lost server, each once.
