revert(placement): keepers keep to two probes before an engine is lost

Suspected, not shown: each end of an engine made the keepers' placement run at once, on 0.075 of a core, in the seconds in which they elect a leader.

--- a/crates/coordination/src/poison/table.rs
+++ b/crates/coordination/src/poison/table.rs
@@ -26,7 +26,6 @@
     next_run: u64,
     pub(super) sends: SendTable,
     pub(super) losses: LossTable,
-    has_new_losses: bool,
     /// Requests that are not sent any more, and the time of that decision.
     pub(super) stopped: BTreeMap<ContentDigest, MonotonicTime>,
     /// Requests under which servers had ended, and the time of their last whole answer.
@@ -45,7 +44,6 @@
             next_run: 0,
             sends: SendTable::default(),
             losses: LossTable::default(),
-            has_new_losses: false,
             stopped: BTreeMap::new(),
             cleared: BTreeMap::new(),
             for_keepers: PendingChanges::default(),
@@ -209,20 +207,6 @@
         self.losses.get(id).is_some()
     }
 
-    /// Whether a host found a moment ago that nothing listens at the address of a server any more.
-    pub fn is_just_gone(&self, now: MonotonicTime, id: &CrashId) -> bool {
-        let now = self.internal(now);
-        let record = self.losses.get(id);
-        record.is_some_and(|record| {
-            record.kind == LossKind::Gone && now.since(record.at) <= self.settings.notice_time * 2
-        })
-    }
-
-    /// Whether ends of servers have become known since the last call.
-    pub fn take_new_losses(&mut self) -> bool {
-        std::mem::take(&mut self.has_new_losses)
-    }
-
     /// Records that a server answered: if it was only silent, it has not ended.
     pub fn record_answer(&mut self, now: MonotonicTime, id: &CrashId) {
         let now = self.internal(now);
@@ -292,9 +276,7 @@
             }
         }
         let has_own = loss.requests.len() > told;
-        let was_known = self.losses.get(id).is_some();
         let change = self.losses.add(&self.settings, id, loss);
-        self.has_new_losses |= !was_known && change.is_new;
         if !change.is_new {
             return Vec::new();
         }
--- a/crates/daemon/src/poison.rs
+++ b/crates/daemon/src/poison.rs
@@ -31,8 +31,6 @@
     table: Mutex<PoisonTable>,
     /// Wakes the task that tells other hosts of changes.
     changed: Notify,
-    /// Wakes the task that places layers.
-    lost: Notify,
     clock: Arc<dyn TimeSource>,
     metrics: Arc<MetricRegistry>,
 }
@@ -65,7 +63,6 @@
         Self {
             table: Mutex::new(table),
             changed: Notify::new(),
-            lost: Notify::new(),
             clock,
             metrics,
         }
@@ -76,16 +73,6 @@
         self.table().is_lost(id)
     }
 
-    /// Whether a host found a moment ago that nothing listens at the address of a server any more.
-    pub(crate) fn is_just_gone(&self, id: &CrashId) -> bool {
-        self.table().is_just_gone(self.clock.now(), id)
-    }
-
-    /// Resolves when the end of another server becomes known.
-    pub(crate) async fn lost(&self) {
-        self.lost.notified().await;
-    }
-
     /// Records that a server of `service` ended, with all requests of this host on it.
     pub(crate) fn record_loss(&self, id: &CrashId, service: &ServiceName, kind: LossKind) {
         let now = self.clock.now();
@@ -155,12 +142,8 @@
         let mut table = self.table();
         let (result, events) = change(&mut table);
         let has_changes = table.has_changes();
-        let has_losses = table.take_new_losses();
         drop(table);
         events.iter().for_each(log_event);
-        if has_losses {
-            self.lost.notify_one();
-        }
         if has_changes {
             self.changed.notify_one();
         }
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -19,8 +19,6 @@
     EngineMemory, EngineObservation, HeldWeights, LoadOrder, PlacementSettings, PlacementTable,
     PlacementTarget, TypicalDraft, WeightsId,
 };
-use pollendrift_coordination::poison::LossKind;
-use pollendrift_coordination::quarantine::CrashId;
 use pollendrift_coordination::routes::{AcceleratorSpec, EngineSpec, RouteTable};
 use pollendrift_dialect::{OrderOutcome, PlaceOrder, ServerDialect};
 use pollendrift_http::{ConnectionPool, PoolSettings, read_bounded};
@@ -71,10 +69,7 @@
     let mut ticks = interval(PLACEMENT_TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        tokio::select! {
-            _ = ticks.tick() => {}
-            () = placer.parts.context.poison.lost() => {}
-        }
+        ticks.tick().await;
         placer.tick().await;
     }
 }
@@ -187,13 +182,9 @@
                 area.iter().map(|worker| &worker.server).collect();
             let others = workers.iter().filter(|w| !own_area.contains(&w.server));
             probed.extend(others.filter(|w| self.missed_latest_probe(now, w)).cloned());
-            let gone = workers.iter().filter(|w| self.may_be_gone(w));
-            let gone: Vec<_> = gone.filter(|w| !probed.contains(w)).cloned().collect();
-            probed.extend(gone);
         }
         if now.since(self.surveyed_at) >= survey_period(area.len()) {
             self.surveyed_at = now;
-            probed.retain(|worker| !area.contains(worker));
             probed.extend(area);
         }
         if probed.is_empty() {
@@ -212,22 +203,10 @@
                     }
                 }
                 None => {
-                    let is_gone = context.poison.is_just_gone(&CrashId {
-                        server: result.server.clone(),
-                        incarnation: result.incarnation,
-                    });
                     let missed = self.unanswered.entry(result.server.clone()).or_default();
-                    let before = *missed;
-                    *missed = if is_gone {
-                        before.saturating_add(1).max(LOST_PROBES)
-                    } else {
-                        before + 1
-                    };
-                    if before < LOST_PROBES && *missed >= LOST_PROBES {
+                    *missed += 1;
+                    if *missed == LOST_PROBES {
                         log::warn!(server:% = result.server, questions = *missed; "engine considered lost: consecutive probes without an answer");
-                        if now < self.right_until {
-                            context.record_loss(&result.server, LossKind::Silent);
-                        }
                     }
                 }
             }
@@ -241,17 +220,6 @@
         surveyed.is_some_and(|surveyed| surveyed.missed > 0)
     }
 
-    /// Whether hosts found nothing at the address of an engine that this host has not found lost. It is
-    /// probed at once, since its layers may be held by no other.
-    fn may_be_gone(&self, worker: &WorkerView) -> bool {
-        let context = &self.parts.context;
-        let id = CrashId {
-            server: worker.server.clone(),
-            incarnation: worker.incarnation,
-        };
-        context.poison.is_just_gone(&id) && !self.is_lost(worker)
-    }
-
     /// Whether an engine is lost although its lease is still valid. Its layers are placed elsewhere
     /// at once: a crashed engine sends no notice, and its lease stays valid for seconds during
     /// which the data centre might have no complete chain.
