fix(poison): a host whose links break does not count its servers as ended

Callers saw their streams cut: an entry whose links to all engines were reset stopped the draft that it was serving, as 'servers ended each time', instead of sending it over another entry.

Cause: after a broken stream, the check of the first engine asked whether this host reaches the service at all, but nothing had suspected the service at that moment, so that no check was due and the answer was yes. The engine counted as gone, and with the other engines of the chain the request had three ends.

Change: a server that accepts no connection raises the suspicion before the question is asked.

--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -233,6 +233,8 @@
         } else {
             LossKind::Gone
         };
+        // Without a suspicion, the check of whether this host reaches the service would not begin.
+        self.suspect_service_of(server);
         if self.has_lost_service_of(server).await {
             return false;
         }
