fix(poison): a silent server has ended once the keepers find it silent too

Cause: one unanswered probe of one host made an engine count as ended under all requests on it. While packets were lost, hosts found 39 engines silent, most of them one host alone, and answers to keepers' probes came too late to take that back; a stop that was taken back came back with the next full notice.

Change: silence at one host stops nothing. It counts as a server that has the request, which makes the request wait, until two probes of keepers in a row are not answered (an end) or one is. An answer is valid for the silence before it; sparing of engines that alone hold layers is for certain ends only.

--- a/crates/coordination/src/poison/evidence.rs
+++ b/crates/coordination/src/poison/evidence.rs
@@ -1,6 +1,6 @@
 //! Decides from the ends of servers whether a request caused them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::digest::ContentDigest;
 use super::interface::SendNumber;
@@ -18,6 +18,8 @@
     pub(super) sends: u32,
     /// Servers that ended under it.
     pub(super) servers: u32,
+    /// Further sends under which servers are silent.
+    pub(super) unsure: u32,
     /// Servers that ended at the same time, did not have it, and had no request that is stopped.
     pub(super) others: u32,
 }
@@ -39,18 +41,22 @@
         let own: Vec<&LossRecord> = own
             .filter(|record| cleared_at.is_none_or(|cleared_at| record.at > cleared_at))
             .collect();
-        match own.len() {
-            0 => return None,
-            // The usual case by far, in which the other ends decide nothing.
-            1 => {
-                return Some(Self {
-                    ends: 1,
-                    sends: 1,
-                    servers: 1,
-                    others: 0,
-                });
-            }
-            _ => {}
+        if own.is_empty() {
+            return None;
+        }
+        let (own, silent): (Vec<&LossRecord>, Vec<&LossRecord>) =
+            own.into_iter().partition(|record| record.is_sure());
+        let unsure = unsure_sends(digest, &own, &silent);
+        // The usual case by far, in which the other ends decide nothing.
+        if own.len() < 2 {
+            let ends = count(own.len());
+            return Some(Self {
+                ends,
+                sends: ends,
+                servers: ends,
+                unsure,
+                others: 0,
+            });
         }
         let is_beside = |record: &LossRecord, own: &LossRecord| {
             let apart = record.at.since(own.at).max(own.at.since(record.at));
@@ -87,10 +93,21 @@
             ends: ends.sum::<u32>().min(servers),
             sends: count(sends.len()).min(servers),
             servers,
+            unsure,
             others: count(others.len()),
         })
     }
 
+    /// Sends that may have ended servers.
+    pub(super) fn possible_sends(&self) -> u32 {
+        self.sends.saturating_add(self.unsure)
+    }
+
+    /// Ends that count if all silent servers turn out to have ended.
+    pub(super) fn possible_ends(&self) -> u32 {
+        self.ends.saturating_add(self.unsure)
+    }
+
     /// Whether the request must not be sent any more.
     pub(super) fn is_conclusive(&self, settings: &PoisonSettings) -> bool {
         let is_likely = self.ends >= settings.max_ends && self.servers > self.others;
@@ -111,6 +128,16 @@
     }
 }
 
+/// Number of sends under which servers are silent and none has certainly ended.
+fn unsure_sends(digest: ContentDigest, sure: &[&LossRecord], silent: &[&LossRecord]) -> u32 {
+    let sends_of = |records: &[&LossRecord]| -> BTreeSet<SendNumber> {
+        let sends = records.iter().flat_map(|record| record.sends(digest));
+        sends.map(|(send, _)| send).collect()
+    };
+    let (sure, silent) = (sends_of(sure), sends_of(silent));
+    count(silent.difference(&sure).count())
+}
+
 fn count(number: usize) -> u32 {
     u32::try_from(number).unwrap_or(u32::MAX)
 }
--- a/crates/coordination/src/poison/interface.rs
+++ b/crates/coordination/src/poison/interface.rs
@@ -16,13 +16,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RunNumber(pub u64);
 
-/// How the end of a server was noticed.
+/// How sure the end of a server is.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LossKind {
-    /// It does not answer; it may be alive.
+    /// It does not answer one host, which may itself be overloaded.
     #[display("silent")]
     Silent,
-    /// Nothing listens at its address.
+    /// Nothing listens at its address, or it does not answer the keepers either.
     #[display("gone")]
     Gone,
 }
@@ -45,7 +45,8 @@
     Send,
     /// Servers have ended under it, and fewer than allowed.
     Trial,
-    /// It is on as many servers as may still end under it; the result of these sends comes first.
+    /// It is on as many servers as may still end under it, or such servers are silent; what became of
+    /// them comes first.
     Wait,
     /// It must not be sent.
     Stop(StoppedRequest),
@@ -72,6 +73,8 @@
         server: crate::base::ServerName,
         /// Sends under which servers have ended.
         ends: u32,
+        /// Further sends under which servers are silent.
+        unsure: u32,
         /// Servers that ended beside it and did not have the request.
         others: u32,
     },
--- a/crates/coordination/src/poison/losses.rs
+++ b/crates/coordination/src/poison/losses.rs
@@ -21,6 +21,11 @@
 }
 
 impl LossRecord {
+    /// Whether the server has certainly ended.
+    pub(super) fn is_sure(&self) -> bool {
+        self.kind == LossKind::Gone
+    }
+
     /// Sends by which the server had a request.
     pub(super) fn sends(
         &self,
@@ -66,6 +71,8 @@
 pub(super) struct LossChange {
     /// Whether anything has changed.
     pub(super) is_new: bool,
+    /// Whether the end of a silent server has become certain.
+    pub(super) is_confirmed: bool,
     /// Requests that were not known to be on the server.
     pub(super) added: BTreeSet<(ContentDigest, SendNumber)>,
 }
@@ -100,12 +107,18 @@
         id: &CrashId,
         loss: LossRecord,
     ) -> LossChange {
-        let is_withdrawn = self.withdrawn.contains_key(id);
-        if loss.kind == LossKind::Silent && is_withdrawn {
+        let answered_at = self.withdrawn.get(id);
+        // A notice of the silence before the answer may come late.
+        let has_answered = answered_at
+            .is_some_and(|answered_at| answered_at.after(settings.notice_time) >= loss.at);
+        if loss.kind == LossKind::Silent && has_answered {
             return LossChange::default();
         }
+        let known = self.records.get(id);
+        let is_confirmed = known.is_some_and(|known| known.kind < loss.kind);
         let mut change = LossChange {
-            is_new: !self.records.contains_key(id),
+            is_new: known.is_none() || is_confirmed,
+            is_confirmed,
             ..LossChange::default()
         };
         let record = self
@@ -116,7 +129,6 @@
                 ..loss.clone()
             });
         record.at = record.at.min(loss.at);
-        change.is_new |= record.kind < loss.kind;
         record.kind = record.kind.max(loss.kind);
         for (request, servers) in loss.requests {
             let has_room = record.requests.len() < settings.max_requests;
@@ -131,23 +143,17 @@
         change
     }
 
-    /// Removes a loss if its server was only silent and answered soon after; returns the removed loss.
-    /// Of a server that was gone, an answer proves nothing: another process has its address.
-    pub(super) fn withdraw(
-        &mut self,
-        settings: &PoisonSettings,
-        id: &CrashId,
-        answered_at: MonotonicTime,
-    ) -> Option<LossRecord> {
-        let record = self.records.get(id)?;
-        let is_soon = answered_at.since(record.at) <= settings.silence_grace;
-        if record.kind != LossKind::Silent || answered_at <= record.at || !is_soon {
-            return None;
+    /// Removes a loss if its server was only silent and answered later; returns whether it did. Of a
+    /// server that was gone, an answer proves nothing: another process has its address.
+    pub(super) fn withdraw(&mut self, id: &CrashId, answered_at: MonotonicTime) -> bool {
+        let record = self.records.get(id);
+        if record.is_none_or(|record| record.is_sure() || answered_at <= record.at) {
+            return false;
         }
         self.withdrawn.insert(id.clone(), answered_at);
-        let removed = self.records.remove(id);
+        self.records.remove(id);
         self.update_servers();
-        removed
+        true
     }
 
     /// Requests that were on more than one server that ended.
--- a/crates/coordination/src/poison/settings.rs
+++ b/crates/coordination/src/poison/settings.rs
@@ -15,8 +15,6 @@
     /// Time after the end of a send during which the end of its server still counts as under it: hosts
     /// notice the end of a server one after the other.
     pub notice_time: Duration,
-    /// Time within which a silent server that answers again has not ended.
-    pub silence_grace: Duration,
     /// Time within which two sends at different hosts may begin without knowing of each other.
     pub trial_settle: Duration,
     /// Longest time for which the send of another host counts as under way.
@@ -42,7 +40,6 @@
             max_excused_ends: 5,
             common_reason_time: Duration::from_millis(1_500),
             notice_time: Duration::from_secs(1),
-            silence_grace: Duration::from_millis(1_500),
             trial_settle: Duration::from_millis(100),
             trial_timeout: Duration::from_secs(25),
             memory: Duration::from_secs(600),
--- a/crates/coordination/src/poison/table.rs
+++ b/crates/coordination/src/poison/table.rs
@@ -74,7 +74,9 @@
             return PoisonVerdict::Send;
         };
         let under_way = u32::try_from(self.sends.under_way(digest, run).count());
-        let at_risk = evidence.ends.saturating_add(under_way.unwrap_or(u32::MAX));
+        let at_risk = evidence
+            .possible_ends()
+            .saturating_add(under_way.unwrap_or(u32::MAX));
         if at_risk >= self.settings.max_ends.max(evidence.ends + 1) {
             return PoisonVerdict::Wait;
         }
@@ -138,7 +140,7 @@
         let others = self.sends.under_way(send.digest, send.run);
         let before = u32::try_from(others.filter(is_before).count()).unwrap_or(u32::MAX);
         let limit = self.settings.max_ends.max(evidence.ends + 1);
-        evidence.ends.saturating_add(before) < limit
+        evidence.possible_ends().saturating_add(before) < limit
     }
 
     /// Whether other hosts are told of a send.
@@ -207,19 +209,23 @@
         self.losses.get(id).is_some()
     }
 
+    /// Whether servers have certainly ended under a request.
+    pub fn has_ends(&self, digest: ContentDigest) -> bool {
+        !self.losses.is_empty() && self.evidence(digest).is_some_and(|found| found.ends > 0)
+    }
+
     /// Records that a server answered: if it was only silent, it has not ended.
     pub fn record_answer(&mut self, now: MonotonicTime, id: &CrashId) {
         let now = self.internal(now);
         self.withdraw(id, now, &NoticeSource::Own);
     }
 
-    /// Servers that are silent and may still answer in time.
-    pub fn silent_servers(&self, now: MonotonicTime) -> Vec<(CrashId, MonotonicTime)> {
-        let now = self.internal(now);
-        let silent = self.losses.records().filter(|(_, record)| {
-            record.kind == LossKind::Silent
-                && now.since(record.at) <= self.settings.silence_grace * 2
-        });
+    /// Servers that are silent and may be alive, with the time at which that was noticed.
+    pub fn silent_servers(&self) -> Vec<(CrashId, MonotonicTime)> {
+        let silent = self
+            .losses
+            .records()
+            .filter(|(_, record)| !record.is_sure());
         let silent = silent.map(|(id, record)| (id.clone(), self.external(record.at)));
         silent.collect()
     }
@@ -248,11 +254,11 @@
         Evidence::collect(&self.losses, &self.settings, digest, cleared_at, is_stopped)
     }
 
-    /// Whether servers have ended by two sends of a request. One such send is no sign of anything: each
-    /// server that ends has requests.
+    /// Whether servers have ended, or are silent, by two sends of a request. One such send is no sign of
+    /// anything: each server that ends has requests.
     pub(super) fn is_repeated(&self, digest: ContentDigest) -> bool {
         let evidence = self.evidence(digest);
-        evidence.is_some_and(|evidence| evidence.sends > 1)
+        evidence.is_some_and(|evidence| evidence.possible_sends() > 1)
     }
 
     /// Adds the end of a server as another host told it, or this one saw it, with the requests that this
@@ -283,8 +289,11 @@
             queued.extend(change.added.iter().copied());
         });
         let mut events = Vec::new();
-        let digests: BTreeSet<ContentDigest> =
+        let mut digests: BTreeSet<ContentDigest> =
             change.added.iter().map(|(digest, _)| *digest).collect();
+        if change.is_confirmed {
+            digests.extend(self.losses.get(id).into_iter().flat_map(digests_of));
+        }
         for digest in digests {
             if self.is_repeated(digest) {
                 self.tell_sends(digest);
@@ -303,6 +312,7 @@
             digest,
             server: id.server.clone(),
             ends: evidence.ends,
+            unsure: evidence.unsure,
             others: evidence.others,
         }];
         let Some(at) = self.losses.get(id).map(|record| record.at) else {
@@ -375,23 +385,15 @@
         vec![PoisonEvent::Cleared { digest }]
     }
 
-    /// Removes the loss of a server that was only silent.
+    /// Removes the loss of a server that was only silent. No request is stopped because of such losses.
     pub(super) fn withdraw(
         &mut self,
         id: &CrashId,
         answered_at: MonotonicTime,
         source: &NoticeSource,
     ) {
-        let withdrawn = self.losses.withdraw(&self.settings, id, answered_at);
-        let Some(record) = withdrawn else {
+        if !self.losses.withdraw(id, answered_at) {
             return;
-        };
-        for digest in digests_of(&record) {
-            let evidence = self.evidence(digest);
-            let is_conclusive = evidence.is_some_and(|found| found.is_conclusive(&self.settings));
-            if !is_conclusive {
-                self.stopped.remove(&digest);
-            }
         }
         self.queue(source, |changes| {
             changes.losses.remove(id);
--- a/crates/daemon/src/poison.rs
+++ b/crates/daemon/src/poison.rs
@@ -21,8 +21,9 @@
 const NOTICE_WAIT: Duration = Duration::from_millis(40);
 /// Time within which a notice leaves this host.
 const FLUSH_TIME: Duration = Duration::from_millis(20);
-/// Longest time for which a request waits for the result of its sends by other hosts.
-const MAX_TRIAL_WAIT: Duration = Duration::from_millis(500);
+/// Longest time for which a request waits for the result of its sends by other hosts, and for the keepers'
+/// next probes of silent servers.
+const MAX_TRIAL_WAIT: Duration = Duration::from_secs(1);
 /// Retry delay for a caller whose request is being sent by other hosts.
 const RETRY_UNDER_WAY: Duration = Duration::from_secs(2);
 
@@ -95,9 +96,9 @@
         });
     }
 
-    /// Servers that are silent and may still answer in time, with the time of their silence.
+    /// Servers that are silent and may be alive, with the time at which that was noticed.
     pub(crate) fn silent_servers(&self) -> Vec<(CrashId, MonotonicTime)> {
-        self.table().silent_servers(self.clock.now())
+        self.table().silent_servers()
     }
 
     /// Removes what is too old.
@@ -161,9 +162,10 @@
             digest,
             server,
             ends,
+            unsure,
             others,
         } => {
-            log::info!(content:% = digest, server:% = server, ends = ends, others = others; "backend server ended under a request");
+            log::info!(content:% = digest, server:% = server, ends = ends, unsure = unsure, others = others; "backend server ended under a request");
         }
         PoisonEvent::Stopped { digest, ends } => {
             log::warn!(content:% = digest, ends = ends; "request stopped: servers end under it");
@@ -220,7 +222,7 @@
     /// Waits until other hosts have been told of servers that ended under the request. Its caller may come
     /// back at another host at once, and this one may be gone.
     pub(crate) async fn flush(&self) {
-        if self.has_ends() {
+        if self.verdict(self.state.clock.now()) != PoisonVerdict::Send {
             sleep(FLUSH_TIME).await;
         }
     }
@@ -236,9 +238,9 @@
         matches!(verdict, PoisonVerdict::Wait | PoisonVerdict::Stop(_))
     }
 
-    /// Whether servers have ended under the request.
+    /// Whether servers have certainly ended under the request.
     pub(crate) fn has_ends(&self) -> bool {
-        self.verdict(self.state.clock.now()) != PoisonVerdict::Send
+        self.state.table().has_ends(self.digest)
     }
 
     /// Whether the request is not sent any more.
--- a/crates/daemon/src/relay/chains/refresh.rs
+++ b/crates/daemon/src/relay/chains/refresh.rs
@@ -29,7 +29,7 @@
         if let Some(hosts) = entries.or_else(|| listed_hosts(&hub)) {
             context.fleet.demand().set_hosts(hosts);
         }
-        context.clear_silent_servers();
+        context.review_silent_servers();
         let Ok(table) = context.routes.current(now) else {
             continue;
         };
--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -1,5 +1,6 @@
 //! Holds back drafts under whose prompt parts engines crash, and finds out which servers have ended.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
@@ -29,6 +30,8 @@
 /// Part of that time for which a draft waits whose answer has proven its parts. A crashed engine is known
 /// by then, so that the draft is not sent to another one that it crashes too.
 const PROVEN_CHECK_WAIT: Duration = Duration::from_millis(30);
+/// Probes of keepers that a silent engine leaves unanswered until it counts as ended. One may be lost.
+const MISSED_PROBES: u32 = 2;
 /// Time for which a draft waits after its engine refused the connection, if no answer to a part of its
 /// prompt is known. Other hosts tell of a crash under that part within it.
 pub(super) const NOTICE_WAIT: Duration = Duration::from_millis(60);
@@ -289,18 +292,30 @@
         }
     }
 
-    /// Records which silent servers have answered a keeper's probe.
-    pub(super) fn clear_silent_servers(&self) {
+    /// Finds out from the keepers' probes which of the silent servers are alive and which have ended.
+    pub(super) fn review_silent_servers(&self) {
         let now = self.clock.now();
         for (id, silent_since) in self.poison.silent_servers() {
-            let worker = self.fleet.worker(&id.server);
-            let worker = worker.filter(|worker| worker.incarnation == id.incarnation);
-            let surveyed = worker.and_then(|worker| self.fleet.surveyed(now, &worker));
-            let has_answered = surveyed.is_some_and(|surveyed| {
-                surveyed.load.is_some() && surveyed.measured_at > silent_since
-            });
-            if has_answered {
+            let Some(worker) = self.fleet.worker(&id.server) else {
+                continue;
+            };
+            match worker.incarnation.cmp(&id.incarnation) {
+                Ordering::Less => continue,
+                Ordering::Equal => {}
+                Ordering::Greater => {
+                    let service = &worker.offer.service;
+                    self.poison.record_loss(&id, service, LossKind::Gone);
+                    continue;
+                }
+            }
+            let surveyed = self.fleet.surveyed(now, &worker);
+            let Some(surveyed) = surveyed.filter(|found| found.measured_at > silent_since) else {
+                continue;
+            };
+            if surveyed.load.is_some() {
                 self.poison.record_answer(&id);
+            } else if surveyed.missed >= MISSED_PROBES {
+                self.record_loss(&id.server, LossKind::Gone);
             }
         }
     }
