fix(poison): a request with a recent whole answer is not held responsible for ends

Callers of a frequent idempotent look-up would have been refused for an hour after all servers of a plain service ended at once for another reason: callers that send the same method, path and body are one request by content, each server had it, no server ended beside them without it, and as a stopped request is not sent, no whole answer could clear it.

Change: a host remembers its last 1,024 whole answers for 60 s and counts no ends under their contents. A request that ends its servers has no whole answer.

--- a/crates/coordination/src/poison.rs
+++ b/crates/coordination/src/poison.rs
@@ -9,6 +9,7 @@
 //! unless a whole answer to it comes, or most servers that ended at the same time did not have it. A
 //! request under which a server has ended is sent by as many hosts at once as servers may still end.
 
+mod answers;
 mod digest;
 mod dump;
 mod evidence;
--- a/crates/coordination/src/poison/settings.rs
+++ b/crates/coordination/src/poison/settings.rs
@@ -19,10 +19,14 @@
     pub trial_settle: Duration,
     /// Longest time for which the send of another host counts as under way.
     pub trial_timeout: Duration,
+    /// Time for which a request with a whole answer is not held responsible for ends of servers.
+    pub answer_memory: Duration,
     /// Time after which the end of a server is forgotten.
     pub memory: Duration,
     /// Time for which a request stays stopped.
     pub stop_time: Duration,
+    /// Maximum number of whole answers that are remembered.
+    pub max_answers: usize,
     /// Maximum number of stored ends of servers.
     pub max_losses: usize,
     /// Maximum number of requests stored for the end of one server.
@@ -42,8 +46,10 @@
             notice_time: Duration::from_secs(1),
             trial_settle: Duration::from_millis(100),
             trial_timeout: Duration::from_secs(25),
+            answer_memory: Duration::from_secs(60),
             memory: Duration::from_secs(600),
             stop_time: Duration::from_secs(3_600),
+            max_answers: 1_024,
             max_losses: 128,
             max_requests: 128,
             max_stopped: 1_024,
--- a/crates/coordination/src/poison/table.rs
+++ b/crates/coordination/src/poison/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::answers::AnswerTable;
 use super::digest::ContentDigest;
 use super::evidence::Evidence;
 use super::interface::{
@@ -26,6 +27,7 @@
     next_run: u64,
     pub(super) sends: SendTable,
     pub(super) losses: LossTable,
+    answers: AnswerTable,
     /// Requests that are not sent any more, and the time of that decision.
     pub(super) stopped: BTreeMap<ContentDigest, MonotonicTime>,
     /// Requests under which servers had ended, and the time of their last whole answer.
@@ -44,6 +46,7 @@
             next_run: 0,
             sends: SendTable::default(),
             losses: LossTable::default(),
+            answers: AnswerTable::default(),
             stopped: BTreeMap::new(),
             cleared: BTreeMap::new(),
             for_keepers: PendingChanges::default(),
@@ -170,6 +173,7 @@
         if end != SendEnd::Answered {
             return Vec::new();
         }
+        self.answers.add(now, send.digest, &self.settings);
         let is_known = self.stopped.contains_key(&send.digest)
             || (!self.losses.is_empty() && self.evidence(send.digest).is_some());
         if !is_known {
@@ -235,6 +239,7 @@
         let now = self.internal(now);
         self.sends.forget(now, &self.settings);
         self.losses.forget(now, &self.settings);
+        self.answers.forget(now, &self.settings);
         let (stop_time, memory) = (self.settings.stop_time, self.settings.memory);
         self.stopped.retain(|_, at| now.since(*at) < stop_time);
         self.cleared.retain(|_, at| now.since(*at) < memory);
@@ -274,6 +279,9 @@
         let told = loss.requests.len();
         for at in times.into_iter().flatten() {
             for request in self.sends.requests_on(id, at, &self.settings) {
+                if self.answers.contains(request.digest) {
+                    continue;
+                }
                 let key = (request.digest, request.send);
                 loss.requests.entry(key).or_insert(request.servers);
             }
