fix(poison): ends that may be a coincidence stop no request

Callers of sound drafts were refused while engines crashed one after the other: on chains of 8 of 16 engines, each draft loses an engine at every second crash, and three of five crashes stopped it. The rule compared only the numbers of servers that ended with and without it.

Change: while other servers end beside those of a request, it is stopped after three ends only if the chance of as many hits is 2 % at most, for a request that is on its fraction of the service's servers by each send. Without others, and after five ends, nothing changes; nor on chains of a tenth of the engines, the usual size at the users' sites.

--- a/crates/coordination/src/poison.rs
+++ b/crates/coordination/src/poison.rs
@@ -10,6 +10,7 @@
 //! request under which a server has ended is sent by as many hosts at once as servers may still end.
 
 mod answers;
+mod chance;
 mod digest;
 mod dump;
 mod evidence;
--- a/crates/coordination/src/poison/evidence.rs
+++ b/crates/coordination/src/poison/evidence.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::chance::chance_of;
 use super::digest::ContentDigest;
 use super::interface::SendNumber;
 use super::losses::{LossRecord, LossTable};
@@ -9,7 +10,7 @@
 use crate::base::MonotonicTime;
 
 /// Ends of servers under one request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Evidence {
     /// Sends under which servers ended. A send all of whose servers ended, and no others beside them,
     /// counts once for each server.
@@ -22,6 +23,8 @@
     pub(super) unsure: u32,
     /// Servers that ended at the same time, did not have it, and had no request that is stopped.
     pub(super) others: u32,
+    /// Most servers that one of these sends was to.
+    pub(super) most_servers: u16,
 }
 
 impl Evidence {
@@ -55,7 +58,7 @@
                 sends: ends,
                 servers: ends,
                 unsure,
-                others: 0,
+                ..Self::default()
             });
         }
         let is_beside = |record: &LossRecord, own: &LossRecord| {
@@ -95,6 +98,7 @@
             servers,
             unsure,
             others: count(others.len()),
+            most_servers: sends.values().map(|send| send.servers).max().unwrap_or(0),
         })
     }
 
@@ -108,9 +112,16 @@
         self.ends.saturating_add(self.unsure)
     }
 
-    /// Whether the request must not be sent any more.
-    pub(super) fn is_conclusive(&self, settings: &PoisonSettings) -> bool {
-        let is_likely = self.ends >= settings.max_ends && self.servers > self.others;
+    /// Whether the request must not be sent any more. Its service has `known_servers`; 0 if that is not
+    /// known.
+    pub(super) fn is_conclusive(&self, settings: &PoisonSettings, known_servers: u32) -> bool {
+        if self.ends < settings.max_ends {
+            return false;
+        }
+        let share = f64::from(self.most_servers) / f64::from(known_servers.max(1));
+        let is_coincidence =
+            self.others > 0 && known_servers > 0 && chance_of(self, share) > settings.max_chance;
+        let is_likely = self.servers > self.others && !is_coincidence;
         is_likely || self.sends >= settings.max_excused_ends
     }
 }
--- a/crates/coordination/src/poison/settings.rs
+++ b/crates/coordination/src/poison/settings.rs
@@ -7,8 +7,10 @@
 pub struct PoisonSettings {
     /// Sends of one request under which servers may end.
     pub max_ends: u32,
-    /// Such sends after which a request is stopped even if most servers that ended beside it did not
-    /// have it.
+    /// Chance, from 0 to 1, up to which the ends of its servers are not taken for a coincidence while
+    /// others end beside them.
+    pub max_chance: f64,
+    /// Such sends after which a request is stopped whatever ended beside it.
     pub max_excused_ends: u32,
     /// Servers that end within this time may have a common reason other than a request.
     pub common_reason_time: Duration,
@@ -41,6 +43,7 @@
     fn default() -> Self {
         Self {
             max_ends: 3,
+            max_chance: 0.02,
             max_excused_ends: 5,
             common_reason_time: Duration::from_millis(1_500),
             notice_time: Duration::from_secs(1),
--- a/crates/coordination/src/poison/table.rs
+++ b/crates/coordination/src/poison/table.rs
@@ -28,6 +28,8 @@
     pub(super) sends: SendTable,
     pub(super) losses: LossTable,
     answers: AnswerTable,
+    /// Number of servers of each service that take requests.
+    service_sizes: BTreeMap<ServiceName, u32>,
     /// Requests that are not sent any more, and the time of that decision.
     pub(super) stopped: BTreeMap<ContentDigest, MonotonicTime>,
     /// Requests under which servers had ended, and the time of their last whole answer.
@@ -47,6 +49,7 @@
             sends: SendTable::default(),
             losses: LossTable::default(),
             answers: AnswerTable::default(),
+            service_sizes: BTreeMap::new(),
             stopped: BTreeMap::new(),
             cleared: BTreeMap::new(),
             for_keepers: PendingChanges::default(),
@@ -234,6 +237,11 @@
         silent.collect()
     }
 
+    /// Sets the number of servers of each service that take requests.
+    pub fn set_service_sizes(&mut self, sizes: BTreeMap<ServiceName, u32>) {
+        self.service_sizes = sizes;
+    }
+
     /// Removes what is too old.
     pub fn tick(&mut self, now: MonotonicTime) {
         let now = self.internal(now);
@@ -323,10 +331,14 @@
             unsure: evidence.unsure,
             others: evidence.others,
         }];
-        let Some(at) = self.losses.get(id).map(|record| record.at) else {
+        let Some((at, service)) = self.losses.get(id).map(|found| (found.at, &found.service))
+        else {
             return events;
         };
-        if evidence.is_conclusive(&self.settings) && !self.stopped.contains_key(&digest) {
+        let known_servers = self.service_sizes.get(service).copied().unwrap_or(0);
+        if evidence.is_conclusive(&self.settings, known_servers)
+            && !self.stopped.contains_key(&digest)
+        {
             self.stop(digest, at, &NoticeSource::Own);
             events.push(PoisonEvent::Stopped {
                 digest,
--- a/crates/coordination/tests/poison.rs
+++ b/crates/coordination/tests/poison.rs
@@ -212,6 +212,48 @@
     assert_eq!(seen, ["trial", "trial", "trial", "trial", "stop", "stop"]);
 }
 
+/// Guards against sound requests on chains of many servers that are stopped while one server after the
+/// other ends, and against a request at fault that such ends excuse for longer than needed.
+#[test]
+fn ends_that_may_be_a_coincidence_stop_no_request() {
+    let mut seen = Vec::new();
+    for (known_servers, chain) in [(16, 8), (16, 2), (40, 5), (100, 10)] {
+        for others in [0, 1, 2] {
+            let mut host = TestHost::new(1);
+            let sizes = [("writers".into(), known_servers)];
+            host.table.set_service_sizes(sizes.into());
+            for other in 0..others {
+                host.lose(100 * other, &format!("other-{other}"));
+            }
+            let digest = request("long");
+            for round in 0..3_u64 {
+                let names: Vec<String> =
+                    (0..chain).map(|stage| format!("{round}-{stage}")).collect();
+                let names: Vec<&str> = names.iter().map(String::as_str).collect();
+                host.lose_under(300 + 300 * round, digest, &names, &names[..1]);
+            }
+            let verdict = host.verdict(1_300, digest);
+            seen.push(format!(
+                "{chain} of {known_servers}, {others} others: {verdict}"
+            ));
+        }
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    8 of 16, 0 others: stop
+    8 of 16, 1 others: trial
+    8 of 16, 2 others: trial
+    2 of 16, 0 others: stop
+    2 of 16, 1 others: stop
+    2 of 16, 2 others: stop
+    5 of 40, 0 others: stop
+    5 of 40, 1 others: stop
+    5 of 40, 2 others: stop
+    10 of 100, 0 others: stop
+    10 of 100, 1 others: stop
+    10 of 100, 2 others: stop
+    ");
+}
+
 /// Guards against two requests that end servers at the same time and excuse each other.
 #[test]
 fn two_requests_that_end_servers_are_both_stopped() {
--- a/crates/daemon/src/poison.rs
+++ b/crates/daemon/src/poison.rs
@@ -1,5 +1,6 @@
 //! Requests under which servers end, shared by the requests of this host and the frames of other hosts.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -101,6 +102,11 @@
         self.table().silent_servers()
     }
 
+    /// Sets the number of servers of each service that take requests.
+    pub(crate) fn set_service_sizes(&self, sizes: BTreeMap<ServiceName, u32>) {
+        self.table().set_service_sizes(sizes);
+    }
+
     /// Removes what is too old.
     pub(crate) fn tick(&self) {
         let mut table = self.table();
--- a/crates/daemon/src/relay/chains/refresh.rs
+++ b/crates/daemon/src/relay/chains/refresh.rs
@@ -34,6 +34,7 @@
             continue;
         };
         let workers = context.fleet.workers(now);
+        context.count_servers(&workers);
         context.tick_quarantine(entries, &workers);
         context
             .chains()
--- a/crates/daemon/src/relay/crashes.rs
+++ b/crates/daemon/src/relay/crashes.rs
@@ -320,6 +320,27 @@
         }
     }
 
+    /// Counts the servers of each service that may run requests; engines without layers run none.
+    pub(super) fn count_servers(&self, workers: &[Arc<WorkerView>]) {
+        let mut sizes: BTreeMap<ServiceName, u32> = BTreeMap::new();
+        let is_engine = |worker: &WorkerView| {
+            let layers = worker.offer.layers.as_ref();
+            layers.is_some_and(|layers| !layers.range.is_empty())
+        };
+        let engines: BTreeSet<&ServiceName> = workers
+            .iter()
+            .filter(|worker| is_engine(worker))
+            .map(|worker| &worker.offer.service)
+            .collect();
+        for worker in workers {
+            let service = &worker.offer.service;
+            if is_engine(worker) || !engines.contains(service) {
+                *sizes.entry(service.clone()).or_default() += 1;
+            }
+        }
+        self.poison.set_service_sizes(sizes);
+    }
+
     /// Updates the quarantine: removes what is too old, and crashes on versions of models that are no
     /// longer held.
     pub(super) fn tick_quarantine(&self, entries: Option<u32>, workers: &[Arc<WorkerView>]) {
