fix(poison): ends under a request are logged by the hosts that sent it

Cause: each host logged each request on each server that ended, also those that it only heard of; and each whole answer under a loss. Change: only hosts that knew of the send log it, and answers of requests that other hosts were told of. Decisions are the same.

--- a/crates/coordination/src/poison/table.rs
+++ b/crates/coordination/src/poison/table.rs
@@ -1,5 +1,6 @@
 //! Decides which requests may be sent, by what this host and others have seen.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::answers::AnswerTable;
@@ -284,22 +285,28 @@
     ) -> Vec<PoisonEvent> {
         // A host that was cut off from a running server may have recorded its end before.
         let times = [Some(loss.at), self.losses.get(id).map(|known| known.at)];
-        let told = loss.requests.len();
+        let mut own = BTreeSet::new();
         for at in times.into_iter().flatten() {
             for request in self.sends.requests_on(id, at, &self.settings) {
                 if self.answers.contains(request.digest) {
                     continue;
                 }
                 let key = (request.digest, request.send);
-                loss.requests.entry(key).or_insert(request.servers);
+                if let Entry::Vacant(entry) = loss.requests.entry(key) {
+                    entry.insert(request.servers);
+                    own.insert(request.digest);
+                }
             }
         }
-        let has_own = loss.requests.len() > told;
         let change = self.losses.add(&self.settings, id, loss);
         if !change.is_new {
             return Vec::new();
         }
-        let source = if has_own { &NoticeSource::Own } else { source };
+        let source = if own.is_empty() {
+            source
+        } else {
+            &NoticeSource::Own
+        };
         self.queue(source, |changes| {
             let queued = changes.losses.entry(id.clone()).or_default();
             queued.extend(change.added.iter().copied());
@@ -314,23 +321,27 @@
             if self.is_repeated(digest) {
                 self.tell_sends(digest);
             }
-            events.extend(self.assess(id, digest));
+            events.extend(self.assess(id, digest, own.contains(&digest)));
         }
         events
     }
 
-    /// Decides on a request after a server ended under it.
-    fn assess(&mut self, id: &CrashId, digest: ContentDigest) -> Vec<PoisonEvent> {
+    /// Decides on a request after a server ended under it. `is_own` tells whether this host knows
+    /// of the send: only then an event says so, as every host learns of every request on the server.
+    fn assess(&mut self, id: &CrashId, digest: ContentDigest, is_own: bool) -> Vec<PoisonEvent> {
         let Some(evidence) = self.evidence(digest) else {
             return Vec::new();
         };
-        let mut events = vec![PoisonEvent::Lost {
-            digest,
-            server: id.server.clone(),
-            ends: evidence.ends,
-            unsure: evidence.unsure,
-            others: evidence.others,
-        }];
+        let mut events = Vec::new();
+        if is_own {
+            events.push(PoisonEvent::Lost {
+                digest,
+                server: id.server.clone(),
+                ends: evidence.ends,
+                unsure: evidence.unsure,
+                others: evidence.others,
+            });
+        }
         let Some((at, service)) = self.losses.get(id).map(|found| (found.at, &found.service))
         else {
             return events;
@@ -397,11 +408,12 @@
         {
             self.stopped.remove(&digest);
         }
-        if is_told {
-            self.queue(source, |changes| {
-                changes.cleared.insert(digest);
-            });
+        if !is_told {
+            return Vec::new();
         }
+        self.queue(source, |changes| {
+            changes.cleared.insert(digest);
+        });
         vec![PoisonEvent::Cleared { digest }]
     }
 
