--- a/crates/coordination/src/poison/evidence.rs
+++ b/crates/coordination/src/poison/evidence.rs
@@ -121,8 +121,8 @@
         let share = f64::from(self.most_servers) / f64::from(known_servers.max(1));
         let is_coincidence =
             self.others > 0 && known_servers > 0 && chance_of(self, share) > settings.max_chance;
-        let is_likely = self.servers > self.others && !is_coincidence;
-        is_likely || self.sends >= settings.max_excused_ends
+        let is_excused = self.servers <= self.others && self.sends < settings.max_excused_ends;
+        !is_coincidence && !is_excused
     }
 }
 
--- a/crates/coordination/src/poison/settings.rs
+++ b/crates/coordination/src/poison/settings.rs
@@ -10,7 +10,8 @@
     /// Chance, from 0 to 1, up to which the ends of its servers are not taken for a coincidence while
     /// others end beside them.
     pub max_chance: f64,
-    /// Sends under which servers ended after which a request is stopped whatever ended beside it.
+    /// Sends under which servers ended after which a request is stopped though as many others ended beside
+    /// it.
     pub max_excused_ends: u32,
     /// Servers that end within this time may have a common reason other than a request.
     pub common_reason_time: Duration,
