feat(telemetry): time and steps of a process by kind of work

Cause: no metric told what takes a keeper's time; frames were counted where they are sent.

Change: WorkMeter counts steps and their time by kind (frames of peers by kind, decoding, reading and writing of links, agreement, applying, questions, broadcasts, notices, layout); metrics pollendrift.work.steps and .time.

--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -117,6 +117,7 @@
                 },
             }
         };
+        let work = hub.work().track("question", Box::pin(work));
         if let Ok(answer) = tokio::time::timeout(call.patience, work).await {
             // The requester of a lost answer times out.
             let _ = hub.answer(&from, call.number, answer);
--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -12,6 +12,7 @@
 use crate::peers::FrameCount;
 use crate::relay::{ExportedAdmission, RelayContext};
 use crate::telemetry::{MetricRegistry, RecorderSlot};
+use crate::work::WorkCount;
 
 /// Time between two updates of the gauges.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -35,11 +36,13 @@
     let mut ticks = tokio::time::interval(PERIOD);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut counted = BTreeMap::new();
+    let mut worked = BTreeMap::new();
     let mut exported = ExportedAdmission::default();
     loop {
         ticks.tick().await;
         update(&sources, &metrics);
         count_frames(&sources, &metrics, &mut counted);
+        count_work(&sources, &metrics, &mut worked);
         sources.node.refusals().expire(sources.clock.now());
         if let Some(relay) = &sources.relay {
             relay.export_admission(sources.clock.now(), &mut exported);
@@ -81,6 +84,22 @@
     }
 }
 
+/// Adds the work since the last call, which `counted` has, to the counters.
+fn count_work(
+    sources: &GaugeSources,
+    metrics: &MetricRegistry,
+    counted: &mut BTreeMap<&'static str, WorkCount>,
+) {
+    for (kind, done) in sources.node.hub().work().counts() {
+        let before = counted.insert(kind, done).unwrap_or_default();
+        let added = WorkCount {
+            steps: done.steps - before.steps,
+            time: done.time.saturating_sub(before.time),
+        };
+        metrics.add_work(kind, added);
+    }
+}
+
 fn count(number: usize) -> u64 {
     u64::try_from(number).unwrap_or(u64::MAX)
 }
--- a/crates/daemon/src/keeper/calls.rs
+++ b/crates/daemon/src/keeper/calls.rs
@@ -35,6 +35,7 @@
         let number = call.number;
         let work = answer(&port, &hub, &from, call.question);
         // The requester ignores an answer after its timeout.
+        let work = hub.work().track("question", Box::pin(work));
         if let Ok(answer) = timeout(call.patience, work).await {
             let _ = hub.answer(&from, number, answer);
         }
--- a/crates/daemon/src/keeper/runtime.rs
+++ b/crates/daemon/src/keeper/runtime.rs
@@ -243,9 +243,12 @@
     fn tick(&mut self, inputs: Vec<AgreementInput>) -> Result<(), KeeperError> {
         let mut inputs = inputs;
         loop {
-            let effects = self.node.tick(self.clock.now(), inputs);
-            self.run_effects(effects)?;
-            self.run_backlog()?;
+            let work = Arc::clone(self.hub.work());
+            work.measure("agreement", || {
+                let effects = self.node.tick(self.clock.now(), inputs);
+                self.run_effects(effects)
+            })?;
+            work.measure("apply", || self.run_backlog())?;
             if self.follow_up.is_empty() {
                 break;
             }
--- a/crates/daemon/src/lease_broadcast.rs
+++ b/crates/daemon/src/lease_broadcast.rs
@@ -197,7 +197,12 @@
 
     /// Sends leases, surveys and notices of the quarantine, for as long as the host runs.
     pub async fn run(self: Arc<Self>, hub: PeerHub) {
-        tokio::join!(self.run_ticks(&hub), self.run_quarantine(&hub));
+        let ticks = hub
+            .work()
+            .track("broadcast", Box::pin(self.run_ticks(&hub)));
+        let notices = Box::pin(self.run_quarantine(&hub));
+        let notices = hub.work().track("notices", notices);
+        tokio::join!(ticks, notices);
     }
 
     async fn run_ticks(&self, hub: &PeerHub) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod tasks;
 pub mod telemetry;
 pub mod transport;
+pub mod work;
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -28,6 +28,7 @@
 use super::traffic::{FrameCount, FrameTraffic, frame_kind};
 use super::transport::{PeerAcceptor, PeerDialer};
 use crate::clock::{SystemClock, TimeSource};
+use crate::work::WorkMeter;
 
 /// Identity of this process.
 #[derive(Clone, Debug)]
@@ -91,6 +92,7 @@
     slots: RwLock<BTreeMap<HostName, Arc<PeerSlot>>>,
     pub(super) calls: Arc<CallTable>,
     traffic: FrameTraffic,
+    pub(super) work: Arc<WorkMeter>,
     pub(super) forward_handler: OnceLock<Weak<dyn ForwardHandler>>,
     /// Forwarded requests in progress at this host.
     pub(super) forwarded: RunningCount,
@@ -126,6 +128,7 @@
         dials: Semaphore::new(settings.max_dials),
         calls: Arc::new(CallTable::new(settings.max_pending_calls)),
         traffic: FrameTraffic::default(),
+        work: Arc::default(),
         forward_handler: OnceLock::new(),
         forwarded: RunningCount::new(0),
         slots: RwLock::default(),
@@ -310,6 +313,12 @@
         self.shared.traffic.counts()
     }
 
+    /// Work of this process by kind.
+    #[must_use]
+    pub fn work(&self) -> &Arc<WorkMeter> {
+        &self.shared.work
+    }
+
     /// Peers whose outbound link is up, sorted by name.
     #[must_use]
     pub fn up_hosts(&self) -> Vec<HostName> {
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -16,6 +16,7 @@
 use super::queue::FrameQueue;
 use super::slot::PeerSlot;
 use super::socket::{FrameReceiver, FrameSender, socket_config, split_socket, with_timeout};
+use super::traffic::frame_kind;
 use super::transport::{AcceptedStream, PeerAcceptor};
 use crate::clock::{SystemClock, TimeSource};
 
@@ -105,7 +106,7 @@
     let settings = &hub.shared.settings;
     let handshake = accept_async_with_config(accepted.stream, Some(socket_config(settings)));
     let socket = with_timeout("handshake", settings.handshake_timeout, handshake).await?;
-    let (mut sender, mut receiver) = split_socket(socket, settings);
+    let (mut sender, mut receiver) = split_socket(socket, settings, hub.work());
     let first = receiver.receive().await?;
     match check_hello(hub, &first, accepted.proven) {
         Ok(host) => {
@@ -244,7 +245,11 @@
                 discovery.receive_hosts(hub, &keepers, entries);
             }
         }
-        frame => hub.shared.handler.handle(hub, &link.host, frame),
+        frame => {
+            let kind = frame_kind(&frame);
+            let handle = || hub.shared.handler.handle(hub, &link.host, frame);
+            hub.work().measure(kind, handle);
+        }
     }
     Ok(())
 }
--- a/crates/daemon/src/peers/outbound.rs
+++ b/crates/daemon/src/peers/outbound.rs
@@ -112,7 +112,7 @@
     let handshake = client_async_with_config(HANDSHAKE_URL, stream, Some(socket_config(settings)));
     let handshake_timeout = hub.timing_of(expected).handshake;
     let (socket, _) = with_timeout("handshake", handshake_timeout, handshake).await?;
-    let (mut sender, mut receiver) = split_socket(socket, settings);
+    let (mut sender, mut receiver) = split_socket(socket, settings, hub.work());
     sender.send(&first).await?;
     match receiver.receive().await? {
         PeerFrame::Hello(hello) => Ok((hello, sender, receiver)),
--- a/crates/daemon/src/peers/socket.rs
+++ b/crates/daemon/src/peers/socket.rs
@@ -1,6 +1,7 @@
 //! Sends and receives frames over one websocket.
 
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use super::queue::FrameQueue;
 use super::settings::LinkSettings;
 use super::transport::PeerStream;
+use crate::work::WorkMeter;
 
 /// Bytes of the read buffer and of the write buffer of a link; the buffers of 400 links must fit
 /// into a daemon's memory.
@@ -38,24 +40,29 @@
     sink: SplitSink<PeerSocket, Message>,
     max_frame_bytes: usize,
     write_timeout: Duration,
+    work: Arc<WorkMeter>,
 }
 
 /// Receiving half of a websocket.
 pub(super) struct FrameReceiver {
     stream: SplitStream<PeerSocket>,
+    work: Arc<WorkMeter>,
 }
 
 pub(super) fn split_socket(
     socket: PeerSocket,
     settings: &LinkSettings,
+    work: &Arc<WorkMeter>,
 ) -> (FrameSender, FrameReceiver) {
     let (sink, stream) = socket.split();
     let sender = FrameSender {
         sink,
         max_frame_bytes: settings.max_frame_bytes,
         write_timeout: settings.silence_timeout,
+        work: Arc::clone(work),
     };
-    (sender, FrameReceiver { stream })
+    let work = Arc::clone(work);
+    (sender, FrameReceiver { stream, work })
 }
 
 impl FrameSender {
@@ -83,6 +90,7 @@
     /// Writes an encoded frame to the write buffer.
     async fn buffer_frame(&mut self, frame: Bytes) -> Result<(), LinkError> {
         let write = self.sink.feed(Message::Binary(frame));
+        let write = self.work.track("link-write", write);
         with_timeout("write", self.write_timeout, write).await
     }
 
@@ -96,7 +104,8 @@
 
     /// Flushes the write buffer.
     async fn flush(&mut self) -> Result<(), LinkError> {
-        with_timeout("write", self.write_timeout, self.sink.flush()).await
+        let flush = self.work.track("link-write", self.sink.flush());
+        with_timeout("write", self.write_timeout, flush).await
     }
 }
 
@@ -104,7 +113,8 @@
     /// Waits for the next frame.
     pub(super) async fn receive(&mut self) -> Result<PeerFrame, LinkError> {
         let bytes = self.receive_bytes().await?;
-        decode_frame(&bytes).map_err(LinkError::Frame)
+        let decoded = self.work.measure("frame-decode", || decode_frame(&bytes));
+        decoded.map_err(LinkError::Frame)
     }
 
     /// Waits for the next frame of a forwarding channel. A cancelled wait loses nothing.
@@ -116,7 +126,8 @@
     /// Waits for the next binary message; skips control messages of the websocket.
     async fn receive_bytes(&mut self) -> Result<Bytes, LinkError> {
         loop {
-            let message = self.stream.next().await.ok_or(LinkError::Closed)?;
+            let next = self.work.track("link-read", self.stream.next());
+            let message = next.await.ok_or(LinkError::Closed)?;
             match message.map_err(socket_error)? {
                 Message::Binary(bytes) => return Ok(bytes),
                 Message::Close(_) => return Err(LinkError::Closed),
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -91,5 +91,8 @@
         hub: node.hub().clone(),
         broadcaster: Arc::clone(node.broadcaster()),
     };
-    vec![tokio::spawn(run_placer(placer))]
+    let work = Arc::clone(node.hub().work());
+    vec![tokio::spawn(async move {
+        work.track("layout", Box::pin(run_placer(placer))).await;
+    })]
 }
--- a/crates/daemon/src/telemetry/instruments.rs
+++ b/crates/daemon/src/telemetry/instruments.rs
@@ -125,4 +125,8 @@
         "Time between two tokens of one draft";
     TOKENS_UNCONFIRMED: Counter "pollendrift.token.unconfirmed", "{token}",
         "Tokens sent to callers of streams before another host confirmed their copy";
+    WORK_STEPS: Counter "pollendrift.work.steps", "{step}",
+        "Steps of work of this process, by kind";
+    WORK_TIME: Counter "pollendrift.work.time", "s",
+        "Time that this process spent on steps of work, by kind";
 }
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -18,6 +18,7 @@
 use super::admission_metrics::AdmissionMetrics;
 use super::instruments::{self, InstrumentSpec};
 use crate::peers::FrameCount;
+use crate::work::WorkCount;
 
 const SCOPE: &str = "pollendrift";
 
@@ -91,6 +92,8 @@
     tokens: Counter<u64>,
     token_interval: Histogram<f64>,
     tokens_unconfirmed: Counter<u64>,
+    work_steps: Counter<u64>,
+    work_time: Counter<f64>,
 }
 
 impl MetricRegistry {
@@ -144,6 +147,8 @@
             tokens: counter(&meter, &instruments::TOKENS),
             token_interval: durations(&meter, &instruments::TOKEN_INTERVAL),
             tokens_unconfirmed: counter(&meter, &instruments::TOKENS_UNCONFIRMED),
+            work_steps: counter(&meter, &instruments::WORK_STEPS),
+            work_time: float_counter(&meter, &instruments::WORK_TIME),
         };
         // Series of rare events exist from the start, so that an alert sees the first one.
         metrics.connections_shed.add(0, &[]);
@@ -157,6 +162,7 @@
             .add(0, &[forward_result("answered")]);
         metrics.peer_requests.add(0, &[]);
         metrics.add_peer_frames("leases", FrameCount::default());
+        metrics.add_work("agreement", WorkCount::default());
         metrics.stream_copy_losses.add(0, &[]);
         metrics.stream_resumes.add(0, &[resume_verdict("lost")]);
         metrics.tokens_unconfirmed.add(0, &[]);
@@ -313,6 +319,13 @@
         self.peer_bytes.add(added.bytes, &attributes);
     }
 
+    /// Counts work; `kind` is one of the fixed names of kinds.
+    pub fn add_work(&self, kind: &'static str, added: WorkCount) {
+        let attributes = [KeyValue::new("kind", kind)];
+        self.work_steps.add(added.steps, &attributes);
+        self.work_time.add(added.time.as_secs_f64(), &attributes);
+    }
+
     /// Counts a copy of a stream that was lost.
     pub fn record_copy_loss(&self) {
         self.stream_copy_losses.add(1, &[]);
@@ -383,6 +396,11 @@
     builder.with_description(spec.description).build()
 }
 
+fn float_counter(meter: &Meter, spec: &InstrumentSpec) -> Counter<f64> {
+    let builder = meter.f64_counter(spec.name).with_unit(spec.unit);
+    builder.with_description(spec.description).build()
+}
+
 pub(super) fn gauge(meter: &Meter, spec: &InstrumentSpec) -> Gauge<u64> {
     let builder = meter.u64_gauge(spec.name).with_unit(spec.unit);
     builder.with_description(spec.description).build()
