fix(poison): keepers store and pass on notices, and weigh no evidence

Callers saw: refusals for ten seconds, as hosts could not tell which configuration is in force, and operators got no acknowledgement.

Cause: a process that applied a notice weighed the evidence on each request in it, also a keeper, which sends none; the cost of each grew with all ends of servers known.

Change: a process that sends no requests decides on none. At hosts that do, what a notice repeats is recognised first, evidence is weighed once for each request that has three ends or is their own, and stopped requests, ends of sends and removed servers are found by index. Hosts that merely know of a send of another one no longer tell or log what each of them finds out by itself. Full notices have requests with several sends only.

--- a/crates/coordination/src/poison/evidence.rs
+++ b/crates/coordination/src/poison/evidence.rs
@@ -29,17 +29,13 @@
 
 impl Evidence {
     /// Collects the ends of servers under a request since its last whole answer, at `cleared_at`;
-    /// `None` if there are none. `stopped` tells which requests are stopped.
-    pub(super) fn collect<F>(
+    /// `None` if there are none.
+    pub(super) fn collect(
         losses: &LossTable,
         settings: &PoisonSettings,
         digest: ContentDigest,
         cleared_at: Option<MonotonicTime>,
-        stopped: F,
-    ) -> Option<Self>
-    where
-        F: Fn(ContentDigest) -> bool,
-    {
+    ) -> Option<Self> {
         let own = losses.records_under(digest);
         let own: Vec<&LossRecord> = own
             .filter(|record| cleared_at.is_none_or(|cleared_at| record.at > cleared_at))
@@ -68,9 +64,9 @@
         let others: Vec<&LossRecord> = losses
             .records()
             .map(|(_, record)| record)
+            .filter(|record| record.stopped.is_empty())
             .filter(|record| own.iter().any(|own| is_beside(record, own)))
             .filter(|record| !record.has(digest))
-            .filter(|record| !record.requests.keys().any(|(other, _)| stopped(*other)))
             .collect();
         let mut sends: BTreeMap<SendNumber, SendLosses<'_>> = BTreeMap::new();
         for record in &own {
--- a/crates/coordination/src/poison/exchange.rs
+++ b/crates/coordination/src/poison/exchange.rs
@@ -40,19 +40,19 @@
         }
         for note in notice.losses {
             let requests = note.requests.into_iter();
+            let kind = if note.silent {
+                LossKind::Silent
+            } else {
+                LossKind::Gone
+            };
+            let requests = requests.map(|lost| ((lost.digest, lost.send), lost.servers));
             let loss = LossRecord {
-                service: note.service,
-                at: now.before(note.age),
-                kind: if note.silent {
-                    LossKind::Silent
-                } else {
-                    LossKind::Gone
-                },
-                requests: requests
-                    .map(|lost| ((lost.digest, lost.send), lost.servers))
-                    .collect(),
+                requests: requests.collect(),
+                ..LossRecord::new(note.service, now.before(note.age), kind)
             };
-            events.extend(self.add_loss(&note.id, loss, &source));
+            if self.losses.is_news(&self.settings, &note.id, &loss) {
+                events.extend(self.add_loss(&note.id, loss, &source));
+            }
         }
         for send in notice.ended {
             if self.sends.end_trial(now, send, &self.settings) {
--- a/crates/coordination/src/poison/losses.rs
+++ b/crates/coordination/src/poison/losses.rs
@@ -1,5 +1,6 @@
 //! Ends of servers, and the requests that they had.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::digest::ContentDigest;
@@ -9,6 +10,9 @@
 use crate::base::{MonotonicTime, ServiceName};
 use crate::quarantine::CrashId;
 
+/// Fraction of the stored losses, as its divisor, that is removed once there are too many.
+const EVICTED_FRACTION: usize = 8;
+
 /// The end of a server.
 #[derive(Clone, Debug)]
 pub(super) struct LossRecord {
@@ -18,9 +22,28 @@
     pub(super) kind: LossKind,
     /// Requests on the server, with the number of servers that each send was to.
     pub(super) requests: BTreeMap<(ContentDigest, SendNumber), u16>,
+    /// Those of `requests` that are stopped.
+    pub(super) stopped: BTreeSet<ContentDigest>,
 }
 
 impl LossRecord {
+    /// Creates the end of a server without requests.
+    pub(super) fn new(service: ServiceName, at: MonotonicTime, kind: LossKind) -> Self {
+        Self {
+            service,
+            at,
+            kind,
+            requests: BTreeMap::new(),
+            stopped: BTreeSet::new(),
+        }
+    }
+
+    /// Adds a request; returns whether the server was not known to have it.
+    pub(super) fn add(&mut self, request: &LostRequest) -> bool {
+        let key = (request.digest, request.send);
+        self.requests.insert(key, request.servers).is_none()
+    }
+
     /// Whether the server has certainly ended.
     pub(super) fn is_sure(&self) -> bool {
         self.kind == LossKind::Gone
@@ -64,6 +87,7 @@
     /// Servers in `records` by the requests that they had. Each send asks for its request.
     servers: BTreeMap<ContentDigest, BTreeSet<CrashId>>,
     withdrawn: BTreeMap<CrashId, MonotonicTime>,
+    stopped: BTreeSet<ContentDigest>,
 }
 
 /// What an added loss changes.
@@ -88,6 +112,48 @@
         servers.filter_map(|id| self.records.get(id))
     }
 
+    /// Records that a request is stopped, or no longer.
+    pub(super) fn set_stopped(&mut self, digest: ContentDigest, is_stopped: bool) {
+        if is_stopped {
+            self.stopped.insert(digest);
+        } else {
+            self.stopped.remove(&digest);
+        }
+        for id in self.servers.get(&digest).into_iter().flatten() {
+            if let Some(record) = self.records.get_mut(id) {
+                if is_stopped {
+                    record.stopped.insert(digest);
+                } else {
+                    record.stopped.remove(&digest);
+                }
+            }
+        }
+    }
+
+    /// Whether at least `least` servers have certainly ended that had the request.
+    pub(super) fn has_ends(&self, digest: ContentDigest, least: usize) -> bool {
+        let known = self.servers.get(&digest).map_or(0, BTreeSet::len);
+        let sure = || self.records_under(digest).filter(|record| record.is_sure());
+        known >= least && sure().count() >= least
+    }
+
+    /// Whether adding a loss would change anything.
+    pub(super) fn is_news(
+        &self,
+        settings: &PoisonSettings,
+        id: &CrashId,
+        loss: &LossRecord,
+    ) -> bool {
+        let Some(known) = self.records.get(id) else {
+            return true;
+        };
+        let has_room = known.requests.len() < settings.max_requests;
+        let mut requests = loss.requests.keys();
+        known.kind < loss.kind
+            || loss.at < known.at
+            || (has_room && requests.any(|request| !known.requests.contains_key(request)))
+    }
+
     pub(super) fn get(&self, id: &CrashId) -> Option<&LossRecord> {
         self.records.get(id)
     }
@@ -124,10 +190,7 @@
         let record = self
             .records
             .entry(id.clone())
-            .or_insert_with(|| LossRecord {
-                requests: BTreeMap::new(),
-                ..loss.clone()
-            });
+            .or_insert_with(|| LossRecord::new(loss.service, loss.at, loss.kind));
         record.at = record.at.min(loss.at);
         record.kind = record.kind.max(loss.kind);
         for (request, servers) in loss.requests {
@@ -135,6 +198,9 @@
             if has_room && record.requests.insert(request, servers).is_none() {
                 change.is_new = true;
                 change.added.insert(request);
+                if self.stopped.contains(&request.0) {
+                    record.stopped.insert(request.0);
+                }
                 let servers = self.servers.entry(request.0).or_default();
                 servers.insert(id.clone());
             }
@@ -151,36 +217,37 @@
             return false;
         }
         self.withdrawn.insert(id.clone(), answered_at);
-        self.records.remove(id);
-        self.update_servers();
+        self.remove(id);
         true
     }
 
-    /// Requests that were on more than one server that ended.
+    /// Requests of which several sends were on servers that ended.
     pub(super) fn repeated_requests(&self) -> BTreeSet<ContentDigest> {
-        let (mut seen, mut repeated) = (BTreeSet::new(), BTreeSet::new());
-        for digest in self.records.values().flat_map(digests_of) {
-            if !seen.insert(digest) {
-                repeated.insert(digest);
-            }
-        }
-        repeated
+        let digests = self.servers.keys().copied();
+        digests.filter(|digest| self.is_repeated(*digest)).collect()
+    }
+
+    fn is_repeated(&self, digest: ContentDigest) -> bool {
+        let records = self.records_under(digest);
+        let mut sends = records.flat_map(|record| record.sends(digest));
+        let first = sends.next();
+        sends.any(|(send, _)| first.is_some_and(|(first, _)| first != send))
     }
 
     /// Removes what is too old.
     pub(super) fn forget(&mut self, now: MonotonicTime, settings: &PoisonSettings) {
-        let former = self.records.len();
-        self.records
-            .retain(|_, record| now.since(record.at) < settings.memory);
-        if self.records.len() < former {
-            self.update_servers();
-        }
+        let records = self.records.iter();
+        let old = records.filter(|(_, record)| now.since(record.at) >= settings.memory);
+        let old: Vec<CrashId> = old.map(|(id, _)| id.clone()).collect();
+        old.iter().for_each(|id| self.remove(id));
         self.withdrawn
             .retain(|_, at| now.since(*at) < settings.notice_time * 10);
     }
 
-    /// Keeps the number of losses within its limit. Those without a request that was on another server
-    /// which ended go first, then the oldest.
+    /// Keeps the number of losses within its limit. Those without a request of which several sends were on
+    /// servers that ended go first, then the oldest.
+    ///
+    /// Several are removed at once, as the choice looks at all requests.
     fn evict(&mut self, settings: &PoisonSettings) {
         if self.records.len() <= settings.max_losses {
             return;
@@ -190,21 +257,29 @@
             let mut digests = record.requests.keys();
             digests.any(|(digest, _)| repeated.contains(digest))
         };
-        let rank = |record: &LossRecord| (is_linked(record), record.at);
-        let first = self.records.iter().min_by_key(|(_, record)| rank(record));
-        if let Some(id) = first.map(|(id, _)| id.clone()) {
-            self.records.remove(&id);
-            self.update_servers();
+        let ranked = self.records.iter();
+        let ranked = ranked.map(|(id, record)| (is_linked(record), record.at, id.clone()));
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_unstable();
+        let kept = settings.max_losses - settings.max_losses / EVICTED_FRACTION;
+        let surplus = ranked.len().saturating_sub(kept);
+        for (_, _, id) in &ranked[..surplus] {
+            self.remove(id);
         }
     }
 
-    /// Removes the servers that are in `records` no more.
-    fn update_servers(&mut self) {
-        let records = &self.records;
-        self.servers.retain(|_, servers| {
-            servers.retain(|id| records.contains_key(id));
-            !servers.is_empty()
-        });
+    fn remove(&mut self, id: &CrashId) {
+        let Some(record) = self.records.remove(id) else {
+            return;
+        };
+        for digest in digests_of(&record) {
+            if let Entry::Occupied(mut servers) = self.servers.entry(digest) {
+                servers.get_mut().remove(id);
+                if servers.get().is_empty() {
+                    servers.remove();
+                }
+            }
+        }
     }
 }
 
--- a/crates/coordination/src/poison/sends.rs
+++ b/crates/coordination/src/poison/sends.rs
@@ -1,6 +1,6 @@
 //! Sends of this host, and those of other hosts whose requests have ended servers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use slotmap::{SlotMap, new_key_type};
 
@@ -66,6 +66,8 @@
     /// Sends of other hosts that are over, with the time at which this host learned of it. A late notice
     /// of such a send must not count it as under way again.
     ended: BTreeMap<SendNumber, MonotonicTime>,
+    /// The keys of `ended`, the oldest first, and such as have been removed.
+    ended_order: VecDeque<SendNumber>,
 }
 
 impl SendTable {
@@ -108,8 +110,8 @@
         self.own.remove(key)
     }
 
-    /// Requests that were on `id` when it ended at `at`.
-    pub(super) fn requests_on(
+    /// Requests of this host that were on `id` when it ended at `at`.
+    pub(super) fn own_requests_on(
         &self,
         id: &CrashId,
         at: MonotonicTime,
@@ -117,6 +119,16 @@
     ) -> Vec<LostRequest> {
         let own = self.own.values();
         let own = own.filter(|send| send.was_on(id, at, settings));
+        own.map(TrackedSend::lost).collect()
+    }
+
+    /// Requests of other hosts that were on `id` when it ended at `at`.
+    pub(super) fn trials_on(
+        &self,
+        id: &CrashId,
+        at: MonotonicTime,
+        settings: &PoisonSettings,
+    ) -> Vec<LostRequest> {
         let trials = self.trials.iter().filter(|(_, trial)| {
             at.after(settings.notice_time) >= trial.began_at && trial.servers.contains(id)
         });
@@ -125,7 +137,13 @@
             send: *send,
             servers: u16::try_from(trial.servers.len()).unwrap_or(u16::MAX),
         });
-        own.map(TrackedSend::lost).chain(trials).collect()
+        trials.collect()
+    }
+
+    /// Requests of this host that are under way.
+    pub(super) fn running_requests(&self) -> BTreeSet<ContentDigest> {
+        let running = self.own.values().filter(|send| send.is_running());
+        running.map(|send| send.digest).collect()
     }
 
     /// Marks the running sends of a request as told to other hosts; returns those that were not.
@@ -203,13 +221,16 @@
         settings: &PoisonSettings,
     ) -> bool {
         self.trials.remove(&number);
-        if self.ended.len() >= settings.max_trials {
-            let oldest = self.ended.iter().min_by_key(|(_, at)| **at);
-            if let Some(oldest) = oldest.map(|(number, _)| *number) {
+        if self.ended.insert(number, now).is_some() {
+            return false;
+        }
+        self.ended_order.push_back(number);
+        while self.ended_order.len() > settings.max_trials {
+            if let Some(oldest) = self.ended_order.pop_front() {
                 self.ended.remove(&oldest);
             }
         }
-        self.ended.insert(number, now).is_none()
+        true
     }
 
     /// Removes what is too old.
--- a/crates/coordination/src/poison/settings.rs
+++ b/crates/coordination/src/poison/settings.rs
@@ -5,6 +5,9 @@
 /// Settings of a [`super::PoisonTable`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct PoisonSettings {
+    /// Whether this process sends requests to servers. One that does not only stores what others tell and
+    /// passes it on: it decides on no request.
+    pub sends_requests: bool,
     /// Sends of one request under which servers may end.
     pub max_ends: u32,
     /// Chance, from 0 to 1, up to which the ends of its servers are not taken for a coincidence while
@@ -43,6 +46,7 @@
 impl Default for PoisonSettings {
     fn default() -> Self {
         Self {
+            sends_requests: true,
             max_ends: 3,
             max_chance: 0.02,
             max_excused_ends: 5,
--- a/crates/coordination/src/poison/table.rs
+++ b/crates/coordination/src/poison/table.rs
@@ -1,6 +1,5 @@
 //! Decides which requests may be sent, by what this host and others have seen.
 
-use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::answers::AnswerTable;
@@ -10,7 +9,7 @@
     LossKind, PoisonEvent, PoisonVerdict, RunNumber, SendEnd, SendNumber, StoppedRequest,
 };
 use super::losses::{LossRecord, LossTable, digests_of};
-use super::notice::PendingChanges;
+use super::notice::{LostRequest, PendingChanges};
 use super::sends::{SendTable, TrackedKey};
 use super::settings::PoisonSettings;
 use crate::base::{MonotonicTime, ServiceName};
@@ -196,12 +195,7 @@
         kind: LossKind,
     ) -> Vec<PoisonEvent> {
         let now = self.internal(now);
-        let loss = LossRecord {
-            service: service.clone(),
-            at: now,
-            kind,
-            requests: BTreeMap::new(),
-        };
+        let loss = LossRecord::new(service.clone(), now, kind);
         self.add_loss(id, loss, &NoticeSource::Own)
     }
 
@@ -250,7 +244,14 @@
         self.losses.forget(now, &self.settings);
         self.answers.forget(now, &self.settings);
         let (stop_time, memory) = (self.settings.stop_time, self.settings.memory);
-        self.stopped.retain(|_, at| now.since(*at) < stop_time);
+        let losses = &mut self.losses;
+        self.stopped.retain(|digest, at| {
+            let is_stopped = now.since(*at) < stop_time;
+            if !is_stopped {
+                losses.set_stopped(*digest, false);
+            }
+            is_stopped
+        });
         self.cleared.retain(|_, at| now.since(*at) < memory);
     }
 
@@ -264,8 +265,7 @@
 
     pub(super) fn evidence(&self, digest: ContentDigest) -> Option<Evidence> {
         let cleared_at = self.cleared.get(&digest).copied();
-        let is_stopped = |digest| self.stopped.contains_key(&digest);
-        Evidence::collect(&self.losses, &self.settings, digest, cleared_at, is_stopped)
+        Evidence::collect(&self.losses, &self.settings, digest, cleared_at)
     }
 
     /// Whether servers have ended, or are silent, by two sends of a request. One such send is no sign of
@@ -286,16 +286,9 @@
         // A host that was cut off from a running server may have recorded its end before.
         let times = [Some(loss.at), self.losses.get(id).map(|known| known.at)];
         let mut own = BTreeSet::new();
-        for at in times.into_iter().flatten() {
-            for request in self.sends.requests_on(id, at, &self.settings) {
-                if self.answers.contains(request.digest) {
-                    continue;
-                }
-                let key = (request.digest, request.send);
-                if let Entry::Vacant(entry) = loss.requests.entry(key) {
-                    entry.insert(request.servers);
-                    own.insert(request.digest);
-                }
+        if self.settings.sends_requests {
+            for at in times.into_iter().flatten() {
+                own.extend(self.add_known_requests(id, at, &mut loss));
             }
         }
         let change = self.losses.add(&self.settings, id, loss);
@@ -311,23 +304,65 @@
             let queued = changes.losses.entry(id.clone()).or_default();
             queued.extend(change.added.iter().copied());
         });
-        let mut events = Vec::new();
+        if !self.settings.sends_requests {
+            return Vec::new();
+        }
         let mut digests: BTreeSet<ContentDigest> =
             change.added.iter().map(|(digest, _)| *digest).collect();
         if change.is_confirmed {
             digests.extend(self.losses.get(id).into_iter().flat_map(digests_of));
         }
+        self.weigh(id, &digests, &own)
+    }
+
+    /// Adds the requests that this host knows to have been on a server that ended at `at`; returns those
+    /// that it sent itself. Of the others, each host that knows of the send learns by itself.
+    fn add_known_requests(
+        &self,
+        id: &CrashId,
+        at: MonotonicTime,
+        loss: &mut LossRecord,
+    ) -> BTreeSet<ContentDigest> {
+        let settings = &self.settings;
+        let is_counted = |request: &LostRequest| !self.answers.contains(request.digest);
+        let mut own = BTreeSet::new();
+        let sent = self.sends.own_requests_on(id, at, settings).into_iter();
+        for request in sent.filter(is_counted) {
+            if loss.add(&request) {
+                own.insert(request.digest);
+            }
+        }
+        let trials = self.sends.trials_on(id, at, settings).into_iter();
+        for request in trials.filter(is_counted) {
+            loss.add(&request);
+        }
+        own
+    }
+
+    /// Decides on requests after a server ended under them; `own` are those that this host sent.
+    fn weigh(
+        &mut self,
+        id: &CrashId,
+        digests: &BTreeSet<ContentDigest>,
+        own: &BTreeSet<ContentDigest>,
+    ) -> Vec<PoisonEvent> {
+        let running = self.sends.running_requests();
+        let max_ends = usize::try_from(self.settings.max_ends).unwrap_or(usize::MAX);
+        let mut events = Vec::new();
         for digest in digests {
-            if self.is_repeated(digest) {
-                self.tell_sends(digest);
+            let is_own = own.contains(digest);
+            if running.contains(digest) && self.is_repeated(*digest) {
+                self.tell_sends(*digest);
+            }
+            if is_own || self.losses.has_ends(*digest, max_ends) {
+                events.extend(self.assess(id, *digest, is_own));
             }
-            events.extend(self.assess(id, digest, own.contains(&digest)));
         }
         events
     }
 
-    /// Decides on a request after a server ended under it. `is_own` tells whether this host knows
-    /// of the send: only then an event says so, as every host learns of every request on the server.
+    /// Decides on a request after a server ended under it. `is_own` tells whether this host sent
+    /// it: only then an event says so, as every host learns of every request on the server.
     fn assess(&mut self, id: &CrashId, digest: ContentDigest, is_own: bool) -> Vec<PoisonEvent> {
         let Some(evidence) = self.evidence(digest) else {
             return Vec::new();
@@ -374,6 +409,7 @@
             return false;
         }
         self.stopped.insert(digest, at);
+        self.losses.set_stopped(digest, true);
         self.queue(source, |changes| {
             changes.stopped.insert(digest);
         });
@@ -383,6 +419,7 @@
                 break;
             };
             self.stopped.remove(&oldest);
+            self.losses.set_stopped(oldest, false);
         }
         true
     }
@@ -399,7 +436,9 @@
         if is_full || known.is_some_and(|known| *known >= at) {
             return Vec::new();
         }
-        let is_told = self.stopped.contains_key(&digest) || self.is_repeated(digest);
+        let is_told = !self.settings.sends_requests
+            || self.stopped.contains_key(&digest)
+            || self.is_repeated(digest);
         self.cleared.insert(digest, at);
         if self
             .stopped
@@ -407,6 +446,7 @@
             .is_some_and(|stopped| *stopped <= at)
         {
             self.stopped.remove(&digest);
+            self.losses.set_stopped(digest, false);
         }
         if !is_told {
             return Vec::new();
--- a/crates/coordination/tests/poison_notices.rs
+++ b/crates/coordination/tests/poison_notices.rs
@@ -19,8 +19,12 @@
 const CHAIN: usize = 8;
 /// Requests that each entry sends in a step.
 const SENDS: u64 = 4;
+/// Requests of an entry that are sent again in the next step: each is sent three times.
+const OPEN: usize = 8;
 /// Servers that each entry finds silent in a step.
 const SILENT: usize = 3;
+/// Fraction of these that have crashed: over all entries, about the servers of one data centre.
+const CRASHES: f64 = 0.02;
 const STEPS: u64 = 20;
 const STEP_MILLIS: u64 = 400;
 
@@ -63,14 +67,14 @@
                 })
                 .collect();
             for number in (0..SERVERS).sample(&mut random, SILENT) {
-                let is_crash = random.random_bool(0.1);
+                let is_crash = random.random_bool(CRASHES);
                 let kind = [LossKind::Silent, LossKind::Gone][usize::from(is_crash)];
                 table.record_loss(at(step + 1), &server(number), &"writers".into(), kind);
             }
             for key in keys {
                 table.end_send(at(step + 1), key, SendEnd::Broken);
             }
-            open.truncate(10);
+            open.drain(..open.len().saturating_sub(OPEN));
             notices.push((
                 step + 1,
                 table.take_changes(at(step + 1), NoticeAudience::Keepers),
@@ -113,10 +117,26 @@
 /// Guards against keepers whose processor is taken by weighing what hosts tell them of ended servers.
 #[test]
 fn a_keeper_applies_notices_in_the_time_of_reading_them() {
-    let (reading, applying) = costs(PoisonTable::new(PoisonSettings::default(), u64::MAX / 2));
+    let settings = PoisonSettings {
+        sends_requests: false,
+
+        ..PoisonSettings::default()
+    };
+    let (reading, applying) = costs(PoisonTable::new(settings, u64::MAX / 2));
     println!("reading {reading:?}, applying {applying:?}");
     assert!(
         applying <= reading,
         "reading {reading:?}, applying {applying:?}"
     );
 }
+
+/// Guards against entries whose processor is taken by the same.
+#[test]
+fn an_entry_applies_notices_in_the_time_of_reading_them() {
+    let (reading, applying) = costs(PoisonTable::new(PoisonSettings::default(), u64::MAX / 2));
+    println!("entry: reading {reading:?}, applying {applying:?}");
+    assert!(
+        applying <= reading,
+        "reading {reading:?}, applying {applying:?}"
+    );
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,6 +14,7 @@
 use pollendrift_coordination::forwarding::{ForwardSettings, ForwardTable};
 use pollendrift_coordination::leases::BackendLeaseSettings;
 use pollendrift_coordination::limits::LimitSettings;
+use pollendrift_coordination::poison::PoisonSettings;
 use pollendrift_coordination::replicated::ProcessNonce;
 use pollendrift_coordination::retries::RetrySettings as CoreRetrySettings;
 use pollendrift_coordination::routing::RoutingSettings;
@@ -177,7 +178,13 @@
             Arc::clone(&clock),
             Arc::clone(&metrics),
         ));
-        let poison = Arc::new(PoisonState::new(Arc::clone(&clock), Arc::clone(&metrics)));
+        let poison = PoisonSettings {
+            // A platform's callers are served by hosts without a keeper.
+            sends_requests: !(settings.relay.enabled && settings.is_keeper()),
+            ..PoisonSettings::default()
+        };
+        let poison = PoisonState::new(poison, Arc::clone(&clock), Arc::clone(&metrics));
+        let poison = Arc::new(poison);
         let parts = NodeParts {
             quarantine: Arc::clone(&quarantine),
             poison: Arc::clone(&poison),
--- a/crates/daemon/src/poison.rs
+++ b/crates/daemon/src/poison.rs
@@ -60,8 +60,12 @@
 
 impl PoisonState {
     /// Creates a state of a process that has seen no server end.
-    pub(crate) fn new(clock: Arc<dyn TimeSource>, metrics: Arc<MetricRegistry>) -> Self {
-        let table = PoisonTable::new(PoisonSettings::default(), rand::random());
+    pub(crate) fn new(
+        settings: PoisonSettings,
+        clock: Arc<dyn TimeSource>,
+        metrics: Arc<MetricRegistry>,
+    ) -> Self {
+        let table = PoisonTable::new(settings, rand::random());
         Self {
             table: Mutex::new(table),
             changed: Notify::new(),
