fix(telemetry): lines with the same message are limited, and their rest is one line

Cause: one lost packet concerned each request on a server, and hosts and keepers wrote a line for each: 200 lines a second and process, the limit of all lines, for seven seconds, so that the lines about elections were left out too.

Change: at most 60 lines a second have the same message; the number of the others follows as one line, `lines left out` with `of` and `lines`. Messages are literals of the code, so their number is limited.

--- a/crates/daemon/src/telemetry/lines.rs
+++ b/crates/daemon/src/telemetry/lines.rs
@@ -3,7 +3,10 @@
 //! A reader that stops, or too many lines, must not delay requests. A line that exceeds the queue
 //! or the budget is dropped and counted, and the count is written as soon as the queue has
 //! capacity. Warnings and errors have a separate budget, so that many lines about served requests
-//! don't displace the line about a failed one.
+//! don't displace the line about a failed one. Lines with the same message have a limit of their own: one
+//! fault may concern each of hundreds of requests.
+
+mod messages;
 
 use std::fmt::Write as _;
 use std::io::Write;
@@ -16,6 +19,7 @@
 use log4rs::append::Append;
 use pollendrift_coordination::base::MonotonicTime;
 
+use self::messages::MessageBudget;
 use crate::clock::{SystemClock, TimeSource};
 
 /// Capacity of the queue to the writer: a few seconds of the usual lines of an entry.
@@ -34,6 +38,8 @@
     pub info_lines: u32,
     /// Warnings and errors per second.
     pub warning_lines: u32,
+    /// Lines per second with the same message, of any level.
+    pub message_lines: u32,
 }
 
 impl Default for LineSettings {
@@ -41,6 +47,7 @@
         Self {
             info_lines: 200,
             warning_lines: 100,
+            message_lines: 60,
         }
     }
 }
@@ -119,6 +126,7 @@
 pub struct LineAppender {
     lines: SyncSender<QueuedItem>,
     budget: Mutex<LineBudget>,
+    messages: Mutex<MessageBudget>,
     clock: SystemClock,
 }
 
@@ -138,10 +146,22 @@
         Ok(Self {
             lines,
             budget: Mutex::new(LineBudget::new(settings)),
+            messages: Mutex::new(MessageBudget::new(settings.message_lines)),
             clock: SystemClock::default(),
         })
     }
 
+    /// Whether the message of a record is within its limit. Reports lines that were left out before.
+    fn admit_message(&self, now: MonotonicTime, record: &Record<'_>) -> bool {
+        // The text of other records differs from line to line.
+        let message = record.args().as_str().or(record.module_path_static());
+        let mut messages = self.messages.lock().unwrap_or_else(PoisonError::into_inner);
+        for (message, lines) in messages.take_left_out(now) {
+            self.push(left_out_line(message, lines));
+        }
+        message.is_none_or(|message| messages.admit(now, message))
+    }
+
     fn push(&self, line: String) -> bool {
         match self.lines.try_send(QueuedItem::Line(line)) {
             Ok(()) => true,
@@ -153,6 +173,9 @@
 impl Append for LineAppender {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         let now = self.clock.now();
+        if !self.admit_message(now, record) {
+            return Ok(());
+        }
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
         if !budget.admit(now, record.level()) {
             return Ok(());
@@ -215,6 +238,13 @@
     format!("{{\"t\":{time},\"l\":\"warn\",\"m\":\"lines left out\",\"lines\":{lines}}}\n")
 }
 
+fn left_out_line(message: &str, lines: u64) -> String {
+    let (time, message) = (wall_millis(), quoted(message));
+    format!(
+        "{{\"t\":{time},\"l\":\"warn\",\"m\":\"lines left out\",\"of\":{message},\"lines\":{lines}}}\n"
+    )
+}
+
 /// Formats a record as a line: `t` is the wall-clock time in milliseconds, `l` the level, `m` the
 /// message; the fields of the record follow.
 pub fn format_line(record: &Record<'_>) -> String {
--- a/crates/daemon/tests/telemetry_lines.rs
+++ b/crates/daemon/tests/telemetry_lines.rs
@@ -101,3 +101,42 @@
     let later = MonotonicTime::from_millis(2_000);
     assert!(budget.admit(later, Level::Info));
 }
+
+// Guards against one fault that concerns hundreds of requests and takes the processor, and the lines of
+// everything else, with a line for each: beyond a limit they become one line with their number.
+#[test]
+fn lines_with_one_message_are_limited_and_their_rest_is_counted() {
+    let (sender, written) = channel();
+    let settings = LineSettings::default();
+    let appender = LineAppender::start(settings, ChannelOutput(sender)).expect("an appender");
+    let began = Instant::now();
+    let mut logged = 0;
+    while began.elapsed() < Duration::from_millis(2_500) {
+        log_literal(&appender);
+        logged += 1;
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    append(&appender, Level::Info, 7);
+    appender.flush();
+    let lines: Vec<String> = written.try_iter().collect();
+    let of_message = lines
+        .iter()
+        .filter(|line| line.contains("\"m\":\"server ended\""));
+    let written = of_message.count();
+    let seconds = 4;
+    assert!(
+        written <= settings.message_lines as usize * seconds,
+        "{written} of {logged}"
+    );
+    let counted = "\"m\":\"lines left out\",\"of\":\"server ended\"";
+    assert!(lines.iter().any(|line| line.contains(counted)));
+    assert!(lines.iter().any(|line| line.contains("line 7")));
+}
+
+fn log_literal(appender: &LineAppender) {
+    let record = Record::builder()
+        .args(format_args!("server ended"))
+        .level(Level::Info)
+        .build();
+    appender.append(&record).expect("appending never fails");
+}
