fix(poison): notices are paced by the number of hosts that read them, and limited in size

One lost packet made a server a silent one; a host with lossy links told of dozens a second, with all requests on them.

Change: eight notices may follow at once, further ones are joined: a gap of 2 ms for each entry at a host, of 8 ms for each recipient at a keeper, 100 ms at least. A notice has at most 256 requests and sends; the rest goes into the next one. Of servers that fall silent within 1.5 s, four are recorded: beyond that the links of a host are at fault, and the keepers' probes tell.

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -11,6 +11,7 @@
 mod customer;
 mod decaying_sum;
 mod host_capacity;
+mod notice_pace;
 mod offer;
 mod rank;
 mod refusal_log;
@@ -20,10 +21,12 @@
 mod usual_demand;
 mod usual_timeout;
 mod wait;
+mod work_budget;
 
 pub use admission::AdmissionTable;
 pub use counts::{AdmissionCounts, CustomerCounts, PriorityCounts};
 pub use host_capacity::{CapacityInputs, HostCapacity, HostCapacitySettings};
+pub use notice_pace::{NoticePace, PaceSettings};
 pub use offer::{
     AdmissionCapacity, AdmissionChange, AdmissionRefusal, AdmissionRequest, AdmissionVerdict,
     PriorityReserve, RequestPriority, RequestRefusal, TicketKey,
@@ -37,5 +40,6 @@
 pub use shedding::{ConnectionShedder, ShedSettings};
 pub use usual_timeout::{TimeoutSettings, UsualTimeouts};
 pub use wait::WaitSettings;
+pub use work_budget::{WorkBudget, WorkSettings};
 
 pub(crate) use bucket::TokenBucket;
--- a/crates/coordination/src/poison/exchange.rs
+++ b/crates/coordination/src/poison/exchange.rs
@@ -79,11 +79,12 @@
     /// Returns the changes since the last call for the same audience.
     pub fn take_changes(&mut self, now: MonotonicTime, audience: NoticeAudience) -> PoisonNotice {
         let now = self.internal(now);
-        let changes = std::mem::take(match audience {
+        let changes = match audience {
             NoticeAudience::Keepers => &mut self.for_keepers,
             NoticeAudience::Followers => &mut self.for_followers,
-        });
-        self.notice_of(now, changes)
+        };
+        let taken = changes.take(self.settings.max_noted);
+        self.notice_of(now, taken)
     }
 
     /// Returns what hosts that restarted or missed a change need: stopped requests, those that were on
@@ -100,13 +101,14 @@
         });
         let trials = self.sends.told();
         let trials = trials.filter(|(_, digest)| repeated.contains(digest));
-        let changes = PendingChanges {
+        let mut changes = PendingChanges {
             losses: losses.collect(),
             trials: trials.map(|(send, _)| send).collect(),
             stopped: self.stopped.keys().copied().collect(),
             ..PendingChanges::default()
         };
-        self.notice_of(now, changes)
+        let taken = changes.take(self.settings.max_noted);
+        self.notice_of(now, taken)
     }
 
     /// Queues a change for the hosts that the source of the change has not told itself.
--- a/crates/coordination/src/poison/notice.rs
+++ b/crates/coordination/src/poison/notice.rs
@@ -118,6 +118,39 @@
 }
 
 impl PendingChanges {
+    /// Takes changes with `max` requests and sends at most. Decisions and ends of sends are small and few, and
+    /// are taken in any case.
+    pub(super) fn take(&mut self, max: usize) -> Self {
+        let mut taken = Self {
+            withdrawn: std::mem::take(&mut self.withdrawn),
+            ended: std::mem::take(&mut self.ended),
+            cleared: std::mem::take(&mut self.cleared),
+            stopped: std::mem::take(&mut self.stopped),
+            ..Self::default()
+        };
+        let mut room = max;
+        while room > 0
+            && let Some((id, mut requests)) = self.losses.pop_first()
+        {
+            let rest = requests.iter().nth(room).copied();
+            if let Some(rest) = rest {
+                self.losses.insert(id.clone(), requests.split_off(&rest));
+            }
+            room -= requests.len().min(room);
+            taken.losses.insert(id, requests);
+            if rest.is_some() {
+                break;
+            }
+        }
+        while room > 0
+            && let Some(send) = self.trials.pop_first()
+        {
+            taken.trials.insert(send);
+            room -= 1;
+        }
+        taken
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.losses.is_empty()
             && self.withdrawn.is_empty()
--- a/crates/coordination/src/poison/settings.rs
+++ b/crates/coordination/src/poison/settings.rs
@@ -33,6 +33,11 @@
     pub stop_time: Duration,
     /// Maximum number of whole answers that are remembered.
     pub max_answers: usize,
+    /// Maximum number of servers that become silent within `common_reason_time` and are recorded. Beyond it
+    /// the links of a host are at fault rather than a request; the probes of the keepers tell.
+    pub max_silent: usize,
+    /// Maximum number of requests on servers that ended, and of sends, in one notice.
+    pub max_noted: usize,
     /// Maximum number of stored ends of servers.
     pub max_losses: usize,
     /// Maximum number of requests stored for the end of one server.
@@ -58,6 +63,8 @@
             memory: Duration::from_secs(600),
             stop_time: Duration::from_secs(3_600),
             max_answers: 1_024,
+            max_silent: 4,
+            max_noted: 256,
             max_losses: 128,
             max_requests: 128,
             max_stopped: 1_024,
--- a/crates/coordination/src/poison/table.rs
+++ b/crates/coordination/src/poison/table.rs
@@ -195,6 +195,9 @@
         kind: LossKind,
     ) -> Vec<PoisonEvent> {
         let now = self.internal(now);
+        if kind == LossKind::Silent && !self.is_lost(id) && self.has_many_silent(now) {
+            return Vec::new();
+        }
         let loss = LossRecord::new(service.clone(), now, kind);
         self.add_loss(id, loss, &NoticeSource::Own)
     }
@@ -206,6 +209,14 @@
         record.is_some_and(|record| now.since(record.at) <= self.settings.notice_time)
     }
 
+    fn has_many_silent(&self, now: MonotonicTime) -> bool {
+        let settings = &self.settings;
+        let silent = self.losses.records().filter(|(_, record)| {
+            !record.is_sure() && now.since(record.at) <= settings.common_reason_time
+        });
+        silent.count() >= settings.max_silent
+    }
+
     /// Whether the end of a server is known.
     pub fn is_lost(&self, id: &CrashId) -> bool {
         self.losses.get(id).is_some()
@@ -454,6 +465,9 @@
         self.queue(source, |changes| {
             changes.cleared.insert(digest);
         });
+        if !self.settings.sends_requests {
+            return Vec::new();
+        }
         vec![PoisonEvent::Cleared { digest }]
     }
 
--- a/crates/daemon/src/lease_broadcast/quarantine.rs
+++ b/crates/daemon/src/lease_broadcast/quarantine.rs
@@ -8,6 +8,7 @@
 
 use pollendrift_coordination::base::{HostName, MonotonicTime};
 use pollendrift_coordination::leases::LeaseSource;
+use pollendrift_coordination::limits::{NoticePace, PaceSettings};
 use pollendrift_coordination::poison::PoisonNotice;
 use pollendrift_coordination::quarantine::{NoticeAudience, QuarantineNotice};
 use rand::seq::IteratorRandom;
@@ -16,8 +17,11 @@
 use super::LeaseBroadcaster;
 use crate::peers::{PeerFrame, PeerHub};
 
-/// Least time between two notices of urgent changes. A crash is noticed for many requests at once.
-const NOTICE_GAP: Duration = Duration::from_millis(15);
+/// Time between two notices of a host after a burst, for each entry: the more there are, the more notices
+/// reach a keeper.
+const GAP_PER_ENTRY: Duration = Duration::from_millis(2);
+/// Time between two notices of a keeper after a burst, for each host that it sends them to.
+const GAP_PER_RECIPIENT: Duration = Duration::from_millis(8);
 /// Ticks between two notices of changes that are not urgent.
 pub(super) const CHANGE_TICKS: u32 = 5;
 /// Ticks between two notices with all that is known of suspected parts.
@@ -40,16 +44,32 @@
 
     /// Sends urgent changes at once, for as long as the host runs.
     pub(super) async fn run_quarantine(&self, hub: &PeerHub) {
+        let settings = PaceSettings::default();
+        let mut pace = NoticePace::new(self.clock.now(), settings);
         loop {
             tokio::select! {
                 () = self.quarantine.changed() => {}
                 () = self.poison.changed() => {}
             }
-            self.send_quarantine_changes(hub, self.clock.now(), FURTHER_KEEPERS);
-            sleep(NOTICE_GAP).await;
+            let now = self.clock.now();
+            self.send_quarantine_changes(hub, now, FURTHER_KEEPERS);
+            pace.set_steady_gap(now, settings.steady_gap.max(self.notice_gap(hub, now)));
+            sleep(pace.gap_after(now)).await;
         }
     }
 
+    /// Time between two notices of this host after a burst, by the number of hosts that handle them.
+    fn notice_gap(&self, hub: &PeerHub, now: MonotonicTime) -> Duration {
+        let Some(discovery) = hub.discovery() else {
+            return GAP_PER_RECIPIENT * count(hub.hosts().len());
+        };
+        if self.recipients.is_keeper() {
+            let keepers = self.recipients.other_keepers(hub).len();
+            return GAP_PER_RECIPIENT * count(keepers + self.recipients.followers(now).len());
+        }
+        GAP_PER_ENTRY * discovery.entry_count().unwrap_or(0)
+    }
+
     /// Sends the changes since the last notice, to `further` keepers beside the followed one.
     pub(super) fn send_quarantine_changes(
         &self,
@@ -109,6 +129,10 @@
     }
 }
 
+fn count(hosts: usize) -> u32 {
+    u32::try_from(hosts).unwrap_or(u32::MAX)
+}
+
 /// Notices for the same hosts, which go into one frame.
 struct HostNotices {
     quarantine: QuarantineNotice,
--- a/crates/daemon/src/poison.rs
+++ b/crates/daemon/src/poison.rs
@@ -133,7 +133,13 @@
 
     /// Returns the changes since the last call for the same audience.
     pub(crate) fn take_changes(&self, audience: NoticeAudience) -> PoisonNotice {
-        self.table().take_changes(self.clock.now(), audience)
+        let mut table = self.table();
+        let notice = table.take_changes(self.clock.now(), audience);
+        // A notice has a limit; the rest goes into the next one.
+        if table.has_changes() {
+            self.changed.notify_one();
+        }
+        notice
     }
 
     /// Returns what hosts need that have missed changes.
