feat(peers): keepers defer what hosts tell in passing, and give it half of their time at most

Callers saw refusals, and operators no acknowledgement, whenever one kind of work took the keepers' processor: announcements, route tables, questions, now notices.

Cause of the class: a keeper has one thread, whose tasks take turns. Whatever had the most to do had the most turns, and each vote waited for them.

Change: links of a keeper put frames aside that are no part of the agreement, of questions to keepers or of leases, by the name of their variant and without decoding them. They are decoded and handled in turn over the peers, within half of the time; a peer has 64 of them or 512 KB, then its oldest are dropped, which later ones replace. Layouts, probes and notices to others share the same half. pollendrift.work.dropped counts what is dropped.

--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -95,6 +95,7 @@
         let added = WorkCount {
             steps: done.steps - before.steps,
             time: done.time.saturating_sub(before.time),
+            dropped: done.dropped - before.dropped,
         };
         metrics.add_work(kind, added);
     }
--- a/crates/daemon/src/lease_broadcast.rs
+++ b/crates/daemon/src/lease_broadcast.rs
@@ -201,7 +201,7 @@
             .work()
             .track("broadcast", Box::pin(self.run_ticks(&hub)));
         let notices = Box::pin(self.run_quarantine(&hub));
-        let notices = hub.work().track("notices", notices);
+        let notices = hub.work().defer("notices", notices);
         tokio::join!(ticks, notices);
     }
 
--- a/crates/daemon/src/node/parts.rs
+++ b/crates/daemon/src/node/parts.rs
@@ -7,6 +7,7 @@
 use pollendrift_coordination::agreement::AgreementSettings;
 use pollendrift_coordination::base::{HostName, Incarnation};
 use pollendrift_coordination::hosts::HostReach;
+use pollendrift_coordination::limits::WorkSettings;
 use pollendrift_coordination::replicated::{ProcessNonce, ReplicatedSettings};
 
 use super::NodeParts;
@@ -100,6 +101,7 @@
         discovery,
     };
     let links = LinkSettings {
+        deferrable: settings.is_keeper().then(WorkSettings::default),
         seed: parts.nonce.0,
         ..LinkSettings::default()
     };
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -6,6 +6,7 @@
 //! all other frames. While a link is down, every frame is refused, so that the caller knows that it
 //! was not sent.
 
+mod backlog;
 mod backoff;
 mod calls;
 mod compression;
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -32,6 +32,9 @@
 /// Maximum nesting depth of a decoded frame; sent frames have at most about ten levels.
 const FRAME_DEPTH: usize = 32;
 
+/// Variants of [`PeerFrame`] that may wait: what hosts tell each other in passing, and repeat.
+const DEFERRABLE_FRAMES: [&str; 3] = ["Survey", "LeaseQuestion", "LeaseNumbers"];
+
 /// Number of a heartbeat, increasing on one link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -356,6 +359,26 @@
     decode_value(bytes)
 }
 
+/// Whether an encoded frame may wait until its receiver has time for it.
+///
+/// Decides by the name of the frame's variant, which is its first value, without decoding the rest.
+///
+/// # Errors
+/// The bytes are no frame; untrusted bytes are safe.
+pub(super) fn is_deferrable(bytes: &[u8]) -> Result<bool, FrameError> {
+    const MAP_OF_ONE: u8 = 0xa1;
+    const SHORT_TEXT: u8 = 0x60;
+    let frame = decompress(bytes)?;
+    let [MAP_OF_ONE, head, name @ ..] = frame.as_ref() else {
+        return Ok(false);
+    };
+    let length = usize::from(head.wrapping_sub(SHORT_TEXT));
+    let name = name.get(..length).unwrap_or_default();
+    Ok(DEFERRABLE_FRAMES
+        .iter()
+        .any(|frame| frame.as_bytes() == name))
+}
+
 /// Encodes one message of at most `bound` bytes, before compression.
 pub(super) fn encode_value<V>(
     value: &V,
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use super::backlog::{DROPPED_KIND, FrameBacklog, handle_deferred_frames};
 use super::calls::{CallError, CallNumber, CallTable, PendingCall};
 use super::discovery::PeerDiscovery;
 use super::forward_service::{ForwardHandler, RunningCount};
@@ -93,6 +94,7 @@
     pub(super) calls: Arc<CallTable>,
     traffic: FrameTraffic,
     pub(super) work: Arc<WorkMeter>,
+    pub(super) backlog: FrameBacklog,
     pub(super) forward_handler: OnceLock<Weak<dyn ForwardHandler>>,
     /// Forwarded requests in progress at this host.
     pub(super) forwarded: RunningCount,
@@ -128,7 +130,8 @@
         dials: Semaphore::new(settings.max_dials),
         calls: Arc::new(CallTable::new(settings.max_pending_calls)),
         traffic: FrameTraffic::default(),
-        work: Arc::default(),
+        work: Arc::new(WorkMeter::new(settings.deferrable)),
+        backlog: FrameBacklog::new(&settings),
         forward_handler: OnceLock::new(),
         forwarded: RunningCount::new(0),
         slots: RwLock::default(),
@@ -141,7 +144,10 @@
     for peer in peers {
         hub.add_peer(peer);
     }
-    let tasks = JoinSet::new();
+    let mut tasks = JoinSet::new();
+    if hub.defers_frames() {
+        tasks.spawn(handle_deferred_frames(hub.clone()));
+    }
     PeerTasks { hub, tasks }
 }
 
@@ -313,6 +319,17 @@
         self.shared.traffic.counts()
     }
 
+    /// Whether links put deferrable frames aside.
+    pub(super) fn defers_frames(&self) -> bool {
+        self.shared.settings.deferrable.is_some()
+    }
+
+    /// Puts a deferrable frame aside.
+    pub(super) fn defer_frame(&self, from: &HostName, frame: Bytes) {
+        let dropped = self.shared.backlog.push(from, frame);
+        self.shared.work.record_dropped(DROPPED_KIND, dropped);
+    }
+
     /// Work of this process by kind.
     #[must_use]
     pub fn work(&self) -> &Arc<WorkMeter> {
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -195,12 +195,15 @@
         let step = tokio::select! {
             biased;
             () = replies.ready() => link.sender.send_queued(replies).await,
-            frame = link.receiver.receive() => {
+            frame = receive(hub, &link.host, &mut link.receiver) => {
                 last_received = clock.now();
                 match frame {
                     Ok(frame) => {
                         hub.record_heard(slot);
-                        receive_frame(hub, link, frame).await
+                        match frame {
+                            Some(frame) => receive_frame(hub, link, frame).await,
+                            None => Ok(()),
+                        }
                     }
                     Err(error) => Err(error),
                 }
@@ -222,6 +225,20 @@
     }
 }
 
+/// Waits for the next frame of `host`; `None` for one that was put aside.
+async fn receive(
+    hub: &PeerHub,
+    host: &HostName,
+    receiver: &mut FrameReceiver,
+) -> Result<Option<PeerFrame>, LinkError> {
+    if hub.defers_frames() {
+        return receiver
+            .receive_unless(|bytes| hub.defer_frame(host, bytes))
+            .await;
+    }
+    receiver.receive().await.map(Some)
+}
+
 async fn receive_frame(
     hub: &PeerHub,
     link: &mut AcceptedLink,
--- a/crates/daemon/src/peers/settings.rs
+++ b/crates/daemon/src/peers/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use pollendrift_coordination::limits::WorkSettings;
+
 /// Intervals, timeouts and limits of a link.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LinkSettings {
@@ -38,6 +40,13 @@
     /// Maximum number of links that this process opens at the same time. All hosts of a fleet start
     /// together, and a keeper that accepts all their links at once finishes none of them in time.
     pub max_dials: usize,
+    /// Share of deferrable work, for a process with a keeper: its links then put frames aside that are no
+    /// part of the agreement, of questions to keepers or of leases. `None` handles all frames at once.
+    pub deferrable: Option<WorkSettings>,
+    /// Maximum number of such frames that wait, per peer; the oldest go first, as later ones replace them.
+    pub max_deferred_frames: usize,
+    /// Maximum size in bytes of these, per peer.
+    pub max_deferred_bytes: usize,
     /// Seed of the back-off's jitter.
     pub seed: u64,
 }
@@ -59,6 +68,9 @@
             max_pending_calls: 16_384,
             max_handshakes: 64,
             max_dials: 4,
+            deferrable: None,
+            max_deferred_frames: 64,
+            max_deferred_bytes: 512 * 1024,
             seed: 0,
         }
     }
--- a/crates/daemon/src/peers/socket.rs
+++ b/crates/daemon/src/peers/socket.rs
@@ -15,7 +15,9 @@
 
 use super::error::LinkError;
 use super::forward_frame::ForwardFrame;
-use super::frame::{FrameError, PeerFrame, decode_frame, decode_value, encode_frame, encode_value};
+use super::frame::{
+    FrameError, PeerFrame, decode_frame, decode_value, encode_frame, encode_value, is_deferrable,
+};
 use super::queue::FrameQueue;
 use super::settings::LinkSettings;
 use super::transport::PeerStream;
@@ -117,6 +119,23 @@
         decoded.map_err(LinkError::Frame)
     }
 
+    /// Waits for the next frame; passes a deferrable one to `defer`, still encoded, and returns `None`.
+    pub(super) async fn receive_unless<F>(
+        &mut self,
+        defer: F,
+    ) -> Result<Option<PeerFrame>, LinkError>
+    where
+        F: FnOnce(Bytes),
+    {
+        let bytes = self.receive_bytes().await?;
+        if is_deferrable(&bytes).map_err(LinkError::Frame)? {
+            defer(bytes);
+            return Ok(None);
+        }
+        let decoded = self.work.measure("frame-decode", || decode_frame(&bytes));
+        decoded.map(Some).map_err(LinkError::Frame)
+    }
+
     /// Waits for the next frame of a forwarding channel. A cancelled wait loses nothing.
     pub(super) async fn receive_forward(&mut self) -> Result<ForwardFrame, LinkError> {
         let bytes = self.receive_bytes().await?;
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -190,7 +190,7 @@
         if probed.is_empty() {
             return;
         }
-        let results = survey(&context, &self.client, &probed).await;
+        let results = survey(&context, self.parts.hub.work(), &self.client, &probed).await;
         let hub = &self.parts.hub;
         self.parts.broadcaster.broadcast_survey(hub, &results);
         for result in &results {
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -93,6 +93,6 @@
     };
     let work = Arc::clone(node.hub().work());
     vec![tokio::spawn(async move {
-        work.track("layout", Box::pin(run_placer(placer))).await;
+        work.defer("layout", Box::pin(run_placer(placer))).await;
     })]
 }
--- a/crates/daemon/src/relay/survey.rs
+++ b/crates/daemon/src/relay/survey.rs
@@ -14,6 +14,7 @@
 
 use super::context::RelayContext;
 use crate::fleet::WorkerView;
+use crate::work::WorkMeter;
 
 /// Minimum time between two surveys. The state that an engine reports is about 200 ms old, so more
 /// frequent probes add little information but cost CPU time.
@@ -36,6 +37,7 @@
 /// missing in the results.
 pub(super) async fn survey(
     context: &Arc<RelayContext>,
+    work: &Arc<WorkMeter>,
     pool: &ConnectionPool,
     workers: &[Arc<WorkerView>],
 ) -> Vec<SurveyResult> {
@@ -45,7 +47,8 @@
     let mut probes = JoinSet::new();
     for worker in holding {
         let (context, pool) = (Arc::clone(context), pool.clone());
-        probes.spawn(survey_worker(context, pool, Arc::clone(worker)));
+        let probe = survey_worker(context, pool, Arc::clone(worker));
+        probes.spawn(work.defer("probe", Box::pin(probe)));
     }
     let results = probes.join_all().await.into_iter();
     results.flatten().collect()
--- a/crates/daemon/src/telemetry/instruments.rs
+++ b/crates/daemon/src/telemetry/instruments.rs
@@ -125,6 +125,8 @@
         "Time between two tokens of one draft";
     TOKENS_UNCONFIRMED: Counter "pollendrift.token.unconfirmed", "{token}",
         "Tokens sent to callers of streams before another host confirmed their copy";
+    WORK_DROPPED: Counter "pollendrift.work.dropped", "{piece}",
+        "Pieces of work that were dropped as too many waited, by kind";
     WORK_STEPS: Counter "pollendrift.work.steps", "{step}",
         "Steps of work of this process, by kind";
     WORK_TIME: Counter "pollendrift.work.time", "s",
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -92,6 +92,7 @@
     tokens: Counter<u64>,
     token_interval: Histogram<f64>,
     tokens_unconfirmed: Counter<u64>,
+    work_dropped: Counter<u64>,
     work_steps: Counter<u64>,
     work_time: Counter<f64>,
 }
@@ -147,6 +148,7 @@
             tokens: counter(&meter, &instruments::TOKENS),
             token_interval: durations(&meter, &instruments::TOKEN_INTERVAL),
             tokens_unconfirmed: counter(&meter, &instruments::TOKENS_UNCONFIRMED),
+            work_dropped: counter(&meter, &instruments::WORK_DROPPED),
             work_steps: counter(&meter, &instruments::WORK_STEPS),
             work_time: float_counter(&meter, &instruments::WORK_TIME),
         };
@@ -322,6 +324,7 @@
     /// Counts work; `kind` is one of the fixed names of kinds.
     pub fn add_work(&self, kind: &'static str, added: WorkCount) {
         let attributes = [KeyValue::new("kind", kind)];
+        self.work_dropped.add(added.dropped, &attributes);
         self.work_steps.add(added.steps, &attributes);
         self.work_time.add(added.time.as_secs_f64(), &attributes);
     }
--- a/crates/daemon/tests/telemetry_pages.rs
+++ b/crates/daemon/tests/telemetry_pages.rs
@@ -133,7 +133,7 @@
     let counters = INSTRUMENTS
         .iter()
         .filter(|spec| spec.kind == InstrumentKind::Counter);
-    assert_eq!(counters.count(), 19);
+    assert_eq!(counters.count(), 20);
 }
 
 // Guards against changed metric names or labels, which would break operators' dashboards.
@@ -201,6 +201,7 @@
     pollendrift_token_count_total{otel_scope_name="pollendrift"} 2
     pollendrift_token_interval_seconds_count{otel_scope_name="pollendrift"} 1
     pollendrift_token_unconfirmed_total{otel_scope_name="pollendrift"} 3
+    pollendrift_work_dropped_total{kind="agreement",otel_scope_name="pollendrift"} 0
     pollendrift_work_steps_total{kind="agreement",otel_scope_name="pollendrift"} 0
     pollendrift_work_time_seconds_total{kind="agreement",otel_scope_name="pollendrift"} 0
     "#);
