--- a/crates/daemon/tests/keeper_cluster/cluster.rs
+++ b/crates/daemon/tests/keeper_cluster/cluster.rs
@@ -20,6 +20,7 @@
     AgreementSettings, LogIndex, StateMachine, StateMachineError,
 };
 use pollendrift_coordination::base::{HostName, Incarnation};
+use pollendrift_store::FileSystem;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
 use tokio::time::timeout;
@@ -216,6 +217,16 @@
     }
 
     pub(crate) async fn try_start(&mut self, name: &'static str) -> Result<(), KeeperError> {
+        let files = FailingFiles::new(self.folders[name].path(), self.faults.clone());
+        self.start_on(name, Box::new(files)).await
+    }
+
+    /// Starts a keeper on `files` in place of its folder.
+    pub(crate) async fn start_on(
+        &mut self,
+        name: &'static str,
+        files: Box<dyn FileSystem>,
+    ) -> Result<(), KeeperError> {
         let (port, inbox) = keeper_queue(self.settings.queue);
         let handler = Arc::new(KeeperFrameHandler::new(port.clone(), Arc::new(NoFrames)));
         let peers = self.dialer.link(name, handler).await;
@@ -231,8 +242,7 @@
             machine: Box::new(ListMachine { list: list.clone() }),
             clock: self.clock.clone(),
         };
-        let files = FailingFiles::new(self.folders[name].path(), self.faults.clone());
-        let keeper = start_keeper_on(start, Box::new(files))?;
+        let keeper = start_keeper_on(start, files)?;
         let host = Host {
             peers,
             keeper,
--- a/crates/daemon/tests/keeper_cluster/main.rs
+++ b/crates/daemon/tests/keeper_cluster/main.rs
@@ -9,5 +9,9 @@
 mod cluster;
 mod disks;
 mod failing;
+#[allow(dead_code, reason = "the tests of the store use more of it")]
+#[path = "../../../store/tests/store/fault_files.rs"]
+mod fault_files;
 mod losses;
+mod power;
 mod service;
