fix(relay): bytes without end stay within the memory of a host

Servers may send bytes that are no answer without end, in a head or a body. Each answer had a limit of its own (16 MiB of a body, 400 KB of a head, 256 KB of an event), so a thousand of them did not fit into 160 MB by these limits; a draft's failure was read without a time limit, and an event could take its bytes one by one until the deadline.

Change: bodies that are read in whole share 32 MiB, and the largest is given up when it is used up, so that sound answers, which are short, are not; heads and read buffers have 32 KiB, events 32 KiB and 2 s, announcements 64 KiB, and the bodies of refusals 64 KiB. A draft's failure is read until its deadline.

--- a/crates/coordination/src/streams/events.rs
+++ b/crates/coordination/src/streams/events.rs
@@ -10,7 +10,7 @@
 use crate::base::number_type;
 
 /// Maximum number of bytes of one event, far more than one step of an engine produces.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+const MAX_EVENT_BYTES: usize = 32 * 1024;
 
 number_type!(
     /// Number of an event in its stream; consecutive events have consecutive numbers.
@@ -48,7 +48,7 @@
     /// Removes and returns the next complete event; `None` if the buffer contains none.
     ///
     /// # Errors
-    /// If the buffer holds more than 256 KiB without the end of an event.
+    /// If the buffer holds more than 32 KiB without the end of an event.
     pub fn next_event(&mut self) -> Result<Option<StreamEvent>, EventTooLong> {
         let Some(end) = self.find_end() else {
             self.searched = self.buffer.len().saturating_sub(3);
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -117,6 +117,7 @@
         let status = match failure {
             ReadFailure::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             ReadFailure::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
+            ReadFailure::MemoryUsedUp => StatusCode::SERVICE_UNAVAILABLE,
             ReadFailure::EndedEarly { .. } | ReadFailure::Malformed { .. } => {
                 StatusCode::BAD_REQUEST
             }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -260,6 +260,7 @@
 fn body_refusal(failure: ReadFailure) -> Refused {
     let kind = match failure {
         ReadFailure::TooLarge { .. } => RefusalKind::BodyTooLarge,
+        ReadFailure::MemoryUsedUp => RefusalKind::NotRun,
         ReadFailure::EndedEarly { .. }
         | ReadFailure::TooSlow { .. }
         | ReadFailure::Malformed { .. } => RefusalKind::Malformed,
--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -11,7 +11,7 @@
 use pollendrift_coordination::retries::SendOutcome;
 use pollendrift_dialect::ServerLoad;
 use pollendrift_http::{
-    ClientError, PooledAnswer, PooledConnection, ResponseBody, full_body, read_bounded,
+    BodyMemory, ClientError, PooledAnswer, PooledConnection, ResponseBody, full_body, read_bounded,
 };
 use tokio::time::{Instant, timeout};
 
@@ -21,6 +21,8 @@
 
 /// Largest answer body that is buffered in memory, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Largest body of an answer that says "not run" that is read, so that its connection can be reused.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
 /// Time for reading the body of an answer that says "not run", so that its connection can be
 /// reused.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
@@ -108,14 +110,35 @@
         }
     }
 
-    /// Reads the complete body and keeps the connection.
+    /// Reads the complete body within `time_left` and keeps the connection.
     ///
-    /// Fails if the body is incomplete or too large.
-    pub(super) async fn read(mut self) -> Result<Response<ResponseBody>, FailedSend> {
+    /// Fails if the body is incomplete or too large, has no end in time, or is the largest while all
+    /// bodies use up `memory`.
+    pub(super) async fn read(
+        self,
+        memory: &BodyMemory,
+        time_left: Duration,
+    ) -> Result<Response<ResponseBody>, FailedSend> {
+        timeout(time_left, self.read_whole(memory))
+            .await
+            .unwrap_or_else(|_| {
+                let reason = "the answer did not end in time".to_owned();
+                Err(FailedSend::new(SendOutcome::TimedOut, reason))
+            })
+    }
+
+    async fn read_whole(
+        mut self,
+        memory: &BodyMemory,
+    ) -> Result<Response<ResponseBody>, FailedSend> {
         let incomplete = |reason| FailedSend::new(SendOutcome::IncompleteAnswer, reason);
+        let reservation = memory.reserve();
         let mut bytes = BytesMut::new();
         while let Some(part) = self.body.next().await {
-            bytes.extend_from_slice(&part.map_err(incomplete)?);
+            let part = part.map_err(incomplete)?;
+            let admitted = reservation.grow(part.len());
+            admitted.map_err(|failure| incomplete(failure.to_string()))?;
+            bytes.extend_from_slice(&part);
             if bytes.len() > MAX_ANSWER_BYTES {
                 let reason = format!("the answer has more than {MAX_ANSWER_BYTES} bytes");
                 return Err(incomplete(reason));
@@ -208,7 +231,7 @@
 }
 
 async fn keep_after_refusal(headers: &HeaderMap, body: Incoming, connection: PooledConnection) {
-    let read = timeout(REFUSAL_BODY_TIMEOUT, read_bounded(body, MAX_ANSWER_BYTES)).await;
+    let read = timeout(REFUSAL_BODY_TIMEOUT, read_bounded(body, MAX_REFUSAL_BYTES)).await;
     if matches!(read, Ok(Ok(_))) {
         connection.return_to_pool(headers);
     }
--- a/crates/daemon/src/relay/calls.rs
+++ b/crates/daemon/src/relay/calls.rs
@@ -176,7 +176,8 @@
     let time_left = request.time_left(now);
     let answered = async {
         let answer = forwarding.await?;
-        answer.read().await.map_err(FailedForward::Unknown)
+        let read = answer.read(&context.body_memory, time_left).await;
+        read.map_err(FailedForward::Unknown)
     };
     let failed = match timeout(time_left, answered).await {
         Ok(Ok(response)) => {
@@ -349,10 +350,7 @@
                     .reported(context.clock.now(), &worker.server, reported_load);
             }
             let time_left = request.time_left(context.clock.now());
-            timeout(time_left, answer.read()).await.unwrap_or_else(|_| {
-                let reason = "the answer did not end in time".to_owned();
-                Err(FailedSend::new(SendOutcome::TimedOut, reason))
-            })
+            answer.read(&context.body_memory, time_left).await
         }
         Err(failed) => Err(failed),
     };
--- a/crates/daemon/src/relay/context.rs
+++ b/crates/daemon/src/relay/context.rs
@@ -11,7 +11,7 @@
 use pollendrift_coordination::routes::{CustomerKeys, Route, RouteTable, ServiceSpec};
 use pollendrift_coordination::routing::{ChainHealth, HealthSettings, ServerLoads};
 use pollendrift_dialect::PlatformDialect;
-use pollendrift_http::{ConnectionPool, PoolSettings, ServerDialer};
+use pollendrift_http::{BodyMemory, ConnectionPool, PoolSettings, ServerDialer};
 use tokio::sync::Notify;
 
 use super::admission::DraftAdmission;
@@ -57,6 +57,9 @@
     pub(crate) seed: u64,
 }
 
+/// Memory for all answers that are read in whole at the same time, in bytes.
+const MAX_BODY_MEMORY: usize = 32 << 20;
+
 /// State that the handlers of relayed requests share.
 pub(crate) struct RelayContext {
     pub(super) dialect: PlatformDialect,
@@ -71,6 +74,8 @@
     /// Channels to hosts that requests are forwarded to.
     pub(super) channels: ChannelPool,
     pub(super) pool: ConnectionPool,
+    /// Memory for answers that are read in whole.
+    pub(super) body_memory: BodyMemory,
     pub(super) clock: Arc<dyn TimeSource>,
     pub(super) lifecycle: LifecycleWatch,
     pub(super) metrics: Arc<MetricRegistry>,
@@ -115,6 +120,7 @@
             engine_checks: Mutex::default(),
             channels: ChannelPool::new(parts.hub),
             pool: ConnectionPool::with_dialer(PoolSettings::default(), since_boot, parts.dialer),
+            body_memory: BodyMemory::new(MAX_BODY_MEMORY),
             admission: DraftAdmission::new(
                 parts.settings.admission,
                 parts.refusals,
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -23,8 +23,10 @@
 use crate::fleet::BackendFleet;
 use crate::node::ClusterNode;
 
-/// Largest body of an announcement or a document, in bytes.
-pub(super) const MAX_BODY_BYTES: usize = 8 << 20;
+/// Largest body of a document, in bytes.
+const MAX_DOCUMENT_BYTES: usize = 8 << 20;
+/// Largest body of an announcement, in bytes.
+pub(super) const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
 /// Time limit for receiving a body.
 pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after the start during which other hosts may know servers that this host does not know: a
@@ -52,14 +54,19 @@
 impl ControlHandler {
     async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let (head, body) = request.into_parts();
-        let body = match read_within(BODY_TIMEOUT, read_bounded(body, MAX_BODY_BYTES)).await {
+        let path = head.uri.path();
+        let operator_call = self.dialect.operators.call(&head.method, path);
+        let limit = match operator_call {
+            Some(_) => MAX_DOCUMENT_BYTES,
+            None => MAX_ANNOUNCEMENT_BYTES,
+        };
+        let body = match read_within(BODY_TIMEOUT, read_bounded(body, limit)).await {
             Ok(body) => body,
             Err(failure) => {
                 return text_response(StatusCode::BAD_REQUEST, format!("{failure}\n"));
             }
         };
-        let path = head.uri.path();
-        if let Some(call) = self.dialect.operators.call(&head.method, path) {
+        if let Some(call) = operator_call {
             return self.serve_operator(call, &body).await.map(full_body);
         }
         match self.dialect.registry.read(&head.method, path, &body) {
--- a/crates/daemon/src/relay/drafts.rs
+++ b/crates/daemon/src/relay/drafts.rs
@@ -156,7 +156,8 @@
         None => return Err(run.refusal().arrived(run.has_arrived)),
     };
     if !running.answer.parts.status.is_success() {
-        let read = running.answer.read().await;
+        let time_left = run.request.time_left(context.clock.now());
+        let read = running.answer.read(&context.body_memory, time_left).await;
         meter.record_end(OutcomeKind::Complete);
         return read.map_err(|failed| refused(RefusalKind::UnknownOutcome, failed.reason));
     }
--- a/crates/daemon/src/relay/forwarding.rs
+++ b/crates/daemon/src/relay/forwarding.rs
@@ -16,6 +16,9 @@
 /// Events over which the usual gap is smoothed: half a second of a stream with 16 events a second.
 const GAP_SMOOTHING: u32 = 8;
 
+/// Longest time for the bytes of one event. Its bytes arrive together, or after they were sent again.
+const MAX_EVENT_TIME: Duration = Duration::from_secs(2);
+
 /// Reason why forwarding from one chain stopped.
 pub(super) enum ChainEnd {
     /// The stream is complete.
@@ -33,6 +36,8 @@
 /// Forwards the events of one answer and measures the gaps between them.
 pub(super) struct EventForwarder {
     framer: EventFramer,
+    /// Time since which the framer has an incomplete event.
+    partial_since: Option<MonotonicTime>,
     /// Part that was received outside of [`EventForwarder::run`] and is forwarded first.
     pending: Option<NextPart>,
     /// Whether no event has arrived yet.
@@ -50,6 +55,7 @@
     pub(super) fn new(now: MonotonicTime) -> Self {
         Self {
             framer: EventFramer::default(),
+            partial_since: None,
             pending: None,
             is_first: true,
             last_event_at: now,
@@ -109,7 +115,20 @@
                 }
                 Err(reason) => return ChainEnd::Broken(reason),
             }
+            if !self.is_event_in_time(run.context.clock.now()) {
+                return ChainEnd::Broken("an event of the chain does not end".to_owned());
+            }
+        }
+    }
+
+    /// Whether the bytes of an incomplete event may still come.
+    fn is_event_in_time(&mut self, now: MonotonicTime) -> bool {
+        if !self.framer.has_partial_event() {
+            self.partial_since = None;
+            return true;
         }
+        let since = *self.partial_since.get_or_insert(now);
+        now.since(since) <= MAX_EVENT_TIME
     }
 
     async fn receive(
--- a/crates/daemon/src/relay/heartbeats.rs
+++ b/crates/daemon/src/relay/heartbeats.rs
@@ -23,7 +23,7 @@
     HandlerFuture, HttpHandler, ResponseBody, full_body, read_bounded, read_within, text_response,
 };
 
-use super::control::{BODY_TIMEOUT, MAX_BODY_BYTES};
+use super::control::{BODY_TIMEOUT, MAX_ANNOUNCEMENT_BYTES};
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
 use crate::node::ClusterNode;
@@ -53,7 +53,8 @@
 impl HeartbeatHandler {
     async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let (head, body) = request.into_parts();
-        let body = match read_within(BODY_TIMEOUT, read_bounded(body, MAX_BODY_BYTES)).await {
+        let reading = read_bounded(body, MAX_ANNOUNCEMENT_BYTES);
+        let body = match read_within(BODY_TIMEOUT, reading).await {
             Ok(body) => body,
             Err(failure) => {
                 return text_response(StatusCode::BAD_REQUEST, format!("{failure}\n"));
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -15,6 +15,8 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
 
+use crate::body_memory::BodyMemory;
+
 /// Error of a response body whose sender was dropped before the end.
 ///
 /// hyper then closes the connection, so a client never treats a truncated body as complete.
@@ -170,6 +172,9 @@
         /// Error text of the transport.
         reason: String,
     },
+    /// The bodies that are read at the same time use up their memory, and this is the largest.
+    #[display("bodies use up the memory of this host, and this is the largest")]
+    MemoryUsedUp,
     /// The body did not arrive within the time limit.
     #[display("body did not come within {} ms", limit.as_millis())]
     TooSlow {
@@ -207,6 +212,33 @@
 where
     B: Body<Data = Bytes>,
     B::Error: std::fmt::Display,
+{
+    read_with(body, limit, |_| Ok(())).await
+}
+
+/// Reads a complete body like [`read_bounded`], within the memory that it shares with other bodies.
+///
+/// # Errors
+/// Returns the errors of [`read_bounded`], and [`ReadFailure::MemoryUsedUp`].
+pub async fn read_shared<B>(
+    body: B,
+    limit: usize,
+    memory: &BodyMemory,
+) -> Result<Bytes, ReadFailure>
+where
+    B: Body<Data = Bytes>,
+    B::Error: std::fmt::Display,
+{
+    let reservation = memory.reserve();
+    read_with(body, limit, |bytes| reservation.grow(bytes)).await
+}
+
+/// Reads a complete body; `admit` is called with the length of each part.
+async fn read_with<B, F>(body: B, limit: usize, admit: F) -> Result<Bytes, ReadFailure>
+where
+    B: Body<Data = Bytes>,
+    B::Error: std::fmt::Display,
+    F: Fn(usize) -> Result<(), ReadFailure>,
 {
     // Refuses a body whose declared length exceeds the limit before storing any byte. If such
     // bodies were read up to the limit first, many of them at once would fill the memory.
@@ -226,6 +258,7 @@
         if content.len().saturating_add(data.len()) > limit {
             return Err(ReadFailure::TooLarge { limit });
         }
+        admit(data.len())?;
         content.extend_from_slice(&data);
     }
     Ok(content.into())
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,7 +13,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::body::{ReadFailure, read_bounded};
+use crate::body::{ReadFailure, read_shared};
+use crate::body_memory::BodyMemory;
+use crate::pool::MAX_HEAD_BYTES;
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -61,13 +63,15 @@
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
     max_body: usize,
+    memory: BodyMemory,
 }
 
 /// A response whose body has not been read.
 pub type UnreadResponse = Response<Incoming>;
 
 impl HttpClient {
-    /// Creates a client that reads response bodies of at most `max_body` bytes.
+    /// Creates a client that reads response bodies of at most `max_body` bytes each, and twice as much
+    /// together.
     pub fn new(max_body: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -75,10 +79,15 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             // An automatic resend after a closed pooled connection could run a request twice.
             .retry_canceled_requests(false)
             .build(connector);
-        Self { client, max_body }
+        Self {
+            client,
+            max_body,
+            memory: BodyMemory::new(max_body.saturating_mul(2)),
+        }
     }
 
     /// Sends a request and waits for the head of the response.
@@ -147,7 +156,7 @@
     /// # Errors
     /// Returns [`ClientError::NoAnswer`] if the body ends early or exceeds the limit of the client.
     pub async fn read(&self, response: UnreadResponse) -> Result<Bytes, ClientError> {
-        Ok(read_bounded(response.into_body(), self.max_body).await?)
+        Ok(read_shared(response.into_body(), self.max_body, &self.memory).await?)
     }
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP server with limits, HTTP client, connection pool and bodies, built on hyper.
 
 mod body;
+mod body_memory;
 mod client;
 mod dialer;
 mod new_connections;
@@ -9,8 +10,9 @@
 
 pub use body::{
     BodyError, BodySender, ReadFailure, ReaderWatch, ResponseBody, channel_body, empty_body,
-    full_body, json_response, read_bounded, read_json, read_within, text_response,
+    full_body, json_response, read_bounded, read_json, read_shared, read_within, text_response,
 };
+pub use body_memory::{BodyMemory, BodyReservation};
 pub use client::{ClientError, HttpClient, LineReader, UnreadResponse};
 pub use dialer::{DialFuture, ServerDialer, TcpDialer};
 pub use pool::{ConnectionPool, PoolClock, PoolSettings, PooledAnswer, PooledConnection};
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -57,6 +57,10 @@
     }
 }
 
+/// Maximum size of the head of a response, and of the read buffer of a connection, in bytes. A host
+/// may have a thousand connections on which bytes come without end.
+pub(crate) const MAX_HEAD_BYTES: usize = 32 * 1024;
+
 /// Reads a monotonic clock: the time since a fixed moment before the creation of the pool.
 pub type PoolClock = fn() -> Duration;
 
@@ -310,7 +314,9 @@
             .await
             .map_err(|_| not_sent(format!("{address} did not answer in time")))?
             .map_err(|error| not_sent(format!("{address}: {error}")))?;
-        let opening = Builder::new().handshake(TokioIo::new(stream));
+        let opening = Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream));
         let (sender, connection) = opening
             .await
             .map_err(|error| not_sent(format!("{address}: {error}")))?;
