--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,7 +14,6 @@
 use pollendrift_coordination::forwarding::{ForwardSettings, ForwardTable};
 use pollendrift_coordination::leases::BackendLeaseSettings;
 use pollendrift_coordination::limits::LimitSettings;
-use pollendrift_coordination::poison::PoisonSettings;
 use pollendrift_coordination::replicated::ProcessNonce;
 use pollendrift_coordination::retries::RetrySettings as CoreRetrySettings;
 use pollendrift_coordination::routing::RoutingSettings;
@@ -178,12 +177,9 @@
             Arc::clone(&clock),
             Arc::clone(&metrics),
         ));
-        let poison = PoisonSettings {
-            // A platform's callers are served by hosts without a keeper.
-            sends_requests: !(settings.relay.enabled && settings.is_keeper()),
-            ..PoisonSettings::default()
-        };
-        let poison = PoisonState::new(poison, Arc::clone(&clock), Arc::clone(&metrics));
+        // A platform's callers are served by hosts without a keeper.
+        let sends_requests = !(settings.relay.enabled && settings.is_keeper());
+        let poison = PoisonState::new(sends_requests, Arc::clone(&clock), Arc::clone(&metrics));
         let poison = Arc::new(poison);
         let parts = NodeParts {
             quarantine: Arc::clone(&quarantine),
--- a/crates/daemon/src/peers/backlog.rs
+++ b/crates/daemon/src/peers/backlog.rs
@@ -14,7 +14,7 @@
 use super::traffic::frame_kind;
 
 /// Kind of the frames that are dropped, in counts.
-pub(super) const DROPPED_KIND: &str = "deferred-frame";
+const DROPPED_KIND: &str = "deferred-frame";
 
 /// Handles deferred frames within the share of deferrable work; never returns.
 pub(super) async fn handle_deferred_frames(hub: PeerHub) {
@@ -37,6 +37,19 @@
     }
 }
 
+impl PeerHub {
+    /// Whether links put deferrable frames aside.
+    pub(super) fn defers_frames(&self) -> bool {
+        self.shared.settings.deferrable.is_some()
+    }
+
+    /// Puts a deferrable frame aside.
+    pub(super) fn defer_frame(&self, from: &HostName, frame: Bytes) {
+        let dropped = self.shared.backlog.push(from, frame);
+        self.shared.work.record_dropped(DROPPED_KIND, dropped);
+    }
+}
+
 /// Deferred frames of each peer, handled in turn so that no peer delays those of others.
 pub(super) struct FrameBacklog {
     state: Mutex<BacklogState>,
@@ -71,7 +84,7 @@
     }
 
     /// Adds a frame; returns the number of older frames of the same peer that it displaces.
-    pub(super) fn push(&self, from: &HostName, frame: Bytes) -> u64 {
+    fn push(&self, from: &HostName, frame: Bytes) -> u64 {
         let mut state = self.lock();
         let queue = state.queues.entry(from.clone()).or_default();
         queue.bytes += frame.len();
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use super::backlog::{DROPPED_KIND, FrameBacklog, handle_deferred_frames};
+use super::backlog::{FrameBacklog, handle_deferred_frames};
 use super::calls::{CallError, CallNumber, CallTable, PendingCall};
 use super::discovery::PeerDiscovery;
 use super::forward_service::{ForwardHandler, RunningCount};
@@ -319,17 +319,6 @@
         self.shared.traffic.counts()
     }
 
-    /// Whether links put deferrable frames aside.
-    pub(super) fn defers_frames(&self) -> bool {
-        self.shared.settings.deferrable.is_some()
-    }
-
-    /// Puts a deferrable frame aside.
-    pub(super) fn defer_frame(&self, from: &HostName, frame: Bytes) {
-        let dropped = self.shared.backlog.push(from, frame);
-        self.shared.work.record_dropped(DROPPED_KIND, dropped);
-    }
-
     /// Work of this process by kind.
     #[must_use]
     pub fn work(&self) -> &Arc<WorkMeter> {
--- a/crates/daemon/src/poison.rs
+++ b/crates/daemon/src/poison.rs
@@ -59,12 +59,17 @@
 }
 
 impl PoisonState {
-    /// Creates a state of a process that has seen no server end.
+    /// Creates a state of a process that has seen no server end. `sends_requests` tells whether it sends
+    /// requests to servers; otherwise it only passes on what others tell.
     pub(crate) fn new(
-        settings: PoisonSettings,
+        sends_requests: bool,
         clock: Arc<dyn TimeSource>,
         metrics: Arc<MetricRegistry>,
     ) -> Self {
+        let settings = PoisonSettings {
+            sends_requests,
+            ..PoisonSettings::default()
+        };
         let table = PoisonTable::new(settings, rand::random());
         Self {
             table: Mutex::new(table),
