test(review): an acknowledged leave dies with the keeper that acknowledged it

A server sends its leave to a keeper, which answers 200 and is killed within 4 ms. The keeper tells other hosts on its next tick, up to 200 ms later, so none of them learns of the leave, and the entries go on sending requests to the server until its lease ends.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,8 @@
 
 mod hosts;
 mod http;
+mod leave_lost;
+mod readers;
 mod record;
 mod servers;
 mod stream_gap;
@@ -47,6 +49,7 @@
     };
     let outcome = match name.as_str() {
         "stream-gap" => stream_gap::play(&stage),
+        "leave-lost" => leave_lost::play(&stage),
         _ => Outcome::CouldNotRun("no such case".to_owned()),
     };
     let keeps_folder = std::env::var("KEEP").is_ok();
--- a/review/standins/servers.rs
+++ b/review/standins/servers.rs
@@ -157,6 +157,9 @@
                 &beat,
                 Duration::from_secs(1),
             );
+            let status = answer.as_ref().map_or(0, Message::status);
+            let line = format!("beat     {} at {target}: {status}", self.id);
+            self.fleet.record.line(&line);
             match answer {
                 Ok(answer) if (200..300).contains(&answer.status()) => {
                     let body = String::from_utf8_lossy(&answer.body).into_owned();
