test(review): one heartbeat of an unnamed service takes a server out for good

After a final fault, one keeper gets one heartbeat under the id of each server, from a writer that started later and whose service no configuration names. It is merged and acknowledged, and the servers' own heartbeats are older from then on.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod readers;
 mod record;
 mod servers;
+mod stray_heartbeats;
 mod stream_gap;
 
 use std::path::{Path, PathBuf};
@@ -50,6 +51,7 @@
     let outcome = match name.as_str() {
         "stream-gap" => stream_gap::play(&stage),
         "leave-lost" => leave_lost::play(&stage),
+        "stray-heartbeats" => stray_heartbeats::play(&stage),
         _ => Outcome::CouldNotRun("no such case".to_owned()),
     };
     let keeps_folder = std::env::var("KEEP").is_ok();
