test(review): the cases stay within the limits of the site file

Case 1 spoiled answers for 40 s, where the site file has 6.38 s at most: now 6 s, one of 50 answers of one of six engines. Case 2 had the keeper down for 5 s: now 3.5 s, as the site file has it for the core. A leaving server closes its connections and fails its health check, engines count the memory of their cards and answer orders to change a path, and a case ends all its processes after 100 s.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,8 +1,12 @@
 #!/usr/bin/env bash
 # Plays the case; needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review/review-case ] && [ -x target/release/pollendrift ] || exit 2
-timeout --kill-after=5 115 target/review/review-case stream-gap review/1
+if [ ! -x target/review/review-case ] || [ ! -x target/release/pollendrift ]; then
+    echo "the case could not run: a program is not built" | tee review/1/record.txt
+    exit 2
+fi
+# The case ends by itself after 100 s at most, with all its processes.
+timeout --kill-after=2 110 target/review/review-case stream-gap review/1
 code=$?
 [ "$code" -le 2 ] || exit 2
 exit "$code"
--- a/review/standins/hosts.rs
+++ b/review/standins/hosts.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::http::call;
@@ -27,13 +27,32 @@
 ];
 pub const ZONES: [&str; 3] = ["brest-a", "quimper-b", "lorient-c"];
 
+/// The processes that this case started, for the end of a case that takes too long.
+static CHILDREN: Mutex<Vec<Arc<Mutex<Option<Child>>>>> = Mutex::new(Vec::new());
+
+fn new_child() -> Arc<Mutex<Option<Child>>> {
+    let child = Arc::default();
+    CHILDREN.lock().unwrap().push(Arc::clone(&child));
+    child
+}
+
+/// Kills all processes that this case started, and waits for their ends.
+pub fn kill_all() {
+    for child in CHILDREN.lock().unwrap().iter() {
+        if let Some(mut child) = child.lock().unwrap().take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
 /// One machine with one process.
 pub struct Host {
     pub name: String,
     pub ip: Ipv4Addr,
     is_keeper: bool,
     folder: PathBuf,
-    child: Mutex<Option<Child>>,
+    child: Arc<Mutex<Option<Child>>>,
 }
 
 impl Host {
@@ -134,7 +153,7 @@
                     ip: Ipv4Addr::new(127, net.0, net.1, last),
                     name,
                     folder,
-                    child: Mutex::new(None),
+                    child: new_child(),
                 }
             });
             hosts.collect()
--- a/review/standins/leave_lost.rs
+++ b/review/standins/leave_lost.rs
@@ -14,8 +14,8 @@
 /// Bounds of the sheet, in seconds.
 const DRAIN_S: f64 = 2.0;
 const CONTACT_S: f64 = 3.0;
-/// How long the killed daemon is down, in seconds: the usual time of `node_kill`.
-const DOWN_S: f64 = 5.0;
+/// How long the killed daemon is down, in seconds: `for_s` of `node_kill` on the core in the site file.
+const DOWN_S: f64 = 3.5;
 /// Margin of the times that this process measures, in seconds.
 const MARGIN_S: f64 = 0.1;
 const CLIENTS: u64 = 9;
@@ -28,6 +28,7 @@
     }
     let fleet = Fleet {
         layers: Arc::default(),
+        running: Arc::default(),
         record: Arc::clone(record),
     };
     let start = |number: u8| {
@@ -55,6 +56,7 @@
     }
     let keeper = &cluster.keepers[cluster.keepers.len() - 1];
     leaving.beats.store(false, Ordering::SeqCst);
+    leaving.leaving.store(true, Ordering::SeqCst);
     let path = format!("/pollendrift/instances/{}", leaving.id);
     let control = keeper.control();
     let answer = call(control, "DELETE", &path, &[], "", Duration::from_secs(1));
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -13,9 +13,13 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use record::Record;
 
+/// Longest time of a case.
+const CASE_TIMEOUT: Duration = Duration::from_secs(100);
+
 /// What a case found.
 pub enum Outcome {
     Held,
@@ -43,6 +47,15 @@
     let record = Arc::new(Record::create(&Path::new(case).join("record.txt")));
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.say(&format!("case {name}, trouble: {has_trouble}"));
+    let (late, late_folder) = (Arc::clone(&record), folder.clone());
+    std::thread::spawn(move || {
+        std::thread::sleep(CASE_TIMEOUT);
+        hosts::kill_all();
+        let _ = std::fs::remove_dir_all(late_folder);
+        late.say("the case could not run: it took too long");
+        late.flush();
+        std::process::exit(2);
+    });
     let stage = Stage {
         folder: folder.clone(),
         record: Arc::clone(&record),
@@ -54,6 +67,7 @@
         "stray-heartbeats" => stray_heartbeats::play(&stage),
         _ => Outcome::CouldNotRun("no such case".to_owned()),
     };
+    hosts::kill_all();
     let keeps_folder = std::env::var("KEEP").is_ok();
     if keeps_folder {
         record.say(&format!("logs in {}", folder.display()));
--- a/review/standins/servers.rs
+++ b/review/standins/servers.rs
@@ -1,6 +1,6 @@
 //! Stand-ins of engines and of plain servers, and the configuration that names their services.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -19,12 +19,22 @@
 /// Loads before the first request take a tenth of `loadS`.
 const LOAD_TIME: Duration = Duration::from_millis(700);
 
+/// Memory of a card and of a layer of the sheet, in MB.
+const CARD_MB: u64 = 72_000;
+const LAYER_MB: u64 = 1_750;
+/// `kvBytes` / `layers` of the configuration.
+const KV_BYTES_PER_LAYER: u64 = 590_000 / 80;
+/// Tokens of a stream's prompt and answer.
+const STREAM_TOKENS: u64 = 180;
+
 /// Layers that the engines of a case hold, by address.
 type LayerMap = Arc<Mutex<BTreeMap<String, (u32, u32)>>>;
 
 #[derive(Clone)]
 pub struct Fleet {
     pub layers: LayerMap,
+    /// Streams that run on each engine, as any part of their path.
+    pub running: Arc<Mutex<BTreeMap<String, u64>>>,
     pub record: Arc<Record>,
 }
 
@@ -40,11 +50,14 @@
     orders: AtomicU64,
     fence: AtomicU64,
     busy_until: Mutex<Option<Instant>>,
-    running: AtomicU64,
+    /// Attempts whose streams run here as the first engine.
+    attempts: Mutex<BTreeSet<String>>,
+    /// Whether the server has told that it leaves.
+    pub leaving: AtomicBool,
     /// Whether the server sends heartbeats.
     pub beats: AtomicBool,
-    /// Streams that began here.
-    streams: AtomicU64,
+    /// Streams that began here, from the start of the spoiling on.
+    pub streams: AtomicU64,
     /// Every how many streams one is spoiled; 0 for none.
     pub spoil_every: AtomicU64,
     pub spoiled: AtomicU64,
@@ -78,7 +91,8 @@
             orders: AtomicU64::new(0),
             fence: AtomicU64::new(0),
             busy_until: Mutex::new(None),
-            running: AtomicU64::new(0),
+            attempts: Mutex::default(),
+            leaving: AtomicBool::new(false),
             beats: AtomicBool::new(true),
             streams: AtomicU64::new(0),
             spoil_every: AtomicU64::new(0),
@@ -183,14 +197,20 @@
             match (method.as_str(), path.as_str()) {
                 ("GET", "/healthz") => {
                     let head = format!("Instance-Id: {}\r\n", self.id);
-                    connection.write(&answer(200, &head, ""))?;
+                    let is_leaving = self.leaving.load(Ordering::SeqCst);
+                    let status = if is_leaving { 503 } else { 200 };
+                    connection.write(&answer(status, &head, ""))?;
                 }
                 ("GET", "/pollendrift/report") => {
                     connection.write(&answer(200, JSON, &self.report()))?;
                 }
                 ("POST", "/pollendrift/order") => {
-                    let status = self.take_order(&String::from_utf8_lossy(&request.body));
-                    connection.write(&answer(status, JSON, "{}"))?;
+                    let order = String::from_utf8_lossy(&request.body).into_owned();
+                    let (status, body) = match json_field(&order, "operation") {
+                        Some("repath") => self.take_repath(&order),
+                        _ => (self.take_order(&order), "{}".to_owned()),
+                    };
+                    connection.write(&answer(status, JSON, &body))?;
                 }
                 _ if self.kind.is_empty() => self.run_call(&mut connection, &request)?,
                 _ => self.run_stream(&mut connection, &request)?,
@@ -207,24 +227,41 @@
     }
 
     fn report(&self) -> String {
+        let address = self.address.to_string();
+        let running = self.fleet.running.lock().unwrap();
+        let running = running.get(&address).copied().unwrap_or(0);
+        let held = self.layers().map_or(0, |(from, to)| u64::from(to - from));
+        let kv_total = (CARD_MB - held * LAYER_MB) * 1_000_000 / KV_BYTES_PER_LAYER;
         format!(
             "{{\"stage\":\"prefill_decode\",\"models\":[{{\"name\":\"m0\",\"version\":1,\"adapters\":[]}}],\
-             \"busy\":{},\"sequence\":{},\"waiting\":0,\"running\":{},\"kvUsed\":{},\"kvTotal\":270000,\
+             \"busy\":{},\"sequence\":{},\"waiting\":0,\"running\":{running},\"kvUsed\":{},\"kvTotal\":{kv_total},\
              \"handles\":0,\"pace\":1.0,\"kind\":\"{}\",\"layers\":{},\"stalled\":[]}}",
             self.is_busy(),
             self.orders.load(Ordering::SeqCst),
-            self.running.load(Ordering::SeqCst),
-            self.running.load(Ordering::SeqCst) * 800 * 40,
+            running * STREAM_TOKENS * held,
             self.kind,
             self.layers_json(),
         )
     }
 
+    /// Answers an order to go on with a stream over another path, which changes nothing of it here.
+    fn take_repath(&self, order: &str) -> (u16, String) {
+        let attempt = json_field(order, "id").unwrap_or_default();
+        if !self.attempts.lock().unwrap().contains(attempt) {
+            return (404, "{}".to_owned());
+        }
+        let path = order.split_once("\"path\":\"").map_or("", |(_, rest)| rest);
+        match self.broken_part(path.split('"').next().unwrap_or_default()) {
+            Some(address) => (409, format!("{{\"address\":\"{address}\"}}")),
+            None => (202, "{}".to_owned()),
+        }
+    }
+
     /// Carries out a `place` order after the time of the load.
     fn take_order(&self, order: &str) -> u16 {
         let number = |name: &str| json_field(order, name).and_then(|text| text.parse::<u64>().ok());
         if json_field(order, "operation") != Some("place") {
-            return 404;
+            return 400;
         }
         let fence = number("fencingToken").unwrap_or(0);
         if fence < self.fence.load(Ordering::SeqCst) {
@@ -285,7 +322,12 @@
             "Attempt-Id: {attempt}\r\nServer-Signature: sig-{}\r\nInstance-Load: 1,0,6\r\n",
             self.id
         );
-        connection.write(&answer(200, &head, &format!("answer to {attempt}")))
+        let body = format!("answer to {attempt}");
+        if self.leaving.load(Ordering::SeqCst) {
+            connection.write(&answer(200, &format!("{head}Connection: close\r\n"), &body))?;
+            return Err(io::ErrorKind::Other.into());
+        }
+        connection.write(&answer(200, &head, &body))
     }
 
     /// Address of the first engine of the path that does not hold its part.
@@ -329,12 +371,32 @@
             "runs     {attempt} at {} after event {after}",
             self.id
         ));
-        self.running.fetch_add(1, Ordering::SeqCst);
+        self.count_stream(path, &attempt, true);
         let result = self.write_events(connection, &attempt, after);
-        self.running.fetch_sub(1, Ordering::SeqCst);
+        self.count_stream(path, &attempt, false);
         result
     }
 
+    /// Counts a stream on all engines of its path, or no longer.
+    fn count_stream(&self, path: &str, attempt: &str, is_running: bool) {
+        let mut attempts = self.attempts.lock().unwrap();
+        if is_running {
+            attempts.insert(attempt.to_owned());
+        } else {
+            attempts.remove(attempt);
+        }
+        let mut running = self.fleet.running.lock().unwrap();
+        for part in path.split(',') {
+            let address = part.split('=').next().unwrap_or_default();
+            let count = running.entry(address.to_owned()).or_insert(0);
+            *count = if is_running {
+                *count + 1
+            } else {
+                count.saturating_sub(1)
+            };
+        }
+    }
+
     /// Writes the events, each in a chunk of its own. In a stream to be spoiled, one write has two
     /// events, the second of which has wrong bytes, and the connection ends after it.
     fn write_events(
--- a/review/standins/stray_heartbeats.rs
+++ b/review/standins/stray_heartbeats.rs
@@ -28,6 +28,7 @@
     }
     let fleet = Fleet {
         layers: Arc::default(),
+        running: Arc::default(),
         record: Arc::clone(record),
     };
     let start = |number: u8| {
--- a/review/standins/stream_gap.rs
+++ b/review/standins/stream_gap.rs
@@ -13,8 +13,13 @@
 use crate::servers::{EVENTS, Fleet, HOST, KEY, LAYERS, Server, document, event};
 use crate::{Outcome, Stage};
 
-const STREAMS: u64 = 400;
-const STREAM_GAP: Duration = Duration::from_millis(100);
+const STREAMS: u64 = 800;
+/// 62.5 streams a second; the sheet has 63.4.
+const STREAM_GAP: Duration = Duration::from_millis(16);
+/// When the engine begins to spoil answers, after the first request.
+const SPOIL_DELAY: Duration = Duration::from_secs(3);
+/// How long it spoils answers; `for_s` of `garble` in the site file is up to 6.38.
+const SPOIL_TIME: Duration = Duration::from_secs(6);
 /// A faulty engine spoils one of 50 answers, x = 0.02.
 const SPOIL_EVERY: u64 = 50;
 
@@ -39,6 +44,7 @@
     }
     let fleet = Fleet {
         layers: Arc::default(),
+        running: Arc::default(),
         record: Arc::clone(record),
     };
     let start = |number: u8| {
@@ -61,11 +67,20 @@
     };
     thread::sleep(Duration::from_secs(2));
     if stage.has_trouble {
-        faulty.spoil_every.store(SPOIL_EVERY, Ordering::SeqCst);
-        record.say(&format!(
-            "{} spoils one of {SPOIL_EVERY} answers",
-            faulty.id
-        ));
+        let (faulty, record) = (Arc::clone(&faulty), Arc::clone(record));
+        thread::spawn(move || {
+            thread::sleep(SPOIL_DELAY);
+            faulty.streams.store(0, Ordering::SeqCst);
+            faulty.spoil_every.store(SPOIL_EVERY, Ordering::SeqCst);
+            record.say(&format!(
+                "{} spoils one of {SPOIL_EVERY} answers",
+                faulty.id
+            ));
+            thread::sleep(SPOIL_TIME);
+            faulty.spoil_every.store(0, Ordering::SeqCst);
+            let streams = faulty.streams.load(Ordering::SeqCst);
+            record.say(&format!("and no longer, after {streams} answers"));
+        });
     }
     let ends: Arc<Mutex<BTreeMap<StreamEnd, u64>>> = Arc::default();
     let clients: Vec<_> = (0..STREAMS)
