fix(streams): whole events before wrong bytes reach the caller

Cause: take_new_events recorded each event of a read as delivered while it collected their bytes, and returned the error of a later event in their place. The next engine then went on behind an event that the caller had not got; behind the last event, the stream ended without it.

The framer now returns a batch: the events before the first fault, the progress of a caller that has them, and the fault. The entry sends the events, records the progress, and then handles the fault, so nothing is counted that is not sent.

--- a/crates/coordination/src/streams.rs
+++ b/crates/coordination/src/streams.rs
@@ -18,7 +18,10 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-pub use events::{EventFramer, EventId, EventProgress, EventTooLong, EventVerdict, StreamEvent};
+pub use events::{
+    EventBatch, EventFault, EventFramer, EventId, EventProgress, EventTooLong, EventVerdict,
+    StreamEvent,
+};
 pub use holders::{HolderSettings, HolderTable};
 pub use search::{LookUpAnswer, ResumeQuery, ResumeVerdict, StreamSearch};
 pub use settings::StreamSettings;
--- a/crates/coordination/src/streams/events.rs
+++ b/crates/coordination/src/streams/events.rs
@@ -31,6 +31,28 @@
 #[display("event of more than {MAX_EVENT_BYTES} bytes")]
 pub struct EventTooLong;
 
+/// Reason why an answer can't be forwarded behind the events that came before.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum EventFault {
+    /// An event exceeds the maximum size.
+    #[display("{_0}")]
+    TooLong(#[error(not(source))] EventTooLong),
+    /// Events are missing, or an event has no number that can be read.
+    #[display("the chain skipped events")]
+    Gap,
+}
+
+/// Whole events that the caller has not received yet, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventBatch {
+    /// Bytes of the events; empty if there are none.
+    pub bytes: Bytes,
+    /// Progress of the caller once it has received `bytes`.
+    pub progress: EventProgress,
+    /// Why no event can follow `bytes`; `None` if events may follow.
+    pub fault: Option<EventFault>,
+}
+
 /// Splits a stream of bytes into events.
 #[derive(Debug, Default)]
 pub struct EventFramer {
@@ -63,6 +85,37 @@
         Ok(Some(StreamEvent { id, bytes }))
     }
 
+    /// Removes all complete events up to the first fault, and returns those that a caller with
+    /// `progress` lacks.
+    ///
+    /// A fault is part of the batch and not an error, because the events before it are sound. The
+    /// caller of this function must deliver them and only then record the batch's progress.
+    pub fn next_batch(&mut self, progress: EventProgress) -> EventBatch {
+        let mut progress = progress;
+        let mut events: Vec<Bytes> = Vec::new();
+        let fault = loop {
+            let event = match self.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break None,
+                Err(error) => break Some(EventFault::TooLong(error)),
+            };
+            match progress.take(event.id) {
+                EventVerdict::Deliver => events.push(event.bytes),
+                EventVerdict::Seen => {}
+                EventVerdict::Gap => break Some(EventFault::Gap),
+            }
+        };
+        let bytes = match events.as_mut_slice() {
+            [event] => std::mem::take(event),
+            events => events.concat().into(),
+        };
+        EventBatch {
+            bytes,
+            progress,
+            fault,
+        }
+    }
+
     /// Whether the buffer contains bytes of an incomplete event.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/coordination/tests/streams_events.rs
+++ b/crates/coordination/tests/streams_events.rs
@@ -91,3 +91,47 @@
     };
     insta::assert_snapshot!(error.to_string(), @"event of more than 32768 bytes");
 }
+
+// Guards against whole events that count as delivered and are dropped with the fault behind them.
+#[test]
+fn a_batch_has_the_whole_events_before_a_fault() {
+    let too_long = "id: 4\ndata: ".to_owned() + &"x".repeat(40_000);
+    let cases: [(&str, &str); 9] = [
+        ("no fault", ""),
+        ("skipped", "id: 5\ndata: token 5\n\n"),
+        ("unreadable number", "id: 4x\ndata: token 4\n\n"),
+        ("no number", "data: token 4\n\n"),
+        ("too long", &too_long),
+        ("a part of an event", "id: 4\nda"),
+        ("seen", "id: 2\ndata: token 2\n\n"),
+        ("seen, skipped", "id: 3\n\nid: 6\n\n"),
+        ("skipped, next", "id: 5\n\nid: 4\n\n"),
+    ];
+    let mut lines = Vec::new();
+    for (case, rest) in cases {
+        let mut framer = EventFramer::default();
+        framer.push((event(1, "\n\n") + &event(2, "\n\n") + &event(3, "\n\n") + rest).as_bytes());
+        let batch = framer.next_batch(EventProgress::after(Some(EventId(1))));
+        let text = String::from_utf8(batch.bytes.to_vec()).expect("text");
+        let ids: Vec<&str> = text.lines().filter(|line| line.starts_with("id")).collect();
+        let fault = batch
+            .fault
+            .map_or("none".to_owned(), |fault| fault.to_string());
+        let last = batch.progress.last().map_or(0, |last| last.0);
+        lines.push(format!(
+            "{case}: {}, last {last}, fault: {fault}",
+            ids.join(" ")
+        ));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @"
+    no fault: id: 2 id: 3, last 3, fault: none
+    skipped: id: 2 id: 3, last 3, fault: the chain skipped events
+    unreadable number: id: 2 id: 3, last 3, fault: the chain skipped events
+    no number: id: 2 id: 3, last 3, fault: the chain skipped events
+    too long: id: 2 id: 3, last 3, fault: event of more than 32768 bytes
+    a part of an event: id: 2 id: 3, last 3, fault: none
+    seen: id: 2 id: 3, last 3, fault: none
+    seen, skipped: id: 2 id: 3, last 3, fault: the chain skipped events
+    skipped, next: id: 2 id: 3, last 3, fault: the chain skipped events
+    ");
+}
--- a/crates/daemon/src/relay/forwarding.rs
+++ b/crates/daemon/src/relay/forwarding.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use pollendrift_coordination::base::MonotonicTime;
 use pollendrift_coordination::quarantine::HeldRequest;
 use pollendrift_coordination::routing::ChainVerdict;
-use pollendrift_coordination::streams::{EventFramer, EventProgress, EventVerdict};
+use pollendrift_coordination::streams::{EventFramer, EventProgress};
 use pollendrift_http::BodySender;
 use tokio::time::timeout;
 
@@ -102,18 +101,20 @@
                 Some(Err(reason)) => return ChainEnd::Broken(reason),
             };
             self.framer.push(&data);
-            match take_new_events(&mut self.framer, progress) {
-                Ok(events) if events.is_empty() => {}
-                Ok(events) => {
-                    let held = self.record_events(run, running);
-                    if !sender.send(events).await {
-                        return ChainEnd::CallerGone;
-                    }
-                    if let Some(held) = held {
-                        return ChainEnd::Held(held);
-                    }
+            let batch = self.framer.next_batch(*progress);
+            if !batch.bytes.is_empty() {
+                let held = self.record_events(run, running);
+                if !sender.send(batch.bytes).await {
+                    return ChainEnd::CallerGone;
                 }
-                Err(reason) => return ChainEnd::Broken(reason),
+                // Only now: another chain continues behind the last event that was sent.
+                *progress = batch.progress;
+                if let Some(held) = held {
+                    return ChainEnd::Held(held);
+                }
+            }
+            if let Some(fault) = batch.fault {
+                return ChainEnd::Broken(fault.to_string());
             }
             if !self.is_event_in_time(run.context.clock.now()) {
                 return ChainEnd::Broken("an event of the chain does not end".to_owned());
@@ -185,24 +186,3 @@
         held
     }
 }
-
-/// Returns the complete events that the caller has not received yet, in order.
-///
-/// Fails on a malformed event and on a gap in the event ids.
-fn take_new_events(
-    framer: &mut EventFramer,
-    progress: &mut EventProgress,
-) -> Result<Bytes, String> {
-    let mut events: Vec<Bytes> = Vec::new();
-    while let Some(event) = framer.next_event().map_err(|error| error.to_string())? {
-        match progress.take(event.id) {
-            EventVerdict::Deliver => events.push(event.bytes),
-            EventVerdict::Seen => {}
-            EventVerdict::Gap => return Err("the chain skipped events".to_owned()),
-        }
-    }
-    if events.len() == 1 {
-        return Ok(events.swap_remove(0));
-    }
-    Ok(events.concat().into())
-}
