fix(leases): a majority of the keepers stores a leave before it is acknowledged

Cause: the handler marked the server in the table of its own process, answered, and told the other hosts on its next tick, up to 200 ms later.

A keeper now sends the leave to the other keepers and answers once a majority has stored it; a heartbeat that says that the server leaves is answered in the same way. It takes no leader and no disk. Without a majority within 700 ms the server is told to ask another host, before its second has passed. Concurrent leaves share rounds.

The same cause on related paths: - keepers pass on leaves that they have from other keepers; a keeper that was not told by the one that received the leave was told by none; - a keeper that never heard of the server stores and sends the leave by name, in place of acknowledging it and keeping nothing; - a leave outlives its lease, so that hosts that were isolated meanwhile get it; engines that answer surveys stayed in use there.

The shared round moves from the feed to a module of its own.

--- a/crates/coordination/src/base.rs
+++ b/crates/coordination/src/base.rs
@@ -15,6 +15,7 @@
 };
 pub(crate) use number::number_type;
 pub use number::{
-    AttemptNumber, FencingNumber, Incarnation, LayerRange, Revision, SequenceNumber, TokenPosition,
+    AttemptNumber, FencingNumber, Incarnation, LayerRange, ReceiptNumber, Revision, SequenceNumber,
+    TokenPosition,
 };
 pub use time::{MonotonicTime, WallTime};
--- a/crates/coordination/src/base/number.rs
+++ b/crates/coordination/src/base/number.rs
@@ -39,6 +39,10 @@
     /// Incarnation of a process or disk; each restart takes a higher number.
     Incarnation(u64)
 );
+number_type!(
+    /// Number under which a host waits for the confirmation of what it sent, unique in its process.
+    ReceiptNumber(u64)
+);
 number_type!(
     /// Number of an accepted configuration; increases by one with every accepted change.
     Revision(u64)
--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -10,6 +10,7 @@
 mod batch;
 mod delta;
 mod digest;
+mod leaves;
 mod load;
 mod packed;
 mod record;
@@ -97,7 +98,12 @@
         age: Duration,
         from: LeaseSource,
     ) -> MergeVerdict {
-        if age >= self.settings.lease {
+        // A leave outlasts the lease: a host that was cut off meanwhile may still use the server.
+        let max_age = match announce.state {
+            ServerState::Serving => self.settings.lease,
+            ServerState::Leaving => self.settings.retention,
+        };
+        if age >= max_age {
             return MergeVerdict::Stale;
         }
         let receipt = AnnounceReceipt {
@@ -192,11 +198,18 @@
         &mut self,
         key: LeaseKey,
         receipt: AnnounceReceipt,
-        announce: ServerAnnounce,
+        mut announce: ServerAnnounce,
     ) -> MergeVerdict {
+        if announce.is_leave_by_name() {
+            return self.merge_leave_by_name(key, receipt);
+        }
         let Some(lease) = self.leases.get_mut(key) else {
             return MergeVerdict::Stale;
         };
+        if lease.announce.is_leave_by_name() && receipt.received_at <= lease.received_at {
+            // This host heard of the leave first; the announcement was sent before it.
+            announce = announce.into_leave();
+        }
         if !lease.is_older_than(announce.incarnation, announce.sequence) {
             return MergeVerdict::Stale;
         }
--- a/crates/coordination/src/leases/batch.rs
+++ b/crates/coordination/src/leases/batch.rs
@@ -15,7 +15,7 @@
     DeltaCursor, LeaseDelta, LeaseKey, LeaseNumber, LeaseSource, LeaseTable, MergeVerdict,
     NumberedRenewal, PackedRenewals, RenewalDecodeError, ServerLease, ServerState,
 };
-use crate::base::{HostName, Incarnation, MonotonicTime, ServerName};
+use crate::base::{HostName, Incarnation, MonotonicTime, ReceiptNumber, ServerName};
 
 /// Time since the last batch of a sender after which its lease numbers are removed. If the sender
 /// returns, the receiver requests the numbers again.
@@ -73,6 +73,10 @@
     /// Heartbeats of leases whose number the receiver already has.
     #[serde(rename = "heard")]
     pub renewals: PackedRenewals,
+    /// Number of the confirmation that the sender waits for. A host of an older version ignores it and
+    /// confirms nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub receipt: Option<ReceiptNumber>,
 }
 
 impl LeaseBatch {
@@ -134,7 +138,7 @@
             let Some(lease) = self.leases.get(*key) else {
                 continue;
             };
-            if lease.ended || !scope.includes(lease.from) {
+            if !lease.is_sent_to(now, scope) {
                 continue;
             }
             if !is_initial && lease.is_sent_by_number(cursor) {
@@ -143,7 +147,7 @@
             }
             named.push(NamedLease {
                 number: lease.number,
-                delta: if is_initial {
+                delta: if is_initial && !lease.is_leaving() {
                     lease.renewal(now, true)
                 } else {
                     lease.delta_since(now, cursor)
@@ -154,6 +158,7 @@
             table: self.incarnation,
             named,
             renewals: PackedRenewals::pack(renewals),
+            receipt: None,
         };
         (batch, DeltaCursor { complete, reached })
     }
@@ -173,10 +178,10 @@
         (named.collect(), self.version)
     }
 
-    /// Returns the full announcements of those of `servers` whose lease has not ended.
+    /// Returns the full announcements of those of `servers` whose lease has not ended or that left.
     pub fn full_leases(&self, now: MonotonicTime, servers: &[ServerName]) -> Vec<NamedLease> {
         let leases = servers.iter().filter_map(|server| self.get(server));
-        let held = leases.filter(|lease| !lease.ended);
+        let held = leases.filter(|lease| !lease.ended || lease.is_leaving());
         held.map(|lease| lease.named_lease(now)).collect()
     }
 
--- a/crates/coordination/src/streams.rs
+++ b/crates/coordination/src/streams.rs
@@ -27,7 +27,8 @@
 pub use settings::StreamSettings;
 
 use crate::base::{
-    AttemptNumber, CustomerName, HostName, MonotonicTime, RequestId, TokenPosition, VersionName,
+    AttemptNumber, CustomerName, HostName, MonotonicTime, ReceiptNumber, RequestId, TokenPosition,
+    VersionName,
 };
 use crate::ledger::GeneratedToken;
 
@@ -51,11 +52,6 @@
     attempt.0 / ATTEMPTS_PER_RUN
 }
 
-/// Number under which an entry waits for the confirmation of an update, unique in its process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct ReceiptNumber(pub u64);
-
 /// New tokens of one answer, as the entry that sends the answer replicates them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamUpdate {
--- a/crates/coordination/tests/leases_replication.rs
+++ b/crates/coordination/tests/leases_replication.rs
@@ -104,6 +104,7 @@
                         table: self.table.table_incarnation(),
                         named,
                         renewals: PackedRenewals::default(),
+                        receipt: None,
                     });
                 }
             }
@@ -299,6 +300,7 @@
         table: keeper.table.table_incarnation(),
         named: left,
         renewals: PackedRenewals::default(),
+        receipt: None,
     };
     let sender = (&keeper.name, LeaseSource::Keeper);
     other.table.merge_batch(at(400), sender, batch, TRANSIT);
@@ -321,6 +323,7 @@
             number: LeaseNumber(1),
             age: Duration::ZERO,
         }]),
+        receipt: None,
     };
     let from = (&sender.name, LeaseSource::Keeper);
     let outcome = receiver.table.merge_batch(at(4_000), from, batch, TRANSIT);
@@ -397,3 +400,90 @@
         let _ = leases.unpack();
     }
 }
+
+/// What a host knows of `server`, for snapshots.
+fn state_of(table: &LeaseTable, now: u64, server: &ServerName) -> &'static str {
+    match table.get(server) {
+        None => "unknown",
+        Some(lease) if lease.is_serving(at(now)) => "used",
+        Some(lease) if lease.is_leaving() => "left",
+        Some(_) => "ended",
+    }
+}
+
+const BETWEEN_KEEPERS: LeaseScope = LeaseScope::OwnAndFollowers;
+
+// Guards against a leave that is lost with the keeper that received it: another keeper has it from that
+// keeper alone, and must send it to the third one.
+#[test]
+fn keepers_pass_on_the_leaves_of_other_keepers() {
+    let mut keepers = ["k-1", "k-2", "k-3"].map(LeaseHost::new);
+    let [first, second, third] = &mut keepers;
+    let server = announce(1, 1).server;
+    first.table.merge(at(0), announce(1, 1));
+    first.replicate(0, second, BETWEEN_KEEPERS, LeaseSource::Keeper);
+    first.replicate(0, third, BETWEEN_KEEPERS, LeaseSource::Keeper);
+    first.table.leave(at(1_000), &server);
+    first.replicate(1_000, second, BETWEEN_KEEPERS, LeaseSource::Keeper);
+    assert_eq!(state_of(&third.table, 1_000, &server), "used");
+    second.replicate(1_200, third, BETWEEN_KEEPERS, LeaseSource::Keeper);
+    assert_eq!(state_of(&third.table, 1_200, &server), "left");
+}
+
+// Guards against a server that is used again after its leave: by the stale lease of a host that was cut
+// off, by a late heartbeat, or because the host that acknowledged the leave did not know the server.
+// A new start of the server under its name is used at once.
+#[test]
+fn a_leave_is_not_undone() {
+    let server = announce(1, 1).server;
+    let mut seen = Vec::new();
+    for is_known in [true, false] {
+        let mut keeper = LeaseHost::new("k-1");
+        let mut isolated = LeaseHost::new("k-2");
+        let mut third = LeaseHost::new("k-3");
+        isolated.table.merge(at(0), announce(1, 1));
+        if is_known {
+            keeper.table.merge(at(0), announce(1, 1));
+        }
+        let mut record = |case: &str, now, table: &LeaseTable| {
+            let state = state_of(table, now, &server);
+            seen.push(format!("known {is_known}, {case}: {state}"));
+        };
+        keeper.table.leave(at(1_000), &server);
+        isolated.table.merge(at(900), announce(1, 2));
+        isolated.replicate(1_100, &mut keeper, BETWEEN_KEEPERS, LeaseSource::Keeper);
+        record("stale lease of an isolated host", 1_100, &keeper.table);
+        keeper.replicate(1_200, &mut third, BETWEEN_KEEPERS, LeaseSource::Keeper);
+        record("third host", 1_200, &third.table);
+        third.table.merge(at(1_300), announce(1, 3));
+        record("late heartbeat at the third host", 1_300, &third.table);
+        keeper.table.tick(at(8_000));
+        isolated.table.tick(at(8_000));
+        keeper.replicate(8_000, &mut isolated, BETWEEN_KEEPERS, LeaseSource::Keeper);
+        record("isolated host, after its return", 8_000, &isolated.table);
+        isolated.table.merge(at(8_100), announce(1, 3));
+        record("late heartbeat at that host", 8_100, &isolated.table);
+        let mut restarted = announce(1, 1);
+        restarted.incarnation = Incarnation(2);
+        isolated.table.merge(at(8_200), restarted);
+        record("new start", 8_200, &isolated.table);
+        isolated.replicate(8_300, &mut keeper, BETWEEN_KEEPERS, LeaseSource::Keeper);
+        record("new start, at the first host", 8_300, &keeper.table);
+    }
+    insta::assert_snapshot!(seen.join("\n"), @"
+    known true, stale lease of an isolated host: left
+    known true, third host: left
+    known true, late heartbeat at the third host: left
+    known true, isolated host, after its return: left
+    known true, late heartbeat at that host: left
+    known true, new start: used
+    known true, new start, at the first host: used
+    known false, stale lease of an isolated host: left
+    known false, third host: left
+    known false, late heartbeat at the third host: left
+    known false, isolated host, after its return: left
+    known false, late heartbeat at that host: left
+    known false, new start: used
+    known false, new start, at the first host: used
+    ");
+}
--- a/crates/coordination/tests/outer_encodings/hosts.rs
+++ b/crates/coordination/tests/outer_encodings/hosts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pollendrift_coordination::base::{AttemptNumber, Incarnation, TokenPosition};
+use pollendrift_coordination::base::{AttemptNumber, Incarnation, ReceiptNumber, TokenPosition};
 use pollendrift_coordination::hosts::{HostGossip, HostReach};
 use pollendrift_coordination::leases::{
     AnnouncedLoad, AnnouncementDigest, BackendLayers, BackendOffer, DeltaCursor, FullLease,
@@ -88,6 +88,7 @@
         table: Incarnation(5),
         named: (1..).zip(deltas).map(named).collect(),
         renewals: PackedRenewals::pack(renewals.into()),
+        receipt: None,
     }
 }
 
@@ -98,7 +99,13 @@
         complete: 41,
         reached: 42,
     };
-    insta::assert_snapshot!([cbor(&batch()), cbor(&cursor)].join("\n"));
+    let confirmed = LeaseBatch {
+        table: Incarnation(5),
+        named: Vec::new(),
+        renewals: PackedRenewals::default(),
+        receipt: Some(ReceiptNumber(9)),
+    };
+    insta::assert_snapshot!([cbor(&batch()), cbor(&cursor), cbor(&confirmed)].join("\n"));
 }
 
 // Guards against a changed digest: each renewal from another build would count as one of unknown
--- a/crates/daemon/src/feed/barrier.rs
+++ b/crates/daemon/src/coalesced.rs
@@ -1,29 +1,28 @@
-//! Combines concurrent quorum-checked reads into one.
+//! Combines concurrent requests for the same round of messages to other hosts into one.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use tokio::sync::Mutex;
 
-/// Shares one read among concurrent callers; each gets a read that began after its call.
+/// Shares one round among concurrent callers; each gets a round that began after its call.
 ///
 /// While no keeper leads, every host that follows this keeper asks it each second. If each of those
 /// questions asked all keepers again and again, hundreds of hosts would keep the keepers too busy
-/// to elect a leader. With shared reads at most one read runs at a time, for any number of waiting
-/// questions.
+/// to elect a leader. With shared rounds at most one runs at a time, for any number of callers.
 #[derive(Default)]
-pub(super) struct CoalescedBarrier {
+pub(crate) struct CoalescedRounds {
     arrivals: AtomicU64,
-    last: Mutex<LastBarrier>,
+    last: Mutex<LastRound>,
 }
 
-/// The read that completed last.
-struct LastBarrier {
-    /// Number of calls that arrived before the read began.
+/// The round that completed last.
+struct LastRound {
+    /// Number of calls that arrived before the round began.
     covered_arrivals: u64,
     outcome: Result<(), String>,
 }
 
-impl Default for LastBarrier {
+impl Default for LastRound {
     fn default() -> Self {
         Self {
             covered_arrivals: 0,
@@ -32,12 +31,13 @@
     }
 }
 
-impl CoalescedBarrier {
-    /// Waits for a read that began after this call.
+impl CoalescedRounds {
+    /// Waits for a round that began after this call. A cancelled wait ends a round that it runs, and
+    /// the next caller begins another.
     ///
     /// # Errors
-    /// The error of that read.
-    pub(super) async fn wait<R>(&self, read: R) -> Result<(), String>
+    /// The error of that round.
+    pub(crate) async fn wait<R>(&self, round: R) -> Result<(), String>
     where
         R: AsyncFnOnce() -> Result<(), String>,
     {
@@ -47,8 +47,8 @@
             return last.outcome.clone();
         }
         let covered_arrivals = self.arrivals.load(Ordering::SeqCst);
-        let outcome = read().await;
-        *last = LastBarrier {
+        let outcome = round().await;
+        *last = LastRound {
             covered_arrivals,
             outcome: outcome.clone(),
         };
--- a/crates/daemon/src/feed/barrier/tests.rs
+++ b/crates/daemon/src/coalesced/tests.rs
@@ -5,7 +5,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use super::CoalescedBarrier;
+use super::CoalescedRounds;
 
 /// Duration of one read.
 const READ_TIME: Duration = Duration::from_millis(100);
@@ -14,7 +14,7 @@
 // without shared reads each question asks all keepers.
 #[tokio::test(start_paused = true)]
 async fn concurrent_questions_share_one_read_at_a_time() {
-    let barrier = Arc::new(CoalescedBarrier::default());
+    let barrier = Arc::new(CoalescedRounds::default());
     let reads = Arc::new(AtomicU32::new(0));
     let mut questions = JoinSet::new();
     for question in 0..300_u64 {
@@ -39,10 +39,10 @@
 // accepted between the two.
 #[tokio::test(start_paused = true)]
 async fn question_gets_a_read_that_began_after_it() {
-    let barrier = Arc::new(CoalescedBarrier::default());
+    let barrier = Arc::new(CoalescedRounds::default());
     let accepted = Arc::new(AtomicU32::new(0));
     let observed = Arc::new(AtomicU32::new(0));
-    let ask = |barrier: Arc<CoalescedBarrier>| {
+    let ask = |barrier: Arc<CoalescedRounds>| {
         let (accepted, observed) = (Arc::clone(&accepted), Arc::clone(&observed));
         tokio::spawn(async move {
             let read = async || {
--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -4,7 +4,6 @@
 //! Every host follows keepers in the same way, keepers included: an isolated keeper has old state
 //! on its disk and must not serve it.
 
-mod barrier;
 mod copy;
 
 use std::collections::BTreeMap;
@@ -20,10 +19,10 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 
-use self::barrier::CoalescedBarrier;
 use self::copy::{ConfigurationCopy, CopyVerdict, OfferedContent, content_for};
 use crate::agreed::StaleConfiguration;
 use crate::clock::TimeSource;
+use crate::coalesced::CoalescedRounds;
 use crate::keeper::{KeeperClient, KeeperList};
 use crate::peers::{
     ConfigurationContent, ConfigurationFrame, PeerAnswer, PeerFrame, PeerHub, PeerQuestion,
@@ -63,7 +62,7 @@
     recorder: Arc<RecorderSlot>,
     wake: Notify,
     answer_timeout: Duration,
-    barrier_reads: CoalescedBarrier,
+    barrier_reads: CoalescedRounds,
 }
 
 /// The last answer with content. After a change all hosts request a delta from the same revision;
@@ -133,7 +132,7 @@
             recorder,
             wake: Notify::new(),
             answer_timeout: settings.period,
-            barrier_reads: CoalescedBarrier::default(),
+            barrier_reads: CoalescedRounds::default(),
         }
     }
 
--- a/crates/daemon/src/fleet/worker.rs
+++ b/crates/daemon/src/fleet/worker.rs
@@ -5,9 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pollendrift_coordination::base::{
-    DataCentreName, Incarnation, MonotonicTime, SequenceNumber, ServerName,
-};
+use pollendrift_coordination::base::{DataCentreName, Incarnation, MonotonicTime, ServerName};
 use pollendrift_coordination::leases::{
     AnnouncedLoad, BackendOffer, LeaseScope, MergeVerdict, ServerAnnounce, ServerState,
 };
@@ -16,10 +14,6 @@
 
 use super::{AnnounceError, BackendFleet, FleetState};
 
-/// Sequence number of the last announcement of an incarnation. A server that leaves sends no
-/// number; this one is higher than any number that another host has for the same incarnation.
-const LAST_SEQUENCE: SequenceNumber = SequenceNumber(u64::MAX);
-
 /// Decoded announcement of a server of a published service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerView {
@@ -95,19 +89,33 @@
         lease.map_or(Duration::ZERO, |lease| now.since(lease.since))
     }
 
-    /// Marks a server as leaving; false if this host doesn't know it.
-    pub fn leave_worker(&self, now: MonotonicTime, server: &ServerName) -> bool {
+    /// Whether this host has a lease of the server, ended or not, or knows that it left.
+    pub(crate) fn knows(&self, server: &ServerName) -> bool {
+        self.lock().leases.get(server).is_some()
+    }
+
+    /// Marks a server as leaving, whether this host knows it or not.
+    ///
+    /// # Errors
+    /// The table is full.
+    pub fn leave_worker(
+        &self,
+        now: MonotonicTime,
+        server: &ServerName,
+    ) -> Result<MergeVerdict, AnnounceError> {
         let mut state = self.lock();
-        let Some(lease) = state.leases.get(server) else {
-            return false;
-        };
-        let announce = ServerAnnounce {
-            sequence: LAST_SEQUENCE,
-            state: ServerState::Leaving,
-            ..lease.announce.clone()
-        };
-        state.merge(now, announce);
-        true
+        let verdict = state.leases.leave(now, server);
+        match state.apply_verdict(now, server, verdict) {
+            MergeVerdict::Full => Err(AnnounceError::Full),
+            verdict => Ok(verdict),
+        }
+    }
+
+    /// Returns the incarnation under which a server left; `None` if it is not leaving.
+    pub(crate) fn left_incarnation(&self, server: &ServerName) -> Option<Incarnation> {
+        let state = self.lock();
+        let lease = state.leases.get(server)?;
+        lease.is_leaving().then_some(lease.announce.incarnation)
     }
 
     /// Returns a known server of a published service, whether it may receive new work or not.
@@ -135,7 +143,8 @@
             return false;
         }
         if self.worker_incarnation(server) == Some(incarnation) {
-            self.leave_worker(now, server);
+            // A known server is in the table already, so the table is not too full for it.
+            let _ = self.leave_worker(now, server);
         }
         true
     }
--- a/crates/daemon/src/lease_broadcast.rs
+++ b/crates/daemon/src/lease_broadcast.rs
@@ -24,8 +24,8 @@
 
 use pollendrift_coordination::base::{HostName, MonotonicTime, ServerName};
 use pollendrift_coordination::leases::{
-    DeltaCursor, InitialSync, LeaseBatch, LeaseDelta, LeaseNumber, LeaseScope, NamedLease,
-    PackedRenewals,
+    BatchOutcome, DeltaCursor, InitialSync, LeaseBatch, LeaseDelta, LeaseNumber, LeaseScope,
+    MergeVerdict, NamedLease, PackedRenewals,
 };
 use pollendrift_coordination::routing::SurveyResult;
 
@@ -33,7 +33,7 @@
 use crate::feed::ConfigurationFeed;
 use crate::fleet::BackendFleet;
 use crate::keeper::KeeperList;
-use crate::peers::{PeerFrame, PeerHub};
+use crate::peers::{CallNumber, PeerAnswer, PeerFrame, PeerHub};
 use crate::poison::PoisonState;
 use crate::quarantine::QuarantineState;
 
@@ -106,19 +106,24 @@
         }
     }
 
-    /// Merges a batch of the peer `from`, and requests leases that the batch refers to and this
-    /// host lacks.
+    /// Merges a batch of the peer `from`, confirms it if that host waits for it, and requests leases
+    /// that the batch refers to and this host lacks.
     ///
     /// If the request or its answer is lost, the next renewal causes another request.
     pub fn receive_leases(&self, hub: &PeerHub, from: &HostName, batch: LeaseBatch) {
         let now = self.clock.now();
         let source = (from, self.recipients.kind_of(from));
+        let receipt = batch.receipt;
         let outcome = self
             .fleet
             .merge_batch(now, source, batch, TRANSIT_ALLOWANCE);
         if let Some(error) = outcome.renewal_error {
             log::warn!(host:% = from, reason:% = error; "renewals rejected");
         }
+        if let Some(receipt) = receipt {
+            // The sender of a batch that is not confirmed asks other hosts.
+            let _ = hub.answer(from, CallNumber(receipt.0), confirmation_of(&outcome));
+        }
         if !outcome.unknown_servers.is_empty() {
             let _ = hub.send(from, &PeerFrame::LeaseQuestion(outcome.unknown_servers));
         }
@@ -333,6 +338,7 @@
             table: self.fleet.table_incarnation(),
             named,
             renewals: PackedRenewals::default(),
+            receipt: None,
         };
         hub.send_to(hosts, &PeerFrame::Leases(batch));
     }
@@ -341,3 +347,14 @@
         self.cursors.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Answer to a batch whose sender waits until its leases are stored.
+fn confirmation_of(outcome: &BatchOutcome) -> PeerAnswer {
+    let is_stored = |(_, verdict): &(ServerName, MergeVerdict)| *verdict != MergeVerdict::Full;
+    if outcome.merged.iter().all(is_stored) && outcome.unknown_servers.is_empty() {
+        return PeerAnswer::Stored;
+    }
+    PeerAnswer::NotRun {
+        reason: "not all leases of the batch are stored".to_owned(),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod agreed;
 pub mod announcements;
 pub mod clock;
+pub(crate) mod coalesced;
 pub mod daemon;
 pub mod entry;
 pub mod evidence;
--- a/crates/daemon/src/peers/frame.rs
+++ b/crates/daemon/src/peers/frame.rs
@@ -182,7 +182,7 @@
     Readable(u64),
     /// Encoded record of the request; `None` if this host has none.
     Request(Option<FrameBytes>),
-    /// The receiver has stored the update of a stream whose sender waits for its confirmation.
+    /// The receiver has stored what its sender waits for: an update of a stream, or leases.
     Stored,
     /// Introduction of the answering keeper.
     Introduced(KeeperIntroduction),
--- a/crates/daemon/src/peers/traffic.rs
+++ b/crates/daemon/src/peers/traffic.rs
@@ -68,7 +68,7 @@
         PeerAnswer::Operator(_) => "operator-answer",
         PeerAnswer::Readable(_) => "read-barrier-answer",
         PeerAnswer::Request(_) => "stream-look-up-answer",
-        PeerAnswer::Stored => "stream-confirmation",
+        PeerAnswer::Stored => "confirmation",
         PeerAnswer::Introduced(_) => "membership-answer",
         _ => "other-answer",
     }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -23,6 +23,7 @@
 mod forwarding;
 mod guard;
 mod heartbeats;
+mod leaves;
 mod liveness;
 mod meter;
 mod peer_forward;
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -9,6 +9,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use pollendrift_coordination::base::{HostName, MonotonicTime, ServerName};
+use pollendrift_coordination::leases::ServerState;
 use pollendrift_dialect::{
     OperatorCall, OperatorReply, PlatformDialect, RegistryAck, RegistryCall, RegistryError,
     ServerAnnouncement,
@@ -18,6 +19,7 @@
 };
 
 use super::heartbeats::HeartbeatAssigner;
+use super::leaves::LeaveConfirmer;
 use super::publish::Publisher;
 use crate::clock::TimeSource;
 use crate::fleet::BackendFleet;
@@ -40,6 +42,7 @@
     pub(crate) publisher: Publisher,
     pub(crate) node: Arc<ClusterNode>,
     pub(super) heartbeats: HeartbeatAssigner,
+    pub(super) leaves: LeaveConfirmer,
     pub(crate) clock: Arc<dyn TimeSource>,
 }
 
@@ -70,7 +73,7 @@
             return self.serve_operator(call, &body).await.map(full_body);
         }
         match self.dialect.registry.read(&head.method, path, &body) {
-            Some(call) => self.serve_registry(call).map(full_body),
+            Some(call) => self.serve_registry(call).await.map(full_body),
             None => text_response(
                 StatusCode::NOT_FOUND,
                 "this address does not serve that path\n",
@@ -89,7 +92,7 @@
         self.dialect.operators.reply(&reply)
     }
 
-    fn serve_registry(&self, call: Result<RegistryCall, RegistryError>) -> Response<Bytes> {
+    async fn serve_registry(&self, call: Result<RegistryCall, RegistryError>) -> Response<Bytes> {
         let now = self.clock.now();
         if self.is_cut_off() {
             let reason = "this host is cut off from most keepers".to_owned();
@@ -100,8 +103,8 @@
                 .refuse(&RegistryError { reason, elsewhere });
         }
         let outcome = match call {
-            Ok(RegistryCall::Announce(note)) => self.announce(now, &note),
-            Ok(RegistryCall::Leave(server)) => self.leave(now, &server).map(|()| None),
+            Ok(RegistryCall::Announce(note)) => self.announce(now, &note).await,
+            Ok(RegistryCall::Leave(server)) => self.leave(now, &server).await.map(|()| None),
             Err(error) => Err(error),
         };
         match outcome {
@@ -118,8 +121,9 @@
 
     /// Applies an announcement; returns the address for the server's later heartbeats.
     ///
-    /// `None` means that the server keeps sending them to the same address.
-    fn announce(
+    /// `None` means that the server keeps sending them to the same address. A server that announces
+    /// that it leaves is answered like one that has left.
+    async fn announce(
         &self,
         now: MonotonicTime,
         note: &ServerAnnouncement,
@@ -129,6 +133,9 @@
             reason: error.to_string(),
             elsewhere: false,
         })?;
+        if note.state == ServerState::Leaving {
+            self.leaves.confirm(&note.server).await?;
+        }
         let known_for = self.fleet.known_for(now, &note.server);
         Ok(self.heartbeats.assign(now, note, verdict, known_for))
     }
@@ -149,21 +156,23 @@
         !status.membership.is_quorum(&reachable)
     }
 
-    /// Records that a server leaves.
+    /// Records that a server leaves, and waits until a majority of the keepers has stored it.
     ///
-    /// A host that has just started may not know the server while other hosts do. If it
-    /// acknowledged the leave, no host would know of it, and work would still go to the server. It
-    /// therefore refuses with `elsewhere`, which makes the server ask another host; after a refusal
+    /// A host that has just started may not know the server while other hosts do, and has hardly any
+    /// links. It refuses with `elsewhere`, which makes the server ask another host; after a refusal
     /// as malformed the server would ask no other host.
-    fn leave(&self, now: MonotonicTime, server: &ServerName) -> Result<(), RegistryError> {
-        let is_known = self.fleet.leave_worker(now, server);
-        if is_known || now.since(MonotonicTime::START) >= LEARNING_TIME {
-            return Ok(());
-        }
-        Err(RegistryError {
-            reason: format!("this host does not know {server} yet"),
+    async fn leave(&self, now: MonotonicTime, server: &ServerName) -> Result<(), RegistryError> {
+        let elsewhere = |reason: String| RegistryError {
+            reason,
             elsewhere: true,
-        })
+        };
+        let is_learning = now.since(MonotonicTime::START) < LEARNING_TIME;
+        if is_learning && !self.fleet.knows(server) {
+            return Err(elsewhere(format!("this host does not know {server} yet")));
+        }
+        let left = self.fleet.leave_worker(now, server);
+        left.map_err(|error| elsewhere(error.to_string()))?;
+        self.leaves.confirm(server).await
     }
 }
 
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -9,6 +9,7 @@
 use super::context::RelayContext;
 use super::control::ControlHandler;
 use super::heartbeats::{HeartbeatAssigner, HeartbeatHandler};
+use super::leaves::LeaveConfirmer;
 use super::peer_requests::PeerRequestHandler;
 use super::placer::{PlacerParts, run_placer};
 use super::publish::Publisher;
@@ -43,6 +44,7 @@
             publisher,
             node: Arc::clone(node),
             heartbeats: HeartbeatAssigner::new(Arc::clone(node)),
+            leaves: LeaveConfirmer::new(Arc::clone(node), Arc::clone(fleet), Arc::clone(clock)),
             clock: Arc::clone(clock),
         }),
         heartbeats: Arc::new(HeartbeatHandler {
--- a/crates/daemon/src/streams.rs
+++ b/crates/daemon/src/streams.rs
@@ -6,10 +6,10 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use pollendrift_coordination::base::{HostName, RequestId};
+use pollendrift_coordination::base::{HostName, ReceiptNumber, RequestId};
 use pollendrift_coordination::streams::{
-    HolderTable, LookUpAnswer, ReceiptNumber, ResumeQuery, ResumeVerdict, StreamSearch,
-    StreamSettings, StreamTable, StreamUpdate, rank_hosts,
+    HolderTable, LookUpAnswer, ResumeQuery, ResumeVerdict, StreamSearch, StreamSettings,
+    StreamTable, StreamUpdate, rank_hosts,
 };
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
--- a/crates/daemon/tests/outer_frames.rs
+++ b/crates/daemon/tests/outer_frames.rs
@@ -20,7 +20,7 @@
     RateBatch, RateReport, RateScope, RequestRate, StatementReport,
 };
 use pollendrift_coordination::base::{
-    AttemptNumber, Incarnation, Revision, SequenceNumber, TokenPosition, WallTime,
+    AttemptNumber, Incarnation, ReceiptNumber, Revision, SequenceNumber, TokenPosition, WallTime,
 };
 use pollendrift_coordination::configuration::{
     ConfigurationDelta, ConfigurationDigest, DocumentChange, DocumentKey, LabelSubject,
@@ -42,7 +42,7 @@
     BrokenNote, CrashId, CrashNote, PartDigest, PartKey, PartNote, QuarantineNotice,
 };
 use pollendrift_coordination::routing::{EngineLoad, SurveyResult};
-use pollendrift_coordination::streams::{ReceiptNumber, StreamRecord, StreamUpdate};
+use pollendrift_coordination::streams::{StreamRecord, StreamUpdate};
 use pollendrift_store::{GroupId, JoinedGroup};
 use serde_json::json;
 
@@ -170,6 +170,7 @@
             number: LeaseNumber(300),
             age: Duration::from_millis(40),
         }]),
+        receipt: None,
     }
 }
 
