fix(streams): the events of a resumable stream need a number

Cause: an event without a number was sent as long as none before it had one, and left the progress of the caller as it was, so that the next engine began anew. On a resumable route such an event now counts as a gap: nothing is sent, and another engine runs the draft from its start. Streams of other routes may do without numbers, since they are never continued.

--- a/crates/coordination/src/streams/events.rs
+++ b/crates/coordination/src/streams/events.rs
@@ -149,20 +149,36 @@
     Deliver,
     /// The caller already has the event.
     Seen,
-    /// Events before it are missing, or it has no number although earlier events have numbers.
+    /// Events before it are missing, or it has no number although events of this stream need one.
     Gap,
 }
 
 /// The last event of one stream that the caller has, across all servers that produced a part of it.
+///
+/// Invariant: with `needs_numbers`, `last` is `None` only while the caller has no event, so that
+/// another server that begins anew repeats nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EventProgress {
     last: Option<EventId>,
+    /// Whether each event must have a number.
+    needs_numbers: bool,
 }
 
 impl EventProgress {
     /// Creates the progress of a caller that has all events up to `last`.
     pub fn after(last: Option<EventId>) -> Self {
-        Self { last }
+        Self {
+            last,
+            needs_numbers: false,
+        }
+    }
+
+    /// Creates the progress of a caller whose stream another server may continue.
+    pub fn resumable_after(last: Option<EventId>) -> Self {
+        Self {
+            last,
+            needs_numbers: true,
+        }
     }
 
     /// Number of the last event that the caller has.
@@ -177,6 +193,7 @@
             (Some(last), Some(id)) if id <= last => EventVerdict::Seen,
             (Some(last), Some(id)) if id == last.next() => EventVerdict::Deliver,
             (Some(_), _) => EventVerdict::Gap,
+            (None, None) if self.needs_numbers => EventVerdict::Gap,
             (None, _) => EventVerdict::Deliver,
         };
         if verdict == EventVerdict::Deliver {
--- a/crates/coordination/tests/streams_events.rs
+++ b/crates/coordination/tests/streams_events.rs
@@ -76,6 +76,9 @@
     ");
     let mut progress = EventProgress::after(None);
     assert_eq!(progress.take(None), EventVerdict::Deliver);
+    let mut progress = EventProgress::resumable_after(None);
+    assert_eq!(progress.take(None), EventVerdict::Gap);
+    assert_eq!(progress.take(Some(EventId(1))), EventVerdict::Deliver);
 }
 
 // Guards against an engine that fills the memory of the host with an event without an end.
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -22,10 +22,14 @@
         running: AnsweredDraft,
         resume_after: Option<EventId>,
     ) -> Self {
+        let progress = match run.request.route.kind.may_repeat() {
+            true => EventProgress::resumable_after(resume_after),
+            false => EventProgress::after(resume_after),
+        };
         Self {
             run,
             running,
-            progress: EventProgress::after(resume_after),
+            progress,
         }
     }
 }
