--- a/crates/daemon/src/lease_broadcast.rs
+++ b/crates/daemon/src/lease_broadcast.rs
@@ -49,7 +49,7 @@
 /// Time after its link came up during which a host is assumed to have no leases.
 const NEW_LINK_TIME: Duration = Duration::from_secs(5);
 /// Maximum number of named leases in one frame.
-const FRAME_LEASES: usize = 256;
+pub(crate) const FRAME_LEASES: usize = 256;
 /// Assumed transit time of a frame, its upper bound: a link that is silent for longer breaks.
 ///
 /// Without this allowance, a frame that waited in a stalled connection would renew the lease of a
--- a/crates/daemon/src/relay/leaves.rs
+++ b/crates/daemon/src/relay/leaves.rs
@@ -14,20 +14,18 @@
 use crate::clock::TimeSource;
 use crate::coalesced::CoalescedRounds;
 use crate::fleet::BackendFleet;
+use crate::lease_broadcast::FRAME_LEASES;
 use crate::node::ClusterNode;
 use crate::peers::{CallNumber, PeerAnswer, PeerFrame, PendingCall};
 
 /// Time limit for the confirmation of a leave. A server asks the next host after a second without an
 /// answer, and a refusal must reach it before.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
-/// Maximum number of leases in one frame.
-const FRAME_LEASES: usize = 256;
 
 /// Sends leaves to the other keepers and waits until a majority has stored them.
 ///
 /// The keepers that stored a leave send it to all hosts, so it outlives the loss of this process and of
-/// a minority of the keepers. It takes no leader, and no write to a disk: leases are not on disks, and
-/// a server that leaves is gone before all keepers have restarted.
+/// a minority of the keepers. It needs neither a leader nor a disk: leases are in memory only.
 pub(super) struct LeaveConfirmer {
     node: Arc<ClusterNode>,
     fleet: Arc<BackendFleet>,
@@ -125,9 +123,9 @@
             })
         };
         // Frames of one link arrive in order, so the last one confirms all.
-        let frames = leaves.len().saturating_sub(1) / FRAME_LEASES;
-        let (first, last) = leaves.split_at(frames * FRAME_LEASES);
-        for named in first.chunks(FRAME_LEASES) {
+        let full_frames = leaves.len().saturating_sub(1) / FRAME_LEASES;
+        let (earlier, last) = leaves.split_at(full_frames * FRAME_LEASES);
+        for named in earlier.chunks(FRAME_LEASES) {
             hub.send(keeper, &batch(named, None)).ok()?;
         }
         let numbered = |number: CallNumber| batch(last, Some(ReceiptNumber(number.0)));
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -22,9 +22,11 @@
         running: AnsweredDraft,
         resume_after: Option<EventId>,
     ) -> Self {
-        let progress = match run.request.route.kind.may_repeat() {
-            true => EventProgress::resumable_after(resume_after),
-            false => EventProgress::after(resume_after),
+        let is_resumable = run.request.route.kind.may_repeat();
+        let progress = if is_resumable {
+            EventProgress::resumable_after(resume_after)
+        } else {
+            EventProgress::after(resume_after)
         };
         Self {
             run,
