fix(http): answers with an unclear end are refused by their head

Callers got 200 with the sizes of chunks inside the body, or a body cut at a length beside the coding, complete to its look.

Cause: by RFC 9112, 6.3, the parser reads an answer whose last coding is not chunked up to the end of its connection, and ignores a length beside a coding. Both are left to its caller, which copied the bytes and the length on. A length in the head then also decided how the answer was written.

Answers with a coding other than exactly chunked, or with a length beside it, are refused where heads come in, by the pool and by the client, before anything of them is used.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::answer_head::{ExpectedAnswer, HeadError};
 use crate::body::{ReadFailure, read_shared};
 use crate::body_memory::{BodyMemory, OverflowPolicy};
 use crate::pool::MAX_HEAD_BYTES;
@@ -58,6 +59,14 @@
     }
 }
 
+impl From<HeadError> for ClientError {
+    fn from(error: HeadError) -> Self {
+        Self::BadAnswer {
+            reason: error.to_string(),
+        }
+    }
+}
+
 /// HTTP client with a connection pool and a limit for response bodies.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -93,16 +102,19 @@
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
-    /// Returns [`ClientError::NotSent`] only if no connection could be opened, otherwise
-    /// [`ClientError::NoAnswer`].
+    /// Returns [`ClientError::NotSent`] only if no connection could be opened,
+    /// [`ClientError::BadAnswer`] if the head is invalid, and otherwise [`ClientError::NoAnswer`].
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<UnreadResponse, ClientError> {
-        self.client.request(request).await.map_err(|error| {
+        let expected = ExpectedAnswer::to(&request);
+        let answer = self.client.request(request).await.map_err(|error| {
             let reason = error_chain(&error);
             if error.is_connect() {
                 return ClientError::NotSent { reason };
             }
             ClientError::NoAnswer { reason }
-        })
+        })?;
+        expected.body_end(&answer)?;
+        Ok(answer)
     }
 
     /// Posts JSON and waits for the head of the response.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,5 +1,6 @@
 //! HTTP server with limits, HTTP client, connection pool and bodies, built on hyper.
 
+mod answer_head;
 mod body;
 mod body_buffer;
 mod body_memory;
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -20,6 +20,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::answer_head::ExpectedAnswer;
 use crate::client::ClientError;
 use crate::dialer::{ServerDialer, TcpDialer};
 use crate::server::BoxedStream;
@@ -183,8 +184,8 @@
     /// and query of the URI; headers are sent unchanged.
     ///
     /// # Errors
-    /// Returns [`ClientError::NotSent`] only if no byte of the request left this host, otherwise
-    /// [`ClientError::NoAnswer`].
+    /// Returns [`ClientError::NotSent`] only if no byte of the request left this host,
+    /// [`ClientError::BadAnswer`] if the head is invalid, and otherwise [`ClientError::NoAnswer`].
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -209,6 +210,7 @@
         mut request: Request<Full<Bytes>>,
         deadline: Option<Instant>,
     ) -> Result<Option<PooledAnswer>, ClientError> {
+        let expected = ExpectedAnswer::to(&request);
         loop {
             let Some(acquired) = until(deadline, self.acquire(address)).await else {
                 return Err(ClientError::NotSent {
@@ -222,6 +224,7 @@
             };
             match sent {
                 Ok(response) => {
+                    expected.body_end(&response)?;
                     return Ok(Some(PooledAnswer {
                         response,
                         connection,
