fix(http): a body that is longer than its length is not whole

Callers got 200 and a body cut at a length that was too small, complete to its look, for calls and streams. A stream also ended at the length that its first engine stated.

Cause: the parser ends a body at its length and takes what follows for the start of the next answer. It ends the connection then, but the body has been handed over by that time. The length was also copied into the answer to the caller, where it decided the end of streams that are written anew, and of those that go on at another engine.

A CheckedBody holds the connection that delivers it. Behind the last byte of a length it waits until the connection has tried to read on, and ends with an error if there are bytes that do not begin another answer. That costs no round trip: the task of the connection does it in the same turn. Bytes that arrive later end the connection, as before.

The client of our own interfaces uses the pool now, in place of one whose connections are out of reach, so that calls of services, loads, reports and lines of drafts are checked in one place. Lengths are not copied on any more, but for a body that is not sent.

--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -6,13 +6,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Response, header, response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use pollendrift_coordination::base::{RequestId, ServerName};
 use pollendrift_coordination::retries::SendOutcome;
 use pollendrift_dialect::ServerLoad;
 use pollendrift_http::{
-    BodyBuffer, BodyMemory, BodyReservation, ClientError, ConnectionHandle, PooledAnswer,
-    PooledConnection, ReadFailure, ResponseBody, leaving_body, read_bounded,
+    BodyBuffer, BodyMemory, BodyReservation, CheckedBody, ClientError, ConnectionHandle,
+    PooledAnswer, ReadFailure, ResponseBody, leaving_body, read_bounded,
 };
 use tokio::time::{Instant, timeout};
 
@@ -27,9 +27,11 @@
 /// Time for reading the body of an answer that says "not run", so that its connection can be
 /// reused.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
-/// Hop-by-hop headers, which are not forwarded; hyper writes its own.
-const HOP_BY_HOP_HEADERS: [HeaderName; 5] = [
+/// Headers that are not forwarded, as they describe a single connection or how the body was sent on it;
+/// hyper writes its own.
+const HOP_BY_HOP_HEADERS: [HeaderName; 6] = [
     header::CONNECTION,
+    header::CONTENT_LENGTH,
     header::TRANSFER_ENCODING,
     header::TE,
     header::TRAILER,
@@ -72,10 +74,7 @@
 /// Body of an answer, and the connection that delivers it. Dropping it ends the request.
 pub(super) enum AnswerBody {
     /// The server sends it to this host.
-    Server {
-        body: Incoming,
-        connection: PooledConnection,
-    },
+    Server(CheckedBody),
     /// Another host forwards it.
     Host(HostBody),
 }
@@ -84,7 +83,7 @@
     /// Bytes that the server declares; 0 if it does not.
     fn declared_bytes(&self) -> u64 {
         match self {
-            Self::Server { body, .. } => body.size_hint().lower(),
+            Self::Server(body) => body.size_hint().lower(),
             Self::Host(_) => 0,
         }
     }
@@ -92,7 +91,7 @@
     /// Receives the next part of the body; `None` at its end. A cancelled wait loses nothing.
     pub(super) async fn next(&mut self) -> NextPart {
         let body = match self {
-            Self::Server { body, .. } => body,
+            Self::Server(body) => body,
             Self::Host(body) => return body.next().await,
         };
         loop {
@@ -112,9 +111,7 @@
     /// Keeps the connection for another request; the body must have ended.
     pub(super) fn finish(self) {
         match self.body {
-            AnswerBody::Server { connection, .. } => {
-                connection.return_to_pool(&self.parts.headers);
-            }
+            AnswerBody::Server(body) => body.return_to_pool(&self.parts.headers),
             AnswerBody::Host(body) => body.finish(),
         }
     }
@@ -153,10 +150,17 @@
         let incomplete = |reason| FailedSend::new(SendOutcome::IncompleteAnswer, reason);
         let bytes = read.map_err(incomplete)?;
         reservation.hold();
+        let mut headers = end_to_end_headers(&self.parts.headers);
+        let length = self.parts.headers.get(header::CONTENT_LENGTH);
+        if let Some(length) = length.filter(|_| bytes.is_empty()) {
+            // The length of a body that is not sent: the request asks for a head only, or the caller has
+            // the body.
+            headers.insert(header::CONTENT_LENGTH, length.clone());
+        }
         let body = leaving_body(bytes, reservation, caller);
         let mut response = Response::new(body);
         *response.status_mut() = self.parts.status;
-        *response.headers_mut() = end_to_end_headers(&self.parts.headers);
+        *response.headers_mut() = headers;
         self.finish();
         Ok(response)
     }
@@ -218,7 +222,7 @@
     answer: PooledAnswer,
     attempt: &RequestId,
 ) -> Result<OpenAnswer, FailedSend> {
-    let (parts, body) = answer.response.into_parts();
+    let (parts, body) = answer.into_parts();
     let head = context.dialect.servers.read(&parts);
     let is_foreign = head.attempt.as_ref().is_some_and(|id| id != attempt);
     if is_foreign {
@@ -235,7 +239,7 @@
             culprit: head.culprit,
             suspects: Vec::new(),
         };
-        keep_after_refusal(&parts.headers, body, answer.connection).await;
+        keep_after_refusal(&parts.headers, body).await;
         return Err(failed);
     }
     let is_own = head.signed && head.attempt.is_some() && !head.encoded;
@@ -245,22 +249,19 @@
     }
     Ok(OpenAnswer {
         parts,
-        body: AnswerBody::Server {
-            body,
-            connection: answer.connection,
-        },
+        body: AnswerBody::Server(body),
         load: head.load,
     })
 }
 
-async fn keep_after_refusal(headers: &HeaderMap, body: Incoming, connection: PooledConnection) {
-    let read = timeout(REFUSAL_BODY_TIMEOUT, read_bounded(body, MAX_REFUSAL_BYTES)).await;
-    if matches!(read, Ok(Ok(_))) {
-        connection.return_to_pool(headers);
+async fn keep_after_refusal(headers: &HeaderMap, mut body: CheckedBody) {
+    let reading = read_bounded(&mut body, MAX_REFUSAL_BYTES);
+    if matches!(timeout(REFUSAL_BODY_TIMEOUT, reading).await, Ok(Ok(_))) {
+        body.return_to_pool(headers);
     }
 }
 
-/// Headers of an answer without the hop-by-hop ones, as the caller receives them.
+/// Headers of an answer without those that describe how its body was sent.
 pub(super) fn end_to_end_headers(from: &HeaderMap) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(from.len());
     for (name, value) in from {
--- a/crates/daemon/src/relay/placer.rs
+++ b/crates/daemon/src/relay/placer.rs
@@ -343,13 +343,13 @@
             let request = request.map(Full::new);
             let answer = self.client.send(worker.address, request).await;
             let answer = answer.map_err(|error| error.to_string())?;
-            let (parts, body) = answer.response.into_parts();
+            let (parts, mut body) = answer.into_parts();
             let head = self.parts.context.dialect.servers.read(&parts);
             self.parts.context.apply_probe_statements(&receiver, &head);
-            let body = read_bounded(body, MAX_REPLY_BYTES).await;
-            let body = body.map_err(|error| error.to_string())?;
-            answer.connection.return_to_pool(&parts.headers);
-            Ok((parts.status, body))
+            let reply = read_bounded(&mut body, MAX_REPLY_BYTES).await;
+            let reply = reply.map_err(|error| error.to_string())?;
+            body.return_to_pool(&parts.headers);
+            Ok((parts.status, reply))
         };
         timeout(LOAD_ORDER_TIMEOUT, exchange)
             .await
--- a/crates/daemon/src/relay/reroute.rs
+++ b/crates/daemon/src/relay/reroute.rs
@@ -182,12 +182,12 @@
         let receiver = self.context.receiver(&chain.first);
         let exchange = async {
             let answer = self.context.pool.send(address, request).await.ok()?;
-            let (parts, body) = answer.response.into_parts();
+            let (parts, mut body) = answer.into_parts();
             self.context
                 .apply_probe_statements(&receiver, &dialect.read(&parts));
-            let body = read_bounded(body, MAX_REPLY_BYTES).await.ok()?;
-            answer.connection.return_to_pool(&parts.headers);
-            Some(dialect.read_reroute(parts.status, &body))
+            let reply = read_bounded(&mut body, MAX_REPLY_BYTES).await.ok()?;
+            body.return_to_pool(&parts.headers);
+            Some(dialect.read_reroute(parts.status, &reply))
         };
         timeout(REROUTE_ORDER_TIMEOUT, exchange)
             .await
--- a/crates/daemon/src/relay/survey.rs
+++ b/crates/daemon/src/relay/survey.rs
@@ -116,14 +116,14 @@
             Err(ClientError::NotSent { .. }) => return EngineState::Unreachable,
             Err(_) => return EngineState::Unclear,
         };
-        let (parts, body) = answer.response.into_parts();
+        let (parts, mut body) = answer.into_parts();
         context.apply_probe_statements(&receiver, &dialect.read(&parts));
-        let Ok(body) = read_bounded(body, MAX_REPLY_BYTES).await else {
+        let Ok(report) = read_bounded(&mut body, MAX_REPLY_BYTES).await else {
             return EngineState::Unclear;
         };
-        answer.connection.return_to_pool(&parts.headers);
+        body.return_to_pool(&parts.headers);
         dialect
-            .read_report(&body)
+            .read_report(&report)
             .map_or(EngineState::Unclear, EngineState::Reported)
     };
     timeout(answer_time, exchange)
--- /dev/null
+++ b/crates/http/src/checked_body.rs
@@ -0,0 +1,182 @@
+//! Body of an answer that ends as complete only if it is known to be whole.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+use crate::answer_head::{BodyEnd, ExpectedAnswer};
+use crate::client::ClientError;
+use crate::client_connection::ClientConnection;
+use crate::pool::ReservedPlace;
+use crate::server::BoxedStream;
+
+/// Length of the start of a status line up to its status.
+const STATUS_LINE_START: usize = b"HTTP/1.1 200".len();
+
+/// Body of an answer, and the connection that delivers it. Dropping it closes the connection, so that the
+/// server aborts the request.
+///
+/// A body with a length is followed by nothing, or by another answer. Other bytes behind it show that the
+/// length is wrong, so that the body ends with an error.
+pub struct CheckedBody {
+    incoming: Incoming,
+    connection: ClientConnection,
+    /// Place of the connection in its pool; `None` if it serves this request only.
+    place: Option<ReservedPlace>,
+    end: BodyEnd,
+    progress: BodyProgress,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyProgress {
+    Reading,
+    /// The body was read, and the bytes behind it are not known.
+    Ended,
+    Complete,
+    Failed,
+}
+
+impl std::fmt::Debug for CheckedBody {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("CheckedBody")
+            .field("end", &self.end)
+            .field("progress", &self.progress)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Sends a request on `stream`, which serves no other one, and waits for the head of the response. The
+/// request is sent unchanged.
+///
+/// # Errors
+/// Returns [`ClientError::NotSent`] only if no byte of the request left this host,
+/// [`ClientError::BadAnswer`] if the head is invalid, and otherwise [`ClientError::NoAnswer`].
+pub async fn send_once(
+    stream: BoxedStream,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<CheckedBody>, ClientError> {
+    let expected = ExpectedAnswer::to(&request);
+    let opening = ClientConnection::open(stream).await;
+    let mut connection = opening.map_err(|error| ClientError::NotSent {
+        reason: error.to_string(),
+    })?;
+    let response = connection.send(request).await?;
+    CheckedBody::check(expected, response, connection, None)
+}
+
+impl CheckedBody {
+    /// Checks the head of a response.
+    ///
+    /// # Errors
+    /// Returns [`ClientError::BadAnswer`] if it is invalid, and closes the connection.
+    pub(crate) fn check(
+        expected: ExpectedAnswer,
+        response: Response<Incoming>,
+        connection: ClientConnection,
+        place: Option<ReservedPlace>,
+    ) -> Result<Response<Self>, ClientError> {
+        let end = expected.body_end(&response)?;
+        Ok(response.map(|incoming| Self {
+            incoming,
+            connection,
+            place,
+            end,
+            progress: BodyProgress::Reading,
+        }))
+    }
+
+    /// Returns the connection to its pool for reuse, unless the body is not complete or the headers of
+    /// its answer announce the end of the connection.
+    pub fn return_to_pool(self, headers: &HeaderMap) {
+        if let Some(place) = self.place
+            && self.progress == BodyProgress::Complete
+        {
+            place.return_connection(self.connection, headers);
+        }
+    }
+
+    fn poll_incoming(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, ClientError>>> {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
+        Poll::Ready(frame.map(|frame| {
+            frame.map_err(|error| ClientError::NoAnswer {
+                reason: error.to_string(),
+            })
+        }))
+    }
+
+    /// Finds out whether the body that was read is whole.
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<Result<(), ClientError>> {
+        if self.end != BodyEnd::Length {
+            return Poll::Ready(Ok(()));
+        }
+        let rest = ready!(self.connection.poll_rest(context));
+        let rest = rest.ok_or_else(|| ClientError::NoAnswer {
+            reason: "the connection was aborted".to_owned(),
+        })?;
+        if rest.is_empty() || begins_answer(&rest) {
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Ready(Err(bad_answer("the body is longer than its length")))
+    }
+}
+
+impl Body for CheckedBody {
+    type Data = Bytes;
+    type Error = ClientError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, ClientError>>> {
+        if self.progress == BodyProgress::Reading {
+            match ready!(self.poll_incoming(context)) {
+                Some(Ok(frame)) => return Poll::Ready(Some(Ok(frame))),
+                Some(Err(error)) => {
+                    self.progress = BodyProgress::Failed;
+                    return Poll::Ready(Some(Err(error)));
+                }
+                None => self.progress = BodyProgress::Ended,
+            }
+        }
+        if self.progress == BodyProgress::Ended {
+            let checked = ready!(self.poll_end(context));
+            if let Err(error) = checked {
+                self.progress = BodyProgress::Failed;
+                return Poll::Ready(Some(Err(error)));
+            }
+            self.progress = BodyProgress::Complete;
+        }
+        Poll::Ready(None)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.progress == BodyProgress::Complete
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
+fn bad_answer(reason: &str) -> ClientError {
+    ClientError::BadAnswer {
+        reason: reason.to_owned(),
+    }
+}
+
+/// Whether `bytes` begin with the status line of another answer.
+fn begins_answer(bytes: &[u8]) -> bool {
+    let Some(start) = bytes.get(..STATUS_LINE_START) else {
+        return false;
+    };
+    let (protocol, status) = start.split_at(STATUS_LINE_START - 3);
+    matches!(protocol, b"HTTP/1.1 " | b"HTTP/1.0 ") && status.iter().all(u8::is_ascii_digit)
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,27 +1,30 @@
 //! HTTP client with pooled connections; its errors state whether a request may have been processed.
 
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::sync::OnceLock;
+use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
 use derive_more::{Display, Error};
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::net::lookup_host;
+use tokio::time::timeout;
 
-use crate::answer_head::{ExpectedAnswer, HeadError};
+use crate::answer_head::HeadError;
 use crate::body::{ReadFailure, read_shared};
 use crate::body_memory::{BodyMemory, OverflowPolicy};
-use crate::pool::MAX_HEAD_BYTES;
+use crate::checked_body::CheckedBody;
+use crate::pool::{ConnectionPool, PoolSettings};
 
-/// Timeout for opening a connection.
+/// Timeout for looking up a name, and again for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum number of idle connections to each address.
-const IDLE_CONNECTIONS: usize = 64;
+/// Time after which a connection whose peer acknowledges nothing is closed.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Port of a URI that names none.
+const DEFAULT_PORT: u16 = 80;
 /// Maximum length of a line in an event stream, in bytes.
 const MAX_LINE_BYTES: usize = 1 << 20;
 
@@ -70,51 +73,51 @@
 /// HTTP client with a connection pool and a limit for response bodies.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    pool: ConnectionPool,
     max_body: usize,
     memory: BodyMemory,
 }
 
 /// A response whose body has not been read.
-pub type UnreadResponse = Response<Incoming>;
+pub type UnreadResponse = Response<CheckedBody>;
 
 impl HttpClient {
     /// Creates a client that reads response bodies of at most `max_body` bytes each, and twice as much
     /// together.
     pub fn new(max_body: usize) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_max_idle_per_host(IDLE_CONNECTIONS)
-            .http1_max_buf_size(MAX_HEAD_BYTES)
-            // An automatic resend after a closed pooled connection could run a request twice.
-            .retry_canceled_requests(false)
-            .build(connector);
+        let settings = PoolSettings {
+            connect_timeout: CONNECT_TIMEOUT,
+            silence_timeout: SILENCE_TIMEOUT,
+            max_per_address: usize::MAX,
+            ..PoolSettings::default()
+        };
         Self {
-            client,
+            pool: ConnectionPool::new(settings, uptime),
             max_body,
             memory: BodyMemory::new(max_body.saturating_mul(2), OverflowPolicy::Largest),
         }
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request to the host of its URI, and waits for the head of the response.
     ///
     /// # Errors
-    /// Returns [`ClientError::NotSent`] only if no connection could be opened,
+    /// Returns [`ClientError::NotSent`] only if no byte of the request left this host,
     /// [`ClientError::BadAnswer`] if the head is invalid, and otherwise [`ClientError::NoAnswer`].
-    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<UnreadResponse, ClientError> {
-        let expected = ExpectedAnswer::to(&request);
-        let answer = self.client.request(request).await.map_err(|error| {
-            let reason = error_chain(&error);
-            if error.is_connect() {
-                return ClientError::NotSent { reason };
+    pub async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<UnreadResponse, ClientError> {
+        let host = take_host(&mut request)?;
+        let mut failure = ClientError::NotSent {
+            reason: format!("{host} has no address"),
+        };
+        for address in addresses(&host).await? {
+            match self.pool.send(address, request.clone()).await {
+                Err(error @ ClientError::NotSent { .. }) => failure = error,
+                sent => return sent,
             }
-            ClientError::NoAnswer { reason }
-        })?;
-        expected.body_end(&answer)?;
-        Ok(answer)
+        }
+        Err(failure)
     }
 
     /// Posts JSON and waits for the head of the response.
@@ -166,12 +169,44 @@
     /// Reads the complete body of a response.
     ///
     /// # Errors
-    /// Returns [`ClientError::NoAnswer`] if the body ends early or exceeds the limit of the client.
+    /// Returns [`ClientError::NoAnswer`] if the body is not whole or exceeds the limit of the client.
     pub async fn read(&self, response: UnreadResponse) -> Result<Bytes, ClientError> {
-        Ok(read_shared(response.into_body(), self.max_body, &self.memory).await?)
+        let (parts, mut body) = response.into_parts();
+        let bytes = read_shared(&mut body, self.max_body, &self.memory).await?;
+        body.return_to_pool(&parts.headers);
+        Ok(bytes)
     }
 }
 
+/// Time since a fixed moment of this process.
+fn uptime() -> Duration {
+    static START: OnceLock<Instant> = OnceLock::new();
+    START.get_or_init(Instant::now).elapsed()
+}
+
+/// Reduces the URI of a request to its path and query; returns the host that it names, with its port.
+fn take_host<B>(request: &mut Request<B>) -> Result<String, ClientError> {
+    let authority = request.uri().authority().cloned();
+    let authority = authority.ok_or_else(|| not_sent("the URI names no host"))?;
+    let host = match authority.port() {
+        Some(port) => format!("{}:{port}", authority.host()),
+        None => authority.host().to_owned(),
+    };
+    let host = HeaderValue::from_str(&host).map_err(not_sent)?;
+    request.headers_mut().entry(header::HOST).or_insert(host);
+    let path = request.uri().path_and_query().cloned();
+    *request.uri_mut() = path.map_or_else(|| Uri::from_static("/"), Uri::from);
+    let port = authority.port_u16().unwrap_or(DEFAULT_PORT);
+    Ok(format!("{}:{port}", authority.host()))
+}
+
+/// Addresses of `host`, which ends with its port.
+async fn addresses(host: &str) -> Result<Vec<SocketAddr>, ClientError> {
+    let found = timeout(CONNECT_TIMEOUT, lookup_host(host)).await;
+    let found = found.map_err(|_| not_sent(format!("{host} was not found in time")))?;
+    Ok(found.map_err(not_sent)?.collect())
+}
+
 fn not_sent<E>(error: E) -> ClientError
 where
     E: std::fmt::Display,
@@ -181,29 +216,22 @@
     }
 }
 
-fn error_chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(inner) = source {
-        text.push_str(": ");
-        text.push_str(&inner.to_string());
-        source = inner.source();
-    }
-    text
-}
-
 /// Reads a streamed body line by line.
 #[derive(Debug)]
 pub struct LineReader {
-    body: Incoming,
+    headers: HeaderMap,
+    /// `None` once the body has ended.
+    body: Option<CheckedBody>,
     buffer: BytesMut,
 }
 
 impl LineReader {
     /// Creates a reader at the start of the body of `response`.
     pub fn new(response: UnreadResponse) -> Self {
+        let (parts, body) = response.into_parts();
         Self {
-            body: response.into_body(),
+            headers: parts.headers,
+            body: Some(body),
             buffer: BytesMut::new(),
         }
     }
@@ -237,13 +265,16 @@
     }
 
     async fn read_frame(&mut self) -> Result<bool, ClientError> {
-        let Some(frame) = self.body.frame().await else {
+        let Some(body) = &mut self.body else {
+            return Ok(false);
+        };
+        let Some(frame) = body.frame().await else {
+            if let Some(body) = self.body.take() {
+                body.return_to_pool(&self.headers);
+            }
             return Ok(false);
         };
-        let frame = frame.map_err(|error| ClientError::NoAnswer {
-            reason: error_chain(&error),
-        })?;
-        if let Ok(data) = frame.into_data() {
+        if let Ok(data) = frame?.into_data() {
             self.buffer.extend_from_slice(&data);
         }
         Ok(true)
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,7 +4,9 @@
 mod body;
 mod body_buffer;
 mod body_memory;
+mod checked_body;
 mod client;
+mod client_connection;
 mod connections;
 mod dialer;
 mod new_connections;
@@ -19,10 +21,11 @@
 };
 pub use body_buffer::BodyBuffer;
 pub use body_memory::{BodyMemory, BodyReservation, OverflowPolicy};
+pub use checked_body::{CheckedBody, send_once};
 pub use client::{ClientError, HttpClient, LineReader, UnreadResponse};
 pub use connections::ConnectionHandle;
 pub use dialer::{DialFuture, ServerDialer, TcpDialer};
-pub use pool::{ConnectionPool, PoolClock, PoolSettings, PooledAnswer, PooledConnection};
+pub use pool::{ConnectionPool, PoolClock, PoolSettings, PooledAnswer};
 pub use server::{
     AcceptedStream, BoxedStream, ByteStream, ConnectionGate, ConnectionObserver, DynHandler,
     HandlerFuture, HttpHandler, HttpServer, ServerHooks, ServerLimits, StreamAcceptor,
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -14,14 +14,12 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper_util::rt::TokioIo;
-use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::answer_head::ExpectedAnswer;
+use crate::checked_body::CheckedBody;
 use crate::client::ClientError;
+use crate::client_connection::{ClientConnection, SendError};
 use crate::dialer::{ServerDialer, TcpDialer};
 use crate::server::BoxedStream;
 
@@ -58,19 +56,12 @@
     }
 }
 
-/// Maximum size of the head of a response, and of the read buffer of a connection, in bytes. A host
-/// may have a thousand connections on which bytes come without end.
-pub(crate) const MAX_HEAD_BYTES: usize = 32 * 1024;
-
 /// Reads a monotonic clock: the time since a fixed moment before the creation of the pool.
 pub type PoolClock = fn() -> Duration;
 
-type PoolSender = SendRequest<Full<Bytes>>;
-
 /// A connection that no request uses.
 struct IdleConnection {
-    sender: PoolSender,
-    task: AbortHandle,
+    connection: ClientConnection,
     /// Time on the clock of the pool from which the connection is no longer reused.
     reusable_until: Duration,
 }
@@ -91,56 +82,49 @@
     slots: Arc<Mutex<BTreeMap<SocketAddr, AddressSlot>>>,
 }
 
-/// A connection in use. Dropping it closes the connection, so that the server aborts the request.
-pub struct PooledConnection {
-    pool: ConnectionPool,
-    address: SocketAddr,
-    sender: Option<PoolSender>,
-    task: AbortHandle,
-    /// Whether the connection has served an earlier request.
-    reused: bool,
-}
-
-/// A connection that is being opened. It counts as open until dropped or kept, so that a cancelled
+/// A connection that is opened or in use. It counts as open until dropped or returned, so that a cancelled
 /// attempt leaves no count behind.
-struct ReservedConnection<'pool> {
-    pool: &'pool ConnectionPool,
+pub(crate) struct ReservedPlace {
+    pool: ConnectionPool,
     address: SocketAddr,
-    is_kept: bool,
+    is_returned: bool,
 }
 
-impl<'pool> ReservedConnection<'pool> {
-    /// Reserves a connection; `None` if the address has all its connections in use.
-    fn new(pool: &'pool ConnectionPool, address: SocketAddr) -> Option<Self> {
-        pool.reserve(address).then_some(Self {
-            pool,
-            address,
-            is_kept: false,
-        })
-    }
-
-    /// Leaves the count to the opened connection.
-    fn keep(mut self) {
-        self.is_kept = true;
+impl ReservedPlace {
+    /// Returns the connection to the pool, unless the headers of its last answer announce its end.
+    pub(crate) fn return_connection(mut self, connection: ClientConnection, headers: &HeaderMap) {
+        let Some(idle) = idle_time(headers, &self.pool.settings) else {
+            return;
+        };
+        let idle = IdleConnection {
+            connection,
+            reusable_until: (self.pool.clock)() + idle,
+        };
+        self.is_returned = true;
+        let mut slots = self.pool.lock();
+        slots.entry(self.address).or_default().idle.push(idle);
     }
 }
 
-impl Drop for ReservedConnection<'_> {
+impl Drop for ReservedPlace {
     fn drop(&mut self) {
-        if !self.is_kept {
+        if !self.is_returned {
             self.pool.release(self.address);
         }
     }
 }
 
-/// A response whose body has not been read, and its connection.
-pub struct PooledAnswer {
-    /// Response with its unread body.
-    pub response: Response<Incoming>,
-    /// Connection that delivers the body.
-    pub connection: PooledConnection,
+/// A connection for one request.
+struct PooledConnection {
+    connection: ClientConnection,
+    place: ReservedPlace,
+    /// Whether the connection has served an earlier request.
+    is_reused: bool,
 }
 
+/// A response whose body has not been read.
+pub type PooledAnswer = Response<CheckedBody>;
+
 impl std::fmt::Debug for ConnectionPool {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         formatter
@@ -217,29 +201,22 @@
                     reason: format!("no connection to {address} opened before the deadline"),
                 });
             };
-            let mut connection = acquired?;
-            let reused = connection.reused;
-            let Some(sent) = until(deadline, connection.send(request)).await else {
+            let mut pooled = acquired?;
+            let Some(sent) = until(deadline, pooled.connection.send(request)).await else {
                 return Ok(None);
             };
             match sent {
                 Ok(response) => {
-                    expected.body_end(&response)?;
-                    return Ok(Some(PooledAnswer {
-                        response,
-                        connection,
-                    }));
+                    let PooledConnection {
+                        connection, place, ..
+                    } = pooled;
+                    let answer = CheckedBody::check(expected, response, connection, Some(place));
+                    return answer.map(Some);
                 }
                 // The server closed the idle connection before any byte was written, so a retry on
                 // another connection is safe.
-                Err(SendError::NotSent(unsent)) if reused => request = *unsent,
-                Err(SendError::NotSent(_)) => {
-                    return Err(ClientError::NotSent {
-                        reason: "the connection was closed before the request was written"
-                            .to_owned(),
-                    });
-                }
-                Err(SendError::Unknown(reason)) => return Err(ClientError::NoAnswer { reason }),
+                Err(SendError::NotSent(unsent)) if pooled.is_reused => request = *unsent,
+                Err(error) => return Err(error.into()),
             }
         }
     }
@@ -248,43 +225,51 @@
     pub fn close_idle(&self) {
         let mut slots = self.lock();
         for slot in slots.values_mut() {
-            for idle in slot.idle.drain(..) {
-                idle.task.abort();
-                slot.open = slot.open.saturating_sub(1);
-            }
+            slot.open = slot.open.saturating_sub(slot.idle.len());
+            slot.idle.clear();
         }
         slots.retain(|_, slot| slot.open > 0);
     }
 
     async fn acquire(&self, address: SocketAddr) -> Result<PooledConnection, ClientError> {
-        if let Some(idle) = self.take_idle(address) {
+        if let Some(connection) = self.take_idle(address) {
             return Ok(PooledConnection {
-                pool: self.clone(),
-                address,
-                sender: Some(idle.sender),
-                task: idle.task,
-                reused: true,
+                connection,
+                place: self.place(address),
+                is_reused: true,
             });
         }
-        let Some(reserved) = ReservedConnection::new(self, address) else {
+        if !self.reserve(address) {
             return Err(ClientError::NotSent {
                 reason: format!("{address} has all its connections in use"),
             });
-        };
+        }
+        let place = self.place(address);
         let connection = self.open(address).await?;
-        reserved.keep();
-        Ok(connection)
+        Ok(PooledConnection {
+            connection,
+            place,
+            is_reused: false,
+        })
+    }
+
+    /// Place of a connection that counts as open.
+    fn place(&self, address: SocketAddr) -> ReservedPlace {
+        ReservedPlace {
+            pool: self.clone(),
+            address,
+            is_returned: false,
+        }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<IdleConnection> {
+    fn take_idle(&self, address: SocketAddr) -> Option<ClientConnection> {
         let now = (self.clock)();
         let mut slots = self.lock();
         let slot = slots.get_mut(&address)?;
         while let Some(idle) = slot.idle.pop() {
-            if idle.reusable_until > now && idle.sender.is_ready() {
-                return Some(idle);
+            if idle.reusable_until > now && idle.connection.is_ready() {
+                return Some(idle.connection);
             }
-            idle.task.abort();
             slot.open = slot.open.saturating_sub(1);
         }
         None
@@ -310,31 +295,15 @@
         }
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<PooledConnection, ClientError> {
+    async fn open(&self, address: SocketAddr) -> Result<ClientConnection, ClientError> {
         let not_sent = |reason: String| ClientError::NotSent { reason };
         let dialing = self.dialer.dial(address, self.settings.silence_timeout);
         let stream: BoxedStream = timeout(self.settings.connect_timeout, dialing)
             .await
             .map_err(|_| not_sent(format!("{address} did not answer in time")))?
             .map_err(|error| not_sent(format!("{address}: {error}")))?;
-        let opening = Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream));
-        let (sender, connection) = opening
-            .await
-            .map_err(|error| not_sent(format!("{address}: {error}")))?;
-        let task = tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(server:% = address, error:% = error; "connection ended");
-            }
-        });
-        Ok(PooledConnection {
-            pool: self.clone(),
-            address,
-            sender: Some(sender),
-            task: task.abort_handle(),
-            reused: false,
-        })
+        let opening = ClientConnection::open(stream).await;
+        opening.map_err(|error| not_sent(format!("{address}: {error}")))
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, AddressSlot>> {
@@ -353,65 +322,6 @@
     }
 }
 
-enum SendError {
-    /// No byte left this host; contains the request.
-    NotSent(Box<Request<Full<Bytes>>>),
-    /// The request may have arrived; contains the error text.
-    Unknown(String),
-}
-
-impl PooledConnection {
-    async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
-        let Some(sender) = &mut self.sender else {
-            return Err(SendError::NotSent(Box::new(request)));
-        };
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
-            Err(mut error) => match error.take_message() {
-                Some(request) => Err(SendError::NotSent(Box::new(request))),
-                None => Err(SendError::Unknown(error.into_error().to_string())),
-            },
-        }
-    }
-
-    /// Whether the connection has served an earlier request.
-    pub fn is_reused(&self) -> bool {
-        self.reused
-    }
-
-    /// Returns the connection to the pool for reuse. Call this only after the complete body of the
-    /// response with these headers was read without any protocol error.
-    pub fn return_to_pool(mut self, headers: &HeaderMap) {
-        let settings = &self.pool.settings;
-        let Some(idle) = idle_time(headers, settings) else {
-            return;
-        };
-        let Some(sender) = self.sender.take() else {
-            return;
-        };
-        let idle = IdleConnection {
-            sender,
-            task: self.task.clone(),
-            reusable_until: (self.pool.clock)() + idle,
-        };
-        let mut slots = self.pool.lock();
-        slots.entry(self.address).or_default().idle.push(idle);
-    }
-}
-
-impl Drop for PooledConnection {
-    fn drop(&mut self) {
-        // `return_to_pool` has moved the sender of a reusable connection.
-        if self.sender.take().is_some() {
-            self.task.abort();
-            self.pool.release(self.address);
-        }
-    }
-}
-
 /// Maximum idle time of a connection until its next request; `None` if the server closes it.
 fn idle_time(headers: &HeaderMap, settings: &PoolSettings) -> Option<Duration> {
     let list_items = |name| {
