fix(http): statuses that are none of an answer are refused

Callers got 600, 999 and 101 as the status of an answer, 205 and 304 of one that had a body, and 204 with its body gone.

Cause: the parser takes every status from 100 to 999. It skips interim answers, takes 101 for a change of the protocol, and reads no body behind 204 and 304; whether such an answer can belong to the request is left to its caller. A host took any of them from another host as well.

A host that gets the answer of another one checks its status.

--- a/crates/daemon/src/peers/forward_channel.rs
+++ b/crates/daemon/src/peers/forward_channel.rs
@@ -5,10 +5,11 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use http::request::Parts;
-use http::response;
+use http::{StatusCode, response};
 use pollendrift_coordination::base::{HostName, MonotonicTime, RequestId, ServiceName};
 use pollendrift_coordination::forwarding::ForwardHost;
 use pollendrift_coordination::streams::EventId;
+use pollendrift_http::is_final_status;
 use tokio::time::timeout;
 
 use super::error::LinkError;
@@ -151,7 +152,9 @@
                     })
                 };
                 let mut response = http::Response::new(());
-                *response.status_mut() = status.try_into().map_err(|_| invalid())?;
+                let status = StatusCode::from_u16(status).ok();
+                let status = status.filter(|status| is_final_status(*status));
+                *response.status_mut() = status.ok_or_else(invalid)?;
                 *response.headers_mut() = decode_headers(&headers).ok_or_else(invalid)?;
                 Ok(response.into_parts().0)
             }
--- a/crates/daemon/tests/cut_forwarded_answers.rs
+++ b/crates/daemon/tests/cut_forwarded_answers.rs
@@ -203,6 +203,42 @@
     .await
 }
 
+/// Answers every request with a status and [`BODY`].
+struct StatusHandler(StatusCode);
+
+impl ForwardHandler for StatusHandler {
+    fn serve(&self, _: ReceivedRequest) -> BoxFuture<'static, ForwardedAnswer> {
+        let mut response = Response::new(full_body(BODY));
+        *response.status_mut() = self.0;
+        Box::pin(async { Ok(response) })
+    }
+}
+
+// Guards against a status that is none of a final answer and that another host passes on.
+#[tokio::test(start_paused = true)]
+async fn a_forwarded_status_of_no_final_answer_is_refused() {
+    for (status, is_final) in [
+        (101, false),
+        (199, false),
+        (200, true),
+        (599, true),
+        (600, false),
+    ] {
+        let handler = StatusHandler(StatusCode::from_u16(status).expect("a status"));
+        let answered = with_channel(Arc::new(handler), u64::MAX, async |mut channel| {
+            let head = Request::post("/read/a").body(()).expect("a request");
+            let (head, ()) = head.into_parts();
+            let body = Bytes::from_static(b"body");
+            match channel.send(forwarded(&head, &body)).await {
+                Ok(_) => Some(true),
+                Err(ForwardError::Lost(_)) => Some(false),
+                Err(_) => None,
+            }
+        });
+        assert_eq!(answered.await, Some(is_final), "{status}");
+    }
+}
+
 /// Answers every request with [`BODY`], with little memory for the bodies of requests.
 struct SmallHandler(BodyMemory);
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,6 +14,7 @@
 mod served_stream;
 mod server;
 
+pub use answer_head::is_final_status;
 pub use body::{
     BodyError, BodySender, ReadFailure, ReaderWatch, RequestLimits, ResponseBody, channel_body,
     empty_body, full_body, json_response, leaving_body, read_bounded, read_json, read_json_request,
