fix(http): a body in chunks whose coding has no name is refused

Callers got 200 with the sizes of chunks inside the body, for calls and streams, or 504 at their deadline if the server kept the connection open.

Cause: one wrong byte in the name of the transfer coding leaves an answer without a length, which ends with its connection and is allowed. Nothing in its head tells it from a sound one.

What such a body begins with is held back until it is known whether it is a chunk: a size, as many bytes and a line break. A body that begins so is refused. An event of a stream is told apart by its first bytes and is not delayed. A length under another name on a connection that stays open is still known only at the deadline.

--- a/crates/http/src/checked_body.rs
+++ b/crates/http/src/checked_body.rs
@@ -9,6 +9,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use crate::answer_head::{BodyEnd, ExpectedAnswer};
+use crate::chunk_probe::{BodyStart, ChunkProbe};
 use crate::client::ClientError;
 use crate::client_connection::ClientConnection;
 use crate::pool::ReservedPlace;
@@ -21,13 +22,15 @@
 /// server aborts the request.
 ///
 /// A body with a length is followed by nothing, or by another answer. Other bytes behind it show that the
-/// length is wrong, so that the body ends with an error.
+/// length is wrong, so that the body ends with an error. A body without framing is not in chunks.
 pub struct CheckedBody {
     incoming: Incoming,
     connection: ClientConnection,
     /// Place of the connection in its pool; `None` if it serves this request only.
     place: Option<ReservedPlace>,
     end: BodyEnd,
+    /// Checks the start of a body without framing; `None` once that is known.
+    probe: Option<ChunkProbe>,
     progress: BodyProgress,
 }
 
@@ -86,6 +89,7 @@
             connection,
             place,
             end,
+            probe: (end == BodyEnd::Close).then(ChunkProbe::default),
             progress: BodyProgress::Reading,
         }))
     }
@@ -100,16 +104,49 @@
         }
     }
 
-    fn poll_incoming(
+    /// Reads the next part of the body, without its framing.
+    fn poll_part(
         &mut self,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, ClientError>>> {
-        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
-        Poll::Ready(frame.map(|frame| {
-            frame.map_err(|error| ClientError::NoAnswer {
-                reason: error.to_string(),
-            })
-        }))
+    ) -> Poll<Result<Option<Frame<Bytes>>, ClientError>> {
+        while self.progress == BodyProgress::Reading {
+            let part = match ready!(Pin::new(&mut self.incoming).poll_frame(context)) {
+                Some(Ok(frame)) => self.check_start(frame)?,
+                Some(Err(error)) => {
+                    let reason = error.to_string();
+                    return Poll::Ready(Err(ClientError::NoAnswer { reason }));
+                }
+                None => {
+                    self.progress = BodyProgress::Ended;
+                    let held = self.probe.take().map(|mut probe| probe.take());
+                    held.filter(|held| !held.is_empty()).map(Frame::data)
+                }
+            };
+            if part.is_some() {
+                return Poll::Ready(Ok(part));
+            }
+        }
+        Poll::Ready(Ok(None))
+    }
+
+    /// Holds back the start of a body without framing; returns what may be passed on.
+    fn check_start(&mut self, frame: Frame<Bytes>) -> Result<Option<Frame<Bytes>>, ClientError> {
+        let Some(probe) = &mut self.probe else {
+            return Ok(Some(frame));
+        };
+        let Ok(data) = frame.into_data() else {
+            return Ok(None);
+        };
+        match probe.push(&data) {
+            BodyStart::Undecided => Ok(None),
+            BodyStart::Chunk => Err(bad_answer(
+                "the body is in chunks, and its head names no coding",
+            )),
+            BodyStart::Bytes(bytes) => {
+                self.probe = None;
+                Ok(Some(Frame::data(bytes)))
+            }
+        }
     }
 
     /// Finds out whether the body that was read is whole.
@@ -136,25 +173,18 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ClientError>>> {
-        if self.progress == BodyProgress::Reading {
-            match ready!(self.poll_incoming(context)) {
-                Some(Ok(frame)) => return Poll::Ready(Some(Ok(frame))),
-                Some(Err(error)) => {
-                    self.progress = BodyProgress::Failed;
-                    return Poll::Ready(Some(Err(error)));
-                }
-                None => self.progress = BodyProgress::Ended,
-            }
-        }
-        if self.progress == BodyProgress::Ended {
-            let checked = ready!(self.poll_end(context));
-            if let Err(error) = checked {
-                self.progress = BodyProgress::Failed;
-                return Poll::Ready(Some(Err(error)));
-            }
-            self.progress = BodyProgress::Complete;
-        }
-        Poll::Ready(None)
+        let part = ready!(self.poll_part(context));
+        let checked = match part {
+            Ok(Some(part)) => return Poll::Ready(Some(Ok(part))),
+            Ok(None) if self.progress == BodyProgress::Ended => ready!(self.poll_end(context)),
+            Ok(None) => return Poll::Ready(None),
+            Err(error) => Err(error),
+        };
+        self.progress = match checked {
+            Ok(()) => BodyProgress::Complete,
+            Err(_) => BodyProgress::Failed,
+        };
+        Poll::Ready(checked.err().map(Err))
     }
 
     fn is_end_stream(&self) -> bool {
--- /dev/null
+++ b/crates/http/src/chunk_probe.rs
@@ -0,0 +1,114 @@
+//! Recognises the framing of chunks at the start of a body that has none by its head.
+
+use bytes::{Bytes, BytesMut};
+
+/// Longest size of a chunk that is recognised, in digits.
+const MAX_SIZE_DIGITS: usize = 8;
+/// Maximum number of bytes that are held back; a larger first chunk counts as one by its size alone.
+const MAX_HELD_BYTES: usize = 64 * 1024;
+
+/// Holds back the start of a body until it is known whether it is a chunk.
+///
+/// A head whose transfer coding has lost its name leaves a body that ends with its connection and has the
+/// sizes of its chunks between its bytes.
+#[derive(Debug, Default)]
+pub(crate) struct ChunkProbe {
+    held: BytesMut,
+}
+
+/// What the start of a body is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum BodyStart {
+    /// More bytes are needed.
+    Undecided,
+    /// A chunk: its size, as many bytes, and a line break.
+    Chunk,
+    /// No chunk; contains all bytes so far.
+    Bytes(Bytes),
+}
+
+impl ChunkProbe {
+    /// Adds the next bytes of the body.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> BodyStart {
+        self.held.extend_from_slice(bytes);
+        match begins_chunk(&self.held) {
+            None => BodyStart::Undecided,
+            Some(true) => BodyStart::Chunk,
+            Some(false) => BodyStart::Bytes(self.take()),
+        }
+    }
+
+    /// Returns the bytes that are held back at the end of the body.
+    pub(crate) fn take(&mut self) -> Bytes {
+        std::mem::take(&mut self.held).freeze()
+    }
+}
+
+/// Whether `bytes` begin with a chunk; `None` if more of them are needed.
+fn begins_chunk(bytes: &[u8]) -> Option<bool> {
+    let digits = bytes
+        .iter()
+        .take_while(|byte| byte.is_ascii_hexdigit())
+        .count();
+    if digits > MAX_SIZE_DIGITS {
+        return Some(false);
+    }
+    let (size, rest) = bytes.split_at(digits);
+    if !b"\r\n".starts_with(&rest[..rest.len().min(2)]) || (digits == 0 && !rest.is_empty()) {
+        return Some(false);
+    }
+    let data = rest.get(2..)?;
+    let size = std::str::from_utf8(size).ok()?;
+    let size = usize::from_str_radix(size, 16).ok()?;
+    if size > MAX_HELD_BYTES {
+        return Some(true);
+    }
+    let end = data.get(size..size + 2)?;
+    Some(end == b"\r\n")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::{BodyStart, ChunkProbe};
+
+    // Guards against bytes of a body that are lost or taken for chunks, however they are divided.
+    #[test]
+    fn the_start_of_a_body_is_recognised_in_any_parts() {
+        let chunked = [
+            "5\r\nwhole\r\n0\r\n\r\n",
+            "0\r\n\r\n",
+            "1A\r\nabcdefghijklmnopqrstuvwxyz\r\n",
+        ];
+        let plain = [
+            "data: a\n\n",
+            "id: 1\n\n",
+            "deadbeef",
+            "42\r\nis a number\r\n",
+            "5\nwhole\n",
+            "",
+            "\r\n",
+            "5",
+        ];
+        let bodies = chunked.map(|body| (body, true));
+        for (body, is_chunked) in bodies.into_iter().chain(plain.map(|body| (body, false))) {
+            for part in 1..=body.len().max(1) {
+                let mut probe = ChunkProbe::default();
+                let mut start = BodyStart::Undecided;
+                let mut parts = body.as_bytes().chunks(part);
+                let mut passed = Vec::new();
+                while start == BodyStart::Undecided
+                    && let Some(bytes) = parts.next()
+                {
+                    start = probe.push(bytes);
+                }
+                if let BodyStart::Bytes(bytes) = &start {
+                    passed.extend_from_slice(bytes);
+                }
+                passed.extend_from_slice(&probe.take());
+                passed.extend(parts.flatten());
+                assert_eq!(start == BodyStart::Chunk, is_chunked, "{body:?} by {part}");
+                assert_eq!(passed, body.as_bytes(), "{body:?} by {part}");
+            }
+        }
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 mod body_buffer;
 mod body_memory;
 mod checked_body;
+mod chunk_probe;
 mod client;
 mod client_connection;
 mod connections;
