fix(http): a line feed alone does not end a head

Callers got 200 with the rest of the server's head in front of its body, if one byte of the head had become a line feed.

Cause: the parser also takes a line feed without a carriage return for a line break, as RFC 9112, 2.2, allows. One such byte beside a line break makes an empty line, which ends the head; what told the length of the body is read as the body.

A connection of a client fails on a line of a head that ends without a carriage return. Bytes behind the head are not looked at.

--- a/crates/http/src/client_connection.rs
+++ b/crates/http/src/client_connection.rs
@@ -12,12 +12,13 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::io::ReadBuf;
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::{Sleep, sleep};
 
 use crate::client::ClientError;
+use crate::guarded_stream::{GuardedStream, HeadSignal};
 use crate::server::BoxedStream;
 
 /// Maximum size of the head of a response, and of the read buffer of a connection, in bytes. A host
@@ -29,7 +30,7 @@
 /// Maximum number of bytes behind an answer that are read after its connection has ended.
 const MAX_REST_BYTES: usize = 1_024;
 
-type DrivenConnection = Connection<TokioIo<BoxedStream>, Full<Bytes>>;
+type DrivenConnection = Connection<TokioIo<GuardedStream>, Full<Bytes>>;
 
 /// Reason why a request got no response.
 pub(crate) enum SendError {
@@ -54,6 +55,7 @@
 /// aborts the request.
 pub(crate) struct ClientConnection {
     sender: SendRequest<Full<Bytes>>,
+    head_follows: HeadSignal,
     /// Reads and writes the connection.
     task: AbortHandle,
     /// Tells the task to end the connection.
@@ -72,6 +74,8 @@
     /// # Errors
     /// Returns the error of the handshake; no byte has been sent.
     pub(crate) async fn open(stream: BoxedStream) -> hyper::Result<Self> {
+        let head_follows = HeadSignal::default();
+        let stream = GuardedStream::new(stream, head_follows.clone());
         let opening = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream));
@@ -85,6 +89,7 @@
         });
         Ok(Self {
             sender,
+            head_follows,
             task: task.abort_handle(),
             stop,
             rest,
@@ -103,6 +108,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.head_follows.set();
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
@@ -169,12 +175,12 @@
 }
 
 /// Reads the bytes that have arrived on `stream`, without waiting for more.
-async fn read_available(mut stream: BoxedStream) -> Bytes {
+async fn read_available(mut stream: GuardedStream) -> Bytes {
     let mut bytes = vec![0; MAX_REST_BYTES];
     let length = poll_fn(|context| {
         let mut buffer = ReadBuf::new(&mut bytes);
         // An error or the end of the connection leaves the buffer empty.
-        let _ = Pin::new(&mut *stream).poll_read(context, &mut buffer);
+        let _ = Pin::new(&mut stream).poll_read(context, &mut buffer);
         Poll::Ready(buffer.filled().len())
     });
     let length = length.await;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 mod client_connection;
 mod connections;
 mod dialer;
+mod guarded_stream;
 mod new_connections;
 mod pool;
 mod served_stream;
--- /dev/null
+++ b/crates/http/tests/spoiled_heads.rs
@@ -0,0 +1,73 @@
+//! Answers with one wrong byte in their head, at every offset.
+
+#![allow(clippy::expect_used, reason = "a failed helper fails its test")]
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use futures_util::future::join;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use pollendrift_http::send_once;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
+
+const BODY: &str = "a whole body";
+
+/// Heads by the framing of their body, and the body as it is sent.
+const ANSWERS: [(&str, &str, &str); 3] = [
+    (
+        "length first",
+        "HTTP/1.1 200 OK\r\ncontent-length: 12\r\nserver-signature: s-1\r\nkeep-alive: timeout=9\r\n\r\n",
+        BODY,
+    ),
+    (
+        "length last",
+        "HTTP/1.1 200 OK\r\nserver-signature: s-1\r\ncontent-length: 12\r\n\r\n",
+        BODY,
+    ),
+    (
+        "chunks",
+        "HTTP/1.1 200 OK\r\nserver-signature: s-1\r\ntransfer-encoding: chunked\r\nx-a: b\r\n\r\n",
+        "c\r\na whole body\r\n0\r\n\r\n",
+    ),
+];
+
+/// Reads an answer of these bytes on a connection that is closed behind them; `None` if it is refused.
+async fn read(bytes: &[u8]) -> Option<(u16, Bytes)> {
+    let (near, mut far) = duplex(1 << 16);
+    let request = Request::get("/").body(Full::new(Bytes::new()));
+    let sending = send_once(Box::new(near), request.expect("a request"));
+    let answering = async {
+        far.read_u8().await.expect("a request");
+        far.write_all(bytes).await.expect("room");
+        far.shutdown().await.expect("open");
+    };
+    let (answer, ()) = join(sending, answering).await;
+    let answer = answer.ok()?;
+    let status = answer.status().as_u16();
+    let body = answer.into_body().collect().await.ok()?;
+    Some((status, body.to_bytes()))
+}
+
+// Guards against a body that is not the server's behind a head with one wrong byte.
+#[tokio::test]
+async fn a_wrong_byte_in_a_head_leaves_the_body_whole_or_refused() {
+    let mut faults: BTreeMap<String, Vec<u8>> = BTreeMap::new();
+    for (name, head, body) in ANSWERS {
+        let sound = read(&[head.as_bytes(), body.as_bytes()].concat()).await;
+        assert_eq!(sound, Some((200, Bytes::from(BODY))), "{name}");
+        for offset in 0..head.len() {
+            for byte in 0..=255 {
+                let mut bytes = [head.as_bytes(), body.as_bytes()].concat();
+                bytes[offset] = byte;
+                if let Some((status, body)) = read(&bytes).await
+                    && (body != BODY || !(200..600).contains(&status))
+                {
+                    let case = format!("{name} at {offset}, {status} {body:?}");
+                    faults.entry(case).or_default().push(byte);
+                }
+            }
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
