fix(pollenctl): broken answers of a daemon are no answers

Operators got a file of evidence that was cut at a length of its answer that was too small, or had the sizes of chunks in it, with exit code 0.

Cause: pollenctl read answers by the parser alone, as the hosts did.

It sends each request by the same function as the hosts now, and reports such an answer as one that did not come whole.

--- a/crates/pollenctl/src/transport.rs
+++ b/crates/pollenctl/src/transport.rs
@@ -7,13 +7,11 @@
 use bytes::Bytes;
 use derive_more::Display;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
+use http_body_util::Full;
+use pollendrift_http::{BoxedStream, ClientError, ReadFailure, read_bounded, send_once};
 use rustls::{ClientConfig, RootCertStore};
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, ServerName};
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_rustls::TlsConnector;
@@ -93,12 +91,12 @@
     ) -> Result<DaemonAnswer, SendFailure> {
         let stream = self.connect(address).await?;
         if !address.secure {
-            return self.exchange(stream, request).await;
+            return self.exchange(Box::new(stream), request).await;
         }
         let name = ServerName::try_from(address.host.clone()).map_err(not_sent)?;
         let stream = timeout(CONNECT_TIMEOUT, self.tls.connect(name, stream)).await;
         let stream = stream.map_err(not_sent)?.map_err(not_sent)?;
-        self.exchange(stream, request).await
+        self.exchange(Box::new(stream), request).await
     }
 
     async fn connect(&self, address: &ServerAddress) -> Result<TcpStream, SendFailure> {
@@ -107,43 +105,44 @@
         stream.map_err(not_sent)?.map_err(not_sent)
     }
 
-    async fn exchange<S>(
+    async fn exchange(
         &self,
-        stream: S,
+        stream: BoxedStream,
         request: Request<Full<Bytes>>,
-    ) -> Result<DaemonAnswer, SendFailure>
-    where
-        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
-    {
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (mut sender, connection) = handshake.map_err(not_sent)?;
-        let driver = tokio::spawn(connection);
+    ) -> Result<DaemonAnswer, SendFailure> {
         let answer = timeout(self.request_timeout, async {
-            let response = sender.send_request(request).await.map_err(no_answer)?;
+            let response = send_once(stream, request).await?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-            let body = body.collect().await.map_err(no_answer)?.to_bytes();
+            let body = read_bounded(response.into_body(), MAX_ANSWER_BYTES).await?;
             Ok(DaemonAnswer { status, body })
-        })
-        .await;
-        driver.abort();
-        answer.unwrap_or_else(|_| {
+        });
+        answer.await.unwrap_or_else(|_| {
             let seconds = self.request_timeout.as_secs();
             Err(SendFailure::NoAnswer(format!("none within {seconds} s")))
         })
     }
 }
 
-fn not_sent<E>(error: E) -> SendFailure
-where
-    E: std::fmt::Display,
-{
-    SendFailure::NotSent(error.to_string())
+impl From<ClientError> for SendFailure {
+    fn from(error: ClientError) -> Self {
+        match error {
+            ClientError::NotSent { reason } => Self::NotSent(reason),
+            ClientError::NoAnswer { reason } | ClientError::BadAnswer { reason } => {
+                Self::NoAnswer(reason)
+            }
+        }
+    }
 }
 
-fn no_answer<E>(error: E) -> SendFailure
+impl From<ReadFailure> for SendFailure {
+    fn from(failure: ReadFailure) -> Self {
+        Self::NoAnswer(failure.to_string())
+    }
+}
+
+fn not_sent<E>(error: E) -> SendFailure
 where
     E: std::fmt::Display,
 {
-    SendFailure::NoAnswer(error.to_string())
+    SendFailure::NotSent(error.to_string())
 }
