fix(http): a first chunk above 16 KiB is not recognised without its coding

The start of a body without framing is held in memory that no limit counts: 16 KiB at each of a thousand connections. A larger size in its first line is taken for text, such as a date in front of a table: a service whose unframed answers begin so would be refused for good.

--- a/crates/http/src/chunk_probe.rs
+++ b/crates/http/src/chunk_probe.rs
@@ -4,8 +4,8 @@
 
 /// Longest size of a chunk that is recognised, in digits.
 const MAX_SIZE_DIGITS: usize = 8;
-/// Maximum number of bytes that are held back; a larger first chunk counts as one by its size alone.
-const MAX_HELD_BYTES: usize = 64 * 1024;
+/// Maximum size of a first chunk that is recognised, in bytes; they are held back until its end.
+const MAX_HELD_BYTES: usize = 16 * 1024;
 
 /// Holds back the start of a body until it is known whether it is a chunk.
 ///
@@ -61,7 +61,7 @@
     let size = std::str::from_utf8(size).ok()?;
     let size = usize::from_str_radix(size, 16).ok()?;
     if size > MAX_HELD_BYTES {
-        return Some(true);
+        return Some(false);
     }
     let end = data.get(size..size + 2)?;
     Some(end == b"\r\n")
@@ -85,6 +85,7 @@
             "deadbeef",
             "42\r\nis a number\r\n",
             "5\nwhole\n",
+            "20261206\r\n1\r\n",
             "",
             "\r\n",
             "5",
