fix(relay): a request that comes whole late in a planned stop is refused

Callers whose request was still arriving when an entry began to stop had it passed on to a server late in the grace, where the end of the stop may cut it, among others a call that must not run twice.

Cause: whether the host still takes work was decided by the head of a request; its body may take 10 s more, longer than the rest of the stop.

It is decided again once the body is there: the request has not run, is refused as such at once, and the caller goes to another host.

a_request_that_comes_whole_late_in_a_stop_is_refused_as_not_run got 200 from a server 400 ms after new requests were refused, and passes. New requests late in a stop were refused before.

--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -142,7 +142,7 @@
             };
             return Err(Refusal::unauthorized(detail));
         };
-        if self.lifecycle.step() == LifecycleStep::Closed {
+        if !self.lifecycle.accepts_work() {
             return Err(Refusal::not_ready("it is stopping as planned"));
         }
         Ok(customer)
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -52,6 +52,11 @@
 }
 
 impl LifecycleWatch {
+    /// Whether the daemon accepts new work.
+    pub fn accepts_work(&self) -> bool {
+        self.step() != LifecycleStep::Closed
+    }
+
     /// Returns the current step.
     pub fn step(&self) -> LifecycleStep {
         *self.step.borrow()
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -136,10 +136,7 @@
     meter: &RequestMeter,
 ) -> Result<Response<ResponseBody>, Refused> {
     let arrived = context.clock.now();
-    if context.lifecycle.step() == LifecycleStep::Closed {
-        let stopping = refused(RefusalKind::NotRun, "this host is stopping as planned");
-        return Err(stopping.retry_after(RETRY_STOPPING));
-    }
+    check_accepts_work(context)?;
     let table = find_table(context, call).await?;
     check_route(&table, call).map_err(table_refusal)?;
     let limits = RequestLimits {
@@ -150,6 +147,8 @@
     let body = read_request(&head.extensions, body, limits)
         .await
         .map_err(body_refusal)?;
+    // The body may have taken longer than the rest of the notice.
+    check_accepts_work(context)?;
     let input = CallerInput {
         head,
         body,
@@ -158,6 +157,15 @@
     serve_at(context, call, input, meter, arrived, &table).await
 }
 
+/// Returns an error once this host has stopped to accept work.
+fn check_accepts_work(context: &RelayContext) -> Result<(), Refused> {
+    if context.lifecycle.accepts_work() {
+        return Ok(());
+    }
+    let stopping = refused(RefusalKind::NotRun, "this host is stopping as planned");
+    Err(stopping.retry_after(RETRY_STOPPING))
+}
+
 /// A request as its caller sent it, with its complete body.
 struct CallerInput {
     head: Parts,
