fix(relay): a call that outlasts a planned stop gets an answer

Callers whose call still ran at the end of a planned stop had their connection closed without an answer, also for calls that must not run twice.

Cause: the end of the stop dropped the host with all of its connections.

In the last 200 ms of a stop, calls without an answer get 502: their outcome is unknown, and the caller knows it in time. Their connections to servers are closed, so that servers drop them. Streams that have begun are still broken off at the end.

Calls on the interface of callers that is not the platform's are still cut at the end of their 600 s.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -23,7 +23,7 @@
     ServerHooks, TcpDialer,
 };
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::access::{AccessControl, AccessError, FaceAcceptor, FaceKind};
 use crate::admission::{AdmissionGate, GateLimits};
@@ -65,6 +65,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two checks of the key files.
 const KEY_PERIOD: Duration = Duration::from_secs(10);
+/// Time before the end of a planned stop in which calls that still run are answered as unknown.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Maximum size of a plain service's answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -420,7 +422,7 @@
     }
 
     /// Runs a planned stop: reports not ready to the load balancer, then refuses new work, lets
-    /// running requests finish, and closes. True if everything finished within the drain timeout.
+    /// running requests finish, answers calls that still run as unknown, and closes. True if everything finished within the drain timeout.
     /// The timeout uses the clock that stops while the host is suspended: no lease depends on it,
     /// and requests are not aborted because of a suspension.
     pub async fn drain(mut self) -> bool {
@@ -437,6 +439,12 @@
                 server.drain().await;
             }
         };
+        let connections = async {
+            tokio::select! {
+                () = connections => {}
+                () = self.end_calls(deadline) => {}
+            }
+        };
         let evidence = async {
             if let Some(recorder) = self.context.recorder.get() {
                 recorder.flush().await;
@@ -448,6 +456,13 @@
             && finish_by(deadline, "forwarded requests", forwarded).await
             && finish_by(deadline, "evidence", evidence).await
     }
+
+    /// Gives up running calls shortly before `deadline`; their connections end with their answers.
+    async fn end_calls(&self, deadline: Instant) {
+        sleep_until(deadline - LAST_ANSWER_TIME).await;
+        self.lifecycle.advance(LifecycleStep::Ending);
+        std::future::pending().await
+    }
 }
 
 /// Whether a step of a planned stop ends before the deadline of all steps.
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -103,7 +103,16 @@
         let mut response = match context.dialect.callers.read(&head) {
             Ok(call) => {
                 let meter = RequestMeter::start(context);
-                match serve(context, &call, head, body, &meter).await {
+                let serving = serve(context, &call, head, body, &meter);
+                let served = tokio::select! {
+                    biased;
+                    served = serving => served,
+                    () = context.lifecycle.ending() => {
+                        let reason = "this host stops before the answer has come";
+                        Err(refused(RefusalKind::UnknownOutcome, reason))
+                    }
+                };
+                match served {
                     Ok(response) => response,
                     Err(refused) => {
                         meter.record_refusal(refused.refusal.kind);
