fix(http): the time for the rest of a request begins with each request

A kept connection on which the end of an earlier answer was waited for ended behind the next one at once, as the timer of the first had run out. No answer was lost; found by reading.

--- a/crates/http/src/client_connection.rs
+++ b/crates/http/src/client_connection.rs
@@ -109,6 +109,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         self.head_follows.set();
+        self.write_timer = None;
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
