--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -422,7 +422,9 @@
     }
 
     /// Runs a planned stop: reports not ready to the load balancer, then refuses new work, lets
-    /// running requests finish, answers calls that still run as unknown, and closes. True if everything finished within the drain timeout.
+    /// running requests finish, answers calls that still run as unknown, and closes. True if everything
+    /// finished within the drain timeout.
+    ///
     /// The timeout uses the clock that stops while the host is suspended: no lease depends on it,
     /// and requests are not aborted because of a suspension.
     pub async fn drain(mut self) -> bool {
@@ -434,14 +436,14 @@
         self.lifecycle.advance(LifecycleStep::Closed);
         let deadline = Instant::now() + self.drain.timeout;
         let servers = std::mem::take(&mut self.servers);
-        let connections = async {
+        let draining = async {
             for server in servers {
                 server.drain().await;
             }
         };
         let connections = async {
             tokio::select! {
-                () = connections => {}
+                () = draining => {}
                 () = self.end_calls(deadline) => {}
             }
         };
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -1,4 +1,4 @@
-//! Lifecycle of a daemon: serving, leaving for a planned stop, closed.
+//! Lifecycle of a daemon: serving, leaving for a planned stop, closed, ending.
 //!
 //! A planned stop has three steps. First the host reports that it is not ready but still serves, so
 //! that the load balancer stops sending requests before any is refused. Then it refuses new work,
