fix(http): events behind a chunk whose size is 0 by mistake are no fields

Callers of a stream in chunks got it as complete although its rest was missing, if one wrong byte had made the size of a chunk 0, such as 30 to 00.

Cause: behind a chunk of size 0 the parser reads fields up to an empty line. Events have that form, as their lines have a colon, and a line feed alone ends them there.

Fields behind a body whose head does not announce them by Trailer end it with an error. They were never passed on.

--- a/crates/http/src/checked_body.rs
+++ b/crates/http/src/checked_body.rs
@@ -4,7 +4,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
@@ -22,13 +22,16 @@
 /// server aborts the request.
 ///
 /// A body with a length is followed by nothing, or by another answer. Other bytes behind it show that the
-/// length is wrong, so that the body ends with an error. A body without framing is not in chunks.
+/// length is wrong, so that the body ends with an error. A body without framing is not in chunks, and one
+/// in chunks ends with the fields that its head announces, if any.
 pub struct CheckedBody {
     incoming: Incoming,
     connection: ClientConnection,
     /// Place of the connection in its pool; `None` if it serves this request only.
     place: Option<ReservedPlace>,
     end: BodyEnd,
+    /// Whether the head announces fields behind the last chunk.
+    has_trailers: bool,
     /// Checks the start of a body without framing; `None` once that is known.
     probe: Option<ChunkProbe>,
     progress: BodyProgress,
@@ -84,11 +87,13 @@
         place: Option<ReservedPlace>,
     ) -> Result<Response<Self>, ClientError> {
         let end = expected.body_end(&response)?;
+        let has_trailers = response.headers().contains_key(header::TRAILER);
         Ok(response.map(|incoming| Self {
             incoming,
             connection,
             place,
             end,
+            has_trailers,
             probe: (end == BodyEnd::Close).then(ChunkProbe::default),
             progress: BodyProgress::Reading,
         }))
@@ -111,6 +116,11 @@
     ) -> Poll<Result<Option<Frame<Bytes>>, ClientError>> {
         while self.progress == BodyProgress::Reading {
             let part = match ready!(Pin::new(&mut self.incoming).poll_frame(context)) {
+                // Events or lines behind a size that is 0 by mistake read as fields.
+                Some(Ok(frame)) if frame.is_trailers() && !self.has_trailers => {
+                    let reason = "fields behind the body that its head does not announce";
+                    return Poll::Ready(Err(bad_answer(reason)));
+                }
                 Some(Ok(frame)) => self.check_start(frame)?,
                 Some(Err(error)) => {
                     let reason = error.to_string();
--- a/crates/http/tests/spoiled_heads.rs
+++ b/crates/http/tests/spoiled_heads.rs
@@ -71,3 +71,40 @@
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+/// Events of a stream as the body of an answer in chunks.
+const EVENTS: &str = "id: 1\ndata: one two three four\n\nid: 2\ndata: one two three four\n\n";
+
+// Guards against a body that is not the server's behind a chunk whose size has a wrong byte.
+#[tokio::test]
+async fn a_wrong_byte_in_the_size_of_a_chunk_leaves_the_body_whole_or_refused() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let mut faults: BTreeMap<String, Vec<u8>> = BTreeMap::new();
+    for length in [8, 15, 16, 32, 34] {
+        let mut bytes = head.as_bytes().to_vec();
+        let mut framing = Vec::new();
+        for chunk in EVENTS.as_bytes().chunks(length) {
+            let size = format!("{:x}\r\n", chunk.len());
+            framing.extend(bytes.len()..bytes.len() + size.len());
+            bytes.extend_from_slice(size.as_bytes());
+            bytes.extend_from_slice(chunk);
+            framing.extend(bytes.len()..bytes.len() + 2);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"0\r\n\r\n");
+        assert_eq!(read(&bytes).await, Some((200, Bytes::from(EVENTS))));
+        for offset in framing {
+            for byte in 0..=255 {
+                let sound = std::mem::replace(&mut bytes[offset], byte);
+                if let Some((_, body)) = read(&bytes).await
+                    && body != EVENTS
+                {
+                    let case = format!("chunks of {length} at {offset}, {body:?}");
+                    faults.entry(case).or_default().push(byte);
+                }
+                bytes[offset] = sound;
+            }
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
