test(http): a wrong byte in an interim head, known red

A head of an interim answer with one wrong digit in its status, such as 203 for 103, is taken for the answer, and the real head behind it for a body without framing: four of 256 values at one of 40 places. At the client of our own interfaces such a body counts as whole.

--- a/crates/http/tests/spoiled_heads.rs
+++ b/crates/http/tests/spoiled_heads.rs
@@ -75,6 +75,27 @@
 /// Events of a stream as the body of an answer in chunks.
 const EVENTS: &str = "id: 1\ndata: one two three four\n\nid: 2\ndata: one two three four\n\n";
 
+// Guards against the head of an answer as the body of an interim one whose head has a wrong byte.
+#[tokio::test]
+async fn a_wrong_byte_in_an_interim_head_leaves_the_body_whole_or_refused() {
+    let interim = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n";
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\na whole body";
+    let mut faults: BTreeMap<String, Vec<u8>> = BTreeMap::new();
+    for offset in 0..interim.len() {
+        for byte in 0..=255 {
+            let mut bytes = [interim.as_bytes(), answer.as_bytes()].concat();
+            bytes[offset] = byte;
+            if let Some((status, body)) = read(&bytes).await
+                && body != BODY
+            {
+                let case = format!("at {offset}, {status} {body:?}");
+                faults.entry(case).or_default().push(byte);
+            }
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
 // Guards against a body that is not the server's behind a chunk whose size has a wrong byte.
 #[tokio::test]
 async fn a_wrong_byte_in_the_size_of_a_chunk_leaves_the_body_whole_or_refused() {
