feat(feed): log how long a configuration takes to reach a host, and why not

Cause: an entry served requests by routes that were replaced over 3 s before, and its logs could not tell why. Failed questions to keepers were logged at debug only; lines about revisions and tables had no times.

No logic is changed.

--- a/crates/daemon/src/feed.rs
+++ b/crates/daemon/src/feed.rs
@@ -21,7 +21,7 @@
 
 use self::copy::{ConfigurationCopy, CopyVerdict, OfferedContent, content_for};
 use crate::agreed::StaleConfiguration;
-use crate::clock::TimeSource;
+use crate::clock::{TimeSource, millis};
 use crate::coalesced::CoalescedRounds;
 use crate::keeper::{KeeperClient, KeeperList};
 use crate::peers::{
@@ -233,15 +233,17 @@
         {
             return last.answer();
         }
-        let (configuration, delta) = shared.read(|state| {
-            let delta = have.and_then(|have| state.changes().delta_since(have));
-            (state.configuration(), delta)
+        let cached = self.hub.work().measure("configuration-content", || {
+            let (configuration, delta) = shared.read(|state| {
+                let delta = have.and_then(|have| state.changes().delta_since(have));
+                (state.configuration(), delta)
+            });
+            CachedAnswer {
+                have,
+                revision: configuration.revision(),
+                content: content_for(have, &configuration, delta),
+            }
         });
-        let cached = CachedAnswer {
-            have,
-            revision: configuration.revision(),
-            content: content_for(have, &configuration, delta),
-        };
         let answer = cached.answer();
         *cached_answer = Some(cached);
         answer
@@ -290,18 +292,23 @@
                 // Parsing a long source takes tens of milliseconds on a small host. On the threads
                 // that serve requests it contributed to late pauses in all streams at each change.
                 let feed = Arc::clone(&self);
-                let apply_answer = move || feed.apply_answer(question.asked_at, confirmed);
+                let apply_answer = move || feed.apply_answer(&question, confirmed);
                 if let Err(error) = tokio::task::spawn_blocking(apply_answer).await {
                     log::error!(reason:% = error; "configuration update failed");
                 }
             }
             Err(reason) => {
-                log::debug!(keeper:% = question.keeper, reason:% = reason; "revision question failed")
+                let after = self.clock.now().since(question.asked_at);
+                log::info!(keeper:% = question.keeper, question = question.number.0,
+                    after_ms = millis(after), reason:% = reason; "revision question failed");
             }
         }
     }
 
-    fn apply_answer(&self, asked_at: MonotonicTime, confirmed: ConfirmedRevision) {
+    fn apply_answer(&self, question: &RevisionQuestion, confirmed: ConfirmedRevision) {
+        let asked_at = question.asked_at;
+        let answered_at = self.clock.now();
+        let content = confirmed.content.summary();
         let mut copy = self.copy.lock().unwrap_or_else(PoisonError::into_inner);
         let applied = match copy.apply(confirmed.revision, confirmed.content) {
             CopyVerdict::Applied(configuration) => Some(configuration),
@@ -334,7 +341,11 @@
         };
         drop(copy);
         if verdict == AnswerVerdict::Advanced {
-            log::info!(revision:% = confirmed.revision; "configuration in force");
+            let now = self.clock.now();
+            log::info!(revision:% = confirmed.revision, keeper:% = question.keeper,
+                question = question.number.0, content = content.kind, bytes = content.bytes,
+                answer_ms = millis(answered_at.since(asked_at)),
+                apply_ms = millis(now.since(answered_at)); "configuration in force");
             self.broadcast_revision();
         }
     }
--- a/crates/daemon/src/feed/copy.rs
+++ b/crates/daemon/src/feed/copy.rs
@@ -27,6 +27,28 @@
     Remote(ConfigurationContent),
 }
 
+/// Kind and size of a content, for logs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ContentSummary {
+    /// Name of the kind.
+    pub(super) kind: &'static str,
+    /// Approximate size in bytes, before compression; 0 for a content that was not sent.
+    pub(super) bytes: usize,
+}
+
+impl OfferedContent {
+    /// Describes the content.
+    pub(super) fn summary(&self) -> ContentSummary {
+        let (kind, bytes) = match self {
+            Self::Local(_) => ("local", 0),
+            Self::Remote(ConfigurationContent::Unchanged) => ("unchanged", 0),
+            Self::Remote(ConfigurationContent::Delta(delta)) => ("delta", delta_bytes(delta)),
+            Self::Remote(ConfigurationContent::Whole(text)) => ("whole", text.0.len()),
+        };
+        ContentSummary { kind, bytes }
+    }
+}
+
 /// Result of applying the content of an answer.
 #[derive(Debug)]
 pub(super) enum CopyVerdict {
@@ -126,8 +148,12 @@
 }
 
 fn is_small(delta: &ConfigurationDelta) -> bool {
+    delta_bytes(delta) <= MAX_DELTA_BYTES
+}
+
+fn delta_bytes(delta: &ConfigurationDelta) -> usize {
     let bytes: usize = delta.changes.iter().map(DocumentChange::bytes).sum();
-    bytes + delta.changes.len() * CHANGE_BYTES <= MAX_DELTA_BYTES
+    bytes + delta.changes.len() * CHANGE_BYTES
 }
 
 #[cfg(test)]
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -422,7 +422,9 @@
     ) -> Result<(), SendRefusal> {
         let frame = PeerFrame::Answer { number, answer };
         let slot = self.slot(host).ok_or(SendRefusal::UnknownHost)?;
-        let bytes = self.encode(&frame)?;
+        let bytes = self
+            .work()
+            .measure("answer-encode", || self.encode(&frame))?;
         let size = bytes.len();
         let replies = slot.replies().clone();
         let is_sent = replies.is_some_and(|replies| replies.push(bytes.clone()).is_ok());
--- a/crates/daemon/src/relay/routes.rs
+++ b/crates/daemon/src/relay/routes.rs
@@ -14,7 +14,7 @@
 
 use super::request::{Refused, refused};
 use crate::agreed::AgreedState;
-use crate::clock::TimeSource;
+use crate::clock::{SystemClock, TimeSource, millis};
 
 /// Retry delay for a caller of a host that does not know which routes are in force: an election
 /// takes about as long.
@@ -138,11 +138,14 @@
 
     fn start_build(&self, configuration: Arc<Configuration>) {
         let (build_state, dialect) = (Arc::clone(&self.build_state), Arc::clone(&self.dialect));
+        let clock = SystemClock::default();
         tokio::task::spawn_blocking(move || {
             let revision = configuration.revision();
             let table = build_table(dialect.as_ref(), &configuration).map(Arc::new);
             if let Ok(table) = &table {
-                log::info!(revision:% = revision, version:% = table.version(); "route table built");
+                // A clock that starts at the request of the build shows the wait for a thread too.
+                log::info!(revision:% = revision, version:% = table.version(),
+                    build_ms = millis(clock.now().since(MonotonicTime::START)); "route table built");
             }
             let mut state = lock(&build_state);
             state.last = Some(BuiltTable { revision, table });
