--- a/crates/coordination/tests/configuration_change.rs
+++ b/crates/coordination/tests/configuration_change.rs
@@ -495,3 +495,26 @@
     // Copying 8 MB in quadratic time takes minutes.
     assert!(begun.elapsed() < Duration::from_secs(20));
 }
+
+// Guards against keepers that compare the texts of thousands of routes for each host that asks from another
+// revision: their answers came too late, and the hosts asked again.
+#[test]
+fn deltas_for_hosts_at_many_revisions_cost_no_comparison_of_texts() {
+    const REVISIONS: u64 = 24;
+    let mut log = ChangeLog::new(ChangeRetention::default());
+    for number in 0..REVISIONS {
+        let names: Vec<u64> = (0..20_000 + number).collect();
+        let request = edit(&format!("c{number}"), &log, &routes(number, &names));
+        let decision = log.decide_edit(&request, WallTime(1), NOW);
+        assert!(decision.configuration.is_some());
+    }
+    let begun = std::time::Instant::now();
+    for _ in 0..200 {
+        for revision in 1..REVISIONS {
+            let delta = log.delta_since(Revision(revision)).unwrap();
+            assert_eq!(delta.changes.len(), 1);
+            // Comparing the texts each time takes minutes.
+            assert!(begun.elapsed() < Duration::from_secs(20));
+        }
+    }
+}
