fix(routes): a superseded table serves no longer than a change may take

Cause: a host served by the table that it had built last for as long as its lease on the configuration lasted, four fifths of `revoke_within` (4 s there), although it knew of a newer revision and got no content; and without any bound while the newer table was built. `change_within` bounded only refusals for want of a route.

Evidence:, front-lorient-c-19: the last answered question is of 24.99 s, revision 22 is known from 25.87 s on, a call is served by revision 21 at 28.95 s, the lease ends at 28.99 s.

Change: a table keeps the time at which its revision was last confirmed as the newest. Every change that it lacks was accepted later; so a host that knows of a newer revision and refuses from `change_within` after that time on (503, not run) can't serve by a change that is overdue. It is the time of a question, not of an answer or a notice, and does not depend on how long content or build take.

A host that hears of no newer revision goes on for its lease as before: without keepers no change is accepted.

--- a/crates/daemon/src/relay/routes.rs
+++ b/crates/daemon/src/relay/routes.rs
@@ -54,6 +54,9 @@
 
 struct BuiltTable {
     revision: Revision,
+    /// Latest known time at which `revision` was the newest: the table contains every change accepted
+    /// before it.
+    confirmed_at: MonotonicTime,
     /// The table, or the reason why the source can't be built.
     table: Result<Arc<RouteTable>, String>,
 }
@@ -91,6 +94,29 @@
             None => Err("the routes are being laid out".to_owned()),
         }
     }
+
+    /// Records that `newest` was the newest revision at `confirmed_at`.
+    fn confirm(&mut self, newest: Revision, confirmed_at: MonotonicTime) {
+        if let Some(last) = self.last.as_mut().filter(|last| last.revision == newest) {
+            last.confirmed_at = last.confirmed_at.max(confirmed_at);
+        }
+    }
+
+    /// Whether a change that the built table lacks should be in force by now, `change_within` after it
+    /// was accepted. `newest` is the newest revision that this host holds; `is_behind` states that
+    /// there is a newer one.
+    fn is_overdue(
+        &self,
+        now: MonotonicTime,
+        newest: Revision,
+        is_behind: bool,
+        change_within: Duration,
+    ) -> bool {
+        self.last.as_ref().is_some_and(|last| {
+            let is_superseded = is_behind || last.revision < newest;
+            is_superseded && now.since(last.confirmed_at) >= change_within
+        })
+    }
 }
 
 impl RouteTableBuilder {
@@ -112,16 +138,20 @@
     /// Returns the table of the newest revision that is built.
     ///
     /// Starts to build a newer revision on a separate thread, since all streams of a small host
-    /// would pause during the build. The host serves by the older table until then.
+    /// would pause during the build. The host serves by the older table until then, but not beyond the
+    /// time within which the change must be in force.
     ///
     /// # Errors
-    /// This host does not know which routes are in force. The refusal says so instead of denying
-    /// that the route exists.
+    /// This host does not know which routes are in force, or has not built them in time. The refusal
+    /// says so instead of denying that the route exists.
     pub(super) fn current(&self, now: MonotonicTime) -> Result<Arc<RouteTable>, Refused> {
         let unavailable = |reason: String| {
             let refusal = refused(RefusalKind::NotRun, reason);
             refusal.retry_after(RETRY_UNAVAILABLE)
         };
+        // Read before the configuration: an answer that arrives in between confirms a later revision.
+        let confirmed_at = self.agreed.confirmed_at().unwrap_or(MonotonicTime::START);
+        let is_behind = self.agreed.is_behind();
         let configuration = self
             .agreed
             .configuration()
@@ -131,12 +161,19 @@
         let built_revision = state.last.as_ref().map(|last| last.revision);
         if built_revision < Some(newest) && !state.is_building {
             state.is_building = true;
-            self.start_build(configuration);
+            self.start_build(configuration, confirmed_at);
+        }
+        let table = state.table(now, newest).map_err(unavailable)?;
+        state.confirm(newest, confirmed_at);
+        if state.is_overdue(now, newest, is_behind, self.change_within) {
+            let reason = "newer routes are in force than those that this host has";
+            return Err(unavailable(reason.to_owned()));
         }
-        state.table(now, newest).map_err(unavailable)
+        Ok(table)
     }
 
-    fn start_build(&self, configuration: Arc<Configuration>) {
+    /// Starts to build the table of `configuration`, which was the newest at `confirmed_at`.
+    fn start_build(&self, configuration: Arc<Configuration>, confirmed_at: MonotonicTime) {
         let (build_state, dialect) = (Arc::clone(&self.build_state), Arc::clone(&self.dialect));
         let clock = SystemClock::default();
         tokio::task::spawn_blocking(move || {
@@ -148,7 +185,11 @@
                     build_ms = millis(clock.now().since(MonotonicTime::START)); "route table built");
             }
             let mut state = lock(&build_state);
-            state.last = Some(BuiltTable { revision, table });
+            state.last = Some(BuiltTable {
+                revision,
+                confirmed_at,
+                table,
+            });
             state.is_building = false;
         });
     }
--- a/crates/daemon/src/relay/routes/tests.rs
+++ b/crates/daemon/src/relay/routes/tests.rs
@@ -25,6 +25,7 @@
 fn built_table(revision: u64) -> BuiltTable {
     BuiltTable {
         revision: Revision(revision),
+        confirmed_at: MonotonicTime::START,
         // An error text identifies the table in the snapshot.
         table: Err(format!("routes {revision}")),
     }
