fix(http): an answer without framing whose body begins with a head is refused

What callers saw: one wrong digit in the status of an interim answer (103 to 203, 303, 403, 503) made it the answer, and the real head its body, up to the end of the connection. Callers of the platform's interface were spared, as an interim head is not signed; services behind our own interface and pollenctl were not.

Cause: an answer without a length or a coding ends with its connection, and nothing looked at how its body begins but for chunks.

Change: the probe that holds back the start of such a body until it is known whether it is a chunk recognises a status line as well. A body without framing that begins with "HTTP/1.1 200" or the like on purpose is refused too; with a length or in chunks it is passed on.

All tests of http pass.

--- a/crates/http/src/checked_body.rs
+++ b/crates/http/src/checked_body.rs
@@ -9,21 +9,18 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use crate::answer_head::{BodyEnd, ExpectedAnswer};
-use crate::chunk_probe::{BodyStart, ChunkProbe};
 use crate::client::ClientError;
 use crate::client_connection::ClientConnection;
 use crate::pool::ReservedPlace;
 use crate::server::BoxedStream;
-
-/// Length of the start of a status line up to its status.
-const STATUS_LINE_START: usize = b"HTTP/1.1 200".len();
+use crate::start_probe::{BodyStart, StartProbe, begins_head};
 
 /// Body of an answer, and the connection that delivers it. Dropping it closes the connection, so that the
 /// server aborts the request.
 ///
 /// A body with a length is followed by nothing, or by another answer. Other bytes behind it show that the
-/// length is wrong, so that the body ends with an error. A body without framing is not in chunks, and one
-/// in chunks ends with the fields that its head announces, if any.
+/// length is wrong, so that the body ends with an error. A body without framing begins with no chunk and no
+/// head, and one in chunks ends with the fields that its head announces, if any.
 pub struct CheckedBody {
     incoming: Incoming,
     connection: ClientConnection,
@@ -33,7 +30,7 @@
     /// Whether the head announces fields behind the last chunk.
     has_trailers: bool,
     /// Checks the start of a body without framing; `None` once that is known.
-    probe: Option<ChunkProbe>,
+    probe: Option<StartProbe>,
     progress: BodyProgress,
 }
 
@@ -94,7 +91,7 @@
             place,
             end,
             has_trailers,
-            probe: (end == BodyEnd::Close).then(ChunkProbe::default),
+            probe: (end == BodyEnd::Close).then(StartProbe::default),
             progress: BodyProgress::Reading,
         }))
     }
@@ -152,6 +149,9 @@
             BodyStart::Chunk => Err(bad_answer(
                 "the body is in chunks, and its head names no coding",
             )),
+            BodyStart::Head => Err(bad_answer(
+                "the body begins with another head, and its own head names no framing",
+            )),
             BodyStart::Bytes(bytes) => {
                 self.probe = None;
                 Ok(Some(Frame::data(bytes)))
@@ -168,7 +168,7 @@
         let rest = rest.ok_or_else(|| ClientError::NoAnswer {
             reason: "the connection was aborted".to_owned(),
         })?;
-        if rest.is_empty() || begins_answer(&rest) {
+        if rest.is_empty() || begins_head(&rest) == Some(true) {
             return Poll::Ready(Ok(()));
         }
         Poll::Ready(Err(bad_answer("the body is longer than its length")))
@@ -211,12 +211,3 @@
         reason: reason.to_owned(),
     }
 }
-
-/// Whether `bytes` begin with the status line of another answer.
-fn begins_answer(bytes: &[u8]) -> bool {
-    let Some(start) = bytes.get(..STATUS_LINE_START) else {
-        return false;
-    };
-    let (protocol, status) = start.split_at(STATUS_LINE_START - 3);
-    matches!(protocol, b"HTTP/1.1 " | b"HTTP/1.0 ") && status.iter().all(u8::is_ascii_digit)
-}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,7 +5,6 @@
 mod body_buffer;
 mod body_memory;
 mod checked_body;
-mod chunk_probe;
 mod client;
 mod client_connection;
 mod connections;
@@ -15,6 +14,7 @@
 mod pool;
 mod served_stream;
 mod server;
+mod start_probe;
 
 pub use answer_head::is_final_status;
 pub use body::{
