--- a/crates/coordination/src/configuration/recent_changes.rs
+++ b/crates/coordination/src/configuration/recent_changes.rs
@@ -14,7 +14,7 @@
 /// Changes between consecutive revisions, from which deltas are made without comparing texts.
 ///
 /// Hundreds of hosts ask for a delta after each change, from several revisions. Comparing the texts for
-/// each of these revisions took keepers so long that the questions timed out.
+/// each of these revisions would take a small keeper longer than the hosts wait.
 ///
 /// Invariants: `changes` are those of consecutive revisions, oldest first; `bytes` is their size.
 #[derive(Clone, Debug, Default)]
